--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! Claims on scopes over an append-only log.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' configuration: documents, checks and the fold.
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions under load: admission, queues, refusal, engine choice, retry budget.
--- /dev/null
+++ b/crates/events/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered log events.
--- /dev/null
+++ b/crates/hibiscusgw/src/lib.rs
@@ -0,0 +1,1 @@
+//! The gateway as a library: settings, command line, logs and assembly.
--- /dev/null
+++ b/crates/hibiscusgw/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Heartbeats, the live view and rendezvous hashing.
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,1 @@
+//! Threads for callers, peers, upstreams, platform and operators.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node as one state machine: events in, actions out.
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of keyed requests.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,1 @@
+//! Newtypes for ids, sizes, rates and times.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between nodes, to upstreams, to the platform and to operators.
