--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -1,1 +1,10 @@
 //! Claims on scopes over an append-only log.
+//!
+//! A scope has one stream. A claim record takes the scope: its offset is the *term* and serves as
+//! fencing number; the latest claim holds. A holder acts only on records of its own that it has read
+//! back under its term. A record by an older term after a newer claim is void for every reader alike,
+//! so a holder that was paused, cut off or superseded cannot act, and no clock is needed for safety.
+
+mod api;
+
+pub use api::{Action, AppendOutcome, Event, Holder};
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,12 @@
 //! Operators' configuration: documents, checks and the fold.
+//!
+//! A [`Document`] is the whole configuration. Operators publish a [`Change`] that names the version
+//! it is based on; every node folds the stream of changes with the same pure function, so all agree
+//! on which change won.
+
+mod document;
+
+pub use document::{
+    Adapter, Change, Class, Document, Domain, Fencing, Model, Plain, Service, ServiceKind,
+    Upstream, Urgency, WeightStore,
+};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,12 @@
 //! The node as one state machine: events in, actions out.
+//!
+//! Every input of the process is an [`Event`] and every effect an [`Action`]. Nothing here reads a
+//! clock, opens a socket or starts a thread, so that tests and simulators drive a node by hand.
+
+mod border;
+
+pub use border::{
+    Action, Answer, ApplyOutcome, CallId, CallerRequest, CallerWork, Ended, Event, Failure,
+    FailureCode, Machine, MemberStatus, OperatorReply, OperatorRequest, PlatformError, Ran,
+    ReadOutcome, Sink, StreamId,
+};
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,1 +1,8 @@
-//! Decisions on memory: the ledger, the floor, demand replicas, weight store shares.
+//! Decisions on memory: the ledger, the floor, demand replicas and weight store shares.
+//!
+//! The [`KeeperEvent`]s and [`KeeperAction`]s are the border of the keeper of one failure domain: the
+//! only sender of orders to the engines of its domain.
+
+mod api;
+
+pub use api::{Floor, KeeperAction, KeeperEntry, KeeperEvent, OrderResult};
--- /dev/null
+++ b/crates/types/src/id.rs
@@ -0,0 +1,160 @@
+//! Names of things. All are short texts that operators choose, except the ids a node makes itself.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::{ParseError, Result};
+
+/// Longest name, in bytes.
+const MAX_NAME: usize = 128;
+
+const NAME_RULE: &str = "1 to 128 of A-Z a-z 0-9 . _ : / @ + -";
+
+fn is_name(s: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"._:/@+-".contains(&b);
+    !s.is_empty() && s.len() <= MAX_NAME && s.bytes().all(allowed)
+}
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident = $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(s: &str) -> Result<Self> {
+                if is_name(s) {
+                    Ok($name(s.into()))
+                } else {
+                    Err(ParseError::new($kind, s, NAME_RULE))
+                }
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, s: S) -> std::result::Result<S::Ok, S::Error> {
+                s.serialize_str(&self.0)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(d: D) -> std::result::Result<Self, D::Error> {
+                let text = String::deserialize(d)?;
+                text.parse().map_err(serde::de::Error::custom)
+            }
+        }
+    )*};
+}
+
+names! {
+    /// A process of the system, unique for as long as it runs.
+    NodeId = "node id";
+    /// A failure domain.
+    DomainId = "failure domain id";
+    /// A region: a group of failure domains.
+    RegionId = "region id";
+    /// A service that operators configure.
+    ServiceId = "service id";
+    /// A model of a service.
+    ModelId = "model id";
+    /// An adapter of a model.
+    AdapterId = "adapter id";
+    /// A version of a model or adapter.
+    VersionId = "version id";
+    /// An upstream: a model engine or a plain service's back end.
+    UpstreamId = "upstream id";
+    /// A priority class of a service.
+    ClassId = "priority class id";
+    /// A caller's request, as the caller or the entry node names it.
+    RequestId = "request id";
+    /// A caller's idempotency key.
+    IdempotencyKey = "idempotency key";
+    /// What a claim is taken on, such as `keeper/stgo-a`.
+    Scope = "scope";
+    /// A stream of the platform's log.
+    StreamName = "stream name";
+}
+
+impl Scope {
+    /// The scope of a failure domain's keeper.
+    pub fn keeper(domain: &DomainId) -> Scope {
+        Scope(format!("keeper/{domain}").into())
+    }
+
+    /// The scope of the planner of a region's residency floor.
+    pub fn planner(region: &RegionId) -> Scope {
+        Scope(format!("planner/{region}").into())
+    }
+
+    /// The scope of one shard of the idempotency keys.
+    pub fn key_shard(shard: u32) -> Scope {
+        Scope(format!("once/{shard}").into())
+    }
+
+    /// The log stream that holds the records of this scope.
+    pub fn stream(&self) -> StreamName {
+        StreamName(self.0.replace('/', ".").into())
+    }
+}
+
+impl StreamName {
+    /// The stream of accepted and rejected configuration changes.
+    pub fn config() -> StreamName {
+        StreamName("config".into())
+    }
+}
+
+macro_rules! made_ids {
+    ($($(#[$doc:meta])* $name:ident = $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub struct $name {
+            /// Random number that the node drew when it started.
+            pub boot: u64,
+            /// Counts up within the process.
+            pub seq: u64,
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:016x}-{}", self.boot, self.seq)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(s: &str) -> Result<Self> {
+                let parts = s.split_once('-').and_then(|(boot, seq)| {
+                    Some($name { boot: u64::from_str_radix(boot, 16).ok()?, seq: seq.parse().ok()? })
+                });
+                parts.ok_or_else(|| ParseError::new($kind, s, "a hexadecimal number, `-`, a number"))
+            }
+        }
+    )*};
+}
+
+made_ids! {
+    /// One try of one request at one upstream; unique over all nodes and restarts.
+    AttemptId = "attempt id";
+    /// A record of the log, by which duplicates and lost answers are recognised.
+    RecordId = "record id";
+}
