Hold scopes by claims over an append-only log

A claim is a pure state machine: reader of its scope's stream, claimant and holder. A holder acts on what it has read back under its term; records of older terms are void, and so are second copies, by a number within the term. A claim says how far its writer had read and is void where it had not read the claim that it would replace, so that a late copy takes nothing from a live holder.

--- a/crates/claim/src/api.rs
+++ b/crates/claim/src/api.rs
@@ -48,7 +48,8 @@
         outcome: AppendOutcome,
     },
     /// Whether this node is the one that should hold the scope, and whether its holder is alive,
-    /// as membership sees it. Decides only when to claim, never what is safe.
+    /// as membership sees it. Decides only when to claim, never what is safe. To be told again after
+    /// each [`Action::HolderChanged`], which voids what was said about the last holder.
     Standing {
         /// This node comes first among the live nodes for this scope.
         preferred: bool,
--- /dev/null
+++ b/crates/claim/src/claim.rs
@@ -0,0 +1,358 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use hgw_types::{NodeId, Offset, RecordId, Scope, Term, Time};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::outbox::{Outbox, Purpose, Verdict, Waiting};
+use crate::reader::{Judged, Read, Reader};
+use crate::record::{Body, Entry, Record, Snapshot};
+use crate::{Action, Event, Holder, Settings, fold};
+
+/// One node's part in who holds a scope: reader of its stream, claimant and holder.
+#[derive(Debug)]
+pub struct Claim {
+    cfg: Settings,
+    scope: Scope,
+    node: NodeId,
+    boot: u64,
+    next_id: u64,
+    rng: StdRng,
+    reader: Reader,
+    outbox: Outbox,
+    held: Option<Term>,
+    standing: Option<Standing>,
+    /// The last read succeeded and ended at the end of the stream.
+    caught_up: bool,
+    told_no_snapshot: bool,
+    snapshot: SnapshotClock,
+    releasing: bool,
+    release_due: bool,
+}
+
+/// This node's standing as last told.
+#[derive(Debug)]
+struct Standing {
+    preferred: bool,
+    /// When this node may claim, if nothing changes.
+    claim_at: Option<Time>,
+}
+
+/// When the next snapshot is due.
+#[derive(Debug, Default)]
+struct SnapshotClock {
+    entries: u64,
+    next: Time,
+    waiting: Option<(u64, Offset, Bytes)>,
+}
+
+impl Claim {
+    /// Starts before the first record of the scope's stream. `boot` is a random number of this
+    /// process, which makes its record ids unique.
+    pub fn new(cfg: Settings, scope: Scope, node: NodeId, boot: u64) -> Claim {
+        Claim {
+            cfg,
+            scope,
+            node,
+            boot,
+            next_id: 1,
+            rng: StdRng::seed_from_u64(boot),
+            reader: Reader::new(),
+            outbox: Outbox::default(),
+            held: None,
+            standing: None,
+            caught_up: false,
+            told_no_snapshot: false,
+            snapshot: SnapshotClock::default(),
+            releasing: false,
+            release_due: false,
+        }
+    }
+
+    /// The scope.
+    pub fn scope(&self) -> &Scope {
+        &self.scope
+    }
+
+    /// The holder after the records read so far.
+    pub fn holder(&self) -> Option<&Holder> {
+        self.reader.fold.holder.as_ref()
+    }
+
+    /// The term of this node, while it holds the scope and has read back its claim.
+    pub fn held(&self) -> Option<Term> {
+        self.held
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Read { offset, data } => self.read(now, offset, &data, out),
+            Event::Trimmed { first } => self.trimmed(first, out),
+            Event::CaughtUp => self.caught_up(out),
+            Event::ReadFailed => self.caught_up = false,
+            Event::Appended { id, outcome } => {
+                let verdict = self.outbox.answered(now, id, outcome);
+                self.settle_append(now, verdict, out);
+            }
+            Event::Standing { preferred, holder_alive } => {
+                self.stand(now, preferred, holder_alive);
+            }
+            Event::Tick => {
+                let verdict = self.outbox.tick(now, &self.cfg);
+                self.settle_append(now, verdict, out);
+                let expired = self.outbox.expired(now, &self.cfg);
+                out.extend(expired.into_iter().map(|id| Action::Dropped { id }));
+            }
+        }
+        self.advance(now, out);
+    }
+
+    /// Proposes an entry; it counts once it comes back as [`Action::Apply`].
+    pub fn propose(&mut self, now: Time, id: RecordId, data: Bytes, out: &mut Vec<Action>) {
+        let full = self.outbox.waiting.len() >= self.cfg.queue_entries;
+        if self.held.is_none() || self.releasing || full {
+            out.push(Action::Dropped { id });
+            return;
+        }
+        self.outbox.waiting.push_back(Waiting { entry: Entry { id, data }, since: now });
+        self.advance(now, out);
+    }
+
+    /// Takes the state after all entries applied so far.
+    pub fn snapshot(&mut self, now: Time, data: Bytes, out: &mut Vec<Action>) {
+        if self.held.is_none() || self.releasing {
+            return;
+        }
+        self.snapshot.waiting = Some((self.reader.fold.seq, self.reader.position, data));
+        self.advance(now, out);
+    }
+
+    /// Gives the scope up, after what is in flight, and never claims it again.
+    pub fn release(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.releasing = true;
+        self.release_due = self.held.is_some();
+        let unsent = self.outbox.waiting.drain(..);
+        out.extend(unsent.map(|waiting| Action::Dropped { id: waiting.entry.id }));
+        self.advance(now, out);
+    }
+
+    /// After [`Action::NoSnapshot`]: takes the state before the oldest record kept to be empty,
+    /// since what was recorded before has expired for its users as well.
+    pub fn begin_empty(&mut self, now: Time, out: &mut Vec<Action>) {
+        for judged in self.reader.begin_empty() {
+            self.judge(now, judged, out);
+        }
+        self.advance(now, out);
+    }
+
+    fn read(&mut self, now: Time, offset: Offset, data: &[u8], out: &mut Vec<Action>) {
+        if offset <= self.reader.position {
+            return;
+        }
+        let Some(record) = Record::decode(data) else {
+            self.reader.position = offset;
+            return;
+        };
+        match self.reader.read(offset, record, self.cfg.buffered_records) {
+            Read::Judged(judged) => self.judge(now, *judged, out),
+            Read::Waiting => {}
+            Read::Restored(snapshot, judged) => {
+                self.told_no_snapshot = false;
+                self.standing = None;
+                out.push(Action::Restore { offset, data: snapshot.data });
+                out.push(Action::HolderChanged(self.holder().cloned()));
+                for judged in judged {
+                    self.judge(now, judged, out);
+                }
+            }
+        }
+    }
+
+    fn judge(&mut self, now: Time, judged: Judged, out: &mut Vec<Action>) {
+        let Judged { offset, record, verdict } = judged;
+        self.outbox.read_back(record.id, verdict != fold::Verdict::Void);
+        match (verdict, record.body) {
+            (fold::Verdict::Claimed, _) => self.claimed(now, record.id, out),
+            (fold::Verdict::Released, _) => self.released(now, out),
+            (fold::Verdict::Entries, Body::Entries { term, entries, .. }) => {
+                self.snapshot.entries += entries.len() as u64;
+                let apply = |Entry { id, data }| Action::Apply { offset, term, id, data };
+                out.extend(entries.into_iter().map(apply));
+            }
+            (fold::Verdict::Snapshot, _) => {
+                self.snapshot.entries = 0;
+                self.snapshot.next = now + self.cfg.snapshot_age;
+            }
+            _ => {}
+        }
+    }
+
+    fn claimed(&mut self, now: Time, id: RecordId, out: &mut Vec<Action>) {
+        self.lose(true, out);
+        out.push(Action::HolderChanged(self.holder().cloned()));
+        // What was said about the last holder does not hold for this one.
+        self.standing = None;
+        if id.boot != self.boot {
+            return;
+        }
+        let term = self.reader.fold.term;
+        self.held = Some(term);
+        self.release_due = self.releasing;
+        // The last snapshot may be as old as the last holder let it become.
+        self.snapshot.next = now + self.cfg.first_snapshot;
+        out.push(Action::Gained(term));
+    }
+
+    fn released(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.lose(true, out);
+        out.push(Action::HolderChanged(None));
+        let preferred = self.standing.as_ref().is_some_and(|standing| standing.preferred);
+        self.stand(now, preferred, false);
+    }
+
+    /// Ends this node's term. `void` says that nothing it sent and has not read can count any more:
+    /// a newer claim, or its release, was read first.
+    fn lose(&mut self, void: bool, out: &mut Vec<Action>) {
+        let Some(term) = self.held.take() else { return };
+        self.snapshot.waiting = None;
+        self.release_due = false;
+        let (waiting, sent) = self.outbox.clear();
+        out.push(Action::Lost(term));
+        out.extend(waiting.into_iter().map(|id| Action::Dropped { id }));
+        if void {
+            out.extend(sent.into_iter().map(|id| Action::Dropped { id }));
+        }
+    }
+
+    fn trimmed(&mut self, first: Offset, out: &mut Vec<Action>) {
+        let had_holder = self.holder().is_some();
+        if !self.reader.trimmed(first) {
+            return;
+        }
+        self.caught_up = false;
+        self.told_no_snapshot = false;
+        self.lose(false, out);
+        self.outbox.clear();
+        if had_holder {
+            out.push(Action::HolderChanged(None));
+        }
+    }
+
+    fn caught_up(&mut self, out: &mut Vec<Action>) {
+        self.caught_up = true;
+        self.outbox.read_ended();
+        if !self.reader.is_usable() && !self.told_no_snapshot {
+            self.told_no_snapshot = true;
+            out.push(Action::NoSnapshot);
+        }
+    }
+
+    fn settle_append(&mut self, now: Time, verdict: Verdict, out: &mut Vec<Action>) {
+        match verdict {
+            Verdict::Nothing => {}
+            Verdict::Again(id, data) => out.push(Action::Append { id, data }),
+            Verdict::Refused(Purpose::Entries(ids)) => {
+                out.extend(ids.into_iter().map(|id| Action::Dropped { id }));
+            }
+            Verdict::Refused(Purpose::Claim) => {
+                let claim_at = now + self.cfg.retry + self.jitter(self.cfg.jitter);
+                if let Some(standing) = &mut self.standing {
+                    standing.claim_at = Some(claim_at);
+                }
+            }
+            Verdict::Refused(Purpose::Snapshot) => self.snapshot.next = now + self.cfg.retry,
+            Verdict::Refused(Purpose::Release) => self.release_due = true,
+        }
+    }
+
+    /// Two nodes may both come first for a moment, each in its own view. Each waits until that has
+    /// held for a while, and a little longer at random; the one that reads the other's claim in that
+    /// time stands back.
+    fn stand(&mut self, now: Time, preferred: bool, holder_alive: bool) {
+        let vacant = self.holder().is_none_or(|holder| holder.node == self.node);
+        let wanted = vacant || !holder_alive;
+        let last = self.standing.as_ref().filter(|standing| standing.preferred == preferred);
+        let last = last.and_then(|standing| standing.claim_at);
+        let claim_at = wanted.then(|| last.unwrap_or_else(|| now + self.patience(preferred)));
+        self.standing = Some(Standing { preferred, claim_at });
+    }
+
+    /// A released scope is free at once; a dead holder may only be out of sight for a moment. The
+    /// node that should claim may be unable to, for want of the log or of a snapshot: then, after a
+    /// longer time, any other one does.
+    fn patience(&mut self, preferred: bool) -> Duration {
+        let released = self.holder().is_none() && self.reader.fold.term != Term(0);
+        match (preferred, released) {
+            (true, true) => self.jitter(self.cfg.jitter),
+            (true, false) => self.cfg.settle + self.jitter(self.cfg.jitter),
+            (false, _) => self.cfg.backup + self.jitter(self.cfg.backup),
+        }
+    }
+
+    fn jitter(&mut self, most: Duration) -> Duration {
+        let most = u64::try_from(most.as_micros()).unwrap_or(u64::MAX);
+        Duration::from_micros(self.rng.random_range(0..=most))
+    }
+
+    /// Sends the next append, if one is due and none is in flight.
+    fn advance(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.outbox.flight.is_some() {
+            return;
+        }
+        let gap = self.outbox.last_sent.is_some_and(|at| now.since(at) < self.cfg.batch_gap);
+        if gap {
+            return;
+        }
+        match self.held {
+            Some(term) => self.write(now, term, out),
+            None => self.claim_if_due(now, out),
+        }
+    }
+
+    fn write(&mut self, now: Time, term: Term, out: &mut Vec<Action>) {
+        self.ask_snapshot(now, out);
+        let seq = self.reader.fold.seq + 1;
+        if let Some((covers_seq, covers, data)) = self.snapshot.waiting.take() {
+            let node = self.node.clone();
+            let snapshot = Snapshot { term, seq, node, covers, covers_seq, data };
+            self.append(now, Body::Snapshot(snapshot), Purpose::Snapshot, out);
+        } else if !self.outbox.waiting.is_empty() {
+            let entries = self.outbox.batch(&self.cfg);
+            let ids = entries.iter().map(|entry| entry.id).collect();
+            let body = Body::Entries { term, seq, entries };
+            self.append(now, body, Purpose::Entries(ids), out);
+        } else if self.release_due {
+            self.release_due = false;
+            self.append(now, Body::Release { term, seq }, Purpose::Release, out);
+        }
+    }
+
+    fn ask_snapshot(&mut self, now: Time, out: &mut Vec<Action>) {
+        let due = now >= self.snapshot.next || self.snapshot.entries >= self.cfg.snapshot_entries;
+        if due && !self.releasing {
+            self.snapshot.entries = 0;
+            self.snapshot.next = now + self.cfg.snapshot_age;
+            out.push(Action::SnapshotDue);
+        }
+    }
+
+    fn claim_if_due(&mut self, now: Time, out: &mut Vec<Action>) {
+        let ready = self.caught_up && self.reader.is_usable() && !self.releasing;
+        let claim_at = self.standing.as_ref().and_then(|standing| standing.claim_at);
+        if !ready || claim_at.is_none_or(|at| now < at) {
+            return;
+        }
+        let body = Body::Claim { node: self.node.clone(), read_to: self.reader.position };
+        self.append(now, body, Purpose::Claim, out);
+    }
+
+    fn append(&mut self, now: Time, body: Body, purpose: Purpose, out: &mut Vec<Action>) {
+        let id = RecordId { boot: self.boot, seq: self.next_id };
+        self.next_id += 1;
+        let data = Record { id, body }.encode();
+        self.outbox.send(now, id, data.clone(), purpose);
+        out.push(Action::Append { id, data });
+    }
+}
