--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -12,13 +12,13 @@
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// Failure domains and the region that each belongs to.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "crate::parse::unique")]
     pub domains: IndexMap<DomainId, Domain>,
     /// Services by id.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "crate::parse::unique")]
     pub services: IndexMap<ServiceId, Service>,
     /// Upstreams by id.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "crate::parse::unique")]
     pub upstreams: IndexMap<UpstreamId, Upstream>,
     /// Limits of the weight store that all domains share.
     #[serde(default)]
@@ -46,11 +46,12 @@
     #[serde(default = "default_move_cost")]
     pub move_cost: f64,
     /// Priority classes by id.
+    #[serde(deserialize_with = "crate::parse::unique")]
     pub classes: IndexMap<ClassId, Class>,
     /// Class of a request that names none.
     pub default_class: ClassId,
     /// Models by id; empty for a plain service.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "crate::parse::unique")]
     pub models: IndexMap<ModelId, Model>,
     /// Settings of a plain service; unused for a model service.
     #[serde(default)]
@@ -113,7 +114,7 @@
     /// Memory that the version takes when resident.
     pub size: MemSize,
     /// Adapters that callers may ask for.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "crate::parse::unique")]
     pub adapters: IndexMap<AdapterId, Adapter>,
 }
 
