Let heartbeats tell of many members in few bytes

Border change: a Heartbeat carries pulses (hash of the node id, time since the member was seen, 7 bytes each) beside whole beats, and says whether it is to be answered. Names of fields in MemberBeat are short on the wire only.

--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -296,24 +296,35 @@
 /// Sign of life, with what the sender knows of others.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
-    /// Counters of some members, the sender's own first.
+    /// Some members, the sender itself first.
     pub members: Vec<MemberBeat>,
+    /// When more members were last known to live: a hash of the node id, and the time since then in
+    /// units of 50 ms.
+    pub pulses: IndexMap<u32, u16>,
+    /// Whether the receiver is to answer with one.
+    pub ask: bool,
     /// Version of the sender's configuration.
     pub config: Offset,
 }
 
-/// One member as somebody knows it.
+/// One member as somebody knows it. Names of fields are short, as heartbeats are most of what an idle
+/// node sends.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberBeat {
     /// The member.
+    #[serde(rename = "n")]
     pub node: NodeId,
     /// Its failure domain.
+    #[serde(rename = "d")]
     pub domain: DomainId,
     /// `IP:PORT` of its listener for peers.
+    #[serde(rename = "a")]
     pub addr: String,
     /// Counts up while it lives.
+    #[serde(rename = "b")]
     pub beat: u64,
     /// Whether it stops as planned.
+    #[serde(rename = "l")]
     pub leaving: bool,
 }
 
