--- a/crates/node/src/border/action.rs
+++ b/crates/node/src/border/action.rs
@@ -29,7 +29,8 @@
         /// The answer.
         answer: Answer,
     },
-    /// Connect to a peer unless connected.
+    /// Connect to a peer unless connected; messages sent meanwhile wait for the connection, within
+    /// a bound.
     Connect {
         /// The peer.
         peer: NodeId,
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -99,6 +99,8 @@
         attempt: AttemptId,
         /// How.
         outcome: Outcome,
+        /// The whole answer, where [`Submit::collect`] asked for it.
+        answer: Option<RecordedAnswer>,
         /// Estimated delay of a new request at that queue.
         delay_us: u64,
     },
@@ -159,6 +161,8 @@
     pub left_us: u64,
     /// Whether the work may be given to another dispatcher when this one is over its limit.
     pub may_bounce: bool,
+    /// Whether the answer is to come whole with [`Message::Ended`], and not in chunks.
+    pub collect: bool,
     /// What is to be done.
     pub work: Work,
 }
