--- /dev/null
+++ b/crates/placement/src/demand/api.rs
@@ -0,0 +1,69 @@
+use std::time::Duration;
+
+use hgw_types::{MemSize, ModelId, UpstreamId};
+
+/// What the keeper's ledger says of one engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineView {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// Its memory.
+    pub memory: MemSize,
+    /// Memory that is resident, loading, or promised to an order that may still take effect.
+    pub reserved: MemSize,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// What it holds or loads.
+    pub models: Vec<HeldView>,
+}
+
+/// A model at an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldView {
+    /// The model.
+    pub model: ModelId,
+    /// Memory that it takes there, its adapters included.
+    pub size: MemSize,
+    /// Whether the residency floor names it; such a copy is never evicted for demand.
+    pub floor: bool,
+    /// Whether it may be given work; false while it loads, or while it is to be evicted.
+    pub ready: bool,
+}
+
+/// A model to load, after these evictions at the same engine have been confirmed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Move {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// The model to load.
+    pub load: ModelId,
+    /// Demand replicas to evict first; empty where there is room.
+    pub evict: Vec<ModelId>,
+}
+
+/// Limits of the demand planner.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DemandSettings {
+    /// Half-life of the demand estimate.
+    pub half_life: Duration,
+    /// How long a replica is expected to go on earning what it earns now.
+    pub horizon: Duration,
+    /// Shortest time between two loads of one model, and before a new replica may be evicted.
+    pub cool_down: Duration,
+    /// Gain over cost that a move must reach; above 1, so that noise causes none.
+    pub hysteresis: f64,
+    /// Moves that one call of `plan` may give.
+    pub moves_at_once: usize,
+}
+
+impl Default for DemandSettings {
+    fn default() -> Self {
+        DemandSettings {
+            half_life: Duration::from_secs(10),
+            horizon: Duration::from_secs(60),
+            cool_down: Duration::from_secs(30),
+            hysteresis: 1.5,
+            moves_at_once: 2,
+        }
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,5 +4,7 @@
 //! only sender of orders to the engines of its domain.
 
 mod api;
+mod demand;
 
 pub use api::{Floor, KeeperAction, KeeperEntry, KeeperEvent, OrderResult};
+pub use demand::{DemandSettings, EngineView, HeldView, Move};
