Say which requests count as unmet demand, and whose slot time counts

Deferrable work fills whatever urgent work leaves, so slot time that includes it shows no room anywhere. A request that another domain answers needs no move.

--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -350,9 +350,10 @@
     pub urgent: u32,
     /// Other requests that came.
     pub deferrable: u32,
-    /// Requests refused, or sent to another domain, for want of a replica with room.
+    /// Urgent requests of the sender's own callers refused in the end for want of a replica with
+    /// room; not those that another replica or domain has answered.
     pub unmet: u32,
-    /// Slot time that the requests took, in milliseconds.
+    /// Slot time that the urgent requests took, in milliseconds.
     pub busy_ms: u64,
     /// Adapters asked for that no engine of the domain holds.
     pub adapters: Vec<AdapterId>,
