--- a/crates/placement/src/demand/api.rs
+++ b/crates/placement/src/demand/api.rs
@@ -44,25 +44,40 @@
 /// Limits of the demand planner.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DemandSettings {
-    /// Half-life of the demand estimate.
+    /// Half-life of the demand estimate: long enough to see through a few seconds of noise, short
+    /// enough to follow a burst of minutes.
     pub half_life: Duration,
     /// How long a replica is expected to go on earning what it earns now.
     pub horizon: Duration,
-    /// Shortest time between two loads of one model, and before a new replica may be evicted.
+    /// Time after a load in which that replica is not evicted.
+    ///
+    /// Two models that are both short of room would otherwise evict each other in turn.
     pub cool_down: Duration,
+    /// Time after a replica of a model got ready before the next one is loaded in the domain: the
+    /// demand estimate must first have seen what it does.
+    pub settle: Duration,
     /// Gain over cost that a move must reach; above 1, so that noise causes none.
     pub hysteresis: f64,
-    /// Moves that one call of `plan` may give.
+    /// Weight of demand for a model that no engine of the domain holds: another domain may have no
+    /// room for it, or be cut off.
+    pub absent_weight: f64,
+    /// Share of an engine's slots that urgent work may be planned to fill. Above it, waits grow
+    /// faster than what is served.
+    pub fill: f64,
+    /// Moves that one call of `plan` may give: the weight store serves a few loads at once.
     pub moves_at_once: usize,
 }
 
 impl Default for DemandSettings {
     fn default() -> Self {
         DemandSettings {
-            half_life: Duration::from_secs(10),
+            half_life: Duration::from_secs(5),
             horizon: Duration::from_secs(60),
             cool_down: Duration::from_secs(30),
+            settle: Duration::from_secs(5),
             hysteresis: 1.5,
+            absent_weight: 3.0,
+            fill: 0.9,
             moves_at_once: 2,
         }
     }
--- /dev/null
+++ b/crates/placement/src/demand/room.rs
@@ -0,0 +1,69 @@
+use hgw_types::{ModelId, UpstreamId};
+use indexmap::{IndexMap, IndexSet};
+
+use super::seen::Seen;
+use super::{EngineView, Move};
+
+/// Slots that urgent work leaves at each engine of the domain, by the demand for what each holds.
+///
+/// The demand for a model is taken to spread evenly over its copies, as the entry's choice by delay
+/// makes it.
+#[derive(Debug)]
+pub(super) struct Room {
+    spare: IndexMap<UpstreamId, f64>,
+    holders: IndexMap<ModelId, Vec<UpstreamId>>,
+    /// Engines with a move in this plan.
+    taken: IndexSet<UpstreamId>,
+}
+
+impl Room {
+    pub(super) fn new(engines: &[EngineView], seen: &Seen, fill: f64) -> Self {
+        let mut holders: IndexMap<ModelId, Vec<UpstreamId>> = IndexMap::new();
+        for e in engines {
+            for held in &e.models {
+                holders.entry(held.model.clone()).or_default().push(e.upstream.clone());
+            }
+        }
+        let spare = |e: &EngineView| {
+            let share = |m: &ModelId| seen.load(m) / holders[m].len() as f64;
+            let used: f64 = e.models.iter().map(|h| share(&h.model)).sum();
+            (e.upstream.clone(), (f64::from(e.slots) * fill - used).max(0.0))
+        };
+        let spare = engines.iter().map(spare).collect();
+        Room { spare, holders, taken: IndexSet::new() }
+    }
+
+    /// Slots of the engine that urgent work leaves.
+    pub(super) fn spare(&self, upstream: &UpstreamId) -> f64 {
+        self.spare.get(upstream).copied().unwrap_or(0.0)
+    }
+
+    /// Copies of the model in the domain.
+    pub(super) fn copies(&self, model: &ModelId) -> usize {
+        self.holders.get(model).map_or(0, Vec::len)
+    }
+
+    /// Urgent requests a second that would find no room if this copy went.
+    pub(super) fn loss(&self, seen: &Seen, upstream: &UpstreamId, model: &ModelId) -> f64 {
+        let copies = self.copies(model).max(1) as f64;
+        let share = seen.load(model) / copies;
+        let others = self.holders.get(model).into_iter().flatten().filter(|u| *u != upstream);
+        let room: f64 = others.map(|u| self.spare(u)).sum();
+        let short = seen.unmet(model) > 0.0;
+        let homeless = if short { share } else { (share - room).max(0.0) };
+        homeless / seen.service(model)
+    }
+
+    /// Whether this plan has a move there already.
+    pub(super) fn is_taken(&self, upstream: &UpstreamId) -> bool {
+        self.taken.contains(upstream)
+    }
+
+    /// Notes a move that fills this many slots.
+    pub(super) fn take(&mut self, order: &Move, slots: f64) {
+        self.taken.insert(order.upstream.clone());
+        if let Some(spare) = self.spare.get_mut(&order.upstream) {
+            *spare = (*spare - slots).max(0.0);
+        }
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,4 +7,4 @@
 mod demand;
 
 pub use api::{Floor, KeeperAction, KeeperEntry, KeeperEvent, OrderResult};
-pub use demand::{DemandSettings, EngineView, HeldView, Move};
+pub use demand::{DemandPlanner, DemandSettings, EngineView, HeldView, Move};
