Bound the time at which an order may be sent

Cause: a process that stands still with an order in hand sends it when it goes on, long after its successor has stopped counting it. A check when the order is decided cannot see this; the thread that writes the first byte can. KeeperAction::Order and the node's Action::Order carry send_by for it.

--- a/crates/node/src/border/action.rs
+++ b/crates/node/src/border/action.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hgw_types::{AttemptId, NodeId, Offset, RecordId, StreamName, UpstreamId};
+use hgw_types::{AttemptId, NodeId, Offset, RecordId, StreamName, Time, UpstreamId};
 use hgw_wire::peer::{Message, Work};
 use hgw_wire::upstream::Order;
 
@@ -80,6 +80,8 @@
         order: Order,
         /// Whether the order token goes with it.
         token: bool,
+        /// Never to be sent after this time, checked when the first byte is written; not sent then.
+        send_by: Time,
         /// Longest wait for the answer.
         timeout: Duration,
     },
--- a/crates/placement/src/api.rs
+++ b/crates/placement/src/api.rs
@@ -117,6 +117,9 @@
         upstream: UpstreamId,
         /// The order.
         order: Order,
+        /// Never to be sent after this time, which is checked when the first byte is written: a
+        /// process that stood still with the order in hand answers [`OrderResult::NotSent`] instead.
+        send_by: Time,
     },
     /// Ask an engine what it holds.
     AskState(UpstreamId),
