--- /dev/null
+++ b/crates/placement/src/keeper/domain.rs
@@ -0,0 +1,120 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use hgw_config::{Document, Fencing, Model, ServiceKind, Upstream};
+use hgw_types::{DomainId, MemSize, ModelId, Offset, UpstreamId};
+use indexmap::IndexMap;
+
+use crate::{Floor, Item};
+
+/// What configuration and floor say of one failure domain.
+#[derive(Debug)]
+pub(super) struct Domain {
+    id: DomainId,
+    version: Offset,
+    document: Arc<Document>,
+    floor: Floor,
+    /// Floor models by engine, each with the engine's place in the model's list.
+    targets: IndexMap<UpstreamId, IndexMap<ModelId, usize>>,
+}
+
+impl Domain {
+    pub(super) fn new(id: DomainId) -> Domain {
+        Domain {
+            id,
+            version: Offset::default(),
+            document: Arc::default(),
+            floor: Floor::default(),
+            targets: IndexMap::new(),
+        }
+    }
+
+    pub(super) fn id(&self) -> &DomainId {
+        &self.id
+    }
+
+    pub(super) fn document(&self) -> &Document {
+        &self.document
+    }
+
+    pub(super) fn set_document(&mut self, version: Offset, document: Arc<Document>) {
+        if version < self.version {
+            return;
+        }
+        self.version = version;
+        self.document = document;
+        self.work_out_targets();
+    }
+
+    pub(super) fn set_floor(&mut self, floor: Floor) {
+        self.floor = floor;
+        self.work_out_targets();
+    }
+
+    fn work_out_targets(&mut self) {
+        self.targets.clear();
+        for (model, engines) in &self.floor.models {
+            for (rank, engine) in engines.iter().enumerate() {
+                let here = self.document.upstreams.get(engine).is_some_and(|u| u.domain == self.id);
+                if here {
+                    self.targets.entry(engine.clone()).or_default().insert(model.clone(), rank);
+                }
+            }
+        }
+    }
+
+    /// The engines of this domain.
+    pub(super) fn engines(&self) -> impl Iterator<Item = (&UpstreamId, &Upstream)> {
+        let is_engine = |u: &Upstream| {
+            self.document.services.get(&u.service).is_some_and(|s| s.kind == ServiceKind::Model)
+        };
+        self.document.upstreams.iter().filter(move |(_, u)| u.domain == self.id && is_engine(u))
+    }
+
+    pub(super) fn upstream(&self, engine: &UpstreamId) -> Option<&Upstream> {
+        self.document.upstreams.get(engine)
+    }
+
+    /// Whether the engine refuses old fencing numbers. An unknown one is taken to ignore them.
+    pub(super) fn refuses(&self, engine: &UpstreamId) -> bool {
+        self.upstream(engine).is_some_and(|u| u.fencing == Fencing::Refuses)
+    }
+
+    /// The operator's bound for late orders to this engine.
+    pub(super) fn late(&self, engine: &UpstreamId) -> Duration {
+        self.upstream(engine).map_or(Duration::MAX, |u| Duration::from_millis(u.late_order_ms))
+    }
+
+    /// The model as the engine's service has it.
+    pub(super) fn model(&self, engine: &UpstreamId, model: &ModelId) -> Option<&Model> {
+        let service = &self.upstream(engine)?.service;
+        self.document.services.get(service)?.models.get(model)
+    }
+
+    /// The current version of the model, and its size.
+    pub(super) fn current(&self, engine: &UpstreamId, model: &ModelId) -> Option<(Item, MemSize)> {
+        let found = self.model(engine, model)?;
+        Some((Item::Model(model.clone(), found.version.clone()), found.size))
+    }
+
+    /// Whether the item is a version that callers get.
+    pub(super) fn is_current(&self, engine: &UpstreamId, item: &Item) -> bool {
+        let Some(model) = self.model(engine, item.model()) else { return false };
+        match item {
+            Item::Model(_, version) => model.version == *version,
+            Item::Adapter(_, adapter, version) => {
+                model.adapters.get(adapter).is_some_and(|a| a.version == *version)
+            }
+        }
+    }
+
+    /// The floor's models on an engine, each with the engine's place in the model's list.
+    pub(super) fn targets(&self, engine: &UpstreamId) -> impl Iterator<Item = (&ModelId, usize)> {
+        self.targets.get(engine).into_iter().flatten().map(|(model, rank)| (model, *rank))
+    }
+
+    /// The engine's place in the floor's list of the model.
+    pub(super) fn rank(&self, engine: &UpstreamId, model: &ModelId) -> Option<usize> {
+        self.targets.get(engine)?.get(model).copied()
+    }
+}
--- /dev/null
+++ b/crates/placement/src/keeper/intents.rs
@@ -0,0 +1,49 @@
+use hgw_types::{RecordId, UpstreamId};
+use hgw_wire::upstream::OrderKind;
+use indexmap::IndexMap;
+
+use crate::KeeperEntry;
+
+/// The orders in the scope's stream that may still take effect, as every node folds them.
+#[derive(Debug, Default)]
+pub(super) struct Intents {
+    open: IndexMap<RecordId, KeeperEntry>,
+}
+
+impl Intents {
+    pub(super) fn apply(&mut self, entry: KeeperEntry) {
+        match entry {
+            KeeperEntry::Intent { order, .. } => {
+                self.open.insert(order, entry);
+            }
+            KeeperEntry::Settled { orders } => {
+                for order in orders {
+                    self.open.shift_remove(&order);
+                }
+            }
+        }
+    }
+
+    pub(super) fn restore(&mut self, entries: Vec<KeeperEntry>) {
+        self.open.clear();
+        entries.into_iter().for_each(|e| self.apply(e));
+    }
+
+    pub(super) fn snapshot(&self) -> Vec<KeeperEntry> {
+        self.open.values().cloned().collect()
+    }
+
+    pub(super) fn contains(&self, order: RecordId) -> bool {
+        self.open.contains_key(&order)
+    }
+
+    pub(super) fn of(&self, engine: &UpstreamId) -> Vec<(RecordId, OrderKind)> {
+        let orders = self.open.values().filter_map(|entry| match entry {
+            KeeperEntry::Intent { upstream, order, kind, .. } if upstream == engine => {
+                Some((*order, kind.clone()))
+            }
+            _ => None,
+        });
+        orders.collect()
+    }
+}
--- /dev/null
+++ b/crates/placement/src/keeper/orders.rs
@@ -0,0 +1,216 @@
+//! Records, sends and repeats orders.
+//!
+//! To an engine that ignores fencing numbers, an order that can grow memory is sent only after its
+//! intent has been recorded and read back, and only within [`SEND_WINDOW`] of being proposed. Counted
+//! from the proposal and not from the read-back: a keeper may read its own record late, when its
+//! successor has long read the claim behind it.
+//!
+//! An order is repeated under its own id, which an engine carries out once.
+
+use hgw_types::{RecordId, Time, UpstreamId};
+use hgw_wire::upstream::{Order, OrderKind, OrderOutcome};
+use indexmap::IndexSet;
+
+use super::{Keeper, SEND_WINDOW};
+use crate::{Item, KeeperAction, KeeperEntry, OrderResult, ReserveError};
+
+/// An order that this keeper has given.
+#[derive(Debug)]
+pub(super) struct Flight {
+    upstream: UpstreamId,
+    kind: OrderKind,
+    stage: Stage,
+    /// The last time to send it; nothing where the engine itself refuses it after a takeover.
+    until: Option<Time>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Its intent is not read back yet.
+    Recording,
+    /// Its answer is awaited.
+    Sent,
+    /// It is to be sent again at this time.
+    Again(Time),
+}
+
+/// Intents that have become void of effect and are to be recorded so.
+#[derive(Debug, Default)]
+pub(super) struct Settling {
+    due: IndexSet<RecordId>,
+    /// The record under way.
+    recording: Option<(RecordId, Vec<RecordId>)>,
+}
+
+impl Keeper {
+    /// Gives an order; memory that it can grow is reserved first.
+    pub(super) fn give(
+        &mut self,
+        now: Time,
+        engine: &UpstreamId,
+        kind: OrderKind,
+        out: &mut Vec<KeeperAction>,
+    ) -> crate::ledger::Result<RecordId> {
+        let id = self.next_id();
+        let grows = Item::loaded_by(&kind).is_some();
+        let refuses = self.domain.refuses(engine);
+        let e = self.engines.get_mut(engine).ok_or(ReserveError::NotRead)?;
+        if grows {
+            e.ledger.reserve(id, &kind)?;
+        }
+        let generation = e.ledger.generation().unwrap_or_default();
+        let recorded = grows && !refuses;
+        let flight = Flight {
+            upstream: engine.clone(),
+            kind: kind.clone(),
+            stage: Stage::Recording,
+            until: recorded.then(|| now + SEND_WINDOW),
+        };
+        self.flights.insert(id, flight);
+        if recorded {
+            let upstream = engine.clone();
+            let entry = KeeperEntry::Intent { upstream, generation, order: id, kind };
+            out.push(KeeperAction::Record { id, entry });
+        } else {
+            self.send(now, id, out);
+        }
+        Ok(id)
+    }
+
+    fn send(&mut self, now: Time, id: RecordId, out: &mut Vec<KeeperAction>) {
+        let (Some(fence), Some(flight)) = (self.term, self.flights.get_mut(&id)) else { return };
+        let send_by = flight.until.unwrap_or(now + SEND_WINDOW);
+        if now > send_by {
+            self.give_up(now, id);
+            return;
+        }
+        flight.stage = Stage::Sent;
+        if let Some(e) = self.engines.get_mut(&flight.upstream) {
+            e.ledger.sending(id);
+        }
+        let order = Order { id, fence, kind: flight.kind.clone() };
+        out.push(KeeperAction::Order { upstream: flight.upstream.clone(), order, send_by });
+    }
+
+    /// Sends the order no more. Copies sent before go on counting.
+    fn give_up(&mut self, now: Time, id: RecordId) {
+        if let Some(flight) = self.flights.shift_remove(&id)
+            && let Some(e) = self.engines.get_mut(&flight.upstream)
+        {
+            e.ledger.cancel(id);
+            e.order_over(now, id);
+        }
+    }
+
+    pub(super) fn apply(
+        &mut self,
+        now: Time,
+        id: RecordId,
+        entry: KeeperEntry,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        self.intents.apply(entry);
+        if self.settling.recording.as_ref().is_some_and(|(record, _)| *record == id) {
+            self.settling.recording = None;
+        }
+        if self.flights.get(&id).is_some_and(|f| f.stage == Stage::Recording) {
+            self.send(now, id, out);
+        }
+    }
+
+    pub(super) fn dropped(&mut self, now: Time, id: RecordId) {
+        if let Some((_, orders)) = self.settling.recording.take_if(|(record, _)| *record == id) {
+            self.settling.due.extend(orders);
+        }
+        if self.flights.get(&id).is_some_and(|f| f.stage == Stage::Recording) {
+            self.give_up(now, id);
+        }
+    }
+
+    pub(super) fn answered(&mut self, now: Time, id: RecordId, result: &OrderResult) {
+        let Some(flight) = self.flights.get_mut(&id) else { return };
+        let engine = flight.upstream.clone();
+        if flight.kind == OrderKind::Fence {
+            self.flights.shift_remove(&id);
+            self.fence_answered(now, &engine, result);
+            return;
+        }
+        flight.stage = Stage::Again(now + self.settings.retry);
+        let late = self.domain.late(&engine);
+        if let Some(e) = self.engines.get_mut(&engine) {
+            e.ledger.answered(now, id, result, late);
+            match result {
+                OrderResult::Answered(outcome) => {
+                    if *outcome != OrderOutcome::Done {
+                        e.pause = now + self.settings.retry;
+                    }
+                    e.order_over(now, id);
+                }
+                OrderResult::NotSent | OrderResult::Lost => e.missed(self.settings.lost_after),
+            }
+        }
+        if let OrderResult::Answered(_) = result {
+            self.flights.shift_remove(&id);
+        }
+        self.read_soon(now, &engine);
+    }
+
+    /// Sends again what got no answer, while it may still be wanted and may still be sent.
+    pub(super) fn repeat_orders(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
+        let due = |f: &Flight| matches!(f.stage, Stage::Again(t) if now >= t);
+        let due: Vec<RecordId> =
+            self.flights.iter().filter(|(_, f)| due(f)).map(|(id, _)| *id).collect();
+        for id in due {
+            if self.is_still_wanted(id) {
+                self.send(now, id, out);
+            } else {
+                self.give_up(now, id);
+            }
+        }
+    }
+
+    fn is_still_wanted(&self, id: RecordId) -> bool {
+        let Some(flight) = self.flights.get(&id) else { return false };
+        let Some(e) = self.engines.get(&flight.upstream).filter(|e| e.is_counted()) else {
+            return false;
+        };
+        match Item::loaded_by(&flight.kind) {
+            Some((item, _)) => {
+                let current = self.domain.is_current(&flight.upstream, &item);
+                e.ledger.is_open(id) && !e.ledger.held().contains_key(&item) && current
+            }
+            None => e.drains.values().any(|d| d.order == Some(id)),
+        }
+    }
+
+    /// Frees what can no longer take effect, and has it recorded where an intent is open.
+    pub(super) fn close_orders(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
+        for e in self.engines.values_mut() {
+            e.ledger.expire(now);
+            for id in e.ledger.take_closed() {
+                if self.intents.contains(id) {
+                    self.settling.due.insert(id);
+                }
+            }
+        }
+        if self.settling.due.is_empty() || self.settling.recording.is_some() || !self.log_up {
+            return;
+        }
+        let orders: Vec<RecordId> = self.settling.due.drain(..).collect();
+        let id = self.next_id();
+        self.settling.recording = Some((id, orders.clone()));
+        out.push(KeeperAction::Record { id, entry: KeeperEntry::Settled { orders } });
+    }
+
+    /// Orders to the engine that are recorded, sent or to be sent again.
+    pub(super) fn in_flight(&self, engine: &UpstreamId) -> usize {
+        self.flights.values().filter(|f| f.upstream == *engine).count()
+    }
+
+    /// Loads of the whole domain that draw on the weight store, or are about to.
+    pub(super) fn loads_running(&self) -> usize {
+        let recording = self.flights.values().filter(|f| f.stage == Stage::Recording).count();
+        let answering = self.engines.values().filter(|e| e.configured && !e.lost);
+        recording + answering.map(|e| e.ledger.loading()).sum::<usize>()
+    }
+}
--- /dev/null
+++ b/crates/placement/src/keeper/plan.rs
@@ -0,0 +1,183 @@
+//! Turns wants into loads, and makes room for them.
+//!
+//! The load it is for: all models of the domain at a start, a lost engine's models at once, a version
+//! change of many models, and demand that moves tenfold within an hour. The harm: a caller that finds
+//! its model nowhere while memory goes to a third copy of another, or a weight store so crowded that
+//! all loads are slow. So wants are met in the order of need; a want that waits for room or for the
+//! weight store keeps its claim on the memory, so that smaller ones behind it cannot starve it.
+
+use std::cmp::Reverse;
+
+use hgw_types::{MemSize, ModelId, Time, UpstreamId};
+use indexmap::{IndexMap, IndexSet};
+
+use super::Keeper;
+use super::wants::{Cause, Want};
+use crate::{Item, KeeperAction};
+
+/// Memory that wants wait for, by engine.
+type Claims = IndexMap<UpstreamId, MemSize>;
+
+impl Keeper {
+    pub(super) fn plan_loads(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
+        let settings = &self.settings;
+        self.adapters.retain(|_, asked| now.since(*asked) < settings.adapter_want);
+        self.missing.retain(|_, asked| now.since(*asked) < settings.missing_want);
+        let running = self.loads_running();
+        self.shares.observe(now, running);
+        let mut claims = Claims::new();
+        let mut placed = IndexSet::new();
+        let mut unmet = Vec::new();
+        for want in self.wants() {
+            if self.place(now, &want, &mut claims, out) {
+                placed.insert(want.item.model().clone());
+            } else if want.cause == Cause::Floor {
+                unmet.push(want);
+            }
+        }
+        for (model, cause) in self.homeless(now) {
+            if !placed.contains(&model) {
+                self.place_anywhere(now, &model, cause, &mut claims, out);
+            }
+        }
+        self.swap_in_place(now, &unmet);
+    }
+
+    /// Gives the model to the engine of the domain with most room for it.
+    fn place_anywhere(
+        &mut self,
+        now: Time,
+        model: &ModelId,
+        cause: Cause,
+        claims: &mut Claims,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        let usable = self.usable();
+        let mut wants: Vec<Want> =
+            usable.iter().filter_map(|id| self.want(id, model, cause)).collect();
+        wants.sort_by_key(|w| {
+            let claim = claims.get(&w.engine).copied().unwrap_or_default();
+            Reverse(self.engines[&w.engine].coming_free().saturating_sub(claim))
+        });
+        let _ = wants.iter().any(|w| self.place(now, w, claims, out));
+    }
+
+    /// Orders the load, or claims the memory that it waits for; false where there is no room and
+    /// none can be made.
+    fn place(
+        &mut self,
+        now: Time,
+        want: &Want,
+        claims: &mut Claims,
+        out: &mut Vec<KeeperAction>,
+    ) -> bool {
+        let Some(engine) = self.engines.get(&want.engine) else { return false };
+        let claimed = claims.get(&want.engine).copied().unwrap_or_default();
+        let need = claimed + want.size;
+        if engine.ledger.free() >= need {
+            if self.may_order(now, want) && self.shares.take(now, self.loads_running()) {
+                let ordered = self.give(now, &want.engine, want.item.load(want.size), out);
+                if ordered.is_ok() {
+                    return true;
+                }
+            }
+        } else {
+            let short = need.saturating_sub(engine.coming_free());
+            let Some(victims) = self.victims(want, short) else { return false };
+            if let Some(e) = self.engines.get_mut(&want.engine) {
+                victims.into_iter().for_each(|item| e.drain(now, item));
+            }
+        }
+        claims.insert(want.engine.clone(), need);
+        true
+    }
+
+    fn may_order(&self, now: Time, want: &Want) -> bool {
+        let paused = self.engines.get(&want.engine).is_none_or(|e| now < e.pause);
+        let recordable = self.log_up || self.domain.refuses(&want.engine);
+        !paused && recordable && self.in_flight(&want.engine) < self.settings.orders_per_engine
+    }
+
+    /// What to evict for the want: never a floor copy, and nothing unless it is enough.
+    fn victims(&self, want: &Want, short: MemSize) -> Option<Vec<Item>> {
+        if short == MemSize::default() {
+            return Some(Vec::new());
+        }
+        let engine = self.engines.get(&want.engine)?;
+        let may_go = |item: &&Item| {
+            let serves = engine.serves(item);
+            serves
+                && match want.cause {
+                    Cause::Demand => false,
+                    Cause::Adapter => !item.is_model(),
+                    _ => !item.is_model() || self.is_spare(&want.engine, item),
+                }
+        };
+        let mut candidates: Vec<&Item> = engine.ledger.held().keys().filter(may_go).collect();
+        // The oldest adapter goes first for an adapter, the least used replica for a model.
+        candidates.sort_by_key(|item| match want.cause {
+            Cause::Adapter => (false, 0),
+            _ => (!item.is_model(), engine.ledger.held()[*item].active),
+        });
+        let mut victims: Vec<Item> = Vec::new();
+        let mut freed = MemSize::default();
+        for item in candidates {
+            if freed >= short {
+                break;
+            }
+            if victims.iter().any(|v| v.is_model() && v.model() == item.model()) {
+                continue;
+            }
+            freed += engine.freed_by(item);
+            victims.push(item.clone());
+        }
+        (freed >= short).then_some(victims)
+    }
+
+    /// Whether the model is a demand replica here: not of the floor, and served elsewhere in the
+    /// domain if the floor gives it to the domain at all.
+    fn is_spare(&self, engine: &UpstreamId, item: &Item) -> bool {
+        if self.domain.rank(engine, item.model()).is_some() {
+            return false;
+        }
+        let of_floor = self
+            .engines
+            .iter()
+            .any(|(id, e)| e.configured && self.domain.rank(id, item.model()).is_some());
+        !of_floor || self.serves_elsewhere(engine, item)
+    }
+
+    /// Whether another engine that stays serves the same version.
+    pub(super) fn serves_elsewhere(&self, engine: &UpstreamId, item: &Item) -> bool {
+        let mut others = self.engines.iter().filter(|(id, _)| *id != engine && self.is_usable(id));
+        others.any(|(_, e)| e.serves(item))
+    }
+
+    /// Gives up an old version for its new one where the domain has no room for both.
+    ///
+    /// Without it a configuration would never be in force on engines that are full. A copy that is
+    /// not the first in the floor's list goes after a shorter wait: the first one goes on serving.
+    /// The first copy, which may be the only one, goes last; its model cannot be reached in this
+    /// domain for the time of one load.
+    fn swap_in_place(&mut self, now: Time, unmet: &[Want]) {
+        let mut waiting = std::mem::take(&mut self.no_room);
+        for want in unmet {
+            let key = (want.engine.clone(), want.item.model().clone());
+            let since = waiting.shift_remove(&key).unwrap_or(now);
+            let wait =
+                if want.rank > 0 { self.settings.swap_second } else { self.settings.swap_only };
+            if now.since(since) >= wait
+                && let Some(e) = self.engines.get_mut(&want.engine)
+            {
+                let stale =
+                    |i: &&Item| i.is_model() && i.model() == want.item.model() && e.serves(i);
+                let stale: Vec<Item> = e.ledger.held().keys().filter(stale).cloned().collect();
+                let freed: MemSize = stale.iter().map(|i| e.freed_by(i)).sum();
+                if e.coming_free() + freed >= want.size {
+                    stale.into_iter().for_each(|item| e.drain(now, item));
+                }
+            }
+            self.no_room.insert(key, since);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/keeper/publish.rs
@@ -0,0 +1,54 @@
+//! Tells the others what is ready where, and which engines are lost.
+
+use hgw_types::UpstreamId;
+use hgw_wire::peer::Holding;
+use indexmap::IndexMap;
+
+use super::Keeper;
+use crate::{Item, KeeperAction};
+
+impl Keeper {
+    pub(super) fn publish(&mut self, out: &mut Vec<KeeperAction>) {
+        let mut changed = IndexMap::new();
+        let ids: Vec<UpstreamId> = self.engines.keys().cloned().collect();
+        for id in ids {
+            let holding = self.holding(&id);
+            let known = self.engines[&id].is_known();
+            let before = self.placement.get(&id);
+            if known && before != Some(&holding) || !known && before.is_some_and(|b| *b != holding)
+            {
+                self.placement.insert(id.clone(), holding.clone());
+                changed.insert(id, holding);
+            }
+        }
+        if !changed.is_empty() {
+            out.push(KeeperAction::Placement(changed));
+        }
+        let lost = self.lost();
+        if self.is_complete() && self.told_lost.as_ref() != Some(&lost) {
+            self.told_lost = Some(lost.clone());
+            out.push(KeeperAction::LostEngines(lost));
+        }
+    }
+
+    /// What the engine may be given work for; nothing where it is lost or leaving.
+    fn holding(&self, engine: &UpstreamId) -> Holding {
+        let mut holding = Holding::default();
+        if !self.is_usable(engine) {
+            return holding;
+        }
+        let Some(e) = self.engines.get(engine) else { return holding };
+        for item in e.ledger.held().keys().filter(|i| e.serves(i)) {
+            if self.domain.model(engine, item.model()).is_none() {
+                continue;
+            }
+            match item.clone() {
+                Item::Model(model, version) => holding.models.push((model, version)),
+                Item::Adapter(model, adapter, version) => {
+                    holding.adapters.push((model, adapter, version));
+                }
+            }
+        }
+        holding
+    }
+}
--- /dev/null
+++ b/crates/placement/src/keeper/reading.rs
@@ -0,0 +1,90 @@
+//! Raises fencing numbers, reads states and finds lost engines.
+
+use hgw_types::{Term, Time, UpstreamId};
+use hgw_wire::upstream::{EngineState, OrderKind, OrderOutcome};
+
+use super::Keeper;
+use super::engine::Phase;
+use crate::{KeeperAction, OrderResult};
+
+impl Keeper {
+    pub(super) fn poll(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
+        let mut fences = Vec::new();
+        for (id, engine) in self.engines.iter_mut().filter(|(_, e)| e.configured) {
+            match engine.phase {
+                Phase::Fence(due) if now >= due => fences.push(id.clone()),
+                Phase::Fence(_) => {}
+                Phase::Read(_) | Phase::Counted => {
+                    let waits = engine
+                        .asking
+                        .is_some_and(|asked| now.since(asked) < self.settings.ask_timeout);
+                    if !waits && now >= engine.next_ask {
+                        engine.asking = Some(now);
+                        out.push(KeeperAction::AskState(id.clone()));
+                    }
+                }
+            }
+        }
+        for id in fences {
+            self.send_fence(now, &id, out);
+        }
+    }
+
+    fn send_fence(&mut self, now: Time, engine: &UpstreamId, out: &mut Vec<KeeperAction>) {
+        if let Some(e) = self.engines.get_mut(engine) {
+            e.phase = Phase::Fence(Time::MAX);
+        }
+        let _ = self.give(now, engine, OrderKind::Fence, out);
+    }
+
+    pub(super) fn fence_answered(&mut self, now: Time, engine: &UpstreamId, result: &OrderResult) {
+        let settings = &self.settings;
+        let Some(e) = self.engines.get_mut(engine) else { return };
+        if !matches!(e.phase, Phase::Fence(_)) {
+            return;
+        }
+        match result {
+            OrderResult::Answered(OrderOutcome::Done) => {
+                e.misses = 0;
+                e.phase = Phase::Read(now);
+                e.asking = None;
+                e.next_ask = now + std::time::Duration::from_micros(1);
+            }
+            // A successor is at work; it will be seen in the log.
+            OrderResult::Answered(_) => e.phase = Phase::Fence(now + settings.poll_idle),
+            OrderResult::NotSent | OrderResult::Lost => {
+                e.missed(settings.lost_after);
+                let wait = if e.lost { settings.poll_idle } else { settings.retry };
+                e.phase = Phase::Fence(now + wait);
+            }
+        }
+    }
+
+    pub(super) fn take_state(
+        &mut self,
+        now: Time,
+        engine: &UpstreamId,
+        asked: Time,
+        state: Option<&EngineState>,
+    ) {
+        let fence: Option<Term> = self.term.filter(|_| self.domain.refuses(engine));
+        let settings = &self.settings;
+        let Some(e) = self.engines.get_mut(engine) else { return };
+        if e.asking == Some(asked) {
+            e.asking = None;
+        }
+        match state {
+            Some(state) => e.read(now, asked, state, fence),
+            None => e.missed(settings.lost_after),
+        }
+        let busy = e.is_busy() || (e.misses > 0 && !e.lost);
+        e.next_ask = now + if busy { settings.poll_busy } else { settings.poll_idle };
+    }
+
+    /// Reads the engine at the next chance.
+    pub(super) fn read_soon(&mut self, now: Time, engine: &UpstreamId) {
+        if let Some(e) = self.engines.get_mut(engine) {
+            e.next_ask = e.next_ask.min(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/keeper/retire.rs
@@ -0,0 +1,111 @@
+//! What is to go, and its eviction once nobody uses it.
+//!
+//! An item is first left out of the published placement. It is evicted when a read, asked for at
+//! least the settle time later, shows no request for it: routes are hints, so one that was chosen
+//! before may still be on its way when the placement changes.
+
+use hgw_types::{ModelId, Time, UpstreamId};
+
+use super::Keeper;
+use super::engine::{Drain, Engine};
+use crate::{Item, KeeperAction};
+
+impl Keeper {
+    /// Withdraws what the configuration no longer names, and old versions once the new ones serve.
+    pub(super) fn plan_retirement(&mut self, now: Time) {
+        for id in self.usable() {
+            let Some(e) = self.engines.get(&id) else { continue };
+            let serving = e.ledger.held().keys().filter(|i| e.serves(i));
+            let going: Vec<Item> =
+                serving.filter(|i| self.is_to_go(now, &id, i)).cloned().collect();
+            for item in going {
+                // One old version of a model at a time: its other copies carry the load meanwhile.
+                if self.domain.model(&id, item.model()).is_none() || !self.is_draining(item.model())
+                {
+                    self.drain(now, &id, item);
+                }
+            }
+            self.take_back(&id);
+        }
+    }
+
+    fn drain(&mut self, now: Time, engine: &UpstreamId, item: Item) {
+        if let Some(e) = self.engines.get_mut(engine) {
+            e.drain(now, item);
+        }
+    }
+
+    /// Serves again what was to go and is the floor's after all.
+    fn take_back(&mut self, engine: &UpstreamId) {
+        let domain = &self.domain;
+        let Some(e) = self.engines.get_mut(engine) else { return };
+        e.drains.retain(|item, drain| {
+            let of_floor = item.is_model() && domain.rank(engine, item.model()).is_some();
+            drain.order.is_some() || !of_floor || !domain.is_current(engine, item)
+        });
+    }
+
+    fn is_draining(&self, model: &ModelId) -> bool {
+        let mut drains = self.engines.values().flat_map(|e| e.drains.keys());
+        drains.any(|i| i.is_model() && i.model() == model)
+    }
+
+    fn is_to_go(&self, now: Time, engine: &UpstreamId, item: &Item) -> bool {
+        if self.domain.is_current(engine, item) {
+            return false;
+        }
+        let Some(model) = self.domain.model(engine, item.model()) else {
+            return now.since(self.gained) >= self.settings.unknown_wait;
+        };
+        let Some(e) = self.engines.get(engine) else { return false };
+        match item {
+            Item::Model(id, _) => {
+                let new = Item::Model(id.clone(), model.version.clone());
+                let has_room = e.coming_free() >= model.size || e.ledger.has(&new);
+                let waits_here = self.domain.rank(engine, id).is_some() && has_room;
+                e.serves(&new) || (!waits_here && self.serves_elsewhere(engine, &new))
+            }
+            Item::Adapter(id, adapter, _) => {
+                let Some(found) = model.adapters.get(adapter) else { return true };
+                e.serves(&Item::Adapter(id.clone(), adapter.clone(), found.version.clone()))
+            }
+        }
+    }
+
+    pub(super) fn evict_drained(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
+        for id in self.usable() {
+            let Some(e) = self.engines.get(&id) else { continue };
+            if now < e.pause {
+                continue;
+            }
+            let unused = |item: &Item, drain: &Drain| self.is_unused(now, e, item, drain);
+            let due: Vec<Item> = e
+                .drains
+                .iter()
+                .filter(|(item, drain)| drain.order.is_none() && unused(item, drain))
+                .map(|(item, _)| item.clone())
+                .collect();
+            for item in due {
+                if self.in_flight(&id) >= self.settings.orders_per_engine {
+                    break;
+                }
+                let order = self.give(now, &id, item.evict(), out).ok();
+                let drain = self.engines.get_mut(&id).and_then(|e| e.drains.get_mut(&item));
+                if let Some(drain) = drain {
+                    drain.order = order;
+                }
+            }
+        }
+    }
+
+    fn is_unused(&self, now: Time, engine: &Engine, item: &Item, drain: &Drain) -> bool {
+        let settled = drain.since + self.settings.settle;
+        let ledger = &engine.ledger;
+        if ledger.asked().is_none_or(|asked| asked < settled) {
+            return false;
+        }
+        let uses = |i: &Item| i == item || (!item.is_model() && i.model() == item.model());
+        let active = ledger.held().iter().any(|(i, h)| uses(i) && h.active > 0);
+        !active || now.since(drain.since) >= self.settings.drain_limit
+    }
+}
--- /dev/null
+++ b/crates/placement/src/keeper/wants.rs
@@ -0,0 +1,186 @@
+//! Which engine should hold what.
+
+use hgw_types::{MemSize, ModelId, Time, UpstreamId};
+use indexmap::IndexSet;
+
+use super::Keeper;
+use crate::Item;
+
+/// Why an engine should hold an item; the more pressing first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Cause {
+    /// The floor names the engine.
+    Floor,
+    /// The floor's engine in this domain is lost, leaving, or has no room.
+    Substitute,
+    /// Callers ask for it, and no other domain may be in reach.
+    Missing,
+    /// Callers ask for the adapter, or its version has changed.
+    Adapter,
+    /// The demand planner expects a gain.
+    Demand,
+}
+
+/// An item that an engine should hold and does not.
+#[derive(Debug, Clone)]
+pub(super) struct Want {
+    pub(super) engine: UpstreamId,
+    pub(super) item: Item,
+    pub(super) size: MemSize,
+    pub(super) cause: Cause,
+    /// Whether some version of the model serves in this domain already.
+    pub(super) served: bool,
+    /// The engine's place in the floor's list.
+    pub(super) rank: usize,
+}
+
+impl Want {
+    /// Wants are met in this order: what no caller of the domain can reach goes first.
+    pub(super) fn order(&self) -> (bool, bool, Cause, usize) {
+        (self.cause > Cause::Missing, self.served, self.cause, self.rank)
+    }
+}
+
+impl Keeper {
+    /// Whether loads may be given to the engine.
+    pub(super) fn is_usable(&self, engine: &UpstreamId) -> bool {
+        self.engines.get(engine).is_some_and(|e| e.is_counted()) && !self.is_leaving(engine)
+    }
+
+    /// Whether the configuration, the platform or the engine itself calls the engine leaving.
+    pub(super) fn is_leaving(&self, engine: &UpstreamId) -> bool {
+        self.leaving.contains(engine)
+            || self.domain.upstream(engine).is_some_and(|u| u.leaving)
+            || self.engines.get(engine).is_some_and(|e| e.says_leaving)
+    }
+
+    pub(super) fn usable(&self) -> Vec<UpstreamId> {
+        self.engines.keys().filter(|id| self.is_usable(id)).cloned().collect()
+    }
+
+    /// Whether an engine of the domain that stays serves any version of the model.
+    pub(super) fn is_served(&self, model: &ModelId) -> bool {
+        self.engines.iter().any(|(id, e)| {
+            let versions = e.ledger.held().keys().filter(|i| i.is_model() && i.model() == model);
+            !self.is_leaving(id) && versions.into_iter().any(|i| e.serves(i))
+        })
+    }
+
+    /// Whether a usable engine holds the item, or may come to by an order.
+    pub(super) fn is_coming(&self, item: &Item) -> bool {
+        let mut usable = self.engines.iter().filter(|(id, _)| self.is_usable(id));
+        usable.any(|(_, e)| e.ledger.has(item) && !e.drains.contains_key(item))
+    }
+
+    /// A want of the model's current version at the engine, unless the engine has it.
+    pub(super) fn want(&self, engine: &UpstreamId, model: &ModelId, cause: Cause) -> Option<Want> {
+        let (item, size) = self.domain.current(engine, model)?;
+        if self.engines.get(engine)?.ledger.has(&item) {
+            return None;
+        }
+        let served = self.is_served(model);
+        let rank = self.domain.rank(engine, model).unwrap_or_default();
+        Some(Want { engine: engine.clone(), item, size, cause, served, rank })
+    }
+
+    /// What the floor and the demand ask for, the most pressing first.
+    pub(super) fn wants(&self) -> Vec<Want> {
+        let mut wants = Vec::new();
+        for engine in self.usable() {
+            let targets = self.domain.targets(&engine);
+            wants.extend(targets.filter_map(|(m, _)| self.want(&engine, m, Cause::Floor)));
+            self.want_new_versions(&engine, &mut wants);
+        }
+        let replicas = self.replicas.keys().filter(|(engine, _)| self.is_usable(engine));
+        wants.extend(replicas.filter_map(|(engine, m)| self.want(engine, m, Cause::Demand)));
+        wants.extend(self.adapters.keys().filter_map(|(m, a)| {
+            let engine = self.engine_for_adapter(m, a)?;
+            self.want_adapter(&engine, m, a)
+        }));
+        wants.sort_by_key(Want::order);
+        wants
+    }
+
+    /// New versions beside the old ones of demand replicas and adapters.
+    fn want_new_versions(&self, engine: &UpstreamId, wants: &mut Vec<Want>) {
+        let Some(e) = self.engines.get(engine) else { return };
+        for item in e.ledger.held().keys().filter(|i| e.serves(i)) {
+            if self.domain.is_current(engine, item) {
+                continue;
+            }
+            match item {
+                Item::Model(m, _) if self.domain.rank(engine, m).is_none() => {
+                    wants.extend(self.want(engine, m, Cause::Demand));
+                }
+                Item::Model(..) => {}
+                Item::Adapter(m, a, _) => wants.extend(self.want_adapter(engine, m, a)),
+            }
+        }
+    }
+
+    fn want_adapter(
+        &self,
+        engine: &UpstreamId,
+        model: &ModelId,
+        adapter: &hgw_types::AdapterId,
+    ) -> Option<Want> {
+        let found = self.domain.model(engine, model)?.adapters.get(adapter)?;
+        let item = Item::Adapter(model.clone(), adapter.clone(), found.version.clone());
+        let (current, _) = self.domain.current(engine, model)?;
+        let e = self.engines.get(engine)?;
+        if e.ledger.has(&item) || !e.serves(&current) {
+            return None;
+        }
+        let (engine, size) = (engine.clone(), found.size);
+        Some(Want { engine, item, size, cause: Cause::Adapter, served: true, rank: 0 })
+    }
+
+    /// The engine with most room that serves the model, unless the adapter is somewhere already.
+    fn engine_for_adapter(
+        &self,
+        model: &ModelId,
+        adapter: &hgw_types::AdapterId,
+    ) -> Option<UpstreamId> {
+        let serving: Vec<UpstreamId> = self
+            .usable()
+            .into_iter()
+            .filter(|id| {
+                let current = self.domain.current(id, model);
+                current.is_some_and(|(item, _)| self.engines[id].serves(&item))
+            })
+            .collect();
+        let found = self.domain.model(serving.first()?, model)?.adapters.get(adapter)?;
+        let item = Item::Adapter(model.clone(), adapter.clone(), found.version.clone());
+        if self.is_coming(&item) {
+            return None;
+        }
+        serving.into_iter().max_by_key(|id| self.engines[id].ledger.free())
+    }
+
+    /// Models that the floor gives to this domain, or that its callers miss while it may be cut off,
+    /// whose current version no usable engine has.
+    pub(super) fn homeless(&self, now: Time) -> Vec<(ModelId, Cause)> {
+        let of_floor: IndexSet<&ModelId> = self
+            .engines
+            .iter()
+            .filter(|(_, e)| e.configured)
+            .flat_map(|(id, _)| self.domain.targets(id).map(|(m, _)| m))
+            .collect();
+        let missed = self.missing.iter().filter(|(m, asked)| {
+            // The log stands for all that is outside of the domain.
+            let recent = now.since(**asked) < self.settings.missing_want;
+            !self.log_up && recent && !of_floor.contains(*m)
+        });
+        let floor = of_floor.iter().map(|m| ((*m).clone(), Cause::Substitute));
+        let missed = missed.map(|(m, _)| (m.clone(), Cause::Missing));
+        floor.chain(missed).filter(|(m, _)| !self.has_home(m)).collect()
+    }
+
+    fn has_home(&self, model: &ModelId) -> bool {
+        let mut usable = self.engines.keys().filter(|id| self.is_usable(id));
+        usable.any(|id| {
+            let current = self.domain.current(id, model);
+            current.is_some_and(|(item, _)| self.is_coming(&item))
+        })
+    }
+}
