--- a/crates/dispatch/src/queue/step.rs
+++ b/crates/dispatch/src/queue/step.rs
@@ -24,14 +24,18 @@
 
     /// When to call [`Queue::poll`] again if nothing happens before.
     pub fn next_wake(&self) -> Option<Time> {
-        let urgent = self.urgent.iter().map(|w| self.latest_start(&w.job) + TICK);
+        let urgent = self.urgent.iter().map(|w| self.latest_start(&w.job));
+        let deferrable = self.deferrable.iter().map(|w| self.expiry(w));
+        let running = self.running.values().filter(|r| self.may_abandon(r));
+        let abandon = running.map(|r| r.job.deadline);
+        // Work that is late leaves at a poll. Where a slower pace has made it late since the last
+        // one, the next poll is due at once.
+        let late = urgent.chain(deferrable).chain(abandon).map(|t| t.max(self.polled) + TICK);
+        // What may go first but finds no slot waits for an end, not for time.
         let patience = self.urgent.first().map(|w| w.since + self.settings.patience);
-        let deferrable = self.deferrable.iter().map(|w| self.expiry(w) + TICK);
         let aged = self.deferrable.iter().map(|w| self.aged_at(w));
-        let running = self.running.values().filter(|r| self.may_abandon(r));
-        let abandon = running.map(|r| r.job.deadline + TICK);
-        let times = urgent.chain(deferrable).chain(abandon).chain(patience).chain(aged);
-        times.filter(|t| *t > self.polled).min()
+        let blocked = aged.chain(patience).filter(|t| *t > self.polled);
+        late.chain(blocked).min()
     }
 
     /// Work that waits for an upstream that leaves has not run: another one can take it.
