--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -99,6 +99,8 @@
         attempt: AttemptId,
         /// How.
         outcome: Outcome,
+        /// The whole answer, where [`Submit::collect`] asked for it.
+        answer: Option<RecordedAnswer>,
         /// Estimated delay of a new request at that queue.
         delay_us: u64,
     },
@@ -159,6 +161,8 @@
     pub left_us: u64,
     /// Whether the work may be given to another dispatcher when this one is over its limit.
     pub may_bounce: bool,
+    /// Whether the answer is to come whole with [`Message::Ended`], and not in chunks.
+    pub collect: bool,
     /// What is to be done.
     pub work: Work,
 }
@@ -361,9 +365,10 @@
     pub urgent: u32,
     /// Other requests that came.
     pub deferrable: u32,
-    /// Requests refused, or sent to another domain, for want of a replica with room.
+    /// Urgent requests of the sender's own callers refused in the end for want of a replica with
+    /// room; not those that another replica or domain has answered.
     pub unmet: u32,
-    /// Slot time that the requests took, in milliseconds.
+    /// Slot time that the urgent requests took, in milliseconds.
     pub busy_ms: u64,
     /// Adapters asked for that no engine of the domain holds.
     pub adapters: Vec<AdapterId>,
