--- /dev/null
+++ b/crates/net/src/callers/connection.rs
@@ -0,0 +1,122 @@
+//! Callers' connections, as they are watched from outside of the HTTP server.
+
+use std::io::{ErrorKind, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use xitca_io::net::Stream;
+
+use crate::meter;
+use crate::streams::lock;
+
+/// What a connection over the limit is told before it is closed.
+const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+content-type: application/json\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 118\r\n\r\n\
+{\"error\":{\"code\":\"overloaded\",\"ran\":\"not_run\",\"message\":\"too many connections\",\
+\"request_id\":\"\",\"retry_after_ms\":1000}}";
+
+/// All callers' connections.
+#[derive(Debug)]
+pub(super) struct Connections {
+    limit: usize,
+    start: Instant,
+    open: Mutex<IndexMap<SocketAddr, Arc<Connection>>>,
+}
+
+/// A caller's connection.
+#[derive(Debug)]
+pub(super) struct Connection {
+    addr: SocketAddr,
+    socket: TcpStream,
+    start: Instant,
+    /// Since when bytes wait for the caller, in milliseconds since `start`; 0 where none do.
+    writing: AtomicU64,
+}
+
+impl Connections {
+    pub(super) fn new(limit: usize) -> Self {
+        Connections { limit, start: Instant::now(), open: Mutex::default() }
+    }
+
+    /// Enters a new connection, or turns it away where there are too many.
+    pub(super) fn admit(&self, stream: Stream, ending: bool) -> Option<(Stream, Arc<Connection>)> {
+        let Stream::Tcp(socket, addr) = stream else { return None };
+        // Small events are to leave at once.
+        socket.set_nodelay(true).ok()?;
+        let mut open = lock(&self.open);
+        if ending || open.len() >= self.limit {
+            drop(open);
+            meter::request("connection_refused");
+            // The socket does not block: what does not fit its buffer is lost with the connection.
+            let _ = (&socket).write(FULL);
+            return None;
+        }
+        let twin = socket.try_clone().ok()?;
+        let writing = AtomicU64::new(0);
+        let entry = Arc::new(Connection { addr, socket: twin, start: self.start, writing });
+        open.insert(addr, Arc::clone(&entry));
+        Some((Stream::Tcp(socket, addr), entry))
+    }
+
+    pub(super) fn remove(&self, entry: Arc<Connection>) {
+        lock(&self.open).swap_remove(&entry.addr);
+    }
+
+    pub(super) fn get(&self, addr: &SocketAddr) -> Option<Arc<Connection>> {
+        lock(&self.open).get(addr).map(Arc::clone)
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        lock(&self.open).is_empty()
+    }
+
+    /// Closes connections on which bytes have waited for their caller for longer than `bound`.
+    ///
+    /// A caller that stops reading would hold its request, and the work behind it, for ever.
+    pub(super) fn close_stalled(&self, bound: Duration) {
+        for entry in lock(&self.open).values() {
+            if entry.stalled_for().is_some_and(|t| t > bound) {
+                // An error means that the connection has ended by itself.
+                let _ = entry.socket.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    /// Lets every connection end after what it writes now: no further request can come in.
+    pub(super) fn finish(&self) {
+        for entry in lock(&self.open).values() {
+            // An error means that the connection has ended by itself.
+            let _ = entry.socket.shutdown(Shutdown::Read);
+        }
+    }
+}
+
+impl Connection {
+    /// Whether the caller has closed the connection.
+    pub(super) fn is_gone(&self) -> bool {
+        match self.socket.peek(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+
+    /// Notes that bytes wait for the caller from now on.
+    pub(super) fn writes(&self) {
+        let now = self.start.elapsed().as_millis() as u64;
+        self.writing.store(now.max(1), Ordering::Relaxed);
+    }
+
+    /// Notes that the caller has taken all that waited.
+    pub(super) fn wrote(&self) {
+        self.writing.store(0, Ordering::Relaxed);
+    }
+
+    fn stalled_for(&self) -> Option<Duration> {
+        let since = self.writing.load(Ordering::Relaxed);
+        let now = self.start.elapsed();
+        (since > 0).then(|| now.saturating_sub(Duration::from_millis(since)))
+    }
+}
