--- a/crates/net/src/callers/open.rs
+++ b/crates/net/src/callers/open.rs
@@ -32,7 +32,7 @@
         let stream = stream.ok_or_else(|| refused("too many open requests"))?;
         let request_id = request.id.to_string();
         let event = Event::CallerRequest { stream: stream.id, request: Box::new(request) };
-        if !cx.inbox.offer(event) {
+        if !cx.inbox.offer_request(event) {
             cx.streams.close(stream.id);
             return Err(if cx.is_ending() {
                 stopping()
--- a/crates/net/src/inbox.rs
+++ b/crates/net/src/inbox.rs
@@ -1,6 +1,6 @@
 //! The bounded ring of events before the control thread.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -18,6 +18,14 @@
 pub(crate) struct Inbox {
     tx: SyncSender<Event>,
     spill: Arc<Spill>,
+    requests: Arc<Requests>,
+}
+
+/// Callers' requests in the ring.
+#[derive(Debug)]
+struct Requests {
+    waiting: AtomicUsize,
+    limit: usize,
 }
 
 /// Events from places that can neither wait nor lose one; at most one for each open request.
@@ -32,13 +40,16 @@
 pub(crate) struct Events {
     rx: Receiver<Event>,
     spill: Arc<Spill>,
+    requests: Arc<Requests>,
 }
 
 /// Builds a ring for `size` events.
 pub(crate) fn inbox(size: usize) -> (Inbox, Events) {
     let (tx, rx) = sync_channel(size);
     let spill = Arc::new(Spill::default());
-    (Inbox { tx, spill: Arc::clone(&spill) }, Events { rx, spill })
+    let requests = Arc::new(Requests { waiting: AtomicUsize::new(0), limit: size / 2 });
+    let inbox = Inbox { tx, spill: Arc::clone(&spill), requests: Arc::clone(&requests) };
+    (inbox, Events { rx, spill, requests })
 }
 
 impl Inbox {
@@ -51,6 +62,25 @@
         sent
     }
 
+    /// Puts a caller's request in unless half of the ring is taken by requests.
+    ///
+    /// A burst of callers fills the ring faster than the control thread empties it. Ends of answers
+    /// and peers' messages would wait behind requests that can only be refused; the other half of
+    /// the ring stays free for them.
+    pub(crate) fn offer_request(&self, event: Event) -> bool {
+        let waiting = self.requests.waiting.fetch_add(1, Ordering::Relaxed);
+        let sent = if waiting < self.requests.limit {
+            self.offer(event)
+        } else {
+            meter::ring_full("requests");
+            false
+        };
+        if !sent {
+            self.requests.waiting.fetch_sub(1, Ordering::Relaxed);
+        }
+        sent
+    }
+
     /// Puts an event in, waiting for room: the wait holds back the connection that it came from.
     pub(crate) async fn deliver(&self, event: Event) {
         let mut event = event;
@@ -82,6 +112,9 @@
             Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {}
         }
         out.extend(self.rx.try_iter().take(max));
+        let is_request = |event: &&Event| matches!(event, Event::CallerRequest { .. });
+        let requests = out.iter().filter(is_request).count();
+        self.requests.waiting.fetch_sub(requests, Ordering::Relaxed);
         if self.spill.used.swap(false, Ordering::Acquire) {
             out.append(&mut lock(&self.spill.events));
         }
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -231,6 +231,11 @@
             order_token: settings.order_token.clone().into(),
             room: Semaphore::new(limits.attempts),
             pooled: HttpClient::new(limits.connect, limits.idle, limits.idle_connections),
+            recent: HttpClient::new(
+                limits.connect,
+                limits.idle_unrepeatable,
+                limits.idle_connections,
+            ),
             fresh: HttpClient::new(limits.connect, limits.idle, 0),
             limits,
         })
--- a/crates/net/src/settings.rs
+++ b/crates/net/src/settings.rs
@@ -121,6 +121,8 @@
     pub connect: Duration,
     /// Longest time of an unused connection.
     pub idle: Duration,
+    /// The same for calls that may not be repeated.
+    pub idle_unrepeatable: Duration,
     /// Unused connections kept for each upstream.
     pub idle_connections: usize,
     /// Longest wait for the answer to a state, load or cancel call.
@@ -139,6 +141,7 @@
             attempts: 8192,
             connect: Duration::from_secs(1),
             idle: Duration::from_secs(10),
+            idle_unrepeatable: Duration::from_secs(1),
             idle_connections: 64,
             call: Duration::from_secs(2),
             event: 64 << 10,
--- a/crates/net/src/upstreams/generate.rs
+++ b/crates/net/src/upstreams/generate.rs
@@ -15,6 +15,9 @@
 use super::{CallError, client};
 use crate::meter;
 
+/// Longest wait for the end of the body behind the last event.
+const LAST_FRAME: Duration = Duration::from_secs(1);
+
 /// How one connection's part of an answer ended.
 enum Part {
     /// For good.
@@ -127,12 +130,20 @@
                 Err(e) => return Ok(Outcome::Broken(format!("unreadable event: {e}"))),
             };
             if let Some(outcome) = take(running, event, tokens, outlet).await {
+                if matches!(outcome, Outcome::Whole(_)) {
+                    tokio::spawn(tokio::time::timeout(LAST_FRAME, finish(body)));
+                }
                 return Ok(outcome);
             }
         }
     }
 }
 
+/// Reads what is left behind the last event: only then is the connection kept for another call.
+async fn finish(mut body: Incoming) {
+    while let Some(Ok(_)) = body.frame().await {}
+}
+
 /// Handles one event; gives the outcome where it is the last.
 async fn take(
     running: &Running<'_>,
--- a/crates/net/src/upstreams/mod.rs
+++ b/crates/net/src/upstreams/mod.rs
@@ -67,6 +67,12 @@
     pub(crate) room: Semaphore,
     /// Keeps connections for later calls.
     pub(crate) pooled: HttpClient,
+    /// Keeps connections for a short time, for calls that may not be repeated.
+    ///
+    /// A kept connection may have gone silent: the call is lost on it, and its caller can only be
+    /// told that it may have run. The shorter the time, the fewer such calls; a new connection
+    /// fails before the call is sent.
+    pub(crate) recent: HttpClient,
     /// Makes a new connection for each call: where one has gone silent, a kept one may be too.
     pub(crate) fresh: HttpClient,
 }
--- a/crates/net/src/upstreams/plain.rs
+++ b/crates/net/src/upstreams/plain.rs
@@ -39,8 +39,9 @@
         Ok(req) => req,
         Err(e) => return Outcome::NotRun(e.to_string()),
     };
+    let client = if req.method().is_safe() { &running.cx.pooled } else { &running.cx.recent };
     running.mark_sent();
-    let res = match tokio::time::timeout(start.silence, running.cx.pooled.send(req)).await {
+    let res = match tokio::time::timeout(start.silence, client.send(req)).await {
         Err(_) => return Outcome::Broken(format!("silent for {:?}", start.silence)),
         Ok(Err(e @ CallError::NotSent(_))) => return Outcome::NotRun(e.to_string()),
         Ok(Err(e)) => return Outcome::Broken(e.to_string()),
--- a/crates/net/tests/support/mod.rs
+++ b/crates/net/tests/support/mod.rs
@@ -21,3 +21,17 @@
         }
     }
 }
+
+/// Names each case of a test that runs with several inputs.
+#[allow(unused_macros, reason = "each test file uses a part")]
+macro_rules! cases {
+    ($check:path: $($name:ident($($arg:expr),* $(,)?);)+) => {$(
+        #[test]
+        fn $name() {
+            $check($($arg),*);
+        }
+    )+};
+}
+
+#[allow(unused_imports, reason = "each test file uses a part")]
+pub(crate) use cases;
