--- a/crates/net/src/callers/chat.rs
+++ b/crates/net/src/callers/chat.rs
@@ -17,6 +17,7 @@
 use super::open::Open;
 use super::reply::{self, Reply, not_run};
 use super::route::{Incoming, count, unexpected};
+use super::watched::Watched;
 use crate::meter;
 use crate::streams::Next;
 
@@ -185,6 +186,7 @@
         None => return Err(unexpected()),
     };
     let id = open.request_id.clone();
+    let connection = open.connection();
     let events = EventStream { open, head: completion.event_head(), completion, count: 0 };
     let body = stream::unfold(Some((events, Some(first))), |state| async move {
         let (mut events, first) = state?;
@@ -195,7 +197,8 @@
         let (bytes, over) = events.write(next);
         Some((Ok::<Bytes, Infallible>(bytes), (!over).then_some((events, None))))
     });
-    let mut res = Response::new(ResponseBody::boxed(StreamDataBody::new(Box::pin(body))));
+    let mut res =
+        Response::new(ResponseBody::boxed(StreamDataBody::new(Watched::new(connection, body))));
     let headers = res.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
--- a/crates/net/src/callers/mod.rs
+++ b/crates/net/src/callers/mod.rs
@@ -8,6 +8,7 @@
 mod plain;
 mod reply;
 mod route;
+mod watched;
 
 use std::convert::Infallible;
 use std::net::TcpListener;
--- a/crates/net/src/callers/open.rs
+++ b/crates/net/src/callers/open.rs
@@ -43,23 +43,22 @@
         Ok(Open { cx: Arc::clone(cx), stream, connection, request_id })
     }
 
+    /// The connection that the request came on.
+    pub(super) fn connection(&self) -> Option<Arc<Connection>> {
+        self.connection.clone()
+    }
+
     /// The next thing for the caller; nothing where the caller has gone.
     ///
     /// The server does not read a connection while it answers, so the connection is looked at from
     /// outside: work of a caller that has gone would otherwise run to its end for nobody.
     pub(super) async fn next(&self) -> Option<Next> {
-        if let Some(connection) = &self.connection {
-            connection.wrote();
-        }
         loop {
             let wait = tokio::time::timeout(self.cx.limits.gone_check, self.stream.next());
             if let Ok((next, credit)) = wait.await {
                 if let Some(credit) = credit {
                     self.cx.peers.give(credit);
                 }
-                if let Some(connection) = &self.connection {
-                    connection.writes();
-                }
                 return Some(next);
             }
             let gone = self.connection.as_ref().is_some_and(|c| c.is_gone());
--- a/crates/net/src/callers/plain.rs
+++ b/crates/net/src/callers/plain.rs
@@ -12,6 +12,7 @@
 use super::open::Open;
 use super::reply::{self, Reply, not_run};
 use super::route::{Incoming, count, unexpected};
+use super::watched::Watched;
 use super::{Callers, head};
 use crate::meter;
 use crate::streams::Next;
@@ -67,6 +68,7 @@
 /// chunk: the caller sees that the answer is cut and cannot take it for a whole one.
 fn streamed(open: Open, status: u16, headers: &[(String, String)]) -> Result<Reply, Failure> {
     let id = open.request_id.clone();
+    let connection = open.connection();
     let pieces = stream::unfold(Some(open), |open| async move {
         let open = open?;
         match open.next().await {
@@ -82,7 +84,7 @@
             Some(_) | None => Some((Err(io::Error::other("the answer broke off")), None)),
         }
     });
-    let body = ResponseBody::boxed(StreamDataBody::new(Box::pin(pieces)));
+    let body = ResponseBody::boxed(StreamDataBody::new(Watched::new(connection, pieces)));
     with_head(status, headers, body, &id)
 }
 
--- a/crates/net/src/callers/route.rs
+++ b/crates/net/src/callers/route.rs
@@ -54,6 +54,10 @@
 pub(super) async fn handle(cx: &Arc<Callers>, req: Request<RequestExt<RequestBody>>) -> Reply {
     let (parts, ext) = req.into_parts();
     let connection = cx.connections.get(ext.socket_addr());
+    if let Some(connection) = &connection {
+        // A caller that sends its next request has taken the last answer.
+        connection.wrote();
+    }
     let (_, body) = ext.replace_body(());
     let reply = match fixed(cx, &parts) {
         Some(reply) => reply,
--- a/crates/net/src/peers/handshake.rs
+++ b/crates/net/src/peers/handshake.rs
@@ -3,7 +3,8 @@
 //! 1. The dialer sends a `Hello` with a nonce.
 //! 2. The other side answers with its own nonce and a proof over both.
 //! 3. The dialer checks that proof, and sends its own.
-//! 4. The other side checks it and sends a `Pong`, after which both may send frames.
+//! 4. The other side checks it and sends a `Pong`: [`WELCOME`], after which both may send frames, or
+//!    [`WAIT`], where it is itself connecting to the dialer and that connection is to be kept.
 //!
 //! A proof is an HMAC-SHA-256 over the prover's role, both nonces and the prover's own `Hello`. The
 //! role keeps a proof from being sent back to the one who made it; the nonces keep it from being
@@ -28,6 +29,12 @@
 /// Bytes of a nonce.
 const NONCE: usize = 32;
 
+/// Number of the `Pong` after which both sides may send frames.
+const WELCOME: u64 = 0;
+
+/// Number of the `Pong` that closes a connection in favour of the one being made the other way.
+const WAIT: u64 = 1;
+
 /// Largest message from somebody who has not proved the secret.
 const MAX_HELLO: usize = 4096;
 
@@ -66,6 +73,8 @@
     Proof,
     #[display("the other side is {_0}")]
     WrongNode(#[error(not(source))] NodeId),
+    #[display("the other side connects to this one")]
+    Wait,
     #[display("unexpected message")]
     Unexpected,
 }
@@ -106,12 +115,14 @@
     mine.proof = prove(me, Side::Dialer, &nonce, &theirs.nonce, &mine);
     send(&mut socket, Frame::Hello(mine)).await?;
     match receive(&mut socket).await? {
-        Frame::Pong(_) => Ok(Proven { socket, peer: theirs }),
+        Frame::Pong(WELCOME) => Ok(Proven { socket, peer: theirs }),
+        Frame::Pong(WAIT) => Err(HandshakeError::Wait),
         _ => Err(HandshakeError::Unexpected),
     }
 }
 
-/// Takes a connection that somebody has made.
+/// Takes a connection that somebody has made, up to the proof; the dialer waits for
+/// [`Proven::welcome`].
 pub(super) async fn accept(me: &Identity, tcp: TcpStream, max_frame: usize) -> Result<Proven> {
     tcp.set_nodelay(true).map_err(HandshakeError::Connect)?;
     let opened = tokio_tungstenite::accept_async_with_config(tcp, Some(config(MAX_HELLO))).await;
@@ -134,12 +145,22 @@
     // The dialer sends nothing until it has the `Pong`: the small socket's buffer is empty, and the
     // connection can go on with room for whole frames.
     let tcp = socket.into_inner();
-    let mut socket =
-        WebSocketStream::from_raw_socket(tcp, Role::Server, Some(config(max_frame))).await;
-    send(&mut socket, Frame::Pong(0)).await?;
+    let socket = WebSocketStream::from_raw_socket(tcp, Role::Server, Some(config(max_frame))).await;
     Ok(Proven { socket, peer: theirs })
 }
 
+impl Proven {
+    /// Tells the dialer that its connection is kept.
+    pub(super) async fn welcome(&mut self) -> Result<()> {
+        send(&mut self.socket, Frame::Pong(WELCOME)).await
+    }
+
+    /// Tells the dialer that this node connects to it, and closes.
+    pub(super) async fn turn_away(mut self) -> Result<()> {
+        send(&mut self.socket, Frame::Pong(WAIT)).await
+    }
+}
+
 impl Identity {
     fn hello(&self, nonce: &Bytes, proof: Bytes) -> Hello {
         Hello {
--- a/crates/net/src/peers/manager.rs
+++ b/crates/net/src/peers/manager.rs
@@ -88,6 +88,10 @@
         }
         () = link.closed() => Err(HandshakeError::Unexpected),
     };
+    if matches!(dialed, Err(HandshakeError::Wait)) {
+        // The peer's own connection is under way, and takes the queue when it comes.
+        let _ = tokio::time::timeout(limit, link.closed()).await;
+    }
     // Without the queue, the peer's own connection serves this link: ours is one too many.
     let Some(queue) = link.take_queue() else {
         return;
@@ -106,11 +110,19 @@
 }
 
 /// Serves a connection that the peer has made, if it is the one to keep.
-async fn join(peers: &Peers, proven: Proven) {
-    let Some(link) = choose(peers, &proven.peer).await else { return };
-    let Some(queue) = link.take_queue() else { return };
+async fn join(peers: &Peers, mut proven: Proven) {
+    let link = choose(peers, &proven.peer).await;
+    let Some((link, queue)) = link.and_then(|link| link.take_queue().map(|queue| (link, queue)))
+    else {
+        // An error means that the dialer has given up already.
+        let _ = proven.turn_away().await;
+        return;
+    };
     link.establish(false);
-    connection::serve(peers, link, queue, proven).await;
+    match proven.welcome().await {
+        Ok(()) => connection::serve(peers, link, queue, proven).await,
+        Err(_) => connection::finish(peers, &link).await,
+    }
 }
 
 /// The link for an incoming connection, or nothing where the connection is one too many.
--- a/crates/net/tests/callers.rs
+++ b/crates/net/tests/callers.rs
@@ -140,7 +140,7 @@
 fn a_request_over_the_limit_is_refused() {
     // One open request is allowed, and its engine does not answer. The second request is refused
     // at once, with a time to come back.
-    let silent = upstream::serve(|_, _| std::thread::park());
+    let silent = upstream::silent();
     let (relay, seen) = Relay::new(&silent);
     let limits = CallerLimits { requests: 1, ..CallerLimits::default() };
     let node = start(Settings { caller: limits, ..settings("n") }, relay);
@@ -185,8 +185,8 @@
     node.kill();
 }
 
-#[test]
-fn a_caller_that_takes_nothing_is_given_up_and_holds_nobody_back() {
+/// A caller that takes nothing is given up, whatever the pause between two tokens.
+fn check_stalled(pause: Duration) {
     // A caller asks for a long answer and reads none of it. Its ring fills and holds its engine
     // back; another caller is served meanwhile. After the bound the connection is closed and the
     // machine hears that the caller has gone.
@@ -196,13 +196,14 @@
         ..CallerLimits::default()
     };
     // Large tokens, since the system's own buffers hold many megabytes for a connection.
-    let engine = upstream::serve(|received, stream| {
+    let engine = upstream::serve(move |received, stream| {
         if received.path != "/v1/chat/completions" {
             return upstream::respond(stream, 200, &[], "{}");
         }
         let (attempt, count) = (received.generate().attempt, received.generate().max_tokens.0);
         upstream::begin_events(stream);
         for index in 0..count {
+            std::thread::sleep(pause);
             let text = "x".repeat(20_000);
             if !upstream::emit(stream, &Emitted::Token { attempt, index, text }) {
                 return;
@@ -221,6 +222,12 @@
     node.kill();
 }
 
+cases! {
+    check_stalled:
+    a_caller_that_takes_nothing_of_a_quick_answer(Duration::ZERO);
+    a_caller_that_takes_nothing_of_a_slow_answer(Duration::from_millis(1));
+}
+
 #[test]
 fn an_answer_that_breaks_off_is_told_from_a_whole_one() {
     // The engine fails after two tokens. The caller has a 200 already: an event tells the failure,
--- a/crates/net/tests/support/upstream.rs
+++ b/crates/net/tests/support/upstream.rs
@@ -117,3 +117,8 @@
         emit(stream, &end(generate.attempt, generate.max_tokens.0));
     })
 }
+
+/// An upstream that takes requests and never answers.
+pub(crate) fn silent() -> String {
+    serve(|_, stream| while stream.read(&mut [0]).is_ok_and(|n| n > 0) {})
+}
