--- a/crates/net/src/control.rs
+++ b/crates/net/src/control.rs
@@ -18,7 +18,7 @@
 use crate::peers::{self, PeerTable};
 use crate::platform;
 use crate::streams::Streams;
-use crate::upstreams::{self, Start};
+use crate::upstreams::{self, GivenOrder, Start};
 use crate::{meter, streams};
 
 /// Events handled before the end of the process is looked at.
@@ -103,9 +103,9 @@
                 self.to_upstreams(upstreams::Command::Start(Box::new(start)), answers);
             }
             Action::Cancel { attempt } => self.attempts.cancel(attempt),
-            Action::Order { upstream, addr, order, token, timeout } => {
-                let order = upstreams::Command::Order { upstream, addr, order, token, timeout };
-                self.to_upstreams(order, answers);
+            Action::Order { upstream, addr, order, token, send_by, timeout } => {
+                let given = GivenOrder { upstream, addr, order, token, send_by, timeout };
+                self.to_upstreams(upstreams::Command::Order(Box::new(given)), answers);
             }
             Action::AskState { upstream, addr } => {
                 let ask = upstreams::Command::AskState { upstream, addr, asked: now };
@@ -149,7 +149,8 @@
                 let outcome = Outcome::NotRun("the ring of the upstreams' thread is full".into());
                 Event::Ended(Ended { attempt, outcome, answer: None })
             }
-            Command::Order { upstream, order, .. } => {
+            Command::Order(given) => {
+                let GivenOrder { upstream, order, .. } = *given;
                 Event::OrderAnswer { upstream, order: order.id, result: OrderResult::NotSent }
             }
             Command::AskState { upstream, asked, .. } => {
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -122,7 +122,7 @@
         let (to_platform, platform_commands) = mpsc::channel(COMMANDS);
         let control = Control {
             machine,
-            start: Instant::now(),
+            start: shared.start,
             streams: Arc::clone(&shared.streams),
             attempts: Arc::clone(&shared.attempts),
             peers: Arc::clone(&shared.peers),
@@ -207,6 +207,8 @@
     calls: Arc<Calls>,
     ready: Arc<AtomicBool>,
     lifecycle: Lifecycle,
+    /// What the state machine's time counts from.
+    start: Instant,
 }
 
 impl Shared {
@@ -218,6 +220,7 @@
             calls: Arc::default(),
             ready: Arc::default(),
             lifecycle: Lifecycle::new(),
+            start: Instant::now(),
         }
     }
 
@@ -238,6 +241,7 @@
             ),
             fresh: HttpClient::new(limits.connect, limits.idle, 0),
             limits,
+            start: self.start,
         })
     }
 
--- a/crates/net/src/upstreams/ask.rs
+++ b/crates/net/src/upstreams/ask.rs
@@ -1,51 +1,43 @@
 //! Calls to upstreams that serve no caller: orders, state and load.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use hgw_node::Event;
 use hgw_placement::OrderResult;
 use hgw_types::{Time, UpstreamId};
-use hgw_wire::upstream::{ORDER_TOKEN_HEADER, Order, OrderAnswer, OrderOutcome};
+use hgw_wire::upstream::{ORDER_TOKEN_HEADER, OrderAnswer, OrderOutcome};
 use http::{HeaderValue, StatusCode};
 use serde::de::DeserializeOwned;
 
-use super::{CallError, Upstreams, client};
+use super::body::Gate;
+use super::{CallError, GivenOrder, Upstreams, client};
 
 /// Largest answer to a state call: thousands of models and adapters.
 const MAX_STATE: usize = 4 << 20;
 
 /// Sends an order and reports what became of it.
-pub(super) async fn order(
-    cx: Arc<Upstreams>,
-    upstream: UpstreamId,
-    addr: String,
-    order: Order,
-    token: bool,
-    timeout: Duration,
-) {
-    let result = match send_order(&cx, &addr, &order, token, timeout).await {
+pub(super) async fn order(cx: Arc<Upstreams>, given: Box<GivenOrder>) {
+    let gate = Gate::new(cx.start + given.send_by.since(Time::ZERO));
+    let result = match send_order(&cx, &given, gate.clone()).await {
         Ok(result) => result,
         Err(CallError::NotSent(_)) => OrderResult::NotSent,
+        Err(_) if gate.has_held_back() => OrderResult::NotSent,
         Err(_) => OrderResult::Lost,
     };
+    let GivenOrder { upstream, order, .. } = *given;
     cx.inbox.deliver(Event::OrderAnswer { upstream, order: order.id, result }).await;
 }
 
-async fn send_order(
-    cx: &Upstreams,
-    addr: &str,
-    order: &Order,
-    token: bool,
-    timeout: Duration,
-) -> client::Result<OrderResult> {
-    let mut req = client::post_json(addr, "/orders", order)?;
-    if token {
+async fn send_order(cx: &Upstreams, given: &GivenOrder, gate: Gate) -> client::Result<OrderResult> {
+    let GivenOrder { addr, order, token, timeout, .. } = given;
+    let req = client::post_json(addr, "/orders", order)?;
+    let mut req = req.map(|body| body.behind(gate));
+    if *token {
         let value = HeaderValue::from_bytes(&cx.order_token)
             .map_err(|e| CallError::NotSent(e.to_string()))?;
         req.headers_mut().insert(ORDER_TOKEN_HEADER, value);
     }
-    let (status, body) = cx.pooled.call(req, timeout, MAX_STATE).await?;
+    let (status, body) = cx.pooled.call(req, *timeout, MAX_STATE).await?;
     if matches!(status, StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN) {
         let reason = "the engine does not accept the order token".into();
         return Ok(OrderResult::Answered(OrderOutcome::Refused { reason }));
--- a/crates/net/src/upstreams/client.rs
+++ b/crates/net/src/upstreams/client.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -13,6 +13,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use super::body::SendBody;
+
 /// Outcome of a call.
 pub(crate) type Result<T> = std::result::Result<T, CallError>;
 
@@ -41,7 +43,7 @@
 
 /// An HTTP/1.1 client.
 #[derive(Debug, Clone)]
-pub(crate) struct HttpClient(Client<HttpConnector, Full<Bytes>>);
+pub(crate) struct HttpClient(Client<HttpConnector, SendBody>);
 
 impl HttpClient {
     /// Builds a client that keeps `kept` unused connections to each address, for at most `idle`.
@@ -59,7 +61,7 @@
     }
 
     /// Sends a request and waits for the head of the answer. The caller bounds the time.
-    pub(crate) async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+    pub(crate) async fn send(&self, req: Request<SendBody>) -> Result<Response<Incoming>> {
         self.0.request(req).await.map_err(|e| {
             if e.is_connect() {
                 CallError::NotSent(cause(&e))
@@ -72,7 +74,7 @@
     /// Sends a request and reads the whole answer, of at most `max` bytes, within `timeout`.
     pub(crate) async fn call(
         &self,
-        req: Request<Full<Bytes>>,
+        req: Request<SendBody>,
         timeout: Duration,
         max: usize,
     ) -> Result<(StatusCode, Bytes)> {
@@ -104,7 +106,7 @@
     addr: &str,
     path: &str,
     body: &T,
-) -> Result<Request<Full<Bytes>>> {
+) -> Result<Request<SendBody>> {
     let body = serde_json::to_vec(body).map_err(|e| CallError::NotSent(e.to_string()))?;
     build(
         Request::builder()
@@ -116,13 +118,13 @@
 }
 
 /// Builds a request without a body.
-pub(crate) fn get(addr: &str, path: &str) -> Result<Request<Full<Bytes>>> {
+pub(crate) fn get(addr: &str, path: &str) -> Result<Request<SendBody>> {
     build(Request::builder().uri(format!("http://{addr}{path}")), Bytes::new())
 }
 
 /// Finishes a request; one that cannot be built is never sent.
-pub(crate) fn build(builder: http::request::Builder, body: Bytes) -> Result<Request<Full<Bytes>>> {
-    builder.body(Full::new(body)).map_err(|e| CallError::NotSent(e.to_string()))
+pub(crate) fn build(builder: http::request::Builder, body: Bytes) -> Result<Request<SendBody>> {
+    builder.body(SendBody::new(body)).map_err(|e| CallError::NotSent(e.to_string()))
 }
 
 /// Reads a JSON answer.
--- a/crates/net/src/upstreams/mod.rs
+++ b/crates/net/src/upstreams/mod.rs
@@ -5,6 +5,7 @@
 
 mod ask;
 mod attempt;
+mod body;
 mod client;
 mod generate;
 mod outlet;
@@ -12,7 +13,7 @@
 mod sse;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hgw_node::Sink;
@@ -36,13 +37,24 @@
     /// Start an attempt.
     Start(Box<Start>),
     /// Send an order.
-    Order { upstream: UpstreamId, addr: String, order: Order, token: bool, timeout: Duration },
+    Order(Box<GivenOrder>),
     /// Ask an engine what it holds.
     AskState { upstream: UpstreamId, addr: String, asked: Time },
     /// Ask an upstream for its load.
     AskLoad { upstream: UpstreamId, addr: String },
 }
 
+/// An order to be sent.
+#[derive(Debug)]
+pub(crate) struct GivenOrder {
+    pub(crate) upstream: UpstreamId,
+    pub(crate) addr: String,
+    pub(crate) order: Order,
+    pub(crate) token: bool,
+    pub(crate) send_by: Time,
+    pub(crate) timeout: Duration,
+}
+
 /// An attempt to be started.
 #[derive(Debug)]
 pub(crate) struct Start {
@@ -62,6 +74,8 @@
     pub(crate) attempts: Arc<Attempts>,
     pub(crate) peers: Arc<PeerTable>,
     pub(crate) limits: UpstreamLimits,
+    /// What [`Time`] counts from.
+    pub(crate) start: Instant,
     pub(crate) order_token: Bytes,
     /// Attempts that may still be started.
     pub(crate) room: Semaphore,
@@ -85,8 +99,8 @@
             Command::Start(start) => {
                 tokio::spawn(attempt::run(cx, start));
             }
-            Command::Order { upstream, addr, order, token, timeout } => {
-                tokio::spawn(ask::order(cx, upstream, addr, order, token, timeout));
+            Command::Order(given) => {
+                tokio::spawn(ask::order(cx, given));
             }
             Command::AskState { upstream, addr, asked } => {
                 tokio::spawn(ask::state(cx, upstream, addr, asked));
--- a/crates/net/src/upstreams/plain.rs
+++ b/crates/net/src/upstreams/plain.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 
 use super::attempt::Running;
+use super::body::SendBody;
 use super::outlet::Outlet;
 use super::{CallError, client};
 
@@ -53,10 +54,7 @@
     }
 }
 
-fn request(
-    running: &Running<'_>,
-    work: &PlainWork,
-) -> client::Result<Request<http_body_util::Full<bytes::Bytes>>> {
+fn request(running: &Running<'_>, work: &PlainWork) -> client::Result<Request<SendBody>> {
     let uri = format!("http://{}{}", running.start.addr, work.path);
     let mut builder = Request::builder().method(work.method.as_str()).uri(uri);
     for (name, value) in &work.headers {
--- a/crates/net/tests/upstreams.rs
+++ b/crates/net/tests/upstreams.rs
@@ -10,7 +10,7 @@
 use assert_matches::assert_matches;
 use hgw_node::{Action, Ended, Event};
 use hgw_placement::OrderResult;
-use hgw_types::{AttemptId, RecordId, Term, Tokens};
+use hgw_types::{AttemptId, RecordId, Term, Time, Tokens};
 use hgw_wire::peer::Outcome;
 use hgw_wire::upstream::{Emitted, EngineState, Order, OrderKind, OrderOutcome};
 use support::relay::{Relay, settings, start};
@@ -206,7 +206,7 @@
 }
 
 /// Gives an order at the engine and says what the machine heard of it.
-fn give_order(engine: &str) -> OrderResult {
+fn give_order(engine: &str, send_by: Time) -> OrderResult {
     let (mut relay, seen) = Relay::new("");
     let addr = engine.to_string();
     relay.hook = Box::new(move |event, out| {
@@ -216,6 +216,7 @@
                 addr: addr.clone(),
                 order: order(),
                 token: true,
+                send_by,
                 timeout: Duration::from_millis(300),
             });
         }
@@ -237,7 +238,7 @@
 }
 
 fn check_order(engine: &str, expected: OrderResult) {
-    assert_eq!(give_order(engine), expected);
+    assert_eq!(give_order(engine, Time::MAX), expected);
 }
 
 const DONE: &str = r#"{"id":{"boot":1,"seq":2},"outcome":{"outcome":"done"}}"#;
@@ -252,6 +253,20 @@
     an_order_that_cannot_be_sent("127.0.0.1:1", OrderResult::NotSent);
 }
 
+#[test]
+fn an_order_does_not_leave_after_its_time() {
+    // The process stood still with an order in hand; meanwhile another keeper has counted it as
+    // void. The engine gets no order, and the keeper hears that it was not sent.
+    let orders = Arc::new(AtomicU32::new(0));
+    let counter = Arc::clone(&orders);
+    let engine = upstream::serve(move |received, stream| {
+        counter.fetch_add(u32::from(!received.body.is_empty()), Ordering::Relaxed);
+        respond(stream, 200, &[], DONE);
+    });
+    assert_eq!(give_order(&engine, Time::ZERO), OrderResult::NotSent);
+    assert_eq!(orders.load(Ordering::Relaxed), 0);
+}
+
 #[test]
 fn an_order_carries_its_token_and_fencing_number() {
     let (tx, rx) = mpsc::channel();
@@ -261,7 +276,7 @@
         tx.lock().unwrap().send((received.header("x-order-token").to_string(), sent)).unwrap();
         respond(stream, 200, &[], DONE);
     });
-    give_order(&engine);
+    give_order(&engine, Time::MAX);
     assert_eq!(rx.recv().unwrap(), ("order secret".to_string(), order()));
 }
 
