--- a/crates/net/src/callers/connection.rs
+++ b/crates/net/src/callers/connection.rs
@@ -12,10 +12,10 @@
 use crate::meter;
 use crate::streams::lock;
 
-/// What a connection over the limit is told before it is closed.
+/// What a connection that is not taken is told before it is closed.
 const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
-content-type: application/json\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 118\r\n\r\n\
-{\"error\":{\"code\":\"overloaded\",\"ran\":\"not_run\",\"message\":\"too many connections\",\
+content-type: application/json\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 117\r\n\r\n\
+{\"error\":{\"code\":\"overloaded\",\"ran\":\"not_run\",\"message\":\"no more connections\",\
 \"request_id\":\"\",\"retry_after_ms\":1000}}";
 
 /// All callers' connections.
@@ -62,7 +62,11 @@
     }
 
     pub(super) fn remove(&self, entry: Arc<Connection>) {
-        lock(&self.open).swap_remove(&entry.addr);
+        let mut open = lock(&self.open);
+        // Another connection may have the same address by now.
+        if open.get(&entry.addr).is_some_and(|now| Arc::ptr_eq(now, &entry)) {
+            open.swap_remove(&entry.addr);
+        }
     }
 
     pub(super) fn get(&self, addr: &SocketAddr) -> Option<Arc<Connection>> {
--- a/crates/net/src/peers/connection.rs
+++ b/crates/net/src/peers/connection.rs
@@ -62,6 +62,8 @@
 pub(super) async fn finish(peers: &Peers, link: &Arc<Link>) {
     peers.table.remove(link);
     drop(link.take_queue());
+    // Attempts that wait for credit of this peer get none any more.
+    link.close();
     peers.inbox.deliver(Event::PeerDown { peer: link.peer.clone() }).await;
     link.end();
 }
--- a/crates/net/src/upstreams/attempt.rs
+++ b/crates/net/src/upstreams/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use hgw_node::{Ended, Event};
 use hgw_types::AttemptId;
@@ -9,7 +10,7 @@
 use hgw_wire::upstream::Cancel;
 
 use super::outlet::Outlet;
-use super::{Start, Upstreams, client, generate, plain};
+use super::{CallError, Start, Upstreams, client, generate, plain};
 use crate::meter;
 
 /// What a running attempt knows.
@@ -85,17 +86,22 @@
     }
     if matches!(start.work, Work::Model(_)) {
         let (cx, addr, id) = (Arc::clone(cx), start.addr.clone(), start.attempt.id);
-        tokio::spawn(async move { tell_cancelled(&cx, &addr, id).await });
+        tokio::spawn(async move { tell_cancelled(&cx, &addr, id, cx.limits.call).await });
     }
     Outcome::Broken("cancelled".into())
 }
 
-/// Tells an engine to end an attempt. A lost answer does no harm: the connection is closed too, and
-/// what still comes of the attempt is dropped.
-pub(super) async fn tell_cancelled(cx: &Upstreams, addr: &str, attempt: AttemptId) {
-    if let Ok(req) = client::post_json(addr, "/cancel", &Cancel { attempt }) {
-        let _ = cx.fresh.call(req, cx.limits.call, cx.limits.event).await;
-    }
+/// Tells an engine to end an attempt; false where the engine cannot be reached. A lost answer does
+/// no harm: the connection is closed too, and what still comes of the attempt is dropped.
+pub(super) async fn tell_cancelled(
+    cx: &Upstreams,
+    addr: &str,
+    attempt: AttemptId,
+    timeout: Duration,
+) -> bool {
+    let Ok(req) = client::post_json(addr, "/cancel", &Cancel { attempt }) else { return false };
+    let told = cx.fresh.call(req, timeout, cx.limits.event).await;
+    !matches!(told, Err(CallError::NotSent(_)))
 }
 
 fn ended(attempt: AttemptId, outcome: Outcome) -> Ended {
--- a/crates/net/src/upstreams/generate.rs
+++ b/crates/net/src/upstreams/generate.rs
@@ -42,8 +42,13 @@
     };
     log::info!("attempt {} goes on over a new connection: {reason}", running.id());
     meter::resumed();
-    // The engine still works for the old connection: it is to stop before it is asked again.
-    attempt::tell_cancelled(running.cx, &running.start.addr, running.id()).await;
+    // The engine still works for the old connection: it is to stop before it is asked again. One
+    // that cannot be reached at all is not asked: another engine is to be found soon.
+    let (cx, start) = (running.cx, running.start);
+    let bound = cx.limits.call.min(start.silence);
+    if !attempt::tell_cancelled(cx, &start.addr, running.id(), bound).await {
+        return Outcome::Broken(reason);
+    }
     match part(running, work, &mut tokens, outlet, true).await {
         Part::Over(Outcome::NotRun(reason)) | Part::Lost(reason) => Outcome::Broken(reason),
         Part::Over(outcome) => outcome,
--- a/crates/net/src/upstreams/outlet.rs
+++ b/crates/net/src/upstreams/outlet.rs
@@ -59,7 +59,10 @@
                 Pushed::Taken | Pushed::Detached | Pushed::Full(_) => Ok(()),
             },
             To::Peer(link) => {
-                let permit = self.attempt.credit.acquire().await;
+                let permit = tokio::select! {
+                    permit = self.attempt.credit.acquire() => permit,
+                    () = link.closed() => return Err("the peer has gone".into()),
+                };
                 permit.map_err(|_| "the attempt has ended")?.forget();
                 let sent = link.send_chunk(self.attempt.id, chunk).await;
                 sent.map_err(|_| "the peer has gone".into())
