--- a/crates/net/src/callers/chat.rs
+++ b/crates/net/src/callers/chat.rs
@@ -16,7 +16,7 @@
 use super::Callers;
 use super::open::Open;
 use super::reply::{self, Reply, not_run};
-use super::route::{Incoming, count, unexpected};
+use super::route::{Incoming, Result, count, unexpected};
 use super::watched::Watched;
 use crate::meter;
 use crate::streams::Next;
@@ -58,7 +58,7 @@
 }
 
 /// Answers a chat completion.
-pub(super) async fn complete(cx: &Arc<Callers>, mut incoming: Incoming) -> Result<Reply, Failure> {
+pub(super) async fn complete(cx: &Arc<Callers>, mut incoming: Incoming) -> Result<Reply> {
     let body = incoming.body(cx).await?;
     let req: ChatRequest = serde_json::from_slice(&body)
         .map_err(|e| not_run(FailureCode::BadRequest, format!("body: {e}")))?;
@@ -78,7 +78,7 @@
 }
 
 /// Reads `model` or `model:adapter`.
-fn split_model(name: &str) -> Result<(ModelId, Option<AdapterId>), Failure> {
+fn split_model(name: &str) -> Result<(ModelId, Option<AdapterId>)> {
     let bad = |e: hgw_types::ParseError| not_run(FailureCode::BadRequest, format!("model: {e}"));
     match name.split_once(':') {
         None => Ok((name.parse().map_err(bad)?, None)),
@@ -88,20 +88,20 @@
     }
 }
 
-fn max_tokens(cx: &Callers, req: &ChatRequest) -> Result<u32, Failure> {
+fn max_tokens(cx: &Callers, req: &ChatRequest) -> Result<u32> {
     let asked = req.max_completion_tokens.or(req.max_tokens);
     let wanted = asked.unwrap_or(cx.limits.default_tokens);
     if (1..=cx.limits.max_tokens).contains(&wanted) {
         return Ok(wanted);
     }
     let message = format!("max_tokens: {wanted} is not within 1 to {}", cx.limits.max_tokens);
-    Err(not_run(FailureCode::BadRequest, message))
+    Err(not_run(FailureCode::BadRequest, message).into())
 }
 
 /// Joins the messages to one text, a line for each: `role: content`.
-fn join(messages: &[ChatMessage]) -> Result<String, Failure> {
+fn join(messages: &[ChatMessage]) -> Result<String> {
     if messages.is_empty() {
-        return Err(not_run(FailureCode::BadRequest, "messages: at least one is needed"));
+        return Err(not_run(FailureCode::BadRequest, "messages: at least one is needed").into());
     }
     let mut prompt = String::new();
     for message in messages {
@@ -149,18 +149,18 @@
 }
 
 /// Collects the answer and sends it at once.
-async fn whole(open: Open, completion: &Completion) -> Result<Reply, Failure> {
+async fn whole(open: Open, completion: &Completion) -> Result<Reply> {
     let mut content = String::new();
     let mut count = 0;
     loop {
-        match open.next().await {
-            Some(Next::Tokens(tokens)) => {
+        match open.next().await? {
+            Next::Tokens(tokens) => {
                 count += tokens.len() as u32;
                 content.extend(tokens.iter().map(|t| &**t));
             }
-            Some(Next::End(Answer::Whole)) => break,
-            Some(Next::End(Answer::Failed(failure))) => return Err(failure),
-            Some(_) | None => return Err(unexpected()),
+            Next::End(Answer::Whole) => break,
+            Next::End(Answer::Failed(failure)) => return Err(failure.into()),
+            _ => return Err(unexpected().into()),
         }
     }
     meter::request("whole");
@@ -179,11 +179,10 @@
 
 /// Sends tokens as they come. The head waits for the first one, so that a failure before it still
 /// gets its own status.
-async fn streamed(open: Open, completion: Completion) -> Result<Reply, Failure> {
-    let first = match open.next().await {
-        Some(Next::End(Answer::Failed(failure))) => return Err(failure),
-        Some(next) => next,
-        None => return Err(unexpected()),
+async fn streamed(open: Open, completion: Completion) -> Result<Reply> {
+    let first = match open.next().await? {
+        Next::End(Answer::Failed(failure)) => return Err(failure.into()),
+        next => next,
     };
     let id = open.request_id.clone();
     let connection = open.connection();
@@ -191,7 +190,7 @@
     let body = stream::unfold(Some((events, Some(first))), |state| async move {
         let (mut events, first) = state?;
         let next = match first {
-            Some(next) => Some(next),
+            Some(next) => Ok(next),
             None => events.open.next().await,
         };
         let (bytes, over) = events.write(next);
@@ -219,27 +218,28 @@
     /// The bytes for what came, and whether they are the last.
     ///
     /// A failure in the middle is an event of its own, and the stream then ends without `[DONE]`.
-    fn write(&mut self, next: Option<Next>) -> (Bytes, bool) {
+    fn write(&mut self, next: Result<Next>) -> (Bytes, bool) {
         let mut buf = BytesMut::new();
         let over = match next {
-            Some(Next::Tokens(tokens)) => {
+            Ok(Next::Tokens(tokens)) => {
                 self.count += tokens.len() as u32;
                 tokens.iter().for_each(|token| self.delta(&mut buf, token));
                 false
             }
-            Some(Next::End(Answer::Whole)) => {
+            Ok(Next::End(Answer::Whole)) => {
                 meter::request("whole");
                 self.last(&mut buf);
                 true
             }
-            Some(Next::End(Answer::Failed(failure))) => {
+            Ok(Next::End(Answer::Failed(failure))) => {
                 self.failed(&mut buf, &failure);
                 true
             }
-            Some(_) | None => {
+            Ok(_) => {
                 self.failed(&mut buf, &unexpected());
                 true
             }
+            Err(_) => true,
         };
         (buf.freeze(), over)
     }
--- a/crates/net/src/callers/open.rs
+++ b/crates/net/src/callers/open.rs
@@ -8,6 +8,7 @@
 use super::Callers;
 use super::connection::Connection;
 use super::reply::not_run;
+use super::route::Unanswered;
 use crate::streams::{CallerStream, Next};
 
 /// When to come back after the node itself had no room.
@@ -48,22 +49,22 @@
         self.connection.clone()
     }
 
-    /// The next thing for the caller; nothing where the caller has gone.
+    /// The next thing for the caller, if it is still there.
     ///
     /// The server does not read a connection while it answers, so the connection is looked at from
     /// outside: work of a caller that has gone would otherwise run to its end for nobody.
-    pub(super) async fn next(&self) -> Option<Next> {
+    pub(super) async fn next(&self) -> Result<Next, Unanswered> {
         loop {
             let wait = tokio::time::timeout(self.cx.limits.gone_check, self.stream.next());
             if let Ok((next, credit)) = wait.await {
                 if let Some(credit) = credit {
                     self.cx.peers.give(credit);
                 }
-                return Some(next);
+                return Ok(next);
             }
             let gone = self.connection.as_ref().is_some_and(|c| c.is_gone());
             if gone && !self.cx.is_ending() {
-                return None;
+                return Err(Unanswered::Gone);
             }
         }
     }
--- a/crates/net/src/callers/plain.rs
+++ b/crates/net/src/callers/plain.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 
 use futures_util::stream;
-use hgw_node::{Answer, CallerWork, Failure, FailureCode};
+use hgw_node::{Answer, CallerWork, FailureCode};
 use hgw_wire::peer::PlainWork;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use xitca_web::body::{ResponseBody, StreamDataBody};
 
 use super::open::Open;
 use super::reply::{self, Reply, not_run};
-use super::route::{Incoming, count, unexpected};
+use super::route::{Incoming, Result, count, unexpected};
 use super::watched::Watched;
 use super::{Callers, head};
 use crate::meter;
@@ -19,11 +19,7 @@
 use crate::upstreams::is_end_to_end;
 
 /// Calls a service; `rest` is the path behind `/svc/`.
-pub(super) async fn call(
-    cx: &Arc<Callers>,
-    mut incoming: Incoming,
-    rest: &str,
-) -> Result<Reply, Failure> {
+pub(super) async fn call(cx: &Arc<Callers>, mut incoming: Incoming, rest: &str) -> Result<Reply> {
     let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
     let service = service
         .parse()
@@ -38,15 +34,15 @@
     };
     let request = incoming.request(CallerWork::Plain { service, work });
     let open = Open::new(cx, incoming.connection, request)?;
-    match open.next().await {
-        Some(Next::Head(status, headers)) => streamed(open, status, &headers),
-        Some(Next::End(Answer::Recorded(answer))) => {
+    match open.next().await? {
+        Next::Head(status, headers) => streamed(open, status, &headers),
+        Next::End(Answer::Recorded(answer)) => {
             meter::request("whole");
             let body = ResponseBody::bytes(answer.body);
             with_head(answer.status, &answer.headers, body, &open.request_id)
         }
-        Some(Next::End(Answer::Failed(failure))) => Err(failure),
-        Some(_) | None => Err(unexpected()),
+        Next::End(Answer::Failed(failure)) => Err(failure.into()),
+        _ => Err(unexpected().into()),
     }
 }
 
@@ -66,22 +62,22 @@
 ///
 /// Where it breaks off, the body ends with an error, which closes the connection without the last
 /// chunk: the caller sees that the answer is cut and cannot take it for a whole one.
-fn streamed(open: Open, status: u16, headers: &[(String, String)]) -> Result<Reply, Failure> {
+fn streamed(open: Open, status: u16, headers: &[(String, String)]) -> Result<Reply> {
     let id = open.request_id.clone();
     let connection = open.connection();
     let pieces = stream::unfold(Some(open), |open| async move {
         let open = open?;
         match open.next().await {
-            Some(Next::Body(bytes)) => Some((Ok(bytes), Some(open))),
-            Some(Next::End(Answer::Whole)) => {
+            Ok(Next::Body(bytes)) => Some((Ok(bytes), Some(open))),
+            Ok(Next::End(Answer::Whole)) => {
                 meter::request("whole");
                 None
             }
-            Some(Next::End(Answer::Failed(failure))) => {
+            Ok(Next::End(Answer::Failed(failure))) => {
                 count(&failure);
                 Some((Err(io::Error::other(failure.message)), None))
             }
-            Some(_) | None => Some((Err(io::Error::other("the answer broke off")), None)),
+            Ok(_) | Err(_) => Some((Err(io::Error::other("the answer broke off")), None)),
         }
     });
     let body = ResponseBody::boxed(StreamDataBody::new(Watched::new(connection, pieces)));
@@ -93,7 +89,7 @@
     headers: &[(String, String)],
     body: ResponseBody,
     request_id: &str,
-) -> Result<Reply, Failure> {
+) -> Result<Reply> {
     let mut reply = Response::new(body);
     *reply.status_mut() = StatusCode::from_u16(status).map_err(|_| unexpected())?;
     for (name, value) in headers {
--- a/crates/net/src/callers/route.rs
+++ b/crates/net/src/callers/route.rs
@@ -23,6 +23,24 @@
 /// Path under which plain services are called.
 const SERVICES: &str = "/svc/";
 
+/// Outcome of answering a request.
+pub(super) type Result<T> = std::result::Result<T, Unanswered>;
+
+/// Why a request gets no answer of its own.
+#[derive(Debug)]
+pub(super) enum Unanswered {
+    /// It failed, and its caller is to be told.
+    Failed(Failure),
+    /// Its caller has gone.
+    Gone,
+}
+
+impl From<Failure> for Unanswered {
+    fn from(failure: Failure) -> Self {
+        Unanswered::Failed(failure)
+    }
+}
+
 /// A request whose head has been read.
 pub(super) struct Incoming {
     pub(super) parts: Parts,
@@ -33,7 +51,7 @@
 
 impl Incoming {
     /// Reads the body.
-    pub(super) async fn body(&mut self, cx: &Callers) -> Result<Bytes, Failure> {
+    pub(super) async fn body(&mut self, cx: &Callers) -> std::result::Result<Bytes, Failure> {
         let body = std::mem::take(&mut self.body);
         body::read(body, &self.parts.headers, &cx.limits).await
     }
@@ -69,11 +87,15 @@
                     dispatch(cx, Incoming { parts, head, connection: connection.clone(), body })
                         .await
                 }
-                Err(failure) => Err(failure),
+                Err(failure) => Err(failure.into()),
             };
-            answered.unwrap_or_else(|failure| {
-                count(&failure);
-                reply::error(&failure, &name)
+            answered.unwrap_or_else(|unanswered| match unanswered {
+                Unanswered::Failed(failure) => {
+                    count(&failure);
+                    reply::error(&failure, &name)
+                }
+                // Nobody reads it; the connection ends with it.
+                Unanswered::Gone => reply::error(&unexpected(), &name),
             })
         }
     };
@@ -111,7 +133,7 @@
     }
 }
 
-async fn dispatch(cx: &Arc<Callers>, incoming: Incoming) -> Result<Reply, Failure> {
+async fn dispatch(cx: &Arc<Callers>, incoming: Incoming) -> Result<Reply> {
     let path = incoming.parts.uri.path().to_string();
     let id = incoming.head.id.to_string();
     match path.as_str() {
@@ -123,7 +145,7 @@
         "/v1/models" => Ok(reply::wrong_method("GET", &id)),
         path => match path.strip_prefix(SERVICES) {
             Some(rest) => plain::call(cx, incoming, rest).await,
-            None => Err(not_run(FailureCode::NotFound, format!("no such path: {path}"))),
+            None => Err(not_run(FailureCode::NotFound, format!("no such path: {path}")).into()),
         },
     }
 }
@@ -141,19 +163,19 @@
     owned_by: &'static str,
 }
 
-async fn models(cx: &Arc<Callers>, incoming: Incoming) -> Result<Reply, Failure> {
+async fn models(cx: &Arc<Callers>, incoming: Incoming) -> Result<Reply> {
     let request = incoming.request(CallerWork::Models);
     let open = Open::new(cx, incoming.connection, request)?;
-    match open.next().await {
-        Some(Next::End(Answer::Models(names))) => {
+    match open.next().await? {
+        Next::End(Answer::Models(names)) => {
             let entry = |id| ModelEntry { id, object: "model", owned_by: "hibiscusgw" };
             let list = ModelList { object: "list", data: names.into_iter().map(entry).collect() };
             let body = serde_json::to_vec(&list).expect("a list of names can be written");
             meter::request("whole");
             Ok(reply::json(StatusCode::OK, body, &open.request_id))
         }
-        Some(Next::End(Answer::Failed(failure))) => Err(failure),
-        Some(_) | None => Err(unexpected()),
+        Next::End(Answer::Failed(failure)) => Err(failure.into()),
+        _ => Err(unexpected().into()),
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,6 +17,7 @@
 mod platform;
 mod process;
 mod settings;
+mod shared;
 mod streams;
 mod timer;
 mod upstreams;
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -3,24 +3,22 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hgw_node::{Event, Machine};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
 
-use crate::attempts::Attempts;
 use crate::callers::{self, Callers};
 use crate::control::Control;
 use crate::inbox::{Inbox, inbox};
 use crate::lifecycle::{Lifecycle, Phase};
-use crate::operator_port::{Calls, ControlPort};
-use crate::peers::{self, Identity, PeerTable, Peers};
-use crate::platform::{self, Platform};
-use crate::streams::Streams;
+use crate::operator_port::ControlPort;
+use crate::peers::{self, Identity, Peers};
+use crate::platform;
+use crate::shared::{Shared, platform_client};
 use crate::timer::Timer;
-use crate::upstreams::{self, HttpClient, Upstreams};
+use crate::upstreams;
 use crate::{Error, OperatorPort, Result, Settings, meter};
 
 /// Commands that may wait for one of the threads.
@@ -223,86 +221,6 @@
     }
 }
 
-/// What the threads of a process share.
-struct Shared {
-    streams: Arc<Streams>,
-    attempts: Arc<Attempts>,
-    peers: Arc<PeerTable>,
-    calls: Arc<Calls>,
-    ready: Arc<AtomicBool>,
-    lifecycle: Lifecycle,
-    /// What the state machine's time counts from.
-    start: Instant,
-}
-
-impl Shared {
-    fn new(settings: &Settings) -> Self {
-        Shared {
-            streams: Arc::default(),
-            attempts: Arc::default(),
-            peers: Arc::new(PeerTable::new(settings.peer.queue)),
-            calls: Arc::default(),
-            ready: Arc::default(),
-            lifecycle: Lifecycle::new(),
-            start: Instant::now(),
-        }
-    }
-
-    fn upstreams(&self, settings: &Settings, inbox: &Inbox) -> Arc<Upstreams> {
-        let limits = settings.upstream.clone();
-        Arc::new(Upstreams {
-            inbox: inbox.clone(),
-            streams: Arc::clone(&self.streams),
-            attempts: Arc::clone(&self.attempts),
-            peers: Arc::clone(&self.peers),
-            order_token: settings.order_token.clone().into(),
-            room: Semaphore::new(limits.attempts),
-            pooled: HttpClient::new(limits.connect, limits.idle, limits.idle_connections),
-            recent: HttpClient::new(
-                limits.connect,
-                limits.idle_unrepeatable,
-                limits.idle_connections,
-            ),
-            fresh: HttpClient::new(limits.connect, limits.idle, 0),
-            limits,
-            start: self.start,
-        })
-    }
-
-    fn peers(&self, settings: &Settings, inbox: &Inbox, me: Identity) -> Arc<Peers> {
-        Arc::new(Peers {
-            me,
-            table: Arc::clone(&self.peers),
-            streams: Arc::clone(&self.streams),
-            attempts: Arc::clone(&self.attempts),
-            inbox: inbox.clone(),
-            limits: settings.peer.clone(),
-            progress: settings.upstream.progress,
-        })
-    }
-
-    fn callers(&self, settings: &Settings, inbox: &Inbox) -> Arc<Callers> {
-        Arc::new(Callers::new(
-            settings.caller.clone(),
-            inbox.clone(),
-            Arc::clone(&self.streams),
-            Arc::clone(&self.peers),
-            Arc::clone(&self.ready),
-            self.lifecycle.clone(),
-        ))
-    }
-}
-
-fn platform_client(settings: &Settings, inbox: &Inbox) -> Arc<Platform> {
-    let limits = settings.platform_calls.clone();
-    Arc::new(Platform {
-        addr: settings.platform.clone(),
-        inbox: inbox.clone(),
-        client: HttpClient::new(limits.connect, settings.upstream.idle, 16),
-        limits,
-    })
-}
-
 fn timer(settings: &Settings, inbox: &Inbox, lifecycle: &Lifecycle) -> Result<JoinHandle<()>> {
     let mut timer = Timer::default();
     let inbox = inbox.clone();
