--- a/crates/net/benches/hop.rs
+++ b/crates/net/benches/hop.rs
@@ -1,5 +1,5 @@
-//! What one node, and two, add to a call: time on an idle machine, and requests a second for each
-//! core that the node's own threads use. `cargo bench -p hgw-net` prints both.
+//! What one node, and two, add to a call: time on an idle machine, and calls and tokens a second for
+//! each core that the nodes' own threads use. `cargo bench -p hgw-net` prints both.
 //!
 //! The state machine is the tests' relay, so the figures are those of the threads alone.
 
@@ -22,6 +22,10 @@
 /// Calls of each of them.
 const EACH: usize = 2_000;
 
+/// Streamed answers of each caller, and tokens of each.
+const STREAMS: usize = 20;
+const TOKENS: u32 = 500;
+
 /// Threads of the node, as they are named; the rest belongs to callers and upstreams.
 const OWN_THREADS: [&str; 6] =
     ["control", "upstreams", "callers", "peers", "timer", "xitca-server-wo"];
@@ -32,6 +36,15 @@
     let one = start(settings("n1"), relay);
     let (entry, dispatcher) = pair(&upstream.to_string());
     let direct = measure("direct", upstream, None);
+    let (relay, _seen) = Relay::new(&support::upstream::engine());
+    let streaming = start(settings("n4"), relay);
+    let (stream_entry, stream_dispatcher) = pair(&support::upstream::engine());
+    tokens("one node", streaming.addrs().callers);
+    tokens("two nodes", stream_entry.addrs().callers);
+    for node in [streaming, stream_entry, stream_dispatcher] {
+        node.kill();
+        node.wait();
+    }
     for (name, addr) in [("one node", one.addrs().callers), ("two nodes", entry.addrs().callers)] {
         measure(name, addr, Some(&direct));
         throughput(name, addr);
@@ -173,6 +186,28 @@
     }
 }
 
+/// Streams answers of many tokens to several callers at one time.
+fn tokens(name: &str, addr: SocketAddr) {
+    let before = own_cpu();
+    let start = Instant::now();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            thread::spawn(move || {
+                for _ in 0..STREAMS {
+                    let answer = support::caller::chat(addr, TOKENS, true).whole();
+                    assert!(answer.body.ends_with("[DONE]\n\n"));
+                }
+            })
+        })
+        .collect();
+    callers.into_iter().for_each(|caller| caller.join().unwrap());
+    let (wall, after) = (start.elapsed(), own_cpu());
+    let count = (CALLERS * STREAMS) as f64 * f64::from(TOKENS);
+    let used: f64 = after.iter().zip(&before).map(|(a, b)| a.1 - b.1).sum();
+    let per_second = count / wall.as_secs_f64();
+    print(&format!("{name}: {per_second:.0} tokens/s, {:.0} tokens/s a core", count / used));
+}
+
 /// Processor seconds of the nodes' own threads so far, by name.
 fn own_cpu() -> Vec<(String, f64)> {
     let mut sums: Vec<(String, f64)> = OWN_THREADS.map(|name| (name.to_string(), 0.0)).to_vec();
