Send no frame of an empty body with answers that have none

A plain service's 204 or 304 was sent as an empty streamed body: its last chunk would have been taken for the start of the next answer on a kept connection. Found by the new test.

--- a/crates/net/src/callers/plain.rs
+++ b/crates/net/src/callers/plain.rs
@@ -35,10 +35,14 @@
     let request = incoming.request(CallerWork::Plain { service, work });
     let open = Open::new(cx, incoming.connection, request)?;
     match open.next().await? {
+        Next::Head(status, headers) if has_no_body(status) => {
+            without_body(open, status, &headers).await
+        }
         Next::Head(status, headers) => streamed(open, status, &headers),
         Next::End(Answer::Recorded(answer)) => {
             meter::request("whole");
-            let body = ResponseBody::bytes(answer.body);
+            let empty = has_no_body(answer.status);
+            let body = if empty { ResponseBody::none() } else { ResponseBody::bytes(answer.body) };
             with_head(answer.status, &answer.headers, body, &open.request_id)
         }
         Next::End(Answer::Failed(failure)) => Err(failure.into()),
@@ -58,6 +62,26 @@
         .collect()
 }
 
+/// Whether answers with this status end with their head.
+fn has_no_body(status: u16) -> bool {
+    matches!(status, 204 | 304)
+}
+
+/// An answer that ends with its head. The server would write the frame of an empty streamed body,
+/// which the caller would take for the start of the next answer.
+async fn without_body(open: Open, status: u16, headers: &[(String, String)]) -> Result<Reply> {
+    loop {
+        match open.next().await? {
+            Next::Body(_) => {}
+            Next::End(Answer::Whole) => break,
+            Next::End(Answer::Failed(failure)) => return Err(failure.into()),
+            _ => return Err(unexpected().into()),
+        }
+    }
+    meter::request("whole");
+    with_head(status, headers, ResponseBody::none(), &open.request_id)
+}
+
 /// An answer whose body is handed on as it comes.
 ///
 /// Where it breaks off, the body ends with an error, which closes the connection without the last
--- a/crates/net/tests/callers.rs
+++ b/crates/net/tests/callers.rs
@@ -285,3 +285,32 @@
     assert!(get("/metrics").body.contains("hgw_open_streams"));
     node.kill();
 }
+
+/// Two calls over one connection; the first one's answer has no body. A byte too many would be taken
+/// for the start of the second answer.
+fn check_no_body(method: &str, status: u16) {
+    let service = upstream::serve(move |received, stream| {
+        let id = received.header("x-attempt-id");
+        let head =
+            format!("HTTP/1.1 {status} X\r\nx-attempt-id: {id}\r\nconnection: close\r\n\r\n");
+        stream.write_all(head.as_bytes()).unwrap();
+    });
+    let (relay, _seen) = Relay::new(&service);
+    let node = start(settings("n"), relay);
+    let mut stream = caller::connect(node.addrs().callers);
+    let head = format!("{method} /svc/s/x HTTP/1.1\r\nhost: x\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    let (first, mut stream) = caller::read_head_only(stream);
+    assert_eq!(first, status);
+    stream.write_all(b"GET /livez HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    let second = caller::read_head(stream).whole();
+    assert_eq!((second.status, second.body.as_str()), (200, "live\n"));
+    node.kill();
+}
+
+cases! {
+    check_no_body:
+    an_answer_to_head("HEAD", 200);
+    an_answer_without_content("GET", 204);
+    an_answer_that_nothing_has_changed("GET", 304);
+}
--- a/crates/net/tests/support/caller.rs
+++ b/crates/net/tests/support/caller.rs
@@ -139,3 +139,10 @@
     }
     (texts, done)
 }
+
+/// Reads the head of an answer that has no body, and gives the connection back.
+pub(crate) fn read_head_only(stream: TcpStream) -> (u16, TcpStream) {
+    let answer = read_head(stream);
+    assert!(answer.reader.buffer().is_empty(), "bytes behind the head");
+    (answer.status, answer.reader.into_inner())
+}
