--- a/crates/net/src/callers/connection.rs
+++ b/crates/net/src/callers/connection.rs
@@ -2,7 +2,7 @@
 
 use std::io::{ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -34,6 +34,9 @@
     start: Instant,
     /// Since when bytes wait for the caller, in milliseconds since `start`; 0 where none do.
     writing: AtomicU64,
+    opened: Instant,
+    /// Whether a request has come.
+    used: AtomicBool,
 }
 
 impl Connections {
@@ -55,8 +58,14 @@
             return None;
         }
         let twin = socket.try_clone().ok()?;
-        let writing = AtomicU64::new(0);
-        let entry = Arc::new(Connection { addr, socket: twin, start: self.start, writing });
+        let entry = Arc::new(Connection {
+            addr,
+            socket: twin,
+            start: self.start,
+            writing: AtomicU64::new(0),
+            opened: Instant::now(),
+            used: AtomicBool::new(false),
+        });
         open.insert(addr, Arc::clone(&entry));
         Some((Stream::Tcp(socket, addr), entry))
     }
@@ -77,12 +86,16 @@
         lock(&self.open).is_empty()
     }
 
-    /// Closes connections on which bytes have waited for their caller for longer than `bound`.
+    /// Closes connections whose caller has taken nothing of what waits for it for longer than
+    /// `stall`, or has sent no request at all within `first`.
     ///
-    /// A caller that stops reading would hold its request, and the work behind it, for ever.
-    pub(super) fn close_stalled(&self, bound: Duration) {
+    /// A caller that stops reading would hold its request, and the work behind it, for ever. A
+    /// stranger that only connects would hold one of a bounded number of connections for as long as
+    /// a caller between two requests may.
+    pub(super) fn close_stalled(&self, stall: Duration, first: Duration) {
         for entry in lock(&self.open).values() {
-            if entry.stalled_for().is_some_and(|t| t > bound) {
+            let unused = !entry.used.load(Ordering::Relaxed) && entry.opened.elapsed() > first;
+            if unused || entry.stalled_for().is_some_and(|t| t > stall) {
                 // An error means that the connection has ended by itself.
                 let _ = entry.socket.shutdown(Shutdown::Both);
             }
@@ -99,6 +112,12 @@
 }
 
 impl Connection {
+    /// Notes that a request has come: its caller has taken the answer before it.
+    pub(super) fn begin_request(&self) {
+        self.used.store(true, Ordering::Relaxed);
+        self.wrote();
+    }
+
     /// Whether the caller has closed the connection.
     pub(super) fn is_gone(&self) -> bool {
         match self.socket.peek(&mut [0]) {
--- a/crates/net/src/callers/mod.rs
+++ b/crates/net/src/callers/mod.rs
@@ -139,7 +139,9 @@
 async fn watch_stalls(cx: &Callers) {
     loop {
         tokio::time::sleep(STALL_LOOK).await;
-        cx.connections.close_stalled(cx.limits.stall);
+        // The head's own time runs in the server, from its first byte on.
+        let first = cx.limits.head_timeout * 2;
+        cx.connections.close_stalled(cx.limits.stall, first);
     }
 }
 
--- a/crates/net/src/callers/route.rs
+++ b/crates/net/src/callers/route.rs
@@ -73,8 +73,7 @@
     let (parts, ext) = req.into_parts();
     let connection = cx.connections.get(ext.socket_addr());
     if let Some(connection) = &connection {
-        // A caller that sends its next request has taken the last answer.
-        connection.wrote();
+        connection.begin_request();
     }
     let (_, body) = ext.replace_body(());
     let reply = match fixed(cx, &parts) {
--- a/crates/net/src/settings.rs
+++ b/crates/net/src/settings.rs
@@ -76,7 +76,8 @@
     pub connections: usize,
     /// Open requests; more are refused.
     pub requests: usize,
-    /// Longest time for a request's head, from its first byte.
+    /// Longest time for a request's head, from its first byte; twice as long for the first byte of a
+    /// new connection.
     pub head_timeout: Duration,
     /// Longest time for a request's body.
     pub body_timeout: Duration,
--- a/crates/net/tests/callers.rs
+++ b/crates/net/tests/callers.rs
@@ -102,6 +102,18 @@
     node.kill();
 }
 
+#[test]
+fn a_connection_that_is_never_used_is_closed() {
+    // A stranger connects and says nothing. The node closes long before the time that a caller
+    // between two requests has, so that strangers cannot hold all connections.
+    let limits =
+        CallerLimits { head_timeout: Duration::from_millis(50), ..CallerLimits::default() };
+    let (node, addr, _seen) = node(limits);
+    let mut stream = caller::connect(addr);
+    assert_eq!(stream.read(&mut [0]).expect("the connection is closed"), 0);
+    node.kill();
+}
+
 #[test]
 fn a_body_that_does_not_come_to_its_end_is_given_up() {
     // The caller announces ten bytes and sends five. It is told after the time for a body that
