End the process when a task breaks an invariant

A task that panicked took its attempt along without an Ended, and the state machine would have waited for ever. The test of the end at once failed in 1 of about 30 runs: it killed the node after the request had been seen and before it was sent on, when not_run is the right answer.

--- a/crates/net/src/control.rs
+++ b/crates/net/src/control.rs
@@ -42,21 +42,10 @@
     pub(crate) to_platform: mpsc::Sender<platform::Command>,
 }
 
-/// Ends the process when the control thread ends in whatever way: nothing else can go on.
-struct EndProcess(Lifecycle);
-
-impl Drop for EndProcess {
-    fn drop(&mut self) {
-        if std::thread::panicking() {
-            self.0.advance(Phase::Ended);
-        }
-    }
-}
-
 impl Control {
     /// Runs until the machine has finished or the process ends.
     pub(crate) fn run(mut self, events: &Events) {
-        let _end = EndProcess(self.lifecycle.clone());
+        let _guard = self.lifecycle.guard();
         let mut batch = Vec::with_capacity(BATCH);
         let mut round = Round::default();
         while self.lifecycle.phase() == Phase::Running {
--- a/crates/net/src/lifecycle.rs
+++ b/crates/net/src/lifecycle.rs
@@ -22,11 +22,33 @@
 pub(crate) struct Lifecycle {
     phase: watch::Sender<Phase>,
     stopped: Arc<AtomicBool>,
+    broken: Arc<AtomicBool>,
+}
+
+/// Ends the process when it is dropped by a panic.
+///
+/// A task that panics takes one attempt, or one connection, with it without a word: the state
+/// machine would wait for its end for ever. A broken invariant ends the process instead, and the
+/// platform starts another one.
+#[derive(Debug)]
+pub(crate) struct PanicGuard(Lifecycle);
+
+impl Drop for PanicGuard {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.0.broken.store(true, Ordering::Release);
+            self.0.advance(Phase::Ended);
+        }
+    }
 }
 
 impl Lifecycle {
     pub(crate) fn new() -> Self {
-        Lifecycle { phase: watch::Sender::new(Phase::Running), stopped: Arc::default() }
+        Lifecycle {
+            phase: watch::Sender::new(Phase::Running),
+            stopped: Arc::default(),
+            broken: Arc::default(),
+        }
     }
 
     /// Goes on to `phase`, never back.
@@ -48,6 +70,28 @@
         self.stopped.load(Ordering::Acquire)
     }
 
+    /// Whether a broken invariant has ended the process.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.broken.load(Ordering::Acquire)
+    }
+
+    /// Guards the work of the caller's scope.
+    pub(crate) fn guard(&self) -> PanicGuard {
+        PanicGuard(self.clone())
+    }
+
+    /// Starts a task of the current thread's runtime; its panic ends the process.
+    pub(crate) fn spawn<F>(&self, work: F)
+    where
+        F: Future<Output: Send> + Send + 'static,
+    {
+        let guard = self.guard();
+        tokio::spawn(async move {
+            work.await;
+            drop(guard);
+        });
+    }
+
     pub(crate) fn phase(&self) -> Phase {
         *self.phase.borrow()
     }
--- a/crates/net/src/peers/connection.rs
+++ b/crates/net/src/peers/connection.rs
@@ -161,7 +161,7 @@
     let mut pinged: Option<u64> = None;
     let mut number = 0;
     loop {
-        tokio::time::sleep(limits.ping_busy.min(limits.silence) / 2).await;
+        tokio::time::sleep(limits.ping_busy.min(limits.silence / 2)).await;
         let now = activity.now();
         let heard = activity.heard.load(Ordering::Relaxed);
         if let Some(at) = pinged {
--- a/crates/net/src/peers/manager.rs
+++ b/crates/net/src/peers/manager.rs
@@ -13,6 +13,7 @@
 use crate::PeerLimits;
 use crate::attempts::Attempts;
 use crate::inbox::Inbox;
+use crate::lifecycle::Lifecycle;
 use crate::streams::Streams;
 
 /// Pause after the system refused to give a connection that waits.
@@ -33,6 +34,7 @@
     pub(crate) streams: Arc<Streams>,
     pub(crate) attempts: Arc<Attempts>,
     pub(crate) inbox: Inbox,
+    pub(crate) lifecycle: Lifecycle,
     pub(crate) limits: PeerLimits,
     /// Least time between two reports of progress of an attempt.
     pub(crate) progress: Duration,
@@ -44,9 +46,9 @@
     listener: TcpListener,
     mut commands: mpsc::Receiver<Command>,
 ) {
-    tokio::spawn(accept(Arc::clone(&peers), listener));
+    peers.lifecycle.spawn(accept(Arc::clone(&peers), listener));
     while let Some(Command::Connect(link, addr)) = commands.recv().await {
-        tokio::spawn(connect(Arc::clone(&peers), link, addr));
+        peers.lifecycle.spawn(connect(Arc::clone(&peers), link, addr));
     }
 }
 
@@ -59,8 +61,8 @@
         };
         // Strangers beyond the limit are turned away: each one that waits costs memory.
         let Ok(permit) = Arc::clone(&unproven).try_acquire_owned() else { continue };
-        let peers = Arc::clone(&peers);
-        tokio::spawn(async move {
+        let (peers, lifecycle) = (Arc::clone(&peers), peers.lifecycle.clone());
+        lifecycle.spawn(async move {
             match prove_incoming(&peers, tcp).await {
                 Ok(proven) => {
                     drop(permit);
--- a/crates/net/src/platform/append.rs
+++ b/crates/net/src/platform/append.rs
@@ -30,7 +30,8 @@
 /// Starts the task that appends to one stream.
 pub(super) fn writer(cx: Arc<Platform>, stream: StreamName) -> mpsc::Sender<Append> {
     let (tx, mut rx) = mpsc::channel::<Append>(cx.limits.waiting);
-    tokio::spawn(async move {
+    let lifecycle = cx.lifecycle.clone();
+    lifecycle.spawn(async move {
         while let Some(append) = rx.recv().await {
             let outcome = run(&cx, &stream, &append).await;
             report(&cx, &stream, append.id, outcome).await;
--- a/crates/net/src/platform/mod.rs
+++ b/crates/net/src/platform/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::PlatformLimits;
 use crate::inbox::Inbox;
+use crate::lifecycle::Lifecycle;
 use crate::upstreams::{self, HttpClient};
 
 use append::Append;
@@ -34,6 +35,7 @@
 pub(crate) struct Platform {
     pub(crate) addr: String,
     pub(crate) inbox: Inbox,
+    pub(crate) lifecycle: Lifecycle,
     pub(crate) limits: PlatformLimits,
     pub(crate) client: HttpClient,
 }
@@ -48,10 +50,10 @@
         let cx = Arc::clone(&platform);
         match command {
             Command::Read { stream, from } => {
-                tokio::spawn(read::run(cx, stream, from));
+                platform.lifecycle.spawn(read::run(cx, stream, from));
             }
             Command::AskVms => {
-                tokio::spawn(ask_vms(cx));
+                platform.lifecycle.spawn(ask_vms(cx));
             }
             Command::Append { stream, id, data } => {
                 let writer = writers
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -16,7 +16,7 @@
 use crate::operator_port::ControlPort;
 use crate::peers::{self, Identity, Peers};
 use crate::platform;
-use crate::shared::{Shared, platform_client};
+use crate::shared::Shared;
 use crate::timer::Timer;
 use crate::upstreams;
 use crate::{Error, OperatorPort, Result, Settings, meter};
@@ -133,7 +133,7 @@
         };
         let upstreams = shared.upstreams(&self.settings, &inbox);
         let peers = shared.peers(&self.settings, &inbox, me);
-        let platform = platform_client(&self.settings, &inbox);
+        let platform = shared.platform(&self.settings, &inbox);
         let callers = shared.callers(&self.settings, &inbox);
         let lifecycle = &shared.lifecycle;
         let listener = self.peers;
@@ -194,6 +194,7 @@
         for thread in self.threads {
             broken |= thread.join().is_err();
         }
+        broken |= self.lifecycle.is_broken();
         match (broken, self.lifecycle.was_stopped()) {
             (true, _) => Exit::Broken,
             (false, true) => Exit::Stopped,
--- a/crates/net/src/shared.rs
+++ b/crates/net/src/shared.rs
@@ -49,6 +49,7 @@
         let limits = settings.upstream.clone();
         Arc::new(Upstreams {
             inbox: inbox.clone(),
+            lifecycle: self.lifecycle.clone(),
             streams: Arc::clone(&self.streams),
             attempts: Arc::clone(&self.attempts),
             peers: Arc::clone(&self.peers),
@@ -73,6 +74,7 @@
             streams: Arc::clone(&self.streams),
             attempts: Arc::clone(&self.attempts),
             inbox: inbox.clone(),
+            lifecycle: self.lifecycle.clone(),
             limits: settings.peer.clone(),
             progress: settings.upstream.progress,
         })
@@ -88,15 +90,15 @@
             self.lifecycle.clone(),
         ))
     }
-}
 
-/// The client of the platform's service.
-pub(crate) fn platform_client(settings: &Settings, inbox: &Inbox) -> Arc<Platform> {
-    let limits = settings.platform_calls.clone();
-    Arc::new(Platform {
-        addr: settings.platform.clone(),
-        inbox: inbox.clone(),
-        client: HttpClient::new(limits.connect, settings.upstream.idle, PLATFORM_IDLE),
-        limits,
-    })
+    pub(crate) fn platform(&self, settings: &Settings, inbox: &Inbox) -> Arc<Platform> {
+        let limits = settings.platform_calls.clone();
+        Arc::new(Platform {
+            addr: settings.platform.clone(),
+            inbox: inbox.clone(),
+            lifecycle: self.lifecycle.clone(),
+            client: HttpClient::new(limits.connect, settings.upstream.idle, PLATFORM_IDLE),
+            limits,
+        })
+    }
 }
--- a/crates/net/src/upstreams/attempt.rs
+++ b/crates/net/src/upstreams/attempt.rs
@@ -86,7 +86,8 @@
     }
     if matches!(start.work, Work::Model(_)) {
         let (cx, addr, id) = (Arc::clone(cx), start.addr.clone(), start.attempt.id);
-        tokio::spawn(async move { tell_cancelled(&cx, &addr, id, cx.limits.call).await });
+        let lifecycle = cx.lifecycle.clone();
+        lifecycle.spawn(async move { tell_cancelled(&cx, &addr, id, cx.limits.call).await });
     }
     Outcome::Broken("cancelled".into())
 }
--- a/crates/net/src/upstreams/generate.rs
+++ b/crates/net/src/upstreams/generate.rs
@@ -136,7 +136,8 @@
             };
             if let Some(outcome) = take(running, event, tokens, outlet).await {
                 if matches!(outcome, Outcome::Whole(_)) {
-                    tokio::spawn(tokio::time::timeout(LAST_FRAME, finish(body)));
+                    let rest = tokio::time::timeout(LAST_FRAME, finish(body));
+                    running.cx.lifecycle.spawn(rest);
                 }
                 return Ok(outcome);
             }
--- a/crates/net/src/upstreams/mod.rs
+++ b/crates/net/src/upstreams/mod.rs
@@ -25,6 +25,7 @@
 use crate::UpstreamLimits;
 use crate::attempts::{Attempt, Attempts};
 use crate::inbox::Inbox;
+use crate::lifecycle::Lifecycle;
 use crate::peers::PeerTable;
 use crate::streams::Streams;
 
@@ -70,6 +71,7 @@
 #[derive(Debug)]
 pub(crate) struct Upstreams {
     pub(crate) inbox: Inbox,
+    pub(crate) lifecycle: Lifecycle,
     pub(crate) streams: Arc<Streams>,
     pub(crate) attempts: Arc<Attempts>,
     pub(crate) peers: Arc<PeerTable>,
@@ -97,16 +99,16 @@
         let cx = Arc::clone(&upstreams);
         match command {
             Command::Start(start) => {
-                tokio::spawn(attempt::run(cx, start));
+                upstreams.lifecycle.spawn(attempt::run(cx, start));
             }
             Command::Order(given) => {
-                tokio::spawn(ask::order(cx, given));
+                upstreams.lifecycle.spawn(ask::order(cx, given));
             }
             Command::AskState { upstream, addr, asked } => {
-                tokio::spawn(ask::state(cx, upstream, addr, asked));
+                upstreams.lifecycle.spawn(ask::state(cx, upstream, addr, asked));
             }
             Command::AskLoad { upstream, addr } => {
-                tokio::spawn(ask::load(cx, upstream, addr));
+                upstreams.lifecycle.spawn(ask::load(cx, upstream, addr));
             }
         }
     }
--- a/crates/net/tests/stop.rs
+++ b/crates/net/tests/stop.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::io::Read;
 use std::sync::{Mutex, mpsc};
 use std::thread;
 
@@ -9,7 +10,7 @@
 use hgw_node::{Action, Event, Machine};
 use hgw_types::Time;
 use support::relay::{Relay, settings, start};
-use support::{caller, upstream, wait_for};
+use support::{caller, upstream};
 
 #[test]
 fn a_planned_stop_cuts_no_answer() {
@@ -79,11 +80,19 @@
 
 #[test]
 fn an_end_at_once_does_not_wait_for_callers() {
-    let (relay, seen) = Relay::new(&upstream::silent());
+    // The engine has the caller's request and does not answer. The node is told to end at once: the
+    // caller's connection is closed without an answer, since nobody knows whether the request ran.
+    let (tx, arrived) = mpsc::channel();
+    let tx = Mutex::new(tx);
+    let engine = upstream::serve(move |_, stream| {
+        tx.lock().unwrap().send(()).unwrap();
+        while stream.read(&mut [0]).is_ok_and(|n| n > 0) {}
+    });
+    let (relay, _seen) = Relay::new(&engine);
     let node = start(settings("n"), relay);
     let addr = node.addrs().callers;
     let waiting = thread::spawn(move || caller::chat(addr, 1, false).status);
-    wait_for(&seen, |event| matches!(event, Event::CallerRequest { .. }).then_some(()));
+    arrived.recv().unwrap();
     node.kill();
     assert_eq!(node.wait(), Exit::Killed);
     assert_eq!(waiting.join().unwrap(), 0);
