--- a/crates/net/src/callers/chat.rs
+++ b/crates/net/src/callers/chat.rs
@@ -16,7 +16,7 @@
 use super::Callers;
 use super::open::Open;
 use super::reply::{self, Reply, not_run};
-use super::route::{Incoming, Result, count, unexpected};
+use super::route::{Incoming, Result, unexpected};
 use super::watched::Watched;
 use crate::meter;
 use crate::streams::Next;
@@ -258,7 +258,7 @@
     }
 
     fn failed(&self, buf: &mut BytesMut, failure: &Failure) {
-        count(failure);
+        self.open.count(failure);
         buf.extend_from_slice(b"data: ");
         buf.extend_from_slice(&reply::error_json(failure, &self.open.request_id));
         buf.extend_from_slice(b"\n\n");
--- a/crates/net/src/callers/mod.rs
+++ b/crates/net/src/callers/mod.rs
@@ -11,11 +11,14 @@
 mod watched;
 
 use std::convert::Infallible;
+use std::fmt::Display;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::time::Duration;
 
+use hgw_events::{Event, emit};
+use hgw_types::NodeId;
 use xitca_http::HttpServiceBuilder;
 use xitca_http::config::HttpServiceConfig;
 use xitca_io::net::Stream;
@@ -45,6 +48,7 @@
 /// What all callers' requests share.
 #[derive(Debug)]
 pub(crate) struct Callers {
+    node: NodeId,
     limits: CallerLimits,
     inbox: Inbox,
     streams: Arc<Streams>,
@@ -59,6 +63,7 @@
 
 impl Callers {
     pub(crate) fn new(
+        node: NodeId,
         limits: CallerLimits,
         inbox: Inbox,
         streams: Arc<Streams>,
@@ -68,6 +73,7 @@
     ) -> Self {
         Callers {
             connections: Connections::new(limits.connections),
+            node,
             limits,
             inbox,
             streams,
@@ -79,6 +85,12 @@
         }
     }
 
+    fn listener_failed(&self, reason: &std::io::Error) {
+        let fields: [(&str, &dyn Display); 3] =
+            [("node", &self.node), ("duty", &"callers"), ("reason", reason)];
+        emit(Event::ListenerFailed, &fields);
+    }
+
     /// Whether no new request is taken any more.
     fn is_ending(&self) -> bool {
         self.lifecycle.phase() > Phase::Running
@@ -91,8 +103,7 @@
     let handle = match server.handle() {
         Ok(handle) => handle,
         Err(e) => {
-            log::error!("the listener for callers cannot be served: {e}");
-            return;
+            return cx.listener_failed(&e);
         }
     };
     let end = async {
@@ -103,7 +114,7 @@
     };
     let (ended, ()) = tokio::join!(server, end);
     if let Err(e) = ended {
-        log::error!("the listener for callers ended: {e}");
+        cx.listener_failed(&e);
     }
 }
 
--- a/crates/net/src/callers/open.rs
+++ b/crates/net/src/callers/open.rs
@@ -8,7 +8,7 @@
 use super::Callers;
 use super::connection::Connection;
 use super::reply::not_run;
-use super::route::Unanswered;
+use super::route::{self, Unanswered};
 use crate::streams::{CallerStream, Next};
 
 /// When to come back after the node itself had no room.
@@ -44,6 +44,11 @@
         Ok(Open { cx: Arc::clone(cx), stream, connection, request_id })
     }
 
+    /// Counts and logs the failure of an answer that had begun.
+    pub(super) fn count(&self, failure: &Failure) {
+        route::count(&self.cx, failure, &self.request_id);
+    }
+
     /// The connection that the request came on.
     pub(super) fn connection(&self) -> Option<Arc<Connection>> {
         self.connection.clone()
--- a/crates/net/src/callers/plain.rs
+++ b/crates/net/src/callers/plain.rs
@@ -11,7 +11,7 @@
 
 use super::open::Open;
 use super::reply::{self, Reply, not_run};
-use super::route::{Incoming, Result, count, unexpected};
+use super::route::{Incoming, Result, unexpected};
 use super::watched::Watched;
 use super::{Callers, head};
 use crate::meter;
@@ -98,7 +98,7 @@
                 None
             }
             Ok(Next::End(Answer::Failed(failure))) => {
-                count(&failure);
+                open.count(&failure);
                 Some((Err(io::Error::other(failure.message)), None))
             }
             Ok(_) | Err(_) => Some((Err(io::Error::other("the answer broke off")), None)),
--- a/crates/net/src/callers/route.rs
+++ b/crates/net/src/callers/route.rs
@@ -1,10 +1,12 @@
 //! Which path does what.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
-use hgw_node::{Answer, CallerRequest, CallerWork, Failure, FailureCode};
+use hgw_events::{Event, emit};
+use hgw_node::{Answer, CallerRequest, CallerWork, Failure, FailureCode, Ran};
 use http::{Method, Request, StatusCode, request::Parts};
 use serde::Serialize;
 use xitca_web::body::RequestBody;
@@ -90,7 +92,7 @@
             };
             answered.unwrap_or_else(|unanswered| match unanswered {
                 Unanswered::Failed(failure) => {
-                    count(&failure);
+                    count(cx, &failure, &name);
                     reply::error(&failure, &name)
                 }
                 // Nobody reads it; the connection ends with it.
@@ -104,12 +106,19 @@
     reply
 }
 
-/// Counts a failed request by whether it ran.
-pub(super) fn count(failure: &Failure) {
+/// Counts a failed request by whether it ran, and logs it unless it was refused at once: under a
+/// burst refusals come by the thousand, and the caller is told all of it.
+pub(super) fn count(cx: &Callers, failure: &Failure, request_id: &str) {
     meter::request(match failure.ran {
-        hgw_node::Ran::NotRun => "not_run",
-        hgw_node::Ran::MayHaveRun => "may_have_run",
+        Ran::NotRun => "not_run",
+        Ran::MayHaveRun => "may_have_run",
     });
+    let (code, ran) = (failure.code, failure.ran);
+    if ran == Ran::MayHaveRun || code == FailureCode::UpstreamFailed {
+        let fields: [(&str, &dyn Display); 4] =
+            [("node", &cx.node), ("request", &request_id), ("code", &code), ("ran", &ran)];
+        emit(Event::RequestFailed, &fields);
+    }
 }
 
 /// Answers of the process itself.
@@ -180,7 +189,7 @@
 
 /// The answer does not fit the request: an invariant of the state machine is broken.
 pub(super) fn unexpected() -> Failure {
-    let ran = hgw_node::Ran::MayHaveRun;
+    let ran = Ran::MayHaveRun;
     let message = "the answer does not fit the request".into();
     Failure { code: FailureCode::UpstreamFailed, ran, retry_after: None, message }
 }
--- a/crates/net/src/peers/connection.rs
+++ b/crates/net/src/peers/connection.rs
@@ -6,6 +6,7 @@
 
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
+use hgw_events::{Event as LogEvent, emit};
 use hgw_node::Event;
 use hgw_types::{AttemptId, NodeId};
 use hgw_wire::peer::{Chunk, Frame, Message, Outcome};
@@ -52,7 +53,9 @@
     tokio::select! {
         () = read(peers, &link, source, &activity) => {}
         () = write(sink, queue, &activity) => {}
-        () = watch(peers, &link, &activity) => {}
+        () = watch(peers, &link, &activity) => {
+            emit(LogEvent::PeerSilent, &[("node", &peers.me.node), ("peer", &peer)]);
+        }
         () = link.closed() => {}
     }
     finish(peers, &link).await;
--- a/crates/net/src/peers/manager.rs
+++ b/crates/net/src/peers/manager.rs
@@ -1,8 +1,11 @@
 //! The peers' thread: makes connections, takes them, and keeps one for each pair.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
+use hgw_events::{Event, emit};
 use hgw_wire::peer::Hello;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
@@ -14,11 +17,14 @@
 use crate::attempts::Attempts;
 use crate::inbox::Inbox;
 use crate::lifecycle::Lifecycle;
-use crate::streams::Streams;
+use crate::streams::{Streams, lock};
 
 /// Pause after the system refused to give a connection that waits.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Least time between two log lines on refused connections: strangers can make any number of them.
+const REFUSAL_LOG: Duration = Duration::from_secs(1);
+
 /// What the peers' thread is told.
 #[derive(Debug)]
 pub(crate) enum Command {
@@ -36,6 +42,8 @@
     pub(crate) inbox: Inbox,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) limits: PeerLimits,
+    /// When a refused connection was last logged.
+    pub(crate) refusal_logged: Mutex<Option<Instant>>,
     /// Least time between two reports of progress of an attempt.
     pub(crate) progress: Duration,
 }
@@ -55,7 +63,7 @@
 async fn accept(peers: Arc<Peers>, listener: TcpListener) {
     let unproven = Arc::new(Semaphore::new(peers.limits.unproven));
     loop {
-        let Ok((tcp, _)) = listener.accept().await else {
+        let Ok((tcp, addr)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
@@ -68,7 +76,7 @@
                     drop(permit);
                     join(&peers, proven).await;
                 }
-                Err(e) => log::warn!("a connection to the peers' listener was refused: {e}"),
+                Err(e) => peers.refused(&addr, &e),
             }
         });
     }
@@ -104,7 +112,7 @@
             connection::serve(&peers, link, queue, proven).await;
         }
         Err(e) => {
-            log::info!("no connection to {} at {addr}: {e}", link.peer);
+            peers.unreachable(&link, &addr, &e);
             drop(queue);
             connection::finish(&peers, &link).await;
         }
@@ -156,3 +164,23 @@
         }
     }
 }
+
+impl Peers {
+    fn unreachable(&self, link: &Link, addr: &str, reason: &HandshakeError) {
+        let node = &self.me.node;
+        let fields: [(&str, &dyn Display); 4] =
+            [("node", node), ("peer", &link.peer), ("addr", &addr), ("reason", reason)];
+        emit(Event::PeerUnreachable, &fields);
+    }
+
+    /// Logs a refused connection, unless another one was logged a short time ago.
+    fn refused(&self, addr: &SocketAddr, reason: &HandshakeError) {
+        let mut logged = lock(&self.refusal_logged);
+        if logged.is_some_and(|at| at.elapsed() < REFUSAL_LOG) {
+            return;
+        }
+        *logged = Some(Instant::now());
+        let node = &self.me.node;
+        emit(Event::PeerRefused, &[("node", node), ("peer", addr), ("reason", reason)]);
+    }
+}
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -6,6 +6,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use hgw_events::emit;
 use hgw_node::{Event, Machine};
 use tokio::sync::mpsc;
 
@@ -144,7 +145,7 @@
             duty("peers", lifecycle, move || serve_peers(peers, listener, peer_commands))?,
         ];
         threads.push(timer(&self.settings, &inbox, lifecycle)?);
-        threads.push(callers_thread(callers, self.callers, &shared, self.settings.drain)?);
+        threads.push(callers_thread(callers, self.callers, &shared, &self.settings)?);
         let port = Arc::new(ControlPort::new(Arc::clone(&shared.calls), inbox.clone()));
         Ok(Running {
             addrs: self.addrs,
@@ -238,15 +239,16 @@
     callers: Arc<Callers>,
     listener: TcpListener,
     shared: &Shared,
-    drain: Duration,
+    Settings { node, drain, .. }: &Settings,
 ) -> Result<JoinHandle<()>> {
-    let lifecycle = shared.lifecycle.clone();
+    let (lifecycle, drain) = (shared.lifecycle.clone(), *drain);
     let peers = Arc::clone(&shared.peers);
+    let node = node.clone();
     let work = move || async move {
         callers::run(callers, listener, drain).await;
         let flushed = tokio::time::timeout(PEER_FLUSH, peers.flushed()).await;
         if flushed.is_err() {
-            log::warn!("messages to peers were left unsent at the end");
+            emit(hgw_events::Event::MessagesLeft, &[("node", &node)]);
         }
         lifecycle.advance(Phase::Ended);
     };
--- a/crates/net/src/shared.rs
+++ b/crates/net/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the threads of a process share, and what each of them gets of it.
 
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 use tokio::sync::Semaphore;
@@ -48,6 +48,7 @@
     pub(crate) fn upstreams(&self, settings: &Settings, inbox: &Inbox) -> Arc<Upstreams> {
         let limits = settings.upstream.clone();
         Arc::new(Upstreams {
+            node: settings.node.clone(),
             inbox: inbox.clone(),
             lifecycle: self.lifecycle.clone(),
             streams: Arc::clone(&self.streams),
@@ -76,12 +77,14 @@
             inbox: inbox.clone(),
             lifecycle: self.lifecycle.clone(),
             limits: settings.peer.clone(),
+            refusal_logged: Mutex::default(),
             progress: settings.upstream.progress,
         })
     }
 
     pub(crate) fn callers(&self, settings: &Settings, inbox: &Inbox) -> Arc<Callers> {
         Arc::new(Callers::new(
+            settings.node.clone(),
             settings.caller.clone(),
             inbox.clone(),
             Arc::clone(&self.streams),
--- a/crates/net/src/upstreams/generate.rs
+++ b/crates/net/src/upstreams/generate.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hgw_events::{Event, emit};
 use hgw_wire::peer::{Chunk, ModelWork, Outcome};
 use hgw_wire::upstream::{ATTEMPT_HEADER, Emitted, Generate};
 use http::HeaderValue;
@@ -40,7 +41,11 @@
         Part::Over(outcome) => return outcome,
         Part::Lost(reason) => reason,
     };
-    log::info!("attempt {} goes on over a new connection: {reason}", running.id());
+    let node = &running.cx.node;
+    emit(
+        Event::StreamReconnected,
+        &[("node", node), ("attempt", &running.id()), ("reason", &reason)],
+    );
     meter::resumed();
     // The engine still works for the old connection: it is to stop before it is asked again. One
     // that cannot be reached at all is not asked: another engine is to be found soon.
--- a/crates/net/src/upstreams/mod.rs
+++ b/crates/net/src/upstreams/mod.rs
@@ -17,7 +17,7 @@
 
 use bytes::Bytes;
 use hgw_node::Sink;
-use hgw_types::{Time, UpstreamId};
+use hgw_types::{NodeId, Time, UpstreamId};
 use hgw_wire::peer::Work;
 use hgw_wire::upstream::Order;
 use tokio::sync::{Semaphore, mpsc};
@@ -70,6 +70,7 @@
 /// What all calls to upstreams share.
 #[derive(Debug)]
 pub(crate) struct Upstreams {
+    pub(crate) node: NodeId,
     pub(crate) inbox: Inbox,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) streams: Arc<Streams>,
