--- a/crates/net/src/peers/handshake.rs
+++ b/crates/net/src/peers/handshake.rs
@@ -29,6 +29,10 @@
 /// Bytes of a nonce.
 const NONCE: usize = 32;
 
+/// Bytes read or written at once. A node may have hundreds of connections: with the library's own
+/// size their buffers would take more memory than everything else.
+const BUFFER: usize = 16 << 10;
+
 /// Number of the `Pong` after which both sides may send frames.
 const WELCOME: u64 = 0;
 
@@ -88,7 +92,11 @@
 
 /// Limits of a WebSocket whose messages have at most `max` bytes.
 fn config(max: usize) -> WebSocketConfig {
-    WebSocketConfig::default().max_message_size(Some(max)).max_frame_size(Some(max))
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER)
+        .write_buffer_size(BUFFER)
+        .max_message_size(Some(max))
+        .max_frame_size(Some(max))
 }
 
 /// Connects to `addr`, where `peer` is expected.
