--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -138,14 +138,18 @@
         let callers = shared.callers(&self.settings, &inbox);
         let lifecycle = &shared.lifecycle;
         let listener = self.peers;
-        let mut threads = vec![
-            spawn("control", move || control.run(&events))?,
-            duty("upstreams", lifecycle, move || upstreams::run(upstreams, upstream_commands))?,
-            duty("platform", lifecycle, move || platform::run(platform, platform_commands))?,
-            duty("peers", lifecycle, move || serve_peers(peers, listener, peer_commands))?,
-        ];
-        threads.push(timer(&self.settings, &inbox, lifecycle)?);
-        threads.push(callers_thread(callers, self.callers, &shared, &self.settings)?);
+        let threads = || -> Result<Vec<JoinHandle<()>>> {
+            Ok(vec![
+                spawn("control", move || control.run(&events))?,
+                duty("upstreams", lifecycle, move || upstreams::run(upstreams, upstream_commands))?,
+                duty("platform", lifecycle, move || platform::run(platform, platform_commands))?,
+                duty("peers", lifecycle, move || serve_peers(peers, listener, peer_commands))?,
+                timer(&self.settings, &inbox, lifecycle)?,
+                callers_thread(callers, self.callers, &shared, &self.settings)?,
+            ])
+        };
+        // Where one thread cannot be started, those before it end.
+        let threads = threads().inspect_err(|_| lifecycle.advance(Phase::Ended))?;
         let port = Arc::new(ControlPort::new(Arc::clone(&shared.calls), inbox.clone()));
         Ok(Running {
             addrs: self.addrs,
--- a/crates/net/src/upstreams/attempt.rs
+++ b/crates/net/src/upstreams/attempt.rs
@@ -14,14 +14,14 @@
 use crate::meter;
 
 /// What a running attempt knows.
-pub(super) struct Running<'a> {
+pub(super) struct InProgress<'a> {
     pub(super) cx: &'a Upstreams,
     pub(super) start: &'a Start,
     /// Set before the first byte may leave.
     pub(super) sent: &'a AtomicBool,
 }
 
-impl Running<'_> {
+impl InProgress<'_> {
     pub(super) fn id(&self) -> AttemptId {
         self.start.attempt.id
     }
@@ -59,7 +59,7 @@
         Err(reason) => return ended(id, Outcome::NotRun(reason)),
     };
     let sent = AtomicBool::new(false);
-    let running = Running { cx, start, sent: &sent };
+    let running = InProgress { cx, start, sent: &sent };
     let outcome = tokio::select! {
         biased;
         () = start.attempt.cancelled() => None,
@@ -72,7 +72,7 @@
     Ended { attempt: id, outcome, answer }
 }
 
-async fn work(running: &Running<'_>, outlet: &mut Outlet) -> Outcome {
+async fn work(running: &InProgress<'_>, outlet: &mut Outlet) -> Outcome {
     match &running.start.work {
         Work::Model(work) => generate::run(running, work, outlet).await,
         Work::Plain(work) => plain::run(running, work, outlet).await,
--- a/crates/net/src/upstreams/generate.rs
+++ b/crates/net/src/upstreams/generate.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use super::attempt::{self, Running};
+use super::attempt::{self, InProgress};
 use super::outlet::Outlet;
 use super::sse::EventReader;
 use super::{CallError, client};
@@ -35,7 +35,11 @@
 /// A connection may go silent for good while new ones work. Without the second connection a caller
 /// would wait for its deadline although the engine goes on generating. Once is enough: where the new
 /// connection fails too, it is the upstream that fails, and another one is to be chosen.
-pub(super) async fn run(running: &Running<'_>, work: &ModelWork, outlet: &mut Outlet) -> Outcome {
+pub(super) async fn run(
+    running: &InProgress<'_>,
+    work: &ModelWork,
+    outlet: &mut Outlet,
+) -> Outcome {
     let mut tokens = work.resume.clone();
     let reason = match part(running, work, &mut tokens, outlet, false).await {
         Part::Over(outcome) => return outcome,
@@ -61,7 +65,7 @@
 }
 
 async fn part(
-    running: &Running<'_>,
+    running: &InProgress<'_>,
     work: &ModelWork,
     tokens: &mut Vec<Arc<str>>,
     outlet: &mut Outlet,
@@ -78,7 +82,7 @@
 
 /// Sends the request and reads the head of the answer.
 async fn open(
-    running: &Running<'_>,
+    running: &InProgress<'_>,
     work: &ModelWork,
     tokens: &[Arc<str>],
     fresh: bool,
@@ -116,7 +120,7 @@
 
 /// Hands the tokens on until the answer ends.
 async fn read(
-    running: &Running<'_>,
+    running: &InProgress<'_>,
     mut body: Incoming,
     tokens: &mut Vec<Arc<str>>,
     outlet: &mut Outlet,
@@ -157,7 +161,7 @@
 
 /// Handles one event; gives the outcome where it is the last.
 async fn take(
-    running: &Running<'_>,
+    running: &InProgress<'_>,
     event: Emitted,
     tokens: &mut Vec<Arc<str>>,
     outlet: &mut Outlet,
@@ -185,7 +189,7 @@
 
 /// Hands one token on, unless it was before; the error says why the attempt cannot go on.
 async fn token(
-    running: &Running<'_>,
+    running: &InProgress<'_>,
     index: u32,
     text: String,
     tokens: &mut Vec<Arc<str>>,
--- a/crates/net/src/upstreams/plain.rs
+++ b/crates/net/src/upstreams/plain.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use super::attempt::Running;
+use super::attempt::InProgress;
 use super::body::SendBody;
 use super::outlet::Outlet;
 use super::{CallError, client};
@@ -34,7 +34,11 @@
 }
 
 /// Runs a call to its end. It is never sent twice: nobody here knows whether it may be.
-pub(super) async fn run(running: &Running<'_>, work: &PlainWork, outlet: &mut Outlet) -> Outcome {
+pub(super) async fn run(
+    running: &InProgress<'_>,
+    work: &PlainWork,
+    outlet: &mut Outlet,
+) -> Outcome {
     let start = running.start;
     let req = match request(running, work) {
         Ok(req) => req,
@@ -54,7 +58,7 @@
     }
 }
 
-fn request(running: &Running<'_>, work: &PlainWork) -> client::Result<Request<SendBody>> {
+fn request(running: &InProgress<'_>, work: &PlainWork) -> client::Result<Request<SendBody>> {
     let uri = format!("http://{}{}", running.start.addr, work.path);
     let mut builder = Request::builder().method(work.method.as_str()).uri(uri);
     for (name, value) in &work.headers {
@@ -66,7 +70,7 @@
 
 /// Hands the answer on and counts its chunks; the error says why it is not whole.
 async fn answer(
-    running: &Running<'_>,
+    running: &InProgress<'_>,
     res: Response<Incoming>,
     outlet: &mut Outlet,
 ) -> Result<u32, String> {
