Keep chunks from crowding messages out of a peer's queue

Cause: chunks and messages share a connection's queue, and a message that finds it full closes the connection, since a message left out would break the order. Twenty long answers at once filled a queue of 64. Ruled out: a second queue, which would have to keep the end of an answer behind its chunks by other means. Change: chunks may take half of the queue.

--- a/crates/net/src/peers/connection.rs
+++ b/crates/net/src/peers/connection.rs
@@ -52,7 +52,7 @@
     let (sink, source) = proven.socket.split();
     tokio::select! {
         () = read(peers, &link, source, &activity) => {}
-        () = write(sink, queue, &activity) => {}
+        () = write(&link, sink, queue, &activity) => {}
         () = watch(peers, &link, &activity) => {
             emit(LogEvent::PeerSilent, &[("node", &peers.me.node), ("peer", &peer)]);
         }
@@ -134,6 +134,7 @@
 }
 
 async fn write(
+    link: &Link,
     mut sink: SplitSink<Socket, Payload>,
     mut queue: mpsc::Receiver<Outbound>,
     activity: &Activity,
@@ -142,6 +143,9 @@
     while queue.recv_many(&mut batch, WRITE_BATCH).await > 0 {
         for frame in batch.drain(..) {
             let bytes = codec::encode(&frame);
+            if matches!(frame, Frame::Chunk(..)) {
+                link.chunk_left();
+            }
             meter::peer_bytes("out", meter::kind_of(&frame), bytes.len());
             if sink.feed(Payload::Binary(bytes)).await.is_err() {
                 return;
--- a/crates/net/src/peers/table.rs
+++ b/crates/net/src/peers/table.rs
@@ -28,6 +28,9 @@
     pub(crate) peer: NodeId,
     pub(crate) tx: mpsc::Sender<Outbound>,
     rx: Mutex<Option<mpsc::Receiver<Outbound>>>,
+    /// Chunks that the queue has room for. They may take half of it: an answer can wait for room,
+    /// while a message that finds none costs the whole connection.
+    chunk_room: Semaphore,
     /// Closed to end the connection, or the attempt to connect.
     open: Semaphore,
     /// Closed when the end has been reported.
@@ -54,6 +57,7 @@
             peer: peer.clone(),
             tx,
             rx: Mutex::new(Some(rx)),
+            chunk_room: Semaphore::new((queue / 2).max(1)),
             open: Semaphore::new(0),
             ended: Semaphore::new(0),
             stands: OnceLock::new(),
@@ -71,9 +75,19 @@
         attempt: AttemptId,
         chunk: Chunk,
     ) -> Result<(), SendError> {
+        let permit = tokio::select! {
+            permit = self.chunk_room.acquire() => permit,
+            () = self.closed() => return Err(SendError),
+        };
+        permit.map_err(|_| SendError)?.forget();
         self.tx.send(Frame::Chunk(attempt, chunk)).await.map_err(|_| SendError)
     }
 
+    /// Notes that a chunk has left the queue.
+    pub(crate) fn chunk_left(&self) {
+        self.chunk_room.add_permits(1);
+    }
+
     /// Notes that the connection stands.
     pub(crate) fn establish(&self, dialed: bool) {
         // A link is established once: its queue can be taken only once.
--- a/crates/net/tests/peer_streams.rs
+++ b/crates/net/tests/peer_streams.rs
@@ -3,10 +3,11 @@
 mod support;
 
 use std::sync::mpsc;
+use std::thread;
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use hgw_net::Running;
+use hgw_net::{PeerLimits, Running, Settings};
 use hgw_node::{Action, Ended, Event};
 use hgw_wire::peer::{Message, Outcome};
 use hgw_wire::upstream::Emitted;
@@ -44,7 +45,12 @@
 
 /// An entry node before this dispatcher.
 fn joined(dispatcher: Relay) -> (Running, Running) {
-    let dispatcher = start(settings("b"), dispatcher);
+    joined_with(dispatcher, &PeerLimits::default())
+}
+
+fn joined_with(dispatcher: Relay, limits: &PeerLimits) -> (Running, Running) {
+    let named = |name| Settings { peer: limits.clone(), ..settings(name) };
+    let dispatcher = start(named("b"), dispatcher);
     let peers = dispatcher.addrs().peers.to_string();
     let (mut entry, _) = Relay::new("");
     entry.via = Some("b".parse().unwrap());
@@ -54,7 +60,7 @@
         }
         false
     });
-    (start(settings("a"), entry), dispatcher)
+    (start(named("a"), entry), dispatcher)
 }
 
 #[test]
@@ -78,6 +84,27 @@
     dispatcher.kill();
 }
 
+#[test]
+fn answers_do_not_crowd_messages_out() {
+    // Many answers at once come by way of a peer, more chunks than the connection's queue holds.
+    // Chunks wait for room; a message that found none would cost the connection, and with it all
+    // the answers. Every caller gets its whole answer.
+    const CALLERS: usize = 20;
+    let peer = PeerLimits { queue: 64, ..PeerLimits::default() };
+    let (dispatcher, _seen) = Relay::new(&upstream::engine());
+    let (entry, dispatcher) = joined_with(dispatcher, &peer);
+    let addr = entry.addrs().callers;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| thread::spawn(move || caller::texts(&caller::chat(addr, 3000, true).whole().body)))
+        .collect();
+    for caller in callers {
+        let (texts, done) = caller.join().unwrap();
+        assert_eq!((texts.len(), done), (3000, true));
+    }
+    entry.kill();
+    dispatcher.kill();
+}
+
 #[test]
 fn an_attempt_ends_when_the_peer_that_it_is_for_goes_away() {
     // A caller at one node reads nothing, so the dispatcher's attempt waits for credit. Then the
