--- /dev/null
+++ b/crates/events/src/catalogue.rs
@@ -0,0 +1,73 @@
+use log::Level;
+
+macro_rules! catalogue {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// Something that a process logs.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Event {
+            $(#[doc = $text] $name,)*
+        }
+
+        impl Event {
+            /// All events, by number.
+            pub const ALL: &'static [Event] = &[$(Event::$name),*];
+
+            /// The number, which never changes its meaning.
+            pub fn number(self) -> u32 {
+                match self {
+                    $(Event::$name => $number,)*
+                }
+            }
+
+            /// How much it matters.
+            pub fn level(self) -> Level {
+                match self {
+                    $(Event::$name => Level::$level,)*
+                }
+            }
+
+            /// What happened, in words.
+            pub fn text(self) -> &'static str {
+                match self {
+                    $(Event::$name => $text,)*
+                }
+            }
+
+            /// The name in the code.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Event::$name => stringify!($name),)*
+                }
+            }
+        }
+    };
+}
+
+catalogue! {
+    ProcessStarted = 1001, Info, "the process has started";
+    ProcessStopping = 1002, Info, "a planned stop has begun";
+    ProcessStopped = 1003, Info, "the process has stopped";
+    ReadinessChanged = 1004, Info, "readiness for callers has changed";
+    StopForced = 1005, Warn, "the process ends at once on a second signal";
+    MemberUp = 2001, Info, "a node counts as alive";
+    MemberDown = 2002, Info, "a node counts as dead or leaves";
+    PeerRefused = 2003, Warn, "a connection of a peer was refused";
+    ConfigInForce = 3001, Info, "a configuration is in force";
+    ConfigFromPeer = 3002, Info, "a configuration was taken from a peer";
+    ConfigRejected = 3003, Warn, "a change in the log was rejected";
+    LogDown = 3101, Warn, "the platform's log does not answer";
+    LogUp = 3102, Info, "the platform's log answers again";
+    KeeperGained = 4001, Info, "this node keeps its failure domain";
+    KeeperLost = 4002, Info, "this node keeps its failure domain no longer";
+    OrderSent = 4003, Info, "an order was sent to an engine";
+    OrderNotDone = 4004, Warn, "an order was refused or lost";
+    EnginesLost = 4005, Warn, "the engines that do not answer have changed";
+    PlannerGained = 4101, Info, "this node plans its region";
+    PlannerLost = 4102, Info, "this node plans its region no longer";
+    FloorInForce = 4103, Info, "a residency floor is in force";
+    OwnerGained = 4201, Info, "this node owns a key shard";
+    OwnerLost = 4202, Info, "this node owns a key shard no longer";
+    RequestFailed = 5001, Info, "a caller was given no whole answer";
+    RequestResumed = 5002, Info, "a request goes on at another upstream";
+    UpstreamLeaving = 5003, Info, "the upstreams that take no new work have changed";
+}
--- /dev/null
+++ b/crates/events/tests/catalogue.rs
@@ -0,0 +1,30 @@
+//! The catalogue in `docs/EVENTS.md` says what the code logs.
+
+use std::path::Path;
+
+use hgw_events::Event;
+
+#[test]
+fn numbers_are_in_order_and_unique() {
+    let numbers: Vec<u32> = Event::ALL.iter().map(|e| e.number()).collect();
+    assert!(numbers.is_sorted_by(|a, b| a < b), "{numbers:?}");
+}
+
+#[test]
+fn page_lists_every_event() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/EVENTS.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    let is_row = |line: &&str| line.starts_with("| ") && line.as_bytes()[2].is_ascii_digit();
+    let listed: Vec<String> = page.lines().filter(is_row).map(without_fields).collect();
+    let logged: Vec<String> = Event::ALL.iter().map(|e| row(*e)).collect();
+    assert_eq!(listed, logged);
+}
+
+fn row(event: Event) -> String {
+    let level = event.level().as_str().to_lowercase();
+    format!("| {} | {} | {level} | {}", event.number(), event.name(), event.text())
+}
+
+fn without_fields(line: &str) -> String {
+    line.split(" | ").take(4).collect::<Vec<_>>().join(" | ")
+}
--- /dev/null
+++ b/crates/node/src/keeper/mod.rs
@@ -0,0 +1,264 @@
+//! The keeper role: joins the claim on a failure domain with the keeper's decisions.
+
+use std::sync::Arc;
+
+use hgw_claim::Action as ClaimAction;
+use hgw_config::Document;
+use hgw_events::{Event as LogEvent, emit};
+use hgw_placement::{
+    Floor, Keeper, KeeperAction, KeeperEntry, KeeperEvent, KeeperSettings, OrderResult,
+};
+use hgw_types::{NodeId, Offset, RecordId, Scope, StreamName, Term, Time, UpstreamId};
+use hgw_wire::peer::{Holding, Message, Placement};
+use hgw_wire::upstream::{EngineState, Order, OrderOutcome};
+use indexmap::IndexMap;
+
+use crate::codec::{decode, encode};
+use crate::context::Context;
+use crate::scope::ScopeLog;
+use crate::view::View;
+use crate::{Action, ReadOutcome};
+
+/// Nodes of a domain that read its keeper's stream, so as to take over without delay. The others
+/// need only what the keeper tells them, which keeps reads of the log few.
+const CANDIDATES: usize = 3;
+
+/// This node's part in keeping its failure domain.
+#[derive(Debug)]
+pub(crate) struct KeeperRole {
+    scope: ScopeLog,
+    keeper: Keeper,
+    /// Whether this node reads the scope's stream.
+    following: bool,
+    term: Option<Term>,
+    /// Number of the last placement message of this term.
+    number: u64,
+    lost_engines: Vec<UpstreamId>,
+}
+
+impl KeeperRole {
+    pub(crate) fn new(cx: &Context<'_>) -> Self {
+        let domain = &cx.settings.domain;
+        let scope = Scope::keeper(domain);
+        KeeperRole {
+            keeper: Keeper::new(KeeperSettings::default(), domain.clone(), cx.settings.boot),
+            scope: ScopeLog::new(cx, scope),
+            following: false,
+            term: None,
+            number: 0,
+            lost_engines: Vec::new(),
+        }
+    }
+
+    pub(crate) fn stream(&self) -> &StreamName {
+        self.scope.stream()
+    }
+
+    /// The term under which this node keeps the domain.
+    pub(crate) fn term(&self) -> Option<Term> {
+        self.term
+    }
+
+    /// Engines that do not answer, if this node keeps the domain.
+    pub(crate) fn lost_engines(&self) -> Option<&[UpstreamId]> {
+        self.term.map(|_| self.lost_engines.as_slice())
+    }
+
+    pub(crate) fn on_read(&mut self, cx: &mut Context<'_>, view: &View<'_>, outcome: ReadOutcome) {
+        let log_up = outcome != ReadOutcome::Failed;
+        let acts = self.scope.on_read(cx, outcome);
+        self.take(cx, view, acts);
+        self.handle(cx, view, KeeperEvent::LogUp(log_up));
+    }
+
+    pub(crate) fn on_appended(
+        &mut self,
+        cx: &mut Context<'_>,
+        view: &View<'_>,
+        id: RecordId,
+        outcome: Result<Offset, crate::PlatformError>,
+    ) {
+        let acts = self.scope.on_appended(cx, id, outcome);
+        self.take(cx, view, acts);
+    }
+
+    pub(crate) fn on_tick(&mut self, cx: &mut Context<'_>, view: &View<'_>) {
+        if self.following {
+            let acts = self.scope.on_tick(cx);
+            self.take(cx, view, acts);
+        }
+        self.handle(cx, view, KeeperEvent::Tick);
+    }
+
+    /// Follows the scope if this node may have to take it, and claims it when due.
+    pub(crate) fn review(&mut self, cx: &mut Context<'_>, view: &View<'_>) {
+        let scope = Scope::keeper(view.domain);
+        let order = view.members.order_in(view.domain, scope.as_str());
+        let rank = order.iter().position(|n| n == view.me);
+        self.following = self.scope.held().is_some() || rank.is_some_and(|r| r < CANDIDATES);
+        if self.following {
+            let preferred = rank == Some(0);
+            let acts = self.scope.review(cx, preferred, |n| view.members.is_alive(n));
+            self.take(cx, view, acts);
+        }
+    }
+
+    pub(crate) fn on_config(
+        &mut self,
+        cx: &mut Context<'_>,
+        view: &View<'_>,
+        version: Offset,
+        document: Arc<Document>,
+    ) {
+        self.handle(cx, view, KeeperEvent::Config { version, document });
+    }
+
+    pub(crate) fn on_floor(&mut self, cx: &mut Context<'_>, view: &View<'_>, floor: Floor) {
+        self.handle(cx, view, KeeperEvent::Floor(floor));
+    }
+
+    pub(crate) fn on_state(
+        &mut self,
+        cx: &mut Context<'_>,
+        view: &View<'_>,
+        upstream: UpstreamId,
+        asked: Time,
+        state: Option<EngineState>,
+    ) {
+        self.handle(cx, view, KeeperEvent::State { upstream, asked, state });
+    }
+
+    pub(crate) fn on_answer(
+        &mut self,
+        cx: &mut Context<'_>,
+        view: &View<'_>,
+        upstream: &UpstreamId,
+        order: RecordId,
+        result: OrderResult,
+    ) {
+        if result != OrderResult::Answered(OrderOutcome::Done) {
+            let shown = format!("{result:?}");
+            let node = &cx.settings.node;
+            let fields: [(&str, &dyn std::fmt::Display); 4] =
+                [("node", node), ("upstream", upstream), ("order", &order), ("result", &shown)];
+            emit(LogEvent::OrderNotDone, &fields);
+        }
+        self.handle(cx, view, KeeperEvent::Answer { order, result });
+    }
+
+    /// Takes an event that is already in the keeper's terms.
+    pub(crate) fn handle(&mut self, cx: &mut Context<'_>, view: &View<'_>, event: KeeperEvent) {
+        let mut acts = Vec::new();
+        self.keeper.handle(cx.now, event, &mut acts);
+        for act in acts {
+            self.carry_out(cx, view, act);
+        }
+    }
+
+    fn carry_out(&mut self, cx: &mut Context<'_>, view: &View<'_>, act: KeeperAction) {
+        match act {
+            KeeperAction::Record { id, entry } => {
+                let acts = self.scope.propose(cx, id, encode(&entry));
+                self.take(cx, view, acts);
+            }
+            KeeperAction::Order { upstream, order } => {
+                let Some(known) = view.document.upstreams.get(&upstream) else { return };
+                let timeout = cx.settings.order_timeout;
+                let (addr, token) = (known.addr.clone(), known.order_token);
+                log_order(cx, &upstream, &order);
+                cx.act(Action::Order { upstream, addr, order, token, timeout });
+            }
+            KeeperAction::AskState(upstream) => {
+                let Some(known) = view.document.upstreams.get(&upstream) else { return };
+                let addr = known.addr.clone();
+                cx.act(Action::AskState { upstream, addr });
+            }
+            KeeperAction::Placement(engines) => self.publish(cx, view, engines),
+            KeeperAction::LostEngines(engines) => {
+                let shown = engines.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+                emit(LogEvent::EnginesLost, &[("node", &cx.settings.node), ("engines", &shown)]);
+                self.lost_engines = engines;
+            }
+        }
+    }
+
+    /// Tells the changed part of the placement to all live nodes of the domain.
+    fn publish(&mut self, cx: &mut Context<'_>, view: &View<'_>, engines: IndexMap<UpstreamId, Holding>) {
+        let Some(term) = self.term else { return };
+        self.number += 1;
+        // The first of a term goes out whole: nobody has a number of this term to go on from.
+        let whole = self.number == 1;
+        let domain = view.domain.clone();
+        let placement = Placement { domain, term, number: self.number, whole, engines };
+        for node in view.members.live_in(view.domain) {
+            cx.send(node, Message::Placement(placement.clone()));
+        }
+    }
+
+    /// Sends the whole placement to one node, if this node keeps the domain.
+    pub(crate) fn send_whole(&self, cx: &mut Context<'_>, to: &NodeId) {
+        let Some(term) = self.term.filter(|_| self.number > 0) else { return };
+        let domain = cx.settings.domain.clone();
+        let engines = self.keeper.placement().clone();
+        let placement = Placement { domain, term, number: self.number, whole: true, engines };
+        cx.send(to, Message::Placement(placement));
+    }
+
+    fn take(&mut self, cx: &mut Context<'_>, view: &View<'_>, acts: Vec<ClaimAction>) {
+        for act in acts {
+            match act {
+                ClaimAction::Gained(term) => {
+                    log_term(LogEvent::KeeperGained, cx, term);
+                    self.term = Some(term);
+                    self.number = 0;
+                    self.handle(cx, view, KeeperEvent::Gained(term));
+                }
+                ClaimAction::Lost(term) => {
+                    log_term(LogEvent::KeeperLost, cx, term);
+                    self.term = None;
+                    self.handle(cx, view, KeeperEvent::Lost);
+                }
+                ClaimAction::Apply { id, data, .. } => {
+                    if let Some(entry) = decode::<KeeperEntry>(&data) {
+                        self.handle(cx, view, KeeperEvent::Apply { id, entry });
+                    }
+                }
+                ClaimAction::Restore { data, .. } => {
+                    let entries = decode::<Vec<KeeperEntry>>(&data).unwrap_or_default();
+                    self.handle(cx, view, KeeperEvent::Restore(entries));
+                }
+                ClaimAction::Dropped { id } => self.handle(cx, view, KeeperEvent::Dropped(id)),
+                ClaimAction::SnapshotDue => {
+                    let data = encode(&self.keeper.snapshot());
+                    let acts = self.scope.snapshot(cx, data);
+                    self.take(cx, view, acts);
+                }
+                // Intents before the oldest record kept are older than any late order's bound.
+                ClaimAction::NoSnapshot => {
+                    let acts = self.scope.begin_empty(cx);
+                    self.take(cx, view, acts);
+                }
+                ClaimAction::HolderChanged(_) | ClaimAction::Append { .. } => {}
+            }
+        }
+    }
+
+    /// Gives the domain up; a successor reads every engine's state before it acts.
+    pub(crate) fn release(&mut self, cx: &mut Context<'_>, view: &View<'_>) {
+        let acts = self.scope.release(cx);
+        self.take(cx, view, acts);
+    }
+}
+
+fn log_term(event: LogEvent, cx: &Context<'_>, term: Term) {
+    let settings = cx.settings;
+    emit(event, &[("node", &settings.node), ("domain", &settings.domain), ("term", &term)]);
+}
+
+fn log_order(cx: &Context<'_>, upstream: &UpstreamId, order: &Order) {
+    let kind = format!("{:?}", order.kind);
+    let node = &cx.settings.node;
+    let fields: [(&str, &dyn std::fmt::Display); 4] =
+        [("node", node), ("upstream", upstream), ("order", &order.id), ("kind", &kind)];
+    emit(LogEvent::OrderSent, &fields);
+}
--- /dev/null
+++ b/crates/node/src/members/mod.rs
@@ -0,0 +1,166 @@
+//! The members of the system as this node knows them.
+
+use hgw_membership::{Action as MemberAction, Beat, Event as MemberEvent, Member, Membership, rank};
+use hgw_types::{DomainId, NodeId, Offset};
+use hgw_wire::peer::{Heartbeat, MemberBeat, Message};
+use hgw_wire::platform::VmList;
+use indexmap::IndexMap;
+
+use crate::context::Context;
+use crate::{Action, MemberStatus, Settings};
+
+/// Liveness, connections and the configuration versions of other nodes.
+#[derive(Debug)]
+pub(crate) struct Members {
+    me: Member,
+    membership: Membership,
+    versions: IndexMap<NodeId, Offset>,
+}
+
+impl Members {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let me = Member {
+            node: settings.node.clone(),
+            domain: settings.domain.clone(),
+            addr: settings.addr.clone(),
+        };
+        let membership = Membership::new(hgw_membership::Settings::default(), me.clone(), settings.boot);
+        Members { me, membership, versions: IndexMap::new() }
+    }
+
+    /// The live node of `domain` that comes first for `key`.
+    pub(crate) fn first_in(&self, domain: &DomainId, key: &str) -> Option<NodeId> {
+        rank::first(key.as_bytes(), self.membership.live(domain).map(|m| &m.node))
+    }
+
+    /// The live node that comes first for `key`, of all failure domains.
+    pub(crate) fn first_of_all(&self, key: &str) -> Option<NodeId> {
+        rank::first(key.as_bytes(), self.membership.all_live().map(|m| &m.node))
+    }
+
+    /// The live nodes of `domain`, the one that comes first for `key` first.
+    pub(crate) fn order_in(&self, domain: &DomainId, key: &str) -> Vec<NodeId> {
+        rank::order(key.as_bytes(), self.membership.live(domain).map(|m| &m.node))
+    }
+
+    /// The live nodes of all failure domains, the one that comes first for `key` first.
+    pub(crate) fn order_of_all(&self, key: &str) -> Vec<NodeId> {
+        rank::order(key.as_bytes(), self.membership.all_live().map(|m| &m.node))
+    }
+
+    /// The live nodes of `domain`.
+    pub(crate) fn live_in(&self, domain: &DomainId) -> impl Iterator<Item = &NodeId> {
+        self.membership.live(domain).map(|m| &m.node)
+    }
+
+    pub(crate) fn all_live(&self) -> impl Iterator<Item = &Member> {
+        self.membership.all_live()
+    }
+
+    pub(crate) fn is_alive(&self, node: &NodeId) -> bool {
+        self.membership.is_alive(node)
+    }
+
+    /// Live nodes besides this one.
+    pub(crate) fn others(&self) -> impl Iterator<Item = &NodeId> {
+        self.all_live().map(|m| &m.node).filter(|n| **n != self.me.node)
+    }
+
+    /// The live member that has shown the newest configuration.
+    pub(crate) fn newest_version(&self) -> Option<(NodeId, Offset)> {
+        let live = self.versions.iter().filter(|(n, _)| self.is_alive(n));
+        live.max_by_key(|(_, version)| **version).map(|(n, version)| (n.clone(), *version))
+    }
+
+    pub(crate) fn status(&self, mine: Offset) -> Vec<MemberStatus> {
+        let of = |m: &Member, config| MemberStatus {
+            node: m.node.clone(),
+            domain: m.domain.clone(),
+            alive: self.is_alive(&m.node),
+            config,
+        };
+        let others = self.membership.all_live().filter(|m| m.node != self.me.node);
+        let version = |m: &Member| self.versions.get(&m.node).copied().unwrap_or_default();
+        std::iter::once(of(&self.me, mine)).chain(others.map(|m| of(m, version(m)))).collect()
+    }
+
+    pub(crate) fn on_listed(&mut self, cx: &mut Context<'_>, config: Offset, list: &VmList) -> Vec<Change> {
+        let listed = list.vms.iter().filter(|vm| !vm.leaving).map(|vm| Member {
+            node: vm.node.clone(),
+            domain: vm.domain.clone(),
+            addr: vm.addr.clone(),
+        });
+        self.handle(cx, config, MemberEvent::Listed(listed.collect()))
+    }
+
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        cx: &mut Context<'_>,
+        config: Offset,
+        from: &NodeId,
+        heartbeat: Heartbeat,
+    ) -> Vec<Change> {
+        self.versions.insert(from.clone(), heartbeat.config);
+        let beats = heartbeat.members.into_iter().map(|m| Beat {
+            member: Member { node: m.node, domain: m.domain, addr: m.addr },
+            count: m.beat,
+            leaving: m.leaving,
+        });
+        self.handle(cx, config, MemberEvent::Heard { from: from.clone(), beats: beats.collect() })
+    }
+
+    pub(crate) fn on_peer_up(&mut self, cx: &mut Context<'_>, config: Offset, peer: Member) -> Vec<Change> {
+        let node = peer.node.clone();
+        let mut changes = self.handle(cx, config, MemberEvent::Listed(vec![peer]));
+        changes.extend(self.handle(cx, config, MemberEvent::Alive(node)));
+        changes
+    }
+
+    pub(crate) fn on_peer_down(&mut self, cx: &mut Context<'_>, config: Offset, peer: &NodeId) -> Vec<Change> {
+        self.handle(cx, config, MemberEvent::Failed(peer.clone()))
+    }
+
+    pub(crate) fn on_tick(&mut self, cx: &mut Context<'_>, config: Offset) -> Vec<Change> {
+        self.handle(cx, config, MemberEvent::Tick)
+    }
+
+    pub(crate) fn leave(&mut self, cx: &mut Context<'_>, config: Offset) -> Vec<Change> {
+        self.handle(cx, config, MemberEvent::Leave)
+    }
+
+    fn handle(&mut self, cx: &mut Context<'_>, config: Offset, event: MemberEvent) -> Vec<Change> {
+        let mut acts = Vec::new();
+        self.membership.handle(cx.now, event, &mut acts);
+        let mut changes = Vec::new();
+        for act in acts {
+            match act {
+                MemberAction::Send { to, beats } => {
+                    let members = beats.into_iter().map(member_beat).collect();
+                    cx.act(Action::Connect { peer: to.node.clone(), addr: to.addr });
+                    cx.send(&to.node, Message::Heartbeat(Heartbeat { members, config }));
+                }
+                MemberAction::Up(member) => {
+                    cx.act(Action::Connect { peer: member.node.clone(), addr: member.addr });
+                    changes.push(Change::Up(member.node));
+                }
+                MemberAction::Down(node) => {
+                    self.versions.swap_remove(&node);
+                    changes.push(Change::Down(node));
+                }
+            }
+        }
+        changes
+    }
+}
+
+/// A member that has come or gone.
+#[derive(Debug)]
+pub(crate) enum Change {
+    Up(NodeId),
+    Down(NodeId),
+}
+
+fn member_beat(beat: Beat) -> MemberBeat {
+    let Beat { member, count, leaving } = beat;
+    MemberBeat { node: member.node, domain: member.domain, addr: member.addr, beat: count, leaving }
+}
--- a/crates/wire/src/platform/mod.rs
+++ b/crates/wire/src/platform/mod.rs
@@ -12,6 +12,9 @@
 use hgw_types::{DomainId, NodeId, Offset};
 use serde::{Deserialize, Serialize};
 
+/// Most records that a node asks for at once. Fewer in an answer are all that stood at the time.
+pub const MAX_BATCH: usize = 256;
+
 /// Answer to an append. Offsets start at 1 in each stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Appended {
