--- /dev/null
+++ b/crates/hibiscusgw/src/check.rs
@@ -0,0 +1,26 @@
+//! `check`: reads a configuration document and finds its faults, without a platform.
+
+use std::fs;
+
+use crate::{Console, Error, Result};
+
+pub(crate) fn check(file: &str, console: &mut Console<'_>) -> Result<()> {
+    let document = read_document(file)?;
+    let invalid = |faults: Vec<String>| Error::Document { file: file.to_owned(), faults };
+    let document = hgw_config::parse(&document).map_err(|e| invalid(vec![e.to_string()]))?;
+    hgw_config::check(&document)
+        .map_err(|faults| invalid(faults.iter().map(ToString::to_string).collect()))?;
+    let models: usize = document.services.values().map(|s| s.models.len()).sum();
+    writeln!(
+        console.out,
+        "{file}: valid, with {} services, {models} models and {} upstreams",
+        document.services.len(),
+        document.upstreams.len()
+    )?;
+    Ok(())
+}
+
+/// Reads the bytes of a document.
+pub(crate) fn read_document(file: &str) -> Result<Vec<u8>> {
+    fs::read(file).map_err(|source| Error::File { file: file.to_owned(), source })
+}
--- /dev/null
+++ b/crates/hibiscusgw/src/command.rs
@@ -0,0 +1,160 @@
+//! The command line.
+
+use std::io::Write;
+use std::process::ExitCode;
+
+use gumdrop::{Options, ParsingStyle};
+
+use crate::settings::ServeSettings;
+use crate::{Console, Env, Error, Result, check, exit_code, serve};
+
+/// Places many models on few accelerators and serves them.
+#[derive(Debug, Options)]
+struct Flags {
+    /// Print this help
+    help: bool,
+    /// Print the version
+    #[options(short = "V")]
+    version: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run a node until SIGTERM or SIGINT")]
+    Serve(ServeFlags),
+    #[options(help = "find the faults of a configuration document, without a platform")]
+    Check(CheckFlags),
+}
+
+/// Flags of `serve`. Each one may be given by the environment variable HIBISCUSGW_NAME instead, with
+/// `_` for `-`.
+#[derive(Debug, Default, Options)]
+pub(crate) struct ServeFlags {
+    /// Print this help
+    help: bool,
+    /// Print the version
+    #[options(short = "V")]
+    version: bool,
+    /// This node's id, unique among running nodes (required)
+    #[options(no_short, meta = "ID")]
+    pub(crate) node: Option<String>,
+    /// Failure domain of this node (required)
+    #[options(no_short, meta = "ID")]
+    pub(crate) domain: Option<String>,
+    /// Listener for callers (127.0.0.1:8080)
+    #[options(no_short, meta = "IP:PORT")]
+    pub(crate) callers: Option<String>,
+    /// Listener for peers (127.0.0.1:8081)
+    #[options(no_short, meta = "IP:PORT")]
+    pub(crate) peers: Option<String>,
+    /// Listener for operators (127.0.0.1:8082)
+    #[options(no_short, meta = "IP:PORT")]
+    pub(crate) operators: Option<String>,
+    /// Address at which peers reach this node (that of --peers)
+    #[options(no_short, meta = "IP:PORT")]
+    pub(crate) advertise: Option<String>,
+    /// Address of the platform's log and list of VMs (127.0.0.1:7070)
+    #[options(no_short, meta = "IP:PORT")]
+    pub(crate) platform: Option<String>,
+    /// Secret that all nodes share (required; better by its variable)
+    #[options(no_short, meta = "TEXT")]
+    pub(crate) secret: Option<String>,
+    /// Token that operators' calls must carry (required; better by its variable)
+    #[options(no_short, meta = "TEXT")]
+    pub(crate) operator_token: Option<String>,
+    /// Token for engines that ask for one with orders
+    #[options(no_short, meta = "TEXT")]
+    pub(crate) order_token: Option<String>,
+    /// Shards of idempotency keys, the same on all nodes (8)
+    #[options(no_short, meta = "N")]
+    pub(crate) key_shards: Option<String>,
+    /// Threads that serve callers (1)
+    #[options(no_short, meta = "N")]
+    pub(crate) caller_threads: Option<String>,
+    /// Open connections of callers (8192)
+    #[options(no_short, meta = "N")]
+    pub(crate) max_connections: Option<String>,
+    /// Open requests of callers (8192)
+    #[options(no_short, meta = "N")]
+    pub(crate) max_requests: Option<String>,
+    /// Bytes of a request body (4194304)
+    #[options(no_short, meta = "N")]
+    pub(crate) max_body: Option<String>,
+    /// Tokens that a caller may ask for (8192)
+    #[options(no_short, meta = "N")]
+    pub(crate) max_tokens: Option<String>,
+    /// Log lines as plain text or json (plain)
+    #[options(no_short, meta = "FORMAT")]
+    pub(crate) log_format: Option<String>,
+    /// Least level that is logged (info)
+    #[options(no_short, meta = "LEVEL")]
+    pub(crate) log_level: Option<String>,
+}
+
+#[derive(Debug, Options)]
+struct CheckFlags {
+    /// Print this help
+    help: bool,
+    /// Print the version
+    #[options(short = "V")]
+    version: bool,
+    /// The document, as JSON
+    #[options(free, required)]
+    file: String,
+}
+
+/// Runs the command that `args` names. Results go to `out`, errors to `err`.
+pub fn run(args: &[String], env: &Env<'_>, out: &mut dyn Write, err: &mut dyn Write) -> ExitCode {
+    let mut console = Console { out, err };
+    match dispatch(args, env, &mut console) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            // Nothing can be said where standard error is closed.
+            let _ = writeln!(console.err, "hibiscusgw: {error}");
+            exit_code(&error)
+        }
+    }
+}
+
+fn dispatch(args: &[String], env: &Env<'_>, console: &mut Console<'_>) -> Result<()> {
+    let flags = Flags::parse_args(args, ParsingStyle::AllOptions)
+        .map_err(|e| Error::Usage(e.to_string()))?;
+    if flags.help_requested() {
+        return print_help(&flags, console);
+    }
+    let Some(command) = flags.command.as_ref().filter(|c| !flags.version && !c.wants_version()) else {
+        if flags.version || flags.command.is_some() {
+            writeln!(console.out, "hibiscusgw {}", env!("CARGO_PKG_VERSION"))?;
+            return Ok(());
+        }
+        return Err(Error::Usage("no command was given".to_owned()));
+    };
+    match command {
+        Command::Serve(flags) => serve::serve(&ServeSettings::read(flags, env)?),
+        Command::Check(flags) => check::check(&flags.file, console),
+    }
+}
+
+impl Command {
+    fn wants_version(&self) -> bool {
+        match self {
+            Command::Serve(flags) => flags.version,
+            Command::Check(flags) => flags.version,
+        }
+    }
+}
+
+fn print_help(flags: &Flags, console: &mut Console<'_>) -> Result<()> {
+    match flags.command.as_ref().and_then(|c| c.command_name().zip(Some(c))) {
+        Some((name, command)) => {
+            writeln!(console.out, "Usage: hibiscusgw {name} [OPTIONS]\n\n{}", command.self_usage())?;
+        }
+        None => {
+            writeln!(console.out, "Usage: hibiscusgw [OPTIONS] COMMAND\n\n{}", Flags::usage())?;
+            writeln!(console.out, "\nCommands:\n{}", Command::usage())?;
+        }
+    }
+    Ok(())
+}
--- a/crates/hibiscusgw/src/lib.rs
+++ b/crates/hibiscusgw/src/lib.rs
@@ -1,1 +1,33 @@
-//! The gateway as a library: settings, command line, logs and assembly.
+//! The gateway as a library: command line, settings, logs and assembly.
+
+mod check;
+mod command;
+mod error;
+mod logs;
+mod serve;
+mod settings;
+
+use std::io::Write;
+use std::process::ExitCode;
+
+pub use command::run;
+pub use error::{Error, Result};
+pub use logs::{LogFormat, start_logs};
+pub use serve::{Assembled, assemble};
+pub use settings::{Fault, ServeSettings};
+
+/// Where a value of an environment variable comes from.
+pub type Env<'a> = dyn Fn(&str) -> Option<String> + 'a;
+
+/// Where a command prints its results and its errors.
+pub(crate) struct Console<'a> {
+    pub(crate) out: &'a mut dyn Write,
+    pub(crate) err: &'a mut dyn Write,
+}
+
+/// Exit code for settings, arguments or documents that are not valid.
+pub(crate) const EXIT_INVALID: u8 = 2;
+
+pub(crate) fn exit_code(error: &Error) -> ExitCode {
+    if error.is_invalid_input() { ExitCode::from(EXIT_INVALID) } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/crates/hibiscusgw/src/logs.rs
@@ -0,0 +1,117 @@
+//! Log lines: one an event, in words or as JSON.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use hgw_events::NUMBER_KEY;
+use log::kv::{Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use serde_json::{Map, Value as Json};
+
+use crate::Result;
+
+/// What log lines look like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// In words, for people.
+    Plain,
+    /// One JSON object a line, for programs.
+    Json,
+}
+
+impl FromStr for LogFormat {
+    type Err = hgw_types::ParseError;
+
+    fn from_str(s: &str) -> std::result::Result<Self, Self::Err> {
+        match s {
+            "plain" => Ok(LogFormat::Plain),
+            "json" => Ok(LogFormat::Json),
+            _ => Err(hgw_types::ParseError::new("log format", s, "plain or json")),
+        }
+    }
+}
+
+impl fmt::Display for LogFormat {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            LogFormat::Plain => "plain",
+            LogFormat::Json => "json",
+        })
+    }
+}
+
+/// Starts logging to standard error. Only the product's own events are logged, and what libraries
+/// report from level `warn` up.
+pub fn start_logs(format: LogFormat, level: LevelFilter) -> Result<()> {
+    fern::Dispatch::new()
+        .level(level.min(LevelFilter::Warn))
+        .level_for(hgw_events::TARGET, level)
+        .format(move |out, _, record| match format {
+            LogFormat::Plain => out.finish(format_args!("{}", plain(record))),
+            LogFormat::Json => out.finish(format_args!("{}", json(record))),
+        })
+        .chain(std::io::stderr())
+        .apply()?;
+    Ok(())
+}
+
+fn plain(record: &Record<'_>) -> String {
+    let fields = Fields::of(record);
+    let number = fields.number.map_or_else(|| "-".to_owned(), |n| n.to_string());
+    let mut line = format!("{} {:5} {number} {}", unix_time(), record.level(), record.args());
+    for (key, value) in fields.pairs {
+        line.push_str(&format!(" {key}={value}"));
+    }
+    line
+}
+
+fn json(record: &Record<'_>) -> String {
+    let fields = Fields::of(record);
+    let mut object = Map::new();
+    object.insert("time".into(), unix_time().into());
+    object.insert("level".into(), record.level().as_str().to_lowercase().into());
+    object.insert("event".into(), fields.number.map_or(Json::Null, Json::from));
+    object.insert("text".into(), record.args().to_string().into());
+    for (key, value) in fields.pairs {
+        object.insert(key, value.into());
+    }
+    Json::Object(object).to_string()
+}
+
+/// Seconds since the Unix epoch, with milliseconds.
+fn unix_time() -> String {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    format!("{}.{:03}", since.as_secs(), since.subsec_millis())
+}
+
+/// The fields of a record, with the event's number apart.
+#[derive(Debug, Default)]
+struct Fields {
+    number: Option<u64>,
+    pairs: Vec<(String, String)>,
+}
+
+impl Fields {
+    fn of(record: &Record<'_>) -> Fields {
+        let mut fields = Fields::default();
+        // The visitor below never fails.
+        let _ = record.key_values().visit(&mut fields);
+        fields
+    }
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(
+        &mut self,
+        key: Key<'kvs>,
+        value: Value<'kvs>,
+    ) -> std::result::Result<(), log::kv::Error> {
+        if key.as_str() == NUMBER_KEY {
+            self.number = value.to_u64();
+        } else {
+            self.pairs.push((key.as_str().to_owned(), value.to_string()));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/hibiscusgw/src/serve.rs
@@ -0,0 +1,96 @@
+//! `serve`: puts a process together and runs it until its planned stop.
+
+use std::thread;
+
+use hgw_events::{Event, emit};
+use hgw_net::{Addrs, CallerLimits, Running};
+use hgw_node::Node;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::{Error, Result, ServeSettings, start_logs};
+
+/// A process that is at work.
+#[derive(Debug)]
+pub struct Assembled {
+    /// Its threads.
+    pub running: Running,
+    /// The addresses that it listens on.
+    pub addrs: Addrs,
+}
+
+/// Starts a node with these settings; it runs until it is told to stop.
+pub fn assemble(settings: &ServeSettings) -> Result<Assembled> {
+    let bound = hgw_net::bind(net_settings(settings))?;
+    let addrs = bound.addrs().clone();
+    let reached_at = settings.advertise.unwrap_or(addrs.peers);
+    let node = Node::new(hgw_node::Settings {
+        key_shards: settings.key_shards,
+        ..hgw_node::Settings::new(
+            settings.node.clone(),
+            settings.domain.clone(),
+            reached_at.to_string(),
+            rand::random(),
+        )
+    });
+    let running = bound.start(Box::new(node))?;
+    Ok(Assembled { running, addrs })
+}
+
+fn net_settings(settings: &ServeSettings) -> hgw_net::Settings {
+    hgw_net::Settings {
+        node: settings.node.clone(),
+        domain: settings.domain.clone(),
+        callers: settings.callers,
+        peers: settings.peers,
+        operators: settings.operators,
+        advertise: settings.advertise.map(|a| a.to_string()),
+        platform: settings.platform.to_string(),
+        secret: settings.secret.clone(),
+        operator_token: settings.operator_token.clone(),
+        order_token: settings.order_token.clone(),
+        caller: CallerLimits {
+            threads: settings.caller_threads,
+            connections: settings.max_connections,
+            requests: settings.max_requests,
+            body: settings.max_body,
+            max_tokens: settings.max_tokens,
+            ..CallerLimits::default()
+        },
+        ..hgw_net::Settings::default()
+    }
+}
+
+/// Runs a process until its planned stop: the first signal begins it, a second one ends it at once.
+pub(crate) fn serve(settings: &ServeSettings) -> Result<()> {
+    start_logs(settings.log_format, settings.log_level)?;
+    let signals = Signals::new([SIGTERM, SIGINT]).map_err(Error::Signals)?;
+    let Assembled { running, addrs } = assemble(settings)?;
+    emit(
+        Event::ProcessStarted,
+        &[
+            ("node", &settings.node),
+            ("domain", &settings.domain),
+            ("callers", &addrs.callers),
+            ("peers", &addrs.peers),
+            ("operators", &addrs.operators),
+        ],
+    );
+    let stopper = running.stopper();
+    let node = settings.node.clone();
+    thread::spawn(move || stop_on_signals(signals, &stopper, &node));
+    running.wait();
+    emit(Event::ProcessStopped, &[("node", &settings.node)]);
+    Ok(())
+}
+
+fn stop_on_signals(mut signals: Signals, stopper: &hgw_net::Stopper, node: &hgw_types::NodeId) {
+    let mut pending = signals.forever();
+    if pending.next().is_some() {
+        stopper.stop();
+    }
+    if pending.next().is_some() {
+        emit(Event::StopForced, &[("node", node)]);
+        stopper.kill();
+    }
+}
