--- a/crates/standins/src/command.rs
+++ b/crates/standins/src/command.rs
@@ -7,7 +7,7 @@
 use gumdrop::Options;
 use hgw_types::{MemSize, ModelId, VersionId};
 
-use crate::{Running, engine, log, plain, vms, weights};
+use crate::{Running, engine, log, plain, platform, vms, weights};
 
 /// `standin KIND [OPTIONS]`.
 #[derive(Debug, Options)]
@@ -31,7 +31,9 @@
     Weights(Listen),
     #[options(help = "the list of VMs")]
     Vms(Listen),
-    #[options(help = "engines, plain services, log, weight store and list, on ports of their own")]
+    #[options(help = "the log and the list of VMs on one port")]
+    Platform(LogOptions),
+    #[options(help = "a platform, a weight store, engines and plain services")]
     All(AllOptions),
 }
 
@@ -119,6 +121,12 @@
             Standin::new("plain", plain::start(settings)?)
         }
         Kind::Log(options) => Standin::new("log", log::start(log_settings(options)?)?),
+        Kind::Platform(options) => {
+            let log = log_settings(options)?;
+            let listen = log.listen;
+            let settings = platform::Settings { listen, log, ..platform::Settings::default() };
+            Standin::new("platform", platform::start(settings)?)
+        }
         Kind::Weights(options) => {
             let listen = address(&options.listen)?;
             let settings = weights::Settings { listen, ..weights::Settings::default() };
@@ -135,10 +143,8 @@
 }
 
 fn all(options: &AllOptions) -> io::Result<Vec<Standin>> {
-    let mut started = vec![
-        Standin::new("log", log::start(log::Settings::default())?),
-        Standin::new("vms", vms::start(vms::Settings::default())?),
-    ];
+    let mut started =
+        vec![Standin::new("platform", platform::start(platform::Settings::default())?)];
     let weights = weights::start(weights::Settings::default())?;
     let engine = engine::Settings {
         step: Duration::from_millis(options.step_ms),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,6 +16,7 @@
 mod faults;
 pub mod log;
 pub mod plain;
+pub mod platform;
 mod server;
 pub mod vms;
 pub mod weights;
--- a/crates/standins/src/log.rs
+++ b/crates/standins/src/log.rs
@@ -61,18 +61,7 @@
 pub fn start(settings: Settings) -> io::Result<Running> {
     let switches = Arc::new(Switches::new());
     let listen = settings.listen;
-    let inner = Inner {
-        streams: IndexMap::new(),
-        record: LogRecord::default(),
-        allowance: settings.appends_per_second,
-        refilled: Instant::now(),
-    };
-    let log = Log {
-        settings,
-        switches: Arc::clone(&switches),
-        inner: Mutex::new(inner),
-        grown: Notify::new(),
-    };
+    let log = Log::new(settings, Arc::clone(&switches));
     serve("log", listen, switches, Arc::new(log))
 }
 
@@ -81,7 +70,7 @@
 /// Records in one answer, where the reader names no number.
 const MAX_RECORDS: usize = 1000;
 
-struct Log {
+pub(crate) struct Log {
     settings: Settings,
     switches: Arc<Switches>,
     inner: Mutex<Inner>,
@@ -135,6 +124,16 @@
 }
 
 impl Log {
+    pub(crate) fn new(settings: Settings, switches: Arc<Switches>) -> Self {
+        let inner = Inner {
+            streams: IndexMap::new(),
+            record: LogRecord::default(),
+            allowance: settings.appends_per_second,
+            refilled: Instant::now(),
+        };
+        Log { settings, switches, inner: Mutex::new(inner), grown: Notify::new() }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         lock(&self.inner)
     }
--- a/crates/standins/src/vms.rs
+++ b/crates/standins/src/vms.rs
@@ -37,16 +37,22 @@
 /// Starts a stand-in list of VMs.
 pub fn start(settings: Settings) -> io::Result<Running> {
     let switches = Arc::new(Switches::new());
-    let lists = Lists { shown: settings.list, coming: VecDeque::new() };
-    let vms = Vms { lag: settings.lag, lists: Mutex::new(lists) };
-    serve("vms", settings.listen, switches, Arc::new(vms))
+    let listen = settings.listen;
+    serve("vms", listen, switches, Arc::new(Vms::new(settings)))
 }
 
-struct Vms {
+pub(crate) struct Vms {
     lag: Duration,
     lists: Mutex<Lists>,
 }
 
+impl Vms {
+    pub(crate) fn new(settings: Settings) -> Self {
+        let lists = Lists { shown: settings.list, coming: VecDeque::new() };
+        Vms { lag: settings.lag, lists: Mutex::new(lists) }
+    }
+}
+
 struct Lists {
     shown: VmList,
     /// Lists that were set, and when they are to be shown.
