--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod client;
 pub mod command;
+pub mod deployment;
 pub mod engine;
 mod faults;
 pub mod log;
