--- a/crates/node/src/configuration/mod.rs
+++ b/crates/node/src/configuration/mod.rs
@@ -3,9 +3,10 @@
 mod pending;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use hgw_config::{Change, Document, Fold, Verdict};
+use hgw_config::{Change, Document, Fold, Refresher, Verdict};
 use hgw_events::{Event as LogEvent, emit};
 use hgw_types::{DomainId, NodeId, Offset, RecordId, RegionId, StreamName, Time};
 use hgw_wire::peer::Message;
@@ -22,6 +23,7 @@
     reader: LogReader,
     /// Whether the version in force somewhere is known here.
     known: bool,
+    refresher: Refresher,
     /// Since when members have shown a newer version than this node's.
     behind: Option<Time>,
     pending: Pending,
@@ -29,14 +31,16 @@
 
 /// How long a member may show a newer version before it is asked for it. Reading the log is usually
 /// faster; this is for nodes that cannot reach it.
-const BEHIND_BOUND: std::time::Duration = std::time::Duration::from_millis(400);
+const BEHIND_BOUND: Duration = Duration::from_millis(400);
 
 impl Configuration {
-    pub(crate) fn new() -> Self {
+    /// Starts before the first record; the log keeps records for `retention`.
+    pub(crate) fn new(retention: Duration) -> Self {
         Configuration {
             fold: Fold::new(),
             reader: LogReader::new(StreamName::config()),
             known: false,
+            refresher: Refresher::new(Time::ZERO, retention / 4, retention / 64),
             behind: None,
             pending: Pending::default(),
         }
@@ -71,7 +75,7 @@
                 for (offset, data) in records {
                     self.take(cx, offset, &data);
                 }
-                self.known |= caught_up && !self.fold.needs_refresh();
+                self.known |= caught_up && self.fold.is_exact();
                 self.reader.answered(next);
             }
             ReadOutcome::Trimmed { first } => {
@@ -86,9 +90,17 @@
 
     fn take(&mut self, cx: &mut Context<'_>, offset: Offset, data: &[u8]) {
         let verdict = self.fold.apply(offset, data);
-        if let Verdict::Superseded { .. } | Verdict::Invalid { .. } | Verdict::Unreadable = verdict {
-            let node = &cx.settings.node;
-            emit(LogEvent::ConfigRejected, &[("node", node), ("offset", &offset)]);
+        match verdict {
+            Verdict::Superseded { .. } | Verdict::Invalid { .. } | Verdict::Unreadable => {
+                let reason = format!("{verdict:?}");
+                let node = &cx.settings.node;
+                let fields: [(&str, &dyn std::fmt::Display); 3] =
+                    [("node", node), ("offset", &offset), ("reason", &reason)];
+                emit(LogEvent::ConfigRejected, &fields);
+            }
+            // A change says what is in force as well as a refresh does.
+            Verdict::Accepted { .. } | Verdict::Refreshed => self.refresher.seen(cx.now),
+            Verdict::Duplicate | Verdict::Undecided => {}
         }
         self.pending.settle(cx, &self.fold);
     }
@@ -130,8 +142,19 @@
         self.pending.expire(cx);
     }
 
+    /// Says again what is in force when that is due, and catches up with members that are ahead.
+    pub(crate) fn review(&mut self, cx: &mut Context<'_>, newest: Option<(NodeId, Offset)>, rank: u32) {
+        if self.refresher.due(cx.now, rank)
+            && let Some(data) = self.fold.refresh()
+        {
+            let id = cx.record();
+            cx.act(Action::Append { stream: StreamName::config(), id, data });
+        }
+        self.catch_up(cx, newest);
+    }
+
     /// Asks a member for its configuration when it has shown a newer one for a while.
-    pub(crate) fn review(&mut self, cx: &mut Context<'_>, newest: Option<(NodeId, Offset)>) {
+    fn catch_up(&mut self, cx: &mut Context<'_>, newest: Option<(NodeId, Offset)>) {
         let Some((member, _)) = newest.filter(|(_, version)| *version > self.version()) else {
             self.behind = None;
             return;
@@ -167,7 +190,8 @@
     fn check(&self, base: Offset, document: &Bytes) -> Result<Document, ApplyOutcome> {
         let faulty = |faults: Vec<String>| ApplyOutcome::Invalid(faults);
         let document = hgw_config::parse(document).map_err(|e| faulty(vec![e.to_string()]))?;
-        hgw_config::check(&document)
+        self.fold
+            .check(&document)
             .map_err(|faults| faulty(faults.iter().map(ToString::to_string).collect()))?;
         if !self.known {
             return Err(ApplyOutcome::NotPublished);
@@ -183,7 +207,7 @@
         if self.pending.join(cx, id, call) {
             return;
         }
-        let data = hgw_config::Record::Change(change).encode();
+        let data = change.encode();
         cx.act(Action::Append { stream: StreamName::config(), id, data });
     }
 
--- a/crates/node/src/configuration/pending.rs
+++ b/crates/node/src/configuration/pending.rs
@@ -62,6 +62,6 @@
         Verdict::Invalid { faults } => {
             Some(ApplyOutcome::Invalid(faults.iter().map(ToString::to_string).collect()))
         }
-        Verdict::Duplicate | Verdict::Unreadable => None,
+        Verdict::Duplicate | Verdict::Unreadable | Verdict::Refreshed | Verdict::Undecided => None,
     }
 }
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -96,7 +96,7 @@
         match self.accept(cx, view, from, submit) {
             Ok(()) => self.run_queue(cx, &id),
             Err((submit, reason)) => {
-                let delay_us = self.delay_us(&id, submit.urgency);
+                let delay_us = self.delay_us(cx.now, &id, submit.urgency);
                 let attempt = submit.attempt;
                 cx.send(from, Message::NotStarted { attempt, reason, delay_us });
             }
@@ -157,8 +157,9 @@
         self.lanes.entry(submit.upstream.clone()).or_insert_with(|| Lane::new(upstream, plain))
     }
 
-    fn delay_us(&self, upstream: &UpstreamId, urgency: Urgency) -> u64 {
-        let delay = self.lanes.get(upstream).map_or(Duration::ZERO, |l| l.queue.delay(urgency));
+    fn delay_us(&self, now: Time, upstream: &UpstreamId, urgency: Urgency) -> u64 {
+        let lane = self.lanes.get(upstream);
+        let delay = lane.map_or(Duration::ZERO, |l| l.queue.delay(now, urgency));
         u64::try_from(delay.as_micros()).unwrap_or(u64::MAX)
     }
 
@@ -200,7 +201,7 @@
             sink,
         };
         let (from, urgency) = (task.from.clone(), task.submit.urgency);
-        let delay_us = self.delay_us(id, urgency);
+        let delay_us = self.delay_us(cx.now, id, urgency);
         // Said before the work is sent: an entry node that hears nothing more must assume that it ran.
         cx.send(&from, Message::Started { attempt, delay_us });
         cx.act(start);
@@ -209,7 +210,7 @@
     fn give_up(&mut self, cx: &mut Context<'_>, id: &UpstreamId, attempt: AttemptId, refusal: Refusal) {
         let Some(task) = self.remove(attempt) else { return };
         self.demand.refused(&task.submit);
-        let delay_us = self.delay_us(id, task.submit.urgency);
+        let delay_us = self.delay_us(cx.now, id, task.submit.urgency);
         cx.send(&task.from, Message::NotStarted { attempt, reason: not_started(refusal), delay_us });
     }
 
@@ -265,7 +266,7 @@
         answer: Option<RecordedAnswer>,
     ) {
         let attempt = task.submit.attempt;
-        let delay_us = self.delay_us(&task.submit.upstream, task.submit.urgency);
+        let delay_us = self.delay_us(cx.now, &task.submit.upstream, task.submit.urgency);
         cx.send(&task.from, Message::Ended { attempt, outcome, answer, delay_us });
     }
 
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -161,12 +161,12 @@
                 let acts = self.scope.propose(cx, id, encode(&entry));
                 self.take(cx, view, acts);
             }
-            KeeperAction::Order { upstream, order } => {
+            KeeperAction::Order { upstream, order, send_by } => {
                 let Some(known) = view.document.upstreams.get(&upstream) else { return };
                 let timeout = cx.settings.order_timeout;
                 let (addr, token) = (known.addr.clone(), known.order_token);
                 log_order(cx, &upstream, &order);
-                cx.act(Action::Order { upstream, addr, order, token, timeout });
+                cx.act(Action::Order { upstream, addr, order, token, timeout, send_by });
             }
             KeeperAction::AskState(upstream) => {
                 let Some(known) = view.document.upstreams.get(&upstream) else { return };
--- a/crates/node/src/machine/log.rs
+++ b/crates/node/src/machine/log.rs
@@ -41,16 +41,17 @@
         outcome: Result<Offset, PlatformError>,
         out: &mut Vec<Action>,
     ) {
-        let cx = &mut context!(self, now, out);
         if *stream == StreamName::config() {
-            self.configuration.on_appended(cx, id, outcome);
+            self.configuration.on_appended(&mut context!(self, now, out), id, outcome);
         } else if stream == self.keeper.stream() {
+            let cx = &mut context!(self, now, out);
             self.keeper.on_appended(cx, &view!(self), id, outcome);
         } else if let Some(region) = self.region_by_stream(stream) {
             let cx = &mut context!(self, now, out);
             let floor = self.planners[&region].on_appended(cx, id, outcome);
             self.take_floor(now, region, floor, out);
         } else {
+            let cx = &mut context!(self, now, out);
             self.keys.on_appended(cx, &view!(self), stream, id, outcome);
         }
     }
--- a/crates/node/src/machine/mod.rs
+++ b/crates/node/src/machine/mod.rs
@@ -100,7 +100,7 @@
         Node {
             timers: Self::timers(&settings),
             members: Members::new(&settings),
-            configuration: Configuration::new(),
+            configuration: Configuration::new(settings.log_retention),
             routes: Routes::default(),
             entry: Entry::new(chooser(1), RetryBudget::new(RetrySettings::default())),
             dispatcher: Dispatcher::default(),
--- a/crates/node/src/machine/peers.rs
+++ b/crates/node/src/machine/peers.rs
@@ -1,13 +1,13 @@
 use hgw_membership::Member;
+use hgw_placement::KeeperEvent;
 use hgw_types::{DomainId, NodeId, Time};
-use hgw_wire::peer::{Heartbeat, Message};
+use hgw_wire::peer::Heartbeat;
 use hgw_wire::platform::VmList;
 use indexmap::IndexSet;
 
 use super::{Node, context, view};
 use crate::Action;
 use crate::members::Change;
-use hgw_placement::KeeperEvent;
 
 impl Node {
     pub(super) fn on_peer_up(
--- a/crates/node/src/machine/ticks.rs
+++ b/crates/node/src/machine/ticks.rs
@@ -61,8 +61,9 @@
         }
         self.dispatcher.review(&view!(self));
         self.tell_leaving(now, out);
-        let versions = self.members.newest_version();
-        self.configuration.review(&mut context!(self, now, out), versions);
+        let newest = self.members.newest_version();
+        let rank = self.members.rank_of_all("config");
+        self.configuration.review(&mut context!(self, now, out), newest, rank);
         self.review_readiness(now, out);
     }
 
--- a/crates/node/src/members/mod.rs
+++ b/crates/node/src/members/mod.rs
@@ -48,6 +48,13 @@
         rank::order(key.as_bytes(), self.membership.all_live().map(|m| &m.node))
     }
 
+    /// This node's place among all live nodes for `key`, from 0.
+    pub(crate) fn rank_of_all(&self, key: &str) -> u32 {
+        let order = self.order_of_all(key);
+        let place = order.iter().position(|n| *n == self.me.node).unwrap_or(order.len());
+        u32::try_from(place).unwrap_or(u32::MAX)
+    }
+
     /// The live nodes of `domain`.
     pub(crate) fn live_in(&self, domain: &DomainId) -> impl Iterator<Item = &NodeId> {
         self.membership.live(domain).map(|m| &m.node)
