--- a/crates/config/src/check/memory.rs
+++ b/crates/config/src/check/memory.rs
@@ -20,7 +20,11 @@
             faults.add(path, value, "none, as no upstream of the service stays");
             continue;
         }
+        let found = faults.0.len();
         each_alone(&path, service, &engines, faults);
+        if faults.0.len() > found {
+            continue;
+        }
         let sizes = service.models.values().map(|model| model.size).collect();
         together(&path, sizes, &engines, "", faults);
     }
