--- a/crates/net/src/control.rs
+++ b/crates/net/src/control.rs
@@ -103,8 +103,10 @@
                 self.to_upstreams(upstreams::Command::Start(Box::new(start)), answers);
             }
             Action::Cancel { attempt } => self.attempts.cancel(attempt),
-            Action::Order { upstream, addr, order, token, timeout } => {
-                let order = upstreams::Command::Order { upstream, addr, order, token, timeout };
+            Action::Order { upstream, addr, order, token, send_by, timeout } => {
+                let send_by = self.start + Duration::from_micros(send_by.as_micros());
+                let order =
+                    upstreams::Command::Order { upstream, addr, order, token, send_by, timeout };
                 self.to_upstreams(order, answers);
             }
             Action::AskState { upstream, addr } => {
--- a/crates/net/src/settings.rs
+++ b/crates/net/src/settings.rs
@@ -194,7 +194,7 @@
     /// How long a read waits at the log for the first record.
     pub read_wait: Duration,
     /// Records of one read.
-    pub batch: u32,
+    pub batch: usize,
     /// Appends to one stream that may wait.
     pub waiting: usize,
     /// Bytes of an answer.
@@ -207,7 +207,7 @@
             connect: Duration::from_secs(1),
             call: Duration::from_secs(2),
             read_wait: Duration::from_secs(1),
-            batch: 512,
+            batch: hgw_wire::platform::MAX_BATCH,
             waiting: 1024,
             answer: 64 << 20,
         }
--- a/crates/net/src/upstreams/ask.rs
+++ b/crates/net/src/upstreams/ask.rs
@@ -1,7 +1,7 @@
 //! Calls to upstreams that serve no caller: orders, state and load.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hgw_node::Event;
 use hgw_placement::OrderResult;
@@ -15,16 +15,26 @@
 /// Largest answer to a state call: thousands of models and adapters.
 const MAX_STATE: usize = 4 << 20;
 
+/// How an order may be sent.
+#[derive(Debug)]
+pub(super) struct OrderLimits {
+    /// Whether the order token goes with it.
+    pub(super) token: bool,
+    /// Never to be sent after this.
+    pub(super) send_by: Instant,
+    /// Longest wait for the answer.
+    pub(super) timeout: Duration,
+}
+
 /// Sends an order and reports what became of it.
 pub(super) async fn order(
     cx: Arc<Upstreams>,
     upstream: UpstreamId,
     addr: String,
     order: Order,
-    token: bool,
-    timeout: Duration,
+    limits: OrderLimits,
 ) {
-    let result = match send_order(&cx, &addr, &order, token, timeout).await {
+    let result = match send_order(&cx, &addr, &order, &limits).await {
         Ok(result) => result,
         Err(CallError::NotSent(_)) => OrderResult::NotSent,
         Err(_) => OrderResult::Lost,
@@ -36,16 +46,20 @@
     cx: &Upstreams,
     addr: &str,
     order: &Order,
-    token: bool,
-    timeout: Duration,
+    limits: &OrderLimits,
 ) -> client::Result<OrderResult> {
     let mut req = client::post_json(addr, "/orders", order)?;
-    if token {
+    if limits.token {
         let value = HeaderValue::from_bytes(&cx.order_token)
             .map_err(|e| CallError::NotSent(e.to_string()))?;
         req.headers_mut().insert(ORDER_TOKEN_HEADER, value);
     }
-    let (status, body) = cx.pooled.call(req, timeout, MAX_STATE).await?;
+    // A process that stood still with the order in hand may have been superseded meanwhile: its
+    // successor counts on no order being sent this late.
+    if Instant::now() > limits.send_by {
+        return Err(CallError::NotSent("the order is too old to be sent".into()));
+    }
+    let (status, body) = cx.pooled.call(req, limits.timeout, MAX_STATE).await?;
     if matches!(status, StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN) {
         let reason = "the engine does not accept the order token".into();
         return Ok(OrderResult::Answered(OrderOutcome::Refused { reason }));
--- a/crates/net/src/upstreams/mod.rs
+++ b/crates/net/src/upstreams/mod.rs
@@ -12,7 +12,7 @@
 mod sse;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hgw_node::Sink;
@@ -36,7 +36,14 @@
     /// Start an attempt.
     Start(Box<Start>),
     /// Send an order.
-    Order { upstream: UpstreamId, addr: String, order: Order, token: bool, timeout: Duration },
+    Order {
+        upstream: UpstreamId,
+        addr: String,
+        order: Order,
+        token: bool,
+        send_by: Instant,
+        timeout: Duration,
+    },
     /// Ask an engine what it holds.
     AskState { upstream: UpstreamId, addr: String, asked: Time },
     /// Ask an upstream for its load.
@@ -85,8 +92,9 @@
             Command::Start(start) => {
                 tokio::spawn(attempt::run(cx, start));
             }
-            Command::Order { upstream, addr, order, token, timeout } => {
-                tokio::spawn(ask::order(cx, upstream, addr, order, token, timeout));
+            Command::Order { upstream, addr, order, token, send_by, timeout } => {
+                let limits = ask::OrderLimits { token, send_by, timeout };
+                tokio::spawn(ask::order(cx, upstream, addr, order, limits));
             }
             Command::AskState { upstream, addr, asked } => {
                 tokio::spawn(ask::state(cx, upstream, addr, asked));
