--- a/crates/hibiscusgw/src/command.rs
+++ b/crates/hibiscusgw/src/command.rs
@@ -124,7 +124,8 @@
     if flags.help_requested() {
         return print_help(&flags, console);
     }
-    let Some(command) = flags.command.as_ref().filter(|c| !flags.version && !c.wants_version()) else {
+    let Some(command) = flags.command.as_ref().filter(|c| !flags.version && !c.wants_version())
+    else {
         if flags.version || flags.command.is_some() {
             writeln!(console.out, "hibiscusgw {}", env!("CARGO_PKG_VERSION"))?;
             return Ok(());
@@ -149,7 +150,11 @@
 fn print_help(flags: &Flags, console: &mut Console<'_>) -> Result<()> {
     match flags.command.as_ref().and_then(|c| c.command_name().zip(Some(c))) {
         Some((name, command)) => {
-            writeln!(console.out, "Usage: hibiscusgw {name} [OPTIONS]\n\n{}", command.self_usage())?;
+            writeln!(
+                console.out,
+                "Usage: hibiscusgw {name} [OPTIONS]\n\n{}",
+                command.self_usage()
+            )?;
         }
         None => {
             writeln!(console.out, "Usage: hibiscusgw [OPTIONS] COMMAND\n\n{}", Flags::usage())?;
--- a/crates/hibiscusgw/src/serve.rs
+++ b/crates/hibiscusgw/src/serve.rs
@@ -11,7 +11,6 @@
 use crate::{Error, Result, ServeSettings, start_logs};
 
 /// A process that is at work.
-#[derive(Debug)]
 pub struct Assembled {
     /// Its threads.
     pub running: Running,
@@ -22,14 +21,13 @@
 /// Starts a node with these settings; it runs until it is told to stop.
 pub fn assemble(settings: &ServeSettings) -> Result<Assembled> {
     let bound = hgw_net::bind(net_settings(settings))?;
-    let addrs = bound.addrs().clone();
-    let reached_at = settings.advertise.unwrap_or(addrs.peers);
+    let addrs = bound.addrs();
     let node = Node::new(hgw_node::Settings {
         key_shards: settings.key_shards,
         ..hgw_node::Settings::new(
             settings.node.clone(),
             settings.domain.clone(),
-            reached_at.to_string(),
+            bound.advertised(),
             rand::random(),
         )
     });
--- a/crates/hibiscusgw/src/settings.rs
+++ b/crates/hibiscusgw/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of `serve`: from flags, else environment variables, else defaults; each one checked.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
 
@@ -92,7 +93,13 @@
             order_token: input.text("order-token", &flags.order_token).unwrap_or_default(),
             key_shards: input.number("key-shards", &flags.key_shards, 8, 1, MAX_KEY_SHARDS),
             caller_threads: input.number("caller-threads", &flags.caller_threads, 1, 1, 64),
-            max_connections: input.number("max-connections", &flags.max_connections, 8192, 1, 1 << 20),
+            max_connections: input.number(
+                "max-connections",
+                &flags.max_connections,
+                8192,
+                1,
+                1 << 20,
+            ),
             max_requests: input.number("max-requests", &flags.max_requests, 8192, 1, 1 << 20),
             max_body: input.number("max-body", &flags.max_body, 4 << 20, 1024, 1 << 30),
             max_tokens: input.number("max-tokens", &flags.max_tokens, 8192, 1, 1 << 20),
@@ -163,7 +170,7 @@
         text
     }
 
-    fn number<T: FromStr + PartialOrd + Display + Copy>(
+    fn number<T: FromStr + PartialOrd + fmt::Display + Copy>(
         &mut self,
         name: &'static str,
         flag: &Option<String>,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -23,5 +23,5 @@
 
 pub use error::{Error, Result};
 pub use operator_port::{OperatorPort, ReplyFuture};
-pub use process::{Addrs, Bound, Exit, Running, bind, start};
+pub use process::{Addrs, Bound, Exit, Running, Stopper, bind, start};
 pub use settings::{CallerLimits, PeerLimits, PlatformLimits, Settings, UpstreamLimits};
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -175,14 +175,19 @@
         self.operators.take()
     }
 
+    /// What ends the process, for another thread than the one that waits for its end.
+    pub fn stopper(&self) -> Stopper {
+        Stopper { inbox: self.inbox.clone(), lifecycle: self.lifecycle.clone() }
+    }
+
     /// Begins the planned stop.
     pub fn stop(&self) {
-        self.inbox.post(Event::Stop);
+        self.stopper().stop();
     }
 
     /// Ends the process at once.
     pub fn kill(&self) {
-        self.lifecycle.advance(Phase::Ended);
+        self.stopper().kill();
     }
 
     /// Waits for the end of all threads.
@@ -199,6 +204,25 @@
     }
 }
 
+/// Ends a process.
+#[derive(Debug, Clone)]
+pub struct Stopper {
+    inbox: Inbox,
+    lifecycle: Lifecycle,
+}
+
+impl Stopper {
+    /// Begins the planned stop.
+    pub fn stop(&self) {
+        self.inbox.post(Event::Stop);
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&self) {
+        self.lifecycle.advance(Phase::Ended);
+    }
+}
+
 /// What the threads of a process share.
 struct Shared {
     streams: Arc<Streams>,
--- a/crates/node/src/configuration/mod.rs
+++ b/crates/node/src/configuration/mod.rs
@@ -99,7 +99,7 @@
                 emit(LogEvent::ConfigRejected, &fields);
             }
             // A change says what is in force as well as a refresh does.
-            Verdict::Accepted { .. } | Verdict::Refreshed => self.refresher.seen(cx.now),
+            Verdict::Accepted | Verdict::Refreshed => self.refresher.seen(cx.now),
             Verdict::Duplicate | Verdict::Undecided => {}
         }
         self.pending.settle(cx, &self.fold);
@@ -143,7 +143,12 @@
     }
 
     /// Says again what is in force when that is due, and catches up with members that are ahead.
-    pub(crate) fn review(&mut self, cx: &mut Context<'_>, newest: Option<(NodeId, Offset)>, rank: u32) {
+    pub(crate) fn review(
+        &mut self,
+        cx: &mut Context<'_>,
+        newest: Option<(NodeId, Offset)>,
+        rank: u32,
+    ) {
         if self.refresher.due(cx.now, rank)
             && let Some(data) = self.fold.refresh()
         {
--- a/crates/node/src/configuration/pending.rs
+++ b/crates/node/src/configuration/pending.rs
@@ -56,8 +56,9 @@
 
 /// What became of a change, if it has been read.
 pub(super) fn outcome(fold: &Fold, id: RecordId) -> Option<ApplyOutcome> {
-    match fold.outcome(id)? {
-        Verdict::Accepted { version } => Some(ApplyOutcome::Accepted(*version)),
+    let (offset, verdict) = fold.outcome(id)?;
+    match verdict {
+        Verdict::Accepted => Some(ApplyOutcome::Accepted(offset)),
         Verdict::Superseded { current } => Some(ApplyOutcome::Superseded { current: *current }),
         Verdict::Invalid { faults } => {
             Some(ApplyOutcome::Invalid(faults.iter().map(ToString::to_string).collect()))
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -91,7 +91,13 @@
         }
     }
 
-    pub(crate) fn on_submit(&mut self, cx: &mut Context<'_>, view: &View<'_>, from: &NodeId, submit: Submit) {
+    pub(crate) fn on_submit(
+        &mut self,
+        cx: &mut Context<'_>,
+        view: &View<'_>,
+        from: &NodeId,
+        submit: Submit,
+    ) {
         let id = submit.upstream.clone();
         match self.accept(cx, view, from, submit) {
             Ok(()) => self.run_queue(cx, &id),
@@ -207,14 +213,29 @@
         cx.act(start);
     }
 
-    fn give_up(&mut self, cx: &mut Context<'_>, id: &UpstreamId, attempt: AttemptId, refusal: Refusal) {
+    fn give_up(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: &UpstreamId,
+        attempt: AttemptId,
+        refusal: Refusal,
+    ) {
         let Some(task) = self.remove(attempt) else { return };
         self.demand.refused(&task.submit);
         let delay_us = self.delay_us(cx.now, id, task.submit.urgency);
-        cx.send(&task.from, Message::NotStarted { attempt, reason: not_started(refusal), delay_us });
+        cx.send(
+            &task.from,
+            Message::NotStarted { attempt, reason: not_started(refusal), delay_us },
+        );
     }
 
-    fn stop_running(&mut self, cx: &mut Context<'_>, id: &UpstreamId, attempt: AttemptId, stage: Stage) {
+    fn stop_running(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: &UpstreamId,
+        attempt: AttemptId,
+        stage: Stage,
+    ) {
         let task = self.lanes.get_mut(id).and_then(|l| l.tasks.get_mut(&attempt));
         if let Some(task) = task {
             task.stage = stage;
@@ -274,7 +295,8 @@
     pub(crate) fn on_cancel(&mut self, cx: &mut Context<'_>, attempt: AttemptId) {
         let Some(id) = self.by_attempt.get(&attempt).cloned() else { return };
         let Some(lane) = self.lanes.get_mut(&id) else { return };
-        let plain = lane.tasks.get(&attempt).is_some_and(|t| matches!(t.submit.work, Work::Plain(_)));
+        let plain =
+            lane.tasks.get(&attempt).is_some_and(|t| matches!(t.submit.work, Work::Plain(_)));
         match lane.queue.cancel(cx.now, attempt) {
             Some(Taken::Running) if plain => self.forget(&id, attempt),
             Some(Taken::Running) => self.stop_running(cx, &id, attempt, Stage::Forgotten),
@@ -295,7 +317,12 @@
         }
     }
 
-    pub(crate) fn on_load(&mut self, cx: &mut Context<'_>, id: &UpstreamId, report: Option<LoadReport>) {
+    pub(crate) fn on_load(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: &UpstreamId,
+        report: Option<LoadReport>,
+    ) {
         let Some(report) = report else { return };
         if report.leaving {
             self.leaving.insert(id.clone());
@@ -349,9 +376,13 @@
 fn not_started(refusal: Refusal) -> NotStarted {
     let millis = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
     match refusal {
-        Refusal::TooLate { retry_after } => NotStarted::TooLate { retry_after_ms: millis(retry_after) },
+        Refusal::TooLate { retry_after } => {
+            NotStarted::TooLate { retry_after_ms: millis(retry_after) }
+        }
         Refusal::Full { retry_after } => NotStarted::Full { retry_after_ms: millis(retry_after) },
-        Refusal::Expired { retry_after } => NotStarted::Expired { retry_after_ms: millis(retry_after) },
+        Refusal::Expired { retry_after } => {
+            NotStarted::Expired { retry_after_ms: millis(retry_after) }
+        }
         Refusal::Bounced => NotStarted::Bounced,
         Refusal::Leaving => NotStarted::Leaving,
     }
@@ -363,7 +394,9 @@
     match (stage, outcome) {
         (_, Outcome::Whole(n)) => (End::Whole, Outcome::Whole(n)),
         (Stage::Preempting, _) => (End::Cancelled, Outcome::Preempted),
-        (Stage::Abandoning, _) => (End::Cancelled, Outcome::Broken("its deadline has passed".to_owned())),
+        (Stage::Abandoning, _) => {
+            (End::Cancelled, Outcome::Broken("its deadline has passed".to_owned()))
+        }
         (Stage::Forgotten, outcome) => (End::Cancelled, outcome),
         (Stage::Queued | Stage::Running, outcome) => (End::Failed, outcome),
     }
--- a/crates/node/src/entry/admit.rs
+++ b/crates/node/src/entry/admit.rs
@@ -33,7 +33,8 @@
         }
         CallerWork::Plain { service, work } => {
             let of_kind = document.services.get(&service).filter(|s| s.kind == ServiceKind::Plain);
-            let found = of_kind.ok_or_else(|| not_found(format!("there is no service `{service}`")))?;
+            let found =
+                of_kind.ok_or_else(|| not_found(format!("there is no service `{service}`")))?;
             let idempotent = found.plain.idempotent_methods.contains(&work.method);
             // A key changes nothing for a call that may be repeated anyway.
             let key = key.filter(|_| !idempotent);
@@ -69,7 +70,12 @@
     }
     if max_tokens == Tokens(0) {
         let message = "`max_tokens` must be at least 1".to_owned();
-        return Err(Failure { code: FailureCode::BadRequest, ran: Ran::NotRun, retry_after: None, message });
+        return Err(Failure {
+            code: FailureCode::BadRequest,
+            ran: Ran::NotRun,
+            retry_after: None,
+            message,
+        });
     }
     let prefix = prefix_hashes(&prompt);
     let version = found.version.clone();
--- a/crates/node/src/entry/failure.rs
+++ b/crates/node/src/entry/failure.rs
@@ -9,7 +9,12 @@
 /// When to come back after a node or an engine was lost: detection and a takeover take about this.
 pub(crate) const TAKEOVER: Duration = Duration::from_secs(2);
 
-pub(crate) fn failure(code: FailureCode, ran: Ran, retry_after: Option<Duration>, message: &str) -> Failure {
+pub(crate) fn failure(
+    code: FailureCode,
+    ran: Ran,
+    retry_after: Option<Duration>,
+    message: &str,
+) -> Failure {
     Failure { code, ran, retry_after, message: message.to_owned() }
 }
 
@@ -19,7 +24,12 @@
 
 pub(crate) fn stopping() -> Failure {
     let soon = Some(Duration::from_secs(1));
-    failure(FailureCode::Stopping, Ran::NotRun, soon, "this node stops; another one will take the request")
+    failure(
+        FailureCode::Stopping,
+        Ran::NotRun,
+        soon,
+        "this node stops; another one will take the request",
+    )
 }
 
 pub(crate) fn unavailable(ran: Ran) -> Failure {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -128,7 +128,9 @@
     }
 
     pub(crate) fn on_started(&mut self, now: Time, attempt: AttemptId, delay: Duration) {
-        let Some(open) = self.by_attempt.get(&attempt).and_then(|s| self.open.get_mut(s)) else { return };
+        let Some(open) = self.by_attempt.get(&attempt).and_then(|s| self.open.get_mut(s)) else {
+            return;
+        };
         open.may_have_run = true;
         if let Phase::Submitted(current) = &mut open.phase {
             current.started = true;
@@ -231,7 +233,8 @@
             Task::Plain { .. } => {}
         }
         open.hops = 0;
-        let patience = if open.has_begun() { cx.settings.resume_wait } else { open.deadline.since(cx.now) };
+        let patience =
+            if open.has_begun() { cx.settings.resume_wait } else { open.deadline.since(cx.now) };
         open.look_until = Some(cx.now + patience);
         self.submit(cx, view, stream);
     }
@@ -273,11 +276,14 @@
         let now = cx.now;
         let due = |open: &Open| match &open.phase {
             Phase::Looking { next } => *next <= now,
-            Phase::Submitted(current) => !current.started && open.deadline + DISPATCHER_GRACE <= now,
+            Phase::Submitted(current) => {
+                !current.started && open.deadline + DISPATCHER_GRACE <= now
+            }
             Phase::Keyed { .. } => open.deadline + DISPATCHER_GRACE <= now,
             Phase::Sealing => false,
         };
-        let streams: Vec<StreamId> = self.open.iter().filter(|(_, o)| due(o)).map(|(s, _)| *s).collect();
+        let streams: Vec<StreamId> =
+            self.open.iter().filter(|(_, o)| due(o)).map(|(s, _)| *s).collect();
         for stream in streams {
             let Some(open) = self.open.get(&stream) else { continue };
             if matches!(open.phase, Phase::Looking { .. }) {
@@ -291,7 +297,8 @@
     }
 
     fn note_unmet(&mut self, stream: StreamId) {
-        let Some(Open { task: Task::Model { model, adapter, .. }, .. }) = self.open.get(&stream) else {
+        let Some(Open { task: Task::Model { model, adapter, .. }, .. }) = self.open.get(&stream)
+        else {
             return;
         };
         let unmet = self.unmet.entry(model.clone()).or_default();
--- a/crates/node/src/entry/open.rs
+++ b/crates/node/src/entry/open.rs
@@ -3,8 +3,8 @@
 use hgw_config::Urgency;
 use hgw_dispatch::Ask;
 use hgw_types::{
-    AdapterId, AttemptId, IdempotencyKey, ModelId, NodeId, RequestId, ServiceId, Time, Tokens, UpstreamId,
-    VersionId,
+    AdapterId, AttemptId, IdempotencyKey, ModelId, NodeId, RequestId, ServiceId, Time, Tokens,
+    UpstreamId, VersionId,
 };
 use hgw_wire::peer::{ModelWork, PlainWork, Work};
 use indexmap::IndexSet;
@@ -41,7 +41,11 @@
         /// Tokens that the caller has from attempts that have ended.
         delivered: Vec<Arc<str>>,
     },
-    Plain { work: PlainWork, idempotent: bool, key: Option<IdempotencyKey> },
+    Plain {
+        work: PlainWork,
+        idempotent: bool,
+        key: Option<IdempotencyKey>,
+    },
 }
 
 /// Where a request stands.
--- a/crates/node/src/entry/submit.rs
+++ b/crates/node/src/entry/submit.rs
@@ -42,8 +42,9 @@
         let mut candidates = candidates(view, open);
         candidates.retain(|c| !open.tried.contains(&c.upstream));
         let order = self.chooser.choose(cx.now, &open.ask(), &candidates);
-        let mut reachable =
-            order.into_iter().filter_map(|u| view.dispatcher_of(&u).map(|dispatcher| (u, dispatcher)));
+        let mut reachable = order
+            .into_iter()
+            .filter_map(|u| view.dispatcher_of(&u).map(|dispatcher| (u, dispatcher)));
         let (upstream, dispatcher) = reachable.next()?;
         let others = reachable.next().is_some();
         Some(Target { upstream, dispatcher, others })
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -183,7 +183,12 @@
     }
 
     /// Tells the changed part of the placement to all live nodes of the domain.
-    fn publish(&mut self, cx: &mut Context<'_>, view: &View<'_>, engines: IndexMap<UpstreamId, Holding>) {
+    fn publish(
+        &mut self,
+        cx: &mut Context<'_>,
+        view: &View<'_>,
+        engines: IndexMap<UpstreamId, Holding>,
+    ) {
         let Some(term) = self.term else { return };
         self.number += 1;
         // The first of a term goes out whole: nobody has a number of this term to go on from.
--- a/crates/node/src/keys/mod.rs
+++ b/crates/node/src/keys/mod.rs
@@ -6,7 +6,9 @@
 
 use hgw_claim::Action as ClaimAction;
 use hgw_once::{Action as ShardAction, Call, Event as ShardEvent, Reply, RunOutcome, Shard};
-use hgw_types::{AttemptId, IdempotencyKey, NodeId, Offset, RecordId, Scope, ServiceId, StreamName};
+use hgw_types::{
+    AttemptId, IdempotencyKey, NodeId, Offset, RecordId, Scope, ServiceId, StreamName,
+};
 use hgw_wire::peer::{Keyed, KeyedAnswer, Message, NotStarted, Outcome, RecordedAnswer};
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
@@ -131,7 +133,13 @@
         }
     }
 
-    pub(crate) fn on_keyed(&mut self, cx: &mut Context<'_>, view: &View<'_>, from: &NodeId, keyed: Keyed) {
+    pub(crate) fn on_keyed(
+        &mut self,
+        cx: &mut Context<'_>,
+        view: &View<'_>,
+        from: &NodeId,
+        keyed: Keyed,
+    ) {
         let number = hgw_once::shard_of(&keyed.service, &keyed.key, cx.settings.key_shards);
         if self.stopping || !self.shards.contains_key(&number) {
             let preferred = view.preferred_holder(&Scope::key_shard(number));
@@ -193,7 +201,13 @@
         }
     }
 
-    fn run_ended(&mut self, cx: &mut Context<'_>, view: &View<'_>, run: Finished, outcome: RunOutcome) {
+    fn run_ended(
+        &mut self,
+        cx: &mut Context<'_>,
+        view: &View<'_>,
+        run: Finished,
+        outcome: RunOutcome,
+    ) {
         self.tell(cx, view, run.shard, ShardEvent::Ended { attempt: run.call, outcome });
     }
 
@@ -232,7 +246,9 @@
         let Some(asked) = self.asked.swap_remove(&attempt) else { return };
         let holder = self.shards.get(&asked.shard).and_then(|s| s.scope.holder());
         let answer = match reply {
-            Reply::Answer(data) => decode(&data).map_or(KeyedAnswer::MayHaveRun, KeyedAnswer::Answer),
+            Reply::Answer(data) => {
+                decode(&data).map_or(KeyedAnswer::MayHaveRun, KeyedAnswer::Answer)
+            }
             Reply::MayHaveRun => KeyedAnswer::MayHaveRun,
             Reply::NotRun { retry_after } => {
                 let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
--- a/crates/node/src/keys/run.rs
+++ b/crates/node/src/keys/run.rs
@@ -105,7 +105,8 @@
     fn target(&mut self, now: Time, view: &View<'_>, task: &Task) -> Option<(UpstreamId, NodeId)> {
         let mut candidates = view.routes.for_plain(view.document, view.domain, &task.keyed.service);
         candidates.retain(|c| !task.tried.contains(&c.upstream));
-        let ask = Ask { model: None, adapter: None, urgency: task.keyed.urgency, prefix: Vec::new() };
+        let ask =
+            Ask { model: None, adapter: None, urgency: task.keyed.urgency, prefix: Vec::new() };
         let order = self.chooser.choose(now, &ask, &candidates);
         order.into_iter().find_map(|u| view.dispatcher_of(&u).map(|dispatcher| (u, dispatcher)))
     }
@@ -132,7 +133,11 @@
                 | NotStarted::Bounced
                 | NotStarted::Unreachable
         );
-        if elsewhere && task.hops < MAX_HOPS { self.send(cx, view, task) } else { Some(task.finished()) }
+        if elsewhere && task.hops < MAX_HOPS {
+            self.send(cx, view, task)
+        } else {
+            Some(task.finished())
+        }
     }
 
     pub(super) fn ended(&mut self, attempt: AttemptId) -> Option<Finished> {
--- a/crates/node/src/machine/messages.rs
+++ b/crates/node/src/machine/messages.rs
@@ -9,7 +9,13 @@
 use crate::routes::Taken;
 
 impl Node {
-    pub(super) fn on_message(&mut self, now: Time, from: &NodeId, message: Message, out: &mut Vec<Action>) {
+    pub(super) fn on_message(
+        &mut self,
+        now: Time,
+        from: &NodeId,
+        message: Message,
+        out: &mut Vec<Action>,
+    ) {
         match message {
             Message::Submit(submit) => {
                 let cx = &mut context!(self, now, out);
@@ -80,7 +86,13 @@
         }
     }
 
-    fn on_placement(&mut self, now: Time, from: &NodeId, placement: Placement, out: &mut Vec<Action>) {
+    fn on_placement(
+        &mut self,
+        now: Time,
+        from: &NodeId,
+        placement: Placement,
+        out: &mut Vec<Action>,
+    ) {
         if placement.domain != self.settings.domain {
             return;
         }
--- a/crates/node/src/machine/mod.rs
+++ b/crates/node/src/machine/mod.rs
@@ -94,7 +94,8 @@
         let mut ids = Ids::new(settings.boot);
         let mut local = VecDeque::new();
         let out = &mut Vec::new();
-        let cx = Context { now: Time::ZERO, settings: &settings, ids: &mut ids, out, local: &mut local };
+        let cx =
+            Context { now: Time::ZERO, settings: &settings, ids: &mut ids, out, local: &mut local };
         let keeper = KeeperRole::new(&cx);
         let chooser = |salt| Chooser::new(ChooserSettings::default(), settings.boot ^ salt);
         Node {
@@ -137,7 +138,9 @@
             Event::PeerUp { peer, domain, addr } => self.on_peer_up(now, peer, domain, addr, out),
             Event::PeerDown { peer } => self.on_peer_down(now, &peer, out),
             Event::Message { from, message } => self.on_message(now, &from, *message, out),
-            Event::Progress { attempt, tokens } => self.dispatcher.on_progress(now, attempt, tokens),
+            Event::Progress { attempt, tokens } => {
+                self.dispatcher.on_progress(now, attempt, tokens)
+            }
             Event::Ended(ended) => self.dispatcher.on_ended(&mut context!(self, now, out), ended),
             Event::OrderAnswer { upstream, order, result } => {
                 let cx = &mut context!(self, now, out);
--- a/crates/node/src/machine/peers.rs
+++ b/crates/node/src/machine/peers.rs
@@ -57,7 +57,12 @@
 
     /// A node that has come is told the placement, if this one keeps the domain. One that has gone
     /// takes no part any more; what it worked on is taken care of when its connection breaks.
-    pub(super) fn members_changed(&mut self, now: Time, changes: Vec<Change>, out: &mut Vec<Action>) {
+    pub(super) fn members_changed(
+        &mut self,
+        now: Time,
+        changes: Vec<Change>,
+        out: &mut Vec<Action>,
+    ) {
         for change in changes {
             match change {
                 Change::Up(node) => {
--- a/crates/node/src/machine/stop.rs
+++ b/crates/node/src/machine/stop.rs
@@ -66,7 +66,9 @@
                 self.release_claims(now, out);
                 self.stop = Stop::Releasing { since: now };
             }
-            Stop::Releasing { since } if !self.holds_claims() || now.since(since) > RELEASE_WAIT => {
+            Stop::Releasing { since }
+                if !self.holds_claims() || now.since(since) > RELEASE_WAIT =>
+            {
                 self.stop = Stop::Done;
                 out.push(Action::Exit);
             }
--- a/crates/node/src/members/mod.rs
+++ b/crates/node/src/members/mod.rs
@@ -1,6 +1,8 @@
 //! The members of the system as this node knows them.
 
-use hgw_membership::{Action as MemberAction, Beat, Event as MemberEvent, Member, Membership, rank};
+use hgw_membership::{
+    Action as MemberAction, Beat, Event as MemberEvent, Member, Membership, rank,
+};
 use hgw_types::{DomainId, NodeId, Offset};
 use hgw_wire::peer::{Heartbeat, MemberBeat, Message};
 use hgw_wire::platform::VmList;
@@ -24,7 +26,8 @@
             domain: settings.domain.clone(),
             addr: settings.addr.clone(),
         };
-        let membership = Membership::new(hgw_membership::Settings::default(), me.clone(), settings.boot);
+        let membership =
+            Membership::new(hgw_membership::Settings::default(), me.clone(), settings.boot);
         Members { me, membership, versions: IndexMap::new() }
     }
 
@@ -91,7 +94,12 @@
         std::iter::once(of(&self.me, mine)).chain(others.map(|m| of(m, version(m)))).collect()
     }
 
-    pub(crate) fn on_listed(&mut self, cx: &mut Context<'_>, config: Offset, list: &VmList) -> Vec<Change> {
+    pub(crate) fn on_listed(
+        &mut self,
+        cx: &mut Context<'_>,
+        config: Offset,
+        list: &VmList,
+    ) -> Vec<Change> {
         let listed = list.vms.iter().filter(|vm| !vm.leaving).map(|vm| Member {
             node: vm.node.clone(),
             domain: vm.domain.clone(),
@@ -116,17 +124,37 @@
         self.handle(cx, config, MemberEvent::Heard { from: from.clone(), beats: beats.collect() })
     }
 
-    pub(crate) fn on_peer_up(&mut self, cx: &mut Context<'_>, config: Offset, peer: Member) -> Vec<Change> {
+    pub(crate) fn on_peer_up(
+        &mut self,
+        cx: &mut Context<'_>,
+        config: Offset,
+        peer: Member,
+    ) -> Vec<Change> {
         let node = peer.node.clone();
         let mut changes = self.handle(cx, config, MemberEvent::Listed(vec![peer]));
         changes.extend(self.handle(cx, config, MemberEvent::Alive(node)));
         changes
     }
 
-    pub(crate) fn on_peer_down(&mut self, cx: &mut Context<'_>, config: Offset, peer: &NodeId) -> Vec<Change> {
+    pub(crate) fn on_peer_down(
+        &mut self,
+        cx: &mut Context<'_>,
+        config: Offset,
+        peer: &NodeId,
+    ) -> Vec<Change> {
         self.handle(cx, config, MemberEvent::Failed(peer.clone()))
     }
 
+    /// A peer has said that it stops as planned.
+    pub(crate) fn on_leaving(
+        &mut self,
+        cx: &mut Context<'_>,
+        config: Offset,
+        peer: &NodeId,
+    ) -> Vec<Change> {
+        self.handle(cx, config, MemberEvent::Left(peer.clone()))
+    }
+
     pub(crate) fn on_tick(&mut self, cx: &mut Context<'_>, config: Offset) -> Vec<Change> {
         self.handle(cx, config, MemberEvent::Tick)
     }
--- a/crates/node/src/planner/mod.rs
+++ b/crates/node/src/planner/mod.rs
@@ -91,7 +91,8 @@
 
     /// Whether this node comes first among the live nodes of the region.
     fn is_preferred(&self, view: &View<'_>) -> bool {
-        let in_region = |d: &DomainId| view.document.domains.get(d).is_some_and(|d| d.region == self.region);
+        let in_region =
+            |d: &DomainId| view.document.domains.get(d).is_some_and(|d| d.region == self.region);
         if !in_region(view.domain) {
             return false;
         }
@@ -103,7 +104,12 @@
 
     /// Proposes a floor when the configuration or the set of lost engines has changed. Load does not
     /// enter: the floor must stay still while demand moves.
-    fn plan(&mut self, cx: &mut Context<'_>, version: Offset, document: &Document) -> Option<Floor> {
+    fn plan(
+        &mut self,
+        cx: &mut Context<'_>,
+        version: Offset,
+        document: &Document,
+    ) -> Option<Floor> {
         let mut lost: Vec<UpstreamId> = self.lost.values().flatten().cloned().collect();
         lost.sort();
         let from = (version, lost);
--- a/crates/node/src/routes/mod.rs
+++ b/crates/node/src/routes/mod.rs
@@ -4,7 +4,9 @@
 use hgw_config::{Document, ServiceKind};
 use hgw_dispatch::Candidate;
 use hgw_placement::Floor;
-use hgw_types::{AdapterId, DomainId, ModelId, NodeId, RegionId, ServiceId, Term, UpstreamId, VersionId};
+use hgw_types::{
+    AdapterId, DomainId, ModelId, NodeId, RegionId, ServiceId, Term, UpstreamId, VersionId,
+};
 use hgw_wire::peer::{Holding, Placement};
 use indexmap::{IndexMap, IndexSet};
 
@@ -44,7 +46,8 @@
     pub(crate) fn place(&mut self, from: &NodeId, message: Placement) -> Taken {
         let known = self.domains.get(&message.domain).map(|d| (d.term, d.number));
         if known.is_some_and(|(term, number)| {
-            message.term < term || (message.term == term && message.number <= number && !message.whole)
+            message.term < term
+                || (message.term == term && message.number <= number && !message.whole)
         }) {
             return Taken::Old;
         }
@@ -82,10 +85,6 @@
         self.floors.insert(region, floor);
     }
 
-    pub(crate) fn floor(&self, region: &RegionId) -> Option<&Floor> {
-        self.floors.get(region)
-    }
-
     pub(crate) fn set_leaving(&mut self, leaving: IndexSet<UpstreamId>) {
         self.leaving = leaving;
     }
@@ -107,7 +106,10 @@
         self.domains.get(domain)?.engines.get(upstream)
     }
 
-    pub(crate) fn engines(&self, domain: &DomainId) -> impl Iterator<Item = (&UpstreamId, &Holding)> {
+    pub(crate) fn engines(
+        &self,
+        domain: &DomainId,
+    ) -> impl Iterator<Item = (&UpstreamId, &Holding)> {
         self.domains.get(domain).into_iter().flat_map(|d| d.engines.iter())
     }
 
@@ -150,7 +152,10 @@
         for (id, holding) in self.engines(home) {
             if holding.models.iter().any(|(m, _)| m == model) && usable(id) {
                 let has_adapter = adapter.is_none_or(|a| self.has_adapter(home, id, model, a));
-                found.insert(id.clone(), Candidate { upstream: id.clone(), distance: 0, has_adapter });
+                found.insert(
+                    id.clone(),
+                    Candidate { upstream: id.clone(), distance: 0, has_adapter },
+                );
             }
         }
         let known_home = self.domains.contains_key(home);
@@ -175,11 +180,12 @@
         service: &ServiceId,
     ) -> Vec<Candidate> {
         let of_service = document.upstreams.iter().filter(|(_, u)| u.service == *service);
-        let candidates = of_service.filter(|(id, _)| self.is_usable(document, id)).map(|(id, u)| Candidate {
-            upstream: id.clone(),
-            distance: distance(document, home, &u.domain),
-            has_adapter: true,
-        });
+        let candidates =
+            of_service.filter(|(id, _)| self.is_usable(document, id)).map(|(id, u)| Candidate {
+                upstream: id.clone(),
+                distance: distance(document, home, &u.domain),
+                has_adapter: true,
+            });
         nearest_first(candidates.collect())
     }
 
--- a/crates/node/src/scope/log_reader.rs
+++ b/crates/node/src/scope/log_reader.rs
@@ -27,10 +27,6 @@
         &self.stream
     }
 
-    pub(crate) fn next(&self) -> Offset {
-        self.next
-    }
-
     /// Asks for the next records unless a read is under way.
     pub(crate) fn read_on(&mut self, cx: &mut Context<'_>) {
         if self.reading || cx.now < self.not_before {
--- a/crates/node/src/scope/mod.rs
+++ b/crates/node/src/scope/mod.rs
@@ -26,7 +26,8 @@
         let boot = cx.settings.boot ^ xxh3_64(scope.as_str().as_bytes());
         let quarter = cx.settings.log_retention / 4;
         let defaults = hgw_claim::Settings::default();
-        let cfg = hgw_claim::Settings { snapshot_age: defaults.snapshot_age.min(quarter), ..defaults };
+        let cfg =
+            hgw_claim::Settings { snapshot_age: defaults.snapshot_age.min(quarter), ..defaults };
         ScopeLog { claim: Claim::new(cfg, scope, cx.settings.node.clone(), boot), reader }
     }
 
@@ -34,10 +35,6 @@
         self.reader.stream()
     }
 
-    pub(crate) fn next(&self) -> Offset {
-        self.reader.next()
-    }
-
     pub(crate) fn held(&self) -> Option<Term> {
         self.claim.held()
     }
@@ -47,7 +44,11 @@
     }
 
     /// Takes the answer to a read of the stream.
-    pub(crate) fn on_read(&mut self, cx: &mut Context<'_>, outcome: ReadOutcome) -> Vec<ClaimAction> {
+    pub(crate) fn on_read(
+        &mut self,
+        cx: &mut Context<'_>,
+        outcome: ReadOutcome,
+    ) -> Vec<ClaimAction> {
         let mut acts = Vec::new();
         match outcome {
             ReadOutcome::Records { records, next } => {
@@ -104,7 +105,12 @@
         self.handle(cx, ClaimEvent::Standing { preferred, holder_alive })
     }
 
-    pub(crate) fn propose(&mut self, cx: &mut Context<'_>, id: RecordId, data: Bytes) -> Vec<ClaimAction> {
+    pub(crate) fn propose(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: RecordId,
+        data: Bytes,
+    ) -> Vec<ClaimAction> {
         let mut acts = Vec::new();
         self.claim.propose(cx.now, id, data, &mut acts);
         self.pass_appends(cx, acts)
