Go on with what a lost node worked on, outside the retry budget

Cause: a node's death loses all that it dispatched at once; with the budget alone (a tenth of the first tries, ten saved) most streams of a busy node would have been cut. Ruled out: a larger budget, since it would also pay for storms. Change: a stream that its caller is reading, and what a lost peer worked on, go on without it, five times each at most. A resumed stream is no longer judged by the deadline of its first token, which had passed.

--- a/crates/node/src/entry/admit.rs
+++ b/crates/node/src/entry/admit.rs
@@ -52,6 +52,7 @@
         phase: Phase::Looking { next: now },
         tried: indexmap::IndexSet::new(),
         hops: 0,
+        moves: 0,
         may_have_run: false,
         look_until: None,
     })))
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -25,6 +25,10 @@
 /// gives up at the deadline itself; one that says nothing is cut off or frozen.
 const DISPATCHER_GRACE: Duration = Duration::from_millis(250);
 
+/// Times that a request goes on elsewhere after what worked on it was lost. More than this and it is
+/// more likely that the request itself breaks upstreams.
+const MAX_MOVES: u8 = 5;
+
 /// All requests of callers at this node.
 #[derive(Debug)]
 pub(crate) struct Entry {
@@ -113,7 +117,6 @@
             _ => self.chooser.observe(cx.now, &upstream, delay),
         }
         if let Some(failure) = failure::refusal(reason, ran(open)) {
-            self.note_unmet(stream);
             self.fail(cx, stream, failure);
             return;
         }
@@ -154,7 +157,7 @@
         self.chooser.finished(cx.now, &upstream);
         match outcome {
             Outcome::Whole(_) => self.finish(cx, stream, Answer::Whole),
-            Outcome::Preempted => self.seal(cx, stream),
+            Outcome::Preempted => self.seal(cx, stream, true),
             Outcome::NotRun(_) => {
                 self.chooser.failed(cx.now, &upstream);
                 open.tried.insert(upstream);
@@ -167,7 +170,7 @@
             Outcome::Broken(_) => {
                 self.chooser.failed(cx.now, &upstream);
                 open.tried.insert(upstream);
-                self.on_broken(cx, stream);
+                self.on_broken(cx, stream, false);
             }
         }
     }
@@ -188,27 +191,34 @@
         }
         // The message that would have said so may be lost with the peer.
         open.may_have_run = true;
-        self.on_broken(cx, stream);
+        self.on_broken(cx, stream, true);
     }
 
     /// The answer broke off. Idempotent work goes on from what the caller has; other work may have
     /// run, and a second run would double it, so its caller is told at once.
-    fn on_broken(&mut self, cx: &mut Context<'_>, stream: StreamId) {
-        let Some(open) = self.open.get(&stream) else { return };
-        if open.is_idempotent() && self.budget.allow(cx.now) {
-            self.seal(cx, stream);
+    fn on_broken(&mut self, cx: &mut Context<'_>, stream: StreamId, free: bool) {
+        let Some(open) = self.open.get_mut(&stream) else { return };
+        open.moves += 1;
+        if open.is_idempotent() && open.moves <= MAX_MOVES {
+            self.seal(cx, stream, free);
         } else {
             self.fail(cx, stream, failure::broken(Ran::MayHaveRun));
         }
     }
 
     /// Finds out what the caller has; from then on no chunk of an earlier attempt can reach it.
-    fn seal(&mut self, cx: &mut Context<'_>, stream: StreamId) {
+    fn seal(&mut self, cx: &mut Context<'_>, stream: StreamId, free: bool) {
         let Some(open) = self.open.get_mut(&stream) else { return };
-        open.phase = Phase::Sealing;
+        open.phase = Phase::Sealing { free };
         cx.act(Action::Seal { stream });
     }
 
+    /// Goes on from what the caller has.
+    ///
+    /// Retries take from a budget, so that an outage does not multiply load. A stream that its caller
+    /// is reading takes nothing: it would be cut, and going on does no work a second time. Nor does
+    /// what a lost peer worked on: there is no more of it than was in progress, each moves a bounded
+    /// number of times, and the budget could not cover a node's whole work at once.
     pub(crate) fn on_sealed(
         &mut self,
         cx: &mut Context<'_>,
@@ -218,6 +228,7 @@
         begun: bool,
     ) {
         let Some(open) = self.open.get_mut(&stream) else { return };
+        let Phase::Sealing { free } = open.phase else { return };
         match &mut open.task {
             Task::Model { delivered, max_tokens, .. } => {
                 *delivered = tokens;
@@ -232,9 +243,13 @@
             }
             Task::Plain { .. } => {}
         }
+        if !free && !open.has_begun() && !self.budget.allow(cx.now) {
+            self.fail(cx, stream, failure::broken(Ran::MayHaveRun));
+            return;
+        }
         open.hops = 0;
-        let patience =
-            if open.has_begun() { cx.settings.resume_wait } else { open.deadline.since(cx.now) };
+        let left = open.deadline.since(cx.now);
+        let patience = if open.has_begun() { left.max(cx.settings.resume_wait) } else { left };
         open.look_until = Some(cx.now + patience);
         self.submit(cx, view, stream);
     }
@@ -276,11 +291,9 @@
         let now = cx.now;
         let due = |open: &Open| match &open.phase {
             Phase::Looking { next } => *next <= now,
-            Phase::Submitted(current) => {
-                !current.started && open.deadline + DISPATCHER_GRACE <= now
-            }
-            Phase::Keyed { .. } => open.deadline + DISPATCHER_GRACE <= now,
-            Phase::Sealing => false,
+            Phase::Submitted(current) => !current.started && open.due() + DISPATCHER_GRACE <= now,
+            Phase::Keyed { .. } => open.due() + DISPATCHER_GRACE <= now,
+            Phase::Sealing { .. } => false,
         };
         let streams: Vec<StreamId> =
             self.open.iter().filter(|(_, o)| due(o)).map(|(s, _)| *s).collect();
@@ -296,7 +309,7 @@
         }
     }
 
-    fn note_unmet(&mut self, stream: StreamId) {
+    pub(super) fn note_unmet(&mut self, stream: StreamId) {
         let Some(Open { task: Task::Model { model, adapter, .. }, .. }) = self.open.get(&stream)
         else {
             return;
--- a/crates/node/src/entry/open.rs
+++ b/crates/node/src/entry/open.rs
@@ -22,6 +22,8 @@
     pub(crate) tried: IndexSet<UpstreamId>,
     /// Times that it was sent on without having been started.
     pub(crate) hops: u8,
+    /// Times that it went on elsewhere after what worked on it was lost.
+    pub(crate) moves: u8,
     /// Whether an upstream may have begun it at some time.
     pub(crate) may_have_run: bool,
     /// Until when a next upstream is looked for, once one has failed.
@@ -55,8 +57,9 @@
     Submitted(Current),
     /// With the owner of its key's shard.
     Keyed { attempt: AttemptId, owner: NodeId, redirected: bool },
-    /// What the caller has been given is being found out, to go on from there.
-    Sealing,
+    /// What the caller has been given is being found out, to go on from there. `free` says that going
+    /// on needs nothing from the retry budget.
+    Sealing { free: bool },
     /// Looking for an upstream to go on with.
     Looking { next: Time },
 }
@@ -75,7 +78,7 @@
         match &self.phase {
             Phase::Submitted(current) => Some(current.attempt),
             Phase::Keyed { attempt, .. } => Some(*attempt),
-            Phase::Sealing | Phase::Looking { .. } => None,
+            Phase::Sealing { .. } | Phase::Looking { .. } => None,
         }
     }
 
@@ -84,7 +87,7 @@
         match &self.phase {
             Phase::Submitted(current) => Some(&current.dispatcher),
             Phase::Keyed { owner, .. } => Some(owner),
-            Phase::Sealing | Phase::Looking { .. } => None,
+            Phase::Sealing { .. } | Phase::Looking { .. } => None,
         }
     }
 
@@ -101,6 +104,13 @@
         matches!(&self.task, Task::Model { delivered, .. } if !delivered.is_empty())
     }
 
+    /// When the next word must have come: a stream that its caller is reading is past the deadline for
+    /// its first token, and waits as long as an upstream is looked for.
+    pub(crate) fn due(&self) -> Time {
+        let looking = self.look_until.filter(|_| self.has_begun());
+        looking.map_or(self.deadline, |until| until.max(self.deadline))
+    }
+
     pub(crate) fn ask(&self) -> Ask {
         let (model, adapter, prefix) = match &self.task {
             Task::Model { model, adapter, prefix, .. } => {
--- a/crates/node/src/entry/submit.rs
+++ b/crates/node/src/entry/submit.rs
@@ -20,7 +20,10 @@
 struct Target {
     upstream: UpstreamId,
     dispatcher: NodeId,
+    /// Whether another upstream could take it instead.
     others: bool,
+    /// Whether it leaves the failure domain of its caller.
+    far: bool,
 }
 
 impl Entry {
@@ -47,7 +50,8 @@
             .filter_map(|u| view.dispatcher_of(&u).map(|dispatcher| (u, dispatcher)));
         let (upstream, dispatcher) = reachable.next()?;
         let others = reachable.next().is_some();
-        Some(Target { upstream, dispatcher, others })
+        let far = view.document.upstreams.get(&upstream).is_some_and(|u| u.domain != *view.domain);
+        Some(Target { upstream, dispatcher, others, far })
     }
 
     fn send_to(&mut self, cx: &mut Context<'_>, stream: StreamId, target: Target) {
@@ -59,17 +63,22 @@
             upstream: target.upstream.clone(),
             service: open.service.clone(),
             urgency: open.urgency,
-            left_us: micros(open.time_left(cx.now)),
+            left_us: micros(open.due().since(cx.now)),
             may_bounce: target.others && open.hops == 0,
             collect: false,
             work: open.work(),
         };
         self.chooser.sent(cx.now, &target.upstream, &open.ask());
+        let far = target.far;
         cx.act(Action::Attach { stream, attempt });
         cx.send(&target.dispatcher, Message::Submit(submit));
         let Target { upstream, dispatcher, .. } = target;
         open.phase = Phase::Submitted(Current { attempt, upstream, dispatcher, started: false });
         self.by_attempt.insert(attempt, stream);
+        if far {
+            // The keeper at home sees no other sign that its domain lacks room for the model.
+            self.note_unmet(stream);
+        }
     }
 
     /// No upstream is left to try. A request that has not begun anywhere is answered at once; one
@@ -114,7 +123,7 @@
             service: open.service.clone(),
             key: key.clone(),
             urgency: open.urgency,
-            left_us: micros(open.time_left(cx.now)),
+            left_us: micros(open.due().since(cx.now)),
             work: work.clone(),
         };
         cx.send(&owner, Message::Keyed(keyed));
@@ -123,19 +132,6 @@
     }
 }
 
-impl Open {
-    /// Time that a dispatcher has for the work. A stream that the caller is already reading is late
-    /// for the first token anyhow: it gets the time that its caller would wait for it to go on.
-    fn time_left(&self, now: hgw_types::Time) -> Duration {
-        let left = self.deadline.since(now);
-        if self.has_begun() {
-            left.max(self.look_until.map_or(Duration::ZERO, |until| until.since(now)))
-        } else {
-            left
-        }
-    }
-}
-
 fn candidates(view: &View<'_>, open: &Open) -> Vec<Candidate> {
     match &open.task {
         Task::Model { model, adapter, .. } => {
