--- /dev/null
+++ b/crates/node/tests/support/log.rs
@@ -0,0 +1,107 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use hgw_node::{Event, PlatformError, ReadOutcome};
+use hgw_types::{NodeId, Offset, RecordId, StreamName, Time};
+use indexmap::IndexMap;
+
+/// How long a read waits for the first record.
+const WAIT: Duration = Duration::from_secs(1);
+
+/// The platform's log.
+#[derive(Default)]
+pub struct Log {
+    streams: IndexMap<StreamName, Vec<Bytes>>,
+    waiting: Vec<Waiting>,
+    pub down: bool,
+    /// Appends take effect, and their answers are lost.
+    pub loses_answers: bool,
+}
+
+struct Waiting {
+    node: NodeId,
+    stream: StreamName,
+    from: Offset,
+    until: Time,
+}
+
+impl Log {
+    pub fn read(
+        &mut self,
+        now: Time,
+        node: &NodeId,
+        stream: StreamName,
+        from: Offset,
+    ) -> Vec<(NodeId, Event)> {
+        let waiting = Waiting { node: node.clone(), stream, from, until: now + WAIT };
+        if self.down {
+            return vec![waiting.answer(ReadOutcome::Failed)];
+        }
+        if let Some(outcome) = self.records(&waiting) {
+            return vec![waiting.answer(outcome)];
+        }
+        self.waiting.push(waiting);
+        Vec::new()
+    }
+
+    /// Reads that have waited long enough.
+    pub fn late(&mut self, now: Time) -> Vec<(NodeId, Event)> {
+        let (late, waiting) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|w| w.until <= now);
+        self.waiting = waiting;
+        let late: Vec<Waiting> = late;
+        late.into_iter()
+            .map(|w| {
+                let next = w.from;
+                let outcome = if self.down {
+                    ReadOutcome::Failed
+                } else {
+                    ReadOutcome::Records { records: Vec::new(), next }
+                };
+                w.answer(outcome)
+            })
+            .collect()
+    }
+
+    pub fn append(
+        &mut self,
+        node: &NodeId,
+        stream: StreamName,
+        id: RecordId,
+        data: Bytes,
+    ) -> Vec<(NodeId, Event)> {
+        let appended =
+            |outcome| (node.clone(), Event::Appended { stream: stream.clone(), id, outcome });
+        if self.down {
+            return vec![appended(Err(PlatformError::NotSent))];
+        }
+        let records = self.streams.entry(stream.clone()).or_default();
+        records.push(data);
+        let offset = Offset(records.len() as u64);
+        let outcome = if self.loses_answers { Err(PlatformError::Unknown) } else { Ok(offset) };
+        let mut events = vec![appended(outcome)];
+        for waiting in std::mem::take(&mut self.waiting) {
+            match self.records(&waiting) {
+                Some(outcome) => events.push(waiting.answer(outcome)),
+                None => self.waiting.push(waiting),
+            }
+        }
+        events
+    }
+
+    fn records(&self, waiting: &Waiting) -> Option<ReadOutcome> {
+        let records = self.streams.get(&waiting.stream)?;
+        let first = waiting.from.0.max(1);
+        let numbered =
+            records.iter().enumerate().map(|(i, data)| (Offset(i as u64 + 1), data.clone()));
+        let found: Vec<_> = numbered.filter(|(offset, _)| offset.0 >= first).take(200).collect();
+        let next = Offset(found.last()?.0.0 + 1);
+        Some(ReadOutcome::Records { records: found, next })
+    }
+}
+
+impl Waiting {
+    fn answer(self, outcome: ReadOutcome) -> (NodeId, Event) {
+        (self.node, Event::Read { stream: self.stream, from: self.from, outcome })
+    }
+}
