Choose among the prefix's two engines and a drawn third

Cause: at full load every engine saw nearly every prefix, and an eighth of all slot time went into prompts that another engine had cached.

--- a/crates/dispatch/src/chooser.rs
+++ b/crates/dispatch/src/chooser.rs
@@ -11,7 +11,10 @@
 /// Limits of the engine choice.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ChooserSettings {
-    /// Time that one block found in the prefix cache saves.
+    /// Longer delay that is accepted for each block found in the prefix cache.
+    ///
+    /// Several times what the block saves the request itself: a prefix computed at one more engine
+    /// also takes the place of another prefix there, and slots from the requests behind it.
     pub block_saving: Duration,
     /// Time that an adapter which is loaded saves.
     pub adapter_saving: Duration,
@@ -33,7 +36,7 @@
 impl Default for ChooserSettings {
     fn default() -> Self {
         ChooserSettings {
-            block_saving: Duration::from_millis(4),
+            block_saving: Duration::from_millis(30),
             adapter_saving: Duration::from_millis(40),
             sent_cost: Duration::from_millis(10),
             half_life: Duration::from_secs(1),
@@ -48,7 +51,8 @@
 ///
 /// Load: many entry nodes that choose among the same few replicas on news of different age.
 /// Harm: all find the same one idle and overrun it together; or a slow one gets as much as the
-/// rest. Limit: the better of two, one of them the prefix's own, by the delay that replies carry.
+/// rest. Limit: the best of three by the delay that replies carry: the two upstreams where the
+/// prefix is at home, and one drawn at random, which takes over what is too much for those.
 #[derive(Debug)]
 pub struct Chooser {
     settings: ChooserSettings,
@@ -128,19 +132,17 @@
             candidates.iter().map(|c| self.rank(now, ask, c)).collect();
         ranked.sort_by_key(|r| (r.down, std::cmp::Reverse(r.affinity)));
         let up = ranked.iter().filter(|r| !r.down).count();
-        if let Some(own) = ranked.first_mut() {
-            let saving = self.settings.block_saving * ask.prefix.len() as u32;
-            own.cost = own.cost.saturating_sub(saving);
-        }
-        if up > 2 {
-            // The first is the prefix's own; its rival is drawn anew for each request.
-            let rival = self.rng.random_range(1..up);
-            ranked.swap(1, rival);
-            ranked[2..].sort_by_key(|r| (r.down, r.cost));
+        if up > THIRD {
+            let third = self.rng.random_range(THIRD..up);
+            ranked.swap(THIRD, third);
         }
-        if up > 1 && ranked[1].cost < ranked[0].cost {
-            ranked.swap(0, 1);
+        let saving = self.settings.block_saving * ask.prefix.len() as u32;
+        for (place, r) in ranked[..up].iter_mut().enumerate() {
+            r.cost += saving * place.min(THIRD) as u32;
         }
+        let compared = up.min(THIRD + 1);
+        ranked[..compared].sort_by_key(|r| r.cost);
+        ranked[compared..].sort_by_key(|r| (r.down, r.cost));
         ranked.into_iter().map(|r| r.candidate.upstream.clone()).collect()
     }
 
@@ -170,6 +172,9 @@
     }
 }
 
+/// Place of the upstream that is drawn, after those where the prefix is at home.
+const THIRD: usize = 2;
+
 struct Ranked<'a> {
     candidate: &'a Candidate,
     cost: Duration,
