Count refused requests as load of the engines that hold the model

Cause: at twice capacity both demand and refusals are seen late by the same filter, and engines looked as if they had slots to spare for 8 to 13 moves that gained nothing.

--- a/crates/placement/src/demand/room.rs
+++ b/crates/placement/src/demand/room.rs
@@ -25,7 +25,10 @@
             }
         }
         let spare = |e: &EngineView| {
-            let share = |m: &ModelId| seen.load(m) / holders[m].len() as f64;
+            // Requests refused for want of room show that the holders are full, before the slot
+            // time of those that were served does.
+            let wanted = |m: &ModelId| seen.load(m) + seen.unmet(m) * seen.service(m);
+            let share = |m: &ModelId| wanted(m) / holders[m].len() as f64;
             let used: f64 = e.models.iter().map(|h| share(&h.model)).sum();
             (e.upstream.clone(), (f64::from(e.slots) * fill - used).max(0.0))
         };
