--- a/crates/net/src/upstreams/ask.rs
+++ b/crates/net/src/upstreams/ask.rs
@@ -1,65 +1,43 @@
 //! Calls to upstreams that serve no caller: orders, state and load.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
 use hgw_node::Event;
 use hgw_placement::OrderResult;
 use hgw_types::{Time, UpstreamId};
-use hgw_wire::upstream::{ORDER_TOKEN_HEADER, Order, OrderAnswer, OrderOutcome};
+use hgw_wire::upstream::{ORDER_TOKEN_HEADER, OrderAnswer, OrderOutcome};
 use http::{HeaderValue, StatusCode};
 use serde::de::DeserializeOwned;
 
-use super::{CallError, Upstreams, client};
+use super::body::Gate;
+use super::{CallError, GivenOrder, Upstreams, client};
 
 /// Largest answer to a state call: thousands of models and adapters.
 const MAX_STATE: usize = 4 << 20;
 
-/// How an order may be sent.
-#[derive(Debug)]
-pub(super) struct OrderLimits {
-    /// Whether the order token goes with it.
-    pub(super) token: bool,
-    /// Never to be sent after this.
-    pub(super) send_by: Instant,
-    /// Longest wait for the answer.
-    pub(super) timeout: Duration,
-}
-
 /// Sends an order and reports what became of it.
-pub(super) async fn order(
-    cx: Arc<Upstreams>,
-    upstream: UpstreamId,
-    addr: String,
-    order: Order,
-    limits: OrderLimits,
-) {
-    let result = match send_order(&cx, &addr, &order, &limits).await {
+pub(super) async fn order(cx: Arc<Upstreams>, given: Box<GivenOrder>) {
+    let gate = Gate::new(cx.start + given.send_by.since(Time::ZERO));
+    let result = match send_order(&cx, &given, gate.clone()).await {
         Ok(result) => result,
         Err(CallError::NotSent(_)) => OrderResult::NotSent,
+        Err(_) if gate.has_held_back() => OrderResult::NotSent,
         Err(_) => OrderResult::Lost,
     };
+    let GivenOrder { upstream, order, .. } = *given;
     cx.inbox.deliver(Event::OrderAnswer { upstream, order: order.id, result }).await;
 }
 
-async fn send_order(
-    cx: &Upstreams,
-    addr: &str,
-    order: &Order,
-    limits: &OrderLimits,
-) -> client::Result<OrderResult> {
-    let mut req = client::post_json(addr, "/orders", order)?;
-    if limits.token {
+async fn send_order(cx: &Upstreams, given: &GivenOrder, gate: Gate) -> client::Result<OrderResult> {
+    let GivenOrder { addr, order, token, timeout, .. } = given;
+    let req = client::post_json(addr, "/orders", order)?;
+    let mut req = req.map(|body| body.behind(gate));
+    if *token {
         let value = HeaderValue::from_bytes(&cx.order_token)
             .map_err(|e| CallError::NotSent(e.to_string()))?;
         req.headers_mut().insert(ORDER_TOKEN_HEADER, value);
     }
-    // A process that stood still with the order in hand may have been superseded meanwhile: its
-    // successor counts on no order being sent this late.
-    if Instant::now() > limits.send_by {
-        return Err(CallError::NotSent("the order is too old to be sent".into()));
-    }
-    let (status, body) = cx.pooled.call(req, limits.timeout, MAX_STATE).await?;
+    let (status, body) = cx.pooled.call(req, *timeout, MAX_STATE).await?;
     if matches!(status, StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN) {
         let reason = "the engine does not accept the order token".into();
         return Ok(OrderResult::Answered(OrderOutcome::Refused { reason }));
