--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -52,7 +53,7 @@
 /// A client whose calls block the thread. Each call has a connection of its own.
 #[derive(Debug)]
 pub struct Caller {
-    runtime: Runtime,
+    runtime: Arc<Runtime>,
     addr: SocketAddr,
 }
 
@@ -79,7 +80,7 @@
     pub fn new(addr: SocketAddr) -> Result<Caller> {
         let runtime =
             tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(error)?;
-        Ok(Caller { runtime, addr })
+        Ok(Caller { runtime: Arc::new(runtime), addr })
     }
 
     /// Sends a request and waits for the whole answer.
@@ -126,13 +127,14 @@
         path: &str,
         headers: &[(&str, &str)],
         value: &impl Serialize,
-    ) -> Result<Events<'_>> {
+    ) -> Result<Events> {
         let body = serde_json::to_vec(value).map_err(error)?;
         let mut all = vec![("content-type", "application/json")];
         all.extend_from_slice(headers);
         let answer = self.begin(Method::POST, path, &all, body.into())?;
         let (status, headers) = (answer.status(), answer.headers().clone());
-        Ok(Events { caller: self, status, headers, body: answer.into_body(), buf: BytesMut::new() })
+        let runtime = Arc::clone(&self.runtime);
+        Ok(Events { runtime, status, headers, body: answer.into_body(), buf: BytesMut::new() })
     }
 
     /// Puts faults in force at a stand-in.
@@ -165,18 +167,24 @@
         &self,
         work: impl Future<Output = std::result::Result<T, E>>,
     ) -> Result<T> {
-        let guarded = async { tokio::time::timeout(GUARD, work).await };
-        match self.runtime.block_on(guarded) {
-            Ok(outcome) => outcome.map_err(error),
-            Err(_) => Err(CallError("no answer within the guard time".into())),
-        }
+        guarded(&self.runtime, work)
+    }
+}
+
+fn guarded<T, E: std::error::Error>(
+    runtime: &Runtime,
+    work: impl Future<Output = std::result::Result<T, E>>,
+) -> Result<T> {
+    match runtime.block_on(async { tokio::time::timeout(GUARD, work).await }) {
+        Ok(outcome) => outcome.map_err(error),
+        Err(_) => Err(CallError("no answer within the guard time".into())),
     }
 }
 
 /// An answer that comes as server-sent events.
 #[derive(Debug)]
-pub struct Events<'a> {
-    caller: &'a Caller,
+pub struct Events {
+    runtime: Arc<Runtime>,
     /// HTTP status.
     pub status: StatusCode,
     /// Headers.
@@ -188,7 +196,7 @@
 /// Empty line that ends an event.
 const EVENT_END: &[u8] = b"\n\n";
 
-impl Events<'_> {
+impl Events {
     /// The data of the next event, or nothing at the end of the answer.
     pub fn next_event(&mut self) -> Result<Option<String>> {
         loop {
@@ -214,7 +222,6 @@
     /// The data of the next event if it comes within `time`; nothing where the answer ends or
     /// breaks.
     pub fn next_within(&mut self, time: Duration) -> Option<String> {
-        let caller = self.caller;
         let started = Instant::now();
         loop {
             if let Some(event) = self.take_event() {
@@ -223,7 +230,7 @@
             let left = time.checked_sub(started.elapsed())?;
             let frame = self.body.frame();
             let wait = async { tokio::time::timeout(left, frame).await };
-            let frame = caller.runtime.block_on(wait).ok()??.ok()?;
+            let frame = self.runtime.block_on(wait).ok()??.ok()?;
             self.buf.extend_from_slice(frame.data_ref()?);
         }
     }
@@ -235,9 +242,9 @@
     }
 
     fn more(&mut self) -> Result<bool> {
-        let caller = self.caller;
         let frame = self.body.frame();
-        let Some(frame) = caller.wait(async { Ok::<_, CallError>(frame.await) })? else {
+        let wait = async { Ok::<_, CallError>(frame.await) };
+        let Some(frame) = guarded(&self.runtime, wait)? else {
             return Ok(false);
         };
         if let Some(data) = frame.map_err(error)?.data_ref() {
--- /dev/null
+++ b/crates/standins/src/cluster/mod.rs
@@ -0,0 +1,189 @@
+//! Nodes as processes of their own, before a deployment of stand-ins: for tests and measurements.
+
+mod chat;
+mod node;
+
+use std::fmt;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use hgw_config::Document;
+use hgw_types::{DomainId, NodeId};
+use hgw_wire::platform::{Vm, VmList};
+use http::Method;
+
+use crate::client::{CallError, Caller, GUARD};
+use crate::deployment::{self, Deployment, name};
+use crate::engine;
+
+pub use chat::{Chat, ChatStream, Message, Question};
+pub use node::{Addrs, Node, ORDER_TOKEN, Signal};
+
+/// Outcome of work with a cluster.
+pub type Result<T> = std::result::Result<T, ClusterError>;
+
+/// Why a cluster does not do what it was asked for.
+#[derive(Debug)]
+pub enum ClusterError {
+    /// A process or a listener of the stand-ins cannot be started.
+    Start(io::Error),
+    /// A call had no answer.
+    Call(CallError),
+    /// The operators' command line failed.
+    Operator(String),
+    /// Something awaited did not come about.
+    NotYet(String),
+}
+
+impl fmt::Display for ClusterError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ClusterError::Start(e) => write!(f, "cannot start: {e}"),
+            ClusterError::Call(e) => write!(f, "no answer: {e}"),
+            ClusterError::Operator(text) => write!(f, "operator's call failed: {text}"),
+            ClusterError::NotYet(what) => write!(f, "did not come about: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for ClusterError {}
+
+impl From<io::Error> for ClusterError {
+    fn from(e: io::Error) -> Self {
+        ClusterError::Start(e)
+    }
+}
+
+impl From<CallError> for ClusterError {
+    fn from(e: CallError) -> Self {
+        ClusterError::Call(e)
+    }
+}
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The program.
+    pub program: PathBuf,
+    /// Nodes: name and failure domain of each.
+    pub nodes: Vec<(&'static str, &'static str)>,
+    /// The stand-ins.
+    pub deployment: deployment::Settings,
+    /// Further arguments of each node.
+    pub arguments: Vec<String>,
+}
+
+impl Settings {
+    /// Two nodes in one failure domain and one in another, of the program at `program`.
+    pub fn new(program: &str) -> Settings {
+        Settings {
+            program: Path::new(program).to_owned(),
+            nodes: vec![("a1", "stgo-a"), ("a2", "stgo-a"), ("b1", "stgo-b")],
+            deployment: deployment::Settings {
+                engine: engine::Settings {
+                    order_token: Some(ORDER_TOKEN.into()),
+                    ..engine::Settings::default()
+                },
+                ..deployment::Settings::default()
+            },
+            arguments: Vec::new(),
+        }
+    }
+}
+
+/// Nodes and stand-ins at work.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The stand-ins.
+    pub deployment: Deployment,
+    /// The nodes.
+    pub nodes: Vec<Node>,
+    settings: Settings,
+}
+
+impl Cluster {
+    /// Starts everything, puts the deployment's configuration in force and waits until every model
+    /// and service is served through every node.
+    pub fn start(settings: Settings) -> Result<Cluster> {
+        let cluster = Cluster::start_bare(settings)?;
+        cluster.apply(0, 0, &cluster.deployment.document)?;
+        cluster.wait_served()?;
+        Ok(cluster)
+    }
+
+    /// Starts everything, without any configuration.
+    pub fn start_bare(settings: Settings) -> Result<Cluster> {
+        let deployment = deployment::start(&settings.deployment)?;
+        let mut cluster = Cluster { deployment, nodes: Vec::new(), settings };
+        for (id, domain) in cluster.settings.nodes.clone() {
+            let node = cluster.start_node(id, domain)?;
+            cluster.nodes.push(node);
+        }
+        cluster.list_vms()?;
+        for node in &cluster.nodes {
+            node.wait_up()?;
+        }
+        Ok(cluster)
+    }
+
+    /// Starts one more node.
+    pub fn start_node(&self, id: &str, domain: &str) -> Result<Node> {
+        let platform = self.deployment.platform.addr();
+        Node::start(&self.settings.program, id, domain, platform, &self.settings.arguments)
+    }
+
+    /// Tells the platform's list of VMs which nodes there are.
+    pub fn list_vms(&self) -> Result<()> {
+        let vm = |node: &Node| Vm {
+            node: name::<NodeId>(&node.id),
+            domain: name::<DomainId>(&node.domain),
+            addr: node.addrs.peers.to_string(),
+            leaving: false,
+        };
+        let list =
+            VmList { vms: self.nodes.iter().map(vm).collect(), leaving_upstreams: Vec::new() };
+        let body = serde_json::to_vec(&list).map_err(io::Error::from)?;
+        Caller::new(self.deployment.platform.addr())?.call(Method::PUT, "/vms", &[], body)?;
+        Ok(())
+    }
+
+    /// Publishes `document` through node number `node`, as made from version `base`; gives the new
+    /// version.
+    pub fn apply(&self, node: usize, base: u64, document: &Document) -> Result<u64> {
+        self.nodes[node].apply(base, document)
+    }
+
+    /// Waits until every model answers through every node.
+    pub fn wait_served(&self) -> Result<()> {
+        for node in &self.nodes {
+            for (model, _) in &self.settings.deployment.models {
+                let question = Question::new(model, "are you there", 1);
+                wait(&format!("{model} is served through {}", node.id), || {
+                    node.chat(&question).is_ok_and(|chat| chat.whole)
+                })?;
+            }
+        }
+        Ok(())
+    }
+
+    /// A client for a stand-in.
+    pub fn standin(&self, addr: std::net::SocketAddr) -> Result<Caller> {
+        Ok(Caller::new(addr)?)
+    }
+}
+
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Waits until `condition` holds; the bound only guards against hanging.
+pub fn wait(what: &str, mut condition: impl FnMut() -> bool) -> Result<()> {
+    let started = Instant::now();
+    while !condition() {
+        if started.elapsed() > GUARD {
+            return Err(ClusterError::NotYet(what.to_owned()));
+        }
+        std::thread::sleep(LOOK);
+    }
+    Ok(())
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 //! They serve tests, the demo and measurements. They are not shipped.
 
 pub mod client;
+pub mod cluster;
 pub mod command;
 pub mod deployment;
 pub mod engine;
--- a/crates/standins/tests/standins/engine.rs
+++ b/crates/standins/tests/standins/engine.rs
@@ -197,7 +197,7 @@
 }
 
 /// What was under way when the connection went silent may still come; then nothing does.
-fn until_silent(stream: &mut hgw_standins::client::Events<'_>, mut last: Option<String>) {
+fn until_silent(stream: &mut hgw_standins::client::Events, mut last: Option<String>) {
     let mut more = 0;
     while last.is_some() {
         more += 1;
