--- a/crates/standins/src/cluster/chat.rs
+++ b/crates/standins/src/cluster/chat.rs
@@ -52,6 +52,11 @@
         self
     }
 
+    /// Asks it; the answer is read bit by bit.
+    pub fn open(&self, caller: &Caller) -> Result<ChatStream> {
+        ChatStream::open(caller, self)
+    }
+
     /// The whole answer as version `version` of the model gives it.
     pub fn expected(&self, version: &str) -> String {
         let (model, adapter) = match self.model.split_once(':') {
@@ -100,7 +105,7 @@
 }
 
 impl ChatStream {
-    pub(super) fn open(caller: &Caller, question: &Question) -> Result<ChatStream> {
+    fn open(caller: &Caller, question: &Question) -> Result<ChatStream> {
         let headers: Vec<(&str, &str)> =
             question.headers.iter().map(|(name, value)| (*name, value.as_str())).collect();
         let events = caller.stream("/v1/chat/completions", &headers, question)?;
--- a/crates/standins/src/cluster/node.rs
+++ b/crates/standins/src/cluster/node.rs
@@ -120,7 +120,7 @@
 
     /// Asks a model; the answer is read bit by bit.
     pub fn open_chat(&self, question: &Question) -> Result<ChatStream> {
-        ChatStream::open(&self.caller()?, question)
+        question.open(&self.caller()?)
     }
 
     /// Calls a plain service.
--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -27,11 +27,7 @@
 #[derive(Debug, Clone)]
 pub struct Settings {
     /// Failure domains, all in one region.
-    pub domains: Vec<&'static str>,
-    /// Engines in each domain.
-    pub engines: usize,
-    /// Plain services in each domain.
-    pub plains: usize,
+    pub domains: Vec<DomainSettings>,
     /// Models and their sizes.
     pub models: Vec<(&'static str, u64)>,
     /// Settings of each engine; its address and weight store are filled in.
@@ -46,12 +42,28 @@
     pub urgent_ms: u64,
 }
 
+/// A failure domain and its upstreams.
+#[derive(Debug, Clone, Copy)]
+pub struct DomainSettings {
+    /// Its id.
+    pub id: &'static str,
+    /// Engines in it.
+    pub engines: usize,
+    /// Plain services in it.
+    pub plains: usize,
+}
+
+impl DomainSettings {
+    /// A domain with so many engines and plain services.
+    pub fn new(id: &'static str, engines: usize, plains: usize) -> DomainSettings {
+        DomainSettings { id, engines, plains }
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            domains: vec!["stgo-a", "stgo-b"],
-            engines: 1,
-            plains: 1,
+            domains: vec![DomainSettings::new("stgo-a", 1, 1), DomainSettings::new("stgo-b", 1, 1)],
             models: vec![("rules", 50), ("notes", 50)],
             engine: engine::Settings::default(),
             plain: plain::Settings::default(),
@@ -88,15 +100,17 @@
     let weights = weights::start(settings.weights.clone())?;
     let mut document = describe(settings);
     let (mut engines, mut plains) = (IndexMap::new(), IndexMap::new());
-    for domain in &settings.domains {
-        for n in 1..=settings.engines {
+    for DomainSettings { id: domain, engines: engine_count, plains: plain_count } in
+        &settings.domains
+    {
+        for n in 1..=*engine_count {
             let id: UpstreamId = name(&format!("engine-{domain}-{n}"));
             let weights = Some(weights.addr());
             let engine = engine::start(engine::Settings { weights, ..settings.engine.clone() })?;
             document.upstreams.insert(id.clone(), engine_entry(settings, domain, engine.addr()));
             engines.insert(id, engine);
         }
-        for n in 1..=settings.plains {
+        for n in 1..=*plain_count {
             let id: UpstreamId = name(&format!("plain-{domain}-{n}"));
             let plain = plain::start(settings.plain.clone())?;
             document.upstreams.insert(id.clone(), plain_entry(domain, plain.addr()));
@@ -108,7 +122,7 @@
 
 /// The configuration without its upstreams.
 fn describe(settings: &Settings) -> Document {
-    let domain = |id: &&str| (name(id), Domain { region: name("cl-central") });
+    let domain = |d: &DomainSettings| (name(d.id), Domain { region: name("cl-central") });
     let mut services = IndexMap::new();
     services.insert(name(MODEL_SERVICE), model_service(settings));
     services.insert(name(PLAIN_SERVICE), plain_service(settings));
