--- a/crates/net/src/settings.rs
+++ b/crates/net/src/settings.rs
@@ -121,6 +121,8 @@
     pub connect: Duration,
     /// Longest time of an unused connection.
     pub idle: Duration,
+    /// The same for calls that may not be repeated.
+    pub idle_unrepeatable: Duration,
     /// Unused connections kept for each upstream.
     pub idle_connections: usize,
     /// Longest wait for the answer to a state, load or cancel call.
@@ -139,6 +141,7 @@
             attempts: 8192,
             connect: Duration::from_secs(1),
             idle: Duration::from_secs(10),
+            idle_unrepeatable: Duration::from_secs(1),
             idle_connections: 64,
             call: Duration::from_secs(2),
             event: 64 << 10,
@@ -191,7 +194,7 @@
     /// How long a read waits at the log for the first record.
     pub read_wait: Duration,
     /// Records of one read.
-    pub batch: u32,
+    pub batch: usize,
     /// Appends to one stream that may wait.
     pub waiting: usize,
     /// Bytes of an answer.
@@ -204,7 +207,7 @@
             connect: Duration::from_secs(1),
             call: Duration::from_secs(2),
             read_wait: Duration::from_secs(1),
-            batch: 512,
+            batch: hgw_wire::platform::MAX_BATCH,
             waiting: 1024,
             answer: 64 << 20,
         }
