--- a/crates/node/tests/support/caller.rs
+++ b/crates/node/tests/support/caller.rs
@@ -6,45 +6,41 @@
 
 /// What callers have been given.
 #[derive(Default)]
-pub struct Callers {
+pub(crate) struct Callers {
     streams: IndexMap<StreamId, Caller>,
 }
 
 #[derive(Default)]
-pub struct Caller {
+pub(crate) struct Caller {
     attempt: Option<AttemptId>,
-    pub tokens: Vec<Arc<str>>,
-    pub answer: Option<Answer>,
+    pub(crate) tokens: Vec<Arc<str>>,
+    pub(crate) answer: Option<Answer>,
 }
 
 impl Callers {
-    pub fn open(&mut self, stream: StreamId) {
+    pub(crate) fn open(&mut self, stream: StreamId) {
         self.streams.insert(stream, Caller::default());
     }
 
-    pub fn get(&self, stream: StreamId) -> &Caller {
-        &self.streams[&stream]
-    }
-
-    pub fn attach(&mut self, stream: StreamId, attempt: AttemptId) {
+    pub(crate) fn attach(&mut self, stream: StreamId, attempt: AttemptId) {
         self.streams[&stream].attempt = Some(attempt);
     }
 
-    pub fn seal(&mut self, stream: StreamId) -> Vec<Arc<str>> {
+    pub(crate) fn seal(&mut self, stream: StreamId) -> Vec<Arc<str>> {
         let caller = &mut self.streams[&stream];
         caller.attempt = None;
         caller.tokens.clone()
     }
 
     /// A token arrives; it counts where the attempt is attached and nothing is missing before it.
-    pub fn token(&mut self, attempt: AttemptId, index: u32) {
+    pub(crate) fn token(&mut self, attempt: AttemptId, index: u32) {
         let caller = self.streams.values_mut().find(|c| c.attempt == Some(attempt));
         if let Some(caller) = caller.filter(|c| c.tokens.len() == index as usize) {
             caller.tokens.push(format!("t{index}").into());
         }
     }
 
-    pub fn answer(&mut self, stream: StreamId, answer: Answer) -> String {
+    pub(crate) fn answer(&mut self, stream: StreamId, answer: Answer) -> String {
         let caller = &mut self.streams[&stream];
         assert!(caller.answer.is_none(), "caller {stream} is answered twice");
         let line = match &answer {
--- a/crates/node/tests/support/document.rs
+++ b/crates/node/tests/support/document.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use bytes::Bytes;
 use hgw_config::Document;
 use hgw_node::{CallerRequest, CallerWork};
@@ -10,7 +8,7 @@
 
 /// Two failure domains of one region, each with an engine that has room for both models, and a plain
 /// service's back end.
-pub const DOCUMENT: &str = r#"{
+pub(crate) const DOCUMENT: &str = r#"{
   "domains": {"d1": {"region": "r"}, "d2": {"region": "r"}},
   "services": {
     "chat": {
@@ -33,12 +31,12 @@
   "weight_store": {"loads_per_second": 10.0, "parallel": 8}
 }"#;
 
-pub fn document() -> Document {
+pub(crate) fn document() -> Document {
     hgw_config::parse(DOCUMENT.as_bytes()).unwrap()
 }
 
 /// A request for 8 tokens of a model.
-pub fn chat(model: &str) -> CallerRequest {
+pub(crate) fn chat(model: &str) -> CallerRequest {
     CallerRequest {
         id: name("r1"),
         class: None,
@@ -54,7 +52,7 @@
 }
 
 /// A call of the plain service, with a key where one is given.
-pub fn post(key: Option<&str>) -> CallerRequest {
+pub(crate) fn post(key: Option<&str>) -> CallerRequest {
     let work = PlainWork {
         method: "POST".to_owned(),
         path: "/voucher".to_owned(),
@@ -64,8 +62,3 @@
     let work = CallerWork::Plain { service: name("ledger"), work };
     CallerRequest { id: name("r1"), class: None, deadline: None, key: key.map(name), work }
 }
-
-/// A call that asks for an answer within a time of its own.
-pub fn within(request: CallerRequest, deadline: Duration) -> CallerRequest {
-    CallerRequest { deadline: Some(deadline), ..request }
-}
--- a/crates/node/tests/support/engine.rs
+++ b/crates/node/tests/support/engine.rs
@@ -8,30 +8,30 @@
 
 /// Model engines and plain services, which do at once what they are told.
 #[derive(Default)]
-pub struct Engines {
-    pub states: IndexMap<UpstreamId, EngineState>,
-    pub dead: IndexSet<UpstreamId>,
-    pub leaving: IndexSet<UpstreamId>,
+pub(crate) struct Engines {
+    pub(crate) states: IndexMap<UpstreamId, EngineState>,
+    pub(crate) dead: IndexSet<UpstreamId>,
+    pub(crate) leaving: IndexSet<UpstreamId>,
     /// Orders that would have held more than the engine has.
-    pub overcommits: u32,
+    pub(crate) overcommits: u32,
 }
 
 impl Engines {
-    pub fn add(&mut self, upstream: &UpstreamId, memory: MemSize) {
+    pub(crate) fn add(&mut self, upstream: &UpstreamId, memory: MemSize) {
         let state = EngineState { generation: Generation(1), memory, ..EngineState::default() };
         self.states.insert(upstream.clone(), state);
     }
 
-    pub fn state(&self, upstream: &UpstreamId) -> Option<EngineState> {
+    pub(crate) fn state(&self, upstream: &UpstreamId) -> Option<EngineState> {
         self.states.get(upstream).filter(|_| !self.dead.contains(upstream)).cloned()
     }
 
-    pub fn load(&self, upstream: &UpstreamId) -> Option<LoadReport> {
+    pub(crate) fn load(&self, upstream: &UpstreamId) -> Option<LoadReport> {
         let leaving = self.leaving.contains(upstream);
         (!self.dead.contains(upstream)).then(|| LoadReport { leaving, ..LoadReport::default() })
     }
 
-    pub fn order(&mut self, upstream: &UpstreamId, order: &Order) -> Option<OrderResult> {
+    pub(crate) fn order(&mut self, upstream: &UpstreamId, order: &Order) -> Option<OrderResult> {
         if self.dead.contains(upstream) {
             return Some(OrderResult::Lost);
         }
@@ -74,14 +74,14 @@
 }
 
 /// Tokens that a request says its caller has.
-pub fn resumed(work: &Work) -> u32 {
+pub(crate) fn resumed(work: &Work) -> u32 {
     match work {
         Work::Model(work) => work.resume.len() as u32,
         Work::Plain(_) => 0,
     }
 }
 
-pub fn describe(kind: &OrderKind) -> String {
+pub(crate) fn describe(kind: &OrderKind) -> String {
     match kind {
         OrderKind::Fence => "fence".to_owned(),
         OrderKind::Load { model, version, size } => format!("load {model}@{version} of {size}"),
--- a/crates/node/tests/support/log.rs
+++ b/crates/node/tests/support/log.rs
@@ -10,12 +10,12 @@
 
 /// The platform's log.
 #[derive(Default)]
-pub struct Log {
+pub(crate) struct Log {
     streams: IndexMap<StreamName, Vec<Bytes>>,
     waiting: Vec<Waiting>,
-    pub down: bool,
+    pub(crate) down: bool,
     /// Appends take effect, and their answers are lost.
-    pub loses_answers: bool,
+    pub(crate) loses_answers: bool,
 }
 
 struct Waiting {
@@ -26,7 +26,7 @@
 }
 
 impl Log {
-    pub fn read(
+    pub(crate) fn read(
         &mut self,
         now: Time,
         node: &NodeId,
@@ -45,7 +45,7 @@
     }
 
     /// Reads that have waited long enough.
-    pub fn late(&mut self, now: Time) -> Vec<(NodeId, Event)> {
+    pub(crate) fn late(&mut self, now: Time) -> Vec<(NodeId, Event)> {
         let (late, waiting) =
             std::mem::take(&mut self.waiting).into_iter().partition(|w| w.until <= now);
         self.waiting = waiting;
@@ -63,7 +63,7 @@
             .collect()
     }
 
-    pub fn append(
+    pub(crate) fn append(
         &mut self,
         node: &NodeId,
         stream: StreamName,
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -2,7 +2,7 @@
 //! are a few lines each; a test says what happens and the transcript says what followed.
 
 mod caller;
-pub mod document;
+pub(crate) mod document;
 mod engine;
 mod log;
 
@@ -24,27 +24,26 @@
 const TICK: Duration = Duration::from_millis(10);
 
 /// An attempt that an upstream works on.
-pub struct Running {
-    pub node: NodeId,
-    pub upstream: UpstreamId,
-    pub sink: hgw_node::Sink,
+pub(crate) struct Running {
+    pub(crate) node: NodeId,
+    pub(crate) upstream: UpstreamId,
     /// Tokens that were given with the request.
-    pub resumed: u32,
+    pub(crate) resumed: u32,
 }
 
 /// Nodes, their surroundings, and what happened.
-pub struct World {
-    pub now: Time,
-    pub nodes: IndexMap<NodeId, Node>,
-    pub log: Log,
-    pub engines: Engines,
-    pub callers: Callers,
-    pub running: IndexMap<AttemptId, Running>,
-    pub leaving_upstreams: Vec<UpstreamId>,
-    pub transcript: Vec<String>,
-    pub replies: Vec<OperatorReply>,
+pub(crate) struct World {
+    pub(crate) now: Time,
+    pub(crate) nodes: IndexMap<NodeId, Node>,
+    pub(crate) log: Log,
+    pub(crate) engines: Engines,
+    pub(crate) callers: Callers,
+    pub(crate) running: IndexMap<AttemptId, Running>,
+    pub(crate) leaving_upstreams: Vec<UpstreamId>,
+    pub(crate) transcript: Vec<String>,
+    pub(crate) replies: Vec<OperatorReply>,
     /// Nodes that are given nothing until they are thawed.
-    pub frozen: IndexSet<NodeId>,
+    pub(crate) frozen: IndexSet<NodeId>,
     domains: IndexMap<NodeId, hgw_types::DomainId>,
     connected: IndexSet<(NodeId, NodeId)>,
     queue: VecDeque<(NodeId, Event)>,
@@ -52,13 +51,13 @@
     names: IndexMap<AttemptId, usize>,
 }
 
-pub fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+pub(crate) fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
     text.parse().unwrap()
 }
 
 impl World {
     /// Starts nodes, given as `node@domain`.
-    pub fn start(nodes: &[&str]) -> World {
+    pub(crate) fn start(nodes: &[&str]) -> World {
         let mut world = World {
             now: Time::ZERO,
             nodes: IndexMap::new(),
@@ -81,7 +80,7 @@
     }
 
     /// Starts one more node, given as `node@domain`.
-    pub fn add(&mut self, node: &str) {
+    pub(crate) fn add(&mut self, node: &str) {
         let (id, domain) = node.split_once('@').unwrap();
         let boot = 1000 + self.domains.len() as u64;
         let settings = Settings::new(name(id), name(domain), format!("{id}:1"), boot);
@@ -90,7 +89,7 @@
     }
 
     /// Lets time pass.
-    pub fn run(&mut self, millis: u64) {
+    pub(crate) fn run(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
         while self.now < end {
             self.now += TICK;
@@ -106,7 +105,7 @@
     }
 
     /// Runs until something holds, for at most a minute of virtual time.
-    pub fn run_until(&mut self, what: &str, holds: impl Fn(&World) -> bool) {
+    pub(crate) fn run_until(&mut self, what: &str, holds: impl Fn(&World) -> bool) {
         for _ in 0..6000 {
             if holds(self) {
                 return;
@@ -117,7 +116,7 @@
     }
 
     /// The node ends at once; its peers learn it from their connections.
-    pub fn kill(&mut self, node: &str) {
+    pub(crate) fn kill(&mut self, node: &str) {
         let node: NodeId = name(node);
         self.say(format!("{node} is killed"));
         self.nodes.shift_remove(&node);
@@ -126,7 +125,7 @@
     }
 
     /// All connections of a node break.
-    pub fn cut(&mut self, node: &NodeId) {
+    pub(crate) fn cut(&mut self, node: &NodeId) {
         let lost: Vec<_> =
             self.connected.iter().filter(|(a, b)| a == node || b == node).cloned().collect();
         for (a, b) in lost {
@@ -139,7 +138,7 @@
     }
 
     /// A caller sends a request through a node.
-    pub fn call(&mut self, node: &str, request: hgw_node::CallerRequest) -> StreamId {
+    pub(crate) fn call(&mut self, node: &str, request: hgw_node::CallerRequest) -> StreamId {
         self.streams += 1;
         let stream = StreamId(self.streams);
         self.say(format!("caller {stream} asks {node}"));
@@ -149,20 +148,20 @@
         stream
     }
 
-    pub fn operate(&mut self, node: &str, request: OperatorRequest) {
+    pub(crate) fn operate(&mut self, node: &str, request: OperatorRequest) {
         let call = hgw_node::CallId(self.replies.len() as u64);
         self.give(&name(node), Event::Operator { call, request });
         self.settle();
     }
 
-    pub fn stop(&mut self, node: &str) {
+    pub(crate) fn stop(&mut self, node: &str) {
         self.say(format!("{node} is told to stop"));
         self.give(&name(node), Event::Stop);
         self.settle();
     }
 
     /// The upstream emits tokens for every attempt that it works on.
-    pub fn emit(&mut self, tokens: u32) {
+    pub(crate) fn emit(&mut self, tokens: u32) {
         let attempts: Vec<AttemptId> = self.running.keys().copied().collect();
         for attempt in attempts {
             let (node, from) =
@@ -177,14 +176,14 @@
     }
 
     /// Every attempt ends with `outcome`.
-    pub fn end_all(&mut self, outcome: &Outcome) {
+    pub(crate) fn end_all(&mut self, outcome: &Outcome) {
         let attempts: Vec<AttemptId> = self.running.keys().copied().collect();
         for attempt in attempts {
             self.end(attempt, outcome.clone(), None);
         }
     }
 
-    pub fn end(
+    pub(crate) fn end(
         &mut self,
         attempt: AttemptId,
         outcome: Outcome,
@@ -195,12 +194,12 @@
         self.settle();
     }
 
-    pub fn say(&mut self, line: String) {
+    pub(crate) fn say(&mut self, line: String) {
         self.transcript.push(line);
     }
 
     /// Gives an event to a node, unless it is frozen or gone.
-    pub fn give(&mut self, node: &NodeId, event: Event) {
+    pub(crate) fn give(&mut self, node: &NodeId, event: Event) {
         if self.frozen.contains(node) {
             if !matches!(event, Event::Tick) {
                 self.queue.push_back((node.clone(), event));
@@ -248,14 +247,13 @@
                 let line = self.callers.answer(stream, answer);
                 self.say(line);
             }
-            Action::Start { attempt, upstream, work, sink, .. } => {
+            Action::Start { attempt, upstream, work, .. } => {
                 let resumed = engine::resumed(&work);
                 let number = self.number(attempt);
                 self.say(format!(
                     "{node} starts attempt {number} at {upstream}, from token {resumed}"
                 ));
-                self.running
-                    .insert(attempt, Running { node: node.clone(), upstream, sink, resumed });
+                self.running.insert(attempt, Running { node: node.clone(), upstream, resumed });
             }
             Action::Cancel { attempt } => {
                 let number = self.number(attempt);
