Bound a resumed stream by time, not by tries that bring nothing; exit 1 after a forced end

Cause: each try at an engine that is dead but still routed counted as a move; five were used up in half a second, long before the keeper had loaded the model elsewhere. Ruled out: more moves, which only shifts the point. The process that is ended by a second signal, or by a broken thread, exits with 1.

--- a/crates/hibiscusgw/src/error.rs
+++ b/crates/hibiscusgw/src/error.rs
@@ -39,6 +39,13 @@
     #[display("cannot wait for signals: {_0}")]
     #[from(skip)]
     Signals(std::io::Error),
+    /// The process ended before its planned stop was done.
+    #[display("the process ended early: {}", match _0 {
+        hgw_net::Exit::Broken => "a thread broke an invariant",
+        _ => "it was told to end at once",
+    })]
+    #[from(skip)]
+    NotFinished(hgw_net::Exit),
     /// Results cannot be printed.
     #[display("cannot print: {_0}")]
     Print(std::io::Error),
--- a/crates/hibiscusgw/src/serve.rs
+++ b/crates/hibiscusgw/src/serve.rs
@@ -3,7 +3,7 @@
 use std::thread;
 
 use hgw_events::{Event, emit};
-use hgw_net::{Addrs, CallerLimits, Running};
+use hgw_net::{Addrs, CallerLimits, Exit, Running};
 use hgw_node::Node;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -77,9 +77,13 @@
     let stopper = running.stopper();
     let node = settings.node.clone();
     thread::spawn(move || stop_on_signals(signals, &stopper, &node));
-    running.wait();
-    emit(Event::ProcessStopped, &[("node", &settings.node)]);
-    Ok(())
+    match running.wait() {
+        Exit::Stopped => {
+            emit(Event::ProcessStopped, &[("node", &settings.node)]);
+            Ok(())
+        }
+        exit @ (Exit::Killed | Exit::Broken) => Err(Error::NotFinished(exit)),
+    }
 }
 
 fn stop_on_signals(mut signals: Signals, stopper: &hgw_net::Stopper, node: &hgw_types::NodeId) {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -25,8 +25,8 @@
 /// gives up at the deadline itself; one that says nothing is cut off or frozen.
 const DISPATCHER_GRACE: Duration = Duration::from_millis(250);
 
-/// Times that a request goes on elsewhere after what worked on it was lost. More than this and it is
-/// more likely that the request itself breaks upstreams.
+/// Times that a request goes on elsewhere after it broke off with something new delivered. More than
+/// this and it is more likely that the request itself breaks upstreams.
 const MAX_MOVES: u8 = 5;
 
 /// All requests of callers at this node.
@@ -198,8 +198,7 @@
     /// run, and a second run would double it, so its caller is told at once.
     fn on_broken(&mut self, cx: &mut Context<'_>, stream: StreamId, free: bool) {
         let Some(open) = self.open.get_mut(&stream) else { return };
-        open.moves += 1;
-        if open.is_idempotent() && open.moves <= MAX_MOVES {
+        if open.is_idempotent() && open.moves < MAX_MOVES {
             self.seal(cx, stream, free);
         } else {
             self.fail(cx, stream, failure::broken(Ran::MayHaveRun));
@@ -229,8 +228,10 @@
     ) {
         let Some(open) = self.open.get_mut(&stream) else { return };
         let Phase::Sealing { free } = open.phase else { return };
+        let mut has_moved_on = false;
         match &mut open.task {
             Task::Model { delivered, max_tokens, .. } => {
+                has_moved_on = tokens.len() > delivered.len();
                 *delivered = tokens;
                 if delivered.len() >= max_tokens.0 as usize {
                     self.finish(cx, stream, Answer::Whole);
@@ -248,9 +249,14 @@
             return;
         }
         open.hops = 0;
-        let left = open.deadline.since(cx.now);
-        let patience = if open.has_begun() { left.max(cx.settings.resume_wait) } else { left };
-        open.look_until = Some(cx.now + patience);
+        // A try that brought nothing new is bounded by the time since the last that did: the engine may
+        // be dead, and its keeper needs longer than a few tries to find out.
+        if has_moved_on || open.look_until.is_none() {
+            open.moves += u8::from(has_moved_on);
+            let left = open.deadline.since(cx.now);
+            let patience = if open.has_begun() { left.max(cx.settings.resume_wait) } else { left };
+            open.look_until = Some(cx.now + patience);
+        }
         self.submit(cx, view, stream);
     }
 
--- a/crates/node/src/entry/open.rs
+++ b/crates/node/src/entry/open.rs
@@ -22,7 +22,7 @@
     pub(crate) tried: IndexSet<UpstreamId>,
     /// Times that it was sent on without having been started.
     pub(crate) hops: u8,
-    /// Times that it went on elsewhere after what worked on it was lost.
+    /// Times that it went on elsewhere after it broke off with something new delivered.
     pub(crate) moves: u8,
     /// Whether an upstream may have begun it at some time.
     pub(crate) may_have_run: bool,
