--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -104,6 +104,23 @@
         world.end_all(&Outcome::Whole(8));
     }
 
+    /// The caller sees eight tokens, none twice. Its engine breaks off after three and all engines stay
+    /// dead for two seconds while routes still name them: every try fails without a new token, and the
+    /// stream is not cut for it.
+    engines_stay_dead_for_a_while(world) {
+        world.call("a", chat("m1"));
+        world.emit(3);
+        for _ in 0..20 {
+            world.end_all(&Outcome::Broken("reset".to_owned()));
+            world.run(100);
+        }
+        let tries = world.transcript.len();
+        assert!(tries > 6, "{tries} lines");
+        world.transcript.clear();
+        world.emit(5);
+        world.end_all(&Outcome::Whole(8));
+    }
+
     /// The first caller gets the answer; the second, with the same key through another node, gets the
     /// same one. The back end ran once.
     key_used_twice(world) {
