--- a/crates/net/tests/platform.rs
+++ b/crates/net/tests/platform.rs
@@ -7,6 +7,7 @@
 use hgw_net::{PlatformLimits, Settings};
 use hgw_node::{Action, Event, PlatformError, ReadOutcome};
 use hgw_types::{Offset, RecordId, StreamName};
+use hgw_wire::platform::MAX_BATCH;
 use support::relay::{Relay, settings, start};
 use support::upstream::{Received, respond};
 use support::{cases, upstream, wait_for};
@@ -83,7 +84,8 @@
 
 fn records() -> String {
     upstream::serve(|received, stream| {
-        assert_eq!(received.path, "/streams/s/records?from=4&max=512&wait_ms=10");
+        let expected = format!("/streams/s/records?from=4&max={MAX_BATCH}&wait_ms=10");
+        assert_eq!(received.path, expected);
         let body = r#"{"records":[{"offset":4,"data":"cmVjb3Jk"}],"next":5}"#;
         respond(stream, 200, &[], body);
     })
