--- a/crates/net/benches/hop.rs
+++ b/crates/net/benches/hop.rs
@@ -26,6 +26,9 @@
 const STREAMS: usize = 20;
 const TOKENS: u32 = 500;
 
+/// Streams that wait at one time, for their memory.
+const WAITING: usize = 2_000;
+
 /// Threads of the node, as they are named; the rest belongs to callers and upstreams.
 const OWN_THREADS: [&str; 6] =
     ["control", "upstreams", "callers", "peers", "timer", "xitca-server-wo"];
@@ -52,6 +55,39 @@
     for node in [one, entry, dispatcher] {
         node.kill();
     }
+    memory();
+}
+
+/// Memory of a stream that waits for its first token, callers' and upstreams' sockets included.
+fn memory() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut relay, seen) = Relay::new(&listener.local_addr().unwrap().to_string());
+    relay.silence = Duration::from_secs(600);
+    thread::spawn(move || listener.incoming().collect::<Vec<_>>());
+    let node = start(settings("n5"), relay);
+    let body = r#"{"model":"m","messages":[{"role":"user","content":"hi"}],"stream":true}"#;
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length:";
+    let request = format!("{head} {}\r\n\r\n{body}", body.len());
+    let before = resident();
+    let mut callers = Vec::new();
+    for _ in 0..WAITING {
+        let mut stream = TcpStream::connect(node.addrs().callers).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
+        callers.push(stream);
+        seen.recv().unwrap();
+    }
+    thread::sleep(Duration::from_secs(1));
+    let each = (resident() - before) / WAITING;
+    print(&format!("one node: {each} bytes for each of {WAITING} waiting streams"));
+    node.kill();
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+    let kib: usize = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+    kib << 10
 }
 
 /// An entry node and the dispatcher behind it.
