--- a/crates/net/src/control.rs
+++ b/crates/net/src/control.rs
@@ -55,6 +55,7 @@
                 self.settle(&mut round);
             }
         }
+        self.calls.abandon();
     }
 
     /// Feeds one event, and what follows from its actions at once.
--- a/crates/net/src/operator_port.rs
+++ b/crates/net/src/operator_port.rs
@@ -49,6 +49,13 @@
     }
 }
 
+impl Calls {
+    /// Gives up all calls that wait: nobody answers them any more.
+    pub(crate) fn abandon(&self) {
+        lock(&self.waiting).clear();
+    }
+}
+
 impl ControlPort {
     pub(crate) fn new(calls: Arc<Calls>, inbox: Inbox) -> Self {
         ControlPort { calls, inbox }
