--- a/crates/net/tests/peers.rs
+++ b/crates/net/tests/peers.rs
@@ -288,3 +288,63 @@
     node.kill();
     listener.kill();
 }
+
+#[test]
+fn a_frame_over_the_limit_costs_the_connection() {
+    // A peer that knows the secret sends a frame larger than this node takes. The node closes the
+    // connection before it has read the frame; its memory stays bounded, and both sides hear of it.
+    let (listener, seen) = Relay::new("");
+    let limits = PeerLimits { frame: 4096, ..PeerLimits::default() };
+    let listener = start(Settings { peer: limits, ..settings("b") }, listener);
+    let (mut relay, events) = Relay::new("");
+    let (peer, addr): (NodeId, _) = ("b".parse().unwrap(), listener.addrs().peers.to_string());
+    relay.hook = Box::new(move |event, out| {
+        if matches!(event, Event::Stop) {
+            let document = vec![b'x'; 100_000].into();
+            let message = Message::Config { version: Offset(1), document };
+            out.push(Action::Connect { peer: peer.clone(), addr: addr.clone() });
+            out.push(Action::Send { to: peer.clone(), message: Box::new(message) });
+        }
+        matches!(event, Event::Stop)
+    });
+    let node = start(settings("a"), relay);
+    node.stop();
+    let is_end = |event: Event| match event {
+        Event::Message { .. } => panic!("the frame was taken"),
+        Event::PeerDown { peer } => Some(peer),
+        _ => None,
+    };
+    assert_eq!(wait_for(&seen, is_end).as_str(), "a");
+    assert_eq!(wait_for(&events, is_end).as_str(), "b");
+    node.kill();
+    listener.kill();
+}
+
+#[test]
+fn a_connection_is_reported_to_both_sides_and_closed_on_request() {
+    let (listener, seen) = Relay::new("");
+    let listener = start(settings("b"), listener);
+    let (mut relay, events) = Relay::new("");
+    let (peer, addr): (NodeId, _) = ("b".parse().unwrap(), listener.addrs().peers.to_string());
+    relay.hook = Box::new(move |event, out| {
+        match event {
+            Event::Stop => out.push(Action::Connect { peer: peer.clone(), addr: addr.clone() }),
+            Event::PeerUp { peer, .. } => out.push(Action::Disconnect { peer: peer.clone() }),
+            _ => return false,
+        }
+        true
+    });
+    let node = start(settings("a"), relay);
+    node.stop();
+    let up = |event| match event {
+        Event::PeerUp { peer, domain, addr } => Some(format!("{peer} {domain} {addr}")),
+        _ => None,
+    };
+    let (a, b) = (node.addrs().peers, listener.addrs().peers);
+    assert_eq!(wait_for(&events, up), format!("b domain {b}"));
+    assert_eq!(wait_for(&seen, up), format!("a domain {a}"));
+    assert_eq!(wait_for(&events, is_down).as_str(), "b");
+    assert_eq!(wait_for(&seen, is_down).as_str(), "a");
+    node.kill();
+    listener.kill();
+}
