--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod platform;
 mod process;
+mod secret;
 mod settings;
 mod shared;
 mod streams;
--- a/crates/net/src/peers/handshake.rs
+++ b/crates/net/src/peers/handshake.rs
@@ -25,6 +25,7 @@
 use tokio_tungstenite::tungstenite::{self, Message};
 
 use super::codec;
+use crate::secret::Secret;
 
 /// Bytes of a nonce.
 const NONCE: usize = 32;
@@ -52,7 +53,7 @@
     pub(crate) domain: DomainId,
     /// `IP:PORT` of its listener for peers.
     pub(crate) addr: String,
-    pub(crate) secret: Bytes,
+    pub(crate) secret: Secret,
 }
 
 /// A connection whose other side has proved the secret.
@@ -200,8 +201,8 @@
     listener: &[u8],
     hello: &Hello,
 ) -> Hmac<Sha256> {
-    let mut mac =
-        Hmac::<Sha256>::new_from_slice(&me.secret).expect("an HMAC takes a key of any length");
+    let mut mac = Hmac::<Sha256>::new_from_slice(me.secret.as_bytes())
+        .expect("an HMAC takes a key of any length");
     let label: &[u8] = match side {
         Side::Dialer => b"hibiscusgw dialer",
         Side::Listener => b"hibiscusgw listener",
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -17,6 +17,7 @@
 use crate::operator_port::ControlPort;
 use crate::peers::{self, Identity, Peers};
 use crate::platform;
+use crate::secret::Secret;
 use crate::shared::Shared;
 use crate::timer::Timer;
 use crate::upstreams;
@@ -112,7 +113,7 @@
             node: self.settings.node.clone(),
             domain: self.settings.domain.clone(),
             addr: self.advertised(),
-            secret: self.settings.secret.clone().into(),
+            secret: Secret::new(&self.settings.secret),
         };
         let shared = Shared::new(&self.settings);
         let (inbox, events) = inbox(self.settings.inbox);
--- a/crates/net/src/settings.rs
+++ b/crates/net/src/settings.rs
@@ -1,10 +1,11 @@
+use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use hgw_types::{DomainId, NodeId};
 
 /// What a process needs to know of its surroundings, and its limits.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Settings {
     /// Name of this node.
     pub node: NodeId,
@@ -42,6 +43,21 @@
     pub platform_calls: PlatformLimits,
 }
 
+/// Without the secret and the tokens, which must not get into logs.
+impl fmt::Debug for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Settings")
+            .field("node", &self.node)
+            .field("domain", &self.domain)
+            .field("callers", &self.callers)
+            .field("peers", &self.peers)
+            .field("operators", &self.operators)
+            .field("advertise", &self.advertise)
+            .field("platform", &self.platform)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
--- a/crates/net/src/shared.rs
+++ b/crates/net/src/shared.rs
@@ -14,6 +14,7 @@
 use crate::operator_port::Calls;
 use crate::peers::{Identity, PeerTable, Peers};
 use crate::platform::Platform;
+use crate::secret::Secret;
 use crate::streams::Streams;
 use crate::upstreams::{HttpClient, Upstreams};
 
@@ -54,7 +55,7 @@
             streams: Arc::clone(&self.streams),
             attempts: Arc::clone(&self.attempts),
             peers: Arc::clone(&self.peers),
-            order_token: settings.order_token.clone().into(),
+            order_token: Secret::new(&settings.order_token),
             room: Semaphore::new(limits.attempts),
             pooled: HttpClient::new(limits.connect, limits.idle, limits.idle_connections),
             recent: HttpClient::new(
--- a/crates/net/src/upstreams/ask.rs
+++ b/crates/net/src/upstreams/ask.rs
@@ -33,7 +33,7 @@
     let req = client::post_json(addr, "/orders", order)?;
     let mut req = req.map(|body| body.behind(gate));
     if *token {
-        let value = HeaderValue::from_bytes(&cx.order_token)
+        let value = HeaderValue::from_bytes(cx.order_token.as_bytes())
             .map_err(|e| CallError::NotSent(e.to_string()))?;
         req.headers_mut().insert(ORDER_TOKEN_HEADER, value);
     }
--- a/crates/net/src/upstreams/mod.rs
+++ b/crates/net/src/upstreams/mod.rs
@@ -15,7 +15,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use hgw_node::Sink;
 use hgw_types::{NodeId, Time, UpstreamId};
 use hgw_wire::peer::Work;
@@ -27,6 +26,7 @@
 use crate::inbox::Inbox;
 use crate::lifecycle::Lifecycle;
 use crate::peers::PeerTable;
+use crate::secret::Secret;
 use crate::streams::Streams;
 
 pub(crate) use client::{CallError, HttpClient, build, get, read_json};
@@ -79,7 +79,7 @@
     pub(crate) limits: UpstreamLimits,
     /// What [`Time`] counts from.
     pub(crate) start: Instant,
-    pub(crate) order_token: Bytes,
+    pub(crate) order_token: Secret,
     /// Attempts that may still be started.
     pub(crate) room: Semaphore,
     /// Keeps connections for later calls.
