Let a dial that cannot get through give way to the peer's own

Cause: the node with the lower id turned its peer away for as long as its own dial hung, two seconds each time it tried. Change: only dials that began within half a second are taken to cross, and a dial whose peer has got in is given up.

--- a/crates/net/src/peers/manager.rs
+++ b/crates/net/src/peers/manager.rs
@@ -22,6 +22,9 @@
 /// Pause after the system refused to give a connection that waits.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Longest time for which two dials are taken to cross.
+const CROSSING: Duration = Duration::from_millis(500);
+
 /// Least time between two log lines on refused connections: strangers can make any number of them.
 const REFUSAL_LOG: Duration = Duration::from_secs(1);
 
@@ -97,12 +100,13 @@
             dialed.unwrap_or(Err(HandshakeError::Timeout(limit)))
         }
         () = link.closed() => Err(HandshakeError::Unexpected),
+        // The peer's own connection serves this link: ours is not to be finished.
+        () = link.established() => return,
     };
     if matches!(dialed, Err(HandshakeError::Wait)) {
         // The peer's own connection is under way, and takes the queue when it comes.
-        let _ = tokio::time::timeout(limit, link.closed()).await;
+        let _ = tokio::time::timeout(limit, link.established()).await;
     }
-    // Without the queue, the peer's own connection serves this link: ours is one too many.
     let Some(queue) = link.take_queue() else {
         return;
     };
@@ -138,7 +142,8 @@
 /// The link for an incoming connection, or nothing where the connection is one too many.
 ///
 /// When two nodes dial each other at once, both must keep the same connection: the one dialed by
-/// the node with the lower id. Otherwise each would close the one that the other keeps. A peer that
+/// the node with the lower id. Otherwise each would close the one that the other keeps. A dial that
+/// takes much longer than two that cross is one that cannot get through, and gives way. A peer that
 /// dials while a connection has stood for longer than a handshake has lost that one.
 async fn choose(peers: &Peers, peer: &Hello) -> Option<Arc<Link>> {
     let wins = peers.me.node < peer.node;
@@ -150,7 +155,7 @@
             continue;
         };
         match link.stands() {
-            None if wins => return None,
+            None if wins && link.begun.elapsed() < CROSSING => return None,
             None => return Some(link),
             Some(stands)
                 if wins && stands.dialed && stands.since.elapsed() < peers.limits.handshake =>
--- a/crates/net/src/peers/table.rs
+++ b/crates/net/src/peers/table.rs
@@ -36,6 +36,10 @@
     /// Closed when the end has been reported.
     ended: Semaphore,
     stands: OnceLock<Stands>,
+    /// Closed when the connection stands.
+    standing: Semaphore,
+    /// When the link was added.
+    pub(crate) begun: Instant,
 }
 
 /// A connection that stands.
@@ -61,6 +65,8 @@
             open: Semaphore::new(0),
             ended: Semaphore::new(0),
             stands: OnceLock::new(),
+            standing: Semaphore::new(0),
+            begun: Instant::now(),
         })
     }
 
@@ -92,6 +98,13 @@
     pub(crate) fn establish(&self, dialed: bool) {
         // A link is established once: its queue can be taken only once.
         let _ = self.stands.set(Stands { since: Instant::now(), dialed });
+        self.standing.close();
+    }
+
+    /// Waits until a connection stands.
+    pub(crate) async fn established(&self) {
+        // No permit is ever given: the wait ends, with an error, by `establish`.
+        let _ = self.standing.acquire().await;
     }
 
     /// The connection, once it stands.
--- a/crates/net/tests/support/mod.rs
+++ b/crates/net/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub(crate) mod caller;
+pub(crate) mod peers;
 pub(crate) mod relay;
 pub(crate) mod upstream;
 
