--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -70,8 +70,8 @@
     }
 
     /// Members of a domain that count as alive and stay, this node included.
-    pub fn live<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a Member> + 'a {
-        self.all_live().filter(move |member| member.domain == *domain)
+    pub fn live<'a>(&'a self, domain: &DomainId) -> impl Iterator<Item = &'a Member> {
+        self.all_live().filter(|member| member.domain == *domain)
     }
 
     /// Members known that count as alive and stay, this node included. Of other domains only the
--- a/crates/node/src/members/mod.rs
+++ b/crates/node/src/members/mod.rs
@@ -1,10 +1,10 @@
 //! The members of the system as this node knows them.
 
 use hgw_membership::{
-    Action as MemberAction, Beat, Event as MemberEvent, Member, Membership, rank,
+    Action as MemberAction, Beat, Event as MemberEvent, Member, Membership, Pulse, rank,
 };
 use hgw_types::{DomainId, NodeId, Offset};
-use hgw_wire::peer::{Heartbeat, MemberBeat, Message};
+use hgw_wire::peer::{Heartbeat, MemberBeat, Message, PULSE_UNIT};
 use hgw_wire::platform::VmList;
 use indexmap::IndexMap;
 
@@ -121,7 +121,17 @@
             count: m.beat,
             leaving: m.leaving,
         });
-        self.handle(cx, config, MemberEvent::Heard { from: from.clone(), beats: beats.collect() })
+        let pulses = heartbeat
+            .pulses
+            .into_iter()
+            .map(|(short, units)| Pulse { short, age: PULSE_UNIT * u32::from(units) });
+        let event = MemberEvent::Heard {
+            from: from.clone(),
+            beats: beats.collect(),
+            pulses: pulses.collect(),
+            ask: heartbeat.ask,
+        };
+        self.handle(cx, config, event)
     }
 
     pub(crate) fn on_peer_up(
@@ -169,10 +179,15 @@
         let mut changes = Vec::new();
         for act in acts {
             match act {
-                MemberAction::Send { to, beats } => {
-                    let members = beats.into_iter().map(member_beat).collect();
+                MemberAction::Send { to, beats, pulses, ask } => {
+                    let heartbeat = Heartbeat {
+                        members: beats.into_iter().map(member_beat).collect(),
+                        pulses: pulses.iter().map(member_pulse).collect(),
+                        ask,
+                        config,
+                    };
                     cx.act(Action::Connect { peer: to.node.clone(), addr: to.addr });
-                    cx.send(&to.node, Message::Heartbeat(Heartbeat { members, config }));
+                    cx.send(&to.node, Message::Heartbeat(heartbeat));
                 }
                 MemberAction::Up(member) => {
                     cx.act(Action::Connect { peer: member.node.clone(), addr: member.addr });
@@ -199,3 +214,8 @@
     let Beat { member, count, leaving } = beat;
     MemberBeat { node: member.node, domain: member.domain, addr: member.addr, beat: count, leaving }
 }
+
+fn member_pulse(pulse: &Pulse) -> (u32, u16) {
+    let units = pulse.age.as_nanos().div_ceil(PULSE_UNIT.as_nanos());
+    (pulse.short, u16::try_from(units).unwrap_or(u16::MAX))
+}
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -4,6 +4,7 @@
 //! other frames are messages to it. Durations instead of times, since clocks differ.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hgw_config::Urgency;
@@ -297,13 +298,16 @@
     pub body: Bytes,
 }
 
+/// Unit of the ages in [`Heartbeat::pulses`].
+pub const PULSE_UNIT: Duration = Duration::from_millis(50);
+
 /// Sign of life, with what the sender knows of others.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Some members, the sender itself first.
     pub members: Vec<MemberBeat>,
     /// When more members were last known to live: a hash of the node id, and the time since then in
-    /// units of 50 ms.
+    /// units of [`PULSE_UNIT`], rounded up.
     pub pulses: IndexMap<u32, u16>,
     /// Whether the receiver is to answer with one.
     pub ask: bool,
