Serve operators' calls over gRPC, and a client for them

hgw_net::Operators serves the five calls on the operators' listener in a thread of its own, by xitca-web's grpc handlers; the token is compared in constant time before anything of a call is read, and an empty token lets nobody in (the comment in Settings said the contrary). hibiscusgw::client has one function for each call.

A document of 2 MB first broke off with FLOW_CONTROL_ERROR: hyper's client offers stream windows of 2 MB, and xitca-http 0.9.6 sent more than that.

--- /dev/null
+++ b/crates/hibiscusgw/src/client/mod.rs
@@ -0,0 +1,123 @@
+//! Calls to a node as an operator makes them.
+
+mod error;
+mod framing;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hgw_wire::operator::{
+    ApplyReply, ApplyRequest, GetReply, GetRequest, OutcomeRequest, StateReply, StateRequest,
+    StatusReply, StatusRequest, path,
+};
+use http::{HeaderMap, Request, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client as HttpClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use prost::Message;
+
+pub use error::{Error, Result};
+
+/// Longest wait for the answer to a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Largest answer, in bytes: the state of a large node.
+const MAX_ANSWER: usize = 64 << 20;
+
+/// HTTP/2's own default. With a larger window, answers of more than that break off with
+/// `FLOW_CONTROL_ERROR`: the server (xitca-http 0.9.6) then sends more than the window allows.
+const STREAM_WINDOW: u32 = 65_535;
+
+const GRPC_STATUS: &str = "grpc-status";
+const GRPC_MESSAGE: &str = "grpc-message";
+
+/// Calls one node.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: HttpClient<HttpConnector, Full<Bytes>>,
+    addr: SocketAddr,
+    token: String,
+}
+
+impl Client {
+    /// Calls the node whose listener for operators is at `addr`; connects at the first call.
+    pub fn new(addr: SocketAddr, token: &str) -> Client {
+        let mut http = HttpClient::builder(TokioExecutor::new());
+        http.http2_only(true).http2_initial_stream_window_size(STREAM_WINDOW);
+        let http = http.build_http();
+        Client { http, addr, token: token.to_owned() }
+    }
+
+    /// Publishes a configuration.
+    pub async fn apply(&self, req: &ApplyRequest) -> Result<ApplyReply> {
+        self.call(path::APPLY, req).await
+    }
+
+    /// Asks what became of a change.
+    pub async fn outcome(&self, id: &str) -> Result<ApplyReply> {
+        self.call(path::OUTCOME, &OutcomeRequest { id: id.to_owned() }).await
+    }
+
+    /// Asks for the configuration in force.
+    pub async fn get(&self) -> Result<GetReply> {
+        self.call(path::GET, &GetRequest {}).await
+    }
+
+    /// Asks which nodes are at which version.
+    pub async fn status(&self) -> Result<StatusReply> {
+        self.call(path::STATUS, &StatusRequest {}).await
+    }
+
+    /// Asks for the whole state of the process.
+    pub async fn state(&self) -> Result<StateReply> {
+        self.call(path::STATE, &StateRequest {}).await
+    }
+
+    async fn call<Reply: Message + Default>(
+        &self,
+        path: &str,
+        req: &impl Message,
+    ) -> Result<Reply> {
+        let answer = tokio::time::timeout(CALL_TIMEOUT, self.send(path, req)).await;
+        let (head, body) = answer.map_err(|_| Error::NoAnswer { addr: self.addr })??;
+        // A refusal has its status in the head, or behind an empty body.
+        let trailers = body.trailers().cloned().unwrap_or_default();
+        let status = [&trailers, &head].into_iter().find_map(status).ok_or(Error::NoStatus)?;
+        if status != 0 {
+            let message = [&trailers, &head].into_iter().find_map(message).unwrap_or_default();
+            return Err(Error::Refused { status, message });
+        }
+        framing::decode(&body.to_bytes())
+    }
+
+    async fn send(
+        &self,
+        path: &str,
+        req: &impl Message,
+    ) -> Result<(HeaderMap, http_body_util::Collected<Bytes>)> {
+        let req = Request::post(format!("http://{}{path}", self.addr))
+            .header(header::CONTENT_TYPE, "application/grpc")
+            .header(header::TE, "trailers")
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
+            .body(Full::new(framing::encode(req)))
+            .map_err(|_| Error::Token)?;
+        let addr = self.addr;
+        let unreachable = |source| Error::Unreachable { addr, source };
+        let res = self.http.request(req).await.map_err(unreachable)?;
+        let (head, body) = res.into_parts();
+        let body = Limited::new(body, MAX_ANSWER).collect().await;
+        let body = body.map_err(|source| Error::BrokenOff { source })?;
+        Ok((head.headers, body))
+    }
+}
+
+fn status(headers: &HeaderMap) -> Option<u16> {
+    headers.get(GRPC_STATUS)?.to_str().ok()?.parse().ok()
+}
+
+fn message(headers: &HeaderMap) -> Option<String> {
+    let text = headers.get(GRPC_MESSAGE)?.to_str().ok()?;
+    Some(framing::percent_decode(text))
+}
--- a/crates/hibiscusgw/src/lib.rs
+++ b/crates/hibiscusgw/src/lib.rs
@@ -31,3 +31,5 @@
 pub(crate) fn exit_code(error: &Error) -> ExitCode {
     if error.is_invalid_input() { ExitCode::from(EXIT_INVALID) } else { ExitCode::FAILURE }
 }
+
+pub mod client;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,6 +13,7 @@
 mod lifecycle;
 mod meter;
 mod operator_port;
+mod operators;
 mod peers;
 mod platform;
 mod process;
@@ -25,5 +26,6 @@
 
 pub use error::{Error, Result};
 pub use operator_port::{OperatorPort, ReplyFuture};
+pub use operators::Operators;
 pub use process::{Addrs, Bound, Exit, Running, Stopper, bind, start};
 pub use settings::{CallerLimits, PeerLimits, PlatformLimits, Settings, UpstreamLimits};
--- a/crates/net/src/settings.rs
+++ b/crates/net/src/settings.rs
@@ -23,7 +23,7 @@
     pub platform: String,
     /// Secret that all nodes share.
     pub secret: String,
-    /// Token that operators' calls carry; empty lets every call in.
+    /// Token that operators' calls carry; with an empty one none is let in.
     pub operator_token: String,
     /// Token for engines that ask for one with orders.
     pub order_token: String,
