--- a/crates/node/src/members/mod.rs
+++ b/crates/node/src/members/mod.rs
@@ -1,7 +1,9 @@
 //! The members of the system as this node knows them.
 
+use std::time::Duration;
+
 use hgw_membership::{
-    Action as MemberAction, Beat, Event as MemberEvent, Member, Membership, rank,
+    Action as MemberAction, Beat, Event as MemberEvent, Member, Membership, Pulse, rank,
 };
 use hgw_types::{DomainId, NodeId, Offset};
 use hgw_wire::peer::{Heartbeat, MemberBeat, Message};
@@ -59,7 +61,7 @@
     }
 
     /// The live nodes of `domain`.
-    pub(crate) fn live_in(&self, domain: &DomainId) -> impl Iterator<Item = &NodeId> {
+    pub(crate) fn live_in<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a NodeId> {
         self.membership.live(domain).map(|m| &m.node)
     }
 
@@ -121,7 +123,16 @@
             count: m.beat,
             leaving: m.leaving,
         });
-        self.handle(cx, config, MemberEvent::Heard { from: from.clone(), beats: beats.collect() })
+        let pulses = heartbeat.pulses.into_iter();
+        let heard = MemberEvent::Heard {
+            from: from.clone(),
+            beats: beats.collect(),
+            ask: heartbeat.ask,
+            pulses: pulses
+                .map(|(short, age)| Pulse { short, age: PULSE_UNIT * u32::from(age) })
+                .collect(),
+        };
+        self.handle(cx, config, heard)
     }
 
     pub(crate) fn on_peer_up(
@@ -169,10 +180,14 @@
         let mut changes = Vec::new();
         for act in acts {
             match act {
-                MemberAction::Send { to, beats } => {
+                MemberAction::Send { to, beats, pulses, ask } => {
                     let members = beats.into_iter().map(member_beat).collect();
+                    let pulses = pulses.iter().map(|p| (p.short, pulse_age(p))).collect();
                     cx.act(Action::Connect { peer: to.node.clone(), addr: to.addr });
-                    cx.send(&to.node, Message::Heartbeat(Heartbeat { members, config }));
+                    cx.send(
+                        &to.node,
+                        Message::Heartbeat(Heartbeat { members, pulses, ask, config }),
+                    );
                 }
                 MemberAction::Up(member) => {
                     cx.act(Action::Connect { peer: member.node.clone(), addr: member.addr });
@@ -199,3 +214,12 @@
     let Beat { member, count, leaving } = beat;
     MemberBeat { node: member.node, domain: member.domain, addr: member.addr, beat: count, leaving }
 }
+
+/// Unit of the ages in heartbeats.
+const PULSE_UNIT: Duration = Duration::from_millis(50);
+
+/// Age of a pulse in units of 50 ms, rounded up: a member must not look fresher with each hop.
+fn pulse_age(pulse: &Pulse) -> u16 {
+    let units = pulse.age.as_millis().div_ceil(PULSE_UNIT.as_millis());
+    u16::try_from(units).unwrap_or(u16::MAX)
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -290,7 +290,11 @@
                 answer(self, Event::Vms(Some(list)));
             }
             Action::Reply { reply, .. } => {
-                self.say(format!("{node} tells its operator {reply:?}"));
+                let shown = match &reply {
+                    OperatorReply::Apply { outcome, .. } => format!("{outcome:?}"),
+                    other => format!("{other:?}"),
+                };
+                self.say(format!("{node} tells its operator {shown}"));
                 self.replies.push(reply);
             }
             Action::Ready(ready) => self.say(format!("{node} ready: {ready}")),
