--- a/crates/placement/src/keeper/mod.rs
+++ b/crates/placement/src/keeper/mod.rs
@@ -12,6 +12,7 @@
 //! | `orders` | records, sends and repeats orders |
 //! | `wants` | which engine should hold what |
 //! | `plan` | turns wants into loads, and makes room for them |
+//! | `replicas` | asks the demand planner, and begins its moves |
 //! | `retire` | what is to go, and evicts it once nobody uses it |
 //! | `publish` | tells the others what is ready where |
 
@@ -22,6 +23,7 @@
 mod plan;
 mod publish;
 mod reading;
+mod replicas;
 mod retire;
 mod settings;
 mod wants;
@@ -30,12 +32,12 @@
 
 use hgw_config::Document;
 use hgw_types::{AdapterId, DomainId, MemSize, ModelId, Offset, RecordId, Term, Time, UpstreamId};
-use hgw_wire::peer::{Demand, Holding};
+use hgw_wire::peer::Holding;
 use indexmap::{IndexMap, IndexSet};
 
 pub use settings::{KeeperSettings, SEND_WINDOW};
 
-use crate::{KeeperAction, KeeperEntry, KeeperEvent, Shares};
+use crate::{DemandPlanner, DemandSettings, KeeperAction, KeeperEntry, KeeperEvent, Shares};
 use domain::Domain;
 use engine::Engine;
 use intents::Intents;
@@ -54,10 +56,14 @@
     /// Set while this node holds the scope.
     term: Option<Term>,
     gained: Time,
+    /// When the first placement of this term was published.
+    opened: Option<Time>,
     engines: IndexMap<UpstreamId, Engine>,
     flights: IndexMap<RecordId, Flight>,
     settling: Settling,
     shares: Shares,
+    demand: DemandPlanner,
+    demand_due: Time,
     /// Loads that the demand planner asked for and that are not held yet, with when it asked.
     replicas: IndexMap<(UpstreamId, ModelId), Time>,
     /// Models that callers of this domain asked for and found on no engine of it.
@@ -83,10 +89,13 @@
             log_up: true,
             term: None,
             gained: Time::ZERO,
+            opened: None,
             engines: IndexMap::new(),
             flights: IndexMap::new(),
             settling: Settling::default(),
             shares: Shares::default(),
+            demand: DemandPlanner::new(DemandSettings::default(), boot),
+            demand_due: Time::ZERO,
             replicas: IndexMap::new(),
             missing: IndexMap::new(),
             adapters: IndexMap::new(),
@@ -164,6 +173,8 @@
     /// Forgets all that only the holder may act on. Orders sent before are the successor's to count.
     fn lose(&mut self) {
         self.term = None;
+        self.opened = None;
+        self.demand = DemandPlanner::new(DemandSettings::default(), self.boot);
         self.engines.clear();
         self.flights.clear();
         self.settling = Settling::default();
@@ -204,24 +215,11 @@
         self.poll(now, out);
         self.close_orders(now, out);
         self.repeat_orders(now, out);
+        self.plan_demand(now);
         self.plan_loads(now, out);
         self.plan_retirement(now);
         self.evict_drained(now, out);
-        self.publish(out);
-    }
-
-    fn take_demand(&mut self, now: Time, demand: &[Demand]) {
-        if self.term.is_none() {
-            return;
-        }
-        for d in demand {
-            for adapter in &d.adapters {
-                self.adapters.insert((d.model.clone(), adapter.clone()), now);
-            }
-            if d.unmet > 0 {
-                self.missing.insert(d.model.clone(), now);
-            }
-        }
+        self.publish(now, out);
     }
 
     fn next_id(&mut self) -> RecordId {
--- a/crates/placement/src/keeper/orders.rs
+++ b/crates/placement/src/keeper/orders.rs
@@ -20,6 +20,8 @@
     upstream: UpstreamId,
     kind: OrderKind,
     stage: Stage,
+    /// The record of its intent.
+    record: RecordId,
     /// The last time to send it; nothing where the engine itself refuses it after a takeover.
     until: Option<Time>,
 }
@@ -58,23 +60,78 @@
         if grows {
             e.ledger.reserve(id, &kind)?;
         }
-        let generation = e.ledger.generation().unwrap_or_default();
-        let recorded = grows && !refuses;
+        if grows && !refuses {
+            self.record_intent(now, engine, id, id, kind, out);
+        } else {
+            self.send_unrecorded(now, engine, id, kind, out);
+        }
+        Ok(id)
+    }
+
+    fn send_unrecorded(
+        &mut self,
+        now: Time,
+        engine: &UpstreamId,
+        order: RecordId,
+        kind: OrderKind,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        let (upstream, stage) = (engine.clone(), Stage::Recording);
+        self.flights.insert(order, Flight { upstream, kind, stage, record: order, until: None });
+        self.send(now, order, out);
+    }
+
+    /// Sends an order again that a predecessor recorded, or that this keeper lost the right to send:
+    /// under its own id and, where it needs a record, on a new one, from which a successor counts it anew.
+    pub(super) fn adopt(
+        &mut self,
+        now: Time,
+        engine: &UpstreamId,
+        order: RecordId,
+        kind: OrderKind,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        if self.domain.refuses(engine) {
+            self.send_unrecorded(now, engine, order, kind, out);
+            return;
+        }
+        let record = self.next_id();
+        self.record_intent(now, engine, order, record, kind, out);
+    }
+
+    fn record_intent(
+        &mut self,
+        now: Time,
+        engine: &UpstreamId,
+        order: RecordId,
+        record: RecordId,
+        kind: OrderKind,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        let known = self.engines.get(engine).and_then(|e| e.ledger.generation());
+        let (upstream, generation) = (engine.clone(), known.unwrap_or_default());
         let flight = Flight {
-            upstream: engine.clone(),
+            upstream: upstream.clone(),
             kind: kind.clone(),
             stage: Stage::Recording,
-            until: recorded.then(|| now + SEND_WINDOW),
+            record,
+            until: Some(now + SEND_WINDOW),
         };
-        self.flights.insert(id, flight);
-        if recorded {
-            let upstream = engine.clone();
-            let entry = KeeperEntry::Intent { upstream, generation, order: id, kind };
-            out.push(KeeperAction::Record { id, entry });
-        } else {
-            self.send(now, id, out);
-        }
-        Ok(id)
+        self.flights.insert(order, flight);
+        let entry = KeeperEntry::Intent { upstream, generation, order, kind };
+        out.push(KeeperAction::Record { id: record, entry });
+    }
+
+    /// The order of this flight that waits for its record.
+    fn recorded_by(&self, record: RecordId) -> Option<RecordId> {
+        let waits = |f: &Flight| f.record == record && f.stage == Stage::Recording;
+        self.flights.iter().find(|(_, f)| waits(f)).map(|(order, _)| *order)
+    }
+
+    /// Whether an order that loads the item there is on its way.
+    pub(super) fn is_flying(&self, engine: &UpstreamId, item: &Item) -> bool {
+        let loads = |f: &Flight| Item::loaded_by(&f.kind).is_some_and(|(i, _)| i == *item);
+        self.flights.values().any(|f| f.upstream == *engine && loads(f))
     }
 
     fn send(&mut self, now: Time, id: RecordId, out: &mut Vec<KeeperAction>) {
@@ -113,8 +170,8 @@
         if self.settling.recording.as_ref().is_some_and(|(record, _)| *record == id) {
             self.settling.recording = None;
         }
-        if self.flights.get(&id).is_some_and(|f| f.stage == Stage::Recording) {
-            self.send(now, id, out);
+        if let Some(order) = self.recorded_by(id) {
+            self.send(now, order, out);
         }
     }
 
@@ -122,8 +179,8 @@
         if let Some((_, orders)) = self.settling.recording.take_if(|(record, _)| *record == id) {
             self.settling.due.extend(orders);
         }
-        if self.flights.get(&id).is_some_and(|f| f.stage == Stage::Recording) {
-            self.give_up(now, id);
+        if let Some(order) = self.recorded_by(id) {
+            self.give_up(now, order);
         }
     }
 
--- a/crates/placement/src/keeper/plan.rs
+++ b/crates/placement/src/keeper/plan.rs
@@ -72,6 +72,13 @@
         out: &mut Vec<KeeperAction>,
     ) -> bool {
         let Some(engine) = self.engines.get(&want.engine) else { return false };
+        if let Some((order, size)) = engine.ledger.repeatable(&want.item) {
+            // Its memory is reserved already.
+            if self.may_order(now, want) && self.shares.take(now, self.loads_running()) {
+                self.adopt(now, &want.engine, order, want.item.load(size), out);
+            }
+            return true;
+        }
         let claimed = claims.get(&want.engine).copied().unwrap_or_default();
         let need = claimed + want.size;
         if engine.ledger.free() >= need {
@@ -136,7 +143,7 @@
 
     /// Whether the model is a demand replica here: not of the floor, and served elsewhere in the
     /// domain if the floor gives it to the domain at all.
-    fn is_spare(&self, engine: &UpstreamId, item: &Item) -> bool {
+    pub(super) fn is_spare(&self, engine: &UpstreamId, item: &Item) -> bool {
         if self.domain.rank(engine, item.model()).is_some() {
             return false;
         }
--- a/crates/placement/src/keeper/publish.rs
+++ b/crates/placement/src/keeper/publish.rs
@@ -1,6 +1,6 @@
 //! Tells the others what is ready where, and which engines are lost.
 
-use hgw_types::UpstreamId;
+use hgw_types::{Time, UpstreamId};
 use hgw_wire::peer::Holding;
 use indexmap::IndexMap;
 
@@ -8,7 +8,16 @@
 use crate::{Item, KeeperAction};
 
 impl Keeper {
-    pub(super) fn publish(&mut self, out: &mut Vec<KeeperAction>) {
+    /// Publishes what has changed.
+    ///
+    /// The first placement of a term waits until all engines are read or given up, within a bound: it
+    /// replaces the predecessor's, and callers must not lose routes to engines not yet read.
+    pub(super) fn publish(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
+        let waited = now.since(self.gained) >= self.settings.first_publish;
+        if self.opened.is_none() && !self.is_complete() && !waited {
+            return;
+        }
+        self.opened.get_or_insert(now);
         let mut changed = IndexMap::new();
         let ids: Vec<UpstreamId> = self.engines.keys().cloned().collect();
         for id in ids {
--- a/crates/placement/src/keeper/retire.rs
+++ b/crates/placement/src/keeper/retire.rs
@@ -99,7 +99,8 @@
     }
 
     fn is_unused(&self, now: Time, engine: &Engine, item: &Item, drain: &Drain) -> bool {
-        let settled = drain.since + self.settings.settle;
+        let Some(opened) = self.opened else { return false };
+        let settled = drain.since.max(opened) + self.settings.settle;
         let ledger = &engine.ledger;
         if ledger.asked().is_none_or(|asked| asked < settled) {
             return false;
--- a/crates/placement/src/keeper/settings.rs
+++ b/crates/placement/src/keeper/settings.rs
@@ -17,6 +17,8 @@
     pub ask_timeout: Duration,
     /// Reads or orders in a row without an answer, after which an engine counts as lost.
     pub lost_after: u32,
+    /// Time after a takeover at which a placement is published although some engine is not read.
+    pub first_publish: Duration,
     /// Time from publishing a placement without an item to the read that must show it unused.
     pub settle: Duration,
     /// Time after which an item is evicted although it is still used.
@@ -50,6 +52,7 @@
             poll_idle: Duration::from_secs(5),
             ask_timeout: Duration::from_secs(10),
             lost_after: 3,
+            first_publish: Duration::from_secs(5),
             settle: Duration::from_secs(1),
             drain_limit: Duration::from_secs(120),
             orders_per_engine: 2,
--- a/crates/placement/src/keeper/wants.rs
+++ b/crates/placement/src/keeper/wants.rs
@@ -66,16 +66,27 @@
         })
     }
 
-    /// Whether a usable engine holds the item, or may come to by an order.
+    /// Whether a usable engine holds the item, or an order that loads it is on its way. An order that
+    /// is lost, or a predecessor's, takes memory and promises nothing.
     pub(super) fn is_coming(&self, item: &Item) -> bool {
         let mut usable = self.engines.iter().filter(|(id, _)| self.is_usable(id));
-        usable.any(|(_, e)| e.ledger.has(item) && !e.drains.contains_key(item))
+        usable.any(|(id, e)| {
+            let held = e.ledger.held().contains_key(item) && !e.drains.contains_key(item);
+            held || self.is_flying(id, item)
+        })
+    }
+
+    /// Whether the engine lacks the item, and nothing is on its way or stands against it.
+    fn may_want(&self, engine: &UpstreamId, item: &Item) -> bool {
+        let Some(e) = self.engines.get(engine) else { return false };
+        let free = !e.ledger.has(item) || e.ledger.repeatable(item).is_some();
+        free && !self.is_flying(engine, item)
     }
 
     /// A want of the model's current version at the engine, unless the engine has it.
     pub(super) fn want(&self, engine: &UpstreamId, model: &ModelId, cause: Cause) -> Option<Want> {
         let (item, size) = self.domain.current(engine, model)?;
-        if self.engines.get(engine)?.ledger.has(&item) {
+        if !self.may_want(engine, &item) {
             return None;
         }
         let served = self.is_served(model);
@@ -128,7 +139,7 @@
         let item = Item::Adapter(model.clone(), adapter.clone(), found.version.clone());
         let (current, _) = self.domain.current(engine, model)?;
         let e = self.engines.get(engine)?;
-        if e.ledger.has(&item) || !e.serves(&current) {
+        if !self.may_want(engine, &item) || !e.serves(&current) {
             return None;
         }
         let (engine, size) = (engine.clone(), found.size);
--- a/crates/placement/src/ledger/mod.rs
+++ b/crates/placement/src/ledger/mod.rs
@@ -138,6 +138,19 @@
         self.held.contains_key(item) || self.orders.values().any(|o| o.item == *item)
     }
 
+    /// The order that may still load the item, with its size, where no answer to it is awaited and the
+    /// engine is not known to have carried it out. To send it again under its own id takes no more
+    /// memory than is reserved.
+    pub fn repeatable(&self, item: &Item) -> Option<(RecordId, MemSize)> {
+        let fits = |o: &Pending| {
+            o.item == *item && o.flying == 0 && o.done_in.is_none_or(|g| Some(g) != self.generation)
+        };
+        if self.held.contains_key(item) {
+            return None;
+        }
+        self.orders.iter().find(|(_, o)| fits(o)).map(|(id, o)| (*id, o.size))
+    }
+
     /// Items that are loading, or that orders may yet load.
     pub fn loading(&self) -> usize {
         let loading = self.held.values().filter(|h| !h.ready).count();
@@ -203,7 +216,10 @@
             OrderResult::Answered(OrderOutcome::Done) => {
                 if pending.done_in.is_none() {
                     pending.done_in = self.generation;
-                    let held = Held { size: pending.size, ready: true, active: 0, seen: now };
+                    // A predecessor's order may have been carried out and undone long ago, and is
+                    // answered all the same: only a read shows whether the item is there.
+                    let ready = !pending.inherited;
+                    let held = Held { size: pending.size, ready, active: 0, seen: now };
                     self.held.insert(pending.item.clone(), held);
                 }
             }
--- /dev/null
+++ b/crates/placement/tests/placement/main.rs
@@ -0,0 +1,16 @@
+//! Decisions on memory, driven without sockets.
+
+/// Names each test case.
+macro_rules! cases {
+    ($($(#[$attr:meta])* $name:ident => $body:expr;)*) => {$(
+        $(#[$attr])*
+        #[test]
+        fn $name() {
+            $body
+        }
+    )*};
+}
+
+mod memory;
+mod reach;
+mod support;
--- /dev/null
+++ b/crates/placement/tests/placement/memory.rs
@@ -0,0 +1,220 @@
+//! Accelerator memory is never overcommitted: issue 4, point 1.
+//!
+//! Most cases share one scene. Engine `e1` has room for one of the models `a` and `b`. Keeper A
+//! orders `a` and meets a failure; then the configuration names `b` in place of `a` and keeper B takes
+//! over. If B forgets A's order, it loads `b` into memory that `a` comes to fill later, and the caller
+//! of `b` sees an engine that fails for want of memory.
+
+use std::time::Duration;
+
+use hgw_config::Fencing::{self, Ignores, Refuses};
+use hgw_placement::Item;
+
+use crate::support::{Fault, STEP, World, changed, document, id};
+
+const ROOM: u64 = 100;
+
+/// The scene up to A's order of `a`, which meets `fault`.
+fn ordered(fencing: Fencing, fault: Fault) -> World {
+    let mut world = World::new(document(&[("e1", "d1", ROOM, fencing)], &[("a", "1", 60)]), 2);
+    world.faults.push_back(fault);
+    world.claim(0);
+    world.run(Duration::from_millis(400));
+    world
+}
+
+/// `b` takes the place of `a`, and B claims.
+fn succeeded(world: &mut World, fencing: Fencing) {
+    world.configure(document(&[("e1", "d1", ROOM, fencing)], &[("b", "1", 60)]));
+    world.claim(1);
+}
+
+/// A's order meets `fault`; B takes over and in the end serves `b`.
+fn fault_then_takeover(fencing: Fencing, fault: Fault) {
+    let mut world = ordered(fencing, fault);
+    succeeded(&mut world, fencing);
+    world.run_secs(90);
+    world.check(&[("b", "1")]);
+}
+
+/// As `fault_then_takeover`, with A's order arriving at any moment of B's start: before and after its
+/// fencing number, its read, and its own order.
+fn late_into_a_takeover(fencing: Fencing) {
+    for steps in 1..24 {
+        let mut world = ordered(fencing, Fault::Late(STEP * steps));
+        succeeded(&mut world, fencing);
+        world.run_secs(40);
+        world.check(&[("b", "1")]);
+    }
+}
+
+/// A stands still with its order in hand for `secs`, while B takes over.
+fn frozen(fencing: Fencing, secs: u64) {
+    let mut world = World::new(document(&[("e1", "d1", ROOM, fencing)], &[("a", "1", 60)]), 2);
+    world.nodes[0].freezes_on_load = true;
+    world.claim(0);
+    world.run(Duration::from_millis(400));
+    succeeded(&mut world, fencing);
+    world.run_secs(secs);
+    world.thaw(0);
+    world.run_secs(90);
+    world.check(&[("b", "1")]);
+}
+
+/// A's intent stands in the log before B's claim, but A reads it back only long after B has read its
+/// claim. A then holds an entry that is valid for every reader, and may yet not send the order: B has
+/// stopped counting it.
+fn reads_its_intent_late() {
+    let mut world = World::new(document(&[("e1", "d1", ROOM, Ignores)], &[("a", "1", 60)]), 2);
+    world.claim(0);
+    world.run(Duration::from_millis(50));
+    world.nodes[0].reads = false;
+    world.run(Duration::from_millis(100));
+    assert!(world.transcript.contains("intent e1 load a@1"), "{}", world.transcript);
+    assert!(!world.transcript.contains("-> e1"), "{}", world.transcript);
+    succeeded(&mut world, Ignores);
+    world.run_secs(60);
+    world.check(&[("b", "1")]);
+    world.nodes[0].reads = true;
+    world.run_secs(10);
+    world.check(&[("b", "1")]);
+}
+
+/// The old version still answers when its new one is configured, and a third model wants the room.
+/// Both versions count until the engine has confirmed that the old one is gone. `first` is the model
+/// that gets the room beside the old version.
+fn version_change(fencing: Fencing, takeover: bool, fault: Fault, first: &str) {
+    let engines = [("e1", "d1", ROOM, fencing)];
+    let mut world = World::new(document(&engines, &[("a", "1", 40)]), 2);
+    world.claim(0);
+    world.run_secs(3);
+    let old = Item::Model(id("a"), id("1"));
+    world.engine("e1").active.insert(old.clone(), 1);
+    world.faults.push_back(fault);
+    world.configure(document(&engines, &[("a", "2", 40), ("c", "1", 30)]));
+    world.run_secs(1);
+    if takeover {
+        world.claim(1);
+    }
+    world.run_secs(40);
+    world.check(&[("a", "1")]);
+    assert!(world.engine("e1").held.contains_key(&old), "evicted in use\n{}", world.transcript);
+    let others = [world.is_reachable("a", "2"), world.is_reachable("c", "1")];
+    assert_eq!(others, [first == "a", first == "c"], "room for one of them\n{}", world.transcript);
+    world.engine("e1").active.clear();
+    world.run_secs(90);
+    world.check(&[("a", "2"), ("c", "1")]);
+}
+
+/// The keeper stays; its order meets `fault`, and `a` is loaded once.
+fn fault_alone(fencing: Fencing, fault: Fault) {
+    let mut world = ordered(fencing, fault);
+    world.run_secs(40);
+    world.check(&[("a", "1")]);
+    let loaded = world.transcript.matches("e1 load a@1: Done").count();
+    assert!((1..=2).contains(&loaded), "{}", world.transcript);
+}
+
+/// A's first copy of the order is late; its repeat is carried out. The engine restarts and forgets
+/// the order's id, so the late copy would be carried out again, beside what was loaded since.
+fn late_copy_after_restart(fencing: Fencing) {
+    let mut world = ordered(fencing, Fault::Late(Duration::from_secs(12)));
+    world.run_secs(6);
+    world.check(&[("a", "1")]);
+    world.configure(document(&[("e1", "d1", ROOM, fencing)], &[("b", "1", 60)]));
+    world.restart("e1");
+    world.run_secs(60);
+    world.check(&[("b", "1")]);
+}
+
+/// As `frozen`, and the engine has restarted before A goes on: the restart does not prove that an
+/// order which had not arrived before it cannot arrive after it.
+fn frozen_over_restart() {
+    let mut world = World::new(document(&[("e1", "d1", ROOM, Ignores)], &[("a", "1", 60)]), 2);
+    world.nodes[0].freezes_on_load = true;
+    world.claim(0);
+    world.run(Duration::from_millis(400));
+    succeeded(&mut world, Ignores);
+    world.run_secs(2);
+    world.restart("e1");
+    world.run_secs(5);
+    world.thaw(0);
+    world.run_secs(60);
+    world.check(&[("b", "1")]);
+}
+
+/// A's order is late, B takes over and stands still with its own load in hand, C takes over.
+fn two_takeovers(fencing: Fencing) {
+    let mut world = ordered(fencing, Fault::Late(Duration::from_secs(25)));
+    succeeded(&mut world, fencing);
+    world.nodes[1].freezes_on_load = true;
+    world.run_secs(5);
+    let c = world.add_node();
+    world.claim(c);
+    world.run_secs(15);
+    world.thaw(1);
+    world.run_secs(90);
+    world.check(&[("b", "1")]);
+}
+
+/// The old keeper's adapter order is late; the memory that it would take stays reserved.
+fn late_adapter(fencing: Fencing) {
+    let engines = [("e1", "d1", 62, fencing)];
+    let mut world = World::new(document(&engines, &[("a", "1", 60)]), 2);
+    world.claim(0);
+    world.run_secs(3);
+    world.faults.push_back(Fault::Late(Duration::from_secs(8)));
+    world.ask_adapter(0, "a", "a-a");
+    world.run_secs(1);
+    world.claim(1);
+    let doc = document(&engines, &[("a", "1", 60)]);
+    world.configure(changed(&doc, |d| {
+        let adapters = &mut d.services[0].models[0].adapters;
+        let adapter = adapters.shift_remove_index(0).expect("an adapter").1;
+        adapters.insert(id("other"), adapter);
+    }));
+    world.ask_adapter(1, "a", "other");
+    world.run_secs(60);
+    world.check(&[("a", "1")]);
+}
+
+fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+cases! {
+    load_lost_then_takeover_refusing => fault_then_takeover(Refuses, Fault::Lost);
+    load_lost_then_takeover_ignoring => fault_then_takeover(Ignores, Fault::Lost);
+    load_late_then_takeover_refusing => fault_then_takeover(Refuses, Fault::Late(secs(8)));
+    load_late_then_takeover_ignoring => fault_then_takeover(Ignores, Fault::Late(secs(8)));
+    load_very_late_then_takeover_ignoring => fault_then_takeover(Ignores, Fault::Late(secs(19)));
+    load_late_into_a_takeover_refusing => late_into_a_takeover(Refuses);
+    load_late_into_a_takeover_ignoring => late_into_a_takeover(Ignores);
+    load_answered_late_refusing => fault_then_takeover(Refuses, Fault::AnswerLate(secs(10)));
+    load_answered_late_ignoring => fault_then_takeover(Ignores, Fault::AnswerLate(secs(10)));
+    load_answer_lost_then_takeover_refusing => fault_then_takeover(Refuses, Fault::AnswerLost);
+    load_answer_lost_then_takeover_ignoring => fault_then_takeover(Ignores, Fault::AnswerLost);
+    frozen_with_load_in_hand_refusing => frozen(Refuses, 5);
+    frozen_with_load_in_hand_ignoring => frozen(Ignores, 5);
+    frozen_past_every_bound_refusing => frozen(Refuses, 60);
+    frozen_past_every_bound_ignoring => frozen(Ignores, 60);
+    intent_read_back_late => reads_its_intent_late();
+    old_version_still_answering_refusing => version_change(Refuses, false, Fault::None, "a");
+    old_version_still_answering_ignoring => version_change(Ignores, false, Fault::None, "a");
+    load_lost => fault_alone(Refuses, Fault::Lost);
+    load_lost_ignoring => fault_alone(Ignores, Fault::Lost);
+    load_answer_lost_refusing => fault_alone(Refuses, Fault::AnswerLost);
+    load_answer_lost_ignoring => fault_alone(Ignores, Fault::AnswerLost);
+    load_not_sent_ignoring => fault_alone(Ignores, Fault::NotSent);
+    two_at_once_late_copy_and_restart_refusing => late_copy_after_restart(Refuses);
+    two_at_once_late_copy_and_restart_ignoring => late_copy_after_restart(Ignores);
+    two_at_once_frozen_and_restart => frozen_over_restart();
+    two_at_once_late_and_two_takeovers_refusing => two_takeovers(Refuses);
+    two_at_once_late_and_two_takeovers_ignoring => two_takeovers(Ignores);
+    two_at_once_version_change_and_takeover_refusing
+        => version_change(Refuses, true, Fault::Late(secs(4)), "c");
+    two_at_once_version_change_and_takeover_ignoring
+        => version_change(Ignores, true, Fault::Late(secs(4)), "a");
+    adapter_late_then_takeover_refusing => late_adapter(Refuses);
+    adapter_late_then_takeover_ignoring => late_adapter(Ignores);
+}
--- /dev/null
+++ b/crates/placement/tests/placement/reach.rs
@@ -0,0 +1,240 @@
+//! Every model stays reachable: issue 4, point 2, as far as one keeper can see to it.
+
+use std::time::Duration;
+
+use hgw_config::Fencing::{self, Ignores, Refuses};
+use hgw_placement::{Item, KeeperEvent};
+use hgw_types::{ModelId, UpstreamId};
+use indexmap::IndexMap;
+
+use crate::support::{STEP, World, changed, document, id};
+
+/// Two engines of 100 with `a` and `b`; every model has one copy in the domain.
+fn two_engines(fencing: Fencing, models: &[(&str, &str, u64)]) -> World {
+    let engines = [("e1", "d1", 100, fencing), ("e2", "d1", 100, fencing)];
+    let mut world = World::new(document(&engines, models), 2);
+    world.claim(0);
+    world.run_secs(6);
+    world.check(models.iter().map(|(m, v, _)| (*m, *v)).collect::<Vec<_>>().as_slice());
+    world
+}
+
+/// The engine that holds this version ready.
+fn holder(world: &World, model: &str, version: &str) -> Vec<String> {
+    let item = Item::Model(id(model), id(version));
+    let held = world.engines.iter().filter(|(_, e)| e.held.contains_key(&item));
+    held.map(|(id, _)| id.to_string()).collect()
+}
+
+/// An engine dies. Its models are loaded at the other one, though the planner has said nothing: with
+/// the log down it cannot. Engines that ignore fencing numbers get no order that is not recorded, so
+/// theirs wait until the log is up.
+fn engine_dies(fencing: Fencing, log_up: bool) {
+    let mut world = two_engines(fencing, &[("a", "1", 40), ("b", "1", 40)]);
+    let dead = holder(&world, "a", "1").remove(0);
+    world.set_log(log_up);
+    world.engine(&dead).up = false;
+    world.run_secs(10);
+    let may_order = log_up || fencing == Refuses;
+    assert_eq!(world.is_reachable("a", "1"), may_order, "{}", world.transcript);
+    world.set_log(true);
+    world.run_secs(10);
+    world.check(&[("a", "1"), ("b", "1")]);
+    world.engine(&dead).up = true;
+    world.engine(&dead).restart();
+    world.run_secs(20);
+    world.check(&[("a", "1"), ("b", "1")]);
+}
+
+/// The keeper dies at any step of a version change and another takes over. Callers of the model find
+/// the old or the new version ready at each step.
+fn keeper_dies_in_a_move(fencing: Fencing) {
+    for steps in (0..80).step_by(4) {
+        let mut world = two_engines(fencing, &[("a", "1", 40), ("b", "1", 40)]);
+        let engines = [("e1", "d1", 100, fencing), ("e2", "d1", 100, fencing)];
+        world.configure(document(&engines, &[("a", "2", 40), ("b", "1", 40)]));
+        world.run(STEP * steps);
+        world.kill(0);
+        world.claim(1);
+        for _ in 0..400 {
+            world.step();
+            let serves = world.is_reachable("a", "1") || world.is_reachable("a", "2");
+            assert!(serves, "after {steps} steps\n{}", world.transcript);
+        }
+        world.check(&[("a", "2"), ("b", "1")]);
+        assert_eq!(holder(&world, "a", "1"), Vec::<String>::new(), "{}", world.transcript);
+    }
+}
+
+/// The domain is cut off. Its callers ask for a model that the floor gives to another domain: it takes
+/// the place of a demand replica, and never of a floor copy.
+fn cut_off(fencing: Fencing) {
+    let engines =
+        [("e1", "d1", 100, fencing), ("f1", "d3", 100, fencing), ("f2", "d3", 100, fencing)];
+    let models = [("a", "1", 40), ("b", "1", 40), ("c", "1", 40), ("d", "1", 40)];
+    let mut world = World::new(document(&engines, &models), 1);
+    world.claim(0);
+    world.run_secs(5);
+    let floor = world.floor_of("e1");
+    assert_eq!(floor.len(), 2, "the floor fills the engine");
+    let mut away = models.iter().map(|(m, ..)| *m).filter(|m| !floor.contains(&(*m).to_string()));
+    let asked = away.next().expect("a model elsewhere");
+    world.set_log(false);
+    world.ask_model(0, asked);
+    world.run_secs(10);
+    assert!(!world.is_reachable(asked, "1"), "in place of a floor copy\n{}", world.transcript);
+    floor.iter().for_each(|m| world.check(&[(m, "1")]));
+}
+
+/// As `cut_off`, with a demand replica to give up: the copy at `e2`, since the floor's is at `e1`.
+fn cut_off_with_replica() {
+    let engines =
+        [("e1", "d1", 100, Refuses), ("e2", "d1", 100, Refuses), ("f1", "d3", 300, Refuses)];
+    let mut world = World::new(document(&engines, &[("a", "1", 60), ("b", "1", 60)]), 1);
+    world.set_floor(|f| f.models = floor_of(&[("a", &["e1", "e2"]), ("b", &["f1"])]));
+    world.claim(0);
+    world.run_secs(5);
+    world.set_floor(|f| f.models = floor_of(&[("a", &["e1"]), ("b", &["f1"])]));
+    world.set_log(false);
+    world.ask_model(0, "b");
+    world.run_secs(10);
+    world.check(&[("a", "1"), ("b", "1")]);
+    assert_eq!(holder(&world, "a", "1"), ["e1"], "{}", world.transcript);
+}
+
+fn floor_of(models: &[(&str, &[&str])]) -> IndexMap<ModelId, Vec<UpstreamId>> {
+    models.iter().map(|(m, engines)| (id(m), engines.iter().map(|e| id(e)).collect())).collect()
+}
+
+/// The engine that is to leave gets no load; its floor copy is loaded at another one, and its own goes
+/// on serving until it has gone.
+fn leaving(how: impl Fn(&mut World, &str)) {
+    let mut world = two_engines(Refuses, &[("a", "1", 40), ("b", "1", 40)]);
+    let leaves = holder(&world, "a", "1").remove(0);
+    how(&mut world, &leaves);
+    world.run_secs(1);
+    world.transcript.clear();
+    world.run_secs(10);
+    assert!(!world.transcript.contains(&format!("-> {leaves}: load")), "{}", world.transcript);
+    assert_eq!(holder(&world, "a", "1").len(), 2, "{}", world.transcript);
+    world.check(&[("a", "1"), ("b", "1")]);
+}
+
+fn by_configuration(world: &mut World, engine: &str) {
+    let doc = world.document();
+    world.configure(changed(&doc, |d| {
+        d.upstreams.get_mut(&id::<UpstreamId>(engine)).expect("engine").leaving = true;
+    }));
+}
+
+/// The engine has room for one version only, and no other engine is there: the new one takes the old
+/// one's place in the end, since the configuration would never be in force otherwise.
+fn version_change_without_room() {
+    let engines = [("e1", "d1", 100, Refuses)];
+    let mut world = World::new(document(&engines, &[("a", "1", 70)]), 1);
+    world.claim(0);
+    world.run_secs(5);
+    world.configure(document(&engines, &[("a", "2", 70)]));
+    world.run_secs(50);
+    world.check(&[("a", "1")]);
+    world.run_secs(30);
+    world.check(&[("a", "2")]);
+}
+
+/// Two engines are full with one model each, and one has room for a new version of the other's: it is
+/// loaded there, and the old one goes after that.
+fn version_change_next_door() {
+    let mut world = two_engines(Refuses, &[("a", "1", 70), ("b", "1", 20)]);
+    let engines = [("e1", "d1", 100, Refuses), ("e2", "d1", 100, Refuses)];
+    world.configure(document(&engines, &[("a", "2", 70), ("b", "1", 20)]));
+    for _ in 0..600 {
+        world.step();
+        assert!(
+            world.is_reachable("a", "1") || world.is_reachable("a", "2"),
+            "{}",
+            world.transcript
+        );
+    }
+    world.check(&[("a", "2"), ("b", "1")]);
+    assert_eq!(holder(&world, "a", "1"), Vec::<String>::new(), "{}", world.transcript);
+}
+
+/// An eviction is ordered only after the placement without the item was published, and after a read
+/// that shows no request for it.
+fn eviction_waits_for_routes() {
+    let mut world = two_engines(Refuses, &[("a", "1", 40), ("b", "1", 40)]);
+    let engines = [("e1", "d1", 100, Refuses), ("e2", "d1", 100, Refuses)];
+    world.run_secs(10);
+    world.configure(document(&engines, &[("a", "1", 40)]));
+    let holder = holder(&world, "b", "1").remove(0);
+    let item = Item::Model(id("b"), id("1"));
+    world.engine(&holder).active.insert(item.clone(), 1);
+    world.run_secs(20);
+    assert!(world.engine(&holder).held.contains_key(&item), "evicted in use\n{}", world.transcript);
+    assert!(world.transcript.ends_with(&format!("placement {holder}: \n")), "{}", world.transcript);
+    world.engine(&holder).active.clear();
+    world.run_secs(6);
+    assert!(!world.engine(&holder).held.contains_key(&item), "{}", world.transcript);
+}
+
+/// An adapter is loaded where its model is when callers ask for it, and its new version beside the old.
+fn adapter_on_demand() {
+    let mut world = two_engines(Ignores, &[("a", "1", 40), ("b", "1", 40)]);
+    world.ask_adapter(0, "a", "a-a");
+    world.run_secs(3);
+    let holder = holder(&world, "a", "1").remove(0);
+    let adapter = |v: &str| Item::Adapter(id("a"), id("a-a"), id(v));
+    assert!(world.engine(&holder).held.contains_key(&adapter("1")), "{}", world.transcript);
+    let doc = world.document();
+    world.configure(changed(&doc, |d| {
+        let adapters = &mut d.services[0].models[0].adapters;
+        adapters[0].version = id("2");
+    }));
+    world.run_secs(10);
+    let held = &world.engine(&holder).held;
+    assert!(held.contains_key(&adapter("2")) && !held.contains_key(&adapter("1")));
+    world.check(&[("a", "1")]);
+}
+
+/// A restarted engine is loaded again, whatever it forgot.
+fn engine_restarts(fencing: Fencing) {
+    let mut world = two_engines(fencing, &[("a", "1", 40), ("b", "1", 40)]);
+    world.restart("e1");
+    world.restart("e2");
+    world.run_secs(15);
+    world.check(&[("a", "1"), ("b", "1")]);
+}
+
+/// A model in a burst of demand that finds no room gets a replica in what the floor leaves.
+fn burst_gets_a_replica() {
+    let mut world = two_engines(Refuses, &[("a", "1", 40), ("b", "1", 40)]);
+    world.run_secs(10);
+    for _ in 0..20 {
+        world.ask_model(0, "a");
+        world.run(Duration::from_secs(1));
+    }
+    assert_eq!(holder(&world, "a", "1").len(), 2, "{}", world.transcript);
+    world.check(&[("a", "1"), ("b", "1")]);
+}
+
+cases! {
+    engine_dies_refusing => engine_dies(Refuses, true);
+    engine_dies_ignoring => engine_dies(Ignores, true);
+    engine_dies_with_the_log_down_refusing => engine_dies(Refuses, false);
+    engine_dies_with_the_log_down_ignoring => engine_dies(Ignores, false);
+    keeper_dies_in_a_move_refusing => keeper_dies_in_a_move(Refuses);
+    keeper_dies_in_a_move_ignoring => keeper_dies_in_a_move(Ignores);
+    cut_off_spares_the_floor => cut_off(Refuses);
+    cut_off_gives_up_a_replica => cut_off_with_replica();
+    leaving_by_configuration => leaving(by_configuration);
+    leaving_by_the_platforms_list
+        => leaving(|w, e| w.tell(0, KeeperEvent::Leaving(vec![id(e)])));
+    leaving_by_its_own_report => leaving(|w, e| w.engine(e).leaving = true);
+    new_version_without_room_for_both => version_change_without_room();
+    new_version_next_door => version_change_next_door();
+    eviction_follows_withdrawn_routes => eviction_waits_for_routes();
+    adapter_comes_on_demand_and_changes_version => adapter_on_demand();
+    engines_restart_refusing => engine_restarts(Refuses);
+    engines_restart_ignoring => engine_restarts(Ignores);
+    burst_of_demand => burst_gets_a_replica();
+}
--- /dev/null
+++ b/crates/placement/tests/placement/support/engine.rs
@@ -0,0 +1,110 @@
+use std::time::Duration;
+
+use hgw_placement::Item;
+use hgw_types::{Generation, MemSize, RecordId, Term, Time};
+use hgw_wire::upstream::{EngineState, HeldAdapter, HeldModel, Order, OrderKind, OrderOutcome};
+use indexmap::{IndexMap, IndexSet};
+
+/// Time that a load takes.
+pub(crate) const LOAD_TIME: Duration = Duration::from_millis(800);
+
+/// An engine that notes any moment at which it was asked to hold more than it has.
+#[derive(Debug)]
+pub(crate) struct FakeEngine {
+    pub(crate) refuses: bool,
+    pub(crate) memory: MemSize,
+    pub(crate) generation: u64,
+    pub(crate) fence: Term,
+    pub(crate) up: bool,
+    pub(crate) leaving: bool,
+    /// Size, and when it is ready.
+    pub(crate) held: IndexMap<Item, (MemSize, Time)>,
+    pub(crate) active: IndexMap<Item, u32>,
+    pub(crate) done: IndexSet<RecordId>,
+    pub(crate) overcommitted: Vec<String>,
+}
+
+impl FakeEngine {
+    pub(crate) fn new(refuses: bool, memory: MemSize) -> FakeEngine {
+        FakeEngine {
+            refuses,
+            memory,
+            generation: 1,
+            fence: Term(0),
+            up: true,
+            leaving: false,
+            held: IndexMap::new(),
+            active: IndexMap::new(),
+            done: IndexSet::new(),
+            overcommitted: Vec::new(),
+        }
+    }
+
+    pub(crate) fn restart(&mut self) {
+        self.generation += 1;
+        self.fence = Term(0);
+        self.held.clear();
+        self.done.clear();
+        self.active.clear();
+    }
+
+    pub(crate) fn used(&self) -> MemSize {
+        self.held.values().map(|(size, _)| *size).sum()
+    }
+
+    /// Carries the order out; the outcome and how long the answer takes.
+    pub(crate) fn order(&mut self, now: Time, order: &Order) -> (OrderOutcome, Duration) {
+        if self.refuses && order.fence < self.fence {
+            return (OrderOutcome::OldFence { current: self.fence }, Duration::ZERO);
+        }
+        self.fence = self.fence.max(order.fence);
+        if !self.done.insert(order.id) {
+            return (OrderOutcome::Done, Duration::ZERO);
+        }
+        if let Some((item, size)) = Item::loaded_by(&order.kind) {
+            let room = self.memory.saturating_sub(self.used());
+            if size > room || self.held.contains_key(&item) {
+                self.overcommitted.push(format!("{now}: {item} of {size} into {room}"));
+                return (OrderOutcome::Refused { reason: "no memory".into() }, Duration::ZERO);
+            }
+            self.held.insert(item, (size, now + LOAD_TIME));
+            return (OrderOutcome::Done, LOAD_TIME);
+        }
+        match &order.kind {
+            OrderKind::Evict { model, version } => {
+                let dropped = Item::Model(model.clone(), version.clone());
+                self.held.retain(|i, _| *i != dropped && (i.is_model() || i.model() != model));
+                self.active.shift_remove(&dropped);
+            }
+            OrderKind::EvictAdapter { model, adapter, version } => {
+                let dropped = Item::Adapter(model.clone(), adapter.clone(), version.clone());
+                self.held.shift_remove(&dropped);
+            }
+            _ => {}
+        }
+        (OrderOutcome::Done, Duration::ZERO)
+    }
+
+    pub(crate) fn state(&self, now: Time) -> EngineState {
+        let mut state = EngineState {
+            generation: Generation(self.generation),
+            fence: self.fence,
+            memory: self.memory,
+            leaving: self.leaving,
+            ..EngineState::default()
+        };
+        for (item, (size, ready_at)) in &self.held {
+            let (size, ready) = (*size, now >= *ready_at);
+            match item.clone() {
+                Item::Model(model, version) => {
+                    let active = self.active.get(item).copied().unwrap_or_default();
+                    state.models.push(HeldModel { model, version, size, ready, active });
+                }
+                Item::Adapter(model, adapter, version) => {
+                    state.adapters.push(HeldAdapter { model, adapter, version, size, ready });
+                }
+            }
+        }
+        state
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/placement/support/world.rs
@@ -0,0 +1,438 @@
+use std::collections::VecDeque;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hgw_config::{Document, Fencing};
+use hgw_placement::{
+    Floor, Item, Keeper, KeeperAction, KeeperEntry, KeeperEvent, KeeperSettings, OrderResult, floor,
+};
+use hgw_types::{Offset, RecordId, Term, Time, UpstreamId};
+use hgw_wire::peer::Demand;
+use hgw_wire::upstream::{Order, OrderKind};
+use indexmap::IndexMap;
+
+use super::{FakeEngine, id};
+
+/// One step of the world.
+pub(crate) const STEP: Duration = Duration::from_millis(50);
+/// Time from an order's loss to the keeper's knowing.
+const TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// What happens to the next order that can grow memory.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Fault {
+    /// Nothing.
+    None,
+    /// It never arrives, and no answer comes.
+    Lost,
+    /// No answer comes, and it arrives after this time.
+    Late(Duration),
+    /// It takes effect, and no answer comes.
+    AnswerLost,
+    /// It takes effect, and the answer comes after this time.
+    AnswerLate(Duration),
+    /// No byte of it can be sent.
+    NotSent,
+}
+
+#[derive(Debug, Clone)]
+enum Record {
+    Claim(usize),
+    Entry { term: Term, id: RecordId, entry: KeeperEntry },
+}
+
+#[derive(Debug)]
+enum Wire {
+    Order { node: usize, upstream: UpstreamId, order: Order, answered: bool, late: Duration },
+    Answer { node: usize, order: RecordId, result: OrderResult },
+    State { node: usize, upstream: UpstreamId, asked: Time },
+}
+
+/// A node of the domain, or what is left of it.
+pub(crate) struct Node {
+    pub(crate) keeper: Keeper,
+    read: usize,
+    latest: Option<(Term, usize)>,
+    frozen: bool,
+    dead: bool,
+    /// Whether it reads the log.
+    pub(crate) reads: bool,
+    /// Whether it stands still as soon as it is about to send an order that can grow memory.
+    pub(crate) freezes_on_load: bool,
+    hand: Vec<KeeperAction>,
+    inbox: Vec<KeeperEvent>,
+}
+
+/// Keepers of domain `d1`, its engines, a log, and wires that lose and delay.
+pub(crate) struct World {
+    pub(crate) now: Time,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) engines: IndexMap<UpstreamId, FakeEngine>,
+    pub(crate) faults: VecDeque<Fault>,
+    pub(crate) log_up: bool,
+    /// Whether each session line is kept.
+    pub(crate) transcript: String,
+    document: Arc<Document>,
+    floor: Floor,
+    log: Vec<Record>,
+    wires: Vec<(Time, Wire)>,
+}
+
+impl World {
+    pub(crate) fn new(document: Arc<Document>, nodes: usize) -> World {
+        let engines = document.upstreams.iter().filter(|(_, u)| u.domain.as_str() == "d1");
+        let engines = engines
+            .map(|(id, u)| (id.clone(), FakeEngine::new(u.fencing == Fencing::Refuses, u.memory)));
+        let mut world = World {
+            now: Time::from_millis(1000),
+            nodes: Vec::new(),
+            engines: engines.collect(),
+            faults: VecDeque::new(),
+            log_up: true,
+            transcript: String::new(),
+            floor: floor(&document, Offset(1), &[], None),
+            document,
+            // Offset 0 is no term.
+            log: vec![Record::Claim(usize::MAX)],
+            wires: Vec::new(),
+        };
+        for _ in 0..nodes {
+            world.add_node();
+        }
+        world
+    }
+
+    /// A new process; its index.
+    pub(crate) fn add_node(&mut self) -> usize {
+        let n = self.nodes.len();
+        let settings = KeeperSettings { settle: Duration::from_millis(500), ..Default::default() };
+        let keeper = Keeper::new(settings, id("d1"), n as u64 + 1);
+        self.nodes.push(Node {
+            keeper,
+            read: 0,
+            latest: None,
+            frozen: false,
+            dead: false,
+            reads: true,
+            freezes_on_load: false,
+            hand: Vec::new(),
+            inbox: Vec::new(),
+        });
+        self.tell_config(n);
+        n
+    }
+
+    fn tell_config(&mut self, node: usize) {
+        let (version, document) = (self.floor.config, Arc::clone(&self.document));
+        self.tell(node, KeeperEvent::Config { version, document });
+        self.tell(node, KeeperEvent::Floor(self.floor.clone()));
+    }
+
+    pub(crate) fn configure(&mut self, document: Arc<Document>) {
+        let version = Offset(self.floor.config.0 + 1);
+        self.floor = floor(&document, version, &[], Some(&self.floor));
+        self.document = document;
+        (0..self.nodes.len()).for_each(|n| self.tell_config(n));
+    }
+
+    pub(crate) fn document(&self) -> Arc<Document> {
+        Arc::clone(&self.document)
+    }
+
+    /// Models that the floor gives to an engine.
+    pub(crate) fn floor_of(&self, engine: &str) -> Vec<String> {
+        let here = |e: &Vec<UpstreamId>| e.iter().any(|u| u.as_str() == engine);
+        let models = self.floor.models.iter().filter(|(_, engines)| here(engines));
+        models.map(|(model, _)| model.to_string()).collect()
+    }
+
+    pub(crate) fn set_floor(&mut self, change: impl FnOnce(&mut Floor)) {
+        change(&mut self.floor);
+        let floor = self.floor.clone();
+        (0..self.nodes.len()).for_each(|n| self.tell(n, KeeperEvent::Floor(floor.clone())));
+    }
+
+    pub(crate) fn claim(&mut self, node: usize) {
+        self.log.push(Record::Claim(node));
+    }
+
+    /// The process stands still, with what it was about to do in hand.
+    pub(crate) fn freeze(&mut self, node: usize) {
+        self.nodes[node].frozen = true;
+    }
+
+    /// It goes on: first with what it had in hand, then with what has come for it.
+    pub(crate) fn thaw(&mut self, node: usize) {
+        self.note(format!("{} goes on", name(node)));
+        self.nodes[node].frozen = false;
+        let hand = std::mem::take(&mut self.nodes[node].hand);
+        hand.into_iter().for_each(|a| self.act(node, a));
+        let inbox = std::mem::take(&mut self.nodes[node].inbox);
+        inbox.into_iter().for_each(|e| self.tell(node, e));
+    }
+
+    pub(crate) fn kill(&mut self, node: usize) {
+        self.nodes[node].dead = true;
+    }
+
+    pub(crate) fn set_log(&mut self, up: bool) {
+        self.log_up = up;
+        (0..self.nodes.len()).for_each(|n| self.tell(n, KeeperEvent::LogUp(up)));
+    }
+
+    pub(crate) fn restart(&mut self, engine: &str) {
+        self.note(format!("{engine} restarts"));
+        self.engine(engine).restart();
+    }
+
+    pub(crate) fn engine(&mut self, engine: &str) -> &mut FakeEngine {
+        self.engines.get_mut(&id::<UpstreamId>(engine)).expect("an engine of d1")
+    }
+
+    pub(crate) fn tell(&mut self, node: usize, event: KeeperEvent) {
+        if self.nodes[node].dead {
+            return;
+        }
+        if self.nodes[node].frozen {
+            self.nodes[node].inbox.push(event);
+            return;
+        }
+        let mut out = Vec::new();
+        self.nodes[node].keeper.handle(self.now, event, &mut out);
+        out.into_iter().for_each(|a| self.act(node, a));
+    }
+
+    /// Carries an action out; a frozen node keeps it in hand.
+    fn act(&mut self, node: usize, action: KeeperAction) {
+        let grows = |a: &KeeperAction| matches!(a, KeeperAction::Order { order, .. } if Item::loaded_by(&order.kind).is_some());
+        if self.nodes[node].freezes_on_load && grows(&action) {
+            self.nodes[node].freezes_on_load = false;
+            self.note(format!("{} stands still with a load in hand", name(node)));
+            self.freeze(node);
+        }
+        if self.nodes[node].frozen {
+            self.nodes[node].hand.push(action);
+            return;
+        }
+        match action {
+            KeeperAction::Record { id, entry } => self.append(node, id, entry),
+            KeeperAction::AskState(upstream) => {
+                let wire = Wire::State { node, upstream, asked: self.now };
+                self.wires.push((self.now + STEP, wire));
+            }
+            KeeperAction::Order { upstream, order, send_by } => {
+                self.note(format!("{} -> {upstream}: {}", name(node), show(&order.kind)));
+                if self.now > send_by {
+                    self.note(format!("{} -> {upstream}: too late, not sent", name(node)));
+                    self.tell_later(node, order.id, OrderResult::NotSent, STEP);
+                    return;
+                }
+                self.send(node, upstream, order);
+            }
+            KeeperAction::Placement(changed) => {
+                for (upstream, holding) in changed {
+                    let models = holding.models.iter().map(|(m, v)| format!("{m}@{v}"));
+                    let adapters = holding.adapters.iter().map(|(_, a, v)| format!("+{a}@{v}"));
+                    let all: Vec<String> = models.chain(adapters).collect();
+                    self.note(format!("{} placement {upstream}: {}", name(node), all.join(" ")));
+                }
+            }
+            KeeperAction::LostEngines(lost) => {
+                let lost: Vec<&str> = lost.iter().map(UpstreamId::as_str).collect();
+                self.note(format!("{} lost: [{}]", name(node), lost.join(" ")));
+            }
+        }
+    }
+
+    fn append(&mut self, node: usize, id: RecordId, entry: KeeperEntry) {
+        let Some((term, holder)) = self.nodes[node].latest else { return };
+        if !self.log_up || holder != node {
+            self.tell_later_event(node, KeeperEvent::Dropped(id));
+            return;
+        }
+        let text = match &entry {
+            KeeperEntry::Intent { upstream, kind, .. } => {
+                format!("intent {upstream} {}", show(kind))
+            }
+            KeeperEntry::Settled { orders } => format!("settled {}", orders.len()),
+        };
+        self.note(format!("{} records {text}", name(node)));
+        self.log.push(Record::Entry { term, id, entry });
+    }
+
+    fn tell_later_event(&mut self, node: usize, event: KeeperEvent) {
+        self.nodes[node].inbox.push(event);
+    }
+
+    fn send(&mut self, node: usize, upstream: UpstreamId, order: Order) {
+        let grows = Item::loaded_by(&order.kind).is_some();
+        let fault = if grows { self.faults.pop_front() } else { None };
+        let mut late = STEP;
+        let (mut answered, mut delay) = (true, Duration::ZERO);
+        match fault.unwrap_or(Fault::None) {
+            Fault::None => {}
+            Fault::NotSent => return self.tell_later(node, order.id, OrderResult::NotSent, STEP),
+            Fault::Lost => return self.tell_later(node, order.id, OrderResult::Lost, TIMEOUT),
+            Fault::Late(by) => (answered, late) = (false, by),
+            Fault::AnswerLost => answered = false,
+            Fault::AnswerLate(by) => delay = by,
+        }
+        if !answered {
+            self.tell_later(node, order.id, OrderResult::Lost, TIMEOUT);
+        }
+        let wire = Wire::Order { node, upstream, order, answered, late: delay };
+        self.wires.push((self.now + late, wire));
+    }
+
+    fn tell_later(&mut self, node: usize, order: RecordId, result: OrderResult, after: Duration) {
+        self.wires.push((self.now + after, Wire::Answer { node, order, result }));
+    }
+
+    /// Callers of the node ask for an adapter that no engine holds.
+    pub(crate) fn ask_adapter(&mut self, node: usize, model: &str, adapter: &str) {
+        let demand = Demand { adapters: vec![id(adapter)], ..demand(model) };
+        self.tell(node, KeeperEvent::Demand(vec![demand]));
+    }
+
+    /// Callers of the node ask for a model and find no replica with room.
+    pub(crate) fn ask_model(&mut self, node: usize, model: &str) {
+        let demand = Demand { urgent: 20, unmet: 20, busy_ms: 8000, ..demand(model) };
+        self.tell(node, KeeperEvent::Demand(vec![demand]));
+    }
+
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    pub(crate) fn run_secs(&mut self, secs: u64) {
+        self.run(Duration::from_secs(secs));
+    }
+
+    pub(crate) fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        let (due, later) =
+            std::mem::take(&mut self.wires).into_iter().partition(|(t, _)| *t <= now);
+        self.wires = later;
+        let due: Vec<(Time, Wire)> = due;
+        due.into_iter().for_each(|(_, wire)| self.deliver(wire));
+        for node in 0..self.nodes.len() {
+            if !self.nodes[node].frozen {
+                let inbox = std::mem::take(&mut self.nodes[node].inbox);
+                inbox.into_iter().for_each(|e| self.tell(node, e));
+                self.read_log(node);
+                self.tell(node, KeeperEvent::Tick);
+            }
+        }
+    }
+
+    fn deliver(&mut self, wire: Wire) {
+        match wire {
+            Wire::Answer { node, order, result } => {
+                self.tell(node, KeeperEvent::Answer { order, result });
+            }
+            Wire::State { node, upstream, asked } => {
+                let engine = &self.engines[&upstream];
+                let state = engine.up.then(|| engine.state(self.now));
+                self.tell(node, KeeperEvent::State { upstream, asked, state });
+            }
+            Wire::Order { node, upstream, order, answered, late } => {
+                let engine = &mut self.engines[&upstream];
+                if !engine.up {
+                    if answered {
+                        self.tell_later(node, order.id, OrderResult::Lost, STEP);
+                    }
+                    return;
+                }
+                let (outcome, takes) = engine.order(self.now, &order);
+                self.note(format!("{upstream} {}: {outcome:?}", show(&order.kind)));
+                if answered {
+                    let result = OrderResult::Answered(outcome);
+                    self.tell_later(node, order.id, result, takes + late + STEP);
+                }
+            }
+        }
+    }
+
+    fn read_log(&mut self, node: usize) {
+        while self.log_up && self.nodes[node].reads && self.nodes[node].read < self.log.len() {
+            let n = &mut self.nodes[node];
+            let offset = n.read;
+            n.read += 1;
+            let held = n.latest.is_some_and(|(_, holder)| holder == node);
+            match self.log[offset].clone() {
+                Record::Claim(claimer) => {
+                    n.latest = Some((Term(offset as u64), claimer));
+                    if held {
+                        self.tell(node, KeeperEvent::Lost);
+                    }
+                    if claimer == node {
+                        self.note(format!("{} gains term {offset}", name(node)));
+                        self.tell(node, KeeperEvent::Gained(Term(offset as u64)));
+                    }
+                }
+                Record::Entry { term, id, entry } => {
+                    if n.latest.is_some_and(|(latest, _)| latest == term) {
+                        self.tell(node, KeeperEvent::Apply { id, entry });
+                    } else {
+                        self.tell(node, KeeperEvent::Dropped(id));
+                    }
+                }
+            }
+        }
+    }
+
+    fn note(&mut self, line: String) {
+        let _ = writeln!(self.transcript, "{} {line}", self.now);
+    }
+
+    /// Moments at which an engine was asked to hold more than it has, or the same twice.
+    pub(crate) fn overcommitted(&self) -> Vec<String> {
+        let all = self.engines.iter();
+        all.flat_map(|(id, e)| e.overcommitted.iter().map(move |o| format!("{id} at {o}")))
+            .collect()
+    }
+
+    /// Whether some engine that is up holds a version of the model ready.
+    /// Fails with the whole session where memory was overcommitted or `models` are not reachable.
+    pub(crate) fn check(&self, models: &[(&str, &str)]) {
+        let session = &self.transcript;
+        assert_eq!(self.overcommitted(), Vec::<String>::new(), "\n{session}");
+        for (model, version) in models {
+            assert!(
+                self.is_reachable(model, version),
+                "{model}@{version} not reachable\n{session}"
+            );
+        }
+    }
+
+    pub(crate) fn is_reachable(&self, model: &str, version: &str) -> bool {
+        let item = Item::Model(id(model), id(version));
+        let holds = |e: &FakeEngine| e.up && e.held.get(&item).is_some_and(|(_, t)| *t <= self.now);
+        self.engines.values().any(holds)
+    }
+}
+
+fn demand(model: &str) -> Demand {
+    let model = id(model);
+    Demand { model, urgent: 0, deferrable: 0, unmet: 0, busy_ms: 0, adapters: Vec::new() }
+}
+
+fn name(node: usize) -> char {
+    char::from(b'A' + u8::try_from(node % 26).unwrap_or_default())
+}
+
+fn show(kind: &OrderKind) -> String {
+    match kind {
+        OrderKind::Fence => "fence".into(),
+        OrderKind::Load { model, version, .. } => format!("load {model}@{version}"),
+        OrderKind::Evict { model, version } => format!("evict {model}@{version}"),
+        OrderKind::LoadAdapter { adapter, version, .. } => format!("load +{adapter}@{version}"),
+        OrderKind::EvictAdapter { adapter, version, .. } => format!("evict +{adapter}@{version}"),
+        OrderKind::Role { role } => format!("role {role:?}"),
+    }
+}
