--- a/crates/placement/src/floor/region.rs
+++ b/crates/placement/src/floor/region.rs
@@ -11,12 +11,15 @@
 pub(super) struct Room<'a> {
     id: &'a UpstreamId,
     domain: &'a DomainId,
+    /// What its models leave if each is given room for its largest adapter.
     free: MemSize,
+    /// What its models alone leave.
+    bare: MemSize,
 }
 
 impl<'a> Room<'a> {
-    pub(super) fn new(id: &'a UpstreamId, domain: &'a DomainId, free: MemSize) -> Self {
-        Room { id, domain, free }
+    pub(super) fn new(id: &'a UpstreamId, domain: &'a DomainId, memory: MemSize) -> Self {
+        Room { id, domain, free: memory, bare: memory }
     }
 }
 
@@ -39,8 +42,8 @@
 }
 
 impl<'a> Packing<'a> {
-    /// The packing that leaves out the fewest models; of equals the one that moves least, and of
-    /// those the one that spreads most.
+    /// The packing that leaves out the fewest models, above all those that no region before has; of
+    /// equals the one that moves least, and of those the one that spreads most.
     pub(super) fn best(
         service: &'a Service,
         rooms: Vec<Room<'a>>,
@@ -50,111 +53,93 @@
         let covered = |id: &ModelId| elsewhere.models.get(id).is_some_and(|e| !e.is_empty());
         let mut order: Vec<(&ModelId, &Model)> = service.models.iter().collect();
         order.sort_by_key(|(id, m)| (covered(id), Reverse(m.size), *id));
-        let tries = [
-            (previous, Fit::Worst, true),
-            (None, Fit::Worst, true),
-            (None, Fit::Best, true),
-            (None, Fit::Best, false),
-        ];
-        let mut best: Option<Packing<'a>> = None;
-        for (previous, fit, with_adapter) in tries {
+        let score = |p: &Packing<'_>| {
+            let only_here = p.copies.keys().filter(|id| !covered(id)).count();
+            (only_here, p.copies.len())
+        };
+        let mut best = Packing { rooms: rooms.clone(), fit: Fit::Worst, copies: IndexMap::new() };
+        let tries = [(previous, Fit::Worst), (None, Fit::Worst), (None, Fit::Best)];
+        for (previous, fit) in tries {
             let mut packing = Packing { rooms: rooms.clone(), fit, copies: IndexMap::new() };
-            packing.fill(&order, previous, with_adapter);
-            if best.as_ref().is_none_or(|b| b.copies.len() < packing.copies.len()) {
-                best = Some(packing);
+            packing.fill(&order, previous);
+            if score(&packing) > score(&best) {
+                best = packing;
             }
-            if best.as_ref().is_some_and(|b| b.copies.len() == order.len()) {
+            if best.copies.len() == order.len() {
                 break;
             }
         }
-        best.unwrap_or(Packing { rooms, fit: Fit::Worst, copies: IndexMap::new() })
+        best
     }
 
-    fn fill(
-        &mut self,
-        order: &[(&'a ModelId, &'a Model)],
-        previous: Option<&Floor>,
-        with_adapter: bool,
-    ) {
+    /// First copies of all models go before any second copy; kept ones before new ones; ones with
+    /// room for an adapter before ones without.
+    fn fill(&mut self, order: &[(&'a ModelId, &'a Model)], previous: Option<&Floor>) {
         let before: Vec<Vec<usize>> = order.iter().map(|(id, _)| self.kept(id, previous)).collect();
-        let need: Vec<MemSize> = order.iter().map(|(_, m)| need(m, with_adapter)).collect();
-        // First copies of all models go before any second copy; kept ones before new ones.
-        for (i, (id, _)) in order.iter().enumerate() {
-            if let Some(&room) = before[i].iter().find(|r| self.rooms[**r].free >= need[i]) {
-                self.put(id, room, need[i]);
+        for (i, (id, model)) in order.iter().enumerate() {
+            if let Some(&room) = before[i].iter().find(|r| self.rooms[**r].bare >= model.size) {
+                self.put(id, model, room);
             }
         }
-        for (i, (id, _)) in order.iter().enumerate() {
-            if !self.copies.contains_key(id)
-                && let Some(room) = self.choose(need[i])
-            {
-                self.put(id, room, need[i]);
+        for with_adapter in [true, false] {
+            for (id, model) in order {
+                if !self.copies.contains_key(id)
+                    && let Some(room) = self.choose(model, with_adapter)
+                {
+                    self.put(id, model, room);
+                }
             }
         }
-        self.fill_second(order, &before, &need);
+        self.fill_second(order, &before);
     }
 
     /// Second copies, in another failure domain than the first, in what the first ones leave but for
     /// the room that a version change of the largest model needs on one engine.
-    fn fill_second(
-        &mut self,
-        order: &[(&'a ModelId, &'a Model)],
-        before: &[Vec<usize>],
-        need: &[MemSize],
-    ) {
-        let largest = need.iter().copied().max().unwrap_or_default();
+    fn fill_second(&mut self, order: &[(&'a ModelId, &'a Model)], before: &[Vec<usize>]) {
+        let largest = order.iter().map(|(_, m)| need(m)).max().unwrap_or_default();
         let spare = (0..self.rooms.len()).max_by_key(|r| (self.rooms[*r].free, Reverse(*r)));
         let spare = spare.filter(|r| self.rooms[*r].free >= largest);
-        let kept = |p: &Self, i: usize, first: usize| {
-            let other = |r: &&usize| p.rooms[**r].domain != p.rooms[first].domain;
-            before[i].iter().filter(other).copied().find(|r| p.left(*r, spare, largest) >= need[i])
-        };
         for only_kept in [true, false] {
-            for (i, (id, _)) in order.iter().enumerate() {
+            for (i, (id, model)) in order.iter().enumerate() {
                 let Some(&[first]) = self.copies.get(id).map(Vec::as_slice) else { continue };
+                let other = |r: &usize| self.rooms[*r].domain != self.rooms[first].domain;
                 let room = if only_kept {
-                    kept(self, i, first)
+                    // A kept copy does not give way to the spare room: the floor moves little.
+                    let fits = |r: &usize| other(r) && self.rooms[*r].bare >= model.size;
+                    before[i].iter().copied().find(fits)
                 } else {
-                    self.choose_second(need[i], first, spare, largest)
+                    let left = |r: &usize| self.left(*r, spare, largest);
+                    let fits = (0..self.rooms.len()).filter(|r| other(r) && left(r) >= need(model));
+                    fits.max_by_key(|r| (left(r), Reverse(*r)))
                 };
                 if let Some(room) = room {
-                    self.put(id, room, need[i]);
+                    self.put(id, model, room);
                 }
             }
         }
     }
 
-    fn choose(&self, need: MemSize) -> Option<usize> {
-        let fits = (0..self.rooms.len()).filter(|r| self.rooms[*r].free >= need);
-        match self.fit {
-            Fit::Worst => fits.max_by_key(|r| (self.rooms[*r].free, Reverse(*r))),
-            Fit::Best => fits.min_by_key(|r| (self.rooms[*r].free, *r)),
-        }
-    }
-
-    fn choose_second(
-        &self,
-        need: MemSize,
-        first: usize,
-        spare: Option<usize>,
-        largest: MemSize,
-    ) -> Option<usize> {
-        let fits = (0..self.rooms.len()).filter(|r| {
-            self.rooms[*r].domain != self.rooms[first].domain
-                && self.left(*r, spare, largest) >= need
-        });
-        fits.max_by_key(|r| (self.left(*r, spare, largest), Reverse(*r)))
-    }
-
-    /// What second copies may take of an engine.
+    /// What new second copies may take of an engine.
     fn left(&self, room: usize, spare: Option<usize>, largest: MemSize) -> MemSize {
         let free = self.rooms[room].free;
         if spare == Some(room) { free.saturating_sub(largest) } else { free }
     }
 
-    fn put(&mut self, model: &'a ModelId, room: usize, need: MemSize) {
-        self.rooms[room].free = self.rooms[room].free.saturating_sub(need);
-        self.copies.entry(model).or_default().push(room);
+    fn choose(&self, model: &Model, with_adapter: bool) -> Option<usize> {
+        let room = |r: &usize| if with_adapter { self.rooms[*r].free } else { self.rooms[*r].bare };
+        let need = if with_adapter { need(model) } else { model.size };
+        let fits = (0..self.rooms.len()).filter(|r| room(r) >= need);
+        match self.fit {
+            Fit::Worst => fits.max_by_key(|r| (room(r), Reverse(*r))),
+            Fit::Best => fits.min_by_key(|r| (room(r), *r)),
+        }
+    }
+
+    fn put(&mut self, id: &'a ModelId, model: &Model, room: usize) {
+        let taken = &mut self.rooms[room];
+        taken.free = taken.free.saturating_sub(need(model));
+        taken.bare = taken.bare.saturating_sub(model.size);
+        self.copies.entry(id).or_default().push(room);
     }
 
     /// Where the floor before had the model, as positions in `rooms`.
@@ -171,8 +156,7 @@
     }
 }
 
-/// Memory that a copy is given: the model and, where that fits, room for its largest adapter.
-fn need(model: &Model, with_adapter: bool) -> MemSize {
-    let adapter = model.adapters.values().map(|a| a.size).max().unwrap_or_default();
-    if with_adapter { model.size + adapter } else { model.size }
+/// Memory that a copy is given where that fits: the model, and its largest adapter.
+fn need(model: &Model) -> MemSize {
+    model.size + model.adapters.values().map(|a| a.size).max().unwrap_or_default()
 }
--- /dev/null
+++ b/crates/placement/tests/placement/floor.rs
@@ -0,0 +1,140 @@
+//! The residency floor: copies, failure domains, regions, stability.
+
+use std::collections::BTreeSet;
+
+use hgw_config::Document;
+use hgw_config::Fencing::Refuses;
+use hgw_placement::{Floor, floor};
+use hgw_types::{MemSize, Offset, UpstreamId};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+use crate::support::{document, id};
+
+/// Engines `e0..` in turn over the domains, models `m0..` of these sizes.
+fn made(domains: &[&str], engines: usize, memory: u64, sizes: &[u64]) -> Document {
+    let engines: Vec<(String, &str)> =
+        (0..engines).map(|n| (format!("e{n}"), domains[n % domains.len()])).collect();
+    let engines: Vec<_> = engines.iter().map(|(e, d)| (e.as_str(), *d, memory, Refuses)).collect();
+    let models: Vec<String> = (0..sizes.len()).map(|n| format!("m{n}")).collect();
+    let models: Vec<_> = models.iter().zip(sizes).map(|(m, s)| (m.as_str(), "1", *s)).collect();
+    document(&engines, &models).as_ref().clone()
+}
+
+fn fresh(document: &Document) -> Floor {
+    floor(document, Offset(1), &[], None)
+}
+
+fn domains(document: &Document, engines: &[UpstreamId]) -> usize {
+    engines.iter().map(|e| document.upstreams[e].domain.as_str()).collect::<BTreeSet<_>>().len()
+}
+
+/// Copies that are not where they were.
+fn moved(from: &Floor, to: &Floor) -> usize {
+    let new = |(m, engines): (&_, &Vec<UpstreamId>)| {
+        engines.iter().filter(|e| !from.models[m].contains(e)).count()
+    };
+    to.models.iter().map(new).sum()
+}
+
+/// Valdivieso's size: 13 models of 40 to 70 on 9 engines in four domains.
+fn valdivieso() -> Document {
+    let sizes: Vec<u64> = (0..13).map(|n| 40 + n * 5 % 31).collect();
+    made(&["d1", "d2"], 9, 240, &sizes)
+}
+
+fn two_copies_in_two_domains() {
+    let doc = valdivieso();
+    for (model, engines) in &fresh(&doc).models {
+        assert_eq!((engines.len(), domains(&doc, engines)), (2, 2), "{model}: {engines:?}");
+    }
+}
+
+/// One engine is lost: only copies that it held are made anew, or second copies that they displace.
+fn a_lost_engine_moves_its_own_copies() {
+    let doc = valdivieso();
+    let before = fresh(&doc);
+    let lost = id::<UpstreamId>("e4");
+    let held = before.models.values().filter(|e| e.contains(&lost)).count();
+    let after = floor(&doc, Offset(1), std::slice::from_ref(&lost), Some(&before));
+    assert!(after.models.values().all(|e| !e.contains(&lost) && !e.is_empty()));
+    assert!(moved(&before, &after) <= held, "{} moved for {held}", moved(&before, &after));
+    let back = floor(&doc, Offset(1), &[], Some(&after));
+    assert!(back.models.values().all(|e| domains(&doc, e) == 2));
+}
+
+fn a_leaving_engine_gets_nothing() {
+    let mut doc = valdivieso();
+    doc.upstreams[0].leaving = true;
+    assert!(fresh(&doc).models.values().all(|e| !e.contains(&id("e0")) && !e.is_empty()));
+}
+
+/// Two regions, and each fits two of three models: no model is left out of both.
+fn what_one_region_leaves_out_the_other_takes() {
+    let doc = made(&["d1", "d3"], 2, 90, &[40, 40, 40]);
+    let floor = fresh(&doc);
+    assert!(floor.models.values().all(|e| !e.is_empty()), "{floor:?}");
+}
+
+/// Each region has a floor of its own where memory allows.
+fn each_region_has_every_model() {
+    let doc = made(&["d1", "d2", "d3", "d4"], 8, 240, &[40, 50, 60]);
+    for engines in fresh(&doc).models.values() {
+        let in_r1 =
+            engines.iter().filter(|e| ["d1", "d2"].contains(&doc.upstreams[*e].domain.as_str()));
+        assert_eq!((in_r1.count(), engines.len()), (2, 4));
+    }
+}
+
+/// A layout that spreads the models would leave the smallest one out.
+fn tight_memory_still_takes_every_model() {
+    let doc = made(&["d1", "d2"], 2, 100, &[50, 45, 40, 35, 20]);
+    assert!(fresh(&doc).models.values().all(|e| !e.is_empty()));
+}
+
+/// Second copies leave one engine with room for a version change of the largest model.
+fn headroom_for_a_version_change() {
+    let doc = made(&["d1", "d2"], 4, 100, &[60, 60]);
+    let floor = fresh(&doc);
+    let free = |e: &&UpstreamId| !floor.models.values().any(|engines| engines.contains(*e));
+    assert!(doc.upstreams.keys().filter(free).count() >= 1, "{floor:?}");
+}
+
+/// For any sizes: no engine is given more than it has, a model is left out only where no engine has
+/// room for it, and the same inputs again move nothing.
+fn holds_for_any_sizes() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let config = Config { cases: 200, failure_persistence: None, ..Config::default() };
+    let strategy = (1..12usize, 60..300u64, prop::collection::vec(10..120u64, 1..30));
+    let check = |(engines, memory, sizes): (usize, u64, Vec<u64>)| {
+        let doc = made(&["d1", "d2", "d3"], engines, memory, &sizes);
+        let floor = fresh(&doc);
+        let size = |m: &hgw_types::ModelId| doc.services[0].models[m].size;
+        let used = |e: &UpstreamId| -> MemSize {
+            let here = floor.models.iter().filter(|(_, engines)| engines.contains(e));
+            here.map(|(m, _)| size(m)).sum()
+        };
+        for (m, engines) in &floor.models {
+            let fits = |e: &UpstreamId| used(e) + size(m) <= MemSize(memory);
+            let left_out = engines.is_empty() && doc.upstreams.keys().any(fits);
+            prop_assert!(!left_out, "{m} left out: {floor:?}");
+        }
+        prop_assert!(doc.upstreams.keys().all(|e| used(e) <= MemSize(memory)), "{floor:?}");
+        prop_assert_eq!(&self::floor(&doc, Offset(1), &[], Some(&floor)).models, &floor.models);
+        Ok(())
+    };
+    if let Err(e) = TestRunner::new_with_rng(config, rng).run(&strategy, check) {
+        panic!("{e}");
+    }
+}
+
+cases! {
+    every_model_twice_in_two_domains => two_copies_in_two_domains();
+    lost_engine_moves_few => a_lost_engine_moves_its_own_copies();
+    leaving_engine_gets_no_copy => a_leaving_engine_gets_nothing();
+    regions_make_up_for_each_other => what_one_region_leaves_out_the_other_takes();
+    regions_have_floors_of_their_own => each_region_has_every_model();
+    tight_memory => tight_memory_still_takes_every_model();
+    version_change_headroom => headroom_for_a_version_change();
+    any_sizes => holds_for_any_sizes();
+}
--- a/crates/placement/tests/placement/main.rs
+++ b/crates/placement/tests/placement/main.rs
@@ -11,7 +11,10 @@
     )*};
 }
 
+mod floor;
+mod golden;
 mod memory;
 mod random;
 mod reach;
+mod shares;
 mod support;
--- /dev/null
+++ b/crates/placement/tests/placement/shares.rs
@@ -0,0 +1,76 @@
+//! Shares of the weight store: however the domains are cut off, together they stay within it.
+
+use std::time::Duration;
+
+use hgw_config::Document;
+use hgw_config::Fencing::Refuses;
+use hgw_placement::Shares;
+use hgw_types::{DomainId, Rate, Time};
+
+use crate::support::{document, id};
+
+fn store(domains: usize, rate: f64, parallel: u32) -> (Document, Vec<DomainId>) {
+    let names: Vec<String> = (1..=domains).map(|n| format!("d{n}")).collect();
+    let engines: Vec<_> = names.iter().map(|d| (d.as_str(), d.as_str(), 100, Refuses)).collect();
+    let mut doc = document(&engines, &[]).as_ref().clone();
+    doc.weight_store.loads_per_second = Rate::per_second(rate).expect("a rate");
+    doc.weight_store.parallel = parallel;
+    (doc, names.iter().map(|d| id(d)).collect())
+}
+
+/// All domains load as much as they may for ten minutes, each load taking `takes`. Begun a second, the
+/// most at once, and the average at once.
+fn run(domains: usize, rate: f64, parallel: u32, takes: Duration) -> (f64, usize, f64) {
+    const STEPS: u64 = 6000;
+    let (doc, names) = store(domains, rate, parallel);
+    let mut shares: Vec<Shares> = names.iter().map(|_| Shares::new(Time::ZERO)).collect();
+    shares.iter_mut().zip(&names).for_each(|(s, d)| s.configure(&doc, d));
+    let mut running: Vec<Vec<Time>> = vec![Vec::new(); domains];
+    let (mut begun, mut most, mut sum) = (0u32, 0, 0);
+    for step in 1..=STEPS {
+        let now = Time::from_millis(step * 100);
+        for (share, loads) in shares.iter_mut().zip(&mut running) {
+            loads.retain(|end| *end > now);
+            share.observe(now, loads.len());
+            while share.take(now, loads.len()) {
+                loads.push(now + takes);
+                share.observe(now, loads.len());
+                begun += 1;
+            }
+        }
+        let at_once: usize = running.iter().map(Vec::len).sum();
+        most = most.max(at_once);
+        sum += at_once;
+    }
+    (f64::from(begun) / 600.0, most, sum as f64 / STEPS as f64)
+}
+
+fn stays_within(domains: usize, rate: f64, parallel: u32, takes_ms: u64) {
+    let (begun, most, _) = run(domains, rate, parallel, Duration::from_millis(takes_ms));
+    assert!(begun < rate && begun > rate * 0.3, "{begun} a second of {rate}");
+    assert!(most < parallel as usize, "{most} at once of {parallel}");
+}
+
+/// More domains than slots: the average stays below the bound; a moment may be above it.
+fn fractional_slots() {
+    let (begun, _, average) = run(6, 10.0, 3, Duration::from_secs(4));
+    assert!(average < 3.0 && begun > 0.3, "{average} at once, {begun} a second");
+}
+
+/// A bucket that was not used does not save up a burst.
+fn no_burst_after_idling() {
+    let (doc, names) = store(4, 1.5, 6);
+    let mut share = Shares::new(Time::ZERO);
+    share.configure(&doc, &names[0]);
+    let now = Time::from_millis(3_600_000);
+    assert!(share.take(now, 0));
+    assert!(!share.take(now, 0));
+}
+
+cases! {
+    valdiviesos_store => stays_within(4, 1.5, 6, 3000);
+    tasmans_store => stays_within(4, 1.0, 7, 5000);
+    one_domain => stays_within(1, 1.5, 6, 2000);
+    more_domains_than_slots => fractional_slots();
+    idle_share => no_burst_after_idling();
+}
