Plan moves over 30 s and fill engines to 0.8

Cause: replicas were loaded for bursts that had ended, and beside engines that were about to fill up.

--- a/crates/placement/src/demand/api.rs
+++ b/crates/placement/src/demand/api.rs
@@ -72,12 +72,12 @@
     fn default() -> Self {
         DemandSettings {
             half_life: Duration::from_secs(5),
-            horizon: Duration::from_secs(60),
+            horizon: Duration::from_secs(30),
             cool_down: Duration::from_secs(30),
             settle: Duration::from_secs(5),
             hysteresis: 1.5,
             absent_weight: 3.0,
-            fill: 0.9,
+            fill: 0.8,
             moves_at_once: 2,
         }
     }
