Wait up to 150 ms for a slot before deferrable work is preempted

Cause: a slot comes free every 20 to 30 ms at full load, yet each urgent arrival at a full batch cost some deferrable work its computed prompt. The wait is at most half of what the urgent request has left, and the delay estimate now knows of it.

--- a/crates/dispatch/src/queue/estimate.rs
+++ b/crates/dispatch/src/queue/estimate.rs
@@ -38,10 +38,11 @@
     /// When the slots come free for work of this urgency: urgent work may preempt.
     pub(super) fn slots_for(&self, now: Time, urgency: Urgency) -> Slots {
         let preempt = micros(self.pace.step()) * u64::from(STEPS_TO_PREEMPT);
+        let patience = micros(self.settings.patience);
         let ends = self.running.values().map(|r| {
             let natural = self.until_end(now, r);
             let yields = r.ending || (urgency.is_urgent() && self.may_preempt(r));
-            if yields { natural.min(preempt) } else { natural }
+            if yields && (r.ending || natural > patience) { preempt } else { natural }
         });
         Slots::new(self.usable_slots(), ends)
     }
--- a/crates/dispatch/src/queue/settings.rs
+++ b/crates/dispatch/src/queue/settings.rs
@@ -51,7 +51,7 @@
             max_age: Duration::from_secs(120),
             ageing: Duration::from_secs(20),
             reserve: 1,
-            patience: Duration::from_millis(20),
+            patience: Duration::from_millis(150),
             first_guess: Duration::from_millis(5),
             stall: Duration::from_secs(1),
             min_retry: Duration::from_millis(100),
--- a/crates/dispatch/src/queue/step.rs
+++ b/crates/dispatch/src/queue/step.rs
@@ -32,7 +32,10 @@
         // one, the next poll is due at once.
         let late = urgent.chain(deferrable).chain(abandon).map(|t| t.max(self.polled) + TICK);
         // What may go first but finds no slot waits for an end, not for time.
-        let patience = self.urgent.first().map(|w| w.since + self.settings.patience);
+        let patience = self.urgent.first().map(|w| {
+            let half = self.latest_start(&w.job).since(self.polled) / 2;
+            self.polled + half.min(self.settings.patience) + TICK
+        });
         let aged = self.deferrable.iter().map(|w| self.aged_at(w));
         let blocked = aged.chain(patience).filter(|t| *t > self.polled);
         late.chain(blocked).min()
@@ -152,12 +155,15 @@
     /// Load: urgent work that arrives while long deferrable answers fill the batch.
     /// Harm: urgent answers late behind work that may wait; or, done too eagerly, prompts computed
     /// again and again for deferrable work.
-    /// Limit: one for each urgent request that no slot will take within `patience`.
+    /// Limit: one for each urgent request that no slot will take within `patience`, or within half
+    /// of what the most pressing one has left.
     fn preempt(&mut self, now: Time, out: &mut Vec<Decision>) {
-        if self.urgent.is_empty() || self.settings.plain {
+        if self.settings.plain {
             return;
         }
-        let soon = micros(self.settings.patience);
+        let Some(first) = self.urgent.first() else { return };
+        let left = self.latest_start(&first.job).since(now);
+        let soon = micros(self.settings.patience.min(left / 2));
         let frees = |r: &&Running| r.ending || self.until_end(now, r) <= soon;
         let freed = self.running.values().filter(frees).count();
         for _ in freed..self.urgent.len() {
