Let long urgent requests in only after a shorter wait

Cause: at twice capacity half of the requests must be refused, and each long one taken costs the slot time of several short ones. Change: the wait counts up to twice by the slot time over the usual one; after three requests refused for their length alone the next is let in.

--- a/crates/dispatch/src/queue/mod.rs
+++ b/crates/dispatch/src/queue/mod.rs
@@ -35,6 +35,8 @@
     deferrable: Vec<Waiting>,
     running: IndexMap<AttemptId, Running>,
     leaving: bool,
+    /// Urgent requests refused for their length since one was let in all the same.
+    passed_over: u32,
     foreign: Foreign,
     /// When deferrable work last started, or the queue began.
     deferrable_served: Time,
@@ -103,6 +105,7 @@
             deferrable: Vec::new(),
             running: IndexMap::new(),
             leaving: false,
+            passed_over: 0,
             foreign: Foreign::default(),
             deferrable_served: Time::ZERO,
             polled: Time::ZERO,
--- a/crates/dispatch/src/queue/pace.rs
+++ b/crates/dispatch/src/queue/pace.rs
@@ -17,6 +17,8 @@
     prompt_token: f64,
     call: f64,
     mean_prompt: f64,
+    /// Slot time of a usual urgent request; none until one was asked for.
+    usual: Option<f64>,
     /// Share of the tokens asked for that answers really have, by urgency.
     used: [f64; 2],
 }
@@ -33,6 +35,7 @@
             prompt_token: step / PROMPT_TOKENS_A_STEP,
             call: step,
             mean_prompt: 256.0,
+            usual: None,
             used: [1.0; 2],
         }
     }
@@ -67,6 +70,18 @@
         mean(&mut self.call, took.as_micros() as f64);
     }
 
+    /// An urgent request was offered.
+    pub(super) fn asked(&mut self, job: &Job) {
+        let time = self.until_end(job) as f64;
+        mean(self.usual.get_or_insert(time), time);
+    }
+
+    /// Slot time of a request, as a multiple of the usual one.
+    pub(super) fn length(&self, job: &Job) -> f64 {
+        let time = self.until_end(job) as f64;
+        time / self.usual.unwrap_or(time).max(1.0)
+    }
+
     /// Time from start to first token, or to the answer of a plain call.
     pub(super) fn until_first(&self, job: &Job) -> u64 {
         match job.model {
--- a/crates/dispatch/src/queue/settings.rs
+++ b/crates/dispatch/src/queue/settings.rs
@@ -29,6 +29,10 @@
     pub reserve: u32,
     /// Wait for a slot that is about to come free, before deferrable work is preempted for it.
     pub patience: Duration,
+    /// Most that the wait of an urgent request counts for, by its slot time over the usual one.
+    pub length_weight: f64,
+    /// Urgent requests in a row that are refused for their length alone.
+    pub passed_over: u32,
     /// Time of a token until the upstream has shown its own, or of a plain call.
     pub first_guess: Duration,
     /// Time without progress after which running work is taken to be stuck.
@@ -52,6 +56,8 @@
             ageing: Duration::from_secs(20),
             reserve: 1,
             patience: Duration::from_millis(150),
+            length_weight: 2.0,
+            passed_over: 3,
             first_guess: Duration::from_millis(5),
             stall: Duration::from_secs(1),
             min_retry: Duration::from_millis(100),
--- a/crates/load/src/decisions/entry.rs
+++ b/crates/load/src/decisions/entry.rs
@@ -188,6 +188,7 @@
         let due = if request.model.is_some() { state.first.unwrap_or(Time::MAX) } else { self.now };
         if due <= request.deadline {
             self.tally.outcome.in_time += 1;
+            self.tally.outcome.long.1 += u32::from(request.is_long());
         }
     }
 
--- a/crates/load/src/decisions/outcome.rs
+++ b/crates/load/src/decisions/outcome.rs
@@ -9,6 +9,8 @@
     pub urgent: u32,
     /// Urgent requests answered whole and in time.
     pub in_time: u32,
+    /// Urgent requests that asked for long answers, and those answered whole and in time.
+    pub long: (u32, u32),
     /// Deferrable requests, and those answered whole.
     pub deferrable: (u32, u32),
     /// Requests refused, and those of them with no time to come back.
--- a/crates/load/src/decisions/report.rs
+++ b/crates/load/src/decisions/report.rs
@@ -38,7 +38,7 @@
     let wanted = |s: &&Scenario| args.only.as_ref().is_none_or(|text| s.name.contains(text));
     writeln!(
         out,
-        "{:<11}{:<19}{:<20}{:>8}{:>8}{:>7}{:>9}{:>7}{:>8}{:>9}{:>10}{:>8}{:>22}",
+        "{:<11}{:<19}{:<20}{:>8}{:>8}{:>7}{:>9}{:>7}{:>8}{:>9}{:>10}{:>8}{:>7}{:>22}",
         "deployment",
         "scenario",
         "policy",
@@ -51,6 +51,7 @@
         "wait ms",
         "deferred",
         "unreach",
+        "long",
         "idle/prompt/urg/def"
     )?;
     let mut rows = Vec::new();
@@ -82,7 +83,7 @@
     for (policy, o) in policies.iter().zip(&row.outcomes) {
         writeln!(
             out,
-            "{:<11}{:<19}{:<20}{:>8.2}{:>7.1}%{:>7}{:>9}{:>7.3}{:>8}{:>9.1}{:>9.1}%{:>8}{:>22}",
+            "{:<11}{:<19}{:<20}{:>8.2}{:>7.1}%{:>7}{:>9}{:>7.3}{:>8}{:>9.1}{:>9.1}%{:>8}{:>6.0}%{:>22}",
             row.deployment.name,
             row.scenario.name,
             policy.name,
@@ -95,6 +96,7 @@
             o.worst_wait.as_secs_f64() * 1000.0,
             100.0 * f64::from(o.deferrable.1) / f64::from(o.deferrable.0.max(1)),
             o.unreachable,
+            100.0 * f64::from(o.long.1) / f64::from(o.long.0.max(1)),
             shares(&o.slot_steps),
         )?;
     }
--- a/crates/load/src/decisions/requests.rs
+++ b/crates/load/src/decisions/requests.rs
@@ -41,6 +41,11 @@
 }
 
 impl Request {
+    /// Whether it is urgent and asks for a long answer.
+    pub(super) fn is_long(&self) -> bool {
+        self.urgent && self.asked >= LONG.start
+    }
+
     /// Names the prefix that requests for the same adapter share.
     pub(super) fn prefix(&self) -> u64 {
         self.model.map_or(0, |m| (m * 1000 + self.adapter + 1) as u64)
@@ -76,6 +81,9 @@
     requests
 }
 
+/// Tokens that long urgent answers are asked to have.
+const LONG: std::ops::Range<u32> = 200..400;
+
 const SLICE: f64 = 0.1;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -97,7 +105,7 @@
     let model = pick(weights, rng.random::<f64>());
     let long = rng.random::<f64>() < s.long;
     let asked = match kind {
-        Kind::Urgent if long => rng.random_range(200..400),
+        Kind::Urgent if long => rng.random_range(LONG),
         Kind::Urgent => rng.random_range(20..60),
         Kind::Deferrable => rng.random_range(100..400),
         Kind::Plain => 0,
--- a/crates/load/src/decisions/world.rs
+++ b/crates/load/src/decisions/world.rs
@@ -244,6 +244,7 @@
     fn outcome(mut self) -> Outcome {
         let outcome = &mut self.tally.outcome;
         outcome.urgent = self.requests.iter().filter(|r| r.urgent).count() as u32;
+        outcome.long.0 = self.requests.iter().filter(|r| r.is_long()).count() as u32;
         outcome.deferrable.0 = self.requests.len() as u32 - outcome.urgent;
         outcome.engines = super::deployment::ENGINES.0 as u32;
         self.tally.outcome
