Scale demand sums by the time that they cover; test outcomes and the planner

Cause: a keeper that began to watch took the little it had seen for low load, and its first moves went to engines that were full (test leaves_all_where_every_engine_is_full).

--- a/crates/load/src/decisions/entry.rs
+++ b/crates/load/src/decisions/entry.rs
@@ -123,7 +123,7 @@
     /// The dispatcher's word reaches the entry node.
     pub(super) fn reply(&mut self, a: usize, reply: Reply, delay: Duration) {
         let r = self.attempts[a].request;
-        if self.states[r].done || self.states[r].attempt != Some(a) {
+        if self.states[r].done.is_some() || self.states[r].attempt != Some(a) {
             return;
         }
         let upstream = self.upstreams[self.attempts[a].upstream].id.clone();
@@ -181,7 +181,7 @@
 
     fn finish(&mut self, r: usize) {
         let (request, state) = (&self.requests[r], &mut self.states[r]);
-        state.done = true;
+        state.done = Some(self.now);
         if !request.urgent {
             return self.tally.deferrable_whole(self.now);
         }
@@ -195,7 +195,7 @@
     /// The caller is told that there will be no answer, or no more of it.
     fn refuse(&mut self, r: usize, retry_after: Option<Duration>) {
         let (request, state) = (&self.requests[r], &mut self.states[r]);
-        state.done = true;
+        state.done = Some(self.now);
         let outcome = &mut self.tally.outcome;
         outcome.refused.0 += 1;
         outcome.refused.1 += u32::from(retry_after.is_none_or(|d| d.is_zero()));
@@ -207,7 +207,8 @@
     /// A caller of direct dispatch has waited long enough.
     pub(super) fn timeout(&mut self, r: usize) {
         let state = &self.states[r];
-        let Some(a) = state.attempt.filter(|_| !state.done && state.first.is_none()) else {
+        let Some(a) = state.attempt.filter(|_| state.done.is_none() && state.first.is_none())
+        else {
             return;
         };
         self.unmet(r);
--- a/crates/load/src/decisions/serve.rs
+++ b/crates/load/src/decisions/serve.rs
@@ -23,7 +23,7 @@
     pub(super) fn submit(&mut self, a: usize) {
         let attempt = self.attempts[a].clone();
         let (u, r) = (attempt.upstream, attempt.request);
-        if self.states[r].done || self.states[r].attempt != Some(a) {
+        if self.states[r].done.is_some() || self.states[r].attempt != Some(a) {
             return;
         }
         if !self.reaches(self.requests[r].domain, u) || !self.upstreams[u].engine.up {
@@ -91,7 +91,6 @@
 
     pub(super) fn stop(&mut self, a: usize, why: Reply) {
         self.attempts[a].given_up = Some(why);
-        self.tally.given_up.insert(a, self.now);
         self.after(LOCAL, Event::Cancel(a));
     }
 
@@ -123,7 +122,6 @@
 
     pub(super) fn cancel(&mut self, a: usize) {
         let u = self.attempts[a].upstream;
-        self.tally.cancelled(a, self.now);
         if self.upstreams[u].engine.cancel(AttemptId { boot: 0, seq: a as u64 }) {
             self.after(LOCAL, Event::Ended(a, End::Cancelled));
         }
@@ -156,6 +154,9 @@
         let a = index(id);
         let (r, u) = (self.attempts[a].request, self.attempts[a].upstream);
         let way = LOCAL + self.way(self.requests[r].domain, u);
+        if let Some(done) = self.states[r].done {
+            self.tally.held(done, self.now);
+        }
         if self.attempts[a].given_up != Some(Reply::Abandoned) {
             let state = &mut self.states[r];
             state.got = self.attempts[a].base + count;
@@ -209,7 +210,7 @@
         for a in 0..self.attempts.len() {
             let attempt = &self.attempts[a];
             let r = attempt.request;
-            let live = !self.states[r].done && self.states[r].attempt == Some(a);
+            let live = self.states[r].done.is_none() && self.states[r].attempt == Some(a);
             if live && !self.reaches(self.requests[r].domain, attempt.upstream) {
                 self.stop(a, Reply::Abandoned);
                 let queue = &mut self.upstreams[self.attempts[a].upstream].queue;
--- a/crates/load/src/decisions/tally.rs
+++ b/crates/load/src/decisions/tally.rs
@@ -14,8 +14,6 @@
 #[derive(Debug)]
 pub(super) struct Tally {
     pub(super) outcome: Outcome,
-    /// When work was given up, until the upstream is told.
-    pub(super) given_up: BTreeMap<usize, Time>,
     demand: Vec<BTreeMap<usize, Count>>,
     last_deferrable: Time,
 }
@@ -32,7 +30,6 @@
     pub(super) fn new(domains: usize) -> Tally {
         Tally {
             outcome: Outcome::default(),
-            given_up: BTreeMap::new(),
             demand: (0..domains).map(|_| BTreeMap::new()).collect(),
             last_deferrable: Time::ZERO,
         }
@@ -97,10 +94,8 @@
         self.last_deferrable = now;
     }
 
-    /// The upstream is told that work was given up.
-    pub(super) fn cancelled(&mut self, a: usize, now: Time) {
-        if let Some(at) = self.given_up.remove(&a) {
-            self.outcome.worst_held = self.outcome.worst_held.max(now.since(at));
-        }
+    /// An upstream went on with work for a caller that had its last word before.
+    pub(super) fn held(&mut self, since: Time, now: Time) {
+        self.outcome.worst_held = self.outcome.worst_held.max(now.since(since));
     }
 }
--- a/crates/load/src/decisions/world.rs
+++ b/crates/load/src/decisions/world.rs
@@ -82,7 +82,8 @@
 pub(super) struct State {
     pub(super) got: u32,
     pub(super) first: Option<Time>,
-    pub(super) done: bool,
+    /// When the caller had its last word.
+    pub(super) done: Option<Time>,
     pub(super) tried: Vec<usize>,
     pub(super) attempt: Option<usize>,
 }
--- a/crates/placement/src/demand/seen.rs
+++ b/crates/placement/src/demand/seen.rs
@@ -10,7 +10,10 @@
 /// Least sum of recent requests that a model is remembered for.
 const FORGOTTEN: f64 = 0.01;
 
-/// Demand for one model as sums that fade: a sum times `ln 2 / half-life` is a rate.
+/// Least time that the first message covers, in seconds: too short makes engines look too busy.
+const FIRST_MESSAGE: f64 = 1.0;
+
+/// Demand for one model as sums that fade.
 #[derive(Debug, Default)]
 struct Sums {
     urgent: f64,
@@ -22,17 +25,24 @@
 #[derive(Debug)]
 pub(super) struct Seen {
     half_life: f64,
+    began: Option<Time>,
     at: Time,
     models: IndexMap<ModelId, Sums>,
 }
 
 impl Seen {
     pub(super) fn new(half_life: Duration) -> Self {
-        Seen { half_life: half_life.as_secs_f64(), at: Time::ZERO, models: IndexMap::new() }
+        Seen {
+            half_life: half_life.as_secs_f64(),
+            began: None,
+            at: Time::ZERO,
+            models: IndexMap::new(),
+        }
     }
 
     pub(super) fn add(&mut self, now: Time, demand: &[Demand]) {
         self.fade(now);
+        self.began.get_or_insert(now);
         for d in demand {
             let sums = self.models.entry(d.model.clone()).or_default();
             sums.urgent += f64::from(d.urgent);
@@ -81,7 +91,13 @@
         }
     }
 
+    /// What turns a sum into a rate.
+    ///
+    /// A new keeper's sums cover less time than those of one that has watched for long; taken for
+    /// the same they would make busy engines look idle, and the first thing it did would be moves.
     fn per_second(&self) -> f64 {
-        std::f64::consts::LN_2 / self.half_life
+        let watched = self.began.map_or(0.0, |t| self.at.since(t).as_secs_f64()) + FIRST_MESSAGE;
+        let covered = 1.0 - 0.5_f64.powf(watched / self.half_life);
+        std::f64::consts::LN_2 / self.half_life / covered
     }
 }
