--- a/crates/dispatch/src/retry.rs
+++ b/crates/dispatch/src/retry.rs
@@ -33,9 +33,9 @@
 }
 
 impl RetryBudget {
-    /// A budget with one retry in hand, so that a node's very first failure can be mended.
+    /// An empty budget: it never allows more than the share of the first tries so far.
     pub fn new(settings: RetrySettings) -> Self {
-        RetryBudget { settings, saved: 1.0, at: Time::ZERO }
+        RetryBudget { settings, saved: 0.0, at: Time::ZERO }
     }
 
     /// A request is sent for the first time.
--- a/crates/placement/src/demand/api.rs
+++ b/crates/placement/src/demand/api.rs
@@ -77,7 +77,7 @@
             settle: Duration::from_secs(5),
             hysteresis: 1.5,
             absent_weight: 3.0,
-            fill: 0.8,
+            fill: 0.9,
             moves_at_once: 2,
         }
     }
