--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -49,9 +49,13 @@
     ProcessStopped = 1003, Info, "the process has stopped";
     ReadinessChanged = 1004, Info, "readiness for callers has changed";
     StopForced = 1005, Warn, "the process ends at once on a second signal";
+    ListenerFailed = 1006, Error, "a listener cannot be served";
+    MessagesLeft = 1007, Warn, "messages to peers were left unsent at the end";
     MemberUp = 2001, Info, "a node counts as alive";
     MemberDown = 2002, Info, "a node counts as dead or leaves";
     PeerRefused = 2003, Warn, "a connection of a peer was refused";
+    PeerUnreachable = 2004, Info, "a connection to a peer could not be made";
+    PeerSilent = 2005, Warn, "a connection to a peer went silent and was closed";
     ConfigInForce = 3001, Info, "a configuration is in force";
     ConfigFromPeer = 3002, Info, "a configuration was taken from a peer";
     ConfigRejected = 3003, Warn, "a change in the log was rejected";
@@ -70,4 +74,5 @@
     RequestFailed = 5001, Info, "a caller was given no whole answer";
     RequestResumed = 5002, Info, "a request goes on at another upstream";
     UpstreamLeaving = 5003, Info, "the upstreams that take no new work have changed";
+    StreamReconnected = 5004, Info, "a stream goes on over a new connection to its engine";
 }
--- a/crates/net/src/callers/connection.rs
+++ b/crates/net/src/callers/connection.rs
@@ -2,7 +2,7 @@
 
 use std::io::{ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -12,10 +12,10 @@
 use crate::meter;
 use crate::streams::lock;
 
-/// What a connection over the limit is told before it is closed.
+/// What a connection that is not taken is told before it is closed.
 const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
-content-type: application/json\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 118\r\n\r\n\
-{\"error\":{\"code\":\"overloaded\",\"ran\":\"not_run\",\"message\":\"too many connections\",\
+content-type: application/json\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 117\r\n\r\n\
+{\"error\":{\"code\":\"overloaded\",\"ran\":\"not_run\",\"message\":\"no more connections\",\
 \"request_id\":\"\",\"retry_after_ms\":1000}}";
 
 /// All callers' connections.
@@ -34,6 +34,9 @@
     start: Instant,
     /// Since when bytes wait for the caller, in milliseconds since `start`; 0 where none do.
     writing: AtomicU64,
+    opened: Instant,
+    /// Whether a request has come.
+    used: AtomicBool,
 }
 
 impl Connections {
@@ -55,14 +58,24 @@
             return None;
         }
         let twin = socket.try_clone().ok()?;
-        let writing = AtomicU64::new(0);
-        let entry = Arc::new(Connection { addr, socket: twin, start: self.start, writing });
+        let entry = Arc::new(Connection {
+            addr,
+            socket: twin,
+            start: self.start,
+            writing: AtomicU64::new(0),
+            opened: Instant::now(),
+            used: AtomicBool::new(false),
+        });
         open.insert(addr, Arc::clone(&entry));
         Some((Stream::Tcp(socket, addr), entry))
     }
 
     pub(super) fn remove(&self, entry: Arc<Connection>) {
-        lock(&self.open).swap_remove(&entry.addr);
+        let mut open = lock(&self.open);
+        // Another connection may have the same address by now.
+        if open.get(&entry.addr).is_some_and(|now| Arc::ptr_eq(now, &entry)) {
+            open.swap_remove(&entry.addr);
+        }
     }
 
     pub(super) fn get(&self, addr: &SocketAddr) -> Option<Arc<Connection>> {
@@ -73,12 +86,16 @@
         lock(&self.open).is_empty()
     }
 
-    /// Closes connections on which bytes have waited for their caller for longer than `bound`.
+    /// Closes connections whose caller has taken nothing of what waits for it for longer than
+    /// `stall`, or has sent no request at all within `first`.
     ///
-    /// A caller that stops reading would hold its request, and the work behind it, for ever.
-    pub(super) fn close_stalled(&self, bound: Duration) {
+    /// A caller that stops reading would hold its request, and the work behind it, for ever. A
+    /// stranger that only connects would hold one of a bounded number of connections for as long as
+    /// a caller between two requests may.
+    pub(super) fn close_stalled(&self, stall: Duration, first: Duration) {
         for entry in lock(&self.open).values() {
-            if entry.stalled_for().is_some_and(|t| t > bound) {
+            let unused = !entry.used.load(Ordering::Relaxed) && entry.opened.elapsed() > first;
+            if unused || entry.stalled_for().is_some_and(|t| t > stall) {
                 // An error means that the connection has ended by itself.
                 let _ = entry.socket.shutdown(Shutdown::Both);
             }
@@ -95,6 +112,12 @@
 }
 
 impl Connection {
+    /// Notes that a request has come: its caller has taken the answer before it.
+    pub(super) fn begin_request(&self) {
+        self.used.store(true, Ordering::Relaxed);
+        self.wrote();
+    }
+
     /// Whether the caller has closed the connection.
     pub(super) fn is_gone(&self) -> bool {
         match self.socket.peek(&mut [0]) {
--- a/crates/net/src/callers/open.rs
+++ b/crates/net/src/callers/open.rs
@@ -8,6 +8,7 @@
 use super::Callers;
 use super::connection::Connection;
 use super::reply::not_run;
+use super::route::{self, Unanswered};
 use crate::streams::{CallerStream, Next};
 
 /// When to come back after the node itself had no room.
@@ -43,27 +44,32 @@
         Ok(Open { cx: Arc::clone(cx), stream, connection, request_id })
     }
 
+    /// Counts and logs the failure of an answer that had begun.
+    pub(super) fn count(&self, failure: &Failure) {
+        route::count(&self.cx, failure, &self.request_id);
+    }
+
     /// The connection that the request came on.
     pub(super) fn connection(&self) -> Option<Arc<Connection>> {
         self.connection.clone()
     }
 
-    /// The next thing for the caller; nothing where the caller has gone.
+    /// The next thing for the caller, if it is still there.
     ///
     /// The server does not read a connection while it answers, so the connection is looked at from
     /// outside: work of a caller that has gone would otherwise run to its end for nobody.
-    pub(super) async fn next(&self) -> Option<Next> {
+    pub(super) async fn next(&self) -> Result<Next, Unanswered> {
         loop {
             let wait = tokio::time::timeout(self.cx.limits.gone_check, self.stream.next());
             if let Ok((next, credit)) = wait.await {
                 if let Some(credit) = credit {
                     self.cx.peers.give(credit);
                 }
-                return Some(next);
+                return Ok(next);
             }
             let gone = self.connection.as_ref().is_some_and(|c| c.is_gone());
             if gone && !self.cx.is_ending() {
-                return None;
+                return Err(Unanswered::Gone);
             }
         }
     }
--- a/crates/net/src/callers/route.rs
+++ b/crates/net/src/callers/route.rs
@@ -1,10 +1,12 @@
 //! Which path does what.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
-use hgw_node::{Answer, CallerRequest, CallerWork, Failure, FailureCode};
+use hgw_events::{Event, emit};
+use hgw_node::{Answer, CallerRequest, CallerWork, Failure, FailureCode, Ran};
 use http::{Method, Request, StatusCode, request::Parts};
 use serde::Serialize;
 use xitca_web::body::RequestBody;
@@ -23,6 +25,24 @@
 /// Path under which plain services are called.
 const SERVICES: &str = "/svc/";
 
+/// Outcome of answering a request.
+pub(super) type Result<T> = std::result::Result<T, Unanswered>;
+
+/// Why a request gets no answer of its own.
+#[derive(Debug)]
+pub(super) enum Unanswered {
+    /// It failed, and its caller is to be told.
+    Failed(Failure),
+    /// Its caller has gone.
+    Gone,
+}
+
+impl From<Failure> for Unanswered {
+    fn from(failure: Failure) -> Self {
+        Unanswered::Failed(failure)
+    }
+}
+
 /// A request whose head has been read.
 pub(super) struct Incoming {
     pub(super) parts: Parts,
@@ -33,7 +53,7 @@
 
 impl Incoming {
     /// Reads the body.
-    pub(super) async fn body(&mut self, cx: &Callers) -> Result<Bytes, Failure> {
+    pub(super) async fn body(&mut self, cx: &Callers) -> std::result::Result<Bytes, Failure> {
         let body = std::mem::take(&mut self.body);
         body::read(body, &self.parts.headers, &cx.limits).await
     }
@@ -55,8 +75,7 @@
     let (parts, ext) = req.into_parts();
     let connection = cx.connections.get(ext.socket_addr());
     if let Some(connection) = &connection {
-        // A caller that sends its next request has taken the last answer.
-        connection.wrote();
+        connection.begin_request();
     }
     let (_, body) = ext.replace_body(());
     let reply = match fixed(cx, &parts) {
@@ -69,11 +88,15 @@
                     dispatch(cx, Incoming { parts, head, connection: connection.clone(), body })
                         .await
                 }
-                Err(failure) => Err(failure),
+                Err(failure) => Err(failure.into()),
             };
-            answered.unwrap_or_else(|failure| {
-                count(&failure);
-                reply::error(&failure, &name)
+            answered.unwrap_or_else(|unanswered| match unanswered {
+                Unanswered::Failed(failure) => {
+                    count(cx, &failure, &name);
+                    reply::error(&failure, &name)
+                }
+                // Nobody reads it; the connection ends with it.
+                Unanswered::Gone => reply::error(&unexpected(), &name),
             })
         }
     };
@@ -83,12 +106,19 @@
     reply
 }
 
-/// Counts a failed request by whether it ran.
-pub(super) fn count(failure: &Failure) {
+/// Counts a failed request by whether it ran, and logs it unless it was refused at once: under a
+/// burst refusals come by the thousand, and the caller is told all of it.
+pub(super) fn count(cx: &Callers, failure: &Failure, request_id: &str) {
     meter::request(match failure.ran {
-        hgw_node::Ran::NotRun => "not_run",
-        hgw_node::Ran::MayHaveRun => "may_have_run",
+        Ran::NotRun => "not_run",
+        Ran::MayHaveRun => "may_have_run",
     });
+    let (code, ran) = (failure.code, failure.ran);
+    if ran == Ran::MayHaveRun || code == FailureCode::UpstreamFailed {
+        let fields: [(&str, &dyn Display); 4] =
+            [("node", &cx.node), ("request", &request_id), ("code", &code), ("ran", &ran)];
+        emit(Event::RequestFailed, &fields);
+    }
 }
 
 /// Answers of the process itself.
@@ -111,7 +141,7 @@
     }
 }
 
-async fn dispatch(cx: &Arc<Callers>, incoming: Incoming) -> Result<Reply, Failure> {
+async fn dispatch(cx: &Arc<Callers>, incoming: Incoming) -> Result<Reply> {
     let path = incoming.parts.uri.path().to_string();
     let id = incoming.head.id.to_string();
     match path.as_str() {
@@ -123,7 +153,7 @@
         "/v1/models" => Ok(reply::wrong_method("GET", &id)),
         path => match path.strip_prefix(SERVICES) {
             Some(rest) => plain::call(cx, incoming, rest).await,
-            None => Err(not_run(FailureCode::NotFound, format!("no such path: {path}"))),
+            None => Err(not_run(FailureCode::NotFound, format!("no such path: {path}")).into()),
         },
     }
 }
@@ -141,25 +171,25 @@
     owned_by: &'static str,
 }
 
-async fn models(cx: &Arc<Callers>, incoming: Incoming) -> Result<Reply, Failure> {
+async fn models(cx: &Arc<Callers>, incoming: Incoming) -> Result<Reply> {
     let request = incoming.request(CallerWork::Models);
     let open = Open::new(cx, incoming.connection, request)?;
-    match open.next().await {
-        Some(Next::End(Answer::Models(names))) => {
+    match open.next().await? {
+        Next::End(Answer::Models(names)) => {
             let entry = |id| ModelEntry { id, object: "model", owned_by: "hibiscusgw" };
             let list = ModelList { object: "list", data: names.into_iter().map(entry).collect() };
             let body = serde_json::to_vec(&list).expect("a list of names can be written");
             meter::request("whole");
             Ok(reply::json(StatusCode::OK, body, &open.request_id))
         }
-        Some(Next::End(Answer::Failed(failure))) => Err(failure),
-        Some(_) | None => Err(unexpected()),
+        Next::End(Answer::Failed(failure)) => Err(failure.into()),
+        _ => Err(unexpected().into()),
     }
 }
 
 /// The answer does not fit the request: an invariant of the state machine is broken.
 pub(super) fn unexpected() -> Failure {
-    let ran = hgw_node::Ran::MayHaveRun;
+    let ran = Ran::MayHaveRun;
     let message = "the answer does not fit the request".into();
     Failure { code: FailureCode::UpstreamFailed, ran, retry_after: None, message }
 }
--- a/crates/net/src/peers/connection.rs
+++ b/crates/net/src/peers/connection.rs
@@ -6,6 +6,7 @@
 
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
+use hgw_events::{Event as LogEvent, emit};
 use hgw_node::Event;
 use hgw_types::{AttemptId, NodeId};
 use hgw_wire::peer::{Chunk, Frame, Message, Outcome};
@@ -51,8 +52,10 @@
     let (sink, source) = proven.socket.split();
     tokio::select! {
         () = read(peers, &link, source, &activity) => {}
-        () = write(sink, queue, &activity) => {}
-        () = watch(peers, &link, &activity) => {}
+        () = write(&link, sink, queue, &activity) => {}
+        () = watch(peers, &link, &activity) => {
+            emit(LogEvent::PeerSilent, &[("node", &peers.me.node), ("peer", &peer)]);
+        }
         () = link.closed() => {}
     }
     finish(peers, &link).await;
@@ -62,6 +65,8 @@
 pub(super) async fn finish(peers: &Peers, link: &Arc<Link>) {
     peers.table.remove(link);
     drop(link.take_queue());
+    // Attempts that wait for credit of this peer get none any more.
+    link.close();
     peers.inbox.deliver(Event::PeerDown { peer: link.peer.clone() }).await;
     link.end();
 }
@@ -129,6 +134,7 @@
 }
 
 async fn write(
+    link: &Link,
     mut sink: SplitSink<Socket, Payload>,
     mut queue: mpsc::Receiver<Outbound>,
     activity: &Activity,
@@ -137,6 +143,9 @@
     while queue.recv_many(&mut batch, WRITE_BATCH).await > 0 {
         for frame in batch.drain(..) {
             let bytes = codec::encode(&frame);
+            if matches!(frame, Frame::Chunk(..)) {
+                link.chunk_left();
+            }
             meter::peer_bytes("out", meter::kind_of(&frame), bytes.len());
             if sink.feed(Payload::Binary(bytes)).await.is_err() {
                 return;
@@ -159,7 +168,7 @@
     let mut pinged: Option<u64> = None;
     let mut number = 0;
     loop {
-        tokio::time::sleep(limits.ping_busy.min(limits.silence) / 2).await;
+        tokio::time::sleep(limits.ping_busy.min(limits.silence / 2)).await;
         let now = activity.now();
         let heard = activity.heard.load(Ordering::Relaxed);
         if let Some(at) = pinged {
--- a/crates/net/src/peers/handshake.rs
+++ b/crates/net/src/peers/handshake.rs
@@ -25,10 +25,15 @@
 use tokio_tungstenite::tungstenite::{self, Message};
 
 use super::codec;
+use crate::secret::Secret;
 
 /// Bytes of a nonce.
 const NONCE: usize = 32;
 
+/// Bytes read or written at once. A node may have hundreds of connections: with the library's own
+/// size their buffers would take more memory than everything else.
+const BUFFER: usize = 16 << 10;
+
 /// Number of the `Pong` after which both sides may send frames.
 const WELCOME: u64 = 0;
 
@@ -48,7 +53,7 @@
     pub(crate) domain: DomainId,
     /// `IP:PORT` of its listener for peers.
     pub(crate) addr: String,
-    pub(crate) secret: Bytes,
+    pub(crate) secret: Secret,
 }
 
 /// A connection whose other side has proved the secret.
@@ -88,7 +93,11 @@
 
 /// Limits of a WebSocket whose messages have at most `max` bytes.
 fn config(max: usize) -> WebSocketConfig {
-    WebSocketConfig::default().max_message_size(Some(max)).max_frame_size(Some(max))
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER)
+        .write_buffer_size(BUFFER)
+        .max_message_size(Some(max))
+        .max_frame_size(Some(max))
 }
 
 /// Connects to `addr`, where `peer` is expected.
@@ -192,8 +201,8 @@
     listener: &[u8],
     hello: &Hello,
 ) -> Hmac<Sha256> {
-    let mut mac =
-        Hmac::<Sha256>::new_from_slice(&me.secret).expect("an HMAC takes a key of any length");
+    let mut mac = Hmac::<Sha256>::new_from_slice(me.secret.as_bytes())
+        .expect("an HMAC takes a key of any length");
     let label: &[u8] = match side {
         Side::Dialer => b"hibiscusgw dialer",
         Side::Listener => b"hibiscusgw listener",
--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -3,24 +3,24 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use hgw_events::emit;
 use hgw_node::{Event, Machine};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
 
-use crate::attempts::Attempts;
 use crate::callers::{self, Callers};
 use crate::control::Control;
 use crate::inbox::{Inbox, inbox};
 use crate::lifecycle::{Lifecycle, Phase};
-use crate::operator_port::{Calls, ControlPort};
-use crate::peers::{self, Identity, PeerTable, Peers};
-use crate::platform::{self, Platform};
-use crate::streams::Streams;
+use crate::operator_port::ControlPort;
+use crate::peers::{self, Identity, Peers};
+use crate::platform;
+use crate::secret::Secret;
+use crate::shared::Shared;
 use crate::timer::Timer;
-use crate::upstreams::{self, HttpClient, Upstreams};
+use crate::upstreams;
 use crate::{Error, OperatorPort, Result, Settings, meter};
 
 /// Commands that may wait for one of the threads.
@@ -113,7 +113,7 @@
             node: self.settings.node.clone(),
             domain: self.settings.domain.clone(),
             addr: self.advertised(),
-            secret: self.settings.secret.clone().into(),
+            secret: Secret::new(&self.settings.secret),
         };
         let shared = Shared::new(&self.settings);
         let (inbox, events) = inbox(self.settings.inbox);
@@ -135,18 +135,22 @@
         };
         let upstreams = shared.upstreams(&self.settings, &inbox);
         let peers = shared.peers(&self.settings, &inbox, me);
-        let platform = platform_client(&self.settings, &inbox);
+        let platform = shared.platform(&self.settings, &inbox);
         let callers = shared.callers(&self.settings, &inbox);
         let lifecycle = &shared.lifecycle;
         let listener = self.peers;
-        let mut threads = vec![
-            spawn("control", move || control.run(&events))?,
-            duty("upstreams", lifecycle, move || upstreams::run(upstreams, upstream_commands))?,
-            duty("platform", lifecycle, move || platform::run(platform, platform_commands))?,
-            duty("peers", lifecycle, move || serve_peers(peers, listener, peer_commands))?,
-        ];
-        threads.push(timer(&self.settings, &inbox, lifecycle)?);
-        threads.push(callers_thread(callers, self.callers, &shared, self.settings.drain)?);
+        let threads = || -> Result<Vec<JoinHandle<()>>> {
+            Ok(vec![
+                spawn("control", move || control.run(&events))?,
+                duty("upstreams", lifecycle, move || upstreams::run(upstreams, upstream_commands))?,
+                duty("platform", lifecycle, move || platform::run(platform, platform_commands))?,
+                duty("peers", lifecycle, move || serve_peers(peers, listener, peer_commands))?,
+                timer(&self.settings, &inbox, lifecycle)?,
+                callers_thread(callers, self.callers, &shared, &self.settings)?,
+            ])
+        };
+        // Where one thread cannot be started, those before it end.
+        let threads = threads().inspect_err(|_| lifecycle.advance(Phase::Ended))?;
         let port = Arc::new(ControlPort::new(Arc::clone(&shared.calls), inbox.clone()));
         Ok(Running {
             addrs: self.addrs,
@@ -196,6 +200,7 @@
         for thread in self.threads {
             broken |= thread.join().is_err();
         }
+        broken |= self.lifecycle.is_broken();
         match (broken, self.lifecycle.was_stopped()) {
             (true, _) => Exit::Broken,
             (false, true) => Exit::Stopped,
@@ -223,86 +228,6 @@
     }
 }
 
-/// What the threads of a process share.
-struct Shared {
-    streams: Arc<Streams>,
-    attempts: Arc<Attempts>,
-    peers: Arc<PeerTable>,
-    calls: Arc<Calls>,
-    ready: Arc<AtomicBool>,
-    lifecycle: Lifecycle,
-    /// What the state machine's time counts from.
-    start: Instant,
-}
-
-impl Shared {
-    fn new(settings: &Settings) -> Self {
-        Shared {
-            streams: Arc::default(),
-            attempts: Arc::default(),
-            peers: Arc::new(PeerTable::new(settings.peer.queue)),
-            calls: Arc::default(),
-            ready: Arc::default(),
-            lifecycle: Lifecycle::new(),
-            start: Instant::now(),
-        }
-    }
-
-    fn upstreams(&self, settings: &Settings, inbox: &Inbox) -> Arc<Upstreams> {
-        let limits = settings.upstream.clone();
-        Arc::new(Upstreams {
-            inbox: inbox.clone(),
-            streams: Arc::clone(&self.streams),
-            attempts: Arc::clone(&self.attempts),
-            peers: Arc::clone(&self.peers),
-            order_token: settings.order_token.clone().into(),
-            room: Semaphore::new(limits.attempts),
-            pooled: HttpClient::new(limits.connect, limits.idle, limits.idle_connections),
-            recent: HttpClient::new(
-                limits.connect,
-                limits.idle_unrepeatable,
-                limits.idle_connections,
-            ),
-            fresh: HttpClient::new(limits.connect, limits.idle, 0),
-            limits,
-            start: self.start,
-        })
-    }
-
-    fn peers(&self, settings: &Settings, inbox: &Inbox, me: Identity) -> Arc<Peers> {
-        Arc::new(Peers {
-            me,
-            table: Arc::clone(&self.peers),
-            streams: Arc::clone(&self.streams),
-            attempts: Arc::clone(&self.attempts),
-            inbox: inbox.clone(),
-            limits: settings.peer.clone(),
-            progress: settings.upstream.progress,
-        })
-    }
-
-    fn callers(&self, settings: &Settings, inbox: &Inbox) -> Arc<Callers> {
-        Arc::new(Callers::new(
-            settings.caller.clone(),
-            inbox.clone(),
-            Arc::clone(&self.streams),
-            Arc::clone(&self.peers),
-            Arc::clone(&self.ready),
-            self.lifecycle.clone(),
-        ))
-    }
-}
-
-fn platform_client(settings: &Settings, inbox: &Inbox) -> Arc<Platform> {
-    let limits = settings.platform_calls.clone();
-    Arc::new(Platform {
-        addr: settings.platform.clone(),
-        inbox: inbox.clone(),
-        client: HttpClient::new(limits.connect, settings.upstream.idle, 16),
-        limits,
-    })
-}
-
 fn timer(settings: &Settings, inbox: &Inbox, lifecycle: &Lifecycle) -> Result<JoinHandle<()>> {
     let mut timer = Timer::default();
     let inbox = inbox.clone();
@@ -319,15 +244,16 @@
     callers: Arc<Callers>,
     listener: TcpListener,
     shared: &Shared,
-    drain: Duration,
+    Settings { node, drain, .. }: &Settings,
 ) -> Result<JoinHandle<()>> {
-    let lifecycle = shared.lifecycle.clone();
+    let (lifecycle, drain) = (shared.lifecycle.clone(), *drain);
     let peers = Arc::clone(&shared.peers);
+    let node = node.clone();
     let work = move || async move {
         callers::run(callers, listener, drain).await;
         let flushed = tokio::time::timeout(PEER_FLUSH, peers.flushed()).await;
         if flushed.is_err() {
-            log::warn!("messages to peers were left unsent at the end");
+            emit(hgw_events::Event::MessagesLeft, &[("node", &node)]);
         }
         lifecycle.advance(Phase::Ended);
     };
--- a/crates/net/src/upstreams/generate.rs
+++ b/crates/net/src/upstreams/generate.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hgw_events::{Event, emit};
 use hgw_wire::peer::{Chunk, ModelWork, Outcome};
 use hgw_wire::upstream::{ATTEMPT_HEADER, Emitted, Generate};
 use http::HeaderValue;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use super::attempt::{self, Running};
+use super::attempt::{self, InProgress};
 use super::outlet::Outlet;
 use super::sse::EventReader;
 use super::{CallError, client};
@@ -34,16 +35,29 @@
 /// A connection may go silent for good while new ones work. Without the second connection a caller
 /// would wait for its deadline although the engine goes on generating. Once is enough: where the new
 /// connection fails too, it is the upstream that fails, and another one is to be chosen.
-pub(super) async fn run(running: &Running<'_>, work: &ModelWork, outlet: &mut Outlet) -> Outcome {
+pub(super) async fn run(
+    running: &InProgress<'_>,
+    work: &ModelWork,
+    outlet: &mut Outlet,
+) -> Outcome {
     let mut tokens = work.resume.clone();
     let reason = match part(running, work, &mut tokens, outlet, false).await {
         Part::Over(outcome) => return outcome,
         Part::Lost(reason) => reason,
     };
-    log::info!("attempt {} goes on over a new connection: {reason}", running.id());
+    let node = &running.cx.node;
+    emit(
+        Event::StreamReconnected,
+        &[("node", node), ("attempt", &running.id()), ("reason", &reason)],
+    );
     meter::resumed();
-    // The engine still works for the old connection: it is to stop before it is asked again.
-    attempt::tell_cancelled(running.cx, &running.start.addr, running.id()).await;
+    // The engine still works for the old connection: it is to stop before it is asked again. One
+    // that cannot be reached at all is not asked: another engine is to be found soon.
+    let (cx, start) = (running.cx, running.start);
+    let bound = cx.limits.call.min(start.silence);
+    if !attempt::tell_cancelled(cx, &start.addr, running.id(), bound).await {
+        return Outcome::Broken(reason);
+    }
     match part(running, work, &mut tokens, outlet, true).await {
         Part::Over(Outcome::NotRun(reason)) | Part::Lost(reason) => Outcome::Broken(reason),
         Part::Over(outcome) => outcome,
@@ -51,7 +65,7 @@
 }
 
 async fn part(
-    running: &Running<'_>,
+    running: &InProgress<'_>,
     work: &ModelWork,
     tokens: &mut Vec<Arc<str>>,
     outlet: &mut Outlet,
@@ -68,7 +82,7 @@
 
 /// Sends the request and reads the head of the answer.
 async fn open(
-    running: &Running<'_>,
+    running: &InProgress<'_>,
     work: &ModelWork,
     tokens: &[Arc<str>],
     fresh: bool,
@@ -106,7 +120,7 @@
 
 /// Hands the tokens on until the answer ends.
 async fn read(
-    running: &Running<'_>,
+    running: &InProgress<'_>,
     mut body: Incoming,
     tokens: &mut Vec<Arc<str>>,
     outlet: &mut Outlet,
@@ -131,7 +145,8 @@
             };
             if let Some(outcome) = take(running, event, tokens, outlet).await {
                 if matches!(outcome, Outcome::Whole(_)) {
-                    tokio::spawn(tokio::time::timeout(LAST_FRAME, finish(body)));
+                    let rest = tokio::time::timeout(LAST_FRAME, finish(body));
+                    running.cx.lifecycle.spawn(rest);
                 }
                 return Ok(outcome);
             }
@@ -146,7 +161,7 @@
 
 /// Handles one event; gives the outcome where it is the last.
 async fn take(
-    running: &Running<'_>,
+    running: &InProgress<'_>,
     event: Emitted,
     tokens: &mut Vec<Arc<str>>,
     outlet: &mut Outlet,
@@ -174,7 +189,7 @@
 
 /// Hands one token on, unless it was before; the error says why the attempt cannot go on.
 async fn token(
-    running: &Running<'_>,
+    running: &InProgress<'_>,
     index: u32,
     text: String,
     tokens: &mut Vec<Arc<str>>,
--- a/crates/net/src/upstreams/mod.rs
+++ b/crates/net/src/upstreams/mod.rs
@@ -15,9 +15,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use hgw_node::Sink;
-use hgw_types::{Time, UpstreamId};
+use hgw_types::{NodeId, Time, UpstreamId};
 use hgw_wire::peer::Work;
 use hgw_wire::upstream::Order;
 use tokio::sync::{Semaphore, mpsc};
@@ -25,7 +24,9 @@
 use crate::UpstreamLimits;
 use crate::attempts::{Attempt, Attempts};
 use crate::inbox::Inbox;
+use crate::lifecycle::Lifecycle;
 use crate::peers::PeerTable;
+use crate::secret::Secret;
 use crate::streams::Streams;
 
 pub(crate) use client::{CallError, HttpClient, build, get, read_json};
@@ -69,14 +70,16 @@
 /// What all calls to upstreams share.
 #[derive(Debug)]
 pub(crate) struct Upstreams {
+    pub(crate) node: NodeId,
     pub(crate) inbox: Inbox,
+    pub(crate) lifecycle: Lifecycle,
     pub(crate) streams: Arc<Streams>,
     pub(crate) attempts: Arc<Attempts>,
     pub(crate) peers: Arc<PeerTable>,
     pub(crate) limits: UpstreamLimits,
     /// What [`Time`] counts from.
     pub(crate) start: Instant,
-    pub(crate) order_token: Bytes,
+    pub(crate) order_token: Secret,
     /// Attempts that may still be started.
     pub(crate) room: Semaphore,
     /// Keeps connections for later calls.
@@ -97,16 +100,16 @@
         let cx = Arc::clone(&upstreams);
         match command {
             Command::Start(start) => {
-                tokio::spawn(attempt::run(cx, start));
+                upstreams.lifecycle.spawn(attempt::run(cx, start));
             }
             Command::Order(given) => {
-                tokio::spawn(ask::order(cx, given));
+                upstreams.lifecycle.spawn(ask::order(cx, given));
             }
             Command::AskState { upstream, addr, asked } => {
-                tokio::spawn(ask::state(cx, upstream, addr, asked));
+                upstreams.lifecycle.spawn(ask::state(cx, upstream, addr, asked));
             }
             Command::AskLoad { upstream, addr } => {
-                tokio::spawn(ask::load(cx, upstream, addr));
+                upstreams.lifecycle.spawn(ask::load(cx, upstream, addr));
             }
         }
     }
