--- /dev/null
+++ b/crates/hibiscusgw/tests/processes/calls.rs
@@ -0,0 +1,140 @@
+//! A call that may not be repeated runs at most once; "not run" is true.
+
+use hgw_standins::Faults;
+use hgw_standins::client::Whole;
+use hgw_standins::cluster::{Cluster, Node, wait};
+use http::{Method, StatusCode};
+
+use crate::{cases, fault, runs, settings, start};
+
+/// A voucher that is to be printed once.
+fn print_voucher(node: &Node, name: &str) -> hgw_standins::cluster::Result<Whole> {
+    let headers = [("idempotency-key", name), ("x-call", name)];
+    node.plain(Method::POST, "/svc/caja-app/vouchers", &headers, "amount=1200")
+}
+
+/// Prints a voucher through a node until it is told that it ran.
+fn print_until_done(node: &Node, name: &str) -> Whole {
+    let mut last = None;
+    wait("the voucher is printed", || {
+        last = print_voucher(node, name).ok();
+        last.as_ref().is_some_and(|answer| answer.status == StatusCode::OK)
+    })
+    .expect("the call is answered in the end");
+    last.expect("an answer was kept")
+}
+
+fn is_not_run(answer: &Whole) -> bool {
+    answer.body.contains("not_run")
+}
+
+/// Two callers send the same key through two nodes at once. One run is begun by the owner of the
+/// key; both get its answer, or are told that it may have run. The service's own count is the judge.
+#[test]
+fn a_key_sent_through_two_nodes_at_once_runs_once() {
+    let cluster = start(settings());
+    for round in 0..10 {
+        let name = format!("voucher-{round}");
+        std::thread::scope(|scope| {
+            for node in &cluster.nodes {
+                let name = &name;
+                scope.spawn(move || print_until_done(node, name));
+            }
+        });
+        assert_eq!(runs(&cluster, &name), 1);
+    }
+}
+
+/// The caller gets the kept answer. A call with a key runs, then a node is killed, which may be the
+/// owner of the key. The next owner has read from the log that the call is done.
+fn check_repeat_after_kill(killed: usize) {
+    let mut cluster = start(settings());
+    let other = (killed + 1) % cluster.nodes.len();
+    let first = print_until_done(&cluster.nodes[other], "voucher");
+    cluster.nodes[killed].kill().expect("the node can be killed");
+    let again = print_until_done(&cluster.nodes[other], "voucher");
+    assert_eq!((again.body, runs(&cluster, "voucher")), (first.body, 1));
+}
+
+cases! { check_repeat_after_kill:
+    a_repeat_after_the_death_of_the_first_node_does_not_run(0);
+    a_repeat_after_the_death_of_the_second_node_does_not_run(1);
+    a_repeat_after_the_death_of_the_third_node_does_not_run(2);
+}
+
+/// The caller's repeat never runs a second time. The service has run the call and its answer is on
+/// the way when a node dies, which may be the owner of the key. The next owner finds a begin without
+/// an end in the log: it may have run, so it is not run again.
+fn check_kill_during_call(killed: usize) {
+    let mut settings = settings();
+    settings.deployment.plain.delay = std::time::Duration::from_secs(2);
+    let mut cluster = start(settings);
+    let other = (killed + 1) % cluster.nodes.len();
+    let caller = cluster.nodes[other].caller().expect("a client");
+    let sender = std::thread::spawn(move || {
+        let headers = [("idempotency-key", "voucher"), ("x-call", "voucher")];
+        caller.call(Method::POST, "/svc/caja-app/vouchers", &headers, "amount=1200")
+    });
+    wait("the call runs", || runs(&cluster, "voucher") == 1).expect("the call reaches the service");
+    cluster.nodes[killed].kill().expect("the node can be killed");
+    // An answer to the first sender is as good as none: its node's peer may be the one that died.
+    let _ = sender.join().expect("the sender does not panic");
+    let again = print_until_told(&cluster, other);
+    assert!(!is_not_run(&again), "it has run: {}", again.body);
+    assert_eq!(runs(&cluster, "voucher"), 1);
+}
+
+/// Repeats the call until somebody owns its key again.
+fn print_until_told(cluster: &Cluster, node: usize) -> Whole {
+    let mut last = None;
+    wait("the key has an owner", || {
+        last = print_voucher(&cluster.nodes[node], "voucher").ok();
+        last.as_ref().is_some_and(|answer| !is_not_run(answer))
+    })
+    .expect("the key has an owner in the end");
+    last.expect("an answer was kept")
+}
+
+cases! { check_kill_during_call:
+    the_death_of_the_first_node_during_a_call_repeats_nothing(0);
+    the_death_of_the_second_node_during_a_call_repeats_nothing(1);
+    the_death_of_the_third_node_during_a_call_repeats_nothing(2);
+}
+
+/// The caller is told "not run" or "may have run", and what it is told is true. The service is down,
+/// loses the call before it runs, or loses the answer after it ran.
+fn check_told_truth(faults: &Faults) {
+    let cluster = start(settings());
+    for plain in cluster.deployment.plains.values() {
+        fault(plain, faults);
+    }
+    let answer = print_voucher(&cluster.nodes[0], "voucher").expect("an answer");
+    let ran = runs(&cluster, "voucher");
+    assert!(ran <= 1, "it ran {ran} times");
+    assert!(!answer.status.is_success(), "{}", answer.body);
+    assert!(!is_not_run(&answer) || ran == 0, "it ran: {}", answer.body);
+    assert!(is_not_run(&answer) || answer.body.contains("may_have_run"), "{}", answer.body);
+}
+
+cases! { check_told_truth:
+    a_call_to_a_service_that_is_down(&Faults { down: true, ..Faults::default() });
+    a_call_lost_on_its_way(&Faults { lose_requests: 1, ..Faults::default() });
+    a_call_whose_answer_is_lost(&Faults { lose_answers: 1, ..Faults::default() });
+}
+
+/// The caller is told "not run", with a time to come back. The log is down, so that the begin of a
+/// call with a key cannot be recorded. Once the log is back the call runs.
+#[test]
+fn a_key_is_not_run_while_the_log_is_down() {
+    let cluster = start(settings());
+    // The shards of the keys have owners before the log goes.
+    print_until_done(&cluster.nodes[0], "first");
+    fault(&cluster.deployment.platform, &Faults { down: true, ..Faults::default() });
+    let answer = print_voucher(&cluster.nodes[0], "voucher").expect("an answer");
+    assert!(is_not_run(&answer), "{}", answer.body);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert_eq!(runs(&cluster, "voucher"), 0);
+    fault(&cluster.deployment.platform, &Faults::default());
+    print_until_done(&cluster.nodes[0], "voucher");
+    assert_eq!(runs(&cluster, "voucher"), 1);
+}
--- /dev/null
+++ b/crates/hibiscusgw/tests/processes/main.rs
@@ -0,0 +1,73 @@
+//! Nodes as real processes before the stand-ins: what must always hold, under failure.
+
+mod calls;
+mod leaving;
+mod memory;
+mod outage;
+mod session;
+mod stopping;
+mod streams;
+
+use std::time::Duration;
+
+use hgw_standins::client::Caller;
+use hgw_standins::cluster::{Cluster, Question, Settings};
+use hgw_standins::engine::EngineRecord;
+use hgw_standins::plain::PlainRecord;
+use hgw_standins::{Faults, Running, engine};
+
+/// Names each case of a check that takes arguments.
+#[macro_export]
+macro_rules! cases {
+    ($check:ident: $($name:ident($($arg:expr),* $(,)?);)*) => {$(
+        #[test]
+        fn $name() {
+            $check($($arg),*);
+        }
+    )*};
+}
+
+/// Tokens of an answer that takes long enough for something to happen in its middle.
+const LONG: u32 = 150;
+/// Tokens that have come when it happens.
+const MIDDLE: usize = 10;
+
+fn settings() -> Settings {
+    Settings::new(env!("CARGO_BIN_EXE_hibiscusgw"))
+}
+
+/// Settings with engines so slow that an answer of [`LONG`] tokens takes seconds.
+fn slow_engines() -> Settings {
+    let mut settings = settings();
+    settings.deployment.engine =
+        engine::Settings { step: Duration::from_millis(20), ..settings.deployment.engine };
+    settings
+}
+
+fn start(settings: Settings) -> Cluster {
+    Cluster::start(settings).expect("the cluster serves every model through every node")
+}
+
+fn fault(standin: &Running, faults: &Faults) {
+    let caller = Caller::new(standin.addr()).expect("a client needs no network yet");
+    caller.faults(faults).expect("the stand-in takes faults");
+}
+
+fn engine_record(standin: &Running) -> EngineRecord {
+    let caller = Caller::new(standin.addr()).expect("a client needs no network yet");
+    caller.record().expect("the stand-in has a record")
+}
+
+/// Records of all plain services together: how often the call named `name` ran.
+fn runs(cluster: &Cluster, name: &str) -> u32 {
+    let record = |standin: &Running| -> PlainRecord {
+        let caller = Caller::new(standin.addr()).expect("a client needs no network yet");
+        caller.record().expect("the stand-in has a record")
+    };
+    let named = |standin| record(standin).named.get(name).copied().unwrap_or(0);
+    cluster.deployment.plains.values().map(named).sum()
+}
+
+fn long_question() -> Question {
+    Question::new("rules", "May the school hold cash over the summer?", LONG)
+}
--- /dev/null
+++ b/crates/hibiscusgw/tests/processes/outage.rs
@@ -0,0 +1,34 @@
+//! What goes on while the platform or a part of the system is gone.
+
+use hgw_standins::Faults;
+use http::{Method, StatusCode};
+
+use crate::{fault, long_question, settings, start};
+
+/// Callers see nothing of it. The log and the list of VMs are down; what is resident is served, and
+/// calls that may be repeated are as well.
+#[test]
+fn work_goes_on_while_the_log_is_down() {
+    let cluster = start(settings());
+    fault(&cluster.deployment.platform, &Faults { down: true, ..Faults::default() });
+    let question = long_question();
+    for node in &cluster.nodes {
+        let chat = node.chat(&question).expect("an answer");
+        assert_eq!(chat.text, question.expected("v1"));
+        let job = node.plain(Method::GET, "/svc/caja-app/status", &[], "").expect("an answer");
+        assert_eq!(job.status, StatusCode::OK, "{}", job.body);
+    }
+}
+
+/// Every model stays reachable through every node. The log goes down, then the engine of one failure
+/// domain dies; the copies in the other domain serve.
+#[test]
+fn models_stay_reachable_when_an_engine_dies_while_the_log_is_down() {
+    let cluster = start(settings());
+    fault(&cluster.deployment.platform, &Faults { down: true, ..Faults::default() });
+    fault(
+        &cluster.deployment.engines[0],
+        &Faults { restart: true, down: true, ..Faults::default() },
+    );
+    cluster.wait_served().expect("every model is served through every node");
+}
--- /dev/null
+++ b/crates/hibiscusgw/tests/processes/session.rs
@@ -0,0 +1,118 @@
+//! A whole session through three nodes, compared with the file kept.
+
+use std::fmt::Write;
+
+use hgw_standins::client::Whole;
+use hgw_standins::cluster::{Chat, Cluster, Question, wait};
+use http::Method;
+
+use crate::{settings, start};
+
+/// What callers see of mixed requests through each node: answers whole, errors typed. Nothing fails
+/// here; it is the session that all other tests disturb.
+#[test]
+fn mixed_requests_through_each_node() {
+    let cluster = start(settings());
+    wait_adapter(&cluster);
+    let mut session = String::new();
+    for node in 0..cluster.nodes.len() {
+        writeln!(session, "# through {}", cluster.nodes[node].id).expect("a string takes all");
+        session += &through(&cluster, node);
+    }
+    insta::assert_snapshot!(session);
+}
+
+/// Adapters are loaded when they are first asked for.
+fn wait_adapter(cluster: &Cluster) {
+    let question = Question::new("rules:school", "And here?", 1);
+    for node in &cluster.nodes {
+        wait("the adapter is loaded", || node.chat(&question).is_ok_and(|chat| chat.whole))
+            .expect("the adapter is served through every node");
+    }
+}
+
+fn through(cluster: &Cluster, number: usize) -> String {
+    let node = &cluster.nodes[number];
+    let chat = |question: Question| node.chat(&question).expect("an answer");
+    let plain = |method: Method, path: &str, headers: &[(&str, &str)], body| {
+        node.plain(method, path, headers, body).expect("an answer")
+    };
+    let question = Question { stream: false, ..Question::new("notes", "Short.", 3) };
+    let caller = node.caller().expect("a client");
+    let whole = caller.post("/v1/chat/completions", &question).expect("an answer");
+    let key = format!("voucher-{number}");
+    let keyed = [("idempotency-key", key.as_str())];
+    let first = ["amount=1", "amount=2", "amount=3"][number];
+    let lines = [
+        ("models", told(&plain(Method::GET, "/v1/models", &[], ""))),
+        ("urgent", said(&chat(Question::new("rules", "May I keep 20 000?", 6)))),
+        (
+            "overnight",
+            said(&chat(
+                Question::new("notes", "Draft it.", 4).with("x-priority-class", "overnight"),
+            )),
+        ),
+        ("adapter", said(&chat(Question::new("rules:school", "And here?", 3)))),
+        ("not streamed", told(&whole)),
+        ("no such model", said(&chat(Question::new("poems", "Rhyme.", 3)))),
+        (
+            "plain call",
+            told(&plain(Method::GET, &format!("/svc/caja-app/status?node={number}"), &[], "")),
+        ),
+        ("keyed call", told(&plain(Method::POST, "/svc/caja-app/vouchers", &keyed, first))),
+        ("its repeat", told(&plain(Method::POST, "/svc/caja-app/vouchers", &keyed, first))),
+        (
+            "key reused",
+            told(&plain(Method::POST, "/svc/caja-app/vouchers", &keyed, "amount=another")),
+        ),
+        ("no such service", told(&plain(Method::GET, "/svc/library/books", &[], ""))),
+    ];
+    let mut text = String::new();
+    for (name, line) in lines {
+        writeln!(text, "{name}: {line}").expect("a string takes all");
+    }
+    text
+}
+
+fn said(chat: &Chat) -> String {
+    format!(
+        "{} {}{}",
+        chat.status.as_u16(),
+        normal(&chat.text),
+        if chat.whole { " [whole]" } else { "" }
+    )
+}
+
+fn told(answer: &Whole) -> String {
+    format!("{} {}", answer.status.as_u16(), normal(&answer.body))
+}
+
+/// The text without what differs from run to run.
+fn normal(text: &str) -> String {
+    let Ok(mut value) = serde_json::from_str::<serde_json::Value>(text) else {
+        return text.trim_end().to_owned();
+    };
+    normalise(&mut value);
+    value.to_string()
+}
+
+/// Fields whose values differ from run to run, and what such a value starts with.
+const CHANGING: &[(&str, &str)] =
+    &[("id", "chatcmpl-"), ("request_id", ""), ("created", ""), ("retry_after_ms", "")];
+
+fn normalise(value: &mut serde_json::Value) {
+    match value {
+        serde_json::Value::Object(fields) => {
+            for (key, value) in fields {
+                let text = value.as_str().unwrap_or_default();
+                if CHANGING.iter().any(|(name, start)| key == name && text.starts_with(start)) {
+                    *value = format!("[{key}]").into();
+                } else {
+                    normalise(value);
+                }
+            }
+        }
+        serde_json::Value::Array(items) => items.iter_mut().for_each(normalise),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/hibiscusgw/tests/processes/stopping.rs
@@ -0,0 +1,68 @@
+//! A planned stop cuts off no request in progress.
+
+use hgw_standins::cluster::{Cluster, Signal};
+use hgw_standins::{Faults, engine};
+
+use crate::{MIDDLE, cases, fault, long_question, slow_engines, start};
+
+/// Streams that are in progress at the stop.
+const STREAMS: usize = 4;
+
+fn check_stop(stopped: usize, log_down: bool) {
+    let mut cluster = start(slow_engines());
+    let question = long_question();
+    let mut streams = open_all(&cluster, &question);
+    for stream in &mut streams {
+        stream.read(MIDDLE).expect("tokens come");
+    }
+    if log_down {
+        fault(&cluster.deployment.platform, &Faults { down: true, ..Faults::default() });
+    }
+    cluster.nodes[stopped].signal(Signal::TERM).expect("the node can be told to stop");
+    let expected = question.expected("v1");
+    for stream in streams {
+        let chat = stream.rest().expect("the answer goes on");
+        assert_eq!((chat.text.as_str(), chat.error, chat.whole), (expected.as_str(), None, true));
+    }
+    let status = cluster.nodes[stopped].wait_exit().expect("the node ends");
+    assert_eq!(status.code(), Some(0));
+}
+
+fn open_all(
+    cluster: &Cluster,
+    question: &hgw_standins::cluster::Question,
+) -> Vec<hgw_standins::cluster::ChatStream> {
+    let nodes = cluster.nodes.iter().cycle().take(STREAMS);
+    nodes.map(|node| node.open_chat(question).expect("an answer begins")).collect()
+}
+
+cases! { check_stop:
+    // Every caller sees its whole answer and the process ends with 0. The node that is told to
+    // stop has streams of its own callers, and dispatches or keeps for others: it takes no new
+    // work, and ends when what is in progress has ended.
+    stopping_the_first_node_cuts_nothing(0, false);
+    stopping_the_second_node_cuts_nothing(1, false);
+    stopping_the_third_node_cuts_nothing(2, false);
+    // The same while claims cannot be released, because the log is down.
+    stopping_the_first_node_cuts_nothing_with_the_log_down(0, true);
+}
+
+/// The process ends at once: a second signal says that its operator does not want to wait.
+#[test]
+fn a_second_signal_ends_at_once() {
+    let mut settings = slow_engines();
+    let step = std::time::Duration::from_secs(1);
+    settings.deployment.models = vec![("rules", 50)];
+    settings.deployment.engine = engine::Settings { step, ..settings.deployment.engine };
+    let mut cluster = start(settings);
+    let mut stream = cluster.nodes[0].open_chat(&long_question()).expect("an answer begins");
+    stream.read(1).expect("a token comes");
+    cluster.nodes[0].signal(Signal::TERM).expect("the node can be told to stop");
+    hgw_standins::cluster::wait("the node is no longer ready", || {
+        cluster.nodes[0].status_of("/readyz") != Some(http::StatusCode::OK)
+    })
+    .expect("readiness is withdrawn");
+    cluster.nodes[0].signal(Signal::TERM).expect("the node can be told again");
+    let status = cluster.nodes[0].wait_exit().expect("the node ends");
+    assert_ne!(status.code(), Some(0));
+}
--- /dev/null
+++ b/crates/hibiscusgw/tests/processes/streams.rs
@@ -0,0 +1,135 @@
+//! Each caller gets the whole answer to its own request.
+
+use hgw_standins::cluster::{Chat, Cluster};
+use hgw_standins::deployment::DomainSettings;
+use hgw_standins::{Faults, Running, StreamFault};
+use hgw_types::UpstreamId;
+use hgw_wire::upstream::EngineState;
+
+use crate::{MIDDLE, cases, engine_record, fault, long_question, slow_engines, start};
+
+/// Engines in the failure domain of the first two nodes; callers come to the third, in another one.
+fn engines_elsewhere() -> Cluster {
+    let mut settings = slow_engines();
+    settings.deployment.domains =
+        vec![DomainSettings::new("stgo-a", 2, 1), DomainSettings::new("stgo-b", 0, 0)];
+    start(settings)
+}
+
+/// Asks through the last node, does `harm` in the middle of the answer, and checks that the caller
+/// gets it whole. Gives how often an engine that is still there began to work on it.
+fn check_whole(mut cluster: Cluster, harm: impl FnOnce(&mut Cluster)) -> u32 {
+    let before = runs(&cluster);
+    let question = long_question();
+    let last = cluster.nodes.len() - 1;
+    let mut stream = cluster.nodes[last].open_chat(&question).expect("an answer begins");
+    stream.read(MIDDLE).expect("tokens come");
+    harm(&mut cluster);
+    let chat = stream.rest().expect("the answer goes on");
+    let expected = question.expected("v1");
+    assert_eq!((chat.text, chat.error, chat.whole), (expected, None, true));
+    runs(&cluster).saturating_sub(before)
+}
+
+fn runs(cluster: &Cluster) -> u32 {
+    let engines = cluster.deployment.engines.values();
+    engines.map(|engine| engine_record(engine).runs.values().sum::<u32>()).sum()
+}
+
+/// The caller sees one answer without gap or repeat. A node of the engine's failure domain is killed
+/// in its middle; one of the two is the dispatcher of the stream. The entry node notices that its peer
+/// is gone, and submits the rest to the next dispatcher with the tokens that the caller has already.
+#[test]
+fn a_stream_survives_the_death_of_its_dispatcher() {
+    let taken = [0, 1].map(|node| {
+        check_whole(engines_elsewhere(), |cluster| {
+            cluster.nodes[node].kill().expect("the node can be killed");
+        })
+    });
+    // Not before both: whichever of the two it is, its death needs a second run.
+    assert!(taken.iter().any(|runs| *runs > 1), "no dispatcher was killed: {taken:?}");
+}
+
+/// The engine that works on a request.
+fn serving(cluster: &Cluster) -> UpstreamId {
+    let works = |engine: &Running| {
+        let caller = cluster.standin(engine.addr()).expect("a client");
+        let state: EngineState = caller.get("/state").expect("the engine tells its state");
+        state.models.iter().any(|held| held.active > 0)
+    };
+    let found = cluster.deployment.engines.iter().find(|(_, engine)| works(engine));
+    found.expect("one engine works on the request").0.clone()
+}
+
+/// The caller sees one answer without gap or repeat. The engine that serves it restarts in the middle
+/// and has lost all it held; connections to it are cut from then on. Another engine holds the model as
+/// well, or is made to, and goes on from the tokens so far.
+fn check_engine_cut(cluster: Cluster) {
+    check_whole(cluster, |cluster| {
+        let engine = &cluster.deployment.engines[&serving(cluster)];
+        fault(engine, &Faults { restart: true, down: true, ..Faults::default() });
+    });
+}
+
+cases! { check_engine_cut:
+    a_stream_goes_on_at_a_copy_when_its_engine_is_cut_off(start(slow_engines()));
+    a_stream_goes_on_at_a_new_copy_when_its_engine_is_cut_off(engines_elsewhere());
+}
+
+/// The same with an engine whose process is gone, so that connections are refused.
+fn check_engine_gone(cluster: Cluster) {
+    check_whole(cluster, |cluster| {
+        let id = serving(cluster);
+        let engine = cluster.deployment.engines.shift_remove(&id);
+        engine.expect("it is one of the engines").stop();
+    });
+}
+
+cases! { check_engine_gone:
+    a_stream_goes_on_at_a_copy_when_its_engine_dies(start(slow_engines()));
+    a_stream_goes_on_at_a_new_copy_when_its_engine_dies(engines_elsewhere());
+}
+
+/// The caller sees one answer without gap or repeat. Its connection to the engine carries nothing any
+/// more, though it stays open and new ones work. The dispatcher doubts a connection that has work and
+/// no progress, opens a new one and resumes there.
+#[test]
+fn a_stream_survives_a_connection_that_goes_silent() {
+    let runs = check_whole(engines_elsewhere(), |cluster| {
+        for engine in cluster.deployment.engines.values() {
+            fault(engine, &Faults { silence: true, ..Faults::default() });
+        }
+    });
+    assert_eq!(runs, 2);
+}
+
+/// The caller sees one whole answer. The engine breaks the stream off after a few tokens, twice; each
+/// time the rest is asked for on a new attempt.
+#[test]
+fn a_stream_that_breaks_off_twice_is_whole() {
+    let cluster = start(slow_engines());
+    for engine in cluster.deployment.engines.values() {
+        let fail_streams = StreamFault { after_tokens: 7, streams: 1 };
+        fault(engine, &Faults { fail_streams, ..Faults::default() });
+    }
+    check_own_answer(&cluster);
+}
+
+/// The caller sees its own answer. The engine signs answers with the attempt of somebody else, as when
+/// answers are crossed on a connection. They are dropped, and the request is made again.
+#[test]
+fn a_crossed_answer_is_not_delivered() {
+    let cluster = start(slow_engines());
+    for engine in cluster.deployment.engines.values() {
+        fault(engine, &Faults { cross_answers: 1, ..Faults::default() });
+    }
+    check_own_answer(&cluster);
+}
+
+fn check_own_answer(cluster: &Cluster) {
+    let before = runs(cluster);
+    let question = long_question();
+    let chat: Chat = cluster.nodes[0].chat(&question).expect("an answer");
+    assert_eq!((chat.text, chat.error), (question.expected("v1"), None));
+    assert!(runs(cluster) - before > 1, "nothing went wrong");
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,6 +1,7 @@
-//! The load tool: `load decisions` measures the decision code in virtual time.
+//! The load tool: `load decisions` measures the decision code in virtual time, `load run` real nodes.
 
 pub mod decisions;
+pub mod run;
 
 use std::io::Write;
 use std::process::ExitCode;
@@ -22,6 +23,8 @@
 pub enum Command {
     /// Runs the decision code through all scenarios, beside the baselines.
     Decisions(decisions::Args),
+    /// Drives real nodes beside callers that go straight to the stand-in engine.
+    Run(run::Args),
 }
 
 /// Runs the command and says how it went.
@@ -29,6 +32,7 @@
     let out = &mut std::io::stdout().lock();
     let done = match args.command {
         Some(Command::Decisions(args)) => decisions::run(&args, out),
+        Some(Command::Run(args)) => run::run(&args, out),
         None => writeln!(out, "{}", Args::usage()),
     };
     match done {
--- a/crates/standins/src/cluster/node.rs
+++ b/crates/standins/src/cluster/node.rs
@@ -52,6 +52,13 @@
     }
 }
 
+/// Environment variable that lets the nodes' logs through; they are dropped otherwise.
+const LOGS: &str = "HGW_CLUSTER_LOGS";
+
+fn logs() -> Stdio {
+    if std::env::var_os(LOGS).is_some() { Stdio::inherit() } else { Stdio::null() }
+}
+
 /// A node; the process ends when this is dropped.
 #[derive(Debug)]
 pub struct Node {
@@ -87,6 +94,7 @@
             .env("HIBISCUSGW_ORDER_TOKEN", ORDER_TOKEN)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
+            .stderr(logs())
             .spawn()?;
         let (id, domain) = (id.to_owned(), domain.to_owned());
         Ok(Node { id, domain, addrs, program: program.to_owned(), child })
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod client;
 pub mod cluster;
 pub mod command;
+pub mod demo;
 pub mod deployment;
 pub mod engine;
 mod faults;
