--- a/crates/hibiscusgw/tests/operator_calls.rs
+++ b/crates/hibiscusgw/tests/operator_calls.rs
@@ -39,7 +39,7 @@
         listener.set_nonblocking(true).unwrap();
         let addr = listener.local_addr().unwrap();
         let port = Arc::new(Port { reply, asked: Mutex::default() });
-        let shared: Arc<dyn OperatorPort> = port.clone();
+        let shared: Arc<dyn OperatorPort> = Arc::<Port>::clone(&port);
         let operators = Operators::start(listener, shared, "right").unwrap();
         Server { addr, port, operators: Some(operators) }
     }
--- a/crates/node/src/members/mod.rs
+++ b/crates/node/src/members/mod.rs
@@ -59,7 +59,7 @@
     }
 
     /// The live nodes of `domain`.
-    pub(crate) fn live_in(&self, domain: &DomainId) -> impl Iterator<Item = &NodeId> {
+    pub(crate) fn live_in<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a NodeId> {
         self.membership.live(domain).map(|m| &m.node)
     }
 
@@ -121,17 +121,16 @@
             count: m.beat,
             leaving: m.leaving,
         });
-        let pulses = heartbeat
-            .pulses
-            .into_iter()
-            .map(|(short, units)| Pulse { short, age: PULSE_UNIT * u32::from(units) });
-        let event = MemberEvent::Heard {
+        let pulses = heartbeat.pulses.into_iter();
+        let heard = MemberEvent::Heard {
             from: from.clone(),
             beats: beats.collect(),
-            pulses: pulses.collect(),
             ask: heartbeat.ask,
+            pulses: pulses
+                .map(|(short, age)| Pulse { short, age: PULSE_UNIT * u32::from(age) })
+                .collect(),
         };
-        self.handle(cx, config, event)
+        self.handle(cx, config, heard)
     }
 
     pub(crate) fn on_peer_up(
@@ -180,14 +179,13 @@
         for act in acts {
             match act {
                 MemberAction::Send { to, beats, pulses, ask } => {
-                    let heartbeat = Heartbeat {
-                        members: beats.into_iter().map(member_beat).collect(),
-                        pulses: pulses.iter().map(member_pulse).collect(),
-                        ask,
-                        config,
-                    };
+                    let members = beats.into_iter().map(member_beat).collect();
+                    let pulses = pulses.iter().map(|p| (p.short, pulse_age(p))).collect();
                     cx.act(Action::Connect { peer: to.node.clone(), addr: to.addr });
-                    cx.send(&to.node, Message::Heartbeat(heartbeat));
+                    cx.send(
+                        &to.node,
+                        Message::Heartbeat(Heartbeat { members, pulses, ask, config }),
+                    );
                 }
                 MemberAction::Up(member) => {
                     cx.act(Action::Connect { peer: member.node.clone(), addr: member.addr });
@@ -215,7 +213,8 @@
     MemberBeat { node: member.node, domain: member.domain, addr: member.addr, beat: count, leaving }
 }
 
-fn member_pulse(pulse: &Pulse) -> (u32, u16) {
-    let units = pulse.age.as_nanos().div_ceil(PULSE_UNIT.as_nanos());
-    (pulse.short, u16::try_from(units).unwrap_or(u16::MAX))
+/// Age of a pulse in units of 50 ms, rounded up: a member must not look fresher with each hop.
+fn pulse_age(pulse: &Pulse) -> u16 {
+    let units = pulse.age.as_millis().div_ceil(PULSE_UNIT.as_millis());
+    u16::try_from(units).unwrap_or(u16::MAX)
 }
--- /dev/null
+++ b/crates/placement/tests/placement/main.rs
@@ -0,0 +1,20 @@
+//! Decisions on memory, driven without sockets.
+
+/// Names each test case.
+macro_rules! cases {
+    ($($(#[$attr:meta])* $name:ident => $body:expr;)*) => {$(
+        $(#[$attr])*
+        #[test]
+        fn $name() {
+            $body
+        }
+    )*};
+}
+
+mod floor;
+mod golden;
+mod memory;
+mod random;
+mod reach;
+mod shares;
+mod support;
