--- a/crates/dispatch/src/queue/step.rs
+++ b/crates/dispatch/src/queue/step.rs
@@ -34,7 +34,7 @@
         // What may go first but finds no slot waits for an end, not for time.
         let patience = self.urgent.first().map(|w| {
             let half = self.latest_start(&w.job).since(self.polled) / 2;
-            self.polled + half.min(self.settings.patience) + TICK
+            self.polled + half.min(self.settings.patience).max(LOOK_AGAIN)
         });
         let aged = self.deferrable.iter().map(|w| self.aged_at(w));
         let blocked = aged.chain(patience).filter(|t| *t > self.polled);
@@ -180,5 +180,9 @@
     }
 }
 
+/// Least time between two looks at work that waits for a slot: without it, the half of what is
+/// left, and then the half of that, would be waited for in ever shorter steps.
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
+
 /// The least time after a limit at which it has passed.
 const TICK: Duration = Duration::from_micros(1);
--- a/crates/dispatch/tests/queue.rs
+++ b/crates/dispatch/tests/queue.rs
@@ -176,6 +176,20 @@
     assert!(q.delay(ms(9000), Urgency::Urgent) > Duration::from_secs(5));
 }
 
+fn waiting_work_asks_for_few_polls() {
+    let settings = QueueSettings { patience: Duration::ZERO, slots: 1, ..Default::default() };
+    let mut q = Queue::new(settings);
+    q.submit(ms(0), urgent(1, 900)).unwrap();
+    poll(&mut q, 0);
+    q.submit(ms(0), urgent(2, 900)).unwrap();
+    let mut polls = 0;
+    while let Some(wake) = q.next_wake().filter(|at| *at < ms(800)) {
+        q.poll(wake, &mut Vec::new());
+        polls += 1;
+    }
+    assert!(polls <= 160, "{polls}");
+}
+
 fn a_full_queue_names_a_time() {
     let settings = QueueSettings { slots: 1, max_deferrable: 2, reserve: 0, ..Default::default() };
     let mut q = Queue::new(settings);
@@ -206,5 +220,6 @@
     work_of_another_dispatcher_takes_slots;
     cancelled_work_is_gone;
     a_stuck_upstream_looks_slow;
+    waiting_work_asks_for_few_polls;
     a_full_queue_names_a_time;
 }
--- a/crates/load/src/decisions/entry.rs
+++ b/crates/load/src/decisions/entry.rs
@@ -4,14 +4,14 @@
 
 use hgw_config::Urgency;
 use hgw_dispatch::{Ask, Candidate, End, Refusal};
-use hgw_types::Time;
+use hgw_types::{AttemptId, Time};
 
 use super::policy::{Placing, Queueing, Routing};
 use super::requests::SHARED_BLOCKS;
 use super::world::{Attempt, Event, Reply, World};
 
 /// Time to come back where no queue has named one.
-const USUAL_RETRY: Duration = Duration::from_secs(1);
+pub(super) const USUAL_RETRY: Duration = Duration::from_secs(1);
 /// Longest wait of a deferrable request under direct dispatch.
 const DEFERRABLE_WAIT: Duration = Duration::from_secs(120);
 
@@ -22,7 +22,7 @@
         if self.policy.placing == Placing::Lru {
             self.place_by_recency(r);
         }
-        if self.policy.queueing != Queueing::Queue {
+        if self.policy.queueing != Queueing::Queue || self.policy.urgent_limit.is_some() {
             let request = &self.requests[r];
             let until =
                 if request.urgent { request.deadline } else { request.at + DEFERRABLE_WAIT };
@@ -213,6 +213,8 @@
         };
         self.unmet(r);
         self.stop(a, Reply::Abandoned);
+        let queue = &mut self.upstreams[self.attempts[a].upstream].queue;
+        queue.cancel(self.now, AttemptId { boot: 0, seq: a as u64 });
         self.refuse(r, Some(USUAL_RETRY));
     }
 }
--- a/crates/load/src/decisions/policy.rs
+++ b/crates/load/src/decisions/policy.rs
@@ -49,6 +49,8 @@
     pub queueing: Queueing,
     /// What decides on loads.
     pub placing: Placing,
+    /// Refuse urgent work by this many in the queue, in place of its estimated end.
+    pub urgent_limit: Option<usize>,
     /// Settings of the product's queue; slots are the upstream's.
     pub queue: QueueSettings,
     /// Settings of the product's chooser.
@@ -65,6 +67,7 @@
             routing: Routing::Chooser,
             queueing: Queueing::Queue,
             placing: Placing::Demand,
+            urgent_limit: None,
             queue: QueueSettings::default(),
             chooser: ChooserSettings::default(),
             demand: DemandSettings::default(),
@@ -111,5 +114,30 @@
             },
             ..ours()
         },
+        Policy { name: "limit-of-8", urgent_limit: Some(8), ..ours() },
+        Policy { name: "limit-of-24", urgent_limit: Some(24), ..ours() },
+        Policy {
+            name: "no-length-weight",
+            queue: QueueSettings { length_weight: 1.0, ..QueueSettings::default() },
+            ..ours()
+        },
+        Policy {
+            name: "no-patience",
+            queue: QueueSettings { patience: Duration::ZERO, ..QueueSettings::default() },
+            ..ours()
+        },
+        Policy {
+            name: "horizon-of-120-s",
+            demand: DemandSettings {
+                horizon: Duration::from_secs(120),
+                ..DemandSettings::default()
+            },
+            ..ours()
+        },
+        Policy {
+            name: "no-cool-down",
+            demand: DemandSettings { cool_down: Duration::ZERO, ..DemandSettings::default() },
+            ..ours()
+        },
     ]
 }
--- a/crates/load/src/decisions/serve.rs
+++ b/crates/load/src/decisions/serve.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use hgw_config::Urgency;
-use hgw_dispatch::{Decision, End, Job};
+use hgw_dispatch::{Decision, End, Job, Refusal};
 use hgw_types::{AttemptId, Tokens};
 
 use super::engine::{Emit, Run};
+use super::entry::USUAL_RETRY;
 use super::policy::Queueing;
 use super::requests::SHARED_BLOCKS;
 use super::world::{Event, LOCAL, Reply, STEP, World, index};
@@ -15,6 +16,8 @@
 const PROGRESS_EVERY: u32 = 20;
 /// What the entry node keeps of the deadline for the way back.
 const WAY_BACK: Duration = Duration::from_millis(4);
+/// Far enough for a queue to pay no heed to it.
+const NO_DEADLINE: Duration = Duration::from_secs(10);
 /// Requests that wait inside an upstream before a direct one is turned away.
 const INNER_LIMIT: usize = 32;
 
@@ -43,12 +46,20 @@
             return self.start(a);
         }
         let job = self.job(a);
+        let waiting = self.upstreams[u].queue.load().urgent_waiting;
+        if job.urgency.is_urgent() && self.policy.urgent_limit.is_some_and(|n| waiting >= n) {
+            return self.answer(a, Reply::NotStarted(self.too_many(&job)));
+        }
         match self.upstreams[u].queue.submit(self.now, job) {
             Ok(()) => self.decide(u),
             Err(refusal) => self.answer(a, Reply::NotStarted(refusal)),
         }
     }
 
+    fn too_many(&self, job: &Job) -> Refusal {
+        if job.may_bounce { Refusal::Bounced } else { Refusal::Full { retry_after: USUAL_RETRY } }
+    }
+
     fn job(&self, a: usize) -> Job {
         let attempt = &self.attempts[a];
         let request = &self.requests[attempt.request];
@@ -57,7 +68,11 @@
             model: request.model.map(|m| self.deployment.model(m)),
             adapter: None,
             urgency: if request.urgent { Urgency::Urgent } else { Urgency::Deferrable },
-            deadline: request.deadline - WAY_BACK,
+            deadline: match self.policy.urgent_limit {
+                // Such a queue knows no deadlines; the caller gives up as under direct dispatch.
+                Some(_) => request.deadline + NO_DEADLINE,
+                None => request.deadline - WAY_BACK,
+            },
             prompt: Tokens(request.prompt),
             output: Tokens(request.asked.saturating_sub(attempt.base)),
             prefix: vec![request.prefix(); SHARED_BLOCKS as usize],
