Plan at a bounded rate and from an index of what the domain has

Change: what the domain holds is indexed once a plan, running loads are counted once a plan, and a plan is made at most every 20 ms while events come and every 200 ms while only time passes.

--- a/crates/placement/src/keeper/domain.rs
+++ b/crates/placement/src/keeper/domain.rs
@@ -16,6 +16,8 @@
     floor: Floor,
     /// Floor models by engine, each with the engine's place in the model's list.
     targets: IndexMap<UpstreamId, IndexMap<ModelId, usize>>,
+    /// Models that the floor gives to this domain, each with one of its engines.
+    floor_models: IndexMap<ModelId, UpstreamId>,
 }
 
 impl Domain {
@@ -26,6 +28,7 @@
             document: Arc::default(),
             floor: Floor::default(),
             targets: IndexMap::new(),
+            floor_models: IndexMap::new(),
         }
     }
 
@@ -53,11 +56,13 @@
 
     fn work_out_targets(&mut self) {
         self.targets.clear();
+        self.floor_models.clear();
         for (model, engines) in &self.floor.models {
             for (rank, engine) in engines.iter().enumerate() {
                 let here = self.document.upstreams.get(engine).is_some_and(|u| u.domain == self.id);
                 if here {
                     self.targets.entry(engine.clone()).or_default().insert(model.clone(), rank);
+                    self.floor_models.insert(model.clone(), engine.clone());
                 }
             }
         }
@@ -113,6 +118,11 @@
         self.targets.get(engine).into_iter().flatten().map(|(model, rank)| (model, *rank))
     }
 
+    /// Models that the floor gives to this domain, each with one of its engines.
+    pub(super) fn floor_models(&self) -> &IndexMap<ModelId, UpstreamId> {
+        &self.floor_models
+    }
+
     /// The engine's place in the floor's list of the model.
     pub(super) fn rank(&self, engine: &UpstreamId, model: &ModelId) -> Option<usize> {
         self.targets.get(engine)?.get(model).copied()
--- a/crates/placement/src/keeper/mod.rs
+++ b/crates/placement/src/keeper/mod.rs
@@ -31,6 +31,7 @@
 mod wants;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hgw_config::Document;
 use hgw_types::{AdapterId, DomainId, MemSize, ModelId, Offset, RecordId, Term, Time, UpstreamId};
@@ -44,6 +45,7 @@
 use engine::Engine;
 use intents::Intents;
 use orders::{Flight, Settling};
+use wants::Homes;
 
 /// The keeper of one failure domain.
 #[derive(Debug)]
@@ -74,6 +76,8 @@
     adapters: IndexMap<(ModelId, AdapterId), Time>,
     /// Since when a version has found no room in the whole domain.
     no_room: IndexMap<(UpstreamId, ModelId), Time>,
+    homes: Homes,
+    planned: Option<Time>,
     placement: IndexMap<UpstreamId, Holding>,
     told_lost: Option<Vec<UpstreamId>>,
 }
@@ -102,6 +106,8 @@
             missing: IndexMap::new(),
             adapters: IndexMap::new(),
             no_room: IndexMap::new(),
+            homes: Homes::default(),
+            planned: None,
             placement: IndexMap::new(),
             told_lost: None,
         }
@@ -109,6 +115,10 @@
 
     /// Takes one event at time `now`, which never goes back, and adds the actions that follow.
     pub fn handle(&mut self, now: Time, event: KeeperEvent, out: &mut Vec<KeeperAction>) {
+        let every = match event {
+            KeeperEvent::Tick => self.settings.plan_idle,
+            _ => self.settings.plan_busy,
+        };
         match event {
             KeeperEvent::Config { version, document } => self.configure(now, version, document),
             KeeperEvent::Floor(floor) => self.domain.set_floor(floor),
@@ -127,7 +137,7 @@
             KeeperEvent::Tick => {}
         }
         if self.term.is_some() {
-            self.step(now, out);
+            self.step(now, every, out);
         }
     }
 
@@ -184,6 +194,7 @@
         self.missing.clear();
         self.adapters.clear();
         self.no_room.clear();
+        self.planned = None;
         self.placement.clear();
         self.told_lost = None;
     }
@@ -213,10 +224,17 @@
     }
 
     /// Everything that may have become possible, in the order in which one thing allows the next.
-    fn step(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
+    ///
+    /// The plan looks at all engines, and events come many a second: it is made at most once in
+    /// `every`.
+    fn step(&mut self, now: Time, every: Duration, out: &mut Vec<KeeperAction>) {
         self.poll(now, out);
         self.close_orders(now, out);
         self.repeat_orders(now, out);
+        if self.planned.is_some_and(|t| now.since(t) < every) {
+            return;
+        }
+        self.planned = Some(now);
         self.plan_demand(now);
         self.plan_loads(now, out);
         self.plan_retirement(now);
--- a/crates/placement/src/keeper/orders.rs
+++ b/crates/placement/src/keeper/orders.rs
@@ -128,10 +128,15 @@
         self.flights.iter().find(|(_, f)| waits(f)).map(|(order, _)| *order)
     }
 
+    /// Items that orders on their way to the engine load.
+    pub(super) fn flying_to(&self, engine: &UpstreamId) -> impl Iterator<Item = Item> {
+        let there = self.flights.values().filter(move |f| f.upstream == *engine);
+        there.filter_map(|f| Some(Item::loaded_by(&f.kind)?.0))
+    }
+
     /// Whether an order that loads the item there is on its way.
     pub(super) fn is_flying(&self, engine: &UpstreamId, item: &Item) -> bool {
-        let loads = |f: &Flight| Item::loaded_by(&f.kind).is_some_and(|(i, _)| i == *item);
-        self.flights.values().any(|f| f.upstream == *engine && loads(f))
+        self.flying_to(engine).any(|i| i == *item)
     }
 
     fn send(&mut self, now: Time, id: RecordId, out: &mut Vec<KeeperAction>) {
--- a/crates/placement/src/keeper/plan.rs
+++ b/crates/placement/src/keeper/plan.rs
@@ -15,8 +15,22 @@
 use super::wants::{Cause, Want};
 use crate::{Item, KeeperAction};
 
-/// Memory that wants wait for, by engine.
-pub(super) type Claims = IndexMap<UpstreamId, MemSize>;
+/// What one plan has given away so far.
+#[derive(Debug, Default)]
+pub(super) struct Plan {
+    /// Memory that wants wait for, by engine.
+    claims: IndexMap<UpstreamId, MemSize>,
+    /// Loads of the domain that draw on the weight store.
+    running: usize,
+    /// Whether the weight store's share is used up for now.
+    used_up: bool,
+}
+
+impl Plan {
+    fn claimed(&self, engine: &UpstreamId) -> MemSize {
+        self.claims.get(engine).copied().unwrap_or_default()
+    }
+}
 
 impl Keeper {
     pub(super) fn plan_loads(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
@@ -25,11 +39,12 @@
         self.missing.retain(|_, asked| now.since(*asked) < settings.missing_want);
         let running = self.loads_running();
         self.shares.observe(now, running);
-        let mut claims = Claims::new();
+        self.homes = self.find_homes();
+        let mut plan = Plan { running, ..Plan::default() };
         let mut placed = IndexSet::new();
         let mut unmet = Vec::new();
         for want in self.wants() {
-            if self.place(now, &want, &mut claims, out) {
+            if self.place(now, &want, &mut plan, out) {
                 placed.insert(want.item.model().clone());
             } else if want.cause == Cause::Floor {
                 unmet.push(want);
@@ -39,10 +54,10 @@
         let homeless = if self.opened.is_some() { self.homeless(now) } else { Vec::new() };
         for (model, cause) in homeless {
             if !placed.contains(&model) {
-                self.place_anywhere(now, &model, cause, &mut claims, out);
+                self.place_anywhere(now, &model, cause, &mut plan, out);
             }
         }
-        self.make_way(now, &unmet, &mut claims, out);
+        self.make_way(now, &unmet, &mut plan, out);
     }
 
     /// Gives the model to the engine of the domain with most room for it.
@@ -51,17 +66,17 @@
         now: Time,
         model: &ModelId,
         cause: Cause,
-        claims: &mut Claims,
+        plan: &mut Plan,
         out: &mut Vec<KeeperAction>,
     ) {
         let usable = self.usable();
         let mut wants: Vec<Want> =
             usable.iter().filter_map(|id| self.want(id, model, cause)).collect();
         wants.sort_by_key(|w| {
-            let claim = claims.get(&w.engine).copied().unwrap_or_default();
+            let claim = plan.claimed(&w.engine);
             Reverse(self.engines[&w.engine].coming_free().saturating_sub(claim))
         });
-        let _ = wants.iter().any(|w| self.place(now, w, claims, out));
+        let _ = wants.iter().any(|w| self.place(now, w, plan, out));
     }
 
     /// Orders the load, or claims the memory that it waits for; false where there is no room and
@@ -70,21 +85,21 @@
         &mut self,
         now: Time,
         want: &Want,
-        claims: &mut Claims,
+        plan: &mut Plan,
         out: &mut Vec<KeeperAction>,
     ) -> bool {
         let Some(engine) = self.engines.get(&want.engine) else { return false };
         if let Some((order, size)) = engine.ledger.repeatable(&want.item) {
             // Its memory is reserved already.
-            if self.may_order(now, want) && self.shares.take(now, self.loads_running()) {
+            if self.may_load(now, want, plan) {
                 self.adopt(now, &want.engine, order, want.item.load(size), out);
             }
             return true;
         }
-        let claimed = claims.get(&want.engine).copied().unwrap_or_default();
+        let claimed = plan.claimed(&want.engine);
         let need = claimed + want.size;
         if engine.ledger.free() >= need {
-            if self.may_order(now, want) && self.shares.take(now, self.loads_running()) {
+            if self.may_load(now, want, plan) {
                 let ordered = self.give(now, &want.engine, want.item.load(want.size), out);
                 if ordered.is_ok() {
                     return true;
@@ -97,10 +112,21 @@
                 victims.into_iter().for_each(|item| e.drain(now, item));
             }
         }
-        claims.insert(want.engine.clone(), need);
+        plan.claims.insert(want.engine.clone(), need);
         true
     }
 
+    /// Whether the load may begin now; if so, it is counted.
+    fn may_load(&mut self, now: Time, want: &Want, plan: &mut Plan) -> bool {
+        if plan.used_up || !self.may_order(now, want) {
+            return false;
+        }
+        let may = self.shares.take(now, plan.running);
+        plan.used_up = !may;
+        plan.running += usize::from(may);
+        may
+    }
+
     fn may_order(&self, now: Time, want: &Want) -> bool {
         let paused = self.engines.get(&want.engine).is_none_or(|e| now < e.pause);
         let recordable = self.log_up || self.domain.refuses(&want.engine);
@@ -155,10 +181,7 @@
         if !self.is_extra(engine, item) {
             return false;
         }
-        let of_floor = self
-            .engines
-            .iter()
-            .any(|(id, e)| e.configured && self.domain.rank(id, item.model()).is_some());
+        let of_floor = self.domain.floor_models().contains_key(item.model());
         !of_floor || self.serves_elsewhere(engine, item)
     }
 
--- a/crates/placement/src/keeper/room.rs
+++ b/crates/placement/src/keeper/room.rs
@@ -11,7 +11,7 @@
 use hgw_types::{MemSize, ModelId, Time, UpstreamId};
 
 use super::Keeper;
-use super::plan::Claims;
+use super::plan::Plan;
 use super::wants::{Cause, Want};
 use crate::{Item, KeeperAction};
 
@@ -20,7 +20,7 @@
         &mut self,
         now: Time,
         unmet: &[Want],
-        claims: &mut Claims,
+        plan: &mut Plan,
         out: &mut Vec<KeeperAction>,
     ) {
         let mut waiting = std::mem::take(&mut self.no_room);
@@ -31,7 +31,7 @@
             let waited = now.since(since);
             if waited >= self.settings.swap_second {
                 for model in self.in_the_way(&want.engine) {
-                    self.place_anywhere(now, &model, Cause::Substitute, claims, out);
+                    self.place_anywhere(now, &model, Cause::Substitute, plan, out);
                 }
             }
             if waited >= self.swap_after(want) {
--- a/crates/placement/src/keeper/settings.rs
+++ b/crates/placement/src/keeper/settings.rs
@@ -9,6 +9,10 @@
 /// What a keeper waits and bounds.
 #[derive(Debug, Clone)]
 pub struct KeeperSettings {
+    /// Shortest time between two plans while events come.
+    pub plan_busy: Duration,
+    /// Time between two plans while only time passes.
+    pub plan_idle: Duration,
     /// Time between reads of an engine on which something is under way.
     pub poll_busy: Duration,
     /// Time between reads of an engine on which nothing is.
@@ -48,6 +52,8 @@
 impl Default for KeeperSettings {
     fn default() -> Self {
         KeeperSettings {
+            plan_busy: Duration::from_millis(20),
+            plan_idle: Duration::from_millis(200),
             poll_busy: Duration::from_millis(500),
             poll_idle: Duration::from_secs(5),
             ask_timeout: Duration::from_secs(10),
--- a/crates/placement/src/keeper/wants.rs
+++ b/crates/placement/src/keeper/wants.rs
@@ -41,6 +41,16 @@
     }
 }
 
+/// What the usable engines of the domain have.
+#[derive(Debug, Default)]
+pub(super) struct Homes {
+    /// Models that some version of is served.
+    served: IndexSet<ModelId>,
+    /// What is held and not to go, or on its way. An order that is lost, or a predecessor's, takes
+    /// memory and promises nothing.
+    coming: IndexSet<Item>,
+}
+
 impl Keeper {
     /// Whether loads may be given to the engine.
     pub(super) fn is_usable(&self, engine: &UpstreamId) -> bool {
@@ -58,29 +68,28 @@
         self.engines.keys().filter(|id| self.is_usable(id)).cloned().collect()
     }
 
-    /// Whether an engine of the domain that stays serves any version of the model.
-    pub(super) fn is_served(&self, model: &ModelId) -> bool {
-        self.engines.iter().any(|(id, e)| {
-            let versions = e.ledger.held().keys().filter(|i| i.is_model() && i.model() == model);
-            !self.is_leaving(id) && versions.into_iter().any(|i| e.serves(i))
-        })
-    }
-
-    /// Whether a usable engine holds the item, or an order that loads it is on its way. An order that
-    /// is lost, or a predecessor's, takes memory and promises nothing.
-    pub(super) fn is_coming(&self, item: &Item) -> bool {
-        let mut usable = self.engines.iter().filter(|(id, _)| self.is_usable(id));
-        usable.any(|(id, e)| {
-            let held = e.ledger.held().contains_key(item) && !e.drains.contains_key(item);
-            held || self.is_flying(id, item)
-        })
+    /// What the domain has, for one plan.
+    pub(super) fn find_homes(&self) -> Homes {
+        let mut homes = Homes::default();
+        for (id, e) in self.engines.iter().filter(|(id, _)| self.is_usable(id)) {
+            for item in e.ledger.held().keys().filter(|i| !e.drains.contains_key(*i)) {
+                if item.is_model() && e.serves(item) {
+                    homes.served.insert(item.model().clone());
+                }
+                homes.coming.insert(item.clone());
+            }
+            homes.coming.extend(self.flying_to(id));
+        }
+        homes
     }
 
     /// Whether the engine lacks the item, and nothing is on its way or stands against it.
     fn may_want(&self, engine: &UpstreamId, item: &Item) -> bool {
         let Some(e) = self.engines.get(engine) else { return false };
-        let free = !e.ledger.has(item) || e.ledger.repeatable(item).is_some();
-        free && !self.is_flying(engine, item)
+        if !e.ledger.has(item) {
+            return true;
+        }
+        e.ledger.repeatable(item).is_some() && !self.is_flying(engine, item)
     }
 
     /// A want of the model's current version at the engine, unless the engine has it.
@@ -89,7 +98,7 @@
         if !self.may_want(engine, &item) {
             return None;
         }
-        let served = self.is_served(model);
+        let served = self.homes.served.contains(model);
         let rank = self.domain.rank(engine, model).unwrap_or_default();
         Some(Want { engine: engine.clone(), item, size, cause, served, rank })
     }
@@ -162,7 +171,7 @@
             .collect();
         let found = self.domain.model(serving.first()?, model)?.adapters.get(adapter)?;
         let item = Item::Adapter(model.clone(), adapter.clone(), found.version.clone());
-        if self.is_coming(&item) {
+        if self.homes.coming.contains(&item) {
             return None;
         }
         serving.into_iter().max_by_key(|id| self.engines[id].ledger.free())
@@ -171,20 +180,19 @@
     /// Models that the floor gives to this domain, or that its callers miss while it may be cut off,
     /// whose current version no usable engine has.
     pub(super) fn homeless(&self, now: Time) -> Vec<(ModelId, Cause)> {
-        let of_floor: IndexSet<&ModelId> = self
-            .engines
-            .iter()
-            .filter(|(_, e)| e.configured)
-            .flat_map(|(id, _)| self.domain.targets(id).map(|(m, _)| m))
-            .collect();
+        let of_floor = self.domain.floor_models();
         let missed = self.missing.iter().filter(|(m, asked)| {
             // The log stands for all that is outside of the domain.
             let recent = now.since(**asked) < self.settings.missing_want;
-            !self.log_up && recent && !of_floor.contains(*m)
+            !self.log_up && recent && !of_floor.contains_key(*m)
+        });
+        let floor = of_floor.iter().map(|(m, at)| (m, at, Cause::Substitute));
+        let missed = missed.filter_map(|(m, _)| Some((m, self.any_engine(m)?, Cause::Missing)));
+        let homeless = floor.chain(missed).filter(|(m, at, _)| {
+            let current = self.domain.current(at, m);
+            current.is_some_and(|(item, _)| !self.homes.coming.contains(&item))
         });
-        let floor = of_floor.iter().map(|m| ((*m).clone(), Cause::Substitute));
-        let missed = missed.map(|(m, _)| (m.clone(), Cause::Missing));
-        floor.chain(missed).filter(|(m, _)| !self.has_home(m)).collect()
+        homeless.map(|(m, _, cause)| (m.clone(), cause)).collect()
     }
 
     /// Whether another usable engine has the model's current version, or it is on its way there.
@@ -198,11 +206,8 @@
         })
     }
 
-    fn has_home(&self, model: &ModelId) -> bool {
-        let mut usable = self.engines.keys().filter(|id| self.is_usable(id));
-        usable.any(|id| {
-            let current = self.domain.current(id, model);
-            current.is_some_and(|(item, _)| self.is_coming(&item))
-        })
+    /// An engine of the service that has the model.
+    fn any_engine(&self, model: &ModelId) -> Option<&UpstreamId> {
+        self.engines.keys().find(|id| self.domain.model(id, model).is_some())
     }
 }
