Count a repeated order anew before its new record is read back

Cause: an order of a predecessor that is sent again was freed when its first bound passed, even while its new record was under way; read back, it was sent with no memory reserved. Found by reading; memory::repeated_order_counts_anew fails (overcommitted) without the two guards: the bound counts anew from the repeat, and nothing is sent that is not reserved. Either alone lets the case pass. Intents that can have no effect any more are now found by comparing stream and ledger, in place of a list of closed orders kept beside them.

--- a/crates/placement/src/keeper/intents.rs
+++ b/crates/placement/src/keeper/intents.rs
@@ -33,8 +33,12 @@
         self.open.values().cloned().collect()
     }
 
-    pub(super) fn contains(&self, order: RecordId) -> bool {
-        self.open.contains_key(&order)
+    /// The orders and their engines.
+    pub(super) fn orders(&self) -> impl Iterator<Item = (RecordId, &UpstreamId)> {
+        self.open.values().filter_map(|entry| match entry {
+            KeeperEntry::Intent { upstream, order, .. } => Some((*order, upstream)),
+            KeeperEntry::Settled { .. } => None,
+        })
     }
 
     pub(super) fn of(&self, engine: &UpstreamId) -> Vec<(RecordId, OrderKind)> {
--- a/crates/placement/src/keeper/mod.rs
+++ b/crates/placement/src/keeper/mod.rs
@@ -44,7 +44,7 @@
 use domain::Domain;
 use engine::Engine;
 use intents::Intents;
-use orders::{Flight, Settling};
+use orders::Flight;
 use wants::Homes;
 
 /// The keeper of one failure domain.
@@ -64,7 +64,8 @@
     opened: Option<Time>,
     engines: IndexMap<UpstreamId, Engine>,
     flights: IndexMap<RecordId, Flight>,
-    settling: Settling,
+    /// The record under way of intents that can have no effect any more.
+    settling: Option<RecordId>,
     shares: Shares,
     demand: DemandPlanner,
     demand_due: Time,
@@ -98,7 +99,7 @@
             opened: None,
             engines: IndexMap::new(),
             flights: IndexMap::new(),
-            settling: Settling::default(),
+            settling: None,
             shares: Shares::default(),
             demand: DemandPlanner::new(DemandSettings::default(), boot),
             demand_due: Time::ZERO,
@@ -189,7 +190,7 @@
         self.demand = DemandPlanner::new(DemandSettings::default(), self.boot);
         self.engines.clear();
         self.flights.clear();
-        self.settling = Settling::default();
+        self.settling = None;
         self.replicas.clear();
         self.missing.clear();
         self.adapters.clear();
--- a/crates/placement/src/keeper/orders.rs
+++ b/crates/placement/src/keeper/orders.rs
@@ -9,7 +9,6 @@
 
 use hgw_types::{RecordId, Time, UpstreamId};
 use hgw_wire::upstream::{Order, OrderKind, OrderOutcome};
-use indexmap::IndexSet;
 
 use super::{Keeper, SEND_WINDOW};
 use crate::{Item, KeeperAction, KeeperEntry, OrderResult, ReserveError};
@@ -36,14 +35,6 @@
     Again(Time),
 }
 
-/// Intents that have become void of effect and are to be recorded so.
-#[derive(Debug, Default)]
-pub(super) struct Settling {
-    due: IndexSet<RecordId>,
-    /// The record under way.
-    recording: Option<(RecordId, Vec<RecordId>)>,
-}
-
 impl Keeper {
     /// Gives an order; memory that it can grow is reserved first.
     pub(super) fn give(
@@ -95,6 +86,10 @@
             self.send_unrecorded(now, engine, order, kind, out);
             return;
         }
+        let dead_at = now + SEND_WINDOW + self.domain.late(engine);
+        if let Some(e) = self.engines.get_mut(engine) {
+            e.ledger.renew(order, dead_at);
+        }
         let record = self.next_id();
         self.record_intent(now, engine, order, record, kind, out);
     }
@@ -142,7 +137,10 @@
     fn send(&mut self, now: Time, id: RecordId, out: &mut Vec<KeeperAction>) {
         let (Some(fence), Some(flight)) = (self.term, self.flights.get_mut(&id)) else { return };
         let send_by = flight.until.unwrap_or(now + SEND_WINDOW);
-        if now > send_by {
+        let grows = Item::loaded_by(&flight.kind).is_some();
+        let engine = self.engines.get(&flight.upstream);
+        let reserved = engine.is_some_and(|e| e.ledger.is_open(id));
+        if now > send_by || (grows && !reserved) {
             self.give_up(now, id);
             return;
         }
@@ -172,18 +170,14 @@
         out: &mut Vec<KeeperAction>,
     ) {
         self.intents.apply(entry);
-        if self.settling.recording.as_ref().is_some_and(|(record, _)| *record == id) {
-            self.settling.recording = None;
-        }
+        self.settling.take_if(|record| *record == id);
         if let Some(order) = self.recorded_by(id) {
             self.send(now, order, out);
         }
     }
 
     pub(super) fn dropped(&mut self, now: Time, id: RecordId) {
-        if let Some((_, orders)) = self.settling.recording.take_if(|(record, _)| *record == id) {
-            self.settling.due.extend(orders);
-        }
+        self.settling.take_if(|record| *record == id);
         if let Some(order) = self.recorded_by(id) {
             self.give_up(now, order);
         }
@@ -247,20 +241,21 @@
 
     /// Frees what can no longer take effect, and has it recorded where an intent is open.
     pub(super) fn close_orders(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
-        for e in self.engines.values_mut() {
-            e.ledger.expire(now);
-            for id in e.ledger.take_closed() {
-                if self.intents.contains(id) {
-                    self.settling.due.insert(id);
-                }
-            }
+        self.engines.values_mut().for_each(|e| e.ledger.expire(now));
+        if self.settling.is_some() || !self.log_up {
+            return;
         }
-        if self.settling.due.is_empty() || self.settling.recording.is_some() || !self.log_up {
+        let is_over = |order: RecordId, engine: &UpstreamId| {
+            let ledger = self.engines.get(engine).map(|e| &e.ledger);
+            ledger.is_some_and(|l| !l.is_open(order)) && !self.flights.contains_key(&order)
+        };
+        let over = self.intents.orders().filter(|(order, engine)| is_over(*order, engine));
+        let orders: Vec<RecordId> = over.map(|(order, _)| order).collect();
+        if orders.is_empty() {
             return;
         }
-        let orders: Vec<RecordId> = self.settling.due.drain(..).collect();
         let id = self.next_id();
-        self.settling.recording = Some((id, orders.clone()));
+        self.settling = Some(id);
         out.push(KeeperAction::Record { id, entry: KeeperEntry::Settled { orders } });
     }
 
--- a/crates/placement/src/ledger/mod.rs
+++ b/crates/placement/src/ledger/mod.rs
@@ -75,7 +75,6 @@
     asked: Option<Time>,
     held: IndexMap<Item, Held>,
     orders: IndexMap<RecordId, Pending>,
-    closed: Vec<RecordId>,
 }
 
 impl Ledger {
@@ -194,6 +193,13 @@
         self.orders.insert(order, Pending { inherited: true, dead_at: Some(dead_at), ..pending });
     }
 
+    /// Counts an order that is to be sent again until `dead_at` at least.
+    pub fn renew(&mut self, order: RecordId, dead_at: Time) {
+        if let Some(pending) = self.orders.get_mut(&order) {
+            pending.dead_at = pending.dead_at.max(Some(dead_at));
+        }
+    }
+
     /// A copy of the order is about to be sent.
     pub fn sending(&mut self, order: RecordId) {
         if let Some(pending) = self.orders.get_mut(&order) {
@@ -205,7 +211,7 @@
     /// The order will not be sent again; frees it if no copy was ever sent.
     pub fn cancel(&mut self, order: RecordId) {
         if self.orders.get(&order).is_some_and(Pending::is_over) {
-            self.close(order);
+            self.orders.shift_remove(&order);
         }
     }
 
@@ -251,31 +257,19 @@
             order.seen(state.generation);
         }
         self.held.extend(shown);
-        let over: Vec<RecordId> = self
-            .orders
-            .iter()
-            .filter(|(_, o)| o.done_in == Some(state.generation) && o.is_over())
-            .map(|(id, _)| *id)
-            .collect();
-        over.into_iter().for_each(|id| self.close(id));
+        let generation = state.generation;
+        self.orders.retain(|_, o| o.done_in != Some(generation) || !o.is_over());
         if restarted { Reading::Restarted } else { Reading::Taken }
     }
 
     /// Frees the orders that can no longer take effect by the operator's bound.
     pub fn expire(&mut self, now: Time) {
-        let dead: Vec<RecordId> =
-            self.orders.iter().filter(|(_, o)| o.is_dead(now)).map(|(id, _)| *id).collect();
-        dead.into_iter().for_each(|id| self.close(id));
-    }
-
-    /// Takes the orders that were found to have no further effect since the last call.
-    pub fn take_closed(&mut self) -> Vec<RecordId> {
-        std::mem::take(&mut self.closed)
+        self.orders.retain(|_, o| !o.is_dead(now));
     }
 
-    fn close(&mut self, order: RecordId) {
-        self.orders.shift_remove(&order);
-        self.closed.push(order);
+    /// Whether the order may still take effect.
+    pub fn is_open(&self, order: RecordId) -> bool {
+        self.orders.contains_key(&order)
     }
 }
 
--- a/crates/placement/tests/placement/memory.rs
+++ b/crates/placement/tests/placement/memory.rs
@@ -203,6 +203,28 @@
     world.check(&[("a", "1")]);
 }
 
+/// B sends A's recorded order again shortly before it would stop counting it, and reads its own new
+/// record late. By then the order must not have been forgotten, or `b` is loaded beside it.
+fn repeated_order_is_counted_anew() {
+    let engines = [("e1", "d1", ROOM, Ignores)];
+    let (a, b) = (document(&engines, &[("a", "1", 60)]), document(&engines, &[("b", "1", 60)]));
+    let mut world = World::new(Arc::clone(&a), 2);
+    world.nodes[0].freezes_on_load = true;
+    world.claim(0);
+    world.run(Duration::from_millis(400));
+    world.configure(Arc::clone(&b));
+    world.claim(1);
+    world.run_secs(25);
+    world.nodes[1].reads = false;
+    world.configure(a);
+    world.run_secs(7);
+    world.configure(b);
+    world.run_secs(1);
+    world.nodes[1].reads = true;
+    world.run_secs(90);
+    world.check(&[("b", "1")]);
+}
+
 fn secs(n: u64) -> Duration {
     Duration::from_secs(n)
 }
@@ -241,6 +263,7 @@
     two_at_once_version_change_and_takeover_ignoring
         => version_change(Ignores, true, Fault::Late(secs(4)));
     found_more_reserved_than_there_is => more_reserved_than_there_is();
+    repeated_order_counts_anew => repeated_order_is_counted_anew();
     adapter_late_then_takeover_refusing => late_adapter(Refuses);
     adapter_late_then_takeover_ignoring => late_adapter(Ignores);
 }
