--- a/crates/hibiscusgw/tests/processes/main.rs
+++ b/crates/hibiscusgw/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! Nodes as real processes before the stand-ins: what must always hold, under failure.
 
 mod calls;
+mod configuration;
 mod leaving;
 mod memory;
 mod outage;
@@ -27,6 +28,8 @@
     )*};
 }
 
+/// Version of the configuration that a cluster starts with.
+const FIRST: u64 = 1;
 /// Tokens of an answer that takes long enough for something to happen in its middle.
 const LONG: u32 = 150;
 /// Tokens that have come when it happens.
--- a/crates/hibiscusgw/tests/processes/memory.rs
+++ b/crates/hibiscusgw/tests/processes/memory.rs
@@ -8,10 +8,7 @@
 use hgw_wire::upstream::{EngineState, HeldModel};
 use indexmap::IndexSet;
 
-use crate::{cases, engine_record, fault, long_question, settings, start};
-
-/// Version of the configuration that a cluster starts with.
-const FIRST: u64 = 1;
+use crate::{FIRST, cases, engine_record, fault, long_question, settings, start};
 
 /// The document with all models in another version.
 fn with_version(document: &Document, version: &str) -> Document {
--- a/crates/load/src/run/drive.rs
+++ b/crates/load/src/run/drive.rs
@@ -21,6 +21,8 @@
 
 /// Threads that the callers are spread over.
 const THREADS: usize = 3;
+/// Longest time that is told apart, in microseconds: a minute.
+const LONGEST_US: u64 = 60_000_000;
 /// What every request asks.
 const PROMPT: &str = "How much petty cash may a school hold over the summer?";
 
@@ -75,7 +77,7 @@
 
 impl Driven {
     fn new() -> Self {
-        let hist = || Histogram::new(3).expect("three digits are allowed");
+        let hist = || Histogram::new_with_bounds(1, LONGEST_US, 3).expect("the bounds are valid");
         Driven { first: hist(), between: hist(), whole: 0, failed: 0, elapsed: Duration::ZERO }
     }
 
--- a/crates/standins/src/cluster/mod.rs
+++ b/crates/standins/src/cluster/mod.rs
@@ -5,7 +5,9 @@
 
 use std::fmt;
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use hgw_config::{Change, Document};
@@ -92,6 +94,9 @@
     }
 }
 
+/// Changes that this process has published; numbers their ids.
+static PUBLISHED: AtomicU64 = AtomicU64::new(1);
+
 /// Nodes and stand-ins at work.
 #[derive(Debug)]
 pub struct Cluster {
@@ -129,7 +134,11 @@
 
     /// Starts one more node.
     pub fn start_node(&self, id: &str, domain: &str) -> Result<Node> {
-        let platform = self.deployment.platform.addr();
+        self.start_node_at(id, domain, self.deployment.platform.addr())
+    }
+
+    /// Starts one more node, which is told that the platform is at `platform`.
+    pub fn start_node_at(&self, id: &str, domain: &str, platform: SocketAddr) -> Result<Node> {
         Node::start(&self.settings.program, id, domain, platform, &self.settings.arguments)
     }
 
@@ -151,7 +160,8 @@
     /// Puts `document` into the log, as made from version `base`, without any node; gives its offset,
     /// which is the new version if the change is accepted.
     pub fn publish(&self, base: u64, document: &Document) -> Result<u64> {
-        let id = RecordId { boot: u64::from(std::process::id()), seq: base };
+        let seq = PUBLISHED.fetch_add(1, Ordering::SeqCst);
+        let id = RecordId { boot: u64::from(std::process::id()), seq };
         let change = Change { id, base: Offset(base), document: document.clone() };
         let path = format!("/streams/{}/records", StreamName::config());
         let log = Caller::new(self.deployment.platform.addr())?;
@@ -179,7 +189,7 @@
     }
 
     /// A client for a stand-in.
-    pub fn standin(&self, addr: std::net::SocketAddr) -> Result<Caller> {
+    pub fn standin(&self, addr: SocketAddr) -> Result<Caller> {
         Ok(Caller::new(addr)?)
     }
 }
