--- a/crates/hibiscusgw/tests/processes/calls.rs
+++ b/crates/hibiscusgw/tests/processes/calls.rs
@@ -1,8 +1,10 @@
 //! A call that may not be repeated runs at most once; "not run" is true.
 
+use std::time::Duration;
+
 use hgw_standins::Faults;
 use hgw_standins::client::Whole;
-use hgw_standins::cluster::{Cluster, Node, wait};
+use hgw_standins::cluster::{Cluster, Node, Signal, wait};
 use http::{Method, StatusCode};
 
 use crate::{cases, fault, runs, settings, start};
@@ -67,7 +69,7 @@
 /// an end in the log: it may have run, so it is not run again.
 fn check_kill_during_call(killed: usize) {
     let mut settings = settings();
-    settings.deployment.plain.delay = std::time::Duration::from_secs(2);
+    settings.deployment.plain.delay = Duration::from_secs(2);
     let mut cluster = start(settings);
     let other = (killed + 1) % cluster.nodes.len();
     let caller = cluster.nodes[other].caller().expect("a client");
@@ -101,6 +103,38 @@
     the_death_of_the_third_node_during_a_call_repeats_nothing(2);
 }
 
+/// The caller's repeat never runs a second time. The service has run the call when a node is frozen,
+/// which may be the owner of the key. The next owner finds a begin without an end in the log. Thawed,
+/// the old owner has lost its term, and what it still records is void.
+fn check_freeze_during_call(frozen: usize) {
+    let mut settings = settings();
+    settings.deployment.plain.delay = Duration::from_secs(2);
+    let cluster = start(settings);
+    let other = (frozen + 1) % cluster.nodes.len();
+    let caller = cluster.nodes[other].caller().expect("a client");
+    let sender = std::thread::spawn(move || {
+        let headers = [("idempotency-key", "voucher"), ("x-call", "voucher")];
+        caller.call(Method::POST, "/svc/caja-app/vouchers", &headers, "amount=1200")
+    });
+    wait("the call runs", || runs(&cluster, "voucher") == 1).expect("the call reaches the service");
+    cluster.nodes[frozen].signal(Signal::STOP).expect("the node can be stopped");
+    print_until_told(&cluster, other);
+    cluster.nodes[frozen].signal(Signal::CONT).expect("the node can go on");
+    // The first sender may be told anything but "not run".
+    let first = sender.join().expect("the sender does not panic");
+    assert!(!first.is_ok_and(|answer| is_not_run(&answer)));
+    for node in 0..cluster.nodes.len() {
+        print_until_told(&cluster, node);
+    }
+    assert_eq!(runs(&cluster, "voucher"), 1);
+}
+
+cases! { check_freeze_during_call:
+    a_frozen_first_node_during_a_call_repeats_nothing(0);
+    a_frozen_second_node_during_a_call_repeats_nothing(1);
+    a_frozen_third_node_during_a_call_repeats_nothing(2);
+}
+
 /// The caller is told "not run" or "may have run", and what it is told is true. The service is down,
 /// loses the call before it runs, or loses the answer after it ran.
 fn check_told_truth(faults: &Faults) {
--- a/crates/hibiscusgw/tests/processes/configuration.rs
+++ b/crates/hibiscusgw/tests/processes/configuration.rs
@@ -9,10 +9,10 @@
 use hgw_types::{AdapterId, MemSize, ModelId, ServiceId};
 use http::Method;
 
-use crate::{FIRST, fault, settings, start};
+use crate::{FIRST, fault, nowhere, settings, start};
 
 /// The document with a marker by which callers can tell it.
-fn marked(document: &Document, marker: &str) -> Document {
+pub(crate) fn marked(document: &Document, marker: &str) -> Document {
     let mut document = document.clone();
     let service = &mut document.services[&name::<ServiceId>(MODEL_SERVICE)];
     let model = &mut service.models[&name::<ModelId>("rules")];
@@ -22,7 +22,7 @@
 }
 
 /// The marker that a node's list of models shows; empty where it shows none.
-fn marker(node: &Node) -> Option<String> {
+pub(crate) fn marker(node: &Node) -> Option<String> {
     let answer = node.plain(Method::GET, "/v1/models", &[], "").ok()?;
     let list: serde_json::Value = answer.json().ok()?;
     let names = list["data"].as_array()?.iter().filter_map(|model| model["id"].as_str());
@@ -132,11 +132,9 @@
 /// A node that cannot reach the log has a change that was accepted meanwhile: its peers tell it.
 #[test]
 fn a_node_without_the_log_gets_a_change_from_its_peers() {
-    let cluster = start(settings());
-    let nowhere = "127.0.0.1:9".parse().expect("an address");
-    let cut_off = cluster.start_node_at("b2", "stgo-b", nowhere).expect("the node starts");
+    let mut cluster = start(settings());
     // It learns of its peers when one of them calls, since it cannot read the list of VMs.
-    let mut cluster = cluster;
+    let cut_off = cluster.start_node_at("b2", "stgo-b", nowhere(), &[]).expect("the node starts");
     cluster.nodes.push(cut_off);
     cluster.list_vms().expect("the list can be set");
     let change = marked(&cluster.deployment.document, "mark-far");
--- /dev/null
+++ b/crates/hibiscusgw/tests/processes/intruders.rs
@@ -0,0 +1,41 @@
+//! Nobody comes in without the secret or the token of the door.
+
+use hgw_standins::cluster::{Cluster, wait};
+use hgw_wire::upstream::EngineState;
+
+use crate::configuration::{marked, marker};
+use crate::{FIRST, engine_record, nowhere, settings, start};
+
+/// A node with another secret learns nothing. Both newcomers are on the list of VMs and are called by
+/// the nodes; the one that proves the secret has the configuration, the other one never gets it.
+#[test]
+fn a_peer_with_another_secret_gets_no_configuration() {
+    let mut cluster = start(settings());
+    let secret = ["--secret", "another secret, long enough"];
+    let intruder = cluster.start_node_at("x1", "stgo-b", nowhere(), &secret).expect("it starts");
+    let member = cluster.start_node_at("b2", "stgo-b", nowhere(), &[]).expect("it starts");
+    cluster.nodes.extend([intruder, member]);
+    cluster.list_vms().expect("the list can be set");
+    let change = marked(&cluster.deployment.document, "mark-known");
+    cluster.publish(FIRST, &change).expect("the log takes it");
+    let [.., intruder, member] = cluster.nodes.as_slice() else { panic!("five nodes") };
+    wait("the member has the change", || marker(member).as_deref() == Some("known"))
+        .expect("the nodes call who is on the list");
+    assert_ne!(marker(intruder).as_deref(), Some("known"));
+}
+
+/// An engine that asks for the order token does nothing for a keeper that has another one.
+#[test]
+fn an_order_without_the_token_has_no_effect() {
+    let mut settings = settings();
+    settings.arguments = vec!["--order-token".into(), "not the token of these engines".into()];
+    let cluster = Cluster::start_bare(settings).expect("the nodes start");
+    cluster.publish(0, &cluster.deployment.document).expect("the log takes it");
+    for engine in cluster.deployment.engines.values() {
+        wait("an order comes", || engine_record(engine).unauthorized > 2).expect("keepers order");
+        let caller = cluster.standin(engine.addr()).expect("a client");
+        let state: EngineState = caller.get("/state").expect("the engine tells its state");
+        assert_eq!((state.fence.0, state.models), (0, Vec::new()));
+        assert_eq!(engine_record(engine).orders, []);
+    }
+}
--- a/crates/hibiscusgw/tests/processes/main.rs
+++ b/crates/hibiscusgw/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod configuration;
+mod intruders;
 mod leaving;
 mod memory;
 mod outage;
@@ -74,3 +75,8 @@
 fn long_question() -> Question {
     Question::new("rules", "May the school hold cash over the summer?", LONG)
 }
+
+/// An address at which nothing listens.
+fn nowhere() -> std::net::SocketAddr {
+    ([127, 0, 0, 1], 9).into()
+}
--- a/crates/hibiscusgw/tests/processes/session.rs
+++ b/crates/hibiscusgw/tests/processes/session.rs
@@ -1,9 +1,11 @@
 //! A whole session through three nodes, compared with the file kept.
 
 use std::fmt::Write;
+use std::path::{Path, PathBuf};
 
 use hgw_standins::client::Whole;
 use hgw_standins::cluster::{Chat, Cluster, Question, wait};
+use hgw_standins::{Place, weights};
 use http::Method;
 
 use crate::{settings, start};
@@ -12,7 +14,10 @@
 /// here; it is the session that all other tests disturb.
 #[test]
 fn mixed_requests_through_each_node() {
-    let cluster = start(settings());
+    let mut settings = settings();
+    settings.deployment.place = Place::Processes(standin());
+    settings.deployment.weights = weights::Settings::default();
+    let cluster = start(settings);
     wait_adapter(&cluster);
     let mut session = String::new();
     for node in 0..cluster.nodes.len() {
@@ -22,6 +27,13 @@
     insta::assert_snapshot!(session);
 }
 
+/// The program of the stand-ins, which a test run of the whole workspace builds.
+fn standin() -> PathBuf {
+    let program = Path::new(env!("CARGO_BIN_EXE_hibiscusgw")).with_file_name("standin");
+    assert!(program.exists(), "first run `cargo build -p hgw-standins --bin standin`");
+    program
+}
+
 /// Adapters are loaded when they are first asked for.
 fn wait_adapter(cluster: &Cluster) {
     let question = Question::new("rules:school", "And here?", 1);
--- a/crates/standins/src/cluster/mod.rs
+++ b/crates/standins/src/cluster/mod.rs
@@ -134,12 +134,21 @@
 
     /// Starts one more node.
     pub fn start_node(&self, id: &str, domain: &str) -> Result<Node> {
-        self.start_node_at(id, domain, self.deployment.platform.addr())
+        self.start_node_at(id, domain, self.deployment.platform.addr(), &[])
     }
 
-    /// Starts one more node, which is told that the platform is at `platform`.
-    pub fn start_node_at(&self, id: &str, domain: &str, platform: SocketAddr) -> Result<Node> {
-        Node::start(&self.settings.program, id, domain, platform, &self.settings.arguments)
+    /// Starts one more node, which is told that the platform is at `platform`, with arguments of its
+    /// own.
+    pub fn start_node_at(
+        &self,
+        id: &str,
+        domain: &str,
+        platform: SocketAddr,
+        arguments: &[&str],
+    ) -> Result<Node> {
+        let mut all = self.settings.arguments.clone();
+        all.extend(arguments.iter().map(|argument| (*argument).to_owned()));
+        Node::start(&self.settings.program, id, domain, platform, &all)
     }
 
     /// Tells the platform's list of VMs which nodes there are.
--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -10,7 +10,7 @@
 use hgw_types::{MemSize, Rate, UpstreamId};
 use indexmap::IndexMap;
 
-use crate::{Running, engine, plain, platform, weights};
+use crate::{Place, Running, engine, plain, platform, weights};
 
 /// The model service of the deployment.
 pub const MODEL_SERVICE: &str = "asesor-llm";
@@ -26,6 +26,9 @@
 /// What to start.
 #[derive(Debug, Clone)]
 pub struct Settings {
+    /// Where the stand-ins run. As processes, the platform, the weight store and the plain services
+    /// have their usual settings.
+    pub place: Place,
     /// Failure domains, all in one region.
     pub domains: Vec<DomainSettings>,
     /// Models and their sizes.
@@ -63,6 +66,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
+            place: Place::default(),
             domains: vec![DomainSettings::new("stgo-a", 1, 1), DomainSettings::new("stgo-b", 1, 1)],
             models: vec![("rules", 50), ("notes", 50)],
             engine: engine::Settings::default(),
@@ -96,8 +100,8 @@
 
 /// Starts the stand-ins and describes them.
 pub fn start(settings: &Settings) -> io::Result<Deployment> {
-    let platform = platform::start(settings.platform.clone())?;
-    let weights = weights::start(settings.weights.clone())?;
+    let platform = settings.place.platform(&settings.platform)?;
+    let weights = settings.place.weights(&settings.weights)?;
     let mut document = describe(settings);
     let (mut engines, mut plains) = (IndexMap::new(), IndexMap::new());
     for DomainSettings { id: domain, engines: engine_count, plains: plain_count } in
@@ -106,13 +110,14 @@
         for n in 1..=*engine_count {
             let id: UpstreamId = name(&format!("engine-{domain}-{n}"));
             let weights = Some(weights.addr());
-            let engine = engine::start(engine::Settings { weights, ..settings.engine.clone() })?;
+            let engine =
+                settings.place.engine(engine::Settings { weights, ..settings.engine.clone() })?;
             document.upstreams.insert(id.clone(), engine_entry(settings, domain, engine.addr()));
             engines.insert(id, engine);
         }
         for n in 1..=*plain_count {
             let id: UpstreamId = name(&format!("plain-{domain}-{n}"));
-            let plain = plain::start(settings.plain.clone())?;
+            let plain = settings.place.plain(&settings.plain)?;
             document.upstreams.insert(id.clone(), plain_entry(domain, plain.addr()));
             plains.insert(id, plain);
         }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -20,9 +20,11 @@
 pub mod log;
 pub mod plain;
 pub mod platform;
+mod process;
 mod server;
 pub mod vms;
 pub mod weights;
 
 pub use faults::{Count, Faults, Late, StreamFault};
+pub use process::Place;
 pub use server::Running;
--- a/crates/standins/src/server/mod.rs
+++ b/crates/standins/src/server/mod.rs
@@ -7,6 +7,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::process::Child;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
@@ -65,9 +66,14 @@
     addr: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
+    process: Option<Child>,
 }
 
 impl Running {
+    pub(crate) fn process(process: Child, addr: SocketAddr) -> Running {
+        Running { addr, stop: None, thread: None, process: Some(process) }
+    }
+
     /// Where it listens.
     pub fn addr(&self) -> SocketAddr {
         self.addr
@@ -86,6 +92,11 @@
             // A panic of the stand-in's thread has been printed; there is nothing to add.
             let _ = thread.join();
         }
+        if let Some(process) = &mut self.process {
+            // Both fail only where the process has ended already.
+            let _ = process.kill();
+            let _ = process.wait();
+        }
     }
 }
 
@@ -116,7 +127,7 @@
         }
     };
     let thread = std::thread::Builder::new().name(format!("standin-{name}")).spawn(run)?;
-    Ok(Running { addr, stop: Some(stop), thread: Some(thread) })
+    Ok(Running { addr, stop: Some(stop), thread: Some(thread), process: None })
 }
 
 async fn accept_all<S: StandIn>(listener: TcpListener, switches: Arc<Switches>, standin: Arc<S>) {
