--- a/crates/hibiscusgw/src/command.rs
+++ b/crates/hibiscusgw/src/command.rs
@@ -6,7 +6,7 @@
 use gumdrop::{Options, ParsingStyle};
 
 use crate::settings::ServeSettings;
-use crate::{Console, Env, Error, Result, check, exit_code, serve};
+use crate::{Console, Env, Error, Result, check, exit_code, operate, serve};
 
 /// Places many models on few accelerators and serves them.
 #[derive(Debug, Options)]
@@ -27,6 +27,16 @@
     Serve(ServeFlags),
     #[options(help = "find the faults of a configuration document, without a platform")]
     Check(CheckFlags),
+    #[options(help = "publish a configuration document through a node")]
+    Apply(ApplyFlags),
+    #[options(help = "tell what became of a change")]
+    Outcome(OutcomeFlags),
+    #[options(help = "print the configuration in force at a node")]
+    Get(NodeFlags),
+    #[options(help = "print which nodes a node knows, and their versions")]
+    Status(NodeFlags),
+    #[options(help = "print the whole state of a node as JSON")]
+    State(NodeFlags),
 }
 
 /// Flags of `serve`. Each one may be given by the environment variable HIBISCUSGW_NAME instead, with
@@ -106,6 +116,83 @@
     file: String,
 }
 
+/// Flags of `get`, `status` and `state`. Each one may be given by the environment variable
+/// HIBISCUSGW_NAME instead, with `_` for `-`.
+#[derive(Debug, Default, Options)]
+pub(crate) struct NodeFlags {
+    /// Print this help
+    help: bool,
+    /// Print the version
+    #[options(short = "V")]
+    version: bool,
+    /// Listener for operators of the node to ask (127.0.0.1:8082)
+    #[options(no_short, meta = "IP:PORT")]
+    pub(crate) operators: Option<String>,
+    /// Token of operators (required; better by its variable)
+    #[options(no_short, meta = "TEXT")]
+    pub(crate) operator_token: Option<String>,
+}
+
+/// Flags of `apply`. The listener and the token may be given by environment variables instead.
+#[derive(Debug, Options)]
+pub(crate) struct ApplyFlags {
+    /// Print this help
+    help: bool,
+    /// Print the version
+    #[options(short = "V")]
+    version: bool,
+    /// The document, as JSON
+    #[options(free, required)]
+    pub(crate) file: String,
+    /// Version that the document was made from; 0 where none is in force
+    #[options(no_short, required, meta = "N")]
+    pub(crate) base: u64,
+    /// Name of the change, to ask again by; the node chooses one if not given
+    #[options(no_short, meta = "ID")]
+    pub(crate) id: Option<String>,
+    /// Listener for operators of the node to ask (127.0.0.1:8082)
+    #[options(no_short, meta = "IP:PORT")]
+    operators: Option<String>,
+    /// Token of operators (required; better by its variable)
+    #[options(no_short, meta = "TEXT")]
+    operator_token: Option<String>,
+}
+
+impl ApplyFlags {
+    /// Which node to ask.
+    pub(crate) fn node(&self) -> NodeFlags {
+        let (operators, operator_token) = (self.operators.clone(), self.operator_token.clone());
+        NodeFlags { operators, operator_token, ..NodeFlags::default() }
+    }
+}
+
+/// Flags of `outcome`. The listener and the token may be given by environment variables instead.
+#[derive(Debug, Options)]
+struct OutcomeFlags {
+    /// Print this help
+    help: bool,
+    /// Print the version
+    #[options(short = "V")]
+    version: bool,
+    /// The change, as `apply` named it
+    #[options(free, required)]
+    id: String,
+    /// Listener for operators of the node to ask (127.0.0.1:8082)
+    #[options(no_short, meta = "IP:PORT")]
+    operators: Option<String>,
+    /// Token of operators (required; better by its variable)
+    #[options(no_short, meta = "TEXT")]
+    operator_token: Option<String>,
+}
+
+impl OutcomeFlags {
+    /// Which node to ask.
+    fn node(&self) -> NodeFlags {
+        let (operators, operator_token) = (self.operators.clone(), self.operator_token.clone());
+        NodeFlags { operators, operator_token, ..NodeFlags::default() }
+    }
+}
+
 /// Runs the command that `args` names. Results go to `out`, errors to `err`.
 pub fn run(args: &[String], env: &Env<'_>, out: &mut dyn Write, err: &mut dyn Write) -> ExitCode {
     let mut console = Console { out, err };
@@ -136,6 +223,11 @@
     match command {
         Command::Serve(flags) => serve::serve(&ServeSettings::read(flags, env)?),
         Command::Check(flags) => check::check(&flags.file, console),
+        Command::Apply(flags) => operate::apply(flags, env, console),
+        Command::Outcome(flags) => operate::outcome(&flags.id, &flags.node(), env, console),
+        Command::Get(flags) => operate::get(flags, env, console),
+        Command::Status(flags) => operate::status(flags, env, console),
+        Command::State(flags) => operate::state(flags, env, console),
     }
 }
 
@@ -144,6 +236,9 @@
         match self {
             Command::Serve(flags) => flags.version,
             Command::Check(flags) => flags.version,
+            Command::Apply(flags) => flags.version,
+            Command::Outcome(flags) => flags.version,
+            Command::Get(flags) | Command::Status(flags) | Command::State(flags) => flags.version,
         }
     }
 }
--- a/crates/hibiscusgw/src/error.rs
+++ b/crates/hibiscusgw/src/error.rs
@@ -39,6 +39,23 @@
     #[display("cannot wait for signals: {_0}")]
     #[from(skip)]
     Signals(std::io::Error),
+    /// A node did not answer an operator's call.
+    #[display("{_0}")]
+    #[from(skip)]
+    Call(crate::client::Error),
+    /// A change is not in force, or that is not known.
+    #[display("{subject}: {message}")]
+    #[from(skip)]
+    NotInForce {
+        /// What was to be in force.
+        subject: String,
+        /// Why it is not, and what to do.
+        message: String,
+    },
+    /// Calls cannot be made.
+    #[display("cannot make calls: {_0}")]
+    #[from(skip)]
+    Runtime(std::io::Error),
     /// The process ended before its planned stop was done.
     #[display("the process ended early: {}", match _0 {
         hgw_net::Exit::Broken => "a thread broke an invariant",
--- a/crates/hibiscusgw/src/lib.rs
+++ b/crates/hibiscusgw/src/lib.rs
@@ -1,9 +1,11 @@
 //! The gateway as a library: command line, settings, logs and assembly.
 
 mod check;
+pub mod client;
 mod command;
 mod error;
 mod logs;
+mod operate;
 mod serve;
 mod settings;
 
@@ -31,5 +33,3 @@
 pub(crate) fn exit_code(error: &Error) -> ExitCode {
     if error.is_invalid_input() { ExitCode::from(EXIT_INVALID) } else { ExitCode::FAILURE }
 }
-
-pub mod client;
--- /dev/null
+++ b/crates/hibiscusgw/src/operate.rs
@@ -0,0 +1,134 @@
+//! `apply`, `outcome`, `get`, `status` and `state`: an operator's calls to a node.
+
+use std::fs;
+
+use hgw_wire::operator::apply_reply::Outcome;
+use hgw_wire::operator::{ApplyReply, ApplyRequest};
+use tokio::runtime::{Builder, Runtime};
+
+use crate::client::{self, Client};
+use crate::command::{ApplyFlags, NodeFlags};
+use crate::settings::NodeSettings;
+use crate::{Console, Env, Error, Result};
+
+/// Calls one node and waits for its answers.
+struct Operator {
+    runtime: Runtime,
+    client: Client,
+}
+
+impl Operator {
+    fn new(flags: &NodeFlags, env: &Env<'_>) -> Result<Operator> {
+        let settings = NodeSettings::read(flags, env)?;
+        let runtime = Builder::new_current_thread().enable_all().build().map_err(Error::Runtime)?;
+        let client = Client::new(settings.operators, &settings.operator_token);
+        Ok(Operator { runtime, client })
+    }
+
+    fn wait<T>(&self, call: impl Future<Output = client::Result<T>>) -> Result<T> {
+        self.runtime.block_on(call).map_err(Error::Call)
+    }
+}
+
+/// Publishes a document and tells what became of it.
+pub(crate) fn apply(flags: &ApplyFlags, env: &Env<'_>, console: &mut Console<'_>) -> Result<()> {
+    let file = &flags.file;
+    let document = fs::read(file).map_err(|source| Error::File { file: file.clone(), source })?;
+    let operator = Operator::new(&flags.node(), env)?;
+    let id = flags.id.clone().unwrap_or_default();
+    let req = ApplyRequest { id, base: flags.base, document };
+    let reply = operator.wait(operator.client.apply(&req))?;
+    tell(file, reply, console)
+}
+
+/// Tells what became of a change.
+pub(crate) fn outcome(
+    id: &str,
+    flags: &NodeFlags,
+    env: &Env<'_>,
+    console: &mut Console<'_>,
+) -> Result<()> {
+    let operator = Operator::new(flags, env)?;
+    let reply = operator.wait(operator.client.outcome(id))?;
+    tell("the change", reply, console)
+}
+
+fn tell(subject: &str, reply: ApplyReply, console: &mut Console<'_>) -> Result<()> {
+    let id = reply.id;
+    let message = match reply.outcome {
+        Some(Outcome::Accepted(accepted)) => {
+            writeln!(
+                console.out,
+                "{subject}: in force as version {}, change {id}",
+                accepted.version
+            )?;
+            return Ok(());
+        }
+        Some(Outcome::Invalid(invalid)) => {
+            return Err(Error::Document { file: subject.to_owned(), faults: invalid.faults });
+        }
+        Some(Outcome::Superseded(superseded)) => format!(
+            "another change came first: version {} is in force; make the change anew from it",
+            superseded.current
+        ),
+        Some(Outcome::NotPublished(_)) => {
+            "the log cannot be reached: nothing was published".to_owned()
+        }
+        Some(Outcome::Unknown(_)) | None => {
+            format!("not known yet; ask again by `hibiscusgw outcome {id}`")
+        }
+    };
+    Err(Error::NotInForce { subject: subject.to_owned(), message })
+}
+
+/// Prints the document in force to standard output and its version to standard error, so that the
+/// output can be edited and applied.
+pub(crate) fn get(flags: &NodeFlags, env: &Env<'_>, console: &mut Console<'_>) -> Result<()> {
+    let operator = Operator::new(flags, env)?;
+    let reply = operator.wait(operator.client.get())?;
+    writeln!(console.out, "{}", pretty(&reply.document))?;
+    writeln!(console.err, "version {}", reply.version)?;
+    Ok(())
+}
+
+/// The document with indents, or as it came where it is no JSON.
+fn pretty(document: &[u8]) -> String {
+    let value: Option<serde_json::Value> = serde_json::from_slice(document).ok();
+    let text = value.and_then(|v| serde_json::to_string_pretty(&v).ok());
+    text.unwrap_or_else(|| String::from_utf8_lossy(document).into_owned())
+}
+
+/// Prints the node's view of all nodes, a line each.
+pub(crate) fn status(flags: &NodeFlags, env: &Env<'_>, console: &mut Console<'_>) -> Result<()> {
+    let operator = Operator::new(flags, env)?;
+    let reply = operator.wait(operator.client.status())?;
+    writeln!(
+        console.out,
+        "ready {}  log {}",
+        yes(reply.ready),
+        if reply.log_up { "up" } else { "down" }
+    )?;
+    for m in reply.members {
+        writeln!(
+            console.out,
+            "{}  {}  alive {}  version {}",
+            m.node,
+            m.domain,
+            yes(m.alive),
+            m.config
+        )?;
+    }
+    Ok(())
+}
+
+fn yes(value: bool) -> &'static str {
+    if value { "yes" } else { "no" }
+}
+
+/// Prints the whole state of the process.
+pub(crate) fn state(flags: &NodeFlags, env: &Env<'_>, console: &mut Console<'_>) -> Result<()> {
+    let operator = Operator::new(flags, env)?;
+    let reply = operator.wait(operator.client.state())?;
+    writeln!(console.out, "{}", reply.json)?;
+    Ok(())
+}
--- a/crates/hibiscusgw/src/serve.rs
+++ b/crates/hibiscusgw/src/serve.rs
@@ -3,7 +3,7 @@
 use std::thread;
 
 use hgw_events::{Event, emit};
-use hgw_net::{Addrs, CallerLimits, Exit, Running};
+use hgw_net::{Addrs, CallerLimits, Exit, Operators, Running};
 use hgw_node::Node;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -16,6 +16,17 @@
     pub running: Running,
     /// The addresses that it listens on.
     pub addrs: Addrs,
+    /// The thread that answers operators.
+    operators: Operators,
+}
+
+impl Assembled {
+    /// Waits for the end of the process.
+    pub fn wait(self) -> Exit {
+        let exit = self.running.wait();
+        self.operators.stop();
+        exit
+    }
 }
 
 /// Starts a node with these settings; it runs until it is told to stop.
@@ -31,8 +42,11 @@
             rand::random(),
         )
     });
-    let running = bound.start(Box::new(node))?;
-    Ok(Assembled { running, addrs })
+    let mut running = bound.start(Box::new(node))?;
+    let listener = running.take_operators().expect("nobody has taken the listener yet");
+    let port = running.operator_port();
+    let operators = Operators::start(listener, port, &settings.operator_token)?;
+    Ok(Assembled { running, addrs, operators })
 }
 
 fn net_settings(settings: &ServeSettings) -> hgw_net::Settings {
@@ -63,7 +77,8 @@
 pub(crate) fn serve(settings: &ServeSettings) -> Result<()> {
     start_logs(settings.log_format, settings.log_level)?;
     let signals = Signals::new([SIGTERM, SIGINT]).map_err(Error::Signals)?;
-    let Assembled { running, addrs } = assemble(settings)?;
+    let process = assemble(settings)?;
+    let addrs = process.addrs;
     emit(
         Event::ProcessStarted,
         &[
@@ -74,10 +89,10 @@
             ("operators", &addrs.operators),
         ],
     );
-    let stopper = running.stopper();
+    let stopper = process.running.stopper();
     let node = settings.node.clone();
     thread::spawn(move || stop_on_signals(signals, &stopper, &node));
-    match running.wait() {
+    match process.wait() {
         Exit::Stopped => {
             emit(Event::ProcessStopped, &[("node", &settings.node)]);
             Ok(())
--- a/crates/hibiscusgw/src/settings.rs
+++ b/crates/hibiscusgw/src/settings.rs
@@ -8,10 +8,13 @@
 use hgw_types::{DomainId, NodeId};
 use log::LevelFilter;
 
-use crate::command::ServeFlags;
+use crate::command::{NodeFlags, ServeFlags};
 use crate::logs::LogFormat;
 use crate::{Env, Error, Result};
 
+/// Listener for operators where none is given.
+const DEFAULT_OPERATORS: &str = "127.0.0.1:8082";
+
 /// Shortest secret or token, in characters; shorter ones can be guessed.
 const MIN_SECRET: usize = 16;
 
@@ -85,7 +88,7 @@
             domain: input.name("domain", &flags.domain),
             callers: input.addr("callers", &flags.callers, "127.0.0.1:8080"),
             peers: input.addr("peers", &flags.peers, "127.0.0.1:8081"),
-            operators: input.addr("operators", &flags.operators, "127.0.0.1:8082"),
+            operators: input.addr("operators", &flags.operators, DEFAULT_OPERATORS),
             advertise: input.optional_addr("advertise", &flags.advertise),
             platform: input.addr("platform", &flags.platform, "127.0.0.1:7070"),
             secret: input.secret("secret", &flags.secret),
@@ -115,6 +118,27 @@
     }
 }
 
+/// Which node an operator's call goes to.
+#[derive(Debug, Clone)]
+pub(crate) struct NodeSettings {
+    /// The node's listener for operators.
+    pub(crate) operators: SocketAddr,
+    /// Token that the call carries.
+    pub(crate) operator_token: String,
+}
+
+impl NodeSettings {
+    /// Reads the settings and gives every fault at once.
+    pub(crate) fn read(flags: &NodeFlags, env: &Env<'_>) -> Result<NodeSettings> {
+        let mut input = Input { env, faults: Vec::new() };
+        let settings = NodeSettings {
+            operators: input.addr("operators", &flags.operators, DEFAULT_OPERATORS),
+            operator_token: input.secret("operator-token", &flags.operator_token),
+        };
+        if input.faults.is_empty() { Ok(settings) } else { Err(Error::Settings(input.faults)) }
+    }
+}
+
 /// Reads settings one by one and collects the faults.
 struct Input<'a> {
     env: &'a Env<'a>,
