Say not_run where no byte got out; count only urgent demand

Cause: the dispatcher's Started, which comes before the work is sent, counted as may_have_run even when the connection was then refused: a true not_run was told as may_have_run. Ruled out: sending Started after the first byte, which would lose it with a dispatcher that dies in between. Test: refused_connection_is_not_run, which failed before with may_have_run.

Demand: refusals were counted by the dispatcher and again by the entry node, and slot time of work that may wait made engines look full. Now the entry node counts, urgent only, and so is slot time.

--- a/crates/node/src/dispatcher/demand.rs
+++ b/crates/node/src/dispatcher/demand.rs
@@ -24,14 +24,10 @@
         }
     }
 
-    pub(crate) fn refused(&mut self, submit: &Submit) {
-        if let Some(count) = self.of(submit) {
-            count.unmet += 1;
-        }
-    }
-
+    /// Adds slot time. Work that may wait uses what urgent work leaves: counted as load it would make
+    /// every engine look full, and no replica would seem to help.
     pub(crate) fn ran(&mut self, submit: &Submit, took: Duration) {
-        if let Some(count) = self.of(submit) {
+        if let Some(count) = self.of(submit).filter(|_| submit.urgency.is_urgent()) {
             count.busy_ms += u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
         }
     }
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -122,9 +122,6 @@
         let job = job(cx.now, &submit);
         let lane = self.lane(view, &submit);
         if let Err(refusal) = lane.queue.submit(cx.now, job) {
-            if refusal != Refusal::Bounced {
-                self.demand.refused(&submit);
-            }
             return Err((Box::new(submit), not_started(refusal)));
         }
         let attempt = submit.attempt;
@@ -221,7 +218,6 @@
         refusal: Refusal,
     ) {
         let Some(task) = self.remove(attempt) else { return };
-        self.demand.refused(&task.submit);
         let delay_us = self.delay_us(cx.now, id, task.submit.urgency);
         cx.send(
             &task.from,
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -117,6 +117,10 @@
             _ => self.chooser.observe(cx.now, &upstream, delay),
         }
         if let Some(failure) = failure::refusal(reason, ran(open)) {
+            // A replica for work that may wait would take memory from urgent work.
+            if open.urgency.is_urgent() {
+                self.note_unmet(stream);
+            }
             self.fail(cx, stream, failure);
             return;
         }
@@ -134,7 +138,6 @@
         let Some(open) = self.by_attempt.get(&attempt).and_then(|s| self.open.get_mut(s)) else {
             return;
         };
-        open.may_have_run = true;
         if let Phase::Submitted(current) = &mut open.phase {
             current.started = true;
             self.chooser.observe(now, &current.upstream, delay);
@@ -157,7 +160,10 @@
         self.chooser.finished(cx.now, &upstream);
         match outcome {
             Outcome::Whole(_) => self.finish(cx, stream, Answer::Whole),
-            Outcome::Preempted => self.seal(cx, stream, true),
+            Outcome::Preempted => {
+                open.may_have_run = true;
+                self.seal(cx, stream, true);
+            }
             Outcome::NotRun(_) => {
                 self.chooser.failed(cx.now, &upstream);
                 open.tried.insert(upstream);
@@ -171,6 +177,7 @@
             Outcome::Broken(_) => {
                 self.chooser.failed(cx.now, &upstream);
                 open.tried.insert(upstream);
+                open.may_have_run = true;
                 self.on_broken(cx, stream, false);
             }
         }
@@ -316,11 +323,10 @@
         }
     }
 
-    pub(super) fn note_unmet(&mut self, stream: StreamId) {
-        let Some(Open { task: Task::Model { model, adapter, .. }, .. }) = self.open.get(&stream)
-        else {
-            return;
-        };
+    /// Counts a request that found no room, for the keeper at home.
+    fn note_unmet(&mut self, stream: StreamId) {
+        let Some(open) = self.open.get(&stream) else { return };
+        let Task::Model { model, adapter, .. } = &open.task else { return };
         let unmet = self.unmet.entry(model.clone()).or_default();
         unmet.requests += 1;
         unmet.adapters.extend(adapter.iter().cloned());
--- a/crates/node/src/entry/submit.rs
+++ b/crates/node/src/entry/submit.rs
@@ -22,8 +22,6 @@
     dispatcher: NodeId,
     /// Whether another upstream could take it instead.
     others: bool,
-    /// Whether it leaves the failure domain of its caller.
-    far: bool,
 }
 
 impl Entry {
@@ -50,8 +48,7 @@
             .filter_map(|u| view.dispatcher_of(&u).map(|dispatcher| (u, dispatcher)));
         let (upstream, dispatcher) = reachable.next()?;
         let others = reachable.next().is_some();
-        let far = view.document.upstreams.get(&upstream).is_some_and(|u| u.domain != *view.domain);
-        Some(Target { upstream, dispatcher, others, far })
+        Some(Target { upstream, dispatcher, others })
     }
 
     fn send_to(&mut self, cx: &mut Context<'_>, stream: StreamId, target: Target) {
@@ -69,16 +66,11 @@
             work: open.work(),
         };
         self.chooser.sent(cx.now, &target.upstream, &open.ask());
-        let far = target.far;
         cx.act(Action::Attach { stream, attempt });
         cx.send(&target.dispatcher, Message::Submit(submit));
         let Target { upstream, dispatcher, .. } = target;
         open.phase = Phase::Submitted(Current { attempt, upstream, dispatcher, started: false });
         self.by_attempt.insert(attempt, stream);
-        if far {
-            // The keeper at home sees no other sign that its domain lacks room for the model.
-            self.note_unmet(stream);
-        }
     }
 
     /// No upstream is left to try. A request that has not begun anywhere is answered at once; one
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -175,9 +175,10 @@
             }
             KeeperAction::Placement(engines) => self.publish(cx, view, engines),
             KeeperAction::LostEngines(engines) => {
-                let shown = engines.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
-                emit(LogEvent::EnginesLost, &[("node", &cx.settings.node), ("engines", &shown)]);
-                self.lost_engines = engines;
+                if engines != self.lost_engines {
+                    log_lost(cx, &engines);
+                    self.lost_engines = engines;
+                }
             }
         }
     }
@@ -267,3 +268,8 @@
         [("node", node), ("upstream", upstream), ("order", &order.id), ("kind", &kind)];
     emit(LogEvent::OrderSent, &fields);
 }
+
+fn log_lost(cx: &Context<'_>, engines: &[UpstreamId]) {
+    let shown = engines.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+    emit(LogEvent::EnginesLost, &[("node", &cx.settings.node), ("engines", &shown)]);
+}
--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -138,6 +138,13 @@
         world.end_all(&Outcome::Whole(8));
     }
 
+    /// The caller is told that the call has not run. The dispatcher had said that it starts the call; no
+    /// connection to the back end could be made, so no byte of it got there.
+    refused_connection_is_not_run(world) {
+        world.call("a", post(None));
+        world.end_all(&Outcome::NotRun("refused".to_owned()));
+    }
+
     /// The first caller gets the answer; the second, with the same key through another node, gets the
     /// same one. The back end ran once.
     key_used_twice(world) {
