Take the weight store's shares in the tool from the product

The tool had a share rule of its own, which let a domain begin a load at once after a pause and shared out the whole rate; the product's shares out 0.9 and begins empty.

--- a/crates/load/src/decisions/place.rs
+++ b/crates/load/src/decisions/place.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hgw_config::{Document, Fencing};
-use hgw_placement::{EngineView, HeldView, Move};
+use hgw_placement::{EngineView, HeldView, Move, Shares};
 use hgw_types::{MemSize, ModelId, Offset, Time, UpstreamId};
 
 use super::policy::Placing;
@@ -13,38 +13,51 @@
 const EVICTION: Duration = Duration::from_millis(500);
 const PLAN_EVERY: u64 = 2;
 
-/// What the weight store allows. Each domain has a share, but for placement by recency, which is
-/// given the whole.
+/// What the weight store allows: each domain its share, but placement by recency, which one place
+/// decides, the whole.
 #[derive(Debug)]
 pub(super) struct Store {
+    shares: Vec<Shares>,
     interval: Duration,
     parallel: usize,
-    next: [Time; 4],
+    next: Time,
     running: [usize; 4],
 }
 
 impl Store {
     pub(super) fn new(document: &Document) -> Store {
         let store = &document.weight_store;
-        let interval = Duration::from_secs_f64(1.0 / store.loads_per_second.as_per_second());
-        let parallel = store.parallel as usize;
-        Store { interval, parallel, next: [Time::ZERO; 4], running: [0; 4] }
+        let share = |domain| {
+            let mut share = Shares::new(Time::ZERO);
+            share.configure(document, domain);
+            share
+        };
+        Store {
+            shares: document.domains.keys().map(share).collect(),
+            interval: Duration::from_secs_f64(1.0 / store.loads_per_second.as_per_second()),
+            parallel: store.parallel as usize,
+            next: Time::ZERO,
+            running: [0; 4],
+        }
     }
 
     fn take(&mut self, now: Time, domain: usize, whole: bool) -> bool {
-        let (interval, parallel) = if whole {
-            (self.interval, self.parallel)
+        let may = if whole {
+            self.running.iter().sum::<usize>() < self.parallel && now >= self.next
         } else {
-            (self.interval * 4, self.parallel / 4)
+            self.shares[domain].take(now, self.running[domain])
         };
-        let running = if whole { self.running.iter().sum() } else { self.running[domain] };
-        let slot = if whole { 0 } else { domain };
-        if now < self.next[slot] || running >= parallel.max(1) {
-            return false;
+        if may {
+            self.next = now + self.interval;
+            self.running[domain] += 1;
+        }
+        may
+    }
+
+    fn tick(&mut self, now: Time) {
+        for (share, running) in self.shares.iter_mut().zip(self.running) {
+            share.observe(now, running);
         }
-        self.next[slot] = now + interval;
-        self.running[domain] += 1;
-        true
     }
 }
 
@@ -82,6 +95,7 @@
 
     /// Regular work of the keepers, each second.
     pub(super) fn place(&mut self) {
+        self.store.tick(self.now);
         self.note_lost_engines();
         if self.policy.placing == Placing::Lru {
             return;
