--- a/crates/placement/src/keeper/mod.rs
+++ b/crates/placement/src/keeper/mod.rs
@@ -12,6 +12,8 @@
 //! | `orders` | records, sends and repeats orders |
 //! | `wants` | which engine should hold what |
 //! | `plan` | turns wants into loads, and makes room for them |
+//! | `replicas` | asks the demand planner, and begins its moves |
+//! | `room` | makes way for floor copies that find no room |
 //! | `retire` | what is to go, and evicts it once nobody uses it |
 //! | `publish` | tells the others what is ready where |
 
@@ -22,24 +24,28 @@
 mod plan;
 mod publish;
 mod reading;
+mod replicas;
 mod retire;
+mod room;
 mod settings;
 mod wants;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hgw_config::Document;
 use hgw_types::{AdapterId, DomainId, MemSize, ModelId, Offset, RecordId, Term, Time, UpstreamId};
-use hgw_wire::peer::{Demand, Holding};
+use hgw_wire::peer::Holding;
 use indexmap::{IndexMap, IndexSet};
 
 pub use settings::{KeeperSettings, SEND_WINDOW};
 
-use crate::{KeeperAction, KeeperEntry, KeeperEvent, Shares};
+use crate::{DemandPlanner, DemandSettings, KeeperAction, KeeperEntry, KeeperEvent, Shares};
 use domain::Domain;
 use engine::Engine;
 use intents::Intents;
-use orders::{Flight, Settling};
+use orders::Flight;
+use wants::Homes;
 
 /// The keeper of one failure domain.
 #[derive(Debug)]
@@ -54,10 +60,15 @@
     /// Set while this node holds the scope.
     term: Option<Term>,
     gained: Time,
+    /// When the first placement of this term was published.
+    opened: Option<Time>,
     engines: IndexMap<UpstreamId, Engine>,
     flights: IndexMap<RecordId, Flight>,
-    settling: Settling,
+    /// The record under way of intents that can have no effect any more.
+    settling: Option<RecordId>,
     shares: Shares,
+    demand: DemandPlanner,
+    demand_due: Time,
     /// Loads that the demand planner asked for and that are not held yet, with when it asked.
     replicas: IndexMap<(UpstreamId, ModelId), Time>,
     /// Models that callers of this domain asked for and found on no engine of it.
@@ -66,6 +77,8 @@
     adapters: IndexMap<(ModelId, AdapterId), Time>,
     /// Since when a version has found no room in the whole domain.
     no_room: IndexMap<(UpstreamId, ModelId), Time>,
+    homes: Homes,
+    planned: Option<Time>,
     placement: IndexMap<UpstreamId, Holding>,
     told_lost: Option<Vec<UpstreamId>>,
 }
@@ -83,14 +96,19 @@
             log_up: true,
             term: None,
             gained: Time::ZERO,
+            opened: None,
             engines: IndexMap::new(),
             flights: IndexMap::new(),
-            settling: Settling::default(),
+            settling: None,
             shares: Shares::default(),
+            demand: DemandPlanner::new(DemandSettings::default(), boot),
+            demand_due: Time::ZERO,
             replicas: IndexMap::new(),
             missing: IndexMap::new(),
             adapters: IndexMap::new(),
             no_room: IndexMap::new(),
+            homes: Homes::default(),
+            planned: None,
             placement: IndexMap::new(),
             told_lost: None,
         }
@@ -98,6 +116,10 @@
 
     /// Takes one event at time `now`, which never goes back, and adds the actions that follow.
     pub fn handle(&mut self, now: Time, event: KeeperEvent, out: &mut Vec<KeeperAction>) {
+        let every = match event {
+            KeeperEvent::Tick => self.settings.plan_idle,
+            _ => self.settings.plan_busy,
+        };
         match event {
             KeeperEvent::Config { version, document } => self.configure(now, version, document),
             KeeperEvent::Floor(floor) => self.domain.set_floor(floor),
@@ -116,7 +138,7 @@
             KeeperEvent::Tick => {}
         }
         if self.term.is_some() {
-            self.step(now, out);
+            self.step(now, every, out);
         }
     }
 
@@ -164,13 +186,16 @@
     /// Forgets all that only the holder may act on. Orders sent before are the successor's to count.
     fn lose(&mut self) {
         self.term = None;
+        self.opened = None;
+        self.demand = DemandPlanner::new(DemandSettings::default(), self.boot);
         self.engines.clear();
         self.flights.clear();
-        self.settling = Settling::default();
+        self.settling = None;
         self.replicas.clear();
         self.missing.clear();
         self.adapters.clear();
         self.no_room.clear();
+        self.planned = None;
         self.placement.clear();
         self.told_lost = None;
     }
@@ -200,28 +225,22 @@
     }
 
     /// Everything that may have become possible, in the order in which one thing allows the next.
-    fn step(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
+    ///
+    /// The plan looks at all engines, and events come many a second: it is made at most once in
+    /// `every`.
+    fn step(&mut self, now: Time, every: Duration, out: &mut Vec<KeeperAction>) {
         self.poll(now, out);
         self.close_orders(now, out);
         self.repeat_orders(now, out);
+        if self.planned.is_some_and(|t| now.since(t) < every) {
+            return;
+        }
+        self.planned = Some(now);
+        self.plan_demand(now);
         self.plan_loads(now, out);
         self.plan_retirement(now);
         self.evict_drained(now, out);
-        self.publish(out);
-    }
-
-    fn take_demand(&mut self, now: Time, demand: &[Demand]) {
-        if self.term.is_none() {
-            return;
-        }
-        for d in demand {
-            for adapter in &d.adapters {
-                self.adapters.insert((d.model.clone(), adapter.clone()), now);
-            }
-            if d.unmet > 0 {
-                self.missing.insert(d.model.clone(), now);
-            }
-        }
+        self.publish(now, out);
     }
 
     fn next_id(&mut self) -> RecordId {
--- a/crates/placement/src/keeper/orders.rs
+++ b/crates/placement/src/keeper/orders.rs
@@ -9,7 +9,6 @@
 
 use hgw_types::{RecordId, Time, UpstreamId};
 use hgw_wire::upstream::{Order, OrderKind, OrderOutcome};
-use indexmap::IndexSet;
 
 use super::{Keeper, SEND_WINDOW};
 use crate::{Item, KeeperAction, KeeperEntry, OrderResult, ReserveError};
@@ -20,6 +19,8 @@
     upstream: UpstreamId,
     kind: OrderKind,
     stage: Stage,
+    /// The record of its intent.
+    record: RecordId,
     /// The last time to send it; nothing where the engine itself refuses it after a takeover.
     until: Option<Time>,
 }
@@ -34,14 +35,6 @@
     Again(Time),
 }
 
-/// Intents that have become void of effect and are to be recorded so.
-#[derive(Debug, Default)]
-pub(super) struct Settling {
-    due: IndexSet<RecordId>,
-    /// The record under way.
-    recording: Option<(RecordId, Vec<RecordId>)>,
-}
-
 impl Keeper {
     /// Gives an order; memory that it can grow is reserved first.
     pub(super) fn give(
@@ -58,29 +51,96 @@
         if grows {
             e.ledger.reserve(id, &kind)?;
         }
-        let generation = e.ledger.generation().unwrap_or_default();
-        let recorded = grows && !refuses;
+        if grows && !refuses {
+            self.record_intent(now, engine, id, id, kind, out);
+        } else {
+            self.send_unrecorded(now, engine, id, kind, out);
+        }
+        Ok(id)
+    }
+
+    fn send_unrecorded(
+        &mut self,
+        now: Time,
+        engine: &UpstreamId,
+        order: RecordId,
+        kind: OrderKind,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        let (upstream, stage) = (engine.clone(), Stage::Recording);
+        self.flights.insert(order, Flight { upstream, kind, stage, record: order, until: None });
+        self.send(now, order, out);
+    }
+
+    /// Sends an order again that a predecessor recorded, or that this keeper lost the right to send:
+    /// under its own id and, where it needs a record, on a new one, from which a successor counts it anew.
+    pub(super) fn adopt(
+        &mut self,
+        now: Time,
+        engine: &UpstreamId,
+        order: RecordId,
+        kind: OrderKind,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        if self.domain.refuses(engine) {
+            self.send_unrecorded(now, engine, order, kind, out);
+            return;
+        }
+        let dead_at = now + SEND_WINDOW + self.domain.late(engine);
+        if let Some(e) = self.engines.get_mut(engine) {
+            e.ledger.renew(order, dead_at);
+        }
+        let record = self.next_id();
+        self.record_intent(now, engine, order, record, kind, out);
+    }
+
+    fn record_intent(
+        &mut self,
+        now: Time,
+        engine: &UpstreamId,
+        order: RecordId,
+        record: RecordId,
+        kind: OrderKind,
+        out: &mut Vec<KeeperAction>,
+    ) {
+        let known = self.engines.get(engine).and_then(|e| e.ledger.generation());
+        let (upstream, generation) = (engine.clone(), known.unwrap_or_default());
         let flight = Flight {
-            upstream: engine.clone(),
+            upstream: upstream.clone(),
             kind: kind.clone(),
             stage: Stage::Recording,
-            until: recorded.then(|| now + SEND_WINDOW),
+            record,
+            until: Some(now + SEND_WINDOW),
         };
-        self.flights.insert(id, flight);
-        if recorded {
-            let upstream = engine.clone();
-            let entry = KeeperEntry::Intent { upstream, generation, order: id, kind };
-            out.push(KeeperAction::Record { id, entry });
-        } else {
-            self.send(now, id, out);
-        }
-        Ok(id)
+        self.flights.insert(order, flight);
+        let entry = KeeperEntry::Intent { upstream, generation, order, kind };
+        out.push(KeeperAction::Record { id: record, entry });
+    }
+
+    /// The order of this flight that waits for its record.
+    fn recorded_by(&self, record: RecordId) -> Option<RecordId> {
+        let waits = |f: &Flight| f.record == record && f.stage == Stage::Recording;
+        self.flights.iter().find(|(_, f)| waits(f)).map(|(order, _)| *order)
+    }
+
+    /// Items that orders on their way to the engine load.
+    pub(super) fn flying_to(&self, engine: &UpstreamId) -> impl Iterator<Item = Item> {
+        let there = self.flights.values().filter(move |f| f.upstream == *engine);
+        there.filter_map(|f| Some(Item::loaded_by(&f.kind)?.0))
+    }
+
+    /// Whether an order that loads the item there is on its way.
+    pub(super) fn is_flying(&self, engine: &UpstreamId, item: &Item) -> bool {
+        self.flying_to(engine).any(|i| i == *item)
     }
 
     fn send(&mut self, now: Time, id: RecordId, out: &mut Vec<KeeperAction>) {
         let (Some(fence), Some(flight)) = (self.term, self.flights.get_mut(&id)) else { return };
         let send_by = flight.until.unwrap_or(now + SEND_WINDOW);
-        if now > send_by {
+        let grows = Item::loaded_by(&flight.kind).is_some();
+        let engine = self.engines.get(&flight.upstream);
+        let reserved = engine.is_some_and(|e| e.ledger.is_open(id));
+        if now > send_by || (grows && !reserved) {
             self.give_up(now, id);
             return;
         }
@@ -110,20 +170,16 @@
         out: &mut Vec<KeeperAction>,
     ) {
         self.intents.apply(entry);
-        if self.settling.recording.as_ref().is_some_and(|(record, _)| *record == id) {
-            self.settling.recording = None;
-        }
-        if self.flights.get(&id).is_some_and(|f| f.stage == Stage::Recording) {
-            self.send(now, id, out);
+        self.settling.take_if(|record| *record == id);
+        if let Some(order) = self.recorded_by(id) {
+            self.send(now, order, out);
         }
     }
 
     pub(super) fn dropped(&mut self, now: Time, id: RecordId) {
-        if let Some((_, orders)) = self.settling.recording.take_if(|(record, _)| *record == id) {
-            self.settling.due.extend(orders);
-        }
-        if self.flights.get(&id).is_some_and(|f| f.stage == Stage::Recording) {
-            self.give_up(now, id);
+        self.settling.take_if(|record| *record == id);
+        if let Some(order) = self.recorded_by(id) {
+            self.give_up(now, order);
         }
     }
 
@@ -177,7 +233,7 @@
         match Item::loaded_by(&flight.kind) {
             Some((item, _)) => {
                 let current = self.domain.is_current(&flight.upstream, &item);
-                e.ledger.is_open(id) && !e.ledger.held().contains_key(&item) && current
+                current && e.ledger.repeatable(&item).is_some_and(|(order, _)| order == id)
             }
             None => e.drains.values().any(|d| d.order == Some(id)),
         }
@@ -185,20 +241,21 @@
 
     /// Frees what can no longer take effect, and has it recorded where an intent is open.
     pub(super) fn close_orders(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
-        for e in self.engines.values_mut() {
-            e.ledger.expire(now);
-            for id in e.ledger.take_closed() {
-                if self.intents.contains(id) {
-                    self.settling.due.insert(id);
-                }
-            }
+        self.engines.values_mut().for_each(|e| e.ledger.expire(now));
+        if self.settling.is_some() || !self.log_up {
+            return;
         }
-        if self.settling.due.is_empty() || self.settling.recording.is_some() || !self.log_up {
+        let is_over = |order: RecordId, engine: &UpstreamId| {
+            let ledger = self.engines.get(engine).map(|e| &e.ledger);
+            ledger.is_some_and(|l| !l.is_open(order)) && !self.flights.contains_key(&order)
+        };
+        let over = self.intents.orders().filter(|(order, engine)| is_over(*order, engine));
+        let orders: Vec<RecordId> = over.map(|(order, _)| order).collect();
+        if orders.is_empty() {
             return;
         }
-        let orders: Vec<RecordId> = self.settling.due.drain(..).collect();
         let id = self.next_id();
-        self.settling.recording = Some((id, orders.clone()));
+        self.settling = Some(id);
         out.push(KeeperAction::Record { id, entry: KeeperEntry::Settled { orders } });
     }
 
--- a/crates/placement/src/keeper/settings.rs
+++ b/crates/placement/src/keeper/settings.rs
@@ -9,6 +9,10 @@
 /// What a keeper waits and bounds.
 #[derive(Debug, Clone)]
 pub struct KeeperSettings {
+    /// Shortest time between two plans while events come.
+    pub plan_busy: Duration,
+    /// Time between two plans while only time passes.
+    pub plan_idle: Duration,
     /// Time between reads of an engine on which something is under way.
     pub poll_busy: Duration,
     /// Time between reads of an engine on which nothing is.
@@ -17,6 +21,8 @@
     pub ask_timeout: Duration,
     /// Reads or orders in a row without an answer, after which an engine counts as lost.
     pub lost_after: u32,
+    /// Time after a takeover at which a placement is published although some engine is not read.
+    pub first_publish: Duration,
     /// Time from publishing a placement without an item to the read that must show it unused.
     pub settle: Duration,
     /// Time after which an item is evicted although it is still used.
@@ -46,10 +52,13 @@
 impl Default for KeeperSettings {
     fn default() -> Self {
         KeeperSettings {
+            plan_busy: Duration::from_millis(20),
+            plan_idle: Duration::from_millis(200),
             poll_busy: Duration::from_millis(500),
             poll_idle: Duration::from_secs(5),
             ask_timeout: Duration::from_secs(10),
             lost_after: 3,
+            first_publish: Duration::from_secs(5),
             settle: Duration::from_secs(1),
             drain_limit: Duration::from_secs(120),
             orders_per_engine: 2,
--- a/crates/placement/src/ledger/mod.rs
+++ b/crates/placement/src/ledger/mod.rs
@@ -75,7 +75,6 @@
     asked: Option<Time>,
     held: IndexMap<Item, Held>,
     orders: IndexMap<RecordId, Pending>,
-    closed: Vec<RecordId>,
 }
 
 impl Ledger {
@@ -138,6 +137,23 @@
         self.held.contains_key(item) || self.orders.values().any(|o| o.item == *item)
     }
 
+    /// The order that may still load the item, with its size, where no answer to it is awaited and the
+    /// engine is not known to have carried it out. To send it again under its own id takes no more
+    /// memory than is reserved.
+    ///
+    /// Nothing where more is reserved than there is. That comes about when an engine restarts: it
+    /// forgets which orders it has carried out, so that one done and undone before may take effect
+    /// again beside one sent since. Both may be gone; to send either again would make sure of it.
+    pub fn repeatable(&self, item: &Item) -> Option<(RecordId, MemSize)> {
+        let fits = |o: &Pending| {
+            o.item == *item && o.flying == 0 && o.done_in.is_none_or(|g| Some(g) != self.generation)
+        };
+        if self.held.contains_key(item) || self.reserved() > self.memory() {
+            return None;
+        }
+        self.orders.iter().find(|(_, o)| fits(o)).map(|(id, o)| (*id, o.size))
+    }
+
     /// Items that are loading, or that orders may yet load.
     pub fn loading(&self) -> usize {
         let loading = self.held.values().filter(|h| !h.ready).count();
@@ -177,6 +193,13 @@
         self.orders.insert(order, Pending { inherited: true, dead_at: Some(dead_at), ..pending });
     }
 
+    /// Counts an order that is to be sent again until `dead_at` at least.
+    pub fn renew(&mut self, order: RecordId, dead_at: Time) {
+        if let Some(pending) = self.orders.get_mut(&order) {
+            pending.dead_at = pending.dead_at.max(Some(dead_at));
+        }
+    }
+
     /// A copy of the order is about to be sent.
     pub fn sending(&mut self, order: RecordId) {
         if let Some(pending) = self.orders.get_mut(&order) {
@@ -188,7 +211,7 @@
     /// The order will not be sent again; frees it if no copy was ever sent.
     pub fn cancel(&mut self, order: RecordId) {
         if self.orders.get(&order).is_some_and(Pending::is_over) {
-            self.close(order);
+            self.orders.shift_remove(&order);
         }
     }
 
@@ -203,7 +226,10 @@
             OrderResult::Answered(OrderOutcome::Done) => {
                 if pending.done_in.is_none() {
                     pending.done_in = self.generation;
-                    let held = Held { size: pending.size, ready: true, active: 0, seen: now };
+                    // A predecessor's order may have been carried out and undone long ago, and is
+                    // answered all the same: only a read shows whether the item is there.
+                    let ready = !pending.inherited;
+                    let held = Held { size: pending.size, ready, active: 0, seen: now };
                     self.held.insert(pending.item.clone(), held);
                 }
             }
@@ -231,37 +257,20 @@
             order.seen(state.generation);
         }
         self.held.extend(shown);
-        let over: Vec<RecordId> = self
-            .orders
-            .iter()
-            .filter(|(_, o)| o.done_in == Some(state.generation) && o.is_over())
-            .map(|(id, _)| *id)
-            .collect();
-        over.into_iter().for_each(|id| self.close(id));
+        let generation = state.generation;
+        self.orders.retain(|_, o| o.done_in != Some(generation) || !o.is_over());
         if restarted { Reading::Restarted } else { Reading::Taken }
     }
 
     /// Frees the orders that can no longer take effect by the operator's bound.
     pub fn expire(&mut self, now: Time) {
-        let dead: Vec<RecordId> =
-            self.orders.iter().filter(|(_, o)| o.is_dead(now)).map(|(id, _)| *id).collect();
-        dead.into_iter().for_each(|id| self.close(id));
+        self.orders.retain(|_, o| !o.is_dead(now));
     }
 
     /// Whether the order may still take effect.
     pub fn is_open(&self, order: RecordId) -> bool {
         self.orders.contains_key(&order)
     }
-
-    /// Takes the orders that were found to have no further effect since the last call.
-    pub fn take_closed(&mut self) -> Vec<RecordId> {
-        std::mem::take(&mut self.closed)
-    }
-
-    fn close(&mut self, order: RecordId) {
-        self.orders.shift_remove(&order);
-        self.closed.push(order);
-    }
 }
 
 /// What a state did to the ledger.
