Bound what a prompt's length adds to its pull towards an engine

Cause: the saving grew with the blocks of the prompt; a node hashes up to 16, which at 30 ms a block made a request wait 480 ms at its engine while another idled. Test a_long_prompt_does_not_wait_for_its_engine.

--- a/crates/dispatch/src/chooser.rs
+++ b/crates/dispatch/src/chooser.rs
@@ -16,6 +16,9 @@
     /// Several times what the block saves the request itself: a prefix computed at one more engine
     /// also takes the place of another prefix there, and slots from the requests behind it.
     pub block_saving: Duration,
+    /// Most that all blocks of a prompt count for: a long prompt is long mostly by its own tail, which
+    /// no engine has at hand, and must not wait out its deadline for the head.
+    pub max_saving: Duration,
     /// Time that an adapter which is loaded saves.
     pub adapter_saving: Duration,
     /// Delay that one own request in flight adds until the upstream's next word.
@@ -37,6 +40,7 @@
     fn default() -> Self {
         ChooserSettings {
             block_saving: Duration::from_millis(30),
+            max_saving: Duration::from_millis(120),
             adapter_saving: Duration::from_millis(40),
             sent_cost: Duration::from_millis(10),
             half_life: Duration::from_secs(1),
@@ -136,7 +140,8 @@
             let third = self.rng.random_range(THIRD..up);
             ranked.swap(THIRD, third);
         }
-        let saving = self.settings.block_saving * ask.prefix.len() as u32;
+        let blocks = self.settings.block_saving * ask.prefix.len() as u32;
+        let saving = blocks.min(self.settings.max_saving);
         for (place, r) in ranked[..up].iter_mut().enumerate() {
             r.cost += saving * place.min(THIRD) as u32;
         }
--- a/crates/dispatch/tests/entry.rs
+++ b/crates/dispatch/tests/entry.rs
@@ -56,6 +56,14 @@
     assert!(tried, "after nine seconds the old news must have faded");
 }
 
+fn a_long_prompt_does_not_wait_for_its_engine() {
+    let long = Ask { prefix: vec![7; 16], ..ask(7) };
+    let mut c = chooser(1);
+    let home = c.choose(ms(0), &long, &candidates(2)).remove(0);
+    c.observe(ms(0), &home, Duration::from_millis(200));
+    assert_ne!(c.choose(ms(0), &long, &candidates(2))[0], home);
+}
+
 fn entry_nodes_agree_on_a_prefix() {
     let first = |seed| chooser(seed).choose(ms(0), &ask(42), &candidates(6)).remove(0);
     let all: Vec<_> = (0..20).map(first).collect();
@@ -131,6 +139,7 @@
 
 cases! {
     a_slow_upstream_gets_little_and_is_tried_again;
+    a_long_prompt_does_not_wait_for_its_engine;
     entry_nodes_agree_on_a_prefix;
     prefixes_spread;
     a_failed_upstream_is_last_and_tried_by_one;
