--- a/crates/placement/tests/placement/support/mod.rs
+++ b/crates/placement/tests/placement/support/mod.rs
@@ -1,6 +1,7 @@
 //! A small fake of what surrounds a keeper: log, engines and the wires between them.
 
 mod engine;
+mod node;
 mod world;
 
 use std::sync::Arc;
@@ -9,7 +10,8 @@
 use serde_json::json;
 
 pub(crate) use engine::FakeEngine;
-pub(crate) use world::{Fault, STEP, World};
+pub(crate) use node::Fault;
+pub(crate) use world::{STEP, World};
 
 /// A configuration of one model service: engines as `(id, domain, memory, fencing)` and models as
 /// `(id, version, size)`, each with the adapter `id-a` of size 2 in version `1`. Domains `d1`, `d2`
--- /dev/null
+++ b/crates/placement/tests/placement/support/node.rs
@@ -0,0 +1,89 @@
+use std::time::Duration;
+
+use hgw_placement::{Keeper, KeeperAction, KeeperEntry, KeeperEvent, OrderResult};
+use hgw_types::{RecordId, Term, Time, UpstreamId};
+use hgw_wire::peer::Demand;
+use hgw_wire::upstream::{Order, OrderKind};
+
+use super::id;
+
+/// What happens to the next order that can grow memory.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Fault {
+    /// Nothing.
+    None,
+    /// It never arrives, and no answer comes.
+    Lost,
+    /// No answer comes, and it arrives after this time.
+    Late(Duration),
+    /// It takes effect, and no answer comes.
+    AnswerLost,
+    /// It takes effect, and the answer comes after this time.
+    AnswerLate(Duration),
+    /// No byte of it can be sent.
+    NotSent,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) enum Record {
+    Claim(usize),
+    Entry { term: Term, id: RecordId, entry: KeeperEntry },
+}
+
+#[derive(Debug)]
+pub(crate) enum Wire {
+    Order { node: usize, upstream: UpstreamId, order: Order, answered: bool, late: Duration },
+    Answer { node: usize, order: RecordId, result: OrderResult },
+    State { node: usize, upstream: UpstreamId, asked: Time },
+}
+
+/// A node of the domain, or what is left of it.
+pub(crate) struct Node {
+    pub(crate) keeper: Keeper,
+    pub(crate) read: usize,
+    pub(crate) latest: Option<(Term, usize)>,
+    pub(crate) frozen: bool,
+    pub(crate) dead: bool,
+    /// Whether it reads the log.
+    pub(crate) reads: bool,
+    /// Whether it stands still as soon as it is about to send an order that can grow memory.
+    pub(crate) freezes_on_load: bool,
+    pub(crate) hand: Vec<KeeperAction>,
+    pub(crate) inbox: Vec<KeeperEvent>,
+}
+
+impl Node {
+    pub(crate) fn new(keeper: Keeper) -> Node {
+        Node {
+            keeper,
+            read: 0,
+            latest: None,
+            frozen: false,
+            dead: false,
+            reads: true,
+            freezes_on_load: false,
+            hand: Vec::new(),
+            inbox: Vec::new(),
+        }
+    }
+}
+
+pub(crate) fn demand(model: &str) -> Demand {
+    let model = id(model);
+    Demand { model, urgent: 0, deferrable: 0, unmet: 0, busy_ms: 0, adapters: Vec::new() }
+}
+
+pub(crate) fn name(node: usize) -> char {
+    char::from(b'A' + u8::try_from(node % 26).unwrap_or_default())
+}
+
+pub(crate) fn show(kind: &OrderKind) -> String {
+    match kind {
+        OrderKind::Fence => "fence".into(),
+        OrderKind::Load { model, version, .. } => format!("load {model}@{version}"),
+        OrderKind::Evict { model, version } => format!("evict {model}@{version}"),
+        OrderKind::LoadAdapter { adapter, version, .. } => format!("load +{adapter}@{version}"),
+        OrderKind::EvictAdapter { adapter, version, .. } => format!("evict +{adapter}@{version}"),
+        OrderKind::Role { role } => format!("role {role:?}"),
+    }
+}
--- a/crates/placement/tests/placement/support/world.rs
+++ b/crates/placement/tests/placement/support/world.rs
@@ -9,9 +9,10 @@
 };
 use hgw_types::{Offset, RecordId, Term, Time, UpstreamId};
 use hgw_wire::peer::Demand;
-use hgw_wire::upstream::{Order, OrderKind};
+use hgw_wire::upstream::Order;
 use indexmap::IndexMap;
 
+use super::node::{Fault, Node, Record, Wire, demand, name, show};
 use super::{FakeEngine, id};
 
 /// One step of the world.
@@ -19,51 +20,6 @@
 /// Time from an order's loss to the keeper's knowing.
 const TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// What happens to the next order that can grow memory.
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum Fault {
-    /// Nothing.
-    None,
-    /// It never arrives, and no answer comes.
-    Lost,
-    /// No answer comes, and it arrives after this time.
-    Late(Duration),
-    /// It takes effect, and no answer comes.
-    AnswerLost,
-    /// It takes effect, and the answer comes after this time.
-    AnswerLate(Duration),
-    /// No byte of it can be sent.
-    NotSent,
-}
-
-#[derive(Debug, Clone)]
-enum Record {
-    Claim(usize),
-    Entry { term: Term, id: RecordId, entry: KeeperEntry },
-}
-
-#[derive(Debug)]
-enum Wire {
-    Order { node: usize, upstream: UpstreamId, order: Order, answered: bool, late: Duration },
-    Answer { node: usize, order: RecordId, result: OrderResult },
-    State { node: usize, upstream: UpstreamId, asked: Time },
-}
-
-/// A node of the domain, or what is left of it.
-pub(crate) struct Node {
-    pub(crate) keeper: Keeper,
-    read: usize,
-    latest: Option<(Term, usize)>,
-    frozen: bool,
-    dead: bool,
-    /// Whether it reads the log.
-    pub(crate) reads: bool,
-    /// Whether it stands still as soon as it is about to send an order that can grow memory.
-    pub(crate) freezes_on_load: bool,
-    hand: Vec<KeeperAction>,
-    inbox: Vec<KeeperEvent>,
-}
-
 /// Keepers of domain `d1`, its engines, a log, and wires that lose and delay.
 pub(crate) struct World {
     pub(crate) now: Time,
@@ -108,17 +64,7 @@
         let n = self.nodes.len();
         let settings = KeeperSettings { settle: Duration::from_millis(500), ..Default::default() };
         let keeper = Keeper::new(settings, id("d1"), n as u64 + 1);
-        self.nodes.push(Node {
-            keeper,
-            read: 0,
-            latest: None,
-            frozen: false,
-            dead: false,
-            reads: true,
-            freezes_on_load: false,
-            hand: Vec::new(),
-            inbox: Vec::new(),
-        });
+        self.nodes.push(Node::new(keeper));
         self.tell_config(n);
         n
     }
@@ -416,23 +362,3 @@
         self.engines.values().any(holds)
     }
 }
-
-fn demand(model: &str) -> Demand {
-    let model = id(model);
-    Demand { model, urgent: 0, deferrable: 0, unmet: 0, busy_ms: 0, adapters: Vec::new() }
-}
-
-fn name(node: usize) -> char {
-    char::from(b'A' + u8::try_from(node % 26).unwrap_or_default())
-}
-
-fn show(kind: &OrderKind) -> String {
-    match kind {
-        OrderKind::Fence => "fence".into(),
-        OrderKind::Load { model, version, .. } => format!("load {model}@{version}"),
-        OrderKind::Evict { model, version } => format!("evict {model}@{version}"),
-        OrderKind::LoadAdapter { adapter, version, .. } => format!("load +{adapter}@{version}"),
-        OrderKind::EvictAdapter { adapter, version, .. } => format!("evict +{adapter}@{version}"),
-        OrderKind::Role { role } => format!("role {role:?}"),
-    }
-}
