--- a/crates/load/src/decisions/serve.rs
+++ b/crates/load/src/decisions/serve.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use hgw_config::Urgency;
-use hgw_dispatch::{Decision, End, Job};
+use hgw_dispatch::{Decision, End, Job, Refusal};
 use hgw_types::{AttemptId, Tokens};
 
 use super::engine::{Emit, Run};
+use super::entry::USUAL_RETRY;
 use super::policy::Queueing;
 use super::requests::SHARED_BLOCKS;
 use super::world::{Event, LOCAL, Reply, STEP, World, index};
@@ -15,6 +16,8 @@
 const PROGRESS_EVERY: u32 = 20;
 /// What the entry node keeps of the deadline for the way back.
 const WAY_BACK: Duration = Duration::from_millis(4);
+/// Far enough for a queue to pay no heed to it.
+const NO_DEADLINE: Duration = Duration::from_secs(10);
 /// Requests that wait inside an upstream before a direct one is turned away.
 const INNER_LIMIT: usize = 32;
 
@@ -23,7 +26,7 @@
     pub(super) fn submit(&mut self, a: usize) {
         let attempt = self.attempts[a].clone();
         let (u, r) = (attempt.upstream, attempt.request);
-        if self.states[r].done || self.states[r].attempt != Some(a) {
+        if self.states[r].done.is_some() || self.states[r].attempt != Some(a) {
             return;
         }
         if !self.reaches(self.requests[r].domain, u) || !self.upstreams[u].engine.up {
@@ -43,12 +46,20 @@
             return self.start(a);
         }
         let job = self.job(a);
+        let waiting = self.upstreams[u].queue.load().urgent_waiting;
+        if job.urgency.is_urgent() && self.policy.urgent_limit.is_some_and(|n| waiting >= n) {
+            return self.answer(a, Reply::NotStarted(self.too_many(&job)));
+        }
         match self.upstreams[u].queue.submit(self.now, job) {
             Ok(()) => self.decide(u),
             Err(refusal) => self.answer(a, Reply::NotStarted(refusal)),
         }
     }
 
+    fn too_many(&self, job: &Job) -> Refusal {
+        if job.may_bounce { Refusal::Bounced } else { Refusal::Full { retry_after: USUAL_RETRY } }
+    }
+
     fn job(&self, a: usize) -> Job {
         let attempt = &self.attempts[a];
         let request = &self.requests[attempt.request];
@@ -57,7 +68,11 @@
             model: request.model.map(|m| self.deployment.model(m)),
             adapter: None,
             urgency: if request.urgent { Urgency::Urgent } else { Urgency::Deferrable },
-            deadline: request.deadline - WAY_BACK,
+            deadline: match self.policy.urgent_limit {
+                // Such a queue knows no deadlines; the caller gives up as under direct dispatch.
+                Some(_) => request.deadline + NO_DEADLINE,
+                None => request.deadline - WAY_BACK,
+            },
             prompt: Tokens(request.prompt),
             output: Tokens(request.asked.saturating_sub(attempt.base)),
             prefix: vec![request.prefix(); SHARED_BLOCKS as usize],
@@ -91,7 +106,6 @@
 
     pub(super) fn stop(&mut self, a: usize, why: Reply) {
         self.attempts[a].given_up = Some(why);
-        self.tally.given_up.insert(a, self.now);
         self.after(LOCAL, Event::Cancel(a));
     }
 
@@ -123,7 +137,6 @@
 
     pub(super) fn cancel(&mut self, a: usize) {
         let u = self.attempts[a].upstream;
-        self.tally.cancelled(a, self.now);
         if self.upstreams[u].engine.cancel(AttemptId { boot: 0, seq: a as u64 }) {
             self.after(LOCAL, Event::Ended(a, End::Cancelled));
         }
@@ -156,6 +169,9 @@
         let a = index(id);
         let (r, u) = (self.attempts[a].request, self.attempts[a].upstream);
         let way = LOCAL + self.way(self.requests[r].domain, u);
+        if let Some(done) = self.states[r].done {
+            self.tally.held(done, self.now);
+        }
         if self.attempts[a].given_up != Some(Reply::Abandoned) {
             let state = &mut self.states[r];
             state.got = self.attempts[a].base + count;
@@ -209,7 +225,7 @@
         for a in 0..self.attempts.len() {
             let attempt = &self.attempts[a];
             let r = attempt.request;
-            let live = !self.states[r].done && self.states[r].attempt == Some(a);
+            let live = self.states[r].done.is_none() && self.states[r].attempt == Some(a);
             if live && !self.reaches(self.requests[r].domain, attempt.upstream) {
                 self.stop(a, Reply::Abandoned);
                 let queue = &mut self.upstreams[self.attempts[a].upstream].queue;
