--- a/crates/hibiscusgw/tests/processes/main.rs
+++ b/crates/hibiscusgw/tests/processes/main.rs
@@ -1,6 +1,8 @@
 //! Nodes as real processes before the stand-ins: what must always hold, under failure.
 
 mod calls;
+mod configuration;
+mod intruders;
 mod leaving;
 mod memory;
 mod outage;
@@ -27,6 +29,8 @@
     )*};
 }
 
+/// Version of the configuration that a cluster starts with.
+const FIRST: u64 = 1;
 /// Tokens of an answer that takes long enough for something to happen in its middle.
 const LONG: u32 = 150;
 /// Tokens that have come when it happens.
@@ -71,3 +75,8 @@
 fn long_question() -> Question {
     Question::new("rules", "May the school hold cash over the summer?", LONG)
 }
+
+/// An address at which nothing listens.
+fn nowhere() -> std::net::SocketAddr {
+    ([127, 0, 0, 1], 9).into()
+}
