--- a/crates/load/src/run/mod.rs
+++ b/crates/load/src/run/mod.rs
@@ -43,7 +43,7 @@
     #[options(meta = "N", default = "60000")]
     pub requests: u64,
     /// Streams held open to measure memory.
-    #[options(meta = "N", default = "2000")]
+    #[options(meta = "N", default = "1000")]
     pub streams: usize,
     /// Requests at once.
     #[options(meta = "N", default = "64")]
