--- a/crates/hibiscusgw/tests/processes/calls.rs
+++ b/crates/hibiscusgw/tests/processes/calls.rs
@@ -4,17 +4,38 @@
 
 use hgw_standins::Faults;
 use hgw_standins::client::Whole;
-use hgw_standins::cluster::{Cluster, Node, Signal, wait};
+use hgw_standins::cluster::{Cluster, Node, Settings, Signal, wait};
 use http::{Method, StatusCode};
 
 use crate::{cases, fault, runs, settings, start};
 
+/// Shards of idempotency keys where the nodes' settings do not say.
+const KEY_SHARDS: usize = 8;
+
 /// A voucher that is to be printed once.
 fn print_voucher(node: &Node, name: &str) -> hgw_standins::cluster::Result<Whole> {
     let headers = [("idempotency-key", name), ("x-call", name)];
     node.plain(Method::POST, "/svc/caja-app/vouchers", &headers, "amount=1200")
 }
 
+/// Starts nodes that own all key shards between them. Before that a call is answered with "not run" at
+/// once, and a test that sends it only once would wait for a run that nobody began.
+fn start_owned(settings: Settings) -> Cluster {
+    let cluster = start(settings);
+    wait("every key shard has an owner", || owned_shards(&cluster) == KEY_SHARDS)
+        .expect("the nodes share the key shards out");
+    cluster
+}
+
+fn owned_shards(cluster: &Cluster) -> usize {
+    let owned = |node: &Node| -> usize {
+        let state = node.operator("state", &[]).expect("the node tells its state");
+        let state: serde_json::Value = serde_json::from_str(&state).expect("the state is JSON");
+        state["shards"].as_array().map_or(0, Vec::len)
+    };
+    cluster.nodes.iter().map(owned).sum()
+}
+
 /// Prints a voucher through a node until it is told that it ran.
 fn print_until_done(node: &Node, name: &str) -> Whole {
     let mut last = None;
@@ -70,7 +91,7 @@
 fn check_kill_during_call(killed: usize) {
     let mut settings = settings();
     settings.deployment.plain.delay = Duration::from_secs(2);
-    let mut cluster = start(settings);
+    let mut cluster = start_owned(settings);
     let other = (killed + 1) % cluster.nodes.len();
     let caller = cluster.nodes[other].caller().expect("a client");
     let sender = std::thread::spawn(move || {
@@ -109,7 +130,7 @@
 fn check_freeze_during_call(frozen: usize) {
     let mut settings = settings();
     settings.deployment.plain.delay = Duration::from_secs(2);
-    let cluster = start(settings);
+    let cluster = start_owned(settings);
     let other = (frozen + 1) % cluster.nodes.len();
     let caller = cluster.nodes[other].caller().expect("a client");
     let sender = std::thread::spawn(move || {
--- a/crates/standins/src/cluster/node.rs
+++ b/crates/standins/src/cluster/node.rs
@@ -160,7 +160,7 @@
     pub fn operator(&self, command: &str, arguments: &[&str]) -> Result<String> {
         let output = Command::new(&self.program)
             .arg(command)
-            .args(["--target", &self.addrs.operators.to_string()])
+            .args(["--operators", &self.addrs.operators.to_string()])
             .args(arguments)
             .env("HIBISCUSGW_OPERATOR_TOKEN", OPERATOR_TOKEN)
             .output()?;
