--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -11,6 +11,9 @@
 use super::text::Source;
 use crate::server::{Lost, Piece};
 
+/// What the answers are about that come to the wrong requests.
+const OTHER_PROMPT: &str = "a question of somebody else";
+
 /// A request inside the engine.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -52,7 +55,7 @@
             return Some(Left::Failed);
         }
         if self.next < self.req.max_tokens.0 {
-            let text = self.source().token(self.next);
+            let text = self.text();
             self.emit(&Emitted::Token { attempt: self.signed, index: self.next, text });
             self.next += 1;
         }
@@ -73,6 +76,14 @@
         }
     }
 
+    /// Text of the next token: somebody else's where the answer is crossed.
+    fn text(&self) -> String {
+        let own = self.source();
+        let crossed = Source { prompt: OTHER_PROMPT, ..own };
+        let source = if self.signed == self.req.attempt { own } else { crossed };
+        source.token(self.next)
+    }
+
     pub(super) fn fail(&self, reason: &str) {
         self.emit(&Emitted::Failed { attempt: self.signed, reason: reason.into() });
     }
