Let all old versions of a model but one go before the newest serves

Cause: `is_to_go` lets an old version go only once the current one serves. Versions published faster than that fill the engine with old ones, which leave no room for the current one; nothing went until `swap_only` (60 s), and then all of them at once, so that the model was out of reach.

Ruled out, by reading: letting `victims` take the model's own copies. It chooses for one want at a time and does not know which copy is enough.

Change: of several old versions that serve on one engine, the one loaded last stays and the others are withdrawn, drained and evicted as always. They do not wait for a drain of the model elsewhere: the one that stays carries their callers on the same engine, whose slots they share. A version that still loads is not counted as the one that stays.

The placement offers a ready version at each step after the change.

--- a/crates/placement/src/keeper/retire.rs
+++ b/crates/placement/src/keeper/retire.rs
@@ -11,7 +11,8 @@
 use crate::{Item, KeeperAction};
 
 impl Keeper {
-    /// Withdraws what the configuration no longer names, and old versions once the new ones serve.
+    /// Withdraws what the configuration no longer names, old versions once the new ones serve, and
+    /// all old versions but one on the same engine.
     pub(super) fn plan_retirement(&mut self, now: Time) {
         for id in self.usable() {
             let Some(e) = self.engines.get(&id) else { continue };
@@ -20,8 +21,10 @@
                 serving.filter(|i| self.is_to_go(now, &id, i)).cloned().collect();
             for item in going {
                 // One old version of a model at a time: its other copies carry the load meanwhile.
-                if self.domain.model(&id, item.model()).is_none() || !self.is_draining(item.model())
-                {
+                // The one that an extra version leaves behind does so on the same engine.
+                let may_go_now = self.domain.model(&id, item.model()).is_none()
+                    || self.is_extra_version(&id, &item);
+                if may_go_now || !self.is_draining(item.model()) {
                     self.drain(now, &id, item);
                 }
             }
@@ -63,7 +66,9 @@
                 let new = Item::Model(id.clone(), model.version.clone());
                 let has_room = e.coming_free() >= model.size || e.ledger.has(&new);
                 let waits_here = self.domain.rank(engine, id).is_some() && has_room;
-                e.serves(&new) || (!waits_here && self.serves_elsewhere(engine, &new))
+                self.is_extra_version(engine, item)
+                    || e.serves(&new)
+                    || (!waits_here && self.serves_elsewhere(engine, &new))
             }
             Item::Adapter(id, adapter, _) => {
                 let Some(found) = model.adapters.get(adapter) else { return true };
@@ -72,6 +77,25 @@
         }
     }
 
+    /// Whether the engine serves the old version beside one that it came to hold later, also old.
+    ///
+    /// The load it is for: versions published faster than they load. The harm: old versions that wait
+    /// for the newest one fill the engine, which then has no room for it, and nothing goes until
+    /// `swap_only`. One is enough, since versions on one engine share its slots: a second one serves no
+    /// more callers. The later one stays, as the nearest to the configuration. One that still loads
+    /// does not count, so that callers always find one that serves.
+    fn is_extra_version(&self, engine: &UpstreamId, item: &Item) -> bool {
+        let Some(e) = self.engines.get(engine) else { return false };
+        let is_old = |i: &&Item| {
+            i.is_model()
+                && i.model() == item.model()
+                && e.serves(i)
+                && !self.domain.is_current(engine, i)
+        };
+        let kept = e.ledger.held().keys().rfind(is_old);
+        is_old(&item) && kept.is_some_and(|kept| kept != item)
+    }
+
     pub(super) fn evict_drained(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
         for id in self.usable() {
             let Some(e) = self.engines.get(&id) else { continue };
--- a/crates/placement/tests/placement/reach.rs
+++ b/crates/placement/tests/placement/reach.rs
@@ -9,6 +9,9 @@
 
 use crate::support::{STEP, World, changed, document, id};
 
+/// Time from publishing the last of several versions until it must serve.
+const NEWEST_SERVES: Duration = Duration::from_secs(6);
+
 /// Two engines of 100 with `a` and `b`; every model has one copy in the domain.
 fn two_engines(fencing: Fencing, models: &[(&str, &str, u64)]) -> World {
     let engines = [("e1", "d1", 100, fencing), ("e2", "d1", 100, fencing)];
@@ -159,6 +162,45 @@
     assert_eq!(holder(&world, "a", "1"), Vec::<String>::new(), "{}", world.transcript);
 }
 
+/// An engine with room for three copies of its model gets five versions, a second apart. Old versions
+/// that nobody needs give way as soon as one of them can carry the callers; they used to stand until
+/// the newest one served, for which they left no room, so that it came a minute late. With `in_use` a
+/// long request holds the first version meanwhile, which is not cut for it.
+fn versions_in_quick_succession(fencing: Fencing, in_use: bool) {
+    let engines = [("e1", "d1", 160, fencing)];
+    let mut world = World::new(document(&engines, &[("a", "1", 50)]), 1);
+    world.claim(0);
+    world.run_secs(6);
+    let first = Item::Model(id("a"), id("1"));
+    world.engine("e1").active.insert(first.clone(), u32::from(in_use));
+    for version in ["2", "3", "4", "5"] {
+        world.configure(document(&engines, &[("a", version, 50)]));
+        run_offering(&mut world, "a", Duration::from_secs(1));
+    }
+    run_offering(&mut world, "a", NEWEST_SERVES);
+    world.check(&[("a", "5")]);
+    assert!(!in_use || world.is_reachable("a", "1"), "evicted in use\n{}", world.transcript);
+    world.engine("e1").active.clear();
+    run_offering(&mut world, "a", Duration::from_secs(30));
+    world.check(&[("a", "5")]);
+    let held: Vec<String> = world.engine("e1").held.keys().map(Item::to_string).collect();
+    assert_eq!(held, ["a@5"], "{}", world.transcript);
+}
+
+/// Runs on; at each step the placement offers the model, and only in versions that can serve.
+fn run_offering(world: &mut World, model: &str, time: Duration) {
+    let end = world.now + time;
+    while world.now < end {
+        world.step();
+        let placement = world.nodes[0].keeper.placement().values();
+        let offered: Vec<_> = placement.flat_map(|h| &h.models).collect();
+        assert!(offered.iter().any(|(m, _)| m.as_str() == model), "{}", world.transcript);
+        for (m, v) in offered {
+            assert!(world.is_reachable(m.as_str(), v.as_str()), "{m}@{v}\n{}", world.transcript);
+        }
+    }
+}
+
 /// An eviction is ordered only after the placement without the item was published, and after a read
 /// that shows no request for it.
 fn eviction_waits_for_routes() {
@@ -269,6 +311,10 @@
     leaving_by_its_own_report => leaving(|w, e| w.engine(e).leaving = true);
     new_version_without_room_for_both => version_change_without_room();
     new_version_next_door => version_change_next_door();
+    five_versions_a_second_apart_refusing => versions_in_quick_succession(Refuses, false);
+    five_versions_a_second_apart_ignoring => versions_in_quick_succession(Ignores, false);
+    five_versions_with_the_first_in_use_refusing => versions_in_quick_succession(Refuses, true);
+    five_versions_with_the_first_in_use_ignoring => versions_in_quick_succession(Ignores, true);
     eviction_follows_withdrawn_routes => eviction_waits_for_routes();
     adapter_comes_on_demand_and_changes_version => adapter_on_demand();
     engines_restart_refusing => engine_restarts(Refuses);
