Settle the intents of engines that left, after the late bound

Cause: a keeper settles an intent by its engine's ledger. Under the keeper that saw the engine leave, an order lost after that counted without end, as the bound was looked up in the new configuration.

Ruled out: the longest bound that a configuration may state.

Change: an intent holds the bound that it was recorded under; without a ledger it is settled after the wait of any successor by that bound. A keeper goes on with the last bound stated for an engine that leaves under it. An intent of before, without a bound, is kept as it was.

--- a/crates/placement/src/api.rs
+++ b/crates/placement/src/api.rs
@@ -29,6 +29,10 @@
         order: RecordId,
         /// The order.
         kind: OrderKind,
+        /// The engine's bound for late orders when this was recorded, in milliseconds: it bounds the
+        /// order also where the engine has left the configuration. Without end where it is not given.
+        #[serde(default = "no_bound")]
+        late_order_ms: u64,
     },
     /// Orders that can have no effect any more, seen done or refused by the engine itself.
     Settled {
@@ -37,6 +41,10 @@
     },
 }
 
+fn no_bound() -> u64 {
+    u64::MAX
+}
+
 /// Answer to an order, or its loss.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OrderResult {
--- a/crates/placement/src/keeper/domain.rs
+++ b/crates/placement/src/keeper/domain.rs
@@ -1,5 +1,4 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use hgw_config::{Document, Fencing, Model, ServiceKind, Upstream};
 use hgw_types::{DomainId, MemSize, ModelId, Offset, UpstreamId};
@@ -85,11 +84,6 @@
         self.upstream(engine).is_some_and(|u| u.fencing == Fencing::Refuses)
     }
 
-    /// The operator's bound for late orders to this engine.
-    pub(super) fn late(&self, engine: &UpstreamId) -> Duration {
-        self.upstream(engine).map_or(Duration::MAX, |u| Duration::from_millis(u.late_order_ms))
-    }
-
     /// The model as the engine's service has it.
     pub(super) fn model(&self, engine: &UpstreamId, model: &ModelId) -> Option<&Model> {
         let service = &self.upstream(engine)?.service;
--- a/crates/placement/src/keeper/engine.rs
+++ b/crates/placement/src/keeper/engine.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use hgw_config::{Fencing, Upstream};
 use hgw_types::{MemSize, RecordId, Term, Time};
 use hgw_wire::upstream::EngineState;
@@ -32,6 +34,9 @@
     pub(super) phase: Phase,
     /// Whether it is configured to refuse old fencing numbers.
     fenced: bool,
+    /// The operator's bound for late orders; the last one stated where the engine has left the
+    /// configuration.
+    pub(super) late: Duration,
     /// Whether the configuration still names it for this domain.
     pub(super) configured: bool,
     /// When the read under way was asked for.
@@ -53,6 +58,7 @@
             ledger: Ledger::new(upstream.memory),
             phase: Phase::first(now, upstream.fencing),
             fenced: upstream.fencing == Fencing::Refuses,
+            late: Duration::from_millis(upstream.late_order_ms),
             configured: true,
             asking: None,
             next_ask: now,
@@ -71,6 +77,7 @@
             self.phase = Phase::Fence(now);
         }
         self.fenced = upstream.fencing == Fencing::Refuses;
+        self.late = Duration::from_millis(upstream.late_order_ms);
     }
 
     /// Whether its memory is counted and it answers.
@@ -170,7 +177,7 @@
         match fencing {
             Fencing::Refuses => Phase::Fence(now),
             // Asked at `now` or later; the state must be asked for after the claim was read.
-            Fencing::Ignores => Phase::Read(now - std::time::Duration::from_micros(1)),
+            Fencing::Ignores => Phase::Read(now - Duration::from_micros(1)),
         }
     }
 }
--- a/crates/placement/src/keeper/intents.rs
+++ b/crates/placement/src/keeper/intents.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use hgw_types::{RecordId, UpstreamId};
 use hgw_wire::upstream::OrderKind;
 use indexmap::IndexMap;
@@ -33,10 +35,12 @@
         self.open.values().cloned().collect()
     }
 
-    /// The orders and their engines.
-    pub(super) fn orders(&self) -> impl Iterator<Item = (RecordId, &UpstreamId)> {
+    /// The orders, with their engines and the bounds for late orders that they were recorded under.
+    pub(super) fn orders(&self) -> impl Iterator<Item = (RecordId, &UpstreamId, Duration)> {
         self.open.values().filter_map(|entry| match entry {
-            KeeperEntry::Intent { upstream, order, .. } => Some((*order, upstream)),
+            KeeperEntry::Intent { upstream, order, late_order_ms, .. } => {
+                Some((*order, upstream, Duration::from_millis(*late_order_ms)))
+            }
             KeeperEntry::Settled { .. } => None,
         })
     }
--- a/crates/placement/src/keeper/mod.rs
+++ b/crates/placement/src/keeper/mod.rs
@@ -216,7 +216,7 @@
                 continue;
             }
             let mut engine = Engine::new(now, upstream);
-            let dead_at = self.gained + settings::successor_wait(self.domain.late(id));
+            let dead_at = self.gained + settings::successor_wait(engine.late);
             for (order, kind) in self.intents.of(id) {
                 engine.ledger.inherit(order, &kind, dead_at);
             }
--- a/crates/placement/src/keeper/orders.rs
+++ b/crates/placement/src/keeper/orders.rs
@@ -7,9 +7,12 @@
 //!
 //! An order is repeated under its own id, which an engine carries out once.
 
+use std::time::Duration;
+
 use hgw_types::{RecordId, Time, UpstreamId};
 use hgw_wire::upstream::{Order, OrderKind, OrderOutcome};
 
+use super::settings::successor_wait;
 use super::{Keeper, SEND_WINDOW};
 use crate::{Item, KeeperAction, KeeperEntry, OrderResult, ReserveError};
 
@@ -86,9 +89,8 @@
             self.send_unrecorded(now, engine, order, kind, out);
             return;
         }
-        let dead_at = now + SEND_WINDOW + self.domain.late(engine);
         if let Some(e) = self.engines.get_mut(engine) {
-            e.ledger.renew(order, dead_at);
+            e.ledger.renew(order, now + SEND_WINDOW + e.late);
         }
         let record = self.next_id();
         self.record_intent(now, engine, order, record, kind, out);
@@ -103,8 +105,9 @@
         kind: OrderKind,
         out: &mut Vec<KeeperAction>,
     ) {
-        let known = self.engines.get(engine).and_then(|e| e.ledger.generation());
-        let (upstream, generation) = (engine.clone(), known.unwrap_or_default());
+        let Some(e) = self.engines.get(engine) else { return };
+        let late_order_ms = u64::try_from(e.late.as_millis()).unwrap_or(u64::MAX);
+        let (upstream, generation) = (engine.clone(), e.ledger.generation().unwrap_or_default());
         let flight = Flight {
             upstream: upstream.clone(),
             kind: kind.clone(),
@@ -113,7 +116,7 @@
             until: Some(now + SEND_WINDOW),
         };
         self.flights.insert(order, flight);
-        let entry = KeeperEntry::Intent { upstream, generation, order, kind };
+        let entry = KeeperEntry::Intent { upstream, generation, order, kind, late_order_ms };
         out.push(KeeperAction::Record { id: record, entry });
     }
 
@@ -192,9 +195,8 @@
             return;
         }
         flight.stage = Stage::Again(now + self.settings.retry);
-        let late = self.domain.late(&engine);
         if let Some(e) = self.engines.get_mut(&engine) {
-            e.ledger.answered(now, id, result, late);
+            e.ledger.answered(now, id, result, e.late);
             match result {
                 OrderResult::Answered(outcome) => {
                     if *outcome != OrderOutcome::Done {
@@ -240,17 +242,24 @@
     }
 
     /// Frees what can no longer take effect, and has it recorded where an intent is open.
+    ///
+    /// An engine that left the configuration before this term has no ledger, and nothing will be heard
+    /// of it. Its intents would stay in every snapshot; they go after the wait of any successor, by the
+    /// bound that they were recorded under. If the engine comes back before, they count.
     pub(super) fn close_orders(&mut self, now: Time, out: &mut Vec<KeeperAction>) {
         self.engines.values_mut().for_each(|e| e.ledger.expire(now));
         if self.settling.is_some() || !self.log_up {
             return;
         }
-        let is_over = |order: RecordId, engine: &UpstreamId| {
-            let ledger = self.engines.get(engine).map(|e| &e.ledger);
-            ledger.is_some_and(|l| !l.is_open(order)) && !self.flights.contains_key(&order)
+        let is_over = |order: RecordId, engine: &UpstreamId, late: Duration| {
+            let Some(e) = self.engines.get(engine) else {
+                return now >= self.gained + successor_wait(late);
+            };
+            !e.ledger.is_open(order) && !self.flights.contains_key(&order)
         };
-        let over = self.intents.orders().filter(|(order, engine)| is_over(*order, engine));
-        let orders: Vec<RecordId> = over.map(|(order, _)| order).collect();
+        let over =
+            self.intents.orders().filter(|(order, engine, late)| is_over(*order, engine, *late));
+        let orders: Vec<RecordId> = over.map(|(order, ..)| order).collect();
         if orders.is_empty() {
             return;
         }
--- a/crates/placement/tests/placement/memory.rs
+++ b/crates/placement/tests/placement/memory.rs
@@ -8,13 +8,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use hgw_config::Fencing::{self, Ignores, Refuses};
-use hgw_placement::Item;
-use hgw_types::Time;
+use hgw_placement::{Item, KeeperEntry, SEND_WINDOW};
+use hgw_types::{Generation, MemSize, RecordId, Time};
 
 use crate::support::{Fault, STEP, World, changed, document, id};
 
 const ROOM: u64 = 100;
+/// The bound for late orders of the tests' engines.
+const LATE_ORDER: Duration = Duration::from_secs(20);
 
 /// The scene up to A's order of `a`, which meets `fault`.
 fn ordered(fencing: Fencing, fault: Fault) -> World {
@@ -229,6 +232,54 @@
     Duration::from_secs(n)
 }
 
+/// A's order of `a` meets `fault`, and then `e1` leaves the configuration, with or without a takeover.
+/// Its intent is kept as long as the order may take effect, and is then settled: otherwise each engine
+/// that ever left would stay in every snapshot.
+fn intent_of_a_removed_engine(fault: Fault, takeover: bool) {
+    let mut world = ordered(Ignores, fault);
+    world.configure(document(&[], &[]));
+    let keeper = usize::from(takeover);
+    let mut kept = LATE_ORDER;
+    if takeover {
+        world.claim(keeper);
+        kept += SEND_WINDOW;
+    }
+    world.run(kept);
+    assert_eq!(world.open_intents(keeper), 1, "{}", world.transcript);
+    world.run_secs(2);
+    assert_eq!(world.open_intents(keeper), 0, "{}", world.transcript);
+    world.check(&[]);
+}
+
+/// `e1` leaves the configuration with A's late order of `a` on its way, B takes over, and `e1` comes
+/// back for `b` after `secs`, before or after the order: B has not forgotten it in between.
+fn removed_engine_comes_back(secs: u64) {
+    let mut world = ordered(Ignores, Fault::Late(Duration::from_secs(19)));
+    world.configure(document(&[], &[]));
+    world.claim(1);
+    world.run_secs(secs);
+    world.configure(document(&[("e1", "d1", ROOM, Ignores)], &[("b", "1", 60)]));
+    world.run_secs(90);
+    world.check(&[("b", "1")]);
+    assert_eq!(world.open_intents(1), 0, "{}", world.transcript);
+}
+
+/// An intent recorded before intents held the bound is kept for good, since nothing tells how long it
+/// counts.
+fn intent_without_its_bound() {
+    let entry = KeeperEntry::Intent {
+        upstream: id("e1"),
+        generation: Generation(1),
+        order: RecordId { boot: 1, seq: 1 },
+        kind: Item::Model(id("a"), id("1")).load(MemSize(60)),
+        late_order_ms: 20_000,
+    };
+    let mut old = serde_json::to_value(&entry).expect("an entry");
+    old["Intent"].as_object_mut().expect("an intent").remove("late_order_ms");
+    let read: KeeperEntry = serde_json::from_value(old).expect("an entry of before");
+    assert_matches!(read, KeeperEntry::Intent { late_order_ms: u64::MAX, .. });
+}
+
 cases! {
     load_lost_then_takeover_refusing => fault_then_takeover(Refuses, Fault::Lost);
     load_lost_then_takeover_ignoring => fault_then_takeover(Ignores, Fault::Lost);
@@ -263,6 +314,14 @@
     two_at_once_version_change_and_takeover_ignoring
         => version_change(Ignores, true, Fault::Late(secs(4)));
     found_more_reserved_than_there_is => more_reserved_than_there_is();
+    intent_of_a_removed_engine_stays_until_its_bound
+        => intent_of_a_removed_engine(Fault::Lost, false);
+    intent_of_a_removed_engine_stays_until_its_bound_over_a_takeover
+        => intent_of_a_removed_engine(Fault::Lost, true);
+    intent_without_its_bound_is_kept => intent_without_its_bound();
+    removed_engine_comes_back_before_a_late_order => removed_engine_comes_back(5);
+    removed_engine_comes_back_after_a_late_order => removed_engine_comes_back(25);
+    removed_engine_comes_back_after_its_bound => removed_engine_comes_back(40);
     repeated_order_counts_anew => repeated_order_is_counted_anew();
     adapter_late_then_takeover_refusing => late_adapter(Refuses);
     adapter_late_then_takeover_ignoring => late_adapter(Ignores);
--- a/crates/placement/tests/placement/support/world.rs
+++ b/crates/placement/tests/placement/support/world.rs
@@ -343,7 +343,11 @@
             .collect()
     }
 
-    /// Whether some engine that is up holds a version of the model ready.
+    /// Open intents in a snapshot that the node would take now.
+    pub(crate) fn open_intents(&self, node: usize) -> usize {
+        self.nodes[node].keeper.snapshot().len()
+    }
+
     /// Fails with the whole session where memory was overcommitted or `models` are not reachable.
     pub(crate) fn check(&self, models: &[(&str, &str)]) {
         let session = &self.transcript;
@@ -356,6 +360,7 @@
         }
     }
 
+    /// Whether some engine that is up holds a version of the model ready.
     pub(crate) fn is_reachable(&self, model: &str, version: &str) -> bool {
         let item = Item::Model(id(model), id(version));
         let holds = |e: &FakeEngine| e.up && e.held.get(&item).is_some_and(|(_, t)| *t <= self.now);
