Let only members that all domains know take claims that span domains

Cause: a node knows all members of its own failure domain and four of each other one, but ranked all that it knew for the key shards and the planners. Each domain so named a first node that the others did not know and took for dead, and they claimed the scopes from each other for ever.

Change: the claims that span domains are ranked over the representatives of each domain, which all nodes see alike; the planner's scope is claimed by its first three candidates only.

The new test fails before and passes after.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -82,6 +82,18 @@
         me.into_iter().chain(others.map(|known| &known.member))
     }
 
+    /// The live members of a domain that the other domains know too.
+    ///
+    /// All nodes that see the same members alive name the same ones, whichever domain they are in.
+    /// What more than one domain must agree on is left to them: a node of another domain cannot tell
+    /// whether any other member lives.
+    pub fn representatives(&self, domain: &DomainId) -> Vec<&Member> {
+        let live: IndexMap<&NodeId, &Member> = self.live(domain).map(|m| (&m.node, m)).collect();
+        let mut order = rank::order(domain.as_str().as_bytes(), live.keys().copied());
+        order.truncate(self.cfg.representatives);
+        order.iter().map(|node| live[node]).collect()
+    }
+
     /// Whether a node counts as alive; one that is leaving does not.
     pub fn is_alive(&self, node: &NodeId) -> bool {
         if *node == self.me.node {
@@ -328,14 +340,12 @@
     /// Other domains know a few members of each one, always the same ones while they live, so that
     /// they need not hear of all.
     fn is_representative(&self) -> bool {
-        self.representatives().contains(&self.me.node)
+        self.own_representatives().contains(&self.me.node)
     }
 
-    fn representatives(&self) -> Vec<NodeId> {
-        let own = self.live(&self.me.domain).map(|member| &member.node);
-        let mut order = rank::order(self.me.domain.as_str().as_bytes(), own);
-        order.truncate(self.cfg.representatives);
-        order
+    fn own_representatives(&self) -> Vec<NodeId> {
+        let own = self.representatives(&self.me.domain);
+        own.into_iter().map(|member| member.node.clone()).collect()
     }
 
     fn my_beat(&self) -> Beat {
@@ -346,7 +356,7 @@
     fn beats_for(&mut self, to: &Member) -> Vec<Beat> {
         let mut beats = vec![self.my_beat()];
         let near = to.domain == self.me.domain;
-        let representatives = if near { Vec::new() } else { self.representatives() };
+        let representatives = if near { Vec::new() } else { self.own_representatives() };
         let fits = |known: &&mut Known| {
             let shown = near || representatives.contains(&known.member.node);
             shown && known.is_told() && known.member.node != to.node
@@ -364,7 +374,7 @@
     fn pulses_for(&self, now: Time, to: &Member) -> Vec<Pulse> {
         let own = self.me.domain.clone();
         let near = to.domain == own;
-        let representatives = if near { Vec::new() } else { self.representatives() };
+        let representatives = if near { Vec::new() } else { self.own_representatives() };
         let ours = |known: &Known| {
             known.member.domain == own && (near || representatives.contains(&known.member.node))
         };
--- a/crates/membership/tests/liveness.rs
+++ b/crates/membership/tests/liveness.rs
@@ -39,6 +39,22 @@
     death_among_400 => death_is_noticed(400, 6);
     leaving_among_8 => leaving_is_noticed(8, 4);
     leaving_among_400 => leaving_is_noticed(400, 6);
+    representatives_of_8 => representatives_are_agreed(8, 4);
+}
+
+/// While nobody comes or goes, members of all domains name the same representatives of each one.
+fn representatives_are_agreed(total: usize, domains: usize) {
+    let mut world = World::new(total, domains, 4);
+    world.run(120 * SECOND);
+    for other in &world.nodes {
+        let domain = &other.member.domain;
+        let wanted = other.membership.representatives(domain);
+        assert!(!wanted.is_empty(), "{domain} has no representative");
+        for node in &world.nodes {
+            let named = node.membership.representatives(domain);
+            assert_eq!(named, wanted, "{domain} as {} sees it", node.member.node);
+        }
+    }
 }
 
 fn traffic_fits(total: usize, domains: usize) {
--- a/crates/node/src/members/mod.rs
+++ b/crates/node/src/members/mod.rs
@@ -6,7 +6,7 @@
 use hgw_types::{DomainId, NodeId, Offset};
 use hgw_wire::peer::{Heartbeat, MemberBeat, Message, PULSE_UNIT};
 use hgw_wire::platform::VmList;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::context::Context;
 use crate::{Action, MemberStatus, Settings};
@@ -17,6 +17,8 @@
     me: Member,
     membership: Membership,
     versions: IndexMap<NodeId, Offset>,
+    /// Members that all failure domains know; looked up several times in each review.
+    representatives: Vec<Member>,
 }
 
 impl Members {
@@ -28,7 +30,8 @@
         };
         let membership =
             Membership::new(hgw_membership::Settings::default(), me.clone(), settings.boot);
-        Members { me, membership, versions: IndexMap::new() }
+        let representatives = vec![me.clone()];
+        Members { me, membership, versions: IndexMap::new(), representatives }
     }
 
     /// The live node of `domain` that comes first for `key`.
@@ -36,9 +39,13 @@
         rank::first(key.as_bytes(), self.membership.live(domain).map(|m| &m.node))
     }
 
-    /// The live node that comes first for `key`, of all failure domains.
+    /// The live node that comes first for `key`, of those that all failure domains know.
+    ///
+    /// A node knows all members of its own domain and a few of each other one. Were all that it knows
+    /// ranked, each domain would name a first node of its own that the others do not know and take for
+    /// dead, and they would claim the scope from each other for ever.
     pub(crate) fn first_of_all(&self, key: &str) -> Option<NodeId> {
-        rank::first(key.as_bytes(), self.membership.all_live().map(|m| &m.node))
+        rank::first(key.as_bytes(), self.representatives.iter().map(|m| &m.node))
     }
 
     /// The live nodes of `domain`, the one that comes first for `key` first.
@@ -46,12 +53,21 @@
         rank::order(key.as_bytes(), self.membership.live(domain).map(|m| &m.node))
     }
 
-    /// The live nodes of all failure domains, the one that comes first for `key` first.
+    /// As [`Members::first_of_all`], with the ones that come next.
     pub(crate) fn order_of_all(&self, key: &str) -> Vec<NodeId> {
-        rank::order(key.as_bytes(), self.membership.all_live().map(|m| &m.node))
+        rank::order(key.as_bytes(), self.representatives.iter().map(|m| &m.node))
     }
 
-    /// This node's place among all live nodes for `key`, from 0.
+    /// The live nodes of `domain` that all failure domains know.
+    pub(crate) fn representatives<'a>(
+        &'a self,
+        domain: &'a DomainId,
+    ) -> impl Iterator<Item = &'a NodeId> {
+        self.representatives.iter().filter(|m| m.domain == *domain).map(|m| &m.node)
+    }
+
+    /// This node's place for `key` among the live nodes that all know, from 0; the last one for a
+    /// node that is not among them.
     pub(crate) fn rank_of_all(&self, key: &str) -> u32 {
         let order = self.order_of_all(key);
         let place = order.iter().position(|n| *n == self.me.node).unwrap_or(order.len());
@@ -172,10 +188,22 @@
         self.handle(cx, config, MemberEvent::Leave)
     }
 
+    fn choose_representatives(&mut self) {
+        let live = self.membership.all_live();
+        let domains: IndexSet<&DomainId> = live.map(|m| &m.domain).collect();
+        let chosen = domains.into_iter().flat_map(|d| self.membership.representatives(d));
+        self.representatives = chosen.cloned().collect();
+    }
+
     fn handle(&mut self, cx: &mut Context<'_>, config: Offset, event: MemberEvent) -> Vec<Change> {
         let mut acts = Vec::new();
+        let leaves = matches!(event, MemberEvent::Leave);
         self.membership.handle(cx.now, event, &mut acts);
         let mut changes = Vec::new();
+        let stays = |act: &MemberAction| matches!(act, MemberAction::Send { .. });
+        if leaves || !acts.iter().all(stays) {
+            self.choose_representatives();
+        }
         for act in acts {
             match act {
                 MemberAction::Send { to, beats, pulses, ask } => {
--- a/crates/node/src/planner/mod.rs
+++ b/crates/node/src/planner/mod.rs
@@ -12,6 +12,10 @@
 use crate::view::View;
 use crate::{PlatformError, ReadOutcome};
 
+/// Nodes that may claim a region's scope. Were all nodes to, a cut would have each of them append a
+/// claim.
+const CANDIDATES: usize = 3;
+
 /// This node's part in planning one region. Every node reads the floors of all regions; only nodes of
 /// the region itself claim its scope.
 #[derive(Debug)]
@@ -80,8 +84,11 @@
         view: &View<'_>,
         version: Offset,
     ) -> Option<Floor> {
-        let preferred = self.is_preferred(view);
-        let acts = self.scope.review(cx, preferred, |n| view.members.is_alive(n));
+        let order = self.candidates(view);
+        let candidate = order.iter().take(CANDIDATES).any(|n| n == view.me);
+        let preferred = order.first() == Some(view.me);
+        // Whoever is no candidate leaves the scope alone, as if its holder lived.
+        let acts = self.scope.review(cx, preferred, |n| !candidate || view.members.is_alive(n));
         let changed = self.take(cx, acts);
         if self.is_held() && version != Offset(0) {
             return self.plan(cx, version, view.document).or(changed);
@@ -89,17 +96,14 @@
         changed
     }
 
-    /// Whether this node comes first among the live nodes of the region.
-    fn is_preferred(&self, view: &View<'_>) -> bool {
+    /// The live nodes that may plan the region, the one that should first.
+    fn candidates(&self, view: &View<'_>) -> Vec<NodeId> {
         let in_region =
             |d: &DomainId| view.document.domains.get(d).is_some_and(|d| d.region == self.region);
-        if !in_region(view.domain) {
-            return false;
-        }
         let domains = view.document.domains.keys().filter(|d| in_region(d));
-        let nodes = domains.flat_map(|d| view.members.live_in(d));
+        let nodes = domains.flat_map(|d| view.members.representatives(d));
         let key = Scope::planner(&self.region);
-        hgw_membership::rank::first(key.as_str().as_bytes(), nodes).as_ref() == Some(view.me)
+        hgw_membership::rank::order(key.as_str().as_bytes(), nodes)
     }
 
     /// Proposes a floor when the configuration or the set of lost engines has changed. Load does not
