--- a/crates/membership/src/membership/heartbeat.rs
+++ b/crates/membership/src/membership/heartbeat.rs
@@ -11,7 +11,7 @@
 
 use super::Membership;
 use crate::known::Known;
-use crate::{Beat, Member, Pulse, rank};
+use crate::{Beat, Member, Pulse};
 
 /// Members besides this one in a small domain.
 const FEW: usize = 8;
@@ -78,14 +78,12 @@
     /// Other domains know a few members of each one, always the same ones while they live, so that
     /// they need not hear of all.
     fn is_representative(&self) -> bool {
-        self.representatives().contains(&self.me.node)
+        self.own_representatives().contains(&self.me.node)
     }
 
-    fn representatives(&self) -> Vec<NodeId> {
-        let own = self.live(&self.me.domain).map(|member| &member.node);
-        let mut order = rank::order(self.me.domain.as_str().as_bytes(), own);
-        order.truncate(self.cfg.representatives);
-        order
+    fn own_representatives(&self) -> Vec<NodeId> {
+        let own = self.representatives(&self.me.domain);
+        own.into_iter().map(|member| member.node.clone()).collect()
     }
 
     pub(super) fn my_beat(&self) -> Beat {
@@ -96,7 +94,7 @@
     pub(super) fn beats_for(&mut self, to: &Member) -> Vec<Beat> {
         let mut beats = vec![self.my_beat()];
         let near = to.domain == self.me.domain;
-        let representatives = if near { Vec::new() } else { self.representatives() };
+        let representatives = if near { Vec::new() } else { self.own_representatives() };
         let fits = |known: &&mut Known| {
             let shown = near || representatives.contains(&known.member.node);
             shown && known.is_told() && known.member.node != to.node
@@ -114,7 +112,7 @@
     pub(super) fn pulses_for(&self, now: Time, to: &Member) -> Vec<Pulse> {
         let own = self.me.domain.clone();
         let near = to.domain == own;
-        let representatives = if near { Vec::new() } else { self.representatives() };
+        let representatives = if near { Vec::new() } else { self.own_representatives() };
         let ours = |known: &Known| {
             known.member.domain == own && (near || representatives.contains(&known.member.node))
         };
--- a/crates/membership/src/membership/mod.rs
+++ b/crates/membership/src/membership/mod.rs
@@ -75,6 +75,18 @@
         me.into_iter().chain(others.map(|known| &known.member))
     }
 
+    /// The live members of a domain that the other domains know too.
+    ///
+    /// All nodes that see the same members alive name the same ones, whichever domain they are in.
+    /// What more than one domain must agree on is left to them: a node of another domain cannot tell
+    /// whether any other member lives.
+    pub fn representatives(&self, domain: &DomainId) -> Vec<&Member> {
+        let live: IndexMap<&NodeId, &Member> = self.live(domain).map(|m| (&m.node, m)).collect();
+        let mut order = crate::rank::order(domain.as_str().as_bytes(), live.keys().copied());
+        order.truncate(self.cfg.representatives);
+        order.iter().map(|node| live[node]).collect()
+    }
+
     /// Whether a node counts as alive; one that is leaving does not.
     pub fn is_alive(&self, node: &NodeId) -> bool {
         if *node == self.me.node {
