Split the dispatcher by duty; follow changed slots; drop queues that are another node's

Cause: a queue stayed with a node that no longer answered for its upstream, which went on asking for load reports for good; changed slots reached only new queues.

--- a/crates/dispatch/src/queue/mod.rs
+++ b/crates/dispatch/src/queue/mod.rs
@@ -172,6 +172,12 @@
         self.foreign.peak = self.running.len() as u32;
     }
 
+    /// The upstream works on this many requests at once from now on. What is running beyond that ends
+    /// as it would.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.settings.slots = slots;
+    }
+
     /// Whether the upstream is to get new work. Running work is left to end.
     pub fn set_leaving(&mut self, leaving: bool) {
         self.leaving = leaving;
--- a/crates/dispatch/tests/queue.rs
+++ b/crates/dispatch/tests/queue.rs
@@ -71,6 +71,15 @@
     assert_eq!(bounced, Err(Refusal::Bounced));
 }
 
+fn more_slots_take_more_work() {
+    let mut q = queue(1);
+    q.submit(ms(0), urgent(1, 600)).unwrap();
+    q.submit(ms(0), urgent(2, 9000)).unwrap();
+    assert_eq!(poll(&mut q, 0), [Decision::Start(id(1))]);
+    q.set_slots(2);
+    assert_eq!(poll(&mut q, 1), [Decision::Start(id(2))]);
+}
+
 fn long_work_counts_as_long() {
     let mut q = queue(1);
     let long = Job { output: Tokens(1000), ..urgent(1, 600) };
@@ -211,6 +220,7 @@
     starts_by_deadline;
     refuses_what_would_be_late;
     long_work_counts_as_long;
+    more_slots_take_more_work;
     preempts_work_that_may_wait;
     aged_work_is_not_preempted;
     never_cuts_off_a_plain_call;
--- a/crates/node/src/dispatcher/lane.rs
+++ b/crates/node/src/dispatcher/lane.rs
@@ -1,4 +1,4 @@
-use hgw_config::Upstream;
+use hgw_config::{Document, ServiceKind, Upstream};
 use hgw_dispatch::{Job, Queue, QueueSettings};
 use hgw_types::{AttemptId, NodeId, Time, Tokens, UpstreamId};
 use hgw_wire::peer::{Submit, Work};
@@ -39,7 +39,9 @@
 }
 
 impl Lane {
-    pub(super) fn new(upstream: &Upstream, plain: bool) -> Self {
+    pub(super) fn new(document: &Document, upstream: &Upstream) -> Self {
+        let service = document.services.get(&upstream.service);
+        let plain = service.is_some_and(|s| s.kind == ServiceKind::Plain);
         let settings = QueueSettings { slots: upstream.slots, plain, ..QueueSettings::default() };
         Lane {
             addr: upstream.addr.clone(),
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -1,22 +1,23 @@
 //! The dispatcher role: the one queue before each upstream that this node answers for.
 
+mod admit;
 mod demand;
 mod lane;
+mod watch;
 
 use std::time::Duration;
 
-use hgw_config::{Document, ServiceKind, Urgency};
-use hgw_dispatch::{Decision, End, Refusal, Report, Taken};
+use hgw_config::{Document, Urgency};
+use hgw_dispatch::{Decision, End, Refusal, Taken};
 use hgw_types::{AttemptId, NodeId, Time, UpstreamId};
-use hgw_wire::peer::{Message, NotStarted, Outcome, RecordedAnswer, Submit, Work};
-use hgw_wire::upstream::LoadReport;
+use hgw_wire::peer::{Message, NotStarted, Outcome, RecordedAnswer, Work};
 use indexmap::{IndexMap, IndexSet};
 
 use crate::context::Context;
-use crate::view::View;
 use crate::{Action, Ended, Sink};
+use admit::not_started;
 pub(crate) use demand::DemandCount;
-use lane::{Lane, Lanes, Stage, Task, job};
+use lane::{Lane, Lanes, Stage, Task};
 
 /// Priority given to engines for work that may wait; urgent work has 0.
 const DEFERRABLE_PRIORITY: u8 = 10;
@@ -87,79 +88,11 @@
         for (id, lane) in &mut self.lanes {
             if let Some(upstream) = document.upstreams.get(id) {
                 lane.addr = upstream.addr.clone();
+                lane.queue.set_slots(upstream.slots);
             }
         }
     }
 
-    pub(crate) fn on_submit(
-        &mut self,
-        cx: &mut Context<'_>,
-        view: &View<'_>,
-        from: &NodeId,
-        submit: Submit,
-    ) {
-        let id = submit.upstream.clone();
-        match self.accept(cx, view, from, submit) {
-            Ok(()) => self.run_queue(cx, &id),
-            Err((submit, reason)) => {
-                let delay_us = self.delay_us(cx.now, &id, submit.urgency);
-                let attempt = submit.attempt;
-                cx.send(from, Message::NotStarted { attempt, reason, delay_us });
-            }
-        }
-    }
-
-    fn accept(
-        &mut self,
-        cx: &Context<'_>,
-        view: &View<'_>,
-        from: &NodeId,
-        mut submit: Submit,
-    ) -> Result<(), (Box<Submit>, NotStarted)> {
-        if let Err(reason) = self.check(view, &mut submit) {
-            return Err((Box::new(submit), reason));
-        }
-        let job = job(cx.now, &submit);
-        let lane = self.lane(view, &submit);
-        if let Err(refusal) = lane.queue.submit(cx.now, job) {
-            return Err((Box::new(submit), not_started(refusal)));
-        }
-        let attempt = submit.attempt;
-        let upstream = submit.upstream.clone();
-        self.demand.arrived(&submit);
-        let task = Task { from: from.clone(), submit, stage: Stage::Queued, started: None };
-        self.lanes[&upstream].tasks.insert(attempt, task);
-        self.by_attempt.insert(attempt, upstream);
-        Ok(())
-    }
-
-    /// Whether this node may start the work at its upstream. Fills in the version that is there.
-    fn check(&self, view: &View<'_>, submit: &mut Submit) -> Result<(), NotStarted> {
-        let id = &submit.upstream;
-        let upstream = view.document.upstreams.get(id).ok_or(NotStarted::NotMine)?;
-        if self.stopping || upstream.domain != *view.domain {
-            return Err(NotStarted::NotMine);
-        }
-        if upstream.leaving || view.routes.is_leaving(id) || self.leaving.contains(id) {
-            return Err(NotStarted::Leaving);
-        }
-        let Work::Model(work) = &mut submit.work else { return Ok(()) };
-        let held = view.routes.version_at(view.domain, id, &work.model, &work.version);
-        work.version = held.ok_or(NotStarted::NotHere)?;
-        let lacks = |a| !view.routes.has_adapter(view.domain, id, &work.model, a);
-        if work.adapter.as_ref().is_some_and(lacks) {
-            return Err(NotStarted::NotHere);
-        }
-        Ok(())
-    }
-
-    fn lane(&mut self, view: &View<'_>, submit: &Submit) -> &mut Lane {
-        let service = view.document.services.get(&submit.service);
-        let plain = service.is_some_and(|s| s.kind == ServiceKind::Plain);
-        let upstream = &view.document.upstreams[&submit.upstream];
-        self.lanes.entry(submit.upstream.clone()).or_insert_with(|| Lane::new(upstream, plain))
-    }
-
     fn delay_us(&self, now: Time, upstream: &UpstreamId, urgency: Urgency) -> u64 {
         let lane = self.lanes.get(upstream);
         let delay = lane.map_or(Duration::ZERO, |l| l.queue.delay(now, urgency));
@@ -312,76 +245,6 @@
             self.on_cancel(cx, attempt);
         }
     }
-
-    pub(crate) fn on_load(
-        &mut self,
-        cx: &mut Context<'_>,
-        id: &UpstreamId,
-        report: Option<LoadReport>,
-    ) {
-        let Some(report) = report else { return };
-        if report.leaving {
-            self.leaving.insert(id.clone());
-        } else {
-            self.leaving.swap_remove(id);
-        }
-        if let Some(lane) = self.lanes.get_mut(id) {
-            lane.queue.report(cx.now, &queue_report(&report));
-            self.run_queue(cx, id);
-        }
-    }
-
-    /// Asks for load reports that are due, and lets queues act on the time that has passed.
-    pub(crate) fn on_tick(&mut self, cx: &mut Context<'_>, view: &View<'_>) {
-        let leaving = |id: &UpstreamId| {
-            self.leaving.contains(id)
-                || view.routes.is_leaving(id)
-                || view.document.upstreams.get(id).is_none_or(|u| u.leaving)
-        };
-        let mut due = Vec::new();
-        for (id, lane) in &mut self.lanes {
-            lane.queue.set_leaving(leaving(id));
-            if lane.next_report <= cx.now {
-                lane.next_report = cx.now + cx.settings.load_period;
-                cx.out.push(Action::AskLoad { upstream: id.clone(), addr: lane.addr.clone() });
-            }
-            if lane.queue.next_wake().is_some_and(|at| at <= cx.now) {
-                due.push(id.clone());
-            }
-        }
-        for id in due {
-            self.run_queue(cx, &id);
-        }
-    }
-
-    /// Opens the queues that this node answers for, so that it knows their load and whether they leave
-    /// before the first request comes.
-    pub(crate) fn review(&mut self, view: &View<'_>) {
-        for (id, upstream) in &view.document.upstreams {
-            let at_home = upstream.domain == *view.domain && !self.lanes.contains_key(id);
-            if !at_home || view.dispatcher_of(id).as_ref() != Some(view.me) {
-                continue;
-            }
-            let service = view.document.services.get(&upstream.service);
-            let plain = service.is_some_and(|s| s.kind == ServiceKind::Plain);
-            self.lanes.insert(id.clone(), Lane::new(upstream, plain));
-        }
-    }
-}
-
-fn not_started(refusal: Refusal) -> NotStarted {
-    let millis = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
-    match refusal {
-        Refusal::TooLate { retry_after } => {
-            NotStarted::TooLate { retry_after_ms: millis(retry_after) }
-        }
-        Refusal::Full { retry_after } => NotStarted::Full { retry_after_ms: millis(retry_after) },
-        Refusal::Expired { retry_after } => {
-            NotStarted::Expired { retry_after_ms: millis(retry_after) }
-        }
-        Refusal::Bounced => NotStarted::Bounced,
-        Refusal::Leaving => NotStarted::Leaving,
-    }
 }
 
 /// What the queue and the entry node are told of work that has ended. Work that was being cancelled
@@ -397,12 +260,3 @@
         (Stage::Queued | Stage::Running, outcome) => (End::Failed, outcome),
     }
 }
-
-fn queue_report(report: &LoadReport) -> Report {
-    Report {
-        active: report.active,
-        waiting: report.waiting,
-        step: Duration::from_micros(report.step_us),
-        leaving: report.leaving,
-    }
-}
