Let 4,096 connections wait to be accepted

Cause: the standard library listens with a backlog of 128; of 1,500 connections opened at once 365 timed out (seen at a stand-in, which had the same default). Change: the nodes' listeners are made by socket2 with a backlog of 4,096.

--- a/crates/net/src/process.rs
+++ b/crates/net/src/process.rs
@@ -8,6 +8,7 @@
 
 use hgw_events::emit;
 use hgw_node::{Event, Machine};
+use socket2::{Domain, Socket, Type};
 use tokio::sync::mpsc;
 
 use crate::callers::{self, Callers};
@@ -85,13 +86,23 @@
     Ok(Bound { settings, callers: callers.0, peers: peers.0, operators: operators.0, addrs })
 }
 
+/// Connections that may wait to be accepted. The standard library's 128 are too few for a burst: the
+/// rest would be dropped and come again only after a second or more.
+const BACKLOG: i32 = 4096;
+
 fn listen(duty: &'static str, addr: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
-    let bound = TcpListener::bind(addr).and_then(|listener| {
-        listener.set_nonblocking(true)?;
+    let bound = || -> std::io::Result<(TcpListener, SocketAddr)> {
+        let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
+        // A process that is replaced finds its port still in use by ended connections otherwise.
+        socket.set_reuse_address(true)?;
+        socket.bind(&addr.into())?;
+        socket.listen(BACKLOG)?;
+        socket.set_nonblocking(true)?;
+        let listener = TcpListener::from(socket);
         let addr = listener.local_addr()?;
         Ok((listener, addr))
-    });
-    bound.map_err(|source| Error::Listen { duty, addr, source })
+    };
+    bound().map_err(|source| Error::Listen { duty, addr, source })
 }
 
 impl Bound {
