--- a/crates/hibiscusgw/tests/processes/calls.rs
+++ b/crates/hibiscusgw/tests/processes/calls.rs
@@ -1,5 +1,6 @@
 //! A call that may not be repeated runs at most once; "not run" is true.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,22 +20,33 @@
     node.plain(Method::POST, "/svc/caja-app/vouchers", &headers, "amount=1200")
 }
 
-/// Starts nodes that own all key shards between them. Before that a call is answered with "not run" at
-/// once, and a test that sends it only once would wait for a run that nobody began.
+/// Starts nodes that know each other and own all key shards between them, each one once. Before that
+/// shards change hands: a call that is sent only once may be answered with "not run", or with "may have
+/// run" where its first owner lost the shard, and a test would wait for a run that nobody begins.
 fn start_owned(settings: Settings) -> Cluster {
     let cluster = start(settings);
-    wait("every key shard has an owner", || owned_shards(&cluster) == KEY_SHARDS)
+    wait("every key shard has one owner", || has_settled(&cluster))
         .expect("the nodes share the key shards out");
     cluster
 }
 
-fn owned_shards(cluster: &Cluster) -> usize {
-    let owned = |node: &Node| -> usize {
-        let state = node.operator("state", &[]).expect("the node tells its state");
-        let state: serde_json::Value = serde_json::from_str(&state).expect("the state is JSON");
-        state["shards"].as_array().map_or(0, Vec::len)
-    };
-    cluster.nodes.iter().map(owned).sum()
+fn has_settled(cluster: &Cluster) -> bool {
+    let states: Vec<serde_json::Value> = cluster.nodes.iter().map(state).collect();
+    let list = |state: &serde_json::Value, key: &str| state[key].as_array().map_or(0, Vec::len);
+    let all_know = states.iter().all(|s| list(s, "members") == cluster.nodes.len());
+    let owned: usize = states.iter().map(|s| list(s, "shards")).sum();
+    let distinct: HashSet<u64> = states
+        .iter()
+        .filter_map(|s| s["shards"].as_array())
+        .flatten()
+        .filter_map(|n| n.as_u64())
+        .collect();
+    all_know && owned == KEY_SHARDS && distinct.len() == KEY_SHARDS
+}
+
+fn state(node: &Node) -> serde_json::Value {
+    let state = node.operator("state", &[]).expect("the node tells its state");
+    serde_json::from_str(&state).expect("the state is JSON")
 }
 
 /// Prints a voucher through a node until it is told that it ran.
