--- a/crates/node/benches/control/world.rs
+++ b/crates/node/benches/control/world.rs
@@ -17,6 +17,10 @@
 
 const TICK: Duration = Duration::from_millis(10);
 
+/// From a frame that a silent peer does not answer until its connection is closed: the defaults of
+/// `hgw_net`, half a second until a ping and a second for its answer.
+const PING: Duration = Duration::from_millis(1500);
+
 /// What a node did since the meter was last reset.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Meter {
@@ -48,6 +52,10 @@
     connected: IndexSet<(NodeId, NodeId)>,
     queue: VecDeque<(NodeId, Event)>,
     streams: u64,
+    /// Connections that a node has found silent: when it closes them.
+    doubted: IndexMap<(NodeId, NodeId), Time>,
+    /// Whether nodes ping silent connections, as the threads around the machine do.
+    pub(crate) pings: bool,
 }
 
 pub(crate) fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
@@ -70,6 +78,8 @@
             connected: IndexSet::new(),
             queue: VecDeque::new(),
             streams: 0,
+            doubted: IndexMap::new(),
+            pings: false,
         };
         for i in 0..nodes {
             let (id, domain) = (name(&format!("n{i}")), name(&format!("d{}", i % size.domains)));
@@ -101,6 +111,7 @@
                 self.give(&node, Event::Tick);
             }
             self.queue.extend(self.log.late(self.now));
+            self.close_doubted();
             self.settle();
         }
     }
@@ -209,6 +220,10 @@
                 meter.bytes += buf.len() as f64;
                 let Frame::Message(message) = frame else { unreachable!() };
                 if self.connected.contains(&(node.clone(), to.clone())) {
+                    if self.pings && !self.nodes.contains_key(&to) {
+                        let closes = self.now + PING;
+                        self.doubted.entry((node.clone(), to.clone())).or_insert(closes);
+                    }
                     let event = Event::Message { from: node.clone(), message };
                     return self.queue.push_back((to, event));
                 }
@@ -259,6 +274,21 @@
         self.queue.push_back((node.clone(), event));
     }
 
+    fn close_doubted(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self
+            .doubted
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(pair, _)| pair.clone())
+            .collect();
+        for (a, b) in due {
+            self.doubted.swap_remove(&(a.clone(), b.clone()));
+            self.connected.swap_remove(&(a.clone(), b.clone()));
+            self.queue.push_back((a, Event::PeerDown { peer: b }));
+        }
+    }
+
     fn connect(&mut self, node: &NodeId, peer: NodeId) {
         if *node == peer || self.connected.contains(&(node.clone(), peer.clone())) {
             return;
