Close queues that another node answers for

Cause: the dispatcher opened a queue when it came first for an upstream and never closed it when another node came first later, so that it went on asking the upstream for load reports. Ruled out: queues that still hold work, which must stay until it ends.

Change: the review closes empty queues of upstreams for which another node comes first.

--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -359,8 +359,15 @@
     }
 
     /// Opens the queues that this node answers for, so that it knows their load and whether they leave
-    /// before the first request comes.
+    /// before the first request comes, and closes those that another node answers for now.
+    ///
+    /// A queue that stays asks its upstream for load reports for ever: as VMs come and go, each node
+    /// would end up asking every upstream of its domain.
     pub(crate) fn review(&mut self, view: &View<'_>) {
+        self.lanes.retain(|id, lane| {
+            !lane.tasks.is_empty() || view.dispatcher_of(id).as_ref() == Some(view.me)
+        });
+        self.leaving.retain(|id| self.lanes.contains_key(id));
         for (id, upstream) in &view.document.upstreams {
             let at_home = upstream.domain == *view.domain && !self.lanes.contains_key(id);
             if !at_home || view.dispatcher_of(id).as_ref() != Some(view.me) {
