--- a/crates/hibiscusgw/tests/processes/main.rs
+++ b/crates/hibiscusgw/tests/processes/main.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use hgw_standins::client::Caller;
-use hgw_standins::cluster::{Cluster, Question, Settings};
+use hgw_standins::cluster::{Cluster, Node, Question, Settings, wait};
 use hgw_standins::engine::EngineRecord;
 use hgw_standins::plain::PlainRecord;
 use hgw_standins::{Faults, Running, engine};
@@ -53,6 +53,22 @@
     Cluster::start(settings).expect("the cluster serves every model through every node")
 }
 
+/// Starts nodes and waits until each one knows all others: from then on they name the same dispatchers.
+fn start_acquainted(settings: Settings) -> Cluster {
+    let cluster = start(settings);
+    let knows_all =
+        |node| state(node)["members"].as_array().map(Vec::len) == Some(cluster.nodes.len());
+    wait("all nodes know each other", || cluster.nodes.iter().all(knows_all))
+        .expect("the nodes find each other");
+    cluster
+}
+
+/// The dump of a node's state.
+fn state(node: &Node) -> serde_json::Value {
+    let state = node.operator("state", &[]).expect("the node tells its state");
+    serde_json::from_str(&state).expect("the state is JSON")
+}
+
 fn fault(standin: &Running, faults: &Faults) {
     let caller = Caller::new(standin.addr()).expect("a client needs no network yet");
     caller.faults(faults).expect("the stand-in takes faults");
--- a/crates/membership/tests/liveness.rs
+++ b/crates/membership/tests/liveness.rs
@@ -40,6 +40,7 @@
     leaving_among_8 => leaving_is_noticed(8, 4);
     leaving_among_400 => leaving_is_noticed(400, 6);
     representatives_of_8 => representatives_are_agreed(8, 4);
+    representatives_of_64 => representatives_are_agreed(64, 6);
 }
 
 /// While nobody comes or goes, members of all domains name the same representatives of each one.
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -26,7 +26,12 @@
 #[derive(Debug, serde::Serialize)]
 pub(crate) struct QueueState {
     upstream: String,
-    load: String,
+    urgent_waiting: usize,
+    deferrable_waiting: usize,
+    running: usize,
+    /// Time of a token, in microseconds.
+    step_us: u128,
+    leaving: bool,
 }
 
 /// All queues at this node.
@@ -59,7 +64,14 @@
     pub(crate) fn state(&self) -> Vec<QueueState> {
         let state = |(id, lane): (&UpstreamId, &Lane)| {
             let load = lane.queue.load();
-            QueueState { upstream: id.to_string(), load: format!("{load:?}") }
+            QueueState {
+                upstream: id.to_string(),
+                urgent_waiting: load.urgent_waiting,
+                deferrable_waiting: load.deferrable_waiting,
+                running: load.running,
+                step_us: load.step.as_micros(),
+                leaving: load.leaving,
+            }
         };
         self.lanes.iter().map(state).collect()
     }
