--- a/crates/node/src/dispatcher/admit.rs
+++ b/crates/node/src/dispatcher/admit.rs
@@ -1,7 +1,5 @@
 //! Whether work that an entry node submits is taken.
 
-use std::time::Duration;
-
 use hgw_dispatch::Refusal;
 use hgw_types::NodeId;
 use hgw_wire::peer::{Message, NotStarted, Submit, Work};
@@ -9,6 +7,7 @@
 use super::Dispatcher;
 use super::lane::{Lane, Stage, Task, job};
 use crate::context::Context;
+use crate::handover::millis;
 use crate::view::View;
 
 impl Dispatcher {
@@ -82,7 +81,6 @@
 }
 
 pub(super) fn not_started(refusal: Refusal) -> NotStarted {
-    let millis = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
     match refusal {
         Refusal::TooLate { retry_after } => {
             NotStarted::TooLate { retry_after_ms: millis(retry_after) }
--- a/crates/node/src/dispatcher/demand.rs
+++ b/crates/node/src/dispatcher/demand.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::entry::Unmet;
+use crate::handover::millis;
 
 /// Demand since it was last told.
 #[derive(Debug, Default)]
@@ -28,7 +29,7 @@
     /// every engine look full, and no replica would seem to help.
     pub(crate) fn ran(&mut self, submit: &Submit, took: Duration) {
         if let Some(count) = self.of(submit).filter(|_| submit.urgency.is_urgent()) {
-            count.busy_ms += u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+            count.busy_ms += millis(took);
         }
     }
 
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -14,6 +14,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::context::Context;
+use crate::handover::micros;
 use crate::{Action, Ended, Sink};
 use admit::not_started;
 pub(crate) use demand::DemandCount;
@@ -108,7 +109,7 @@
     fn delay_us(&self, now: Time, upstream: &UpstreamId, urgency: Urgency) -> u64 {
         let lane = self.lanes.get(upstream);
         let delay = lane.map_or(Duration::ZERO, |l| l.queue.delay(now, urgency));
-        u64::try_from(delay.as_micros()).unwrap_or(u64::MAX)
+        micros(delay)
     }
 
     /// Carries out what a queue decides now.
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -14,6 +14,7 @@
 use indexmap::IndexMap;
 
 use crate::context::Context;
+use crate::handover::GRACE;
 use crate::view::View;
 use crate::{Action, Answer, CallerRequest, Failure, FailureCode, Ran, StreamId};
 use open::{Open, Phase, Task};
@@ -21,10 +22,6 @@
 /// Pause before another upstream is looked for where none was found.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
-/// How long after its deadline a request may stay without a word from its dispatcher. A dispatcher
-/// gives up at the deadline itself; one that says nothing is cut off or frozen.
-const DISPATCHER_GRACE: Duration = Duration::from_millis(250);
-
 /// Times that a request goes on elsewhere after it broke off with something new delivered. More than
 /// this and it is more likely that the request itself breaks upstreams.
 const MAX_MOVES: u8 = 5;
@@ -305,8 +302,8 @@
         let now = cx.now;
         let due = |open: &Open| match &open.phase {
             Phase::Looking { next } => *next <= now,
-            Phase::Submitted(current) => !current.started && open.due() + DISPATCHER_GRACE <= now,
-            Phase::Keyed { .. } => open.due() + DISPATCHER_GRACE <= now,
+            Phase::Submitted(current) => !current.started && open.due() + GRACE <= now,
+            Phase::Keyed { .. } => open.due() + GRACE <= now,
             Phase::Sealing { .. } => false,
         };
         let streams: Vec<StreamId> =
--- a/crates/node/src/entry/submit.rs
+++ b/crates/node/src/entry/submit.rs
@@ -1,7 +1,5 @@
 //! Sends a request to the dispatcher of an upstream, or to the owner of its key.
 
-use std::time::Duration;
-
 use hgw_dispatch::Candidate;
 use hgw_types::{NodeId, Scope, UpstreamId};
 use hgw_wire::peer::{Keyed, Message, Submit};
@@ -9,13 +7,10 @@
 use super::open::{Current, Open, Phase, Task};
 use super::{Entry, LOOK_PAUSE, failure, ran};
 use crate::context::Context;
+use crate::handover::{MAX_HOPS, micros};
 use crate::view::View;
 use crate::{Action, Ran, StreamId};
 
-/// Times that a request is sent on unstarted before its caller is told. Each costs one round trip
-/// between nodes; more than this means that nobody has room, and looking on would only add load.
-const MAX_HOPS: u8 = 4;
-
 /// Where a request goes next.
 struct Target {
     upstream: UpstreamId,
@@ -132,7 +127,3 @@
         Task::Plain { .. } => view.routes.for_plain(view.document, view.domain, &open.service),
     }
 }
-
-fn micros(d: Duration) -> u64 {
-    u64::try_from(d.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/node/src/keys/mod.rs
+++ b/crates/node/src/keys/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::codec::{decode, encode};
 use crate::context::Context;
+use crate::handover::millis;
 use crate::scope::ScopeLog;
 use crate::view::View;
 use crate::{PlatformError, ReadOutcome};
@@ -251,7 +252,7 @@
             }
             Reply::MayHaveRun => KeyedAnswer::MayHaveRun,
             Reply::NotRun { retry_after } => {
-                let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+                let retry_after_ms = millis(retry_after);
                 KeyedAnswer::NotRun { retry_after_ms }
             }
             Reply::KeyReused => KeyedAnswer::KeyReused,
--- a/crates/node/src/keys/run.rs
+++ b/crates/node/src/keys/run.rs
@@ -8,14 +8,9 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::context::Context;
+use crate::handover::{GRACE, MAX_HOPS, micros};
 use crate::view::View;
 
-/// Upstreams that a run is offered to, one after the other, while none has started it.
-const MAX_HOPS: usize = 4;
-
-/// How long after its deadline a run may stay without a word from its dispatcher.
-const GRACE: Duration = Duration::from_millis(250);
-
 /// A call that has to run.
 #[derive(Debug)]
 struct Task {
@@ -23,7 +18,7 @@
     shard: u32,
     deadline: Time,
     tried: IndexSet<UpstreamId>,
-    hops: usize,
+    hops: u8,
 }
 
 /// A call that was given to a dispatcher.
@@ -92,7 +87,7 @@
             upstream: upstream.clone(),
             service: task.keyed.service.clone(),
             urgency: task.keyed.urgency,
-            left_us: u64::try_from(left.as_micros()).unwrap_or(u64::MAX),
+            left_us: micros(left),
             may_bounce: task.hops == 0,
             collect: true,
             work: Work::Plain(task.keyed.work.clone()),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod context;
 mod dispatcher;
 mod entry;
+mod handover;
 mod keeper;
 mod keys;
 mod machine;
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -7,15 +7,16 @@
 
 use crate::{ParseError, Result};
 
+/// Whole numbers that print as such; those that can be summed up say so by more derives.
 macro_rules! counts {
-    ($($(#[$doc:meta])* $name:ident = $kind:literal;)*) => {$(
+    ($($(#[$doc:meta])* $name:ident($inner:ty) [$($derive:ident),*] = $kind:literal;)*) => {$(
         $(#[$doc])*
         #[derive(
             Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize,
-            Deserialize,
+            Deserialize, $($derive),*
         )]
         #[serde(transparent)]
-        pub struct $name(pub u64);
+        pub struct $name(pub $inner);
 
         impl FromStr for $name {
             type Err = ParseError;
@@ -29,35 +30,17 @@
 
 counts! {
     /// Position of a record in a stream of the log.
-    Offset = "offset";
+    Offset(u64) [] = "offset";
     /// Offset of the claim that a holder acts under; also the fencing number of its orders.
-    Term = "term";
+    Term(u64) [] = "term";
     /// Counts the starts of an upstream: a change means that its memory was emptied.
-    Generation = "generation";
+    Generation(u64) [] = "generation";
+    /// Accelerator memory, in the units that engines report.
+    MemSize(u64) [Add, AddAssign, Sub, Sum] = "memory size";
+    /// Number of tokens.
+    Tokens(u32) [Add, AddAssign, Sub, Sum] = "token count";
 }
 
-/// Accelerator memory, in the units that engines report.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Display,
-    Add,
-    AddAssign,
-    Sub,
-    Sum,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct MemSize(pub u64);
-
 impl MemSize {
     /// `self - other`, or zero where `other` is larger.
     pub fn saturating_sub(self, other: MemSize) -> MemSize {
@@ -65,44 +48,6 @@
     }
 }
 
-impl FromStr for MemSize {
-    type Err = ParseError;
-
-    fn from_str(s: &str) -> Result<Self> {
-        s.parse().map(MemSize).map_err(|_| ParseError::new("memory size", s, "a whole number"))
-    }
-}
-
-/// Number of tokens.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Display,
-    Add,
-    AddAssign,
-    Sub,
-    Sum,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct Tokens(pub u32);
-
-impl FromStr for Tokens {
-    type Err = ParseError;
-
-    fn from_str(s: &str) -> Result<Self> {
-        s.parse().map(Tokens).map_err(|_| ParseError::new("token count", s, "a whole number"))
-    }
-}
-
 /// Events a second; finite and not negative.
 #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Display, Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
