Begin with no configuration where none is kept anywhere

Cause: a node that finds the start of the configuration's stream trimmed and no refresh in it waited for a member that knows the version in force; with all nodes new there is none, so no node was ever ready and every change was answered as not published. Ruled out: a longer retention, which only moves the point. Change: after 10 s at the end of the log without a member that has a newer version the node begins with an empty configuration and says so (event 3004). Test: configuration_expired_everywhere.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -59,6 +59,7 @@
     ConfigInForce = 3001, Info, "a configuration is in force";
     ConfigFromPeer = 3002, Info, "a configuration was taken from a peer";
     ConfigRejected = 3003, Warn, "a change in the log was rejected";
+    ConfigLost = 3004, Warn, "no configuration is kept anywhere: this node begins with none";
     LogDown = 3101, Warn, "the platform's log does not answer";
     LogUp = 3102, Info, "the platform's log answers again";
     KeeperGained = 4001, Info, "this node keeps its failure domain";
--- a/crates/node/src/configuration/mod.rs
+++ b/crates/node/src/configuration/mod.rs
@@ -23,6 +23,8 @@
     reader: LogReader,
     /// Whether the version in force somewhere is known here.
     known: bool,
+    /// Since when the log has been read to its end without telling which version is in force.
+    unsure: Option<Time>,
     refresher: Refresher,
     /// Since when members have shown a newer version than this node's.
     behind: Option<Time>,
@@ -33,6 +35,10 @@
 /// faster; this is for nodes that cannot reach it.
 const BEHIND_BOUND: Duration = Duration::from_millis(400);
 
+/// How long a log without its start and without a refresh is read before the configuration counts as
+/// lost: several times what it takes to hear of a member with a newer version and to ask it.
+const LOST_BOUND: Duration = Duration::from_secs(10);
+
 impl Configuration {
     /// Starts before the first record; the log keeps records for `retention`.
     pub(crate) fn new(retention: Duration) -> Self {
@@ -40,6 +46,7 @@
             fold: Fold::new(),
             reader: LogReader::new(StreamName::config()),
             known: false,
+            unsure: None,
             refresher: Refresher::new(Time::ZERO, retention / 4, retention / 64),
             behind: None,
             pending: Pending::default(),
@@ -75,7 +82,9 @@
                 for (offset, data) in records {
                     self.take(cx, offset, &data);
                 }
-                self.known |= caught_up && self.fold.is_exact();
+                if caught_up {
+                    self.settle_version(cx);
+                }
                 self.reader.answered(next);
             }
             ReadOutcome::Trimmed { first } => {
@@ -88,6 +97,25 @@
         self.version() != before
     }
 
+    /// Decides, at the end of the log, whether the version in force is known.
+    ///
+    /// Refreshes are written well before records expire. Where the start of the stream is gone and none
+    /// is found, no node was running when the last one expired: the configuration is lost. A node that
+    /// went on waiting for it would never be ready nor take a new one from an operator. Members that
+    /// have it are found within the bound and say so.
+    fn settle_version(&mut self, cx: &Context<'_>) {
+        if self.known || self.fold.is_exact() {
+            self.known = true;
+            return;
+        }
+        let since = *self.unsure.get_or_insert(cx.now);
+        if cx.now.since(since) >= LOST_BOUND {
+            emit(LogEvent::ConfigLost, &[("node", &cx.settings.node)]);
+            self.fold.begin_empty();
+            self.known = true;
+        }
+    }
+
     fn take(&mut self, cx: &mut Context<'_>, offset: Offset, data: &[u8]) {
         let verdict = self.fold.apply(offset, data);
         match verdict {
--- a/crates/node/src/keys/mod.rs
+++ b/crates/node/src/keys/mod.rs
@@ -95,7 +95,7 @@
         self.shards.iter().find(|(_, s)| s.scope.stream() == stream).map(|(n, _)| *n)
     }
 
-    /// Whether `stream` belonged to a shard; takes the answer to a read of it.
+    /// Takes the answer to a read, if the stream is that of a shard.
     pub(crate) fn on_read(
         &mut self,
         cx: &mut Context<'_>,
--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -70,6 +70,22 @@
     insta::assert_snapshot!(world.transcript.join("\n"));
 }
 
+/// The operator publishes a configuration and it is accepted. All nodes were down until every record
+/// had expired; the one that starts finds neither a refresh in the log nor a member that has one, and
+/// begins with an empty configuration instead of waiting for ever.
+#[test]
+fn configuration_expired_everywhere() {
+    let mut world = World::start(&["a@d1"]);
+    world.log.expire(&hgw_types::StreamName::config(), 4);
+    world.run(5000);
+    assert!(world.transcript.is_empty(), "{:?}", world.transcript);
+    world.run(10_000);
+    let document = Bytes::from_static(DOCUMENT.as_bytes());
+    world.operate("a", OperatorRequest::Apply { id: None, base: Offset(0), document });
+    world.run(1000);
+    insta::assert_snapshot!(world.transcript[..2].join("\n"));
+}
+
 sessions! {
     model_request(world) {
         world.call("b", chat("m1"));
--- a/crates/node/tests/support/log.rs
+++ b/crates/node/tests/support/log.rs
@@ -13,6 +13,8 @@
 pub(crate) struct Log {
     streams: IndexMap<StreamName, Vec<Bytes>>,
     waiting: Vec<Waiting>,
+    /// Records of each stream that have expired.
+    expired: IndexMap<StreamName, u64>,
     pub(crate) down: bool,
     /// Appends take effect, and their answers are lost.
     pub(crate) loses_answers: bool,
@@ -44,6 +46,12 @@
         Vec::new()
     }
 
+    /// Lets a stream begin with this many records that have expired.
+    pub(crate) fn expire(&mut self, stream: &StreamName, records: u64) {
+        self.streams.insert(stream.clone(), vec![Bytes::new(); records as usize]);
+        self.expired.insert(stream.clone(), records);
+    }
+
     /// Reads that have waited long enough.
     pub(crate) fn late(&mut self, now: Time) -> Vec<(NodeId, Event)> {
         let (late, waiting) =
@@ -91,6 +99,10 @@
 
     fn records(&self, waiting: &Waiting) -> Option<ReadOutcome> {
         let records = self.streams.get(&waiting.stream)?;
+        let expired = self.expired.get(&waiting.stream).copied().unwrap_or(0);
+        if waiting.from.0 <= expired {
+            return Some(ReadOutcome::Trimmed { first: Offset(expired + 1) });
+        }
         let first = waiting.from.0.max(1);
         let numbered =
             records.iter().enumerate().map(|(i, data)| (Offset(i as u64 + 1), data.clone()));
