--- a/crates/node/src/dispatcher/admit.rs
+++ b/crates/node/src/dispatcher/admit.rs
@@ -5,7 +5,7 @@
 use hgw_wire::peer::{Message, NotStarted, Submit, Work};
 
 use super::Dispatcher;
-use super::lane::{Lane, Stage, Task, job};
+use super::upstream_queue::{Stage, Task, UpstreamQueue, job};
 use crate::context::Context;
 use crate::handover::millis;
 use crate::view::View;
@@ -40,15 +40,15 @@
             return Err((Box::new(submit), reason));
         }
         let job = job(cx.now, &submit);
-        let lane = self.lane(view, &submit);
-        if let Err(refusal) = lane.queue.submit(cx.now, job) {
+        let q = self.queue_of(view, &submit);
+        if let Err(refusal) = q.queue.submit(cx.now, job) {
             return Err((Box::new(submit), not_started(refusal)));
         }
         let attempt = submit.attempt;
         let upstream = submit.upstream.clone();
         self.demand.arrived(&submit);
         let task = Task { from: from.clone(), submit, stage: Stage::Queued, started: None };
-        self.lanes[&upstream].tasks.insert(attempt, task);
+        self.queues[&upstream].tasks.insert(attempt, task);
         self.by_attempt.insert(attempt, upstream);
         Ok(())
     }
@@ -73,10 +73,10 @@
         Ok(())
     }
 
-    fn lane(&mut self, view: &View<'_>, submit: &Submit) -> &mut Lane {
+    fn queue_of(&mut self, view: &View<'_>, submit: &Submit) -> &mut UpstreamQueue {
         let upstream = &view.document.upstreams[&submit.upstream];
-        let lane = || Lane::new(view.document, upstream);
-        self.lanes.entry(submit.upstream.clone()).or_insert_with(lane)
+        let new = || UpstreamQueue::new(view.document, upstream);
+        self.queues.entry(submit.upstream.clone()).or_insert_with(new)
     }
 }
 
--- a/crates/node/src/dispatcher/mod.rs
+++ b/crates/node/src/dispatcher/mod.rs
@@ -2,7 +2,7 @@
 
 mod admit;
 mod demand;
-mod lane;
+mod upstream_queue;
 mod watch;
 
 use std::time::Duration;
@@ -18,7 +18,7 @@
 use crate::{Action, Ended, Sink};
 use admit::not_started;
 pub(crate) use demand::DemandCount;
-use lane::{Lane, Lanes, Stage, Task};
+use upstream_queue::{Stage, Task, UpstreamQueue, UpstreamQueues};
 
 /// Priority given to engines for work that may wait; urgent work has 0.
 const DEFERRABLE_PRIORITY: u8 = 10;
@@ -38,7 +38,7 @@
 /// All queues at this node.
 #[derive(Debug, Default)]
 pub(crate) struct Dispatcher {
-    lanes: Lanes,
+    queues: UpstreamQueues,
     by_attempt: IndexMap<AttemptId, UpstreamId>,
     /// Upstreams whose own report calls them leaving.
     leaving: IndexSet<UpstreamId>,
@@ -49,7 +49,7 @@
 impl Dispatcher {
     /// Work in queues and at upstreams.
     pub(crate) fn open_tasks(&self) -> usize {
-        self.lanes.values().map(|l| l.tasks.len()).sum()
+        self.queues.values().map(|q| q.tasks.len()).sum()
     }
 
     /// Upstreams whose own report calls them leaving.
@@ -63,8 +63,8 @@
 
     /// The queues, for the dump of the state.
     pub(crate) fn state(&self) -> Vec<QueueState> {
-        let state = |(id, lane): (&UpstreamId, &Lane)| {
-            let load = lane.queue.load();
+        let state = |(id, q): (&UpstreamId, &UpstreamQueue)| {
+            let load = q.queue.load();
             QueueState {
                 upstream: id.to_string(),
                 urgent_waiting: load.urgent_waiting,
@@ -74,20 +74,20 @@
                 leaving: load.leaving,
             }
         };
-        self.lanes.iter().map(state).collect()
+        self.queues.iter().map(state).collect()
     }
 
     /// Takes no new work from now on. What is running is finished; what is queued goes back to its
     /// entry nodes unstarted, since it could wait here for long.
     pub(crate) fn stop(&mut self, cx: &mut Context<'_>) {
         self.stopping = true;
-        let tasks = self.lanes.values().flat_map(|l| &l.tasks);
+        let tasks = self.queues.values().flat_map(|q| &q.tasks);
         let queued: Vec<AttemptId> =
             tasks.filter(|(_, t)| t.stage == Stage::Queued).map(|(a, _)| *a).collect();
         for attempt in queued {
             let Some(task) = self.remove(attempt) else { continue };
-            if let Some(lane) = self.lanes.get_mut(&task.submit.upstream) {
-                lane.queue.cancel(cx.now, attempt);
+            if let Some(q) = self.queues.get_mut(&task.submit.upstream) {
+                q.queue.cancel(cx.now, attempt);
             }
             let reason = NotStarted::NotMine;
             cx.send(&task.from, Message::NotStarted { attempt, reason, delay_us: 0 });
@@ -96,27 +96,27 @@
 
     /// Drops queues of upstreams that are no longer configured, once they are empty.
     pub(crate) fn on_config(&mut self, document: &Document) {
-        self.lanes.retain(|id, lane| document.upstreams.contains_key(id) || !lane.tasks.is_empty());
+        self.queues.retain(|id, q| document.upstreams.contains_key(id) || !q.tasks.is_empty());
         self.leaving.retain(|id| document.upstreams.contains_key(id));
-        for (id, lane) in &mut self.lanes {
+        for (id, q) in &mut self.queues {
             if let Some(upstream) = document.upstreams.get(id) {
-                lane.addr = upstream.addr.clone();
-                lane.queue.set_slots(upstream.slots);
+                q.addr = upstream.addr.clone();
+                q.queue.set_slots(upstream.slots);
             }
         }
     }
 
     fn delay_us(&self, now: Time, upstream: &UpstreamId, urgency: Urgency) -> u64 {
-        let lane = self.lanes.get(upstream);
-        let delay = lane.map_or(Duration::ZERO, |l| l.queue.delay(now, urgency));
+        let q = self.queues.get(upstream);
+        let delay = q.map_or(Duration::ZERO, |q| q.queue.delay(now, urgency));
         micros(delay)
     }
 
     /// Carries out what a queue decides now.
     fn run_queue(&mut self, cx: &mut Context<'_>, id: &UpstreamId) {
-        let Some(lane) = self.lanes.get_mut(id) else { return };
+        let Some(q) = self.queues.get_mut(id) else { return };
         let mut decisions = Vec::new();
-        lane.queue.poll(cx.now, &mut decisions);
+        q.queue.poll(cx.now, &mut decisions);
         for decision in decisions {
             match decision {
                 Decision::Start(attempt) => self.start(cx, id, attempt),
@@ -128,8 +128,8 @@
     }
 
     fn start(&mut self, cx: &mut Context<'_>, id: &UpstreamId, attempt: AttemptId) {
-        let Some(lane) = self.lanes.get_mut(id) else { return };
-        let Some(task) = lane.tasks.get_mut(&attempt) else { return };
+        let Some(q) = self.queues.get_mut(id) else { return };
+        let Some(task) = q.tasks.get_mut(&attempt) else { return };
         task.stage = Stage::Running;
         task.started = Some(cx.now);
         let sink = if task.submit.collect {
@@ -143,7 +143,7 @@
         let start = Action::Start {
             attempt,
             upstream: id.clone(),
-            addr: lane.addr.clone(),
+            addr: q.addr.clone(),
             work: task.submit.work.clone(),
             priority,
             silence: cx.settings.upstream_silence,
@@ -178,7 +178,7 @@
         attempt: AttemptId,
         stage: Stage,
     ) {
-        let task = self.lanes.get_mut(id).and_then(|l| l.tasks.get_mut(&attempt));
+        let task = self.queues.get_mut(id).and_then(|q| q.tasks.get_mut(&attempt));
         if let Some(task) = task {
             task.stage = stage;
             cx.act(Action::Cancel { attempt });
@@ -187,20 +187,20 @@
 
     /// Leaves a plain service's call to end by itself, so that it does not stop half done.
     fn forget(&mut self, id: &UpstreamId, attempt: AttemptId) {
-        if let Some(task) = self.lanes.get_mut(id).and_then(|l| l.tasks.get_mut(&attempt)) {
+        if let Some(task) = self.queues.get_mut(id).and_then(|q| q.tasks.get_mut(&attempt)) {
             task.stage = Stage::Forgotten;
         }
     }
 
     fn remove(&mut self, attempt: AttemptId) -> Option<Task> {
         let id = self.by_attempt.swap_remove(&attempt)?;
-        self.lanes.get_mut(&id)?.tasks.swap_remove(&attempt)
+        self.queues.get_mut(&id)?.tasks.swap_remove(&attempt)
     }
 
     pub(crate) fn on_progress(&mut self, now: Time, attempt: AttemptId, tokens: u32) {
         let Some(id) = self.by_attempt.get(&attempt) else { return };
-        if let Some(lane) = self.lanes.get_mut(id) {
-            lane.queue.progress(now, attempt, tokens);
+        if let Some(q) = self.queues.get_mut(id) {
+            q.queue.progress(now, attempt, tokens);
         }
     }
 
@@ -209,8 +209,8 @@
         let Some(task) = self.remove(attempt) else { return };
         let id = task.submit.upstream.clone();
         let (end, outcome) = conclude(task.stage, outcome);
-        if let Some(lane) = self.lanes.get_mut(&id) {
-            lane.queue.ended(cx.now, attempt, end);
+        if let Some(q) = self.queues.get_mut(&id) {
+            q.queue.ended(cx.now, attempt, end);
         }
         if let Some(started) = task.started {
             self.demand.ran(&task.submit, cx.now.since(started));
@@ -236,10 +236,9 @@
     /// Nobody waits for the work any more.
     pub(crate) fn on_cancel(&mut self, cx: &mut Context<'_>, attempt: AttemptId) {
         let Some(id) = self.by_attempt.get(&attempt).cloned() else { return };
-        let Some(lane) = self.lanes.get_mut(&id) else { return };
-        let plain =
-            lane.tasks.get(&attempt).is_some_and(|t| matches!(t.submit.work, Work::Plain(_)));
-        match lane.queue.cancel(cx.now, attempt) {
+        let Some(q) = self.queues.get_mut(&id) else { return };
+        let plain = q.tasks.get(&attempt).is_some_and(|t| matches!(t.submit.work, Work::Plain(_)));
+        match q.queue.cancel(cx.now, attempt) {
             Some(Taken::Running) if plain => self.forget(&id, attempt),
             Some(Taken::Running) => self.stop_running(cx, &id, attempt, Stage::Forgotten),
             Some(Taken::Queued) | None => {
@@ -251,7 +250,7 @@
 
     /// An entry node is gone: its callers are gone with it, or it has sent their work elsewhere.
     pub(crate) fn on_peer_down(&mut self, cx: &mut Context<'_>, peer: &NodeId) {
-        let tasks = self.lanes.values().flat_map(|l| &l.tasks);
+        let tasks = self.queues.values().flat_map(|q| &q.tasks);
         let lost: Vec<AttemptId> =
             tasks.filter(|(_, t)| t.from == *peer).map(|(a, _)| *a).collect();
         for attempt in lost {
--- a/crates/node/src/dispatcher/lane.rs
+++ b/crates/node/src/dispatcher/upstream_queue.rs
@@ -6,7 +6,7 @@
 
 /// One upstream's queue at this node, with the work that passes through it.
 #[derive(Debug)]
-pub(super) struct Lane {
+pub(super) struct UpstreamQueue {
     pub(super) addr: String,
     pub(super) queue: Queue,
     pub(super) tasks: IndexMap<AttemptId, Task>,
@@ -38,12 +38,12 @@
     Forgotten,
 }
 
-impl Lane {
+impl UpstreamQueue {
     pub(super) fn new(document: &Document, upstream: &Upstream) -> Self {
         let service = document.services.get(&upstream.service);
         let plain = service.is_some_and(|s| s.kind == ServiceKind::Plain);
         let settings = QueueSettings { slots: upstream.slots, plain, ..QueueSettings::default() };
-        Lane {
+        UpstreamQueue {
             addr: upstream.addr.clone(),
             queue: Queue::new(settings),
             tasks: IndexMap::new(),
@@ -81,4 +81,4 @@
 }
 
 /// Upstreams and their queues at this node.
-pub(super) type Lanes = IndexMap<UpstreamId, Lane>;
+pub(super) type UpstreamQueues = IndexMap<UpstreamId, UpstreamQueue>;
--- a/crates/node/src/dispatcher/watch.rs
+++ b/crates/node/src/dispatcher/watch.rs
@@ -7,7 +7,7 @@
 use hgw_wire::upstream::LoadReport;
 
 use super::Dispatcher;
-use super::lane::Lane;
+use super::upstream_queue::UpstreamQueue;
 use crate::Action;
 use crate::context::Context;
 use crate::view::View;
@@ -25,8 +25,8 @@
         } else {
             self.leaving.swap_remove(id);
         }
-        if let Some(lane) = self.lanes.get_mut(id) {
-            lane.queue.report(cx.now, &queue_report(&report));
+        if let Some(q) = self.queues.get_mut(id) {
+            q.queue.report(cx.now, &queue_report(&report));
             self.run_queue(cx, id);
         }
     }
@@ -39,13 +39,13 @@
                 || view.document.upstreams.get(id).is_none_or(|u| u.leaving)
         };
         let mut due = Vec::new();
-        for (id, lane) in &mut self.lanes {
-            lane.queue.set_leaving(leaving(id));
-            if lane.next_report <= cx.now {
-                lane.next_report = cx.now + cx.settings.load_period;
-                cx.out.push(Action::AskLoad { upstream: id.clone(), addr: lane.addr.clone() });
+        for (id, q) in &mut self.queues {
+            q.queue.set_leaving(leaving(id));
+            if q.next_report <= cx.now {
+                q.next_report = cx.now + cx.settings.load_period;
+                cx.out.push(Action::AskLoad { upstream: id.clone(), addr: q.addr.clone() });
             }
-            if lane.queue.next_wake().is_some_and(|at| at <= cx.now) {
+            if q.queue.next_wake().is_some_and(|at| at <= cx.now) {
                 due.push(id.clone());
             }
         }
@@ -59,12 +59,12 @@
     /// would go on asking the upstream for its load.
     pub(crate) fn review(&mut self, view: &View<'_>) {
         let is_mine = |id: &UpstreamId| view.dispatcher_of(id).as_ref() == Some(view.me);
-        self.lanes.retain(|id, lane| !lane.tasks.is_empty() || is_mine(id));
-        self.leaving.retain(|id| self.lanes.contains_key(id));
+        self.queues.retain(|id, q| !q.tasks.is_empty() || is_mine(id));
+        self.leaving.retain(|id| self.queues.contains_key(id));
         for (id, upstream) in &view.document.upstreams {
-            let at_home = upstream.domain == *view.domain && !self.lanes.contains_key(id);
+            let at_home = upstream.domain == *view.domain && !self.queues.contains_key(id);
             if at_home && is_mine(id) {
-                self.lanes.insert(id.clone(), Lane::new(view.document, upstream));
+                self.queues.insert(id.clone(), UpstreamQueue::new(view.document, upstream));
             }
         }
     }
