--- a/crates/hibiscusgw/tests/processes/main.rs
+++ b/crates/hibiscusgw/tests/processes/main.rs
@@ -16,6 +16,7 @@
 use hgw_standins::client::Caller;
 use hgw_standins::cluster::{Cluster, Node, Question, Settings, wait};
 use hgw_standins::engine::EngineRecord;
+use hgw_standins::log::LogRecord;
 use hgw_standins::plain::PlainRecord;
 use hgw_standins::{Faults, Running, engine};
 
@@ -99,6 +100,14 @@
     services.iter().map(named).sum()
 }
 
+/// Records ever appended to the streams of the log whose names begin with `prefix`.
+fn appended(cluster: &Cluster, prefix: &str) -> u64 {
+    let log = cluster.standin(cluster.deployment.platform.addr()).expect("a client");
+    let record: LogRecord = log.record().expect("the log has a record");
+    let streams = record.appended.iter().filter(|(stream, _)| stream.as_str().starts_with(prefix));
+    streams.map(|(_, records)| *records).sum()
+}
+
 fn long_question() -> Question {
     Question::new("rules", "May the school hold cash over the summer?", LONG)
 }
