--- a/crates/hibiscusgw/src/command.rs
+++ b/crates/hibiscusgw/src/command.rs
@@ -133,6 +133,14 @@
     pub(crate) operator_token: Option<String>,
 }
 
+impl NodeFlags {
+    /// The flags that name a node, as another command has them among its own.
+    fn new(operators: &Option<String>, operator_token: &Option<String>) -> Self {
+        let (operators, operator_token) = (operators.clone(), operator_token.clone());
+        NodeFlags { operators, operator_token, ..NodeFlags::default() }
+    }
+}
+
 /// Flags of `apply`. The listener and the token may be given by environment variables instead.
 #[derive(Debug, Options)]
 pub(crate) struct ApplyFlags {
@@ -161,8 +169,7 @@
 impl ApplyFlags {
     /// Which node to ask.
     pub(crate) fn node(&self) -> NodeFlags {
-        let (operators, operator_token) = (self.operators.clone(), self.operator_token.clone());
-        NodeFlags { operators, operator_token, ..NodeFlags::default() }
+        NodeFlags::new(&self.operators, &self.operator_token)
     }
 }
 
@@ -188,8 +195,7 @@
 impl OutcomeFlags {
     /// Which node to ask.
     fn node(&self) -> NodeFlags {
-        let (operators, operator_token) = (self.operators.clone(), self.operator_token.clone());
-        NodeFlags { operators, operator_token, ..NodeFlags::default() }
+        NodeFlags::new(&self.operators, &self.operator_token)
     }
 }
 
--- a/crates/hibiscusgw/src/operate.rs
+++ b/crates/hibiscusgw/src/operate.rs
@@ -1,11 +1,10 @@
 //! `apply`, `outcome`, `get`, `status` and `state`: an operator's calls to a node.
 
-use std::fs;
-
 use hgw_wire::operator::apply_reply::Outcome;
 use hgw_wire::operator::{ApplyReply, ApplyRequest};
 use tokio::runtime::{Builder, Runtime};
 
+use crate::check::read_document;
 use crate::client::{self, Client};
 use crate::command::{ApplyFlags, NodeFlags};
 use crate::settings::NodeSettings;
@@ -33,7 +32,7 @@
 /// Publishes a document and tells what became of it.
 pub(crate) fn apply(flags: &ApplyFlags, env: &Env<'_>, console: &mut Console<'_>) -> Result<()> {
     let file = &flags.file;
-    let document = fs::read(file).map_err(|source| Error::File { file: file.clone(), source })?;
+    let document = read_document(file)?;
     let operator = Operator::new(&flags.node(), env)?;
     let id = flags.id.clone().unwrap_or_default();
     let req = ApplyRequest { id, base: flags.base, document };
