Log the six events that the catalogue promised and nothing logged

Cause: only the keeper logged that it gained or lost its term, by code of its own; the planner and the owner of keys had events and no line that logs them, and nor had a resumed request or the upstreams that leave. A search of the sources found six of the catalogue's events unused. Change: a scope's log, which all three roles share, logs its terms; the keeper's own copy is gone.

--- a/crates/events/tests/catalogue.rs
+++ b/crates/events/tests/catalogue.rs
@@ -28,3 +28,27 @@
 fn without_fields(line: &str) -> String {
     line.split(" | ").take(4).collect::<Vec<_>>().join(" | ")
 }
+
+/// The page promises each of these lines, so each one must be logged by some part of the product.
+#[test]
+fn every_event_is_logged_somewhere() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let mut code = String::new();
+    read_sources(&crates, &mut code);
+    let logged = |event: &&Event| code.contains(&format!("Event::{}", event.name()));
+    let silent: Vec<&Event> = Event::ALL.iter().filter(|e| !logged(e)).collect();
+    assert!(silent.is_empty(), "never logged: {silent:?}");
+}
+
+/// Adds all sources below a folder but for tests and the catalogue itself.
+fn read_sources(folder: &Path, code: &mut String) {
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        let name = path.file_name().unwrap().to_str().unwrap().to_owned();
+        if path.is_dir() && name != "tests" {
+            read_sources(&path, code);
+        } else if name.ends_with(".rs") && name != "catalogue.rs" {
+            code.push_str(&std::fs::read_to_string(&path).unwrap());
+        }
+    }
+}
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use hgw_dispatch::{Chooser, RetryBudget};
+use hgw_events::{Event as LogEvent, emit};
 use hgw_types::{AttemptId, NodeId, Time};
 use hgw_wire::peer::{KeyedAnswer, NotStarted, Outcome};
 use indexmap::IndexMap;
@@ -254,6 +255,7 @@
             return;
         }
         open.hops = 0;
+        log_resumed(cx, open);
         // A try that brought nothing new is bounded by the time since the last that did: the engine may
         // be dead, and its keeper needs longer than a few tries to find out.
         if has_moved_on || open.look_until.is_none() {
@@ -372,3 +374,10 @@
 fn ran(open: &Open) -> Ran {
     if open.may_have_run { Ran::MayHaveRun } else { Ran::NotRun }
 }
+
+fn log_resumed(cx: &Context<'_>, open: &Open) {
+    let tokens = open.delivered();
+    let fields: [(&str, &dyn std::fmt::Display); 3] =
+        [("node", &cx.settings.node), ("request", &open.request), ("tokens", &tokens)];
+    emit(LogEvent::RequestResumed, &fields);
+}
--- a/crates/node/src/entry/open.rs
+++ b/crates/node/src/entry/open.rs
@@ -99,9 +99,17 @@
         }
     }
 
+    /// Tokens that the caller has.
+    pub(crate) fn delivered(&self) -> usize {
+        match &self.task {
+            Task::Model { delivered, .. } => delivered.len(),
+            Task::Plain { .. } => 0,
+        }
+    }
+
     /// Whether the caller has a part of the answer.
     pub(crate) fn has_begun(&self) -> bool {
-        matches!(&self.task, Task::Model { delivered, .. } if !delivered.is_empty())
+        self.delivered() > 0
     }
 
     /// When the next word must have come: a stream that its caller is reading is past the deadline for
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::codec::{decode, encode};
 use crate::context::Context;
-use crate::scope::ScopeLog;
+use crate::scope::{ScopeLog, TermEvents};
 use crate::view::View;
 use crate::{Action, ReadOutcome};
 
@@ -39,10 +39,15 @@
 impl KeeperRole {
     pub(crate) fn new(cx: &Context<'_>) -> Self {
         let domain = &cx.settings.domain;
-        let scope = Scope::keeper(domain);
+        let events = TermEvents {
+            gained: LogEvent::KeeperGained,
+            lost: LogEvent::KeeperLost,
+            field: "domain",
+            value: domain.to_string(),
+        };
         KeeperRole {
             keeper: Keeper::new(KeeperSettings::default(), domain.clone(), cx.settings.boot),
-            scope: ScopeLog::new(cx, scope),
+            scope: ScopeLog::new(cx, Scope::keeper(domain), events),
             following: false,
             term: None,
             number: 0,
@@ -214,13 +219,11 @@
         for act in acts {
             match act {
                 ClaimAction::Gained(term) => {
-                    log_term(LogEvent::KeeperGained, cx, term);
                     self.term = Some(term);
                     self.number = 0;
                     self.handle(cx, view, KeeperEvent::Gained(term));
                 }
-                ClaimAction::Lost(term) => {
-                    log_term(LogEvent::KeeperLost, cx, term);
+                ClaimAction::Lost(_) => {
                     self.term = None;
                     self.handle(cx, view, KeeperEvent::Lost);
                 }
@@ -256,11 +259,6 @@
     }
 }
 
-fn log_term(event: LogEvent, cx: &Context<'_>, term: Term) {
-    let settings = cx.settings;
-    emit(event, &[("node", &settings.node), ("domain", &settings.domain), ("term", &term)]);
-}
-
 fn log_order(cx: &Context<'_>, upstream: &UpstreamId, order: &Order) {
     let kind = format!("{:?}", order.kind);
     let node = &cx.settings.node;
--- a/crates/node/src/keys/mod.rs
+++ b/crates/node/src/keys/mod.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hgw_claim::Action as ClaimAction;
+use hgw_events::Event as LogEvent;
 use hgw_once::{Action as ShardAction, Call, Event as ShardEvent, Reply, RunOutcome, Shard};
 use hgw_types::{
     AttemptId, IdempotencyKey, NodeId, Offset, RecordId, Scope, ServiceId, StreamName,
@@ -16,7 +17,7 @@
 use crate::codec::{decode, encode};
 use crate::context::Context;
 use crate::handover::millis;
-use crate::scope::ScopeLog;
+use crate::scope::{ScopeLog, TermEvents};
 use crate::view::View;
 use crate::{PlatformError, ReadOutcome};
 use run::{Finished, Runs};
@@ -78,7 +79,14 @@
             if candidate && !self.shards.contains_key(&number) {
                 let boot = cx.settings.boot ^ xxh3_64(scope.as_str().as_bytes());
                 let shard = Shard::new(hgw_once::Settings::default(), boot);
-                self.shards.insert(number, KeyShard { scope: ScopeLog::new(cx, scope), shard });
+                let events = TermEvents {
+                    gained: LogEvent::OwnerGained,
+                    lost: LogEvent::OwnerLost,
+                    field: "shard",
+                    value: number.to_string(),
+                };
+                let scope = ScopeLog::new(cx, scope, events);
+                self.shards.insert(number, KeyShard { scope, shard });
             }
             let is_held = |s: &KeyShard| s.scope.held().is_some();
             if !candidate && self.shards.get(&number).is_some_and(|s| !is_held(s)) {
--- a/crates/node/src/machine/mod.rs
+++ b/crates/node/src/machine/mod.rs
@@ -11,9 +11,9 @@
 use std::collections::VecDeque;
 
 use hgw_dispatch::{Chooser, ChooserSettings, RetryBudget, RetrySettings};
-use hgw_types::{RegionId, Time};
+use hgw_types::{RegionId, Time, UpstreamId};
 use hgw_wire::peer::Message;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::configuration::Configuration;
 use crate::context::{Context, Ids};
@@ -41,6 +41,8 @@
     routes: Routes,
     entry: Entry,
     dispatcher: Dispatcher,
+    /// Upstreams that the keeper was last told to be leaving.
+    told_leaving: IndexSet<UpstreamId>,
     keeper: KeeperRole,
     planners: IndexMap<RegionId, PlannerRole>,
     keys: Keys,
@@ -105,6 +107,7 @@
             routes: Routes::default(),
             entry: Entry::new(chooser(1), RetryBudget::new(RetrySettings::default())),
             dispatcher: Dispatcher::default(),
+            told_leaving: IndexSet::new(),
             keeper,
             planners: IndexMap::new(),
             keys: Keys::new(chooser(2)),
--- a/crates/node/src/machine/peers.rs
+++ b/crates/node/src/machine/peers.rs
@@ -98,6 +98,13 @@
     pub(super) fn tell_leaving(&mut self, now: Time, out: &mut Vec<Action>) {
         let leaving = self.routes.leaving().iter().chain(self.dispatcher.leaving());
         let leaving: IndexSet<_> = leaving.cloned().collect();
+        if leaving != self.told_leaving {
+            let shown = leaving.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+            let fields: [(&str, &dyn std::fmt::Display); 2] =
+                [("node", &self.settings.node), ("upstreams", &shown)];
+            hgw_events::emit(hgw_events::Event::UpstreamLeaving, &fields);
+            self.told_leaving.clone_from(&leaving);
+        }
         let event = KeeperEvent::Leaving(leaving.into_iter().collect());
         self.keeper.handle(&mut context!(self, now, out), &view!(self), event);
     }
--- a/crates/node/src/planner/mod.rs
+++ b/crates/node/src/planner/mod.rs
@@ -2,13 +2,14 @@
 
 use hgw_claim::Action as ClaimAction;
 use hgw_config::Document;
+use hgw_events::Event as LogEvent;
 use hgw_placement::{Floor, floor};
 use hgw_types::{DomainId, NodeId, Offset, RecordId, RegionId, Scope, StreamName, UpstreamId};
 use indexmap::IndexMap;
 
 use crate::codec::{decode, encode};
 use crate::context::Context;
-use crate::scope::ScopeLog;
+use crate::scope::{ScopeLog, TermEvents};
 use crate::view::View;
 use crate::{PlatformError, ReadOutcome};
 
@@ -31,7 +32,13 @@
 
 impl PlannerRole {
     pub(crate) fn new(cx: &Context<'_>, region: RegionId) -> Self {
-        let scope = ScopeLog::new(cx, Scope::planner(&region));
+        let events = TermEvents {
+            gained: LogEvent::PlannerGained,
+            lost: LogEvent::PlannerLost,
+            field: "region",
+            value: region.to_string(),
+        };
+        let scope = ScopeLog::new(cx, Scope::planner(&region), events);
         PlannerRole { region, scope, lost: IndexMap::new(), current: None, proposed: None }
     }
 
--- a/crates/node/src/scope/mod.rs
+++ b/crates/node/src/scope/mod.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use hgw_claim::{Action as ClaimAction, AppendOutcome, Claim, Event as ClaimEvent};
+use hgw_events::{Event as LogEvent, emit};
 use hgw_types::{NodeId, Offset, RecordId, Scope, Term};
 use hgw_wire::platform::MAX_BATCH;
 use xxhash_rust::xxh3::xxh3_64;
@@ -12,15 +13,25 @@
 use crate::{Action, PlatformError, ReadOutcome};
 pub(crate) use log_reader::LogReader;
 
+/// How a role's terms are logged: its events, and what names the scope among their fields.
+#[derive(Debug)]
+pub(crate) struct TermEvents {
+    pub(crate) gained: LogEvent,
+    pub(crate) lost: LogEvent,
+    pub(crate) field: &'static str,
+    pub(crate) value: String,
+}
+
 /// This node's part in one scope: reads its stream, and claims it when it should.
 #[derive(Debug)]
 pub(crate) struct ScopeLog {
     claim: Claim,
     reader: LogReader,
+    events: TermEvents,
 }
 
 impl ScopeLog {
-    pub(crate) fn new(cx: &Context<'_>, scope: Scope) -> Self {
+    pub(crate) fn new(cx: &Context<'_>, scope: Scope, events: TermEvents) -> Self {
         let reader = LogReader::new(scope.stream());
         // Each scope makes record ids of its own: its number must differ from all others here.
         let boot = cx.settings.boot ^ xxh3_64(scope.as_str().as_bytes());
@@ -28,7 +39,7 @@
         let defaults = hgw_claim::Settings::default();
         let cfg =
             hgw_claim::Settings { snapshot_age: defaults.snapshot_age.min(quarter), ..defaults };
-        ScopeLog { claim: Claim::new(cfg, scope, cx.settings.node.clone(), boot), reader }
+        ScopeLog { claim: Claim::new(cfg, scope, cx.settings.node.clone(), boot), reader, events }
     }
 
     pub(crate) fn stream(&self) -> &hgw_types::StreamName {
@@ -141,10 +152,20 @@
         self.pass_appends(cx, acts)
     }
 
+    fn log_term(&self, cx: &Context<'_>, event: LogEvent, term: Term) {
+        let TermEvents { field, value, .. } = &self.events;
+        emit(event, &[("node", &cx.settings.node), (field, value), ("term", &term)]);
+    }
+
     /// Sends appends on to the log and gives the rest to the owner of the scope.
     fn pass_appends(&self, cx: &mut Context<'_>, acts: Vec<ClaimAction>) -> Vec<ClaimAction> {
         let mut rest = Vec::new();
         for act in acts {
+            match &act {
+                ClaimAction::Gained(term) => self.log_term(cx, self.events.gained, *term),
+                ClaimAction::Lost(term) => self.log_term(cx, self.events.lost, *term),
+                _ => {}
+            }
             match act {
                 ClaimAction::Append { id, data } => {
                     cx.act(Action::Append { stream: self.stream().clone(), id, data });
