--- /dev/null
+++ b/crates/direct/src/choose.rs
@@ -0,0 +1,131 @@
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{Engine, EngineId, Engines, Millis, Prompt, ServiceId};
+
+/// What a choice is made for.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// The prompt, where the service has models.
+    pub prompt: Option<&'a Prompt>,
+    /// Failure domain of this node.
+    pub domain: &'a str,
+    /// Engines that were tried already.
+    pub tried: &'a [EngineId],
+    /// Time that is left.
+    pub left: Duration,
+    /// Nodes that send to the same engines.
+    pub nodes: u32,
+    /// Most connections that this node may have with one engine.
+    pub conns: u32,
+    /// A draw in `0..1` that parts nodes which see the same.
+    pub draw: f64,
+}
+
+/// The engine to send to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// The engine.
+    pub engine: EngineId,
+    /// Expected time until it begins, in milliseconds, with what counts against it.
+    pub cost_ms: f64,
+    /// Requests that are probably there.
+    pub estimate: f64,
+}
+
+/// Why there is none.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoEngine {
+    /// The service has no engine that takes work.
+    None,
+    /// None of them holds the model, or the adapter.
+    NotPlaced,
+    /// All that hold it are full, tried, or cannot be reached; come back after this time.
+    Full(Duration),
+}
+
+/// Time to a first token that a full batch adds to that of an idle engine: each step takes longer, and
+/// prompts are read between the steps.
+const FULL_BATCH_MS: f64 = 60.0;
+
+/// Time that one request waits for each request before it in a queue, times the slots.
+const QUEUED_MS: f64 = 1_500.0;
+
+/// What sending to another failure domain costs: the way there and back, and the price of its bytes.
+const OTHER_DOMAIN_MS: f64 = 6.0;
+
+/// What reading a whole prompt anew costs against going where its parts are kept.
+const PREFIX_MS: f64 = 15.0;
+
+/// What a request that fails costs: it is sent again, or lost.
+const FAILURE_MS: f64 = 2_000.0;
+
+/// What a newly started engine that still reads its weights from slow memory costs.
+const COLD_MS: f64 = 100.0;
+
+/// Spread of the draw, so that nodes that see the same do not all choose the same.
+const DRAW_MS: f64 = 4.0;
+
+/// Requests that may wait at an engine beyond its slots before others are asked to come back.
+const QUEUE_SHARE: f64 = 1.0;
+
+/// Chooses the engine with the least expected time to the first byte.
+pub fn choose(engines: &Engines, ask: &Ask<'_>, now: Millis) -> Result<Choice, NoEngine> {
+    let mut found = NoEngine::None;
+    let mut best: Option<(bool, Choice)> = None;
+    let home = ask.prompt.map(home_key);
+    for engine in engines.of(ask.service).filter(|e| e.takes_work()) {
+        if found == NoEngine::None {
+            found = NoEngine::NotPlaced;
+        }
+        let wanted = ask.prompt.and_then(|p| p.wanted.as_ref());
+        if wanted.is_some_and(|w| !engine.holds(w)) {
+            continue;
+        }
+        let estimate = engine.estimate(now);
+        let room = f64::from(engine.listed.slots) * (1.0 + QUEUE_SHARE);
+        if estimate >= room || engine.own >= ask.conns || ask.tried.contains(&engine.listed.id) {
+            let wait = Duration::from_millis(250);
+            found = NoEngine::Full(wait);
+            continue;
+        }
+        let cost = cost(engine, estimate, ask, home, now);
+        let choice = Choice { engine: engine.listed.id.clone(), cost_ms: cost, estimate };
+        // An engine that could not be reached is the last resort.
+        let alone = engine.judge.is_left_alone(now);
+        let better = best.as_ref().is_none_or(|(best_alone, b)| {
+            (alone, choice.cost_ms) < (*best_alone, b.cost_ms)
+        });
+        if better {
+            best = Some((alone, choice));
+        }
+    }
+    best.map(|(_, choice)| choice).ok_or(found)
+}
+
+fn cost(engine: &Engine, estimate: f64, ask: &Ask<'_>, home: Option<u64>, now: Millis) -> f64 {
+    let slots = f64::from(engine.listed.slots.max(1));
+    let batch = FULL_BATCH_MS * (estimate / slots).min(1.0);
+    let queue = QUEUED_MS * ((estimate + 1.0 - slots).max(0.0) / slots);
+    let domain = if engine.listed.domain == ask.domain { 0.0 } else { OTHER_DOMAIN_MS };
+    let prefix = home.map_or(0.0, |key| PREFIX_MS * rank(key, &engine.listed.id));
+    let failing = FAILURE_MS * engine.judge.failing(now);
+    let cold = if engine.listed.cold_ms > 0 { COLD_MS } else { 0.0 };
+    batch + queue + domain + prefix + failing + cold + DRAW_MS * ask.draw
+}
+
+/// Names what a prompt shares with others of its session.
+fn home_key(prompt: &Prompt) -> u64 {
+    prompt.parts.last().map_or(0, |part| part.id)
+}
+
+/// Rendezvous: the engine with the least rank is the home of the key, and stays so while others come
+/// and go.
+fn rank(key: u64, engine: &EngineId) -> f64 {
+    let mut bytes = key.to_le_bytes().to_vec();
+    bytes.extend_from_slice(engine.0.as_bytes());
+    xxh3_64(&bytes) as f64 / u64::MAX as f64
+}
--- /dev/null
+++ b/crates/direct/src/engines.rs
@@ -0,0 +1,237 @@
+use std::net::SocketAddr;
+
+use derive_more::{Display, From};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::{Judge, Millis, ServiceId, Wanted};
+
+/// Identity of one start of an engine.
+#[derive(Debug, Clone, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[from(String, &str)]
+pub struct EngineId(pub String);
+
+/// Whether an engine takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It does.
+    Ready,
+    /// It is leaving, at this time where that was told.
+    Leaving {
+        /// When whatever still runs there is gone.
+        gone_at: Option<Millis>,
+    },
+}
+
+/// A model that an engine holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// Its name.
+    pub model: String,
+    /// Its adapters there.
+    pub adapters: Vec<String>,
+}
+
+/// An engine as the list of engines has it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    /// Its identity.
+    pub id: EngineId,
+    /// The service that it belongs to.
+    pub service: ServiceId,
+    /// Where it is reached.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub standing: Standing,
+    /// Orders that it had accepted.
+    pub seq: u64,
+    /// What it holds.
+    pub held: Vec<Held>,
+    /// How much longer it is slow after its start, in milliseconds.
+    pub cold_ms: u64,
+}
+
+/// What an engine said of its load.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at a time.
+    pub slots: u32,
+}
+
+/// An engine and what this node knows of it.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// What the list says.
+    pub listed: Listed,
+    /// What its answers say.
+    pub judge: Judge,
+    /// Requests that this node has there.
+    pub own: u32,
+    /// The load that it told last, the time, and the requests that this node had there then.
+    pub told: Option<(Load, Millis, u32)>,
+    /// Connections that this node has there.
+    pub conns: u32,
+    /// When the list first named it.
+    pub since: Millis,
+    /// When it was missing from the list for the first time, while it is kept.
+    pub missing_since: Option<Millis>,
+    /// When the store's word that it leaves was taken in.
+    pub leaving_since: Option<Millis>,
+    /// When the last byte came from it on any connection.
+    pub heard: Millis,
+    /// When the one that gives orders told what it holds.
+    pub told_at: Option<Millis>,
+}
+
+/// Time for which a told load is believed.
+const TOLD_FOR: Millis = 2_000;
+
+impl Engine {
+    /// A newly listed engine.
+    pub fn new(listed: Listed, now: Millis) -> Engine {
+        Engine {
+            listed,
+            judge: Judge::default(),
+            own: 0,
+            told: None,
+            conns: 0,
+            since: now,
+            missing_since: None,
+            leaving_since: None,
+            heard: 0,
+            told_at: None,
+        }
+    }
+
+    /// Requests that are probably there now: those that it told of, with the change in this node's own.
+    pub fn estimate(&self, now: Millis) -> f64 {
+        match self.told {
+            Some((load, at, own)) if now.saturating_sub(at) < TOLD_FOR => {
+                let told = f64::from(load.running + load.waiting);
+                (told + f64::from(self.own) - f64::from(own)).max(f64::from(self.own))
+            }
+            _ => f64::from(self.own),
+        }
+    }
+
+    /// Whether it holds the model, and the adapter where one is wanted.
+    pub fn holds(&self, wanted: &Wanted) -> bool {
+        let held = self.listed.held.iter().find(|h| h.model == wanted.model);
+        held.is_some_and(|h| match &wanted.adapter {
+            Some(adapter) => h.adapters.contains(adapter),
+            None => true,
+        })
+    }
+
+    /// Whether it holds the model.
+    pub fn holds_model(&self, model: &str) -> bool {
+        self.listed.held.iter().any(|h| h.model == model)
+    }
+
+    /// Forgets that it holds something: it said itself that it does not.
+    pub fn drop_held(&mut self, wanted: &Wanted) {
+        match &wanted.adapter {
+            None => self.listed.held.retain(|h| h.model != wanted.model),
+            Some(adapter) => {
+                for held in self.listed.held.iter_mut().filter(|h| h.model == wanted.model) {
+                    held.adapters.retain(|a| a != adapter);
+                }
+            }
+        }
+    }
+
+    /// Notes that it holds something.
+    pub fn add_held(&mut self, wanted: &Wanted) {
+        let at = self.listed.held.iter().position(|h| h.model == wanted.model);
+        let at = at.unwrap_or_else(|| {
+            self.listed.held.push(Held { model: wanted.model.clone(), adapters: Vec::new() });
+            self.listed.held.len() - 1
+        });
+        if let Some(adapter) = &wanted.adapter {
+            let adapters = &mut self.listed.held[at].adapters;
+            if !adapters.contains(adapter) {
+                adapters.push(adapter.clone());
+            }
+        }
+    }
+
+    /// Whether new work may be sent there.
+    pub fn takes_work(&self) -> bool {
+        self.listed.standing == Standing::Ready
+    }
+}
+
+/// All engines that are known.
+#[derive(Debug, Clone, Default)]
+pub struct Engines {
+    by_id: IndexMap<EngineId, Engine>,
+}
+
+impl Engines {
+    /// The engine with this identity.
+    pub fn get(&self, id: &EngineId) -> Option<&Engine> {
+        self.by_id.get(id)
+    }
+
+    /// The engine with this identity.
+    pub fn get_mut(&mut self, id: &EngineId) -> Option<&mut Engine> {
+        self.by_id.get_mut(id)
+    }
+
+    /// All engines.
+    pub fn iter(&self) -> impl Iterator<Item = &Engine> {
+        self.by_id.values()
+    }
+
+    /// All engines of a service.
+    pub fn of<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Engine> {
+        self.by_id.values().filter(move |e| &e.listed.service == service)
+    }
+
+    /// Takes in an engine's newest entry.
+    pub fn list(&mut self, listed: Listed, now: Millis) {
+        let leaves = listed.standing != Standing::Ready;
+        let engine = match self.by_id.get_mut(&listed.id) {
+            Some(engine) => {
+                engine.listed = listed;
+                engine
+            }
+            None => {
+                let id = listed.id.clone();
+                self.by_id.entry(id).or_insert_with(|| Engine::new(listed, now))
+            }
+        };
+        engine.missing_since = None;
+        engine.leaving_since = leaves.then(|| engine.leaving_since.unwrap_or(now));
+    }
+
+    /// An engine's entry is gone.
+    pub fn unlist(&mut self, id: &EngineId) {
+        self.by_id.shift_remove(id);
+    }
+
+    /// Takes in a whole list: engines that it does not name go. While `keep`, those are kept: their
+    /// entries lapsed while the store was away and come back with their next heartbeat.
+    pub fn replace(&mut self, listed: Vec<Listed>, now: Millis, keep: bool) {
+        let named: Vec<EngineId> = listed.iter().map(|l| l.id.clone()).collect();
+        for listed in listed {
+            self.list(listed, now);
+        }
+        self.by_id.retain(|id, engine| {
+            let stays = named.contains(id) || keep;
+            if !named.contains(id) {
+                engine.missing_since.get_or_insert(now);
+            }
+            stays
+        });
+    }
+}
--- /dev/null
+++ b/crates/direct/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions of a node that sends to engines itself.
+//!
+//! Nothing here opens a socket or reads a clock: the time is passed in, as a [`Millis`] since the start of
+//! the process, so that each decision runs in a test of its load.
+
+mod budget;
+mod catalog;
+mod choose;
+mod demand;
+mod engines;
+mod judge;
+pub mod place;
+mod prompt;
+mod refuse;
+
+pub use budget::{Budget, BudgetLimits};
+pub use catalog::{
+    CallerLimits, Catalog, Kind, Model, Pool, Route, RouteMatch, Service, ServiceId, Target,
+};
+pub use choose::{Ask, Choice, NoEngine, choose};
+pub use demand::{Demand, Rates};
+pub use engines::{Engine, EngineId, Engines, Held, Listed, Load, Standing};
+pub use judge::{Judge, Verdict};
+pub use prompt::{EmptyModel, Part, Prompt, Wanted};
+pub use refuse::{RETRY_LEAST, Refusal, come_back};
+
+/// Milliseconds since the start of the process.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/direct/src/place/ceiling.rs
@@ -0,0 +1,43 @@
+use std::collections::VecDeque;
+
+use crate::Millis;
+
+/// What the weight store takes, over all engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CeilingLimits {
+    /// Loads a second.
+    pub loads_per_s: f64,
+    /// The time over which they are counted.
+    pub window: Millis,
+    /// Loads that may be under way at a time.
+    pub at_once: u32,
+}
+
+/// Loads from the weight store that have begun in the window.
+#[derive(Debug, Clone, Default)]
+pub struct Ceiling {
+    begun: VecDeque<Millis>,
+}
+
+impl Ceiling {
+    /// Whether another load may begin.
+    pub fn allows(&mut self, now: Millis, limits: &CeilingLimits) -> bool {
+        while self.begun.front().is_some_and(|t| *t + limits.window < now) {
+            self.begun.pop_front();
+        }
+        let allowed = limits.loads_per_s * limits.window as f64 / 1000.0;
+        (self.begun.len() + 1) as f64 <= allowed.max(1.0)
+    }
+
+    /// A load begins.
+    pub fn begin(&mut self, now: Millis) {
+        self.begun.push_back(now);
+    }
+
+    /// The predecessor may have begun as many loads as the window takes, up to now; `but` so many more are
+    /// left.
+    pub fn assume_full(&mut self, now: Millis, limits: &CeilingLimits, but: usize) {
+        let allowed = (limits.loads_per_s * limits.window as f64 / 1000.0) as usize;
+        self.begun = std::iter::repeat_n(now, allowed.saturating_sub(but)).collect();
+    }
+}
--- /dev/null
+++ b/crates/direct/src/place/mod.rs
@@ -0,0 +1,14 @@
+//! Which engine is to hold which model and adapter, decided by the one node that gives orders.
+//!
+//! Load: demand moves to other models within seconds while a load takes as long; the weight store takes
+//! few loads at a time; an engine that is given more than it holds crashes.
+
+mod adapters;
+mod ceiling;
+mod models;
+mod room;
+
+pub use adapters::{AdapterStep, place_adapter, spread_adapters};
+pub use ceiling::{Ceiling, CeilingLimits};
+pub use models::{ModelStep, Pending, next_model_step};
+pub use room::{Room, room};
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -51,6 +51,10 @@
     StopForced = 1005, Warn, "the process ends at once on a second signal";
     ListenerFailed = 1006, Error, "a listener cannot be served";
     MessagesLeft = 1007, Warn, "messages to peers were left unsent at the end";
+    StoodStill = 1008, Warn, "the machine stood still";
+    SettingsChanged = 1009, Info, "the settings have changed";
+    SettingsRejected = 1010, Warn, "the settings file cannot be used: the last settings stay";
+    LinesLeftOut = 1011, Warn, "log lines were left out";
     MemberUp = 2001, Info, "a node counts as alive";
     MemberDown = 2002, Info, "a node counts as dead or leaves";
     PeerRefused = 2003, Warn, "a connection of a peer was refused";
--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,76 @@
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use futures_core::Stream;
+use http::{Response, StatusCode};
+use hyper::body::{Body, Frame, SizeHint};
+
+/// An answer that could not be given to its end: its connection ends without one.
+#[derive(Debug, Clone, Copy, Display, Error)]
+#[display("the answer broke off")]
+pub(crate) struct BrokenOff;
+
+type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, BrokenOff>>>>;
+
+/// The body of an answer.
+pub(crate) enum AnswerBody {
+    /// All at once.
+    Whole(Option<Bytes>),
+    /// Piece by piece as they come.
+    Pieces(Pieces),
+}
+
+/// An answer to a caller.
+pub(crate) type Answer = Response<AnswerBody>;
+
+/// What a caller's connection takes: there is always an answer.
+pub(crate) type Answered = Result<Answer, Infallible>;
+
+impl AnswerBody {
+    pub(crate) fn whole(bytes: impl Into<Bytes>) -> AnswerBody {
+        let bytes = bytes.into();
+        AnswerBody::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+}
+
+/// A short answer of this node's own.
+pub(crate) fn own(status: StatusCode, text: &str) -> Answer {
+    let mut answer = Response::new(AnswerBody::whole(format!("{{\"error\":\"{text}\"}}")));
+    *answer.status_mut() = status;
+    let json = http::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    answer
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            AnswerBody::Pieces(pieces) => {
+                pieces.as_mut().poll_next(cx).map(|piece| piece.map(|p| p.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, AnswerBody::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            AnswerBody::Pieces(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,187 @@
+//! Following the configuration and the list of engines.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hgw_direct::{Listed, Standing};
+use hgw_events::{Event, emit};
+use tokio::time::sleep;
+
+use crate::dialect::{CatalogNews, EngineEntry, EngineNews, StoreError};
+use crate::shared::Node;
+
+/// Pause after a call that failed. The store counts refused calls too.
+const AFTER_FAILURE: Duration = Duration::from_millis(300);
+
+/// How long a call for a new configuration waits at the store. A connection that goes silent is found
+/// out a moment after it.
+const CATALOG_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time between two reads of the list of engines: with the way of a request it must stay below the time
+/// within which an engine that leaves gets no more work.
+const LIST_PAUSE: Duration = Duration::from_millis(750);
+
+/// Time after the store's return for which entries that are missing are kept: they come back with their
+/// engines' next heartbeats.
+const KEPT_FOR: Duration = Duration::from_millis(2_000);
+
+/// Follows the configuration until the process ends.
+pub(crate) async fn catalog(node: Node) {
+    let mut cursor = None;
+    let mut link = Link::new(&node, "configuration");
+    loop {
+        match node.dialects.store.catalog(cursor, CATALOG_WAIT).await {
+            Ok(news) => {
+                link.up();
+                cursor = Some(news.cursor);
+                let nothing = news.catalog.is_none();
+                adopt(&node, news);
+                if nothing && node.state.borrow().catalog.is_none() {
+                    sleep(AFTER_FAILURE).await;
+                }
+            }
+            Err(e) => {
+                link.down(&e);
+                sleep(AFTER_FAILURE).await;
+            }
+        }
+    }
+}
+
+fn adopt(node: &Node, news: CatalogNews) {
+    let catalog = match news.catalog {
+        Some(Ok(catalog)) => catalog,
+        Some(Err(e)) => {
+            emit(Event::ConfigRejected, &[("node", &node.settings.borrow().node), ("why", &e)]);
+            return;
+        }
+        None => return,
+    };
+    let mut state = node.state.borrow_mut();
+    // A store that was rewound may tell an older one.
+    if state.catalog.as_ref().is_some_and(|old| old.version >= catalog.version) {
+        return;
+    }
+    emit(
+        Event::ConfigInForce,
+        &[("node", &node.settings.borrow().node), ("version", &catalog.version)],
+    );
+    state.catalog = Some(Arc::clone(&catalog));
+}
+
+/// Follows the list of engines until the process ends.
+pub(crate) async fn engines(node: Node) {
+    let mut cursor = None;
+    let mut link = Link::new(&node, "engines");
+    let mut back_at = None;
+    loop {
+        match node.dialects.store.engines(cursor).await {
+            Ok(news) => {
+                if link.up() {
+                    back_at = Some(node.now());
+                }
+                cursor = Some(news.cursor);
+                let since_back = back_at.map(|at| node.now().saturating_sub(at));
+                let keep = since_back.is_some_and(|t| t < KEPT_FOR.as_millis() as u64);
+                take_in(&node, news, keep);
+                if back_at.is_some() && !keep {
+                    // What is still missing is gone: the whole list shows it.
+                    back_at = None;
+                    cursor = None;
+                    continue;
+                }
+                sleep(LIST_PAUSE).await;
+            }
+            Err(e) => {
+                link.down(&e);
+                // Entries that lapse unseen are found out by reading the whole list.
+                cursor = None;
+                sleep(AFTER_FAILURE).await;
+            }
+        }
+        node.pool.sweep();
+    }
+}
+
+fn take_in(node: &Node, news: EngineNews, keep: bool) {
+    let now = node.now();
+    for malformed in &news.malformed {
+        emit(Event::ConfigRejected, &[("node", &node.settings.borrow().node), ("why", malformed)]);
+    }
+    let mut state = node.state.borrow_mut();
+    let mut whole = Vec::new();
+    for entry in news.entries {
+        match entry {
+            EngineEntry::Listed { mut listed, left } => {
+                if let Some(left) = left {
+                    let gone_at = Some(now + left.as_millis() as u64);
+                    listed.standing = Standing::Leaving { gone_at };
+                }
+                keep_newer(&state.engines, &mut listed, now);
+                if news.whole {
+                    whole.push(listed);
+                } else {
+                    state.engines.list(listed, now);
+                }
+            }
+            EngineEntry::Gone(id) => {
+                if !keep {
+                    state.engines.unlist(&id);
+                }
+            }
+        }
+    }
+    if news.whole {
+        state.engines.replace(whole, now, keep);
+    }
+    state.listed = true;
+    drop(state);
+    node.placed.notify_waiters();
+}
+
+/// Time for which the keeper's word on an engine goes before a heartbeat that knows of as many orders: the
+/// heartbeat was written before the last of them had ended.
+const TOLD_FOR: u64 = 3_000;
+
+/// A heartbeat that is older than what the keeper told of the engine does not undo it.
+fn keep_newer(engines: &hgw_direct::Engines, listed: &mut Listed, now: hgw_direct::Millis) {
+    let Some(known) = engines.get(&listed.id) else { return };
+    let told = known.told_at.is_some_and(|at| now.saturating_sub(at) < TOLD_FOR);
+    if known.listed.seq > listed.seq || (known.listed.seq == listed.seq && told) {
+        listed.seq = known.listed.seq;
+        listed.held = known.listed.held.clone();
+    }
+}
+
+/// Whether the store answers one kind of call, logged when it changes.
+pub(crate) struct Link {
+    node: Node,
+    what: &'static str,
+    up: Option<bool>,
+}
+
+impl Link {
+    pub(crate) fn new(node: &Node, what: &'static str) -> Link {
+        Link { node: Node::clone(node), what, up: None }
+    }
+
+    /// It answered; tells whether it had not before.
+    pub(crate) fn up(&mut self) -> bool {
+        let back = self.up == Some(false);
+        if back {
+            let name = self.node.settings.borrow().node.clone();
+            emit(Event::LogUp, &[("node", &name), ("what", &self.what)]);
+        }
+        self.up = Some(true);
+        back
+    }
+
+    /// It did not answer.
+    pub(crate) fn down(&mut self, why: &StoreError) {
+        if self.up != Some(false) {
+            let name = self.node.settings.borrow().node.clone();
+            emit(Event::LogDown, &[("node", &name), ("what", &self.what), ("why", why)]);
+        }
+        self.up = Some(false);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/holder.rs
@@ -0,0 +1,278 @@
+//! Which node gives orders: the one whose claim is the newest in the store's log.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hgw_direct::Millis;
+use hgw_events::{Event, emit};
+use rand::random;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::clock::boot_time;
+use crate::dialect::{ClaimNews, Cursor, Record, StoreError};
+use crate::follow::Link;
+use crate::keeper;
+use crate::shared::Node;
+
+/// Renewals in a lease: two may fail before it runs out.
+const RENEWALS: u32 = 3;
+
+/// Pause after a call that failed.
+const AFTER_FAILURE: Duration = Duration::from_millis(250);
+
+/// Longest that nodes wait beyond a lease before they claim, so that they do not all try at once.
+const SPREAD: Duration = Duration::from_millis(300);
+
+/// A record of the claim's log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Entry {
+    kind: EntryKind,
+    node: String,
+    /// Where other nodes reach it.
+    addr: SocketAddr,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+enum EntryKind {
+    /// From here on this node gives the orders; the record's offset is its fencing number.
+    Claim,
+    /// It still does.
+    Renewal,
+    /// It gives no more.
+    Release,
+}
+
+/// The node that gives orders.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Keeper {
+    pub(crate) node: String,
+    pub(crate) addr: SocketAddr,
+    pub(crate) fence: u64,
+}
+
+/// What a node knows of the claim.
+#[derive(Debug, Default)]
+pub(crate) struct Holding {
+    /// The newest claim that was not released.
+    pub(crate) keeper: Option<Keeper>,
+    /// The fencing number of this node's own claim, while it holds.
+    mine: Option<u64>,
+    /// When the last acknowledged renewal was sent, by the clock that counts suspended time.
+    renewed: Duration,
+    /// When a renewal was last tried.
+    tried: Duration,
+}
+
+impl Holding {
+    /// The fencing number for an order now, where this node may give one.
+    ///
+    /// A node that stood still finds out here: until it has tried to renew its claim it believes nothing.
+    /// Where engines refuse old numbers a holder that cannot reach the store goes on, for nobody can take
+    /// over unseen; where they do not, it ends with its lease.
+    pub(crate) fn fence(&self, lease: Duration, engines_fence: bool) -> Option<u64> {
+        let now = boot_time();
+        let renewed = now.saturating_sub(self.renewed) < lease;
+        let awake = now.saturating_sub(self.tried) < lease / 2;
+        self.mine.filter(|_| awake && (renewed || engines_fence))
+    }
+
+    /// An engine has seen a higher fencing number.
+    pub(crate) fn superseded(&mut self) {
+        self.mine = None;
+    }
+
+    pub(crate) fn is_mine(&self) -> bool {
+        self.mine.is_some()
+    }
+}
+
+/// What a node has read of the log.
+struct Reader {
+    node: Node,
+    end: Option<Cursor>,
+    /// Since when every read has succeeded and brought nothing new.
+    quiet_since: Option<Millis>,
+    spread: Duration,
+}
+
+/// Claims, renews and follows the claim until the process ends.
+pub(crate) async fn hold(node: Node) {
+    let spread = SPREAD.mul_f64(random());
+    let mut reader = Reader { node: Rc::clone(&node), end: None, quiet_since: None, spread };
+    let mut link = Link::new(&node, "claim");
+    loop {
+        let step = if node.holding.borrow().is_mine() {
+            reader.renew().await
+        } else {
+            reader.follow().await
+        };
+        match step {
+            Ok(()) => {
+                link.up();
+            }
+            Err(e) => {
+                link.down(&e);
+                sleep(AFTER_FAILURE).await;
+            }
+        }
+    }
+}
+
+/// Gives the claim up, at the planned stop.
+pub(crate) async fn release(node: Node) {
+    if !node.holding.borrow().is_mine() {
+        return;
+    }
+    let Ok(news) = node.dialects.store.claims(None, Duration::ZERO).await else { return };
+    let last = news.records.iter().rev().find_map(read);
+    let me = node.settings.borrow().node.clone();
+    node.holding.borrow_mut().superseded();
+    if last.is_some_and(|entry| entry.node == me) {
+        // Where this fails the next holder waits the lease out.
+        let _ = node.dialects.store.claim(news.end, entry(&node, EntryKind::Release)).await;
+    }
+}
+
+impl Reader {
+    async fn renew(&mut self) -> Result<(), StoreError> {
+        let node = Rc::clone(&self.node);
+        let lease = node.settings.borrow().lease;
+        let Some(end) = self.end else { return self.read(Duration::ZERO).await };
+        let began = boot_time();
+        node.holding.borrow_mut().tried = began;
+        let renewed = node.dialects.store.claim(end, entry(&node, EntryKind::Renewal)).await;
+        match renewed {
+            Ok(()) => {
+                self.end = Some(end + 1);
+                let mut holding = node.holding.borrow_mut();
+                holding.renewed = began;
+                holding.tried = boot_time();
+                drop(holding);
+                sleep(lease / RENEWALS).await;
+                Ok(())
+            }
+            // Another record stands there: another node's claim, or this node's own renewal whose
+            // answer was lost.
+            Err(StoreError::Condition) => self.read(Duration::ZERO).await,
+            Err(e) => {
+                node.holding.borrow_mut().tried = boot_time();
+                let lost = matches!(e, StoreError::Lost { .. });
+                if lost && self.read(Duration::ZERO).await.is_ok() {
+                    return Ok(());
+                }
+                Err(e)
+            }
+        }
+    }
+
+    async fn follow(&mut self) -> Result<(), StoreError> {
+        let (lease, me) = {
+            let settings = self.node.settings.borrow();
+            (settings.lease, settings.node.clone())
+        };
+        if let Err(e) = self.read(lease / 2).await {
+            // While the store does not answer its holder cannot renew either.
+            self.quiet_since = None;
+            return Err(e);
+        }
+        if self.node.is_stopping() || self.node.holding.borrow().is_mine() {
+            sleep(AFTER_FAILURE).await;
+            return Ok(());
+        }
+        let now = self.node.now();
+        let quiet = now - *self.quiet_since.get_or_insert(now);
+        let last = self.node.holding.borrow().keeper.clone();
+        let free = last.as_ref().is_none_or(|keeper| keeper.node == me);
+        let out = quiet >= (lease + self.spread).as_millis() as Millis;
+        let listed = self.node.state.borrow().listed;
+        if listed && (free || out) { self.claim().await } else { Ok(()) }
+    }
+
+    async fn claim(&mut self) -> Result<(), StoreError> {
+        let Some(end) = self.end else { return Ok(()) };
+        let node = Rc::clone(&self.node);
+        let began = boot_time();
+        match node.dialects.store.claim(end, entry(&node, EntryKind::Claim)).await {
+            Ok(()) => {
+                self.end = Some(end + 1);
+                self.gain(end, began);
+                Ok(())
+            }
+            Err(StoreError::Condition) => self.read(Duration::ZERO).await,
+            Err(e) => Err(e),
+        }
+    }
+
+    fn gain(&mut self, fence: u64, began: Duration) {
+        let node = &self.node;
+        let (name, addr) = {
+            let settings = node.settings.borrow();
+            (settings.node.clone(), settings.peers)
+        };
+        emit(Event::KeeperGained, &[("node", &name), ("term", &fence)]);
+        let mut holding = node.holding.borrow_mut();
+        holding.keeper = Some(Keeper { node: name, addr, fence });
+        holding.mine = Some(fence);
+        holding.renewed = began;
+        holding.tried = boot_time();
+        drop(holding);
+        keeper::begin(node, fence);
+    }
+
+    async fn read(&mut self, wait: Duration) -> Result<(), StoreError> {
+        let began = boot_time();
+        let news = self.node.dialects.store.claims(self.end, wait).await?;
+        let ClaimNews { end, records } = news;
+        if self.end.is_some_and(|known| end < known) {
+            // The log was rewound: what was read of it is void.
+            self.end = None;
+            return Ok(());
+        }
+        self.end = Some(end);
+        if !records.is_empty() {
+            self.quiet_since = Some(self.node.now());
+        }
+        for record in &records {
+            self.apply(record, began);
+        }
+        Ok(())
+    }
+
+    fn apply(&self, record: &Record, began: Duration) {
+        let Some(entry) = read(record) else { return };
+        let me = self.node.settings.borrow().node.clone();
+        let mut holding = self.node.holding.borrow_mut();
+        let lost = holding.mine.filter(|mine| {
+            entry.node != me || (entry.kind == EntryKind::Claim && record.offset != *mine)
+        });
+        if let Some(mine) = lost {
+            emit(Event::KeeperLost, &[("node", &me), ("term", &mine)]);
+            holding.mine = None;
+        }
+        if holding.mine.is_some() {
+            holding.renewed = began;
+        }
+        let Entry { kind, node, addr } = entry;
+        let known = holding.keeper.as_ref().filter(|k| k.node == node).map(|k| k.fence);
+        holding.keeper = match kind {
+            EntryKind::Claim => Some(Keeper { node, addr, fence: record.offset }),
+            EntryKind::Renewal => {
+                Some(Keeper { node, addr, fence: known.unwrap_or(record.offset) })
+            }
+            EntryKind::Release => None,
+        };
+    }
+}
+
+fn read(record: &Record) -> Option<Entry> {
+    serde_json::from_slice(&record.data).ok()
+}
+
+fn entry(node: &Node, kind: EntryKind) -> Bytes {
+    let settings = node.settings.borrow();
+    let entry = Entry { kind, node: settings.node.clone(), addr: settings.peers };
+    serde_json::to_vec(&entry).expect("an entry can be written as JSON").into()
+}
--- /dev/null
+++ b/crates/gateway/src/keeper/adapters.rs
@@ -0,0 +1,166 @@
+//! Adapters where they are asked for.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hgw_direct::place::{AdapterStep, place_adapter, spread_adapters};
+use hgw_direct::{Engine, EngineId, Pool, ServiceId, Wanted};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::dialect::OrderKind;
+use crate::peers::Placement;
+use crate::shared::Node;
+
+use super::give::{Given, ask, give};
+use super::{changed, desk, pools};
+
+/// Usual time of an adapter's way to an engine.
+const FIRST_CHECK: Duration = Duration::from_millis(6);
+
+/// Time between two questions whether it has come.
+const DONE_CHECK: Duration = Duration::from_millis(6);
+
+/// Longest wait for it.
+const LONGEST: Duration = Duration::from_millis(500);
+
+/// Adapters that are placed ahead of requests at a time.
+const MOST_AHEAD: usize = 4;
+
+/// Places a model or an adapter that a request waits for.
+pub(crate) async fn want(node: &Node, wanted: &Wanted, domain: &str) -> Placement {
+    if is_placed(node, wanted) {
+        return Placement::Placed;
+    }
+    let model = Wanted { model: wanted.model.clone(), adapter: None };
+    if wanted.adapter.is_none() || !is_placed(node, &model) {
+        return Placement::Coming;
+    }
+    let under_way = node.keeper.borrow().placing.get(wanted).cloned();
+    if let Some(under_way) = under_way {
+        // Whether it came is seen below.
+        let _ = timeout(LONGEST, under_way.notified()).await;
+    } else {
+        place(node, wanted, domain).await;
+    }
+    if is_placed(node, wanted) { Placement::Placed } else { Placement::Unknown }
+}
+
+/// Places what is asked for and was dropped or never held, ahead of the next request for it.
+pub(super) fn step(node: &Node, service: &ServiceId, _pool: &Pool) {
+    let wanted = {
+        let keeper = node.keeper.borrow();
+        if keeper.placing.len() >= MOST_AHEAD {
+            return;
+        }
+        let state = node.state.borrow();
+        let engines: Vec<&Engine> = state.engines.of(service).filter(|e| e.takes_work()).collect();
+        spread_adapters(&engines, &keeper.demand, node.now())
+    };
+    let Some(wanted) = wanted else { return };
+    if node.keeper.borrow().placing.contains_key(&wanted) {
+        return;
+    }
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move { place(&node, &wanted, "").await });
+}
+
+fn is_placed(node: &Node, wanted: &Wanted) -> bool {
+    node.state.borrow().engines.iter().any(|e| e.takes_work() && e.holds(wanted))
+}
+
+async fn place(node: &Node, wanted: &Wanted, domain: &str) {
+    let told = Rc::new(Notify::new());
+    node.keeper.borrow_mut().placing.insert(wanted.clone(), Rc::clone(&told));
+    if let Some((engine, instead_of)) = choose(node, wanted, domain) {
+        let turn = desk(node, &engine);
+        let _turn = turn.lock().await;
+        // While it waited for its turn another order may have taken the place.
+        if choose_again(node, wanted, &engine, instead_of.as_ref()) {
+            carry_out(node, &engine, wanted, instead_of).await;
+        }
+    }
+    node.keeper.borrow_mut().placing.shift_remove(wanted);
+    told.notify_waiters();
+}
+
+fn choose(node: &Node, wanted: &Wanted, domain: &str) -> Option<(EngineId, Option<Wanted>)> {
+    let now = node.now();
+    for (service, pool) in pools(node) {
+        let state = node.state.borrow();
+        let keeper = node.keeper.borrow();
+        let engines: Vec<&Engine> = state
+            .engines
+            .of(&service)
+            .filter(|e| e.takes_work() && keeper.surveyed.contains(&e.listed.id))
+            .collect();
+        let step = place_adapter(&engines, &pool, &keeper.demand, wanted, domain, now);
+        if let AdapterStep::Load { engine, instead_of } = step {
+            return Some((engine, instead_of));
+        }
+    }
+    None
+}
+
+/// Whether what was chosen is still right: there is a place, or what makes way is still there.
+fn choose_again(
+    node: &Node,
+    wanted: &Wanted,
+    engine: &EngineId,
+    instead_of: Option<&Wanted>,
+) -> bool {
+    let slots = pools(node).iter().map(|(_, p)| p.adapter_slots).max().unwrap_or(0) as usize;
+    let fits = node.engine(engine, |e| {
+        let used: usize = e.listed.held.iter().map(|h| h.adapters.len()).sum();
+        let freed = usize::from(instead_of.is_some_and(|w| e.holds(w)));
+        e.holds_model(&wanted.model) && !e.holds(wanted) && used - freed < slots
+    });
+    fits.unwrap_or(false)
+}
+
+async fn carry_out(node: &Node, engine: &EngineId, wanted: &Wanted, instead_of: Option<Wanted>) {
+    if let Some(victim) = instead_of {
+        if let Some(e) = node.state.borrow_mut().engines.get_mut(engine) {
+            e.drop_held(&victim);
+        }
+        changed(node, engine);
+        if !done(node, engine, OrderKind::Unload, &victim).await {
+            return;
+        }
+    }
+    done(node, engine, OrderKind::Load, wanted).await;
+}
+
+/// Gives an order until it holds; tells whether it does.
+async fn done(node: &Node, engine: &EngineId, kind: OrderKind, wanted: &Wanted) -> bool {
+    let until = Instant::now() + LONGEST;
+    let mut conflicts = 0;
+    while Instant::now() < until {
+        match give(node, engine, kind, wanted).await {
+            Given::Holds => {
+                if let Some(e) = node.state.borrow_mut().engines.get_mut(engine) {
+                    match kind {
+                        OrderKind::Load => e.add_held(wanted),
+                        OrderKind::Unload => e.drop_held(wanted),
+                    }
+                }
+                changed(node, engine);
+                return true;
+            }
+            Given::Accepted => sleep(FIRST_CHECK).await,
+            Given::Conflict => {
+                conflicts += 1;
+                if conflicts % 3 == 0 {
+                    ask(node, engine).await;
+                }
+                sleep(DONE_CHECK).await;
+            }
+            Given::Lost | Given::NotSent => {
+                ask(node, engine).await;
+            }
+            Given::Superseded | Given::Refused => break,
+        }
+    }
+    node.keeper.borrow_mut().surveyed.shift_remove(engine);
+    false
+}
--- /dev/null
+++ b/crates/gateway/src/keeper/give.rs
@@ -0,0 +1,159 @@
+//! One order to one engine.
+
+use std::time::Duration;
+
+use hgw_direct::{EngineId, Wanted};
+use hgw_events::{Event, emit};
+use hgw_http1::{Body, Request};
+use tokio::time::timeout;
+
+use crate::dialect::{Order, OrderKind, Report};
+use crate::shared::Node;
+
+use super::changed;
+
+/// Longest wait for an engine's answer to an order or a question.
+const PATIENCE: Duration = Duration::from_millis(400);
+
+/// Bytes of such an answer.
+const MOST: usize = 1 << 20;
+
+/// What an engine said to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Given {
+    /// It is being carried out.
+    Accepted,
+    /// It holds already.
+    Holds,
+    /// Another one is under way, or the engine has accepted one that was not known of.
+    Conflict,
+    /// This node gives no orders any more.
+    Superseded,
+    /// The engine is another one, or refused the order for good.
+    Refused,
+    /// It could not be sent.
+    NotSent,
+    /// No answer: it may be carried out, also late.
+    Lost,
+}
+
+/// Gives an order, whose precondition is the number of orders that the engine is known to have accepted.
+pub(super) async fn give(
+    node: &Node,
+    engine: &EngineId,
+    kind: OrderKind,
+    wanted: &Wanted,
+) -> Given {
+    let (lease, fences, holder) = {
+        let settings = node.settings.borrow();
+        (settings.lease, settings.engines_fence, settings.node.clone())
+    };
+    let Some(fence) = node.holding.borrow().fence(lease, fences) else { return Given::Superseded };
+    let Some((addr, seq)) = node.engine(engine, |e| (e.listed.addr, e.listed.seq)) else {
+        return Given::Refused;
+    };
+    let order = Order { addr, engine, kind, wanted, seq, holder: &holder, fence };
+    let req = node.dialects.upstreams.order(&order);
+    let given = match exchange(node, engine, &req).await {
+        Exchanged::Answered(status, body) => {
+            let given = said(status);
+            let fields: &[(&str, &dyn std::fmt::Display)] = &[
+                ("node", &holder),
+                ("upstream", engine),
+                ("what", wanted),
+                ("kind", &kind),
+                ("seq", &seq),
+                ("term", &fence),
+                ("status", &status),
+                ("answer", &String::from_utf8_lossy(&body)),
+            ];
+            emit(if given == Given::Accepted || given == Given::Holds { Event::OrderSent } else { Event::OrderNotDone }, fields);
+            given
+        }
+        Exchanged::NotSent => Given::NotSent,
+        Exchanged::Lost => {
+            emit(
+                Event::OrderNotDone,
+                &[("node", &holder), ("upstream", engine), ("what", wanted), ("kind", &kind), ("seq", &seq), ("status", &"none")],
+            );
+            Given::Lost
+        }
+    };
+    if given == Given::Superseded {
+        emit(Event::KeeperLost, &[("node", &holder), ("term", &fence)]);
+        node.holding.borrow_mut().superseded();
+    }
+    if given == Given::Accepted
+        && let Some(engine) = node.state.borrow_mut().engines.get_mut(engine)
+    {
+        engine.listed.seq = engine.listed.seq.max(seq + 1);
+    }
+    given
+}
+
+fn said(status: u16) -> Given {
+    match status {
+        200 => Given::Holds,
+        202 => Given::Accepted,
+        409 => Given::Conflict,
+        412 => Given::Superseded,
+        _ => Given::Refused,
+    }
+}
+
+/// Asks an engine what it holds; tells whether it answered.
+pub(super) async fn ask(node: &Node, engine: &EngineId) -> bool {
+    let Some(addr) = node.engine(engine, |e| e.listed.addr) else { return true };
+    let req = node.dialects.upstreams.ask_report(addr, engine);
+    let Exchanged::Answered(200, body) = exchange(node, engine, &req).await else { return false };
+    match node.dialects.upstreams.report(&body) {
+        Ok(report) => {
+            take_in(node, engine, report);
+            true
+        }
+        Err(e) => {
+            emit(Event::OrderNotDone, &[("upstream", engine), ("why", &e)]);
+            false
+        }
+    }
+}
+
+fn take_in(node: &Node, engine: &EngineId, report: Report) {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    let Some(known) = state.engines.get_mut(engine) else { return };
+    // Its values are some hundred milliseconds old.
+    if report.seq < known.listed.seq {
+        return;
+    }
+    known.listed.seq = report.seq;
+    known.listed.held = report.held;
+    known.told = Some((report.load, now, known.own));
+    drop(state);
+    changed(node, engine);
+}
+
+enum Exchanged {
+    Answered(u16, bytes::Bytes),
+    NotSent,
+    Lost,
+}
+
+async fn exchange(node: &Node, engine: &EngineId, req: &Request) -> Exchanged {
+    let Some(addr) = node.engine(engine, |e| e.listed.addr) else { return Exchanged::NotSent };
+    let connected = timeout(PATIENCE, node.pool.get(addr, node.connect_limits())).await;
+    let Ok(Ok(mut conn)) = connected else { return Exchanged::NotSent };
+    let answered = async {
+        let head = conn.send(req).await.ok()?;
+        let body = conn.collect(Body::new(head.framing), MOST).await.ok()?;
+        Some((head.status, body))
+    };
+    match timeout(PATIENCE, answered).await {
+        Ok(Some((status, body))) => {
+            node.heard(engine);
+            node.pool.put(addr, conn);
+            Exchanged::Answered(status, body)
+        }
+        Ok(None) | Err(_) => Exchanged::Lost,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/keeper/mod.rs
@@ -0,0 +1,168 @@
+//! The duty of the one node that gives orders: models and adapters where they are asked for.
+
+mod adapters;
+mod give;
+mod models;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hgw_direct::place::{Ceiling, CeilingLimits, Pending};
+use hgw_direct::{Demand, EngineId, Millis, Pool, Wanted};
+use indexmap::{IndexMap, IndexSet};
+use tokio::sync::{Mutex, Notify};
+use tokio::time::{sleep, timeout};
+
+use crate::peers::{Asked, NEWS_WAIT, News, Told};
+use crate::shared::Node;
+
+pub(crate) use adapters::want;
+
+/// Time between two looks at what should be ordered.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Loads from the weight store that a new holder gives while what its predecessor began still counts.
+const FIRST_LOADS: usize = 3;
+
+/// The keeper's books.
+#[derive(Debug, Default)]
+pub(crate) struct KeeperState {
+    /// The claim that they are kept under.
+    fence: u64,
+    demand: Demand,
+    ceiling: Ceiling,
+    pending: Pending,
+    /// Engines whose state was asked for under this claim.
+    surveyed: IndexSet<EngineId>,
+    /// One order at a time for each engine.
+    desks: IndexMap<EngineId, Rc<Mutex<()>>>,
+    /// Adapters that are being placed.
+    placing: IndexMap<Wanted, Rc<Notify>>,
+    /// Rises with each change of what an engine holds.
+    version: u64,
+    versions: IndexMap<EngineId, u64>,
+    changed: Rc<Notify>,
+}
+
+/// Takes the duty up under a new claim.
+pub(crate) fn begin(node: &Node, fence: u64) {
+    let now = node.now();
+    let mut keeper = KeeperState { fence, ..KeeperState::default() };
+    for (_, pool) in pools(node) {
+        keeper.ceiling.assume_full(now, &ceiling_limits(node, &pool), FIRST_LOADS);
+    }
+    *node.keeper.borrow_mut() = keeper;
+    tokio::task::spawn_local(run(Rc::clone(node), fence));
+}
+
+async fn run(node: Node, fence: u64) {
+    while node.keeper.borrow().fence == fence && node.holding.borrow().is_mine() {
+        survey(&node);
+        for (service, pool) in pools(&node) {
+            models::step(&node, &service, &pool);
+            adapters::step(&node, &service, &pool);
+        }
+        sleep(TICK).await;
+    }
+}
+
+/// Asks engines that are new under this claim what they hold.
+fn survey(node: &Node) {
+    let services: Vec<_> = pools(node).into_iter().map(|(service, _)| service).collect();
+    let state = node.state.borrow();
+    let engines = state.engines.iter().filter(|e| services.contains(&e.listed.service));
+    let ids: Vec<EngineId> = engines.map(|e| e.listed.id.clone()).collect();
+    drop(state);
+    let mut keeper = node.keeper.borrow_mut();
+    keeper.surveyed.retain(|id| ids.contains(id));
+    keeper.desks.retain(|id, _| ids.contains(id));
+    keeper.pending.retain(|id, _| ids.contains(id));
+    for id in ids {
+        if keeper.surveyed.insert(id.clone()) {
+            let node = Rc::clone(node);
+            tokio::task::spawn_local(async move {
+                let desk = desk(&node, &id);
+                let _turn = desk.lock().await;
+                if !give::ask(&node, &id).await {
+                    node.keeper.borrow_mut().surveyed.shift_remove(&id);
+                }
+            });
+        }
+    }
+}
+
+/// Services whose engines hold models.
+fn pools(node: &Node) -> Vec<(hgw_direct::ServiceId, Pool)> {
+    let state = node.state.borrow();
+    let Some(catalog) = &state.catalog else { return Vec::new() };
+    let pools = catalog.services.iter();
+    pools.filter_map(|(id, s)| Some((id.clone(), s.pool.clone()?))).collect()
+}
+
+fn ceiling_limits(node: &Node, pool: &Pool) -> CeilingLimits {
+    let window = node.settings.borrow().load_window.as_millis() as Millis;
+    CeilingLimits { loads_per_s: pool.loads_per_s, window, at_once: u32::MAX }
+}
+
+fn desk(node: &Node, engine: &EngineId) -> Rc<Mutex<()>> {
+    let mut keeper = node.keeper.borrow_mut();
+    Rc::clone(keeper.desks.entry(engine.clone()).or_default())
+}
+
+/// Takes in what a node was asked for.
+pub(crate) fn asked(node: &Node, asked: &[Asked]) {
+    let now = node.now();
+    let mut keeper = node.keeper.borrow_mut();
+    for one in asked {
+        let (wanted, count) = one.clone().parts();
+        keeper.demand.saw(now, &wanted, count);
+    }
+}
+
+/// What has changed since a version; waits a while for something.
+pub(crate) async fn news(node: &Node, since: u64) -> News {
+    let (version, changed) = {
+        let keeper = node.keeper.borrow();
+        (keeper.version, Rc::clone(&keeper.changed))
+    };
+    if version <= since {
+        // Without news the wait ends by itself.
+        let _ = timeout(NEWS_WAIT, changed.notified()).await;
+    }
+    let keeper = node.keeper.borrow();
+    let newer = keeper.versions.iter().filter(|(_, v)| **v > since).map(|(id, _)| id);
+    let engines = newer.filter_map(|id| told(node, id)).collect();
+    News { version: keeper.version, engines }
+}
+
+/// What the engines that hold something hold.
+pub(crate) fn told_of(node: &Node, wanted: &Wanted) -> Vec<Told> {
+    let state = node.state.borrow();
+    let holders = state.engines.iter().filter(|e| e.holds(wanted));
+    let ids: Vec<EngineId> = holders.map(|e| e.listed.id.clone()).collect();
+    drop(state);
+    ids.iter().filter_map(|id| told(node, id)).collect()
+}
+
+fn told(node: &Node, id: &EngineId) -> Option<Told> {
+    node.engine(id, |e| Told {
+        engine: id.clone(),
+        seq: e.listed.seq,
+        held: e.listed.held.clone(),
+    })
+}
+
+/// What an engine holds has changed.
+fn changed(node: &Node, engine: &EngineId) {
+    let now = node.now();
+    if let Some(engine) = node.state.borrow_mut().engines.get_mut(engine) {
+        engine.told_at = Some(now);
+    }
+    let mut keeper = node.keeper.borrow_mut();
+    keeper.version += 1;
+    let version = keeper.version;
+    keeper.versions.insert(engine.clone(), version);
+    keeper.changed.notify_waiters();
+    drop(keeper);
+    node.placed.notify_waiters();
+}
--- /dev/null
+++ b/crates/gateway/src/keeper/models.rs
@@ -0,0 +1,123 @@
+//! Models where demand is.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hgw_direct::place::{ModelStep, next_model_step};
+use hgw_direct::{Engine, EngineId, Pool, ServiceId, Wanted};
+use tokio::time::{Instant, sleep};
+
+use crate::dialect::OrderKind;
+use crate::shared::Node;
+
+use super::give::{Given, ask, give};
+use super::{ceiling_limits, changed, desk};
+
+/// Time between two questions whether an order has been carried out.
+const DONE_CHECK: Duration = Duration::from_millis(200);
+
+/// Longest wait for an order beyond its usual time, as a multiple of it: many loads at once take longer.
+const SLOWEST: u32 = 4;
+
+/// Longest time that an engine takes to drop a model whose requests still run.
+const UNLOAD: Duration = Duration::from_secs(20);
+
+/// Time between the word that a model goes and the order: requests on their way arrive before it.
+const WORD_AHEAD: Duration = Duration::from_millis(120);
+
+/// Gives the order for a model that helps most, where one does.
+pub(super) fn step(node: &Node, service: &ServiceId, pool: &Pool) {
+    loop {
+        let now = node.now();
+        let mut keeper = node.keeper.borrow_mut();
+        let may_load = keeper.ceiling.allows(now, &ceiling_limits(node, pool));
+        let state = node.state.borrow();
+        let engines: Vec<&Engine> = state
+            .engines
+            .of(service)
+            .filter(|e| e.takes_work() && keeper.surveyed.contains(&e.listed.id))
+            .collect();
+        let rates = keeper.demand.rates(now);
+        let step = next_model_step(&engines, pool, &rates, &keeper.pending, may_load, now);
+        drop(state);
+        let Some(step) = step else { return };
+        let (engine, model, kind) = match step {
+            ModelStep::Load { engine, model } => {
+                keeper.ceiling.begin(now);
+                (engine, model, OrderKind::Load)
+            }
+            ModelStep::Unload { engine, model } => (engine, model, OrderKind::Unload),
+        };
+        keeper.pending.insert(engine.clone(), model.clone());
+        let usual = pool.models.get(&model).map_or(Duration::from_secs(5), |m| m.load);
+        drop(keeper);
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(async move {
+            let wanted = Wanted { model, adapter: None };
+            carry_out(&node, &engine, kind, &wanted, usual).await;
+            node.keeper.borrow_mut().pending.shift_remove(&engine);
+        });
+    }
+}
+
+async fn carry_out(
+    node: &Node,
+    engine: &EngineId,
+    kind: OrderKind,
+    wanted: &Wanted,
+    usual: Duration,
+) {
+    let turn = desk(node, engine);
+    if kind == OrderKind::Unload {
+        // Nobody sends to it any more.
+        if let Some(engine) = node.state.borrow_mut().engines.get_mut(engine) {
+            engine.drop_held(wanted);
+        }
+        changed(node, engine);
+        sleep(WORD_AHEAD).await;
+    }
+    let patience = if kind == OrderKind::Load { usual * SLOWEST } else { UNLOAD };
+    let until = Instant::now() + patience;
+    let mut accepted = false;
+    let mut conflicts = 0;
+    while Instant::now() < until {
+        let given = {
+            let _turn = turn.lock().await;
+            give(node, engine, kind, wanted).await
+        };
+        match given {
+            Given::Holds => return done(node, engine, kind, wanted),
+            Given::Accepted => {
+                accepted = true;
+                sleep(if kind == OrderKind::Load { usual } else { DONE_CHECK }).await;
+            }
+            Given::Conflict if accepted => sleep(DONE_CHECK).await,
+            Given::Conflict => {
+                conflicts += 1;
+                if conflicts > 3 {
+                    break;
+                }
+                sleep(DONE_CHECK).await;
+                let _turn = turn.lock().await;
+                ask(node, engine).await;
+            }
+            Given::NotSent | Given::Lost => sleep(DONE_CHECK).await,
+            Given::Superseded | Given::Refused => break,
+        }
+        if kind == OrderKind::Unload {
+            changed(node, engine);
+        }
+    }
+    // What became of it is not known.
+    node.keeper.borrow_mut().surveyed.shift_remove(engine);
+}
+
+fn done(node: &Node, engine: &EngineId, kind: OrderKind, wanted: &Wanted) {
+    if let Some(engine) = node.state.borrow_mut().engines.get_mut(engine) {
+        match kind {
+            OrderKind::Load => engine.add_held(wanted),
+            OrderKind::Unload => engine.drop_held(wanted),
+        }
+    }
+    changed(node, engine);
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,24 @@
+//! A node that serves callers from engines it reaches directly.
+//!
+//! One thread does all of it: a stream has twenty events for each request, and an event that crosses
+//! threads pays for two wake-ups. What is decided lives in [`hgw_direct`]; names, formats and calls of a
+//! platform come in by the traits of [`dialect`].
+
+mod answer;
+mod clock;
+pub mod dialect;
+mod follow;
+mod front;
+mod holder;
+mod keeper;
+mod listen;
+mod peers;
+mod pool;
+mod relay;
+mod run;
+mod settings;
+mod shared;
+mod stop;
+
+pub use run::{Ended, Signal, run};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/gateway/src/listen.rs
@@ -0,0 +1,35 @@
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Connections that may wait to be accepted: with the usual 128 a burst is dropped and comes again only
+/// after seconds.
+const BACKLOG: i32 = 4096;
+
+/// Longest time that sent bytes may stay unacknowledged: a caller whose path is cut would else be waited
+/// for until the end of its request.
+const UNACKED: Duration = Duration::from_secs(5);
+
+pub(crate) fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
+    // A process that is replaced finds its port still in use by ended connections otherwise.
+    socket.set_reuse_address(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    TcpListener::from_std(socket.into())
+}
+
+pub(crate) fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKED))?;
+    let keep_alive = TcpKeepalive::new()
+        .with_time(Duration::from_secs(3))
+        .with_interval(Duration::from_secs(1))
+        .with_retries(3);
+    socket.set_tcp_keepalive(&keep_alive)
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,284 @@
+//! What nodes tell each other: what is asked for, and what the engines hold.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hgw_direct::{EngineId, Held, Wanted};
+use hgw_http1::{Body, Request};
+use http::{Method, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+
+use crate::answer::{Answer, AnswerBody, Answered, own};
+use crate::keeper;
+use crate::listen;
+use crate::shared::Node;
+
+/// Longest that the keeper holds an answer back for want of news.
+pub(crate) const NEWS_WAIT: Duration = Duration::from_millis(400);
+
+/// Least time between two exchanges: what changes within it is told at once.
+const EXCHANGE_LEAST: Duration = Duration::from_millis(40);
+
+/// Longest wait for the keeper beyond that.
+const PATIENCE: Duration = Duration::from_millis(600);
+
+/// Longest wait for the placement of an adapter or the word that a model is coming.
+const WANT_PATIENCE: Duration = Duration::from_millis(600);
+
+/// Pause while no keeper is known or it does not answer.
+const NO_KEEPER: Duration = Duration::from_millis(150);
+
+/// Bytes of a message.
+const MOST: usize = 1 << 20;
+
+/// What an engine holds, as the keeper knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Told {
+    pub(crate) engine: EngineId,
+    /// Orders that it has accepted.
+    pub(crate) seq: u64,
+    pub(crate) held: Vec<Held>,
+}
+
+/// How often something was asked for since the last exchange.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Asked {
+    model: String,
+    adapter: Option<String>,
+    count: f64,
+}
+
+/// What a node tells the keeper.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Tell {
+    /// The keeper's claim that the node believes in.
+    fence: u64,
+    /// What it has of that keeper's news.
+    version: u64,
+    asked: Vec<Asked>,
+}
+
+/// What the keeper tells.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct News {
+    pub(crate) version: u64,
+    pub(crate) engines: Vec<Told>,
+}
+
+/// Asks the keeper for a model or an adapter.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Want {
+    fence: u64,
+    model: String,
+    adapter: Option<String>,
+    domain: String,
+}
+
+/// The keeper's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Wish {
+    pub(crate) placement: Placement,
+    pub(crate) engines: Vec<Told>,
+}
+
+/// Whether something is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Placement {
+    /// It is, now.
+    Placed,
+    /// It is on its way.
+    Coming,
+    /// The keeper cannot tell, or there is none.
+    Unknown,
+}
+
+/// Exchanges demand against placement with the keeper until the process ends.
+pub(crate) async fn exchange(node: Node) {
+    let (mut fence, mut version) = (0, 0);
+    loop {
+        let keeper = node.holding.borrow().keeper.clone();
+        let mine = node.holding.borrow().is_mine();
+        let asked = take_asked(&node);
+        if mine {
+            keeper::asked(&node, &asked);
+            sleep(NEWS_WAIT).await;
+            continue;
+        }
+        let Some(keeper) = keeper else {
+            give_back(&node, asked);
+            sleep(NO_KEEPER).await;
+            continue;
+        };
+        if keeper.fence != fence {
+            (fence, version) = (keeper.fence, 0);
+        }
+        let tell = Tell { fence, version, asked };
+        let news: Option<News> = call(&node, keeper.addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
+        match news {
+            Some(news) => {
+                version = news.version;
+                take_in(&node, news.engines);
+                sleep(EXCHANGE_LEAST).await;
+            }
+            None => {
+                give_back(&node, tell.asked);
+                sleep(NO_KEEPER).await;
+            }
+        }
+    }
+}
+
+/// Asks that a model or an adapter be placed.
+pub(crate) async fn want(node: &Node, wanted: &Wanted) -> Placement {
+    let keeper = node.holding.borrow().keeper.clone();
+    let domain = node.settings.borrow().domain.clone();
+    if node.holding.borrow().is_mine() {
+        return keeper::want(node, wanted, &domain).await;
+    }
+    let Some(keeper) = keeper else { return Placement::Unknown };
+    let want = Want {
+        fence: keeper.fence,
+        model: wanted.model.clone(),
+        adapter: wanted.adapter.clone(),
+        domain,
+    };
+    match call::<_, Wish>(node, keeper.addr, "/want", &want, WANT_PATIENCE).await {
+        Some(wish) => {
+            take_in(node, wish.engines);
+            wish.placement
+        }
+        None => Placement::Unknown,
+    }
+}
+
+fn take_asked(node: &Node) -> Vec<Asked> {
+    let asked = std::mem::take(&mut node.state.borrow_mut().asked);
+    let one = |(w, count): (Wanted, f64)| Asked { model: w.model, adapter: w.adapter, count };
+    asked.into_iter().map(one).collect()
+}
+
+fn give_back(node: &Node, asked: Vec<Asked>) {
+    let mut state = node.state.borrow_mut();
+    for one in asked {
+        let (wanted, count) = one.parts();
+        *state.asked.entry(wanted).or_default() += count;
+    }
+}
+
+impl Asked {
+    pub(crate) fn parts(self) -> (Wanted, f64) {
+        (Wanted { model: self.model, adapter: self.adapter }, self.count)
+    }
+}
+
+fn take_in(node: &Node, engines: Vec<Told>) {
+    if engines.is_empty() {
+        return;
+    }
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    for told in engines {
+        let Some(engine) = state.engines.get_mut(&told.engine) else { continue };
+        if told.seq >= engine.listed.seq {
+            engine.listed.seq = told.seq;
+            engine.listed.held = told.held;
+            engine.told_at = Some(now);
+        }
+    }
+    drop(state);
+    node.placed.notify_waiters();
+}
+
+async fn call<T: Serialize, R: for<'a> Deserialize<'a>>(
+    node: &Node,
+    addr: SocketAddr,
+    path: &str,
+    message: &T,
+    patience: Duration,
+) -> Option<R> {
+    let body = serde_json::to_vec(message).expect("a message can be written as JSON");
+    let req = Request::post(path, "peer", body.into());
+    let exchange = async {
+        let mut conn = node.pool.get(addr, node.connect_limits()).await.ok()?;
+        let head = conn.send(&req).await.ok()?;
+        let body = conn.collect(Body::new(head.framing), MOST).await.ok()?;
+        node.pool.put(addr, conn);
+        (head.status == 200).then_some(body)
+    };
+    let body = timeout(patience, exchange).await.ok()??;
+    serde_json::from_slice(&body).ok()
+}
+
+/// Answers other nodes until the process ends.
+pub(crate) async fn serve(node: Node, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(NO_KEEPER).await;
+            continue;
+        };
+        if listen::prepare(&stream).is_err() {
+            continue;
+        }
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|req| answer(Rc::clone(&node), req));
+            // A peer that breaks off calls again.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+async fn answer(node: Node, req: http::Request<Incoming>) -> Answered {
+    let (head, body) = req.into_parts();
+    let Ok(body) = Limited::new(body, MOST).collect().await else {
+        return Ok(own(StatusCode::BAD_REQUEST, "the body cannot be read"));
+    };
+    let body = body.to_bytes();
+    Ok(match (&head.method, head.uri.path()) {
+        (&Method::POST, "/tell") => answer_tell(&node, &body).await,
+        (&Method::POST, "/want") => answer_want(&node, &body).await,
+        _ => own(StatusCode::NOT_FOUND, "no such call"),
+    })
+}
+
+async fn answer_tell(node: &Node, body: &Bytes) -> Answer {
+    let Ok(tell) = serde_json::from_slice::<Tell>(body) else {
+        return own(StatusCode::BAD_REQUEST, "not a report of demand");
+    };
+    if !is_keeper(node, tell.fence) {
+        return own(StatusCode::CONFLICT, "not the keeper");
+    }
+    keeper::asked(node, &tell.asked);
+    json(&keeper::news(node, tell.version).await)
+}
+
+async fn answer_want(node: &Node, body: &Bytes) -> Answer {
+    let Ok(want) = serde_json::from_slice::<Want>(body) else {
+        return own(StatusCode::BAD_REQUEST, "not a wish for a model");
+    };
+    if !is_keeper(node, want.fence) {
+        return own(StatusCode::CONFLICT, "not the keeper");
+    }
+    let wanted = Wanted { model: want.model, adapter: want.adapter };
+    let placement = keeper::want(node, &wanted, &want.domain).await;
+    json(&Wish { placement, engines: keeper::told_of(node, &wanted) })
+}
+
+fn is_keeper(node: &Node, fence: u64) -> bool {
+    let holding = node.holding.borrow();
+    holding.is_mine() && holding.keeper.as_ref().is_some_and(|k| k.fence == fence)
+}
+
+fn json<T: Serialize>(message: &T) -> Answer {
+    let body = serde_json::to_vec(message).expect("a message can be written as JSON");
+    Response::new(AnswerBody::whole(body))
+}
--- /dev/null
+++ b/crates/gateway/src/relay/attempt.rs
@@ -0,0 +1,246 @@
+use std::time::Duration;
+
+use hgw_direct::{EngineId, Verdict};
+use hgw_http1::{Conn, Error, Head, Request};
+use tokio::time::{Instant, sleep_until};
+
+use crate::dialect::{Marks, Sending};
+use crate::shared::AtEngine;
+
+use super::request::Relayed;
+
+/// Silence of an engine on all connections, while a request waits there, after which it counts as dark.
+const DARK_AFTER: Duration = Duration::from_millis(350);
+
+/// Longest wait for a first byte at an engine that is heard on other connections, in objectives of the
+/// route: a request may hang alone.
+const HUNG_OBJECTIVES: u32 = 4;
+
+/// Bounds of that wait: below the least a full engine is taken for a hung one, above the most a caller
+/// has given up.
+const HUNG_LEAST: Duration = Duration::from_millis(450);
+const HUNG_MOST: Duration = Duration::from_millis(1_300);
+
+/// An answer that has begun.
+pub(super) struct Begun {
+    pub(super) engine: EngineId,
+    pub(super) conn: Conn,
+    pub(super) head: Head,
+    pub(super) marks: Marks,
+    pub(super) at_engine: AtEngine,
+}
+
+/// What became of one try.
+pub(super) enum Tried {
+    /// The answer has begun.
+    Begun(Box<Begun>),
+    /// No byte was sent.
+    NotSent,
+    /// The engine says that it has not run.
+    NotRun {
+        /// Whether it was sent to the wrong engine, or to one without the model.
+        misdirected: bool,
+    },
+    /// It may have run.
+    Lost,
+    /// Its time is over; it may have run.
+    TimeOver,
+}
+
+/// Why waiting has ended.
+pub(super) enum Waited<T> {
+    Done(T),
+    Stalled,
+    TimeOver,
+}
+
+impl Relayed {
+    /// Sends the request to an engine, once.
+    pub(super) async fn send(&mut self, engine: &EngineId, last_event: Option<u64>) -> Tried {
+        let node = self.node.clone();
+        let Some(addr) = node.engine(engine, |e| e.listed.addr) else { return Tried::NotSent };
+        self.tried.push(engine.clone());
+        let at_engine = AtEngine::begin(&node, engine);
+        let connected = node.pool.get(addr, node.connect_limits());
+        let mut conn = match self.bounded(connected).await {
+            Waited::Done(Ok(conn)) => conn,
+            Waited::Done(Err(_)) => {
+                node.saw(engine, Verdict::Silent);
+                return Tried::NotSent;
+            }
+            Waited::Stalled | Waited::TimeOver => return Tried::NotSent,
+        };
+        let req = self.request(engine, last_event);
+        let sent = async {
+            conn.begin(&req).await?;
+            self.answer_to(&mut conn, &req).await
+        };
+        let waited = self.watched(engine, sent).await;
+        match waited {
+            Waited::Done(Ok((head, marks))) => {
+                node.heard(engine);
+                self.take_in(engine, conn, head, marks, at_engine).await
+            }
+            Waited::Done(Err(e)) => {
+                let verdict = match e {
+                    Error::Connect { .. } => Verdict::Silent,
+                    Error::Io(_) | Error::Ended | Error::Malformed { .. } => Verdict::Failed,
+                };
+                node.saw(engine, verdict);
+                self.runs += 1;
+                Tried::Lost
+            }
+            Waited::Stalled => {
+                node.saw(engine, Verdict::Silent);
+                self.runs += 1;
+                Tried::Lost
+            }
+            Waited::TimeOver => {
+                node.saw(engine, Verdict::Failed);
+                self.runs += 1;
+                Tried::TimeOver
+            }
+        }
+    }
+
+    /// The head of the answer to this request: one that comes late to an earlier request on the
+    /// connection is read to its end and dropped.
+    async fn answer_to(
+        &self,
+        conn: &mut Conn,
+        req: &Request,
+    ) -> Result<(Head, Marks), Error> {
+        const MOST_STRAY: u32 = 3;
+        for _ in 0..MOST_STRAY {
+            let head = conn.head(&req.method).await?;
+            let marks = self.node.dialects.upstreams.read(&head);
+            match &marks.id {
+                Some(id) if *id != self.call.id => {
+                    let body = hgw_http1::Body::new(head.framing);
+                    conn.collect(body, 1 << 20).await?;
+                }
+                _ => return Ok((head, marks)),
+            }
+        }
+        Err(Error::Malformed { what: "answers to other requests" })
+    }
+
+    async fn take_in(
+        &mut self,
+        engine: &EngineId,
+        mut conn: Conn,
+        head: Head,
+        marks: Marks,
+        at_engine: AtEngine,
+    ) -> Tried {
+        let node = self.node.clone();
+        if let Some(load) = marks.load {
+            let now = node.now();
+            if let Some(e) = node.state.borrow_mut().engines.get_mut(engine) {
+                e.told = Some((load, now, e.own));
+            }
+        }
+        if marks.not_run || marks.misdirected {
+            self.rejected += 1;
+            if marks.misdirected {
+                self.correct(engine, &marks);
+            } else {
+                node.saw(engine, Verdict::Full);
+            }
+            let body = hgw_http1::Body::new(head.framing);
+            let addr = node.engine(engine, |e| e.listed.addr);
+            if let (Waited::Done(Ok(_)), Some(addr)) =
+                (self.bounded(conn.collect(body, 64 << 10)).await, addr)
+            {
+                node.pool.put(addr, conn);
+            }
+            return Tried::NotRun { misdirected: marks.misdirected };
+        }
+        self.runs += 1;
+        // Without its id it may belong to another request; a success without a signature is not the
+        // engine's.
+        let ours = marks.id.is_some();
+        let success = (200..300).contains(&head.status);
+        if !ours || (success && !marks.sealed) {
+            node.saw(engine, Verdict::Failed);
+            return Tried::Lost;
+        }
+        let engine = engine.clone();
+        Tried::Begun(Box::new(Begun { engine, conn, head, marks, at_engine }))
+    }
+
+    /// The engine that answers is another one, or has not the model that it was said to have.
+    fn correct(&self, engine: &EngineId, marks: &Marks) {
+        let mut state = self.node.state.borrow_mut();
+        if marks.engine.as_ref().is_some_and(|answered| answered != engine) {
+            state.engines.unlist(engine);
+            return;
+        }
+        let (Some(wanted), Some(engine)) = (self.wanted(), state.engines.get_mut(engine)) else {
+            return;
+        };
+        engine.drop_held(wanted);
+    }
+
+    fn request(&self, engine: &EngineId, last_event: Option<u64>) -> Request {
+        let sending = Sending {
+            engine,
+            left: self.left(),
+            priority: self.route.priority,
+            last_event: last_event.or(self.call.last_event),
+        };
+        let target = self.head.uri.path_and_query().map_or("/", |t| t.as_str());
+        Request {
+            method: self.head.method.clone(),
+            target: target.to_owned(),
+            headers: self.node.dialects.upstreams.headers(&self.head, &sending),
+            body: self.body.clone(),
+        }
+    }
+
+    /// Waits no longer than the request's time.
+    pub(super) async fn bounded<F: Future>(&self, work: F) -> Waited<F::Output> {
+        match tokio::time::timeout_at(self.end, work).await {
+            Ok(done) => Waited::Done(done),
+            Err(_) => Waited::TimeOver,
+        }
+    }
+
+    /// Waits for a first byte, and gives up early on an engine that is silent, where the request may be
+    /// sent to another.
+    async fn watched<F: Future>(&self, engine: &EngineId, work: F) -> Waited<F::Output> {
+        if !self.route.kind.may_repeat() || self.runs + 1 >= self.route.attempts {
+            return self.bounded(work).await;
+        }
+        let hung = (self.route.objective * HUNG_OBJECTIVES).clamp(HUNG_LEAST, HUNG_MOST);
+        self.unless_silent(engine, hung, work).await
+    }
+
+    /// Waits until the engine has been silent on all connections for a while, or this answer for `hung`.
+    pub(super) async fn unless_silent<F: Future>(
+        &self,
+        engine: &EngineId,
+        hung: Duration,
+        work: F,
+    ) -> Waited<F::Output> {
+        let began = Instant::now();
+        let mut work = std::pin::pin!(work);
+        let mut look = began + DARK_AFTER;
+        loop {
+            tokio::select! {
+                biased;
+                done = &mut work => return Waited::Done(done),
+                () = sleep_until(look.min(self.end)) => {}
+            }
+            let now = Instant::now();
+            if now >= self.end {
+                return Waited::TimeOver;
+            }
+            let silent = self.node.silent_for(engine).min(now - began);
+            if silent >= DARK_AFTER || now - began >= hung {
+                return Waited::Stalled;
+            }
+            look = (now + (DARK_AFTER - silent)).min(began + hung);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/events.rs
@@ -0,0 +1,55 @@
+use bytes::{Bytes, BytesMut};
+
+/// Parts a stream of bytes into whole events, so that a stream can go on elsewhere between two of them.
+#[derive(Debug, Default)]
+pub(super) struct Events {
+    half: BytesMut,
+    last: Option<u64>,
+}
+
+impl Events {
+    /// The id of the last whole event.
+    pub(super) fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Takes bytes in; gives all events that are whole, as they came.
+    pub(super) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+        if self.half.is_empty() {
+            // The usual case: a read brings whole events, which are passed on without a copy.
+            if whole_until(&bytes) == Some(bytes.len()) {
+                self.note(&bytes);
+                return Some(bytes);
+            }
+        }
+        self.half.extend_from_slice(&bytes);
+        let end = whole_until(&self.half)?;
+        let events = self.half.split_to(end).freeze();
+        self.note(&events);
+        Some(events)
+    }
+
+    /// Whether an event has begun and not ended.
+    pub(super) fn has_half(&self) -> bool {
+        !self.half.is_empty()
+    }
+
+    /// Drops the event that has not ended.
+    pub(super) fn drop_half(&mut self) {
+        self.half.clear();
+    }
+
+    fn note(&mut self, events: &[u8]) {
+        let lines = events.split(|b| *b == b'\n');
+        let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+        let id = ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok()).last();
+        self.last = id.or(self.last);
+    }
+}
+
+/// Where the last whole event ends.
+fn whole_until(bytes: &[u8]) -> Option<usize> {
+    let plain = bytes.windows(2).rposition(|w| w == b"\n\n").map(|at| at + 2);
+    let crlf = bytes.windows(4).rposition(|w| w == b"\r\n\r\n").map(|at| at + 4);
+    plain.max(crlf)
+}
--- /dev/null
+++ b/crates/gateway/src/relay/mod.rs
@@ -0,0 +1,75 @@
+//! One request of a caller, from its head to the end of its answer.
+
+mod attempt;
+mod events;
+mod plain;
+mod request;
+mod stream;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hgw_direct::{Catalog, Refusal, come_back};
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::random;
+
+use crate::answer::{Answer, own};
+use crate::shared::{Active, Node};
+
+use request::Relayed;
+
+/// When a caller comes back that met a node without configuration or list.
+const NOT_READY: Duration = Duration::from_millis(500);
+
+/// Answers a request.
+pub(crate) async fn answer(node: &Node, req: Request<Incoming>) -> Answer {
+    let active = Active::begin(node);
+    let catalog = node.state.borrow().catalog.clone();
+    let listed = node.state.borrow().listed;
+    match catalog.filter(|_| listed) {
+        Some(catalog) => routed(node, active, catalog, req).await,
+        None => refuse(node, Refusal::NotReady, NOT_READY),
+    }
+}
+
+async fn routed(
+    node: &Node,
+    active: Active,
+    catalog: Arc<Catalog>,
+    req: Request<Incoming>,
+) -> Answer {
+    let arrived = tokio::time::Instant::now();
+    let (head, body) = req.into_parts();
+    let host = head.headers.get(http::header::HOST).and_then(|h| h.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or_default();
+    let Some(found) = catalog.find(host, head.uri.path(), random()) else {
+        return own(StatusCode::NOT_FOUND, "no route");
+    };
+    let (route, service) = (found.route.clone(), found.service.clone());
+    let body = match Limited::new(body, catalog.limits.body).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => {
+            return own(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
+        }
+        Err(_) => return own(StatusCode::BAD_REQUEST, "the body cannot be read"),
+    };
+    let call = match node.dialects.callers.read(&head) {
+        Ok(call) => call,
+        Err(bad) => return own(StatusCode::BAD_REQUEST, &bad.to_string()),
+    };
+    let relayed = Relayed::new(node, active, head, body, call, route, service, arrived);
+    if relayed.route.kind.is_stream() {
+        stream::answer(relayed).await
+    } else {
+        plain::answer(relayed).await
+    }
+}
+
+/// Refuses a request that has not run, with a time to come back.
+fn refuse(node: &Node, why: Refusal, wait: Duration) -> Answer {
+    let mut answer = own(StatusCode::SERVICE_UNAVAILABLE, &why.to_string());
+    node.dialects.callers.come_back(answer.headers_mut(), come_back(wait, random()));
+    answer
+}
--- /dev/null
+++ b/crates/gateway/src/relay/request.rs
@@ -0,0 +1,178 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hgw_direct::{
+    Ask, Choice, EngineId, NoEngine, Prompt, Refusal, Route, ServiceId, Wanted, choose,
+};
+use http::request::Parts;
+use rand::random;
+use tokio::time::{Instant, timeout_at};
+
+use crate::answer::Answer;
+use crate::dialect::Call;
+use crate::peers::{self, Placement};
+use crate::shared::{Active, Node};
+
+use super::refuse;
+
+/// Sends that engines reject, beyond the engines that a route may run a request on.
+const MORE_REJECTED: u32 = 2;
+
+/// Engines that cannot be reached and are passed over for one request.
+const MOST_UNREACHED: u32 = 6;
+
+/// Part of the time left for which a request waits for its model or adapter. Its caller comes back once
+/// in what remains.
+const WAIT_SHARE: f64 = 0.5;
+
+/// Time between two looks whether a model has come.
+const PLACED_CHECK: Duration = Duration::from_millis(100);
+
+/// A caller's request while it is served.
+pub(super) struct Relayed {
+    pub(super) node: Node,
+    _active: Active,
+    pub(super) head: Parts,
+    pub(super) body: Bytes,
+    pub(super) call: Call,
+    pub(super) route: Route,
+    pub(super) service: ServiceId,
+    /// When its time is over.
+    pub(super) end: Instant,
+    /// Engines that it was sent to.
+    pub(super) tried: Vec<EngineId>,
+    /// Engines that may have run it.
+    pub(super) runs: u32,
+    /// Engines that rejected it.
+    pub(super) rejected: u32,
+    /// Engines that could not be reached.
+    pub(super) unreached: u32,
+}
+
+impl Relayed {
+    #[expect(clippy::too_many_arguments, reason = "each is a part of the request, met once")]
+    pub(super) fn new(
+        node: &Node,
+        active: Active,
+        head: Parts,
+        body: Bytes,
+        call: Call,
+        route: Route,
+        service: ServiceId,
+        arrived: Instant,
+    ) -> Relayed {
+        let longest = call.deadline.map_or(route.timeout, |d| d.min(route.timeout));
+        let request = Relayed {
+            node: Rc::clone(node),
+            _active: active,
+            head,
+            body,
+            call,
+            route,
+            service,
+            end: arrived + longest,
+            tried: Vec::new(),
+            runs: 0,
+            rejected: 0,
+            unreached: 0,
+        };
+        request.count();
+        request
+    }
+
+    /// Counts the request for the budget of second tries and for placement.
+    fn count(&self) {
+        let (now, limits) = (self.node.now(), self.node.budget_limits());
+        let mut state = self.node.state.borrow_mut();
+        state.budgets.entry(self.service.clone()).or_default().first(now, &limits);
+        if let Some(wanted) = self.wanted() {
+            *state.asked.entry(wanted.clone()).or_default() += 1.0;
+        }
+    }
+
+    pub(super) fn prompt(&self) -> Option<&Prompt> {
+        self.call.prompt.as_ref()
+    }
+
+    pub(super) fn wanted(&self) -> Option<&Wanted> {
+        self.prompt().and_then(|p| p.wanted.as_ref())
+    }
+
+    pub(super) fn left(&self) -> Duration {
+        self.end.saturating_duration_since(Instant::now())
+    }
+
+    /// Whether it may be sent once more, after an engine has rejected it or may have run it. Takes from
+    /// the budget that all nodes share.
+    pub(super) fn may_go_on(&self) -> bool {
+        if self.runs >= self.route.attempts || self.rejected > MORE_REJECTED {
+            return false;
+        }
+        if self.left() < Duration::from_millis(20) {
+            return false;
+        }
+        let (now, limits) = (self.node.now(), self.node.budget_limits());
+        let mut state = self.node.state.borrow_mut();
+        let budget = state.budgets.entry(self.service.clone()).or_default();
+        budget.take(now, &limits, self.route.priority <= 1)
+    }
+
+    /// Whether another engine may be looked for after one could not be reached.
+    pub(super) fn may_reach_on(&mut self) -> bool {
+        self.unreached += 1;
+        self.unreached <= MOST_UNREACHED && !self.left().is_zero()
+    }
+
+    /// The engine to send to; waits for a model or an adapter that is being placed.
+    pub(super) async fn choose(&mut self) -> Result<Choice, NoEngine> {
+        let give_up = Instant::now() + self.left().mul_f64(WAIT_SHARE);
+        loop {
+            let found = self.choose_now();
+            let (Err(NoEngine::NotPlaced), Some(wanted)) = (&found, self.wanted()) else {
+                return found;
+            };
+            let asked = timeout_at(give_up, peers::want(&self.node, wanted)).await;
+            match asked {
+                Ok(Placement::Placed) => {
+                    if let Ok(choice) = self.choose_now() {
+                        return Ok(choice);
+                    }
+                }
+                Ok(Placement::Coming | Placement::Unknown) => {}
+                Err(_) => return found,
+            }
+            let come = timeout_at(give_up.min(Instant::now() + PLACED_CHECK), self.node.placed.notified());
+            if come.await.is_err() && Instant::now() >= give_up {
+                return found;
+            }
+        }
+    }
+
+    fn choose_now(&self) -> Result<Choice, NoEngine> {
+        let state = self.node.state.borrow();
+        let settings = self.node.settings.borrow();
+        let most = state.catalog.as_ref().and_then(|c| c.services.get(&self.service));
+        let conns = most.map_or(u32::MAX, |s| (s.max_conns / state.nodes.max(1)).max(1));
+        let ask = Ask {
+            service: &self.service,
+            prompt: self.prompt(),
+            domain: &settings.domain,
+            tried: &self.tried,
+            left: self.left(),
+            nodes: state.nodes,
+            conns,
+            draw: random(),
+        };
+        choose(&state.engines, &ask, self.node.now())
+    }
+
+    /// The answer to a request that has not run and finds no engine.
+    pub(super) fn refuse(&self, why: NoEngine) -> Answer {
+        match why {
+            NoEngine::None => refuse(&self.node, Refusal::NoEngine, Duration::from_millis(300)),
+            NoEngine::NotPlaced => refuse(&self.node, Refusal::NotPlaced, self.left().mul_f64(0.25)),
+            NoEngine::Full(wait) => refuse(&self.node, Refusal::Full, wait),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/stream.rs
@@ -0,0 +1,201 @@
+//! Answers that are passed on event by event as they come.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use hgw_direct::{EngineId, NoEngine, Refusal, Verdict};
+use hgw_http1::{Body, Conn, Framing, Head};
+use http::header::CONTENT_LENGTH;
+use http::{Response, StatusCode};
+
+use crate::answer::{Answer, AnswerBody, BrokenOff, own};
+use crate::shared::AtEngine;
+
+use super::attempt::{Begun, Tried, Waited};
+use super::events::Events;
+use super::refuse;
+use super::request::Relayed;
+
+/// Longest pause between two events at an engine that is heard on other connections, in longest pauses
+/// that are on time.
+const HUNG_PAUSES: u32 = 6;
+
+/// Longest such pause where the route tells none.
+const HUNG: Duration = Duration::from_millis(1_000);
+
+/// Serves a stream.
+pub(super) async fn answer(mut req: Relayed) -> Answer {
+    match begin(&mut req, None).await {
+        Ok(begun) => {
+            let mut answer = Response::new(AnswerBody::Whole(None));
+            let status = StatusCode::from_u16(begun.head.status);
+            *answer.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+            *answer.headers_mut() = req.node.dialects.upstreams.answer(&begun.head);
+            answer.headers_mut().remove(CONTENT_LENGTH);
+            let flow = Flow::new(req, begun);
+            *answer.body_mut() = AnswerBody::Pieces(Box::pin(unfold(flow, Flow::step)));
+            answer
+        }
+        Err(answer) => answer,
+    }
+}
+
+/// Sends until an answer begins, from the event after `last`.
+async fn begin(req: &mut Relayed, last: Option<u64>) -> Result<Begun, Answer> {
+    let mut failure: Option<Answer> = None;
+    let goes_on = last.is_some();
+    loop {
+        let choice = match req.choose().await {
+            Ok(choice) => choice,
+            Err(why) => return Err(failure.unwrap_or_else(|| no_engine(req, why))),
+        };
+        match req.send(&choice.engine, last).await {
+            Tried::Begun(begun) => {
+                let failed = begun.head.status >= 500;
+                if !failed && (!goes_on || begun.head.status == 200) {
+                    return Ok(*begun);
+                }
+                req.node.saw(&begun.engine, Verdict::Failed);
+                if !req.route.kind.may_repeat() || !req.may_go_on() {
+                    return Ok(*begun);
+                }
+                failure = Some(own(StatusCode::BAD_GATEWAY, "the engine failed"));
+                continue;
+            }
+            Tried::NotSent => {
+                if req.may_reach_on() {
+                    continue;
+                }
+                return Err(failure.unwrap_or_else(|| no_engine(req, NoEngine::None)));
+            }
+            Tried::NotRun { .. } => {
+                if req.may_go_on() {
+                    continue;
+                }
+                let wait = Duration::from_millis(200);
+                return Err(failure.unwrap_or_else(|| refuse(&req.node, Refusal::Full, wait)));
+            }
+            Tried::Lost => failure = Some(own(StatusCode::BAD_GATEWAY, "the engine failed")),
+            Tried::TimeOver => return Err(own(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
+        }
+        if !req.route.kind.may_repeat() || !req.may_go_on() {
+            return Err(own(StatusCode::BAD_GATEWAY, "the engine failed"));
+        }
+    }
+}
+
+fn no_engine(req: &Relayed, why: NoEngine) -> Answer {
+    if req.runs > 0 {
+        return own(StatusCode::BAD_GATEWAY, "no engine is left");
+    }
+    req.refuse(why)
+}
+
+/// A stream that is under way.
+struct Flow {
+    req: Relayed,
+    engine: EngineId,
+    conn: Conn,
+    body: Body,
+    events: Events,
+    /// Whether the answer is made of events; a failure's body is passed on as it is.
+    is_events: bool,
+    _at_engine: AtEngine,
+    over: bool,
+}
+
+impl Flow {
+    fn new(req: Relayed, begun: Begun) -> Flow {
+        let Begun { engine, conn, head, at_engine, .. } = begun;
+        let is_events = is_events(&head);
+        let body = Body::new(head.framing);
+        let events = Events::default();
+        Flow { req, engine, conn, body, events, is_events, _at_engine: at_engine, over: false }
+    }
+
+    /// The next piece for the caller.
+    async fn step(mut self) -> Option<(Result<Bytes, BrokenOff>, Flow)> {
+        if self.over {
+            return None;
+        }
+        loop {
+            let read = self.read().await;
+            match read {
+                Waited::Done(Ok(Some(bytes))) => {
+                    self.req.node.heard(&self.engine);
+                    let ready =
+                        if self.is_events { self.events.push(bytes) } else { Some(bytes) };
+                    if let Some(bytes) = ready {
+                        return Some((Ok(bytes), self));
+                    }
+                }
+                Waited::Done(Ok(None)) if !self.events.has_half() => {
+                    self.finish();
+                    return None;
+                }
+                Waited::TimeOver => return Some(self.break_off()),
+                Waited::Stalled => {
+                    self.req.node.saw(&self.engine, Verdict::Silent);
+                    if !self.go_on().await {
+                        return Some(self.break_off());
+                    }
+                }
+                Waited::Done(Ok(None) | Err(_)) => {
+                    self.req.node.saw(&self.engine, Verdict::Failed);
+                    if !self.go_on().await {
+                        return Some(self.break_off());
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Waited<hgw_http1::Result<Option<Bytes>>> {
+        let (req, engine) = (&self.req, &self.engine);
+        let chunk = self.conn.chunk(&mut self.body);
+        let may_move = req.route.kind.may_repeat() && req.runs < req.route.attempts;
+        if !may_move || !self.is_events {
+            return req.bounded(chunk).await;
+        }
+        let hung = req.route.gap.map_or(HUNG, |gap| gap * HUNG_PAUSES);
+        req.unless_silent(engine, hung, chunk).await
+    }
+
+    /// Goes on at another engine from the last whole event.
+    async fn go_on(&mut self) -> bool {
+        let req = &mut self.req;
+        if !self.is_events || !req.route.kind.may_repeat() || !req.may_go_on() {
+            return false;
+        }
+        self.events.drop_half();
+        let last = self.events.last().or(req.call.last_event).unwrap_or(0);
+        let begun = match begin(req, Some(last)).await {
+            Ok(begun) if begun.head.status == 200 && is_events(&begun.head) => begun,
+            Ok(_) | Err(_) => return false,
+        };
+        self.body = Body::new(begun.head.framing);
+        self.engine = begun.engine;
+        self.conn = begun.conn;
+        self._at_engine = begun.at_engine;
+        true
+    }
+
+    fn finish(&mut self) {
+        self.over = true;
+        let node = &self.req.node;
+        node.saw(&self.engine, if self.is_events { Verdict::Good } else { Verdict::Failed });
+    }
+
+    fn break_off(mut self) -> (Result<Bytes, BrokenOff>, Flow) {
+        self.over = true;
+        (Err(BrokenOff), self)
+    }
+}
+
+fn is_events(head: &Head) -> bool {
+    let kind = head.headers.get(http::header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    head.status == 200
+        && head.framing != Framing::Length(0)
+        && kind.is_some_and(|k| k.starts_with("text/event-stream"))
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,181 @@
+//! A node's life.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hgw_events::{Event, emit};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+use crate::answer::{Answer, AnswerBody, Answered, own};
+use crate::clock::boot_time;
+use crate::dialect::Dialects;
+use crate::listen::listen;
+use crate::shared::{Node, Shared};
+use crate::{Settings, follow, front, holder, listen as sockets, peers, stop};
+
+/// What a node is told from outside.
+#[derive(Debug, Clone)]
+pub enum Signal {
+    /// Stop as planned.
+    Stop,
+    /// Stop at once.
+    Kill,
+    /// These settings are in force from now on; addresses stay as they are.
+    Settings(Settings),
+}
+
+/// How a node ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// As planned.
+    Stopped,
+    /// At once.
+    Killed,
+}
+
+/// Time between two counts of the nodes that share budgets.
+const COUNT_NODES: Duration = Duration::from_secs(10);
+
+/// Time between two looks at the clocks.
+const CLOCK_CHECK: Duration = Duration::from_millis(200);
+
+/// A machine that stood still for this long believes nothing of its connections.
+const STOOD_STILL: Duration = Duration::from_millis(1_000);
+
+/// Runs a node until it is told to end.
+pub fn run(
+    settings: Settings,
+    dialects: Dialects,
+    signals: mpsc::UnboundedReceiver<Signal>,
+) -> io::Result<Ended> {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    let ended = local.block_on(&rt, serve(settings, dialects, signals));
+    rt.shutdown_background();
+    ended
+}
+
+async fn serve(
+    settings: Settings,
+    dialects: Dialects,
+    mut signals: mpsc::UnboundedReceiver<Signal>,
+) -> io::Result<Ended> {
+    let callers = listen(settings.callers)?;
+    let ready = listen(settings.ready)?;
+    let others = listen(settings.peers)?;
+    let node = Shared::new(settings, dialects);
+    let spawn = |work: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
+        tokio::task::spawn_local(work);
+    };
+    spawn(Box::pin(follow::catalog(Rc::clone(&node))));
+    spawn(Box::pin(follow::engines(Rc::clone(&node))));
+    spawn(Box::pin(holder::hold(Rc::clone(&node))));
+    spawn(Box::pin(peers::exchange(Rc::clone(&node))));
+    spawn(Box::pin(peers::serve(Rc::clone(&node), others)));
+    spawn(Box::pin(count_nodes(Rc::clone(&node))));
+    spawn(Box::pin(watch_clocks(Rc::clone(&node))));
+    spawn(Box::pin(serve_ready(Rc::clone(&node), ready)));
+    spawn(Box::pin(front::serve(Rc::clone(&node), callers)));
+    loop {
+        match signals.recv().await {
+            Some(Signal::Stop) => break,
+            Some(Signal::Kill) | None => return Ok(Ended::Killed),
+            Some(Signal::Settings(settings)) => *node.settings.borrow_mut() = settings,
+        }
+    }
+    tokio::select! {
+        () = stop::stop(&node) => Ok(Ended::Stopped),
+        () = until_killed(&mut signals) => Ok(Ended::Killed),
+    }
+}
+
+async fn until_killed(signals: &mut mpsc::UnboundedReceiver<Signal>) {
+    while let Some(signal) = signals.recv().await {
+        if matches!(signal, Signal::Kill) {
+            return;
+        }
+    }
+    std::future::pending().await
+}
+
+/// Makes this node known, and counts those that share budgets and connections with it.
+async fn count_nodes(node: Node) {
+    let mut announced = false;
+    loop {
+        let (name, addr) = {
+            let settings = node.settings.borrow();
+            (settings.node.clone(), settings.peers)
+        };
+        let store = &node.dialects.store;
+        if !announced {
+            announced = store.announce(&name, Bytes::from(addr.to_string())).await.is_ok();
+        }
+        // While the store does not answer the last count stands.
+        if let Ok(nodes) = store.nodes().await {
+            let count = u32::try_from(nodes.len()).unwrap_or(u32::MAX);
+            node.state.borrow_mut().nodes = count.max(1);
+        }
+        sleep(if announced { COUNT_NODES } else { Duration::from_secs(1) }).await;
+    }
+}
+
+/// Finds out that the machine stood still: kept connections may have ended meanwhile.
+async fn watch_clocks(node: Node) {
+    let mut last = boot_time();
+    loop {
+        sleep(CLOCK_CHECK).await;
+        let now = boot_time();
+        if now - last > CLOCK_CHECK + STOOD_STILL {
+            node.pool.clear();
+            let ms = (now - last).as_millis();
+            let name = node.settings.borrow().node.clone();
+            emit(Event::StoodStill, &[("node", &name), ("ms", &ms)]);
+        }
+        last = now;
+    }
+}
+
+/// Answers whether this node takes callers.
+async fn serve_ready(node: Node, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        if sockets::prepare(&stream).is_err() {
+            continue;
+        }
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|req| answer_ready(Rc::clone(&node), req));
+            // Who asks asks again.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+async fn answer_ready(node: Node, req: http::Request<Incoming>) -> Answered {
+    let (head, _) = req.into_parts();
+    Ok(ready_answer(&node, &head))
+}
+
+fn ready_answer(node: &Node, head: &http::request::Parts) -> Answer {
+    if !node.dialects.callers.asks_ready(head) {
+        return own(StatusCode::NOT_FOUND, "no such call");
+    }
+    if node.is_ready() {
+        Response::new(AnswerBody::Whole(None))
+    } else {
+        own(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,183 @@
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hgw_direct::{
+    Budget, BudgetLimits, Catalog, Engine, EngineId, Engines, Millis, ServiceId, Verdict, Wanted,
+};
+use hgw_http1::ConnectLimits;
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+
+use crate::Settings;
+use crate::clock::Clock;
+use crate::dialect::Dialects;
+use crate::holder::Holding;
+use crate::keeper::KeeperState;
+use crate::pool::Pool;
+
+/// Longest time to connect to an engine: it is a few milliseconds away, or gone.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// Longest time that bytes sent to an engine stay unacknowledged.
+const UNACKED: Duration = Duration::from_secs(1);
+
+/// Everything that the tasks of a node share.
+pub(crate) struct Shared {
+    pub(crate) settings: RefCell<Settings>,
+    pub(crate) dialects: Dialects,
+    pub(crate) clock: Clock,
+    pub(crate) pool: Pool,
+    pub(crate) state: RefCell<State>,
+    pub(crate) holding: RefCell<Holding>,
+    pub(crate) keeper: RefCell<KeeperState>,
+    pub(crate) stop: Stopping,
+    /// Told whenever an engine is seen to hold something new.
+    pub(crate) placed: Notify,
+}
+
+/// The node as its tasks see it.
+pub(crate) type Node = Rc<Shared>;
+
+/// What the node believes.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    pub(crate) catalog: Option<Arc<Catalog>>,
+    /// Whether a whole list of engines has been read.
+    pub(crate) listed: bool,
+    pub(crate) engines: Engines,
+    pub(crate) budgets: IndexMap<ServiceId, Budget>,
+    /// Requests by model since the keeper was told.
+    pub(crate) asked: IndexMap<Wanted, f64>,
+    /// Nodes that share budgets and connections; at least this one.
+    pub(crate) nodes: u32,
+}
+
+/// How far the planned stop has come.
+#[derive(Debug, Default)]
+pub(crate) struct Stopping {
+    /// When it began.
+    pub(crate) since: Cell<Option<Millis>>,
+    /// Whether connections without a request are closed now.
+    pub(crate) closing: Cell<bool>,
+    /// Told when either changes.
+    pub(crate) changed: Notify,
+    /// Requests that are being served.
+    pub(crate) active: Cell<u32>,
+    /// Connections of callers.
+    pub(crate) connections: Cell<usize>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, dialects: Dialects) -> Node {
+        Rc::new(Shared {
+            settings: RefCell::new(settings),
+            dialects,
+            clock: Clock::start(),
+            pool: Pool::default(),
+            state: RefCell::new(State { nodes: 1, ..State::default() }),
+            holding: RefCell::default(),
+            keeper: RefCell::default(),
+            stop: Stopping::default(),
+            placed: Notify::new(),
+        })
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stop.since.get().is_some()
+    }
+
+    /// Whether callers are to be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        state.catalog.is_some() && state.listed && !self.is_stopping()
+    }
+
+    pub(crate) fn budget_limits(&self) -> BudgetLimits {
+        let settings = self.settings.borrow();
+        BudgetLimits {
+            ratio: settings.retry_ratio,
+            slack: settings.retry_slack,
+            window: settings.retry_window.as_millis() as Millis,
+            nodes: self.state.borrow().nodes,
+        }
+    }
+
+    pub(crate) fn connect_limits(&self) -> ConnectLimits {
+        ConnectLimits { connect: CONNECT, silence: UNACKED }
+    }
+
+    /// Takes in what became of a request at an engine.
+    pub(crate) fn saw(&self, engine: &EngineId, verdict: Verdict) {
+        let now = self.now();
+        if let Some(engine) = self.state.borrow_mut().engines.get_mut(engine) {
+            engine.judge.saw(now, verdict);
+        }
+    }
+
+    /// A byte came from an engine.
+    pub(crate) fn heard(&self, engine: &EngineId) {
+        let now = self.now();
+        if let Some(engine) = self.state.borrow_mut().engines.get_mut(engine) {
+            engine.heard = now;
+        }
+    }
+
+    /// Time since the last byte came from an engine.
+    pub(crate) fn silent_for(&self, engine: &EngineId) -> Duration {
+        let state = self.state.borrow();
+        let heard = state.engines.get(engine).map_or(0, |e| e.heard);
+        Duration::from_millis(self.now().saturating_sub(heard))
+    }
+
+    pub(crate) fn engine<R>(&self, id: &EngineId, look: impl FnOnce(&Engine) -> R) -> Option<R> {
+        self.state.borrow().engines.get(id).map(look)
+    }
+}
+
+/// A request that counts as being at an engine, until this is dropped.
+pub(crate) struct AtEngine {
+    node: Node,
+    engine: EngineId,
+}
+
+impl AtEngine {
+    pub(crate) fn begin(node: &Node, engine: &EngineId) -> AtEngine {
+        if let Some(engine) = node.state.borrow_mut().engines.get_mut(engine) {
+            engine.own += 1;
+        }
+        AtEngine { node: Rc::clone(node), engine: engine.clone() }
+    }
+}
+
+impl Drop for AtEngine {
+    fn drop(&mut self) {
+        if let Some(engine) = self.node.state.borrow_mut().engines.get_mut(&self.engine) {
+            engine.own = engine.own.saturating_sub(1);
+        }
+    }
+}
+
+/// A request that is being served, until this is dropped.
+pub(crate) struct Active(Node);
+
+impl Active {
+    pub(crate) fn begin(node: &Node) -> Active {
+        node.stop.active.set(node.stop.active.get() + 1);
+        Active(Rc::clone(node))
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.stop.active.set(self.0.stop.active.get() - 1);
+        if self.0.is_stopping() {
+            self.0.stop.changed.notify_waiters();
+        }
+    }
+}
--- a/crates/hibiscusgw/src/command.rs
+++ b/crates/hibiscusgw/src/command.rs
@@ -1,12 +1,13 @@
 //! The command line.
 
 use std::io::Write;
+use std::path::Path;
 use std::process::ExitCode;
 
 use gumdrop::{Options, ParsingStyle};
 
 use crate::settings::ServeSettings;
-use crate::{Console, Env, Error, Result, check, exit_code, operate, serve};
+use crate::{Console, Env, Error, Result, check, exit_code, on_platform, operate, serve};
 
 /// Places many models on few accelerators and serves them.
 #[derive(Debug, Options)]
@@ -227,7 +228,10 @@
         return Err(Error::Usage("no command was given".to_owned()));
     };
     match command {
-        Command::Serve(flags) => serve::serve(&ServeSettings::read(flags, env)?),
+        Command::Serve(flags) => match env(hgw_platform::SETTINGS_VARIABLE) {
+            Some(path) => on_platform::serve(Path::new(&path), flags, env),
+            None => serve::serve(&ServeSettings::read(flags, env)?),
+        },
         Command::Check(flags) => check::check(&flags.file, console),
         Command::Apply(flags) => operate::apply(flags, env, console),
         Command::Outcome(flags) => operate::outcome(&flags.id, &flags.node(), env, console),
--- a/crates/hibiscusgw/src/error.rs
+++ b/crates/hibiscusgw/src/error.rs
@@ -35,6 +35,13 @@
     /// The process cannot start.
     #[display("{_0}")]
     Net(hgw_net::Error),
+    /// The platform's settings file cannot be used.
+    #[display("{_0}")]
+    Platform(hgw_platform::SettingsError),
+    /// A node on the platform cannot listen.
+    #[display("cannot listen: {_0}")]
+    #[from(skip)]
+    Listen(std::io::Error),
     /// Signals cannot be waited for.
     #[display("cannot wait for signals: {_0}")]
     #[from(skip)]
@@ -80,7 +87,11 @@
     pub fn is_invalid_input(&self) -> bool {
         matches!(
             self,
-            Error::Usage(_) | Error::Settings(_) | Error::Document { .. } | Error::File { .. }
+            Error::Usage(_)
+                | Error::Settings(_)
+                | Error::Document { .. }
+                | Error::File { .. }
+                | Error::Platform(_)
         )
     }
 }
--- a/crates/hibiscusgw/src/lib.rs
+++ b/crates/hibiscusgw/src/lib.rs
@@ -5,6 +5,7 @@
 mod command;
 mod error;
 mod logs;
+mod on_platform;
 mod operate;
 mod serve;
 mod settings;
--- a/crates/hibiscusgw/src/logs.rs
+++ b/crates/hibiscusgw/src/logs.rs
@@ -1,15 +1,20 @@
 //! Log lines: one an event, in words or as JSON.
 
 use std::fmt;
+use std::io::Write;
 use std::str::FromStr;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use hgw_events::NUMBER_KEY;
 use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 use serde_json::{Map, Value as Json};
 
-use crate::Result;
+use crate::{Error, Result};
 
 /// What log lines look like.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +61,82 @@
     Ok(())
 }
 
+/// Lines that may wait to be written. What does not fit is counted and left out: a standard output that
+/// nobody reads must not hold requests up.
+const WAITING: usize = 4_096;
+
+/// Time between two words on lines that were left out.
+const LEFT_OUT: Duration = Duration::from_secs(1);
+
+/// Longest wait for the last lines at the end of the process.
+const FLUSH: Duration = Duration::from_millis(200);
+
+static LINES: OnceLock<SyncSender<Line>> = OnceLock::new();
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+enum Line {
+    Text(String),
+    /// All before it is to be written, then this is answered.
+    Flush(SyncSender<()>),
+}
+
+/// Starts logging to standard output by a thread of its own, so that a request never waits for it.
+pub(crate) fn start_buffered_logs(format: LogFormat, level: LevelFilter) -> Result<()> {
+    let (lines, waiting) = sync_channel(WAITING);
+    let _ = LINES.set(lines);
+    let spawned = thread::Builder::new().name("logs".into()).spawn(move || write_lines(&waiting));
+    spawned.map_err(Error::Runtime)?;
+    fern::Dispatch::new()
+        .level(level.min(LevelFilter::Warn))
+        .level_for(hgw_events::TARGET, level)
+        .chain(fern::Output::call(move |record| {
+            let text = match format {
+                LogFormat::Plain => plain(record),
+                LogFormat::Json => json(record),
+            };
+            let sent = LINES.get().map(|lines| lines.try_send(Line::Text(text)));
+            if !matches!(sent, Some(Ok(()))) {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+            }
+        }))
+        .apply()?;
+    Ok(())
+}
+
+/// Waits a moment until what was logged is written.
+pub(crate) fn flush() {
+    let (done, waits) = sync_channel(1);
+    if LINES.get().is_some_and(|lines| lines.try_send(Line::Flush(done)).is_ok()) {
+        // Where nobody reads, the end of the process does not wait either.
+        let _ = waits.recv_timeout(FLUSH);
+    }
+}
+
+fn write_lines(waiting: &Receiver<Line>) {
+    let mut out = std::io::stdout();
+    let mut told = Instant::now();
+    loop {
+        let line = match waiting.recv_timeout(LEFT_OUT) {
+            Ok(line) => Some(line),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        // A standard output that is closed takes no lines, and there is nowhere else to say so.
+        match line {
+            Some(Line::Text(text)) => drop(writeln!(out, "{text}")),
+            Some(Line::Flush(done)) => drop(done.try_send(())),
+            None => {}
+        }
+        if told.elapsed() >= LEFT_OUT {
+            told = Instant::now();
+            let dropped = DROPPED.swap(0, Ordering::Relaxed);
+            if dropped > 0 {
+                hgw_events::emit(hgw_events::Event::LinesLeftOut, &[("count", &dropped)]);
+            }
+        }
+    }
+}
+
 fn plain(record: &Record<'_>) -> String {
     let fields = Fields::of(record);
     let number = fields.number.map_or_else(|| "-".to_owned(), |n| n.to_string());
--- a/crates/hibiscusgw/src/settings.rs
+++ b/crates/hibiscusgw/src/settings.rs
@@ -118,6 +118,50 @@
     }
 }
 
+/// Settings that go before those of the platform's file.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PlatformOverrides {
+    /// What log lines look like.
+    pub(crate) log_format: LogFormat,
+    /// Least level that is logged.
+    pub(crate) log_level: LevelFilter,
+    /// Listener for callers.
+    callers: Option<SocketAddr>,
+    /// Listener for other nodes.
+    peers: Option<SocketAddr>,
+    /// Open connections of callers.
+    max_connections: Option<usize>,
+}
+
+impl PlatformOverrides {
+    /// Reads the settings and gives every fault at once.
+    pub(crate) fn read(flags: &ServeFlags, env: &Env<'_>) -> Result<PlatformOverrides> {
+        let mut input = Input { env, faults: Vec::new() };
+        let connections = &flags.max_connections;
+        let given = input.text("max-connections", connections).is_some();
+        let most = input.number("max-connections", connections, 8192, 1, 1 << 20);
+        let levels = "off, error, warn, info, debug or trace";
+        let overrides = PlatformOverrides {
+            log_format: input.choice("log-format", &flags.log_format, "json", "plain or json"),
+            log_level: input.choice("log-level", &flags.log_level, "info", levels),
+            callers: input.optional_addr("callers", &flags.callers),
+            peers: input.optional_addr("peers", &flags.peers),
+            max_connections: given.then_some(most),
+        };
+        if input.faults.is_empty() { Ok(overrides) } else { Err(Error::Settings(input.faults)) }
+    }
+
+    /// Puts them in place of what the file says.
+    pub(crate) fn apply(&self, settings: hgw_gateway::Settings) -> hgw_gateway::Settings {
+        hgw_gateway::Settings {
+            callers: self.callers.unwrap_or(settings.callers),
+            peers: self.peers.unwrap_or(settings.peers),
+            connections: self.max_connections.unwrap_or(settings.connections),
+            ..settings
+        }
+    }
+}
+
 /// Which node an operator's call goes to.
 #[derive(Debug, Clone)]
 pub(crate) struct NodeSettings {
--- /dev/null
+++ b/crates/http1/src/head.rs
@@ -0,0 +1,93 @@
+use bytes::BytesMut;
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Method};
+
+use crate::{Error, Result};
+
+/// Most bytes of an answer's head; a longer one is not an answer of these upstreams.
+pub const MAX_HEAD: usize = 32 << 10;
+
+/// Most fields of an answer's head.
+const MAX_FIELDS: usize = 64;
+
+/// How the end of an answer's body is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// So many bytes.
+    Length(u64),
+    /// In chunks, the last one empty.
+    Chunked,
+    /// With the end of the connection.
+    UntilClose,
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// The status.
+    pub status: u16,
+    /// Its fields.
+    pub headers: HeaderMap,
+    /// How its body ends.
+    pub framing: Framing,
+    /// Whether the connection ends with the answer.
+    pub closes: bool,
+}
+
+/// Takes a whole head from the buffer, or nothing where more bytes are needed.
+pub(crate) fn take(buf: &mut BytesMut, method: &Method) -> Result<Option<Head>> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut parsed = httparse::Response::new(&mut fields);
+    let status = parsed.parse(buf).map_err(|_| Error::Malformed { what: "head" })?;
+    let httparse::Status::Complete(len) = status else {
+        if buf.len() > MAX_HEAD {
+            return Err(Error::Malformed { what: "a head without end" });
+        }
+        return Ok(None);
+    };
+    let code = parsed.code.ok_or(Error::Malformed { what: "status" })?;
+    let http10 = parsed.version == Some(0);
+    let mut headers = HeaderMap::with_capacity(parsed.headers.len());
+    for field in parsed.headers.iter() {
+        let name = HeaderName::from_bytes(field.name.as_bytes());
+        let value = HeaderValue::from_bytes(field.value);
+        match (name, value) {
+            (Ok(name), Ok(value)) => headers.append(name, value),
+            _ => return Err(Error::Malformed { what: "field" }),
+        };
+    }
+    let framing = framing(code, &headers, method)?;
+    let says_close = says(&headers, CONNECTION, "close");
+    let closes = says_close || http10 || framing == Framing::UntilClose;
+    let _ = buf.split_to(len);
+    Ok(Some(Head { status: code, headers, framing, closes }))
+}
+
+fn framing(status: u16, headers: &HeaderMap, method: &Method) -> Result<Framing> {
+    if method == Method::HEAD || status == 204 || status == 304 || (100..200).contains(&status) {
+        return Ok(Framing::Length(0));
+    }
+    if headers.contains_key(TRANSFER_ENCODING) {
+        let chunked = says(headers, TRANSFER_ENCODING, "chunked");
+        // Both at once is how one answer is made to look like two.
+        if !chunked || headers.contains_key(CONTENT_LENGTH) {
+            return Err(Error::Malformed { what: "transfer-encoding" });
+        }
+        return Ok(Framing::Chunked);
+    }
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    match (lengths.next(), lengths.next()) {
+        (None, _) => Ok(Framing::UntilClose),
+        (Some(length), None) => {
+            let length = length.to_str().ok().and_then(|l| l.parse().ok());
+            length.map(Framing::Length).ok_or(Error::Malformed { what: "content-length" })
+        }
+        (Some(_), Some(_)) => Err(Error::Malformed { what: "two lengths" }),
+    }
+}
+
+fn says(headers: &HeaderMap, name: HeaderName, word: &str) -> bool {
+    let values = headers.get_all(name);
+    let mut words = values.iter().filter_map(|v| v.to_str().ok()).flat_map(|v| v.split(','));
+    words.any(|w| w.trim().eq_ignore_ascii_case(word))
+}
