--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -48,8 +48,6 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub standing: Standing,
-    /// Orders that it had accepted.
-    pub seq: u64,
     /// What it holds.
     pub held: Vec<Held>,
     /// How much longer it is slow after its start, in milliseconds.
@@ -88,6 +86,8 @@
     pub leaving_since: Option<Millis>,
     /// When the last byte came from it on any connection.
     pub heard: Millis,
+    /// Orders that it is known to have accepted.
+    pub orders: u64,
     /// When the one that gives orders told what it holds.
     pub told_at: Option<Millis>,
 }
@@ -108,6 +108,7 @@
             missing_since: None,
             leaving_since: None,
             heard: 0,
+            orders: 0,
             told_at: None,
         }
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -139,16 +139,15 @@
     node.placed.notify_waiters();
 }
 
-/// Time for which the keeper's word on an engine goes before a heartbeat that knows of as many orders: the
-/// heartbeat was written before the last of them had ended.
+/// Time for which the keeper's word on an engine goes before a heartbeat, which may have been written before
+/// the last order had ended: the time between two heartbeats, and that until one is read.
 const TOLD_FOR: u64 = 3_000;
 
 /// A heartbeat that is older than what the keeper told of the engine does not undo it.
 fn keep_newer(engines: &hgw_direct::Engines, listed: &mut Listed, now: hgw_direct::Millis) {
     let Some(known) = engines.get(&listed.id) else { return };
     let told = known.told_at.is_some_and(|at| now.saturating_sub(at) < TOLD_FOR);
-    if known.listed.seq > listed.seq || (known.listed.seq == listed.seq && told) {
-        listed.seq = known.listed.seq;
+    if told {
         listed.held = known.listed.held.clone();
     }
 }
--- a/crates/gateway/src/keeper/adapters.rs
+++ b/crates/gateway/src/keeper/adapters.rs
@@ -12,7 +12,7 @@
 use crate::peers::Placement;
 use crate::shared::Node;
 
-use super::give::{Given, ask, give};
+use super::give::{Given, ask, count, give};
 use super::{changed, desk, pools};
 
 /// Usual time of an adapter's way to an engine.
@@ -32,6 +32,9 @@
     if is_placed(node, wanted) {
         return Placement::Placed;
     }
+    // Its node tells of the request only with the next exchange; until then it must not look unwanted.
+    let now = node.now();
+    node.keeper.borrow_mut().demand.saw(now, wanted, 1.0);
     let model = Wanted { model: wanted.model.clone(), adapter: None };
     if wanted.adapter.is_none() || !is_placed(node, &model) {
         return Placement::Coming;
@@ -93,6 +96,8 @@
             .engines
             .of(&service)
             .filter(|e| e.takes_work() && keeper.surveyed.contains(&e.listed.id))
+            // One that carries out an order for a model takes no other.
+            .filter(|e| !keeper.pending.contains_key(&e.listed.id))
             .collect();
         let step = place_adapter(&engines, &pool, &keeper.demand, wanted, domain, now);
         if let AdapterStep::Load { engine, instead_of } = step {
@@ -134,10 +139,14 @@
 /// Gives an order until it holds; tells whether it does.
 async fn done(node: &Node, engine: &EngineId, kind: OrderKind, wanted: &Wanted) -> bool {
     let until = Instant::now() + LONGEST;
-    let mut conflicts = 0;
+    let (mut accepted, mut conflicts) = (false, 0);
     while Instant::now() < until {
         match give(node, engine, kind, wanted).await {
             Given::Holds => {
+                if kind == OrderKind::Unload {
+                    // Dropped at once, and counted.
+                    count(node, engine);
+                }
                 if let Some(e) = node.state.borrow_mut().engines.get_mut(engine) {
                     match kind {
                         OrderKind::Load => e.add_held(wanted),
@@ -147,7 +156,14 @@
                 changed(node, engine);
                 return true;
             }
-            Given::Accepted => sleep(FIRST_CHECK).await,
+            Given::Accepted => {
+                if !accepted {
+                    count(node, engine);
+                    accepted = true;
+                }
+                sleep(FIRST_CHECK).await;
+            }
+            Given::Conflict if node.keeper.borrow().pending.contains_key(engine) => break,
             Given::Conflict => {
                 conflicts += 1;
                 if conflicts % 3 == 0 {
--- a/crates/gateway/src/keeper/give.rs
+++ b/crates/gateway/src/keeper/give.rs
@@ -49,7 +49,7 @@
         (settings.lease, settings.engines_fence, settings.node.clone())
     };
     let Some(fence) = node.holding.borrow().fence(lease, fences) else { return Given::Superseded };
-    let Some((addr, seq)) = node.engine(engine, |e| (e.listed.addr, e.listed.seq)) else {
+    let Some((addr, seq)) = node.engine(engine, |e| (e.listed.addr, e.orders)) else {
         return Given::Refused;
     };
     let order = Order { addr, engine, kind, wanted, seq, holder: &holder, fence };
@@ -83,14 +83,17 @@
         emit(Event::KeeperLost, &[("node", &holder), ("term", &fence)]);
         node.holding.borrow_mut().superseded();
     }
-    if given == Given::Accepted
-        && let Some(engine) = node.state.borrow_mut().engines.get_mut(engine)
-    {
-        engine.listed.seq = engine.listed.seq.max(seq + 1);
-    }
     given
 }
 
+/// An engine has accepted an order. What asks whether one that is under way has been carried out is
+/// accepted too, and does not count.
+pub(super) fn count(node: &Node, engine: &EngineId) {
+    if let Some(engine) = node.state.borrow_mut().engines.get_mut(engine) {
+        engine.orders += 1;
+    }
+}
+
 fn said(status: u16) -> Given {
     match status {
         200 => Given::Holds,
@@ -101,19 +104,24 @@
     }
 }
 
-/// Asks an engine what it holds; tells whether it answered.
-pub(super) async fn ask(node: &Node, engine: &EngineId) -> bool {
-    let Some(addr) = node.engine(engine, |e| e.listed.addr) else { return true };
+/// Whether an engine that has answered carries no order out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Free(pub(super) bool);
+
+/// Asks an engine what it holds, where it answers.
+pub(super) async fn ask(node: &Node, engine: &EngineId) -> Option<Free> {
+    let addr = node.engine(engine, |e| e.listed.addr)?;
     let req = node.dialects.upstreams.ask_report(addr, engine);
-    let Exchanged::Answered(200, body) = exchange(node, engine, &req).await else { return false };
+    let Exchanged::Answered(200, body) = exchange(node, engine, &req).await else { return None };
     match node.dialects.upstreams.report(&body) {
         Ok(report) => {
+            let free = Free(!report.busy && report.coming.is_empty());
             take_in(node, engine, report);
-            true
+            Some(free)
         }
         Err(e) => {
             emit(Event::OrderNotDone, &[("upstream", engine), ("why", &e)]);
-            false
+            None
         }
     }
 }
@@ -123,10 +131,10 @@
     let mut state = node.state.borrow_mut();
     let Some(known) = state.engines.get_mut(engine) else { return };
     // Its values are some hundred milliseconds old.
-    if report.seq < known.listed.seq {
+    if report.seq < known.orders {
         return;
     }
-    known.listed.seq = report.seq;
+    known.orders = report.seq;
     known.listed.held = report.held;
     known.told = Some((report.load, now, known.own));
     drop(state);
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -21,6 +21,12 @@
 /// Time between two looks at what should be ordered.
 const TICK: Duration = Duration::from_millis(100);
 
+/// How old what an engine reports may be.
+const REPORT_AGE: Duration = Duration::from_millis(600);
+
+/// Time between two questions to an engine that carries an earlier holder's order out.
+const BUSY_CHECK: Duration = Duration::from_millis(400);
+
 /// Loads from the weight store that a new holder gives while what its predecessor began still counts.
 const FIRST_LOADS: usize = 3;
 
@@ -34,6 +40,8 @@
     pending: Pending,
     /// Engines whose state was asked for under this claim.
     surveyed: IndexSet<EngineId>,
+    /// Engines that are being asked.
+    surveying: IndexSet<EngineId>,
     /// One order at a time for each engine.
     desks: IndexMap<EngineId, Rc<Mutex<()>>>,
     /// Adapters that are being placed.
@@ -78,19 +86,35 @@
     keeper.desks.retain(|id, _| ids.contains(id));
     keeper.pending.retain(|id, _| ids.contains(id));
     for id in ids {
-        if keeper.surveyed.insert(id.clone()) {
+        if !keeper.surveyed.contains(&id) && keeper.surveying.insert(id.clone()) {
             let node = Rc::clone(node);
             tokio::task::spawn_local(async move {
-                let desk = desk(&node, &id);
-                let _turn = desk.lock().await;
-                if !give::ask(&node, &id).await {
-                    node.keeper.borrow_mut().surveyed.shift_remove(&id);
-                }
+                survey_one(&node, &id).await;
             });
         }
     }
 }
 
+/// Asks an engine until no order that an earlier holder gave can be under way unseen.
+async fn survey_one(node: &Node, id: &EngineId) {
+    let fence = node.keeper.borrow().fence;
+    sleep(REPORT_AGE).await;
+    while node.keeper.borrow().fence == fence && node.engine(id, |_| ()).is_some() {
+        let state = {
+            let desk = desk(node, id);
+            let _turn = desk.lock().await;
+            give::ask(node, id).await
+        };
+        if state == Some(give::Free(true)) {
+            let mut keeper = node.keeper.borrow_mut();
+            keeper.surveyed.insert(id.clone());
+            break;
+        }
+        sleep(BUSY_CHECK).await;
+    }
+    node.keeper.borrow_mut().surveying.shift_remove(id);
+}
+
 /// Services whose engines hold models.
 fn pools(node: &Node) -> Vec<(hgw_direct::ServiceId, Pool)> {
     let state = node.state.borrow();
@@ -147,7 +171,7 @@
 fn told(node: &Node, id: &EngineId) -> Option<Told> {
     node.engine(id, |e| Told {
         engine: id.clone(),
-        seq: e.listed.seq,
+        orders: e.orders,
         held: e.listed.held.clone(),
     })
 }
--- a/crates/gateway/src/keeper/models.rs
+++ b/crates/gateway/src/keeper/models.rs
@@ -10,7 +10,7 @@
 use crate::dialect::OrderKind;
 use crate::shared::Node;
 
-use super::give::{Given, ask, give};
+use super::give::{Given, ask, count, give};
 use super::{ceiling_limits, changed, desk};
 
 /// Time between two questions whether an order has been carried out.
@@ -32,13 +32,14 @@
         let mut keeper = node.keeper.borrow_mut();
         let may_load = keeper.ceiling.allows(now, &ceiling_limits(node, pool));
         let state = node.state.borrow();
-        let engines: Vec<&Engine> = state
-            .engines
-            .of(service)
-            .filter(|e| e.takes_work() && keeper.surveyed.contains(&e.listed.id))
-            .collect();
+        let engines: Vec<&Engine> = state.engines.of(service).filter(|e| e.takes_work()).collect();
         let rates = keeper.demand.rates(now);
-        let step = next_model_step(&engines, pool, &rates, &keeper.pending, may_load, now);
+        let mut taken = keeper.pending.clone();
+        for engine in engines.iter().filter(|e| !keeper.surveyed.contains(&e.listed.id)) {
+            // What it holds counts, but what else is under way there is not known yet.
+            taken.entry(engine.listed.id.clone()).or_default();
+        }
+        let step = next_model_step(&engines, pool, &rates, &taken, may_load, now);
         drop(state);
         let Some(step) = step else { return };
         let (engine, model, kind) = match step {
@@ -88,6 +89,9 @@
         match given {
             Given::Holds => return done(node, engine, kind, wanted),
             Given::Accepted => {
+                if !accepted {
+                    count(node, engine);
+                }
                 accepted = true;
                 sleep(if kind == OrderKind::Load { usual } else { DONE_CHECK }).await;
             }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -45,7 +45,7 @@
 pub(crate) struct Told {
     pub(crate) engine: EngineId,
     /// Orders that it has accepted.
-    pub(crate) seq: u64,
+    pub(crate) orders: u64,
     pub(crate) held: Vec<Held>,
 }
 
@@ -188,8 +188,8 @@
     let mut state = node.state.borrow_mut();
     for told in engines {
         let Some(engine) = state.engines.get_mut(&told.engine) else { continue };
-        if told.seq >= engine.listed.seq {
-            engine.listed.seq = told.seq;
+        if told.orders >= engine.orders {
+            engine.orders = told.orders;
             engine.listed.held = told.held;
             engine.told_at = Some(now);
         }
