--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -41,8 +41,8 @@
 pub enum NoEngine {
     /// The service has no engine that takes work.
     None,
-    /// None of them holds the model, or the adapter.
-    NotPlaced,
+    /// None of them holds the model, or the adapter; come back after this time.
+    NotPlaced(Duration),
     /// All that hold it are full, tried, or cannot be reached; come back after this time.
     Full(Duration),
 }
@@ -69,6 +69,9 @@
 /// Spread of the draw, so that nodes that see the same do not all choose the same.
 const DRAW_MS: f64 = 4.0;
 
+/// When a caller comes back whose model is nowhere, as long as nobody knows better.
+const PLACED_WITHIN: Duration = Duration::from_millis(1_000);
+
 /// Requests that may wait at an engine beyond its slots before others are asked to come back.
 const QUEUE_SHARE: f64 = 1.0;
 
@@ -79,7 +82,7 @@
     let home = ask.prompt.map(home_key);
     for engine in engines.of(ask.service).filter(|e| e.takes_work()) {
         if found == NoEngine::None {
-            found = NoEngine::NotPlaced;
+            found = NoEngine::NotPlaced(PLACED_WITHIN);
         }
         let wanted = ask.prompt.and_then(|p| p.wanted.as_ref());
         if wanted.is_some_and(|w| !engine.holds(w)) {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -117,7 +117,7 @@
                     let gone_at = Some(now + left.as_millis() as u64);
                     listed.standing = Standing::Leaving { gone_at };
                 }
-                keep_newer(&state.engines, &mut listed, now);
+                keep_newer(&state.engines, &mut listed);
                 if news.whole {
                     whole.push(listed);
                 } else {
@@ -139,15 +139,11 @@
     node.placed.notify_waiters();
 }
 
-/// Time for which the keeper's word on an engine goes before a heartbeat, which may have been written before
-/// the last order had ended: the time between two heartbeats, and that until one is read.
-const TOLD_FOR: u64 = 3_000;
-
-/// A heartbeat that is older than what the keeper told of the engine does not undo it.
-fn keep_newer(engines: &hgw_direct::Engines, listed: &mut Listed, now: hgw_direct::Millis) {
+/// What the keeper told of an engine goes before its heartbeats: these may be written before an order has
+/// ended, and none is written for an adapter. The keeper tells every change.
+fn keep_newer(engines: &hgw_direct::Engines, listed: &mut Listed) {
     let Some(known) = engines.get(&listed.id) else { return };
-    let told = known.told_at.is_some_and(|at| now.saturating_sub(at) < TOLD_FOR);
-    if told {
+    if known.told_at.is_some() {
         listed.held = known.listed.held.clone();
     }
 }
--- a/crates/gateway/src/keeper/adapters.rs
+++ b/crates/gateway/src/keeper/adapters.rs
@@ -13,7 +13,7 @@
 use crate::shared::Node;
 
 use super::give::{Given, ask, count, give};
-use super::{changed, desk, pools};
+use super::{changed, desk, models, pools};
 
 /// Usual time of an adapter's way to an engine.
 const FIRST_CHECK: Duration = Duration::from_millis(6);
@@ -28,7 +28,15 @@
 const MOST_AHEAD: usize = 4;
 
 /// Places a model or an adapter that a request waits for.
-pub(crate) async fn want(node: &Node, wanted: &Wanted, domain: &str) -> Placement {
+pub(crate) async fn want(
+    node: &Node,
+    wanted: &Wanted,
+    domain: &str,
+    refuted: Option<&EngineId>,
+) -> Placement {
+    if let Some(engine) = refuted {
+        disbelieve(node, wanted, engine);
+    }
     if is_placed(node, wanted) {
         return Placement::Placed;
     }
@@ -37,18 +45,44 @@
     node.keeper.borrow_mut().demand.saw(now, wanted, 1.0);
     let model = Wanted { model: wanted.model.clone(), adapter: None };
     if wanted.adapter.is_none() || !is_placed(node, &model) {
-        return Placement::Coming;
-    }
-    let under_way = node.keeper.borrow().placing.get(wanted).cloned();
-    if let Some(under_way) = under_way {
-        // Whether it came is seen below.
-        let _ = timeout(LONGEST, under_way.notified()).await;
-    } else {
-        place(node, wanted, domain).await;
+        return Placement::Coming(models::coming_in(node, &wanted.model));
     }
+    // Apart from this call: its caller may leave while an order is under way.
+    let done = begin_placing(node, wanted, domain);
+    // Whether it came is seen below.
+    let _ = timeout(LONGEST, done.notified()).await;
     if is_placed(node, wanted) { Placement::Placed } else { Placement::Unknown }
 }
 
+/// An engine has answered that it does not hold what the books say.
+fn disbelieve(node: &Node, wanted: &Wanted, engine: &EngineId) {
+    let mut state = node.state.borrow_mut();
+    let Some(known) = state.engines.get_mut(engine).filter(|e| e.holds(wanted)) else { return };
+    known.drop_held(wanted);
+    drop(state);
+    node.keeper.borrow_mut().surveyed.shift_remove(engine);
+    changed(node, engine);
+}
+
+/// Begins to place an adapter, unless that is under way; tells by what its end is known.
+fn begin_placing(node: &Node, wanted: &Wanted, domain: &str) -> Rc<Notify> {
+    let mut keeper = node.keeper.borrow_mut();
+    if let Some(under_way) = keeper.placing.get(wanted) {
+        return Rc::clone(under_way);
+    }
+    let done = Rc::new(Notify::new());
+    keeper.placing.insert(wanted.clone(), Rc::clone(&done));
+    let (node, wanted, domain) = (Rc::clone(node), wanted.clone(), domain.to_owned());
+    tokio::task::spawn_local(async move {
+        place(&node, &wanted, &domain).await;
+        let done = node.keeper.borrow_mut().placing.shift_remove(&wanted);
+        if let Some(done) = done {
+            done.notify_waiters();
+        }
+    });
+    done
+}
+
 /// Places what is asked for and was dropped or never held, ahead of the next request for it.
 pub(super) fn step(node: &Node, service: &ServiceId, _pool: &Pool) {
     let wanted = {
@@ -61,11 +95,7 @@
         spread_adapters(&engines, &keeper.demand, node.now())
     };
     let Some(wanted) = wanted else { return };
-    if node.keeper.borrow().placing.contains_key(&wanted) {
-        return;
-    }
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move { place(&node, &wanted, "").await });
+    begin_placing(node, &wanted, "");
 }
 
 fn is_placed(node: &Node, wanted: &Wanted) -> bool {
@@ -73,8 +103,6 @@
 }
 
 async fn place(node: &Node, wanted: &Wanted, domain: &str) {
-    let told = Rc::new(Notify::new());
-    node.keeper.borrow_mut().placing.insert(wanted.clone(), Rc::clone(&told));
     if let Some((engine, instead_of)) = choose(node, wanted, domain) {
         let turn = desk(node, &engine);
         let _turn = turn.lock().await;
@@ -83,8 +111,6 @@
             carry_out(node, &engine, wanted, instead_of).await;
         }
     }
-    node.keeper.borrow_mut().placing.shift_remove(wanted);
-    told.notify_waiters();
 }
 
 fn choose(node: &Node, wanted: &Wanted, domain: &str) -> Option<(EngineId, Option<Wanted>)> {
--- a/crates/gateway/src/keeper/models.rs
+++ b/crates/gateway/src/keeper/models.rs
@@ -11,7 +11,7 @@
 use crate::shared::Node;
 
 use super::give::{Given, ask, count, give};
-use super::{ceiling_limits, changed, desk};
+use super::{ceiling_limits, changed, desk, pools};
 
 /// Time between two questions whether an order has been carried out.
 const DONE_CHECK: Duration = Duration::from_millis(200);
@@ -50,17 +50,33 @@
             ModelStep::Unload { engine, model } => (engine, model, OrderKind::Unload),
         };
         keeper.pending.insert(engine.clone(), model.clone());
+        if kind == OrderKind::Load {
+            keeper.loading.insert(model.clone(), now);
+        }
         let usual = pool.models.get(&model).map_or(Duration::from_secs(5), |m| m.load);
         drop(keeper);
         let node = Rc::clone(node);
         tokio::task::spawn_local(async move {
             let wanted = Wanted { model, adapter: None };
             carry_out(&node, &engine, kind, &wanted, usual).await;
-            node.keeper.borrow_mut().pending.shift_remove(&engine);
+            let mut keeper = node.keeper.borrow_mut();
+            keeper.pending.shift_remove(&engine);
+            keeper.loading.shift_remove(&wanted.model);
         });
     }
 }
 
+/// Milliseconds until a model that is nowhere is probably there.
+pub(super) fn coming_in(node: &Node, model: &str) -> u64 {
+    let usual = pools(node).iter().find_map(|(_, p)| p.models.get(model).map(|m| m.load));
+    let usual = usual.unwrap_or(Duration::from_secs(5)).as_millis() as u64;
+    let keeper = node.keeper.borrow();
+    match keeper.loading.get(model) {
+        Some(since) => (since + usual).saturating_sub(node.now()) + DONE_CHECK.as_millis() as u64,
+        None => usual + usual / 2,
+    }
+}
+
 async fn carry_out(
     node: &Node,
     engine: &EngineId,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -81,6 +81,8 @@
     model: String,
     adapter: Option<String>,
     domain: String,
+    /// An engine that was said to hold it and answered that it does not.
+    refuted: Option<EngineId>,
 }
 
 /// The keeper's answer.
@@ -95,8 +97,8 @@
 pub(crate) enum Placement {
     /// It is, now.
     Placed,
-    /// It is on its way.
-    Coming,
+    /// It is on its way, for so many more milliseconds.
+    Coming(u64),
     /// The keeper cannot tell, or there is none.
     Unknown,
 }
@@ -138,11 +140,15 @@
 }
 
 /// Asks that a model or an adapter be placed.
-pub(crate) async fn want(node: &Node, wanted: &Wanted) -> Placement {
+pub(crate) async fn want(
+    node: &Node,
+    wanted: &Wanted,
+    refuted: Option<&EngineId>,
+) -> Placement {
     let keeper = node.holding.borrow().keeper.clone();
     let domain = node.settings.borrow().domain.clone();
     if node.holding.borrow().is_mine() {
-        return keeper::want(node, wanted, &domain).await;
+        return keeper::want(node, wanted, &domain, refuted).await;
     }
     let Some(keeper) = keeper else { return Placement::Unknown };
     let want = Want {
@@ -150,6 +156,7 @@
         model: wanted.model.clone(),
         adapter: wanted.adapter.clone(),
         domain,
+        refuted: refuted.cloned(),
     };
     match call::<_, Wish>(node, keeper.addr, "/want", &want, WANT_PATIENCE).await {
         Some(wish) => {
@@ -269,7 +276,7 @@
         return own(StatusCode::CONFLICT, "not the keeper");
     }
     let wanted = Wanted { model: want.model, adapter: want.adapter };
-    let placement = keeper::want(node, &wanted, &want.domain).await;
+    let placement = keeper::want(node, &wanted, &want.domain, want.refuted.as_ref()).await;
     json(&Wish { placement, engines: keeper::told_of(node, &wanted) })
 }
 
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -170,16 +170,20 @@
     }
 
     /// The engine that answers is another one, or has not the model that it was said to have.
-    fn correct(&self, engine: &EngineId, marks: &Marks) {
+    fn correct(&mut self, engine: &EngineId, marks: &Marks) {
+        let refuted = engine.clone();
+        let wanted = self.wanted().cloned();
         let mut state = self.node.state.borrow_mut();
         if marks.engine.as_ref().is_some_and(|answered| answered != engine) {
             state.engines.unlist(engine);
             return;
         }
-        let (Some(wanted), Some(engine)) = (self.wanted(), state.engines.get_mut(engine)) else {
+        let (Some(wanted), Some(engine)) = (&wanted, state.engines.get_mut(engine)) else {
             return;
         };
         engine.drop_held(wanted);
+        drop(state);
+        self.refuted = Some(refuted);
     }
 
     fn request(&self, engine: &EngineId, last_event: Option<u64>) -> Request {
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -26,6 +26,10 @@
 /// in what remains.
 const WAIT_SHARE: f64 = 0.5;
 
+/// Bounds of that wait: a caller leaves a stream that has not begun after two seconds or four objectives.
+const PATIENT_LEAST: Duration = Duration::from_millis(900);
+const PATIENT_OBJECTIVES: u32 = 2;
+
 /// Time between two looks whether a model has come.
 const PLACED_CHECK: Duration = Duration::from_millis(100);
 
@@ -48,6 +52,8 @@
     pub(super) rejected: u32,
     /// Engines that could not be reached.
     pub(super) unreached: u32,
+    /// An engine that does not hold what it was said to hold.
+    pub(super) refuted: Option<EngineId>,
 }
 
 impl Relayed {
@@ -76,6 +82,7 @@
             runs: 0,
             rejected: 0,
             unreached: 0,
+            refuted: None,
         };
         request.count();
         request
@@ -126,20 +133,28 @@
 
     /// The engine to send to; waits for a model or an adapter that is being placed.
     pub(super) async fn choose(&mut self) -> Result<Choice, NoEngine> {
-        let give_up = Instant::now() + self.left().mul_f64(WAIT_SHARE);
+        let longest = (self.route.objective * PATIENT_OBJECTIVES).max(PATIENT_LEAST);
+        let give_up = Instant::now() + self.left().mul_f64(WAIT_SHARE).min(longest);
         loop {
             let found = self.choose_now();
-            let (Err(NoEngine::NotPlaced), Some(wanted)) = (&found, self.wanted()) else {
+            let (Err(NoEngine::NotPlaced(_)), Some(wanted)) = (&found, self.wanted()) else {
                 return found;
             };
-            let asked = timeout_at(give_up, peers::want(&self.node, wanted)).await;
-            match asked {
+            let want = peers::want(&self.node, wanted, self.refuted.as_ref());
+            match timeout_at(give_up, want).await {
                 Ok(Placement::Placed) => {
                     if let Ok(choice) = self.choose_now() {
                         return Ok(choice);
                     }
                 }
-                Ok(Placement::Coming | Placement::Unknown) => {}
+                Ok(Placement::Coming(ms)) => {
+                    // Not in time: its caller is told when.
+                    let wait = Duration::from_millis(ms);
+                    if Instant::now() + wait > give_up {
+                        return Err(NoEngine::NotPlaced(wait));
+                    }
+                }
+                Ok(Placement::Unknown) => {}
                 Err(_) => return found,
             }
             let come = timeout_at(give_up.min(Instant::now() + PLACED_CHECK), self.node.placed.notified());
@@ -171,7 +186,7 @@
     pub(super) fn refuse(&self, why: NoEngine) -> Answer {
         match why {
             NoEngine::None => refuse(&self.node, Refusal::NoEngine, Duration::from_millis(300)),
-            NoEngine::NotPlaced => refuse(&self.node, Refusal::NotPlaced, self.left().mul_f64(0.25)),
+            NoEngine::NotPlaced(wait) => refuse(&self.node, Refusal::NotPlaced, wait),
             NoEngine::Full(wait) => refuse(&self.node, Refusal::Full, wait),
         }
     }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -96,7 +96,8 @@
 struct Flow {
     req: Relayed,
     engine: EngineId,
-    conn: Conn,
+    /// Until the answer is whole.
+    conn: Option<Conn>,
     body: Body,
     events: Events,
     /// Whether the answer is made of events; a failure's body is passed on as it is.
@@ -111,7 +112,16 @@
         let is_events = is_events(&head);
         let body = Body::new(head.framing);
         let events = Events::default();
-        Flow { req, engine, conn, body, events, is_events, _at_engine: at_engine, over: false }
+        Flow {
+            req,
+            engine,
+            conn: Some(conn),
+            body,
+            events,
+            is_events,
+            _at_engine: at_engine,
+            over: false,
+        }
     }
 
     /// The next piece for the caller.
@@ -153,7 +163,8 @@
 
     async fn read(&mut self) -> Waited<hgw_http1::Result<Option<Bytes>>> {
         let (req, engine) = (&self.req, &self.engine);
-        let chunk = self.conn.chunk(&mut self.body);
+        let Some(conn) = &mut self.conn else { return Waited::Done(Ok(None)) };
+        let chunk = conn.chunk(&mut self.body);
         let may_move = req.route.kind.may_repeat() && req.runs < req.route.attempts;
         if !may_move || !self.is_events {
             return req.bounded(chunk).await;
@@ -176,7 +187,7 @@
         };
         self.body = Body::new(begun.head.framing);
         self.engine = begun.engine;
-        self.conn = begun.conn;
+        self.conn = Some(begun.conn);
         self._at_engine = begun.at_engine;
         true
     }
@@ -185,6 +196,10 @@
         self.over = true;
         let node = &self.req.node;
         node.saw(&self.engine, if self.is_events { Verdict::Good } else { Verdict::Failed });
+        let addr = node.engine(&self.engine, |e| e.listed.addr);
+        if let (Some(conn), Some(addr)) = (self.conn.take(), addr) {
+            node.pool.put(addr, conn);
+        }
     }
 
     fn break_off(mut self) -> (Result<Bytes, BrokenOff>, Flow) {
