Give adapters places that are idle, and enough copies of a model for them

Cause: an adapter in use is dropped only with its last request, during which its engine refuses all orders; the count of a dropped adapter's order was taken twice.

--- a/crates/direct/src/place/adapters.rs
+++ b/crates/direct/src/place/adapters.rs
@@ -18,6 +18,15 @@
 /// What an engine in another failure domain than the caller's costs, against a load as a share of slots.
 const OTHER_DOMAIN: f64 = 0.3;
 
+/// Time after a request for an adapter for which it is probably in use.
+const IN_USE: Millis = 800;
+
+/// What waiting for an adapter's requests to end costs, in requests a second.
+const WAITS: f64 = 2.0;
+
+/// What dropping one of two places of an adapter costs, against dropping its only one.
+const ELSEWHERE_SHARE: f64 = 0.2;
+
 /// Where an adapter that is wanted now should be loaded: at an engine that holds its model, with a free
 /// place if there is one, else in place of the adapter that was longest not asked for.
 pub fn place_adapter(
@@ -62,7 +71,9 @@
     let cost = |w: &Wanted| {
         let elsewhere = engines.iter().filter(|e| e.holds(w)).count() > 1;
         let rate = demand.rate(now, w);
-        if elsewhere { rate * 0.2 } else { rate }
+        let in_use = demand.last(w).is_some_and(|at| now.saturating_sub(at) < IN_USE);
+        let waits = if in_use { WAITS } else { 0.0 };
+        waits + if elsewhere { rate * ELSEWHERE_SHARE } else { rate }
     };
     let victim = all.map(|w| (cost(&w), w)).min_by(|a, b| a.0.total_cmp(&b.0))?;
     Some((Some(victim.1), 0.5 + victim.0))
--- a/crates/direct/src/place/models.rs
+++ b/crates/direct/src/place/models.rs
@@ -52,7 +52,10 @@
         }
         let by_share = (SPARE_SHARE * count as f64 * rate / sum.max(f64::EPSILON)).ceil() as usize;
         let by_rate = (rate / COPY_RATE).ceil() as usize;
-        by_share.max(by_rate).max(LEAST_IN_DEMAND).min(count.max(1))
+        // One place for each adapter that is asked for: a place that changes hands waits for its requests.
+        let adapters = rates.keys().filter(|w| w.model == model && w.adapter.is_some()).count();
+        let by_adapters = adapters.div_ceil(pool.adapter_slots.max(1) as usize);
+        by_share.max(by_rate).max(by_adapters).max(LEAST_IN_DEMAND).min(count.max(1))
     };
     pool.models.keys().map(|m| (m.clone(), target(m))).collect()
 }
--- a/crates/direct/src/refuse.rs
+++ b/crates/direct/src/refuse.rs
@@ -8,6 +8,9 @@
     /// No configuration or no list of engines yet.
     #[display("not ready")]
     NotReady,
+    /// This node is about to end.
+    #[display("stopping")]
+    Stopping,
     /// No engine of the service can be reached.
     #[display("no engine")]
     NoEngine,
--- a/crates/gateway/src/keeper/adapters.rs
+++ b/crates/gateway/src/keeper/adapters.rs
@@ -21,9 +21,15 @@
 /// Time between two questions whether it has come.
 const DONE_CHECK: Duration = Duration::from_millis(6);
 
+/// Longest such time: each question is an order.
+const LAST_CHECK: Duration = Duration::from_millis(100);
+
 /// Longest wait for it.
 const LONGEST: Duration = Duration::from_millis(500);
 
+/// Longest wait until requests that use an adapter have ended; meanwhile the engine takes no other order.
+const LONGEST_UNLOAD: Duration = Duration::from_millis(3_000);
+
 /// Adapters that are placed ahead of requests at a time.
 const MOST_AHEAD: usize = 4;
 
@@ -124,6 +130,7 @@
             .filter(|e| e.takes_work() && keeper.surveyed.contains(&e.listed.id))
             // One that carries out an order for a model takes no other.
             .filter(|e| !keeper.pending.contains_key(&e.listed.id))
+            .filter(|e| !keeper.emptying.contains(&e.listed.id))
             .collect();
         let step = place_adapter(&engines, &pool, &keeper.demand, wanted, domain, now);
         if let AdapterStep::Load { engine, instead_of } = step {
@@ -155,7 +162,10 @@
             e.drop_held(&victim);
         }
         changed(node, engine);
-        if !done(node, engine, OrderKind::Unload, &victim).await {
+        node.keeper.borrow_mut().emptying.insert(engine.clone());
+        let dropped = done(node, engine, OrderKind::Unload, &victim).await;
+        node.keeper.borrow_mut().emptying.shift_remove(engine);
+        if !dropped {
             return;
         }
     }
@@ -164,12 +174,15 @@
 
 /// Gives an order until it holds; tells whether it does.
 async fn done(node: &Node, engine: &EngineId, kind: OrderKind, wanted: &Wanted) -> bool {
-    let until = Instant::now() + LONGEST;
+    // An adapter that requests still use is dropped with the last of them.
+    let longest = if kind == OrderKind::Unload { LONGEST_UNLOAD } else { LONGEST };
+    let until = Instant::now() + longest;
+    let mut pause = FIRST_CHECK;
     let (mut accepted, mut conflicts) = (false, 0);
     while Instant::now() < until {
         match give(node, engine, kind, wanted).await {
             Given::Holds => {
-                if kind == OrderKind::Unload {
+                if kind == OrderKind::Unload && !accepted {
                     // Dropped at once, and counted.
                     count(node, engine);
                 }
@@ -187,7 +200,8 @@
                     count(node, engine);
                     accepted = true;
                 }
-                sleep(FIRST_CHECK).await;
+                sleep(pause).await;
+                pause = (pause * 2).min(LAST_CHECK);
             }
             Given::Conflict if node.keeper.borrow().pending.contains_key(engine) => break,
             Given::Conflict => {
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -44,6 +44,8 @@
     surveyed: IndexSet<EngineId>,
     /// Engines that are being asked.
     surveying: IndexSet<EngineId>,
+    /// Engines that wait for requests to end before they drop an adapter.
+    emptying: IndexSet<EngineId>,
     /// One order at a time for each engine.
     desks: IndexMap<EngineId, Rc<Mutex<()>>>,
     /// Adapters that are being placed.
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::answer::{Answer, own};
 use crate::shared::{Active, Node};
+use crate::stop;
 
 use request::Relayed;
 
@@ -26,6 +27,9 @@
 /// Answers a request.
 pub(crate) async fn answer(node: &Node, req: Request<Incoming>) -> Answer {
     let active = Active::begin(node);
+    if stop::takes_no_more(node) {
+        return refuse(node, Refusal::Stopping, Duration::ZERO);
+    }
     let catalog = node.state.borrow().catalog.clone();
     let listed = node.state.borrow().listed;
     match catalog.filter(|_| listed) {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -12,6 +12,15 @@
 /// two misses, and what it sent before has still to arrive.
 const STILL_SENT: Duration = Duration::from_millis(3_300);
 
+/// Time after which a request is sent to another node by refusing it: it could not be sure to end in time.
+const SERVED_FOR: Duration = Duration::from_millis(2_700);
+
+/// Whether a request that comes now is refused because this node is about to end.
+pub(crate) fn takes_no_more(node: &Node) -> bool {
+    let since = node.stop.since.get();
+    since.is_some_and(|since| node.now() - since > SERVED_FOR.as_millis() as u64)
+}
+
 /// Part of the grace that is kept for ending: what has not ended by then is broken off.
 const LAST: Duration = Duration::from_millis(400);
 
