--- a/crates/direct/src/place/models.rs
+++ b/crates/direct/src/place/models.rs
@@ -25,37 +25,43 @@
     },
 }
 
-/// Share of the engines beyond its share of the demand that a model is given, so that a change of demand
-/// finds room.
-const SPARE_SHARE: f64 = 1.15;
+/// Requests a second that one copy of a model serves, as a part of its engine's slots: a usual request holds
+/// a slot for about a second, so that a quarter of them is in use and demand may double before more than
+/// half is.
+const COPY_RATE_OF_SLOTS: f64 = 0.25;
 
-/// Requests a second that one copy of a model is expected to serve; more demand asks for another copy.
-const COPY_RATE: f64 = 12.0;
+/// Demand by which a copy must be spare before it makes way, against that which asks for one: without
+/// the difference one engine drops and loads the same two models in turn.
+const SPARE: f64 = 1.3;
 
 /// Copies that a model in demand has at least: the loss of one engine must not make it unreachable.
 const LEAST_IN_DEMAND: usize = 2;
 
 /// Requests a second from which a model counts as in demand.
-const IN_DEMAND: f64 = 0.3;
+const IN_DEMAND: f64 = 1.0;
 
 /// How many copies each model should have, by its share of the demand.
-pub(super) fn targets(engines: &[&Engine], pool: &Pool, rates: &Rates) -> IndexMap<String, usize> {
+pub(super) fn targets(
+    engines: &[&Engine],
+    pool: &Pool,
+    rates: &Rates,
+    margin: f64,
+) -> IndexMap<String, usize> {
     let rate = |model: &str| -> f64 {
-        rates.iter().filter(|(w, _)| w.model == model).map(|(_, r)| *r).sum()
+        rates.iter().filter(|(w, _)| w.model == model).map(|(_, r)| *r * margin).sum()
     };
-    let sum: f64 = pool.models.keys().map(|m| rate(m)).sum();
     let count = engines.len();
+    let copy_rate = (f64::from(pool.slots) * COPY_RATE_OF_SLOTS).max(1.0);
     let target = |model: &str| {
         let rate = rate(model);
         if rate < IN_DEMAND {
             return 1;
         }
-        let by_share = (SPARE_SHARE * count as f64 * rate / sum.max(f64::EPSILON)).ceil() as usize;
-        let by_rate = (rate / COPY_RATE).ceil() as usize;
+        let by_rate = (rate / copy_rate).ceil() as usize;
         // One place for each adapter that is asked for: a place that changes hands waits for its requests.
         let adapters = rates.keys().filter(|w| w.model == model && w.adapter.is_some()).count();
         let by_adapters = adapters.div_ceil(pool.adapter_slots.max(1) as usize);
-        by_share.max(by_rate).max(by_adapters).max(LEAST_IN_DEMAND).min(count.max(1))
+        by_rate.max(by_adapters).max(LEAST_IN_DEMAND).min(count.max(1))
     };
     pool.models.keys().map(|m| (m.clone(), target(m))).collect()
 }
@@ -69,7 +75,8 @@
     may_load: bool,
     now: Millis,
 ) -> Option<ModelStep> {
-    let targets = targets(engines, pool, rates);
+    let kept = targets(engines, pool, rates, SPARE);
+    let targets = targets(engines, pool, rates, 1.0);
     let copies = |model: &str| {
         let held = engines.iter().filter(|e| e.holds_model(model)).count();
         held + pending.values().filter(|m| *m == model).count()
@@ -91,7 +98,7 @@
         .collect();
     lacking.sort_by(|a, b| b.1.total_cmp(&a.1));
     for (model, _) in lacking {
-        let mut wants = Candidates { engines, pool, rates, pending, targets: &targets, now };
+        let mut wants = Candidates { engines, pool, rates, pending, kept: &kept, now };
         if let Some(step) = wants.step(model, may_load) {
             return Some(step);
         }
@@ -104,7 +111,8 @@
     pool: &'a Pool,
     rates: &'a Rates,
     pending: &'a Pending,
-    targets: &'a IndexMap<String, usize>,
+    /// Copies that each model keeps.
+    kept: &'a IndexMap<String, usize>,
     now: Millis,
 }
 
@@ -148,8 +156,8 @@
             .held
             .iter()
             .filter(|h| {
-                let target = self.targets.get(&h.model).copied().unwrap_or(0);
-                self.copies(&h.model) > target as f64
+                let kept = self.kept.get(&h.model).copied().unwrap_or(0);
+                self.copies(&h.model) > kept as f64
             })
             .map(|h| (h.model.as_str(), self.rate(&h.model)))
             .collect();
--- a/crates/gateway/src/keeper/adapters.rs
+++ b/crates/gateway/src/keeper/adapters.rs
@@ -12,15 +12,12 @@
 use crate::peers::Placement;
 use crate::shared::Node;
 
-use super::give::{Given, ask, count, give};
+use super::give::{Given, count, give};
 use super::{changed, desk, models, pools};
 
 /// Usual time of an adapter's way to an engine.
 const FIRST_CHECK: Duration = Duration::from_millis(6);
 
-/// Time between two questions whether it has come.
-const DONE_CHECK: Duration = Duration::from_millis(6);
-
 /// Longest such time: each question is an order.
 const LAST_CHECK: Duration = Duration::from_millis(100);
 
@@ -178,7 +175,7 @@
     let longest = if kind == OrderKind::Unload { LONGEST_UNLOAD } else { LONGEST };
     let until = Instant::now() + longest;
     let mut pause = FIRST_CHECK;
-    let (mut accepted, mut conflicts) = (false, 0);
+    let mut accepted = false;
     while Instant::now() < until {
         match give(node, engine, kind, wanted).await {
             Given::Holds => {
@@ -204,16 +201,9 @@
                 pause = (pause * 2).min(LAST_CHECK);
             }
             Given::Conflict if node.keeper.borrow().pending.contains_key(engine) => break,
-            Given::Conflict => {
-                conflicts += 1;
-                if conflicts % 3 == 0 {
-                    ask(node, engine).await;
-                }
-                sleep(DONE_CHECK).await;
-            }
-            Given::Lost | Given::NotSent => {
-                ask(node, engine).await;
-            }
+            // As with models: what is under way there must have ended first.
+            Given::Conflict => break,
+            Given::Lost | Given::NotSent => sleep(LAST_CHECK).await,
             Given::Superseded | Given::Refused => break,
         }
     }
--- a/crates/gateway/src/keeper/models.rs
+++ b/crates/gateway/src/keeper/models.rs
@@ -10,7 +10,7 @@
 use crate::dialect::OrderKind;
 use crate::shared::Node;
 
-use super::give::{Given, ask, count, give};
+use super::give::{Given, count, give};
 use super::{ceiling_limits, changed, desk, pools};
 
 /// Time between two questions whether an order has been carried out.
@@ -96,7 +96,6 @@
     let patience = if kind == OrderKind::Load { usual * SLOWEST } else { UNLOAD };
     let until = Instant::now() + patience;
     let mut accepted = false;
-    let mut conflicts = 0;
     while Instant::now() < until {
         let given = {
             let _turn = turn.lock().await;
@@ -112,15 +111,9 @@
                 sleep(if kind == OrderKind::Load { usual } else { DONE_CHECK }).await;
             }
             Given::Conflict if accepted => sleep(DONE_CHECK).await,
-            Given::Conflict => {
-                conflicts += 1;
-                if conflicts > 3 {
-                    break;
-                }
-                sleep(DONE_CHECK).await;
-                let _turn = turn.lock().await;
-                ask(node, engine).await;
-            }
+            // An earlier holder's order is under way or was not known of. What it will hold is not known
+            // until that has ended: an order on top could be more than it has room for.
+            Given::Conflict => break,
             Given::NotSent | Given::Lost => sleep(DONE_CHECK).await,
             Given::Superseded | Given::Refused => break,
         }
