Count adapters that may be coming; silence ends an answer only where another try is paid for

Cause of LIMIT: the answer that an adapter had come was lost and its place counted as free. Cause of LOST at a planned stop: one stream's own pause was taken for a dark engine, and no other engine could be paid for.

--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -88,6 +88,8 @@
     pub heard: Millis,
     /// Orders that it is known to have accepted.
     pub orders: u64,
+    /// Adapters that it was ordered to hold and is not known to hold yet: they take room.
+    pub coming: Vec<Wanted>,
     /// When the one that gives orders told what it holds.
     pub told_at: Option<Millis>,
 }
@@ -109,6 +111,7 @@
             leaving_since: None,
             heard: 0,
             orders: 0,
+            coming: Vec::new(),
             told_at: None,
         }
     }
@@ -150,8 +153,22 @@
         }
     }
 
+    /// Notes that it was ordered to hold an adapter, or may have been.
+    pub fn expect(&mut self, wanted: &Wanted) {
+        if !self.coming.contains(wanted) {
+            self.coming.push(wanted.clone());
+        }
+    }
+
+    /// Places for adapters that are taken, or may be.
+    pub fn places_taken(&self) -> usize {
+        let held: usize = self.listed.held.iter().map(|h| h.adapters.len()).sum();
+        held + self.coming.iter().filter(|w| !self.holds(w)).count()
+    }
+
     /// Notes that it holds something.
     pub fn add_held(&mut self, wanted: &Wanted) {
+        self.coming.retain(|w| w != wanted);
         let at = self.listed.held.iter().position(|h| h.model == wanted.model);
         let at = at.unwrap_or_else(|| {
             self.listed.held.push(Held { model: wanted.model.clone(), adapters: Vec::new() });
--- a/crates/direct/src/place/room.rs
+++ b/crates/direct/src/place/room.rs
@@ -19,9 +19,8 @@
     let models = engine.listed.held.iter().map(|h| weights_mb(pool, &h.model)).sum::<f64>();
     let largest = pool.models.values().map(|m| m.adapter_mb).fold(0.0, f64::max);
     let places = f64::from(pool.adapter_slots) * largest;
-    let used: usize = engine.listed.held.iter().map(|h| h.adapters.len()).sum();
     Room {
         free_mb: pool.weights_mb - models - places,
-        free_places: i64::from(pool.adapter_slots) - used as i64,
+        free_places: i64::from(pool.adapter_slots) - engine.places_taken() as i64,
     }
 }
--- a/crates/gateway/src/keeper/adapters.rs
+++ b/crates/gateway/src/keeper/adapters.rs
@@ -146,11 +146,12 @@
 ) -> bool {
     let slots = pools(node).iter().map(|(_, p)| p.adapter_slots).max().unwrap_or(0) as usize;
     let fits = node.engine(engine, |e| {
-        let used: usize = e.listed.held.iter().map(|h| h.adapters.len()).sum();
         let freed = usize::from(instead_of.is_some_and(|w| e.holds(w)));
-        e.holds_model(&wanted.model) && !e.holds(wanted) && used - freed < slots
+        e.holds_model(&wanted.model) && !e.holds(wanted) && e.places_taken() - freed < slots
     });
-    fits.unwrap_or(false)
+    let keeper = node.keeper.borrow();
+    let known = keeper.surveyed.contains(engine) && !keeper.pending.contains_key(engine);
+    known && fits.unwrap_or(false)
 }
 
 async fn carry_out(node: &Node, engine: &EngineId, wanted: &Wanted, instead_of: Option<Wanted>) {
@@ -175,6 +176,11 @@
     let longest = if kind == OrderKind::Unload { LONGEST_UNLOAD } else { LONGEST };
     let until = Instant::now() + longest;
     let mut pause = FIRST_CHECK;
+    if kind == OrderKind::Load
+        && let Some(e) = node.state.borrow_mut().engines.get_mut(engine)
+    {
+        e.expect(wanted);
+    }
     let mut accepted = false;
     while Instant::now() < until {
         match give(node, engine, kind, wanted).await {
--- a/crates/gateway/src/keeper/give.rs
+++ b/crates/gateway/src/keeper/give.rs
@@ -116,8 +116,7 @@
     match node.dialects.upstreams.report(&body) {
         Ok(report) => {
             let free = Free(!report.busy && report.coming.is_empty());
-            take_in(node, engine, report);
-            Some(free)
+            take_in(node, engine, report).then_some(free)
         }
         Err(e) => {
             emit(Event::OrderNotDone, &[("upstream", engine), ("why", &e)]);
@@ -126,19 +125,22 @@
     }
 }
 
-fn take_in(node: &Node, engine: &EngineId, report: Report) {
+/// Takes a report in, unless it is older than what is known; tells whether it was.
+fn take_in(node: &Node, engine: &EngineId, report: Report) -> bool {
     let now = node.now();
     let mut state = node.state.borrow_mut();
-    let Some(known) = state.engines.get_mut(engine) else { return };
+    let Some(known) = state.engines.get_mut(engine) else { return false };
     // Its values are some hundred milliseconds old.
     if report.seq < known.orders {
-        return;
+        return false;
     }
     known.orders = report.seq;
     known.listed.held = report.held;
+    known.coming = report.coming;
     known.told = Some((report.load, now, known.own));
     drop(state);
     changed(node, engine);
+    true
 }
 
 enum Exchanged {
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -43,13 +43,22 @@
     },
     /// It may have run.
     Lost,
+    /// The engine went silent and the request was taken from it; the next try is paid for.
+    Stalled,
     /// Its time is over; it may have run.
     TimeOver,
 }
 
+/// The same where few requests of this node are there: their own pauses say little of the engine.
+const DARK_AFTER_FEW: Duration = Duration::from_millis(600);
+
+/// Requests of this node at an engine from which their common silence says much.
+const FEW: u32 = 3;
+
 /// Why waiting has ended.
 pub(super) enum Waited<T> {
     Done(T),
+    /// Another try is paid for.
     Stalled,
     TimeOver,
 }
@@ -93,7 +102,7 @@
             Waited::Stalled => {
                 node.saw(engine, Verdict::Silent);
                 self.runs += 1;
-                Tried::Lost
+                Tried::Stalled
             }
             Waited::TimeOver => {
                 node.saw(engine, Verdict::Failed);
@@ -220,7 +229,8 @@
         self.unless_silent(engine, hung, work).await
     }
 
-    /// Waits until the engine has been silent on all connections for a while, or this answer for `hung`.
+    /// Waits until the engine has been silent on all connections for a while, or this answer for `hung`, and
+    /// another try can be paid for. Where none can, silence is no reason to end an answer.
     pub(super) async fn unless_silent<F: Future>(
         &self,
         engine: &EngineId,
@@ -229,7 +239,9 @@
     ) -> Waited<F::Output> {
         let began = Instant::now();
         let mut work = std::pin::pin!(work);
-        let mut look = began + DARK_AFTER;
+        let few = self.node.engine(engine, |e| e.own).unwrap_or(0) < FEW;
+        let dark_after = if few { DARK_AFTER_FEW } else { DARK_AFTER };
+        let mut look = began + dark_after;
         loop {
             tokio::select! {
                 biased;
@@ -241,10 +253,13 @@
                 return Waited::TimeOver;
             }
             let silent = self.node.silent_for(engine).min(now - began);
-            if silent >= DARK_AFTER || now - began >= hung {
-                return Waited::Stalled;
+            if silent >= dark_after || now - began >= hung {
+                if self.may_go_on() {
+                    return Waited::Stalled;
+                }
+                return self.bounded(work).await;
             }
-            look = (now + (DARK_AFTER - silent)).min(began + hung);
+            look = (now + (dark_after - silent)).min(began + hung);
         }
     }
 }
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -42,6 +42,10 @@
                     refuse(&req.node, Refusal::Full, std::time::Duration::from_millis(200))
                 });
             }
+            Tried::Stalled => {
+                failure = Some(own(StatusCode::BAD_GATEWAY, "the engine went silent"));
+                continue;
+            }
             Tried::Lost => failure = Some(own(StatusCode::BAD_GATEWAY, "the engine failed")),
             Tried::TimeOver => return own(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
         }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -76,6 +76,10 @@
                 let wait = Duration::from_millis(200);
                 return Err(failure.unwrap_or_else(|| refuse(&req.node, Refusal::Full, wait)));
             }
+            Tried::Stalled => {
+                failure = Some(own(StatusCode::BAD_GATEWAY, "the engine went silent"));
+                continue;
+            }
             Tried::Lost => failure = Some(own(StatusCode::BAD_GATEWAY, "the engine failed")),
             Tried::TimeOver => return Err(own(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
         }
@@ -147,7 +151,7 @@
                 Waited::TimeOver => return Some(self.break_off()),
                 Waited::Stalled => {
                     self.req.node.saw(&self.engine, Verdict::Silent);
-                    if !self.go_on().await {
+                    if !self.move_on().await {
                         return Some(self.break_off());
                     }
                 }
@@ -179,7 +183,15 @@
         if !self.is_events || !req.route.kind.may_repeat() || !req.may_go_on() {
             return false;
         }
+        self.move_on().await
+    }
+
+    /// The same, where the next try is paid for.
+    async fn move_on(&mut self) -> bool {
+        // The engine before must not work on it any more.
+        self.conn = None;
         self.events.drop_half();
+        let req = &mut self.req;
         let last = self.events.last().or(req.call.last_event).unwrap_or(0);
         let begun = match begin(req, Some(last)).await {
             Ok(begun) if begun.head.status == 200 && is_events(&begun.head) => begun,
