--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -99,9 +99,9 @@
         let choice = Choice { engine: engine.listed.id.clone(), cost_ms: cost, estimate };
         // An engine that could not be reached is the last resort.
         let alone = engine.judge.is_left_alone(now);
-        let better = best.as_ref().is_none_or(|(best_alone, b)| {
-            (alone, choice.cost_ms) < (*best_alone, b.cost_ms)
-        });
+        let better = best
+            .as_ref()
+            .is_none_or(|(best_alone, b)| (alone, choice.cost_ms) < (*best_alone, b.cost_ms));
         if better {
             best = Some((alone, choice));
         }
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -7,8 +7,9 @@
 use crate::{Judge, Millis, ServiceId, Wanted};
 
 /// Identity of one start of an engine.
-#[derive(Debug, Clone, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[from(String, &str)]
 pub struct EngineId(pub String);
 
--- a/crates/direct/src/place/adapters.rs
+++ b/crates/direct/src/place/adapters.rs
@@ -81,11 +81,7 @@
 
 /// The next adapter that is asked for, is nowhere, and for which a place is free, or taken by one that
 /// nobody asks for.
-pub fn spread_adapters(
-    engines: &[&Engine],
-    demand: &Demand,
-    now: Millis,
-) -> Option<Wanted> {
+pub fn spread_adapters(engines: &[&Engine], demand: &Demand, now: Millis) -> Option<Wanted> {
     let rates = demand.rates(now);
     let wanted = rates.iter().filter(|(w, _)| w.adapter.is_some());
     let missing = wanted.filter(|(w, _)| {
--- /dev/null
+++ b/crates/direct/tests/choose.rs
@@ -0,0 +1,125 @@
+//! Which engine a request goes to.
+
+mod support;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use hgw_direct::{Ask, Choice, EngineId, Engines, Load, NoEngine, Part, Prompt, Verdict, choose};
+use support::{engines, listed, service, wanted};
+
+fn prompt(want: &str, session: u64) -> Prompt {
+    Prompt {
+        wanted: Some(wanted(want)),
+        tokens_in: 500,
+        tokens_out: 100,
+        parts: vec![Part { id: 1, tokens: 200 }, Part { id: session, tokens: 300 }],
+    }
+}
+
+fn chosen(engines: &Engines, want: &str, tried: &[EngineId]) -> Result<Choice, NoEngine> {
+    let (service, prompt) = (service(), prompt(want, 7));
+    let ask = Ask {
+        service: &service,
+        prompt: Some(&prompt),
+        domain: "a",
+        tried,
+        left: Duration::from_secs(1),
+        nodes: 1,
+        conns: 100,
+        draw: 0.0,
+    };
+    choose(engines, &ask, 1_000)
+}
+
+fn name(choice: Result<Choice, NoEngine>) -> String {
+    choice.unwrap().engine.0
+}
+
+#[test]
+fn holder_of_the_adapter_is_chosen() {
+    let engines = engines(&[("e1", "a", &["m"]), ("e2", "b", &["m/x"]), ("e3", "a", &["m/y"])]);
+    assert_eq!(name(chosen(&engines, "m/x", &[])), "e2");
+}
+
+#[test]
+fn adapter_that_is_nowhere_is_not_sent_in_hope() {
+    let engines = engines(&[("e1", "a", &["m"])]);
+    assert_matches!(chosen(&engines, "m/x", &[]), Err(NoEngine::NotPlaced(_)));
+}
+
+#[test]
+fn no_engine_differs_from_no_model() {
+    assert_eq!(chosen(&engines(&[]), "m", &[]), Err(NoEngine::None));
+}
+
+#[test]
+fn engine_that_leaves_gets_nothing() {
+    let mut engines = engines(&[("e1", "a", &["m"])]);
+    let mut leaving = listed("e1", "a", &["m"]);
+    leaving.standing = hgw_direct::Standing::Leaving { gone_at: None };
+    engines.list(leaving, 10);
+    assert_eq!(chosen(&engines, "m", &[]), Err(NoEngine::None));
+}
+
+#[test]
+fn engine_that_was_tried_is_passed_over() {
+    let engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    let first = chosen(&engines, "m", &[]).unwrap().engine;
+    let second = chosen(&engines, "m", std::slice::from_ref(&first)).unwrap().engine;
+    assert_ne!(first, second);
+}
+
+#[test]
+fn own_domain_goes_before_a_little_load_elsewhere() {
+    let engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"]), ("e3", "b", &["m"])]);
+    assert_ne!(name(chosen(&engines, "m", &[])), "e3");
+}
+
+#[test]
+fn told_load_counts_with_what_was_sent_since() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    let busy = engines.get_mut(&"e1".into()).unwrap();
+    busy.told = Some((Load { running: 60, waiting: 0, slots: 64 }, 900, 5));
+    busy.own = 12;
+    assert_eq!(busy.estimate(1_000), 67.0);
+    assert_eq!(name(chosen(&engines, "m", &[])), "e2");
+}
+
+#[test]
+fn old_word_of_a_load_is_forgotten() {
+    let mut engines = engines(&[("e1", "a", &["m"])]);
+    let engine = engines.get_mut(&"e1".into()).unwrap();
+    engine.told = Some((Load { running: 60, waiting: 9, slots: 64 }, 0, 0));
+    assert_eq!(engine.estimate(10_000), 0.0);
+}
+
+/// An engine that fails part of its requests answers them sooner than the others and looks idle; chosen
+/// by load alone it would draw most of the work. Its failures count against it until they are old.
+#[test]
+fn failing_engine_is_avoided_though_it_is_idle() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    engines.get_mut(&"e2".into()).unwrap().own = 30;
+    for _ in 0..4 {
+        engines.get_mut(&"e1".into()).unwrap().judge.saw(900, Verdict::Failed);
+    }
+    assert_eq!(name(chosen(&engines, "m", &[])), "e2");
+    engines.get_mut(&"e1".into()).unwrap().judge.saw(1_000, Verdict::Good);
+    let judge = engines.get(&"e1".into()).unwrap().judge.clone();
+    assert!(judge.failing(60_000) < 0.01, "{}", judge.failing(60_000));
+}
+
+#[test]
+fn engine_that_cannot_be_reached_is_the_last_resort() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "b", &["m"])]);
+    engines.get_mut(&"e1".into()).unwrap().judge.saw(990, Verdict::Silent);
+    assert_eq!(name(chosen(&engines, "m", &[])), "e2");
+    assert_eq!(name(chosen(&engines, "m", &["e2".into()])), "e1");
+}
+
+#[test]
+fn full_engines_ask_callers_to_come_back() {
+    let mut engines = engines(&[("e1", "a", &["m"])]);
+    engines.get_mut(&"e1".into()).unwrap().own = 128;
+    assert_matches!(chosen(&engines, "m", &[]), Err(NoEngine::Full(wait)) if !wait.is_zero());
+}
--- /dev/null
+++ b/crates/direct/tests/place.rs
@@ -0,0 +1,177 @@
+//! What is to be held where.
+
+mod support;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use hgw_direct::place::{
+    AdapterStep, Ceiling, CeilingLimits, ModelStep, Pending, next_model_step, place_adapter, room,
+};
+use hgw_direct::{Demand, Engine, Engines, Model, Pool, Rates};
+use support::{engines, wanted};
+
+/// A service whose engines have room for three models of 70 GB.
+fn pool(models: &[&str]) -> Pool {
+    let model =
+        Model { weights_mb: 70_000.0, load: Duration::from_secs(4), adapters: 8, adapter_mb: 60.0 };
+    Pool {
+        slots: 64,
+        weights_mb: 220_000.0,
+        adapter_slots: 2,
+        loads_per_s: 1.5,
+        models: models.iter().map(|m| ((*m).to_owned(), model.clone())).collect(),
+    }
+}
+
+fn all(engines: &Engines) -> Vec<&Engine> {
+    engines.iter().collect()
+}
+
+fn rates(all: &[(&str, f64)]) -> Rates {
+    all.iter().map(|(w, rate)| (wanted(w), *rate)).collect()
+}
+
+fn step(engines: &Engines, models: &[&str], demand: &[(&str, f64)]) -> Option<ModelStep> {
+    let pool = pool(models);
+    next_model_step(&all(engines), &pool, &rates(demand), &Pending::new(), true, 1_000)
+}
+
+#[test]
+fn model_that_is_nowhere_is_loaded_first() {
+    let engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    let step = step(&engines, &["m", "n"], &[("m", 500.0)]);
+    assert_matches!(step, Some(ModelStep::Load { model, .. }) if model == "n");
+}
+
+#[test]
+fn model_in_demand_gets_copies_by_its_rate() {
+    let engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m", "n"]), ("e3", "a", &["n"])]);
+    // 16 requests a second are what one copy of 64 slots serves.
+    assert_eq!(step(&engines, &["m", "n"], &[("m", 30.0), ("n", 0.5)]), None);
+    let step = step(&engines, &["m", "n"], &[("m", 40.0), ("n", 0.5)]);
+    assert_matches!(step, Some(ModelStep::Load { engine, model }) if engine.0 == "e3" && model == "m");
+}
+
+#[test]
+fn adapters_in_demand_get_enough_places() {
+    let engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"]), ("e3", "a", &["n"])]);
+    let demand = [("m/a", 0.5), ("m/b", 0.5), ("m/c", 0.5), ("m/d", 0.5), ("m/e", 0.5)];
+    let step = step(&engines, &["m", "n"], &demand);
+    assert_matches!(step, Some(ModelStep::Load { engine, model }) if engine.0 == "e3" && model == "m");
+}
+
+#[test]
+fn spare_copy_makes_way_and_a_last_one_never_does() {
+    let full = ["a", "b", "c"];
+    let engines = engines(&[("e1", "a", &full), ("e2", "a", &full)]);
+    let first = step(&engines, &["a", "b", "c", "d"], &[("a", 20.0)]);
+    assert_matches!(first, Some(ModelStep::Unload { model, .. }) if model == "b" || model == "c");
+    let mut single = Engines::default();
+    single.list(support::listed("e1", "a", &full), 0);
+    assert_eq!(step(&single, &["a", "b", "c", "d"], &[("d", 20.0)]), None);
+}
+
+/// Demand of 19 a second asks for two copies and demand of 15 for one. A third copy that is dropped at one
+/// and loaded at the other makes an engine load the same two models in turn.
+#[test]
+fn copy_that_is_spare_by_little_is_kept() {
+    let full = ["a", "b", "c"];
+    let engines = engines(&[("e1", "a", &full), ("e2", "a", &["a", "x", "y"])]);
+    let models = ["a", "b", "c", "x", "y", "z"];
+    assert_eq!(step(&engines, &models, &[("a", 15.0)]), None);
+    let silent = step(&engines, &models, &[]);
+    assert_matches!(silent, Some(ModelStep::Unload { model, .. }) if model == "a");
+}
+
+#[test]
+fn engine_with_an_order_under_way_gets_no_other() {
+    let engines = engines(&[("e1", "a", &["m"])]);
+    let pending = Pending::from_iter([("e1".into(), "n".to_owned())]);
+    let pool = pool(&["m", "n", "o"]);
+    let step = next_model_step(&all(&engines), &pool, &Rates::new(), &pending, true, 0);
+    assert_eq!(step, None);
+}
+
+#[test]
+fn no_load_while_the_weight_store_takes_none() {
+    let engines = engines(&[("e1", "a", &["m"])]);
+    let pool = pool(&["m", "n"]);
+    let step = next_model_step(&all(&engines), &pool, &Rates::new(), &Pending::new(), false, 0);
+    assert_eq!(step, None);
+}
+
+#[test]
+fn adapter_takes_a_free_place_where_its_model_is() {
+    let engines =
+        engines(&[("e1", "a", &["m/x", "m/y"]), ("e2", "a", &["m/x"]), ("e3", "a", &["n"])]);
+    let step = place_adapter(
+        &all(&engines),
+        &pool(&["m", "n"]),
+        &Demand::default(),
+        &wanted("m/z"),
+        "a",
+        0,
+    );
+    assert_eq!(step, AdapterStep::Load { engine: "e2".into(), instead_of: None });
+}
+
+/// An adapter in use is dropped only with the last of its requests, and until then its engine refuses all
+/// orders: what is placed instead of it comes too late for the request that asked.
+#[test]
+fn idle_adapter_makes_way_before_one_in_use() {
+    let engines = engines(&[("e1", "a", &["m/x", "m/y"])]);
+    let mut demand = Demand::default();
+    for at in (0..9_000).step_by(100) {
+        demand.saw(at, &wanted("m/y"), 1.0);
+    }
+    demand.saw(9_900, &wanted("m/x"), 0.1);
+    let pool = pool(&["m"]);
+    let step = place_adapter(&all(&engines), &pool, &demand, &wanted("m/z"), "a", 10_500);
+    assert_eq!(step, AdapterStep::Load { engine: "e1".into(), instead_of: Some(wanted("m/x")) });
+    demand.saw(10_400, &wanted("m/x"), 0.1);
+    let step = place_adapter(&all(&engines), &pool, &demand, &wanted("m/z"), "a", 13_000);
+    assert_matches!(step, AdapterStep::Load { instead_of: Some(_), .. });
+}
+
+#[test]
+fn adapter_without_its_model_is_placed_nowhere() {
+    let engines = engines(&[("e1", "a", &["n"])]);
+    let pool = pool(&["m", "n"]);
+    let step = place_adapter(&all(&engines), &pool, &Demand::default(), &wanted("m/z"), "a", 0);
+    assert_eq!(step, AdapterStep::Nowhere);
+}
+
+/// An engine's answer that an adapter has come was lost, and the place counted as free: the next order was
+/// for more than the engine had places for, and it crashed.
+#[test]
+fn adapter_that_may_be_coming_takes_its_place() {
+    let mut engines = engines(&[("e1", "a", &["m/x"])]);
+    let pool = pool(&["m"]);
+    let engine = engines.get_mut(&"e1".into()).unwrap();
+    assert_eq!(room(engine, &pool).free_places, 1);
+    engine.expect(&wanted("m/y"));
+    assert_eq!(room(engine, &pool).free_places, 0);
+    engine.add_held(&wanted("m/y"));
+    assert_eq!(room(engine, &pool).free_places, 0);
+}
+
+#[test]
+fn ceiling_holds_over_a_window_and_a_takeover() {
+    let limits = CeilingLimits { loads_per_s: 1.6, window: 5_000, at_once: 6 };
+    let mut ceiling = Ceiling::default();
+    let begin = |ceiling: &mut Ceiling, now| {
+        let mut begun = 0;
+        while ceiling.allows(now, &limits) {
+            ceiling.begin(now);
+            begun += 1;
+        }
+        begun
+    };
+    assert_eq!(begin(&mut ceiling, 0), 8);
+    assert_eq!(begin(&mut ceiling, 4_900), 0);
+    assert_eq!(begin(&mut ceiling, 5_001), 8);
+    let mut successor = Ceiling::default();
+    successor.assume_full(0, &limits, 3);
+    assert_eq!(begin(&mut successor, 0), 3);
+}
--- /dev/null
+++ b/crates/direct/tests/support/mod.rs
@@ -0,0 +1,45 @@
+//! Engines and pools for tests of decisions.
+
+use hgw_direct::{EngineId, Engines, Held, Listed, ServiceId, Standing, Wanted};
+
+/// `MODEL` or `MODEL/ADAPTER`.
+pub(crate) fn wanted(text: &str) -> Wanted {
+    text.parse().unwrap()
+}
+
+/// An engine that holds these models and adapters.
+pub(crate) fn listed(id: &str, domain: &str, holds: &[&str]) -> Listed {
+    let mut held: Vec<Held> = Vec::new();
+    for one in holds.iter().map(|h| wanted(h)) {
+        let at = held.iter().position(|h| h.model == one.model).unwrap_or_else(|| {
+            held.push(Held { model: one.model.clone(), adapters: Vec::new() });
+            held.len() - 1
+        });
+        held[at].adapters.extend(one.adapter);
+    }
+    let number = id.bytes().last().unwrap();
+    Listed {
+        id: EngineId::from(id),
+        service: service(),
+        addr: format!("127.0.0.1:{}", 9000 + u16::from(number)).parse().unwrap(),
+        domain: domain.to_owned(),
+        slots: 64,
+        standing: Standing::Ready,
+        held,
+        cold_ms: 0,
+    }
+}
+
+/// The service of all engines here.
+pub(crate) fn service() -> ServiceId {
+    ServiceId::from("service")
+}
+
+/// Engines of one service.
+pub(crate) fn engines(all: &[(&str, &str, &[&str])]) -> Engines {
+    let mut engines = Engines::default();
+    for (id, domain, holds) in all {
+        engines.list(listed(id, domain, holds), 0);
+    }
+    engines
+}
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -79,6 +79,11 @@
         self.mine.filter(|_| awake && (renewed || engines_fence))
     }
 
+    fn was_renewed(&mut self, began: Duration) {
+        self.renewed = began;
+        self.tried = boot_time();
+    }
+
     /// An engine has seen a higher fencing number.
     pub(crate) fn superseded(&mut self) {
         self.mine = None;
@@ -147,10 +152,7 @@
         match renewed {
             Ok(()) => {
                 self.end = Some(end + 1);
-                let mut holding = node.holding.borrow_mut();
-                holding.renewed = began;
-                holding.tried = boot_time();
-                drop(holding);
+                node.holding.borrow_mut().was_renewed(began);
                 sleep(lease / RENEWALS).await;
                 Ok(())
             }
--- a/crates/gateway/src/keeper/give.rs
+++ b/crates/gateway/src/keeper/give.rs
@@ -67,14 +67,28 @@
                 ("status", &status),
                 ("answer", &String::from_utf8_lossy(&body)),
             ];
-            emit(if given == Given::Accepted || given == Given::Holds { Event::OrderSent } else { Event::OrderNotDone }, fields);
+            emit(
+                if given == Given::Accepted || given == Given::Holds {
+                    Event::OrderSent
+                } else {
+                    Event::OrderNotDone
+                },
+                fields,
+            );
             given
         }
         Exchanged::NotSent => Given::NotSent,
         Exchanged::Lost => {
             emit(
                 Event::OrderNotDone,
-                &[("node", &holder), ("upstream", engine), ("what", wanted), ("kind", &kind), ("seq", &seq), ("status", &"none")],
+                &[
+                    ("node", &holder),
+                    ("upstream", engine),
+                    ("what", wanted),
+                    ("kind", &kind),
+                    ("seq", &seq),
+                    ("status", &"none"),
+                ],
             );
             Given::Lost
         }
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -173,11 +173,7 @@
 }
 
 fn told(node: &Node, id: &EngineId) -> Option<Told> {
-    node.engine(id, |e| Told {
-        engine: id.clone(),
-        orders: e.orders,
-        held: e.listed.held.clone(),
-    })
+    node.engine(id, |e| Told { engine: id.clone(), orders: e.orders, held: e.listed.held.clone() })
 }
 
 /// What an engine holds has changed.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -124,7 +124,8 @@
             (fence, version) = (keeper.fence, 0);
         }
         let tell = Tell { fence, version, asked };
-        let news: Option<News> = call(&node, keeper.addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
+        let news: Option<News> =
+            call(&node, keeper.addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
         match news {
             Some(news) => {
                 version = news.version;
@@ -140,11 +141,7 @@
 }
 
 /// Asks that a model or an adapter be placed.
-pub(crate) async fn want(
-    node: &Node,
-    wanted: &Wanted,
-    refuted: Option<&EngineId>,
-) -> Placement {
+pub(crate) async fn want(node: &Node, wanted: &Wanted, refuted: Option<&EngineId>) -> Placement {
     let keeper = node.holding.borrow().keeper.clone();
     let domain = node.settings.borrow().domain.clone();
     if node.holding.borrow().is_mine() {
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -1,3 +1,4 @@
+use std::rc::Rc;
 use std::time::Duration;
 
 use hgw_direct::{EngineId, Verdict};
@@ -26,7 +27,6 @@
     pub(super) engine: EngineId,
     pub(super) conn: Conn,
     pub(super) head: Head,
-    pub(super) marks: Marks,
     pub(super) at_engine: AtEngine,
 }
 
@@ -37,10 +37,7 @@
     /// No byte was sent.
     NotSent,
     /// The engine says that it has not run.
-    NotRun {
-        /// Whether it was sent to the wrong engine, or to one without the model.
-        misdirected: bool,
-    },
+    NotRun,
     /// It may have run.
     Lost,
     /// The engine went silent and the request was taken from it; the next try is paid for.
@@ -66,7 +63,7 @@
 impl Relayed {
     /// Sends the request to an engine, once.
     pub(super) async fn send(&mut self, engine: &EngineId, last_event: Option<u64>) -> Tried {
-        let node = self.node.clone();
+        let node = Rc::clone(&self.node);
         let Some(addr) = node.engine(engine, |e| e.listed.addr) else { return Tried::NotSent };
         self.tried.push(engine.clone());
         let at_engine = AtEngine::begin(&node, engine);
@@ -114,11 +111,7 @@
 
     /// The head of the answer to this request: one that comes late to an earlier request on the
     /// connection is read to its end and dropped.
-    async fn answer_to(
-        &self,
-        conn: &mut Conn,
-        req: &Request,
-    ) -> Result<(Head, Marks), Error> {
+    async fn answer_to(&self, conn: &mut Conn, req: &Request) -> Result<(Head, Marks), Error> {
         const MOST_STRAY: u32 = 3;
         for _ in 0..MOST_STRAY {
             let head = conn.head(&req.method).await?;
@@ -142,7 +135,7 @@
         marks: Marks,
         at_engine: AtEngine,
     ) -> Tried {
-        let node = self.node.clone();
+        let node = Rc::clone(&self.node);
         if let Some(load) = marks.load {
             let now = node.now();
             if let Some(e) = node.state.borrow_mut().engines.get_mut(engine) {
@@ -163,7 +156,7 @@
             {
                 node.pool.put(addr, conn);
             }
-            return Tried::NotRun { misdirected: marks.misdirected };
+            return Tried::NotRun;
         }
         self.runs += 1;
         // Without its id it may belong to another request; a success without a signature is not the
@@ -175,7 +168,7 @@
             return Tried::Lost;
         }
         let engine = engine.clone();
-        Tried::Begun(Box::new(Begun { engine, conn, head, marks, at_engine }))
+        Tried::Begun(Box::new(Begun { engine, conn, head, at_engine }))
     }
 
     /// The engine that answers is another one, or has not the model that it was said to have.
--- a/crates/gateway/src/relay/events.rs
+++ b/crates/gateway/src/relay/events.rs
@@ -42,7 +42,7 @@
     fn note(&mut self, events: &[u8]) {
         let lines = events.split(|b| *b == b'\n');
         let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-        let id = ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok()).last();
+        let id = ids.rev().find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok());
         self.last = id.or(self.last);
     }
 }
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -34,7 +34,7 @@
                 }
                 return failure.unwrap_or_else(|| no_engine(&req, NoEngine::None));
             }
-            Tried::NotRun { .. } => {
+            Tried::NotRun => {
                 if req.may_go_on() {
                     continue;
                 }
@@ -64,7 +64,7 @@
 
 /// The engine's answer, or nothing where it is not whole.
 async fn whole(req: &Relayed, begun: Begun) -> Option<Answer> {
-    let Begun { engine, mut conn, head, at_engine, .. } = begun;
+    let Begun { engine, mut conn, head, at_engine } = begun;
     let body = Body::new(head.framing);
     let collected = req.bounded(conn.collect(body, MOST)).await;
     drop(at_engine);
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -157,7 +157,8 @@
                 Ok(Placement::Unknown) => {}
                 Err(_) => return found,
             }
-            let come = timeout_at(give_up.min(Instant::now() + PLACED_CHECK), self.node.placed.notified());
+            let come =
+                timeout_at(give_up.min(Instant::now() + PLACED_CHECK), self.node.placed.notified());
             if come.await.is_err() && Instant::now() >= give_up {
                 return found;
             }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -69,7 +69,7 @@
                 }
                 return Err(failure.unwrap_or_else(|| no_engine(req, NoEngine::None)));
             }
-            Tried::NotRun { .. } => {
+            Tried::NotRun => {
                 if req.may_go_on() {
                     continue;
                 }
@@ -112,7 +112,7 @@
 
 impl Flow {
     fn new(req: Relayed, begun: Begun) -> Flow {
-        let Begun { engine, conn, head, at_engine, .. } = begun;
+        let Begun { engine, conn, head, at_engine } = begun;
         let is_events = is_events(&head);
         let body = Body::new(head.framing);
         let events = Events::default();
@@ -138,8 +138,7 @@
             match read {
                 Waited::Done(Ok(Some(bytes))) => {
                     self.req.node.heard(&self.engine);
-                    let ready =
-                        if self.is_events { self.events.push(bytes) } else { Some(bytes) };
+                    let ready = if self.is_events { self.events.push(bytes) } else { Some(bytes) };
                     if let Some(bytes) = ready {
                         return Some((Ok(bytes), self));
                     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hgw_events::{Event, emit};
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hgw_events::{Event, emit};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -31,7 +31,7 @@
     /// Stop at once.
     Kill,
     /// These settings are in force from now on; addresses stay as they are.
-    Settings(Settings),
+    Settings(Box<Settings>),
 }
 
 /// How a node ended.
@@ -90,7 +90,7 @@
         match signals.recv().await {
             Some(Signal::Stop) => break,
             Some(Signal::Kill) | None => return Ok(Ended::Killed),
-            Some(Signal::Settings(settings)) => *node.settings.borrow_mut() = settings,
+            Some(Signal::Settings(settings)) => *node.settings.borrow_mut() = *settings,
         }
     }
     tokio::select! {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -38,7 +38,8 @@
     sleep_until((began + STILL_SENT).min(until)).await;
     node.stop.closing.set(true);
     node.stop.changed.notify_waiters();
-    while Instant::now() < until && (node.stop.active.get() > 0 || node.stop.connections.get() > 0) {
+    while Instant::now() < until && (node.stop.active.get() > 0 || node.stop.connections.get() > 0)
+    {
         sleep(Duration::from_millis(20)).await;
     }
 }
--- a/crates/hibiscusgw/src/on_platform.rs
+++ b/crates/hibiscusgw/src/on_platform.rs
@@ -100,7 +100,7 @@
                     emit(Event::SettingsChanged, &[("node", &settings.node)]);
                     self.known = settings.clone();
                     // A node that has ended needs no settings.
-                    let _ = to_node.send(Signal::Settings(settings));
+                    let _ = to_node.send(Signal::Settings(Box::new(settings)));
                 }
             }
             Err(e) => {
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/calls.rs
@@ -0,0 +1,121 @@
+//! Plain calls.
+
+use hgw_standins::Faults;
+use http::{Method, StatusCode};
+
+use crate::fixture::Fleet;
+
+#[test]
+fn answer_of_the_engine_is_passed_on_unchanged() {
+    let mut fleet = Fleet::new(Vec::new());
+    let node = fleet.start("a");
+    let answer = fleet.nodes[node].plain("/print/x?y=1", "call-1").unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.body, r#"{"id":"call-1","run":1}"#);
+    assert!(answer.headers["x-response-seal"].to_str().unwrap().starts_with("seal-desk-"));
+    assert_eq!(answer.headers["x-request-id"], "call-1");
+}
+
+#[test]
+fn unknown_route_is_not_found_and_a_call_without_id_is_refused() {
+    let mut fleet = Fleet::new(Vec::new());
+    let node = fleet.start("a");
+    assert_eq!(fleet.nodes[node].plain("/nowhere/", "call-1").unwrap().status, 404);
+    let answer = fleet.nodes[node].call(Method::GET, "/look/", &[]).unwrap();
+    assert_eq!(answer.status, 400);
+    assert_eq!(answer.body, r#"{"error":"X-Request-Id is ``: a name of this attempt"}"#);
+}
+
+/// An engine runs a call that may not be repeated, and its answer is lost on the way. The caller gets a
+/// failure that does not promise that it has not run, and no second engine runs it.
+#[test]
+fn call_that_may_have_run_is_not_sent_again() {
+    let mut fleet = Fleet::new(Vec::new());
+    let node = fleet.start("a");
+    for engine in &fleet.engines {
+        engine.fault(&Faults { lose_answers: 1, ..Faults::default() });
+    }
+    let answer = fleet.nodes[node].plain("/print/", "call-1").unwrap();
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(fleet.runs("call-1"), 1);
+}
+
+/// The same for a call that may be repeated: another engine answers it.
+#[test]
+fn call_that_may_be_repeated_goes_to_another_engine() {
+    let mut fleet = Fleet::new(Vec::new());
+    let node = fleet.start("a");
+    for engine in &fleet.engines {
+        engine.fault(&Faults { lose_answers: 1, ..Faults::default() });
+    }
+    let answer = fleet.nodes[node].call(
+        Method::POST,
+        "/look/",
+        &[("x-request-id", "call-1"), ("x-deadline-ms", "5000")],
+    );
+    assert_eq!(answer.unwrap().status, StatusCode::BAD_GATEWAY, "both engines lose one answer");
+    assert_eq!(fleet.runs("call-1"), 2);
+    assert_eq!(fleet.nodes[node].plain("/look/", "call-2").unwrap().status, StatusCode::OK);
+}
+
+/// An engine says that it is full and has not run the call: another may run it, also where it may not be
+/// repeated. Where all are full the caller is told when to come back.
+#[test]
+fn rejected_call_goes_to_another_engine_or_comes_back() {
+    let mut fleet = Fleet::new(Vec::new());
+    let node = fleet.start("a");
+    for engine in &fleet.engines {
+        engine.refuse(100);
+    }
+    let answer = fleet.nodes[node].plain("/print/", "call-1").unwrap();
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    let seconds: f64 = answer.headers["retry-after"].to_str().unwrap().parse().unwrap();
+    assert!(seconds > 0.0, "{seconds}");
+    assert_eq!(fleet.runs("call-1"), 0);
+    fleet.engine("desk-1").refuse(0);
+    assert_eq!(fleet.nodes[node].plain("/print/", "call-2").unwrap().status, StatusCode::OK);
+}
+
+/// An engine's own failure is its answer, with its seal, where no other engine can be asked.
+#[test]
+fn failure_of_an_engine_is_passed_on_with_its_seal() {
+    let mut fleet = Fleet::new(Vec::new());
+    let node = fleet.start("a");
+    for engine in &fleet.engines {
+        engine.fail(100);
+    }
+    let answer = fleet.nodes[node].plain("/print/", "call-1").unwrap();
+    assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert!(answer.headers.contains_key("x-response-seal"));
+    assert_eq!(fleet.runs("call-1"), 1);
+}
+
+/// An answer bears the id of another request: it belongs to nobody here, and nobody gets it.
+#[test]
+fn answer_to_another_request_is_given_to_nobody() {
+    let mut fleet = Fleet::new(Vec::new());
+    let node = fleet.start("a");
+    for engine in &fleet.engines {
+        engine.fault(&Faults { cross_answers: 100, ..Faults::default() });
+    }
+    let answer = fleet.nodes[node].plain("/print/", "call-1").unwrap();
+    assert!(answer.status.is_server_error(), "{answer:?}");
+    assert!(!answer.headers.contains_key("x-response-seal"), "{answer:?}");
+    assert_eq!(fleet.runs("call-1"), 1);
+}
+
+/// An engine ended and another service took its address: the identity that the list names is expected,
+/// so that the other one does not run the call.
+#[test]
+fn call_is_not_run_by_an_engine_with_another_identity() {
+    let mut fleet = Fleet::new(Vec::new());
+    let mut entry = fleet.engine("desk-1").entry("ready");
+    entry["service"] = "desk".into();
+    fleet.store.put("keyed.servers", "desk-1", b"");
+    fleet.store.put("keyed.servers", "desk-2", b"");
+    fleet.store.put("keyed.servers", "gone", entry.to_string().as_bytes());
+    let node = fleet.start("a");
+    let answer = fleet.nodes[node].plain("/print/", "call-1").unwrap();
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(fleet.runs("call-1"), 0);
+}
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/fixture.rs
@@ -0,0 +1,260 @@
+//! Nodes as real processes before the stand-ins of the platform.
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use hgw_standins::client::{Caller, Whole};
+use hgw_standins::fleet::engine::{self, Engine};
+use hgw_standins::fleet::{EngineSettings, Holds, Store};
+use http::Method;
+use serde_json::{Value, json};
+
+/// Longest wait for anything: a guard against hanging, far above what is expected.
+const GUARD: Duration = Duration::from_secs(60);
+
+/// The host of all routes.
+pub(crate) const HOST: &str = "desk.example";
+
+/// The platform, its engines, and nodes before them.
+pub(crate) struct Fleet {
+    pub(crate) store: Store,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) nodes: Vec<Node>,
+    folder: PathBuf,
+    next: usize,
+}
+
+/// A node's process.
+pub(crate) struct Node {
+    pub(crate) name: String,
+    pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) settings: PathBuf,
+    child: Child,
+}
+
+/// What a store is like, before any node.
+pub(crate) fn holds(all: &[(&str, &[&str])]) -> Holds {
+    let one = |(model, adapters): &(&str, &[&str])| {
+        ((*model).to_owned(), adapters.iter().map(|a| (*a).to_owned()).collect())
+    };
+    all.iter().map(one).collect()
+}
+
+/// The configuration that tests begin with.
+pub(crate) fn configuration(version: u64) -> Value {
+    let model = |name: &str| json!({ "name": name, "weightsMb": 70_000.0, "loadS": 0.2, "adapters": 4, "adapterMb": 60.0 });
+    let route = |name: &str, kind: &str, service: &str, resumable: bool| {
+        json!({
+            "name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
+            "timeoutMs": 8_000, "sloMs": 300, "priority": 1, "service": service, "attempts": 2,
+            "resumable": resumable, "gapAimMs": 150,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("look", "safe", "desk", false),
+            route("print", "unsafe", "desk", false),
+            route("ask", "stream", "models", true),
+            route("once", "stream", "models", false),
+        ],
+        "services": [
+            { "name": "desk", "healthPath": "/health", "maxConns": 96 },
+            { "name": "models", "healthPath": "/health", "maxConns": 96, "engine": {
+                "slots": 8, "weightsMb": 220_000.0, "adapterSlots": 4, "loadsPerS": 2.0,
+                "models": [model("m"), model("n")],
+            } },
+        ],
+        "limits": { "headerBytes": 16_384, "maxBodyBytes": 65_536, "idleTimeoutMs": 15_000 },
+    })
+}
+
+impl Fleet {
+    /// A store with a configuration, two plain engines and these engines of models, and no node.
+    pub(crate) fn new(models: Vec<EngineSettings>) -> Fleet {
+        let store = Store::start().expect("the store listens");
+        store.put("keyed.op", "config", configuration(1).to_string().as_bytes());
+        let plain = |id: &str| EngineSettings {
+            id: id.into(),
+            service: "desk".into(),
+            ..EngineSettings::default()
+        };
+        let all = [plain("desk-1"), plain("desk-2")].into_iter().chain(models);
+        let engines: Vec<Engine> =
+            all.map(|s| engine::start(s).expect("the engine listens")).collect();
+        static FLEETS: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+        let number = FLEETS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("hgw-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("the folder can be made");
+        let fleet = Fleet { store, engines, nodes: Vec::new(), folder, next: 1 };
+        fleet.list_all();
+        fleet
+    }
+
+    /// Writes the entries of all engines.
+    pub(crate) fn list_all(&self) {
+        for engine in &self.engines {
+            self.list(engine, "ready");
+        }
+    }
+
+    /// Writes an engine's entry in a state.
+    pub(crate) fn list(&self, engine: &Engine, state: &str) {
+        let entry = engine.entry(state).to_string();
+        self.store.put("keyed.servers", engine.id(), entry.as_bytes());
+    }
+
+    /// The engine with this identity.
+    pub(crate) fn engine(&self, id: &str) -> &Engine {
+        self.engines.iter().find(|e| e.id() == id).expect("there is such an engine")
+    }
+
+    /// How often a request ran, over all engines.
+    pub(crate) fn runs(&self, id: &str) -> u32 {
+        self.engines.iter().filter_map(|e| e.record().runs.get(id).copied()).sum()
+    }
+
+    /// Starts a node in a domain, and waits until it is ready.
+    pub(crate) fn start(&mut self, zone: &str) -> usize {
+        let node = self.spawn(zone);
+        wait("the node is ready", || self.nodes[node].is_ready());
+        node
+    }
+
+    /// Starts a node.
+    pub(crate) fn spawn(&mut self, zone: &str) -> usize {
+        let name = format!("front-{}", self.next);
+        self.next += 1;
+        let [callers, ready, peers] = free_ports();
+        let settings = self.folder.join(format!("{name}.conf"));
+        let text = settings_text(&name, zone, callers, ready, peers, self.store.addr());
+        std::fs::write(&settings, text).expect("the settings can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_hibiscusgw"))
+            .args(["serve", "--log-format", "json"])
+            .env("HIBISCUSGW_BOOT", &settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        self.nodes.push(Node { name, callers, ready, settings, child });
+        self.nodes.len() - 1
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for node in &mut self.nodes {
+            node.kill();
+        }
+        // Left-over files of a test harm nothing.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Node {
+    /// Whether it says that it takes callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        let caller = Caller::new(self.ready).expect("a client needs no network yet");
+        caller.call(Method::GET, "/api/ready", &[], "").is_ok_and(|a| a.status == 200)
+    }
+
+    /// Sends a request and waits for the whole answer.
+    pub(crate) fn call(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<Whole, hgw_standins::client::CallError> {
+        let caller = Caller::new(self.callers).expect("a client needs no network yet");
+        let mut all = vec![("host", HOST)];
+        all.extend_from_slice(headers);
+        caller.call(method, path, &all, "body")
+    }
+
+    /// The same for a plain call.
+    pub(crate) fn plain(
+        &self,
+        path: &str,
+        id: &str,
+    ) -> Result<Whole, hgw_standins::client::CallError> {
+        self.call(Method::POST, path, &[("x-request-id", id), ("x-deadline-ms", "5000")])
+    }
+
+    /// The same for a stream.
+    pub(crate) fn stream(
+        &self,
+        path: &str,
+        id: &str,
+        model: &str,
+    ) -> Result<Whole, hgw_standins::client::CallError> {
+        let headers = [
+            ("x-request-id", id),
+            ("x-deadline-ms", "8000"),
+            ("x-model", model),
+            ("x-tokens", "100,120"),
+            ("x-prompt-prefix", "a1:60,b2:40"),
+        ];
+        self.call(Method::POST, path, &headers)
+    }
+
+    /// Sends a signal.
+    pub(crate) fn signal(&self, signal: rustix::process::Signal) {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, signal).expect("the process is this test's own");
+    }
+
+    /// Whether it has ended, and with success.
+    pub(crate) fn ended(&mut self) -> Option<bool> {
+        self.child.try_wait().expect("it can be asked").map(|status| status.success())
+    }
+
+    /// Ends it at once.
+    pub(crate) fn kill(&mut self) {
+        // Both fail only where it has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Whether a connection of a caller can be made.
+    pub(crate) fn accepts(&self) -> bool {
+        TcpStream::connect(self.callers).is_ok()
+    }
+}
+
+/// Waits until something holds.
+pub(crate) fn wait(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + GUARD;
+    while !holds() {
+        assert!(Instant::now() < until, "not within {GUARD:?}: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Ports that were free a moment ago; the listeners are held together, so that they differ.
+fn free_ports<const N: usize>() -> [SocketAddr; N] {
+    let listeners: Vec<TcpListener> =
+        (0..N).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+    std::array::from_fn(|i| listeners[i].local_addr().expect("it is bound"))
+}
+
+fn settings_text(
+    name: &str,
+    zone: &str,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    peers: SocketAddr,
+    store: SocketAddr,
+) -> String {
+    format!(
+        "nodeName={name}\nrole=entry\nip=127.0.0.1\nzone={zone}\nlisten.front={callers}\n\
+         listen.ready={ready}\nportRange={},{}\nlimits.maxFds=1024\nheartbeatMs=1000\n\
+         bounds.graceS=8\nbounds.drainMs=2000\nbounds.applyMs=2000\nbounds.budgetRatio=0.2\n\
+         bounds.budgetSlack=50\nbounds.budgetWindowS=10\nbounds.requireFence=true\n\
+         bounds.leaseMs=1000\nbounds.ceilingWindowS=5\nprovider.addr={store}\nunheard.of=1\n",
+        peers.port(),
+        peers.port(),
+    )
+}
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/orders.rs
@@ -0,0 +1,94 @@
+//! Who gives orders, and what they are counted against.
+
+use hgw_standins::Faults;
+use hgw_standins::fleet::{EngineSettings, FleetRecord};
+use http::StatusCode;
+
+use crate::fixture::{Fleet, holds, wait};
+
+fn engine(id: &str) -> EngineSettings {
+    EngineSettings {
+        id: id.into(),
+        holds: holds(&[("m", &[]), ("n", &[])]),
+        adapters: 2,
+        ..EngineSettings::default()
+    }
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(vec![engine("i-1"), engine("i-2")]);
+    let mut config = crate::fixture::configuration(2);
+    config["services"][1]["engine"]["adapterSlots"] = 2.into();
+    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+    for zone in ["a", "b", "c"] {
+        fleet.start(zone);
+    }
+    fleet
+}
+
+fn served(fleet: &Fleet, node: usize, id: &str, model: &str) -> bool {
+    fleet.nodes[node].stream("/ask/", id, model).is_ok_and(|a| a.status == StatusCode::OK)
+}
+
+fn records(fleet: &Fleet) -> Vec<FleetRecord> {
+    ["i-1", "i-2"].iter().map(|id| fleet.engine(id).record()).collect()
+}
+
+/// Names of the nodes that gave orders.
+fn holders(fleet: &Fleet) -> Vec<String> {
+    let all = records(fleet);
+    let orders = all.iter().flat_map(|r| &r.orders);
+    let mut names: Vec<String> =
+        orders.filter_map(|o| o.split(' ').next()).map(str::to_owned).collect();
+    names.sort();
+    names.dedup();
+    names
+}
+
+/// More adapters are asked for than there are places, through all nodes: one node gives all orders, and no
+/// engine is ordered to hold more than it has places for.
+#[test]
+fn one_node_gives_orders_within_the_places_that_there_are() {
+    let fleet = fleet();
+    for round in 0..4 {
+        for adapter in ["a1", "a2", "a3", "a4", "a5", "a6"] {
+            let (node, id) = (round % 3, format!("s-{round}-{adapter}"));
+            wait("the adapter is served", || served(&fleet, node, &id, &format!("m/{adapter}")));
+        }
+    }
+    assert_eq!(holders(&fleet).len(), 1, "{:?}", records(&fleet));
+    assert!(records(&fleet).iter().all(|r| r.too_much == 0), "{:?}", records(&fleet));
+}
+
+/// The node that gives orders is killed. Another claims the duty with a higher fencing number once the
+/// lease is over, and no engine sees an older number after a newer one.
+#[test]
+fn another_node_takes_the_orders_over() {
+    let mut fleet = fleet();
+    wait("an adapter is served", || served(&fleet, 0, "s-1", "m/a1"));
+    let first = holders(&fleet);
+    let keeper = fleet.nodes.iter().position(|n| first.contains(&n.name)).unwrap();
+    fleet.nodes[keeper].kill();
+    let left = (keeper + 1) % 3;
+    wait("the next adapter is served", || served(&fleet, left, "s-2", "m/a2"));
+    assert_eq!(holders(&fleet).len(), 2, "{:?}", records(&fleet));
+    assert!(records(&fleet).iter().all(|r| r.old_fences == 0), "{:?}", records(&fleet));
+}
+
+/// Engines carry orders out and their answers are lost. What may have come takes its place all the same:
+/// a keeper that counted only what it knows would order more than there is room for, and the engine
+/// would crash.
+#[test]
+fn lost_answers_to_orders_do_not_overfill_an_engine() {
+    let fleet = fleet();
+    wait("an adapter is served", || served(&fleet, 0, "s-0", "m/a0"));
+    for adapter in 1..12 {
+        for id in ["i-1", "i-2"] {
+            let only = Some("/api/order".to_owned());
+            fleet.engine(id).fault(&Faults { lose_answers: 1, only, ..Faults::default() });
+        }
+        let (id, model) = (format!("s-{adapter}"), format!("m/a{adapter}"));
+        wait("the adapter is served", || served(&fleet, 0, &id, &model));
+    }
+    assert!(records(&fleet).iter().all(|r| r.too_much == 0), "{:?}", records(&fleet));
+}
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/session.rs
@@ -0,0 +1,43 @@
+//! A whole session, from the start of a node to its planned stop, as a golden file.
+
+use hgw_standins::client::Whole;
+use hgw_standins::fleet::EngineSettings;
+use rustix::process::Signal;
+
+use crate::fixture::{Fleet, holds, wait};
+
+fn told(what: &str, answer: &Whole) -> String {
+    let header = |name: &str| {
+        let value = answer.headers.get(name).map(|v| v.to_str().unwrap_or("?"));
+        value.map(|v| format!(" {name}={v}")).unwrap_or_default()
+    };
+    let head = ["x-request-id", "x-response-seal", "content-type"].map(header).concat();
+    format!("{what}\n  {}{head}\n  {}\n", answer.status.as_u16(), answer.body.escape_debug())
+}
+
+#[test]
+fn session_of_one_node() {
+    let model = EngineSettings {
+        holds: holds(&[("m", &["a1"]), ("n", &[])]),
+        events: 3,
+        ..EngineSettings::default()
+    };
+    let mut fleet = Fleet::new(vec![model]);
+    fleet.store.put("keyed.servers", "desk-2", b"");
+    let node = fleet.start("a");
+    let mut told_all = String::new();
+    {
+        let node = &fleet.nodes[node];
+        let calls = [("/look/balance", "c-1"), ("/print/voucher?n=1", "c-2"), ("/other/", "c-3")];
+        for (path, id) in calls {
+            told_all += &told(&format!("POST {path}"), &node.plain(path, id).unwrap());
+        }
+        for (path, id, model) in [("/ask/rules", "s-1", "m"), ("/once/note", "s-2", "m/a1")] {
+            let answer = node.stream(path, id, model).unwrap();
+            told_all += &told(&format!("POST {path} of {model}"), &answer);
+        }
+        node.signal(Signal::TERM);
+    }
+    wait("the process ends", || fleet.nodes[node].ended() == Some(true));
+    insta::assert_snapshot!(told_all);
+}
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/stopping.rs
@@ -0,0 +1,103 @@
+//! The planned stop, and engines that leave.
+
+use std::time::Duration;
+
+use hgw_standins::Faults;
+use hgw_standins::fleet::EngineSettings;
+use http::StatusCode;
+use rustix::process::Signal;
+
+use crate::fixture::{Fleet, holds, wait};
+
+fn slow(id: &str) -> EngineSettings {
+    EngineSettings {
+        id: id.into(),
+        holds: holds(&[("m", &[])]),
+        pause: Duration::from_millis(50),
+        events: 40,
+        ..EngineSettings::default()
+    }
+}
+
+/// A node is told to stop while it gives an answer, and callers are still sent to it for a moment: the
+/// answer is given to its end, new calls are served, and the process ends with success.
+#[test]
+fn planned_stop_cuts_nothing() {
+    let mut fleet = Fleet::new(vec![slow("i-1")]);
+    let node = fleet.start("a");
+    std::thread::scope(|scope| {
+        let fleet = &fleet;
+        let stream = scope.spawn(move || fleet.nodes[node].stream("/once/", "s-1", "m"));
+        wait("the stream runs", || fleet.runs("s-1") == 1);
+        fleet.nodes[node].signal(Signal::TERM);
+        wait("the node is not ready", || !fleet.nodes[node].is_ready());
+        let late = fleet.nodes[node].plain("/print/", "call-1").unwrap();
+        assert_eq!(late.status, StatusCode::OK);
+        assert_eq!(late.headers["connection"], "close");
+        assert_eq!(stream.join().unwrap().unwrap().status, StatusCode::OK);
+    });
+    wait("the process ends", || fleet.nodes[node].ended() == Some(true));
+}
+
+/// A request comes long after the signal to stop, too late to be sure of its end: it is refused with a time
+/// and goes to another node. Begun and cut, it would be lost.
+#[test]
+fn late_call_to_a_stopping_node_is_refused_unrun() {
+    let mut fleet = Fleet::new(vec![EngineSettings { events: 200, ..slow("i-1") }]);
+    let node = fleet.start("a");
+    std::thread::scope(|scope| {
+        let fleet = &fleet;
+        // Keeps the process from ending before the late call.
+        scope.spawn(move || fleet.nodes[node].stream("/once/", "s-1", "m"));
+        wait("the stream runs", || fleet.runs("s-1") == 1);
+        fleet.nodes[node].signal(Signal::TERM);
+        let mut refused = None;
+        wait("late calls are refused", || {
+            let answer = fleet.nodes[node].plain("/print/", "call-1").unwrap();
+            refused = (answer.status == StatusCode::SERVICE_UNAVAILABLE).then_some(answer);
+            refused.is_some()
+        });
+        assert!(refused.unwrap().headers.contains_key("retry-after"));
+    });
+}
+
+/// An engine says that it leaves. Once a node has read that, no request reaches it.
+#[test]
+fn engine_that_leaves_gets_no_more_work() {
+    let mut fleet = Fleet::new(Vec::new());
+    let node = fleet.start("a");
+    fleet.list(fleet.engine("desk-1"), "draining");
+    let calls = |fleet: &Fleet| fleet.store.calls()["/api/log-read"];
+    let seen = calls(&fleet);
+    // Two reads of the list, and those of the other topics between them.
+    wait("the node has read the list", || calls(&fleet) > seen + 6);
+    for n in 0..20 {
+        fleet.nodes[node].plain("/print/", &format!("call-{n}")).unwrap();
+    }
+    assert!(fleet.engine("desk-1").record().runs.is_empty());
+    assert_eq!(fleet.engine("desk-2").record().runs.len(), 20);
+}
+
+/// The store goes down and engines go on: callers are served all the while, also when it comes back
+/// without the entries that lapsed meanwhile.
+#[test]
+fn outage_of_the_store_stops_no_calls() {
+    let mut fleet = Fleet::new(Vec::new());
+    let node = fleet.start("a");
+    fleet.store.fault(&Faults { down: true, ..Faults::default() });
+    for n in 0..10 {
+        let answer = fleet.nodes[node].plain("/print/", &format!("call-{n}")).unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    fleet.store.put("keyed.servers", "desk-1", b"");
+    fleet.store.put("keyed.servers", "desk-2", b"");
+    fleet.store.fault(&Faults::default());
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.list_all();
+    for n in 10..20 {
+        let answer = fleet.nodes[node].plain("/print/", &format!("call-{n}")).unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/streams.rs
@@ -0,0 +1,109 @@
+//! Streams.
+
+use std::time::Duration;
+
+use hgw_standins::fleet::EngineSettings;
+use hgw_standins::{Faults, StreamFault};
+use http::StatusCode;
+
+use crate::fixture::{Fleet, holds, wait};
+
+fn engine(id: &str, all: &[(&str, &[&str])]) -> EngineSettings {
+    EngineSettings { id: id.into(), holds: holds(all), ..EngineSettings::default() }
+}
+
+fn whole(events: u64) -> String {
+    (1..=events).map(|n| format!("id: {n}\ndata: piece {n}\n\n")).collect()
+}
+
+fn breaks(after: u32) -> Faults {
+    Faults { fail_streams: StreamFault { after_tokens: after, streams: 1 }, ..Faults::default() }
+}
+
+/// An engine breaks off in the middle of its eighth event. The caller sees one whole stream: it goes on at
+/// another engine after the seventh, and the half event is dropped.
+#[test]
+fn stream_goes_on_elsewhere_after_the_last_whole_event() {
+    let both = [engine("i-1", &[("m", &[])]), engine("i-2", &[("m", &[])])];
+    let mut fleet = Fleet::new(both.to_vec());
+    let node = fleet.start("a");
+    fleet.engine("i-1").fault(&breaks(7));
+    fleet.engine("i-2").fault(&breaks(7));
+    let answer = fleet.nodes[node].stream("/ask/", "s-1", "m").unwrap_err();
+    assert!(!answer.to_string().is_empty(), "both broke off, and the route allows two engines");
+    fleet.engine("i-1").fault(&breaks(7));
+    fleet.engine("i-2").fault(&Faults::default());
+    let answer = fleet.nodes[node].stream("/ask/", "s-2", "m").unwrap();
+    assert_eq!(answer.body, whole(20));
+    let answer = fleet.nodes[node].stream("/ask/", "s-3", "m").unwrap();
+    assert_eq!(answer.body, whole(20));
+}
+
+/// The same for a stream that no other engine can go on with: it ends without looking complete.
+#[test]
+fn stream_that_may_not_be_resumed_ends_broken() {
+    let mut fleet = Fleet::new(vec![engine("i-1", &[("m", &[])]), engine("i-2", &[("m", &[])])]);
+    let node = fleet.start("a");
+    fleet.engine("i-1").fault(&breaks(7));
+    fleet.engine("i-2").fault(&breaks(7));
+    fleet.nodes[node].stream("/once/", "s-1", "m").unwrap_err();
+    assert_eq!(fleet.runs("s-1"), 1);
+}
+
+/// An engine's machine goes dark in the middle of a stream: nothing comes, and no connection ends. The
+/// stream goes on elsewhere long before its caller gives it up.
+#[test]
+fn stream_leaves_an_engine_that_went_dark() {
+    let slow = |id: &str| EngineSettings {
+        pause: Duration::from_millis(20),
+        events: 60,
+        ..engine(id, &[("m", &[])])
+    };
+    let mut fleet = Fleet::new(vec![slow("i-1"), slow("i-2")]);
+    let node = fleet.start("a");
+    std::thread::scope(|scope| {
+        let fleet = &fleet;
+        let stream = scope.spawn(move || fleet.nodes[node].stream("/ask/", "s-1", "m"));
+        wait("the stream runs", || fleet.runs("s-1") == 1);
+        std::thread::sleep(Duration::from_millis(200));
+        let at = ["i-1", "i-2"]
+            .into_iter()
+            .find(|id| fleet.engine(id).record().runs.contains_key("s-1"));
+        fleet.engine(at.unwrap()).fault(&Faults { silence: true, ..Faults::default() });
+        let answer = stream.join().unwrap().unwrap();
+        assert_eq!(answer.body, whole(60));
+    });
+    assert_eq!(fleet.runs("s-1"), 2);
+}
+
+/// Nobody holds the adapter when the request comes. The keeper has it loaded, and the request is sent when
+/// the order holds: never in hope.
+#[test]
+fn adapter_that_is_nowhere_is_placed_for_the_request() {
+    let mut fleet = Fleet::new(vec![engine("i-1", &[("m", &[]), ("n", &[])])]);
+    let node = fleet.start("a");
+    wait("the adapter is placed", || {
+        let answer = fleet.nodes[node].stream("/ask/", "s-1", "m/a1");
+        answer.is_ok_and(|a| a.status == StatusCode::OK && a.body == whole(20))
+    });
+    assert_eq!(fleet.engine("i-1").record().misdirected, 0);
+    assert_eq!(fleet.engine("i-1").holds()["m"], ["a1"]);
+}
+
+/// A rare model was dropped everywhere. Its caller is refused at once with the time that the load takes,
+/// and is served when it comes back.
+#[test]
+fn model_that_is_nowhere_is_loaded_and_its_caller_told_when() {
+    let slow =
+        EngineSettings { load: Duration::from_millis(1_500), ..engine("i-1", &[("m", &[])]) };
+    let mut fleet = Fleet::new(vec![slow]);
+    let node = fleet.start("a");
+    wait("the model has come", || {
+        let answer = fleet.nodes[node].stream("/ask/", "s-1", "n").unwrap();
+        if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+            assert!(answer.headers.contains_key("retry-after"));
+        }
+        answer.status == StatusCode::OK
+    });
+    assert_eq!(fleet.engine("i-1").record().too_much, 0);
+}
--- /dev/null
+++ b/crates/http1/tests/conn.rs
@@ -0,0 +1,133 @@
+//! One connection of a client, against scripted peers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use hgw_http1::{Body, Conn, ConnectLimits, Error, Framing, Request};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// A peer that reads a request's head and then writes this and closes, or stays open.
+async fn peer(answer: &'static [u8], stays: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buf = [0; 4096];
+        let _ = stream.read(&mut buf).await;
+        stream.write_all(answer).await.unwrap();
+        if stays {
+            let _ = stream.read(&mut buf).await;
+            tokio::time::sleep(Duration::from_secs(60)).await;
+        }
+    });
+    addr
+}
+
+async fn asked(answer: &'static [u8], stays: bool) -> (Conn, Result<(u16, Bytes), Error>) {
+    let addr = peer(answer, stays).await;
+    let mut conn = Conn::connect(addr, ConnectLimits::default()).await.unwrap();
+    let req = Request::post("/x", "peer", Bytes::from_static(b"body"));
+    let answered = async {
+        let head = conn.send(&req).await?;
+        let body = conn.collect(Body::new(head.framing), 1 << 20).await?;
+        Ok((head.status, body))
+    };
+    let answered = answered.await;
+    (conn, answered)
+}
+
+macro_rules! answers {
+    ($($name:ident: $bytes:expr, $stays:literal => $pattern:pat $(if $guard:expr)?,)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let (_, answered) = asked($bytes, $stays).await;
+            assert_matches!(answered, $pattern $(if $guard)?);
+        })*
+    };
+}
+
+answers! {
+    length_is_read: b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", true
+        => Ok((200, body)) if body == "abc",
+    chunks_are_read: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x\r\nc\r\n0\r\n\r\n", true
+        => Ok((200, body)) if body == "abc",
+    end_of_the_connection_ends_a_body_without_a_length: b"HTTP/1.1 200 OK\r\n\r\nabc", false
+        => Ok((200, body)) if body == "abc",
+    informational_answers_are_passed_over:
+        b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", true
+        => Ok((204, body)) if body.is_empty(),
+    body_cut_short_is_not_whole: b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", false
+        => Err(Error::Ended),
+    chunks_without_the_last_are_not_whole:
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", false
+        => Err(Error::Ended),
+    no_answer_is_told_from_a_broken_one: b"", false => Err(Error::Ended),
+    other_bytes_are_no_answer: b"\x00\x01 spoiled\r\n\r\n", true => Err(Error::Malformed { .. }),
+    two_framings_are_refused:
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true
+        => Err(Error::Malformed { .. }),
+    two_lengths_are_refused:
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", true
+        => Err(Error::Malformed { .. }),
+    spoiled_chunk_size_is_refused:
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+2\r\nab\r\n0\r\n\r\n", true
+        => Err(Error::Malformed { .. }),
+}
+
+#[tokio::test]
+async fn whole_answer_leaves_the_connection_usable() {
+    let (mut conn, answered) =
+        asked(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", true).await;
+    answered.unwrap();
+    assert!(conn.is_usable(Duration::ZERO));
+    assert!(conn.was_used());
+}
+
+/// The peer says how long it keeps the connection. A request that is sent as that time ends crosses the
+/// peer's close, and nobody knows whether it has run.
+#[tokio::test]
+async fn connection_that_is_about_to_end_is_not_used() {
+    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=1\r\n\r\n";
+    let (mut conn, answered) = asked(answer, true).await;
+    answered.unwrap();
+    assert!(conn.is_usable(Duration::ZERO));
+    assert!(!conn.is_usable(Duration::from_secs(1)));
+}
+
+/// A second answer comes after a whole one: its bytes belong to no request, and would be taken for the
+/// answer to the next.
+#[tokio::test]
+async fn connection_with_bytes_that_nobody_asked_for_is_not_used() {
+    let answer =
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let (mut conn, answered) = asked(answer, true).await;
+    answered.unwrap();
+    assert!(!conn.is_usable(Duration::ZERO));
+}
+
+#[tokio::test]
+async fn connection_that_the_peer_closes_is_not_used() {
+    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    let (mut conn, answered) = asked(answer, true).await;
+    answered.unwrap();
+    assert!(!conn.is_usable(Duration::ZERO));
+}
+
+#[tokio::test]
+async fn connection_that_cannot_be_made_says_that_nothing_was_sent() {
+    let addr = {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        listener.local_addr().unwrap()
+    };
+    let refused = Conn::connect(addr, ConnectLimits::default()).await;
+    assert_matches!(refused, Err(Error::Connect { .. }));
+}
+
+#[test]
+fn framing_of_an_empty_body_is_whole_at_once() {
+    assert!(Body::new(Framing::Length(0)).is_whole());
+    assert!(!Body::new(Framing::UntilClose).is_whole());
+}
--- /dev/null
+++ b/crates/standins/src/fleet/engine.rs
@@ -0,0 +1,398 @@
+//! An engine of the platform: requests with an id and a seal, event streams, models and adapters by order.
+//!
+//! A request that names no model is a plain call. Its answer is its id and how often it has run here.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+
+use crate::client::Caller;
+use crate::faults::{Faults, Switches, lock};
+use crate::server::{
+    Body, Lost, Piece, Reply, Running, StandIn, failure, json, read_json, serve, stream,
+    with_status,
+};
+
+/// Models, each with its adapters.
+pub type Holds = IndexMap<String, Vec<String>>;
+
+/// Settings of an engine.
+#[derive(Debug, Clone)]
+pub struct EngineSettings {
+    /// Its identity.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Its failure domain.
+    pub zone: String,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// What it holds at the start.
+    pub holds: Holds,
+    /// Models that it has room for.
+    pub models: usize,
+    /// Places for adapters, over all models.
+    pub adapters: usize,
+    /// Time of a load of a model.
+    pub load: Duration,
+    /// Time between two events of a stream.
+    pub pause: Duration,
+    /// Events of a stream.
+    pub events: u64,
+    /// Whether it refuses orders with an old fencing number.
+    pub fences: bool,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        EngineSettings {
+            id: "i-1".into(),
+            service: "models".into(),
+            zone: "a".into(),
+            slots: 8,
+            holds: Holds::new(),
+            models: 3,
+            adapters: 4,
+            load: Duration::from_millis(200),
+            pause: Duration::from_millis(5),
+            events: 20,
+            fences: true,
+        }
+    }
+}
+
+/// What an engine has seen.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetRecord {
+    /// How often each request ran, by its id.
+    pub runs: IndexMap<String, u32>,
+    /// Requests that were meant for another engine, or for a model that is not here.
+    pub misdirected: u32,
+    /// Orders that were accepted, as `HOLDER FENCE OP MODEL/ADAPTER`.
+    pub orders: Vec<String>,
+    /// Orders for more than there is room for.
+    pub too_much: u32,
+    /// Orders with a fencing number below an earlier one.
+    pub old_fences: u32,
+}
+
+#[derive(Debug, Deserialize)]
+struct Order {
+    op: String,
+    model: String,
+    #[serde(default)]
+    adapter: Option<String>,
+    #[serde(default)]
+    precondition: Option<u64>,
+    holder: String,
+    fence: u64,
+}
+
+/// An engine at work.
+#[derive(Debug)]
+pub struct Engine {
+    running: Running,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: EngineSettings,
+    switches: Arc<Switches>,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    holds: Holds,
+    busy: bool,
+    seq: u64,
+    fence: u64,
+    running: u32,
+    refuse: u32,
+    fail: u32,
+    record: FleetRecord,
+}
+
+/// Starts an engine.
+pub fn start(settings: EngineSettings) -> io::Result<Engine> {
+    let switches = Arc::new(Switches::new());
+    let inner = Inner { holds: settings.holds.clone(), ..Inner::default() };
+    let shared =
+        Arc::new(Shared { settings, switches: Arc::clone(&switches), inner: Mutex::new(inner) });
+    let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let running = serve("fleet-engine", listen, switches, Arc::clone(&shared))?;
+    Ok(Engine { running, shared })
+}
+
+impl Engine {
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.running.addr()
+    }
+
+    /// Its identity.
+    pub fn id(&self) -> &str {
+        &self.shared.settings.id
+    }
+
+    /// Its entry in the list of engines, in a state.
+    pub fn entry(&self, state: &str) -> serde_json::Value {
+        let Shared { settings, .. } = &*self.shared;
+        let models: Vec<_> = self.shared.models();
+        json!({
+            "service": settings.service,
+            "addr": self.addr().to_string(),
+            "zone": settings.zone,
+            "version": "v1",
+            "slots": settings.slots,
+            "state": state,
+            "coldLeftMs": 0,
+            "models": models,
+            "seq": 1,
+        })
+    }
+
+    /// What it has seen.
+    pub fn record(&self) -> FleetRecord {
+        self.shared.lock().record.clone()
+    }
+
+    /// What it holds.
+    pub fn holds(&self) -> Holds {
+        self.shared.lock().holds.clone()
+    }
+
+    /// Shows faults from now on.
+    pub fn fault(&self, faults: &Faults) {
+        let caller = Caller::new(self.addr()).expect("a client needs no network yet");
+        caller.faults(faults).expect("the engine takes faults");
+    }
+
+    /// Rejects so many requests as full, without running them.
+    pub fn refuse(&self, requests: u32) {
+        self.shared.lock().refuse = requests;
+    }
+
+    /// Runs so many requests and answers them with a failure of its own.
+    pub fn fail(&self, requests: u32) {
+        self.shared.lock().fail = requests;
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        lock(&self.inner)
+    }
+
+    fn models(&self) -> Vec<serde_json::Value> {
+        let inner = self.lock();
+        let one = |(name, adapters): (&String, &Vec<String>)| json!({ "name": name, "version": 1, "adapters": adapters });
+        inner.holds.iter().map(one).collect()
+    }
+
+    fn report(&self) -> Response<Body> {
+        let models = self.models();
+        let inner = self.lock();
+        json(&json!({
+            "stage": "mixed", "models": models, "busy": inner.busy, "seq": inner.seq,
+            "waiting": 0, "running": inner.running, "coming": [],
+        }))
+    }
+
+    fn order(self: &Arc<Self>, req: &Request<Bytes>) -> Response<Body> {
+        let order: Order = match read_json(req.body()) {
+            Ok(order) => order,
+            Err(answer) => return *answer,
+        };
+        let mut inner = self.lock();
+        if order.fence < inner.fence {
+            inner.record.old_fences += 1;
+            if self.settings.fences {
+                return failure(StatusCode::PRECONDITION_FAILED, "an old fencing number");
+            }
+        }
+        inner.fence = inner.fence.max(order.fence);
+        let held = inner.holds.get(&order.model);
+        let holds = match &order.adapter {
+            None => held.is_some(),
+            Some(adapter) => held.is_some_and(|a| a.contains(adapter)),
+        };
+        if order.precondition.is_some_and(|seq| seq != inner.seq) || inner.busy {
+            return failure(StatusCode::CONFLICT, "another order");
+        }
+        if holds == (order.op == "load") {
+            return json(&json!({}));
+        }
+        inner.seq += 1;
+        let name = order.adapter.as_ref().map_or(String::new(), |a| format!("/{a}"));
+        let Order { holder, fence, op, model, .. } = &order;
+        inner.record.orders.push(format!("{holder} {fence} {op} {model}{name}"));
+        if order.op == "load" && !self.has_room(&inner, &order) {
+            inner.record.too_much += 1;
+        }
+        if order.op == "load" && order.adapter.is_none() {
+            inner.busy = true;
+            drop(inner);
+            let shared = Arc::clone(self);
+            tokio::spawn(async move {
+                tokio::time::sleep(shared.settings.load).await;
+                let mut inner = shared.lock();
+                inner.busy = false;
+                inner.holds.insert(order.model, Vec::new());
+            });
+            return with_status(StatusCode::ACCEPTED, &json!({}));
+        }
+        inner.carry_out(&order);
+        let done = if order.op == "load" { StatusCode::ACCEPTED } else { StatusCode::OK };
+        with_status(done, &json!({}))
+    }
+
+    fn has_room(&self, inner: &Inner, order: &Order) -> bool {
+        match order.adapter {
+            None => inner.holds.len() < self.settings.models,
+            Some(_) => inner.holds.values().map(Vec::len).sum::<usize>() < self.settings.adapters,
+        }
+    }
+
+    fn misdirected(&self) -> Response<Body> {
+        self.lock().record.misdirected += 1;
+        let mut answer = failure(StatusCode::MISDIRECTED_REQUEST, "not here");
+        let id = HeaderValue::from_str(&self.settings.id).unwrap_or(HeaderValue::from_static("?"));
+        answer.headers_mut().insert("x-instance", id);
+        answer
+    }
+
+    async fn request(self: &Arc<Self>, req: Request<Bytes>) -> Response<Body> {
+        let text = |name: &str| req.headers().get(name).and_then(|v| v.to_str().ok());
+        let Some(id) = text("x-request-id").map(str::to_owned) else {
+            return not_run(failure(StatusCode::BAD_REQUEST, "no id"));
+        };
+        if text("x-expect-instance").is_some_and(|meant| meant != self.settings.id) {
+            return self.misdirected();
+        }
+        let model = text("x-model");
+        if model.is_some_and(|m| !self.holds(m)) {
+            return self.misdirected();
+        }
+        let Some((run, fails)) = self.begin(&id) else {
+            return not_run(failure(StatusCode::SERVICE_UNAVAILABLE, "full"));
+        };
+        let echoed = if self.switches.crossed() { "another".to_owned() } else { id.clone() };
+        if fails {
+            return self.sealed(failure(StatusCode::INTERNAL_SERVER_ERROR, "failed"), &echoed);
+        }
+        if model.is_none() {
+            tokio::time::sleep(self.settings.pause).await;
+            return self.sealed(json(&json!({ "id": id, "run": run })), &echoed);
+        }
+        let from = text("last-event-id").and_then(|l| l.parse().ok()).unwrap_or(0);
+        let (tx, rx) = unbounded_channel();
+        tokio::spawn(Arc::clone(self).events(tx, from));
+        self.sealed(stream(rx), &echoed)
+    }
+
+    /// Counts a run, and tells whether it fails; nothing where it is rejected.
+    fn begin(&self, id: &str) -> Option<(u32, bool)> {
+        let mut inner = self.lock();
+        if take(&mut inner.refuse) {
+            return None;
+        }
+        let run = inner.record.runs.entry(id.to_owned()).or_default();
+        *run += 1;
+        let run = *run;
+        Some((run, take(&mut inner.fail)))
+    }
+
+    fn holds(&self, wanted: &str) -> bool {
+        let inner = self.lock();
+        match wanted.split_once('/') {
+            None => inner.holds.contains_key(wanted),
+            Some((model, adapter)) => {
+                inner.holds.get(model).is_some_and(|all| all.iter().any(|a| a == adapter))
+            }
+        }
+    }
+
+    async fn events(self: Arc<Self>, tx: UnboundedSender<Piece>, from: u64) {
+        self.lock().running += 1;
+        let breaks = self.switches.stream_fault().map(u64::from);
+        for (sent, event) in (from + 1..=self.settings.events).enumerate() {
+            tokio::time::sleep(self.switches.slowed(self.settings.pause)).await;
+            if breaks.is_some_and(|after| sent as u64 >= after) {
+                // In the middle of an event.
+                let half = Bytes::from(format!("id: {event}\nda"));
+                let _ = tx.send(Ok(hyper::body::Frame::data(half)));
+                let _ = tx.send(Err(Lost));
+                break;
+            }
+            let event = Bytes::from(format!("id: {event}\ndata: piece {event}\n\n"));
+            if tx.send(Ok(hyper::body::Frame::data(event))).is_err() {
+                break;
+            }
+        }
+        self.lock().running -= 1;
+    }
+
+    fn sealed(&self, mut answer: Response<Body>, id: &str) -> Response<Body> {
+        let headers = answer.headers_mut();
+        let running = lock(&self.inner).running;
+        let load = format!("{running},0,{}", self.settings.slots);
+        let seal = format!("seal-{}", self.settings.id);
+        for (name, value) in [("x-request-id", id), ("x-response-seal", &seal), ("x-load", &load)] {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(name, value);
+            }
+        }
+        answer
+    }
+}
+
+impl Inner {
+    fn carry_out(&mut self, order: &Order) {
+        match (&order.adapter, order.op.as_str()) {
+            (None, "load") => drop(self.holds.insert(order.model.clone(), Vec::new())),
+            (None, _) => drop(self.holds.shift_remove(&order.model)),
+            (Some(adapter), op) => {
+                let Some(adapters) = self.holds.get_mut(&order.model) else { return };
+                adapters.retain(|a| a != adapter);
+                if op == "load" {
+                    adapters.push(adapter.clone());
+                }
+            }
+        }
+    }
+}
+
+impl StandIn for Shared {
+    async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Reply {
+        Ok(match (req.method(), req.uri().path()) {
+            (&Method::GET, "/api/report") => self.report(),
+            (&Method::POST, "/api/order") => self.order(&req),
+            _ => self.request(req).await,
+        })
+    }
+
+    fn record(&self) -> serde_json::Value {
+        json!(self.lock().record)
+    }
+}
+
+fn take(left: &mut u32) -> bool {
+    let some = *left > 0;
+    *left = left.saturating_sub(1);
+    some
+}
+
+fn not_run(mut answer: Response<Body>) -> Response<Body> {
+    answer.headers_mut().insert("x-not-run", HeaderValue::from_static("1"));
+    answer
+}
--- /dev/null
+++ b/crates/standins/src/fleet/mod.rs
@@ -0,0 +1,7 @@
+//! Stand-ins of the users' platform, in its own dialect: its store, and engines of its services.
+
+pub mod engine;
+pub mod store;
+
+pub use engine::{EngineSettings, FleetRecord, Holds};
+pub use store::Store;
--- /dev/null
+++ b/crates/standins/src/fleet/store.rs
@@ -0,0 +1,270 @@
+//! The platform's store: logs with offsets, conditional appends, and topics that keep the newest of each key.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use indexmap::IndexMap;
+use serde_json::json;
+use tokio::sync::Notify;
+
+use crate::faults::{Faults, Switches, lock};
+use crate::server::{Body, Reply, Running, StandIn, failure, json, query, serve, with_status};
+
+/// Longest wait of a read.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// Records in one page of newest records.
+const PAGE: usize = 500;
+
+/// What names a topic that keeps the newest record of each key.
+const KEYED: &str = "keyed.";
+
+/// A store at work, and the hand of those who write to it beside the system: operators and engines.
+#[derive(Debug)]
+pub struct Store {
+    running: Running,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    topics: Mutex<IndexMap<String, Topic>>,
+    grown: Notify,
+    calls: Mutex<IndexMap<String, u64>>,
+    switches: Arc<Switches>,
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    /// Records that are kept; the first has the offset `first`.
+    records: Vec<Bytes>,
+    first: u64,
+    /// The newest record of each key: its value and offset.
+    newest: IndexMap<String, (Bytes, u64)>,
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+}
+
+impl Store {
+    /// Starts a store.
+    pub fn start() -> io::Result<Store> {
+        let switches = Arc::new(Switches::new());
+        let shared = Arc::new(Shared {
+            topics: Mutex::default(),
+            grown: Notify::new(),
+            calls: Mutex::default(),
+            switches: Arc::clone(&switches),
+        });
+        let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let running = serve("store", listen, switches, Arc::clone(&shared))?;
+        Ok(Store { running, shared })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.running.addr()
+    }
+
+    /// Writes a key, as an operator or an engine does; an empty value drops it.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut record = BytesMut::new();
+        record.put_u8(key.len() as u8);
+        record.put_slice(key.as_bytes());
+        record.put_slice(value);
+        self.shared.append(topic, vec![record.freeze()]);
+    }
+
+    /// Forgets all records but the newest of each key.
+    pub fn compact(&self, topic: &str) {
+        if let Some(topic) = self.shared.topics().get_mut(topic) {
+            topic.first = topic.end();
+            topic.records.clear();
+        }
+    }
+
+    /// Records of a topic that are kept.
+    pub fn records(&self, topic: &str) -> Vec<Bytes> {
+        self.shared.topics().get(topic).map(|t| t.records.clone()).unwrap_or_default()
+    }
+
+    /// Calls so far, by name.
+    pub fn calls(&self) -> IndexMap<String, u64> {
+        lock(&self.shared.calls).clone()
+    }
+
+    /// Shows faults from now on.
+    pub fn fault(&self, faults: &Faults) {
+        self.shared.switches.set(faults);
+    }
+}
+
+impl Shared {
+    fn topics(&self) -> MutexGuard<'_, IndexMap<String, Topic>> {
+        lock(&self.topics)
+    }
+
+    fn append(&self, name: &str, records: Vec<Bytes>) -> (u64, u64) {
+        let mut topics = self.topics();
+        let topic = topics.entry(name.to_owned()).or_default();
+        let offset = topic.end();
+        for (record, offset) in records.into_iter().zip(offset..) {
+            if name.starts_with(KEYED)
+                && let Some((key, value)) = keyed(&record)
+            {
+                if value.is_empty() {
+                    topic.newest.shift_remove(&key);
+                } else {
+                    topic.newest.insert(key, (value, offset));
+                }
+            }
+            topic.records.push(record);
+        }
+        let end = topic.end();
+        drop(topics);
+        self.grown.notify_waiters();
+        (offset, end)
+    }
+
+    fn append_call(&self, req: &Request<Bytes>) -> Response<Body> {
+        let Some(topic) = query::<String>(req.uri(), "topic") else {
+            return failure(StatusCode::BAD_REQUEST, "no topic");
+        };
+        if topic == "keyed.op" || topic == "keyed.servers" {
+            return failure(StatusCode::FORBIDDEN, "not the system's");
+        }
+        let Some(records) = split(req.body().clone()) else {
+            return failure(StatusCode::BAD_REQUEST, "records are cut short");
+        };
+        let end = self.topics().get(&topic).map_or(0, Topic::end);
+        if query::<u64>(req.uri(), "at").is_some_and(|at| at != end) {
+            return with_status(StatusCode::PRECONDITION_FAILED, &json!({ "end": end }));
+        }
+        let (offset, end) = self.append(&topic, records);
+        json(&json!({ "offset": offset, "end": end }))
+    }
+
+    async fn read_call(&self, req: &Request<Bytes>) -> Response<Body> {
+        let topic = query::<String>(req.uri(), "topic").unwrap_or_default();
+        let from = query::<u64>(req.uri(), "from").unwrap_or(0);
+        let wait = Duration::from_millis(query(req.uri(), "waitMs").unwrap_or(0)).min(MAX_WAIT);
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let grown = self.grown.notified();
+            tokio::pin!(grown);
+            grown.as_mut().enable();
+            match self.read_now(&topic, from) {
+                Ok((records, body)) => {
+                    if records > 0 || tokio::time::timeout_at(until, grown).await.is_err() {
+                        return raw(body);
+                    }
+                }
+                Err(first) => {
+                    return with_status(StatusCode::GONE, &json!({ "first": first }));
+                }
+            }
+        }
+    }
+
+    /// The end, the first record that is kept, and records from `from` on.
+    fn read_now(&self, topic: &str, from: u64) -> Result<(usize, Bytes), u64> {
+        let topics = self.topics();
+        let empty = Topic::default();
+        let topic = topics.get(topic).unwrap_or(&empty);
+        if from < topic.first {
+            return Err(topic.first);
+        }
+        let mut body = BytesMut::new();
+        body.put_u64(topic.end());
+        body.put_u64(topic.first);
+        let skip = usize::try_from(from - topic.first).unwrap_or(usize::MAX);
+        let records: Vec<&Bytes> = topic.records.iter().skip(skip).collect();
+        for record in &records {
+            body.put_u32(record.len() as u32);
+            body.put_slice(record);
+        }
+        Ok((records.len(), body.freeze()))
+    }
+
+    fn newest_call(&self, req: &Request<Bytes>) -> Response<Body> {
+        let name = query::<String>(req.uri(), "topic").unwrap_or_default();
+        let after = query::<String>(req.uri(), "after");
+        let topics = self.topics();
+        let empty = Topic::default();
+        let topic = topics.get(&name).unwrap_or(&empty);
+        let past = after.and_then(|key| topic.newest.get_index_of(&key));
+        let skip = past.map_or(0, |at| at + 1);
+        let items: Vec<_> = topic
+            .newest
+            .iter()
+            .skip(skip)
+            .take(PAGE)
+            .map(|(key, (value, offset))| {
+                json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
+            })
+            .collect();
+        let more = skip + items.len() < topic.newest.len();
+        json(&json!({ "items": items, "hasMore": more, "end": topic.end() }))
+    }
+}
+
+impl StandIn for Shared {
+    async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Reply {
+        let path = req.uri().path().to_owned();
+        *lock(&self.calls).entry(path.clone()).or_default() += 1;
+        Ok(match (req.method(), path.as_str()) {
+            (&Method::POST, "/api/log-append") => self.append_call(&req),
+            (&Method::GET, "/api/log-read") => self.read_call(&req).await,
+            (&Method::GET, "/api/log-newest") => self.newest_call(&req),
+            _ => failure(StatusCode::NOT_FOUND, "no such call"),
+        })
+    }
+
+    fn record(&self) -> serde_json::Value {
+        json!(*lock(&self.calls))
+    }
+}
+
+fn raw(body: Bytes) -> Response<Body> {
+    let mut answer = Response::new(Full::from(body).map_err(|e| match e {}).boxed_unsync());
+    let kind = HeaderValue::from_static("application/octet-stream");
+    answer.headers_mut().insert(CONTENT_TYPE, kind);
+    answer
+}
+
+fn split(mut data: Bytes) -> Option<Vec<Bytes>> {
+    let mut records = Vec::new();
+    while !data.is_empty() {
+        if data.len() < 4 {
+            return None;
+        }
+        let length = data.get_u32() as usize;
+        if data.len() < length {
+            return None;
+        }
+        records.push(data.split_to(length));
+    }
+    Some(records)
+}
+
+fn keyed(record: &Bytes) -> Option<(String, Bytes)> {
+    let mut record = record.clone();
+    let length = usize::from(*record.first()?);
+    record.advance(1);
+    if record.len() < length {
+        return None;
+    }
+    let key = record.split_to(length);
+    Some((String::from_utf8(key.to_vec()).ok()?, record))
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod deployment;
 pub mod engine;
 mod faults;
+pub mod fleet;
 pub mod log;
 pub mod plain;
 pub mod platform;
