Count a waiting request once in demand; say what decides a placement, a refusal, an answer

Cause: a request whose adapter was nowhere asked the keeper at each change of any engine, and each question counted as a request: rates of thousands a second, for which hot models were dropped. Ruled out: the order of loads (by what is nowhere or by what is not served: no difference), exchanges counted twice (none failed).

--- a/crates/direct/src/demand.rs
+++ b/crates/direct/src/demand.rs
@@ -2,9 +2,14 @@
 
 use crate::{Millis, Wanted};
 
-/// Time after which half of the counted requests are forgotten: demand moves within some five seconds and
-/// a load takes three to six, so that half a load's time is as quick as a rate can be trusted.
-const HALF_LIFE_MS: f64 = 1_500.0;
+/// Time after which half of the counted requests are forgotten, for a rate that follows at once and for
+/// one that shows what it was.
+const FAST_MS: f64 = 1_000.0;
+const SLOW_MS: f64 = 2_500.0;
+
+/// How far the difference of the two is carried on. Demand for a model moves within some five seconds and a
+/// load takes three to six: placed by what is asked for now, a model comes when demand has moved on.
+const TREND: f64 = 0.7;
 
 /// Requests a second below which a model or an adapter counts as silent.
 const SILENT: f64 = 0.05;
@@ -12,53 +17,105 @@
 /// How often each model and adapter is asked for.
 #[derive(Debug, Clone, Default)]
 pub struct Demand {
-    rates: IndexMap<Wanted, Rate>,
+    models: IndexMap<String, Rate>,
+    wanted: IndexMap<Wanted, Rate>,
 }
 
-/// Requests a second by model or adapter.
-pub type Rates = IndexMap<Wanted, f64>;
+/// Requests a second.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Rates {
+    /// By model, with its adapters: what is to be expected within the time of a load.
+    pub models: IndexMap<String, f64>,
+    /// By adapter: what has been asked for. Single adapters are asked for too seldom to show a trend.
+    pub adapters: IndexMap<Wanted, f64>,
+}
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Rate {
-    weight: f64,
+    fast: f64,
+    slow: f64,
+    /// When requests were last counted.
     at: Millis,
-    last: Millis,
+    /// When it was last asked for.
+    asked: Millis,
 }
 
 impl Demand {
-    /// So many requests for it came, of which `cost` is the work of one against a usual one.
+    /// So many requests for it came.
     pub fn saw(&mut self, now: Millis, wanted: &Wanted, count: f64) {
-        let rate = match self.rates.get_mut(wanted) {
-            Some(rate) => rate,
-            None => self.rates.entry(wanted.clone()).or_default(),
-        };
-        rate.weight = rate.weight * decay(now.saturating_sub(rate.at)) + count;
-        rate.at = now;
-        rate.last = now;
+        if !self.models.contains_key(&wanted.model) {
+            self.models.insert(wanted.model.clone(), Rate::default());
+        }
+        if !self.wanted.contains_key(wanted) {
+            self.wanted.insert(wanted.clone(), Rate::default());
+        }
+        let rates = [self.models.get_mut(&wanted.model), self.wanted.get_mut(wanted)];
+        for rate in rates.into_iter().flatten() {
+            rate.saw(now, count);
+        }
+    }
+
+    /// Something waits for it now; its request is counted by [`Demand::saw`].
+    pub fn touch(&mut self, now: Millis, wanted: &Wanted) {
+        self.wanted.entry(wanted.clone()).or_default().asked = now;
     }
 
-    /// Requests a second.
+    /// Requests a second for just this model or adapter.
     pub fn rate(&self, now: Millis, wanted: &Wanted) -> f64 {
-        self.rates.get(wanted).map_or(0.0, |rate| per_second(rate, now))
+        self.wanted.get(wanted).map_or(0.0, |rate| rate.slow(now))
     }
 
-    /// When it was last asked for.
+    /// When just this model or adapter was last asked for.
     pub fn last(&self, wanted: &Wanted) -> Option<Millis> {
-        self.rates.get(wanted).map(|rate| rate.last)
+        self.wanted.get(wanted).map(|rate| rate.asked)
     }
 
     /// All that is not silent.
     pub fn rates(&self, now: Millis) -> Rates {
-        let rates = self.rates.iter().map(|(wanted, rate)| (wanted.clone(), per_second(rate, now)));
-        rates.filter(|(_, rate)| *rate >= SILENT).collect()
+        let models = self.models.iter().map(|(model, rate)| (model.clone(), rate.expected(now)));
+        let adapters = self.wanted.iter().filter(|(wanted, _)| wanted.adapter.is_some());
+        let adapters = adapters.map(|(wanted, rate)| (wanted.clone(), rate.slow(now)));
+        Rates {
+            models: models.filter(|(_, rate)| *rate >= SILENT).collect(),
+            adapters: adapters.filter(|(_, rate)| *rate >= SILENT).collect(),
+        }
+    }
+}
+
+impl Rates {
+    /// Requests a second for a model, with its adapters.
+    pub fn of_model(&self, model: &str) -> f64 {
+        self.models.get(model).copied().unwrap_or(0.0)
+    }
+}
+
+impl Rate {
+    fn saw(&mut self, now: Millis, count: f64) {
+        let age = now.saturating_sub(self.at);
+        self.fast = self.fast * decay(age, FAST_MS) + count;
+        self.slow = self.slow * decay(age, SLOW_MS) + count;
+        self.at = now;
+        self.asked = now;
+    }
+
+    fn fast(&self, now: Millis) -> f64 {
+        per_second(self.fast, now.saturating_sub(self.at), FAST_MS)
+    }
+
+    fn slow(&self, now: Millis) -> f64 {
+        per_second(self.slow, now.saturating_sub(self.at), SLOW_MS)
+    }
+
+    fn expected(&self, now: Millis) -> f64 {
+        let (fast, slow) = (self.fast(now), self.slow(now));
+        (fast + TREND * (fast - slow)).max(0.0)
     }
 }
 
-fn per_second(rate: &Rate, now: Millis) -> f64 {
-    let ln2 = std::f64::consts::LN_2;
-    rate.weight * decay(now.saturating_sub(rate.at)) * ln2 * 1000.0 / HALF_LIFE_MS
+fn per_second(weight: f64, age: Millis, half_life: f64) -> f64 {
+    weight * decay(age, half_life) * std::f64::consts::LN_2 * 1000.0 / half_life
 }
 
-fn decay(age: Millis) -> f64 {
-    0.5_f64.powf(age as f64 / HALF_LIFE_MS)
+fn decay(age: Millis, half_life: f64) -> f64 {
+    0.5_f64.powf(age as f64 / half_life)
 }
--- a/crates/direct/src/place/adapters.rs
+++ b/crates/direct/src/place/adapters.rs
@@ -83,8 +83,7 @@
 /// nobody asks for.
 pub fn spread_adapters(engines: &[&Engine], demand: &Demand, now: Millis) -> Option<Wanted> {
     let rates = demand.rates(now);
-    let wanted = rates.iter().filter(|(w, _)| w.adapter.is_some());
-    let missing = wanted.filter(|(w, _)| {
+    let missing = rates.adapters.iter().filter(|(w, _)| {
         let model_held = engines.iter().any(|e| e.holds_model(&w.model));
         model_held && !engines.iter().any(|e| e.holds(w))
     });
--- /dev/null
+++ b/crates/direct/tests/demand.rs
@@ -0,0 +1,55 @@
+//! How often each model and adapter is asked for.
+
+use hgw_direct::{Demand, Wanted};
+
+fn wanted(text: &str) -> Wanted {
+    text.parse().unwrap()
+}
+
+/// One request waits for its adapter and asks the keeper again and again. Counted each time, ten waiting
+/// requests looked like thousands a second, and hot models were dropped for theirs.
+#[test]
+fn request_that_waits_counts_once() {
+    let mut demand = Demand::default();
+    let adapter = wanted("m/a");
+    demand.saw(1_000, &adapter, 1.0);
+    let once = demand.rate(1_000, &adapter);
+    for _ in 0..500 {
+        demand.touch(1_000, &adapter);
+    }
+    assert_eq!(demand.rate(1_000, &adapter), once);
+    assert!(demand.rates(1_000).of_model("m") < 2.0, "{:?}", demand.rates(1_000));
+}
+
+#[test]
+fn adapter_that_is_waited_for_was_just_asked_for() {
+    let mut demand = Demand::default();
+    let adapter = wanted("m/a");
+    demand.touch(700, &adapter);
+    assert_eq!(demand.last(&adapter), Some(700));
+    assert_eq!(demand.rate(700, &adapter), 0.0);
+}
+
+#[test]
+fn steady_demand_is_told_as_it_is() {
+    let mut demand = Demand::default();
+    for at in (0..20_000).step_by(50) {
+        demand.saw(at, &wanted("m"), 1.0);
+    }
+    let rate = demand.rates(20_000).of_model("m");
+    assert!((18.0..22.0).contains(&rate), "{rate}");
+}
+
+#[test]
+fn rising_demand_is_expected_to_rise_on_and_falling_to_fall() {
+    let mut demand = Demand::default();
+    let (rising, falling) = (wanted("m"), wanted("n"));
+    for at in (0..4_000_u64).step_by(100) {
+        demand.saw(at, &rising, at as f64 / 1_000.0);
+        demand.saw(at, &falling, 4.0 - at as f64 / 1_000.0);
+    }
+    let rates = demand.rates(4_000);
+    // Forty a second are asked for at the end of the rise, and none at the end of the fall.
+    assert!(rates.of_model("m") > 38.0, "{rates:?}");
+    assert!(rates.of_model("n") < 2.0, "{rates:?}");
+}
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -71,6 +71,7 @@
     OrderSent = 4003, Info, "an order was sent to an engine";
     OrderNotDone = 4004, Warn, "an order was refused or lost";
     EnginesLost = 4005, Warn, "the engines that do not answer have changed";
+    PlacementPlanned = 4006, Info, "an engine is to hold another model";
     PlannerGained = 4101, Info, "this node plans its region";
     PlannerLost = 4102, Info, "this node plans its region no longer";
     FloorInForce = 4103, Info, "a residency floor is in force";
@@ -80,4 +81,6 @@
     RequestResumed = 5002, Info, "a request goes on at another upstream";
     UpstreamLeaving = 5003, Info, "the upstreams that take no new work have changed";
     StreamReconnected = 5004, Info, "a stream goes on over a new connection to its engine";
+    RequestRefused = 5005, Info, "a request was refused and has not run";
+    RequestServed = 5006, Info, "an engine has answered a request whole";
 }
--- a/crates/gateway/src/keeper/adapters.rs
+++ b/crates/gateway/src/keeper/adapters.rs
@@ -45,7 +45,7 @@
     }
     // Its node tells of the request only with the next exchange; until then it must not look unwanted.
     let now = node.now();
-    node.keeper.borrow_mut().demand.saw(now, wanted, 1.0);
+    node.keeper.borrow_mut().demand.touch(now, wanted);
     let model = Wanted { model: wanted.model.clone(), adapter: None };
     if wanted.adapter.is_none() || !is_placed(node, &model) {
         return Placement::Coming(models::coming_in(node, &wanted.model));
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -38,8 +38,8 @@
     demand: Demand,
     ceiling: Ceiling,
     pending: Pending,
-    /// Models that are being loaded, and since when.
-    loading: IndexMap<String, Millis>,
+    /// Engines that load a model, and since when.
+    loading: IndexMap<EngineId, Millis>,
     /// Engines whose state was asked for under this claim.
     surveyed: IndexSet<EngineId>,
     /// Engines that are being asked.
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod events;
+mod pace;
 mod plain;
 mod request;
 mod stream;
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -7,8 +7,8 @@
 use crate::answer::{Answer, AnswerBody, own};
 
 use super::attempt::{Begun, Tried, Waited};
-use super::refuse;
-use super::request::Relayed;
+use super::pace::Pace;
+use super::request::{REJECTED, Relayed};
 
 /// Bytes of a whole answer; longer ones are broken off.
 const MOST: usize = 32 << 20;
@@ -38,9 +38,7 @@
                 if req.may_go_on() {
                     continue;
                 }
-                return failure.unwrap_or_else(|| {
-                    refuse(&req.node, Refusal::Full, std::time::Duration::from_millis(200))
-                });
+                return failure.unwrap_or_else(|| req.refuse(Refusal::Full, REJECTED));
             }
             Tried::Stalled => {
                 failure = Some(own(StatusCode::BAD_GATEWAY, "the engine went silent"));
@@ -59,7 +57,7 @@
     if req.runs > 0 {
         return own(StatusCode::BAD_GATEWAY, "no engine is left");
     }
-    req.refuse(why)
+    req.refuse_for(why)
 }
 
 /// The engine's answer, or nothing where it is not whole.
@@ -78,6 +76,7 @@
     if let Some(addr) = req.node.engine(&engine, |e| e.listed.addr) {
         req.node.pool.put(addr, conn);
     }
+    req.served(&engine, head.status, &Pace::begin());
     let mut answer = Response::new(AnswerBody::whole(body));
     *answer.status_mut() = StatusCode::from_u16(head.status).ok()?;
     *answer.headers_mut() = req.node.dialects.upstreams.answer(&head);
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -5,6 +5,7 @@
 use hgw_direct::{
     Ask, Choice, EngineId, NoEngine, Prompt, Refusal, Route, ServiceId, Wanted, choose,
 };
+use hgw_events::{Event, emit};
 use http::request::Parts;
 use rand::random;
 use tokio::time::{Instant, timeout_at};
@@ -14,6 +15,7 @@
 use crate::peers::{self, Placement};
 use crate::shared::{Active, Node};
 
+use super::pace::Pace;
 use super::refuse;
 
 /// Sends that engines reject, beyond the engines that a route may run a request on.
@@ -30,6 +32,12 @@
 const PATIENT_LEAST: Duration = Duration::from_millis(900);
 const PATIENT_OBJECTIVES: u32 = 2;
 
+/// When a caller comes back whose request engines rejected and no other can be asked.
+pub(super) const REJECTED: Duration = Duration::from_millis(200);
+
+/// When a caller comes back whose service has no engine.
+const NO_ENGINE: Duration = Duration::from_millis(300);
+
 /// Time between two looks whether a model has come.
 const PLACED_CHECK: Duration = Duration::from_millis(100);
 
@@ -42,6 +50,8 @@
     pub(super) call: Call,
     pub(super) route: Route,
     pub(super) service: ServiceId,
+    /// When its head had come.
+    pub(super) arrived: Instant,
     /// When its time is over.
     pub(super) end: Instant,
     /// Engines that it was sent to.
@@ -77,6 +87,7 @@
             call,
             route,
             service,
+            arrived,
             end: arrived + longest,
             tried: Vec::new(),
             runs: 0,
@@ -157,14 +168,27 @@
                 Ok(Placement::Unknown) => {}
                 Err(_) => return found,
             }
-            let come =
-                timeout_at(give_up.min(Instant::now() + PLACED_CHECK), self.node.placed.notified());
-            if come.await.is_err() && Instant::now() >= give_up {
+            if let Some(choice) = self.until_placed(give_up).await {
+                return Ok(choice);
+            }
+            if Instant::now() >= give_up {
                 return found;
             }
         }
     }
 
+    /// Waits a while for what the keeper tells of engines. Asked at each change, it would get many more
+    /// questions than there are requests.
+    async fn until_placed(&self, give_up: Instant) -> Option<Choice> {
+        let until = give_up.min(Instant::now() + PLACED_CHECK);
+        while timeout_at(until, self.node.placed.notified()).await.is_ok() {
+            if let Ok(choice) = self.choose_now() {
+                return Some(choice);
+            }
+        }
+        None
+    }
+
     fn choose_now(&self) -> Result<Choice, NoEngine> {
         let state = self.node.state.borrow();
         let settings = self.node.settings.borrow();
@@ -184,11 +208,57 @@
     }
 
     /// The answer to a request that has not run and finds no engine.
-    pub(super) fn refuse(&self, why: NoEngine) -> Answer {
+    pub(super) fn refuse_for(&self, why: NoEngine) -> Answer {
         match why {
-            NoEngine::None => refuse(&self.node, Refusal::NoEngine, Duration::from_millis(300)),
-            NoEngine::NotPlaced(wait) => refuse(&self.node, Refusal::NotPlaced, wait),
-            NoEngine::Full(wait) => refuse(&self.node, Refusal::Full, wait),
+            NoEngine::None => self.refuse(Refusal::NoEngine, NO_ENGINE),
+            NoEngine::NotPlaced(wait) => self.refuse(Refusal::NotPlaced, wait),
+            NoEngine::Full(wait) => self.refuse(Refusal::Full, wait),
         }
     }
+
+    /// Logs an engine's whole answer, and what it was chosen by.
+    pub(super) fn served(&self, engine: &EngineId, status: u16, pace: &Pace) {
+        let wanted = self.wanted().map(Wanted::to_string).unwrap_or_default();
+        let (estimate, own) =
+            self.node.engine(engine, |e| (e.estimate(self.node.now()), e.own)).unwrap_or_default();
+        emit(
+            Event::RequestServed,
+            &[
+                ("node", &self.node.settings.borrow().node),
+                ("id", &self.call.id),
+                ("route", &self.route.name),
+                ("wanted", &wanted),
+                ("priority", &self.route.priority),
+                ("upstream", engine),
+                ("status", &status),
+                ("ms", &self.arrived.elapsed().as_millis()),
+                ("pieces", &pace.pieces),
+                ("longest_pause_ms", &pace.longest.as_millis()),
+                ("runs", &self.runs),
+                ("at_engine", &estimate),
+                ("own_at_engine", &own),
+            ],
+        );
+    }
+
+    /// Refuses the request, which has not run, with a time to come back.
+    pub(super) fn refuse(&self, why: Refusal, wait: Duration) -> Answer {
+        let held = self.arrived.elapsed().as_millis();
+        let wanted = self.wanted().map(Wanted::to_string).unwrap_or_default();
+        emit(
+            Event::RequestRefused,
+            &[
+                ("node", &self.node.settings.borrow().node),
+                ("id", &self.call.id),
+                ("route", &self.route.name),
+                ("wanted", &wanted),
+                ("why", &why),
+                ("wait_ms", &wait.as_millis()),
+                ("held_ms", &held),
+                ("unreached", &self.unreached),
+                ("rejected", &self.rejected),
+            ],
+        );
+        refuse(&self.node, why, wait)
+    }
 }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -14,8 +14,8 @@
 
 use super::attempt::{Begun, Tried, Waited};
 use super::events::Events;
-use super::refuse;
-use super::request::Relayed;
+use super::pace::Pace;
+use super::request::{REJECTED, Relayed};
 
 /// Longest pause between two events at an engine that is heard on other connections, in longest pauses
 /// that are on time.
@@ -73,8 +73,7 @@
                 if req.may_go_on() {
                     continue;
                 }
-                let wait = Duration::from_millis(200);
-                return Err(failure.unwrap_or_else(|| refuse(&req.node, Refusal::Full, wait)));
+                return Err(failure.unwrap_or_else(|| req.refuse(Refusal::Full, REJECTED)));
             }
             Tried::Stalled => {
                 failure = Some(own(StatusCode::BAD_GATEWAY, "the engine went silent"));
@@ -93,7 +92,7 @@
     if req.runs > 0 {
         return own(StatusCode::BAD_GATEWAY, "no engine is left");
     }
-    req.refuse(why)
+    req.refuse_for(why)
 }
 
 /// A stream that is under way.
@@ -108,6 +107,7 @@
     is_events: bool,
     _at_engine: AtEngine,
     over: bool,
+    pace: Pace,
 }
 
 impl Flow {
@@ -125,6 +125,7 @@
             is_events,
             _at_engine: at_engine,
             over: false,
+            pace: Pace::begin(),
         }
     }
 
@@ -140,6 +141,7 @@
                     self.req.node.heard(&self.engine);
                     let ready = if self.is_events { self.events.push(bytes) } else { Some(bytes) };
                     if let Some(bytes) = ready {
+                        self.pace.piece();
                         return Some((Ok(bytes), self));
                     }
                 }
@@ -211,6 +213,7 @@
         if let (Some(conn), Some(addr)) = (self.conn.take(), addr) {
             node.pool.put(addr, conn);
         }
+        self.req.served(&self.engine, 200, &self.pace);
     }
 
     fn break_off(mut self) -> (Result<Bytes, BrokenOff>, Flow) {
