--- a/crates/direct/src/catalog.rs
+++ b/crates/direct/src/catalog.rs
@@ -115,6 +115,10 @@
     pub weights_mb: f64,
     /// Time of a load from the weight store.
     pub load: Duration,
+    /// Time of a load from the engine's own disk.
+    pub from_disk: Duration,
+    /// Time of a load from the memory of the engine's machine.
+    pub from_memory: Duration,
     /// Number of its adapters.
     pub adapters: u32,
     /// Megabytes of one adapter.
--- a/crates/direct/src/demand.rs
+++ b/crates/direct/src/demand.rs
@@ -19,6 +19,7 @@
 pub struct Demand {
     models: IndexMap<String, Rate>,
     wanted: IndexMap<Wanted, Rate>,
+    since: Option<Millis>,
 }
 
 /// Requests a second.
@@ -43,6 +44,7 @@
 impl Demand {
     /// So many requests for it came.
     pub fn saw(&mut self, now: Millis, wanted: &Wanted, count: f64) {
+        self.since.get_or_insert(now);
         if !self.models.contains_key(&wanted.model) {
             self.models.insert(wanted.model.clone(), Rate::default());
         }
@@ -55,6 +57,11 @@
         }
     }
 
+    /// When the first request was counted.
+    pub fn since(&self) -> Option<Millis> {
+        self.since
+    }
+
     /// Something waits for it now; its request is counted by [`Demand::saw`].
     pub fn touch(&mut self, now: Millis, wanted: &Wanted) {
         self.wanted.entry(wanted.clone()).or_default().asked = now;
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -34,6 +34,15 @@
     pub adapters: Vec<String>,
 }
 
+/// Weights that an engine keeps beside what it holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AtHand {
+    /// In its machine's memory.
+    pub in_memory: Vec<String>,
+    /// On its own disk.
+    pub on_disk: Vec<String>,
+}
+
 /// An engine as the list of engines has it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listed {
@@ -51,6 +60,8 @@
     pub standing: Standing,
     /// What it holds.
     pub held: Vec<Held>,
+    /// What it need not fetch to load.
+    pub at_hand: AtHand,
     /// How much longer it is slow after its start, in milliseconds.
     pub cold_ms: u64,
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,7 +19,7 @@
 };
 pub use choose::{Ask, Choice, NoEngine, choose};
 pub use demand::{Demand, Rates};
-pub use engines::{Engine, EngineId, Engines, Held, Listed, Load, Standing};
+pub use engines::{AtHand, Engine, EngineId, Engines, Held, Listed, Load, Standing};
 pub use judge::{Judge, Verdict};
 pub use prompt::{EmptyModel, Part, Prompt, Wanted};
 pub use refuse::{RETRY_LEAST, Refusal, come_back};
--- a/crates/direct/src/place/ceiling.rs
+++ b/crates/direct/src/place/ceiling.rs
@@ -9,8 +9,15 @@
     pub loads_per_s: f64,
     /// The time over which they are counted.
     pub window: Millis,
-    /// Loads that may be under way at a time.
-    pub at_once: u32,
+}
+
+/// Loads that may begin at once beyond the rate.
+const BURST: f64 = 2.0;
+
+impl CeilingLimits {
+    fn most(&self) -> f64 {
+        self.loads_per_s * self.window as f64 / 1000.0 + BURST
+    }
 }
 
 /// Loads from the weight store that have begun in the window.
@@ -25,8 +32,7 @@
         while self.begun.front().is_some_and(|t| *t + limits.window < now) {
             self.begun.pop_front();
         }
-        let allowed = limits.loads_per_s * limits.window as f64 / 1000.0;
-        (self.begun.len() + 1) as f64 <= allowed.max(1.0)
+        (self.begun.len() + 1) as f64 <= limits.most()
     }
 
     /// A load begins.
@@ -37,7 +43,7 @@
     /// The predecessor may have begun as many loads as the window takes, up to now; `but` so many more are
     /// left.
     pub fn assume_full(&mut self, now: Millis, limits: &CeilingLimits, but: usize) {
-        let allowed = (limits.loads_per_s * limits.window as f64 / 1000.0) as usize;
-        self.begun = std::iter::repeat_n(now, allowed.saturating_sub(but)).collect();
+        let most = limits.most() as usize;
+        self.begun = std::iter::repeat_n(now, most.saturating_sub(but)).collect();
     }
 }
--- a/crates/direct/src/place/mod.rs
+++ b/crates/direct/src/place/mod.rs
@@ -10,5 +10,5 @@
 
 pub use adapters::{AdapterStep, place_adapter, spread_adapters};
 pub use ceiling::{Ceiling, CeilingLimits};
-pub use models::{ModelStep, Pending, next_model_step};
+pub use models::{Allowed, ModelStep, Pending, Source, next_model_step};
 pub use room::{Room, room};
--- a/crates/direct/tests/support/mod.rs
+++ b/crates/direct/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! Engines and pools for tests of decisions.
 
-use hgw_direct::{EngineId, Engines, Held, Listed, ServiceId, Standing, Wanted};
+use hgw_direct::{AtHand, EngineId, Engines, Held, Listed, ServiceId, Standing, Wanted};
 
 /// `MODEL` or `MODEL/ADAPTER`.
 pub(crate) fn wanted(text: &str) -> Wanted {
@@ -26,6 +26,7 @@
         slots: 64,
         standing: Standing::Ready,
         held,
+        at_hand: AtHand::default(),
         cold_ms: 0,
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
-use hgw_direct::{Catalog, EngineId, Held, Listed, Load, Prompt, Wanted};
+use hgw_direct::{AtHand, Catalog, EngineId, Held, Listed, Load, Prompt, Wanted};
 use hgw_http1::{Head, Request};
 use http::HeaderMap;
 use http::request::Parts;
@@ -145,6 +145,8 @@
 pub struct Report {
     /// What it holds.
     pub held: Vec<Held>,
+    /// What it need not fetch to load.
+    pub at_hand: AtHand,
     /// Adapters that are on their way to it.
     pub coming: Vec<Wanted>,
     /// Whether an order for a model is under way.
--- a/crates/gateway/src/keeper/give.rs
+++ b/crates/gateway/src/keeper/give.rs
@@ -150,6 +150,7 @@
     }
     known.orders = report.seq;
     known.listed.held = report.held;
+    known.listed.at_hand = report.at_hand;
     known.coming = report.coming;
     known.told = Some((report.load, now, known.own));
     drop(state);
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -28,7 +28,7 @@
 const BUSY_CHECK: Duration = Duration::from_millis(400);
 
 /// Loads from the weight store that a new holder gives while what its predecessor began still counts.
-const FIRST_LOADS: usize = 3;
+const FIRST_LOADS: usize = 1;
 
 /// The keeper's books.
 #[derive(Debug, Default)]
@@ -38,7 +38,7 @@
     demand: Demand,
     ceiling: Ceiling,
     pending: Pending,
-    /// Engines that load a model, and since when.
+    /// Engines that load a model, and when that is probably done.
     loading: IndexMap<EngineId, Millis>,
     /// Engines whose state was asked for under this claim.
     surveyed: IndexSet<EngineId>,
@@ -89,6 +89,7 @@
     keeper.surveyed.retain(|id| ids.contains(id));
     keeper.desks.retain(|id, _| ids.contains(id));
     keeper.pending.retain(|id, _| ids.contains(id));
+    keeper.loading.retain(|id, _| ids.contains(id));
     for id in ids {
         if !keeper.surveyed.contains(&id) && keeper.surveying.insert(id.clone()) {
             let node = Rc::clone(node);
@@ -129,7 +130,7 @@
 
 fn ceiling_limits(node: &Node, pool: &Pool) -> CeilingLimits {
     let window = node.settings.borrow().load_window.as_millis() as Millis;
-    CeilingLimits { loads_per_s: pool.loads_per_s, window, at_once: u32::MAX }
+    CeilingLimits { loads_per_s: pool.loads_per_s, window }
 }
 
 fn desk(node: &Node, engine: &EngineId) -> Rc<Mutex<()>> {
