--- a/crates/direct/src/place/models.rs
+++ b/crates/direct/src/place/models.rs
@@ -82,7 +82,7 @@
 const LEAST_IN_DEMAND: usize = 2;
 
 /// Requests a second from which a model counts as in demand.
-const IN_DEMAND: f64 = 3.0;
+const IN_DEMAND: f64 = 6.0;
 
 /// Requests a second that one copy serves at the most, as a part of its engine's slots: beyond, requests
 /// wait at it until their callers leave.
