--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -10,8 +10,10 @@
 
 use super::request::Relayed;
 
-/// Silence of an engine on all connections, while a request waits there, after which it counts as dark.
-const DARK_AFTER: Duration = Duration::from_millis(350);
+/// Silence of an engine on all connections, while a request waits there, after which it counts as dark. A full
+/// engine that reads several long prompts is silent for up to 350 ms; callers leave a silent stream after
+/// two seconds.
+const DARK_AFTER: Duration = Duration::from_millis(600);
 
 /// Longest wait for a first byte at an engine that is heard on other connections, in objectives of the
 /// route: a request may hang alone.
@@ -47,7 +49,7 @@
 }
 
 /// The same where few requests of this node are there: their own pauses say little of the engine.
-const DARK_AFTER_FEW: Duration = Duration::from_millis(600);
+const DARK_AFTER_FEW: Duration = Duration::from_millis(900);
 
 /// Requests of this node at an engine from which their common silence says much.
 const FEW: u32 = 3;
@@ -247,7 +249,8 @@
             }
             let silent = self.node.silent_for(engine).min(now - began);
             if silent >= dark_after || now - began >= hung {
-                if self.may_go_on() {
+                // Only where another engine can take it is it taken from this one.
+                if self.choose_now().is_ok() && self.may_go_on() {
                     return Waited::Stalled;
                 }
                 return self.bounded(work).await;
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -189,7 +189,7 @@
         None
     }
 
-    fn choose_now(&self) -> Result<Choice, NoEngine> {
+    pub(super) fn choose_now(&self) -> Result<Choice, NoEngine> {
         let state = self.node.state.borrow();
         let settings = self.node.settings.borrow();
         let most = state.catalog.as_ref().and_then(|c| c.services.get(&self.service));
--- a/crates/hibiscusgw/tests/platform/streams.rs
+++ b/crates/hibiscusgw/tests/platform/streams.rs
@@ -76,6 +76,30 @@
     assert_eq!(fleet.runs("s-1"), 2);
 }
 
+/// The only engine with the model pauses for a second in the middle of a stream. Taken from it, the stream
+/// could go on nowhere and would be cut: it is waited for.
+#[test]
+fn stream_waits_for_its_only_engine() {
+    let one = EngineSettings {
+        pause: Duration::from_millis(20),
+        events: 30,
+        ..engine("i-1", &[("m", &[])])
+    };
+    let mut fleet = Fleet::new(vec![one, engine("i-2", &[("n", &[])])]);
+    let node = fleet.start("a");
+    std::thread::scope(|scope| {
+        let fleet = &fleet;
+        let stream = scope.spawn(move || fleet.nodes[node].stream("/ask/", "s-1", "m"));
+        wait("the stream runs", || fleet.runs("s-1") == 1);
+        std::thread::sleep(Duration::from_millis(100));
+        fleet.engine("i-1").fault(&Faults { slow: 70.0, ..Faults::default() });
+        std::thread::sleep(Duration::from_millis(1_000));
+        fleet.engine("i-1").fault(&Faults::default());
+        assert_eq!(stream.join().unwrap().unwrap().body, whole(30));
+    });
+    assert_eq!(fleet.runs("s-1"), 1);
+}
+
 /// Nobody holds the adapter when the request comes. The keeper has it loaded, and the request is sent when
 /// the order holds: never in hope.
 #[test]
