--- a/crates/direct/src/judge.rs
+++ b/crates/direct/src/judge.rs
@@ -22,6 +22,9 @@
 /// Longest such time: an engine that is back must be found within it.
 const LONGEST_PAUSE: Millis = 2_000;
 
+/// Time after it was left alone for which an engine that nothing was sent to still counts as silent.
+const SILENT_FOR: Millis = 2_000;
+
 /// Answers that are assumed good before the first one has come, so that one failure does not condemn.
 const PRIOR: f64 = 2.0;
 
@@ -70,6 +73,11 @@
         now < self.left_alone_until
     }
 
+    /// Whether it could not be reached when that was last tried.
+    pub fn is_silent(&self, now: Millis) -> bool {
+        self.silent_in_a_row > 0 && now < self.left_alone_until + SILENT_FOR
+    }
+
     fn decay(&mut self, now: Millis) {
         let keep = decay(now.saturating_sub(self.at));
         self.good *= keep;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 mod judge;
 pub mod place;
 mod prompt;
+mod reach;
 mod refuse;
 
 pub use budget::{Budget, BudgetLimits};
@@ -22,6 +23,7 @@
 pub use engines::{AtHand, Engine, EngineId, Engines, Held, Listed, Load, Standing};
 pub use judge::{Judge, Verdict};
 pub use prompt::{EmptyModel, Part, Prompt, Wanted};
+pub use reach::is_cut_off;
 pub use refuse::{RETRY_LEAST, Refusal, come_back};
 
 /// Milliseconds since the start of the process.
--- a/crates/direct/src/place/models.rs
+++ b/crates/direct/src/place/models.rs
@@ -112,18 +112,19 @@
     let count = engines.len();
     let copy_rate = (f64::from(pool.slots) * COPY_RATE_OF_SLOTS).max(1.0);
     let target = |model: &str| {
-        let rate = rate(model);
-        if rate < IN_DEMAND {
-            return 1;
-        }
-        // More than its share of the engines would take them from other models.
-        let by_share = (count as f64 * rate / sum.max(f64::EPSILON)).ceil() as usize;
-        let by_rate = ((rate / copy_rate).ceil() as usize).min(by_share);
         // One place for each adapter that is asked for: a place that changes hands waits for its requests.
         let in_use = |(w, r): &(&Wanted, &f64)| w.model == model && **r >= ADAPTER_IN_USE;
         let adapters = rates.adapters.iter().filter(in_use).count();
         let by_adapters = adapters.div_ceil(pool.adapter_slots.max(1) as usize);
-        by_rate.max(by_adapters).max(LEAST_IN_DEMAND).min(count.max(1))
+        let rate = rate(model);
+        // More than its share of the engines would take them from other models.
+        let by_share = (count as f64 * rate / sum.max(f64::EPSILON)).ceil() as usize;
+        let by_rate = ((rate / copy_rate).ceil() as usize).min(by_share);
+        if rate < IN_DEMAND {
+            return 1;
+        }
+        let least = LEAST_IN_DEMAND.max(by_rate);
+        least.max(by_adapters).min(count.max(1))
     };
     pool.models.keys().map(|m| (m.clone(), target(m))).collect()
 }
--- a/crates/direct/tests/choose.rs
+++ b/crates/direct/tests/choose.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use hgw_direct::{Ask, Choice, EngineId, Engines, Load, NoEngine, Part, Prompt, Verdict, choose};
+use hgw_direct::{
+    Ask, Choice, EngineId, Engines, Load, NoEngine, Part, Prompt, Verdict, choose, is_cut_off,
+};
 use support::{engines, listed, service, wanted};
 
 fn prompt(want: &str, session: u64) -> Prompt {
@@ -123,3 +125,19 @@
     engines.get_mut(&"e1".into()).unwrap().own = 128;
     assert_matches!(chosen(&engines, "m", &[]), Err(NoEngine::Full(wait)) if !wait.is_zero());
 }
+
+/// A failure domain is cut off from the others, and callers still reach its nodes. These say that they are not
+/// ready, so that callers go where they are served. While just the store is down, nobody does.
+#[test]
+fn node_that_reaches_neither_store_nor_other_domains_is_cut_off() {
+    let mut engines =
+        engines(&[("e1", "a", &["m"]), ("e2", "b", &[]), ("e3", "c", &[]), ("e4", "d", &[])]);
+    assert!(!is_cut_off(5_000, &engines, "a", 5_000));
+    for id in ["e2", "e3", "e4"] {
+        engines.get_mut(&id.into()).unwrap().judge.saw(5_000, Verdict::Silent);
+    }
+    assert!(is_cut_off(2_000, &engines, "a", 5_100));
+    assert!(!is_cut_off(100, &engines, "a", 5_100));
+    engines.get_mut(&"e2".into()).unwrap().judge.saw(5_200, Verdict::Good);
+    assert!(!is_cut_off(2_000, &engines, "a", 5_300));
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -162,6 +162,7 @@
 
     /// It answered; tells whether it had not before.
     pub(crate) fn up(&mut self) -> bool {
+        self.node.store_heard.set(self.node.now());
         let back = self.up == Some(false);
         if back {
             let name = self.node.settings.borrow().node.clone();
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -98,7 +98,7 @@
     usage.requests.set(usage.requests.get() + 1);
     let counted = Counted(usage, Rc::clone(&node));
     let mut answer = relay::answer(&node, req).await;
-    if node.is_stopping() {
+    if node.sends_away() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     drop(counted);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -129,7 +129,8 @@
     }
 }
 
-/// Finds out that the machine stood still: kept connections may have ended meanwhile.
+/// Finds out that the machine stood still, as kept connections may have ended meanwhile, and that this node is
+/// cut off.
 async fn watch_clocks(node: Node) {
     let mut last = boot_time();
     loop {
@@ -142,6 +143,7 @@
             emit(Event::StoodStill, &[("node", &name), ("ms", &ms)]);
         }
         last = now;
+        node.look_around();
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,7 +5,9 @@
 
 use hgw_direct::{
     Budget, BudgetLimits, Catalog, Engine, EngineId, Engines, Millis, ServiceId, Verdict, Wanted,
+    is_cut_off,
 };
+use hgw_events::{Event, emit};
 use hgw_http1::ConnectLimits;
 use indexmap::IndexMap;
 use tokio::sync::Notify;
@@ -33,6 +35,10 @@
     pub(crate) holding: RefCell<Holding>,
     pub(crate) keeper: RefCell<KeeperState>,
     pub(crate) stop: Stopping,
+    /// When the store last answered.
+    pub(crate) store_heard: Cell<Millis>,
+    /// Whether this node reaches neither the store nor engines elsewhere.
+    cut_off: Cell<bool>,
     /// Told whenever an engine is seen to hold something new.
     pub(crate) placed: Notify,
 }
@@ -80,6 +86,8 @@
             holding: RefCell::default(),
             keeper: RefCell::default(),
             stop: Stopping::default(),
+            store_heard: Cell::new(0),
+            cut_off: Cell::new(false),
             placed: Notify::new(),
         })
     }
@@ -95,7 +103,26 @@
     /// Whether callers are to be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        state.catalog.is_some() && state.listed && !self.is_stopping()
+        state.catalog.is_some() && state.listed && !self.is_stopping() && !self.cut_off.get()
+    }
+
+    /// Whether callers are better served by other nodes, to which their next connection leads them.
+    pub(crate) fn sends_away(&self) -> bool {
+        self.is_stopping() || self.cut_off.get()
+    }
+
+    /// Looks whether this node is cut off.
+    pub(crate) fn look_around(&self) {
+        let now = self.now();
+        let silent_for = now.saturating_sub(self.store_heard.get());
+        let cut_off = {
+            let (state, settings) = (self.state.borrow(), self.settings.borrow());
+            is_cut_off(silent_for, &state.engines, &settings.domain, now)
+        };
+        if cut_off != self.cut_off.replace(cut_off) {
+            let node = self.settings.borrow().node.clone();
+            emit(Event::ReadinessChanged, &[("node", &node), ("ready", &self.is_ready())]);
+        }
     }
 
     pub(crate) fn budget_limits(&self) -> BudgetLimits {
