One node reads the store for all: the keeper passes the list on and tells of new configurations

A node whose keeper's word is older than 1.25 s reads for itself, so that a keeper that is cut off, frozen or slow holds nobody up.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,21 +5,21 @@
 
 use hgw_direct::{Listed, Standing};
 use hgw_events::{Event, emit};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::dialect::{CatalogNews, EngineEntry, EngineNews, StoreError};
+use crate::keeper;
 use crate::shared::Node;
 
 /// Pause after a call that failed. The store counts refused calls too.
 const AFTER_FAILURE: Duration = Duration::from_millis(300);
 
-/// How long a call for a new configuration waits at the store. A connection that goes silent is found
-/// out a moment after it.
-const CATALOG_WAIT: Duration = Duration::from_millis(1_000);
+/// By how much the keeper reads the list more often than a node that reads for itself: what it passes on is
+/// older by the time between two exchanges.
+const KEEPER_READS: u32 = 3;
 
-/// Time between two reads of the list of engines: with the way of a request it must stay below the time
-/// within which an engine that leaves gets no more work.
-const LIST_PAUSE: Duration = Duration::from_millis(750);
+/// Time between two looks whether the keeper still tells what the store does.
+const LOOK: Duration = Duration::from_millis(100);
 
 /// Time after the store's return for which entries that are missing are kept: they come back with their
 /// engines' next heartbeats.
@@ -30,7 +30,13 @@
     let mut cursor = None;
     let mut link = Link::new(&node, "configuration");
     loop {
-        match node.dialects.store.catalog(cursor, CATALOG_WAIT).await {
+        if node.is_followed() && !node.lacks_catalog() && node.state.borrow().catalog.is_some() {
+            // The keeper reads for all nodes, and tells.
+            let _ = timeout(LOOK, node.catalog_news.notified()).await;
+            continue;
+        }
+        let wait = node.settings.borrow().catalog_wait();
+        match node.dialects.store.catalog(cursor, wait).await {
             Ok(news) => {
                 link.up();
                 cursor = Some(news.cursor);
@@ -67,6 +73,8 @@
         &[("node", &node.settings.borrow().node), ("version", &catalog.version)],
     );
     state.catalog = Some(Arc::clone(&catalog));
+    drop(state);
+    keeper::catalog_changed(node);
 }
 
 /// Follows the list of engines until the process ends.
@@ -75,8 +83,16 @@
     let mut link = Link::new(&node, "engines");
     let mut back_at = None;
     loop {
+        if node.is_followed() && node.state.borrow().listed {
+            // Read anew from the start once the keeper tells no more.
+            (cursor, back_at) = (None, None);
+            sleep(LOOK).await;
+            node.pool.sweep();
+            continue;
+        }
         match node.dialects.store.engines(cursor).await {
             Ok(news) => {
+                node.list_read.set(node.now());
                 if link.up() {
                     back_at = Some(node.now());
                 }
@@ -90,7 +106,9 @@
                     cursor = None;
                     continue;
                 }
-                sleep(LIST_PAUSE).await;
+                let pause = node.settings.borrow().list_pause();
+                let keeps = node.holding.borrow().is_mine();
+                sleep(if keeps { pause / KEEPER_READS } else { pause }).await;
             }
             Err(e) => {
                 link.down(&e);
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -23,8 +23,14 @@
 /// Pause after a call that failed.
 const AFTER_FAILURE: Duration = Duration::from_millis(250);
 
-/// Longest that nodes wait beyond a lease before they claim, so that they do not all try at once.
-const SPREAD: Duration = Duration::from_millis(300);
+/// Time between two looks whether the holder still answers.
+const HOLDER_CHECK: Duration = Duration::from_millis(100);
+
+/// Time that a node with a whole processor waits before it claims, so that they do not all try at once.
+const SPREAD: Duration = Duration::from_millis(60);
+
+/// Longest such time. A node with less of a processor waits longer: the holder does more than others.
+const MOST_SPREAD: Duration = Duration::from_millis(700);
 
 /// A record of the claim's log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,7 +111,8 @@
 
 /// Claims, renews and follows the claim until the process ends.
 pub(crate) async fn hold(node: Node) {
-    let spread = SPREAD.mul_f64(random());
+    let processor = node.settings.borrow().processor.clamp(0.01, 1.0);
+    let spread = SPREAD.div_f64(processor).min(MOST_SPREAD).mul_f64(0.5 + random::<f64>() / 2.0);
     let mut reader = Reader { node: Rc::clone(&node), end: None, quiet_since: None, spread };
     let mut link = Link::new(&node, "claim");
     loop {
@@ -175,7 +182,14 @@
             let settings = self.node.settings.borrow();
             (settings.lease, settings.node.clone())
         };
-        if let Err(e) = self.read(lease / 2).await {
+        if self.node.is_followed() {
+            // The holder answers, and its word is as new as its last renewal.
+            self.quiet_since = None;
+            sleep(HOLDER_CHECK).await;
+            return Ok(());
+        }
+        let wait = if self.is_free(&me) { self.spread } else { lease / 2 };
+        if let Err(e) = self.read(wait).await {
             // While the store does not answer its holder cannot renew either.
             self.quiet_since = None;
             return Err(e);
@@ -186,13 +200,18 @@
         }
         let now = self.node.now();
         let quiet = now - *self.quiet_since.get_or_insert(now);
-        let last = self.node.holding.borrow().keeper.clone();
-        let free = last.as_ref().is_none_or(|keeper| keeper.node == me);
+        let free = self.is_free(&me) && quiet >= self.spread.as_millis() as Millis;
         let out = quiet >= (lease + self.spread).as_millis() as Millis;
         let listed = self.node.state.borrow().listed;
         if listed && (free || out) { self.claim().await } else { Ok(()) }
     }
 
+    /// Whether nobody holds the claim, or this machine did before its process ended.
+    fn is_free(&self, me: &str) -> bool {
+        let holding = self.node.holding.borrow();
+        holding.keeper.as_ref().is_none_or(|keeper| keeper.node == me)
+    }
+
     async fn claim(&mut self) -> Result<(), StoreError> {
         let Some(end) = self.end else { return Ok(()) };
         let node = Rc::clone(&self.node);
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -2,6 +2,7 @@
 
 mod adapters;
 mod give;
+mod listing;
 mod models;
 
 use std::rc::Rc;
@@ -17,6 +18,7 @@
 use crate::shared::Node;
 
 pub(crate) use adapters::want;
+pub(crate) use listing::{ListNews, Passed};
 
 /// Time between two looks at what should be ordered.
 const TICK: Duration = Duration::from_millis(100);
@@ -54,12 +56,15 @@
     version: u64,
     versions: IndexMap<EngineId, u64>,
     changed: Rc<Notify>,
+    listing: listing::Listing,
 }
 
 /// Takes the duty up under a new claim.
 pub(crate) fn begin(node: &Node, fence: u64) {
     let now = node.now();
     let mut keeper = KeeperState { fence, ..KeeperState::default() };
+    // Before anyone asks: an empty list would be taken for the whole one.
+    keeper.listing.look(node);
     for (_, pool) in pools(node) {
         keeper.ceiling.assume_full(now, &ceiling_limits(node, &pool), FIRST_LOADS);
     }
@@ -70,6 +75,7 @@
 async fn run(node: Node, fence: u64) {
     while node.keeper.borrow().fence == fence && node.holding.borrow().is_mine() {
         survey(&node);
+        look_at_list(&node);
         for (service, pool) in pools(&node) {
             models::step(&node, &service, &pool);
             adapters::step(&node, &service, &pool);
@@ -138,6 +144,11 @@
     Rc::clone(keeper.desks.entry(engine.clone()).or_default())
 }
 
+/// A configuration has come into force here.
+pub(crate) fn catalog_changed(node: &Node) {
+    node.keeper.borrow().changed.notify_waiters();
+}
+
 /// Takes in what a node was asked for.
 pub(crate) fn asked(node: &Node, asked: &[Asked]) {
     let now = node.now();
@@ -148,20 +159,39 @@
     }
 }
 
-/// What has changed since a version; waits a while for something.
-pub(crate) async fn news(node: &Node, since: u64) -> News {
-    let (version, changed) = {
+/// Tells those who wait where the list of engines or the configuration has changed.
+fn look_at_list(node: &Node) {
+    let mut keeper = node.keeper.borrow_mut();
+    if keeper.listing.look(node) {
+        keeper.changed.notify_waiters();
+    }
+}
+
+/// What has changed since versions of what engines hold, of the list, and of the configuration; waits a
+/// while for something.
+pub(crate) async fn news(node: &Node, since: u64, list: u64, catalog: u64) -> News {
+    let current = || node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
+    let (nothing, changed) = {
         let keeper = node.keeper.borrow();
-        (keeper.version, Rc::clone(&keeper.changed))
+        let nothing =
+            keeper.version <= since && keeper.listing.version() <= list && current() <= catalog;
+        (nothing, Rc::clone(&keeper.changed))
     };
-    if version <= since {
+    if nothing {
         // Without news the wait ends by itself.
         let _ = timeout(NEWS_WAIT, changed.notified()).await;
     }
     let keeper = node.keeper.borrow();
     let newer = keeper.versions.iter().filter(|(_, v)| **v > since).map(|(id, _)| id);
     let engines = newer.filter_map(|id| told(node, id)).collect();
-    News { version: keeper.version, engines }
+    News {
+        version: keeper.version,
+        engines,
+        list: keeper.listing.since(node, list),
+        catalog: current(),
+        age_ms: node.followed_age(),
+        nodes: node.state.borrow().nodes,
+    }
 }
 
 /// What the engines that hold something hold.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hgw_direct::{EngineId, Held, Wanted};
+use hgw_direct::{AtHand, EngineId, Engines, Held, Listed, Standing, Wanted};
 use hgw_http1::{Body, Request};
 use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -18,9 +18,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::answer::{Answer, AnswerBody, Answered, own};
-use crate::keeper;
+use crate::keeper::{self, ListNews, Passed};
 use crate::listen;
-use crate::shared::Node;
+use crate::shared::{Node, State};
 
 /// Longest that the keeper holds an answer back for want of news.
 pub(crate) const NEWS_WAIT: Duration = Duration::from_millis(400);
@@ -64,6 +64,10 @@
     fence: u64,
     /// What it has of that keeper's news.
     version: u64,
+    /// What it has of that keeper's list of engines.
+    list: u64,
+    /// The configuration that it has.
+    catalog: u64,
     asked: Vec<Asked>,
 }
 
@@ -72,6 +76,14 @@
 pub(crate) struct News {
     pub(crate) version: u64,
     pub(crate) engines: Vec<Told>,
+    /// The list of engines.
+    pub(crate) list: ListNews,
+    /// The newest configuration.
+    pub(crate) catalog: u64,
+    /// Time since the keeper last read both from the store.
+    pub(crate) age_ms: u64,
+    /// Nodes that share budgets and connections.
+    pub(crate) nodes: u32,
 }
 
 /// Asks the keeper for a model or an adapter.
@@ -105,7 +117,7 @@
 
 /// Exchanges demand against placement with the keeper until the process ends.
 pub(crate) async fn exchange(node: Node) {
-    let (mut fence, mut version) = (0, 0);
+    let (mut fence, mut version, mut list) = (0, 0, 0);
     loop {
         let keeper = node.holding.borrow().keeper.clone();
         let mine = node.holding.borrow().is_mine();
@@ -121,16 +133,21 @@
             continue;
         };
         if keeper.fence != fence {
-            (fence, version) = (keeper.fence, 0);
+            (fence, version, list) = (keeper.fence, 0, 0);
         }
-        let tell = Tell { fence, version, asked };
+        let catalog = node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
+        let tell = Tell { fence, version, list, catalog, asked };
         let news: Option<News> =
             call(&node, keeper.addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
         match news {
             Some(news) => {
                 version = news.version;
+                list = news.list.version;
+                take_in_list(&node, news.list, news.age_ms);
                 take_in(&node, news.engines);
-                sleep(EXCHANGE_LEAST).await;
+                node.catalog_told(news.catalog);
+                node.state.borrow_mut().nodes = news.nodes.max(1);
+                sleep(EXCHANGE_LEAST * node.crowd()).await;
             }
             None => {
                 give_back(&node, tell.asked);
@@ -184,6 +201,45 @@
     }
 }
 
+/// Takes the keeper's list of engines in. An engine that this node knows to leave does not come back by the
+/// word of a keeper that has not read of it yet.
+fn take_in_list(node: &Node, news: ListNews, age_ms: u64) {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    let State { engines, listed, .. } = &mut *state;
+    let entries: Vec<Listed> =
+        news.engines.into_iter().map(|passed| listed_as(engines, passed)).collect();
+    if news.whole {
+        engines.replace(entries, now, false);
+        *listed = true;
+    } else {
+        for entry in entries {
+            engines.list(entry, now);
+        }
+        for gone in &news.gone {
+            engines.unlist(gone);
+        }
+    }
+    drop(state);
+    node.followed(age_ms);
+}
+
+fn listed_as(engines: &Engines, passed: Passed) -> Listed {
+    let known = engines.get(&passed.engine);
+    let leaves = passed.leaving || known.is_some_and(|k| !k.takes_work());
+    Listed {
+        id: passed.engine,
+        service: passed.service.into(),
+        addr: passed.addr,
+        domain: passed.domain,
+        slots: passed.slots,
+        standing: if leaves { Standing::Leaving { gone_at: None } } else { Standing::Ready },
+        held: known.filter(|k| k.told_at.is_some()).map_or(passed.held, |k| k.listed.held.clone()),
+        at_hand: AtHand::default(),
+        cold_ms: u64::from(passed.cold),
+    }
+}
+
 fn take_in(node: &Node, engines: Vec<Told>) {
     if engines.is_empty() {
         return;
@@ -262,7 +318,7 @@
         return own(StatusCode::CONFLICT, "not the keeper");
     }
     keeper::asked(node, &tell.asked);
-    json(&keeper::news(node, tell.version).await)
+    json(&keeper::news(node, tell.version, tell.list, tell.catalog).await)
 }
 
 async fn answer_want(node: &Node, body: &Bytes) -> Answer {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -120,7 +120,11 @@
         if !announced {
             announced = store.announce(&name, Bytes::from(addr.to_string())).await.is_ok();
         }
-        // While the store does not answer the last count stands.
+        // While the store does not answer the last count stands; a keeper counts for all.
+        if announced && node.is_followed() {
+            sleep(COUNT_NODES).await;
+            continue;
+        }
         if let Ok(nodes) = store.nodes().await {
             let count = u32::try_from(nodes.len()).unwrap_or(u32::MAX);
             node.state.borrow_mut().nodes = count.max(1);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,4 +36,34 @@
     pub heartbeat: Duration,
     /// Connections that callers may have open.
     pub connections: usize,
+    /// Share of a processor that this machine has.
+    pub processor: f64,
+}
+
+/// Longest time within which a change should be followed: the store is called as often in deployments that
+/// allow more.
+const FOLLOW_MOST: Duration = Duration::from_millis(2_000);
+
+impl Settings {
+    /// Time within which changes must be followed.
+    fn follow_within(&self) -> Duration {
+        self.apply_within.min(self.drain_within).min(FOLLOW_MOST)
+    }
+
+    /// How long a call for a new configuration waits at the store. A connection that goes silent is found
+    /// out a moment after it.
+    pub(crate) fn catalog_wait(&self) -> Duration {
+        self.follow_within().mul_f64(0.5)
+    }
+
+    /// Time between two reads of the list of engines.
+    pub(crate) fn list_pause(&self) -> Duration {
+        self.follow_within().mul_f64(0.375)
+    }
+
+    /// Age of the keeper's word from which a node reads the store itself: longer than the keeper's own reads
+    /// take turns, and short enough to read what was missed in time.
+    pub(crate) fn followed_for(&self) -> Duration {
+        self.follow_within().mul_f64(0.625)
+    }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -25,6 +25,9 @@
 /// Longest time that bytes sent to an engine stay unacknowledged.
 const UNACKED: Duration = Duration::from_secs(1);
 
+/// Nodes that may ask the keeper as often as they like.
+const FEW_NODES: u32 = 10;
+
 /// Everything that the tasks of a node share.
 pub(crate) struct Shared {
     pub(crate) settings: RefCell<Settings>,
@@ -37,6 +40,14 @@
     pub(crate) stop: Stopping,
     /// When the store last answered.
     pub(crate) store_heard: Cell<Millis>,
+    /// When this node last read the list of engines.
+    pub(crate) list_read: Cell<Millis>,
+    /// Up to when this node has what the store tells, by its own reading or the keeper's.
+    followed_at: Cell<Option<Millis>>,
+    /// The newest configuration that the keeper told of.
+    told_catalog: Cell<u64>,
+    /// Told when the keeper has news of the configuration.
+    pub(crate) catalog_news: Notify,
     /// Whether this node reaches neither the store nor engines elsewhere.
     cut_off: Cell<bool>,
     /// Told whenever an engine is seen to hold something new.
@@ -87,6 +98,10 @@
             keeper: RefCell::default(),
             stop: Stopping::default(),
             store_heard: Cell::new(0),
+            list_read: Cell::new(0),
+            followed_at: Cell::new(None),
+            told_catalog: Cell::new(0),
+            catalog_news: Notify::new(),
             cut_off: Cell::new(false),
             placed: Notify::new(),
         })
@@ -106,6 +121,46 @@
         state.catalog.is_some() && state.listed && !self.is_stopping() && !self.cut_off.get()
     }
 
+    /// The keeper told what the store told it so many milliseconds ago.
+    pub(crate) fn followed(&self, age_ms: u64) {
+        let at = self.now().saturating_sub(age_ms);
+        self.followed_at.set(self.followed_at.get().max(Some(at)));
+        self.store_heard.set(self.store_heard.get().max(at));
+    }
+
+    /// Whether the keeper tells what the store does, so that this node need not read it.
+    pub(crate) fn is_followed(&self) -> bool {
+        let keeps = self.holding.borrow().is_mine();
+        let longest = self.settings.borrow().followed_for().as_millis() as Millis;
+        let age = self.followed_at.get().map(|at| self.now().saturating_sub(at));
+        !keeps && age.is_some_and(|age| age < longest)
+    }
+
+    /// Time since this node itself last read from the store. The list is read often; a call for the
+    /// configuration waits there, and a change ends it at once.
+    pub(crate) fn followed_age(&self) -> Millis {
+        self.now().saturating_sub(self.list_read.get())
+    }
+
+    /// The keeper has a configuration.
+    pub(crate) fn catalog_told(&self, version: u64) {
+        self.told_catalog.set(version);
+        if self.lacks_catalog() {
+            self.catalog_news.notify_waiters();
+        }
+    }
+
+    /// Whether the keeper told of a newer configuration than this node has.
+    pub(crate) fn lacks_catalog(&self) -> bool {
+        let has = self.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
+        has < self.told_catalog.get()
+    }
+
+    /// By how much nodes hold back, so that the keeper is asked as often by many as by ten.
+    pub(crate) fn crowd(&self) -> u32 {
+        self.state.borrow().nodes.div_ceil(FEW_NODES).max(1)
+    }
+
     /// Whether callers are better served by other nodes, to which their next connection leads them.
     pub(crate) fn sends_away(&self) -> bool {
         self.is_stopping() || self.cut_off.get()
