What the keeper tells is as old as it says; engines' loads are told between nodes

Now its word counts from the question and what it held back, the list is looked at when it is told, and entries are kept only after two heartbeats without the store.

--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -72,6 +72,13 @@
 /// When a caller comes back whose model is nowhere, as long as nobody knows better.
 const PLACED_WITHIN: Duration = Duration::from_millis(1_000);
 
+/// Nodes that may all look at all engines.
+const FEW_NODES: u32 = 12;
+
+/// Part of the engines that each request is chosen among where there are more nodes: two or three of the
+/// usual number of copies, which balances nearly as well as looking at all and needs no fresh knowledge.
+const LOOKED_AT: f64 = 0.4;
+
 /// Requests that may wait at an engine beyond its slots before others are asked to come back.
 const QUEUE_SHARE: f64 = 1.0;
 
@@ -80,6 +87,7 @@
     let mut found = NoEngine::None;
     let mut best: Option<(bool, Choice)> = None;
     let home = ask.prompt.map(home_key);
+    let mean = mean_load(engines, ask.service, now);
     for engine in engines.of(ask.service).filter(|e| e.takes_work()) {
         if found == NoEngine::None {
             found = NoEngine::NotPlaced(PLACED_WITHIN);
@@ -88,7 +96,8 @@
         if wanted.is_some_and(|w| !engine.holds(w)) {
             continue;
         }
-        let estimate = engine.estimate(now);
+        // One that has told nothing is not idle: nobody here has sent there of late.
+        let estimate = engine.known_load(now).unwrap_or_else(|| mean.max(f64::from(engine.own)));
         let room = f64::from(engine.listed.slots) * (1.0 + QUEUE_SHARE);
         if estimate >= room || engine.own >= ask.conns || ask.tried.contains(&engine.listed.id) {
             let wait = Duration::from_millis(250);
@@ -97,8 +106,11 @@
         }
         let cost = cost(engine, estimate, ask, home, now);
         let choice = Choice { engine: engine.listed.id.clone(), cost_ms: cost, estimate };
+        // Many nodes that know the same a little late would all choose the same: each looks at some only.
+        let passed_over =
+            ask.nodes > FEW_NODES && draw_of(ask.draw, &engine.listed.id) >= LOOKED_AT;
         // An engine that could not be reached is the last resort.
-        let alone = engine.judge.is_left_alone(now);
+        let alone = engine.judge.is_left_alone(now) || passed_over;
         let better = best
             .as_ref()
             .is_none_or(|(best_alone, b)| (alone, choice.cost_ms) < (*best_alone, b.cost_ms));
@@ -120,6 +132,18 @@
     batch + queue + domain + prefix + failing + cold + DRAW_MS * ask.draw
 }
 
+/// Mean load of the engines whose load is known.
+fn mean_load(engines: &Engines, service: &ServiceId, now: Millis) -> f64 {
+    let known = engines.of(service).filter_map(|e| e.known_load(now));
+    let (count, sum) = known.fold((0_u32, 0.0), |(count, sum), load| (count + 1, sum + load));
+    if count == 0 { 0.0 } else { sum / f64::from(count) }
+}
+
+/// A draw for one engine in `0..1`, from the draw for the request.
+fn draw_of(draw: f64, engine: &EngineId) -> f64 {
+    rank(draw.to_bits(), engine)
+}
+
 /// Names what a prompt shares with others of its session.
 fn home_key(prompt: &Prompt) -> u64 {
     prompt.parts.last().map_or(0, |part| part.id)
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -128,14 +128,24 @@
         }
     }
 
-    /// Requests that are probably there now: those that it told of, with the change in this node's own.
+    /// Requests that are probably there now, where that is known: those that it told of, with the change in
+    /// this node's own.
+    pub fn known_load(&self, now: Millis) -> Option<f64> {
+        let (load, at, own) = self.told.filter(|(_, at, _)| now.saturating_sub(*at) < TOLD_FOR)?;
+        debug_assert!(at <= now);
+        let told = f64::from(load.running + load.waiting);
+        Some((told + f64::from(self.own) - f64::from(own)).max(f64::from(self.own)))
+    }
+
+    /// Requests that are probably there now: this node's own where it told nothing of late.
     pub fn estimate(&self, now: Millis) -> f64 {
-        match self.told {
-            Some((load, at, own)) if now.saturating_sub(at) < TOLD_FOR => {
-                let told = f64::from(load.running + load.waiting);
-                (told + f64::from(self.own) - f64::from(own)).max(f64::from(self.own))
-            }
-            _ => f64::from(self.own),
+        self.known_load(now).unwrap_or(f64::from(self.own))
+    }
+
+    /// Another node heard of its load some time ago: taken in where this node has heard nothing since.
+    pub fn hear(&mut self, load: Load, at: Millis) {
+        if self.told.is_none_or(|(_, known, _)| known < at) {
+            self.told = Some((load, at, self.own));
         }
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -18,6 +18,10 @@
 /// older by the time between two exchanges.
 const KEEPER_READS: u32 = 3;
 
+/// Heartbeats after which an entry may lapse because the store was away. A shorter silence is this node's own,
+/// and what is missing after it is gone.
+const KEPT_AFTER: u32 = 2;
+
 /// Time between two looks whether the keeper still tells what the store does.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -81,11 +85,11 @@
 pub(crate) async fn engines(node: Node) {
     let mut cursor = None;
     let mut link = Link::new(&node, "engines");
-    let mut back_at = None;
+    let (mut back_at, mut last) = (None, node.now());
     loop {
         if node.is_followed() && node.state.borrow().listed {
             // Read anew from the start once the keeper tells no more.
-            (cursor, back_at) = (None, None);
+            (cursor, back_at, last) = (None, None, node.now());
             sleep(LOOK).await;
             node.pool.sweep();
             continue;
@@ -93,9 +97,12 @@
         match node.dialects.store.engines(cursor).await {
             Ok(news) => {
                 node.list_read.set(node.now());
-                if link.up() {
+                if link.up()
+                    && down_for(&node, last) >= KEPT_AFTER * node.settings.borrow().heartbeat
+                {
                     back_at = Some(node.now());
                 }
+                last = node.now();
                 cursor = Some(news.cursor);
                 let since_back = back_at.map(|at| node.now().saturating_sub(at));
                 let keep = since_back.is_some_and(|t| t < KEPT_FOR.as_millis() as u64);
@@ -112,8 +119,6 @@
             }
             Err(e) => {
                 link.down(&e);
-                // Entries that lapse unseen are found out by reading the whole list.
-                cursor = None;
                 sleep(AFTER_FAILURE).await;
             }
         }
@@ -121,6 +126,10 @@
     }
 }
 
+fn down_for(node: &Node, last: hgw_direct::Millis) -> Duration {
+    Duration::from_millis(node.now().saturating_sub(last))
+}
+
 fn take_in(node: &Node, news: EngineNews, keep: bool) {
     let now = node.now();
     for malformed in &news.malformed {
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -188,7 +188,7 @@
             sleep(HOLDER_CHECK).await;
             return Ok(());
         }
-        let wait = if self.is_free(&me) { self.spread } else { lease / 2 };
+        let wait = if self.is_free(&me) { self.spread } else { self.until_out(lease) };
         if let Err(e) = self.read(wait).await {
             // While the store does not answer its holder cannot renew either.
             self.quiet_since = None;
@@ -206,6 +206,12 @@
         if listed && (free || out) { self.claim().await } else { Ok(()) }
     }
 
+    /// Time until the holder's lease and this node's own wait are over.
+    fn until_out(&self, lease: Duration) -> Duration {
+        let quiet = self.quiet_since.map_or(0, |since| self.node.now().saturating_sub(since));
+        (lease + self.spread).saturating_sub(Duration::from_millis(quiet)).min(lease / 2)
+    }
+
     /// Whether nobody holds the claim, or this machine did before its process ended.
     fn is_free(&self, me: &str) -> bool {
         let holding = self.node.holding.borrow();
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Mutex, Notify};
 use tokio::time::{sleep, timeout};
 
-use crate::peers::{Asked, NEWS_WAIT, News, Told};
+use crate::peers::{Asked, NEWS_WAIT, News, Told, heard_since};
 use crate::shared::Node;
 
 pub(crate) use adapters::want;
@@ -170,6 +170,7 @@
 /// What has changed since versions of what engines hold, of the list, and of the configuration; waits a
 /// while for something.
 pub(crate) async fn news(node: &Node, since: u64, list: u64, catalog: u64) -> News {
+    let began = node.now();
     let current = || node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
     let (nothing, changed) = {
         let keeper = node.keeper.borrow();
@@ -181,6 +182,8 @@
         // Without news the wait ends by itself.
         let _ = timeout(NEWS_WAIT, changed.notified()).await;
     }
+    // What is told is as new as its age says only if it is looked at now.
+    look_at_list(node);
     let keeper = node.keeper.borrow();
     let newer = keeper.versions.iter().filter(|(_, v)| **v > since).map(|(id, _)| id);
     let engines = newer.filter_map(|id| told(node, id)).collect();
@@ -190,7 +193,9 @@
         list: keeper.listing.since(node, list),
         catalog: current(),
         age_ms: node.followed_age(),
+        held_ms: node.now().saturating_sub(began),
         nodes: node.state.borrow().nodes,
+        loads: heard_since(node, 0),
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hgw_direct::{AtHand, EngineId, Engines, Held, Listed, Standing, Wanted};
+use hgw_direct::{AtHand, EngineId, Engines, Held, Listed, Load, Standing, Wanted};
 use hgw_http1::{Body, Request};
 use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -68,6 +68,8 @@
     list: u64,
     /// The configuration that it has.
     catalog: u64,
+    /// Loads that it heard of since the last exchange.
+    loads: Vec<HeardLoad>,
     asked: Vec<Asked>,
 }
 
@@ -80,10 +82,47 @@
     pub(crate) list: ListNews,
     /// The newest configuration.
     pub(crate) catalog: u64,
-    /// Time since the keeper last read both from the store.
+    /// Time since the keeper last read from the store.
     pub(crate) age_ms: u64,
+    /// Time for which it held this answer back.
+    pub(crate) held_ms: u64,
     /// Nodes that share budgets and connections.
     pub(crate) nodes: u32,
+    /// Loads that any node heard of lately.
+    pub(crate) loads: Vec<HeardLoad>,
+}
+
+/// The load of an engine, as somebody heard of it: the requests that ran and waited there, and its age in milliseconds. Written without names: there is one
+/// for each engine in each exchange.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct HeardLoad(EngineId, u32, u32, u64);
+
+/// Age up to which a load is passed on.
+const HEARD_FOR: u64 = 1_500;
+
+/// Loads that were heard of since a time, with their age.
+pub(crate) fn heard_since(node: &Node, since: u64) -> Vec<HeardLoad> {
+    let now = node.now();
+    let since = since.max(now.saturating_sub(HEARD_FOR));
+    let state = node.state.borrow();
+    let told = state.engines.iter().filter_map(|e| Some((e, e.told?)));
+    let newer = told.filter(|(_, (_, at, _))| *at > since);
+    let heard = newer.map(|(e, (load, at, _))| {
+        HeardLoad(e.listed.id.clone(), load.running, load.waiting, now.saturating_sub(at))
+    });
+    heard.collect()
+}
+
+/// Takes in what another node heard of.
+fn take_in_loads(node: &Node, loads: Vec<HeardLoad>) {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    for HeardLoad(engine, running, waiting, age_ms) in loads {
+        if let Some(engine) = state.engines.get_mut(&engine) {
+            let load = Load { running, waiting, slots: engine.listed.slots };
+            engine.hear(load, now.saturating_sub(age_ms));
+        }
+    }
 }
 
 /// Asks the keeper for a model or an adapter.
@@ -117,7 +156,7 @@
 
 /// Exchanges demand against placement with the keeper until the process ends.
 pub(crate) async fn exchange(node: Node) {
-    let (mut fence, mut version, mut list) = (0, 0, 0);
+    let (mut fence, mut version, mut list, mut exchanged) = (0, 0, 0, 0);
     loop {
         let keeper = node.holding.borrow().keeper.clone();
         let mine = node.holding.borrow().is_mine();
@@ -136,15 +175,21 @@
             (fence, version, list) = (keeper.fence, 0, 0);
         }
         let catalog = node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
-        let tell = Tell { fence, version, list, catalog, asked };
+        let now = node.now();
+        let loads = heard_since(&node, exchanged);
+        exchanged = now;
+        let tell = Tell { fence, version, list, catalog, loads, asked };
         let news: Option<News> =
             call(&node, keeper.addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
         match news {
             Some(news) => {
                 version = news.version;
                 list = news.list.version;
-                take_in_list(&node, news.list, news.age_ms);
+                take_in_list(&node, news.list);
+                // By the time of the question: the answer may have been long on its way.
+                node.followed((now + news.held_ms).saturating_sub(news.age_ms));
                 take_in(&node, news.engines);
+                take_in_loads(&node, news.loads);
                 node.catalog_told(news.catalog);
                 node.state.borrow_mut().nodes = news.nodes.max(1);
                 sleep(EXCHANGE_LEAST * node.crowd()).await;
@@ -203,7 +248,7 @@
 
 /// Takes the keeper's list of engines in. An engine that this node knows to leave does not come back by the
 /// word of a keeper that has not read of it yet.
-fn take_in_list(node: &Node, news: ListNews, age_ms: u64) {
+fn take_in_list(node: &Node, news: ListNews) {
     let now = node.now();
     let mut state = node.state.borrow_mut();
     let State { engines, listed, .. } = &mut *state;
@@ -220,8 +265,6 @@
             engines.unlist(gone);
         }
     }
-    drop(state);
-    node.followed(age_ms);
 }
 
 fn listed_as(engines: &Engines, passed: Passed) -> Listed {
@@ -318,6 +361,7 @@
         return own(StatusCode::CONFLICT, "not the keeper");
     }
     keeper::asked(node, &tell.asked);
+    take_in_loads(node, tell.loads);
     json(&keeper::news(node, tell.version, tell.list, tell.catalog).await)
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -121,9 +121,8 @@
         state.catalog.is_some() && state.listed && !self.is_stopping() && !self.cut_off.get()
     }
 
-    /// The keeper told what the store told it so many milliseconds ago.
-    pub(crate) fn followed(&self, age_ms: u64) {
-        let at = self.now().saturating_sub(age_ms);
+    /// The keeper told what the store told it at this time.
+    pub(crate) fn followed(&self, at: Millis) {
         self.followed_at.set(self.followed_at.get().max(Some(at)));
         self.store_heard.set(self.store_heard.get().max(at));
     }
--- a/crates/hibiscusgw/tests/platform/stopping.rs
+++ b/crates/hibiscusgw/tests/platform/stopping.rs
@@ -85,7 +85,8 @@
     let mut fleet = Fleet::new(Vec::new());
     let node = fleet.start("a");
     fleet.store.fault(&Faults { down: true, ..Faults::default() });
-    for n in 0..10 {
+    // Longer than two of the engines' heartbeats: entries may lapse.
+    for n in 0..25 {
         let answer = fleet.nodes[node].plain("/print/", &format!("call-{n}")).unwrap();
         assert_eq!(answer.status, StatusCode::OK);
         std::thread::sleep(Duration::from_millis(100));
@@ -95,7 +96,7 @@
     fleet.store.fault(&Faults::default());
     std::thread::sleep(Duration::from_millis(500));
     fleet.list_all();
-    for n in 10..20 {
+    for n in 25..35 {
         let answer = fleet.nodes[node].plain("/print/", &format!("call-{n}")).unwrap();
         assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
         std::thread::sleep(Duration::from_millis(100));
