explain: the story of a request from any nodes' lines; a line for each failed try and failed request

Each request that is not served leaves a line with its id, what was tried and for how long, and the load that decided it.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -83,4 +83,5 @@
     StreamReconnected = 5004, Info, "a stream goes on over a new connection to its engine";
     RequestRefused = 5005, Info, "a request was refused and has not run";
     RequestServed = 5006, Info, "an engine has answered a request whole";
+    TryFailed = 5007, Info, "a try at an engine brought no answer";
 }
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -54,6 +54,19 @@
 /// Requests of this node at an engine from which their common silence says much.
 const FEW: u32 = 3;
 
+impl Tried {
+    fn failure(&self) -> Option<&'static str> {
+        match self {
+            Tried::Begun(_) => None,
+            Tried::NotSent => Some("no connection"),
+            Tried::NotRun => Some("rejected unrun"),
+            Tried::Lost => Some("no answer of this request"),
+            Tried::Stalled => Some("silent"),
+            Tried::TimeOver => Some("time over"),
+        }
+    }
+}
+
 /// Why waiting has ended.
 pub(super) enum Waited<T> {
     Done(T),
@@ -65,6 +78,15 @@
 impl Relayed {
     /// Sends the request to an engine, once.
     pub(super) async fn send(&mut self, engine: &EngineId, last_event: Option<u64>) -> Tried {
+        let began = Instant::now();
+        let tried = self.send_once(engine, last_event).await;
+        if let Some(why) = tried.failure() {
+            self.try_failed(engine, why, began.elapsed());
+        }
+        tried
+    }
+
+    async fn send_once(&mut self, engine: &EngineId, last_event: Option<u64>) -> Tried {
         let node = Rc::clone(&self.node);
         let Some(addr) = node.engine(engine, |e| e.listed.addr) else { return Tried::NotSent };
         self.tried.push(engine.clone());
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -6,11 +6,12 @@
     Ask, Choice, EngineId, NoEngine, Prompt, Refusal, Route, ServiceId, Wanted, choose,
 };
 use hgw_events::{Event, emit};
+use http::StatusCode;
 use http::request::Parts;
 use rand::random;
 use tokio::time::{Instant, timeout_at};
 
-use crate::answer::Answer;
+use crate::answer::{Answer, own};
 use crate::dialect::Call;
 use crate::peers::{self, Placement};
 use crate::shared::{Active, Node};
@@ -216,6 +217,65 @@
         }
     }
 
+    /// Logs a try that brought no answer.
+    pub(super) fn try_failed(&self, engine: &EngineId, why: &str, took: Duration) {
+        let estimate = self.node.engine(engine, |e| e.estimate(self.node.now()));
+        emit(
+            Event::TryFailed,
+            &[
+                ("node", &self.node.settings.borrow().node),
+                ("id", &self.call.id),
+                ("upstream", engine),
+                ("why", &why),
+                ("ms", &took.as_millis()),
+                ("left_ms", &self.left().as_millis()),
+                ("runs", &self.runs),
+                ("at_engine", &estimate.unwrap_or_default()),
+            ],
+        );
+    }
+
+    /// An answer of this node's own to a request that may have run.
+    pub(super) fn fail(&self, status: StatusCode, why: &str) -> Answer {
+        self.failed(status.as_u16(), why);
+        own(status, why)
+    }
+
+    /// Logs that a stream goes on at another engine.
+    pub(super) fn resumed(&self, from: &EngineId, to: &EngineId, last: u64) {
+        emit(
+            Event::RequestResumed,
+            &[
+                ("node", &self.node.settings.borrow().node),
+                ("id", &self.call.id),
+                ("from", from),
+                ("upstream", to),
+                ("after_event", &last),
+                ("ms", &self.arrived.elapsed().as_millis()),
+            ],
+        );
+    }
+
+    /// Logs that the caller was given no whole answer.
+    pub(super) fn failed(&self, status: u16, why: &str) {
+        let wanted = self.wanted().map(Wanted::to_string).unwrap_or_default();
+        emit(
+            Event::RequestFailed,
+            &[
+                ("node", &self.node.settings.borrow().node),
+                ("id", &self.call.id),
+                ("route", &self.route.name),
+                ("wanted", &wanted),
+                ("status", &status),
+                ("why", &why),
+                ("ms", &self.arrived.elapsed().as_millis()),
+                ("runs", &self.runs),
+                ("rejected", &self.rejected),
+                ("unreached", &self.unreached),
+            ],
+        );
+    }
+
     /// Logs an engine's whole answer, and what it was chosen by.
     pub(super) fn served(&self, engine: &EngineId, status: u16, pace: &Pace) {
         let wanted = self.wanted().map(Wanted::to_string).unwrap_or_default();
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use hgw_direct::{EngineId, NoEngine, Refusal, Verdict};
+use hgw_direct::{EngineId, NoEngine, Verdict};
 use hgw_http1::{Body, Conn, Framing, Head};
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
 
-use crate::answer::{Answer, AnswerBody, BrokenOff, own};
+use crate::answer::{Answer, AnswerBody, BrokenOff};
 use crate::shared::AtEngine;
 
 use super::attempt::{Begun, Tried, Waited};
@@ -43,16 +43,16 @@
 
 /// Sends until an answer begins, from the event after `last`.
 async fn begin(req: &mut Relayed, last: Option<u64>) -> Result<Begun, Answer> {
-    let mut failure: Option<Answer> = None;
-    let goes_on = last.is_some();
+    let mut failure = None;
     loop {
         let choice = match req.choose().await {
             Ok(choice) => choice,
-            Err(why) => return Err(failure.unwrap_or_else(|| no_engine(req, why))),
+            Err(why) => return Err(ended(req, failure, why)),
         };
         match req.send(&choice.engine, last).await {
             Tried::Begun(begun) => {
                 let failed = begun.head.status >= 500;
+                let goes_on = last.is_some();
                 if !failed && (!goes_on || begun.head.status == 200) {
                     return Ok(*begun);
                 }
@@ -60,39 +60,39 @@
                 if !req.route.kind.may_repeat() || !req.may_go_on() {
                     return Ok(*begun);
                 }
-                failure = Some(own(StatusCode::BAD_GATEWAY, "the engine failed"));
-                continue;
+                failure = Some("the engine failed");
             }
             Tried::NotSent => {
-                if req.may_reach_on() {
-                    continue;
+                if !req.may_reach_on() {
+                    return Err(ended(req, failure, NoEngine::None));
                 }
-                return Err(failure.unwrap_or_else(|| no_engine(req, NoEngine::None)));
             }
             Tried::NotRun => {
-                if req.may_go_on() {
-                    continue;
+                if !req.may_go_on() {
+                    return Err(ended(req, failure, NoEngine::Full(REJECTED)));
                 }
-                return Err(failure.unwrap_or_else(|| req.refuse(Refusal::Full, REJECTED)));
             }
-            Tried::Stalled => {
-                failure = Some(own(StatusCode::BAD_GATEWAY, "the engine went silent"));
-                continue;
+            Tried::Stalled => failure = Some("the engine went silent"),
+            Tried::Lost => {
+                failure = Some("the engine failed");
+                if !req.route.kind.may_repeat() || !req.may_go_on() {
+                    return Err(ended(req, failure, NoEngine::None));
+                }
+            }
+            Tried::TimeOver => {
+                return Err(req.fail(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
             }
-            Tried::Lost => failure = Some(own(StatusCode::BAD_GATEWAY, "the engine failed")),
-            Tried::TimeOver => return Err(own(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
-        }
-        if !req.route.kind.may_repeat() || !req.may_go_on() {
-            return Err(own(StatusCode::BAD_GATEWAY, "the engine failed"));
         }
     }
 }
 
-fn no_engine(req: &Relayed, why: NoEngine) -> Answer {
-    if req.runs > 0 {
-        return own(StatusCode::BAD_GATEWAY, "no engine is left");
+/// The answer where no other engine is asked.
+fn ended(req: &Relayed, failure: Option<&'static str>, why: NoEngine) -> Answer {
+    match failure {
+        Some(failure) => req.fail(StatusCode::BAD_GATEWAY, failure),
+        None if req.runs > 0 => req.fail(StatusCode::BAD_GATEWAY, "no engine is left"),
+        None => req.refuse_for(why),
     }
-    req.refuse_for(why)
 }
 
 /// A stream that is under way.
@@ -198,6 +198,7 @@
             Ok(begun) if begun.head.status == 200 && is_events(&begun.head) => begun,
             Ok(_) | Err(_) => return false,
         };
+        req.resumed(&self.engine, &begun.engine, last);
         self.body = Body::new(begun.head.framing);
         self.engine = begun.engine;
         self.conn = Some(begun.conn);
@@ -218,6 +219,7 @@
 
     fn break_off(mut self) -> (Result<Bytes, BrokenOff>, Flow) {
         self.over = true;
+        self.req.failed(200, "broken off");
         (Err(BrokenOff), self)
     }
 }
--- a/crates/hibiscusgw/src/command.rs
+++ b/crates/hibiscusgw/src/command.rs
@@ -7,7 +7,7 @@
 use gumdrop::{Options, ParsingStyle};
 
 use crate::settings::ServeSettings;
-use crate::{Console, Env, Error, Result, check, exit_code, on_platform, operate, serve};
+use crate::{Console, Env, Error, Result, check, exit_code, explain, on_platform, operate, serve};
 
 /// Places many models on few accelerators and serves them.
 #[derive(Debug, Options)]
@@ -38,6 +38,8 @@
     Status(NodeFlags),
     #[options(help = "print the whole state of a node as JSON")]
     State(NodeFlags),
+    #[options(help = "tell the story of a request from log lines on standard input")]
+    Explain(ExplainFlags),
 }
 
 /// Flags of `serve`. Each one may be given by the environment variable HIBISCUSGW_NAME instead, with
@@ -117,6 +119,18 @@
     file: String,
 }
 
+#[derive(Debug, Options)]
+struct ExplainFlags {
+    /// Print this help
+    help: bool,
+    /// Print the version
+    #[options(short = "V")]
+    version: bool,
+    /// The request's id
+    #[options(free, required)]
+    id: String,
+}
+
 /// Flags of `get`, `status` and `state`. Each one may be given by the environment variable
 /// HIBISCUSGW_NAME instead, with `_` for `-`.
 #[derive(Debug, Default, Options)]
@@ -238,6 +252,9 @@
         Command::Get(flags) => operate::get(flags, env, console),
         Command::Status(flags) => operate::status(flags, env, console),
         Command::State(flags) => operate::state(flags, env, console),
+        Command::Explain(flags) => {
+            explain::explain(&flags.id, &mut std::io::stdin().lock(), console)
+        }
     }
 }
 
@@ -248,6 +265,7 @@
             Command::Check(flags) => flags.version,
             Command::Apply(flags) => flags.version,
             Command::Outcome(flags) => flags.version,
+            Command::Explain(flags) => flags.version,
             Command::Get(flags) | Command::Status(flags) | Command::State(flags) => flags.version,
         }
     }
--- a/crates/hibiscusgw/src/error.rs
+++ b/crates/hibiscusgw/src/error.rs
@@ -70,6 +70,10 @@
     })]
     #[from(skip)]
     NotFinished(hgw_net::Exit),
+    /// No log line names a request.
+    #[display("no line names the request {_0}")]
+    #[from(skip)]
+    NotLogged(String),
     /// Results cannot be printed.
     #[display("cannot print: {_0}")]
     Print(std::io::Error),
--- a/crates/hibiscusgw/src/lib.rs
+++ b/crates/hibiscusgw/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 mod command;
 mod error;
+mod explain;
 mod logs;
 mod on_platform;
 mod operate;
