--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,6 +9,7 @@
 
 use crate::dialect::{CatalogNews, EngineEntry, EngineNews, StoreError};
 use crate::keeper;
+use crate::meter;
 use crate::shared::Node;
 
 /// Pause after a call that failed. The store counts refused calls too.
@@ -189,6 +190,7 @@
 
     /// It answered; tells whether it had not before.
     pub(crate) fn up(&mut self) -> bool {
+        meter::store_call(self.what, Ok(()));
         self.node.store_heard.set(self.node.now());
         let back = self.up == Some(false);
         if back {
@@ -201,6 +203,7 @@
 
     /// It did not answer.
     pub(crate) fn down(&mut self, why: &StoreError) {
+        meter::store_call(self.what, Err(why));
         if self.up != Some(false) {
             let name = self.node.settings.borrow().node.clone();
             emit(Event::LogDown, &[("node", &name), ("what", &self.what), ("why", why)]);
--- a/crates/gateway/src/keeper/give.rs
+++ b/crates/gateway/src/keeper/give.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout;
 
 use crate::dialect::{Order, OrderKind, Report};
+use crate::meter;
 use crate::shared::Node;
 
 use super::changed;
@@ -93,6 +94,17 @@
             Given::Lost
         }
     };
+    let outcome = match given {
+        Given::Accepted => "accepted",
+        Given::Holds => "holds",
+        Given::Conflict => "conflict",
+        Given::Superseded => "superseded",
+        Given::Refused => "refused",
+        Given::NotSent => "not sent",
+        Given::Lost => "lost",
+    };
+    let kind_name = if kind == OrderKind::Load { "load" } else { "unload" };
+    meter::order(kind_name, outcome);
     if given == Given::Superseded {
         emit(Event::KeeperLost, &[("node", &holder), ("term", &fence)]);
         node.holding.borrow_mut().superseded();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod holder;
 mod keeper;
 mod listen;
+mod meter;
 mod peers;
 mod pool;
 mod relay;
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -13,6 +13,7 @@
 
 use crate::answer::{Answer, own};
 use crate::dialect::Call;
+use crate::meter;
 use crate::peers::{self, Placement};
 use crate::shared::{Active, Node};
 
@@ -218,7 +219,8 @@
     }
 
     /// Logs a try that brought no answer.
-    pub(super) fn try_failed(&self, engine: &EngineId, why: &str, took: Duration) {
+    pub(super) fn try_failed(&self, engine: &EngineId, why: &'static str, took: Duration) {
+        meter::try_failed(why);
         let estimate = self.node.engine(engine, |e| e.estimate(self.node.now()));
         emit(
             Event::TryFailed,
@@ -258,6 +260,7 @@
 
     /// Logs that the caller was given no whole answer.
     pub(super) fn failed(&self, status: u16, why: &str) {
+        meter::failed(&self.route, why);
         let wanted = self.wanted().map(Wanted::to_string).unwrap_or_default();
         emit(
             Event::RequestFailed,
@@ -278,6 +281,7 @@
 
     /// Logs an engine's whole answer, and what it was chosen by.
     pub(super) fn served(&self, engine: &EngineId, status: u16, pace: &Pace) {
+        meter::served(&self.route, status, self.arrived.elapsed());
         let wanted = self.wanted().map(Wanted::to_string).unwrap_or_default();
         let (estimate, own) =
             self.node.engine(engine, |e| (e.estimate(self.node.now()), e.own)).unwrap_or_default();
@@ -303,6 +307,7 @@
 
     /// Refuses the request, which has not run, with a time to come back.
     pub(super) fn refuse(&self, why: Refusal, wait: Duration) -> Answer {
+        meter::refused(&self.route, why);
         let held = self.arrived.elapsed().as_millis();
         let wanted = self.wanted().map(Wanted::to_string).unwrap_or_default();
         emit(
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -10,6 +10,7 @@
 use http::{Response, StatusCode};
 
 use crate::answer::{Answer, AnswerBody, BrokenOff};
+use crate::meter;
 use crate::shared::AtEngine;
 
 use super::attempt::{Begun, Tried, Waited};
@@ -142,6 +143,9 @@
                     let ready = if self.is_events { self.events.push(bytes) } else { Some(bytes) };
                     if let Some(bytes) = ready {
                         self.pace.piece();
+                        if self.pace.pieces == 1 {
+                            meter::first_piece(&self.req.route, self.req.arrived.elapsed());
+                        }
                         return Some((Ok(bytes), self));
                     }
                 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,7 +21,7 @@
 use crate::dialect::Dialects;
 use crate::listen::listen;
 use crate::shared::{Node, Shared};
-use crate::{Settings, follow, front, holder, listen as sockets, peers, stop};
+use crate::{Settings, follow, front, holder, listen as sockets, meter, peers, stop};
 
 /// What a node is told from outside.
 #[derive(Debug, Clone)]
@@ -73,6 +73,7 @@
     let callers = listen(settings.callers)?;
     let ready = listen(settings.ready)?;
     let others = listen(settings.peers)?;
+    let metrics = listen(settings.metrics);
     let node = Shared::new(settings, dialects);
     let spawn = |work: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
         tokio::task::spawn_local(work);
@@ -86,6 +87,14 @@
     spawn(Box::pin(watch_clocks(Rc::clone(&node))));
     spawn(Box::pin(serve_ready(Rc::clone(&node), ready)));
     spawn(Box::pin(front::serve(Rc::clone(&node), callers)));
+    match metrics {
+        Ok(metrics) => spawn(Box::pin(serve_metrics(Rc::clone(&node), metrics))),
+        // Callers are served without them.
+        Err(e) => emit(
+            Event::ListenerFailed,
+            &[("node", &node.settings.borrow().node), ("duty", &"metrics"), ("reason", &e)],
+        ),
+    }
     loop {
         match signals.recv().await {
             Some(Signal::Stop) => break,
@@ -151,6 +160,28 @@
     }
 }
 
+/// Answers with the metrics as text.
+async fn serve_metrics(node: Node, listener: TcpListener) {
+    let Some(recorder) = meter::recorder() else { return };
+    let recorder = Rc::new(recorder);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let (node, recorder) = (Rc::clone(&node), Rc::clone(&recorder));
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|_| async {
+                meter::beliefs(&node);
+                let text = recorder.render();
+                Ok::<_, std::convert::Infallible>(Response::new(AnswerBody::whole(text)))
+            });
+            // Who asks asks again.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
 /// Answers whether this node takes callers.
 async fn serve_ready(node: Node, listener: TcpListener) {
     loop {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -14,6 +14,8 @@
     pub ready: SocketAddr,
     /// Listener for other nodes.
     pub peers: SocketAddr,
+    /// Listener for those who read the metrics.
+    pub metrics: SocketAddr,
     /// Longest time from the signal to stop until the process must be gone.
     pub grace: Duration,
     /// Time within which a change of the configuration must be in force.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -127,6 +127,12 @@
         self.store_heard.set(self.store_heard.get().max(at));
     }
 
+    /// Age of what this node has of the store, by its own reading or the keeper's.
+    pub(crate) fn word_age(&self) -> Millis {
+        let told = self.followed_at.get().unwrap_or(0).max(self.list_read.get());
+        self.now().saturating_sub(told)
+    }
+
     /// Whether the keeper tells what the store does, so that this node need not read it.
     pub(crate) fn is_followed(&self) -> bool {
         let keeps = self.holding.borrow().is_mine();
--- a/crates/hibiscusgw/src/command.rs
+++ b/crates/hibiscusgw/src/command.rs
@@ -81,6 +81,9 @@
     /// Token for engines that ask for one with orders
     #[options(no_short, meta = "TEXT")]
     pub(crate) order_token: Option<String>,
+    /// Listener for readers of the metrics, on the users' platform only (port 9464 of the node)
+    #[options(no_short, meta = "IP:PORT")]
+    pub(crate) metrics: Option<String>,
     /// Shards of idempotency keys, the same on all nodes (8)
     #[options(no_short, meta = "N")]
     pub(crate) key_shards: Option<String>,
--- a/crates/hibiscusgw/src/settings.rs
+++ b/crates/hibiscusgw/src/settings.rs
@@ -129,6 +129,8 @@
     callers: Option<SocketAddr>,
     /// Listener for other nodes.
     peers: Option<SocketAddr>,
+    /// Listener for readers of the metrics.
+    metrics: Option<SocketAddr>,
     /// Open connections of callers.
     max_connections: Option<usize>,
 }
@@ -146,6 +148,7 @@
             log_level: input.choice("log-level", &flags.log_level, "info", levels),
             callers: input.optional_addr("callers", &flags.callers),
             peers: input.optional_addr("peers", &flags.peers),
+            metrics: input.optional_addr("metrics", &flags.metrics),
             max_connections: given.then_some(most),
         };
         if input.faults.is_empty() { Ok(overrides) } else { Err(Error::Settings(input.faults)) }
@@ -156,6 +159,7 @@
         hgw_gateway::Settings {
             callers: self.callers.unwrap_or(settings.callers),
             peers: self.peers.unwrap_or(settings.peers),
+            metrics: self.metrics.unwrap_or(settings.metrics),
             connections: self.max_connections.unwrap_or(settings.connections),
             ..settings
         }
--- a/crates/hibiscusgw/tests/platform/fixture.rs
+++ b/crates/hibiscusgw/tests/platform/fixture.rs
@@ -31,6 +31,7 @@
     pub(crate) name: String,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
+    pub(crate) metrics: SocketAddr,
     pub(crate) settings: PathBuf,
     child: Child,
 }
@@ -128,18 +129,18 @@
     pub(crate) fn spawn(&mut self, zone: &str) -> usize {
         let name = format!("front-{}", self.next);
         self.next += 1;
-        let [callers, ready, peers] = free_ports();
+        let [callers, ready, peers, metrics] = free_ports();
         let settings = self.folder.join(format!("{name}.conf"));
         let text = settings_text(&name, zone, callers, ready, peers, self.store.addr());
         std::fs::write(&settings, text).expect("the settings can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_hibiscusgw"))
-            .args(["serve", "--log-format", "json"])
+            .args(["serve", "--log-format", "json", "--metrics", &metrics.to_string()])
             .env("HIBISCUSGW_BOOT", &settings)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .spawn()
             .expect("the program starts");
-        self.nodes.push(Node { name, callers, ready, settings, child });
+        self.nodes.push(Node { name, callers, ready, metrics, settings, child });
         self.nodes.len() - 1
     }
 }
--- a/crates/hibiscusgw/tests/platform/session.rs
+++ b/crates/hibiscusgw/tests/platform/session.rs
@@ -1,7 +1,8 @@
 //! A whole session, from the start of a node to its planned stop, as a golden file.
 
-use hgw_standins::client::Whole;
+use hgw_standins::client::{Caller, Whole};
 use hgw_standins::fleet::EngineSettings;
+use http::Method;
 use rustix::process::Signal;
 
 use crate::fixture::{Fleet, holds, wait};
@@ -41,3 +42,28 @@
     wait("the process ends", || fleet.nodes[node].ended() == Some(true));
     insta::assert_snapshot!(told_all);
 }
+
+/// What was served, refused and failed is counted, with the reason, on the address of the metrics.
+#[test]
+fn metrics_count_what_became_of_requests() {
+    let mut fleet = Fleet::new(Vec::new());
+    let node = fleet.start("a");
+    let node = &fleet.nodes[node];
+    node.plain("/look/", "c-1").unwrap();
+    fleet.engines.iter().for_each(|e| e.refuse(10));
+    node.plain("/print/", "c-2").unwrap();
+    fleet.engines.iter().for_each(|e| e.refuse(0));
+    fleet.engines.iter().for_each(|e| e.fail(10));
+    node.plain("/print/", "c-3").unwrap();
+    let caller = Caller::new(node.metrics).unwrap();
+    let text = caller.call(Method::GET, "/metrics", &[], "").unwrap().body;
+    for line in [
+        r#"hgw_requests_total{route="look",outcome="served",reason="200"} 1"#,
+        r#"hgw_requests_total{route="print",outcome="refused",reason="full"} 1"#,
+        r#"hgw_requests_total{route="print",outcome="failed",reason="the engine's own failure"} 1"#,
+        r#"hgw_engines{state="ready"} 2"#,
+        "hgw_config_version 1",
+    ] {
+        assert!(text.contains(line), "{line} is not in\n{text}");
+    }
+}
