--- a/crates/hibiscusgw/src/logs.rs
+++ b/crates/hibiscusgw/src/logs.rs
@@ -12,7 +12,6 @@
 use hgw_events::NUMBER_KEY;
 use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Record};
-use serde_json::{Map, Value as Json};
 
 use crate::{Error, Result};
 
@@ -147,17 +146,58 @@
     line
 }
 
+/// Written straight into one buffer: there is a line for each request.
 fn json(record: &Record<'_>) -> String {
-    let fields = Fields::of(record);
-    let mut object = Map::new();
-    object.insert("time".into(), unix_time().into());
-    object.insert("level".into(), record.level().as_str().to_lowercase().into());
-    object.insert("event".into(), fields.number.map_or(Json::Null, Json::from));
-    object.insert("text".into(), record.args().to_string().into());
-    for (key, value) in fields.pairs {
-        object.insert(key, value.into());
+    let mut line = JsonLine(Vec::with_capacity(LINE));
+    line.0.push(b'{');
+    line.field("time", &unix_time());
+    line.field("level", &record.level().as_str().to_lowercase());
+    line.field("text", &record.args().to_string());
+    // The visitor below never fails.
+    let _ = record.key_values().visit(&mut line);
+    line.0.push(b'}');
+    String::from_utf8_lossy(&line.0).into_owned()
+}
+
+/// Room for a usual line.
+const LINE: usize = 384;
+
+struct JsonLine(Vec<u8>);
+
+impl JsonLine {
+    fn field(&mut self, key: &str, value: &str) {
+        self.key(key);
+        self.text(value);
+    }
+
+    fn key(&mut self, key: &str) {
+        if self.0.len() > 1 {
+            self.0.push(b',');
+        }
+        self.text(key);
+        self.0.push(b':');
+    }
+
+    fn text(&mut self, text: &str) {
+        serde_json::to_writer(&mut self.0, text).expect("a buffer takes any text");
+    }
+}
+
+impl<'kvs> VisitSource<'kvs> for JsonLine {
+    fn visit_pair(
+        &mut self,
+        key: Key<'kvs>,
+        value: Value<'kvs>,
+    ) -> std::result::Result<(), log::kv::Error> {
+        match value.to_u64().filter(|_| key.as_str() == NUMBER_KEY) {
+            Some(number) => {
+                self.key(NUMBER_KEY);
+                self.0.extend_from_slice(number.to_string().as_bytes());
+            }
+            None => self.field(key.as_str(), &value.to_string()),
+        }
+        Ok(())
     }
-    Json::Object(object).to_string()
 }
 
 /// Seconds since the Unix epoch, with milliseconds.
--- a/crates/hibiscusgw/tests/platform/fixture.rs
+++ b/crates/hibiscusgw/tests/platform/fixture.rs
@@ -125,8 +125,19 @@
         node
     }
 
+    /// Starts a node whose standard output is a pipe that nobody reads.
+    pub(crate) fn start_unread(&mut self, zone: &str) -> usize {
+        let node = self.spawn_with(zone, Stdio::piped());
+        wait("the node is ready", || self.nodes[node].is_ready());
+        node
+    }
+
     /// Starts a node.
     pub(crate) fn spawn(&mut self, zone: &str) -> usize {
+        self.spawn_with(zone, Stdio::null())
+    }
+
+    fn spawn_with(&mut self, zone: &str, stdout: Stdio) -> usize {
         let name = format!("front-{}", self.next);
         self.next += 1;
         let [callers, ready, peers, metrics] = free_ports();
@@ -137,7 +148,7 @@
             .args(["serve", "--log-format", "json", "--metrics", &metrics.to_string()])
             .env("HIBISCUSGW_BOOT", &settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(stdout)
             .spawn()
             .expect("the program starts");
         self.nodes.push(Node { name, callers, ready, metrics, settings, child });
--- a/crates/hibiscusgw/tests/platform/session.rs
+++ b/crates/hibiscusgw/tests/platform/session.rs
@@ -67,3 +67,18 @@
         assert!(text.contains(line), "{line} is not in\n{text}");
     }
 }
+
+/// Nobody reads the lines. What the pipe and the ring before it do not take is left out; a process that waited
+/// would serve nobody after some two hundred requests.
+#[test]
+fn unread_lines_hold_no_request_up() {
+    let mut fleet = Fleet::new(Vec::new());
+    let node = fleet.start_unread("a");
+    let long = "x".repeat(2_000);
+    for n in 0..400 {
+        let id = format!("{n}-{long}");
+        assert_eq!(fleet.nodes[node].plain("/look/", &id).unwrap().status, 200);
+    }
+    fleet.nodes[node].signal(Signal::TERM);
+    wait("the process ends", || fleet.nodes[node].ended() == Some(true));
+}
