--- a/crates/direct/src/place/models.rs
+++ b/crates/direct/src/place/models.rs
@@ -100,6 +100,12 @@
 /// Requests a second from which an adapter is to have a place of its own.
 const ADAPTER_IN_USE: f64 = 0.2;
 
+/// Engines that make room for a model and do not load it yet. One that has vanished while it loaded is in
+/// neither book for long, and must not be counted against those that are there.
+pub fn making_room(pending: &Pending, loading: &IndexMap<EngineId, Millis>) -> usize {
+    pending.keys().filter(|engine| !loading.contains_key(*engine)).count()
+}
+
 /// How many copies each model should have, by its share of the demand.
 pub(super) fn targets(
     engines: &[&Engine],
--- a/crates/direct/tests/place.rs
+++ b/crates/direct/tests/place.rs
@@ -6,8 +6,8 @@
 
 use assert_matches::assert_matches;
 use hgw_direct::place::{
-    AdapterStep, Allowed, Ceiling, CeilingLimits, ModelStep, Pending, Source, next_model_step,
-    place_adapter, room,
+    AdapterStep, Allowed, Ceiling, CeilingLimits, ModelStep, Pending, Source, making_room,
+    next_model_step, place_adapter, room,
 };
 use hgw_direct::{Demand, Engine, Engines, Model, Pool, Rates};
 use support::{engines, wanted};
@@ -227,3 +227,12 @@
     successor.assume_full(0, &limits, 1);
     assert_eq!(begin(&mut successor, 0), 1);
 }
+
+/// Two engines crash while they load, and one makes room. Counted by the difference of the two books, that was
+/// less than nothing, and no model was placed until the orders to the crashed ones were given up.
+#[test]
+fn engine_that_vanished_while_loading_makes_no_room() {
+    let pending = Pending::from_iter([("e1".into(), "m".to_owned())]);
+    let loading = [("e2".into(), 9_000), ("e3".into(), 9_000)].into_iter().collect();
+    assert_eq!(making_room(&pending, &loading), 1);
+}
--- a/crates/gateway/src/keeper/models.rs
+++ b/crates/gateway/src/keeper/models.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hgw_direct::place::{Allowed, ModelStep, Source, next_model_step};
+use hgw_direct::place::{Allowed, ModelStep, Source, making_room, next_model_step};
 use hgw_direct::{Engine, EngineId, Pool, Rates, ServiceId, Wanted};
 use hgw_events::{Event, emit};
 use tokio::time::{Instant, sleep};
@@ -40,8 +40,7 @@
     loop {
         let now = node.now();
         let mut keeper = node.keeper.borrow_mut();
-        let making_room = keeper.pending.keys().filter(|id| !keeper.loading.contains_key(*id));
-        if making_room.count() >= MOST_MAKING_ROOM {
+        if making_room(&keeper.pending, &keeper.loading) >= MOST_MAKING_ROOM {
             return;
         }
         let seen_for = keeper.demand.since().map_or(0, |since| now.saturating_sub(since));
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -1,9 +1,19 @@
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
 use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use crate::answer::Answered;
+use crate::shared::Node;
 
 /// Connections that may wait to be accepted: with the usual 128 a burst is dropped and comes again only
 /// after seconds.
@@ -23,6 +33,32 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers on a listener that is not for callers, until the process ends.
+pub(crate) async fn serve<A, F>(node: Node, listener: TcpListener, answer: A)
+where
+    A: Fn(Node, Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Answered> + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if prepare(&stream).is_err() {
+            continue;
+        }
+        let (node, answer) = (Rc::clone(&node), answer.clone());
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|req| answer(Rc::clone(&node), req));
+            // Who breaks off asks again.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
 pub(crate) fn prepare(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- /dev/null
+++ b/crates/gateway/src/peers/message.rs
@@ -0,0 +1,96 @@
+use hgw_direct::{EngineId, Held, Wanted};
+use serde::{Deserialize, Serialize};
+
+use crate::keeper::ListNews;
+
+/// What an engine holds, as the keeper knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Told {
+    pub(crate) engine: EngineId,
+    /// Orders that it has accepted.
+    pub(crate) orders: u64,
+    pub(crate) held: Vec<Held>,
+}
+
+/// How often something was asked for since the last exchange.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Asked {
+    pub(crate) model: String,
+    pub(crate) adapter: Option<String>,
+    pub(crate) count: f64,
+}
+
+/// What a node tells the keeper.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(super) struct Tell {
+    /// The keeper's claim that the node believes in.
+    pub(crate) fence: u64,
+    /// What it has of that keeper's news.
+    pub(crate) version: u64,
+    /// What it has of that keeper's list of engines.
+    pub(crate) list: u64,
+    /// The configuration that it has.
+    pub(crate) catalog: u64,
+    /// Loads that it heard of since the last exchange.
+    pub(crate) loads: Vec<HeardLoad>,
+    pub(crate) asked: Vec<Asked>,
+}
+
+/// What the keeper tells.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct News {
+    pub(crate) version: u64,
+    pub(crate) engines: Vec<Told>,
+    /// The list of engines.
+    pub(crate) list: ListNews,
+    /// The newest configuration.
+    pub(crate) catalog: u64,
+    /// Time since the keeper last read from the store.
+    pub(crate) age_ms: u64,
+    /// Time for which it held this answer back.
+    pub(crate) held_ms: u64,
+    /// Nodes that share budgets and connections.
+    pub(crate) nodes: u32,
+    /// Loads that any node heard of lately.
+    pub(crate) loads: Vec<HeardLoad>,
+}
+
+/// The load of an engine, as somebody heard of it: the requests that ran and waited there, and its age in
+/// milliseconds. Written without names: there is one for each engine in each exchange.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct HeardLoad(pub(super) EngineId, pub(super) u32, pub(super) u32, pub(super) u64);
+
+/// Asks the keeper for a model or an adapter.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Want {
+    pub(crate) fence: u64,
+    pub(crate) model: String,
+    pub(crate) adapter: Option<String>,
+    pub(crate) domain: String,
+    /// An engine that was said to hold it and answered that it does not.
+    pub(crate) refuted: Option<EngineId>,
+}
+
+/// The keeper's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Wish {
+    pub(crate) placement: Placement,
+    pub(crate) engines: Vec<Told>,
+}
+
+/// Whether something is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Placement {
+    /// It is, now.
+    Placed,
+    /// It is on its way, for so many more milliseconds.
+    Coming(u64),
+    /// The keeper cannot tell, or there is none.
+    Unknown,
+}
+
+impl Asked {
+    pub(crate) fn parts(self) -> (Wanted, f64) {
+        (Wanted { model: self.model, adapter: self.adapter }, self.count)
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,27 +1,26 @@
 //! What nodes tell each other: what is asked for, and what the engines hold.
 
+mod message;
+
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hgw_direct::{AtHand, EngineId, Engines, Held, Listed, Load, Standing, Wanted};
+use hgw_direct::{AtHand, EngineId, Engines, Listed, Load, Standing, Wanted};
 use hgw_http1::{Body, Request};
 use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
 use crate::answer::{Answer, AnswerBody, Answered, own};
 use crate::keeper::{self, ListNews, Passed};
-use crate::listen;
 use crate::shared::{Node, State};
 
+pub(crate) use message::{Asked, HeardLoad, News, Placement, Told, Wish};
+use message::{Tell, Want};
+
 /// Longest that the keeper holds an answer back for want of news.
 pub(crate) const NEWS_WAIT: Duration = Duration::from_millis(400);
 
@@ -40,63 +39,6 @@
 /// Bytes of a message.
 const MOST: usize = 1 << 20;
 
-/// What an engine holds, as the keeper knows it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Told {
-    pub(crate) engine: EngineId,
-    /// Orders that it has accepted.
-    pub(crate) orders: u64,
-    pub(crate) held: Vec<Held>,
-}
-
-/// How often something was asked for since the last exchange.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Asked {
-    model: String,
-    adapter: Option<String>,
-    count: f64,
-}
-
-/// What a node tells the keeper.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct Tell {
-    /// The keeper's claim that the node believes in.
-    fence: u64,
-    /// What it has of that keeper's news.
-    version: u64,
-    /// What it has of that keeper's list of engines.
-    list: u64,
-    /// The configuration that it has.
-    catalog: u64,
-    /// Loads that it heard of since the last exchange.
-    loads: Vec<HeardLoad>,
-    asked: Vec<Asked>,
-}
-
-/// What the keeper tells.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct News {
-    pub(crate) version: u64,
-    pub(crate) engines: Vec<Told>,
-    /// The list of engines.
-    pub(crate) list: ListNews,
-    /// The newest configuration.
-    pub(crate) catalog: u64,
-    /// Time since the keeper last read from the store.
-    pub(crate) age_ms: u64,
-    /// Time for which it held this answer back.
-    pub(crate) held_ms: u64,
-    /// Nodes that share budgets and connections.
-    pub(crate) nodes: u32,
-    /// Loads that any node heard of lately.
-    pub(crate) loads: Vec<HeardLoad>,
-}
-
-/// The load of an engine, as somebody heard of it: the requests that ran and waited there, and its age in milliseconds. Written without names: there is one
-/// for each engine in each exchange.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct HeardLoad(EngineId, u32, u32, u64);
-
 /// Age up to which a load is passed on.
 const HEARD_FOR: u64 = 1_500;
 
@@ -125,35 +67,6 @@
     }
 }
 
-/// Asks the keeper for a model or an adapter.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Want {
-    fence: u64,
-    model: String,
-    adapter: Option<String>,
-    domain: String,
-    /// An engine that was said to hold it and answered that it does not.
-    refuted: Option<EngineId>,
-}
-
-/// The keeper's answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Wish {
-    pub(crate) placement: Placement,
-    pub(crate) engines: Vec<Told>,
-}
-
-/// Whether something is held.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Placement {
-    /// It is, now.
-    Placed,
-    /// It is on its way, for so many more milliseconds.
-    Coming(u64),
-    /// The keeper cannot tell, or there is none.
-    Unknown,
-}
-
 /// Exchanges demand against placement with the keeper until the process ends.
 pub(crate) async fn exchange(node: Node) {
     let (mut fence, mut version, mut list, mut exchanged) = (0, 0, 0, 0);
@@ -240,12 +153,6 @@
     }
 }
 
-impl Asked {
-    pub(crate) fn parts(self) -> (Wanted, f64) {
-        (Wanted { model: self.model, adapter: self.adapter }, self.count)
-    }
-}
-
 /// Takes the keeper's list of engines in. An engine that this node knows to leave does not come back by the
 /// word of a keeper that has not read of it yet.
 fn take_in_list(node: &Node, news: ListNews) {
@@ -321,26 +228,8 @@
     serde_json::from_slice(&body).ok()
 }
 
-/// Answers other nodes until the process ends.
-pub(crate) async fn serve(node: Node, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(NO_KEEPER).await;
-            continue;
-        };
-        if listen::prepare(&stream).is_err() {
-            continue;
-        }
-        let node = Rc::clone(&node);
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|req| answer(Rc::clone(&node), req));
-            // A peer that breaks off calls again.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-        });
-    }
-}
-
-async fn answer(node: Node, req: http::Request<Incoming>) -> Answered {
+/// Answers another node.
+pub(crate) async fn answer(node: Node, req: http::Request<Incoming>) -> Answered {
     let (head, body) = req.into_parts();
     let Ok(body) = Limited::new(body, MOST).collect().await else {
         return Ok(own(StatusCode::BAD_REQUEST, "the body cannot be read"));
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -6,6 +6,7 @@
 mod plain;
 mod request;
 mod stream;
+mod told;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,9 +8,6 @@
 use hgw_events::{Event, emit};
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -19,9 +16,8 @@
 use crate::answer::{Answer, AnswerBody, Answered, own};
 use crate::clock::boot_time;
 use crate::dialect::Dialects;
-use crate::listen::listen;
 use crate::shared::{Node, Shared};
-use crate::{Settings, follow, front, holder, listen as sockets, meter, peers, stop};
+use crate::{Settings, follow, front, holder, listen, meter, peers, stop};
 
 /// What a node is told from outside.
 #[derive(Debug, Clone)]
@@ -70,10 +66,10 @@
     dialects: Dialects,
     mut signals: mpsc::UnboundedReceiver<Signal>,
 ) -> io::Result<Ended> {
-    let callers = listen(settings.callers)?;
-    let ready = listen(settings.ready)?;
-    let others = listen(settings.peers)?;
-    let metrics = listen(settings.metrics);
+    let callers = listen::listen(settings.callers)?;
+    let ready = listen::listen(settings.ready)?;
+    let others = listen::listen(settings.peers)?;
+    let metrics = listen::listen(settings.metrics);
     let node = Shared::new(settings, dialects);
     let spawn = |work: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
         tokio::task::spawn_local(work);
@@ -82,10 +78,10 @@
     spawn(Box::pin(follow::engines(Rc::clone(&node))));
     spawn(Box::pin(holder::hold(Rc::clone(&node))));
     spawn(Box::pin(peers::exchange(Rc::clone(&node))));
-    spawn(Box::pin(peers::serve(Rc::clone(&node), others)));
+    spawn(Box::pin(listen::serve(Rc::clone(&node), others, peers::answer)));
     spawn(Box::pin(count_nodes(Rc::clone(&node))));
     spawn(Box::pin(watch_clocks(Rc::clone(&node))));
-    spawn(Box::pin(serve_ready(Rc::clone(&node), ready)));
+    spawn(Box::pin(listen::serve(Rc::clone(&node), ready, answer_ready)));
     spawn(Box::pin(front::serve(Rc::clone(&node), callers)));
     match metrics {
         Ok(metrics) => spawn(Box::pin(serve_metrics(Rc::clone(&node), metrics))),
@@ -163,44 +159,15 @@
 /// Answers with the metrics as text.
 async fn serve_metrics(node: Node, listener: TcpListener) {
     let Some(recorder) = meter::recorder() else { return };
-    let recorder = Rc::new(recorder);
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        let (node, recorder) = (Rc::clone(&node), Rc::clone(&recorder));
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|_| async {
-                meter::beliefs(&node);
-                let text = recorder.render();
-                Ok::<_, std::convert::Infallible>(Response::new(AnswerBody::whole(text)))
-            });
-            // Who asks asks again.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-        });
-    }
+    let answer = move |node: Node, _| {
+        meter::beliefs(&node);
+        let text = recorder.render();
+        async { Ok(Response::new(AnswerBody::whole(text))) }
+    };
+    listen::serve(node, listener, answer).await;
 }
 
 /// Answers whether this node takes callers.
-async fn serve_ready(node: Node, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        if sockets::prepare(&stream).is_err() {
-            continue;
-        }
-        let node = Rc::clone(&node);
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|req| answer_ready(Rc::clone(&node), req));
-            // Who asks asks again.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-        });
-    }
-}
-
 async fn answer_ready(node: Node, req: http::Request<Incoming>) -> Answered {
     let (head, _) = req.into_parts();
     Ok(ready_answer(&node, &head))
