--- a/crates/direct/src/demand.rs
+++ b/crates/direct/src/demand.rs
@@ -14,6 +14,12 @@
 /// Requests a second below which a model or an adapter counts as silent.
 const SILENT: f64 = 0.05;
 
+/// Models and adapters that are kept: several times as many as any deployment is known to have.
+const MOST_NAMES: usize = 8_192;
+
+/// Time after which a name that nobody uses makes way for new ones.
+const FORGOTTEN_AFTER: Millis = 30_000;
+
 /// How often each model and adapter is asked for.
 #[derive(Debug, Clone, Default)]
 pub struct Demand {
@@ -45,6 +51,7 @@
     /// So many requests for it came.
     pub fn saw(&mut self, now: Millis, wanted: &Wanted, count: f64) {
         self.since.get_or_insert(now);
+        self.forget(now);
         if !self.models.contains_key(&wanted.model) {
             self.models.insert(wanted.model.clone(), Rate::default());
         }
@@ -57,6 +64,23 @@
         }
     }
 
+    /// Load: callers name models and adapters as they like, and each new name would be kept for good.
+    fn forget(&mut self, now: Millis) {
+        if self.wanted.len() >= MOST_NAMES {
+            self.wanted.retain(|_, rate| now.saturating_sub(rate.asked) < FORGOTTEN_AFTER);
+            self.models.retain(|_, rate| now.saturating_sub(rate.asked) < FORGOTTEN_AFTER);
+        }
+        if self.wanted.len() >= MOST_NAMES {
+            self.wanted.clear();
+            self.models.clear();
+        }
+    }
+
+    /// How many models and adapters are kept.
+    pub fn names(&self) -> usize {
+        self.wanted.len()
+    }
+
     /// When the first request was counted.
     pub fn since(&self) -> Option<Millis> {
         self.since
--- a/crates/direct/tests/demand.rs
+++ b/crates/direct/tests/demand.rs
@@ -53,3 +53,18 @@
     assert!(rates.of_model("m") > 30.0, "{rates:?}");
     assert!(rates.of_model("n") < 12.0, "{rates:?}");
 }
+
+/// A caller names another model in each request. What is kept stays bounded, and what others ask for is known
+/// again with their next requests.
+#[test]
+fn names_without_end_are_forgotten() {
+    let mut demand = Demand::default();
+    for n in 0..20_000 {
+        demand.saw(n, &wanted(&format!("made-up-{n}")), 1.0);
+    }
+    assert!(demand.names() <= 8_192, "{}", demand.names());
+    for at in (20_000..24_000).step_by(50) {
+        demand.saw(at, &wanted("m"), 1.0);
+    }
+    assert!(demand.rates(24_000).of_model("m") > 15.0);
+}
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -34,6 +34,9 @@
 /// When a caller comes back whose service has no engine.
 const NO_ENGINE: Duration = Duration::from_millis(300);
 
+/// Models and adapters that are told to the keeper at a time.
+const MOST_ASKED: usize = 4_096;
+
 /// Time between two looks whether a model has come.
 const PLACED_CHECK: Duration = Duration::from_millis(100);
 
@@ -100,7 +103,8 @@
         let (now, limits) = (self.node.now(), self.node.budget_limits());
         let mut state = self.node.state.borrow_mut();
         state.budgets.entry(self.service.clone()).or_default().first(now, &limits);
-        if let Some(wanted) = self.wanted() {
+        // While no keeper takes them, as many names are kept as callers can make up.
+        if let Some(wanted) = self.wanted().filter(|_| state.asked.len() < MOST_ASKED) {
             *state.asked.entry(wanted.clone()).or_default() += 1.0;
         }
     }
