--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,6 +5,7 @@
 
 use hgw_direct::{Listed, Standing};
 use hgw_events::{Event, emit};
+use rand::random;
 use tokio::time::{sleep, timeout};
 
 use crate::dialect::{CatalogNews, EngineEntry, EngineNews, StoreError};
@@ -12,7 +13,8 @@
 use crate::meter;
 use crate::shared::Node;
 
-/// Pause after a call that failed. The store counts refused calls too.
+/// Pause after a call that failed, and up to twice as long, so that nodes that were refused together do not
+/// come back together. The store counts refused calls too.
 const AFTER_FAILURE: Duration = Duration::from_millis(300);
 
 /// By how much the keeper reads the list more often than a node that reads for itself: what it passes on is
@@ -53,7 +55,7 @@
             }
             Err(e) => {
                 link.down(&e);
-                sleep(AFTER_FAILURE).await;
+                sleep(AFTER_FAILURE.mul_f64(1.0 + random::<f64>())).await;
             }
         }
     }
@@ -120,7 +122,7 @@
             }
             Err(e) => {
                 link.down(&e);
-                sleep(AFTER_FAILURE).await;
+                sleep(AFTER_FAILURE.mul_f64(1.0 + random::<f64>())).await;
             }
         }
         node.pool.sweep();
--- a/crates/gateway/src/keeper/adapters.rs
+++ b/crates/gateway/src/keeper/adapters.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hgw_direct::place::{AdapterStep, place_adapter, spread_adapters};
-use hgw_direct::{Engine, EngineId, Pool, ServiceId, Wanted};
+use hgw_direct::{Engine, EngineId, ServiceId, Wanted};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -87,7 +87,7 @@
 }
 
 /// Places what is asked for and was dropped or never held, ahead of the next request for it.
-pub(super) fn step(node: &Node, service: &ServiceId, _pool: &Pool) {
+pub(super) fn step(node: &Node, service: &ServiceId) {
     let wanted = {
         let keeper = node.keeper.borrow();
         if keeper.placing.len() >= MOST_AHEAD {
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Mutex, Notify};
 use tokio::time::{sleep, timeout};
 
-use crate::peers::{Asked, NEWS_WAIT, News, Told, heard_since};
+use crate::peers::{Asked, NEWS_WAIT, News, Tell, Told, heard_since};
 use crate::shared::Node;
 
 pub(crate) use adapters::want;
@@ -78,7 +78,7 @@
         look_at_list(&node);
         for (service, pool) in pools(&node) {
             models::step(&node, &service, &pool);
-            adapters::step(&node, &service, &pool);
+            adapters::step(&node, &service);
         }
         sleep(TICK).await;
     }
@@ -169,7 +169,9 @@
 
 /// What has changed since versions of what engines hold, of the list, and of the configuration; waits a
 /// while for something.
-pub(crate) async fn news(node: &Node, since: u64, list: u64, catalog: u64) -> News {
+pub(crate) async fn news(node: &Node, tell: &Tell) -> News {
+    let Tell { version: since, list, catalog, asked, .. } = tell;
+    let (since, list, catalog) = (*since, *list, *catalog);
     let began = node.now();
     let current = || node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
     let (nothing, changed) = {
@@ -195,7 +197,7 @@
         age_ms: node.followed_age(),
         held_ms: node.now().saturating_sub(began),
         nodes: node.state.borrow().nodes,
-        loads: heard_since(node, 0),
+        loads: heard_since(node, 0, Some(asked)),
     }
 }
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -22,7 +22,7 @@
 
 /// What a node tells the keeper.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(super) struct Tell {
+pub(crate) struct Tell {
     /// The keeper's claim that the node believes in.
     pub(crate) fence: u64,
     /// What it has of that keeper's news.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hgw_direct::{AtHand, EngineId, Engines, Listed, Load, Standing, Wanted};
+use hgw_direct::{AtHand, Engine, EngineId, Engines, Listed, Load, Standing, Wanted};
 use hgw_http1::{Body, Request};
 use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -18,8 +18,8 @@
 use crate::keeper::{self, ListNews, Passed};
 use crate::shared::{Node, State};
 
-pub(crate) use message::{Asked, HeardLoad, News, Placement, Told, Wish};
-use message::{Tell, Want};
+use message::Want;
+pub(crate) use message::{Asked, HeardLoad, News, Placement, Tell, Told, Wish};
 
 /// Longest that the keeper holds an answer back for want of news.
 pub(crate) const NEWS_WAIT: Duration = Duration::from_millis(400);
@@ -42,13 +42,20 @@
 /// Age up to which a load is passed on.
 const HEARD_FOR: u64 = 1_500;
 
-/// Loads that were heard of since a time, with their age.
-pub(crate) fn heard_since(node: &Node, since: u64) -> Vec<HeardLoad> {
+/// Loads that are told at a time: told of all engines to all nodes, they would grow with both.
+const MOST_LOADS: usize = 64;
+
+/// Loads that were heard of since a time, with their age: of engines that hold one of these models, or of any.
+pub(crate) fn heard_since(node: &Node, since: u64, models: Option<&[Asked]>) -> Vec<HeardLoad> {
     let now = node.now();
     let since = since.max(now.saturating_sub(HEARD_FOR));
     let state = node.state.borrow();
     let told = state.engines.iter().filter_map(|e| Some((e, e.told?)));
     let newer = told.filter(|(_, (_, at, _))| *at > since);
+    let meant = |e: &Engine| {
+        models.is_none_or(|models| models.iter().any(|asked| e.holds_model(&asked.model)))
+    };
+    let newer = newer.filter(|(e, _)| meant(e)).take(MOST_LOADS);
     let heard = newer.map(|(e, (load, at, _))| {
         HeardLoad(e.listed.id.clone(), load.running, load.waiting, now.saturating_sub(at))
     });
@@ -56,13 +63,13 @@
 }
 
 /// Takes in what another node heard of.
-fn take_in_loads(node: &Node, loads: Vec<HeardLoad>) {
+fn take_in_loads(node: &Node, loads: &[HeardLoad]) {
     let now = node.now();
     let mut state = node.state.borrow_mut();
     for HeardLoad(engine, running, waiting, age_ms) in loads {
-        if let Some(engine) = state.engines.get_mut(&engine) {
-            let load = Load { running, waiting, slots: engine.listed.slots };
-            engine.hear(load, now.saturating_sub(age_ms));
+        if let Some(engine) = state.engines.get_mut(engine) {
+            let load = Load { running: *running, waiting: *waiting, slots: engine.listed.slots };
+            engine.hear(load, now.saturating_sub(*age_ms));
         }
     }
 }
@@ -89,7 +96,7 @@
         }
         let catalog = node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
         let now = node.now();
-        let loads = heard_since(&node, exchanged);
+        let loads = heard_since(&node, exchanged, None);
         exchanged = now;
         let tell = Tell { fence, version, list, catalog, loads, asked };
         let news: Option<News> =
@@ -102,7 +109,7 @@
                 // By the time of the question: the answer may have been long on its way.
                 node.followed((now + news.held_ms).saturating_sub(news.age_ms));
                 take_in(&node, news.engines);
-                take_in_loads(&node, news.loads);
+                take_in_loads(&node, &news.loads);
                 node.catalog_told(news.catalog);
                 node.state.borrow_mut().nodes = news.nodes.max(1);
                 sleep(EXCHANGE_LEAST * node.crowd()).await;
@@ -250,8 +257,8 @@
         return own(StatusCode::CONFLICT, "not the keeper");
     }
     keeper::asked(node, &tell.asked);
-    take_in_loads(node, tell.loads);
-    json(&keeper::news(node, tell.version, tell.list, tell.catalog).await)
+    take_in_loads(node, &tell.loads);
+    json(&keeper::news(node, &tell).await)
 }
 
 async fn answer_want(node: &Node, body: &Bytes) -> Answer {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -28,6 +28,10 @@
 /// Nodes that may ask the keeper as often as they like.
 const FEW_NODES: u32 = 10;
 
+/// Longest that nodes hold back, as a multiple of what few nodes do: beyond, the keeper's word would be too old
+/// by the time of the next.
+const MOST_CROWD: u32 = 12;
+
 /// Everything that the tasks of a node share.
 pub(crate) struct Shared {
     pub(crate) settings: RefCell<Settings>,
@@ -163,7 +167,7 @@
 
     /// By how much nodes hold back, so that the keeper is asked as often by many as by ten.
     pub(crate) fn crowd(&self) -> u32 {
-        self.state.borrow().nodes.div_ceil(FEW_NODES).max(1)
+        self.state.borrow().nodes.div_ceil(FEW_NODES).clamp(1, MOST_CROWD)
     }
 
     /// Whether callers are better served by other nodes, to which their next connection leads them.
