Drop what nothing reads from the engines' books, the choice and the budget

Cause: four fields of an engine (its connections, when it was listed, when it went missing, when it left), the time left in a choice and a way round the budget were written or passed and never read; the list then needed the time for nothing else. A constant's words stand beside the one that they refer to again. No behaviour changes; no assertion of a test does. Checks: clippy, formatter, tests of the crates, 31 process tests.

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -66,7 +66,7 @@
                 at_hand: AtHand::default(),
                 cold_ms: 0,
             };
-            all.list(listed, 0);
+            all.list(listed);
         }
         let mut demand = Demand::default();
         for m in 0..models {
@@ -105,7 +105,6 @@
             prompt: Some(&prompt),
             domain: "zone-1",
             tried: &[],
-            left: Duration::from_secs(4),
             nodes: 80,
             conns: 8,
             draw: 0.3,
--- a/crates/direct/src/budget.rs
+++ b/crates/direct/src/budget.rs
@@ -56,11 +56,6 @@
         true
     }
 
-    /// A second try that was made without asking, because it could not wait.
-    pub fn force(&mut self, now: Millis) {
-        self.again.push_back(now);
-    }
-
     fn expire(&mut self, now: Millis, limits: &BudgetLimits) {
         let from = now.saturating_sub(limits.window);
         for times in [&mut self.firsts, &mut self.again] {
--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -15,8 +15,6 @@
     pub domain: &'a str,
     /// Engines that were tried already.
     pub tried: &'a [EngineId],
-    /// Time that is left.
-    pub left: Duration,
     /// Nodes that send to the same engines.
     pub nodes: u32,
     /// Most connections that this node may have with one engine.
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -88,14 +88,6 @@
     pub own: u32,
     /// The load that it told last, the time, and the requests that this node had there then.
     pub told: Option<(Load, Millis, u32)>,
-    /// Connections that this node has there.
-    pub conns: u32,
-    /// When the list first named it.
-    pub since: Millis,
-    /// When it was missing from the list for the first time, while it is kept.
-    pub missing_since: Option<Millis>,
-    /// When the store's word that it leaves was taken in.
-    pub leaving_since: Option<Millis>,
     /// When the last byte came from it on any connection.
     pub heard: Millis,
     /// Orders that it is known to have accepted.
@@ -111,16 +103,12 @@
 
 impl Engine {
     /// A newly listed engine.
-    pub fn new(listed: Listed, now: Millis) -> Engine {
+    pub fn new(listed: Listed) -> Engine {
         Engine {
             listed,
             judge: Judge::default(),
             own: 0,
             told: None,
-            conns: 0,
-            since: now,
-            missing_since: None,
-            leaving_since: None,
             heard: 0,
             orders: 0,
             coming: Vec::new(),
@@ -238,20 +226,13 @@
     }
 
     /// Takes in an engine's newest entry.
-    pub fn list(&mut self, listed: Listed, now: Millis) {
-        let leaves = listed.standing != Standing::Ready;
-        let engine = match self.by_id.get_mut(&listed.id) {
-            Some(engine) => {
-                engine.listed = listed;
-                engine
-            }
+    pub fn list(&mut self, listed: Listed) {
+        match self.by_id.get_mut(&listed.id) {
+            Some(engine) => engine.listed = listed,
             None => {
-                let id = listed.id.clone();
-                self.by_id.entry(id).or_insert_with(|| Engine::new(listed, now))
+                self.by_id.insert(listed.id.clone(), Engine::new(listed));
             }
-        };
-        engine.missing_since = None;
-        engine.leaving_since = leaves.then(|| engine.leaving_since.unwrap_or(now));
+        }
     }
 
     /// An engine's entry is gone.
@@ -261,17 +242,13 @@
 
     /// Takes in a whole list: engines that it does not name go. While `keep`, those are kept: their
     /// entries lapsed while the store was away and come back with their next heartbeat.
-    pub fn replace(&mut self, listed: Vec<Listed>, now: Millis, keep: bool) {
-        let named: Vec<EngineId> = listed.iter().map(|l| l.id.clone()).collect();
+    pub fn replace(&mut self, listed: Vec<Listed>, keep: bool) {
+        if !keep {
+            let named: Vec<EngineId> = listed.iter().map(|l| l.id.clone()).collect();
+            self.by_id.retain(|id, _| named.contains(id));
+        }
         for listed in listed {
-            self.list(listed, now);
+            self.list(listed);
         }
-        self.by_id.retain(|id, engine| {
-            let stays = named.contains(id) || keep;
-            if !named.contains(id) {
-                engine.missing_since.get_or_insert(now);
-            }
-            stays
-        });
     }
 }
--- a/crates/direct/tests/choose.rs
+++ b/crates/direct/tests/choose.rs
@@ -2,8 +2,6 @@
 
 mod support;
 
-use std::time::Duration;
-
 use assert_matches::assert_matches;
 use hgw_direct::{
     Ask, Choice, EngineId, Engines, Load, NoEngine, Part, Prompt, Verdict, choose, is_cut_off,
@@ -26,7 +24,6 @@
         prompt: Some(&prompt),
         domain: "a",
         tried,
-        left: Duration::from_secs(1),
         nodes: 1,
         conns: 100,
         draw: 0.0,
@@ -60,7 +57,7 @@
     let mut engines = engines(&[("e1", "a", &["m"])]);
     let mut leaving = listed("e1", "a", &["m"]);
     leaving.standing = hgw_direct::Standing::Leaving { gone_at: None };
-    engines.list(leaving, 10);
+    engines.list(leaving);
     assert_eq!(chosen(&engines, "m", &[]), Err(NoEngine::None));
 }
 
--- a/crates/direct/tests/place.rs
+++ b/crates/direct/tests/place.rs
@@ -86,7 +86,7 @@
     let first = step(&engines, &["a", "b", "c", "d"], &[("a", 20.0)]);
     assert_matches!(first, Some(ModelStep { drop, load, .. }) if load == "d" && (drop == ["b"] || drop == ["c"]));
     let mut single = Engines::default();
-    single.list(support::listed("e1", "a", &full), 0);
+    single.list(support::listed("e1", "a", &full));
     assert_eq!(step(&single, &["a", "b", "c", "d"], &[("d", 20.0)]), None);
 }
 
--- a/crates/direct/tests/support/mod.rs
+++ b/crates/direct/tests/support/mod.rs
@@ -40,7 +40,7 @@
 pub(crate) fn engines(all: &[(&str, &str, &[&str])]) -> Engines {
     let mut engines = Engines::default();
     for (id, domain, holds) in all {
-        engines.list(listed(id, domain, holds), 0);
+        engines.list(listed(id, domain, holds));
     }
     engines
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -151,7 +151,7 @@
                 if news.whole {
                     whole.push(listed);
                 } else {
-                    state.engines.list(listed, now);
+                    state.engines.list(listed);
                 }
             }
             EngineEntry::Gone(id) => {
@@ -162,7 +162,7 @@
         }
     }
     if news.whole {
-        state.engines.replace(whole, now, keep);
+        state.engines.replace(whole, keep);
     }
     state.listed = true;
     drop(state);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -163,17 +163,16 @@
 /// Takes the keeper's list of engines in. An engine that this node knows to leave does not come back by the
 /// word of a keeper that has not read of it yet.
 fn take_in_list(node: &Node, news: ListNews) {
-    let now = node.now();
     let mut state = node.state.borrow_mut();
     let State { engines, listed, .. } = &mut *state;
     let entries: Vec<Listed> =
         news.engines.into_iter().map(|passed| listed_as(engines, passed)).collect();
     if news.whole {
-        engines.replace(entries, now, false);
+        engines.replace(entries, false);
         *listed = true;
     } else {
         for entry in entries {
-            engines.list(entry, now);
+            engines.list(entry);
         }
         for gone in &news.gone {
             engines.unlist(gone);
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -15,6 +15,12 @@
 /// two seconds.
 const DARK_AFTER: Duration = Duration::from_millis(600);
 
+/// The same where few requests of this node are there: their own pauses say little of the engine.
+const DARK_AFTER_FEW: Duration = Duration::from_millis(900);
+
+/// Requests of this node at an engine from which their common silence says much.
+const FEW: u32 = 3;
+
 /// Longest wait for a first byte at an engine that is heard on other connections, in objectives of the
 /// route: a request may hang alone.
 const HUNG_OBJECTIVES: u32 = 4;
@@ -48,12 +54,6 @@
     TimeOver,
 }
 
-/// The same where few requests of this node are there: their own pauses say little of the engine.
-const DARK_AFTER_FEW: Duration = Duration::from_millis(900);
-
-/// Requests of this node at an engine from which their common silence says much.
-const FEW: u32 = 3;
-
 impl Tried {
     fn failure(&self) -> Option<&'static str> {
         match self {
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -199,7 +199,6 @@
             prompt: self.prompt(),
             domain: &settings.domain,
             tried: &self.tried,
-            left: self.left(),
             nodes: state.nodes,
             conns,
             draw: random(),
