Go on from what the nodes have counted when another node takes the orders over

What the nodes had saved up while there was no keeper was then counted as if it had come in one moment, at more than twice the true rate. Ruled out: waiting less before the first drop, which drops what is in demand. Change: each node keeps its own count and tells it in its first exchange with a keeper.

--- a/crates/direct/src/demand.rs
+++ b/crates/direct/src/demand.rs
@@ -1,4 +1,5 @@
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::{Millis, Wanted};
 
@@ -17,6 +18,10 @@
 /// Models and adapters that are kept: several times as many as any deployment is known to have.
 const MOST_NAMES: usize = 8_192;
 
+/// Models of which one node tells what it has counted: those that it is asked for most, which are nearly all
+/// of its requests.
+const MOST_PAST: usize = 64;
+
 /// Time after which a name that nobody uses makes way for new ones.
 const FORGOTTEN_AFTER: Millis = 30_000;
 
@@ -28,11 +33,22 @@
     since: Option<Millis>,
 }
 
+/// What one node has counted of a model, for another that goes on counting.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Past {
+    /// The model.
+    pub model: String,
+    fast: f64,
+    slow: f64,
+}
+
 /// Requests a second.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Rates {
     /// By model, with its adapters: what is to be expected within the time of a load.
     pub models: IndexMap<String, f64>,
+    /// By model: what has been asked for of late. Where demand has just gone, its requests still run.
+    pub recent: IndexMap<String, f64>,
     /// By adapter: what has been asked for. Single adapters are asked for too seldom to show a trend.
     pub adapters: IndexMap<Wanted, f64>,
 }
@@ -86,6 +102,33 @@
         self.since
     }
 
+    /// What has been counted of the models that are asked for most.
+    pub fn past(&self, now: Millis) -> Vec<Past> {
+        let models = self.models.iter().filter(|(_, rate)| rate.slow(now) >= SILENT);
+        let mut past: Vec<Past> = models
+            .map(|(model, rate)| {
+                let age = now.saturating_sub(rate.at);
+                let (fast, slow) =
+                    (rate.fast * decay(age, FAST_MS), rate.slow * decay(age, SLOW_MS));
+                Past { model: model.clone(), fast, slow }
+            })
+            .collect();
+        past.sort_by(|a, b| b.slow.total_cmp(&a.slow));
+        past.truncate(MOST_PAST);
+        past
+    }
+
+    /// Goes on from what a node has counted, since a time if it has counted anything.
+    pub fn go_on_from(&mut self, now: Millis, since: Option<Millis>, past: &[Past]) {
+        self.since = self.since.into_iter().chain(since).min();
+        for Past { model, fast, slow } in past {
+            let rate = self.models.entry(model.clone()).or_default();
+            rate.saw(now, 0.0);
+            rate.fast += fast;
+            rate.slow += slow;
+        }
+    }
+
     /// Something waits for it now; its request is counted by [`Demand::saw`].
     pub fn touch(&mut self, now: Millis, wanted: &Wanted) {
         self.wanted.entry(wanted.clone()).or_default().asked = now;
@@ -104,10 +147,12 @@
     /// All that is not silent.
     pub fn rates(&self, now: Millis) -> Rates {
         let models = self.models.iter().map(|(model, rate)| (model.clone(), rate.expected(now)));
+        let recent = self.models.iter().map(|(model, rate)| (model.clone(), rate.slow(now)));
         let adapters = self.wanted.iter().filter(|(wanted, _)| wanted.adapter.is_some());
         let adapters = adapters.map(|(wanted, rate)| (wanted.clone(), rate.slow(now)));
         Rates {
             models: models.filter(|(_, rate)| *rate >= SILENT).collect(),
+            recent: recent.filter(|(_, rate)| *rate >= SILENT).collect(),
             adapters: adapters.filter(|(_, rate)| *rate >= SILENT).collect(),
         }
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,7 +19,7 @@
     CallerLimits, Catalog, Kind, Model, Pool, Route, RouteMatch, Service, ServiceId, Target,
 };
 pub use choose::{Ask, Choice, NoEngine, choose};
-pub use demand::{Demand, Rates};
+pub use demand::{Demand, Past, Rates};
 pub use engines::{AtHand, Engine, EngineId, Engines, Held, Listed, Load, Standing};
 pub use judge::{Judge, Verdict};
 pub use prompt::{EmptyModel, Part, Prompt, Wanted};
--- a/crates/direct/tests/demand.rs
+++ b/crates/direct/tests/demand.rs
@@ -68,3 +68,27 @@
     }
     assert!(demand.rates(24_000).of_model("m") > 15.0);
 }
+
+/// The node that gives orders is gone and another takes over. With nothing counted it waited until it had seen
+/// demand for itself, and models in demand had too few copies all the while.
+#[test]
+fn successor_goes_on_from_what_the_nodes_have_counted() {
+    let mut nodes = [Demand::default(), Demand::default()];
+    let mut all = Demand::default();
+    for at in (0..6_000_u64).step_by(50) {
+        let (model, node) =
+            (wanted(if at % 150 == 0 { "n" } else { "m/a" }), usize::from(at % 100 == 0));
+        nodes[node].saw(at, &model, 1.0);
+        all.saw(at, &model, 1.0);
+    }
+    let mut successor = Demand::default();
+    for node in &nodes {
+        successor.go_on_from(6_000, node.since(), &node.past(6_000));
+    }
+    assert_eq!(successor.since(), Some(0));
+    for model in ["m", "n"] {
+        let (known, is) =
+            (successor.rates(6_000).of_model(model), all.rates(6_000).of_model(model));
+        assert!((known - is).abs() < 0.01, "{model}: {known} and not {is}");
+    }
+}
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Mutex, Notify};
 use tokio::time::{sleep, timeout};
 
-use crate::peers::{Asked, NEWS_WAIT, News, Tell, Told, heard_since};
+use crate::peers::{Asked, CountedBefore, NEWS_WAIT, News, Tell, Told, heard_since};
 use crate::shared::Node;
 
 pub(crate) use adapters::want;
@@ -37,6 +37,8 @@
 pub(crate) struct KeeperState {
     /// The claim that they are kept under.
     fence: u64,
+    /// When the duty was taken up.
+    begun: Millis,
     demand: Demand,
     ceiling: Ceiling,
     pending: Pending,
@@ -62,7 +64,13 @@
 /// Takes the duty up under a new claim.
 pub(crate) fn begin(node: &Node, fence: u64) {
     let now = node.now();
-    let mut keeper = KeeperState { fence, ..KeeperState::default() };
+    let mut keeper = KeeperState { fence, begun: now, ..KeeperState::default() };
+    {
+        let mut state = node.state.borrow_mut();
+        // What this node was asked for and has told nobody yet is in its own count.
+        state.asked.clear();
+        keeper.demand.go_on_from(now, state.demand.since(), &state.demand.past(now));
+    }
     // Before anyone asks: an empty list would be taken for the whole one.
     keeper.listing.look(node);
     for (_, pool) in pools(node) {
@@ -159,6 +167,13 @@
     }
 }
 
+/// Goes on from what a node was asked for before it knew of this keeper.
+pub(crate) fn counted_before(node: &Node, past: &CountedBefore) {
+    let now = node.now();
+    let since = past.for_ms.map(|for_ms| now.saturating_sub(for_ms));
+    node.keeper.borrow_mut().demand.go_on_from(now, since, &past.models);
+}
+
 /// Tells those who wait where the list of engines or the configuration has changed.
 fn look_at_list(node: &Node) {
     let mut keeper = node.keeper.borrow_mut();
--- a/crates/gateway/src/keeper/models.rs
+++ b/crates/gateway/src/keeper/models.rs
@@ -32,6 +32,9 @@
 /// Time for which demand is seen before a copy is dropped for want of it.
 const SEEN_FOR: Duration = Duration::from_millis(2_500);
 
+/// Time after a takeover within which the nodes tell what they have counted before.
+const NODES_TELL: Duration = Duration::from_millis(800);
+
 /// Time between two looks whether the weight store takes another load.
 const CEILING_CHECK: Duration = Duration::from_millis(50);
 
@@ -44,9 +47,10 @@
             return;
         }
         let seen_for = keeper.demand.since().map_or(0, |since| now.saturating_sub(since));
+        let told = now.saturating_sub(keeper.begun) >= NODES_TELL.as_millis() as u64;
         let allowed = Allowed {
             store: keeper.ceiling.allows(now, &ceiling_limits(node, pool)),
-            drop: seen_for >= SEEN_FOR.as_millis() as u64,
+            drop: told && seen_for >= SEEN_FOR.as_millis() as u64,
         };
         let state = node.state.borrow();
         let engines: Vec<&Engine> = state.engines.of(service).filter(|e| e.takes_work()).collect();
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,4 +1,4 @@
-use hgw_direct::{EngineId, Held, Wanted};
+use hgw_direct::{EngineId, Held, Past, Wanted};
 use serde::{Deserialize, Serialize};
 
 use crate::keeper::ListNews;
@@ -34,6 +34,16 @@
     /// Loads that it heard of since the last exchange.
     pub(crate) loads: Vec<HeardLoad>,
     pub(crate) asked: Vec<Asked>,
+    /// In the first exchange with a keeper: what the node has counted before.
+    pub(crate) past: Option<CountedBefore>,
+}
+
+/// What a node has been asked for before it knew the keeper.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct CountedBefore {
+    /// For how long it has counted, if there was anything.
+    pub(crate) for_ms: Option<u64>,
+    pub(crate) models: Vec<Past>,
 }
 
 /// What the keeper tells.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -19,7 +19,7 @@
 use crate::shared::{Node, State};
 
 use message::Want;
-pub(crate) use message::{Asked, HeardLoad, News, Placement, Tell, Told, Wish};
+pub(crate) use message::{Asked, CountedBefore, HeardLoad, News, Placement, Tell, Told, Wish};
 
 /// Longest that the keeper holds an answer back for want of news.
 pub(crate) const NEWS_WAIT: Duration = Duration::from_millis(400);
@@ -77,10 +77,11 @@
 /// Exchanges demand against placement with the keeper until the process ends.
 pub(crate) async fn exchange(node: Node) {
     let (mut fence, mut version, mut list, mut exchanged) = (0, 0, 0, 0);
+    let mut introduced = false;
     loop {
         let keeper = node.holding.borrow().keeper.clone();
         let mine = node.holding.borrow().is_mine();
-        let asked = take_asked(&node);
+        let mut asked = take_asked(&node);
         if mine {
             keeper::asked(&node, &asked);
             sleep(NEWS_WAIT).await;
@@ -93,16 +94,23 @@
         };
         if keeper.fence != fence {
             (fence, version, list) = (keeper.fence, 0, 0);
+            introduced = false;
+        }
+        let past = (!introduced).then(|| counted_before(&node));
+        if past.is_some() {
+            // It is in there.
+            asked.clear();
         }
         let catalog = node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
         let now = node.now();
         let loads = heard_since(&node, exchanged, None);
         exchanged = now;
-        let tell = Tell { fence, version, list, catalog, loads, asked };
+        let tell = Tell { fence, version, list, catalog, loads, asked, past };
         let news: Option<News> =
             call(&node, keeper.addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
         match news {
             Some(news) => {
+                introduced = true;
                 version = news.version;
                 list = news.list.version;
                 take_in_list(&node, news.list);
@@ -152,6 +160,13 @@
     asked.into_iter().map(one).collect()
 }
 
+fn counted_before(node: &Node) -> CountedBefore {
+    let now = node.now();
+    let demand = &node.state.borrow().demand;
+    let for_ms = demand.since().map(|since| now.saturating_sub(since));
+    CountedBefore { for_ms, models: demand.past(now) }
+}
+
 fn give_back(node: &Node, asked: Vec<Asked>) {
     let mut state = node.state.borrow_mut();
     for one in asked {
@@ -255,6 +270,9 @@
     if !is_keeper(node, tell.fence) {
         return own(StatusCode::CONFLICT, "not the keeper");
     }
+    if let Some(past) = &tell.past {
+        keeper::counted_before(node, past);
+    }
     keeper::asked(node, &tell.asked);
     take_in_loads(node, &tell.loads);
     json(&keeper::news(node, &tell).await)
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -103,8 +103,10 @@
         let (now, limits) = (self.node.now(), self.node.budget_limits());
         let mut state = self.node.state.borrow_mut();
         state.budgets.entry(self.service.clone()).or_default().first(now, &limits);
+        let Some(wanted) = self.wanted() else { return };
+        state.demand.saw(now, wanted, 1.0);
         // While no keeper takes them, as many names are kept as callers can make up.
-        if let Some(wanted) = self.wanted().filter(|_| state.asked.len() < MOST_ASKED) {
+        if state.asked.len() < MOST_ASKED {
             *state.asked.entry(wanted.clone()).or_default() += 1.0;
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use hgw_direct::{
-    Budget, BudgetLimits, Catalog, Engine, EngineId, Engines, Millis, ServiceId, Verdict, Wanted,
-    is_cut_off,
+    Budget, BudgetLimits, Catalog, Demand, Engine, EngineId, Engines, Millis, ServiceId, Verdict,
+    Wanted, is_cut_off,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnectLimits;
@@ -69,6 +69,8 @@
     pub(crate) listed: bool,
     pub(crate) engines: Engines,
     pub(crate) budgets: IndexMap<ServiceId, Budget>,
+    /// What this node has been asked for, for a keeper that is new.
+    pub(crate) demand: Demand,
     /// Requests by model since the keeper was told.
     pub(crate) asked: IndexMap<Wanted, f64>,
     /// Nodes that share budgets and connections; at least this one.
