Even out what engines have to do; do not wait for requests that still run

Cause: copies were counted by a model's share of the engines. An engine that drops a model takes no other order until its last request has ended, 3 to 9 s where demand has just gone. Change: demand is spread over the copies as requests go; a model whose copies all have much to do gets one at an engine that has little; a last copy in the way moves to a busy engine first; rare models go to busy engines; what was asked for of late costs the time until its requests have ended.

--- a/crates/direct/src/place/mod.rs
+++ b/crates/direct/src/place/mod.rs
@@ -5,8 +5,10 @@
 
 mod adapters;
 mod ceiling;
+mod even;
 mod models;
 mod room;
+mod spread;
 
 pub use adapters::{AdapterStep, place_adapter, spread_adapters};
 pub use ceiling::{Ceiling, CeilingLimits};
--- a/crates/direct/src/place/models.rs
+++ b/crates/direct/src/place/models.rs
@@ -4,6 +4,7 @@
 use indexmap::IndexMap;
 
 use super::room::{free_mb, reserved_mb};
+use super::spread::Spread;
 use crate::{Engine, EngineId, Millis, Model, Pool, Rates};
 
 /// Models that are on their way to engines.
@@ -82,7 +83,7 @@
 const LEAST_IN_DEMAND: usize = 2;
 
 /// Requests a second from which a model counts as in demand.
-const IN_DEMAND: f64 = 6.0;
+pub(super) const IN_DEMAND: f64 = 6.0;
 
 /// Requests a second that one copy serves at the most, as a part of its engine's slots: beyond, requests
 /// wait at it until their callers leave.
@@ -95,7 +96,14 @@
 const SPREAD: f64 = 0.05;
 
 /// Requests a second that every copy which is asked for is worth waiting less for.
-const LEAST_NEED: f64 = 2.0;
+pub(super) const LEAST_NEED: f64 = 2.0;
+
+/// Requests a second from which requests for a model probably run at each of its copies.
+const IN_USE: f64 = 0.5;
+
+/// Time until the last of them has ended: an engine drops a model only then, and takes no other order before.
+/// Streams run for two seconds in the mean and for ten at the most; measured, three to four.
+const RUNS_OUT: Duration = Duration::from_millis(3_500);
 
 /// Requests a second from which an adapter is to have a place of its own.
 const ADAPTER_IN_USE: f64 = 0.2;
@@ -116,7 +124,7 @@
     let rate = |model: &str| margin * rates.of_model(model);
     let sum: f64 = rates.models.values().sum();
     let count = engines.len();
-    let copy_rate = (f64::from(pool.slots) * COPY_RATE_OF_SLOTS).max(1.0);
+    let copy_rate = copy_rate(pool);
     let mut adapters: IndexMap<&str, usize> = IndexMap::new();
     for (wanted, _) in rates.adapters.iter().filter(|(_, rate)| **rate >= ADAPTER_IN_USE) {
         *adapters.entry(wanted.model.as_str()).or_default() += 1;
@@ -138,6 +146,11 @@
     pool.models.keys().map(|m| (m.clone(), target(m))).collect()
 }
 
+/// Requests a second that one copy serves.
+pub(super) fn copy_rate(pool: &Pool) -> f64 {
+    (f64::from(pool.slots) * COPY_RATE_OF_SLOTS).max(1.0)
+}
+
 /// The order that helps most, or none. `busy` engines take no order now.
 pub fn next_model_step(
     engines: &[&Engine],
@@ -167,11 +180,13 @@
         .collect();
     lacking.sort_by(|a, b| b.1.total_cmp(&a.1));
     let reserved = reserved_mb(pool);
+    let spread = Spread::of(engines, pending, rates);
     let wants = Candidates {
         engines,
         pool,
         rates,
         pending,
+        spread: &spread,
         kept: &kept,
         held: &held,
         reserved,
@@ -179,11 +194,11 @@
         now,
     };
     for (model, need) in lacking {
-        if let Some(step) = wants.step(model, need) {
+        if let Some(step) = wants.step(model, need, &Bounds::NONE) {
             return Some(step);
         }
     }
-    None
+    wants.evening_out()
 }
 
 /// Engines that hold each model, counted once for a whole plan: counted for each model and engine anew, a plan
@@ -205,28 +220,48 @@
     unserved + nowhere + SPREAD * rate / copies.max(1) as f64
 }
 
-struct Candidates<'a> {
-    engines: &'a [&'a Engine],
-    pool: &'a Pool,
-    rates: &'a Rates,
-    pending: &'a Pending,
+/// What an engine that gets a copy has to do at the least and at the most, and what it may lose by it, in
+/// requests a second.
+pub(super) struct Bounds {
+    pub(super) least: f64,
+    pub(super) most: f64,
+    pub(super) loss: f64,
+}
+
+impl Bounds {
+    const NONE: Bounds = Bounds { least: 0.0, most: f64::INFINITY, loss: f64::INFINITY };
+}
+
+/// What a plan looks at.
+pub(super) struct Candidates<'a> {
+    pub(super) engines: &'a [&'a Engine],
+    pub(super) pool: &'a Pool,
+    pub(super) rates: &'a Rates,
+    pub(super) pending: &'a Pending,
+    /// Where the demand goes now.
+    pub(super) spread: &'a Spread<'a>,
     /// Copies that each model keeps.
-    kept: &'a IndexMap<String, usize>,
+    pub(super) kept: &'a IndexMap<String, usize>,
     /// Engines that hold each model.
-    held: &'a IndexMap<&'a str, usize>,
+    pub(super) held: &'a IndexMap<&'a str, usize>,
     /// Megabytes of an engine that adapters may take.
-    reserved: f64,
-    allowed: Allowed,
-    now: Millis,
+    pub(super) reserved: f64,
+    pub(super) allowed: Allowed,
+    pub(super) now: Millis,
 }
 
 impl Candidates<'_> {
-    fn step(&self, model: &str, need: f64) -> Option<ModelStep> {
+    /// The best engine for one more copy of a model, and what makes way there.
+    pub(super) fn step(&self, model: &str, need: f64, bounds: &Bounds) -> Option<ModelStep> {
         let configured = self.pool.models.get(model)?;
         let needs = configured.weights_mb;
         let mut best: Option<(f64, &Engine, Vec<String>, Source)> = None;
-        for engine in self.engines {
+        for (at, engine) in self.engines.iter().enumerate() {
             let id = &engine.listed.id;
+            let load = self.spread.load(at);
+            if load < bounds.least || load > bounds.most {
+                continue;
+            }
             if self.pending.contains_key(id) || engine.holds_model(model) {
                 continue;
             }
@@ -238,12 +273,13 @@
                 continue;
             }
             let Some((victims, loss)) = self.victims(engine, needs) else { continue };
-            if !victims.is_empty() && !self.allowed.drop {
+            if loss > bounds.loss || (!victims.is_empty() && !self.allowed.drop) {
                 continue;
             }
             // What comes meanwhile is not served.
-            let waits = need.max(LEAST_NEED) * source.time(configured).as_secs_f64();
-            let cost = loss + self.burden(engine) + waits;
+            let time = self.runs_out(&victims) + source.time(configured);
+            let waits = need.max(LEAST_NEED) * time.as_secs_f64();
+            let cost = loss + self.burden(model, load) + waits;
             if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
                 best = Some((cost, engine, victims, source));
             }
@@ -253,9 +289,10 @@
         Some(ModelStep { engine, drop: victims, load, source })
     }
 
-    /// Demand that an engine already has to serve.
-    fn burden(&self, engine: &Engine) -> f64 {
-        engine.listed.held.iter().map(|h| self.rate(&h.model) / self.copies(&h.model)).sum()
+    /// What speaks against an engine that has this much to do. A model that is hardly asked for goes where there
+    /// is much: a place where there is little is one for a model in demand.
+    fn burden(&self, model: &str, load: f64) -> f64 {
+        if self.rate(model) < IN_DEMAND { self.spread.most() - load } else { load }
     }
 
     /// Models to drop so that `needs` fits, and the demand that loses a copy by it.
@@ -265,13 +302,13 @@
             .listed
             .held
             .iter()
-            .filter(|h| {
-                let kept = self.kept.get(&h.model).copied().unwrap_or(0);
-                self.copies(&h.model) > kept as f64
-            })
+            .filter(|h| self.is_spare(&h.model))
             .map(|h| (h.model.as_str(), self.rate(&h.model)))
             .collect();
-        droppable.sort_by(|a, b| a.1.total_cmp(&b.1));
+        droppable.sort_by(|a, b| {
+            let recent = |m: &str| self.recent(m);
+            a.1.total_cmp(&b.1).then(recent(a.0).total_cmp(&recent(b.0)))
+        });
         let (mut victims, mut loss) = (Vec::new(), 0.0);
         for (model, rate) in droppable {
             if free_mb >= needs {
@@ -284,11 +321,27 @@
         (free_mb >= needs).then_some((victims, loss))
     }
 
-    fn copies(&self, model: &str) -> f64 {
+    /// Time until models can be dropped.
+    fn runs_out(&self, victims: &[String]) -> Duration {
+        let in_use = victims.iter().any(|m| self.recent(m) >= IN_USE);
+        if in_use { RUNS_OUT } else { Duration::ZERO }
+    }
+
+    fn recent(&self, model: &str) -> f64 {
+        self.rates.recent.get(model).copied().unwrap_or(0.0)
+    }
+
+    /// Whether one copy of a model may make way.
+    pub(super) fn is_spare(&self, model: &str) -> bool {
+        let kept = self.kept.get(model).copied().unwrap_or(0);
+        self.copies(model) > kept as f64
+    }
+
+    pub(super) fn copies(&self, model: &str) -> f64 {
         self.held.get(model).copied().unwrap_or(0).max(1) as f64
     }
 
-    fn rate(&self, model: &str) -> f64 {
+    pub(super) fn rate(&self, model: &str) -> f64 {
         self.rates.of_model(model)
     }
 }
--- a/crates/direct/tests/place.rs
+++ b/crates/direct/tests/place.rs
@@ -71,6 +71,70 @@
     assert_matches!(step, Some(ModelStep { engine, load, .. }) if engine.0 == "e3" && load == "m");
 }
 
+/// Two models in demand have the copies that their share of the engines asks for, both on the same two engines,
+/// while the third engine holds what nobody asks for: each caller waits among twice as many as it needs to.
+#[test]
+fn engine_with_nothing_to_do_gets_a_copy() {
+    let engines =
+        engines(&[("e1", "a", &["m", "n"]), ("e2", "a", &["m", "n"]), ("e3", "a", &["x", "y"])]);
+    let models = ["m", "n", "x", "y"];
+    let uneven = step(&engines, &models, &[("m", 30.0), ("n", 30.0)]);
+    assert_matches!(uneven, Some(ModelStep { engine, drop, .. }) if engine.0 == "e3" && drop.is_empty());
+    assert_eq!(step(&engines, &models, &[("m", 6.0), ("n", 6.0)]), None, "there is little to do");
+}
+
+/// All engines are full, and one holds only last copies of what hardly anyone asks for. Such a copy moves to an
+/// engine that is busy anyway, in place of one that nobody misses, and then makes way.
+#[test]
+fn last_copies_move_away_from_an_engine_with_nothing_to_do() {
+    let busy = ["m", "old", "a"];
+    let moved = ["m", "x", "a"];
+    let last = [("e3", "a", &["x", "y", "z"] as &[&str])];
+    let models = ["m", "a", "old", "x", "y", "z"];
+    let demand = [("m", 60.0), ("x", 0.2)];
+    let before = engines(
+        &[&[("e1", "a", &busy as &[&str]), ("e2", "a", &["m", "old", "a"])], &last[..]].concat(),
+    );
+    let first = step(&before, &models, &demand);
+    assert_matches!(first, Some(ModelStep { engine, drop, load, .. })
+        if engine.0 != "e3" && drop.len() == 1 && ["x", "y", "z"].contains(&load.as_str()));
+    let after = engines(
+        &[&[("e1", "a", &moved as &[&str]), ("e2", "a", &["m", "old", "a"])], &last[..]].concat(),
+    );
+    let second = step(&after, &models, &demand);
+    assert_matches!(second, Some(ModelStep { engine, drop, load, .. })
+        if engine.0 == "e3" && drop == ["x"] && load == "m");
+}
+
+/// A place on an engine with little to do is one for a model in demand.
+#[test]
+fn model_that_is_hardly_asked_for_goes_to_a_busy_engine() {
+    let engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["n"])]);
+    let step = step(&engines, &["m", "n", "x"], &[("m", 6.2), ("n", 5.0)]);
+    assert_matches!(step, Some(ModelStep { engine, load, .. }) if engine.0 == "e1" && load == "x");
+}
+
+/// Demand has moved from `old` to `m`, which one engine has on its disk. The requests for `old` there still run,
+/// and the engine drops it only when they have ended: the weight store is quicker where nothing has to end.
+#[test]
+fn model_whose_requests_still_run_is_not_dropped_in_a_hurry() {
+    let mut engines = engines(&[
+        ("e1", "a", &["m", "x", "gone"]),
+        ("e2", "a", &["old", "y", "z"]),
+        ("e3", "a", &["old", "gone", "w"]),
+    ]);
+    engines.get_mut(&"e2".into()).unwrap().listed.at_hand.on_disk = vec!["m".to_owned()];
+    let pool = pool(&["gone", "m", "old", "w", "x", "y", "z"]);
+    let mut rates = rates(&[("m", 60.0)]);
+    let plan = |rates: &Rates| {
+        next_model_step(&all(&engines), &pool, rates, &Pending::new(), ALL, 1_000).unwrap()
+    };
+    assert_eq!(plan(&rates).engine.0, "e2", "nothing runs there");
+    rates.recent.insert("old".to_owned(), 30.0);
+    let step = plan(&rates);
+    assert_eq!((step.engine.0.as_str(), step.drop.as_slice()), ("e3", &["gone".to_owned()][..]));
+}
+
 #[test]
 fn adapters_in_demand_get_enough_places() {
     let engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"]), ("e3", "a", &["n"])]);
