Let a node that the store turns away take the configuration from the keeper

Ruled out: the keeper passing it to all, which would send 100 KB to each of 300 nodes from one small machine. Change: where the store does not answer and the keeper does, its text is taken from there. A link that can be cut stands between each node and the store in the tests. Test: apart::node_that_the_store_turns_away_takes_the_configuration_from_another.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,7 +1,6 @@
 //! What a platform's names, formats and calls are translated to.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -206,8 +205,8 @@
 pub struct CatalogNews {
     /// Where to read on.
     pub cursor: Cursor,
-    /// The newest one, where there is one since the cursor; or why it cannot be used.
-    pub catalog: Option<Result<Arc<Catalog>, Malformed>>,
+    /// The text of the newest one, where there is one since the cursor.
+    pub catalog: Option<Bytes>,
 }
 
 /// News of the list of engines.
@@ -264,6 +263,9 @@
         wait: Duration,
     ) -> LocalBoxFuture<'_, StoreResult<CatalogNews>>;
 
+    /// Reads the text of a configuration.
+    fn read_catalog(&self, text: &[u8]) -> Result<Catalog, Malformed>;
+
     /// Reads what changed in the list of engines since the cursor, or the whole list without one.
     fn engines(&self, since: Option<Cursor>) -> LocalBoxFuture<'_, StoreResult<EngineNews>>;
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,14 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hgw_direct::{Listed, Standing};
 use hgw_events::{Event, emit};
 use rand::random;
 use tokio::time::{sleep, timeout};
 
-use crate::dialect::{CatalogNews, EngineEntry, EngineNews, StoreError};
+use crate::dialect::{EngineEntry, EngineNews, StoreError};
 use crate::keeper;
 use crate::meter;
+use crate::peers;
 use crate::shared::Node;
 
 /// Pause after a call that failed, and up to twice as long, so that nodes that were refused together do not
@@ -48,27 +50,34 @@
                 link.up();
                 cursor = Some(news.cursor);
                 let nothing = news.catalog.is_none();
-                adopt(&node, news);
+                if let Some(text) = news.catalog {
+                    adopt(&node, text);
+                }
                 if nothing && node.state.borrow().catalog.is_none() {
                     sleep(AFTER_FAILURE).await;
                 }
             }
             Err(e) => {
                 link.down(&e);
+                // The store turns some nodes away and serves others.
+                if node.is_followed()
+                    && let Some(text) = peers::catalog(&node).await
+                {
+                    adopt(&node, text);
+                }
                 sleep(AFTER_FAILURE.mul_f64(1.0 + random::<f64>())).await;
             }
         }
     }
 }
 
-fn adopt(node: &Node, news: CatalogNews) {
-    let catalog = match news.catalog {
-        Some(Ok(catalog)) => catalog,
-        Some(Err(e)) => {
+fn adopt(node: &Node, text: Bytes) {
+    let catalog = match node.dialects.store.read_catalog(&text) {
+        Ok(catalog) => catalog,
+        Err(e) => {
             emit(Event::ConfigRejected, &[("node", &node.settings.borrow().node), ("why", &e)]);
             return;
         }
-        None => return,
     };
     let mut state = node.state.borrow_mut();
     // A store that was rewound may tell an older one.
@@ -79,7 +88,8 @@
         Event::ConfigInForce,
         &[("node", &node.settings.borrow().node), ("version", &catalog.version)],
     );
-    state.catalog = Some(Arc::clone(&catalog));
+    state.catalog = Some(Arc::new(catalog));
+    state.catalog_text = text;
     drop(state);
     keeper::catalog_changed(node);
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -229,6 +229,13 @@
     node.placed.notify_waiters();
 }
 
+/// The text of the keeper's configuration.
+pub(crate) async fn catalog(node: &Node) -> Option<Bytes> {
+    let addr = node.holding.borrow().keeper.as_ref()?.addr;
+    let req = Request::post("/catalog", "peer", Bytes::new());
+    exchange_once(node, addr, &req, PATIENCE).await.filter(|text| !text.is_empty())
+}
+
 async fn call<T: Serialize, R: for<'a> Deserialize<'a>>(
     node: &Node,
     addr: SocketAddr,
@@ -238,15 +245,25 @@
 ) -> Option<R> {
     let body = serde_json::to_vec(message).expect("a message can be written as JSON");
     let req = Request::post(path, "peer", body.into());
+    let body = exchange_once(node, addr, &req, patience).await?;
+    serde_json::from_slice(&body).ok()
+}
+
+/// The body of another node's answer, where it answered in time that all is well.
+async fn exchange_once(
+    node: &Node,
+    addr: SocketAddr,
+    req: &Request,
+    patience: Duration,
+) -> Option<Bytes> {
     let exchange = async {
         let mut conn = node.pool.get(addr, node.connect_limits()).await.ok()?;
-        let head = conn.send(&req).await.ok()?;
+        let head = conn.send(req).await.ok()?;
         let body = conn.collect(Body::new(head.framing), MOST).await.ok()?;
         node.pool.put(addr, conn);
         (head.status == 200).then_some(body)
     };
-    let body = timeout(patience, exchange).await.ok()??;
-    serde_json::from_slice(&body).ok()
+    timeout(patience, exchange).await.ok()?
 }
 
 /// Answers another node.
@@ -259,6 +276,9 @@
     Ok(match (&head.method, head.uri.path()) {
         (&Method::POST, "/tell") => answer_tell(&node, &body).await,
         (&Method::POST, "/want") => answer_want(&node, &body).await,
+        (&Method::POST, "/catalog") => {
+            Response::new(AnswerBody::whole(node.state.borrow().catalog_text.clone()))
+        }
         _ => own(StatusCode::NOT_FOUND, "no such call"),
     })
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hgw_direct::{
     Budget, BudgetLimits, Catalog, Demand, Engine, EngineId, Engines, Millis, ServiceId, Verdict,
     Wanted, is_cut_off,
@@ -65,6 +66,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct State {
     pub(crate) catalog: Option<Arc<Catalog>>,
+    /// Its text, for nodes that the store turns away.
+    pub(crate) catalog_text: Bytes,
     /// Whether a whole list of engines has been read.
     pub(crate) listed: bool,
     pub(crate) engines: Engines,
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/apart.rs
@@ -0,0 +1,31 @@
+//! Nodes that parts of the platform cannot be reached from.
+
+use hgw_standins::fleet::EngineSettings;
+use hgw_standins::link::Condition;
+use http::StatusCode;
+
+use crate::fixture::{Fleet, configuration, holds, wait};
+
+/// The store turns one node away and serves the others, and the configuration changes. The node hears of it from
+/// the one that reads for all; callers who are sent to it must not be refused on a route that there is.
+#[test]
+fn node_that_the_store_turns_away_takes_the_configuration_from_another() {
+    let models = EngineSettings { holds: holds(&[("m", &[])]), ..EngineSettings::default() };
+    let mut fleet = Fleet::new(vec![models]);
+    let keeper = fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let other = fleet.start("b");
+    fleet.nodes[other].to_store.set(Condition::Cut);
+    let mut config = configuration(2);
+    let route = config["routes"][0].clone();
+    let routes = config["routes"].as_array_mut().unwrap();
+    routes.push(route);
+    routes[4]["name"] = "new".into();
+    routes[4]["prefix"] = "/new/".into();
+    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+    for node in [keeper, other] {
+        wait("the new route is served", || {
+            fleet.nodes[node].plain("/new/", "call-1").is_ok_and(|a| a.status == StatusCode::OK)
+        });
+    }
+}
--- a/crates/hibiscusgw/tests/platform/fixture.rs
+++ b/crates/hibiscusgw/tests/platform/fixture.rs
@@ -8,6 +8,7 @@
 use hgw_standins::client::{Caller, Whole};
 use hgw_standins::fleet::engine::{self, Engine};
 use hgw_standins::fleet::{EngineSettings, Holds, Store};
+use hgw_standins::link::Link;
 use http::Method;
 use serde_json::{Value, json};
 
@@ -33,6 +34,8 @@
     pub(crate) ready: SocketAddr,
     pub(crate) metrics: SocketAddr,
     pub(crate) settings: PathBuf,
+    /// Its way to the store.
+    pub(crate) to_store: Link,
     child: Child,
 }
 
@@ -142,7 +145,8 @@
         self.next += 1;
         let [callers, ready, peers, metrics] = free_ports();
         let settings = self.folder.join(format!("{name}.conf"));
-        let text = settings_text(&name, zone, callers, ready, peers, self.store.addr());
+        let to_store = Link::to(self.store.addr()).expect("the way listens");
+        let text = settings_text(&name, zone, callers, ready, peers, to_store.addr());
         std::fs::write(&settings, text).expect("the settings can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_hibiscusgw"))
             .args(["serve", "--log-format", "json", "--metrics", &metrics.to_string()])
@@ -151,7 +155,7 @@
             .stdout(stdout)
             .spawn()
             .expect("the program starts");
-        self.nodes.push(Node { name, callers, ready, metrics, settings, child });
+        self.nodes.push(Node { name, callers, ready, metrics, settings, to_store, child });
         self.nodes.len() - 1
     }
 }
