--- a/crates/hibiscusgw/tests/platform/apart.rs
+++ b/crates/hibiscusgw/tests/platform/apart.rs
@@ -4,14 +4,16 @@
 use hgw_standins::link::Condition;
 use http::StatusCode;
 
-use crate::fixture::{Fleet, configuration, holds, wait};
+use hgw_standins::fleet::deployment::{configuration, holds, wait};
+
+use crate::fleet_of;
 
 /// The store turns one node away and serves the others, and the configuration changes. The node hears of it from
 /// the one that reads for all; callers who are sent to it must not be refused on a route that there is.
 #[test]
 fn node_that_the_store_turns_away_takes_the_configuration_from_another() {
     let models = EngineSettings { holds: holds(&[("m", &[])]), ..EngineSettings::default() };
-    let mut fleet = Fleet::new(vec![models]);
+    let mut fleet = fleet_of(vec![models]);
     let keeper = fleet.start("a");
     wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
     let other = fleet.start("b");
--- a/crates/hibiscusgw/tests/platform/calls.rs
+++ b/crates/hibiscusgw/tests/platform/calls.rs
@@ -3,11 +3,11 @@
 use hgw_standins::Faults;
 use http::{Method, StatusCode};
 
-use crate::fixture::Fleet;
+use crate::fleet_of;
 
 #[test]
 fn answer_of_the_engine_is_passed_on_unchanged() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start("a");
     let answer = fleet.nodes[node].plain("/print/x?y=1", "call-1").unwrap();
     assert_eq!(answer.status, StatusCode::OK);
@@ -18,7 +18,7 @@
 
 #[test]
 fn unknown_route_is_not_found_and_a_call_without_id_is_refused() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start("a");
     assert_eq!(fleet.nodes[node].plain("/nowhere/", "call-1").unwrap().status, 404);
     let answer = fleet.nodes[node].call(Method::GET, "/look/", &[]).unwrap();
@@ -30,7 +30,7 @@
 /// failure that does not promise that it has not run, and no second engine runs it.
 #[test]
 fn call_that_may_have_run_is_not_sent_again() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start("a");
     for engine in &fleet.engines {
         engine.fault(&Faults { lose_answers: 1, ..Faults::default() });
@@ -43,7 +43,7 @@
 /// The same for a call that may be repeated: another engine answers it.
 #[test]
 fn call_that_may_be_repeated_goes_to_another_engine() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start("a");
     for engine in &fleet.engines {
         engine.fault(&Faults { lose_answers: 1, ..Faults::default() });
@@ -62,7 +62,7 @@
 /// repeated. Where all are full the caller is told when to come back.
 #[test]
 fn rejected_call_goes_to_another_engine_or_comes_back() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start("a");
     for engine in &fleet.engines {
         engine.refuse(100);
@@ -79,7 +79,7 @@
 /// An engine's own failure is its answer, with its seal, where no other engine can be asked.
 #[test]
 fn failure_of_an_engine_is_passed_on_with_its_seal() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start("a");
     for engine in &fleet.engines {
         engine.fail(100);
@@ -93,7 +93,7 @@
 /// An answer bears the id of another request: it belongs to nobody here, and nobody gets it.
 #[test]
 fn answer_to_another_request_is_given_to_nobody() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start("a");
     for engine in &fleet.engines {
         engine.fault(&Faults { cross_answers: 100, ..Faults::default() });
@@ -108,7 +108,7 @@
 /// so that the other one does not run the call.
 #[test]
 fn call_is_not_run_by_an_engine_with_another_identity() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let mut entry = fleet.engine("desk-1").entry("ready");
     entry["service"] = "desk".into();
     fleet.store.put("keyed.servers", "desk-1", b"");
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -2,9 +2,15 @@
 
 mod apart;
 mod calls;
-mod fixture;
 mod orders;
 mod session;
 mod settings;
 mod stopping;
 mod streams;
+
+use hgw_standins::fleet::{EngineSettings, Fleet};
+
+/// The platform with these engines of models, before the program that is tested.
+fn fleet_of(models: Vec<EngineSettings>) -> Fleet {
+    Fleet::new(env!("CARGO_BIN_EXE_hibiscusgw"), models)
+}
--- a/crates/hibiscusgw/tests/platform/orders.rs
+++ b/crates/hibiscusgw/tests/platform/orders.rs
@@ -4,7 +4,9 @@
 use hgw_standins::fleet::{EngineSettings, FleetRecord};
 use http::StatusCode;
 
-use crate::fixture::{Fleet, holds, wait};
+use hgw_standins::fleet::deployment::{Fleet, holds, wait};
+
+use crate::fleet_of;
 
 fn engine(id: &str) -> EngineSettings {
     EngineSettings {
@@ -16,8 +18,8 @@
 }
 
 fn fleet() -> Fleet {
-    let mut fleet = Fleet::new(vec![engine("i-1"), engine("i-2")]);
-    let mut config = crate::fixture::configuration(2);
+    let mut fleet = fleet_of(vec![engine("i-1"), engine("i-2")]);
+    let mut config = hgw_standins::fleet::deployment::configuration(2);
     config["services"][1]["engine"]["adapterSlots"] = 2.into();
     fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
     for zone in ["a", "b", "c"] {
--- a/crates/hibiscusgw/tests/platform/session.rs
+++ b/crates/hibiscusgw/tests/platform/session.rs
@@ -5,7 +5,9 @@
 use http::Method;
 use rustix::process::Signal;
 
-use crate::fixture::{Fleet, holds, wait};
+use hgw_standins::fleet::deployment::{holds, wait};
+
+use crate::fleet_of;
 
 fn told(what: &str, answer: &Whole) -> String {
     let header = |name: &str| {
@@ -23,7 +25,7 @@
         events: 3,
         ..EngineSettings::default()
     };
-    let mut fleet = Fleet::new(vec![model]);
+    let mut fleet = fleet_of(vec![model]);
     fleet.store.put("keyed.servers", "desk-2", b"");
     let node = fleet.start("a");
     let mut told_all = String::new();
@@ -46,7 +48,7 @@
 /// What was served, refused and failed is counted, with the reason, on the address of the metrics.
 #[test]
 fn metrics_count_what_became_of_requests() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start("a");
     let node = &fleet.nodes[node];
     node.plain("/look/", "c-1").unwrap();
@@ -72,7 +74,7 @@
 /// would serve nobody after some two hundred requests.
 #[test]
 fn unread_lines_hold_no_request_up() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start_unread("a");
     let long = "x".repeat(2_000);
     for n in 0..400 {
--- a/crates/hibiscusgw/tests/platform/settings.rs
+++ b/crates/hibiscusgw/tests/platform/settings.rs
@@ -5,7 +5,9 @@
 use hgw_standins::fleet::Store;
 use http::StatusCode;
 
-use crate::fixture::{Fleet, configuration, wait};
+use hgw_standins::fleet::deployment::{configuration, wait};
+
+use crate::fleet_of;
 
 fn refused(text: &str) -> String {
     let path = std::env::temp_dir().join(format!("hgw-bad-{}-{}", std::process::id(), text.len()));
@@ -43,7 +45,7 @@
 
 #[test]
 fn node_without_a_configuration_is_not_ready_and_refuses_with_a_time() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     fleet.store = Store::start().unwrap();
     let node = fleet.spawn("a");
     wait("the node listens", || fleet.nodes[node].accepts());
@@ -59,7 +61,7 @@
 /// A configuration that cannot be read, and then an older one: the newest good one stays in force.
 #[test]
 fn bad_and_old_configurations_change_nothing() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start("a");
     let mut moved = configuration(5);
     moved["routes"][1]["prefix"] = "/stamp/".into();
@@ -84,7 +86,7 @@
 /// The file changes without a signal to something that is not allowed, and back: the node serves on.
 #[test]
 fn bad_settings_leave_the_last_ones_in_force() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start("a");
     let good = std::fs::read_to_string(&fleet.nodes[node].settings).unwrap();
     std::fs::write(&fleet.nodes[node].settings, "nodeName=").unwrap();
--- a/crates/hibiscusgw/tests/platform/stopping.rs
+++ b/crates/hibiscusgw/tests/platform/stopping.rs
@@ -7,7 +7,9 @@
 use http::StatusCode;
 use rustix::process::Signal;
 
-use crate::fixture::{Fleet, holds, wait};
+use hgw_standins::fleet::deployment::{Fleet, holds, wait};
+
+use crate::fleet_of;
 
 fn slow(id: &str) -> EngineSettings {
     EngineSettings {
@@ -23,7 +25,7 @@
 /// answer is given to its end, new calls are served, and the process ends with success.
 #[test]
 fn planned_stop_cuts_nothing() {
-    let mut fleet = Fleet::new(vec![slow("i-1")]);
+    let mut fleet = fleet_of(vec![slow("i-1")]);
     let node = fleet.start("a");
     std::thread::scope(|scope| {
         let fleet = &fleet;
@@ -43,7 +45,7 @@
 /// and goes to another node. Begun and cut, it would be lost.
 #[test]
 fn late_call_to_a_stopping_node_is_refused_unrun() {
-    let mut fleet = Fleet::new(vec![EngineSettings { events: 200, ..slow("i-1") }]);
+    let mut fleet = fleet_of(vec![EngineSettings { events: 200, ..slow("i-1") }]);
     let node = fleet.start("a");
     std::thread::scope(|scope| {
         let fleet = &fleet;
@@ -64,7 +66,7 @@
 /// An engine says that it leaves. Once a node has read that, no request reaches it.
 #[test]
 fn engine_that_leaves_gets_no_more_work() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start("a");
     fleet.list(fleet.engine("desk-1"), "draining");
     let calls = |fleet: &Fleet| fleet.store.calls().get("/api/log-read").copied().unwrap_or(0);
@@ -82,7 +84,7 @@
 /// without the entries that lapsed meanwhile.
 #[test]
 fn outage_of_the_store_stops_no_calls() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     let node = fleet.start("a");
     fleet.store.fault(&Faults { down: true, ..Faults::default() });
     // Longer than two of the engines' heartbeats: entries may lapse.
@@ -107,7 +109,7 @@
 /// that it leaves: the others read for themselves before the engine must get no more work.
 #[test]
 fn nodes_read_for_themselves_when_the_keeper_cannot() {
-    let mut fleet = Fleet::new(Vec::new());
+    let mut fleet = fleet_of(Vec::new());
     for zone in ["a", "b", "c"] {
         fleet.start(zone);
     }
--- a/crates/hibiscusgw/tests/platform/streams.rs
+++ b/crates/hibiscusgw/tests/platform/streams.rs
@@ -6,7 +6,9 @@
 use hgw_standins::{Faults, StreamFault};
 use http::StatusCode;
 
-use crate::fixture::{Fleet, holds, wait};
+use hgw_standins::fleet::deployment::{holds, wait};
+
+use crate::fleet_of;
 
 fn engine(id: &str, all: &[(&str, &[&str])]) -> EngineSettings {
     EngineSettings { id: id.into(), holds: holds(all), ..EngineSettings::default() }
@@ -25,7 +27,7 @@
 #[test]
 fn stream_goes_on_elsewhere_after_the_last_whole_event() {
     let both = [engine("i-1", &[("m", &[])]), engine("i-2", &[("m", &[])])];
-    let mut fleet = Fleet::new(both.to_vec());
+    let mut fleet = fleet_of(both.to_vec());
     let node = fleet.start("a");
     fleet.engine("i-1").fault(&breaks(7));
     fleet.engine("i-2").fault(&breaks(7));
@@ -42,7 +44,7 @@
 /// The same for a stream that no other engine can go on with: it ends without looking complete.
 #[test]
 fn stream_that_may_not_be_resumed_ends_broken() {
-    let mut fleet = Fleet::new(vec![engine("i-1", &[("m", &[])]), engine("i-2", &[("m", &[])])]);
+    let mut fleet = fleet_of(vec![engine("i-1", &[("m", &[])]), engine("i-2", &[("m", &[])])]);
     let node = fleet.start("a");
     fleet.engine("i-1").fault(&breaks(7));
     fleet.engine("i-2").fault(&breaks(7));
@@ -59,7 +61,7 @@
         events: 60,
         ..engine(id, &[("m", &[])])
     };
-    let mut fleet = Fleet::new(vec![slow("i-1"), slow("i-2")]);
+    let mut fleet = fleet_of(vec![slow("i-1"), slow("i-2")]);
     let node = fleet.start("a");
     std::thread::scope(|scope| {
         let fleet = &fleet;
@@ -85,7 +87,7 @@
         events: 30,
         ..engine("i-1", &[("m", &[])])
     };
-    let mut fleet = Fleet::new(vec![one, engine("i-2", &[("n", &[])])]);
+    let mut fleet = fleet_of(vec![one, engine("i-2", &[("n", &[])])]);
     let node = fleet.start("a");
     std::thread::scope(|scope| {
         let fleet = &fleet;
@@ -104,7 +106,7 @@
 /// the order holds: never in hope.
 #[test]
 fn adapter_that_is_nowhere_is_placed_for_the_request() {
-    let mut fleet = Fleet::new(vec![engine("i-1", &[("m", &[]), ("n", &[])])]);
+    let mut fleet = fleet_of(vec![engine("i-1", &[("m", &[]), ("n", &[])])]);
     let node = fleet.start("a");
     wait("the adapter is placed", || {
         let answer = fleet.nodes[node].stream("/ask/", "s-1", "m/a1");
@@ -120,7 +122,7 @@
 fn model_that_is_nowhere_is_loaded_and_its_caller_told_when() {
     let slow =
         EngineSettings { load: Duration::from_millis(1_500), ..engine("i-1", &[("m", &[])]) };
-    let mut fleet = Fleet::new(vec![slow]);
+    let mut fleet = fleet_of(vec![slow]);
     let node = fleet.start("a");
     wait("the model has come", || {
         let answer = fleet.nodes[node].stream("/ask/", "s-1", "n").unwrap();
--- a/crates/hibiscusgw/tests/platform/fixture.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -1,46 +1,60 @@
 //! Nodes as real processes before the stand-ins of the platform.
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use hgw_standins::client::{Caller, Whole};
-use hgw_standins::fleet::engine::{self, Engine};
-use hgw_standins::fleet::{EngineSettings, Holds, Store};
-use hgw_standins::link::Link;
 use http::Method;
 use serde_json::{Value, json};
 
+use super::engine::{self, Engine};
+use super::{EngineSettings, Holds, Store};
+use crate::client::{Caller, Result, Whole};
+use crate::link::Link;
+
 /// Longest wait for anything: a guard against hanging, far above what is expected.
 const GUARD: Duration = Duration::from_secs(60);
 
 /// The host of all routes.
-pub(crate) const HOST: &str = "desk.example";
+pub const HOST: &str = "desk.example";
 
 /// The platform, its engines, and nodes before them.
-pub(crate) struct Fleet {
-    pub(crate) store: Store,
-    pub(crate) engines: Vec<Engine>,
-    pub(crate) nodes: Vec<Node>,
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform's store.
+    pub store: Store,
+    /// All engines.
+    pub engines: Vec<Engine>,
+    /// The way to each engine, in the same order.
+    pub to_engines: Vec<Link>,
+    /// All nodes that were started.
+    pub nodes: Vec<Node>,
+    program: PathBuf,
     folder: PathBuf,
     next: usize,
 }
 
 /// A node's process.
-pub(crate) struct Node {
-    pub(crate) name: String,
-    pub(crate) callers: SocketAddr,
-    pub(crate) ready: SocketAddr,
-    pub(crate) metrics: SocketAddr,
-    pub(crate) settings: PathBuf,
+#[derive(Debug)]
+pub struct Node {
+    /// Its name.
+    pub name: String,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where it says whether it takes them.
+    pub ready: SocketAddr,
+    /// Where its metrics are.
+    pub metrics: SocketAddr,
+    /// Its settings file.
+    pub settings: PathBuf,
     /// Its way to the store.
-    pub(crate) to_store: Link,
+    pub to_store: Link,
     child: Child,
 }
 
 /// What a store is like, before any node.
-pub(crate) fn holds(all: &[(&str, &[&str])]) -> Holds {
+pub fn holds(all: &[(&str, &[&str])]) -> Holds {
     let one = |(model, adapters): &(&str, &[&str])| {
         ((*model).to_owned(), adapters.iter().map(|a| (*a).to_owned()).collect())
     };
@@ -48,7 +62,7 @@
 }
 
 /// The configuration that tests begin with.
-pub(crate) fn configuration(version: u64) -> Value {
+pub fn configuration(version: u64) -> Value {
     let model = |name: &str| json!({ "name": name, "weightsMb": 70_000.0, "loadS": 0.2, "adapters": 4, "adapterMb": 60.0 });
     let route = |name: &str, kind: &str, service: &str, resumable: bool| {
         json!({
@@ -77,8 +91,9 @@
 }
 
 impl Fleet {
-    /// A store with a configuration, two plain engines and these engines of models, and no node.
-    pub(crate) fn new(models: Vec<EngineSettings>) -> Fleet {
+    /// A store with a configuration, two plain engines and these engines of models, and no node; nodes run
+    /// this program.
+    pub fn new(program: impl Into<PathBuf>, models: Vec<EngineSettings>) -> Fleet {
         let store = Store::start().expect("the store listens");
         store.put("keyed.op", "config", configuration(1).to_string().as_bytes());
         let plain = |id: &str| EngineSettings {
@@ -89,57 +104,71 @@
         let all = [plain("desk-1"), plain("desk-2")].into_iter().chain(models);
         let engines: Vec<Engine> =
             all.map(|s| engine::start(s).expect("the engine listens")).collect();
+        let way = |e: &Engine| Link::to(e.addr()).expect("the way listens");
+        let to_engines = engines.iter().map(way).collect();
         static FLEETS: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
         let number = FLEETS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("hgw-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("the folder can be made");
-        let fleet = Fleet { store, engines, nodes: Vec::new(), folder, next: 1 };
+        let (program, nodes) = (program.into(), Vec::new());
+        let fleet = Fleet { store, engines, to_engines, nodes, program, folder, next: 1 };
         fleet.list_all();
         fleet
     }
 
     /// Writes the entries of all engines.
-    pub(crate) fn list_all(&self) {
+    pub fn list_all(&self) {
         for engine in &self.engines {
             self.list(engine, "ready");
         }
     }
 
     /// Writes an engine's entry in a state.
-    pub(crate) fn list(&self, engine: &Engine, state: &str) {
-        let entry = engine.entry(state).to_string();
-        self.store.put("keyed.servers", engine.id(), entry.as_bytes());
+    pub fn list(&self, engine: &Engine, state: &str) {
+        let mut entry = engine.entry(state);
+        let at = self.engines.iter().position(|e| e.id() == engine.id());
+        if let Some(way) = at.and_then(|at| self.to_engines.get(at)) {
+            entry["addr"] = way.addr().to_string().into();
+        }
+        self.store.put("keyed.servers", engine.id(), entry.to_string().as_bytes());
     }
 
     /// The engine with this identity.
-    pub(crate) fn engine(&self, id: &str) -> &Engine {
+    pub fn engine(&self, id: &str) -> &Engine {
         self.engines.iter().find(|e| e.id() == id).expect("there is such an engine")
     }
 
     /// How often a request ran, over all engines.
-    pub(crate) fn runs(&self, id: &str) -> u32 {
+    pub fn runs(&self, id: &str) -> u32 {
         self.engines.iter().filter_map(|e| e.record().runs.get(id).copied()).sum()
     }
 
     /// Starts a node in a domain, and waits until it is ready.
-    pub(crate) fn start(&mut self, zone: &str) -> usize {
+    pub fn start(&mut self, zone: &str) -> usize {
         let node = self.spawn(zone);
         wait("the node is ready", || self.nodes[node].is_ready());
         node
     }
 
     /// Starts a node whose standard output is a pipe that nobody reads.
-    pub(crate) fn start_unread(&mut self, zone: &str) -> usize {
+    pub fn start_unread(&mut self, zone: &str) -> usize {
         let node = self.spawn_with(zone, Stdio::piped());
         wait("the node is ready", || self.nodes[node].is_ready());
         node
     }
 
     /// Starts a node.
-    pub(crate) fn spawn(&mut self, zone: &str) -> usize {
+    pub fn spawn(&mut self, zone: &str) -> usize {
         self.spawn_with(zone, Stdio::null())
     }
 
+    /// Starts a node that has ended once more, with the same settings and addresses.
+    pub fn restart(&mut self, node: usize, stdout: Stdio) {
+        let node = &mut self.nodes[node];
+        node.kill();
+        node.child = run(&self.program, &node.settings, node.metrics, stdout);
+    }
+
     fn spawn_with(&mut self, zone: &str, stdout: Stdio) -> usize {
         let name = format!("front-{}", self.next);
         self.next += 1;
@@ -148,13 +177,7 @@
         let to_store = Link::to(self.store.addr()).expect("the way listens");
         let text = settings_text(&name, zone, callers, ready, peers, to_store.addr());
         std::fs::write(&settings, text).expect("the settings can be written");
-        let child = Command::new(env!("CARGO_BIN_EXE_hibiscusgw"))
-            .args(["serve", "--log-format", "json", "--metrics", &metrics.to_string()])
-            .env("HIBISCUSGW_BOOT", &settings)
-            .stdin(Stdio::null())
-            .stdout(stdout)
-            .spawn()
-            .expect("the program starts");
+        let child = run(&self.program, &settings, metrics, stdout);
         self.nodes.push(Node { name, callers, ready, metrics, settings, to_store, child });
         self.nodes.len() - 1
     }
@@ -172,18 +195,13 @@
 
 impl Node {
     /// Whether it says that it takes callers.
-    pub(crate) fn is_ready(&self) -> bool {
+    pub fn is_ready(&self) -> bool {
         let caller = Caller::new(self.ready).expect("a client needs no network yet");
         caller.call(Method::GET, "/api/ready", &[], "").is_ok_and(|a| a.status == 200)
     }
 
     /// Sends a request and waits for the whole answer.
-    pub(crate) fn call(
-        &self,
-        method: Method,
-        path: &str,
-        headers: &[(&str, &str)],
-    ) -> Result<Whole, hgw_standins::client::CallError> {
+    pub fn call(&self, method: Method, path: &str, headers: &[(&str, &str)]) -> Result<Whole> {
         let caller = Caller::new(self.callers).expect("a client needs no network yet");
         let mut all = vec![("host", HOST)];
         all.extend_from_slice(headers);
@@ -191,21 +209,12 @@
     }
 
     /// The same for a plain call.
-    pub(crate) fn plain(
-        &self,
-        path: &str,
-        id: &str,
-    ) -> Result<Whole, hgw_standins::client::CallError> {
+    pub fn plain(&self, path: &str, id: &str) -> Result<Whole> {
         self.call(Method::POST, path, &[("x-request-id", id), ("x-deadline-ms", "5000")])
     }
 
     /// The same for a stream.
-    pub(crate) fn stream(
-        &self,
-        path: &str,
-        id: &str,
-        model: &str,
-    ) -> Result<Whole, hgw_standins::client::CallError> {
+    pub fn stream(&self, path: &str, id: &str, model: &str) -> Result<Whole> {
         let headers = [
             ("x-request-id", id),
             ("x-deadline-ms", "8000"),
@@ -217,31 +226,31 @@
     }
 
     /// Sends a signal.
-    pub(crate) fn signal(&self, signal: rustix::process::Signal) {
+    pub fn signal(&self, signal: rustix::process::Signal) {
         let pid = rustix::process::Pid::from_child(&self.child);
         rustix::process::kill_process(pid, signal).expect("the process is this test's own");
     }
 
     /// Whether it has ended, and with success.
-    pub(crate) fn ended(&mut self) -> Option<bool> {
+    pub fn ended(&mut self) -> Option<bool> {
         self.child.try_wait().expect("it can be asked").map(|status| status.success())
     }
 
     /// Ends it at once.
-    pub(crate) fn kill(&mut self) {
+    pub fn kill(&mut self) {
         // Both fail only where it has ended already.
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 
     /// Whether a connection of a caller can be made.
-    pub(crate) fn accepts(&self) -> bool {
+    pub fn accepts(&self) -> bool {
         TcpStream::connect(self.callers).is_ok()
     }
 }
 
 /// Waits until something holds.
-pub(crate) fn wait(what: &str, mut holds: impl FnMut() -> bool) {
+pub fn wait(what: &str, mut holds: impl FnMut() -> bool) {
     let until = Instant::now() + GUARD;
     while !holds() {
         assert!(Instant::now() < until, "not within {GUARD:?}: {what}");
@@ -249,6 +258,16 @@
     }
 }
 
+fn run(program: &Path, settings: &Path, metrics: SocketAddr, stdout: Stdio) -> Child {
+    Command::new(program)
+        .args(["serve", "--log-format", "json", "--metrics", &metrics.to_string()])
+        .env("HIBISCUSGW_BOOT", settings)
+        .stdin(Stdio::null())
+        .stdout(stdout)
+        .spawn()
+        .expect("the program starts")
+}
+
 /// Ports that were free a moment ago; the listeners are held together, so that they differ.
 fn free_ports<const N: usize>() -> [SocketAddr; N] {
     let listeners: Vec<TcpListener> =
