Leave a long list of engines to the node that reads for all

Cause: with 300 machines and 3,000 engines the whole list was more than a message may hold, so that no node was ever told it, and every node read for itself what all engines write each second: 300 times 0.6 MB a second against the store's 80. Nothing was answered from then on, the configuration was 10 to 19 s late, and nobody was served for 30 s after all were killed. Ruled out: the whole list through one machine (300 MB at 25 MB a second). Change: changes of the list are told from the place in the store's log where the other node's list ends, so that it is read whole only once; a node that lags too far reads a long list itself; where nobody reads for all, one node in twelve reads on, and claims first; a page that was given up is asked for alone; a new keeper asks 64 engines at a time and rests between plans; nodes that the store turns away at their start ask the keeper. Changes are followed within 3 s where a deployment allows that, and not within 2. Nodes of the tests listen below the ports that the system gives away: one run failed because a node never listened, its port taken by a link of another test.

--- /dev/null
+++ b/crates/direct/src/listing.rs
@@ -0,0 +1,172 @@
+//! The list of engines, as one node that reads it from the store passes it on to the others.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::{Engine, EngineId, Engines, Held, Standing};
+
+/// A place in the store's log of the list.
+pub type Cursor = u64;
+
+/// Engines that are gone and still told of: what lags behind more reads the whole list.
+const MOST_GONE: usize = 1_000;
+
+/// Engines up to which the whole list is passed on to a node that lags behind. Three thousand are a megabyte, which
+/// one machine cannot send to hundreds of nodes at once: there each reads it from the store.
+const MOST_WHOLE: usize = 400;
+
+/// Whether a node reads the list when nobody reads it for all; `draw` parts the nodes, `crowd` is by how much many
+/// nodes hold back.
+///
+/// Load: engines write their entries every second, and each reader reads them all. Three hundred nodes that read for
+/// themselves what three thousand engines write take more than the store gives; then none of them is answered, nor
+/// the one that reads for all, and so it stays. Where the list is long most of them leave the store to that one, and
+/// some read on to take its place.
+pub fn reads_on(engines: &Engines, crowd: u32, draw: u32) -> bool {
+    engines.iter().count() <= MOST_WHOLE || draw.is_multiple_of(crowd.max(1))
+}
+
+/// An engine of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Passed {
+    /// Its identity.
+    pub engine: EngineId,
+    /// Its service.
+    pub service: String,
+    /// Where it is reached.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Whether it is still slow after its start.
+    pub cold: bool,
+    /// What it holds.
+    pub held: Vec<Held>,
+}
+
+/// What changed in the list.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListNews {
+    /// How far it goes in the store's log of the list.
+    pub cursor: Cursor,
+    /// What `engines` are.
+    pub part: Part,
+    /// Engines of that part.
+    pub engines: Vec<Passed>,
+    /// Engines that are gone.
+    pub gone: Vec<EngineId>,
+}
+
+/// What part of a list is told.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Part {
+    /// What has changed.
+    #[default]
+    Changes,
+    /// All there are.
+    Whole,
+    /// Nothing: what has changed is not known any more, and the whole list is long.
+    ReadAnew,
+}
+
+/// What has changed in the list, and at which point of the store's log. All nodes read the same log, so that one
+/// which has read the list itself is told only what came after.
+#[derive(Debug, Default)]
+pub struct Listing {
+    /// From where on changes are known.
+    begun: Option<Cursor>,
+    /// How far the list goes.
+    at: Cursor,
+    /// Where it changed last.
+    changed_at: Cursor,
+    known: IndexMap<EngineId, (Cursor, Signature)>,
+    gone: Vec<(Cursor, EngineId)>,
+}
+
+/// What makes an entry worth telling again.
+type Signature = (bool, bool, u32, SocketAddr);
+
+fn signature(engine: &Engine) -> Signature {
+    let listed = &engine.listed;
+    (listed.standing != Standing::Ready, listed.cold_ms > 0, listed.slots, listed.addr)
+}
+
+impl Listing {
+    /// Looks at the list, which goes as far as `cursor`.
+    pub fn look(&mut self, engines: &Engines, cursor: Cursor) {
+        let mut changed = Vec::new();
+        for engine in engines.iter() {
+            let (id, now) = (&engine.listed.id, signature(engine));
+            if self.known.get(id).is_none_or(|(_, then)| *then != now) {
+                changed.push((id.clone(), now));
+            }
+        }
+        let lost: Vec<EngineId> =
+            self.known.keys().filter(|id| engines.get(id).is_none()).cloned().collect();
+        let news = !changed.is_empty() || !lost.is_empty();
+        // A change that was found without reading on, or behind it, is told as a later one.
+        let later = self.at + u64::from(news && self.begun.is_some());
+        self.at = later.max(cursor);
+        self.begun.get_or_insert(self.at);
+        if news {
+            self.changed_at = self.at;
+        }
+        for (id, signature) in changed {
+            self.known.insert(id, (self.at, signature));
+        }
+        for id in lost {
+            self.known.shift_remove(&id);
+            self.gone.push((self.at, id));
+        }
+        if self.gone.len() > MOST_GONE {
+            let dropped = self.gone.drain(..MOST_GONE / 2).next_back();
+            self.begun = dropped.map(|(at, _)| at).or(self.begun);
+        }
+    }
+
+    /// Where the list changed last.
+    pub fn changed_at(&self) -> Cursor {
+        self.changed_at
+    }
+
+    /// Whether there is nothing to tell a node whose list ends there.
+    pub fn has_nothing_since(&self, since: Option<Cursor>) -> bool {
+        let is_known = |since| self.begun.is_some_and(|begun| since >= begun);
+        since.is_none_or(|since| is_known(since) && self.changed_at <= since)
+    }
+
+    /// What changed since a node's list ended; a node without one is told nothing.
+    pub fn since(&self, engines: &Engines, since: Option<Cursor>) -> ListNews {
+        let Some(since) = since else { return ListNews { cursor: self.at, ..ListNews::default() } };
+        let is_known = self.begun.is_some_and(|begun| since >= begun);
+        let part = match is_known {
+            true => Part::Changes,
+            false if self.known.len() <= MOST_WHOLE => Part::Whole,
+            false => return ListNews { part: Part::ReadAnew, ..ListNews::default() },
+        };
+        let newer = self.known.iter().filter(|(_, (at, _))| part == Part::Whole || *at > since);
+        let told = newer.filter_map(|(id, _)| engines.get(id).map(passed)).collect();
+        let gone = self.gone.iter().filter(|(at, _)| *at > since);
+        let gone = gone.map(|(_, id)| id.clone()).collect();
+        ListNews { cursor: self.at, part, engines: told, gone }
+    }
+}
+
+fn passed(engine: &Engine) -> Passed {
+    let listed = &engine.listed;
+    Passed {
+        engine: listed.id.clone(),
+        service: listed.service.0.clone(),
+        addr: listed.addr,
+        domain: listed.domain.clone(),
+        slots: listed.slots,
+        leaving: listed.standing != Standing::Ready,
+        cold: listed.cold_ms > 0,
+        held: listed.held.clone(),
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/listing.rs
@@ -0,0 +1,72 @@
+//! The list of engines, passed on from the node that reads it to the others.
+
+mod support;
+
+use hgw_direct::{Engines, ListPart, Listing, Standing, reads_on};
+use support::{engines, listed};
+
+fn many(count: usize) -> Engines {
+    let mut engines = Engines::default();
+    for number in 0..count {
+        engines.list(listed(&format!("e{number}"), "a", &["m"]));
+    }
+    engines
+}
+
+/// A node that has read the list itself is told what came after, and by any node that has followed it since: with
+/// numbers of its own a new reader sent everybody the whole list.
+#[test]
+fn changes_are_told_from_where_the_other_list_ends() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"]), ("e3", "a", &["m"])]);
+    let mut listing = Listing::default();
+    listing.look(&engines, 100);
+    assert!(listing.has_nothing_since(Some(100)));
+    engines.get_mut(&"e1".into()).unwrap().listed.standing = Standing::Leaving { gone_at: None };
+    engines.unlist(&"e2".into());
+    listing.look(&engines, 140);
+    let news = listing.since(&engines, Some(120));
+    assert_eq!((news.part, news.cursor), (ListPart::Changes, 140));
+    assert!(news.engines.iter().map(|e| e.engine.0.as_str()).eq(["e1"]), "{news:?}");
+    assert!(news.engines[0].leaving && news.gone == ["e2".into()], "{news:?}");
+    assert!(listing.has_nothing_since(Some(140)));
+    assert!(listing.since(&engines, Some(150)).engines.is_empty(), "that node has read further");
+}
+
+/// Another node has found out that an engine is another one now; nothing was read of the log since.
+#[test]
+fn change_without_reading_on_is_told_as_a_later_one() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    let mut listing = Listing::default();
+    listing.look(&engines, 100);
+    engines.unlist(&"e1".into());
+    listing.look(&engines, 100);
+    assert_eq!(listing.since(&engines, Some(100)).gone, ["e1".into()]);
+}
+
+#[test]
+fn node_that_lags_behind_is_told_a_short_list_and_reads_a_long_one() {
+    let (short, long) = (many(13), many(3_000));
+    for (engines, part) in [(&short, ListPart::Whole), (&long, ListPart::ReadAnew)] {
+        let mut listing = Listing::default();
+        listing.look(engines, 100);
+        let news = listing.since(engines, Some(50));
+        assert_eq!(news.part, part);
+        assert_eq!(news.engines.len(), if part == ListPart::Whole { 13 } else { 0 });
+    }
+    assert_eq!(Listing::default().since(&short, None).engines, []);
+}
+
+/// Three hundred nodes and three thousand engines: the store gives eighty megabytes a second, and what the engines
+/// write is more than half a megabyte a second for each reader.
+#[test]
+fn few_nodes_read_a_long_list_when_nobody_reads_it_for_all() {
+    let readers =
+        |engines: &Engines, crowd| (0..300).filter(|d| reads_on(engines, crowd, *d)).count();
+    assert_eq!(readers(&many(3_000), 12), 25);
+    assert_eq!(
+        readers(&many(112), 12),
+        300,
+        "a short list is read by all, within the time to follow it"
+    );
+    assert_eq!(readers(&many(3_000), 1), 300, "so is any by few nodes");
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
+pub use hgw_direct::Cursor;
 use hgw_direct::{AtHand, Catalog, EngineId, Held, Listed, Load, Prompt, Wanted};
 use hgw_http1::{Head, Request};
 use http::HeaderMap;
@@ -197,9 +198,6 @@
 /// Result of a call to the store.
 pub type StoreResult<T> = Result<T, StoreError>;
 
-/// Where a reader of a feed is.
-pub type Cursor = u64;
-
 /// News of the configuration.
 #[derive(Debug, Clone)]
 pub struct CatalogNews {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -100,7 +100,7 @@
     let mut link = Link::new(&node, "engines");
     let (mut back_at, mut last) = (None, node.now());
     loop {
-        if node.is_followed() && node.state.borrow().listed {
+        if node.is_followed() && node.state.borrow().list_at.is_some() {
             // Read anew from the start once the keeper tells no more.
             (cursor, back_at, last) = (None, None, node.now());
             sleep(LOOK).await;
@@ -110,6 +110,7 @@
         match node.dialects.store.engines(cursor).await {
             Ok(news) => {
                 node.list_read.set(node.now());
+                node.list_failed.set(false);
                 if link.up()
                     && down_for(&node, last) >= KEPT_AFTER * node.settings.borrow().heartbeat
                 {
@@ -126,12 +127,11 @@
                     cursor = None;
                     continue;
                 }
-                let pause = node.settings.borrow().list_pause();
-                let keeps = node.holding.borrow().is_mine();
-                sleep(if keeps { pause / KEEPER_READS } else { pause }).await;
+                sleep(pause_before_next(&node)).await;
             }
             Err(e) => {
                 link.down(&e);
+                node.list_failed.set(true);
                 sleep(AFTER_FAILURE.mul_f64(1.0 + random::<f64>())).await;
             }
         }
@@ -139,6 +139,18 @@
     }
 }
 
+/// Time until the list is read again.
+fn pause_before_next(node: &Node) -> Duration {
+    let pause = node.settings.borrow().list_pause();
+    if node.holding.borrow().is_mine() {
+        pause / KEEPER_READS
+    } else if node.reads_on() {
+        pause
+    } else {
+        pause * node.crowd()
+    }
+}
+
 fn down_for(node: &Node, last: hgw_direct::Millis) -> Duration {
     Duration::from_millis(node.now().saturating_sub(last))
 }
@@ -174,8 +186,8 @@
     if news.whole {
         state.engines.replace(whole, keep);
     }
-    state.listed = true;
     drop(state);
+    node.listed_to(news.cursor);
     node.placed.notify_waiters();
 }
 
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -32,6 +32,9 @@
 /// Longest such time. A node with less of a processor waits longer: the holder does more than others.
 const MOST_SPREAD: Duration = Duration::from_millis(700);
 
+/// Time by which a node that did not read on when nobody read for all waits longer.
+const NOT_READ: Duration = Duration::from_millis(300);
+
 /// A record of the claim's log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Entry {
@@ -106,6 +109,7 @@
     end: Option<Cursor>,
     /// Since when every read has succeeded and brought nothing new.
     quiet_since: Option<Millis>,
+    /// Its share of that wait by its processor.
     spread: Duration,
 }
 
@@ -188,7 +192,8 @@
             sleep(HOLDER_CHECK).await;
             return Ok(());
         }
-        let wait = if self.is_free(&me) { self.spread } else { self.until_out(lease) };
+        let spread = self.spread();
+        let wait = if self.is_free(&me) { spread } else { self.until_out(lease) };
         if let Err(e) = self.read(wait).await {
             // While the store does not answer its holder cannot renew either.
             self.quiet_since = None;
@@ -200,16 +205,22 @@
         }
         let now = self.node.now();
         let quiet = now - *self.quiet_since.get_or_insert(now);
-        let free = self.is_free(&me) && quiet >= self.spread.as_millis() as Millis;
-        let out = quiet >= (lease + self.spread).as_millis() as Millis;
+        let free = self.is_free(&me) && quiet >= spread.as_millis() as Millis;
+        let out = quiet >= (lease + spread).as_millis() as Millis;
         let listed = self.node.state.borrow().listed;
         if listed && (free || out) { self.claim().await } else { Ok(()) }
     }
 
+    /// How long this node leaves it to others to claim first. One that has not read on would have to read the whole
+    /// list before it could tell the others what changed.
+    fn spread(&self) -> Duration {
+        if self.node.reads_on() { self.spread } else { self.spread + NOT_READ }
+    }
+
     /// Time until the holder's lease and this node's own wait are over.
     fn until_out(&self, lease: Duration) -> Duration {
         let quiet = self.quiet_since.map_or(0, |since| self.node.now().saturating_sub(since));
-        (lease + self.spread).saturating_sub(Duration::from_millis(quiet)).min(lease / 2)
+        (lease + self.spread()).saturating_sub(Duration::from_millis(quiet)).min(lease / 2)
     }
 
     /// Whether nobody holds the claim, or this machine did before its process ended.
--- a/crates/gateway/src/keeper/give.rs
+++ b/crates/gateway/src/keeper/give.rs
@@ -161,12 +161,17 @@
         return false;
     }
     known.orders = report.seq;
+    // Others know as much by the list: of thousands of engines that is most of what a new keeper finds out.
+    let news = known.listed.held != report.held;
     known.listed.held = report.held;
     known.listed.at_hand = report.at_hand;
     known.coming = report.coming;
     known.told = Some((report.load, now, known.own));
+    known.told_at = Some(now);
     drop(state);
-    changed(node, engine);
+    if news {
+        changed(node, engine);
+    }
     true
 }
 
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -2,33 +2,42 @@
 
 mod adapters;
 mod give;
-mod listing;
 mod models;
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use hgw_direct::place::{Ceiling, CeilingLimits, Pending};
-use hgw_direct::{Demand, EngineId, Millis, Pool, Wanted};
+use hgw_direct::{Cursor, Demand, EngineId, Millis, Pool, Wanted};
 use indexmap::{IndexMap, IndexSet};
-use tokio::sync::{Mutex, Notify};
+use tokio::sync::{Mutex, Notify, Semaphore};
 use tokio::time::{sleep, timeout};
 
 use crate::peers::{Asked, CountedBefore, NEWS_WAIT, News, Tell, Told, heard_since};
 use crate::shared::Node;
 
 pub(crate) use adapters::want;
-pub(crate) use listing::{ListNews, Passed};
 
 /// Time between two looks at what should be ordered.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Rest after a look, as a multiple of the time that it took: with thousands of engines a plan takes tens of
+/// milliseconds of a small machine, and the nodes must be answered meanwhile.
+const REST: u32 = 10;
+
+/// Engines that are asked what they hold at a time: thousands of connections at once would take a small machine
+/// seconds, in which it answers nobody.
+const MOST_ASKING: usize = 64;
+
 /// How old what an engine reports may be.
 const REPORT_AGE: Duration = Duration::from_millis(600);
 
 /// Time between two questions to an engine that carries an earlier holder's order out.
 const BUSY_CHECK: Duration = Duration::from_millis(400);
 
+/// Engines of which one answer tells what they hold: some sixty kilobytes.
+const MOST_TOLD: usize = 256;
+
 /// Loads from the weight store that a new holder gives while what its predecessor began still counts.
 const FIRST_LOADS: usize = 1;
 
@@ -46,8 +55,9 @@
     loading: IndexMap<EngineId, Millis>,
     /// Engines whose state was asked for under this claim.
     surveyed: IndexSet<EngineId>,
-    /// Engines that are being asked.
+    /// Engines that are being asked, or soon will.
     surveying: IndexSet<EngineId>,
+    asking: Rc<Asking>,
     /// Engines that wait for requests to end before they drop an adapter.
     emptying: IndexSet<EngineId>,
     /// One order at a time for each engine.
@@ -58,7 +68,18 @@
     version: u64,
     versions: IndexMap<EngineId, u64>,
     changed: Rc<Notify>,
-    listing: listing::Listing,
+    /// As far as the list was told.
+    list_told: Cursor,
+}
+
+/// Bounds how many engines are asked at a time.
+#[derive(Debug)]
+struct Asking(Semaphore);
+
+impl Default for Asking {
+    fn default() -> Self {
+        Asking(Semaphore::new(MOST_ASKING))
+    }
 }
 
 /// Takes the duty up under a new claim.
@@ -71,8 +92,6 @@
         state.asked.clear();
         keeper.demand.go_on_from(now, state.demand.since(), &state.demand.past(now));
     }
-    // Before anyone asks: an empty list would be taken for the whole one.
-    keeper.listing.look(node);
     for (_, pool) in pools(node) {
         keeper.ceiling.assume_full(now, &ceiling_limits(node, &pool), FIRST_LOADS);
     }
@@ -82,13 +101,15 @@
 
 async fn run(node: Node, fence: u64) {
     while node.keeper.borrow().fence == fence && node.holding.borrow().is_mine() {
+        let began = node.now();
         survey(&node);
         look_at_list(&node);
         for (service, pool) in pools(&node) {
             models::step(&node, &service, &pool);
             adapters::step(&node, &service);
         }
-        sleep(TICK).await;
+        let took = Duration::from_millis(node.now().saturating_sub(began));
+        sleep(TICK.max(took * REST)).await;
     }
 }
 
@@ -118,8 +139,10 @@
 async fn survey_one(node: &Node, id: &EngineId) {
     let fence = node.keeper.borrow().fence;
     sleep(REPORT_AGE).await;
+    let asking = Rc::clone(&node.keeper.borrow().asking);
     while node.keeper.borrow().fence == fence && node.engine(id, |_| ()).is_some() {
         let state = {
+            let _asks = asking.0.acquire().await;
             let desk = desk(node, id);
             let _turn = desk.lock().await;
             give::ask(node, id).await
@@ -174,10 +197,14 @@
     node.keeper.borrow_mut().demand.go_on_from(now, since, &past.models);
 }
 
-/// Tells those who wait where the list of engines or the configuration has changed.
+/// Tells those who wait where the list of engines has changed.
 fn look_at_list(node: &Node) {
+    let Some(cursor) = node.state.borrow().list_at else { return };
+    node.listed_to(cursor);
+    let changed_at = node.state.borrow().listing.changed_at();
     let mut keeper = node.keeper.borrow_mut();
-    if keeper.listing.look(node) {
+    if keeper.list_told < changed_at {
+        keeper.list_told = changed_at;
         keeper.changed.notify_waiters();
     }
 }
@@ -191,23 +218,30 @@
     let current = || node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
     let (nothing, changed) = {
         let keeper = node.keeper.borrow();
-        let nothing =
-            keeper.version <= since && keeper.listing.version() <= list && current() <= catalog;
+        let same_list = node.state.borrow().listing.has_nothing_since(list);
+        let nothing = keeper.version <= since && same_list && current() <= catalog;
         (nothing, Rc::clone(&keeper.changed))
     };
     if nothing {
         // Without news the wait ends by itself.
         let _ = timeout(NEWS_WAIT, changed.notified()).await;
     }
-    // What is told is as new as its age says only if it is looked at now.
-    look_at_list(node);
     let keeper = node.keeper.borrow();
-    let newer = keeper.versions.iter().filter(|(_, v)| **v > since).map(|(id, _)| id);
-    let engines = newer.filter_map(|id| told(node, id)).collect();
+    let newer = keeper.versions.iter().filter(|(_, version)| **version > since);
+    let mut newer: Vec<(u64, &EngineId)> = newer.map(|(id, version)| (*version, id)).collect();
+    newer.sort_unstable_by_key(|(version, _)| *version);
+    // The rest comes with the next question.
+    let version = newer.get(MOST_TOLD - 1).map_or(keeper.version, |(version, _)| *version);
+    newer.truncate(MOST_TOLD);
+    let engines = newer.into_iter().filter_map(|(_, id)| told(node, id)).collect();
+    let list = {
+        let state = node.state.borrow();
+        state.listing.since(&state.engines, list)
+    };
     News {
-        version: keeper.version,
+        version,
         engines,
-        list: keeper.listing.since(node, list),
+        list,
         catalog: current(),
         age_ms: node.followed_age(),
         held_ms: node.now().saturating_sub(began),
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,8 +1,6 @@
-use hgw_direct::{EngineId, Held, Past, Wanted};
+use hgw_direct::{Cursor, EngineId, Held, ListNews, Past, Wanted};
 use serde::{Deserialize, Serialize};
 
-use crate::keeper::ListNews;
-
 /// What an engine holds, as the keeper knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Told {
@@ -27,8 +25,8 @@
     pub(crate) fence: u64,
     /// What it has of that keeper's news.
     pub(crate) version: u64,
-    /// What it has of that keeper's list of engines.
-    pub(crate) list: u64,
+    /// How far its list of engines goes, if it has one.
+    pub(crate) list: Option<Cursor>,
     /// The configuration that it has.
     pub(crate) catalog: u64,
     /// Loads that it heard of since the last exchange.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hgw_direct::{AtHand, Engine, EngineId, Engines, Listed, Load, Standing, Wanted};
+use hgw_direct::{
+    AtHand, Cursor, Engine, EngineId, Engines, ListNews, ListPart, Listed, Load, Passed, Standing,
+    Wanted,
+};
 use hgw_http1::{Body, Request};
 use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -15,8 +18,8 @@
 use tokio::time::{sleep, timeout};
 
 use crate::answer::{Answer, AnswerBody, Answered, own};
-use crate::keeper::{self, ListNews, Passed};
-use crate::shared::{Node, State};
+use crate::keeper;
+use crate::shared::Node;
 
 use message::Want;
 pub(crate) use message::{Asked, CountedBefore, HeardLoad, News, Placement, Tell, Told, Wish};
@@ -76,7 +79,7 @@
 
 /// Exchanges demand against placement with the keeper until the process ends.
 pub(crate) async fn exchange(node: Node) {
-    let (mut fence, mut version, mut list, mut exchanged) = (0, 0, 0, 0);
+    let (mut fence, mut version, mut exchanged) = (0, 0, 0);
     let mut introduced = false;
     loop {
         let keeper = node.holding.borrow().keeper.clone();
@@ -93,7 +96,7 @@
             continue;
         };
         if keeper.fence != fence {
-            (fence, version, list) = (keeper.fence, 0, 0);
+            (fence, version) = (keeper.fence, 0);
             introduced = false;
         }
         let past = (!introduced).then(|| counted_before(&node));
@@ -101,7 +104,12 @@
             // It is in there.
             asked.clear();
         }
-        let catalog = node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
+        let (catalog, list) = {
+            let state = node.state.borrow();
+            // A node that the store turns away has none, and asks for all of it.
+            let list = state.list_at.or(node.list_failed.get().then_some(0));
+            (state.catalog.as_ref().map_or(0, |c| c.version), list)
+        };
         let now = node.now();
         let loads = heard_since(&node, exchanged, None);
         exchanged = now;
@@ -112,8 +120,7 @@
             Some(news) => {
                 introduced = true;
                 version = news.version;
-                list = news.list.version;
-                take_in_list(&node, news.list);
+                take_in_list(&node, list, news.list);
                 // By the time of the question: the answer may have been long on its way.
                 node.followed((now + news.held_ms).saturating_sub(news.age_ms));
                 take_in(&node, news.engines);
@@ -177,14 +184,21 @@
 
 /// Takes the keeper's list of engines in. An engine that this node knows to leave does not come back by the
 /// word of a keeper that has not read of it yet.
-fn take_in_list(node: &Node, news: ListNews) {
+fn take_in_list(node: &Node, since: Option<Cursor>, news: ListNews) {
     let mut state = node.state.borrow_mut();
-    let State { engines, listed, .. } = &mut *state;
+    if news.part == ListPart::ReadAnew {
+        state.list_at = None;
+        return;
+    }
+    // Without a list of its own the node reads it now, and changes to it are not the whole.
+    if since.is_none() {
+        return;
+    }
+    let engines = &mut state.engines;
     let entries: Vec<Listed> =
         news.engines.into_iter().map(|passed| listed_as(engines, passed)).collect();
-    if news.whole {
+    if news.part == ListPart::Whole {
         engines.replace(entries, false);
-        *listed = true;
     } else {
         for entry in entries {
             engines.list(entry);
@@ -193,6 +207,8 @@
             engines.unlist(gone);
         }
     }
+    drop(state);
+    node.listed_to(news.cursor);
 }
 
 fn listed_as(engines: &Engines, passed: Passed) -> Listed {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -44,7 +44,7 @@
 
 /// Longest time within which a change should be followed: the store is called as often in deployments that
 /// allow more.
-const FOLLOW_MOST: Duration = Duration::from_millis(2_000);
+const FOLLOW_MOST: Duration = Duration::from_millis(3_000);
 
 impl Settings {
     /// Time within which changes must be followed.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,17 +5,18 @@
 
 use bytes::Bytes;
 use hgw_direct::{
-    Budget, BudgetLimits, Catalog, Demand, Engine, EngineId, Engines, Millis, ServiceId, Verdict,
-    Wanted, is_cut_off,
+    Budget, BudgetLimits, Catalog, Demand, Engine, EngineId, Engines, Listing, Millis, ServiceId,
+    Verdict, Wanted, is_cut_off, reads_on,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnectLimits;
 use indexmap::IndexMap;
+use rand::random;
 use tokio::sync::Notify;
 
 use crate::Settings;
 use crate::clock::Clock;
-use crate::dialect::Dialects;
+use crate::dialect::{Cursor, Dialects};
 use crate::holder::Holding;
 use crate::keeper::KeeperState;
 use crate::pool::Pool;
@@ -43,10 +44,14 @@
     pub(crate) holding: RefCell<Holding>,
     pub(crate) keeper: RefCell<KeeperState>,
     pub(crate) stop: Stopping,
+    /// Parts this node from others in what only some of them do.
+    draw: u32,
     /// When the store last answered.
     pub(crate) store_heard: Cell<Millis>,
     /// When this node last read the list of engines.
     pub(crate) list_read: Cell<Millis>,
+    /// Whether that failed when it was last tried.
+    pub(crate) list_failed: Cell<bool>,
     /// Up to when this node has what the store tells, by its own reading or the keeper's.
     followed_at: Cell<Option<Millis>>,
     /// The newest configuration that the keeper told of.
@@ -71,6 +76,10 @@
     /// Whether a whole list of engines has been read.
     pub(crate) listed: bool,
     pub(crate) engines: Engines,
+    /// How far the list goes in the store's log of it.
+    pub(crate) list_at: Option<Cursor>,
+    /// What changed in it, for other nodes.
+    pub(crate) listing: Listing,
     pub(crate) budgets: IndexMap<ServiceId, Budget>,
     /// What this node has been asked for, for a keeper that is new.
     pub(crate) demand: Demand,
@@ -106,8 +115,10 @@
             holding: RefCell::default(),
             keeper: RefCell::default(),
             stop: Stopping::default(),
+            draw: random(),
             store_heard: Cell::new(0),
             list_read: Cell::new(0),
+            list_failed: Cell::new(false),
             followed_at: Cell::new(None),
             told_catalog: Cell::new(0),
             catalog_news: Notify::new(),
@@ -175,6 +186,11 @@
         self.state.borrow().nodes.div_ceil(FEW_NODES).clamp(1, MOST_CROWD)
     }
 
+    /// Whether this node reads the list when nobody reads it for all.
+    pub(crate) fn reads_on(&self) -> bool {
+        reads_on(&self.state.borrow().engines, self.crowd(), self.draw)
+    }
+
     /// Whether callers are better served by other nodes, to which their next connection leads them.
     pub(crate) fn sends_away(&self) -> bool {
         self.is_stopping() || self.cut_off.get()
@@ -194,6 +210,15 @@
         }
     }
 
+    /// The list of engines goes as far as this now.
+    pub(crate) fn listed_to(&self, cursor: Cursor) {
+        let mut state = self.state.borrow_mut();
+        let State { engines, listing, list_at, listed, .. } = &mut *state;
+        *listed = true;
+        *list_at = (*list_at).max(Some(cursor));
+        listing.look(engines, cursor);
+    }
+
     pub(crate) fn budget_limits(&self) -> BudgetLimits {
         let settings = self.settings.borrow();
         BudgetLimits {
--- a/crates/hibiscusgw/tests/platform/apart.rs
+++ b/crates/hibiscusgw/tests/platform/apart.rs
@@ -31,3 +31,26 @@
         });
     }
 }
+
+/// The store turns one node away, and an engine begins to leave. The node hears of it from the one that reads for
+/// all: work that it sent there would be cut.
+#[test]
+fn node_that_loses_the_store_goes_on_with_the_keepers_word() {
+    let models = EngineSettings { holds: holds(&[("m", &[])]), ..EngineSettings::default() };
+    let mut fleet = fleet_of(vec![models]);
+    fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let other = fleet.start("b");
+    fleet.nodes[other].to_store.set(Condition::Cut);
+    fleet.list(fleet.engine("desk-1"), "draining");
+    // The engine that leaves gets no work from the node that hears of it only from the keeper.
+    wait("calls go to the other engine alone", || {
+        let before = fleet.engine("desk-1").record().runs.len();
+        for call in 0..10 {
+            let id = format!("call-{before}-{call}");
+            let served = fleet.nodes[other].plain("/look/", &id);
+            assert!(served.is_ok_and(|a| a.status == StatusCode::OK));
+        }
+        fleet.engine("desk-1").record().runs.len() == before
+    });
+}
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -1,8 +1,9 @@
 //! Nodes as real processes before the stand-ins of the platform.
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use http::Method;
@@ -16,6 +17,11 @@
 /// Longest wait for anything: a guard against hanging, far above what is expected.
 const GUARD: Duration = Duration::from_secs(60);
 
+/// Ports of nodes: each process that starts nodes has a set of its own.
+const FIRST_PORT: u16 = 12_000;
+const PORTS_IN_SET: u16 = 500;
+const PORT_SETS: u32 = 40;
+
 /// The host of all routes.
 pub const HOST: &str = "desk.example";
 
@@ -106,8 +112,8 @@
             all.map(|s| engine::start(s).expect("the engine listens")).collect();
         let way = |e: &Engine| Link::to(e.addr()).expect("the way listens");
         let to_engines = engines.iter().map(way).collect();
-        static FLEETS: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
-        let number = FLEETS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        static FLEETS: AtomicUsize = AtomicUsize::new(0);
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("hgw-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("the folder can be made");
         let (program, nodes) = (program.into(), Vec::new());
@@ -146,7 +152,10 @@
     /// Starts a node in a domain, and waits until it is ready.
     pub fn start(&mut self, zone: &str) -> usize {
         let node = self.spawn(zone);
-        wait("the node is ready", || self.nodes[node].is_ready());
+        wait("the node is ready", || {
+            assert_eq!(self.nodes[node].ended(), None, "the node ended by itself");
+            self.nodes[node].is_ready()
+        });
         node
     }
 
@@ -268,11 +277,20 @@
         .expect("the program starts")
 }
 
-/// Ports that were free a moment ago; the listeners are held together, so that they differ.
+/// Ports that nobody has, below those that the system gives to connections and to listeners that name none: one of
+/// these could be given away before the node takes it, and the node would never listen.
 fn free_ports<const N: usize>() -> [SocketAddr; N] {
-    let listeners: Vec<TcpListener> =
-        (0..N).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
-    std::array::from_fn(|i| listeners[i].local_addr().expect("it is bound"))
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = FIRST_PORT + (std::process::id() % PORT_SETS) as u16 * PORTS_IN_SET;
+    std::array::from_fn(|_| {
+        loop {
+            let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_IN_SET;
+            let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+            if TcpListener::bind(addr).is_ok() {
+                return addr;
+            }
+        }
+    })
 }
 
 fn settings_text(
