Name engines that are judged anew, placed adapters, silent peers and callers that leave; a draw for each engine

Change: four events, a count of callers that left, second tries left and lines left out in the metrics; explain tells them as beliefs. Tests: lines::*. Found by the test of the judged engine: a choice had one draw for all engines, so that engines which cost the same were never shared: all nodes chose the first, and an engine that had failed once was not tried again while another was idle (421 calls in 14 s, none to it). Now each engine has its own draw. Test: choose::idle_engines_that_cost_the_same_share_the_requests.

--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -127,7 +127,8 @@
     let prefix = home.map_or(0.0, |key| PREFIX_MS * rank(key, &engine.listed.id));
     let failing = FAILURE_MS * engine.judge.failing(now);
     let cold = if engine.listed.cold_ms > 0 { COLD_MS } else { 0.0 };
-    batch + queue + domain + prefix + failing + cold + DRAW_MS * ask.draw
+    let chance = DRAW_MS * draw_of(ask.draw, &engine.listed.id);
+    batch + queue + domain + prefix + failing + cold + chance
 }
 
 /// Mean load of the engines whose load is known.
--- a/crates/direct/src/judge.rs
+++ b/crates/direct/src/judge.rs
@@ -1,3 +1,5 @@
+use derive_more::Display;
+
 use crate::Millis;
 
 /// How an engine's answer to a request counts.
@@ -13,6 +15,24 @@
     Silent,
 }
 
+/// What is thought of an engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
+pub enum Opinion {
+    /// It answers.
+    #[default]
+    #[display("well")]
+    Well,
+    /// It fails much of what it is sent.
+    #[display("failing")]
+    Failing,
+    /// It could not be reached, and is left alone for a while.
+    #[display("left alone")]
+    LeftAlone,
+}
+
+/// Part of the requests from which an engine counts as failing, for those who read of it.
+const FAILING: f64 = 0.25;
+
 /// Time after which half of what was seen is forgotten.
 const HALF_LIFE_MS: f64 = 2_000.0;
 
@@ -39,11 +59,12 @@
     at: Millis,
     silent_in_a_row: u32,
     left_alone_until: Millis,
+    opinion: Opinion,
 }
 
 impl Judge {
-    /// Takes in what became of a request.
-    pub fn saw(&mut self, now: Millis, verdict: Verdict) {
+    /// Takes in what became of a request; tells what is thought of the engine where that has changed.
+    pub fn saw(&mut self, now: Millis, verdict: Verdict) -> Option<Opinion> {
         self.decay(now);
         match verdict {
             Verdict::Good => {
@@ -60,6 +81,19 @@
                 self.left_alone_until = now + pause.min(LONGEST_PAUSE);
             }
         }
+        let opinion = self.opinion(now);
+        let before = std::mem::replace(&mut self.opinion, opinion);
+        (opinion != before).then_some(opinion)
+    }
+
+    fn opinion(&self, now: Millis) -> Opinion {
+        if self.is_left_alone(now) {
+            Opinion::LeftAlone
+        } else if self.failing(now) >= FAILING {
+            Opinion::Failing
+        } else {
+            Opinion::Well
+        }
     }
 
     /// Part of the requests that it is expected to fail.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,8 +22,8 @@
 pub use choose::{Ask, Choice, NoEngine, choose};
 pub use demand::{Demand, Past, Rates};
 pub use engines::{AtHand, Engine, EngineId, Engines, Held, Listed, Load, Standing};
-pub use judge::{Judge, Verdict};
-pub use listing::{Cursor, ListNews, Listing, Part as ListPart, Passed, reads_on};
+pub use judge::{Judge, Opinion, Verdict};
+pub use listing::{Cursor, ListNews, Listing, Part as ListPart, Passed, is_long, reads_on};
 pub use prompt::{EmptyModel, Part, Prompt, Wanted};
 pub use reach::is_cut_off;
 pub use refuse::{RETRY_LEAST, Refusal, come_back};
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -25,7 +25,12 @@
 /// the one that reads for all, and so it stays. Where the list is long most of them leave the store to that one, and
 /// some read on to take its place.
 pub fn reads_on(engines: &Engines, crowd: u32, draw: u32) -> bool {
-    engines.iter().count() <= MOST_WHOLE || draw.is_multiple_of(crowd.max(1))
+    !is_long(engines) || draw.is_multiple_of(crowd.max(1))
+}
+
+/// Whether the list is too long to be told whole to each node.
+pub fn is_long(engines: &Engines) -> bool {
+    engines.iter().count() > MOST_WHOLE
 }
 
 /// An engine of the list.
--- a/crates/direct/tests/choose.rs
+++ b/crates/direct/tests/choose.rs
@@ -138,3 +138,25 @@
     engines.get_mut(&"e2".into()).unwrap().judge.saw(5_200, Verdict::Good);
     assert!(!is_cut_off(2_000, &engines, "a", 5_300));
 }
+
+/// Many nodes see the same idle engines and each sends a plain request. With one draw for all engines of a choice
+/// every node chose the first, and an engine that had failed once was not tried again while another was idle.
+#[test]
+fn idle_engines_that_cost_the_same_share_the_requests() {
+    let engines = engines(&[("e1", "a", &[]), ("e2", "a", &[]), ("e3", "a", &[])]);
+    let service = service();
+    let mut counts = indexmap::IndexMap::new();
+    for draw in 0..300 {
+        let ask = Ask {
+            service: &service,
+            prompt: None,
+            domain: "a",
+            tried: &[],
+            nodes: 6,
+            conns: 100,
+            draw: f64::from(draw) / 300.0,
+        };
+        *counts.entry(name(choose(&engines, &ask, 1_000))).or_insert(0) += 1;
+    }
+    assert!(counts.len() == 3 && counts.values().all(|n| (70..130).contains(n)), "{counts:?}");
+}
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -60,6 +60,7 @@
     PeerRefused = 2003, Warn, "a connection of a peer was refused";
     PeerUnreachable = 2004, Info, "a connection to a peer could not be made";
     PeerSilent = 2005, Warn, "a connection to a peer went silent and was closed";
+    PeerAnswers = 2006, Info, "a peer answers again";
     ConfigInForce = 3001, Info, "a configuration is in force";
     ConfigFromPeer = 3002, Info, "a configuration was taken from a peer";
     ConfigRejected = 3003, Warn, "a change in the log was rejected";
@@ -72,6 +73,8 @@
     OrderNotDone = 4004, Warn, "an order was refused or lost";
     EnginesLost = 4005, Warn, "the engines that do not answer have changed";
     PlacementPlanned = 4006, Info, "an engine is to hold another model";
+    EngineJudged = 4007, Info, "an engine is judged anew by its answers";
+    AdapterPlanned = 4008, Info, "an engine is to hold another adapter";
     PlannerGained = 4101, Info, "this node plans its region";
     PlannerLost = 4102, Info, "this node plans its region no longer";
     FloorInForce = 4103, Info, "a residency floor is in force";
@@ -84,4 +87,5 @@
     RequestRefused = 5005, Info, "a request was refused and has not run";
     RequestServed = 5006, Info, "an engine has answered a request whole";
     TryFailed = 5007, Info, "a try at an engine brought no answer";
+    CallerLeft = 5008, Info, "a caller left before its answer was whole";
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -188,6 +188,7 @@
     }
     drop(state);
     node.listed_to(news.cursor);
+    keeper::look_at_list(node);
     node.placed.notify_waiters();
 }
 
--- a/crates/gateway/src/keeper/adapters.rs
+++ b/crates/gateway/src/keeper/adapters.rs
@@ -5,6 +5,7 @@
 
 use hgw_direct::place::{AdapterStep, place_adapter, spread_adapters};
 use hgw_direct::{Engine, EngineId, ServiceId, Wanted};
+use hgw_events::{Event, emit};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -154,7 +155,24 @@
     known && fits.unwrap_or(false)
 }
 
+/// Logs what is to be done, with what decided it.
+fn tell(node: &Node, engine: &EngineId, wanted: &Wanted, instead_of: Option<&Wanted>) {
+    let rate = format!("{:.1}", node.keeper.borrow().demand.rate(node.now(), wanted));
+    let drop = instead_of.map(Wanted::to_string).unwrap_or_default();
+    emit(
+        Event::AdapterPlanned,
+        &[
+            ("node", &node.settings.borrow().node),
+            ("upstream", engine),
+            ("load", wanted),
+            ("load_rate", &rate),
+            ("drop", &drop),
+        ],
+    );
+}
+
 async fn carry_out(node: &Node, engine: &EngineId, wanted: &Wanted, instead_of: Option<Wanted>) {
+    tell(node, engine, wanted, instead_of.as_ref());
     if let Some(victim) = instead_of {
         if let Some(e) = node.state.borrow_mut().engines.get_mut(engine) {
             e.drop_held(&victim);
@@ -206,7 +224,6 @@
                 sleep(pause).await;
                 pause = (pause * 2).min(LAST_CHECK);
             }
-            Given::Conflict if node.keeper.borrow().pending.contains_key(engine) => break,
             // As with models: what is under way there must have ended first.
             Given::Conflict => break,
             Given::Lost | Given::NotSent => sleep(LAST_CHECK).await,
--- a/crates/gateway/src/keeper/give.rs
+++ b/crates/gateway/src/keeper/give.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hgw_direct::{EngineId, Wanted};
+use hgw_direct::{EngineId, Wanted, is_long};
 use hgw_events::{Event, emit};
 use hgw_http1::{Body, Request};
 use tokio::time::timeout;
@@ -161,15 +161,17 @@
         return false;
     }
     known.orders = report.seq;
-    // Others know as much by the list: of thousands of engines that is most of what a new keeper finds out.
-    let news = known.listed.held != report.held;
+    let changes = known.listed.held != report.held;
     known.listed.held = report.held;
     known.listed.at_hand = report.at_hand;
     known.coming = report.coming;
     known.told = Some((report.load, now, known.own));
     known.told_at = Some(now);
+    // A node may have missed its predecessor's last word, so that what is found out is told even where it is no
+    // news here. Of thousands of engines nodes know by the list.
+    let tells = changes || !is_long(&state.engines);
     drop(state);
-    if news {
+    if tells {
         changed(node, engine);
     }
     true
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -198,7 +198,7 @@
 }
 
 /// Tells those who wait where the list of engines has changed.
-fn look_at_list(node: &Node) {
+pub(crate) fn look_at_list(node: &Node) {
     let Some(cursor) = node.state.borrow().list_at else { return };
     node.listed_to(cursor);
     let changed_at = node.state.borrow().listing.changed_at();
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -45,6 +45,13 @@
         .increment(1);
 }
 
+/// A caller left before its answer was whole.
+pub(crate) fn left(route: &Route) {
+    let route = route.name.clone();
+    counter!("hgw_requests_total", "route" => route, "outcome" => "left", "reason" => "the caller left")
+        .increment(1);
+}
+
 /// A try brought no answer.
 pub(crate) fn try_failed(why: &'static str) {
     counter!("hgw_tries_failed_total", "reason" => why).increment(1);
@@ -71,6 +78,11 @@
 /// What the node believes now.
 pub(crate) fn beliefs(node: &Shared) {
     let now = node.now();
+    let limits = node.budget_limits();
+    for (service, budget) in &mut node.state.borrow_mut().budgets {
+        let left = budget.left(now, &limits).max(0.0);
+        gauge!("hgw_second_tries_left", "service" => service.to_string()).set(left);
+    }
     let state = node.state.borrow();
     let (mut ready, mut leaving, mut silent) = (0.0, 0.0, 0.0);
     for engine in state.engines.iter() {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,6 +10,7 @@
     AtHand, Cursor, Engine, EngineId, Engines, ListNews, ListPart, Listed, Load, Passed, Standing,
     Wanted,
 };
+use hgw_events::{Event, emit};
 use hgw_http1::{Body, Request};
 use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -18,6 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::answer::{Answer, AnswerBody, Answered, own};
+use crate::holder::Keeper;
 use crate::keeper;
 use crate::shared::Node;
 
@@ -81,6 +83,7 @@
 pub(crate) async fn exchange(node: Node) {
     let (mut fence, mut version, mut exchanged) = (0, 0, 0);
     let mut introduced = false;
+    let mut link = PeerLink::default();
     loop {
         let keeper = node.holding.borrow().keeper.clone();
         let mine = node.holding.borrow().is_mine();
@@ -118,6 +121,7 @@
             call(&node, keeper.addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
         match news {
             Some(news) => {
+                link.answers(&node, &keeper);
                 introduced = true;
                 version = news.version;
                 take_in_list(&node, list, news.list);
@@ -130,6 +134,7 @@
                 sleep(EXCHANGE_LEAST * node.crowd()).await;
             }
             None => {
+                link.is_silent(&node, &keeper);
                 give_back(&node, tell.asked);
                 sleep(NO_KEEPER).await;
             }
@@ -137,6 +142,37 @@
     }
 }
 
+/// Whether the keeper answers, logged when it changes.
+#[derive(Debug, Default)]
+struct PeerLink {
+    silent: Option<Keeper>,
+}
+
+impl PeerLink {
+    fn answers(&mut self, node: &Node, keeper: &Keeper) {
+        if self.silent.take().is_some_and(|silent| silent == *keeper) {
+            let name = &node.settings.borrow().node;
+            emit(Event::PeerAnswers, &[("node", name), ("peer", &keeper.node)]);
+        }
+    }
+
+    fn is_silent(&mut self, node: &Node, keeper: &Keeper) {
+        if self.silent.as_ref() != Some(keeper) {
+            let name = &node.settings.borrow().node;
+            emit(
+                Event::PeerUnreachable,
+                &[
+                    ("node", name),
+                    ("peer", &keeper.node),
+                    ("addr", &keeper.addr),
+                    ("reason", &"no answer in time"),
+                ],
+            );
+            self.silent = Some(keeper.clone());
+        }
+    }
+}
+
 /// Asks that a model or an adapter be placed.
 pub(crate) async fn want(node: &Node, wanted: &Wanted, refuted: Option<&EngineId>) -> Placement {
     let keeper = node.holding.borrow().keeper.clone();
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -63,6 +64,16 @@
     pub(super) unreached: u32,
     /// An engine that does not hold what it was said to hold.
     pub(super) refuted: Option<EngineId>,
+    /// Whether it was told what became of it.
+    pub(super) told: Cell<bool>,
+}
+
+impl Drop for Relayed {
+    fn drop(&mut self) {
+        if !self.told.get() {
+            self.caller_left();
+        }
+    }
 }
 
 impl Relayed {
@@ -93,6 +104,7 @@
             rejected: 0,
             unreached: 0,
             refuted: None,
+            told: Cell::new(false),
         };
         request.count();
         request
--- a/crates/gateway/src/relay/told.rs
+++ b/crates/gateway/src/relay/told.rs
@@ -56,6 +56,7 @@
 
     /// Logs that the caller was given no whole answer.
     pub(super) fn failed(&self, status: u16, why: &str) {
+        self.told.set(true);
         meter::failed(&self.route, why);
         let wanted = self.wanted().map(Wanted::to_string).unwrap_or_default();
         emit(
@@ -75,8 +76,30 @@
         );
     }
 
+    /// Logs that nobody waits for the answer any more.
+    pub(super) fn caller_left(&self) {
+        meter::left(&self.route);
+        let wanted = self.wanted().map(Wanted::to_string).unwrap_or_default();
+        let upstream = self.tried.last().map(EngineId::to_string).unwrap_or_default();
+        emit(
+            Event::CallerLeft,
+            &[
+                ("node", &self.node.settings.borrow().node),
+                ("id", &self.call.id),
+                ("route", &self.route.name),
+                ("wanted", &wanted),
+                ("upstream", &upstream),
+                ("ms", &self.arrived.elapsed().as_millis()),
+                ("runs", &self.runs),
+                ("rejected", &self.rejected),
+                ("unreached", &self.unreached),
+            ],
+        );
+    }
+
     /// Logs an engine's whole answer, and what it was chosen by.
     pub(super) fn served(&self, engine: &EngineId, status: u16, pace: &Pace) {
+        self.told.set(true);
         meter::served(&self.route, status, self.arrived.elapsed());
         let wanted = self.wanted().map(Wanted::to_string).unwrap_or_default();
         let (estimate, own) =
@@ -103,6 +126,7 @@
 
     /// Refuses the request, which has not run, with a time to come back.
     pub(super) fn refuse(&self, why: Refusal, wait: Duration) -> Answer {
+        self.told.set(true);
         meter::refused(&self.route, why);
         let held = self.arrived.elapsed().as_millis();
         let wanted = self.wanted().map(Wanted::to_string).unwrap_or_default();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -236,9 +236,15 @@
     /// Takes in what became of a request at an engine.
     pub(crate) fn saw(&self, engine: &EngineId, verdict: Verdict) {
         let now = self.now();
-        if let Some(engine) = self.state.borrow_mut().engines.get_mut(engine) {
-            engine.judge.saw(now, verdict);
-        }
+        let mut state = self.state.borrow_mut();
+        let Some(known) = state.engines.get_mut(engine) else { return };
+        let Some(opinion) = known.judge.saw(now, verdict) else { return };
+        let failing = format!("{:.2}", known.judge.failing(now));
+        let node = &self.settings.borrow().node;
+        emit(
+            Event::EngineJudged,
+            &[("node", node), ("upstream", engine), ("opinion", &opinion), ("failing", &failing)],
+        );
     }
 
     /// A byte came from an engine.
--- a/crates/hibiscusgw/src/explain.rs
+++ b/crates/hibiscusgw/src/explain.rs
@@ -8,7 +8,7 @@
 use crate::{Console, Error, Result};
 
 /// Events that say what a node believed of engines and the configuration, before a request.
-const BELIEFS: [u64; 7] = [1004, 1008, 3001, 3101, 4001, 4002, 4006];
+const BELIEFS: [u64; 11] = [1004, 1008, 2004, 2006, 3001, 3101, 4001, 4002, 4006, 4007, 4008];
 
 /// Beliefs of a node that are told before a line of it: the newest few since its last one.
 const MOST_BELIEFS: usize = 4;
--- a/crates/hibiscusgw/src/logs.rs
+++ b/crates/hibiscusgw/src/logs.rs
@@ -96,6 +96,7 @@
             let sent = LINES.get().map(|lines| lines.try_send(Line::Text(text)));
             if !matches!(sent, Some(Ok(()))) {
                 DROPPED.fetch_add(1, Ordering::Relaxed);
+                metrics::counter!("hgw_log_lines_left_out_total").increment(1);
             }
         }))
         .apply()?;
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod apart;
 mod calls;
+mod lines;
 mod orders;
 mod session;
 mod settings;
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -178,7 +178,8 @@
         node.child = run(&self.program, &node.settings, node.metrics, stdout);
     }
 
-    fn spawn_with(&mut self, zone: &str, stdout: Stdio) -> usize {
+    /// Starts a node whose standard output goes there.
+    pub fn spawn_with(&mut self, zone: &str, stdout: Stdio) -> usize {
         let name = format!("front-{}", self.next);
         self.next += 1;
         let [callers, ready, peers, metrics] = free_ports();
