--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -1,7 +1,7 @@
 //! Nodes as real processes before the stand-ins of the platform.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -171,13 +171,6 @@
         self.spawn_with(zone, Stdio::null())
     }
 
-    /// Starts a node that has ended once more, with the same settings and addresses.
-    pub fn restart(&mut self, node: usize, stdout: Stdio) {
-        let node = &mut self.nodes[node];
-        node.kill();
-        node.child = run(&self.program, &node.settings, node.metrics, stdout);
-    }
-
     /// Starts a node whose standard output goes there.
     pub fn spawn_with(&mut self, zone: &str, stdout: Stdio) -> usize {
         let name = format!("front-{}", self.next);
@@ -187,7 +180,13 @@
         let to_store = Link::to(self.store.addr()).expect("the way listens");
         let text = settings_text(&name, zone, callers, ready, peers, to_store.addr());
         std::fs::write(&settings, text).expect("the settings can be written");
-        let child = run(&self.program, &settings, metrics, stdout);
+        let child = Command::new(&self.program)
+            .args(["serve", "--log-format", "json", "--metrics", &metrics.to_string()])
+            .env("HIBISCUSGW_BOOT", &settings)
+            .stdin(Stdio::null())
+            .stdout(stdout)
+            .spawn()
+            .expect("the program starts");
         self.nodes.push(Node { name, callers, ready, metrics, settings, to_store, child });
         self.nodes.len() - 1
     }
@@ -268,16 +267,6 @@
     }
 }
 
-fn run(program: &Path, settings: &Path, metrics: SocketAddr, stdout: Stdio) -> Child {
-    Command::new(program)
-        .args(["serve", "--log-format", "json", "--metrics", &metrics.to_string()])
-        .env("HIBISCUSGW_BOOT", settings)
-        .stdin(Stdio::null())
-        .stdout(stdout)
-        .spawn()
-        .expect("the program starts")
-}
-
 /// Ports that nobody has, below those that the system gives to connections and to listeners that name none: one of
 /// these could be given away before the node takes it, and the node would never listen.
 fn free_ports<const N: usize>() -> [SocketAddr; N] {
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
@@ -78,8 +78,6 @@
     pub misdirected: u32,
     /// Orders that were accepted, as `HOLDER FENCE OP MODEL/ADAPTER`.
     pub orders: Vec<String>,
-    /// When each load of a model began, in milliseconds since the engine's start.
-    pub loads: Vec<u64>,
     /// Orders for more than there is room for.
     pub too_much: u32,
     /// Orders with a fencing number below an earlier one.
@@ -110,7 +108,6 @@
     settings: EngineSettings,
     switches: Arc<Switches>,
     inner: Mutex<Inner>,
-    started: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -129,12 +126,8 @@
 pub fn start(settings: EngineSettings) -> io::Result<Engine> {
     let switches = Arc::new(Switches::new());
     let inner = Inner { holds: settings.holds.clone(), ..Inner::default() };
-    let shared = Arc::new(Shared {
-        settings,
-        switches: Arc::clone(&switches),
-        inner: Mutex::new(inner),
-        started: Instant::now(),
-    });
+    let shared =
+        Arc::new(Shared { settings, switches: Arc::clone(&switches), inner: Mutex::new(inner) });
     let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let running = serve("fleet-engine", listen, switches, Arc::clone(&shared))?;
     Ok(Engine { running, shared })
@@ -173,11 +166,6 @@
         self.shared.lock().record.clone()
     }
 
-    /// Streams that it is at work on.
-    pub fn running(&self) -> u32 {
-        self.shared.lock().running
-    }
-
     /// What it holds.
     pub fn holds(&self) -> Holds {
         self.shared.lock().holds.clone()
@@ -253,8 +241,6 @@
         }
         if order.op == "load" && order.adapter.is_none() {
             inner.busy = true;
-            let at = self.started.elapsed().as_millis() as u64;
-            inner.record.loads.push(at);
             drop(inner);
             let shared = Arc::clone(self);
             tokio::spawn(async move {
