Choose engines by the prompts that they have yet to read

Cause: streams are late by one pause, not by their pace. An engine reads prompts in pieces between steps; while four or five prompts wait there, every stream on it pauses for the time of three pieces, 270 ms, where 250 are on time. The choice counted requests, and a request that runs costs little of that. Change: each node keeps the prompts that it sent to an engine and that it has no answer to, and how fast the engine reads, learned from answers; three times the time to read them counts against the engine. What counts in a choice is one settings struct now. What other nodes send there is not known yet.

--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -21,6 +21,8 @@
     pub conns: u32,
     /// A draw in `0..1` that parts nodes which see the same.
     pub draw: f64,
+    /// What counts against an engine.
+    pub policy: Policy,
 }
 
 /// The engine to send to.
@@ -45,27 +47,42 @@
     Full(Duration),
 }
 
-/// Time to a first token that a full batch adds to that of an idle engine: each step takes longer, and
-/// prompts are read between the steps.
-const FULL_BATCH_MS: f64 = 60.0;
-
-/// Time that one request waits for each request before it in a queue, times the slots.
-const QUEUED_MS: f64 = 1_500.0;
-
-/// What sending to another failure domain costs: the way there and back, and the price of its bytes.
-const OTHER_DOMAIN_MS: f64 = 6.0;
-
-/// What reading a whole prompt anew costs against going where its parts are kept.
-const PREFIX_MS: f64 = 15.0;
-
-/// What a request that fails costs: it is sent again, or lost.
-const FAILURE_MS: f64 = 2_000.0;
-
-/// What a newly started engine that still reads its weights from slow memory costs.
-const COLD_MS: f64 = 100.0;
+/// What speaks against an engine, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Policy {
+    /// Time to a first token that a full batch adds to that of an idle engine, each step of which takes longer.
+    pub full_batch_ms: f64,
+    /// Time that one request waits for each request before it in a queue, times the slots.
+    pub queued_ms: f64,
+    /// By how much prompts that wait to be read count more than the time that they take: a new prompt waits for
+    /// them, and each stream that runs there pauses for as long.
+    pub reading_weight: f64,
+    /// What sending to another failure domain costs: the way there and back, and the price of its bytes.
+    pub other_domain_ms: f64,
+    /// What reading a whole prompt anew costs against going where its parts are kept.
+    pub prefix_ms: f64,
+    /// What a request that fails costs: it is sent again, or lost.
+    pub failure_ms: f64,
+    /// What a newly started engine that still reads its weights from slow memory costs.
+    pub cold_ms: f64,
+    /// Spread of the draw, so that nodes that see the same do not all choose the same.
+    pub draw_ms: f64,
+}
 
-/// Spread of the draw, so that nodes that see the same do not all choose the same.
-const DRAW_MS: f64 = 4.0;
+impl Default for Policy {
+    fn default() -> Self {
+        Policy {
+            full_batch_ms: 60.0,
+            queued_ms: 1_500.0,
+            reading_weight: 3.0,
+            other_domain_ms: 6.0,
+            prefix_ms: 15.0,
+            failure_ms: 2_000.0,
+            cold_ms: 100.0,
+            draw_ms: 4.0,
+        }
+    }
+}
 
 /// When a caller comes back whose model is nowhere, as long as nobody knows better.
 const PLACED_WITHIN: Duration = Duration::from_millis(1_000);
@@ -121,14 +138,16 @@
 
 fn cost(engine: &Engine, estimate: f64, ask: &Ask<'_>, home: Option<u64>, now: Millis) -> f64 {
     let slots = f64::from(engine.listed.slots.max(1));
-    let batch = FULL_BATCH_MS * (estimate / slots).min(1.0);
-    let queue = QUEUED_MS * ((estimate + 1.0 - slots).max(0.0) / slots);
-    let domain = if engine.listed.domain == ask.domain { 0.0 } else { OTHER_DOMAIN_MS };
-    let prefix = home.map_or(0.0, |key| PREFIX_MS * rank(key, &engine.listed.id));
-    let failing = FAILURE_MS * engine.judge.failing(now);
-    let cold = if engine.listed.cold_ms > 0 { COLD_MS } else { 0.0 };
-    let chance = DRAW_MS * draw_of(ask.draw, &engine.listed.id);
-    batch + queue + domain + prefix + failing + cold + chance
+    let policy = &ask.policy;
+    let batch = policy.full_batch_ms * (estimate / slots).min(1.0);
+    let queue = policy.queued_ms * ((estimate + 1.0 - slots).max(0.0) / slots);
+    let reading = policy.reading_weight * engine.reading_ms(now);
+    let domain = if engine.listed.domain == ask.domain { 0.0 } else { policy.other_domain_ms };
+    let prefix = home.map_or(0.0, |key| policy.prefix_ms * rank(key, &engine.listed.id));
+    let failing = policy.failure_ms * engine.judge.failing(now);
+    let cold = if engine.listed.cold_ms > 0 { policy.cold_ms } else { 0.0 };
+    let chance = policy.draw_ms * draw_of(ask.draw, &engine.listed.id);
+    batch + queue + reading + domain + prefix + failing + cold + chance
 }
 
 /// Mean load of the engines whose load is known.
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -4,7 +4,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{Judge, Millis, ServiceId, Wanted};
+use crate::{Judge, Millis, ReadingPace, ServiceId, Unread, Wanted};
 
 /// Identity of one start of an engine.
 #[derive(
@@ -88,6 +88,10 @@
     pub own: u32,
     /// The load that it told last, the time, and the requests that this node had there then.
     pub told: Option<(Load, Millis, u32)>,
+    /// Prompts that it has not read yet.
+    pub unread: Unread,
+    /// How fast it reads them.
+    pub reading: ReadingPace,
     /// When the last byte came from it on any connection.
     pub heard: Millis,
     /// Orders that it is known to have accepted.
@@ -109,6 +113,8 @@
             judge: Judge::default(),
             own: 0,
             told: None,
+            unread: Unread::default(),
+            reading: ReadingPace::default(),
             heard: 0,
             orders: 0,
             coming: Vec::new(),
@@ -130,6 +136,11 @@
         self.known_load(now).unwrap_or(f64::from(self.own))
     }
 
+    /// Milliseconds until it has read all prompts that are known to be there.
+    pub fn reading_ms(&self, now: Millis) -> f64 {
+        self.reading.time(self.unread.tokens(now))
+    }
+
     /// Another node heard of its load some time ago: taken in where this node has heard nothing since.
     pub fn hear(&mut self, load: Load, at: Millis) {
         if self.told.is_none_or(|(_, known, _)| known < at) {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,12 +14,13 @@
 mod prompt;
 mod reach;
 mod refuse;
+mod unread;
 
 pub use budget::{Budget, BudgetLimits};
 pub use catalog::{
     CallerLimits, Catalog, Kind, Model, Pool, Route, RouteMatch, Service, ServiceId, Target,
 };
-pub use choose::{Ask, Choice, NoEngine, choose};
+pub use choose::{Ask, Choice, NoEngine, Policy, choose};
 pub use demand::{Demand, Past, Rates};
 pub use engines::{AtHand, Engine, EngineId, Engines, Held, Listed, Load, Standing};
 pub use judge::{Judge, Opinion, Verdict};
@@ -27,6 +28,7 @@
 pub use prompt::{EmptyModel, Part, Prompt, Wanted};
 pub use reach::is_cut_off;
 pub use refuse::{RETRY_LEAST, Refusal, come_back};
+pub use unread::{ReadingPace, SendId, Unread};
 
 /// Milliseconds since the start of the process.
 pub type Millis = u64;
--- a/crates/direct/tests/choose.rs
+++ b/crates/direct/tests/choose.rs
@@ -4,7 +4,8 @@
 
 use assert_matches::assert_matches;
 use hgw_direct::{
-    Ask, Choice, EngineId, Engines, Load, NoEngine, Part, Prompt, Verdict, choose, is_cut_off,
+    Ask, Choice, EngineId, Engines, Load, NoEngine, Part, Policy, Prompt, SendId, Verdict, choose,
+    is_cut_off,
 };
 use support::{engines, listed, service, wanted};
 
@@ -27,6 +28,7 @@
         nodes: 1,
         conns: 100,
         draw: 0.0,
+        policy: Policy::default(),
     };
     choose(engines, &ask, 1_000)
 }
@@ -155,8 +157,43 @@
             nodes: 6,
             conns: 100,
             draw: f64::from(draw) / 300.0,
+            policy: Policy::default(),
         };
         *counts.entry(name(choose(&engines, &ask, 1_000))).or_insert(0) += 1;
     }
     assert!(counts.len() == 3 && counts.values().all(|n| (70..130).contains(n)), "{counts:?}");
 }
+
+/// Four callers with long prompts come within a tenth of a second, and one engine gets them all: it runs few requests.
+/// It reads the prompts between the steps of the streams that run there, each of which pauses for as long, and the
+/// callers of all of them are late. The next prompt goes to an engine that runs more requests and has nothing to read.
+#[test]
+fn prompts_that_wait_to_be_read_count_more_than_requests() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    let reading = engines.get_mut(&"e1".into()).unwrap();
+    reading.own = 4;
+    for request in ["r1", "r2", "r3", "r4"] {
+        reading.unread.send(SendId::of(request), 1_500, 950);
+    }
+    engines.get_mut(&"e2".into()).unwrap().own = 20;
+    assert_eq!(name(chosen(&engines, "m", &[])), "e2");
+    let reading = engines.get_mut(&"e1".into()).unwrap();
+    for request in ["r1", "r2", "r3", "r4"] {
+        assert!(reading.unread.read(SendId::of(request), 990).is_some());
+    }
+    assert_eq!(name(chosen(&engines, "m", &[])), "e1");
+}
+
+/// Two engines have the same prompts to read, and answers show that one reads at a third of the pace.
+#[test]
+fn engine_that_reads_slowly_is_passed_over_for_one_that_reads_fast() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    for (id, took) in [("e1", 180), ("e2", 60)] {
+        let engine = engines.get_mut(&id.into()).unwrap();
+        for _ in 0..8 {
+            engine.reading.saw(1_500, took);
+        }
+        engine.unread.send(SendId::of("r"), 1_500, 980);
+    }
+    assert_eq!(name(chosen(&engines, "m", &[])), "e2");
+}
--- /dev/null
+++ b/crates/direct/tests/unread.rs
@@ -0,0 +1,47 @@
+//! What is known of prompts that engines have not read yet.
+
+use hgw_direct::{ReadingPace, SendId, Unread};
+
+#[test]
+fn prompt_waits_until_it_is_read() {
+    let mut unread = Unread::default();
+    unread.send(SendId(1), 700, 1_000);
+    unread.send(SendId(2), 300, 1_010);
+    assert_eq!(unread.tokens(60_000), 1_000);
+    assert_eq!(unread.read(SendId(1), 1_040), Some((700, 40)));
+    assert_eq!(unread.read(SendId(2), 1_060), Some((1_000, 50)));
+    assert_eq!(unread.tokens(1_060), 0);
+}
+
+/// A node tells of a prompt that it sent, and is killed. Nobody will ever say that the prompt was read, and the engine
+/// would be passed over for good.
+#[test]
+fn prompt_of_a_node_that_ended_is_forgotten() {
+    let mut unread = Unread::default();
+    unread.told(SendId(1), 700, 1_000);
+    assert_eq!(unread.tokens(1_500), 700);
+    assert_eq!(unread.tokens(3_000), 0);
+    assert_eq!(unread.read(SendId(1), 3_000), None);
+}
+
+/// Whatever other nodes tell, what is kept of an engine is bounded; what this node sent is kept.
+#[test]
+fn word_of_very_many_prompts_is_not_kept() {
+    let mut unread = Unread::default();
+    unread.send(SendId(0), 1, 1_000);
+    for id in 1..5_000 {
+        unread.told(SendId(id), 1, 1_000);
+    }
+    assert_eq!(unread.tokens(1_000), 1_024);
+    assert_eq!(unread.read(SendId(0), 1_001), Some((1, 1)));
+}
+
+#[test]
+fn pace_follows_what_is_seen() {
+    let mut pace = ReadingPace::default();
+    for _ in 0..100 {
+        pace.saw(1_000, 100);
+    }
+    let time = pace.time(500);
+    assert!((49.0..51.0).contains(&time), "{time}");
+}
--- /dev/null
+++ b/crates/gateway/src/at_engine.rs
@@ -0,0 +1,51 @@
+use std::rc::Rc;
+
+use hgw_direct::{EngineId, SendId};
+
+use crate::shared::Node;
+
+/// A request that counts as being at an engine, until this is dropped.
+pub(crate) struct AtEngine {
+    node: Node,
+    engine: EngineId,
+    /// The request, while the engine has not read its prompt.
+    unread: Option<SendId>,
+}
+
+impl AtEngine {
+    /// A request with a prompt of so many tokens, none where the service has no models, goes there.
+    pub(crate) fn begin(node: &Node, engine: &EngineId, request: &str, tokens: u32) -> AtEngine {
+        let now = node.now();
+        let unread = (tokens > 0).then(|| SendId::of(request));
+        if let Some(engine) = node.state.borrow_mut().engines.get_mut(engine) {
+            engine.own += 1;
+            if let Some(id) = unread {
+                engine.unread.send(id, tokens, now);
+            }
+        }
+        AtEngine { node: Rc::clone(node), engine: engine.clone(), unread }
+    }
+
+    /// The answer begins: the engine has read the prompt.
+    pub(crate) fn answers(&mut self) {
+        let Some(id) = self.unread.take() else { return };
+        let now = self.node.now();
+        let mut state = self.node.state.borrow_mut();
+        let Some(engine) = state.engines.get_mut(&self.engine) else { return };
+        if let Some((tokens, took)) = engine.unread.read(id, now) {
+            engine.reading.saw(tokens, took);
+        }
+    }
+}
+
+impl Drop for AtEngine {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        if let Some(engine) = self.node.state.borrow_mut().engines.get_mut(&self.engine) {
+            engine.own = engine.own.saturating_sub(1);
+            if let Some(id) = self.unread.take() {
+                engine.unread.read(id, now);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! platform come in by the traits of [`dialect`].
 
 mod answer;
+mod at_engine;
 mod clock;
 pub mod dialect;
 mod follow;
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -5,8 +5,8 @@
 use hgw_http1::{Conn, Error, Head, Request};
 use tokio::time::{Instant, sleep_until};
 
+use crate::at_engine::AtEngine;
 use crate::dialect::{Marks, Sending};
-use crate::shared::AtEngine;
 
 use super::request::Relayed;
 
@@ -90,7 +90,8 @@
         let node = Rc::clone(&self.node);
         let Some(addr) = node.engine(engine, |e| e.listed.addr) else { return Tried::NotSent };
         self.tried.push(engine.clone());
-        let at_engine = AtEngine::begin(&node, engine);
+        let tokens = self.prompt().map_or(0, |prompt| prompt.tokens_in);
+        let at_engine = AtEngine::begin(&node, engine, &self.call.id, tokens);
         let connected = node.pool.get(addr, node.connect_limits());
         let mut conn = match self.bounded(connected).await {
             Waited::Done(Ok(conn)) => conn,
@@ -157,7 +158,7 @@
         mut conn: Conn,
         head: Head,
         marks: Marks,
-        at_engine: AtEngine,
+        mut at_engine: AtEngine,
     ) -> Tried {
         let node = Rc::clone(&self.node);
         if let Some(load) = marks.load {
@@ -191,6 +192,7 @@
             node.saw(engine, Verdict::Failed);
             return Tried::Lost;
         }
+        at_engine.answers();
         let engine = engine.clone();
         Tried::Begun(Box::new(Begun { engine, conn, head, at_engine }))
     }
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hgw_direct::{
-    Ask, Choice, EngineId, NoEngine, Prompt, Refusal, Route, ServiceId, Wanted, choose,
+    Ask, Choice, EngineId, NoEngine, Policy, Prompt, Refusal, Route, ServiceId, Wanted, choose,
 };
 use http::request::Parts;
 use rand::random;
@@ -216,6 +216,7 @@
             nodes: state.nodes,
             conns,
             draw: random(),
+            policy: Policy::default(),
         };
         choose(&state.engines, &ask, self.node.now())
     }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -10,8 +10,8 @@
 use http::{Response, StatusCode};
 
 use crate::answer::{Answer, AnswerBody, BrokenOff};
+use crate::at_engine::AtEngine;
 use crate::meter;
-use crate::shared::AtEngine;
 
 use super::attempt::{Begun, Tried, Waited};
 use super::events::Events;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -267,29 +267,6 @@
     }
 }
 
-/// A request that counts as being at an engine, until this is dropped.
-pub(crate) struct AtEngine {
-    node: Node,
-    engine: EngineId,
-}
-
-impl AtEngine {
-    pub(crate) fn begin(node: &Node, engine: &EngineId) -> AtEngine {
-        if let Some(engine) = node.state.borrow_mut().engines.get_mut(engine) {
-            engine.own += 1;
-        }
-        AtEngine { node: Rc::clone(node), engine: engine.clone() }
-    }
-}
-
-impl Drop for AtEngine {
-    fn drop(&mut self) {
-        if let Some(engine) = self.node.state.borrow_mut().engines.get_mut(&self.engine) {
-            engine.own = engine.own.saturating_sub(1);
-        }
-    }
-}
-
 /// A request that is being served, until this is dropped.
 pub(crate) struct Active(Node);
 
