Tell the other nodes of each prompt that is sent, and that it was read

Cause: nodes that each know their own sends meet at one engine within a tenth of a second; what an engine tells of its load is half a second old by the time that it is known elsewhere. Change: a datagram of some forty bytes to each other node when a prompt is sent, when its answer begins (with the load that the engine tells) and when it ends without one. Up to 12 nodes; beyond, as before. Nodes learn each other's addresses from the keeper, which hears of a new node with its first question. The test fails without the words (both nodes send to the session's engine until it gives up).

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -5,8 +5,8 @@
 
 use hgw_direct::place::{Allowed, Pending, next_model_step, place_adapter};
 use hgw_direct::{
-    Ask, AtHand, Demand, Engine, EngineId, Engines, Held, Listed, Model, Part, Pool, Prompt,
-    ServiceId, Standing, Wanted, choose,
+    Ask, AtHand, Demand, Engine, EngineId, Engines, Held, Listed, Model, Part, Policy, Pool,
+    Prompt, ServiceId, Standing, Wanted, choose,
 };
 
 /// Looks that are timed; the middle one counts.
@@ -108,6 +108,7 @@
             nodes: 80,
             conns: 8,
             draw: 0.3,
+            policy: Policy::default(),
         };
         timed(|| choose(&self.engines, &ask, 1_000))
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -28,7 +28,7 @@
 pub use prompt::{EmptyModel, Part, Prompt, Wanted};
 pub use reach::is_cut_off;
 pub use refuse::{RETRY_LEAST, Refusal, come_back};
-pub use unread::{ReadingPace, SendId, Unread};
+pub use unread::{ReadingPace, SendId, Unread, tells_sends};
 
 /// Milliseconds since the start of the process.
 pub type Millis = u64;
--- a/crates/direct/src/unread.rs
+++ b/crates/direct/src/unread.rs
@@ -7,6 +7,14 @@
 
 use crate::Millis;
 
+/// Nodes up to which each tells all others of what it sends: words grow with their square.
+const MOST_TELLING: u32 = 12;
+
+/// Whether nodes tell each other of what they send, where there are so many.
+pub fn tells_sends(nodes: u32) -> bool {
+    (2..=MOST_TELLING).contains(&nodes)
+}
+
 /// Names one request at one engine, for all nodes.
 #[derive(Debug, Clone, Copy, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SendId(pub u64);
--- a/crates/gateway/src/at_engine.rs
+++ b/crates/gateway/src/at_engine.rs
@@ -1,7 +1,8 @@
 use std::rc::Rc;
 
-use hgw_direct::{EngineId, SendId};
+use hgw_direct::{EngineId, Load, SendId};
 
+use crate::peers::Word;
 use crate::shared::Node;
 
 /// A request that counts as being at an engine, until this is dropped.
@@ -23,12 +24,17 @@
                 engine.unread.send(id, tokens, now);
             }
         }
+        if let Some(id) = unread {
+            node.sends.tell(node, &Word::Sent(engine.clone(), id, tokens));
+        }
         AtEngine { node: Rc::clone(node), engine: engine.clone(), unread }
     }
 
     /// The answer begins: the engine has read the prompt.
-    pub(crate) fn answers(&mut self) {
+    pub(crate) fn answers(&mut self, load: Option<Load>) {
         let Some(id) = self.unread.take() else { return };
+        let load = load.map(|load| (load.running, load.waiting));
+        self.node.sends.tell(&self.node, &Word::Answers(self.engine.clone(), id, load));
         let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
         let Some(engine) = state.engines.get_mut(&self.engine) else { return };
@@ -41,11 +47,15 @@
 impl Drop for AtEngine {
     fn drop(&mut self) {
         let now = self.node.now();
+        let unread = self.unread.take();
         if let Some(engine) = self.node.state.borrow_mut().engines.get_mut(&self.engine) {
             engine.own = engine.own.saturating_sub(1);
-            if let Some(id) = self.unread.take() {
+            if let Some(id) = unread {
                 engine.unread.read(id, now);
             }
         }
+        if let Some(id) = unread {
+            self.node.sends.tell(&self.node, &Word::Ended(self.engine.clone(), id));
+        }
     }
 }
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -4,11 +4,12 @@
 mod give;
 mod models;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hgw_direct::place::{Ceiling, CeilingLimits, Pending};
-use hgw_direct::{Cursor, Demand, EngineId, Millis, Pool, Wanted};
+use hgw_direct::{Cursor, Demand, EngineId, Millis, Pool, Wanted, tells_sends};
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{Mutex, Notify, Semaphore};
 use tokio::time::{sleep, timeout};
@@ -246,10 +247,17 @@
         age_ms: node.followed_age(),
         held_ms: node.now().saturating_sub(began),
         nodes: node.state.borrow().nodes,
+        others: others(node, tell),
         loads: heard_since(node, 0, Some(asked)),
     }
 }
 
+/// The nodes' addresses, where few enough tell each other of what they send and one knows others.
+fn others(node: &Node, tell: &Tell) -> Option<Vec<SocketAddr>> {
+    let wanted = tells_sends(node.state.borrow().nodes) && tell.others != node.sends.digest();
+    wanted.then(|| node.sends.others())
+}
+
 /// What the engines that hold something hold.
 pub(crate) fn told_of(node: &Node, wanted: &Wanted) -> Vec<Told> {
     let state = node.state.borrow();
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -57,6 +57,11 @@
     counter!("hgw_tries_failed_total", "reason" => why).increment(1);
 }
 
+/// A word to another node was not sent.
+pub(crate) fn word_lost() {
+    counter!("hgw_words_lost_total").increment(1);
+}
+
 /// An order was given.
 pub(crate) fn order(kind: &'static str, outcome: &'static str) {
     counter!("hgw_orders_total", "kind" => kind, "outcome" => outcome).increment(1);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use hgw_direct::{Cursor, EngineId, Held, ListNews, Past, Wanted};
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +23,8 @@
 /// What a node tells the keeper.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Tell {
+    /// Where other nodes reach it.
+    pub(crate) from: SocketAddr,
     /// The keeper's claim that the node believes in.
     pub(crate) fence: u64,
     /// What it has of that keeper's news.
@@ -34,6 +38,8 @@
     pub(crate) asked: Vec<Asked>,
     /// In the first exchange with a keeper: what the node has counted before.
     pub(crate) past: Option<CountedBefore>,
+    /// Digest of the nodes' addresses that it knows.
+    pub(crate) others: u64,
 }
 
 /// What a node has been asked for before it knew the keeper.
@@ -59,6 +65,8 @@
     pub(crate) held_ms: u64,
     /// Nodes that share budgets and connections.
     pub(crate) nodes: u32,
+    /// Their addresses, where the node has others.
+    pub(crate) others: Option<Vec<SocketAddr>>,
     /// Loads that any node heard of lately.
     pub(crate) loads: Vec<HeardLoad>,
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! What nodes tell each other: what is asked for, and what the engines hold.
 
 mod message;
+mod sends;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -25,6 +26,7 @@
 
 use message::Want;
 pub(crate) use message::{Asked, CountedBefore, HeardLoad, News, Placement, Tell, Told, Wish};
+pub(crate) use sends::{Sends, Word, listen};
 
 /// Longest that the keeper holds an answer back for want of news.
 pub(crate) const NEWS_WAIT: Duration = Duration::from_millis(400);
@@ -116,7 +118,9 @@
         let now = node.now();
         let loads = heard_since(&node, exchanged, None);
         exchanged = now;
-        let tell = Tell { fence, version, list, catalog, loads, asked, past };
+        let others = node.sends.digest();
+        let from = node.settings.borrow().peers;
+        let tell = Tell { from, fence, version, list, catalog, loads, asked, past, others };
         let news: Option<News> =
             call(&node, keeper.addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
         match news {
@@ -131,6 +135,9 @@
                 take_in_loads(&node, &news.loads);
                 node.catalog_told(news.catalog);
                 node.state.borrow_mut().nodes = news.nodes.max(1);
+                if let Some(others) = news.others {
+                    node.sends.know(others);
+                }
                 sleep(EXCHANGE_LEAST * node.crowd()).await;
             }
             None => {
@@ -346,6 +353,7 @@
         keeper::counted_before(node, past);
     }
     keeper::asked(node, &tell.asked);
+    meet(node, tell.from);
     take_in_loads(node, &tell.loads);
     json(&keeper::news(node, &tell).await)
 }
@@ -362,6 +370,13 @@
     json(&Wish { placement, engines: keeper::told_of(node, &wanted) })
 }
 
+/// A node that has just come counts at once; the store's count comes seconds later.
+fn meet(node: &Node, other: SocketAddr) {
+    let known = u32::try_from(node.sends.meet(other)).unwrap_or(u32::MAX);
+    let mut state = node.state.borrow_mut();
+    state.nodes = state.nodes.max(known);
+}
+
 fn is_keeper(node: &Node, fence: u64) -> bool {
     let holding = node.holding.borrow();
     holding.is_mine() && holding.keeper.as_ref().is_some_and(|k| k.fence == fence)
--- /dev/null
+++ b/crates/gateway/src/peers/sends.rs
@@ -0,0 +1,118 @@
+//! What nodes tell each other of the requests that they send, at once and without an answer.
+
+use std::cell::RefCell;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use hgw_direct::{EngineId, Load, SendId, tells_sends};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use crate::meter;
+use crate::shared::Node;
+
+/// Bytes of a datagram: far more than a word has.
+const MOST: usize = 512;
+
+/// What became of a request at an engine.
+///
+/// Load: several nodes send to the same engine within a tenth of a second, each for want of knowing of the others, and
+/// the prompts wait there together. A word takes a millisecond and some forty bytes. One that is lost
+/// makes an engine look idle, or full for two seconds at the most.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Word {
+    /// It was sent there, with a prompt of so many tokens.
+    Sent(EngineId, SendId, u32),
+    /// Its answer begins, and says how many requests run and wait there.
+    Answers(EngineId, SendId, Option<(u32, u32)>),
+    /// It has ended without an answer.
+    Ended(EngineId, SendId),
+}
+
+/// The other nodes, and the socket by which they are told.
+#[derive(Debug, Default)]
+pub(crate) struct Sends {
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    others: RefCell<Vec<SocketAddr>>,
+}
+
+impl Sends {
+    /// All other nodes are at these addresses.
+    pub(crate) fn know(&self, others: Vec<SocketAddr>) {
+        *self.others.borrow_mut() = others;
+    }
+
+    /// A node is at this address, which may just have come; gives how many are known.
+    pub(crate) fn meet(&self, other: SocketAddr) -> usize {
+        let mut others = self.others.borrow_mut();
+        if !others.contains(&other) {
+            others.push(other);
+        }
+        others.len()
+    }
+
+    /// The nodes' addresses.
+    pub(crate) fn others(&self) -> Vec<SocketAddr> {
+        self.others.borrow().clone()
+    }
+
+    /// Tells whether two nodes know the same addresses.
+    pub(crate) fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.others.borrow().hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Tells the other nodes, where they are few.
+    pub(crate) fn tell(&self, node: &Node, word: &Word) {
+        let nodes = node.state.borrow().nodes;
+        let socket = self.socket.borrow();
+        let Some(socket) = socket.as_ref().filter(|_| tells_sends(nodes)) else { return };
+        let mut bytes = Vec::with_capacity(MOST);
+        ciborium::into_writer(word, &mut bytes).expect("a word can be written");
+        let me = node.settings.borrow().peers;
+        for other in self.others.borrow().iter().filter(|other| **other != me) {
+            // Where the socket takes no more the word is lost, like one that is lost on its way.
+            if socket.try_send_to(&bytes, *other).is_err() {
+                meter::word_lost();
+            }
+        }
+    }
+}
+
+/// Listens to other nodes until the process ends.
+pub(crate) async fn listen(node: Node, socket: Rc<UdpSocket>) {
+    *node.sends.socket.borrow_mut() = Some(Rc::clone(&socket));
+    let mut buf = [0; MOST];
+    loop {
+        // A node that is gone shows as an error of the socket, which goes on.
+        let Ok((length, _)) = socket.recv_from(&mut buf).await else { continue };
+        if let Ok(word) = ciborium::from_reader(&buf[..length]) {
+            take_in(&node, word);
+        }
+    }
+}
+
+fn take_in(node: &Node, word: Word) {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    let engines = &mut state.engines;
+    match word {
+        Word::Sent(engine, id, tokens) => {
+            let Some(engine) = engines.get_mut(&engine) else { return };
+            engine.unread.told(id, tokens, now);
+        }
+        Word::Answers(engine, id, load) => {
+            let Some(engine) = engines.get_mut(&engine) else { return };
+            engine.unread.read(id, now);
+            if let Some((running, waiting)) = load {
+                engine.hear(Load { running, waiting, slots: engine.listed.slots }, now);
+            }
+        }
+        Word::Ended(engine, id) => {
+            let Some(engine) = engines.get_mut(&engine) else { return };
+            engine.unread.read(id, now);
+        }
+    }
+}
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -192,7 +192,7 @@
             node.saw(engine, Verdict::Failed);
             return Tried::Lost;
         }
-        at_engine.answers();
+        at_engine.answers(marks.load);
         let engine = engine.clone();
         Tried::Begun(Box::new(Begun { engine, conn, head, at_engine }))
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,7 +8,7 @@
 use hgw_events::{Event, emit};
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
@@ -69,6 +69,7 @@
     let callers = listen::listen(settings.callers)?;
     let ready = listen::listen(settings.ready)?;
     let others = listen::listen(settings.peers)?;
+    let words = UdpSocket::bind(settings.peers).await;
     let metrics = listen::listen(settings.metrics);
     let node = Shared::new(settings, dialects);
     let spawn = |work: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
@@ -83,13 +84,15 @@
     spawn(Box::pin(watch_clocks(Rc::clone(&node))));
     spawn(Box::pin(listen::serve(Rc::clone(&node), ready, answer_ready)));
     spawn(Box::pin(front::serve(Rc::clone(&node), callers)));
+    match words {
+        Ok(words) => spawn(Box::pin(peers::listen(Rc::clone(&node), Rc::new(words)))),
+        // Each node then chooses by what it sent itself.
+        Err(e) => listener_failed(&node, "words of other nodes", &e),
+    }
     match metrics {
         Ok(metrics) => spawn(Box::pin(serve_metrics(Rc::clone(&node), metrics))),
         // Callers are served without them.
-        Err(e) => emit(
-            Event::ListenerFailed,
-            &[("node", &node.settings.borrow().node), ("duty", &"metrics"), ("reason", &e)],
-        ),
+        Err(e) => listener_failed(&node, "metrics", &e),
     }
     loop {
         match signals.recv().await {
@@ -104,6 +107,11 @@
     }
 }
 
+fn listener_failed(node: &Node, duty: &str, reason: &io::Error) {
+    let name = &node.settings.borrow().node;
+    emit(Event::ListenerFailed, &[("node", name), ("duty", &duty), ("reason", reason)]);
+}
+
 async fn until_killed(signals: &mut mpsc::UnboundedReceiver<Signal>) {
     while let Some(signal) = signals.recv().await {
         if matches!(signal, Signal::Kill) {
@@ -133,6 +141,9 @@
         if let Ok(nodes) = store.nodes().await {
             let count = u32::try_from(nodes.len()).unwrap_or(u32::MAX);
             node.state.borrow_mut().nodes = count.max(1);
+            let addrs =
+                nodes.iter().filter_map(|(_, addr)| str::from_utf8(addr).ok()?.parse().ok());
+            node.sends.know(addrs.collect());
         }
         sleep(if announced { COUNT_NODES } else { Duration::from_secs(1) }).await;
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::dialect::{Cursor, Dialects};
 use crate::holder::Holding;
 use crate::keeper::KeeperState;
+use crate::peers::Sends;
 use crate::pool::Pool;
 
 /// Longest time to connect to an engine: it is a few milliseconds away, or gone.
@@ -44,6 +45,7 @@
     pub(crate) holding: RefCell<Holding>,
     pub(crate) keeper: RefCell<KeeperState>,
     pub(crate) stop: Stopping,
+    pub(crate) sends: Sends,
     /// Parts this node from others in what only some of them do.
     draw: u32,
     /// When the store last answered.
@@ -115,6 +117,7 @@
             holding: RefCell::default(),
             keeper: RefCell::default(),
             stop: Stopping::default(),
+            sends: Sends::default(),
             draw: random(),
             store_heard: Cell::new(0),
             list_read: Cell::new(0),
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod settings;
 mod stopping;
 mod streams;
+mod words;
 
 use hgw_standins::fleet::{EngineSettings, Fleet};
 
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/words.rs
@@ -0,0 +1,73 @@
+//! What nodes tell each other of the requests that they send.
+
+use std::time::Duration;
+
+use hgw_standins::fleet::deployment::{holds, wait};
+use hgw_standins::fleet::{EngineSettings, Fleet};
+use http::{Method, StatusCode};
+
+use crate::fleet_of;
+
+/// An engine that reads each prompt for so long that the next request comes meanwhile.
+fn reads(id: &str) -> EngineSettings {
+    EngineSettings {
+        id: id.into(),
+        holds: holds(&[("m", &[])]),
+        reading: Duration::from_millis(300),
+        ..EngineSettings::default()
+    }
+}
+
+/// Sends a long prompt of a session, and waits for the whole stream.
+fn stream(fleet: &Fleet, node: usize, id: &str) -> StatusCode {
+    let headers = [
+        ("x-request-id", id),
+        ("x-deadline-ms", "8000"),
+        ("x-model", "m"),
+        ("x-tokens", "4000,120"),
+        ("x-prompt-prefix", "a1:60,b2:3940"),
+    ];
+    fleet.nodes[node].call(Method::POST, "/ask/", &headers).unwrap().status
+}
+
+fn at<'a>(fleet: &Fleet, engines: &[&'a str], id: &str) -> Option<&'a str> {
+    engines.iter().find(|e| fleet.engine(e).record().runs.contains_key(id)).copied()
+}
+
+/// Two callers of one session come to two nodes within a tenth of a second. Both nodes would send to the engine that
+/// keeps the session's prompt, and the second would wait for the first there while another engine is idle. The first
+/// node says at once what it sends, so the second chooses the other engine.
+#[test]
+fn node_passes_over_an_engine_that_reads_what_another_node_sent() {
+    let engines = ["i-3", "i-4"];
+    let mut fleet = fleet_of(engines.map(reads).to_vec());
+    let (first, second) = (fleet.start("a"), fleet.start("a"));
+    let mut tries = 0;
+    wait("both engines are used", || {
+        tries += 1;
+        let ids = [format!("s-{tries}"), format!("t-{tries}")];
+        std::thread::scope(|scope| {
+            let fleet = &fleet;
+            let id = &ids[0];
+            let stream_of_first = scope.spawn(move || stream(fleet, first, id));
+            wait("the first is sent", || at(fleet, &engines, id).is_some());
+            std::thread::sleep(Duration::from_millis(50));
+            assert_eq!(stream(fleet, second, &ids[1]), StatusCode::OK);
+            assert_eq!(stream_of_first.join().unwrap(), StatusCode::OK);
+        });
+        at(&fleet, &engines, &ids[0]) != at(&fleet, &engines, &ids[1])
+    });
+    assert_eq!(at(&fleet, &engines, &format!("s-{tries}")), Some("i-3"), "the session's engine");
+}
+
+/// Anybody on the network may send bytes to the port for words. What is no word changes nothing.
+#[test]
+fn bytes_that_are_no_word_are_passed_over() {
+    let mut fleet = fleet_of(["i-1"].map(reads).to_vec());
+    let node = fleet.start("a");
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    for bytes in [&b""[..], b"{}", &[0xff; 600], b"\xa1dSent\x83ci-1\x20\x20"] {
+        socket.send_to(bytes, fleet.nodes[node].peers).unwrap();
+    }
+    assert_eq!(stream(&fleet, node, "s-1"), StatusCode::OK);
+}
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -50,6 +50,8 @@
     pub callers: SocketAddr,
     /// Where it says whether it takes them.
     pub ready: SocketAddr,
+    /// Where it listens for other nodes.
+    pub peers: SocketAddr,
     /// Where its metrics are.
     pub metrics: SocketAddr,
     /// Its settings file.
@@ -187,7 +189,7 @@
             .stdout(stdout)
             .spawn()
             .expect("the program starts");
-        self.nodes.push(Node { name, callers, ready, metrics, settings, to_store, child });
+        self.nodes.push(Node { name, callers, ready, peers, metrics, settings, to_store, child });
         self.nodes.len() - 1
     }
 }
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -43,6 +43,8 @@
     pub adapters: usize,
     /// Time of a load of a model.
     pub load: Duration,
+    /// Time that it reads a prompt, before the head of a stream.
+    pub reading: Duration,
     /// Time between two events of a stream.
     pub pause: Duration,
     /// Events of a stream.
@@ -62,6 +64,7 @@
             models: 3,
             adapters: 4,
             load: Duration::from_millis(200),
+            reading: Duration::ZERO,
             pause: Duration::from_millis(5),
             events: 20,
             fences: true,
@@ -294,6 +297,7 @@
             tokio::time::sleep(self.settings.pause).await;
             return self.sealed(json(&json!({ "id": id, "run": run })), &echoed);
         }
+        tokio::time::sleep(self.settings.reading).await;
         let from = text("last-event-id").and_then(|l| l.parse().ok()).unwrap_or(0);
         let (tx, rx) = unbounded_channel();
         tokio::spawn(Arc::clone(self).events(tx, from));
