Plan no order that may not be given

Cause: a holder whose lease is out, where engines ignore fences, went on planning. What makes way leaves the books ahead of the order and all nodes are told; the order was then not given, without a line, and planned again 0.8 s later. Ruled out: conflicts of orders (none were sent). Change: models and adapters are planned only while the node may give orders.

--- a/crates/gateway/src/keeper/adapters.rs
+++ b/crates/gateway/src/keeper/adapters.rs
@@ -13,7 +13,7 @@
 use crate::peers::Placement;
 use crate::shared::Node;
 
-use super::give::{Given, count, give};
+use super::give::{Given, count, give, may_give};
 use super::{changed, desk, models, pools};
 
 /// Usual time of an adapter's way to an engine.
@@ -107,6 +107,10 @@
 }
 
 async fn place(node: &Node, wanted: &Wanted, domain: &str) {
+    // As with models: what makes way leaves the books before the order.
+    if !may_give(node) {
+        return;
+    }
     if let Some((engine, instead_of)) = choose(node, wanted, domain) {
         let turn = desk(node, &engine);
         let _turn = turn.lock().await;
--- a/crates/gateway/src/keeper/give.rs
+++ b/crates/gateway/src/keeper/give.rs
@@ -38,6 +38,16 @@
     Lost,
 }
 
+/// Whether this node may give orders now.
+pub(super) fn may_give(node: &Node) -> bool {
+    fence(node).is_some()
+}
+
+fn fence(node: &Node) -> Option<u64> {
+    let settings = node.settings.borrow();
+    node.holding.borrow().fence(settings.lease, settings.engines_fence)
+}
+
 /// Gives an order, whose precondition is the number of orders that the engine is known to have accepted.
 pub(super) async fn give(
     node: &Node,
@@ -45,11 +55,8 @@
     kind: OrderKind,
     wanted: &Wanted,
 ) -> Given {
-    let (lease, fences, holder) = {
-        let settings = node.settings.borrow();
-        (settings.lease, settings.engines_fence, settings.node.clone())
-    };
-    let Some(fence) = node.holding.borrow().fence(lease, fences) else { return Given::Superseded };
+    let holder = node.settings.borrow().node.clone();
+    let Some(fence) = fence(node) else { return Given::Superseded };
     let Some((addr, seq)) = node.engine(engine, |e| (e.listed.addr, e.orders)) else {
         return Given::Refused;
     };
--- a/crates/gateway/src/keeper/models.rs
+++ b/crates/gateway/src/keeper/models.rs
@@ -11,7 +11,7 @@
 use crate::dialect::OrderKind;
 use crate::shared::Node;
 
-use super::give::{Given, count, give};
+use super::give::{Given, count, give, may_give};
 use super::{ceiling_limits, changed, desk, pools};
 
 /// Time between two questions whether an order has been carried out.
@@ -40,7 +40,9 @@
 
 /// Begins what helps most, as far as the weight store takes loads.
 pub(super) fn step(node: &Node, service: &ServiceId, pool: &Pool) {
-    loop {
+    // What makes way leaves the books before the order. Where none may be given, as the claim could not be renewed,
+    // nothing would be dropped, and nobody would be sent to a copy that is there.
+    while may_give(node) {
         let now = node.now();
         let mut keeper = node.keeper.borrow_mut();
         if making_room(&keeper.pending, &keeper.loading) >= MOST_MAKING_ROOM {
--- a/crates/hibiscusgw/tests/platform/orders.rs
+++ b/crates/hibiscusgw/tests/platform/orders.rs
@@ -1,7 +1,10 @@
 //! Who gives orders, and what they are counted against.
 
+use std::time::Duration;
+
 use hgw_standins::Faults;
 use hgw_standins::fleet::{EngineSettings, FleetRecord};
+use hgw_standins::link::Condition;
 use http::StatusCode;
 
 use hgw_standins::fleet::deployment::{Fleet, holds, wait};
@@ -94,3 +97,32 @@
     }
     assert!(records(&fleet).iter().all(|r| r.too_much == 0), "{:?}", records(&fleet));
 }
+
+/// Engines ignore fences, and the holder is cut off from the store: its lease is out, and it may give no order. The
+/// only engine with a model has started anew and holds nothing. Planned all the same, an order takes what makes way
+/// for the model out of the books, and nobody would be sent to a copy that is there.
+#[test]
+fn holder_that_may_give_no_order_plans_none() {
+    let one = |id: &str, model: &str| EngineSettings {
+        holds: holds(&[(model, &[])]),
+        fences: false,
+        ..engine(id)
+    };
+    let mut fleet = fleet_of(vec![one("i-1", "m"), one("i-2", "n")]);
+    let (node, lines) = fleet.start_logged("a");
+    fleet.nodes[node].set("bounds.requireFence=true", "bounds.requireFence=false");
+    wait("both models are served", || {
+        served(&fleet, node, "s-m", "m") && served(&fleet, node, "s-n", "n")
+    });
+    fleet.nodes[node].to_store.set(Condition::Cut);
+    // Longer than the lease, which is a second in the settings of these tests.
+    std::thread::sleep(Duration::from_millis(2_000));
+    let planned = fleet.lines(&lines, 4006).len();
+    fleet.engine("i-2").start_anew();
+    for round in 0..5 {
+        assert!(!served(&fleet, node, &format!("s-n-{round}"), "n"));
+        assert!(served(&fleet, node, &format!("s-m-{round}"), "m"));
+    }
+    let after = fleet.lines(&lines, 4006);
+    assert_eq!(after.len(), planned, "an order is planned that may not be given: {after:?}");
+}
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -1,7 +1,8 @@
 //! Nodes as real processes before the stand-ins of the platform.
 
+use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -161,6 +162,22 @@
         node
     }
 
+    /// Starts a node whose lines go to a file, and waits until it is ready.
+    pub fn start_logged(&mut self, zone: &str) -> (usize, PathBuf) {
+        let path = self.folder.join(format!("front-{}.log", self.next));
+        let file = File::create(&path).expect("the file can be made");
+        let node = self.spawn_with(zone, file.into());
+        wait("the node is ready", || self.nodes[node].is_ready());
+        (node, path)
+    }
+
+    /// The lines of an event in such a file.
+    pub fn lines(&self, path: &Path, event: u64) -> Vec<Value> {
+        let text = std::fs::read_to_string(path).expect("the file can be read");
+        let all = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        all.filter(|line| line["event"] == event).collect()
+    }
+
     /// Starts a node whose standard output is a pipe that nobody reads.
     pub fn start_unread(&mut self, zone: &str) -> usize {
         let node = self.spawn_with(zone, Stdio::piped());
@@ -236,6 +253,14 @@
         self.call(Method::POST, path, &headers)
     }
 
+    /// Replaces a setting in its file; it takes it in force within seconds.
+    pub fn set(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.settings).expect("the settings can be read");
+        assert!(text.contains(from), "{from} is not in the settings");
+        std::fs::write(&self.settings, text.replace(from, to)).expect("they can be written");
+        self.signal(rustix::process::Signal::HUP);
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: rustix::process::Signal) {
         let pid = rustix::process::Pid::from_child(&self.child);
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -119,16 +119,21 @@
     busy: bool,
     seq: u64,
     fence: u64,
+    /// When it was started, in Unix milliseconds.
+    born: u64,
     running: u32,
     refuse: u32,
     fail: u32,
     record: FleetRecord,
 }
 
+/// When the first start of each engine was.
+const FIRST_BORN: u64 = 1_790_000_000_000;
+
 /// Starts an engine.
 pub fn start(settings: EngineSettings) -> io::Result<Engine> {
     let switches = Arc::new(Switches::new());
-    let inner = Inner { holds: settings.holds.clone(), ..Inner::default() };
+    let inner = Inner { holds: settings.holds.clone(), born: FIRST_BORN, ..Inner::default() };
     let shared =
         Arc::new(Shared { settings, switches: Arc::clone(&switches), inner: Mutex::new(inner) });
     let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -161,6 +166,7 @@
             "coldLeftMs": 0,
             "models": models,
             "seq": 1,
+            "born": self.shared.lock().born,
         })
     }
 
@@ -180,6 +186,14 @@
         caller.faults(faults).expect("the engine takes faults");
     }
 
+    /// Starts anew under its identity: it holds nothing, has accepted no order and seen no fencing number.
+    pub fn start_anew(&self) {
+        let mut inner = self.shared.lock();
+        inner.holds.clear();
+        (inner.busy, inner.seq, inner.fence) = (false, 0, 0);
+        inner.born += 1;
+    }
+
     /// Rejects so many requests as full, without running them.
     pub fn refuse(&self, requests: u32) {
         self.shared.lock().refuse = requests;
@@ -207,7 +221,7 @@
         let inner = self.lock();
         json(&json!({
             "stage": "mixed", "models": models, "busy": inner.busy, "seq": inner.seq,
-            "waiting": 0, "running": inner.running, "coming": [],
+            "waiting": 0, "running": inner.running, "coming": [], "born": inner.born,
         }))
     }
 
