Follow engines that start anew under their identity, and pass over entries that cannot be read

Cause: an engine was taken for the one that it had been as long as its identity was the same: what it held, orders that it had accepted, requests in flight, its load and judgement went on for a start that knows nothing of them. An entry with an unknown state counted as leaving, one that could not be read left the earlier one in use. Ruled out: telling starts apart by the count of orders (it may have been 0 before) or by the address (it stays). Change: the time of its start (born) is read from entries and reports and carried by the keeper's list, the keeper's news, told loads and words. A later start ends all that was believed, waits for answers of the earlier one, kept connections and orders under way; an earlier one changes nothing. An entry with a field missing, of another type or unknown names no engine to use until one can be read; the others of its page hold, with one line a page. Two tests of requests at an earlier start fail with the comparison of starts taken out; the test of the model that is ordered again does not, as the engine's own word (421) leads to the same.

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -6,7 +6,7 @@
 use hgw_direct::place::{Allowed, Pending, next_model_step, place_adapter};
 use hgw_direct::{
     Ask, AtHand, Demand, Engine, EngineId, Engines, Held, Listed, Model, Part, Policy, Pool,
-    Prompt, ServiceId, Standing, Wanted, choose,
+    Prompt, ServiceId, Standing, Start, Wanted, choose,
 };
 
 /// Looks that are timed; the middle one counts.
@@ -61,6 +61,7 @@
                 addr: ([10, 0, (e / 250) as u8, (e % 250) as u8], 80).into(),
                 domain: format!("zone-{}", e % 5),
                 slots: 24,
+                start: Start::default(),
                 standing: Standing::Ready,
                 held: (0..3).map(|n| held(e * 3 + n)).collect(),
                 at_hand: AtHand::default(),
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -13,6 +13,25 @@
 #[from(String, &str)]
 pub struct EngineId(pub String);
 
+/// When an engine was started, in Unix milliseconds, where it says so: it may start again under its identity, and
+/// then holds and knows nothing.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Start(pub Option<u64>);
+
+impl Start {
+    /// Whether what is said of this start is older than what is known of another.
+    pub fn is_before(self, known: Start) -> bool {
+        matches!((self.0, known.0), (Some(this), Some(known)) if this < known)
+    }
+
+    /// The later of two, where one says nothing the other.
+    pub fn or_later(self, other: Start) -> Start {
+        self.max(other)
+    }
+}
+
 /// Whether an engine takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -23,6 +42,8 @@
         /// When whatever still runs there is gone.
         gone_at: Option<Millis>,
     },
+    /// Its newest entry cannot be read: another writer may have made it. It is not used until one can be.
+    Unreadable,
 }
 
 /// A model that an engine holds.
@@ -48,6 +69,8 @@
 pub struct Listed {
     /// Its identity.
     pub id: EngineId,
+    /// When it was started.
+    pub start: Start,
     /// The service that it belongs to.
     pub service: ServiceId,
     /// Where it is reached.
@@ -213,6 +236,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Engines {
     by_id: IndexMap<EngineId, Engine>,
+    /// Addresses of engines that have started anew.
+    anew: Vec<SocketAddr>,
 }
 
 impl Engines {
@@ -236,13 +261,53 @@
         self.by_id.values().filter(move |e| &e.listed.service == service)
     }
 
-    /// Takes in an engine's newest entry.
-    pub fn list(&mut self, listed: Listed) {
-        match self.by_id.get_mut(&listed.id) {
-            Some(engine) => engine.listed = listed,
-            None => {
-                self.by_id.insert(listed.id.clone(), Engine::new(listed));
-            }
+    /// Takes in an engine's newest entry. One of an earlier start than is known changes nothing; one of a later
+    /// start ends everything that was believed of the earlier.
+    pub fn list(&mut self, mut listed: Listed) {
+        let Some(engine) = self.by_id.get_mut(&listed.id) else {
+            self.by_id.insert(listed.id.clone(), Engine::new(listed));
+            return;
+        };
+        let known = engine.listed.start;
+        if listed.start.is_before(known) {
+            return;
+        }
+        if known.is_before(listed.start) {
+            self.anew.push(engine.listed.addr);
+            *engine = Engine::new(listed);
+        } else {
+            listed.start = listed.start.or_later(known);
+            engine.listed = listed;
+        }
+    }
+
+    /// Somebody tells of a start of an engine: whether what they tell holds for the start that is known. A later
+    /// start ends everything that was believed of the earlier; it holds nothing until it is said what.
+    pub fn meet(&mut self, id: &EngineId, start: Start) -> Option<&mut Engine> {
+        let engine = self.by_id.get_mut(id)?;
+        let known = engine.listed.start;
+        if start.is_before(known) {
+            return None;
+        }
+        if known.is_before(start) {
+            self.anew.push(engine.listed.addr);
+            let mut listed = engine.listed.clone();
+            listed.start = start;
+            listed.held.clear();
+            *engine = Engine::new(listed);
+        }
+        Some(engine)
+    }
+
+    /// Addresses of engines that have started anew since this was last asked.
+    pub fn take_anew(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.anew)
+    }
+
+    /// An engine's newest entry cannot be read.
+    pub fn spoil(&mut self, id: &EngineId) {
+        if let Some(engine) = self.by_id.get_mut(id) {
+            engine.listed.standing = Standing::Unreadable;
         }
     }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,7 +22,7 @@
 };
 pub use choose::{Ask, Choice, NoEngine, Policy, choose};
 pub use demand::{Demand, Past, Rates};
-pub use engines::{AtHand, Engine, EngineId, Engines, Held, Listed, Load, Standing};
+pub use engines::{AtHand, Engine, EngineId, Engines, Held, Listed, Load, Standing, Start};
 pub use judge::{Judge, Opinion, Verdict};
 pub use listing::{Cursor, ListNews, Listing, Part as ListPart, Passed, is_long, reads_on};
 pub use prompt::{EmptyModel, Part, Prompt, Wanted};
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{Engine, EngineId, Engines, Held, Standing};
+use crate::{Engine, EngineId, Engines, Held, Standing, Start};
 
 /// A place in the store's log of the list.
 pub type Cursor = u64;
@@ -38,6 +38,8 @@
 pub struct Passed {
     /// Its identity.
     pub engine: EngineId,
+    /// When it was started.
+    pub start: Start,
     /// Its service.
     pub service: String,
     /// Where it is reached.
@@ -48,6 +50,8 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// Whether its newest entry cannot be read.
+    pub unreadable: bool,
     /// Whether it is still slow after its start.
     pub cold: bool,
     /// What it holds.
@@ -94,11 +98,26 @@
 }
 
 /// What makes an entry worth telling again.
-type Signature = (bool, bool, u32, SocketAddr);
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Signature {
+    start: Start,
+    leaves: bool,
+    unreadable: bool,
+    cold: bool,
+    slots: u32,
+    addr: SocketAddr,
+}
 
 fn signature(engine: &Engine) -> Signature {
     let listed = &engine.listed;
-    (listed.standing != Standing::Ready, listed.cold_ms > 0, listed.slots, listed.addr)
+    Signature {
+        start: listed.start,
+        leaves: matches!(listed.standing, Standing::Leaving { .. }),
+        unreadable: listed.standing == Standing::Unreadable,
+        cold: listed.cold_ms > 0,
+        slots: listed.slots,
+        addr: listed.addr,
+    }
 }
 
 impl Listing {
@@ -166,11 +185,13 @@
     let listed = &engine.listed;
     Passed {
         engine: listed.id.clone(),
+        start: listed.start,
         service: listed.service.0.clone(),
         addr: listed.addr,
         domain: listed.domain.clone(),
         slots: listed.slots,
-        leaving: listed.standing != Standing::Ready,
+        leaving: matches!(listed.standing, Standing::Leaving { .. }),
+        unreadable: listed.standing == Standing::Unreadable,
         cold: listed.cold_ms > 0,
         held: listed.held.clone(),
     }
--- a/crates/direct/tests/support/mod.rs
+++ b/crates/direct/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! Engines and pools for tests of decisions.
 
-use hgw_direct::{AtHand, EngineId, Engines, Held, Listed, ServiceId, Standing, Wanted};
+use hgw_direct::{AtHand, EngineId, Engines, Held, Listed, ServiceId, Standing, Start, Wanted};
 
 /// `MODEL` or `MODEL/ADAPTER`.
 pub(crate) fn wanted(text: &str) -> Wanted {
@@ -24,6 +24,7 @@
         addr: format!("127.0.0.1:{}", 9000 + u16::from(number)).parse().unwrap(),
         domain: domain.to_owned(),
         slots: 64,
+        start: Start::default(),
         standing: Standing::Ready,
         held,
         at_hand: AtHand::default(),
--- a/crates/gateway/src/at_engine.rs
+++ b/crates/gateway/src/at_engine.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 
-use hgw_direct::{EngineId, Load, SendId};
+use hgw_direct::{EngineId, Load, SendId, Start, Verdict};
+use hgw_http1::Conn;
 
 use crate::peers::Word;
 use crate::shared::Node;
@@ -9,6 +10,8 @@
 pub(crate) struct AtEngine {
     node: Node,
     engine: EngineId,
+    /// The engine's start that it was sent to.
+    start: Start,
     /// The request, while the engine has not read its prompt.
     unread: Option<SendId>,
 }
@@ -18,23 +21,56 @@
     pub(crate) fn begin(node: &Node, engine: &EngineId, request: &str, tokens: u32) -> AtEngine {
         let now = node.now();
         let unread = (tokens > 0).then(|| SendId::of(request));
+        let mut start = Start::default();
         if let Some(engine) = node.state.borrow_mut().engines.get_mut(engine) {
+            start = engine.listed.start;
             engine.own += 1;
             if let Some(id) = unread {
                 engine.unread.send(id, tokens, now);
             }
         }
         if let Some(id) = unread {
-            node.sends.tell(node, &Word::Sent(engine.clone(), id, tokens));
+            node.sends.tell(node, &Word::Sent(engine.clone(), start, id, tokens));
+        }
+        AtEngine { node: Rc::clone(node), engine: engine.clone(), start, unread }
+    }
+
+    /// Whether the engine has started anew since: what it ran then has ended.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.node.engine(&self.engine, |e| self.start.is_before(e.listed.start)).unwrap_or(false)
+    }
+
+    /// Takes in what became of the request, unless the engine has started anew since.
+    pub(crate) fn saw(&self, verdict: Verdict) {
+        if !self.has_ended() {
+            self.node.saw(&self.engine, verdict);
+        }
+    }
+
+    /// Keeps a connection whose answer was whole, unless the engine has started anew since.
+    pub(crate) fn keep(&self, conn: Conn) {
+        let addr = self.node.engine(&self.engine, |e| e.listed.addr);
+        if let Some(addr) = addr.filter(|_| !self.has_ended()) {
+            self.node.pool.put(addr, conn);
+        }
+    }
+
+    /// The engine tells its load.
+    pub(crate) fn tells(&self, load: Load) {
+        if self.has_ended() {
+            return;
+        }
+        let now = self.node.now();
+        if let Some(engine) = self.node.state.borrow_mut().engines.get_mut(&self.engine) {
+            engine.told = Some((load, now, engine.own));
         }
-        AtEngine { node: Rc::clone(node), engine: engine.clone(), unread }
     }
 
     /// The answer begins: the engine has read the prompt.
     pub(crate) fn answers(&mut self, load: Option<Load>) {
         let Some(id) = self.unread.take() else { return };
         let load = load.map(|load| (load.running, load.waiting));
-        self.node.sends.tell(&self.node, &Word::Answers(self.engine.clone(), id, load));
+        self.node.sends.tell(&self.node, &Word::Answers(self.engine.clone(), self.start, id, load));
         let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
         let Some(engine) = state.engines.get_mut(&self.engine) else { return };
@@ -48,6 +84,9 @@
     fn drop(&mut self) {
         let now = self.node.now();
         let unread = self.unread.take();
+        if self.has_ended() {
+            return;
+        }
         if let Some(engine) = self.node.state.borrow_mut().engines.get_mut(&self.engine) {
             engine.own = engine.own.saturating_sub(1);
             if let Some(id) = unread {
@@ -55,7 +94,7 @@
             }
         }
         if let Some(id) = unread {
-            self.node.sends.tell(&self.node, &Word::Ended(self.engine.clone(), id));
+            self.node.sends.tell(&self.node, &Word::Ended(self.engine.clone(), self.start, id));
         }
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
 pub use hgw_direct::Cursor;
-use hgw_direct::{AtHand, Catalog, EngineId, Held, Listed, Load, Prompt, Wanted};
+use hgw_direct::{AtHand, Catalog, EngineId, Held, Listed, Load, Prompt, Start, Wanted};
 use hgw_http1::{Head, Request};
 use http::HeaderMap;
 use http::request::Parts;
@@ -153,6 +153,8 @@
     pub busy: bool,
     /// Orders that it has accepted.
     pub seq: u64,
+    /// When the engine was started.
+    pub start: Start,
     /// Its load.
     pub load: Load,
 }
@@ -226,12 +228,14 @@
     /// An engine, with the time until it is gone where it leaves.
     Listed {
         /// The engine.
-        listed: Listed,
+        listed: Box<Listed>,
         /// Time that is left to it.
         left: Option<Duration>,
     },
     /// The entry is gone.
     Gone(EngineId),
+    /// It cannot be read.
+    Unreadable(EngineId),
 }
 
 /// A record of the claim's log.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -157,8 +157,9 @@
 
 fn take_in(node: &Node, news: EngineNews, keep: bool) {
     let now = node.now();
-    for malformed in &news.malformed {
-        emit(Event::ConfigRejected, &[("node", &node.settings.borrow().node), ("why", malformed)]);
+    if let Some(first) = news.malformed.first() {
+        let (name, entries) = (&node.settings.borrow().node, news.malformed.len());
+        emit(Event::ConfigRejected, &[("node", name), ("why", first), ("entries", &entries)]);
     }
     let mut state = node.state.borrow_mut();
     let mut whole = Vec::new();
@@ -171,9 +172,9 @@
                 }
                 keep_newer(&state.engines, &mut listed);
                 if news.whole {
-                    whole.push(listed);
+                    whole.push(*listed);
                 } else {
-                    state.engines.list(listed);
+                    state.engines.list(*listed);
                 }
             }
             EngineEntry::Gone(id) => {
@@ -181,12 +182,19 @@
                     state.engines.unlist(&id);
                 }
             }
+            EngineEntry::Unreadable(id) => {
+                state.engines.spoil(&id);
+                if news.whole {
+                    whole.extend(state.engines.get(&id).map(|engine| engine.listed.clone()));
+                }
+            }
         }
     }
     if news.whole {
         state.engines.replace(whole, keep);
     }
     drop(state);
+    node.look_for_starts();
     node.listed_to(news.cursor);
     keeper::look_at_list(node);
     node.placed.notify_waiters();
@@ -196,7 +204,7 @@
 /// ended, and none is written for an adapter. The keeper tells every change.
 fn keep_newer(engines: &hgw_direct::Engines, listed: &mut Listed) {
     let Some(known) = engines.get(&listed.id) else { return };
-    if known.told_at.is_some() {
+    if known.told_at.is_some() && !known.listed.start.is_before(listed.start) {
         listed.held = known.listed.held.clone();
     }
 }
--- a/crates/gateway/src/keeper/adapters.rs
+++ b/crates/gateway/src/keeper/adapters.rs
@@ -129,7 +129,7 @@
         let engines: Vec<&Engine> = state
             .engines
             .of(&service)
-            .filter(|e| e.takes_work() && keeper.surveyed.contains(&e.listed.id))
+            .filter(|e| e.takes_work() && keeper.surveyed.contains_key(&e.listed.id))
             // One that carries out an order for a model takes no other.
             .filter(|e| !keeper.pending.contains_key(&e.listed.id))
             .filter(|e| !keeper.emptying.contains(&e.listed.id))
@@ -155,7 +155,7 @@
         e.holds_model(&wanted.model) && !e.holds(wanted) && e.places_taken() - freed < slots
     });
     let keeper = node.keeper.borrow();
-    let known = keeper.surveyed.contains(engine) && !keeper.pending.contains_key(engine);
+    let known = keeper.surveyed.contains_key(engine) && !keeper.pending.contains_key(engine);
     known && fits.unwrap_or(false)
 }
 
--- a/crates/gateway/src/keeper/give.rs
+++ b/crates/gateway/src/keeper/give.rs
@@ -57,14 +57,15 @@
 ) -> Given {
     let holder = node.settings.borrow().node.clone();
     let Some(fence) = fence(node) else { return Given::Superseded };
-    let Some((addr, seq)) = node.engine(engine, |e| (e.listed.addr, e.orders)) else {
-        return Given::Refused;
-    };
+    let known = node.engine(engine, |e| (e.listed.addr, e.orders, e.listed.start));
+    let Some((addr, seq, start)) = known else { return Given::Refused };
     let order = Order { addr, engine, kind, wanted, seq, holder: &holder, fence };
     let req = node.dialects.upstreams.order(&order);
     let given = match exchange(node, engine, &req).await {
         Exchanged::Answered(status, body) => {
-            let given = said(status);
+            let still = node.engine(engine, |e| !start.is_before(e.listed.start)).unwrap_or(false);
+            // An answer of an earlier start says nothing of this one.
+            let given = if still { said(status) } else { Given::Conflict };
             let fields: &[(&str, &dyn std::fmt::Display)] = &[
                 ("node", &holder),
                 ("upstream", engine),
@@ -162,7 +163,7 @@
 fn take_in(node: &Node, engine: &EngineId, report: Report) -> bool {
     let now = node.now();
     let mut state = node.state.borrow_mut();
-    let Some(known) = state.engines.get_mut(engine) else { return false };
+    let Some(known) = state.engines.meet(engine, report.start) else { return false };
     // Its values are some hundred milliseconds old.
     if report.seq < known.orders {
         return false;
@@ -178,6 +179,7 @@
     // news here. Of thousands of engines nodes know by the list.
     let tells = changes || !is_long(&state.engines);
     drop(state);
+    node.look_for_starts();
     if tells {
         changed(node, engine);
     }
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use hgw_direct::place::{Ceiling, CeilingLimits, Pending};
-use hgw_direct::{Cursor, Demand, EngineId, Millis, Pool, Wanted, tells_sends};
+use hgw_direct::{Cursor, Demand, EngineId, Millis, Pool, Start, Wanted, tells_sends};
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{Mutex, Notify, Semaphore};
 use tokio::time::{sleep, timeout};
@@ -54,8 +54,8 @@
     pending: Pending,
     /// Engines that load a model, and when that is probably done.
     loading: IndexMap<EngineId, Millis>,
-    /// Engines whose state was asked for under this claim.
-    surveyed: IndexSet<EngineId>,
+    /// Engines whose state was asked for under this claim, and the start that this holds for.
+    surveyed: IndexMap<EngineId, Start>,
     /// Engines that are being asked, or soon will.
     surveying: IndexSet<EngineId>,
     asking: Rc<Asking>,
@@ -120,14 +120,17 @@
     let state = node.state.borrow();
     let engines = state.engines.iter().filter(|e| services.contains(&e.listed.service));
     let ids: Vec<EngineId> = engines.map(|e| e.listed.id.clone()).collect();
-    drop(state);
     let mut keeper = node.keeper.borrow_mut();
-    keeper.surveyed.retain(|id| ids.contains(id));
+    keeper.surveyed.retain(|id, start| {
+        let engine = state.engines.get(id).filter(|_| ids.contains(id));
+        engine.is_some_and(|e| !start.is_before(e.listed.start))
+    });
+    drop(state);
     keeper.desks.retain(|id, _| ids.contains(id));
     keeper.pending.retain(|id, _| ids.contains(id));
     keeper.loading.retain(|id, _| ids.contains(id));
     for id in ids {
-        if !keeper.surveyed.contains(&id) && keeper.surveying.insert(id.clone()) {
+        if !keeper.surveyed.contains_key(&id) && keeper.surveying.insert(id.clone()) {
             let node = Rc::clone(node);
             tokio::task::spawn_local(async move {
                 survey_one(&node, &id).await;
@@ -141,7 +144,9 @@
     let fence = node.keeper.borrow().fence;
     sleep(REPORT_AGE).await;
     let asking = Rc::clone(&node.keeper.borrow().asking);
-    while node.keeper.borrow().fence == fence && node.engine(id, |_| ()).is_some() {
+    while node.keeper.borrow().fence == fence
+        && let Some(start) = node.engine(id, |e| e.listed.start)
+    {
         let state = {
             let _asks = asking.0.acquire().await;
             let desk = desk(node, id);
@@ -150,7 +155,7 @@
         };
         if state == Some(give::Free(true)) {
             let mut keeper = node.keeper.borrow_mut();
-            keeper.surveyed.insert(id.clone());
+            keeper.surveyed.insert(id.clone(), start);
             break;
         }
         sleep(BUSY_CHECK).await;
@@ -268,7 +273,12 @@
 }
 
 fn told(node: &Node, id: &EngineId) -> Option<Told> {
-    node.engine(id, |e| Told { engine: id.clone(), orders: e.orders, held: e.listed.held.clone() })
+    node.engine(id, |e| Told {
+        engine: id.clone(),
+        start: e.listed.start,
+        orders: e.orders,
+        held: e.listed.held.clone(),
+    })
 }
 
 /// What an engine holds has changed.
--- a/crates/gateway/src/keeper/models.rs
+++ b/crates/gateway/src/keeper/models.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use hgw_direct::place::{Allowed, ModelStep, Source, making_room, next_model_step};
-use hgw_direct::{Engine, EngineId, Pool, Rates, ServiceId, Wanted};
+use hgw_direct::{Engine, EngineId, Pool, Rates, ServiceId, Start, Wanted};
 use hgw_events::{Event, emit};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::dialect::OrderKind;
 use crate::shared::Node;
@@ -58,7 +58,7 @@
         let engines: Vec<&Engine> = state.engines.of(service).filter(|e| e.takes_work()).collect();
         let rates = keeper.demand.rates(now);
         let mut taken = keeper.pending.clone();
-        for engine in engines.iter().filter(|e| !keeper.surveyed.contains(&e.listed.id)) {
+        for engine in engines.iter().filter(|e| !keeper.surveyed.contains_key(&e.listed.id)) {
             // What it holds counts, but what else is under way there is not known yet.
             taken.entry(engine.listed.id.clone()).or_default();
         }
@@ -146,6 +146,7 @@
     usual: Duration,
 ) -> bool {
     let turn = desk(node, engine);
+    let Some(start) = node.engine(engine, |e| e.listed.start) else { return false };
     if kind == OrderKind::Unload {
         // Nobody sends to it any more.
         if let Some(engine) = node.state.borrow_mut().engines.get_mut(engine) {
@@ -157,7 +158,7 @@
     let patience = if kind == OrderKind::Load { usual * SLOWEST } else { UNLOAD };
     let until = Instant::now() + patience;
     let mut accepted = false;
-    while Instant::now() < until {
+    while Instant::now() < until && is_still(node, engine, start) {
         let given = {
             let _turn = turn.lock().await;
             give(node, engine, kind, wanted).await
@@ -172,7 +173,8 @@
                     count(node, engine);
                 }
                 accepted = true;
-                sleep(if kind == OrderKind::Load { usual } else { DONE_CHECK }).await;
+                let pause = if kind == OrderKind::Load { usual } else { DONE_CHECK };
+                sleep_while(node, engine, start, pause).await;
             }
             Given::Conflict if accepted => sleep(DONE_CHECK).await,
             // An earlier holder's order is under way or was not known of. What it will hold is not known
@@ -190,6 +192,22 @@
     false
 }
 
+/// Whether an engine has not started anew: an order given before tells nothing of what it holds now.
+fn is_still(node: &Node, engine: &EngineId, start: Start) -> bool {
+    node.engine(engine, |e| !start.is_before(e.listed.start)).unwrap_or(false)
+}
+
+/// Sleeps, but not for an engine that starts anew meanwhile.
+async fn sleep_while(node: &Node, engine: &EngineId, start: Start, pause: Duration) {
+    let until = Instant::now() + pause;
+    while Instant::now() < until {
+        let started_anew = node.started_anew.notified();
+        if !is_still(node, engine, start) || timeout_at(until, started_anew).await.is_err() {
+            return;
+        }
+    }
+}
+
 fn done(node: &Node, engine: &EngineId, kind: OrderKind, wanted: &Wanted) {
     if let Some(engine) = node.state.borrow_mut().engines.get_mut(engine) {
         match kind {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,12 +1,14 @@
 use std::net::SocketAddr;
 
-use hgw_direct::{Cursor, EngineId, Held, ListNews, Past, Wanted};
+use hgw_direct::{Cursor, EngineId, Held, ListNews, Past, Start, Wanted};
 use serde::{Deserialize, Serialize};
 
 /// What an engine holds, as the keeper knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Told {
     pub(crate) engine: EngineId,
+    /// The start of it that this holds for.
+    pub(crate) start: Start,
     /// Orders that it has accepted.
     pub(crate) orders: u64,
     pub(crate) held: Vec<Held>,
@@ -71,10 +73,16 @@
     pub(crate) loads: Vec<HeardLoad>,
 }
 
-/// The load of an engine, as somebody heard of it: the requests that ran and waited there, and its age in
+/// The load of an engine, as somebody heard of it: its start, the requests that ran and waited there, and its age in
 /// milliseconds. Written without names: there is one for each engine in each exchange.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct HeardLoad(pub(super) EngineId, pub(super) u32, pub(super) u32, pub(super) u64);
+pub(crate) struct HeardLoad(
+    pub(super) EngineId,
+    pub(super) Start,
+    pub(super) u32,
+    pub(super) u32,
+    pub(super) u64,
+);
 
 /// Asks the keeper for a model or an adapter.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -64,7 +64,8 @@
     };
     let newer = newer.filter(|(e, _)| meant(e)).take(MOST_LOADS);
     let heard = newer.map(|(e, (load, at, _))| {
-        HeardLoad(e.listed.id.clone(), load.running, load.waiting, now.saturating_sub(at))
+        let (id, start) = (e.listed.id.clone(), e.listed.start);
+        HeardLoad(id, start, load.running, load.waiting, now.saturating_sub(at))
     });
     heard.collect()
 }
@@ -73,12 +74,14 @@
 fn take_in_loads(node: &Node, loads: &[HeardLoad]) {
     let now = node.now();
     let mut state = node.state.borrow_mut();
-    for HeardLoad(engine, running, waiting, age_ms) in loads {
-        if let Some(engine) = state.engines.get_mut(engine) {
+    for HeardLoad(engine, start, running, waiting, age_ms) in loads {
+        if let Some(engine) = state.engines.meet(engine, *start) {
             let load = Load { running: *running, waiting: *waiting, slots: engine.listed.slots };
             engine.hear(load, now.saturating_sub(*age_ms));
         }
     }
+    drop(state);
+    node.look_for_starts();
 }
 
 /// Exchanges demand against placement with the keeper until the process ends.
@@ -251,19 +254,26 @@
         }
     }
     drop(state);
+    node.look_for_starts();
     node.listed_to(news.cursor);
 }
 
 fn listed_as(engines: &Engines, passed: Passed) -> Listed {
-    let known = engines.get(&passed.engine);
-    let leaves = passed.leaving || known.is_some_and(|k| !k.takes_work());
+    let known = engines.get(&passed.engine).filter(|k| !k.listed.start.is_before(passed.start));
+    let left = known.is_some_and(|k| matches!(k.listed.standing, Standing::Leaving { .. }));
+    let standing = match (passed.leaving || left, passed.unreadable) {
+        (_, true) => Standing::Unreadable,
+        (true, false) => Standing::Leaving { gone_at: None },
+        (false, false) => Standing::Ready,
+    };
     Listed {
         id: passed.engine,
+        start: passed.start,
         service: passed.service.into(),
         addr: passed.addr,
         domain: passed.domain,
         slots: passed.slots,
-        standing: if leaves { Standing::Leaving { gone_at: None } } else { Standing::Ready },
+        standing,
         held: known.filter(|k| k.told_at.is_some()).map_or(passed.held, |k| k.listed.held.clone()),
         at_hand: AtHand::default(),
         cold_ms: u64::from(passed.cold),
@@ -277,7 +287,7 @@
     let now = node.now();
     let mut state = node.state.borrow_mut();
     for told in engines {
-        let Some(engine) = state.engines.get_mut(&told.engine) else { continue };
+        let Some(engine) = state.engines.meet(&told.engine, told.start) else { continue };
         if told.orders >= engine.orders {
             engine.orders = told.orders;
             engine.listed.held = told.held;
@@ -285,6 +295,7 @@
         }
     }
     drop(state);
+    node.look_for_starts();
     node.placed.notify_waiters();
 }
 
--- a/crates/gateway/src/peers/sends.rs
+++ b/crates/gateway/src/peers/sends.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use hgw_direct::{EngineId, Load, SendId, tells_sends};
+use hgw_direct::{EngineId, Load, SendId, Start, tells_sends};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -23,11 +23,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Word {
     /// It was sent there, with a prompt of so many tokens.
-    Sent(EngineId, SendId, u32),
+    Sent(EngineId, Start, SendId, u32),
     /// Its answer begins, and says how many requests run and wait there.
-    Answers(EngineId, SendId, Option<(u32, u32)>),
+    Answers(EngineId, Start, SendId, Option<(u32, u32)>),
     /// It has ended without an answer.
-    Ended(EngineId, SendId),
+    Ended(EngineId, Start, SendId),
 }
 
 /// The other nodes, and the socket by which they are told.
@@ -99,20 +99,22 @@
     let mut state = node.state.borrow_mut();
     let engines = &mut state.engines;
     match word {
-        Word::Sent(engine, id, tokens) => {
-            let Some(engine) = engines.get_mut(&engine) else { return };
+        Word::Sent(engine, start, id, tokens) => {
+            let Some(engine) = engines.meet(&engine, start) else { return };
             engine.unread.told(id, tokens, now);
         }
-        Word::Answers(engine, id, load) => {
-            let Some(engine) = engines.get_mut(&engine) else { return };
+        Word::Answers(engine, start, id, load) => {
+            let Some(engine) = engines.meet(&engine, start) else { return };
             engine.unread.read(id, now);
             if let Some((running, waiting)) = load {
                 engine.hear(Load { running, waiting, slots: engine.listed.slots }, now);
             }
         }
-        Word::Ended(engine, id) => {
-            let Some(engine) = engines.get_mut(&engine) else { return };
+        Word::Ended(engine, start, id) => {
+            let Some(engine) = engines.meet(&engine, start) else { return };
             engine.unread.read(id, now);
         }
     }
+    drop(state);
+    node.look_for_starts();
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -54,7 +54,12 @@
         }
     }
 
-    /// Drops connections that are not trusted any more, and all to one address if given.
+    /// Drops all kept connections to an address.
+    pub(crate) fn forget(&self, addr: SocketAddr) {
+        self.kept.borrow_mut().shift_remove(&addr);
+    }
+
+    /// Drops connections that are not trusted any more.
     pub(crate) fn sweep(&self) {
         let mut kept = self.kept.borrow_mut();
         for conns in kept.values_mut() {
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -72,6 +72,8 @@
     Done(T),
     /// Another try is paid for.
     Stalled,
+    /// The engine has started anew: what it ran before has ended.
+    StartedAnew,
     TimeOver,
 }
 
@@ -99,14 +101,14 @@
                 node.saw(engine, Verdict::Silent);
                 return Tried::NotSent;
             }
-            Waited::Stalled | Waited::TimeOver => return Tried::NotSent,
+            Waited::Stalled | Waited::StartedAnew | Waited::TimeOver => return Tried::NotSent,
         };
         let req = self.request(engine, last_event);
         let sent = async {
             conn.begin(&req).await?;
             self.answer_to(&mut conn, &req).await
         };
-        let waited = self.watched(engine, sent).await;
+        let waited = self.watched(&at_engine, engine, sent).await;
         match waited {
             Waited::Done(Ok((head, marks))) => {
                 node.heard(engine);
@@ -117,17 +119,21 @@
                     Error::Connect { .. } => Verdict::Silent,
                     Error::Io(_) | Error::Ended | Error::Malformed { .. } => Verdict::Failed,
                 };
-                node.saw(engine, verdict);
+                at_engine.saw(verdict);
+                self.runs += 1;
+                Tried::Lost
+            }
+            Waited::StartedAnew => {
                 self.runs += 1;
                 Tried::Lost
             }
             Waited::Stalled => {
-                node.saw(engine, Verdict::Silent);
+                at_engine.saw(Verdict::Silent);
                 self.runs += 1;
                 Tried::Stalled
             }
             Waited::TimeOver => {
-                node.saw(engine, Verdict::Failed);
+                at_engine.saw(Verdict::Failed);
                 self.runs += 1;
                 Tried::TimeOver
             }
@@ -160,26 +166,19 @@
         marks: Marks,
         mut at_engine: AtEngine,
     ) -> Tried {
-        let node = Rc::clone(&self.node);
         if let Some(load) = marks.load {
-            let now = node.now();
-            if let Some(e) = node.state.borrow_mut().engines.get_mut(engine) {
-                e.told = Some((load, now, e.own));
-            }
+            at_engine.tells(load);
         }
         if marks.not_run || marks.misdirected {
             self.rejected += 1;
             if marks.misdirected {
                 self.correct(engine, &marks);
             } else {
-                node.saw(engine, Verdict::Full);
+                at_engine.saw(Verdict::Full);
             }
             let body = hgw_http1::Body::new(head.framing);
-            let addr = node.engine(engine, |e| e.listed.addr);
-            if let (Waited::Done(Ok(_)), Some(addr)) =
-                (self.bounded(conn.collect(body, 64 << 10)).await, addr)
-            {
-                node.pool.put(addr, conn);
+            if let Waited::Done(Ok(_)) = self.bounded(conn.collect(body, 64 << 10)).await {
+                at_engine.keep(conn);
             }
             return Tried::NotRun;
         }
@@ -189,7 +188,7 @@
         let ours = marks.id.is_some();
         let success = (200..300).contains(&head.status);
         if !ours || (success && !marks.sealed) {
-            node.saw(engine, Verdict::Failed);
+            at_engine.saw(Verdict::Failed);
             return Tried::Lost;
         }
         at_engine.answers(marks.load);
@@ -240,31 +239,59 @@
 
     /// Waits for a first byte, and gives up early on an engine that is silent, where the request may be
     /// sent to another.
-    async fn watched<F: Future>(&self, engine: &EngineId, work: F) -> Waited<F::Output> {
+    async fn watched<F: Future>(
+        &self,
+        at_engine: &AtEngine,
+        engine: &EngineId,
+        work: F,
+    ) -> Waited<F::Output> {
         if !self.route.kind.may_repeat() || self.runs + 1 >= self.route.attempts {
-            return self.bounded(work).await;
+            return self.at(at_engine, work).await;
         }
         let hung = (self.route.objective * HUNG_OBJECTIVES).clamp(HUNG_LEAST, HUNG_MOST);
-        self.unless_silent(engine, hung, work).await
+        let work = std::pin::pin!(work);
+        self.unless_silent(at_engine, engine, hung, work).await
+    }
+
+    /// The same for what an engine does, which ends where it starts anew.
+    pub(super) async fn at<F: Future>(&self, at_engine: &AtEngine, work: F) -> Waited<F::Output> {
+        let mut work = std::pin::pin!(work);
+        loop {
+            let started_anew = self.node.started_anew.notified();
+            if at_engine.has_ended() {
+                return Waited::StartedAnew;
+            }
+            tokio::select! {
+                biased;
+                done = &mut work => return Waited::Done(done),
+                () = started_anew => {}
+                () = sleep_until(self.end) => return Waited::TimeOver,
+            }
+        }
     }
 
     /// Waits until the engine has been silent on all connections for a while, or this answer for `hung`, and
     /// another try can be paid for. Where none can, silence is no reason to end an answer.
     pub(super) async fn unless_silent<F: Future>(
         &self,
+        at_engine: &AtEngine,
         engine: &EngineId,
         hung: Duration,
-        work: F,
+        mut work: std::pin::Pin<&mut F>,
     ) -> Waited<F::Output> {
         let began = Instant::now();
-        let mut work = std::pin::pin!(work);
         let few = self.node.engine(engine, |e| e.own).unwrap_or(0) < FEW;
         let dark_after = if few { DARK_AFTER_FEW } else { DARK_AFTER };
         let mut look = began + dark_after;
         loop {
+            let started_anew = self.node.started_anew.notified();
+            if at_engine.has_ended() {
+                return Waited::StartedAnew;
+            }
             tokio::select! {
                 biased;
                 done = &mut work => return Waited::Done(done),
+                () = started_anew => continue,
                 () = sleep_until(look.min(self.end)) => {}
             }
             let now = Instant::now();
@@ -277,7 +304,7 @@
                 if self.choose_now().is_ok() && self.may_go_on() {
                     return Waited::Stalled;
                 }
-                return self.bounded(work).await;
+                return self.at(at_engine, work).await;
             }
             look = (now + (dark_after - silent)).min(began + hung);
         }
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -80,18 +80,16 @@
 async fn whole(req: &Relayed, begun: Begun) -> Option<Answer> {
     let Begun { engine, mut conn, head, at_engine } = begun;
     let body = Body::new(head.framing);
-    let collected = req.bounded(conn.collect(body, MOST)).await;
-    drop(at_engine);
+    let collected = req.at(&at_engine, conn.collect(body, MOST)).await;
     let Waited::Done(Ok(body)) = collected else {
-        req.node.saw(&engine, Verdict::Failed);
+        at_engine.saw(Verdict::Failed);
         return None;
     };
     let failed = head.status >= 500;
-    req.node.saw(&engine, if failed { Verdict::Failed } else { Verdict::Good });
+    at_engine.saw(if failed { Verdict::Failed } else { Verdict::Good });
     req.node.heard(&engine);
-    if let Some(addr) = req.node.engine(&engine, |e| e.listed.addr) {
-        req.node.pool.put(addr, conn);
-    }
+    at_engine.keep(conn);
+    drop(at_engine);
     if !failed {
         req.served(&engine, head.status, &Pace::begin());
     }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -57,7 +57,7 @@
                 if !failed && (!goes_on || begun.head.status == 200) {
                     return Ok(*begun);
                 }
-                req.node.saw(&begun.engine, Verdict::Failed);
+                begun.at_engine.saw(Verdict::Failed);
                 if !req.route.kind.may_repeat() || !req.may_go_on() {
                     return Ok(*begun);
                 }
@@ -106,7 +106,7 @@
     events: Events,
     /// Whether the answer is made of events; a failure's body is passed on as it is.
     is_events: bool,
-    _at_engine: AtEngine,
+    at_engine: AtEngine,
     over: bool,
     pace: Pace,
 }
@@ -124,7 +124,7 @@
             body,
             events,
             is_events,
-            _at_engine: at_engine,
+            at_engine,
             over: false,
             pace: Pace::begin(),
         }
@@ -155,13 +155,13 @@
                 }
                 Waited::TimeOver => return Some(self.break_off()),
                 Waited::Stalled => {
-                    self.req.node.saw(&self.engine, Verdict::Silent);
+                    self.at_engine.saw(Verdict::Silent);
                     if !self.move_on().await {
                         return Some(self.break_off());
                     }
                 }
-                Waited::Done(Ok(None) | Err(_)) => {
-                    self.req.node.saw(&self.engine, Verdict::Failed);
+                Waited::StartedAnew | Waited::Done(Ok(None) | Err(_)) => {
+                    self.at_engine.saw(Verdict::Failed);
                     if !self.go_on().await {
                         return Some(self.break_off());
                     }
@@ -176,10 +176,11 @@
         let chunk = conn.chunk(&mut self.body);
         let may_move = req.route.kind.may_repeat() && req.runs < req.route.attempts;
         if !may_move || !self.is_events {
-            return req.bounded(chunk).await;
+            return req.at(&self.at_engine, chunk).await;
         }
         let hung = req.route.gap.map_or(HUNG, |gap| gap * HUNG_PAUSES);
-        req.unless_silent(engine, hung, chunk).await
+        let chunk = std::pin::pin!(chunk);
+        req.unless_silent(&self.at_engine, engine, hung, chunk).await
     }
 
     /// Goes on at another engine from the last whole event.
@@ -206,17 +207,15 @@
         self.body = Body::new(begun.head.framing);
         self.engine = begun.engine;
         self.conn = Some(begun.conn);
-        self._at_engine = begun.at_engine;
+        self.at_engine = begun.at_engine;
         true
     }
 
     fn finish(&mut self) {
         self.over = true;
-        let node = &self.req.node;
-        node.saw(&self.engine, if self.is_events { Verdict::Good } else { Verdict::Failed });
-        let addr = node.engine(&self.engine, |e| e.listed.addr);
-        if let (Some(conn), Some(addr)) = (self.conn.take(), addr) {
-            node.pool.put(addr, conn);
+        self.at_engine.saw(if self.is_events { Verdict::Good } else { Verdict::Failed });
+        if let Some(conn) = self.conn.take() {
+            self.at_engine.keep(conn);
         }
         self.req.served(&self.engine, 200, &self.pace);
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -64,6 +64,8 @@
     cut_off: Cell<bool>,
     /// Told whenever an engine is seen to hold something new.
     pub(crate) placed: Notify,
+    /// Told whenever an engine is seen to have started anew.
+    pub(crate) started_anew: Notify,
 }
 
 /// The node as its tasks see it.
@@ -127,6 +129,7 @@
             catalog_news: Notify::new(),
             cut_off: Cell::new(false),
             placed: Notify::new(),
+            started_anew: Notify::new(),
         })
     }
 
@@ -213,6 +216,19 @@
         }
     }
 
+    /// Ends what was begun at engines that have started anew: their connections, and waits for their answers.
+    pub(crate) fn look_for_starts(&self) {
+        let anew = self.state.borrow_mut().engines.take_anew();
+        for addr in &anew {
+            self.pool.forget(*addr);
+            let node = &self.settings.borrow().node;
+            emit(Event::EngineStartedAnew, &[("node", node), ("addr", addr)]);
+        }
+        if !anew.is_empty() {
+            self.started_anew.notify_waiters();
+        }
+    }
+
     /// The list of engines goes as far as this now.
     pub(crate) fn listed_to(&self, cursor: Cursor) {
         let mut state = self.state.borrow_mut();
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod orders;
 mod session;
 mod settings;
+mod starts;
 mod stopping;
 mod streams;
 mod words;
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -134,12 +134,18 @@
 
     /// Writes an engine's entry in a state.
     pub fn list(&self, engine: &Engine, state: &str) {
-        let mut entry = engine.entry(state);
-        let at = self.engines.iter().position(|e| e.id() == engine.id());
+        let entry = self.entry(engine.id(), state);
+        self.store.put("keyed.servers", engine.id(), entry.to_string().as_bytes());
+    }
+
+    /// The entry of an engine in a state, at the way to it.
+    pub fn entry(&self, id: &str, state: &str) -> Value {
+        let mut entry = self.engine(id).entry(state);
+        let at = self.engines.iter().position(|e| e.id() == id);
         if let Some(way) = at.and_then(|at| self.to_engines.get(at)) {
             entry["addr"] = way.addr().to_string().into();
         }
-        self.store.put("keyed.servers", engine.id(), entry.to_string().as_bytes());
+        entry
     }
 
     /// The engine with this identity.
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -121,6 +121,7 @@
     fence: u64,
     /// When it was started, in Unix milliseconds.
     born: u64,
+    reading: Duration,
     running: u32,
     refuse: u32,
     fail: u32,
@@ -133,7 +134,12 @@
 /// Starts an engine.
 pub fn start(settings: EngineSettings) -> io::Result<Engine> {
     let switches = Arc::new(Switches::new());
-    let inner = Inner { holds: settings.holds.clone(), born: FIRST_BORN, ..Inner::default() };
+    let inner = Inner {
+        holds: settings.holds.clone(),
+        born: FIRST_BORN,
+        reading: settings.reading,
+        ..Inner::default()
+    };
     let shared =
         Arc::new(Shared { settings, switches: Arc::clone(&switches), inner: Mutex::new(inner) });
     let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -194,6 +200,16 @@
         inner.born += 1;
     }
 
+    /// Reads each prompt for so long from now on.
+    pub fn read_for(&self, reading: Duration) {
+        self.shared.lock().reading = reading;
+    }
+
+    /// Holds these models without an order, as an engine that was given them at its start.
+    pub fn hold(&self, holds: Holds) {
+        self.shared.lock().holds = holds;
+    }
+
     /// Rejects so many requests as full, without running them.
     pub fn refuse(&self, requests: u32) {
         self.shared.lock().refuse = requests;
@@ -311,7 +327,8 @@
             tokio::time::sleep(self.settings.pause).await;
             return self.sealed(json(&json!({ "id": id, "run": run })), &echoed);
         }
-        tokio::time::sleep(self.settings.reading).await;
+        let reading = self.lock().reading;
+        tokio::time::sleep(reading).await;
         let from = text("last-event-id").and_then(|l| l.parse().ok()).unwrap_or(0);
         let (tx, rx) = unbounded_channel();
         tokio::spawn(Arc::clone(self).events(tx, from));
