Go on from the loads that a lost holder told of

Cause: a new holder took the window of the weight store for full, since its predecessor may have begun as many loads, and gave one load in its first five seconds. Ruled out: a raised ceiling (not needed: the loads were there, and not allowed). Change: the holder tells all nodes when its loads began, at once; a successor that heard the immediate predecessor goes on from that and counts two more that it may not have heard of. One that heard nothing of it takes the window for full as before.

--- a/crates/direct/src/place/ceiling.rs
+++ b/crates/direct/src/place/ceiling.rs
@@ -40,6 +40,20 @@
         self.begun.push_back(now);
     }
 
+    /// How long ago each of the loads in the window began.
+    pub fn ages(&self, now: Millis) -> Vec<Millis> {
+        self.begun.iter().map(|at| now.saturating_sub(*at)).collect()
+    }
+
+    /// The predecessor told when its loads began, and may have begun `unheard` more since.
+    ///
+    /// Load: a holder dies while demand moves. Its successor that takes the window for full gives one load in the
+    /// next five seconds, while three engines have all the requests for a model and six have none.
+    pub fn go_on_from(&mut self, now: Millis, begun: &[Millis], unheard: usize) {
+        self.begun = begun.iter().copied().chain(std::iter::repeat_n(now, unheard)).collect();
+        self.begun.make_contiguous().sort_unstable();
+    }
+
     /// The predecessor may have begun as many loads as the window takes, up to now; `but` so many more are
     /// left.
     pub fn assume_full(&mut self, now: Millis, limits: &CeilingLimits, but: usize) {
--- a/crates/direct/tests/place.rs
+++ b/crates/direct/tests/place.rs
@@ -322,3 +322,25 @@
     let loading = [("e2".into(), 9_000), ("e3".into(), 9_000)].into_iter().collect();
     assert_eq!(making_room(&pending, &loading), 1);
 }
+
+/// The holder is killed while demand moves, after one load. Its successor knows of that load, and counts two more that
+/// it may not have heard of; it does not wait until the window is over.
+#[test]
+fn successor_goes_on_from_the_loads_that_were_told() {
+    let limits = CeilingLimits { loads_per_s: 1.0, window: 5_000 };
+    let (mut known, mut unknown) = (Ceiling::default(), Ceiling::default());
+    known.go_on_from(10_000, &[8_000], 2);
+    unknown.assume_full(10_000, &limits, 1);
+    let loads = |ceiling: &mut Ceiling, at| {
+        let mut loads = 0;
+        while ceiling.allows(at, &limits) {
+            ceiling.begin(at);
+            loads += 1;
+        }
+        loads
+    };
+    assert_eq!((loads(&mut known, 10_000), loads(&mut unknown, 10_000)), (4, 1));
+    // The window holds what was told and what was not, as if it were this holder's own.
+    assert_eq!(loads(&mut known, 13_001), 1);
+    assert_eq!(known.ages(13_001), [3_001, 3_001, 3_001, 3_001, 3_001, 3_001, 0]);
+}
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -67,6 +67,8 @@
 pub(crate) struct Holding {
     /// The newest claim that was not released.
     pub(crate) keeper: Option<Keeper>,
+    /// The newest claim that this node has read of.
+    newest: Option<u64>,
     /// The fencing number of this node's own claim, while it holds.
     mine: Option<u64>,
     /// When the last acknowledged renewal was sent, by the clock that counts suspended time.
@@ -254,10 +256,11 @@
         let mut holding = node.holding.borrow_mut();
         holding.keeper = Some(Keeper { node: name, addr, fence });
         holding.mine = Some(fence);
+        let predecessor = holding.newest.replace(fence);
         holding.renewed = began;
         holding.tried = boot_time();
         drop(holding);
-        keeper::begin(node, fence);
+        keeper::begin(node, fence, predecessor);
     }
 
     async fn read(&mut self, wait: Duration) -> Result<(), StoreError> {
@@ -295,6 +298,9 @@
         }
         let Entry { kind, node, addr } = entry;
         let known = holding.keeper.as_ref().filter(|k| k.node == node).map(|k| k.fence);
+        if kind == EntryKind::Claim {
+            holding.newest = Some(record.offset);
+        }
         holding.keeper = match kind {
             EntryKind::Claim => Some(Keeper { node, addr, fence: record.offset }),
             EntryKind::Renewal => {
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -39,6 +39,9 @@
 /// Engines of which one answer tells what they hold: some sixty kilobytes.
 const MOST_TOLD: usize = 256;
 
+/// Loads that its predecessor may have begun and not told of.
+const UNHEARD_LOADS: usize = 2;
+
 /// Loads from the weight store that a new holder gives while what its predecessor began still counts.
 const FIRST_LOADS: usize = 1;
 
@@ -84,8 +87,9 @@
 }
 
 /// Takes the duty up under a new claim.
-pub(crate) fn begin(node: &Node, fence: u64) {
+pub(crate) fn begin(node: &Node, fence: u64, predecessor: Option<u64>) {
     let now = node.now();
+    let begun = begun_under(node, predecessor);
     let mut keeper = KeeperState { fence, begun: now, ..KeeperState::default() };
     {
         let mut state = node.state.borrow_mut();
@@ -94,12 +98,34 @@
         keeper.demand.go_on_from(now, state.demand.since(), &state.demand.past(now));
     }
     for (_, pool) in pools(node) {
-        keeper.ceiling.assume_full(now, &ceiling_limits(node, &pool), FIRST_LOADS);
+        match &begun {
+            Some(begun) => keeper.ceiling.go_on_from(now, begun, UNHEARD_LOADS),
+            None => keeper.ceiling.assume_full(now, &ceiling_limits(node, &pool), FIRST_LOADS),
+        }
     }
     *node.keeper.borrow_mut() = keeper;
     tokio::task::spawn_local(run(Rc::clone(node), fence));
 }
 
+/// When loads from the weight store began under a claim, where its holder told this node, or was this node.
+fn begun_under(node: &Node, claim: Option<u64>) -> Option<Vec<Millis>> {
+    let claim = claim?;
+    let keeper = node.keeper.borrow();
+    if keeper.fence == claim && keeper.begun > 0 {
+        let now = node.now();
+        return Some(keeper.ceiling.ages(now).iter().map(|age| now - age).collect());
+    }
+    let told = node.state.borrow().begun.clone();
+    told.filter(|(fence, _)| *fence == claim).map(|(_, begun)| begun)
+}
+
+/// A load from the weight store begins; the nodes are told at once, as one of them may be the successor.
+fn begin_load(node: &Node) {
+    let mut keeper = node.keeper.borrow_mut();
+    keeper.ceiling.begin(node.now());
+    keeper.changed.notify_waiters();
+}
+
 async fn run(node: Node, fence: u64) {
     while node.keeper.borrow().fence == fence && node.holding.borrow().is_mine() {
         let began = node.now();
@@ -253,6 +279,7 @@
         held_ms: node.now().saturating_sub(began),
         nodes: node.state.borrow().nodes,
         others: others(node, tell),
+        begun: keeper.ceiling.ages(node.now()),
         loads: heard_since(node, 0, Some(asked)),
     }
 }
--- a/crates/gateway/src/keeper/models.rs
+++ b/crates/gateway/src/keeper/models.rs
@@ -12,7 +12,7 @@
 use crate::shared::Node;
 
 use super::give::{Given, count, give, may_give};
-use super::{ceiling_limits, changed, desk, pools};
+use super::{begin_load, ceiling_limits, changed, desk, pools};
 
 /// Time between two questions whether an order has been carried out.
 const DONE_CHECK: Duration = Duration::from_millis(200);
@@ -116,7 +116,7 @@
         while !node.keeper.borrow_mut().ceiling.allows(node.now(), &ceiling_limits(node, pool)) {
             sleep(CEILING_CHECK).await;
         }
-        node.keeper.borrow_mut().ceiling.begin(node.now());
+        begin_load(node);
     }
     let usual = pool.models.get(&load).map_or(Duration::from_secs(5), |m| source.time(m));
     node.keeper.borrow_mut().loading.insert(engine.clone(), node.now() + usual.as_millis() as u64);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -69,6 +69,8 @@
     pub(crate) nodes: u32,
     /// Their addresses, where the node has others.
     pub(crate) others: Option<Vec<SocketAddr>>,
+    /// How long ago loads from the weight store began, by service, in milliseconds: a successor goes on from there.
+    pub(crate) begun: Vec<u64>,
     /// Loads that any node heard of lately.
     pub(crate) loads: Vec<HeardLoad>,
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -136,6 +136,9 @@
                 node.followed((now + news.held_ms).saturating_sub(news.age_ms));
                 take_in(&node, news.engines);
                 take_in_loads(&node, &news.loads);
+                let arrived = node.now();
+                let begun = news.begun.iter().map(|age| arrived.saturating_sub(*age));
+                node.state.borrow_mut().begun = Some((fence, begun.collect()));
                 node.catalog_told(news.catalog);
                 node.state.borrow_mut().nodes = news.nodes.max(1);
                 if let Some(others) = news.others {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -89,6 +89,8 @@
     pub(crate) demand: Demand,
     /// Requests by model since the keeper was told.
     pub(crate) asked: IndexMap<Wanted, f64>,
+    /// When loads from the weight store began, as the holder of this claim told.
+    pub(crate) begun: Option<(u64, Vec<Millis>)>,
     /// Nodes that share budgets and connections; at least this one.
     pub(crate) nodes: u32,
 }
