Count the holder's silence from its last renewal

Cause: nodes that the holder tells all do not read the claim's log, and counted its silence from their own first read, 1.3 s after its end: 4.4 s without orders where the lease is 3 s. Ruled out: reading the log all the time (seven times the calls to the store). Change: the holder tells where the log ended after its last renewal and how old that is. Where it does not answer and the log still ends there, its silence counts from that renewal. While the store is away the holder answers, and nothing changes.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,6 +14,7 @@
 mod prompt;
 mod reach;
 mod refuse;
+mod silence;
 mod unread;
 
 pub use budget::{Budget, BudgetLimits};
@@ -28,6 +29,7 @@
 pub use prompt::{EmptyModel, Part, Prompt, Wanted};
 pub use reach::is_cut_off;
 pub use refuse::{RETRY_LEAST, Refusal, come_back};
+pub use silence::Silence;
 pub use unread::{ReadingPace, SendId, Unread, tells_sends};
 
 /// Milliseconds since the start of the process.
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hgw_direct::Millis;
+use hgw_direct::{Millis, Silence};
 use hgw_events::{Event, emit};
 use rand::random;
 use serde::{Deserialize, Serialize};
@@ -73,6 +73,10 @@
     mine: Option<u64>,
     /// When the last acknowledged renewal was sent, by the clock that counts suspended time.
     renewed: Duration,
+    /// Where the log ended after it.
+    renewed_at: Option<Cursor>,
+    /// Whether the holder answers this node, and when it last renewed.
+    pub(crate) silence: Silence,
     /// When a renewal was last tried.
     tried: Duration,
 }
@@ -90,7 +94,14 @@
         self.mine.filter(|_| awake && (renewed || engines_fence))
     }
 
-    fn was_renewed(&mut self, began: Duration) {
+    /// The holder's last renewal, for the other nodes.
+    pub(crate) fn last_renewal(&self) -> Option<(Cursor, u64)> {
+        let age = boot_time().saturating_sub(self.renewed).as_millis() as u64;
+        self.renewed_at.filter(|_| self.is_mine()).map(|end| (end, age))
+    }
+
+    fn was_renewed(&mut self, began: Duration, end: Cursor) {
+        self.renewed_at = Some(end);
         self.renewed = began;
         self.tried = boot_time();
     }
@@ -165,7 +176,7 @@
         match renewed {
             Ok(()) => {
                 self.end = Some(end + 1);
-                node.holding.borrow_mut().was_renewed(began);
+                node.holding.borrow_mut().was_renewed(began, end + 1);
                 sleep(lease / RENEWALS).await;
                 Ok(())
             }
@@ -206,7 +217,11 @@
             return Ok(());
         }
         let now = self.node.now();
-        let quiet = now - *self.quiet_since.get_or_insert(now);
+        let since = |end| self.node.holding.borrow().silence.since(end, now);
+        let unrenewed_since = self.end.map_or(now, since);
+        let quiet_since = self.quiet_since.unwrap_or(now).min(unrenewed_since);
+        self.quiet_since = Some(quiet_since);
+        let quiet = now - quiet_since;
         let free = self.is_free(&me) && quiet >= spread.as_millis() as Millis;
         let out = quiet >= (lease + spread).as_millis() as Millis;
         let listed = self.node.state.borrow().listed;
@@ -257,8 +272,7 @@
         holding.keeper = Some(Keeper { node: name, addr, fence });
         holding.mine = Some(fence);
         let predecessor = holding.newest.replace(fence);
-        holding.renewed = began;
-        holding.tried = boot_time();
+        holding.was_renewed(began, fence + 1);
         drop(holding);
         keeper::begin(node, fence, predecessor);
     }
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -279,6 +279,7 @@
         held_ms: node.now().saturating_sub(began),
         nodes: node.state.borrow().nodes,
         others: others(node, tell),
+        renewed: node.holding.borrow().last_renewal(),
         begun: keeper.ceiling.ages(node.now()),
         loads: heard_since(node, 0, Some(asked)),
     }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -69,6 +69,8 @@
     pub(crate) nodes: u32,
     /// Their addresses, where the node has others.
     pub(crate) others: Option<Vec<SocketAddr>>,
+    /// Where the claim's log ended after the holder's last renewal, and how long ago that was sent.
+    pub(crate) renewed: Option<(Cursor, u64)>,
     /// How long ago loads from the weight store began, by service, in milliseconds: a successor goes on from there.
     pub(crate) begun: Vec<u64>,
     /// Loads that any node heard of lately.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -129,6 +129,8 @@
         match news {
             Some(news) => {
                 link.answers(&node, &keeper);
+                let renewed = news.renewed.map(|(end, age)| (end, node.now().saturating_sub(age)));
+                node.holding.borrow_mut().silence.answers(renewed);
                 introduced = true;
                 version = news.version;
                 take_in_list(&node, list, news.list);
@@ -148,6 +150,7 @@
             }
             None => {
                 link.is_silent(&node, &keeper);
+                node.holding.borrow_mut().silence.is_silent();
                 give_back(&node, tell.asked);
                 sleep(NO_KEEPER).await;
             }
