Let a prompt wait while it would pause streams for too long at every copy

Cause: arrivals come in clumps. Change: a copy that would pause its streams for longer than the route's longest pause (what it has to read, the prompt itself, an event) comes after those that would not. Where all would, the request waits at its node, the most urgent first, until one has read enough or its own objective less that pause is over; then it goes as before. Resumed streams, second tries and engines that run no stream do not wait. The time between events is learned from whole streams.

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -108,6 +108,8 @@
             tried: &[],
             nodes: 80,
             conns: 8,
+            gap: None,
+            waits: false,
             draw: 0.3,
             policy: Policy::default(),
         };
--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -19,6 +19,10 @@
     pub nodes: u32,
     /// Most connections that this node may have with one engine.
     pub conns: u32,
+    /// Longest pause between two events that is on time.
+    pub gap: Option<Duration>,
+    /// Whether the request can wait until an engine has read what it has to read.
+    pub waits: bool,
     /// A draw in `0..1` that parts nodes which see the same.
     pub draw: f64,
     /// What counts against an engine.
@@ -43,6 +47,8 @@
     None,
     /// None of them holds the model, or the adapter; come back after this time.
     NotPlaced(Duration),
+    /// All that hold it have so many prompts to read that one more makes their streams pause for too long.
+    Reading,
     /// All that hold it are full, tried, or cannot be reached; come back after this time.
     Full(Duration),
 }
@@ -100,7 +106,8 @@
 /// Chooses the engine with the least expected time to the first byte.
 pub fn choose(engines: &Engines, ask: &Ask<'_>, now: Millis) -> Result<Choice, NoEngine> {
     let mut found = NoEngine::None;
-    let mut best: Option<(bool, Choice)> = None;
+    let mut best: Option<((bool, bool), Choice)> = None;
+    let tokens = ask.prompt.map_or(0, |p| p.tokens_in);
     let home = ask.prompt.map(home_key);
     let mean = mean_load(engines, ask.service, now);
     for engine in engines.of(ask.service).filter(|e| e.takes_work()) {
@@ -126,14 +133,23 @@
             ask.nodes > FEW_NODES && draw_of(ask.draw, &engine.listed.id) >= LOOKED_AT;
         // An engine that could not be reached is the last resort.
         let alone = engine.judge.is_left_alone(now) || passed_over;
+        // One that would pause its streams for too long comes after those that would not.
+        let pauses = ask.gap.is_some_and(|gap| {
+            tokens > 0 && engine.longest_pause(tokens, now) > gap.as_secs_f64() * 1_000.0
+        });
+        let rank = (alone, pauses);
         let better = best
             .as_ref()
-            .is_none_or(|(best_alone, b)| (alone, choice.cost_ms) < (*best_alone, b.cost_ms));
+            .is_none_or(|(best_rank, b)| (rank, choice.cost_ms) < (*best_rank, b.cost_ms));
         if better {
-            best = Some((alone, choice));
+            best = Some((rank, choice));
         }
     }
-    best.map(|(_, choice)| choice).ok_or(found)
+    match best {
+        Some(((false, true), _)) if ask.waits => Err(NoEngine::Reading),
+        Some((_, choice)) => Ok(choice),
+        None => Err(found),
+    }
 }
 
 fn cost(engine: &Engine, estimate: f64, ask: &Ask<'_>, home: Option<u64>, now: Millis) -> f64 {
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -115,6 +115,8 @@
     pub unread: Unread,
     /// How fast it reads them.
     pub reading: ReadingPace,
+    /// Usual time between two events of a stream there, in milliseconds, once one has been seen whole.
+    pub event_ms: f64,
     /// When the last byte came from it on any connection.
     pub heard: Millis,
     /// Orders that it is known to have accepted.
@@ -125,6 +127,9 @@
     pub told_at: Option<Millis>,
 }
 
+/// Weight of the newest stream in the usual time between events: some ten streams tell what runs beside them now.
+const EVENTS_WEIGHT: f64 = 0.1;
+
 /// Time for which a told load is believed.
 const TOLD_FOR: Millis = 2_000;
 
@@ -138,6 +143,7 @@
             told: None,
             unread: Unread::default(),
             reading: ReadingPace::default(),
+            event_ms: 0.0,
             heard: 0,
             orders: 0,
             coming: Vec::new(),
@@ -164,6 +170,22 @@
         self.reading.time(self.unread.tokens(now))
     }
 
+    /// The longest pause of the streams that run there, in milliseconds, if it is sent a prompt of so many tokens now;
+    /// none where no stream runs, or where it has nothing else to read, as waiting would change nothing.
+    pub fn longest_pause(&self, tokens: u32, now: Millis) -> f64 {
+        let (reads, unread) = (self.unread.count(now), self.unread.tokens(now));
+        if unread == 0 || self.estimate(now) <= reads as f64 {
+            return 0.0;
+        }
+        self.reading.time(unread.saturating_add(tokens)) + self.event_ms
+    }
+
+    /// A stream was whole, with this mean time between its events.
+    pub fn saw_events(&mut self, mean_ms: f64) {
+        let before = if self.event_ms == 0.0 { mean_ms } else { self.event_ms };
+        self.event_ms = before + EVENTS_WEIGHT * (mean_ms - before);
+    }
+
     /// Another node heard of its load some time ago: taken in where this node has heard nothing since.
     pub fn hear(&mut self, load: Load, at: Millis) {
         if self.told.is_none_or(|(_, known, _)| known < at) {
--- a/crates/direct/src/unread.rs
+++ b/crates/direct/src/unread.rs
@@ -76,6 +76,11 @@
         Some((sent.until_read, now.saturating_sub(sent.at)))
     }
 
+    /// Prompts that wait to be read.
+    pub fn count(&self, now: Millis) -> usize {
+        self.prompts.values().filter(|sent| sent.counts(now)).count()
+    }
+
     /// Tokens that wait to be read.
     pub fn tokens(&self, now: Millis) -> u32 {
         let waiting = self.prompts.values().filter(|sent| sent.counts(now));
--- a/crates/direct/tests/choose.rs
+++ b/crates/direct/tests/choose.rs
@@ -27,6 +27,8 @@
         tried,
         nodes: 1,
         conns: 100,
+        gap: None,
+        waits: false,
         draw: 0.0,
         policy: Policy::default(),
     };
@@ -156,6 +158,8 @@
             tried: &[],
             nodes: 6,
             conns: 100,
+            gap: None,
+            waits: false,
             draw: f64::from(draw) / 300.0,
             policy: Policy::default(),
         };
@@ -197,3 +201,76 @@
     }
     assert_eq!(name(chosen(&engines, "m", &[])), "e2");
 }
+
+/// An engine that runs streams, of which one prompt more would make each pause for longer than is on time.
+fn crowded(engines: &mut Engines, id: &str) {
+    let engine = engines.get_mut(&id.into()).unwrap();
+    engine.own = 12;
+    engine.event_ms = 30.0;
+    for request in ["r1", "r2", "r3"] {
+        engine.unread.send(SendId::of(request), 1_500, 980);
+    }
+}
+
+fn on_time(engines: &Engines, waits: bool) -> Result<Choice, NoEngine> {
+    let (service, prompt) = (service(), prompt("m", 7));
+    let ask = Ask {
+        service: &service,
+        prompt: Some(&prompt),
+        domain: "a",
+        tried: &[],
+        nodes: 1,
+        conns: 100,
+        gap: Some(std::time::Duration::from_millis(200)),
+        waits,
+        draw: 0.0,
+        policy: Policy::default(),
+    };
+    choose(engines, &ask, 1_000)
+}
+
+/// A burst: every copy has so many prompts to read that one more makes all its streams late. A request whose own first
+/// event can still be on time waits; one that cannot wait goes where it costs least.
+#[test]
+fn prompt_waits_where_it_would_pause_streams_for_too_long() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    crowded(&mut engines, "e1");
+    assert_eq!(name(on_time(&engines, true)), "e2");
+    crowded(&mut engines, "e2");
+    assert_eq!(on_time(&engines, true), Err(NoEngine::Reading));
+    assert!(on_time(&engines, false).is_ok());
+    let engine = engines.get_mut(&"e2".into()).unwrap();
+    for request in ["r1", "r2"] {
+        engine.unread.read(SendId::of(request), 1_000);
+    }
+    assert_eq!(name(on_time(&engines, true)), "e2");
+}
+
+/// A long prompt takes longer to read than streams may pause: waiting until nothing else is read is all that helps.
+#[test]
+fn prompt_that_is_too_long_by_itself_does_not_wait_for_ever() {
+    let mut engines = engines(&[("e1", "a", &["m"])]);
+    let engine = engines.get_mut(&"e1".into()).unwrap();
+    (engine.own, engine.event_ms) = (12, 250.0);
+    assert_eq!(name(on_time(&engines, true)), "e1");
+}
+
+/// No stream runs there: what is read makes nobody late.
+#[test]
+fn engine_that_runs_nothing_takes_prompts() {
+    let mut engines = engines(&[("e1", "a", &["m"])]);
+    crowded(&mut engines, "e1");
+    engines.get_mut(&"e1".into()).unwrap().own = 3;
+    assert_eq!(name(on_time(&engines, true)), "e1");
+}
+
+/// An engine that cannot be reached has nothing to read that is known. It is no reason to wait less: it is the last
+/// resort still.
+#[test]
+fn engine_that_cannot_be_reached_is_no_way_round_a_wait() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    crowded(&mut engines, "e1");
+    engines.get_mut(&"e2".into()).unwrap().judge.saw(990, Verdict::Silent);
+    assert_eq!(on_time(&engines, true), Err(NoEngine::Reading));
+    assert_eq!(name(on_time(&engines, false)), "e1");
+}
--- a/crates/gateway/src/at_engine.rs
+++ b/crates/gateway/src/at_engine.rs
@@ -1,4 +1,5 @@
 use std::rc::Rc;
+use std::time::Duration;
 
 use hgw_direct::{EngineId, Load, SendId, Start, Verdict};
 use hgw_http1::Conn;
@@ -77,6 +78,18 @@
         if let Some((tokens, took)) = engine.unread.read(id, now) {
             engine.reading.saw(tokens, took);
         }
+        drop(state);
+        self.node.turns.next.notify_waiters();
+    }
+
+    /// Its answer was whole, with this mean time between its events.
+    pub(crate) fn saw_events(&self, mean: Duration) {
+        if self.has_ended() {
+            return;
+        }
+        if let Some(engine) = self.node.state.borrow_mut().engines.get_mut(&self.engine) {
+            engine.saw_events(mean.as_secs_f64() * 1_000.0);
+        }
     }
 }
 
@@ -95,6 +108,7 @@
         }
         if let Some(id) = unread {
             self.node.sends.tell(&self.node, &Word::Ended(self.engine.clone(), self.start, id));
+            self.node.turns.next.notify_waiters();
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod settings;
 mod shared;
 mod stop;
+mod turn;
 
 pub use run::{Ended, Signal, run};
 pub use settings::Settings;
--- a/crates/gateway/src/peers/sends.rs
+++ b/crates/gateway/src/peers/sends.rs
@@ -96,6 +96,7 @@
 
 fn take_in(node: &Node, word: Word) {
     let now = node.now();
+    let reads_less = !matches!(word, Word::Sent(..));
     let mut state = node.state.borrow_mut();
     let engines = &mut state.engines;
     match word {
@@ -117,4 +118,7 @@
     }
     drop(state);
     node.look_for_starts();
+    if reads_less {
+        node.turns.next.notify_waiters();
+    }
 }
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -8,12 +8,13 @@
 };
 use http::request::Parts;
 use rand::random;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::answer::Answer;
 use crate::dialect::Call;
 use crate::peers::{self, Placement};
 use crate::shared::{Active, Node};
+use crate::turn::Turn;
 
 /// Sends that engines reject, beyond the engines that a route may run a request on.
 const MORE_REJECTED: u32 = 2;
@@ -38,6 +39,9 @@
 /// Models and adapters that are told to the keeper at a time.
 const MOST_ASKED: usize = 4_096;
 
+/// Time over which nodes spread what they send when an engine has read a prompt.
+const TURN_SPREAD: Duration = Duration::from_millis(6);
+
 /// Time between two looks whether a model has come.
 const PLACED_CHECK: Duration = Duration::from_millis(100);
 
@@ -158,6 +162,7 @@
 
     /// The engine to send to; waits for a model or an adapter that is being placed.
     pub(super) async fn choose(&mut self) -> Result<Choice, NoEngine> {
+        self.until_read().await;
         let longest = (self.route.objective * PATIENT_OBJECTIVES).max(PATIENT_LEAST);
         let give_up = Instant::now() + self.left().mul_f64(WAIT_SHARE).min(longest);
         loop {
@@ -191,6 +196,30 @@
         }
     }
 
+    /// Waits until an engine has read so much that one more prompt makes no stream there pause for too long, while the
+    /// request's own first event can still be on time. What has begun, or was tried, does not wait.
+    async fn until_read(&self) {
+        let Some(gap) = self.route.gap.filter(|_| self.tried.is_empty()) else { return };
+        let until = self.arrived + self.route.objective.saturating_sub(gap);
+        let reads = |choice: Result<Choice, NoEngine>| choice == Err(NoEngine::Reading);
+        if Instant::now() >= until || !reads(self.choose_at(until)) {
+            return;
+        }
+        let Some(wanted) = self.wanted() else { return };
+        let turn = Turn::wait(&self.node, &wanted.model, self.route.priority);
+        loop {
+            let read = self.node.turns.next.notified();
+            if turn.is_first() && !reads(self.choose_at(until)) {
+                return;
+            }
+            if timeout_at(until, read).await.is_err() {
+                return;
+            }
+            // Nodes that hear of the same moment do not all send: the first tells the others within a millisecond or two.
+            sleep(TURN_SPREAD.mul_f64(random::<f64>())).await;
+        }
+    }
+
     /// Waits a while for what the keeper tells of engines. Asked at each change, it would get many more
     /// questions than there are requests.
     async fn until_placed(&self, give_up: Instant) -> Option<Choice> {
@@ -204,6 +233,11 @@
     }
 
     pub(super) fn choose_now(&self) -> Result<Choice, NoEngine> {
+        self.choose_at(self.arrived)
+    }
+
+    /// The engine to send to; none while a request that can wait until then finds none that has little to read.
+    fn choose_at(&self, waits_until: Instant) -> Result<Choice, NoEngine> {
         let state = self.node.state.borrow();
         let settings = self.node.settings.borrow();
         let most = state.catalog.as_ref().and_then(|c| c.services.get(&self.service));
@@ -215,6 +249,8 @@
             tried: &self.tried,
             nodes: state.nodes,
             conns,
+            gap: self.route.gap,
+            waits: Instant::now() < waits_until,
             draw: random(),
             policy: Policy::default(),
         };
@@ -224,7 +260,7 @@
     /// The answer to a request that has not run and finds no engine.
     pub(super) fn refuse_for(&self, why: NoEngine) -> Answer {
         match why {
-            NoEngine::None => self.refuse(Refusal::NoEngine, NO_ENGINE),
+            NoEngine::None | NoEngine::Reading => self.refuse(Refusal::NoEngine, NO_ENGINE),
             NoEngine::NotPlaced(wait) => self.refuse(Refusal::NotPlaced, wait),
             NoEngine::Full(wait) => self.refuse(Refusal::Full, wait),
         }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -214,6 +214,9 @@
     fn finish(&mut self) {
         self.over = true;
         self.at_engine.saw(if self.is_events { Verdict::Good } else { Verdict::Failed });
+        if let Some(mean) = self.pace.mean() {
+            self.at_engine.saw_events(mean);
+        }
         if let Some(conn) = self.conn.take() {
             self.at_engine.keep(conn);
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::keeper::KeeperState;
 use crate::peers::Sends;
 use crate::pool::Pool;
+use crate::turn::Turns;
 
 /// Longest time to connect to an engine: it is a few milliseconds away, or gone.
 const CONNECT: Duration = Duration::from_millis(300);
@@ -46,6 +47,7 @@
     pub(crate) keeper: RefCell<KeeperState>,
     pub(crate) stop: Stopping,
     pub(crate) sends: Sends,
+    pub(crate) turns: Turns,
     /// Parts this node from others in what only some of them do.
     draw: u32,
     /// When the store last answered.
@@ -122,6 +124,7 @@
             keeper: RefCell::default(),
             stop: Stopping::default(),
             sends: Sends::default(),
+            turns: Turns::default(),
             draw: random(),
             store_heard: Cell::new(0),
             list_read: Cell::new(0),
--- a/crates/hibiscusgw/tests/platform/words.rs
+++ b/crates/hibiscusgw/tests/platform/words.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hgw_standins::fleet::deployment::{holds, wait};
+use hgw_standins::fleet::deployment::{configuration, holds, wait};
 use hgw_standins::fleet::{EngineSettings, Fleet};
 use http::{Method, StatusCode};
 
@@ -60,6 +60,38 @@
     assert_eq!(at(&fleet, &engines, &format!("s-{tries}")), Some("i-3"), "the session's engine");
 }
 
+/// Four long prompts come at the same moment, and the only copy runs a stream, which would pause for as long as it takes
+/// to read them all. Their own first events may take five seconds: each waits until the one before has been read.
+#[test]
+fn prompts_wait_while_they_would_pause_a_stream_for_too_long() {
+    let engine = EngineSettings {
+        reading: Duration::from_millis(200),
+        pause: Duration::from_millis(20),
+        events: 200,
+        ..reads("i-1")
+    };
+    let mut fleet = fleet_of(vec![engine]);
+    let mut config = configuration(2);
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["sloMs"] = 5_000.into();
+    }
+    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+    let node = fleet.start("a");
+    std::thread::scope(|scope| {
+        let fleet = &fleet;
+        let running = scope.spawn(move || stream(fleet, node, "long"));
+        wait("the stream runs", || fleet.runs("long") == 1);
+        std::thread::sleep(Duration::from_millis(300));
+        let ids = ["s-1", "s-2", "s-3", "s-4"];
+        let all = ids.map(|id| scope.spawn(move || stream(fleet, node, id)));
+        for one in all {
+            assert_eq!(one.join().unwrap(), StatusCode::OK);
+        }
+        assert_eq!(running.join().unwrap(), StatusCode::OK);
+    });
+    assert_eq!(fleet.engine("i-1").record().most_reading, 1);
+}
+
 /// Anybody on the network may send bytes to the port for words. What is no word changes nothing.
 #[test]
 fn bytes_that_are_no_word_are_passed_over() {
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -77,6 +77,8 @@
 pub struct FleetRecord {
     /// How often each request ran, by its id.
     pub runs: IndexMap<String, u32>,
+    /// Most prompts that it was reading at a time.
+    pub most_reading: u32,
     /// Requests that were meant for another engine, or for a model that is not here.
     pub misdirected: u32,
     /// Orders that were accepted, as `HOLDER FENCE OP MODEL/ADAPTER`.
@@ -122,6 +124,7 @@
     /// When it was started, in Unix milliseconds.
     born: u64,
     reading: Duration,
+    reading_now: u32,
     running: u32,
     refuse: u32,
     fail: u32,
@@ -327,14 +330,23 @@
             tokio::time::sleep(self.settings.pause).await;
             return self.sealed(json(&json!({ "id": id, "run": run })), &echoed);
         }
-        let reading = self.lock().reading;
+        let reading = self.begin_reading();
         tokio::time::sleep(reading).await;
+        self.lock().reading_now -= 1;
         let from = text("last-event-id").and_then(|l| l.parse().ok()).unwrap_or(0);
         let (tx, rx) = unbounded_channel();
         tokio::spawn(Arc::clone(self).events(tx, from));
         self.sealed(stream(rx), &echoed)
     }
 
+    /// Counts a prompt that is being read, and tells for how long.
+    fn begin_reading(&self) -> Duration {
+        let mut inner = self.lock();
+        inner.reading_now += 1;
+        inner.record.most_reading = inner.record.most_reading.max(inner.reading_now);
+        inner.reading
+    }
+
     /// Counts a run, and tells whether it fails; nothing where it is rejected.
     fn begin(&self, id: &str) -> Option<(u32, bool)> {
         let mut inner = self.lock();
