--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -63,6 +63,9 @@
     /// By how much prompts that wait to be read count more than the time that they take: a new prompt waits for
     /// them, and each stream that runs there pauses for as long.
     pub reading_weight: f64,
+    /// Part of the longest pause that is on time up to which prompts are sent to an engine that runs streams: what
+    /// other nodes send at the same moment is not known yet.
+    pub gap_share: f64,
     /// What sending to another failure domain costs: the way there and back, and the price of its bytes.
     pub other_domain_ms: f64,
     /// What reading a whole prompt anew costs against going where its parts are kept.
@@ -81,6 +84,7 @@
             full_batch_ms: 60.0,
             queued_ms: 1_500.0,
             reading_weight: 3.0,
+            gap_share: 0.65,
             other_domain_ms: 6.0,
             prefix_ms: 15.0,
             failure_ms: 2_000.0,
@@ -135,7 +139,8 @@
         let alone = engine.judge.is_left_alone(now) || passed_over;
         // One that would pause its streams for too long comes after those that would not.
         let pauses = ask.gap.is_some_and(|gap| {
-            tokens > 0 && engine.longest_pause(tokens, now) > gap.as_secs_f64() * 1_000.0
+            tokens > 0 && engine.longest_pause(tokens, now)
+                    > gap.as_secs_f64() * 1_000.0 * ask.policy.gap_share
         });
         let rank = (alone, pauses);
         let better = best
