--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -139,7 +139,8 @@
         let alone = engine.judge.is_left_alone(now) || passed_over;
         // One that would pause its streams for too long comes after those that would not.
         let pauses = ask.gap.is_some_and(|gap| {
-            tokens > 0 && engine.longest_pause(tokens, now)
+            tokens > 0
+                && engine.longest_pause(tokens, now)
                     > gap.as_secs_f64() * 1_000.0 * ask.policy.gap_share
         });
         let rank = (alone, pauses);
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -200,7 +200,8 @@
     /// request's own first event can still be on time. What has begun, or was tried, does not wait.
     async fn until_read(&self) {
         let Some(gap) = self.route.gap.filter(|_| self.tried.is_empty()) else { return };
-        let until = self.arrived + self.route.objective.saturating_sub(gap);
+        let left = gap.mul_f64(Policy::default().gap_share);
+        let until = self.arrived + self.route.objective.saturating_sub(left);
         let reads = |choice: Result<Choice, NoEngine>| choice == Err(NoEngine::Reading);
         if Instant::now() >= until || !reads(self.choose_at(until)) {
             return;
