Split what nodes tell each other and how many copies there are by what they do; log how long a request waited

Copies and their urgency left place/models.rs. RequestServed says how long the request waited for engines to read, and a histogram counts it.

--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -25,11 +25,6 @@
     pub fn is_before(self, known: Start) -> bool {
         matches!((self.0, known.0), (Some(this), Some(known)) if this < known)
     }
-
-    /// The later of two, where one says nothing the other.
-    pub fn or_later(self, other: Start) -> Start {
-        self.max(other)
-    }
 }
 
 /// Whether an engine takes new work.
@@ -298,7 +293,8 @@
             self.anew.push(engine.listed.addr);
             *engine = Engine::new(listed);
         } else {
-            listed.start = listed.start.or_later(known);
+            // One that says nothing of its start is taken for the start that is known.
+            listed.start = listed.start.max(known);
             engine.listed = listed;
         }
     }
--- a/crates/direct/src/place/even.rs
+++ b/crates/direct/src/place/even.rs
@@ -1,5 +1,6 @@
-use super::models::{Bounds, Candidates, IN_DEMAND, LEAST_NEED, ModelStep, copy_rate};
+use super::models::{Bounds, Candidates, LEAST_NEED, ModelStep};
 use super::room::free_mb;
+use super::targets::{IN_DEMAND, copy_rate};
 use crate::{Engine, Held};
 
 /// How much more than an engine without a model its least loaded copy must have to do before that engine gets
--- a/crates/direct/src/place/mod.rs
+++ b/crates/direct/src/place/mod.rs
@@ -9,6 +9,7 @@
 mod models;
 mod room;
 mod spread;
+mod targets;
 
 pub use adapters::{AdapterStep, place_adapter, spread_adapters};
 pub use ceiling::{Ceiling, CeilingLimits};
--- a/crates/gateway/src/at_engine.rs
+++ b/crates/gateway/src/at_engine.rs
@@ -36,6 +36,11 @@
         AtEngine { node: Rc::clone(node), engine: engine.clone(), start, unread }
     }
 
+    /// The engine.
+    pub(crate) fn engine(&self) -> &EngineId {
+        &self.engine
+    }
+
     /// Whether the engine has started anew since: what it ran then has ended.
     pub(crate) fn has_ended(&self) -> bool {
         self.node.engine(&self.engine, |e| self.start.is_before(e.listed.start)).unwrap_or(false)
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -31,6 +31,11 @@
     histogram!("hgw_first_piece_seconds", "route" => route.name.clone()).record(took.as_secs_f64());
 }
 
+/// A request waited until engines had read other prompts.
+pub(crate) fn waited(route: &Route, time: Duration) {
+    histogram!("hgw_waited_seconds", "route" => route.name.clone()).record(time.as_secs_f64());
+}
+
 /// A request was refused.
 pub(crate) fn refused(route: &Route, why: Refusal) {
     let (route, why) = (route.name.clone(), why.to_string());
--- /dev/null
+++ b/crates/gateway/src/peers/list.rs
@@ -0,0 +1,78 @@
+//! What the keeper tells of engines: the list, and what they hold.
+
+use hgw_direct::{AtHand, Cursor, Engines, ListNews, ListPart, Listed, Passed, Standing};
+
+use crate::shared::Node;
+
+use super::message::Told;
+
+/// Takes the keeper's list of engines in. An engine that this node knows to leave does not come back by the
+/// word of a keeper that has not read of it yet.
+pub(super) fn take_in_list(node: &Node, since: Option<Cursor>, news: ListNews) {
+    let mut state = node.state.borrow_mut();
+    if news.part == ListPart::ReadAnew {
+        state.list_at = None;
+        return;
+    }
+    // Without a list of its own the node reads it now, and changes to it are not the whole.
+    if since.is_none() {
+        return;
+    }
+    let engines = &mut state.engines;
+    let entries: Vec<Listed> =
+        news.engines.into_iter().map(|passed| listed_as(engines, passed)).collect();
+    if news.part == ListPart::Whole {
+        engines.replace(entries, false);
+    } else {
+        for entry in entries {
+            engines.list(entry);
+        }
+        for gone in &news.gone {
+            engines.unlist(gone);
+        }
+    }
+    drop(state);
+    node.look_for_starts();
+    node.listed_to(news.cursor);
+}
+
+fn listed_as(engines: &Engines, passed: Passed) -> Listed {
+    let known = engines.get(&passed.engine).filter(|k| !k.listed.start.is_before(passed.start));
+    let left = known.is_some_and(|k| matches!(k.listed.standing, Standing::Leaving { .. }));
+    let standing = match (passed.leaving || left, passed.unreadable) {
+        (_, true) => Standing::Unreadable,
+        (true, false) => Standing::Leaving { gone_at: None },
+        (false, false) => Standing::Ready,
+    };
+    Listed {
+        id: passed.engine,
+        start: passed.start,
+        service: passed.service.into(),
+        addr: passed.addr,
+        domain: passed.domain,
+        slots: passed.slots,
+        standing,
+        held: known.filter(|k| k.told_at.is_some()).map_or(passed.held, |k| k.listed.held.clone()),
+        at_hand: AtHand::default(),
+        cold_ms: u64::from(passed.cold),
+    }
+}
+
+pub(super) fn take_in(node: &Node, engines: Vec<Told>) {
+    if engines.is_empty() {
+        return;
+    }
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    for told in engines {
+        let Some(engine) = state.engines.meet(&told.engine, told.start) else { continue };
+        if told.orders >= engine.orders {
+            engine.orders = told.orders;
+            engine.listed.held = told.held;
+            engine.told_at = Some(now);
+        }
+    }
+    drop(state);
+    node.look_for_starts();
+    node.placed.notify_waiters();
+}
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -108,7 +108,7 @@
             conn.begin(&req).await?;
             self.answer_to(&mut conn, &req).await
         };
-        let waited = self.watched(&at_engine, engine, sent).await;
+        let waited = self.watched(&at_engine, sent).await;
         match waited {
             Waited::Done(Ok((head, marks))) => {
                 node.heard(engine);
@@ -239,18 +239,13 @@
 
     /// Waits for a first byte, and gives up early on an engine that is silent, where the request may be
     /// sent to another.
-    async fn watched<F: Future>(
-        &self,
-        at_engine: &AtEngine,
-        engine: &EngineId,
-        work: F,
-    ) -> Waited<F::Output> {
+    async fn watched<F: Future>(&self, at_engine: &AtEngine, work: F) -> Waited<F::Output> {
         if !self.route.kind.may_repeat() || self.runs + 1 >= self.route.attempts {
             return self.at(at_engine, work).await;
         }
         let hung = (self.route.objective * HUNG_OBJECTIVES).clamp(HUNG_LEAST, HUNG_MOST);
         let work = std::pin::pin!(work);
-        self.unless_silent(at_engine, engine, hung, work).await
+        self.unless_silent(at_engine, hung, work).await
     }
 
     /// The same for what an engine does, which ends where it starts anew.
@@ -275,11 +270,10 @@
     pub(super) async fn unless_silent<F: Future>(
         &self,
         at_engine: &AtEngine,
-        engine: &EngineId,
         hung: Duration,
         mut work: std::pin::Pin<&mut F>,
     ) -> Waited<F::Output> {
-        let began = Instant::now();
+        let (began, engine) = (Instant::now(), at_engine.engine());
         let few = self.node.engine(engine, |e| e.own).unwrap_or(0) < FEW;
         let dark_after = if few { DARK_AFTER_FEW } else { DARK_AFTER };
         let mut look = began + dark_after;
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -12,6 +12,7 @@
 
 use crate::answer::Answer;
 use crate::dialect::Call;
+use crate::meter;
 use crate::peers::{self, Placement};
 use crate::shared::{Active, Node};
 use crate::turn::Turn;
@@ -68,6 +69,8 @@
     pub(super) unreached: u32,
     /// An engine that does not hold what it was said to hold.
     pub(super) refuted: Option<EngineId>,
+    /// How long it waited until engines had read other prompts.
+    pub(super) waited: Duration,
     /// Whether it was told what became of it.
     pub(super) told: Cell<bool>,
 }
@@ -108,6 +111,7 @@
             rejected: 0,
             unreached: 0,
             refuted: None,
+            waited: Duration::ZERO,
             told: Cell::new(false),
         };
         request.count();
@@ -162,7 +166,11 @@
 
     /// The engine to send to; waits for a model or an adapter that is being placed.
     pub(super) async fn choose(&mut self) -> Result<Choice, NoEngine> {
-        self.until_read().await;
+        let began = Instant::now();
+        if self.until_read().await {
+            self.waited += began.elapsed();
+            meter::waited(&self.route, self.waited);
+        }
         let longest = (self.route.objective * PATIENT_OBJECTIVES).max(PATIENT_LEAST);
         let give_up = Instant::now() + self.left().mul_f64(WAIT_SHARE).min(longest);
         loop {
@@ -197,24 +205,24 @@
     }
 
     /// Waits until an engine has read so much that one more prompt makes no stream there pause for too long, while the
-    /// request's own first event can still be on time. What has begun, or was tried, does not wait.
-    async fn until_read(&self) {
-        let Some(gap) = self.route.gap.filter(|_| self.tried.is_empty()) else { return };
+    /// request's own first event can still be on time; tells whether it waited. What was sent before does not wait.
+    async fn until_read(&self) -> bool {
+        let Some(gap) = self.route.gap.filter(|_| self.tried.is_empty()) else { return false };
         let left = gap.mul_f64(Policy::default().gap_share);
         let until = self.arrived + self.route.objective.saturating_sub(left);
         let reads = |choice: Result<Choice, NoEngine>| choice == Err(NoEngine::Reading);
         if Instant::now() >= until || !reads(self.choose_at(until)) {
-            return;
+            return false;
         }
-        let Some(wanted) = self.wanted() else { return };
+        let Some(wanted) = self.wanted() else { return false };
         let turn = Turn::wait(&self.node, &wanted.model, self.route.priority);
         loop {
             let read = self.node.turns.next.notified();
             if turn.is_first() && !reads(self.choose_at(until)) {
-                return;
+                return true;
             }
             if timeout_at(until, read).await.is_err() {
-                return;
+                return true;
             }
             // Nodes that hear of the same moment do not all send: the first tells the others within a millisecond or two.
             sleep(TURN_SPREAD.mul_f64(random::<f64>())).await;
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -171,7 +171,7 @@
     }
 
     async fn read(&mut self) -> Waited<hgw_http1::Result<Option<Bytes>>> {
-        let (req, engine) = (&self.req, &self.engine);
+        let req = &self.req;
         let Some(conn) = &mut self.conn else { return Waited::Done(Ok(None)) };
         let chunk = conn.chunk(&mut self.body);
         let may_move = req.route.kind.may_repeat() && req.runs < req.route.attempts;
@@ -180,7 +180,7 @@
         }
         let hung = req.route.gap.map_or(HUNG, |gap| gap * HUNG_PAUSES);
         let chunk = std::pin::pin!(chunk);
-        req.unless_silent(&self.at_engine, engine, hung, chunk).await
+        req.unless_silent(&self.at_engine, hung, chunk).await
     }
 
     /// Goes on at another engine from the last whole event.
--- a/crates/gateway/src/relay/told.rs
+++ b/crates/gateway/src/relay/told.rs
@@ -115,6 +115,7 @@
                 ("upstream", engine),
                 ("status", &status),
                 ("ms", &self.arrived.elapsed().as_millis()),
+                ("waited_ms", &self.waited.as_millis()),
                 ("pieces", &pace.pieces),
                 ("longest_pause_ms", &pace.longest.as_millis()),
                 ("runs", &self.runs),
