Report how requests fared and engines were loaded, from log lines

hibiscusgw report < lines: what became of the requests of each route, streams that paused for too long by what is known of their engine, longest pauses as a histogram, the load of engines over time, refusals and failures by reason; a plot as SVG where one is wanted (plotters). What became of a request that came back is not told: each attempt has an id of its own.

--- a/crates/hibiscusgw/src/command.rs
+++ b/crates/hibiscusgw/src/command.rs
@@ -6,6 +6,7 @@
 
 use gumdrop::{Options, ParsingStyle};
 
+use crate::report::{self, ReportSettings};
 use crate::settings::ServeSettings;
 use crate::{Console, Env, Error, Result, check, exit_code, explain, on_platform, operate, serve};
 
@@ -40,6 +41,10 @@
     State(NodeFlags),
     #[options(help = "tell the story of a request from log lines on standard input")]
     Explain(ExplainFlags),
+    #[options(
+        help = "tell how requests fared and engines were loaded, from log lines on standard input"
+    )]
+    Report(ReportFlags),
 }
 
 /// Flags of `serve`. Each one may be given by the environment variable HIBISCUSGW_NAME instead, with
@@ -134,6 +139,21 @@
     id: String,
 }
 
+#[derive(Debug, Options)]
+struct ReportFlags {
+    /// Print this help
+    help: bool,
+    /// Print the version
+    #[options(short = "V")]
+    version: bool,
+    /// Longest pause of a stream that is on time, in milliseconds
+    #[options(no_short, meta = "MS", default = "250")]
+    pause: f64,
+    /// Write a plot there, as SVG
+    #[options(no_short, meta = "FILE")]
+    svg: Option<String>,
+}
+
 /// Flags of `get`, `status` and `state`. Each one may be given by the environment variable
 /// HIBISCUSGW_NAME instead, with `_` for `-`.
 #[derive(Debug, Default, Options)]
@@ -258,6 +278,10 @@
         Command::Explain(flags) => {
             explain::explain(&flags.id, &mut std::io::stdin().lock(), console)
         }
+        Command::Report(flags) => {
+            let settings = ReportSettings { pause_ms: flags.pause, svg: flags.svg.clone() };
+            report::report(&settings, &mut std::io::stdin().lock(), console)
+        }
     }
 }
 
@@ -269,6 +293,7 @@
             Command::Apply(flags) => flags.version,
             Command::Outcome(flags) => flags.version,
             Command::Explain(flags) => flags.version,
+            Command::Report(flags) => flags.version,
             Command::Get(flags) | Command::Status(flags) | Command::State(flags) => flags.version,
         }
     }
--- a/crates/hibiscusgw/src/error.rs
+++ b/crates/hibiscusgw/src/error.rs
@@ -74,6 +74,10 @@
     #[display("no line names the request {_0}")]
     #[from(skip)]
     NotLogged(String),
+    /// A plot cannot be written.
+    #[display("cannot write the plot {_0}: {_1}")]
+    #[from(skip)]
+    Plot(String, String),
     /// Results cannot be printed.
     #[display("cannot print: {_0}")]
     Print(std::io::Error),
--- a/crates/hibiscusgw/src/lib.rs
+++ b/crates/hibiscusgw/src/lib.rs
@@ -5,9 +5,11 @@
 mod command;
 mod error;
 mod explain;
+mod lines;
 mod logs;
 mod on_platform;
 mod operate;
+mod report;
 mod serve;
 mod settings;
 
--- /dev/null
+++ b/crates/hibiscusgw/src/report/mod.rs
@@ -0,0 +1,205 @@
+//! `report`: what became of requests, how streams paused and what engines had to do, from the log lines of any
+//! number of nodes.
+
+mod plot;
+
+use std::io::BufRead;
+
+use indexmap::IndexMap;
+
+use crate::lines::{Line, read};
+use crate::{Console, Result};
+
+use plot::Plot;
+
+/// Events that end a request.
+const SERVED: u64 = 5006;
+const REFUSED: u64 = 5005;
+const FAILED: u64 = 5001;
+const LEFT: u64 = 5008;
+
+/// Width of a bar of the pauses, in milliseconds.
+const BAR_MS: u64 = 20;
+
+/// Pauses from here on stand in one bar, in milliseconds.
+const LAST_BAR_MS: u64 = 1_000;
+
+/// Longest bar, in characters.
+const BAR_CHARS: usize = 50;
+
+/// Time for which the load of engines is averaged, in seconds.
+const WINDOW_S: f64 = 2.0;
+
+/// Requests at an engine from which its streams are expected to pause for long.
+const MANY: f64 = 32.0;
+
+/// Most kinds of failure that are told.
+const MOST_KINDS: usize = 12;
+
+/// What a report is made of.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ReportSettings {
+    /// Longest pause of a stream that is on time, in milliseconds.
+    pub(crate) pause_ms: f64,
+    /// Where the plot is written, if anywhere.
+    pub(crate) svg: Option<String>,
+}
+
+/// Prints the report, and writes the plot where one is wanted.
+pub(crate) fn report(
+    settings: &ReportSettings,
+    input: &mut dyn BufRead,
+    console: &mut Console<'_>,
+) -> Result<()> {
+    let lines = read(input)?;
+    let streams: Vec<&Line> =
+        lines.iter().filter(|l| l.event == SERVED && !l.field("wanted").is_empty()).collect();
+    let began = lines.first().map_or(0.0, |l| l.time);
+    let pauses = pauses(&streams);
+    let loads = loads(&streams, began);
+    print_routes(&lines, console)?;
+    print_late(&streams, settings.pause_ms, console)?;
+    print_pauses(&pauses, console)?;
+    print_loads(&loads, console)?;
+    print_kinds(&lines, console)?;
+    if let Some(path) = &settings.svg {
+        Plot { pauses: &pauses, loads: &loads, pause_ms: settings.pause_ms }.write(path)?;
+    }
+    Ok(())
+}
+
+/// What became of the requests of each route.
+fn print_routes(lines: &[Line], console: &mut Console<'_>) -> Result<()> {
+    let mut routes: IndexMap<&str, Vec<&Line>> = IndexMap::new();
+    let ends = [SERVED, REFUSED, FAILED, LEFT];
+    for line in lines.iter().filter(|l| ends.contains(&l.event)) {
+        routes.entry(line.field("route")).or_default().push(line);
+    }
+    routes.sort_unstable_keys();
+    writeln!(console.out, "route            served refused  failed    left  p50 ms  p99 ms")?;
+    for (route, lines) in routes {
+        let count = |event| lines.iter().filter(|l| l.event == event).count();
+        let served = lines.iter().filter(|l| l.event == SERVED);
+        let times: Vec<f64> = served.filter_map(|l| l.number("ms")).collect();
+        writeln!(
+            console.out,
+            "{route:<15} {:>7} {:>7} {:>7} {:>7} {:>7.0} {:>7.0}",
+            count(SERVED),
+            count(REFUSED),
+            count(FAILED),
+            count(LEFT),
+            part_of(&times, 0.5),
+            part_of(&times, 0.99),
+        )?;
+    }
+    Ok(())
+}
+
+/// Streams that paused for too long, by what is known of their engine.
+fn print_late(streams: &[&Line], pause_ms: f64, console: &mut Console<'_>) -> Result<()> {
+    let late = streams.iter().filter(|l| l.number("longest_pause_ms").unwrap_or(0.0) > pause_ms);
+    let mut causes: IndexMap<&str, usize> = IndexMap::new();
+    for line in late {
+        let resumed = line.number("runs").unwrap_or(0.0) > 1.0;
+        let many = line.number("at_engine").unwrap_or(0.0) >= MANY;
+        let cause = match (resumed, many) {
+            (true, _) => "went on at another engine",
+            (false, true) => "32 or more requests at the engine",
+            (false, false) => "fewer requests at the engine",
+        };
+        *causes.entry(cause).or_default() += 1;
+    }
+    causes.sort_by(|_, a, _, b| b.cmp(a));
+    let sum: usize = causes.values().sum();
+    writeln!(
+        console.out,
+        "\n{sum} of {} whole streams paused for more than {pause_ms} ms",
+        streams.len()
+    )?;
+    for (cause, count) in causes {
+        writeln!(console.out, "{count:>7}  {cause}")?;
+    }
+    Ok(())
+}
+
+/// Streams by their longest pause, by the start of each bar.
+fn pauses(streams: &[&Line]) -> IndexMap<u64, usize> {
+    let mut bars = IndexMap::new();
+    for pause in streams.iter().filter_map(|l| l.number("longest_pause_ms")) {
+        let bar = (pause.max(0.0) as u64 / BAR_MS * BAR_MS).min(LAST_BAR_MS);
+        *bars.entry(bar).or_default() += 1;
+    }
+    bars.sort_unstable_keys();
+    bars
+}
+
+fn print_pauses(pauses: &IndexMap<u64, usize>, console: &mut Console<'_>) -> Result<()> {
+    writeln!(console.out, "\nlongest pause, from ms")?;
+    let most = pauses.values().copied().max().unwrap_or(0).max(1);
+    for (bar, count) in pauses {
+        let chars = "#".repeat((count * BAR_CHARS).div_ceil(most));
+        writeln!(console.out, "{bar:>7} {count:>6} {chars}")?;
+    }
+    Ok(())
+}
+
+/// Mean requests at each engine by window, as answers that ended then told them.
+fn loads(streams: &[&Line], began: f64) -> IndexMap<u64, IndexMap<String, f64>> {
+    let mut sums: IndexMap<u64, IndexMap<String, (f64, f64)>> = IndexMap::new();
+    for line in streams {
+        let Some(load) = line.number("at_engine") else { continue };
+        let window = ((line.time - began) / WINDOW_S) as u64;
+        let engines = sums.entry(window).or_default();
+        let (sum, count) = engines.entry(line.field("upstream").to_owned()).or_default();
+        *sum += load;
+        *count += 1.0;
+    }
+    sums.sort_unstable_keys();
+    let mean = |engines: IndexMap<String, (f64, f64)>| {
+        engines.into_iter().map(|(engine, (sum, count))| (engine, sum / count)).collect()
+    };
+    sums.into_iter().map(|(window, engines)| (window, mean(engines))).collect()
+}
+
+fn print_loads(
+    loads: &IndexMap<u64, IndexMap<String, f64>>,
+    console: &mut Console<'_>,
+) -> Result<()> {
+    writeln!(console.out, "\nfrom s  engines  mean load  most  at")?;
+    for (window, engines) in loads {
+        let mean = engines.values().sum::<f64>() / engines.len().max(1) as f64;
+        let most = engines.iter().max_by(|a, b| a.1.total_cmp(b.1));
+        let Some((engine, most)) = most else { continue };
+        let from = *window as f64 * WINDOW_S;
+        writeln!(
+            console.out,
+            "{from:>6.0} {:>8} {mean:>10.1} {most:>5.1}  {engine}",
+            engines.len()
+        )?;
+    }
+    Ok(())
+}
+
+/// Refusals and failures by their reason. Each attempt of a caller has an id of its own, so that what became of one
+/// that came back is not known here.
+fn print_kinds(lines: &[Line], console: &mut Console<'_>) -> Result<()> {
+    let mut kinds: IndexMap<(&str, &str), usize> = IndexMap::new();
+    for line in lines.iter().filter(|l| l.event == REFUSED || l.event == FAILED) {
+        let what = if line.event == REFUSED { "refused" } else { "failed" };
+        *kinds.entry((what, line.field("why"))).or_default() += 1;
+    }
+    kinds.sort_by(|_, a, _, b| b.cmp(a));
+    writeln!(console.out, "\nrefused or failed, and why")?;
+    for ((what, why), count) in kinds.iter().take(MOST_KINDS) {
+        writeln!(console.out, "{count:>7}  {what}: {why}")?;
+    }
+    Ok(())
+}
+
+/// The value below which this part of them lies.
+fn part_of(values: &[f64], part: f64) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let at = (part * sorted.len() as f64) as usize;
+    sorted.get(at.min(sorted.len().saturating_sub(1))).copied().unwrap_or(0.0)
+}
--- /dev/null
+++ b/crates/hibiscusgw/tests/report/main.rs
@@ -0,0 +1,53 @@
+//! `report`: how requests fared, from lines of a played day.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+const LINES: &str = include_str!("lines.log");
+
+fn reported(args: &[&str], lines: &str) -> String {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hibiscusgw"))
+        .arg("report")
+        .args(args)
+        .env_clear()
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // A command that refuses its flags reads nothing.
+    let _ = child.stdin.take().unwrap().write_all(lines.as_bytes());
+    let output = child.wait_with_output().unwrap();
+    let code = output.status.code().unwrap();
+    let out = String::from_utf8(output.stdout).unwrap();
+    let err = String::from_utf8(output.stderr).unwrap();
+    format!("exit code {code}\n--- stdout\n{out}--- stderr\n{err}")
+}
+
+macro_rules! reports {
+    ($($name:ident => $args:expr, $lines:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            insta::assert_snapshot!(reported(&$args, $lines));
+        }
+    )*};
+}
+
+reports! {
+    day_of_several_nodes => [], LINES;
+    day_with_a_shorter_pause => ["--pause", "150"], LINES;
+    no_lines => [], "";
+    lines_of_another_program => [], "hello\n{\"time\":1}\n{\"event\":5006}\n[]\n";
+    pause_that_is_no_number => ["--pause", "long"], "";
+    plot_in_a_folder_that_is_not_there => ["--svg", "/nowhere/at/all.svg"], LINES;
+}
+
+#[test]
+fn plot_is_written() {
+    let path = std::env::temp_dir().join(format!("hgw-report-{}.svg", std::process::id()));
+    let told = reported(&["--svg", path.to_str().unwrap()], LINES);
+    assert!(told.starts_with("exit code 0"), "{told}");
+    let svg = std::fs::read_to_string(&path).unwrap();
+    assert!(svg.starts_with("<svg") && svg.contains("longest pause") && svg.contains("<polyline"));
+    std::fs::remove_file(path).unwrap();
+}
