--- a/crates/hibiscusgw/src/lines.rs
+++ b/crates/hibiscusgw/src/lines.rs
@@ -2,6 +2,7 @@
 
 use std::io::BufRead;
 
+use hgw_events::Event;
 use serde_json::{Map, Value};
 
 use crate::Result;
@@ -43,6 +44,11 @@
         Some(Line { time, event, text, node, fields })
     }
 
+    /// Whether it tells of this event.
+    pub(crate) fn is(&self, event: Event) -> bool {
+        self.event == u64::from(event.number())
+    }
+
     /// A field as text; empty where the line has none.
     pub(crate) fn field(&self, name: &str) -> &str {
         self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
--- a/crates/hibiscusgw/src/report/mod.rs
+++ b/crates/hibiscusgw/src/report/mod.rs
@@ -5,6 +5,7 @@
 
 use std::io::BufRead;
 
+use hgw_events::Event;
 use indexmap::IndexMap;
 
 use crate::lines::{Line, read};
@@ -12,12 +13,6 @@
 
 use plot::Plot;
 
-/// Events that end a request.
-const SERVED: u64 = 5006;
-const REFUSED: u64 = 5005;
-const FAILED: u64 = 5001;
-const LEFT: u64 = 5008;
-
 /// Width of a bar of the pauses, in milliseconds.
 const BAR_MS: u64 = 20;
 
@@ -52,8 +47,10 @@
     console: &mut Console<'_>,
 ) -> Result<()> {
     let lines = read(input)?;
-    let streams: Vec<&Line> =
-        lines.iter().filter(|l| l.event == SERVED && !l.field("wanted").is_empty()).collect();
+    let streams: Vec<&Line> = lines
+        .iter()
+        .filter(|l| l.is(Event::RequestServed) && !l.field("wanted").is_empty())
+        .collect();
     let began = lines.first().map_or(0.0, |l| l.time);
     let pauses = pauses(&streams);
     let loads = loads(&streams, began);
@@ -71,23 +68,24 @@
 /// What became of the requests of each route.
 fn print_routes(lines: &[Line], console: &mut Console<'_>) -> Result<()> {
     let mut routes: IndexMap<&str, Vec<&Line>> = IndexMap::new();
-    let ends = [SERVED, REFUSED, FAILED, LEFT];
-    for line in lines.iter().filter(|l| ends.contains(&l.event)) {
+    let ends =
+        [Event::RequestServed, Event::RequestRefused, Event::RequestFailed, Event::CallerLeft];
+    for line in lines.iter().filter(|l| ends.iter().any(|end| l.is(*end))) {
         routes.entry(line.field("route")).or_default().push(line);
     }
     routes.sort_unstable_keys();
     writeln!(console.out, "route            served refused  failed    left  p50 ms  p99 ms")?;
     for (route, lines) in routes {
-        let count = |event| lines.iter().filter(|l| l.event == event).count();
-        let served = lines.iter().filter(|l| l.event == SERVED);
+        let count = |event| lines.iter().filter(|l| l.is(event)).count();
+        let served = lines.iter().filter(|l| l.is(Event::RequestServed));
         let times: Vec<f64> = served.filter_map(|l| l.number("ms")).collect();
         writeln!(
             console.out,
             "{route:<15} {:>7} {:>7} {:>7} {:>7} {:>7.0} {:>7.0}",
-            count(SERVED),
-            count(REFUSED),
-            count(FAILED),
-            count(LEFT),
+            count(Event::RequestServed),
+            count(Event::RequestRefused),
+            count(Event::RequestFailed),
+            count(Event::CallerLeft),
             part_of(&times, 0.5),
             part_of(&times, 0.99),
         )?;
@@ -184,8 +182,12 @@
 /// that came back is not known here.
 fn print_kinds(lines: &[Line], console: &mut Console<'_>) -> Result<()> {
     let mut kinds: IndexMap<(&str, &str), usize> = IndexMap::new();
-    for line in lines.iter().filter(|l| l.event == REFUSED || l.event == FAILED) {
-        let what = if line.event == REFUSED { "refused" } else { "failed" };
+    for line in lines {
+        let what = match (line.is(Event::RequestRefused), line.is(Event::RequestFailed)) {
+            (true, _) => "refused",
+            (_, true) => "failed",
+            (false, false) => continue,
+        };
         *kinds.entry((what, line.field("why"))).or_default() += 1;
     }
     kinds.sort_by(|_, a, _, b| b.cmp(a));
--- a/crates/hibiscusgw/tests/explain/main.rs
+++ b/crates/hibiscusgw/tests/explain/main.rs
@@ -1,25 +1,14 @@
 //! `explain`: the story of a request from lines of a played day, node after node.
 
-use std::io::Write;
-use std::process::{Command, Stdio};
+#[path = "../support/mod.rs"]
+mod support;
+
+use support::run_on;
 
 const LINES: &str = include_str!("lines.log");
 
 fn explained(id: &str) -> String {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_hibiscusgw"))
-        .args(["explain", id])
-        .env_clear()
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    child.stdin.take().unwrap().write_all(LINES.as_bytes()).unwrap();
-    let output = child.wait_with_output().unwrap();
-    let code = output.status.code().unwrap();
-    let out = String::from_utf8(output.stdout).unwrap();
-    let err = String::from_utf8(output.stderr).unwrap();
-    format!("exit code {code}\n--- stdout\n{out}--- stderr\n{err}")
+    run_on(&["explain", id], LINES)
 }
 
 macro_rules! explains {
--- a/crates/hibiscusgw/tests/report/main.rs
+++ b/crates/hibiscusgw/tests/report/main.rs
@@ -1,27 +1,14 @@
 //! `report`: how requests fared, from lines of a played day.
 
-use std::io::Write;
-use std::process::{Command, Stdio};
+#[path = "../support/mod.rs"]
+mod support;
+
+use support::run_on;
 
 const LINES: &str = include_str!("lines.log");
 
 fn reported(args: &[&str], lines: &str) -> String {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_hibiscusgw"))
-        .arg("report")
-        .args(args)
-        .env_clear()
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    // A command that refuses its flags reads nothing.
-    let _ = child.stdin.take().unwrap().write_all(lines.as_bytes());
-    let output = child.wait_with_output().unwrap();
-    let code = output.status.code().unwrap();
-    let out = String::from_utf8(output.stdout).unwrap();
-    let err = String::from_utf8(output.stderr).unwrap();
-    format!("exit code {code}\n--- stdout\n{out}--- stderr\n{err}")
+    run_on(&[&["report"], args].concat(), lines)
 }
 
 macro_rules! reports {
