--- /dev/null
+++ b/crates/direct/src/heads.rs
@@ -0,0 +1,125 @@
+//! Which node passes on to a failure domain what the holder of the orders tells.
+//!
+//! Load: a holder that answers each node itself sends what changes as often as there are nodes, most of it to other
+//! failure domains: with three hundred nodes before three thousand engines 8.6 MB a second from one machine. Through
+//! one node of each domain it crosses to a domain once.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Millis;
+
+/// Nodes of a failure domain from which one of them passes on to the others: for fewer the way by a third node costs
+/// more time than it saves messages.
+const FEWEST: usize = 5;
+
+/// Nodes of a domain that may pass on. The second takes over from a first that is silent; with a third that holds
+/// while both are. Beyond, each node asks the holder itself.
+const CANDIDATES: usize = 3;
+
+/// Time for which a node that did not answer is not asked again.
+const SILENT_FOR: Millis = 3_000;
+
+/// Time for which one is not asked that answers and knows nothing new itself.
+const STALE_FOR: Millis = 2_000;
+
+/// A node, as the others know it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub node: String,
+    /// Where other nodes reach it.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Share of a processor that its machine has.
+    pub processor: f64,
+}
+
+/// The nodes of a domain that may pass on, the first first; none where the domain has few nodes.
+///
+/// Every node comes to the same order from the same list, without a word. Larger machines come first: the one that
+/// passes on does more than others.
+pub fn candidates(members: &[Member], domain: &str) -> Vec<Member> {
+    let mut own: Vec<&Member> = members.iter().filter(|m| m.domain == domain).collect();
+    if own.len() < FEWEST {
+        return Vec::new();
+    }
+    let key = |m: &Member| xxh3_64(m.node.as_bytes());
+    own.sort_by(|a, b| b.processor.total_cmp(&a.processor).then(key(a).cmp(&key(b))));
+    own.into_iter().take(CANDIDATES).cloned().collect()
+}
+
+/// Whom a node asks for what is new.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Parent {
+    /// The node that gives orders.
+    Holder,
+    /// A node of this one's domain that passes on.
+    Head(SocketAddr),
+}
+
+/// Why a node is not asked for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PassedOver {
+    /// It does not answer.
+    Silent,
+    /// It answers, and has heard nothing new itself.
+    Stale,
+}
+
+/// What a node knows of those of its domain that pass on.
+#[derive(Debug, Clone, Default)]
+pub struct Heads {
+    candidates: Vec<Member>,
+    passed_over: IndexMap<SocketAddr, (PassedOver, Millis)>,
+}
+
+impl Heads {
+    /// These may pass on.
+    pub fn know(&mut self, candidates: Vec<Member>) {
+        self.passed_over.retain(|addr, _| candidates.iter().any(|c| c.addr == *addr));
+        self.candidates = candidates;
+    }
+
+    /// The nodes that may pass on, the first first.
+    pub fn candidates(&self) -> &[Member] {
+        &self.candidates
+    }
+
+    /// A node is not asked for a while.
+    pub fn pass_over(&mut self, addr: SocketAddr, why: PassedOver, now: Millis) {
+        let time = match why {
+            PassedOver::Silent => SILENT_FOR,
+            PassedOver::Stale => STALE_FOR,
+        };
+        self.passed_over.insert(addr, (why, now + time));
+    }
+
+    /// Whom the node at `me` asks, where the orders are given by the node at `holder`.
+    ///
+    /// A first that knows nothing new leaves it to the next, which may reach what the first does not. Where none knows
+    /// more, as the store is away for all, the first that answers is asked again.
+    pub fn parent(&self, me: SocketAddr, holder: Option<SocketAddr>, now: Millis) -> Parent {
+        let others = || self.candidates.iter().map(|c| c.addr).filter(|addr| Some(*addr) != holder);
+        let state = |addr: &SocketAddr| {
+            let (why, until) = self.passed_over.get(addr)?;
+            (now < *until).then_some(*why)
+        };
+        let first = others().find(|addr| *addr == me || state(addr).is_none());
+        let answers = || others().find(|addr| state(addr) == Some(PassedOver::Stale));
+        match first.or_else(answers) {
+            Some(addr) if addr != me => Parent::Head(addr),
+            _ => Parent::Holder,
+        }
+    }
+}
+
+/// Digest of candidates, by which two nodes find out whether they know the same.
+pub fn digest(candidates: &[Member]) -> u64 {
+    let names = candidates.iter().map(|c| format!("{} {}", c.node, c.addr));
+    xxh3_64(names.collect::<Vec<_>>().join(",").as_bytes())
+}
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -81,6 +81,8 @@
     Whole,
     /// Nothing: what has changed is not known any more, and the whole list is long.
     ReadAnew,
+    /// Nothing: the node that was asked has no list itself yet.
+    Unknown,
 }
 
 /// What has changed in the list, and at which point of the store's log. All nodes read the same log, so that one
@@ -161,11 +163,15 @@
     /// Whether there is nothing to tell a node whose list ends there.
     pub fn has_nothing_since(&self, since: Option<Cursor>) -> bool {
         let is_known = |since| self.begun.is_some_and(|begun| since >= begun);
-        since.is_none_or(|since| is_known(since) && self.changed_at <= since)
+        self.begun.is_none()
+            || since.is_none_or(|since| is_known(since) && self.changed_at <= since)
     }
 
     /// What changed since a node's list ended; a node without one is told nothing.
     pub fn since(&self, engines: &Engines, since: Option<Cursor>) -> ListNews {
+        if self.begun.is_none() {
+            return ListNews { part: Part::Unknown, ..ListNews::default() };
+        }
         let Some(since) = since else { return ListNews { cursor: self.at, ..ListNews::default() } };
         let is_known = self.begun.is_some_and(|begun| since >= begun);
         let part = match is_known {
--- a/crates/direct/src/silence.rs
+++ b/crates/direct/src/silence.rs
@@ -20,6 +20,11 @@
         *self = Silence { renewed, silent: false };
     }
 
+    /// Its last renewal, for others that ask this node: where the log ended after it, and how long ago it was sent.
+    pub fn last_renewal(&self, now: Millis) -> Option<(Cursor, u64)> {
+        self.renewed.map(|(end, sent)| (end, now.saturating_sub(sent)))
+    }
+
     /// The holder does not answer.
     pub fn is_silent(&mut self) {
         self.silent = true;
--- /dev/null
+++ b/crates/direct/tests/heads.rs
@@ -0,0 +1,100 @@
+//! Which node passes on to a failure domain.
+
+use std::net::SocketAddr;
+
+use hgw_direct::heads::{Heads, Member, Parent, PassedOver, candidates, digest};
+
+fn member(n: u16, domain: &str, processor: f64) -> Member {
+    Member { node: format!("node-{n}"), addr: addr(n), domain: domain.into(), processor }
+}
+
+fn addr(n: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7_000 + n))
+}
+
+/// A domain of small machines with three larger ones.
+fn domain() -> Vec<Member> {
+    let all = (0..12).map(|n| member(n, "a", if n % 4 == 3 { 0.5 } else { 0.12 }));
+    all.chain([member(20, "b", 1.0)]).collect()
+}
+
+fn heads() -> (Heads, Vec<SocketAddr>) {
+    let mut heads = Heads::default();
+    let known = candidates(&domain(), "a");
+    let addrs = known.iter().map(|c| c.addr).collect();
+    heads.know(known);
+    (heads, addrs)
+}
+
+#[test]
+fn larger_machines_of_the_domain_pass_on() {
+    let mut names: Vec<_> = candidates(&domain(), "a").into_iter().map(|c| c.node).collect();
+    names.sort();
+    assert_eq!(names, ["node-11", "node-3", "node-7"]);
+}
+
+/// Nodes read the list in any order, and one that joins or leaves elsewhere moves nobody.
+#[test]
+fn all_nodes_come_to_the_same_order() {
+    let mut shuffled = domain();
+    shuffled.reverse();
+    shuffled.push(member(21, "c", 1.0));
+    assert_eq!(candidates(&domain(), "a"), candidates(&shuffled, "a"));
+    assert_eq!(digest(&candidates(&domain(), "a")), digest(&candidates(&shuffled, "a")));
+}
+
+/// With one or two nodes in a domain, as in the smallest deployments, each asks the holder itself.
+#[test]
+fn few_nodes_ask_the_holder_themselves() {
+    let few: Vec<Member> = (0..4).map(|n| member(n, "a", 0.25)).collect();
+    assert_eq!(candidates(&few, "a"), []);
+    assert_eq!(Heads::default().parent(addr(1), Some(addr(9)), 0), Parent::Holder);
+}
+
+#[test]
+fn node_asks_the_first_and_the_first_asks_the_holder() {
+    let (heads, first) = heads();
+    assert_eq!(heads.parent(addr(1), Some(addr(90)), 0), Parent::Head(first[0]));
+    assert_eq!(heads.parent(first[1], Some(addr(90)), 0), Parent::Head(first[0]));
+    assert_eq!(heads.parent(first[0], Some(addr(90)), 0), Parent::Holder);
+}
+
+/// The node that passes on is killed. Each node of its domain finds it silent within a second, and all turn to the
+/// same second; that one, which has found the same, asks the holder itself.
+#[test]
+fn second_takes_over_from_a_first_that_is_silent() {
+    let (mut heads, first) = heads();
+    heads.pass_over(first[0], PassedOver::Silent, 1_000);
+    assert_eq!(heads.parent(addr(1), Some(addr(90)), 1_100), Parent::Head(first[1]));
+    assert_eq!(heads.parent(first[1], Some(addr(90)), 1_100), Parent::Holder);
+    assert_eq!(heads.parent(addr(1), Some(addr(90)), 4_000), Parent::Head(first[0]));
+}
+
+/// All three larger machines of a domain are lost at once: each node is told by the holder, as if there were none.
+#[test]
+fn nodes_ask_the_holder_where_none_passes_on() {
+    let (mut heads, first) = heads();
+    for addr in &first {
+        heads.pass_over(*addr, PassedOver::Silent, 1_000);
+    }
+    assert_eq!(heads.parent(addr(1), Some(addr(90)), 1_100), Parent::Holder);
+}
+
+/// The store is away for everybody. None of those that pass on knows anything new; were they all passed over, every
+/// node would turn to the holder at once.
+#[test]
+fn first_is_asked_again_where_none_knows_more() {
+    let (mut heads, first) = heads();
+    for addr in &first {
+        heads.pass_over(*addr, PassedOver::Stale, 1_000);
+    }
+    assert_eq!(heads.parent(addr(1), Some(addr(90)), 1_100), Parent::Head(first[0]));
+}
+
+/// The one that gives orders serves the heads of all domains; its own domain is served by another.
+#[test]
+fn holder_does_not_pass_on_to_its_domain() {
+    let (heads, first) = heads();
+    assert_eq!(heads.parent(addr(1), Some(first[0]), 0), Parent::Head(first[1]));
+    assert_eq!(heads.parent(first[1], Some(first[0]), 0), Parent::Holder);
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,18 +6,17 @@
 use bytes::Bytes;
 use hgw_direct::{Listed, Standing};
 use hgw_events::{Event, emit};
-use rand::random;
 use tokio::time::{sleep, timeout};
 
+use crate::backoff::after_failure;
 use crate::dialect::{EngineEntry, EngineNews, StoreError};
 use crate::keeper;
 use crate::meter;
 use crate::peers;
 use crate::shared::Node;
 
-/// Pause after a call that failed, and up to twice as long, so that nodes that were refused together do not
-/// come back together. The store counts refused calls too.
-const AFTER_FAILURE: Duration = Duration::from_millis(300);
+/// Pause before the next look for a configuration where there is none yet.
+const NONE_YET: Duration = Duration::from_millis(300);
 
 /// By how much the keeper reads the list more often than a node that reads for itself: what it passes on is
 /// older by the time between two exchanges.
@@ -27,6 +26,9 @@
 /// and what is missing after it is gone.
 const KEPT_AFTER: u32 = 2;
 
+/// Time between two looks whether a node that has just started was told anything.
+const START_LOOK: Duration = Duration::from_millis(20);
+
 /// Time between two looks whether the keeper still tells what the store does.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -34,17 +36,58 @@
 /// engines' next heartbeats.
 const KEPT_FOR: Duration = Duration::from_millis(2_000);
 
+/// Longest time after its start for which a node leaves it to a keeper to read the store. One that has just started itself
+/// answers hundreds of nodes within a second.
+const UNTOLD: Duration = Duration::from_millis(1_500);
+
+/// Longest such time where no keeper is known.
+const UNKNOWN: Duration = Duration::from_millis(600);
+
+/// Time that a node with a whole processor leaves it to others, where no keeper is known.
+const NO_KEEPER: Duration = Duration::from_millis(60);
+
+/// Waits at the start for what other nodes tell.
+///
+/// Load: hundreds of nodes start at once, and each reads all that there is from the store before the first of them
+/// could tell the others. Larger machines read first, and one of them becomes the keeper.
+pub(crate) async fn until_told(node: &Node) {
+    let processor = node.settings.borrow().processor.clamp(0.01, 1.0);
+    let untold = NO_KEEPER.div_f64(processor).min(UNKNOWN).as_millis() as u64;
+    loop {
+        let now = node.now();
+        let others = {
+            let holding = node.holding.borrow();
+            let me = node.settings.borrow().peers;
+            !holding.is_mine() && holding.keeper.as_ref().is_some_and(|k| k.addr != me)
+        };
+        let longest = if others { UNTOLD.as_millis() as u64 } else { untold };
+        if node.is_followed() || now >= longest {
+            return;
+        }
+        sleep(START_LOOK).await;
+    }
+}
+
 /// Follows the configuration until the process ends.
 pub(crate) async fn catalog(node: Node) {
     let mut cursor = None;
     let mut link = Link::new(&node, "configuration");
+    until_told(&node).await;
     loop {
-        if node.is_followed() && !node.lacks_catalog() && node.state.borrow().catalog.is_some() {
+        if node.is_followed() && !node.lacks_catalog() {
             // The keeper reads for all nodes, and tells.
             let _ = timeout(LOOK, node.catalog_news.notified()).await;
             continue;
         }
-        let wait = node.settings.borrow().catalog_wait();
+        if node.is_followed()
+            && let Some(text) = peers::catalog(&node).await
+            && adopt(&node, text)
+        {
+            continue;
+        }
+        // An answer tells that the store is back: it must not wait there for news.
+        let wait =
+            if link.is_down() { Duration::ZERO } else { node.settings.borrow().catalog_wait() };
         match node.dialects.store.catalog(cursor, wait).await {
             Ok(news) => {
                 link.up();
@@ -54,35 +97,30 @@
                     adopt(&node, text);
                 }
                 if nothing && node.state.borrow().catalog.is_none() {
-                    sleep(AFTER_FAILURE).await;
+                    sleep(NONE_YET).await;
                 }
             }
             Err(e) => {
                 link.down(&e);
-                // The store turns some nodes away and serves others.
-                if node.is_followed()
-                    && let Some(text) = peers::catalog(&node).await
-                {
-                    adopt(&node, text);
-                }
-                sleep(AFTER_FAILURE.mul_f64(1.0 + random::<f64>())).await;
+                after_failure(&node).await;
             }
         }
     }
 }
 
-fn adopt(node: &Node, text: Bytes) {
+/// Puts a configuration in force, where it is newer; tells whether it is.
+fn adopt(node: &Node, text: Bytes) -> bool {
     let catalog = match node.dialects.store.read_catalog(&text) {
         Ok(catalog) => catalog,
         Err(e) => {
             emit(Event::ConfigRejected, &[("node", &node.settings.borrow().node), ("why", &e)]);
-            return;
+            return false;
         }
     };
     let mut state = node.state.borrow_mut();
     // A store that was rewound may tell an older one.
     if state.catalog.as_ref().is_some_and(|old| old.version >= catalog.version) {
-        return;
+        return false;
     }
     emit(
         Event::ConfigInForce,
@@ -92,15 +130,17 @@
     state.catalog_text = text;
     drop(state);
     keeper::catalog_changed(node);
+    true
 }
 
 /// Follows the list of engines until the process ends.
 pub(crate) async fn engines(node: Node) {
     let mut cursor = None;
     let mut link = Link::new(&node, "engines");
+    until_told(&node).await;
     let (mut back_at, mut last) = (None, node.now());
     loop {
-        if node.is_followed() && node.state.borrow().list_at.is_some() {
+        if node.is_followed() && !node.reads_list.get() {
             // Read anew from the start once the keeper tells no more.
             (cursor, back_at, last) = (None, None, node.now());
             sleep(LOOK).await;
@@ -110,13 +150,15 @@
         match node.dialects.store.engines(cursor).await {
             Ok(news) => {
                 node.list_read.set(node.now());
-                node.list_failed.set(false);
+                node.reads_list.set(false);
                 if link.up()
                     && down_for(&node, last) >= KEPT_AFTER * node.settings.borrow().heartbeat
                 {
                     back_at = Some(node.now());
                 }
                 last = node.now();
+                // Those that ask this node have the same from now on, also where nothing has changed.
+                node.news.notify_waiters();
                 cursor = Some(news.cursor);
                 let since_back = back_at.map(|at| node.now().saturating_sub(at));
                 let keep = since_back.is_some_and(|t| t < KEPT_FOR.as_millis() as u64);
@@ -131,8 +173,7 @@
             }
             Err(e) => {
                 link.down(&e);
-                node.list_failed.set(true);
-                sleep(AFTER_FAILURE.mul_f64(1.0 + random::<f64>())).await;
+                after_failure(&node).await;
             }
         }
         node.pool.sweep();
@@ -234,6 +275,11 @@
         back
     }
 
+    /// Whether it did not answer last.
+    pub(crate) fn is_down(&self) -> bool {
+        self.up == Some(false)
+    }
+
     /// It did not answer.
     pub(crate) fn down(&mut self, why: &StoreError) {
         meter::store_call(self.what, Err(why));
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
+use crate::backoff::after_failure;
 use crate::clock::boot_time;
 use crate::dialect::{ClaimNews, Cursor, Record, StoreError};
 use crate::follow::Link;
@@ -26,6 +27,9 @@
 /// Time between two looks whether the holder still answers.
 const HOLDER_CHECK: Duration = Duration::from_millis(100);
 
+/// Time after a record of another holder within which that is asked first.
+const HEARD_NOW: Millis = 300;
+
 /// Time that a node with a whole processor waits before it claims, so that they do not all try at once.
 const SPREAD: Duration = Duration::from_millis(60);
 
@@ -55,7 +59,7 @@
 }
 
 /// The node that gives orders.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Keeper {
     pub(crate) node: String,
     pub(crate) addr: SocketAddr,
@@ -100,6 +104,15 @@
         self.renewed_at.filter(|_| self.is_mine()).map(|end| (end, age))
     }
 
+    /// Another node tells of a keeper.
+    pub(crate) fn hear_of(&mut self, keeper: Keeper) {
+        let newer = self.newest.is_none_or(|newest| newest < keeper.fence);
+        if newer && !self.is_mine() {
+            self.newest = Some(keeper.fence);
+            self.keeper = Some(keeper);
+        }
+    }
+
     fn was_renewed(&mut self, began: Duration, end: Cursor) {
         self.renewed_at = Some(end);
         self.renewed = began;
@@ -144,7 +157,11 @@
             }
             Err(e) => {
                 link.down(&e);
-                sleep(AFTER_FAILURE).await;
+                if node.holding.borrow().is_mine() {
+                    sleep(AFTER_FAILURE).await;
+                } else {
+                    after_failure(&node).await;
+                }
             }
         }
     }
@@ -205,6 +222,10 @@
             sleep(HOLDER_CHECK).await;
             return Ok(());
         }
+        if self.has_just_heard(&me) {
+            sleep(HOLDER_CHECK).await;
+            return Ok(());
+        }
         let spread = self.spread();
         let wait = if self.is_free(&me) { spread } else { self.until_out(lease) };
         if let Err(e) = self.read(wait).await {
@@ -228,6 +249,13 @@
         if listed && (free || out) { self.claim().await } else { Ok(()) }
     }
 
+    /// Whether it has just read of another holder, which will tell this node what it needs.
+    fn has_just_heard(&self, me: &str) -> bool {
+        let now = self.node.now();
+        let lately = self.quiet_since.is_some_and(|since| now.saturating_sub(since) < HEARD_NOW);
+        lately && !self.is_free(me)
+    }
+
     /// How long this node leaves it to others to claim first. One that has not read on would have to read the whole
     /// list before it could tell the others what changed.
     fn spread(&self) -> Duration {
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -4,17 +4,16 @@
 mod give;
 mod models;
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hgw_direct::place::{Ceiling, CeilingLimits, Pending};
-use hgw_direct::{Cursor, Demand, EngineId, Millis, Pool, Start, Wanted, tells_sends};
+use hgw_direct::{Cursor, Demand, EngineId, Millis, Pool, Start, Wanted};
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{Mutex, Notify, Semaphore};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use crate::peers::{Asked, CountedBefore, NEWS_WAIT, News, Tell, Told, heard_since};
+use crate::peers::{Asked, CountedBefore, Told};
 use crate::shared::Node;
 
 pub(crate) use adapters::want;
@@ -36,9 +35,6 @@
 /// Time between two questions to an engine that carries an earlier holder's order out.
 const BUSY_CHECK: Duration = Duration::from_millis(400);
 
-/// Engines of which one answer tells what they hold: some sixty kilobytes.
-const MOST_TOLD: usize = 256;
-
 /// Loads that its predecessor may have begun and not told of.
 const UNHEARD_LOADS: usize = 2;
 
@@ -68,10 +64,6 @@
     desks: IndexMap<EngineId, Rc<Mutex<()>>>,
     /// Adapters that are being placed.
     placing: IndexMap<Wanted, Rc<Notify>>,
-    /// Rises with each change of what an engine holds.
-    version: u64,
-    versions: IndexMap<EngineId, u64>,
-    changed: Rc<Notify>,
     /// As far as the list was told.
     list_told: Cursor,
 }
@@ -121,9 +113,8 @@
 
 /// A load from the weight store begins; the nodes are told at once, as one of them may be the successor.
 fn begin_load(node: &Node) {
-    let mut keeper = node.keeper.borrow_mut();
-    keeper.ceiling.begin(node.now());
-    keeper.changed.notify_waiters();
+    node.keeper.borrow_mut().ceiling.begin(node.now());
+    node.news.notify_waiters();
 }
 
 async fn run(node: Node, fence: u64) {
@@ -152,6 +143,7 @@
         engine.is_some_and(|e| !start.is_before(e.listed.start))
     });
     drop(state);
+    node.placements.borrow_mut().retain(|id| ids.contains(id));
     keeper.desks.retain(|id, _| ids.contains(id));
     keeper.pending.retain(|id, _| ids.contains(id));
     keeper.loading.retain(|id, _| ids.contains(id));
@@ -209,7 +201,7 @@
 
 /// A configuration has come into force here.
 pub(crate) fn catalog_changed(node: &Node) {
-    node.keeper.borrow().changed.notify_waiters();
+    node.news.notify_waiters();
 }
 
 /// Takes in what a node was asked for.
@@ -237,58 +229,13 @@
     let mut keeper = node.keeper.borrow_mut();
     if keeper.list_told < changed_at {
         keeper.list_told = changed_at;
-        keeper.changed.notify_waiters();
-    }
-}
-
-/// What has changed since versions of what engines hold, of the list, and of the configuration; waits a
-/// while for something.
-pub(crate) async fn news(node: &Node, tell: &Tell) -> News {
-    let Tell { version: since, list, catalog, asked, .. } = tell;
-    let (since, list, catalog) = (*since, *list, *catalog);
-    let began = node.now();
-    let current = || node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
-    let (nothing, changed) = {
-        let keeper = node.keeper.borrow();
-        let same_list = node.state.borrow().listing.has_nothing_since(list);
-        let nothing = keeper.version <= since && same_list && current() <= catalog;
-        (nothing, Rc::clone(&keeper.changed))
-    };
-    if nothing {
-        // Without news the wait ends by itself.
-        let _ = timeout(NEWS_WAIT, changed.notified()).await;
-    }
-    let keeper = node.keeper.borrow();
-    let newer = keeper.versions.iter().filter(|(_, version)| **version > since);
-    let mut newer: Vec<(u64, &EngineId)> = newer.map(|(id, version)| (*version, id)).collect();
-    newer.sort_unstable_by_key(|(version, _)| *version);
-    // The rest comes with the next question.
-    let version = newer.get(MOST_TOLD - 1).map_or(keeper.version, |(version, _)| *version);
-    newer.truncate(MOST_TOLD);
-    let engines = newer.into_iter().filter_map(|(_, id)| told(node, id)).collect();
-    let list = {
-        let state = node.state.borrow();
-        state.listing.since(&state.engines, list)
-    };
-    News {
-        version,
-        engines,
-        list,
-        catalog: current(),
-        age_ms: node.followed_age(),
-        held_ms: node.now().saturating_sub(began),
-        nodes: node.state.borrow().nodes,
-        others: others(node, tell),
-        renewed: node.holding.borrow().last_renewal(),
-        begun: keeper.ceiling.ages(node.now()),
-        loads: heard_since(node, 0, Some(asked)),
+        node.news.notify_waiters();
     }
 }
 
-/// The nodes' addresses, where few enough tell each other of what they send and one knows others.
-fn others(node: &Node, tell: &Tell) -> Option<Vec<SocketAddr>> {
-    let wanted = tells_sends(node.state.borrow().nodes) && tell.others != node.sends.digest();
-    wanted.then(|| node.sends.others())
+/// How long ago loads from the weight store began that this node gave.
+pub(crate) fn begun_ages(node: &Node) -> Vec<u64> {
+    node.keeper.borrow().ceiling.ages(node.now())
 }
 
 /// What the engines that hold something hold.
@@ -300,7 +247,8 @@
     ids.iter().filter_map(|id| told(node, id)).collect()
 }
 
-fn told(node: &Node, id: &EngineId) -> Option<Told> {
+/// What an engine holds.
+pub(crate) fn told(node: &Node, id: &EngineId) -> Option<Told> {
     node.engine(id, |e| Told {
         engine: id.clone(),
         start: e.listed.start,
@@ -315,11 +263,7 @@
     if let Some(engine) = node.state.borrow_mut().engines.get_mut(engine) {
         engine.told_at = Some(now);
     }
-    let mut keeper = node.keeper.borrow_mut();
-    keeper.version += 1;
-    let version = keeper.version;
-    keeper.versions.insert(engine.clone(), version);
-    keeper.changed.notify_waiters();
-    drop(keeper);
+    node.placements.borrow_mut().changed(engine);
+    node.news.notify_waiters();
     node.placed.notify_waiters();
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod at_engine;
+mod backoff;
 mod clock;
 pub mod dialect;
 mod follow;
@@ -13,6 +14,7 @@
 mod holder;
 mod keeper;
 mod listen;
+mod members;
 mod meter;
 mod peers;
 mod pool;
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -1,128 +1,205 @@
-//! Demand against placement, again and again with the keeper.
+//! Demand against placement, again and again with the node that tells this one what is new.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use hgw_direct::Wanted;
+use hgw_direct::heads::{Parent, PassedOver, digest};
+use hgw_direct::{Cursor, Millis, Wanted};
 use hgw_events::{Event, emit};
+use indexmap::IndexMap;
 use tokio::time::sleep;
 
-use crate::holder::Keeper;
 use crate::keeper;
 use crate::shared::Node;
 
 use super::heard::{heard_since, take_in_loads};
 use super::list::{take_in, take_in_list};
 use super::message::{Asked, CountedBefore, News, Tell};
+use super::placements::Heard;
 use super::{NEWS_WAIT, NO_KEEPER, PATIENCE, call};
 
 /// Least time between two exchanges: what changes within it is told at once.
 const EXCHANGE_LEAST: Duration = Duration::from_millis(40);
 
-/// Exchanges demand against placement with the keeper until the process ends.
+/// Nodes that may ask the same one as often as they like.
+const FEW_CHILDREN: u32 = 10;
+
+/// Longest that nodes hold back, as a multiple of what few nodes do: beyond, the word would be too old by the time of
+/// the next.
+const MOST_CROWD: u32 = 12;
+
+/// Exchanges demand against placement with the keeper, or with the head of this node's domain, until the process ends.
 pub(crate) async fn exchange(node: Node) {
-    let (mut fence, mut version, mut exchanged) = (0, 0, 0);
-    let mut introduced = false;
-    let mut link = PeerLink::default();
+    let mut asking = Asking::default();
     loop {
-        let keeper = node.holding.borrow().keeper.clone();
-        let mine = node.holding.borrow().is_mine();
-        let mut asked = take_asked(&node);
-        if mine {
-            keeper::asked(&node, &asked);
+        if node.holding.borrow().is_mine() {
+            keeper::asked(&node, &take_asked(&node));
             sleep(NEWS_WAIT).await;
             continue;
         }
-        let Some(keeper) = keeper else {
-            give_back(&node, asked);
+        let Some((parent, addr)) = node.parent() else {
             sleep(NO_KEEPER).await;
             continue;
         };
-        if keeper.fence != fence {
-            (fence, version) = (keeper.fence, 0);
-            introduced = false;
-        }
-        let past = (!introduced).then(|| counted_before(&node));
-        if past.is_some() {
+        let pause = match asking.ask(&node, parent, addr).await {
+            Some(children) => EXCHANGE_LEAST * crowd(children),
+            None => NO_KEEPER,
+        };
+        sleep(pause).await;
+    }
+}
+
+/// By how much nodes hold back, so that one is asked as often by many as by ten.
+fn crowd(children: u32) -> u32 {
+    children.div_ceil(FEW_CHILDREN).clamp(1, MOST_CROWD)
+}
+
+/// How far the exchange has come.
+#[derive(Debug, Default)]
+struct Asking {
+    /// The keeper that knows what this node was asked for before.
+    introduced: Option<u64>,
+    heard: Heard,
+    /// When loads were told last.
+    told: Millis,
+    links: IndexMap<SocketAddr, PeerLink>,
+}
+
+impl Asking {
+    /// Asks once; gives how many nodes ask the one that answered.
+    async fn ask(&mut self, node: &Node, parent: Parent, addr: SocketAddr) -> Option<u32> {
+        let fence = node.holding.borrow().keeper.as_ref().map_or(0, |k| k.fence);
+        let mut asked = take_asked(node);
+        let introduces = parent == Parent::Holder && self.introduced != Some(fence);
+        let past = introduces.then(|| counted_before(node));
+        if introduces {
             // It is in there.
             asked.clear();
         }
+        let tell = self.tell(node, asked, past);
+        let (list, now) = (tell.list, node.now());
+        self.told = now;
+        let news: Option<News> = call(node, addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
+        let Some(news) = news else {
+            self.is_silent(node, parent, addr);
+            give_back(node, tell.asked);
+            return None;
+        };
+        self.links.entry(addr).or_default().answers(node, addr);
+        if introduces {
+            self.introduced = Some(fence);
+        }
+        self.heard = news.heard;
+        let children = news.children;
+        node.backoff.siblings(children);
+        if parent != Parent::Holder && news.age_ms > longest_age(node) {
+            node.heads.borrow_mut().pass_over(addr, PassedOver::Stale, node.now());
+        }
+        take_in_news(node, now, list, news);
+        Some(children)
+    }
+
+    fn tell(&self, node: &Node, asked: Vec<Asked>, past: Option<CountedBefore>) -> Tell {
         let (catalog, list) = {
             let state = node.state.borrow();
-            // A node that the store turns away has none, and asks for all of it.
-            let list = state.list_at.or(node.list_failed.get().then_some(0));
-            (state.catalog.as_ref().map_or(0, |c| c.version), list)
+            // A node that has none asks for all of it.
+            let list = state.list_at.unwrap_or(0);
+            (state.catalog.as_ref().map_or(0, |c| c.version), Some(list))
         };
-        let now = node.now();
-        let loads = heard_since(&node, exchanged, None);
-        exchanged = now;
-        let others = node.sends.digest();
-        let from = node.settings.borrow().peers;
-        let tell = Tell { from, fence, version, list, catalog, loads, asked, past, others };
-        let news: Option<News> =
-            call(&node, keeper.addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
-        match news {
-            Some(news) => {
-                link.answers(&node, &keeper);
-                let renewed = news.renewed.map(|(end, age)| (end, node.now().saturating_sub(age)));
-                node.holding.borrow_mut().silence.answers(renewed);
-                introduced = true;
-                version = news.version;
-                take_in_list(&node, list, news.list);
-                // By the time of the question: the answer may have been long on its way.
-                node.followed((now + news.held_ms).saturating_sub(news.age_ms));
-                take_in(&node, news.engines);
-                take_in_loads(&node, &news.loads);
-                let arrived = node.now();
-                let begun = news.begun.iter().map(|age| arrived.saturating_sub(*age));
-                node.state.borrow_mut().begun = Some((fence, begun.collect()));
-                node.catalog_told(news.catalog);
-                node.state.borrow_mut().nodes = news.nodes.max(1);
-                if let Some(others) = news.others {
-                    node.sends.know(others);
-                }
-                sleep(EXCHANGE_LEAST * node.crowd()).await;
-            }
-            None => {
-                link.is_silent(&node, &keeper);
-                node.holding.borrow_mut().silence.is_silent();
-                give_back(&node, tell.asked);
-                sleep(NO_KEEPER).await;
+        let settings = node.settings.borrow();
+        Tell {
+            from: settings.peers,
+            domain: settings.domain.clone(),
+            heard: self.heard,
+            list,
+            catalog,
+            loads: heard_since(node, self.told, None),
+            asked,
+            past,
+            others: node.sends.digest(),
+            heads: digest(node.heads.borrow().candidates()),
+        }
+    }
+
+    fn is_silent(&mut self, node: &Node, parent: Parent, addr: SocketAddr) {
+        self.links.entry(addr).or_default().is_silent(node, addr);
+        match parent {
+            Parent::Holder => node.holding.borrow_mut().silence.is_silent(),
+            Parent::Head(_) => {
+                node.heads.borrow_mut().pass_over(addr, PassedOver::Silent, node.now());
             }
         }
     }
 }
 
-/// Whether the keeper answers, logged when it changes.
+/// Age from which the word of a head is no news: then this node would read for itself.
+fn longest_age(node: &Node) -> Millis {
+    node.settings.borrow().followed_for(true).as_millis() as Millis
+}
+
+/// Takes in the answer to a question of this time.
+fn take_in_news(node: &Node, asked_at: Millis, list: Option<Cursor>, news: News) {
+    let arrived = node.now();
+    if let Some(keeper) = news.keeper {
+        node.holding.borrow_mut().hear_of(keeper);
+    }
+    let renewed = news.renewed.map(|(end, age)| (end, arrived.saturating_sub(age)));
+    node.holding.borrow_mut().silence.answers(renewed);
+    if let Some(heads) = news.heads {
+        node.heads.borrow_mut().know(heads);
+    }
+    take_in_list(node, list, news.list);
+    // By the time of the question: the answer may have been long on its way.
+    node.followed((asked_at + news.held_ms).saturating_sub(news.age_ms));
+    take_in(node, news.engines);
+    take_in_loads(node, &news.loads);
+    let fence = node.holding.borrow().keeper.as_ref().map(|k| k.fence);
+    if let Some(fence) = fence {
+        let begun = news.begun.iter().map(|age| arrived.saturating_sub(*age));
+        node.state.borrow_mut().begun = Some((fence, begun.collect()));
+    }
+    node.catalog_told(news.catalog);
+    node.state.borrow_mut().nodes = news.nodes.max(1);
+    if let Some(others) = news.others {
+        node.sends.know(others);
+    }
+}
+
+/// Whether a node answers, logged when it changes.
 #[derive(Debug, Default)]
 struct PeerLink {
-    silent: Option<Keeper>,
+    silent: bool,
 }
 
 impl PeerLink {
-    fn answers(&mut self, node: &Node, keeper: &Keeper) {
-        if self.silent.take().is_some_and(|silent| silent == *keeper) {
+    fn answers(&mut self, node: &Node, addr: SocketAddr) {
+        if std::mem::take(&mut self.silent) {
             let name = &node.settings.borrow().node;
-            emit(Event::PeerAnswers, &[("node", name), ("peer", &keeper.node)]);
+            emit(Event::PeerAnswers, &[("node", name), ("peer", &name_of(node, addr))]);
         }
     }
 
-    fn is_silent(&mut self, node: &Node, keeper: &Keeper) {
-        if self.silent.as_ref() != Some(keeper) {
+    fn is_silent(&mut self, node: &Node, addr: SocketAddr) {
+        if !std::mem::replace(&mut self.silent, true) {
             let name = &node.settings.borrow().node;
-            emit(
-                Event::PeerUnreachable,
-                &[
-                    ("node", name),
-                    ("peer", &keeper.node),
-                    ("addr", &keeper.addr),
-                    ("reason", &"no answer in time"),
-                ],
-            );
-            self.silent = Some(keeper.clone());
+            let reason = "no answer in time";
+            let peer = name_of(node, addr);
+            let fields: &[(&str, &dyn std::fmt::Display)] =
+                &[("node", name), ("peer", &peer), ("addr", &addr), ("reason", &reason)];
+            emit(Event::PeerUnreachable, fields);
         }
     }
 }
 
+/// The name of the node at an address, as far as it is known.
+fn name_of(node: &Node, addr: SocketAddr) -> String {
+    let holding = node.holding.borrow();
+    let keeper = holding.keeper.as_ref().filter(|k| k.addr == addr).map(|k| k.node.clone());
+    let heads = node.heads.borrow();
+    let head = heads.candidates().iter().find(|c| c.addr == addr).map(|c| c.node.clone());
+    keeper.or(head).unwrap_or_else(|| addr.to_string())
+}
+
 fn take_asked(node: &Node) -> Vec<Asked> {
     let asked = std::mem::take(&mut node.state.borrow_mut().asked);
     let one = |(w, count): (Wanted, f64)| Asked { model: w.model, adapter: w.adapter, count };
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -10,14 +10,19 @@
 /// word of a keeper that has not read of it yet.
 pub(super) fn take_in_list(node: &Node, since: Option<Cursor>, news: ListNews) {
     let mut state = node.state.borrow_mut();
+    if news.part == ListPart::Unknown {
+        return;
+    }
     if news.part == ListPart::ReadAnew {
         state.list_at = None;
+        node.reads_list.set(true);
         return;
     }
     // Without a list of its own the node reads it now, and changes to it are not the whole.
     if since.is_none() {
         return;
     }
+    let changes = news.part == ListPart::Whole || !news.engines.is_empty() || !news.gone.is_empty();
     let engines = &mut state.engines;
     let entries: Vec<Listed> =
         news.engines.into_iter().map(|passed| listed_as(engines, passed)).collect();
@@ -34,6 +39,9 @@
     drop(state);
     node.look_for_starts();
     node.listed_to(news.cursor);
+    if changes {
+        node.news.notify_waiters();
+    }
 }
 
 fn listed_as(engines: &Engines, passed: Passed) -> Listed {
@@ -64,15 +72,22 @@
     }
     let now = node.now();
     let mut state = node.state.borrow_mut();
+    let mut placements = node.placements.borrow_mut();
     for told in engines {
         let Some(engine) = state.engines.meet(&told.engine, told.start) else { continue };
         if told.orders >= engine.orders {
+            let known = engine.told_at.is_some() && engine.listed.held == told.held;
+            if !known || engine.orders != told.orders {
+                placements.changed(&told.engine);
+            }
             engine.orders = told.orders;
             engine.listed.held = told.held;
             engine.told_at = Some(now);
         }
     }
-    drop(state);
+    placements.retain(|id| state.engines.get(id).is_some());
+    drop((state, placements));
     node.look_for_starts();
     node.placed.notify_waiters();
+    node.news.notify_waiters();
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,8 +1,13 @@
 use std::net::SocketAddr;
 
+use hgw_direct::heads::Member;
 use hgw_direct::{Cursor, EngineId, Held, ListNews, Past, Start, Wanted};
 use serde::{Deserialize, Serialize};
 
+use crate::holder::Keeper;
+
+use super::placements::Heard;
+
 /// What an engine holds, as the keeper knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Told {
@@ -27,10 +32,10 @@
 pub(crate) struct Tell {
     /// Where other nodes reach it.
     pub(crate) from: SocketAddr,
-    /// The keeper's claim that the node believes in.
-    pub(crate) fence: u64,
-    /// What it has of that keeper's news.
-    pub(crate) version: u64,
+    /// Its failure domain.
+    pub(crate) domain: String,
+    /// How far it has heard of what engines hold, by the node that it asks.
+    pub(crate) heard: Heard,
     /// How far its list of engines goes, if it has one.
     pub(crate) list: Option<Cursor>,
     /// The configuration that it has.
@@ -42,6 +47,8 @@
     pub(crate) past: Option<CountedBefore>,
     /// Digest of the nodes' addresses that it knows.
     pub(crate) others: u64,
+    /// Digest of the nodes that it knows to pass on to its domain.
+    pub(crate) heads: u64,
 }
 
 /// What a node has been asked for before it knew the keeper.
@@ -52,16 +59,18 @@
     pub(crate) models: Vec<Past>,
 }
 
-/// What the keeper tells.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// What the keeper tells, or a node that passes it on.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct News {
-    pub(crate) version: u64,
+    /// The newest keeper that the node which answers knows of.
+    pub(crate) keeper: Option<Keeper>,
+    pub(crate) heard: Heard,
     pub(crate) engines: Vec<Told>,
     /// The list of engines.
     pub(crate) list: ListNews,
     /// The newest configuration.
     pub(crate) catalog: u64,
-    /// Time since the keeper last read from the store.
+    /// Age of what the node which answers has of the store.
     pub(crate) age_ms: u64,
     /// Time for which it held this answer back.
     pub(crate) held_ms: u64,
@@ -69,6 +78,10 @@
     pub(crate) nodes: u32,
     /// Their addresses, where the node has others.
     pub(crate) others: Option<Vec<SocketAddr>>,
+    /// The nodes that pass on to the domain of the one that asks, where it knows others.
+    pub(crate) heads: Option<Vec<Member>>,
+    /// How many nodes ask the one that answers.
+    pub(crate) children: u32,
     /// Where the claim's log ended after the holder's last renewal, and how long ago that was sent.
     pub(crate) renewed: Option<(Cursor, u64)>,
     /// How long ago loads from the weight store began, by service, in milliseconds: a successor goes on from there.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,9 +1,12 @@
 //! What nodes tell each other: what is asked for, and what the engines hold.
 
+mod children;
 mod exchange;
 mod heard;
 mod list;
 mod message;
+mod news;
+mod placements;
 mod sends;
 
 use std::net::SocketAddr;
@@ -22,16 +25,18 @@
 use crate::keeper;
 use crate::shared::Node;
 
+pub(crate) use children::Children;
 pub(crate) use exchange::exchange;
-pub(crate) use heard::heard_since;
 use heard::take_in_loads;
 use list::take_in;
 use message::Want;
-pub(crate) use message::{Asked, CountedBefore, News, Placement, Tell, Told, Wish};
+pub(crate) use message::{Asked, CountedBefore, Placement, Told};
+use message::{Tell, Wish};
+pub(crate) use placements::Placements;
 pub(crate) use sends::{Sends, Word, listen};
 
 /// Longest that the keeper holds an answer back for want of news.
-pub(crate) const NEWS_WAIT: Duration = Duration::from_millis(400);
+const NEWS_WAIT: Duration = Duration::from_millis(400);
 
 /// Longest wait for the keeper beyond that.
 const PATIENCE: Duration = Duration::from_millis(600);
@@ -42,6 +47,10 @@
 /// Pause while no keeper is known or it does not answer.
 const NO_KEEPER: Duration = Duration::from_millis(150);
 
+/// Models and adapters that are told to the keeper at a time: while none takes them, as many names are kept as callers
+/// can make up.
+pub(crate) const MOST_ASKED: usize = 4_096;
+
 /// Bytes of a message.
 const MOST: usize = 1 << 20;
 
@@ -69,9 +78,9 @@
     }
 }
 
-/// The text of the keeper's configuration.
+/// The text of the configuration of the node that this one asks for what is new.
 pub(crate) async fn catalog(node: &Node) -> Option<Bytes> {
-    let addr = node.holding.borrow().keeper.as_ref()?.addr;
+    let (_, addr) = node.parent()?;
     let req = Request::post("/catalog", "peer", Bytes::new());
     exchange_once(node, addr, &req, PATIENCE).await.filter(|text| !text.is_empty())
 }
@@ -127,16 +136,37 @@
     let Ok(tell) = serde_json::from_slice::<Tell>(body) else {
         return own(StatusCode::BAD_REQUEST, "not a report of demand");
     };
-    if !is_keeper(node, tell.fence) {
-        return own(StatusCode::CONFLICT, "not the keeper");
+    let keeps = node.holding.borrow().is_mine();
+    // Two nodes that asked each other would each take the other's old word for news.
+    let asks_it = node.parent().is_some_and(|(_, addr)| addr == tell.from);
+    if !keeps && (node.is_stopping() || asks_it) {
+        return own(StatusCode::CONFLICT, "passes nothing on");
     }
-    if let Some(past) = &tell.past {
-        keeper::counted_before(node, past);
+    node.children.asks(tell.from, node.now());
+    if keeps {
+        if let Some(past) = &tell.past {
+            keeper::counted_before(node, past);
+        }
+        keeper::asked(node, &tell.asked);
+        meet(node, tell.from);
+    } else {
+        pass_on(node, &tell.asked);
     }
-    keeper::asked(node, &tell.asked);
-    meet(node, tell.from);
     take_in_loads(node, &tell.loads);
-    json(&keeper::news(node, &tell).await)
+    json(&news::news(node, &tell).await)
+}
+
+/// What the nodes of a domain are asked for goes to the keeper as what this one is asked for.
+fn pass_on(node: &Node, asked: &[Asked]) {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    for one in asked {
+        let (wanted, count) = one.clone().parts();
+        state.demand.saw(now, &wanted, count);
+        if state.asked.len() < MOST_ASKED {
+            *state.asked.entry(wanted).or_default() += count;
+        }
+    }
 }
 
 async fn answer_want(node: &Node, body: &Bytes) -> Answer {
--- /dev/null
+++ b/crates/gateway/src/peers/news.rs
@@ -0,0 +1,84 @@
+//! What a node tells those that ask it for what is new: the keeper all others, or a head the nodes of its domain.
+
+use hgw_direct::heads::{Member, candidates, digest};
+use hgw_direct::tells_sends;
+use tokio::time::timeout;
+
+use crate::keeper;
+use crate::shared::Node;
+
+use super::NEWS_WAIT;
+use super::heard::heard_since;
+use super::message::{News, Tell};
+
+/// What is new since a node asked last; waits a while for something.
+pub(super) async fn news(node: &Node, tell: &Tell) -> News {
+    let began = node.now();
+    if has_nothing(node, tell) {
+        // Without news the wait ends by itself.
+        let _ = timeout(NEWS_WAIT, node.news.notified()).await;
+    }
+    let (heard, changed) = node.placements.borrow().since(tell.heard);
+    let engines = changed.iter().filter_map(|id| keeper::told(node, id)).collect();
+    let (list, catalog, nodes) = {
+        let state = node.state.borrow();
+        let list = state.listing.since(&state.engines, tell.list);
+        (list, version(node), state.nodes)
+    };
+    News {
+        keeper: node.holding.borrow().keeper.clone(),
+        heard,
+        engines,
+        list,
+        catalog,
+        age_ms: node.word_age(),
+        held_ms: node.now().saturating_sub(began),
+        nodes,
+        others: others(node, tell),
+        heads: heads(node, tell),
+        children: node.children.count(),
+        renewed: node.last_renewal(),
+        begun: begun(node),
+        loads: heard_since(node, 0, Some(&tell.asked)),
+    }
+}
+
+fn has_nothing(node: &Node, tell: &Tell) -> bool {
+    let same_list = node.state.borrow().listing.has_nothing_since(tell.list);
+    let same_placements = node.placements.borrow().has_nothing_since(tell.heard);
+    same_list && same_placements && version(node) <= tell.catalog
+}
+
+/// The configuration that this node has.
+fn version(node: &Node) -> u64 {
+    node.state.borrow().catalog.as_ref().map_or(0, |c| c.version)
+}
+
+/// When loads from the weight store began, as the keeper told, or as this node gave them.
+fn begun(node: &Node) -> Vec<u64> {
+    if node.holding.borrow().is_mine() {
+        return keeper::begun_ages(node);
+    }
+    let (now, state) = (node.now(), node.state.borrow());
+    let begun = state.begun.iter().flat_map(|(_, begun)| begun);
+    begun.map(|at| now.saturating_sub(*at)).collect()
+}
+
+/// The nodes' addresses, where few enough tell each other of what they send and one knows others.
+fn others(node: &Node, tell: &Tell) -> Option<Vec<std::net::SocketAddr>> {
+    let wanted = tells_sends(node.state.borrow().nodes) && tell.others != node.sends.digest();
+    wanted.then(|| node.sends.others())
+}
+
+/// The heads of the domain of the node that asks, where it knows others.
+fn heads(node: &Node, tell: &Tell) -> Option<Vec<Member>> {
+    let members = node.members.borrow();
+    let heads = if !members.is_empty() {
+        candidates(&members, &tell.domain)
+    } else if node.settings.borrow().domain == tell.domain {
+        node.heads.borrow().candidates().to_vec()
+    } else {
+        return None;
+    };
+    (digest(&heads) != tell.heads).then_some(heads)
+}
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -13,7 +13,7 @@
 use crate::answer::Answer;
 use crate::dialect::Call;
 use crate::meter;
-use crate::peers::{self, Placement};
+use crate::peers::{self, MOST_ASKED, Placement};
 use crate::shared::{Active, Node};
 use crate::turn::Turn;
 
@@ -37,9 +37,6 @@
 /// When a caller comes back whose service has no engine.
 const NO_ENGINE: Duration = Duration::from_millis(300);
 
-/// Models and adapters that are told to the keeper at a time.
-const MOST_ASKED: usize = 4_096;
-
 /// Time over which nodes spread what they send when an engine has read a prompt.
 const TURN_SPREAD: Duration = Duration::from_millis(6);
 
@@ -125,7 +122,6 @@
         state.budgets.entry(self.service.clone()).or_default().first(now, &limits);
         let Some(wanted) = self.wanted() else { return };
         state.demand.saw(now, wanted, 1.0);
-        // While no keeper takes them, as many names are kept as callers can make up.
         if state.asked.len() < MOST_ASKED {
             *state.asked.entry(wanted.clone()).or_default() += 1.0;
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hgw_events::{Event, emit};
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
@@ -17,7 +16,7 @@
 use crate::clock::boot_time;
 use crate::dialect::Dialects;
 use crate::shared::{Node, Shared};
-use crate::{Settings, follow, front, holder, listen, meter, peers, stop};
+use crate::{Settings, follow, front, holder, listen, members, meter, peers, stop};
 
 /// What a node is told from outside.
 #[derive(Debug, Clone)]
@@ -39,9 +38,6 @@
     Killed,
 }
 
-/// Time between two counts of the nodes that share budgets.
-const COUNT_NODES: Duration = Duration::from_secs(10);
-
 /// Time between two looks at the clocks.
 const CLOCK_CHECK: Duration = Duration::from_millis(200);
 
@@ -80,7 +76,7 @@
     spawn(Box::pin(holder::hold(Rc::clone(&node))));
     spawn(Box::pin(peers::exchange(Rc::clone(&node))));
     spawn(Box::pin(listen::serve(Rc::clone(&node), others, peers::answer)));
-    spawn(Box::pin(count_nodes(Rc::clone(&node))));
+    spawn(Box::pin(members::count(Rc::clone(&node))));
     spawn(Box::pin(watch_clocks(Rc::clone(&node))));
     spawn(Box::pin(listen::serve(Rc::clone(&node), ready, answer_ready)));
     spawn(Box::pin(front::serve(Rc::clone(&node), callers)));
@@ -121,34 +117,6 @@
     std::future::pending().await
 }
 
-/// Makes this node known, and counts those that share budgets and connections with it.
-async fn count_nodes(node: Node) {
-    let mut announced = false;
-    loop {
-        let (name, addr) = {
-            let settings = node.settings.borrow();
-            (settings.node.clone(), settings.peers)
-        };
-        let store = &node.dialects.store;
-        if !announced {
-            announced = store.announce(&name, Bytes::from(addr.to_string())).await.is_ok();
-        }
-        // While the store does not answer the last count stands; a keeper counts for all.
-        if announced && node.is_followed() {
-            sleep(COUNT_NODES).await;
-            continue;
-        }
-        if let Ok(nodes) = store.nodes().await {
-            let count = u32::try_from(nodes.len()).unwrap_or(u32::MAX);
-            node.state.borrow_mut().nodes = count.max(1);
-            let addrs =
-                nodes.iter().filter_map(|(_, addr)| str::from_utf8(addr).ok()?.parse().ok());
-            node.sends.know(addrs.collect());
-        }
-        sleep(if announced { COUNT_NODES } else { Duration::from_secs(1) }).await;
-    }
-}
-
 /// Finds out that the machine stood still, as kept connections may have ended meanwhile, and that this node is
 /// cut off.
 async fn watch_clocks(node: Node) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -46,6 +46,10 @@
 /// allow more.
 const FOLLOW_MOST: Duration = Duration::from_millis(3_000);
 
+/// By how much longer a node whose domain has a head waits for news before it reads for itself: what the head reads then
+/// is there within a tenth of a second.
+const BEHIND_A_HEAD: f64 = 1.4;
+
 impl Settings {
     /// Time within which changes must be followed.
     fn follow_within(&self) -> Duration {
@@ -65,7 +69,8 @@
 
     /// Age of the keeper's word from which a node reads the store itself: longer than the keeper's own reads
     /// take turns, and short enough to read what was missed in time.
-    pub(crate) fn followed_for(&self) -> Duration {
-        self.follow_within().mul_f64(0.625)
+    pub(crate) fn followed_for(&self, has_head: bool) -> Duration {
+        let longest = if has_head { BEHIND_A_HEAD } else { 1.0 };
+        self.follow_within().mul_f64(0.625 * longest)
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,9 +1,11 @@
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use hgw_direct::heads::{Heads, Member, Parent};
 use hgw_direct::{
     Budget, BudgetLimits, Catalog, Demand, Engine, EngineId, Engines, Listing, Millis, ServiceId,
     Verdict, Wanted, is_cut_off, reads_on,
@@ -15,11 +17,12 @@
 use tokio::sync::Notify;
 
 use crate::Settings;
+use crate::backoff::Backoff;
 use crate::clock::Clock;
 use crate::dialect::{Cursor, Dialects};
 use crate::holder::Holding;
 use crate::keeper::KeeperState;
-use crate::peers::Sends;
+use crate::peers::{Children, Placements, Sends};
 use crate::pool::Pool;
 use crate::turn::Turns;
 
@@ -48,14 +51,25 @@
     pub(crate) stop: Stopping,
     pub(crate) sends: Sends,
     pub(crate) turns: Turns,
+    pub(crate) backoff: Backoff,
+    /// Nodes that ask this one for what is new.
+    pub(crate) children: Children,
+    /// What is new of what engines hold.
+    pub(crate) placements: RefCell<Placements>,
+    /// Nodes of this one's domain that pass on what the keeper tells.
+    pub(crate) heads: RefCell<Heads>,
+    /// All nodes, where this one has read of them.
+    pub(crate) members: RefCell<Vec<Member>>,
+    /// Told whenever there is news for those that ask this node.
+    pub(crate) news: Notify,
     /// Parts this node from others in what only some of them do.
     draw: u32,
+    /// Whether the list is longer than another node tells, so that this one reads it itself.
+    pub(crate) reads_list: Cell<bool>,
     /// When the store last answered.
     pub(crate) store_heard: Cell<Millis>,
     /// When this node last read the list of engines.
     pub(crate) list_read: Cell<Millis>,
-    /// Whether that failed when it was last tried.
-    pub(crate) list_failed: Cell<bool>,
     /// Up to when this node has what the store tells, by its own reading or the keeper's.
     followed_at: Cell<Option<Millis>>,
     /// The newest configuration that the keeper told of.
@@ -125,10 +139,16 @@
             stop: Stopping::default(),
             sends: Sends::default(),
             turns: Turns::default(),
+            backoff: Backoff::default(),
+            children: Children::default(),
+            placements: RefCell::default(),
+            heads: RefCell::default(),
+            members: RefCell::default(),
+            news: Notify::new(),
             draw: random(),
+            reads_list: Cell::new(false),
             store_heard: Cell::new(0),
             list_read: Cell::new(0),
-            list_failed: Cell::new(false),
             followed_at: Cell::new(None),
             told_catalog: Cell::new(0),
             catalog_news: Notify::new(),
@@ -158,26 +178,49 @@
         self.store_heard.set(self.store_heard.get().max(at));
     }
 
+    /// The keeper's last renewal, by its own books or its word.
+    pub(crate) fn last_renewal(&self) -> Option<(Cursor, u64)> {
+        let holding = self.holding.borrow();
+        if holding.is_mine() {
+            return holding.last_renewal();
+        }
+        holding.silence.last_renewal(self.now())
+    }
+
     /// Age of what this node has of the store, by its own reading or the keeper's.
     pub(crate) fn word_age(&self) -> Millis {
         let told = self.followed_at.get().unwrap_or(0).max(self.list_read.get());
         self.now().saturating_sub(told)
     }
 
+    /// Whom this node asks for what is new; nobody where it knows of no keeper and no head.
+    pub(crate) fn parent(&self) -> Option<(Parent, SocketAddr)> {
+        let keeper = self.holding.borrow().keeper.as_ref().map(|k| k.addr);
+        let me = self.settings.borrow().peers;
+        let parent = self.heads.borrow().parent(me, keeper, self.now());
+        match parent {
+            Parent::Head(addr) => Some((parent, addr)),
+            Parent::Holder => keeper.map(|addr| (parent, addr)),
+        }
+    }
+
+    /// Whether the keeper has told this node anything yet.
+    pub(crate) fn was_followed(&self) -> bool {
+        self.followed_at.get().is_some()
+    }
+
     /// Whether the keeper tells what the store does, so that this node need not read it.
+    ///
+    /// Load: the keeper ends, and all nodes read at the same moment. The nodes that pass on read first; what they read
+    /// reaches their domains before the others would.
     pub(crate) fn is_followed(&self) -> bool {
         let keeps = self.holding.borrow().is_mine();
-        let longest = self.settings.borrow().followed_for().as_millis() as Millis;
+        let has_head = matches!(self.parent(), Some((Parent::Head(_), _)));
+        let longest = self.settings.borrow().followed_for(has_head).as_millis() as Millis;
         let age = self.followed_at.get().map(|at| self.now().saturating_sub(at));
         !keeps && age.is_some_and(|age| age < longest)
     }
 
-    /// Time since this node itself last read from the store. The list is read often; a call for the
-    /// configuration waits there, and a change ends it at once.
-    pub(crate) fn followed_age(&self) -> Millis {
-        self.now().saturating_sub(self.list_read.get())
-    }
-
     /// The keeper has a configuration.
     pub(crate) fn catalog_told(&self, version: u64) {
         self.told_catalog.set(version);
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/heads.rs
@@ -0,0 +1,98 @@
+//! Domains with so many nodes that one of them passes on to the others.
+
+use std::time::{Duration, Instant};
+
+use hgw_direct::heads::{Member, candidates};
+use hgw_standins::Faults;
+use hgw_standins::fleet::deployment::{configuration, holds, wait};
+use hgw_standins::fleet::{EngineSettings, Fleet};
+use http::StatusCode;
+
+use crate::fleet_of;
+
+/// So many nodes of one domain, which all take callers and know their head.
+fn domain_of(nodes: usize) -> Fleet {
+    let mut fleet =
+        fleet_of(vec![EngineSettings { holds: holds(&[("m", &[])]), ..EngineSettings::default() }]);
+    let nodes: Vec<usize> = (0..nodes).map(|_| fleet.spawn("a")).collect();
+    for node in nodes {
+        wait("the node is ready", || fleet.nodes[node].is_ready());
+    }
+    // The keeper counts the nodes anew in the first seconds; those that have a head ask it from then on.
+    std::thread::sleep(Duration::from_secs(3));
+    fleet
+}
+
+/// The nodes of the domain that may pass on, the first first.
+fn heads(fleet: &Fleet) -> Vec<usize> {
+    let member = |n: &hgw_standins::fleet::deployment::Node| Member {
+        node: n.name.clone(),
+        addr: n.peers,
+        domain: "a".into(),
+        processor: 1.0,
+    };
+    let members: Vec<Member> = fleet.nodes.iter().map(member).collect();
+    let found = candidates(&members, "a").into_iter();
+    found.filter_map(|head| fleet.nodes.iter().position(|n| n.name == head.node)).collect()
+}
+
+/// Calls that the store has been asked for since it was last looked at, a second.
+fn calls_a_second(fleet: &Fleet, during: Duration) -> f64 {
+    let calls = || fleet.store.calls().values().sum::<u64>();
+    let (before, began) = (calls(), Instant::now());
+    std::thread::sleep(during);
+    (calls() - before) as f64 / began.elapsed().as_secs_f64()
+}
+
+/// The store refuses every call for some seconds. Each of twelve nodes called three times in every half second, 80 calls
+/// a second; the keeper and the head alone make some ten.
+#[test]
+fn store_that_refuses_is_called_by_few() {
+    let fleet = domain_of(12);
+    fleet.store.fault(&Faults { refuse: true, ..Faults::default() });
+    // Every node finds out once that nobody tells it anything any more.
+    std::thread::sleep(Duration::from_secs(3));
+    let calls = calls_a_second(&fleet, Duration::from_secs(4));
+    assert!(calls < 30.0, "{calls} calls a second");
+    fleet.store.fault(&Faults::default());
+    fleet.store.put("keyed.op", "config", changed().to_string().as_bytes());
+    for node in &fleet.nodes {
+        wait("the new route is served", || {
+            node.plain("/new/", "call-1").is_ok_and(|a| a.status == StatusCode::OK)
+        });
+    }
+}
+
+/// A configuration with one more route.
+fn changed() -> serde_json::Value {
+    let mut config = configuration(2);
+    let mut route = config["routes"][0].clone();
+    route["name"] = "new".into();
+    route["prefix"] = "/new/".into();
+    config["routes"].as_array_mut().unwrap().push(route);
+    config
+}
+
+/// Both nodes of a domain that would pass on are killed at once, and an engine begins to leave. The others must hear of
+/// it all the same: work that they sent there would be cut.
+#[test]
+fn nodes_hear_of_a_leaving_engine_after_their_heads_have_ended() {
+    let mut fleet = domain_of(8);
+    let heads = heads(&fleet);
+    for node in &heads[..2] {
+        fleet.nodes[*node].kill();
+    }
+    fleet.list(fleet.engine("desk-1"), "draining");
+    let left: Vec<usize> = (0..8).filter(|node| !heads[..2].contains(node)).collect();
+    for node in left {
+        wait("calls go to the other engine alone", || {
+            let before = fleet.engine("desk-1").record().runs.len();
+            for call in 0..10 {
+                let id = format!("call-{node}-{before}-{call}");
+                let served = fleet.nodes[node].plain("/look/", &id);
+                assert!(served.is_ok_and(|a| a.status == StatusCode::OK));
+            }
+            fleet.engine("desk-1").record().runs.len() == before
+        });
+    }
+}
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod apart;
 mod calls;
+mod heads;
 mod lines;
 mod orders;
 mod session;
