Tell what is at engines in sums, through the heads of domains

Cause: above twelve nodes nobody told what it sends.

Change: every 40 ms each node tells its head what it has at engines (requests, prompts not read, their tokens), as changes, all of it once a second; heads tell each other the sums of their domains, and their nodes what is there in all. A node chooses by that and its own; where it hears nothing for 2.2 s, by the loads that answers tell, as before. Words count only from nodes that ask this one, that it asks, or that the keeper named; all else is passed over. At least three copies are looked at: of two, the idle one was passed over by every fourth request.

Tests that need no bench: direct/tests/flights.rs (a property test of the sums), choose.rs, platform/heads.rs.

--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -104,6 +104,10 @@
 /// usual number of copies, which balances nearly as well as looking at all and needs no fresh knowledge.
 const LOOKED_AT: f64 = 0.4;
 
+/// Copies that each request looks at where there are so many: with fewer, the idle one of two would be passed over by
+/// every third request.
+const LEAST_LOOKED_AT: usize = 3;
+
 /// Requests that may wait at an engine beyond its slots before others are asked to come back.
 const QUEUE_SHARE: f64 = 1.0;
 
@@ -111,6 +115,7 @@
 pub fn choose(engines: &Engines, ask: &Ask<'_>, now: Millis) -> Result<Choice, NoEngine> {
     let mut found = NoEngine::None;
     let mut best: Option<((bool, bool), Choice)> = None;
+    let looked_at = looked_at(engines, ask);
     let tokens = ask.prompt.map_or(0, |p| p.tokens_in);
     let home = ask.prompt.map(home_key);
     let mean = mean_load(engines, ask.service, now);
@@ -133,8 +138,7 @@
         let cost = cost(engine, estimate, ask, home, now);
         let choice = Choice { engine: engine.listed.id.clone(), cost_ms: cost, estimate };
         // Many nodes that know the same a little late would all choose the same: each looks at some only.
-        let passed_over =
-            ask.nodes > FEW_NODES && draw_of(ask.draw, &engine.listed.id) >= LOOKED_AT;
+        let passed_over = draw_of(ask.draw, &engine.listed.id) > looked_at;
         // An engine that could not be reached is the last resort.
         let alone = engine.judge.is_left_alone(now) || passed_over;
         // One that would pause its streams for too long comes after those that would not.
@@ -158,6 +162,22 @@
     }
 }
 
+/// The highest draw of the copies that this request looks at.
+fn looked_at(engines: &Engines, ask: &Ask<'_>) -> f64 {
+    if ask.nodes <= FEW_NODES {
+        return 1.0;
+    }
+    let wanted = ask.prompt.and_then(|p| p.wanted.as_ref());
+    let copies = engines.of(ask.service).filter(|e| e.takes_work());
+    let copies = copies.filter(|e| wanted.is_none_or(|w| e.holds(w)));
+    let mut draws: Vec<f64> = copies.map(|e| draw_of(ask.draw, &e.listed.id)).collect();
+    let most = ((draws.len() as f64 * LOOKED_AT).ceil() as usize).max(LEAST_LOOKED_AT);
+    if draws.len() <= most {
+        return 1.0;
+    }
+    *draws.select_nth_unstable_by(most - 1, f64::total_cmp).1
+}
+
 fn cost(engine: &Engine, estimate: f64, ask: &Ask<'_>, home: Option<u64>, now: Millis) -> f64 {
     let slots = f64::from(engine.listed.slots.max(1));
     let policy = &ask.policy;
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -4,6 +4,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::flights::{EngineKey, Flight};
 use crate::{Judge, Millis, ReadingPace, ServiceId, Unread, Wanted};
 
 /// Identity of one start of an engine.
@@ -104,6 +105,8 @@
     pub judge: Judge,
     /// Requests that this node has there.
     pub own: u32,
+    /// What all other nodes have there, where they tell.
+    pub elsewhere: Option<Flight>,
     /// The load that it told last, the time, and the requests that this node had there then.
     pub told: Option<(Load, Millis, u32)>,
     /// Prompts that it has not read yet.
@@ -135,6 +138,7 @@
             listed,
             judge: Judge::default(),
             own: 0,
+            elsewhere: None,
             told: None,
             unread: Unread::default(),
             reading: ReadingPace::default(),
@@ -146,9 +150,18 @@
         }
     }
 
-    /// Requests that are probably there now, where that is known: those that it told of, with the change in
-    /// this node's own.
+    /// What this node has there.
+    pub fn own_flight(&self) -> Flight {
+        let (prompts, tokens) = self.unread.own();
+        Flight { requests: self.own, prompts, tokens }
+    }
+
+    /// Requests that are probably there now, where that is known: what all nodes have sent there, or those that it told
+    /// of, with the change in this node's own.
     pub fn known_load(&self, now: Millis) -> Option<f64> {
+        if let Some(elsewhere) = self.elsewhere {
+            return Some(f64::from(elsewhere.requests) + f64::from(self.own));
+        }
         let (load, at, own) = self.told.filter(|(_, at, _)| now.saturating_sub(*at) < TOLD_FOR)?;
         debug_assert!(at <= now);
         let told = f64::from(load.running + load.waiting);
@@ -162,13 +175,20 @@
 
     /// Milliseconds until it has read all prompts that are known to be there.
     pub fn reading_ms(&self, now: Millis) -> f64 {
-        self.reading.time(self.unread.tokens(now))
+        self.reading.time(self.unread_tokens(now))
+    }
+
+    fn unread_tokens(&self, now: Millis) -> u32 {
+        let elsewhere = self.elsewhere.map_or(0, |flight| flight.tokens);
+        self.unread.tokens(now).saturating_add(elsewhere)
     }
 
     /// The longest pause of the streams that run there, in milliseconds, if it is sent a prompt of so many tokens now;
     /// none where no stream runs, or where it has nothing else to read, as waiting would change nothing.
     pub fn longest_pause(&self, tokens: u32, now: Millis) -> f64 {
-        let (reads, unread) = (self.unread.count(now), self.unread.tokens(now));
+        let elsewhere = self.elsewhere.map_or(0, |flight| flight.prompts);
+        let reads = self.unread.count(now) + elsewhere as usize;
+        let unread = self.unread_tokens(now);
         if unread == 0 || self.estimate(now) <= reads as f64 {
             return 0.0;
         }
@@ -243,6 +263,11 @@
         }
     }
 
+    /// Names this start of it in few bytes.
+    pub fn key(&self) -> EngineKey {
+        EngineKey::of(&self.listed.id, self.listed.start)
+    }
+
     /// Whether new work may be sent there.
     pub fn takes_work(&self) -> bool {
         self.listed.standing == Standing::Ready
@@ -253,6 +278,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Engines {
     by_id: IndexMap<EngineId, Engine>,
+    by_key: IndexMap<EngineKey, EngineId>,
     /// Addresses of engines that have started anew.
     anew: Vec<SocketAddr>,
 }
@@ -268,6 +294,17 @@
         self.by_id.get_mut(id)
     }
 
+    /// The engine of which one start has this name.
+    pub fn by_key(&mut self, key: EngineKey) -> Option<&mut Engine> {
+        let id = self.by_key.get(&key)?;
+        self.by_id.get_mut(id).filter(|engine| engine.key() == key)
+    }
+
+    /// All engines.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Engine> {
+        self.by_id.values_mut()
+    }
+
     /// All engines.
     pub fn iter(&self) -> impl Iterator<Item = &Engine> {
         self.by_id.values()
@@ -282,6 +319,7 @@
     /// start ends everything that was believed of the earlier.
     pub fn list(&mut self, mut listed: Listed) {
         let Some(engine) = self.by_id.get_mut(&listed.id) else {
+            self.by_key.insert(EngineKey::of(&listed.id, listed.start), listed.id.clone());
             self.by_id.insert(listed.id.clone(), Engine::new(listed));
             return;
         };
@@ -291,10 +329,16 @@
         }
         if known.is_before(listed.start) {
             self.anew.push(engine.listed.addr);
+            self.by_key.swap_remove(&engine.key());
+            self.by_key.insert(EngineKey::of(&listed.id, listed.start), listed.id.clone());
             *engine = Engine::new(listed);
         } else {
             // One that says nothing of its start is taken for the start that is known.
             listed.start = listed.start.max(known);
+            if listed.start != known {
+                self.by_key.swap_remove(&engine.key());
+                self.by_key.insert(EngineKey::of(&listed.id, listed.start), listed.id.clone());
+            }
             engine.listed = listed;
         }
     }
@@ -310,6 +354,8 @@
         if known.is_before(start) {
             self.anew.push(engine.listed.addr);
             let mut listed = engine.listed.clone();
+            self.by_key.swap_remove(&engine.key());
+            self.by_key.insert(EngineKey::of(id, start), id.clone());
             listed.start = start;
             listed.held.clear();
             *engine = Engine::new(listed);
@@ -331,7 +377,9 @@
 
     /// An engine's entry is gone.
     pub fn unlist(&mut self, id: &EngineId) {
-        self.by_id.shift_remove(id);
+        if let Some(engine) = self.by_id.shift_remove(id) {
+            self.by_key.swap_remove(&engine.key());
+        }
     }
 
     /// Takes in a whole list: engines that it does not name go. While `keep`, those are kept: their
@@ -340,6 +388,7 @@
         if !keep {
             let named: Vec<EngineId> = listed.iter().map(|l| l.id.clone()).collect();
             self.by_id.retain(|id, _| named.contains(id));
+            self.by_key.retain(|_, id| self.by_id.contains_key(id));
         }
         for listed in listed {
             self.list(listed);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,6 +8,7 @@
 mod choose;
 mod demand;
 mod engines;
+pub mod flights;
 pub mod heads;
 mod judge;
 mod listing;
--- a/crates/direct/src/unread.rs
+++ b/crates/direct/src/unread.rs
@@ -81,6 +81,12 @@
         self.prompts.values().filter(|sent| sent.counts(now)).count()
     }
 
+    /// Prompts that this node sent and that wait to be read, and their tokens.
+    pub fn own(&self) -> (u32, u32) {
+        let own = self.prompts.values().filter(|sent| sent.own);
+        own.fold((0, 0), |(count, sum), sent| (count + 1, sum.saturating_add(sent.tokens)))
+    }
+
     /// Tokens that wait to be read.
     pub fn tokens(&self, now: Millis) -> u32 {
         let waiting = self.prompts.values().filter(|sent| sent.counts(now));
--- a/crates/direct/tests/choose.rs
+++ b/crates/direct/tests/choose.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use assert_matches::assert_matches;
+use hgw_direct::flights::Flight;
 use hgw_direct::{
     Ask, Choice, EngineId, Engines, Load, NoEngine, Part, Policy, Prompt, SendId, Verdict, choose,
     is_cut_off,
@@ -274,3 +275,30 @@
     assert_eq!(on_time(&engines, true), Err(NoEngine::Reading));
     assert_eq!(name(on_time(&engines, false)), "e1");
 }
+
+/// Two hundred nodes know the same of a model's two copies, one of which has nothing to do. A request that looked at
+/// two engines in five would look at the busy one alone in every fourth choice.
+#[test]
+fn idle_one_of_two_copies_is_not_passed_over() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    for (id, requests) in [("e1", 20), ("e2", 0)] {
+        let flight = Flight { requests, ..Flight::default() };
+        engines.get_mut(&id.into()).unwrap().elsewhere = Some(flight);
+    }
+    let (service, prompt) = (service(), prompt("m", 7));
+    for draw in 0..100 {
+        let ask = Ask {
+            service: &service,
+            prompt: Some(&prompt),
+            domain: "a",
+            tried: &[],
+            nodes: 200,
+            conns: 100,
+            gap: None,
+            waits: false,
+            draw: f64::from(draw) / 100.0,
+            policy: Policy::default(),
+        };
+        assert_eq!(name(choose(&engines, &ask, 1_000)), "e2");
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/flights.rs
@@ -0,0 +1,145 @@
+//! Requests at engines, as nodes tell each other in sums.
+
+use std::net::SocketAddr;
+
+use hgw_direct::flights::{EngineKey, Flight, Row, Share, Tellers, Telling, Told};
+use hgw_direct::{EngineId, Start};
+use indexmap::IndexMap;
+use proptest::collection::vec;
+use proptest::prelude::{any, prop_assert_eq, proptest};
+
+fn key(n: u32) -> EngineKey {
+    EngineKey::of(&EngineId(format!("i-{n}")), Start(Some(1)))
+}
+
+fn addr(n: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], n))
+}
+
+/// All that a node has.
+fn all(rows: &[Row]) -> Told {
+    Told { all_of: Some(Share { part: 0, parts: 1 }), rows: rows.to_vec() }
+}
+
+/// What has changed there.
+fn changes(rows: &[Row]) -> Told {
+    Told { all_of: None, rows: rows.to_vec() }
+}
+
+fn flight(requests: u32) -> Flight {
+    Flight { requests, prompts: 1, tokens: 100 * requests }
+}
+
+#[test]
+fn starts_of_an_engine_have_names_of_their_own() {
+    let engine = EngineId::from("i-1");
+    let names = [None, Some(1), Some(2)].map(|born| EngineKey::of(&engine, Start(born)));
+    assert!(names[0] != names[1] && names[1] != names[2]);
+}
+
+#[test]
+fn what_nodes_tell_adds_up() {
+    let mut tellers = Tellers::default();
+    tellers.take(addr(1), 0, &all(&[Row(key(1), 3, 1, 700), Row(key(2), 1, 0, 0)]));
+    tellers.take(addr(2), 0, &all(&[Row(key(1), 2, 2, 300)]));
+    assert_eq!(tellers.sum(key(1)), Flight { requests: 5, prompts: 3, tokens: 1_000 });
+    tellers.take(addr(1), 50, &changes(&[Row(key(1), 1, 0, 0)]));
+    assert_eq!(tellers.sum(key(1)), Flight { requests: 3, prompts: 2, tokens: 300 });
+    assert_eq!(tellers.sum(key(2)).requests, 1);
+}
+
+/// The datagram is lost that says that a request has ended. The engine looks fuller than it is until the whole is told
+/// again.
+#[test]
+fn whole_word_makes_up_for_one_that_was_lost() {
+    let mut tellers = Tellers::default();
+    tellers.take(addr(1), 0, &all(&[Row(key(1), 3, 1, 700)]));
+    assert_eq!(tellers.take(addr(1), 1_000, &all(&[])), [key(1)]);
+    assert_eq!(tellers.sum(key(1)), Flight::default());
+}
+
+/// A node is killed. Its requests have ended with it, and nobody will say so.
+#[test]
+fn word_of_a_node_that_ended_does_not_stay() {
+    let mut tellers = Tellers::default();
+    tellers.take(addr(1), 0, &all(&[Row(key(1), 3, 1, 700)]));
+    tellers.take(addr(2), 1_000, &all(&[Row(key(1), 2, 0, 0)]));
+    tellers.keep(2_400, |_| true);
+    assert_eq!(tellers.sum(key(1)).requests, 5);
+    tellers.keep(2_600, |_| true);
+    assert_eq!(tellers.sum(key(1)).requests, 2);
+    assert_eq!(tellers.heard_within(2_000, 2_600), 1);
+}
+
+/// A node turns to another head. What both tell is the same, and would count twice.
+#[test]
+fn word_of_a_node_that_is_not_asked_any_more_does_not_stay() {
+    let mut tellers = Tellers::default();
+    tellers.take(addr(1), 0, &all(&[Row(key(1), 3, 1, 700)]));
+    tellers.take(addr(2), 10, &all(&[Row(key(1), 3, 1, 700)]));
+    tellers.keep(20, |from| *from == addr(2));
+    assert_eq!(tellers.sum(key(1)).requests, 3);
+}
+
+#[test]
+fn only_changes_are_told_between_two_wholes() {
+    let mut telling = Telling::default();
+    let mut flights = IndexMap::from([(key(1), flight(1)), (key(2), flight(2))]);
+    assert_eq!(telling.next(0, &flights), [all(&[Row(key(1), 1, 1, 100), Row(key(2), 2, 1, 200)])]);
+    assert_eq!(telling.next(40, &flights), []);
+    flights.insert(key(2), flight(3));
+    assert_eq!(telling.next(80, &flights), [changes(&[Row(key(2), 3, 1, 300)])]);
+    flights.swap_remove(&key(1));
+    assert_eq!(telling.next(120, &flights), [changes(&[Row(key(1), 0, 0, 0)])]);
+    assert_eq!(telling.next(1_000, &flights), [all(&[Row(key(2), 3, 1, 300)])]);
+}
+
+/// With three thousand engines all there is takes many datagrams, each of which is the whole word on its share.
+#[test]
+fn many_engines_are_told_of_in_several_datagrams() {
+    let flights: IndexMap<EngineKey, Flight> = (0..3_000).map(|n| (key(n), flight(2))).collect();
+    let mut tellers = Tellers::default();
+    tellers.take(addr(1), 0, &all(&[Row(key(5_000), 1, 0, 0)]));
+    for told in Telling::default().next(0, &flights) {
+        assert!(told.rows.len() <= 100);
+        tellers.take(addr(1), 10, &told);
+    }
+    let sums: IndexMap<EngineKey, Flight> = tellers.sums().collect();
+    assert_eq!(sums.len(), flights.len());
+    assert_eq!(tellers.sum(key(5_000)), Flight::default());
+}
+
+proptest! {
+    /// Whatever is told in whatever order, and lost on its way, sums are those of what each told last once each has
+    /// told the whole, and nothing is left when all are gone.
+    #[test]
+    fn sums_are_those_of_the_last_words(
+        steps in vec((0_u16..4, vec((0_u32..6, 0_u32..9), 0..6), any::<bool>()), 1..40),
+    ) {
+        let mut tellers = Tellers::default();
+        let mut last: IndexMap<u16, IndexMap<EngineKey, Flight>> = IndexMap::default();
+        let mut telling: IndexMap<u16, Telling> = IndexMap::default();
+        for (node, flights, lost) in steps {
+            let flights = flights.into_iter().filter(|(_, n)| *n > 0).map(|(e, n)| (key(e), flight(n)));
+            let flights: IndexMap<EngineKey, Flight> = flights.collect();
+            for told in telling.entry(node).or_default().next(10, &flights) {
+                if !lost {
+                    tellers.take(addr(node), 10, &told);
+                }
+            }
+            last.insert(node, flights);
+        }
+        for (node, flights) in &last {
+            for told in telling[node].next(1_010, flights) {
+                tellers.take(addr(*node), 1_010, &told);
+            }
+        }
+        for engine in 0..6 {
+            let of = |flights: &IndexMap<EngineKey, Flight>| flights.get(&key(engine)).copied();
+            let sum = last.values().filter_map(of).fold(Flight::default(), Flight::plus);
+            prop_assert_eq!(tellers.sum(key(engine)), sum);
+        }
+        tellers.keep(10_000, |_| true);
+        prop_assert_eq!(tellers.sums().count(), 0);
+    }
+}
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use hgw_direct::Millis;
 use hgw_direct::heads::{Member, candidates};
+use hgw_direct::{Millis, tells_sends};
 use tokio::time::sleep;
 
 use crate::backoff::after_failure;
@@ -77,7 +77,9 @@
     let members = nodes.iter().filter_map(|(_, entry)| serde_json::from_slice(entry).ok());
     let members: Vec<Member> = members.collect();
     node.state.borrow_mut().nodes = count.max(1);
-    node.sends.know(members.iter().map(|m| m.addr).collect());
+    if tells_sends(count) {
+        node.sends.know(members.iter().map(|m| m.addr).collect());
+    }
     let own = candidates(&members, &node.settings.borrow().domain);
     node.heads.borrow_mut().know(own);
     *node.members.borrow_mut() = members;
--- a/crates/gateway/src/peers/children.rs
+++ b/crates/gateway/src/peers/children.rs
@@ -21,6 +21,11 @@
         asked.retain(|_, at| now.saturating_sub(*at) < COUNTS_FOR);
     }
 
+    /// Their addresses.
+    pub(crate) fn all(&self) -> Vec<SocketAddr> {
+        self.0.borrow().keys().copied().collect()
+    }
+
     /// How many ask.
     pub(crate) fn count(&self) -> u32 {
         u32::try_from(self.0.borrow().len()).unwrap_or(u32::MAX)
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -113,7 +113,11 @@
             heard: self.heard,
             list,
             catalog,
-            loads: heard_since(node, self.told, None),
+            loads: if node.flights.are_fresh() {
+                Vec::new()
+            } else {
+                heard_since(node, self.told, None)
+            },
             asked,
             past,
             others: node.sends.digest(),
--- /dev/null
+++ b/crates/gateway/src/peers/flights.rs
@@ -0,0 +1,185 @@
+//! What is at engines, told in sums: each node tells the head of its domain, heads tell each other the sums of their
+//! domains, and their nodes what is there in all.
+//!
+//! Nobody waits for a word: a node that hears none chooses by the loads that answers tell.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hgw_direct::flights::{EngineKey, Flight, Tellers, Telling, Told};
+use hgw_direct::heads::Parent;
+use hgw_direct::{Millis, tells_sends};
+use indexmap::IndexMap;
+use tokio::time::sleep;
+
+use crate::shared::Node;
+
+use super::sends::Word;
+
+/// Time between two words. On its way through two heads what is sent is known everywhere within a tenth of a second, in
+/// which one engine in nine gets a request.
+const TICK: Duration = Duration::from_millis(40);
+
+/// The same where there are so few nodes that each tells all others of each request.
+const IDLE: Duration = Duration::from_millis(500);
+
+/// Time after the last word after which loads are not known by them any more: two words in a row that tell all there is
+/// were lost.
+const FRESH_FOR: Millis = 2_200;
+
+/// Part of the other heads that must be heard: with fewer much of what is at engines is not known, and they look idle.
+const HEARD_SHARE: f64 = 0.66;
+
+/// Heads that tell each other. While more nodes ask the keeper itself, as at the start, nobody tells anything.
+const MOST_HEADS: usize = 40;
+
+/// What this node was told, and told others.
+#[derive(Debug, Default)]
+pub(crate) struct Flights {
+    /// By nodes that ask this one.
+    near: RefCell<Tellers>,
+    /// By the head of this node's domain, or by the heads of others.
+    far: RefCell<Tellers>,
+    up: RefCell<Telling>,
+    down: RefCell<Telling>,
+    fresh: Cell<bool>,
+}
+
+impl Flights {
+    /// Whether loads are known by what nodes tell each other.
+    pub(crate) fn are_fresh(&self) -> bool {
+        self.fresh.get()
+    }
+}
+
+/// Who tells what: the nodes that this one listens to, and those that it tells.
+struct Places {
+    head: Option<SocketAddr>,
+    heads: Vec<SocketAddr>,
+    children: Vec<SocketAddr>,
+}
+
+impl Places {
+    fn of(node: &Node) -> Places {
+        let me = node.settings.borrow().peers;
+        let head = match node.parent() {
+            Some((Parent::Head(addr), _)) => Some(addr),
+            _ => None,
+        };
+        let mut heads = node.sends.others();
+        heads.retain(|addr| *addr != me);
+        if head.is_some() || heads.len() > MOST_HEADS {
+            heads.clear();
+        }
+        let mut children = node.children.all();
+        children.retain(|addr| !heads.contains(addr) && Some(*addr) != head);
+        Places { head, heads, children }
+    }
+
+    /// Whether all that counts is known.
+    fn are_heard(&self, far: &Tellers, now: Millis) -> bool {
+        let heard = far.heard_within(FRESH_FOR, now) as f64;
+        let all = if self.head.is_some() { 1 } else { self.heads.len() };
+        all > 0 && heard >= HEARD_SHARE * all as f64
+    }
+}
+
+/// Tells other nodes what is at engines, until the process ends.
+pub(crate) async fn tell(node: Node) {
+    loop {
+        if tells_sends(node.state.borrow().nodes) || node.state.borrow().nodes < 2 {
+            sleep(IDLE).await;
+            continue;
+        }
+        sleep(TICK).await;
+        step(&node);
+    }
+}
+
+fn step(node: &Node) {
+    let now = node.now();
+    if node.holding.borrow().is_mine() {
+        know_heads(node);
+    }
+    let places = Places::of(node);
+    let flights = &node.flights;
+    {
+        let mut near = flights.near.borrow_mut();
+        near.keep(now, |addr| places.children.contains(addr));
+        let mut far = flights.far.borrow_mut();
+        far.keep(now, |addr| Some(*addr) == places.head || places.heads.contains(addr));
+        flights.fresh.set(places.are_heard(&far, now));
+    }
+    let domain = add(own(node), &flights.near.borrow());
+    for told in flights.up.borrow_mut().next(now, &domain) {
+        node.sends.tell_to(places.head.iter().chain(&places.heads), &Word::Flights(told));
+    }
+    if !places.children.is_empty() {
+        let all = add(domain, &flights.far.borrow());
+        for told in flights.down.borrow_mut().next(now, &all) {
+            node.sends.tell_to(places.children.iter(), &Word::Flights(told));
+        }
+    }
+    apply_to_all(node, places.head.is_some());
+}
+
+/// The keeper names those that ask it to each other: they are the heads.
+fn know_heads(node: &Node) {
+    let mut heads = node.children.all();
+    heads.push(node.settings.borrow().peers);
+    heads.sort_unstable();
+    node.sends.know(heads);
+}
+
+/// What this node has at engines.
+fn own(node: &Node) -> IndexMap<EngineKey, Flight> {
+    let state = node.state.borrow();
+    let used = state.engines.iter().filter(|e| e.own > 0);
+    used.map(|e| (e.key(), e.own_flight())).collect()
+}
+
+fn add(mut flights: IndexMap<EngineKey, Flight>, told: &Tellers) -> IndexMap<EngineKey, Flight> {
+    for (key, flight) in told.sums() {
+        let sum = flights.entry(key).or_default();
+        *sum = sum.plus(flight);
+    }
+    flights
+}
+
+/// Another node tells. What comes from elsewhere changes nothing: only those count that ask this node or that it asks,
+/// and heads that the keeper has named.
+pub(super) fn take_in(node: &Node, from: SocketAddr, told: &Told) {
+    let (now, places, flights) = (node.now(), Places::of(node), &node.flights);
+    let concerned = if places.head == Some(from) || places.heads.contains(&from) {
+        flights.far.borrow_mut().take(from, now, told)
+    } else if places.children.contains(&from) {
+        flights.near.borrow_mut().take(from, now, told)
+    } else {
+        return;
+    };
+    if !flights.are_fresh() {
+        return;
+    }
+    let mut state = node.state.borrow_mut();
+    for key in concerned {
+        if let Some(engine) = state.engines.by_key(key) {
+            engine.elsewhere = Some(elsewhere(node, key, places.head.is_some()));
+        }
+    }
+}
+
+fn apply_to_all(node: &Node, behind_a_head: bool) {
+    let fresh = node.flights.are_fresh();
+    for engine in node.state.borrow_mut().engines.iter_mut() {
+        engine.elsewhere = fresh.then(|| elsewhere(node, engine.key(), behind_a_head));
+    }
+    node.turns.next.notify_waiters();
+}
+
+/// What all other nodes have at an engine. What a head tells contains what this node told it.
+fn elsewhere(node: &Node, key: EngineKey, behind_a_head: bool) -> Flight {
+    let flights = &node.flights;
+    let told = flights.far.borrow().sum(key).plus(flights.near.borrow().sum(key));
+    if behind_a_head { told.minus(flights.up.borrow().sent(key)) } else { told }
+}
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 mod children;
 mod exchange;
+mod flights;
 mod heard;
 mod list;
 mod message;
@@ -27,6 +28,7 @@
 
 pub(crate) use children::Children;
 pub(crate) use exchange::exchange;
+pub(crate) use flights::{Flights, tell as tell_flights};
 use heard::take_in_loads;
 use list::take_in;
 use message::Want;
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -9,7 +9,10 @@
 
 use super::NEWS_WAIT;
 use super::heard::heard_since;
-use super::message::{News, Tell};
+use super::message::{HeardLoad, News, Tell};
+
+/// Addresses that are told: more are no heads, but nodes that have not found theirs yet.
+const MOST_OTHERS: usize = 41;
 
 /// What is new since a node asked last; waits a while for something.
 pub(super) async fn news(node: &Node, tell: &Tell) -> News {
@@ -39,7 +42,7 @@
         children: node.children.count(),
         renewed: node.last_renewal(),
         begun: begun(node),
-        loads: heard_since(node, 0, Some(&tell.asked)),
+        loads: loads(node, tell),
     }
 }
 
@@ -64,10 +67,19 @@
     begun.map(|at| now.saturating_sub(*at)).collect()
 }
 
-/// The nodes' addresses, where few enough tell each other of what they send and one knows others.
+/// Loads of engines, where nodes do not tell each other what they have there.
+fn loads(node: &Node, tell: &Tell) -> Vec<HeardLoad> {
+    if node.flights.are_fresh() {
+        return Vec::new();
+    }
+    heard_since(node, 0, Some(&tell.asked))
+}
+
+/// The addresses of the nodes that tell each other, where one knows others: all, or the heads.
 fn others(node: &Node, tell: &Tell) -> Option<Vec<std::net::SocketAddr>> {
-    let wanted = tells_sends(node.state.borrow().nodes) && tell.others != node.sends.digest();
-    wanted.then(|| node.sends.others())
+    let tells = tells_sends(node.state.borrow().nodes) || node.holding.borrow().is_mine();
+    let wanted = tells && tell.others != node.sends.digest();
+    wanted.then(|| node.sends.others()).filter(|others| others.len() <= MOST_OTHERS)
 }
 
 /// The heads of the domain of the node that asks, where it knows others.
--- a/crates/gateway/src/peers/sends.rs
+++ b/crates/gateway/src/peers/sends.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use hgw_direct::flights::Told;
 use hgw_direct::{EngineId, Load, SendId, Start, tells_sends};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -12,8 +13,10 @@
 use crate::meter;
 use crate::shared::Node;
 
-/// Bytes of a datagram: far more than a word has.
-const MOST: usize = 512;
+use super::flights;
+
+/// Bytes of a datagram: more than a word has, and no more than networks carry whole.
+const MOST: usize = 1_400;
 
 /// What became of a request at an engine.
 ///
@@ -28,6 +31,8 @@
     Answers(EngineId, Start, SendId, Option<(u32, u32)>),
     /// It has ended without an answer.
     Ended(EngineId, Start, SendId),
+    /// What a node, or a domain, has at engines.
+    Flights(Told),
 }
 
 /// The other nodes, and the socket by which they are told.
@@ -67,12 +72,20 @@
     /// Tells the other nodes, where they are few.
     pub(crate) fn tell(&self, node: &Node, word: &Word) {
         let nodes = node.state.borrow().nodes;
+        let me = node.settings.borrow().peers;
+        if tells_sends(nodes) {
+            let others = self.others.borrow();
+            self.tell_to(others.iter().filter(|other| **other != me), word);
+        }
+    }
+
+    /// Tells these nodes.
+    pub(super) fn tell_to<'a>(&self, others: impl Iterator<Item = &'a SocketAddr>, word: &Word) {
         let socket = self.socket.borrow();
-        let Some(socket) = socket.as_ref().filter(|_| tells_sends(nodes)) else { return };
+        let Some(socket) = socket.as_ref() else { return };
         let mut bytes = Vec::with_capacity(MOST);
         ciborium::into_writer(word, &mut bytes).expect("a word can be written");
-        let me = node.settings.borrow().peers;
-        for other in self.others.borrow().iter().filter(|other| **other != me) {
+        for other in others {
             // Where the socket takes no more the word is lost, like one that is lost on its way.
             if socket.try_send_to(&bytes, *other).is_err() {
                 meter::word_lost();
@@ -87,9 +100,11 @@
     let mut buf = [0; MOST];
     loop {
         // A node that is gone shows as an error of the socket, which goes on.
-        let Ok((length, _)) = socket.recv_from(&mut buf).await else { continue };
-        if let Ok(word) = ciborium::from_reader(&buf[..length]) {
-            take_in(&node, word);
+        let Ok((length, from)) = socket.recv_from(&mut buf).await else { continue };
+        match ciborium::from_reader(&buf[..length]) {
+            Ok(Word::Flights(told)) => flights::take_in(&node, from, &told),
+            Ok(word) => take_in(&node, word),
+            Err(_) => {}
         }
     }
 }
@@ -111,6 +126,7 @@
                 engine.hear(Load { running, waiting, slots: engine.listed.slots }, now);
             }
         }
+        Word::Flights(_) => {}
         Word::Ended(engine, start, id) => {
             let Some(engine) = engines.meet(&engine, start) else { return };
             engine.unread.read(id, now);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -75,6 +75,7 @@
     spawn(Box::pin(follow::engines(Rc::clone(&node))));
     spawn(Box::pin(holder::hold(Rc::clone(&node))));
     spawn(Box::pin(peers::exchange(Rc::clone(&node))));
+    spawn(Box::pin(peers::tell_flights(Rc::clone(&node))));
     spawn(Box::pin(listen::serve(Rc::clone(&node), others, peers::answer)));
     spawn(Box::pin(members::count(Rc::clone(&node))));
     spawn(Box::pin(watch_clocks(Rc::clone(&node))));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -22,7 +22,7 @@
 use crate::dialect::{Cursor, Dialects};
 use crate::holder::Holding;
 use crate::keeper::KeeperState;
-use crate::peers::{Children, Placements, Sends};
+use crate::peers::{Children, Flights, Placements, Sends};
 use crate::pool::Pool;
 use crate::turn::Turns;
 
@@ -52,6 +52,7 @@
     pub(crate) sends: Sends,
     pub(crate) turns: Turns,
     pub(crate) backoff: Backoff,
+    pub(crate) flights: Flights,
     /// Nodes that ask this one for what is new.
     pub(crate) children: Children,
     /// What is new of what engines hold.
@@ -140,6 +141,7 @@
             sends: Sends::default(),
             turns: Turns::default(),
             backoff: Backoff::default(),
+            flights: Flights::default(),
             children: Children::default(),
             placements: RefCell::default(),
             heads: RefCell::default(),
--- a/crates/hibiscusgw/tests/platform/heads.rs
+++ b/crates/hibiscusgw/tests/platform/heads.rs
@@ -6,14 +6,23 @@
 use hgw_standins::Faults;
 use hgw_standins::fleet::deployment::{configuration, holds, wait};
 use hgw_standins::fleet::{EngineSettings, Fleet};
-use http::StatusCode;
+use http::{Method, StatusCode};
 
 use crate::fleet_of;
 
+/// An engine that reads each prompt for so long that the next request comes meanwhile.
+fn reads(id: &str) -> EngineSettings {
+    EngineSettings {
+        id: id.into(),
+        holds: holds(&[("m", &[])]),
+        reading: Duration::from_millis(400),
+        ..EngineSettings::default()
+    }
+}
+
 /// So many nodes of one domain, which all take callers and know their head.
 fn domain_of(nodes: usize) -> Fleet {
-    let mut fleet =
-        fleet_of(vec![EngineSettings { holds: holds(&[("m", &[])]), ..EngineSettings::default() }]);
+    let mut fleet = fleet_of(["i-3", "i-4"].map(reads).to_vec());
     let nodes: Vec<usize> = (0..nodes).map(|_| fleet.spawn("a")).collect();
     for node in nodes {
         wait("the node is ready", || fleet.nodes[node].is_ready());
@@ -96,3 +105,42 @@
         });
     }
 }
+
+/// With fourteen nodes nobody tells all others of each request. Two callers of one session come to two of them within a
+/// fifth of a second; the second node would send to the engine that keeps the session's prompt, and the request would
+/// wait there for the first while another engine is idle. The sums that the head tells show it.
+#[test]
+fn node_passes_over_an_engine_that_others_are_known_to_use() {
+    let fleet = domain_of(14);
+    let others: Vec<usize> = (0..14).filter(|node| !heads(&fleet).contains(node)).collect();
+    for (tries, pair) in others.chunks_exact(2).enumerate() {
+        let ids = [format!("s-{tries}"), format!("t-{tries}")];
+        std::thread::scope(|scope| {
+            let fleet = &fleet;
+            let first = scope.spawn(|| stream(fleet, pair[0], &ids[0]));
+            wait("the first is sent", || fleet.runs(&ids[0]) == 1);
+            std::thread::sleep(Duration::from_millis(200));
+            assert_eq!(stream(fleet, pair[1], &ids[1]), StatusCode::OK);
+            assert_eq!(first.join().unwrap(), StatusCode::OK);
+        });
+    }
+    let at = |id: String| {
+        let ran = |e: &&str| fleet.engine(e).record().runs.contains_key(&id);
+        ["i-3", "i-4"].into_iter().find(ran).unwrap()
+    };
+    let pairs = 0..others.len() / 2;
+    let parted = pairs.clone().filter(|n| at(format!("s-{n}")) != at(format!("t-{n}"))).count();
+    assert_eq!(parted, pairs.len());
+}
+
+/// Sends a long prompt of a session, and waits for the whole stream.
+fn stream(fleet: &Fleet, node: usize, id: &str) -> StatusCode {
+    let headers = [
+        ("x-request-id", id),
+        ("x-deadline-ms", "8000"),
+        ("x-model", "m"),
+        ("x-tokens", "4000,120"),
+        ("x-prompt-prefix", "a1:60,b2:3940"),
+    ];
+    fleet.nodes[node].call(Method::POST, "/ask/", &headers).unwrap().status
+}
