Tell the domain of an engine that cannot be reached, and look for its return once

Change: a node tells its head of an engine that refuses connections or is silent on all; the head tells its domain and the other heads, looks every 300 ms whether the engine is back, and says so. Another domain believes it of engines that stand in the head's own. Who has heard the engine within 400 ms does not believe it and says so. Such engines are not chosen, a request on its way there is taken from it after 250 ms of silence, and the keeper plans as if they were gone. What only such engines hold, where the keeper does not answer either, is refused at once.

Test: platform::heads::engine_that_one_node_cannot_reach_is_left_alone_by_all.

--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -124,7 +124,7 @@
 pub fn choose(engines: &Engines, ask: &Ask<'_>, now: Millis) -> Result<Choice, NoEngine> {
     let mut found = NoEngine::None;
     let mut best: Option<((bool, bool), Choice)> = None;
-    let looked_at = looked_at(engines, ask);
+    let looked_at = looked_at(engines, ask, now);
     let tokens = ask.prompt.map_or(0, |p| p.tokens_in);
     let home = ask.prompt.map(home_key);
     let mean = mean_load(engines, ask.service, now);
@@ -133,7 +133,8 @@
             found = NoEngine::NotPlaced(PLACED_WITHIN);
         }
         let wanted = ask.prompt.and_then(|p| p.wanted.as_ref());
-        if wanted.is_some_and(|w| !engine.holds(w)) {
+        // One that another node looks at again and again need not be tried: what it holds is nowhere meanwhile.
+        if wanted.is_some_and(|w| !engine.holds(w)) || engine.judge.is_dark(now) {
             continue;
         }
         // One that has told nothing is not idle: nobody here has sent there of late.
@@ -173,12 +174,12 @@
 }
 
 /// The highest draw of the copies that this request looks at.
-fn looked_at(engines: &Engines, ask: &Ask<'_>) -> f64 {
+fn looked_at(engines: &Engines, ask: &Ask<'_>, now: Millis) -> f64 {
     if ask.nodes <= FEW_NODES {
         return 1.0;
     }
     let wanted = ask.prompt.and_then(|p| p.wanted.as_ref());
-    let copies = engines.of(ask.service).filter(|e| e.takes_work());
+    let copies = engines.of(ask.service).filter(|e| e.takes_work() && !e.judge.is_dark(now));
     let copies = copies.filter(|e| wanted.is_none_or(|w| e.holds(w)));
     let mut draws: Vec<f64> = copies.map(|e| draw_of(ask.draw, &e.listed.id)).collect();
     let most = ((draws.len() as f64 * LOOKED_AT).ceil() as usize).max(LEAST_LOOKED_AT);
--- a/crates/direct/src/judge.rs
+++ b/crates/direct/src/judge.rs
@@ -59,6 +59,8 @@
     at: Millis,
     silent_in_a_row: u32,
     left_alone_until: Millis,
+    /// Up to when it is left alone on the word of another node.
+    dark_until: Millis,
     opinion: Opinion,
 }
 
@@ -71,6 +73,7 @@
                 self.good += 1.0;
                 self.silent_in_a_row = 0;
                 self.left_alone_until = 0;
+                self.dark_until = 0;
             }
             Verdict::Full => self.silent_in_a_row = 0,
             Verdict::Failed => self.bad += 1.0,
@@ -96,6 +99,28 @@
         }
     }
 
+    /// What is thought of it now.
+    pub fn current(&self, now: Millis) -> Opinion {
+        self.opinion(now)
+    }
+
+    /// Another node could not reach it.
+    pub fn told_dark(&mut self, until: Millis) {
+        self.dark_until = until;
+    }
+
+    /// Another node has reached it.
+    pub fn told_back(&mut self) {
+        self.silent_in_a_row = 0;
+        self.left_alone_until = 0;
+        self.dark_until = 0;
+    }
+
+    /// Whether another node could not reach it and looks whether it is back, so that nobody else need try.
+    pub fn is_dark(&self, now: Millis) -> bool {
+        now < self.dark_until
+    }
+
     /// Part of the requests that it is expected to fail.
     pub fn failing(&self, now: Millis) -> f64 {
         let keep = decay(now.saturating_sub(self.at));
@@ -104,12 +129,13 @@
 
     /// Whether it is to be left alone now, because it could not be reached.
     pub fn is_left_alone(&self, now: Millis) -> bool {
-        now < self.left_alone_until
+        now < self.left_alone_until || self.is_dark(now)
     }
 
     /// Whether it could not be reached when that was last tried.
     pub fn is_silent(&self, now: Millis) -> bool {
-        self.silent_in_a_row > 0 && now < self.left_alone_until + SILENT_FOR
+        let silent = self.silent_in_a_row > 0 && now < self.left_alone_until + SILENT_FOR;
+        silent || self.is_dark(now)
     }
 
     fn decay(&mut self, now: Millis) {
--- a/crates/gateway/src/keeper/adapters.rs
+++ b/crates/gateway/src/keeper/adapters.rs
@@ -103,7 +103,9 @@
 }
 
 fn is_placed(node: &Node, wanted: &Wanted) -> bool {
-    node.state.borrow().engines.iter().any(|e| e.takes_work() && e.holds(wanted))
+    let now = node.now();
+    let reached = |e: &Engine| e.takes_work() && !e.judge.is_dark(now);
+    node.state.borrow().engines.iter().any(|e| reached(e) && e.holds(wanted))
 }
 
 async fn place(node: &Node, wanted: &Wanted, domain: &str) {
--- a/crates/gateway/src/keeper/models.rs
+++ b/crates/gateway/src/keeper/models.rs
@@ -55,7 +55,9 @@
             drop: told && seen_for >= SEEN_FOR.as_millis() as u64,
         };
         let state = node.state.borrow();
-        let engines: Vec<&Engine> = state.engines.of(service).filter(|e| e.takes_work()).collect();
+        // What engines hold that cannot be reached is nowhere, long before their entries lapse.
+        let engines = state.engines.of(service).filter(|e| e.takes_work());
+        let engines: Vec<&Engine> = engines.filter(|e| !e.judge.is_dark(now)).collect();
         let rates = keeper.demand.rates(now);
         let mut taken = keeper.pending.clone();
         for engine in engines.iter().filter(|e| !keeper.surveyed.contains_key(&e.listed.id)) {
--- a/crates/gateway/src/peers/flights.rs
+++ b/crates/gateway/src/peers/flights.rs
@@ -54,14 +54,17 @@
 }
 
 /// Who tells what: the nodes that this one listens to, and those that it tells.
-struct Places {
-    head: Option<SocketAddr>,
-    heads: Vec<SocketAddr>,
-    children: Vec<SocketAddr>,
+pub(super) struct Places {
+    /// The head of its domain, where that is another node.
+    pub(super) head: Option<SocketAddr>,
+    /// Heads of other domains, where it is one.
+    pub(super) heads: Vec<SocketAddr>,
+    /// Nodes that ask it.
+    pub(super) children: Vec<SocketAddr>,
 }
 
 impl Places {
-    fn of(node: &Node) -> Places {
+    pub(super) fn of(node: &Node) -> Places {
         let me = node.settings.borrow().peers;
         let head = match node.parent() {
             Some((Parent::Head(addr), _)) => Some(addr),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! What nodes tell each other: what is asked for, and what the engines hold.
 
 mod children;
+mod dark;
 mod exchange;
 mod flights;
 mod heard;
@@ -27,6 +28,7 @@
 use crate::shared::Node;
 
 pub(crate) use children::Children;
+pub(crate) use dark::lost;
 pub(crate) use exchange::exchange;
 pub(crate) use flights::{Flights, tell as tell_flights};
 use heard::take_in_loads;
--- a/crates/gateway/src/peers/sends.rs
+++ b/crates/gateway/src/peers/sends.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use hgw_direct::flights::Told;
+use hgw_direct::flights::{EngineKey, Told};
 use hgw_direct::{EngineId, Load, SendId, Start, tells_sends};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -13,7 +13,7 @@
 use crate::meter;
 use crate::shared::Node;
 
-use super::flights;
+use super::{dark, flights};
 
 /// Bytes of a datagram: more than a word has, and no more than networks carry whole.
 const MOST: usize = 1_400;
@@ -33,6 +33,12 @@
     Ended(EngineId, Start, SendId),
     /// What a node, or a domain, has at engines.
     Flights(Told),
+    /// A node could not reach an engine.
+    Lost(EngineKey),
+    /// An engine cannot be reached from a domain.
+    Dark(EngineKey, String),
+    /// It can be again.
+    Back(EngineKey, String),
 }
 
 /// The other nodes, and the socket by which they are told.
@@ -103,6 +109,9 @@
         let Ok((length, from)) = socket.recv_from(&mut buf).await else { continue };
         match ciborium::from_reader(&buf[..length]) {
             Ok(Word::Flights(told)) => flights::take_in(&node, from, &told),
+            Ok(Word::Lost(key)) => dark::take_in_lost(&node, from, key),
+            Ok(Word::Dark(key, domain)) => dark::take_in_dark(&node, from, key, &domain, true),
+            Ok(Word::Back(key, domain)) => dark::take_in_dark(&node, from, key, &domain, false),
             Ok(word) => take_in(&node, word),
             Err(_) => {}
         }
@@ -126,7 +135,7 @@
                 engine.hear(Load { running, waiting, slots: engine.listed.slots }, now);
             }
         }
-        Word::Flights(_) => {}
+        Word::Flights(_) | Word::Lost(_) | Word::Dark(..) | Word::Back(..) => {}
         Word::Ended(engine, start, id) => {
             let Some(engine) = engines.meet(&engine, start) else { return };
             engine.unread.read(id, now);
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -1,12 +1,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hgw_direct::{EngineId, Verdict};
+use hgw_direct::{Engine, EngineId, Verdict};
 use hgw_http1::{Conn, Error, Head, Request};
 use tokio::time::{Instant, sleep_until};
 
 use crate::at_engine::AtEngine;
 use crate::dialect::{Marks, Sending};
+use crate::peers;
 
 use super::request::Relayed;
 
@@ -18,6 +19,9 @@
 /// The same where few requests of this node are there: their own pauses say little of the engine.
 const DARK_AFTER_FEW: Duration = Duration::from_millis(900);
 
+/// The same where another node cannot reach the engine: a silent engine that is well is heard by some node.
+const DARK_AFTER_WORD: Duration = Duration::from_millis(250);
+
 /// Requests of this node at an engine from which their common silence says much.
 const FEW: u32 = 3;
 
@@ -95,10 +99,15 @@
         let tokens = self.prompt().map_or(0, |prompt| prompt.tokens_in);
         let at_engine = AtEngine::begin(&node, engine, &self.call.id, tokens);
         let connected = node.pool.get(addr, node.connect_limits());
-        let mut conn = match self.bounded(connected).await {
+        let connected = tokio::select! {
+            biased;
+            connected = self.bounded(connected) => connected,
+            () = self.until_dark(engine) => return Tried::NotSent,
+        };
+        let mut conn = match connected {
             Waited::Done(Ok(conn)) => conn,
             Waited::Done(Err(_)) => {
-                node.saw(engine, Verdict::Silent);
+                self.lost(engine);
                 return Tried::NotSent;
             }
             Waited::Stalled | Waited::StartedAnew | Waited::TimeOver => return Tried::NotSent,
@@ -120,6 +129,7 @@
                     Error::Io(_) | Error::Ended | Error::Malformed { .. } => Verdict::Failed,
                 };
                 at_engine.saw(verdict);
+                node.broke(engine);
                 self.runs += 1;
                 Tried::Lost
             }
@@ -128,7 +138,7 @@
                 Tried::Lost
             }
             Waited::Stalled => {
-                at_engine.saw(Verdict::Silent);
+                self.lost(engine);
                 self.runs += 1;
                 Tried::Stalled
             }
@@ -140,6 +150,26 @@
         }
     }
 
+    /// An engine could not be reached, or was silent.
+    pub(super) fn lost(&self, engine: &EngineId) {
+        self.node.saw(engine, Verdict::Silent);
+        self.node.broke(engine);
+        if let Some(key) = self.node.engine(engine, Engine::key) {
+            peers::lost(&self.node, key);
+        }
+    }
+
+    /// Ends when another node says that an engine cannot be reached.
+    async fn until_dark(&self, engine: &EngineId) {
+        loop {
+            let told = self.node.dark.notified();
+            if self.node.is_dark(engine) {
+                return;
+            }
+            told.await;
+        }
+    }
+
     /// The head of the answer to this request: one that comes late to an earlier request on the
     /// connection is read to its end and dropped.
     async fn answer_to(&self, conn: &mut Conn, req: &Request) -> Result<(Head, Marks), Error> {
@@ -275,9 +305,12 @@
     ) -> Waited<F::Output> {
         let (began, engine) = (Instant::now(), at_engine.engine());
         let few = self.node.engine(engine, |e| e.own).unwrap_or(0) < FEW;
-        let dark_after = if few { DARK_AFTER_FEW } else { DARK_AFTER };
-        let mut look = began + dark_after;
+        let usual = if few { DARK_AFTER_FEW } else { DARK_AFTER };
         loop {
+            let dark_after = if self.node.is_dark(engine) { DARK_AFTER_WORD } else { usual };
+            let silent = self.node.silent_for(engine).min(began.elapsed());
+            let look = (Instant::now() + dark_after.saturating_sub(silent)).min(began + hung);
+            let told = self.node.dark.notified();
             let started_anew = self.node.started_anew.notified();
             if at_engine.has_ended() {
                 return Waited::StartedAnew;
@@ -286,6 +319,7 @@
                 biased;
                 done = &mut work => return Waited::Done(done),
                 () = started_anew => continue,
+                () = told => continue,
                 () = sleep_until(look.min(self.end)) => {}
             }
             let now = Instant::now();
@@ -300,7 +334,6 @@
                 }
                 return self.at(at_engine, work).await;
             }
-            look = (now + (dark_after - silent)).min(began + hung);
         }
     }
 }
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -194,6 +194,8 @@
                         return Err(NoEngine::NotPlaced(wait));
                     }
                 }
+                // Cut off from the engines that hold it and from the keeper: another node may not be.
+                Ok(Placement::Unknown) if self.is_out_of_reach() => return found,
                 Ok(Placement::Unknown) => {}
                 Err(_) => return found,
             }
@@ -231,6 +233,15 @@
         }
     }
 
+    /// Whether engines hold what it needs, and none of them can be reached.
+    fn is_out_of_reach(&self) -> bool {
+        let (now, state) = (self.node.now(), self.node.state.borrow());
+        let Some(wanted) = self.wanted() else { return false };
+        let mut holders = state.engines.iter().filter(|e| e.takes_work() && e.holds(wanted));
+        holders.next().is_some_and(|e| e.judge.is_dark(now))
+            && holders.all(|e| e.judge.is_dark(now))
+    }
+
     /// Waits a while for what the keeper tells of engines. Asked at each change, it would get many more
     /// questions than there are requests.
     async fn until_placed(&self, give_up: Instant) -> Option<Choice> {
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -155,13 +155,14 @@
                 }
                 Waited::TimeOver => return Some(self.break_off()),
                 Waited::Stalled => {
-                    self.at_engine.saw(Verdict::Silent);
+                    self.req.lost(&self.engine);
                     if !self.move_on().await {
                         return Some(self.break_off());
                     }
                 }
                 Waited::StartedAnew | Waited::Done(Ok(None) | Err(_)) => {
                     self.at_engine.saw(Verdict::Failed);
+                    self.req.node.broke(&self.engine);
                     if !self.go_on().await {
                         return Some(self.break_off());
                     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hgw_direct::flights::EngineKey;
 use hgw_direct::heads::{Heads, Member, Parent};
 use hgw_direct::{
     Budget, BudgetLimits, Catalog, Demand, Engine, EngineId, Engines, Listing, Millis, ServiceId,
@@ -12,7 +13,7 @@
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnectLimits;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::random;
 use tokio::sync::Notify;
 
@@ -53,6 +54,10 @@
     pub(crate) turns: Turns,
     pub(crate) backoff: Backoff,
     pub(crate) flights: Flights,
+    /// Engines that could not be reached, of which this node looks whether they are back.
+    pub(crate) watched: RefCell<IndexSet<EngineKey>>,
+    /// Told whenever another node says that an engine cannot be reached, or can be again.
+    pub(crate) dark: Notify,
     /// Nodes that ask this one for what is new.
     pub(crate) children: Children,
     /// What is new of what engines hold.
@@ -142,6 +147,8 @@
             turns: Turns::default(),
             backoff: Backoff::default(),
             flights: Flights::default(),
+            watched: RefCell::default(),
+            dark: Notify::new(),
             children: Children::default(),
             placements: RefCell::default(),
             heads: RefCell::default(),
@@ -316,6 +323,12 @@
         );
     }
 
+    /// Whether another node could not reach an engine.
+    pub(crate) fn is_dark(&self, engine: &EngineId) -> bool {
+        let now = self.now();
+        self.engine(engine, |e| e.judge.is_dark(now)).unwrap_or(false)
+    }
+
     /// A byte came from an engine.
     pub(crate) fn heard(&self, engine: &EngineId) {
         let now = self.now();
@@ -324,6 +337,13 @@
         }
     }
 
+    /// A connection to an engine has broken: that it was heard a moment ago speaks no more for it.
+    pub(crate) fn broke(&self, engine: &EngineId) {
+        if let Some(engine) = self.state.borrow_mut().engines.get_mut(engine) {
+            engine.heard = 0;
+        }
+    }
+
     /// Time since the last byte came from an engine.
     pub(crate) fn silent_for(&self, engine: &EngineId) -> Duration {
         let state = self.state.borrow();
--- a/crates/hibiscusgw/tests/platform/heads.rs
+++ b/crates/hibiscusgw/tests/platform/heads.rs
@@ -1,10 +1,13 @@
 //! Domains with so many nodes that one of them passes on to the others.
 
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 use hgw_direct::heads::{Member, candidates};
 use hgw_standins::Faults;
-use hgw_standins::fleet::deployment::{configuration, holds, wait};
+use hgw_standins::client::Caller;
+use hgw_standins::fleet::deployment::{HOST, Node, configuration, holds, wait};
 use hgw_standins::fleet::{EngineSettings, Fleet};
 use http::{Method, StatusCode};
 
@@ -34,7 +37,7 @@
 
 /// The nodes of the domain that may pass on, the first first.
 fn heads(fleet: &Fleet) -> Vec<usize> {
-    let member = |n: &hgw_standins::fleet::deployment::Node| Member {
+    let member = |n: &Node| Member {
         node: n.name.clone(),
         addr: n.peers,
         domain: "a".into(),
@@ -144,3 +147,58 @@
     ];
     fleet.nodes[node].call(Method::POST, "/ask/", &headers).unwrap().status
 }
+
+/// Tries of a node that found no connection.
+fn unreached(node: &Node) -> f64 {
+    let metrics = Caller::new(node.metrics).unwrap();
+    let text = metrics.call(Method::GET, "/metrics", &[], "").unwrap().body;
+    let mut lines = text.lines().filter(|l| l.starts_with("hgw_tries_failed_total"));
+    let line = lines.rfind(|l| l.contains("no connection"));
+    line.and_then(|l| l.split_whitespace().next_back()?.parse().ok()).unwrap_or(0.0)
+}
+
+/// Sends calls to a node; gives whether all were answered.
+fn calls(node: &Node, name: &str) -> bool {
+    let call = |n| node.plain("/look/", &format!("{name}-{}-{n}", node.name));
+    (0..8).all(|n| call(n).is_ok_and(|a| a.status == StatusCode::OK))
+}
+
+/// An engine's process is lost, and thirteen nodes send to it. The first finds no connection; on its word the others
+/// leave the engine alone, and the head alone looks whether it is back.
+#[test]
+fn engine_that_one_node_cannot_reach_is_left_alone_by_all() {
+    let fleet = domain_of(14);
+    let others: Vec<&Node> =
+        (0..14).filter(|n| !heads(&fleet).contains(n)).map(|n| &fleet.nodes[n]).collect();
+    let addr = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut entry = fleet.entry("desk-1", "ready");
+    entry["id"] = "desk-3".into();
+    entry["addr"] = addr.to_string().into();
+    fleet.store.put("keyed.servers", "desk-3", entry.to_string().as_bytes());
+    wait("the first node meets the lost engine", || {
+        assert!(calls(others[0], "first"));
+        unreached(others[0]) > 0.0
+    });
+    // A node may read of the engine after the first word on it; the head says it again.
+    std::thread::sleep(Duration::from_secs(1));
+    assert!(others[1..].iter().all(|node| calls(node, "other")));
+    let tried = others[1..].iter().filter(|node| unreached(node) > 0.0).count();
+    assert_eq!(tried, 0, "nodes that tried the lost engine");
+    let back = TcpListener::bind(addr).unwrap();
+    back.set_nonblocking(true).unwrap();
+    let mut met = Vec::new();
+    wait("the engine that is back is sent calls again", || {
+        let callers = others.iter().map(|node| node.callers);
+        for caller in callers {
+            let _ = std::net::TcpStream::connect(caller).map(|mut stream| {
+                let call = "GET /look/ HTTP/1.1\r\nhost: HOST\r\nx-request-id: back\r\n\r\n";
+                stream.write_all(call.replace("HOST", HOST).as_bytes())
+            });
+        }
+        while let Ok((stream, _)) = back.accept() {
+            stream.set_nonblocking(true).unwrap();
+            met.push(stream);
+        }
+        met.iter_mut().any(|stream| stream.read(&mut [0; 64]).is_ok_and(|read| read > 0))
+    });
+}
