Have no head ask, or listen to, another while it keeps the orders

Cause: the keeper took the head of its own domain for its parent: it listened to that head's sum of one domain as if it were all there is, subtracted its own from it, and sent its word of lost engines to a node that did not take it.

Change: a node that keeps the orders has no parent.

--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -202,8 +202,11 @@
         self.now().saturating_sub(told)
     }
 
-    /// Whom this node asks for what is new; nobody where it knows of no keeper and no head.
+    /// Whom this node asks for what is new; nobody where it is the keeper, or knows of no keeper and no head.
     pub(crate) fn parent(&self) -> Option<(Parent, SocketAddr)> {
+        if self.holding.borrow().is_mine() {
+            return None;
+        }
         let keeper = self.holding.borrow().keeper.as_ref().map(|k| k.addr);
         let me = self.settings.borrow().peers;
         let parent = self.heads.borrow().parent(me, keeper, self.now());
--- a/crates/hibiscusgw/tests/platform/heads.rs
+++ b/crates/hibiscusgw/tests/platform/heads.rs
@@ -1,7 +1,7 @@
 //! Domains with so many nodes that one of them passes on to the others.
 
 use std::io::{Read, Write};
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use hgw_direct::heads::{Member, candidates};
@@ -186,14 +186,14 @@
     assert_eq!(tried, 0, "nodes that tried the lost engine");
     let back = TcpListener::bind(addr).unwrap();
     back.set_nonblocking(true).unwrap();
-    let mut met = Vec::new();
+    let (mut met, mut calls) = (Vec::new(), Vec::new());
     wait("the engine that is back is sent calls again", || {
-        let callers = others.iter().map(|node| node.callers);
-        for caller in callers {
-            let _ = std::net::TcpStream::connect(caller).map(|mut stream| {
-                let call = "GET /look/ HTTP/1.1\r\nhost: HOST\r\nx-request-id: back\r\n\r\n";
-                stream.write_all(call.replace("HOST", HOST).as_bytes())
-            });
+        for node in &others {
+            let mut call = TcpStream::connect(node.callers).unwrap();
+            let text = "GET /look/ HTTP/1.1\r\nhost: HOST\r\nx-request-id: back\r\n\r\n";
+            call.write_all(text.replace("HOST", HOST).as_bytes()).unwrap();
+            // A caller that left would take its call with it.
+            calls.push(call);
         }
         while let Ok((stream, _)) = back.accept() {
             stream.set_nonblocking(true).unwrap();
