Keep sums of domains and of all apart while the keeper is replaced

Cause: the keeper before took the heads for nodes that ask it, for two and a half seconds, and told them what there is in all; they took that for the sum of one domain.

Change: a word says whether it is a part or all there is, and counts only from a node to which that fits. A node that turns to another head takes back what it told the one before. The keeper names only candidates of a domain as its head.

--- a/crates/gateway/src/peers/flights.rs
+++ b/crates/gateway/src/peers/flights.rs
@@ -7,8 +7,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hgw_direct::flights::{EngineKey, Flight, Tellers, Telling, Told};
-use hgw_direct::heads::Parent;
+use hgw_direct::flights::{
+    EngineKey, Flight, Place, Relation, Scope, Share, Tellers, Telling, Told, place_of,
+};
+use hgw_direct::heads::{Parent, candidates};
 use hgw_direct::{Millis, tells_sends};
 use indexmap::IndexMap;
 use tokio::time::sleep;
@@ -44,6 +46,8 @@
     up: RefCell<Telling>,
     down: RefCell<Telling>,
     fresh: Cell<bool>,
+    /// The head that this node told last.
+    told: Cell<Option<SocketAddr>>,
 }
 
 impl Flights {
@@ -80,6 +84,18 @@
         Places { head, heads, children }
     }
 
+    fn relation(&self, node: SocketAddr) -> Relation {
+        if self.head == Some(node) {
+            Relation::Head
+        } else if self.heads.contains(&node) {
+            Relation::OtherHead
+        } else if self.children.contains(&node) {
+            Relation::Child
+        } else {
+            Relation::Stranger
+        }
+    }
+
     /// Whether all that counts is known.
     fn are_heard(&self, far: &Tellers, now: Millis) -> bool {
         let heard = far.heard_within(FRESH_FOR, now) as f64;
@@ -114,22 +130,42 @@
         far.keep(now, |addr| Some(*addr) == places.head || places.heads.contains(addr));
         flights.fresh.set(places.are_heard(&far, now));
     }
+    let before = flights.told.replace(places.head);
+    if before != places.head {
+        leave(node, before);
+    }
     let domain = add(own(node), &flights.near.borrow());
     for told in flights.up.borrow_mut().next(now, &domain) {
-        node.sends.tell_to(places.head.iter().chain(&places.heads), &Word::Flights(told));
+        node.sends
+            .tell_to(places.head.iter().chain(&places.heads), &Word::Flights(Scope::Part, told));
     }
     if !places.children.is_empty() {
         let all = add(domain, &flights.far.borrow());
         for told in flights.down.borrow_mut().next(now, &all) {
-            node.sends.tell_to(places.children.iter(), &Word::Flights(told));
+            node.sends.tell_to(places.children.iter(), &Word::Flights(Scope::All, told));
         }
     }
     apply_to_all(node, places.head.is_some());
 }
 
-/// The keeper names those that ask it to each other: they are the heads.
+/// Another head counts what this node has from now on: the one before is to count none of it.
+fn leave(node: &Node, before: Option<SocketAddr>) {
+    let nothing = Told { all_of: Some(Share { part: 0, parts: 1 }), rows: Vec::new() };
+    node.sends.tell_to(before.iter(), &Word::Flights(Scope::Part, nothing));
+    *node.flights.up.borrow_mut() = Telling::default();
+}
+
+/// The keeper names those that ask it to each other: they are the heads. The nodes of the domain that it was the head of
+/// ask it once more before they know that it is the keeper.
 fn know_heads(node: &Node) {
+    let members = node.members.borrow();
     let mut heads = node.children.all();
+    heads.retain(|addr| {
+        let domain = members.iter().find(|m| m.addr == *addr).map(|m| m.domain.as_str());
+        let candidates = candidates(&members, domain.unwrap_or_default());
+        candidates.is_empty() || candidates.iter().any(|c| c.addr == *addr)
+    });
+    drop(members);
     heads.push(node.settings.borrow().peers);
     heads.sort_unstable();
     node.sends.know(heads);
@@ -152,15 +188,14 @@
 
 /// Another node tells. What comes from elsewhere changes nothing: only those count that ask this node or that it asks,
 /// and heads that the keeper has named.
-pub(super) fn take_in(node: &Node, from: SocketAddr, told: &Told) {
+pub(super) fn take_in(node: &Node, from: SocketAddr, scope: Scope, told: &Told) {
     let (now, places, flights) = (node.now(), Places::of(node), &node.flights);
-    let concerned = if places.head == Some(from) || places.heads.contains(&from) {
-        flights.far.borrow_mut().take(from, now, told)
-    } else if places.children.contains(&from) {
-        flights.near.borrow_mut().take(from, now, told)
-    } else {
-        return;
+    let tellers = match place_of(scope, places.relation(from)) {
+        Some(Place::Far) => &flights.far,
+        Some(Place::Near) => &flights.near,
+        None => return,
     };
+    let concerned = tellers.borrow_mut().take(from, now, told);
     if !flights.are_fresh() {
         return;
     }
--- a/crates/gateway/src/peers/sends.rs
+++ b/crates/gateway/src/peers/sends.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use hgw_direct::flights::{EngineKey, Told};
+use hgw_direct::flights::{EngineKey, Scope, Told};
 use hgw_direct::{EngineId, Load, SendId, Start, tells_sends};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -31,8 +31,8 @@
     Answers(EngineId, Start, SendId, Option<(u32, u32)>),
     /// It has ended without an answer.
     Ended(EngineId, Start, SendId),
-    /// What a node, or a domain, has at engines.
-    Flights(Told),
+    /// What a node, a domain, or all together have at engines.
+    Flights(Scope, Told),
     /// A node could not reach an engine.
     Lost(EngineKey),
     /// An engine cannot be reached from a domain.
@@ -108,7 +108,7 @@
         // A node that is gone shows as an error of the socket, which goes on.
         let Ok((length, from)) = socket.recv_from(&mut buf).await else { continue };
         match ciborium::from_reader(&buf[..length]) {
-            Ok(Word::Flights(told)) => flights::take_in(&node, from, &told),
+            Ok(Word::Flights(scope, told)) => flights::take_in(&node, from, scope, &told),
             Ok(Word::Lost(key)) => dark::take_in_lost(&node, from, key),
             Ok(Word::Dark(key, domain)) => dark::take_in_dark(&node, from, key, &domain, true),
             Ok(Word::Back(key, domain)) => dark::take_in_dark(&node, from, key, &domain, false),
@@ -135,7 +135,7 @@
                 engine.hear(Load { running, waiting, slots: engine.listed.slots }, now);
             }
         }
-        Word::Flights(_) | Word::Lost(_) | Word::Dark(..) | Word::Back(..) => {}
+        Word::Flights(..) | Word::Lost(_) | Word::Dark(..) | Word::Back(..) => {}
         Word::Ended(engine, start, id) => {
             let Some(engine) = engines.meet(&engine, start) else { return };
             engine.unread.read(id, now);
