Count one more copy of a model for what it would serve

Change: what one copy serves is the most that one more counts for; beyond, the one whose copies have most to do goes first.

Test: place::model_whose_copies_have_most_to_do_gets_the_next_copy.

--- a/crates/direct/src/place/targets.rs
+++ b/crates/direct/src/place/targets.rs
@@ -65,11 +65,16 @@
     (f64::from(pool.slots) * COPY_RATE_OF_SLOTS).max(1.0)
 }
 
-/// How urgent another copy is, in requests a second: those that the copies which are there cannot serve, then
-/// that a model is nowhere, then that demand is spread thinner.
+/// How urgent another copy is, in requests a second: those that the copies which are there cannot serve and one more
+/// can, then that a model is nowhere, then that demand is spread thinner.
+///
+/// Load: a third of the engines is lost, and each model in demand has too few copies. Counted by all that is not served,
+/// the model that is asked for most got twenty copies one after the other, and one with a single copy and a
+/// hundred requests a second got none before.
 pub(super) fn need(rate: f64, copies: usize, pool: &Pool) -> f64 {
-    let served = copies as f64 * f64::from(pool.slots) * MOST_RATE_OF_SLOTS;
-    let unserved = (rate - served).max(0.0);
+    let one_serves = f64::from(pool.slots) * MOST_RATE_OF_SLOTS;
+    let served = copies as f64 * one_serves;
+    let unserved = (rate - served).clamp(0.0, one_serves);
     let nowhere = if copies == 0 { NOWHERE } else { 0.0 };
     unserved + nowhere + SPREAD * rate / copies.max(1) as f64
 }
--- a/crates/direct/tests/place.rs
+++ b/crates/direct/tests/place.rs
@@ -344,3 +344,19 @@
     assert_eq!(loads(&mut known, 13_001), 1);
     assert_eq!(known.ages(13_001), [3_001, 3_001, 3_001, 3_001, 3_001, 3_001, 0]);
 }
+
+/// A third of the engines is lost. One model is asked for most and has four copies left; another has one, which has more
+/// to do than any of those. All that the first lacks is more, but one copy more serves no more of it than of the second.
+#[test]
+fn model_whose_copies_have_most_to_do_gets_the_next_copy() {
+    let engines = engines(&[
+        ("e1", "a", &["m"]),
+        ("e2", "a", &["m"]),
+        ("e3", "a", &["m"]),
+        ("e4", "a", &["m"]),
+        ("e5", "a", &["n"]),
+        ("e6", "a", &[]),
+    ]);
+    let step = step(&engines, &["m", "n"], &[("m", 600.0), ("n", 250.0)]);
+    assert_matches!(step, Some(ModelStep { load, .. }) if load == "n");
+}
