--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -101,6 +101,8 @@
 pub struct Engine {
     /// What the list says.
     pub listed: Listed,
+    /// Names this start of it in few bytes.
+    key: EngineKey,
     /// What its answers say.
     pub judge: Judge,
     /// Requests that this node has there.
@@ -135,6 +137,7 @@
     /// A newly listed engine.
     pub fn new(listed: Listed) -> Engine {
         Engine {
+            key: EngineKey::of(&listed.id, listed.start),
             listed,
             judge: Judge::default(),
             own: 0,
@@ -265,7 +268,7 @@
 
     /// Names this start of it in few bytes.
     pub fn key(&self) -> EngineKey {
-        EngineKey::of(&self.listed.id, self.listed.start)
+        self.key
     }
 
     /// Whether new work may be sent there.
@@ -336,8 +339,9 @@
             // One that says nothing of its start is taken for the start that is known.
             listed.start = listed.start.max(known);
             if listed.start != known {
-                self.by_key.swap_remove(&engine.key());
-                self.by_key.insert(EngineKey::of(&listed.id, listed.start), listed.id.clone());
+                self.by_key.swap_remove(&engine.key);
+                engine.key = EngineKey::of(&listed.id, listed.start);
+                self.by_key.insert(engine.key, listed.id.clone());
             }
             engine.listed = listed;
         }
--- a/crates/gateway/src/peers/children.rs
+++ b/crates/gateway/src/peers/children.rs
@@ -26,6 +26,11 @@
         self.0.borrow().keys().copied().collect()
     }
 
+    /// Whether a node asks.
+    pub(crate) fn has(&self, node: SocketAddr) -> bool {
+        self.0.borrow().contains_key(&node)
+    }
+
     /// How many ask.
     pub(crate) fn count(&self) -> u32 {
         u32::try_from(self.0.borrow().len()).unwrap_or(u32::MAX)
--- a/crates/gateway/src/peers/dark.rs
+++ b/crates/gateway/src/peers/dark.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hgw_direct::flights::EngineKey;
+use hgw_direct::flights::{EngineKey, Relation};
 use hgw_direct::heads::Parent;
 use hgw_direct::{Millis, tells_sends};
 use hgw_events::{Event, emit};
@@ -17,7 +17,7 @@
 
 use crate::shared::Node;
 
-use super::flights::Places;
+use super::flights::{Places, relation};
 use super::sends::Word;
 
 /// Time for which an engine that cannot be reached is left alone on the word of another node. Its head says so again
@@ -46,7 +46,7 @@
 
 /// Another node says that an engine cannot be reached. What comes from elsewhere changes nothing.
 pub(super) fn take_in_lost(node: &Node, from: SocketAddr, key: EngineKey) {
-    if Places::of(node).children.contains(&from) {
+    if relation(node, from) == Relation::Child {
         watch(node, key);
     }
 }
--- a/crates/gateway/src/peers/flights.rs
+++ b/crates/gateway/src/peers/flights.rs
@@ -84,18 +84,6 @@
         Places { head, heads, children }
     }
 
-    fn relation(&self, node: SocketAddr) -> Relation {
-        if self.head == Some(node) {
-            Relation::Head
-        } else if self.heads.contains(&node) {
-            Relation::OtherHead
-        } else if self.children.contains(&node) {
-            Relation::Child
-        } else {
-            Relation::Stranger
-        }
-    }
-
     /// Whether all that counts is known.
     fn are_heard(&self, far: &Tellers, now: Millis) -> bool {
         let heard = far.heard_within(FRESH_FOR, now) as f64;
@@ -104,6 +92,20 @@
     }
 }
 
+/// What another node is to this one; as [`Places`], for one node.
+pub(super) fn relation(node: &Node, other: SocketAddr) -> Relation {
+    let is_head = match node.parent() {
+        Some((Parent::Head(head), _)) if head == other => return Relation::Head,
+        Some((Parent::Head(_), _)) => false,
+        _ => node.sends.count() <= MOST_HEADS + 1 && node.sends.knows(other),
+    };
+    match (is_head, node.children.has(other)) {
+        (true, _) => Relation::OtherHead,
+        (false, true) => Relation::Child,
+        (false, false) => Relation::Stranger,
+    }
+}
+
 /// Tells other nodes what is at engines, until the process ends.
 pub(crate) async fn tell(node: Node) {
     loop {
@@ -189,8 +191,9 @@
 /// Another node tells. What comes from elsewhere changes nothing: only those count that ask this node or that it asks,
 /// and heads that the keeper has named.
 pub(super) fn take_in(node: &Node, from: SocketAddr, scope: Scope, told: &Told) {
-    let (now, places, flights) = (node.now(), Places::of(node), &node.flights);
-    let tellers = match place_of(scope, places.relation(from)) {
+    let (now, flights) = (node.now(), &node.flights);
+    let relation = relation(node, from);
+    let tellers = match place_of(scope, relation) {
         Some(Place::Far) => &flights.far,
         Some(Place::Near) => &flights.near,
         None => return,
@@ -202,7 +205,7 @@
     let mut state = node.state.borrow_mut();
     for key in concerned {
         if let Some(engine) = state.engines.by_key(key) {
-            engine.elsewhere = Some(elsewhere(node, key, places.head.is_some()));
+            engine.elsewhere = Some(elsewhere(node, key, relation == Relation::Head));
         }
     }
 }
--- a/crates/gateway/src/peers/sends.rs
+++ b/crates/gateway/src/peers/sends.rs
@@ -63,6 +63,16 @@
         others.len()
     }
 
+    /// How many nodes are known.
+    pub(super) fn count(&self) -> usize {
+        self.others.borrow().len()
+    }
+
+    /// Whether a node is among them.
+    pub(super) fn knows(&self, node: SocketAddr) -> bool {
+        self.others.borrow().contains(&node)
+    }
+
     /// The nodes' addresses.
     pub(crate) fn others(&self) -> Vec<SocketAddr> {
         self.others.borrow().clone()
