Take a configuration from another node while a call to the store has no answer

Ruled out: the keeper, which had it at 28.4 s and told all others within 30 ms.

Change: a call to the store for a configuration ends where another node tells of a newer one, unless that node could not give it. The link of the stand-ins can go silent.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -79,7 +79,8 @@
             let _ = timeout(LOOK, node.catalog_news.notified()).await;
             continue;
         }
-        if node.is_followed()
+        let told = node.is_followed();
+        if told
             && let Some(text) = peers::catalog(&node).await
             && adopt(&node, text)
         {
@@ -88,7 +89,17 @@
         // An answer tells that the store is back: it must not wait there for news.
         let wait =
             if link.is_down() { Duration::ZERO } else { node.settings.borrow().catalog_wait() };
-        match node.dialects.store.catalog(cursor, wait).await {
+        let call = node.dialects.store.catalog(cursor, wait);
+        let answered = if told {
+            call.await
+        } else {
+            tokio::select! {
+                biased;
+                answered = call => answered,
+                () = until_lacking(&node) => continue,
+            }
+        };
+        match answered {
             Ok(news) => {
                 link.up();
                 cursor = Some(news.cursor);
@@ -108,6 +119,18 @@
     }
 }
 
+/// Ends when another node tells of a newer configuration. A call to the store may be without an answer for two seconds,
+/// in which callers would be answered by the old one.
+async fn until_lacking(node: &Node) {
+    loop {
+        let told = node.catalog_news.notified();
+        if node.is_followed() && node.lacks_catalog() {
+            return;
+        }
+        told.await;
+    }
+}
+
 /// Puts a configuration in force, where it is newer; tells whether it is.
 fn adopt(node: &Node, text: Bytes) -> bool {
     let catalog = match node.dialects.store.read_catalog(&text) {
--- a/crates/hibiscusgw/tests/platform/apart.rs
+++ b/crates/hibiscusgw/tests/platform/apart.rs
@@ -1,8 +1,11 @@
 //! Nodes that parts of the platform cannot be reached from.
 
+use std::time::Duration;
+
 use hgw_standins::fleet::EngineSettings;
 use hgw_standins::link::Condition;
 use http::StatusCode;
+use rustix::process::Signal;
 
 use hgw_standins::fleet::deployment::{configuration, holds, wait};
 
@@ -54,3 +57,28 @@
         fleet.engine("desk-1").record().runs.len() == before
     });
 }
+
+/// The keeper stands still, another node asks the store itself, and its call gets no answer. The keeper goes on and tells of
+/// a new configuration. The node must not wait for its call to end first: callers were refused on a new route for two
+/// seconds.
+#[test]
+fn node_that_waits_for_the_store_takes_a_configuration_from_another() {
+    let models = EngineSettings { holds: holds(&[("m", &[])]), ..EngineSettings::default() };
+    let mut fleet = fleet_of(vec![models]);
+    let keeper = fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let (other, path) = fleet.start_logged("b");
+    std::thread::sleep(Duration::from_secs(1));
+    // Connections that are open end; new ones carry nothing.
+    fleet.nodes[other].to_store.set(Condition::Cut);
+    std::thread::sleep(Duration::from_millis(200));
+    fleet.nodes[other].to_store.set(Condition::Silent);
+    fleet.nodes[keeper].signal(Signal::STOP);
+    wait("the other hears nothing of the keeper", || !fleet.lines(&path, 2004).is_empty());
+    std::thread::sleep(Duration::from_millis(600));
+    fleet.nodes[keeper].signal(Signal::CONT);
+    fleet.store.put("keyed.op", "config", configuration(2).to_string().as_bytes());
+    wait("the new configuration is in force", || fleet.lines(&path, 3001).len() == 2);
+    let down = fleet.lines(&path, 3101);
+    assert!(down.iter().all(|line| line["what"] != "configuration"), "{down:?}");
+}
--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -15,6 +15,8 @@
     Open,
     /// Connections end, and new ones as well.
     Cut,
+    /// New connections are taken and carry nothing.
+    Silent,
 }
 
 /// A way to a server, which listens at an address of its own. It ends when this is dropped.
@@ -82,6 +84,11 @@
     target: SocketAddr,
     mut conditions: watch::Receiver<Condition>,
 ) {
+    if *conditions.borrow() == Condition::Silent {
+        // Whoever waits for an answer on it gives it up; nothing is left to carry then.
+        let _ = conditions.wait_for(|condition| *condition == Condition::Cut).await;
+        return;
+    }
     let whole = async {
         let Ok(mut to) = TcpStream::connect(target).await else { return };
         // Events are small writes that must not wait for each other.
