Have one piece of code where the round on size had two

What another node is to this one was worked out for a list of nodes and again for one; both go by the same view now, and so does the word on lost engines. Nodes hold back by one function; what was asked for is counted in one place, for this node's callers and for those of its domain; whether loads are told is asked where they are gathered. The keeper works out the candidates of a domain once in a tick, and not for each node that asks. A node always says how far its list goes, so the branch for one that does not is gone. Two test files share the long prompt.

Behaviour is unchanged; assertions are as they were.

--- a/crates/direct/src/judge.rs
+++ b/crates/direct/src/judge.rs
@@ -89,7 +89,8 @@
         (opinion != before).then_some(opinion)
     }
 
-    fn opinion(&self, now: Millis) -> Opinion {
+    /// What is thought of it now.
+    pub fn opinion(&self, now: Millis) -> Opinion {
         if self.is_left_alone(now) {
             Opinion::LeftAlone
         } else if self.failing(now) >= FAILING {
@@ -99,11 +100,6 @@
         }
     }
 
-    /// What is thought of it now.
-    pub fn current(&self, now: Millis) -> Opinion {
-        self.opinion(now)
-    }
-
     /// Another node could not reach it.
     pub fn told_dark(&mut self, until: Millis) {
         self.dark_until = until;
--- a/crates/gateway/src/peers/dark.rs
+++ b/crates/gateway/src/peers/dark.rs
@@ -60,20 +60,20 @@
     domain: &str,
     dark: bool,
 ) {
-    let places = Places::of(node);
     let mine = node.settings.borrow().domain == domain;
     if !mine && domain_of(node, key).is_none_or(|of_engine| of_engine != domain) {
         return;
     }
-    if places.children.contains(&from) && !dark {
+    match relation(node, from) {
         // One of its nodes hears an engine that this one holds for dark.
-        tell(node, key, false);
-    } else if places.head == Some(from) || places.heads.contains(&from) {
-        let believed = believe(node, key, dark);
-        if !believed && places.head.is_some() {
-            node.sends.tell_to([&from].into_iter(), &word(node, key, false));
-        } else if believed {
-            tell_children(node, &places, key, dark);
+        Relation::Child if !dark => tell(node, key, false),
+        Relation::Child | Relation::Stranger => {}
+        relation => {
+            if believe(node, key, dark) {
+                tell_children(node, &Places::of(node), key, dark);
+            } else if relation == Relation::Head {
+                node.sends.tell_to([&from].into_iter(), &word(node, key, false));
+            }
         }
     }
 }
@@ -146,7 +146,7 @@
         engine.judge.told_back();
     }
     if was_dark != dark {
-        let opinion = engine.judge.current(now);
+        let opinion = engine.judge.opinion(now);
         let (name, engine) = (&node.settings.borrow().node, engine.listed.id.clone());
         emit(
             Event::EngineJudged,
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hgw_direct::heads::{Parent, PassedOver, crowd, digest};
-use hgw_direct::{Cursor, Millis, Wanted};
+use hgw_direct::{Millis, Wanted};
 use hgw_events::{Event, emit};
 use indexmap::IndexMap;
 use tokio::time::sleep;
@@ -65,7 +65,7 @@
             asked.clear();
         }
         let tell = self.tell(node, asked, past);
-        let (list, now) = (tell.list, node.now());
+        let now = node.now();
         self.told = now;
         let news: Option<News> = call(node, addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
         let Some(news) = news else {
@@ -83,7 +83,7 @@
         if parent != Parent::Holder && news.age_ms > longest_age(node) {
             node.heads.borrow_mut().pass_over(addr, PassedOver::Stale, node.now());
         }
-        take_in_news(node, now, list, news);
+        take_in_news(node, now, news);
         Some(children)
     }
 
@@ -91,8 +91,7 @@
         let (catalog, list) = {
             let state = node.state.borrow();
             // A node that has none asks for all of it.
-            let list = state.list_at.unwrap_or(0);
-            (state.catalog.as_ref().map_or(0, |c| c.version), Some(list))
+            (state.catalog.as_ref().map_or(0, |c| c.version), state.list_at.unwrap_or(0))
         };
         let settings = node.settings.borrow();
         Tell {
@@ -101,11 +100,7 @@
             heard: self.heard,
             list,
             catalog,
-            loads: if node.flights.are_fresh() {
-                Vec::new()
-            } else {
-                heard_since(node, self.told, None)
-            },
+            loads: heard_since(node, self.told, None),
             asked,
             past,
             others: node.sends.digest(),
@@ -130,7 +125,7 @@
 }
 
 /// Takes in the answer to a question of this time.
-fn take_in_news(node: &Node, asked_at: Millis, list: Option<Cursor>, news: News) {
+fn take_in_news(node: &Node, asked_at: Millis, news: News) {
     let arrived = node.now();
     if let Some(keeper) = news.keeper {
         node.holding.borrow_mut().hear_of(keeper);
@@ -140,7 +135,7 @@
     if let Some(heads) = news.heads {
         node.heads.borrow_mut().know(heads);
     }
-    take_in_list(node, list, news.list);
+    take_in_list(node, news.list);
     // By the time of the question: the answer may have been long on its way.
     node.followed((asked_at + news.held_ms).saturating_sub(news.age_ms));
     take_in(node, news.engines);
--- a/crates/gateway/src/peers/flights.rs
+++ b/crates/gateway/src/peers/flights.rs
@@ -69,19 +69,12 @@
 
 impl Places {
     pub(super) fn of(node: &Node) -> Places {
-        let me = node.settings.borrow().peers;
-        let head = match node.parent() {
-            Some((Parent::Head(addr), _)) => Some(addr),
-            _ => None,
-        };
-        let mut heads = node.sends.others();
-        heads.retain(|addr| *addr != me);
-        if head.is_some() || heads.len() > MOST_HEADS {
-            heads.clear();
-        }
-        let mut children = node.children.all();
-        children.retain(|addr| !heads.contains(addr) && Some(*addr) != head);
-        Places { head, heads, children }
+        let (me, view) = (node.settings.borrow().peers, View::of(node));
+        let is = |relation| move |addr: &SocketAddr| view.relation(node, *addr) == relation;
+        let others = node.sends.others().into_iter().filter(|addr| *addr != me);
+        let heads = others.filter(is(Relation::OtherHead)).collect();
+        let children = node.children.all().into_iter().filter(is(Relation::Child)).collect();
+        Places { head: view.head, heads, children }
     }
 
     /// Whether all that counts is known.
@@ -92,20 +85,43 @@
     }
 }
 
-/// What another node is to this one; as [`Places`], for one node.
-pub(super) fn relation(node: &Node, other: SocketAddr) -> Relation {
-    let is_head = match node.parent() {
-        Some((Parent::Head(head), _)) if head == other => return Relation::Head,
-        Some((Parent::Head(_), _)) => false,
-        _ => node.sends.count() <= MOST_HEADS + 1 && node.sends.knows(other),
-    };
-    match (is_head, node.children.has(other)) {
-        (true, _) => Relation::OtherHead,
-        (false, true) => Relation::Child,
-        (false, false) => Relation::Stranger,
+/// By what a node tells what others are to it.
+#[derive(Debug, Clone, Copy)]
+struct View {
+    head: Option<SocketAddr>,
+    /// Whether it is one of the heads that tell each other.
+    tells_heads: bool,
+}
+
+impl View {
+    fn of(node: &Node) -> View {
+        let head = match node.parent() {
+            Some((Parent::Head(addr), _)) => Some(addr),
+            _ => None,
+        };
+        let me = node.settings.borrow().peers;
+        let tells_heads = head.is_none() && node.sends.count_but(me) <= MOST_HEADS;
+        View { head, tells_heads }
+    }
+
+    fn relation(self, node: &Node, other: SocketAddr) -> Relation {
+        if self.head == Some(other) {
+            Relation::Head
+        } else if self.tells_heads && node.sends.knows(other) {
+            Relation::OtherHead
+        } else if node.children.has(other) {
+            Relation::Child
+        } else {
+            Relation::Stranger
+        }
     }
 }
 
+/// What another node is to this one.
+pub(super) fn relation(node: &Node, other: SocketAddr) -> Relation {
+    View::of(node).relation(node, other)
+}
+
 /// Tells other nodes what is at engines, until the process ends.
 pub(crate) async fn tell(node: Node) {
     loop {
@@ -161,12 +177,15 @@
 /// ask it once more before they know that it is the keeper.
 fn know_heads(node: &Node) {
     let members = node.members.borrow();
+    let mut by_domain = IndexMap::new();
     let mut heads = node.children.all();
     heads.retain(|addr| {
         let domain = members.iter().find(|m| m.addr == *addr).map(|m| m.domain.as_str());
-        let candidates = candidates(&members, domain.unwrap_or_default());
+        let domain = domain.unwrap_or_default();
+        let candidates = by_domain.entry(domain).or_insert_with(|| candidates(&members, domain));
         candidates.is_empty() || candidates.iter().any(|c| c.addr == *addr)
     });
+    drop(by_domain);
     drop(members);
     heads.push(node.settings.borrow().peers);
     heads.sort_unstable();
--- a/crates/gateway/src/peers/heard.rs
+++ b/crates/gateway/src/peers/heard.rs
@@ -12,8 +12,12 @@
 /// Loads that are told at a time: told of all engines to all nodes, they would grow with both.
 const MOST_LOADS: usize = 64;
 
-/// Loads that were heard of since a time, with their age: of engines that hold one of these models, or of any.
+/// Loads that were heard of since a time, with their age: of engines that hold one of these models, or of any. Nothing
+/// where nodes tell each other what they have at engines.
 pub(crate) fn heard_since(node: &Node, since: u64, models: Option<&[Asked]>) -> Vec<HeardLoad> {
+    if node.flights.are_fresh() {
+        return Vec::new();
+    }
     let now = node.now();
     let since = since.max(now.saturating_sub(HEARD_FOR));
     let state = node.state.borrow();
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -1,6 +1,6 @@
 //! What the keeper tells of engines: the list, and what they hold.
 
-use hgw_direct::{AtHand, Cursor, Engines, ListNews, ListPart, Listed, Passed, Standing};
+use hgw_direct::{AtHand, Engines, ListNews, ListPart, Listed, Passed, Standing};
 
 use crate::shared::Node;
 
@@ -8,7 +8,7 @@
 
 /// Takes the keeper's list of engines in. An engine that this node knows to leave does not come back by the
 /// word of a keeper that has not read of it yet.
-pub(super) fn take_in_list(node: &Node, since: Option<Cursor>, news: ListNews) {
+pub(super) fn take_in_list(node: &Node, news: ListNews) {
     let mut state = node.state.borrow_mut();
     if news.part == ListPart::Unknown {
         return;
@@ -18,10 +18,6 @@
         node.reads_list.set(true);
         return;
     }
-    // Without a list of its own the node reads it now, and changes to it are not the whole.
-    if since.is_none() {
-        return;
-    }
     let changes = news.part == ListPart::Whole || !news.engines.is_empty() || !news.gone.is_empty();
     let engines = &mut state.engines;
     let entries: Vec<Listed> =
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -36,8 +36,8 @@
     pub(crate) domain: String,
     /// How far it has heard of what engines hold, by the node that it asks.
     pub(crate) heard: Heard,
-    /// How far its list of engines goes, if it has one.
-    pub(crate) list: Option<Cursor>,
+    /// How far its list of engines goes; 0 where it has none.
+    pub(crate) list: Cursor,
     /// The configuration that it has.
     pub(crate) catalog: u64,
     /// Loads that it heard of since the last exchange.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -51,10 +51,6 @@
 /// Pause while no keeper is known or it does not answer.
 const NO_KEEPER: Duration = Duration::from_millis(150);
 
-/// Models and adapters that are told to the keeper at a time: while none takes them, as many names are kept as callers
-/// can make up.
-pub(crate) const MOST_ASKED: usize = 4_096;
-
 /// Bytes of a message.
 const MOST: usize = 1 << 20;
 
@@ -166,10 +162,7 @@
     let mut state = node.state.borrow_mut();
     for one in asked {
         let (wanted, count) = one.clone().parts();
-        state.demand.saw(now, &wanted, count);
-        if state.asked.len() < MOST_ASKED {
-            *state.asked.entry(wanted).or_default() += count;
-        }
+        state.asked_for(now, &wanted, count);
     }
 }
 
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -9,7 +9,7 @@
 
 use super::NEWS_WAIT;
 use super::heard::heard_since;
-use super::message::{HeardLoad, News, Tell};
+use super::message::{News, Tell};
 
 /// Addresses that are told: more are no heads, but nodes that have not found theirs yet.
 const MOST_OTHERS: usize = 41;
@@ -25,7 +25,7 @@
     let engines = changed.iter().filter_map(|id| keeper::told(node, id)).collect();
     let (list, catalog, nodes) = {
         let state = node.state.borrow();
-        let list = state.listing.since(&state.engines, tell.list);
+        let list = state.listing.since(&state.engines, Some(tell.list));
         (list, version(node), state.nodes)
     };
     News {
@@ -42,12 +42,12 @@
         children: node.children.count(),
         renewed: node.last_renewal(),
         begun: begun(node),
-        loads: loads(node, tell),
+        loads: heard_since(node, 0, Some(&tell.asked)),
     }
 }
 
 fn has_nothing(node: &Node, tell: &Tell) -> bool {
-    let same_list = node.state.borrow().listing.has_nothing_since(tell.list);
+    let same_list = node.state.borrow().listing.has_nothing_since(Some(tell.list));
     let same_placements = node.placements.borrow().has_nothing_since(tell.heard);
     same_list && same_placements && version(node) <= tell.catalog
 }
@@ -67,14 +67,6 @@
     begun.map(|at| now.saturating_sub(*at)).collect()
 }
 
-/// Loads of engines, where nodes do not tell each other what they have there.
-fn loads(node: &Node, tell: &Tell) -> Vec<HeardLoad> {
-    if node.flights.are_fresh() {
-        return Vec::new();
-    }
-    heard_since(node, 0, Some(&tell.asked))
-}
-
 /// The addresses of the nodes that tell each other, where one knows others: all, or the heads.
 fn others(node: &Node, tell: &Tell) -> Option<Vec<std::net::SocketAddr>> {
     let tells = tells_sends(node.state.borrow().nodes) || node.holding.borrow().is_mine();
--- a/crates/gateway/src/peers/sends.rs
+++ b/crates/gateway/src/peers/sends.rs
@@ -63,9 +63,9 @@
         others.len()
     }
 
-    /// How many nodes are known.
-    pub(super) fn count(&self) -> usize {
-        self.others.borrow().len()
+    /// How many nodes but this one are known.
+    pub(super) fn count_but(&self, me: SocketAddr) -> usize {
+        self.others.borrow().iter().filter(|addr| **addr != me).count()
     }
 
     /// Whether a node is among them.
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -13,7 +13,7 @@
 use crate::answer::Answer;
 use crate::dialect::Call;
 use crate::meter;
-use crate::peers::{self, MOST_ASKED, Placement};
+use crate::peers::{self, Placement};
 use crate::shared::{Active, Node};
 use crate::turn::Turn;
 
@@ -127,10 +127,7 @@
         let mut state = self.node.state.borrow_mut();
         state.budgets.entry(self.service.clone()).or_default().first(now, &limits);
         let Some(wanted) = self.wanted() else { return };
-        state.demand.saw(now, wanted, 1.0);
-        if state.asked.len() < MOST_ASKED {
-            *state.asked.entry(wanted.clone()).or_default() += 1.0;
-        }
+        state.asked_for(now, wanted, 1.0);
     }
 
     pub(super) fn prompt(&self) -> Option<&Prompt> {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use hgw_direct::flights::EngineKey;
-use hgw_direct::heads::{Heads, Member, Parent};
+use hgw_direct::heads::{Heads, Member, Parent, crowd};
 use hgw_direct::{
     Budget, BudgetLimits, Catalog, Demand, Engine, EngineId, Engines, Listing, Millis, ServiceId,
     Verdict, Wanted, is_cut_off, reads_on,
@@ -33,12 +33,8 @@
 /// Longest time that bytes sent to an engine stay unacknowledged.
 const UNACKED: Duration = Duration::from_secs(1);
 
-/// Nodes that may ask the keeper as often as they like.
-const FEW_NODES: u32 = 10;
-
-/// Longest that nodes hold back, as a multiple of what few nodes do: beyond, the keeper's word would be too old
-/// by the time of the next.
-const MOST_CROWD: u32 = 12;
+/// Models and adapters that are told to the keeper at a time.
+const MOST_ASKED: usize = 4_096;
 
 /// Everything that the tasks of a node share.
 pub(crate) struct Shared {
@@ -132,6 +128,16 @@
     pub(crate) connections: Cell<usize>,
 }
 
+impl State {
+    /// Requests came for something. While no keeper takes them, as many names are kept as callers can make up.
+    pub(crate) fn asked_for(&mut self, now: Millis, wanted: &Wanted, count: f64) {
+        self.demand.saw(now, wanted, count);
+        if self.asked.len() < MOST_ASKED {
+            *self.asked.entry(wanted.clone()).or_default() += count;
+        }
+    }
+}
+
 impl Shared {
     pub(crate) fn new(settings: Settings, dialects: Dialects) -> Node {
         Rc::new(Shared {
@@ -249,7 +255,8 @@
 
     /// By how much nodes hold back, so that the keeper is asked as often by many as by ten.
     pub(crate) fn crowd(&self) -> u32 {
-        self.state.borrow().nodes.div_ceil(FEW_NODES).clamp(1, MOST_CROWD)
+        let nodes = self.state.borrow().nodes;
+        crowd(nodes, nodes)
     }
 
     /// Whether this node reads the list when nobody reads it for all.
--- a/crates/hibiscusgw/tests/platform/heads.rs
+++ b/crates/hibiscusgw/tests/platform/heads.rs
@@ -11,7 +11,7 @@
 use hgw_standins::fleet::{EngineSettings, Fleet};
 use http::{Method, StatusCode};
 
-use crate::fleet_of;
+use crate::{fleet_of, long_prompt};
 
 /// An engine that reads each prompt for so long that the next request comes meanwhile.
 fn reads(id: &str) -> EngineSettings {
@@ -120,10 +120,10 @@
         let ids = [format!("s-{tries}"), format!("t-{tries}")];
         std::thread::scope(|scope| {
             let fleet = &fleet;
-            let first = scope.spawn(|| stream(fleet, pair[0], &ids[0]));
+            let first = scope.spawn(|| long_prompt(fleet, pair[0], &ids[0]));
             wait("the first is sent", || fleet.runs(&ids[0]) == 1);
             std::thread::sleep(Duration::from_millis(200));
-            assert_eq!(stream(fleet, pair[1], &ids[1]), StatusCode::OK);
+            assert_eq!(long_prompt(fleet, pair[1], &ids[1]), StatusCode::OK);
             assert_eq!(first.join().unwrap(), StatusCode::OK);
         });
     }
@@ -136,18 +136,6 @@
     assert_eq!(parted, pairs.len());
 }
 
-/// Sends a long prompt of a session, and waits for the whole stream.
-fn stream(fleet: &Fleet, node: usize, id: &str) -> StatusCode {
-    let headers = [
-        ("x-request-id", id),
-        ("x-deadline-ms", "8000"),
-        ("x-model", "m"),
-        ("x-tokens", "4000,120"),
-        ("x-prompt-prefix", "a1:60,b2:3940"),
-    ];
-    fleet.nodes[node].call(Method::POST, "/ask/", &headers).unwrap().status
-}
-
 /// Tries of a node that found no connection.
 fn unreached(node: &Node) -> f64 {
     let metrics = Caller::new(node.metrics).unwrap();
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -13,8 +13,21 @@
 mod words;
 
 use hgw_standins::fleet::{EngineSettings, Fleet};
+use http::{Method, StatusCode};
 
 /// The platform with these engines of models, before the program that is tested.
 fn fleet_of(models: Vec<EngineSettings>) -> Fleet {
     Fleet::new(env!("CARGO_BIN_EXE_hibiscusgw"), models)
 }
+
+/// Sends a long prompt of a session, and waits for the whole stream.
+fn long_prompt(fleet: &Fleet, node: usize, id: &str) -> StatusCode {
+    let headers = [
+        ("x-request-id", id),
+        ("x-deadline-ms", "8000"),
+        ("x-model", "m"),
+        ("x-tokens", "4000,120"),
+        ("x-prompt-prefix", "a1:60,b2:3940"),
+    ];
+    fleet.nodes[node].call(Method::POST, "/ask/", &headers).unwrap().status
+}
--- a/crates/hibiscusgw/tests/platform/words.rs
+++ b/crates/hibiscusgw/tests/platform/words.rs
@@ -4,9 +4,9 @@
 
 use hgw_standins::fleet::deployment::{configuration, holds, wait};
 use hgw_standins::fleet::{EngineSettings, Fleet};
-use http::{Method, StatusCode};
+use http::StatusCode;
 
-use crate::fleet_of;
+use crate::{fleet_of, long_prompt};
 
 /// An engine that reads each prompt for so long that the next request comes meanwhile.
 fn reads(id: &str) -> EngineSettings {
@@ -18,18 +18,6 @@
     }
 }
 
-/// Sends a long prompt of a session, and waits for the whole stream.
-fn stream(fleet: &Fleet, node: usize, id: &str) -> StatusCode {
-    let headers = [
-        ("x-request-id", id),
-        ("x-deadline-ms", "8000"),
-        ("x-model", "m"),
-        ("x-tokens", "4000,120"),
-        ("x-prompt-prefix", "a1:60,b2:3940"),
-    ];
-    fleet.nodes[node].call(Method::POST, "/ask/", &headers).unwrap().status
-}
-
 fn at<'a>(fleet: &Fleet, engines: &[&'a str], id: &str) -> Option<&'a str> {
     engines.iter().find(|e| fleet.engine(e).record().runs.contains_key(id)).copied()
 }
@@ -49,10 +37,10 @@
         std::thread::scope(|scope| {
             let fleet = &fleet;
             let id = &ids[0];
-            let stream_of_first = scope.spawn(move || stream(fleet, first, id));
+            let stream_of_first = scope.spawn(move || long_prompt(fleet, first, id));
             wait("the first is sent", || at(fleet, &engines, id).is_some());
             std::thread::sleep(Duration::from_millis(50));
-            assert_eq!(stream(fleet, second, &ids[1]), StatusCode::OK);
+            assert_eq!(long_prompt(fleet, second, &ids[1]), StatusCode::OK);
             assert_eq!(stream_of_first.join().unwrap(), StatusCode::OK);
         });
         at(&fleet, &engines, &ids[0]) != at(&fleet, &engines, &ids[1])
@@ -79,11 +67,11 @@
     let node = fleet.start("a");
     std::thread::scope(|scope| {
         let fleet = &fleet;
-        let running = scope.spawn(move || stream(fleet, node, "long"));
+        let running = scope.spawn(move || long_prompt(fleet, node, "long"));
         wait("the stream runs", || fleet.runs("long") == 1);
         std::thread::sleep(Duration::from_millis(300));
         let ids = ["s-1", "s-2", "s-3", "s-4"];
-        let all = ids.map(|id| scope.spawn(move || stream(fleet, node, id)));
+        let all = ids.map(|id| scope.spawn(move || long_prompt(fleet, node, id)));
         for one in all {
             assert_eq!(one.join().unwrap(), StatusCode::OK);
         }
@@ -101,5 +89,5 @@
     for bytes in [&b""[..], b"{}", &[0xff; 600], b"\xa1dSent\x83ci-1\x20\x20"] {
         socket.send_to(bytes, fleet.nodes[node].peers).unwrap();
     }
-    assert_eq!(stream(&fleet, node, "s-1"), StatusCode::OK);
+    assert_eq!(long_prompt(&fleet, node, "s-1"), StatusCode::OK);
 }
