Part an engine from the list of engines, and keep its short names in one place

That an engine has started anew was written twice, for an entry and for another node's word, with the index of short names kept by hand in three places. A test says which names find an engine.

Behaviour is unchanged.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 mod catalog;
 mod choose;
 mod demand;
+mod engine;
 mod engines;
 pub mod flights;
 pub mod heads;
@@ -25,7 +26,8 @@
 };
 pub use choose::{Ask, Choice, NoEngine, Policy, choose};
 pub use demand::{Demand, Past, Rates};
-pub use engines::{AtHand, Engine, EngineId, Engines, Held, Listed, Load, Standing, Start};
+pub use engine::{AtHand, Engine, EngineId, Held, Listed, Load, Standing, Start};
+pub use engines::Engines;
 pub use judge::{Judge, Opinion, Verdict};
 pub use listing::{Cursor, ListNews, Listing, Part as ListPart, Passed, is_long, reads_on};
 pub use prompt::{EmptyModel, Part, Prompt, Wanted};
--- a/crates/direct/tests/engines.rs
+++ b/crates/direct/tests/engines.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use hgw_direct::flights::EngineKey;
 use hgw_direct::{EngineId, Engines, Listed, Load, SendId, Standing, Start, Verdict};
 use support::{engines, listed};
 
@@ -81,3 +82,21 @@
     let engine = engines.get(&id()).unwrap();
     assert!(engine.takes_work() && engine.own == 7);
 }
+
+/// What other nodes have at an engine is told under the short name of one start of it. Told of an earlier start it must
+/// find nothing, whether a new entry, another node's word, or an entry that first says when it started ended that.
+#[test]
+fn engine_is_found_by_the_name_of_its_newest_start_alone() {
+    let named = |born| EngineKey::of(&"e1".into(), Start(born));
+    let mut engines = engines(&[("e1", "a", &["m"])]);
+    assert!(engines.by_key(named(None)).is_some());
+    let entry = |born| Listed { start: Start(born), ..listed("e1", "a", &["m"]) };
+    engines.list(entry(Some(1)));
+    assert!(engines.by_key(named(None)).is_none() && engines.by_key(named(Some(1))).is_some());
+    engines.list(entry(Some(2)));
+    assert!(engines.by_key(named(Some(1))).is_none() && engines.by_key(named(Some(2))).is_some());
+    engines.meet(&"e1".into(), Start(Some(3)));
+    assert!(engines.by_key(named(Some(2))).is_none() && engines.by_key(named(Some(3))).is_some());
+    engines.unlist(&"e1".into());
+    assert!(engines.by_key(named(Some(3))).is_none());
+}
