Tell sums of what is at engines on two levels, so that none is added up again

Cause: while the keeper stops, nodes do not agree on who passes on to whom. A node with a head told it the sum of itself and of all that ask it, and the same again downwards, so that two nodes which took each other for one below them added each other's sums up in every tick. Beliefs rose from 5 requests at an engine to 350 in two seconds and 2,100 requests were refused as full, while engines rejected nothing.

Change: a word says whether it is a node's own, a domain's sum or all there is; only a node's own counts with a domain's sum, so that no word can come back into itself whatever nodes take each other for. A node behind a head tells its own and passes nothing on. The decisions moved from the task that sends to hgw-direct (sums.rs). Beside it, loads that nodes tell are no ground to refuse where the same engines told less than two fifths of them. The test that a domain's sum counts from a child is replaced by one that none does.

--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -120,6 +120,10 @@
 /// least urgent 8 in 100 were. They wait for the next slot only; those beyond the measure go before those below it.
 const QUEUE_SHARE_FIRST: f64 = 1.75;
 
+/// What nodes say of loads against what engines say, beyond which the engines are believed: they tell up to two seconds
+/// earlier, in which a burst doubles what is there.
+const MOST_OVERSTATED: f64 = 2.5;
+
 /// Chooses the engine with the least expected time to the first byte.
 pub fn choose(engines: &Engines, ask: &Ask<'_>, now: Millis) -> Result<Choice, NoEngine> {
     let mut found = NoEngine::None;
@@ -128,6 +132,7 @@
     let tokens = ask.prompt.map_or(0, |p| p.tokens_in);
     let home = ask.prompt.map(home_key);
     let mean = mean_load(engines, ask.service, now);
+    let overstated = overstated(engines, ask.service, now);
     for engine in engines.of(ask.service).filter(|e| e.takes_work()) {
         if found == NoEngine::None {
             found = NoEngine::NotPlaced(PLACED_WITHIN);
@@ -141,7 +146,8 @@
         let estimate = engine.known_load(now).unwrap_or_else(|| mean.max(f64::from(engine.own)));
         let queue = if ask.goes_first { QUEUE_SHARE_FIRST } else { QUEUE_SHARE };
         let room = f64::from(engine.listed.slots) * (1.0 + queue);
-        if estimate >= room || engine.own >= ask.conns || ask.tried.contains(&engine.listed.id) {
+        let is_full = estimate / overstated >= room;
+        if is_full || engine.own >= ask.conns || ask.tried.contains(&engine.listed.id) {
             let wait = Duration::from_millis(250);
             found = NoEngine::Full(wait);
             continue;
@@ -210,6 +216,19 @@
     if count == 0 { 0.0 } else { sum / f64::from(count) }
 }
 
+/// By how much the loads that nodes tell each other exceed those that the same engines told; 1 where they agree.
+///
+/// Load: two nodes count the same requests twice over, and the engines tell all the while that they have places. What
+/// nodes say of an engine is no ground to refuse requests where the engines say otherwise; what rejections tell is soon
+/// among what they say.
+fn overstated(engines: &Engines, service: &ServiceId, now: Millis) -> f64 {
+    let both = engines.of(service).filter(|e| e.elsewhere.is_some() && e.takes_work());
+    let both = both.filter_map(|e| Some((e.known_load(now)?, e.told_load(now)?)));
+    let (known, told) = both.fold((0.0, 0.0), |(k, t), (known, told)| (k + known, t + told));
+    let by = known / f64::max(told, 1.0);
+    if by > MOST_OVERSTATED { by } else { 1.0 }
+}
+
 /// A draw for one engine in `0..1`, from the draw for the request.
 fn draw_of(draw: f64, engine: &EngineId) -> f64 {
     rank(draw.to_bits(), engine)
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -172,6 +172,11 @@
         if let Some(elsewhere) = self.elsewhere {
             return Some(f64::from(elsewhere.requests) + f64::from(self.own));
         }
+        self.told_load(now)
+    }
+
+    /// The load that it told of late itself, with the change in this node's own requests since.
+    pub fn told_load(&self, now: Millis) -> Option<f64> {
         let (load, at, own) = self.told.filter(|(_, at, _)| now.saturating_sub(*at) < TOLD_FOR)?;
         debug_assert!(at <= now);
         let told = f64::from(load.running + load.waiting);
--- a/crates/direct/src/flights.rs
+++ b/crates/direct/src/flights.rs
@@ -102,50 +102,6 @@
     pub rows: Vec<Row>,
 }
 
-/// What a word adds up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Scope {
-    /// What a node has, or the nodes of its domain together.
-    Part,
-    /// What there is in all.
-    All,
-}
-
-/// What a node is to another that hears it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Relation {
-    /// The head of its domain.
-    Head,
-    /// The head of another domain.
-    OtherHead,
-    /// A node that asks it.
-    Child,
-    /// None of these.
-    Stranger,
-}
-
-/// Where a word counts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Place {
-    /// With what nodes of this domain have.
-    Near,
-    /// With what is elsewhere.
-    Far,
-}
-
-/// Where a word counts, if it does.
-///
-/// Load: the keeper is replaced. The one before still takes the heads for nodes that ask it, and tells them what there is
-/// in all; the heads still take it for one of them. Counted as the sum of a domain, that doubled every load for five
-/// seconds, all engines looked full, and three thousand requests were refused.
-pub fn place_of(scope: Scope, from: Relation) -> Option<Place> {
-    match (scope, from) {
-        (Scope::All, Relation::Head) | (Scope::Part, Relation::OtherHead) => Some(Place::Far),
-        (Scope::Part, Relation::Child) => Some(Place::Near),
-        _ => None,
-    }
-}
-
 /// Time for which the word of a node holds that says no more: it has ended, and so have its requests.
 const HOLDS_FOR: Millis = 2_500;
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,6 +18,7 @@
 mod reach;
 mod refuse;
 mod silence;
+pub mod sums;
 mod unread;
 
 pub use budget::{Budget, BudgetLimits};
--- a/crates/direct/tests/choose.rs
+++ b/crates/direct/tests/choose.rs
@@ -333,3 +333,22 @@
         assert_eq!(choice.is_ok(), goes_first, "{choice:?}");
     }
 }
+
+/// Nodes count the same requests several times over and take all engines for full, while these tell that they have
+/// places. Requests were refused for two seconds.
+#[test]
+fn engines_that_say_they_have_places_are_not_full() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "b", &["m"])]);
+    for engine in engines.iter_mut() {
+        let slots = engine.listed.slots;
+        engine.elsewhere = Some(Flight { requests: 20 * slots, prompts: 0, tokens: 0 });
+        engine.hear(Load { running: slots / 2, waiting: 0, slots }, 900);
+    }
+    assert_matches!(chosen(&engines, "m", &[]), Ok(_));
+    // They say themselves that they are full.
+    for engine in engines.iter_mut() {
+        let slots = engine.listed.slots;
+        engine.hear(Load { running: slots, waiting: 19 * slots, slots }, 950);
+    }
+    assert_matches!(chosen(&engines, "m", &[]), Err(NoEngine::Full(_)));
+}
--- a/crates/direct/tests/flights.rs
+++ b/crates/direct/tests/flights.rs
@@ -2,9 +2,7 @@
 
 use std::net::SocketAddr;
 
-use hgw_direct::flights::{
-    EngineKey, Flight, Place, Relation, Row, Scope, Share, Tellers, Telling, Told, place_of,
-};
+use hgw_direct::flights::{EngineKey, Flight, Row, Share, Tellers, Telling, Told};
 use hgw_direct::{EngineId, Start};
 use indexmap::IndexMap;
 use proptest::collection::vec;
@@ -96,22 +94,6 @@
     assert_eq!(telling.next(1_000, &flights), [all(&[Row(key(2), 3, 1, 300)])]);
 }
 
-/// The keeper is replaced, and for seconds its successor and the heads do not agree on who is what to whom. A sum of all
-/// must never be added to the sums of domains, nor a domain's sum be taken for all there is.
-#[test]
-fn sums_of_all_and_of_domains_are_never_mixed() {
-    let part = |from| place_of(Scope::Part, from);
-    let all = |from| place_of(Scope::All, from);
-    assert_eq!(part(Relation::OtherHead), Some(Place::Far));
-    assert_eq!(part(Relation::Child), Some(Place::Near));
-    assert_eq!(part(Relation::Head), None);
-    assert_eq!(all(Relation::Head), Some(Place::Far));
-    for from in [Relation::OtherHead, Relation::Child, Relation::Stranger] {
-        assert_eq!(all(from), None, "{from:?}");
-    }
-    assert_eq!(part(Relation::Stranger), None);
-}
-
 /// With three thousand engines all there is takes many datagrams, each of which is the whole word on its share.
 #[test]
 fn many_engines_are_told_of_in_several_datagrams() {
--- /dev/null
+++ b/crates/direct/tests/sums.rs
@@ -0,0 +1,256 @@
+//! What nodes believe of each other's requests, whatever they take each other for.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use hgw_direct::Start;
+use hgw_direct::flights::{EngineKey, Flight};
+use hgw_direct::sums::{Circle, Place, Relation, Saying, Scope, Sums, place_of};
+use indexmap::IndexMap;
+use proptest::collection::vec;
+use proptest::prelude::{Strategy, prop_assert, proptest};
+
+/// Time between two words.
+const TICK: u64 = 40;
+
+/// Time on its way for each word, in ticks.
+const DELAY: usize = 1;
+
+fn engine() -> EngineKey {
+    EngineKey::of(&"i-1".into(), Start(None))
+}
+
+fn addr(node: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], node as u16 + 1))
+}
+
+/// Whom a node asks, and whom it takes for heads.
+#[derive(Debug, Clone, Default)]
+struct View {
+    /// Its head, where it believes to have one.
+    head: Option<usize>,
+    /// The keeper that it asks itself, where it has no head.
+    keeper: Option<usize>,
+    /// The heads that it was told of.
+    heads: Vec<usize>,
+}
+
+/// Nodes that tell each other what they have at one engine.
+struct World {
+    sums: Vec<Sums>,
+    views: Vec<View>,
+    own: Vec<u32>,
+    under_way: VecDeque<Vec<(usize, Saying)>>,
+    now: u64,
+}
+
+impl World {
+    fn new(nodes: usize, own: u32) -> World {
+        World {
+            sums: (0..nodes).map(|_| Sums::default()).collect(),
+            views: vec![View::default(); nodes],
+            own: vec![own; nodes],
+            under_way: VecDeque::from(vec![Vec::new(); DELAY]),
+            now: 0,
+        }
+    }
+
+    /// Domains of `size` nodes, the first of each its head; the heads know each other.
+    fn settle(&mut self, size: usize) {
+        let heads: Vec<usize> = (0..self.views.len()).step_by(size).collect();
+        for node in 0..self.views.len() {
+            let head = node - node % size;
+            self.views[node] = View {
+                head: (head != node).then_some(head),
+                keeper: None,
+                heads: if head == node { heads.clone() } else { Vec::new() },
+            };
+        }
+    }
+
+    fn asks(&self, node: usize, other: usize) -> bool {
+        let view = &self.views[node];
+        view.head == Some(other) || view.head.is_none() && view.keeper == Some(other)
+    }
+
+    fn relation(&self, node: usize, other: usize) -> Relation {
+        let view = &self.views[node];
+        if view.head == Some(other) {
+            Relation::Head
+        } else if view.head.is_none() && view.heads.contains(&other) {
+            Relation::OtherHead
+        } else if self.asks(other, node) {
+            Relation::Child
+        } else {
+            Relation::Stranger
+        }
+    }
+
+    fn circle(&self, node: usize) -> Circle {
+        let those = |relation| {
+            let all = (0..self.sums.len()).filter(|other| *other != node);
+            all.filter(|other| self.relation(node, *other) == relation).map(addr).collect()
+        };
+        Circle {
+            head: self.views[node].head.map(addr),
+            heads: those(Relation::OtherHead),
+            children: those(Relation::Child),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK;
+        for (from, saying) in self.under_way.pop_front().unwrap_or_default() {
+            for to in &saying.to {
+                let to = usize::from(to.port()) - 1;
+                let relation = self.relation(to, from);
+                self.sums[to].take(addr(from), relation, saying.scope, &saying.told, self.now);
+            }
+        }
+        let mut said = Vec::new();
+        for node in 0..self.sums.len() {
+            let flight = Flight { requests: self.own[node], prompts: 0, tokens: 0 };
+            let own = IndexMap::from([(engine(), flight)]);
+            let circle = self.circle(node);
+            let sayings = self.sums[node].next(self.now, own, &circle);
+            said.extend(sayings.into_iter().map(|saying| (node, saying)));
+        }
+        self.under_way.push_back(said);
+    }
+
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms / TICK {
+            self.tick();
+        }
+    }
+
+    /// The most that any node believes to be at the engine.
+    fn most(&self) -> u32 {
+        let believed = |n: usize| self.sums[n].elsewhere(engine()).requests + self.own[n];
+        (0..self.sums.len()).map(believed).max().unwrap_or(0)
+    }
+
+    fn is_known_to_all(&self, sum: u32) -> bool {
+        let believed = |n: usize| self.sums[n].elsewhere(engine()).requests + self.own[n];
+        (0..self.sums.len()).all(|n| self.sums[n].are_fresh() && believed(n) == sum)
+    }
+}
+
+#[test]
+fn all_nodes_know_what_there_is_in_all() {
+    let mut world = World::new(15, 3);
+    world.settle(5);
+    world.run(400);
+    assert!(world.is_known_to_all(45));
+}
+
+/// The keeper stops as planned. It asks the head of its domain from then on, which still asks it, as do the other
+/// heads: each of both told the other a sum with the other's in it. Every node refused requests as if engines were full.
+#[test]
+fn keeper_that_stops_makes_no_engine_look_full() {
+    let mut world = World::new(15, 3);
+    world.settle(5);
+    world.run(400);
+    world.views[0].head = Some(1);
+    for head in [1, 5, 10] {
+        let heads = if head == 1 { vec![5, 10] } else { vec![0, 1, 5, 10] };
+        world.views[head] = View { head: None, keeper: Some(0), heads };
+    }
+    for _ in 0..3_000 / TICK {
+        world.tick();
+        assert!(world.most() <= 45 + 15, "{} at {} ms", world.most(), world.now);
+    }
+    world.settle(5);
+    world.run(3_000);
+    assert!(world.is_known_to_all(45));
+}
+
+/// Three nodes ask each other in a ring, with nodes behind each of them.
+#[test]
+fn ring_of_heads_adds_nothing_up() {
+    let mut world = World::new(12, 3);
+    world.settle(4);
+    world.run(400);
+    for (node, next) in [(0, 4), (4, 8), (8, 0)] {
+        world.views[node] = View { head: Some(next), keeper: None, heads: vec![0, 4, 8] };
+    }
+    for _ in 0..6_000 / TICK {
+        world.tick();
+        assert!(world.most() <= 36 + 12, "{} at {} ms", world.most(), world.now);
+    }
+    // Nobody tells of anybody who has ended.
+    world.own = vec![0; 12];
+    world.run(3_000);
+    assert_eq!(world.most(), 0);
+}
+
+/// A head is frozen, or killed, or hears nobody for seconds. What its nodes told it is counted once, by the next head.
+#[test]
+fn head_that_falls_silent_leaves_nothing_counted_twice() {
+    let mut world = World::new(15, 3);
+    world.settle(5);
+    world.run(400);
+    for node in 1..5 {
+        world.views[node].head = (node != 1).then_some(1);
+    }
+    world.views[1].heads = vec![5, 10];
+    for head in [5, 10] {
+        world.views[head].heads = vec![1, 5, 10];
+    }
+    world.sums[0] = Sums::default();
+    world.views[0].heads = Vec::new();
+    world.own[0] = 0;
+    world.run(3_000);
+    let believed = world.sums[7].elsewhere(engine()).requests + world.own[7];
+    assert_eq!(believed, 42);
+}
+
+/// A node's own counts with a domain's, a domain's with all there is, and nothing the other way round.
+#[test]
+fn no_word_counts_where_it_could_come_back_into_itself() {
+    let all = [Relation::Head, Relation::OtherHead, Relation::Child, Relation::Stranger];
+    let counts = |scope, place| -> Vec<Relation> {
+        all.into_iter().filter(|r| place_of(scope, *r) == Some(place)).collect()
+    };
+    assert_eq!(counts(Scope::Own, Place::Near), [Relation::Child]);
+    assert_eq!(counts(Scope::Part, Place::Near), []);
+    assert_eq!(counts(Scope::All, Place::Near), []);
+    assert_eq!(counts(Scope::Own, Place::Far), [Relation::OtherHead]);
+    assert_eq!(counts(Scope::Part, Place::Far), [Relation::OtherHead]);
+    assert_eq!(counts(Scope::All, Place::Far), [Relation::Head]);
+}
+
+fn views(nodes: usize) -> impl Strategy<Value = Vec<View>> {
+    use proptest::option::of;
+    let view = (of(0..nodes), of(0..nodes), vec(0..nodes, 0..nodes));
+    vec(view.prop_map(|(head, keeper, heads)| View { head, keeper, heads }), nodes)
+}
+
+proptest! {
+    /// Whatever nodes take each other for, and however often that changes, a node counts at most once with each domain
+    /// that it told, each domain at most once with each node: a belief is bounded by the nodes and does not grow with
+    /// time. When all agree again it is right.
+    #[test]
+    fn beliefs_do_not_grow_whatever_nodes_take_each_other_for(
+        stages in vec((views(8), 1_u64..80), 1..6),
+    ) {
+        const OWN: u32 = 2;
+        const NODES: u32 = 8;
+        let mut world = World::new(NODES as usize, OWN);
+        for (views, ticks) in stages {
+            for (node, mut view) in views.into_iter().enumerate() {
+                view.head = view.head.filter(|head| *head != node);
+                view.heads.retain(|head| *head != node);
+                world.views[node] = view;
+            }
+            for _ in 0..ticks {
+                world.tick();
+                // The own of each node at each head, and that of each head at each other one.
+                prop_assert!(world.most() <= OWN * NODES * NODES);
+            }
+        }
+        world.settle(4);
+        world.run(3_000);
+        prop_assert!(world.is_known_to_all(OWN * NODES));
+    }
+}
--- a/crates/gateway/src/peers/dark.rs
+++ b/crates/gateway/src/peers/dark.rs
@@ -8,8 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hgw_direct::flights::{EngineKey, Relation};
+use hgw_direct::flights::EngineKey;
 use hgw_direct::heads::Parent;
+use hgw_direct::sums::{Circle, Relation};
 use hgw_direct::{Millis, tells_sends};
 use hgw_events::{Event, emit};
 use hgw_http1::Conn;
@@ -17,7 +18,7 @@
 
 use crate::shared::Node;
 
-use super::flights::{Places, relation};
+use super::flights::{circle, relation};
 use super::sends::Word;
 
 /// Time for which an engine that cannot be reached is left alone on the word of another node. Its head says so again
@@ -70,7 +71,7 @@
         Relation::Child | Relation::Stranger => {}
         relation => {
             if believe(node, key, dark) {
-                tell_children(node, &Places::of(node), key, dark);
+                tell_children(node, &circle(node), key, dark);
             } else if relation == Relation::Head {
                 node.sends.tell_to([&from].into_iter(), &word(node, key, false));
             }
@@ -112,9 +113,9 @@
     if !believe(node, key, dark) {
         return;
     }
-    let places = Places::of(node);
-    tell_children(node, &places, key, dark);
-    node.sends.tell_to(places.heads.iter(), &word(node, key, dark));
+    let circle = circle(node);
+    tell_children(node, &circle, key, dark);
+    node.sends.tell_to(circle.heads.iter(), &word(node, key, dark));
 }
 
 /// The failure domain of an engine.
@@ -122,8 +123,8 @@
     node.state.borrow_mut().engines.by_key(key).map(|engine| engine.listed.domain.clone())
 }
 
-fn tell_children(node: &Node, places: &Places, key: EngineKey, dark: bool) {
-    node.sends.tell_to(places.children.iter(), &word(node, key, dark));
+fn tell_children(node: &Node, circle: &Circle, key: EngineKey, dark: bool) {
+    node.sends.tell_to(circle.children.iter(), &word(node, key, dark));
 }
 
 fn word(node: &Node, key: EngineKey, dark: bool) -> Word {
--- a/crates/gateway/src/peers/heard.rs
+++ b/crates/gateway/src/peers/heard.rs
@@ -15,7 +15,7 @@
 /// Loads that were heard of since a time, with their age: of engines that hold one of these models, or of any. Nothing
 /// where nodes tell each other what they have at engines.
 pub(crate) fn heard_since(node: &Node, since: u64, models: Option<&[Asked]>) -> Vec<HeardLoad> {
-    if node.flights.are_fresh() {
+    if node.sums.borrow().are_fresh() {
         return Vec::new();
     }
     let now = node.now();
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -30,7 +30,7 @@
 pub(crate) use children::Children;
 pub(crate) use dark::lost;
 pub(crate) use exchange::exchange;
-pub(crate) use flights::{Flights, tell as tell_flights};
+pub(crate) use flights::tell as tell_flights;
 use heard::take_in_loads;
 use list::take_in;
 use message::Want;
--- a/crates/gateway/src/peers/sends.rs
+++ b/crates/gateway/src/peers/sends.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use hgw_direct::flights::{EngineKey, Scope, Told};
+use hgw_direct::flights::{EngineKey, Told};
+use hgw_direct::sums::Scope;
 use hgw_direct::{EngineId, Load, SendId, Start, tells_sends};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hgw_direct::flights::EngineKey;
 use hgw_direct::heads::{Heads, Member, Parent, crowd};
+use hgw_direct::sums::Sums;
 use hgw_direct::{
     Budget, BudgetLimits, Catalog, Demand, Engine, EngineId, Engines, Listing, Millis, ServiceId,
     Verdict, Wanted, is_cut_off, reads_on,
@@ -23,7 +24,7 @@
 use crate::dialect::{Cursor, Dialects};
 use crate::holder::Holding;
 use crate::keeper::KeeperState;
-use crate::peers::{Children, Flights, Placements, Sends};
+use crate::peers::{Children, Placements, Sends};
 use crate::pool::Pool;
 use crate::turn::Turns;
 
@@ -49,7 +50,8 @@
     pub(crate) sends: Sends,
     pub(crate) turns: Turns,
     pub(crate) backoff: Backoff,
-    pub(crate) flights: Flights,
+    /// What is at engines, as nodes tell each other.
+    pub(crate) sums: RefCell<Sums>,
     /// Engines that could not be reached, of which this node looks whether they are back.
     pub(crate) watched: RefCell<IndexSet<EngineKey>>,
     /// Told whenever another node says that an engine cannot be reached, or can be again.
@@ -152,7 +154,7 @@
             sends: Sends::default(),
             turns: Turns::default(),
             backoff: Backoff::default(),
-            flights: Flights::default(),
+            sums: RefCell::default(),
             watched: RefCell::default(),
             dark: Notify::new(),
             children: Children::default(),
