Send nothing to an engine whose caller's time is over or nearly over

Cause: what is left of a request was read only when it was to be tried again, and by the steady clock, which does not count what a machine is suspended for. A choice or a connection that took long was followed by a send all the same: engines ran requests 2 ms before and 4 s after their callers' deadline (GONE).

Change: the time left is the less of both clocks, and it is looked at right before the head is sent; with less than 20 ms the request ends unrun, with a time to come back.

A suspended machine is not repeated by a process test: nothing here can suspend one.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod catalog;
 mod choose;
+mod deadline;
 mod demand;
 mod engine;
 mod engines;
@@ -26,6 +27,7 @@
     CallerLimits, Catalog, Kind, Model, Pool, Route, RouteMatch, Service, ServiceId, Target,
 };
 pub use choose::{Ask, Choice, NoEngine, Policy, choose};
+pub use deadline::{Deadline, LEAST_TO_SEND};
 pub use demand::{Demand, Past, Rates};
 pub use engine::{AtHand, Engine, EngineId, Held, Listed, Load, Standing, Start};
 pub use engines::Engines;
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -112,6 +112,12 @@
             }
             Waited::Stalled | Waited::StartedAnew | Waited::TimeOver => return Tried::NotSent,
         };
+        // A choice and a connection may have taken all the time that there was, and the machine may have stood still
+        // meanwhile: the caller has left, and the engine would not know.
+        if !self.can_be_sent() {
+            node.pool.put(addr, conn);
+            return Tried::NotSent;
+        }
         let req = self.request(engine, last_event);
         let sent = async {
             conn.begin(&req).await?;
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -4,13 +4,15 @@
 
 use bytes::Bytes;
 use hgw_direct::{
-    Ask, Choice, EngineId, NoEngine, Policy, Prompt, Refusal, Route, ServiceId, Wanted, choose,
+    Ask, Choice, Deadline, EngineId, LEAST_TO_SEND, NoEngine, Policy, Prompt, Refusal, Route,
+    ServiceId, Wanted, choose,
 };
 use http::request::Parts;
 use rand::random;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::answer::Answer;
+use crate::clock::boot_time;
 use crate::dialect::Call;
 use crate::meter;
 use crate::peers::{self, Placement};
@@ -54,7 +56,11 @@
     pub(super) service: ServiceId,
     /// When its head had come.
     pub(super) arrived: Instant,
-    /// When its time is over.
+    /// The same by the clock that counts what the machine was suspended for.
+    arrived_by_boot: Duration,
+    /// The time that it has.
+    deadline: Deadline,
+    /// When that is over, unless the machine is suspended.
     pub(super) end: Instant,
     /// Engines that it was sent to.
     pub(super) tried: Vec<EngineId>,
@@ -104,6 +110,8 @@
             route,
             service,
             arrived,
+            arrived_by_boot: boot_time().saturating_sub(arrived.elapsed()),
+            deadline: Deadline { longest },
             end: arrived + longest,
             tried: Vec::new(),
             runs: 0,
@@ -139,7 +147,13 @@
     }
 
     pub(super) fn left(&self) -> Duration {
-        self.end.saturating_duration_since(Instant::now())
+        let by_boot = boot_time().saturating_sub(self.arrived_by_boot);
+        self.deadline.left(self.arrived.elapsed(), by_boot)
+    }
+
+    /// Whether there is time enough for an engine to begin.
+    pub(super) fn can_be_sent(&self) -> bool {
+        self.left() >= LEAST_TO_SEND
     }
 
     /// Whether it may be sent once more, after an engine has rejected it or may have run it. Takes from
@@ -148,7 +162,7 @@
         if self.runs >= self.route.attempts || self.rejected > MORE_REJECTED {
             return false;
         }
-        if self.left() < Duration::from_millis(20) {
+        if !self.can_be_sent() {
             return false;
         }
         let (now, limits) = (self.node.now(), self.node.budget_limits());
@@ -160,7 +174,7 @@
     /// Whether another engine may be looked for after one could not be reached.
     pub(super) fn may_reach_on(&mut self) -> bool {
         self.unreached += 1;
-        self.unreached <= MOST_UNREACHED && !self.left().is_zero()
+        self.unreached <= MOST_UNREACHED && self.can_be_sent()
     }
 
     /// The engine to send to; waits for a model or an adapter that is being placed.
--- a/crates/hibiscusgw/tests/platform/calls.rs
+++ b/crates/hibiscusgw/tests/platform/calls.rs
@@ -119,3 +119,16 @@
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(fleet.runs("call-1"), 0);
 }
+
+/// A request comes to a choice of an engine with a few milliseconds left: it was rejected before, or its machine stood
+/// still. The engine would begin after its caller has left. It is refused unrun, with a time to come back.
+#[test]
+fn call_with_no_time_left_is_not_sent() {
+    let mut fleet = fleet_of(vec![]);
+    let node = fleet.start("a");
+    let headers = [("x-request-id", "late-1"), ("x-deadline-ms", "12")];
+    let answer = fleet.nodes[node].call(Method::POST, "/look/", &headers).unwrap();
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert_eq!(fleet.runs("late-1"), 0);
+}
