Know customers by their keys, and run nothing with a key that may have been taken away

Cause: no line of the product knew customers.

Change: customers, keys, priority and quota in the catalog (decoded in platform/; a key prints nothing, and an error in one is told without it). A request is identified before it is taken: 401 with no valid key, the customer's name to the engine whatever the caller sent under that name, never the key; the customer's priority goes before the route's. Where keys must be of no use on any machine after a time, a request with a key runs only while the node can show that its configuration was the newest less than that time ago, counted from when the store was asked, by the clock that counts suspension, through keeper and heads with its age added up; looked at again right before the first send. Without proof: refused with a time, not ready; open routes go on.

Ruled out: proof by the time of answers (an answer may be long on its way), by each node's own reads alone (62 calls a second where one does).

Tests: direct/tests/customer.rs, proof.rs; platform/keys.rs: second tries, resumed streams, forged names, several keys, open routes, moved keys, a node cut off, stopped, turned away by the store.

--- a/crates/direct/src/catalog.rs
+++ b/crates/direct/src/catalog.rs
@@ -4,6 +4,8 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::Customers;
+
 /// Name of a service.
 #[derive(
     Debug, Clone, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -20,6 +22,8 @@
     pub routes: Vec<Route>,
     /// What they go to.
     pub services: IndexMap<ServiceId, Service>,
+    /// Who may send, where only customers may.
+    pub customers: Option<Customers>,
     /// What callers may send.
     pub limits: CallerLimits,
 }
@@ -43,6 +47,8 @@
     pub gap: Option<Duration>,
     /// 0 is served first.
     pub priority: u8,
+    /// Whether it is open to callers without a key.
+    pub is_open: bool,
     /// Most engines that one request may be sent to.
     pub attempts: u32,
     /// Services and their shares of the requests.
@@ -172,11 +178,17 @@
 }
 
 impl Catalog {
-    /// Whether requests that are less urgent than these go to a service.
+    /// Whether requests that are less urgent than these go to a service. A customer's priority goes before the route's.
     pub fn has_less_urgent(&self, service: &ServiceId, priority: u8) -> bool {
         let leads_there =
-            |r: &Route| r.targets.iter().any(|t| t.service == *service && t.weight > 0);
-        self.routes.iter().any(|r| r.priority > priority && leads_there(r))
+            |r: &&Route| r.targets.iter().any(|t| t.service == *service && t.weight > 0);
+        let mut routes = self.routes.iter().filter(leads_there);
+        let Some(customers) = &self.customers else {
+            return routes.any(|r| r.priority > priority);
+        };
+        let of =
+            |r: &Route| customers.all().any(|(_, c)| c.priority.unwrap_or(r.priority) > priority);
+        routes.any(|r| of(r) || r.is_open && r.priority > priority)
     }
 }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod catalog;
 mod choose;
+mod customer;
 mod deadline;
 mod demand;
 mod engine;
@@ -16,6 +17,7 @@
 mod listing;
 pub mod place;
 mod prompt;
+mod proof;
 mod reach;
 mod refuse;
 mod silence;
@@ -27,6 +29,7 @@
     CallerLimits, Catalog, Kind, Model, Pool, Route, RouteMatch, Service, ServiceId, Target,
 };
 pub use choose::{Ask, Choice, NoEngine, Policy, choose};
+pub use customer::{Customer, CustomerId, Customers, Key, Quota, QuotaBounds, Sender, Shown, Unit};
 pub use deadline::{Deadline, LEAST_TO_SEND};
 pub use demand::{Demand, Past, Rates};
 pub use engine::{AtHand, Engine, EngineId, Held, Listed, Load, Standing, Start};
@@ -34,6 +37,7 @@
 pub use judge::{Judge, Opinion, Verdict};
 pub use listing::{Cursor, ListNews, Listing, Part as ListPart, Passed, is_long, reads_on};
 pub use prompt::{EmptyModel, Part, Prompt, Wanted};
+pub use proof::{Proof, Seen};
 pub use reach::is_cut_off;
 pub use refuse::{RETRY_LEAST, Refusal, come_back};
 pub use silence::Silence;
--- a/crates/direct/src/refuse.rs
+++ b/crates/direct/src/refuse.rs
@@ -20,6 +20,12 @@
     /// It could not start before its deadline.
     #[display("full")]
     Full,
+    /// It cannot be shown that the key which it shows is still anybody's.
+    #[display("no proof of the newest keys")]
+    NoProof,
+    /// Its customer has used what it may.
+    #[display("over the limit")]
+    OverLimit,
     /// No second try is left.
     #[display("no retry left")]
     NoRetry,
--- a/crates/direct/tests/catalog.rs
+++ b/crates/direct/tests/catalog.rs
@@ -18,6 +18,7 @@
         objective: Duration::from_millis(100),
         gap: None,
         priority: 1,
+        is_open: false,
         attempts: 2,
         targets: targets.iter().map(target).collect(),
     }
--- /dev/null
+++ b/crates/direct/tests/proof.rs
@@ -0,0 +1,67 @@
+//! That a configuration is the newest.
+
+use std::time::Duration;
+
+use hgw_direct::{Proof, Seen};
+use proptest::collection::vec;
+use proptest::prelude::{prop_assert, proptest};
+
+const fn s(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+fn seen(newest: u64, asked: u64) -> Seen {
+    Seen { newest, asked: s(asked) }
+}
+
+#[test]
+fn nothing_is_known_before_the_store_was_asked() {
+    assert_eq!(Proof::default().age(7, s(9)), None);
+}
+
+#[test]
+fn age_counts_from_the_question() {
+    let mut proof = Proof::default();
+    proof.learn(seen(7, 3));
+    assert_eq!(proof.age(7, s(5)), Some(s(2)));
+    assert_eq!(proof.age(8, s(5)), Some(s(2)));
+}
+
+/// A key was taken away by version 8. A node that hears of it and has version 7 still cannot go on by that word; what it
+/// knew before holds for as long as it did.
+#[test]
+fn word_of_a_newer_version_proves_nothing_for_an_older_one() {
+    let mut proof = Proof::default();
+    proof.learn(seen(7, 3));
+    proof.learn(seen(8, 9));
+    assert_eq!(proof.age(7, s(10)), Some(s(7)));
+    assert_eq!(proof.age(8, s(10)), Some(s(1)));
+}
+
+/// Answers that were long on their way come last.
+#[test]
+fn older_question_takes_nothing_away() {
+    let mut proof = Proof::default();
+    proof.learn(seen(7, 8));
+    proof.learn(seen(7, 2));
+    assert_eq!(proof.age(7, s(9)), Some(s(1)));
+}
+
+proptest! {
+    /// Whatever nodes hear in whatever order: a version counts as the newest of a time only where the store was asked then
+    /// and had none newer.
+    #[test]
+    fn proof_is_never_younger_than_a_question_that_gave_it(
+        words in vec((1_u64..6, 0_u64..50), 1..30),
+        version in 1_u64..6,
+    ) {
+        let mut proof = Proof::default();
+        for (newest, asked) in &words {
+            proof.learn(seen(*newest, *asked));
+        }
+        if let Some(held) = proof.of(version) {
+            let gives = |(newest, asked): &(u64, u64)| *newest <= version && s(*asked) == held.asked;
+            prop_assert!(words.iter().any(gives));
+        }
+    }
+}
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -65,6 +65,8 @@
     ConfigFromPeer = 3002, Info, "a configuration was taken from a peer";
     ConfigRejected = 3003, Warn, "a change in the log was rejected";
     ConfigLost = 3004, Warn, "no configuration is kept anywhere: this node begins with none";
+    ProofLost = 3005, Warn, "the configuration cannot be shown to be the newest: requests with keys are refused";
+    ProofGained = 3006, Info, "the configuration is shown to be the newest";
     LogDown = 3101, Warn, "the platform's log does not answer";
     LogUp = 3102, Info, "the platform's log answers again";
     KeeperGained = 4001, Info, "this node keeps its failure domain";
@@ -89,4 +91,5 @@
     RequestServed = 5006, Info, "an engine has answered a request whole";
     TryFailed = 5007, Info, "a try at an engine brought no answer";
     CallerLeft = 5008, Info, "a caller left before its answer was whole";
+    CallerDenied = 5009, Info, "a request was not run for want of a valid key, or of the proof that it is one";
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,7 +7,9 @@
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
 pub use hgw_direct::Cursor;
-use hgw_direct::{AtHand, Catalog, EngineId, Held, Listed, Load, Prompt, Start, Wanted};
+use hgw_direct::{
+    AtHand, Catalog, CustomerId, EngineId, Held, Listed, Load, Prompt, Shown, Start, Wanted,
+};
 use hgw_http1::{Head, Request};
 use http::HeaderMap;
 use http::request::Parts;
@@ -27,6 +29,12 @@
     /// What a request says beside its method, path and body.
     fn read(&self, head: &Parts) -> Result<Call, BadCall>;
 
+    /// What a request shows of who sends it.
+    fn shown(&self, head: &Parts) -> Shown;
+
+    /// Says that a key is needed.
+    fn ask_for_key(&self, headers: &mut HeaderMap);
+
     /// Says when a refused caller should come back.
     fn come_back(&self, headers: &mut HeaderMap, after: Duration);
 
@@ -43,6 +51,8 @@
     pub deadline: Option<Duration>,
     /// Its prompt, where it names a model.
     pub prompt: Option<Prompt>,
+    /// Tokens of its prompt and the most of its answer, where it tells them.
+    pub tokens: Option<u64>,
     /// The last event that the caller has of this stream.
     pub last_event: Option<u64>,
 }
@@ -70,6 +80,19 @@
     pub priority: u8,
     /// The last event that the caller has, where a stream goes on.
     pub last_event: Option<u64>,
+    /// Who sends it.
+    pub sender: SentBy<'a>,
+}
+
+/// Who sends a request, as engines are told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SentBy<'a> {
+    /// No customers are configured, and what callers show is theirs and the engines'.
+    Unknown,
+    /// Anybody, on an open route.
+    Anybody,
+    /// A customer. Its key stays here.
+    Customer(&'a CustomerId),
 }
 
 /// What engines speak.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,15 +4,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hgw_direct::{Listed, Standing};
+use hgw_direct::heads::Parent;
+use hgw_direct::{Listed, Seen, Standing};
 use hgw_events::{Event, emit};
+use rand::random;
 use tokio::time::{sleep, timeout};
 
 use crate::backoff::after_failure;
+use crate::clock::boot_time;
 use crate::dialect::{EngineEntry, EngineNews, StoreError};
 use crate::keeper;
 use crate::meter;
 use crate::peers;
+use crate::proof;
 use crate::shared::Node;
 
 /// Pause before the next look for a configuration where there is none yet.
@@ -36,6 +40,9 @@
 /// engines' next heartbeats.
 const KEPT_FOR: Duration = Duration::from_millis(2_000);
 
+/// Pause before the store is asked again whether the configuration is still the newest, and up to twice as long.
+const PROVE_AGAIN: Duration = Duration::from_millis(300);
+
 /// Longest time after its start for which a node leaves it to a keeper to read the store. One that has just started itself
 /// answers hundreds of nodes within a second.
 const UNTOLD: Duration = Duration::from_millis(1_500);
@@ -71,24 +78,28 @@
 /// Follows the configuration until the process ends.
 pub(crate) async fn catalog(node: Node) {
     let mut cursor = None;
+    // The newest version up to there, where it could be read.
+    let mut newest = None;
     let mut link = Link::new(&node, "configuration");
     until_told(&node).await;
     loop {
-        if node.is_followed() && !node.lacks_catalog() {
+        let followed = node.is_followed();
+        if followed && !node.lacks_catalog() && !proof_is_due(&node) {
             // The keeper reads for all nodes, and tells.
             let _ = timeout(LOOK, node.catalog_news.notified()).await;
             continue;
         }
-        let told = node.is_followed();
+        let told = followed && node.lacks_catalog();
         if told
             && let Some(text) = peers::catalog(&node).await
-            && adopt(&node, text)
+            && adopt(&node, text) == Adopted::New
         {
             continue;
         }
         // An answer tells that the store is back: it must not wait there for news.
-        let wait =
-            if link.is_down() { Duration::ZERO } else { node.settings.borrow().catalog_wait() };
+        let usual = proof::longest_wait(&node, node.settings.borrow().catalog_wait());
+        let wait = if link.is_down() || followed { Duration::ZERO } else { usual };
+        let asked = boot_time();
         let call = node.dialects.store.catalog(cursor, wait);
         let answered = if told {
             call.await
@@ -105,20 +116,42 @@
                 cursor = Some(news.cursor);
                 let nothing = news.catalog.is_none();
                 if let Some(text) = news.catalog {
+                    newest = version(&node, &text);
                     adopt(&node, text);
                 }
+                if let Some(newest) = newest {
+                    proof::learn(&node, Seen { newest, asked });
+                }
                 if nothing && node.state.borrow().catalog.is_none() {
                     sleep(NONE_YET).await;
                 }
             }
             Err(e) => {
                 link.down(&e);
-                after_failure(&node).await;
+                if followed {
+                    // Another node may yet tell of a younger question.
+                    sleep(PROVE_AGAIN.mul_f64(1.0 + random::<f64>())).await;
+                } else {
+                    after_failure(&node).await;
+                }
             }
         }
     }
 }
 
+/// Whether nobody tells this node that its configuration is still the newest, so that it asks the store.
+fn proof_is_due(node: &Node) -> bool {
+    proof::is_due(node, matches!(node.parent(), Some((Parent::Head(_), _))))
+}
+
+/// The version of a configuration, where it can be read.
+fn version(node: &Node, text: &Bytes) -> Option<u64> {
+    let known =
+        node.state.borrow().catalog.clone().filter(|_| node.state.borrow().catalog_text == *text);
+    let version = known.map(|catalog| catalog.version);
+    version.or_else(|| node.dialects.store.read_catalog(text).ok().map(|c| c.version))
+}
+
 /// Ends when another node tells of a newer configuration. A call to the store may be without an answer for two seconds,
 /// in which callers would be answered by the old one.
 async fn until_lacking(node: &Node) {
@@ -131,19 +164,30 @@
     }
 }
 
-/// Puts a configuration in force, where it is newer; tells whether it is.
-fn adopt(node: &Node, text: Bytes) -> bool {
+/// What became of the text of a configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Adopted {
+    /// It is in force now.
+    New,
+    /// It is not newer than the one in force.
+    Known,
+    /// It cannot be read.
+    Unreadable,
+}
+
+/// Puts a configuration in force, where it is newer.
+fn adopt(node: &Node, text: Bytes) -> Adopted {
     let catalog = match node.dialects.store.read_catalog(&text) {
         Ok(catalog) => catalog,
         Err(e) => {
             emit(Event::ConfigRejected, &[("node", &node.settings.borrow().node), ("why", &e)]);
-            return false;
+            return Adopted::Unreadable;
         }
     };
     let mut state = node.state.borrow_mut();
     // A store that was rewound may tell an older one.
     if state.catalog.as_ref().is_some_and(|old| old.version >= catalog.version) {
-        return false;
+        return Adopted::Known;
     }
     emit(
         Event::ConfigInForce,
@@ -153,7 +197,7 @@
     state.catalog_text = text;
     drop(state);
     keeper::catalog_changed(node);
-    true
+    Adopted::New
 }
 
 /// Follows the list of engines until the process ends.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod meter;
 mod peers;
 mod pool;
+mod proof;
 mod relay;
 mod run;
 mod settings;
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -9,7 +9,9 @@
 use indexmap::IndexMap;
 use tokio::time::sleep;
 
+use crate::clock::boot_time;
 use crate::keeper;
+use crate::proof;
 use crate::shared::Node;
 
 use super::heard::{heard_since, take_in_loads};
@@ -65,7 +67,7 @@
             asked.clear();
         }
         let tell = self.tell(node, asked, past);
-        let now = node.now();
+        let (now, asked) = (node.now(), boot_time());
         self.told = now;
         let news: Option<News> = call(node, addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
         let Some(news) = news else {
@@ -77,6 +79,7 @@
         if introduces {
             self.introduced = Some(fence);
         }
+        proof::hear(node, asked, news.held_ms, news.proof);
         self.heard = news.heard;
         let children = news.children;
         node.backoff.siblings(children);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -88,6 +88,9 @@
     pub(crate) begun: Vec<u64>,
     /// Loads that any node heard of lately.
     pub(crate) loads: Vec<HeardLoad>,
+    /// A version of the configuration that none followed, and how long ago the store was asked, in milliseconds.
+    #[serde(default)]
+    pub(crate) proof: Option<(u64, u64)>,
 }
 
 /// The load of an engine, as somebody heard of it: its start, the requests that ran and waited there, and its age in
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -5,6 +5,7 @@
 use tokio::time::timeout;
 
 use crate::keeper;
+use crate::proof;
 use crate::shared::Node;
 
 use super::NEWS_WAIT;
@@ -43,6 +44,7 @@
         renewed: node.last_renewal(),
         begun: begun(node),
         loads: heard_since(node, 0, Some(&tell.asked)),
+        proof: proof::told(node),
     }
 }
 
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -9,6 +9,7 @@
 use crate::dialect::{Marks, Sending};
 use crate::peers;
 
+use super::identify::Denied;
 use super::request::Relayed;
 
 /// Silence of an engine on all connections, while a request waits there, after which it counts as dark. A full
@@ -56,6 +57,8 @@
     Stalled,
     /// Its time is over; it may have run.
     TimeOver,
+    /// No byte was sent: it may not run any more.
+    Denied(Denied),
 }
 
 impl Tried {
@@ -67,6 +70,7 @@
             Tried::Lost => Some("no answer of this request"),
             Tried::Stalled => Some("silent"),
             Tried::TimeOver => Some("time over"),
+            Tried::Denied(_) => Some("not allowed any more"),
         }
     }
 }
@@ -118,6 +122,12 @@
             node.pool.put(addr, conn);
             return Tried::NotSent;
         }
+        if self.runs == 0
+            && let Err(denied) = self.is_allowed()
+        {
+            node.pool.put(addr, conn);
+            return Tried::Denied(denied);
+        }
         let req = self.request(engine, last_event);
         let sent = async {
             conn.begin(&req).await?;
@@ -255,6 +265,7 @@
             left: self.left(),
             priority: self.route.priority,
             last_event: last_event.or(self.call.last_event),
+            sender: self.identity.sent_by(),
         };
         let target = self.head.uri.path_and_query().map_or("/", |t| t.as_str());
         Request {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod events;
+mod identify;
 mod pace;
 mod plain;
 mod request;
@@ -21,6 +22,7 @@
 use crate::shared::{Active, Node};
 use crate::stop;
 
+use identify::Identity;
 use request::Relayed;
 
 /// When a caller comes back that met a node without configuration or list.
@@ -53,7 +55,7 @@
     let Some(found) = catalog.find(host, head.uri.path(), random()) else {
         return own(StatusCode::NOT_FOUND, "no route");
     };
-    let (route, service) = (found.route.clone(), found.service.clone());
+    let (mut route, service) = (found.route.clone(), found.service.clone());
     let body = match Limited::new(body, catalog.limits.body).collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) if e.is::<LengthLimitError>() => {
@@ -65,7 +67,16 @@
         Ok(call) => call,
         Err(bad) => return own(StatusCode::BAD_REQUEST, &bad.to_string()),
     };
-    let relayed = Relayed::new(node, active, head, body, call, route, service, arrived);
+    let shown = node.dialects.callers.shown(&head);
+    let identity = match Identity::find(node, &catalog, &route, shown) {
+        Ok((identity, customer)) => {
+            // A customer's priority goes before the route's.
+            route.priority = customer.and_then(|c| c.priority).unwrap_or(route.priority);
+            identity
+        }
+        Err(why) => return identify::deny(node, &call.id, &route, why),
+    };
+    let relayed = Relayed::new(node, active, head, body, call, route, service, identity, arrived);
     if relayed.route.kind.is_stream() {
         stream::answer(relayed).await
     } else {
@@ -75,7 +86,11 @@
 
 /// Refuses a request that has not run, with a time to come back.
 fn refuse(node: &Node, why: Refusal, wait: Duration) -> Answer {
-    let mut answer = own(StatusCode::SERVICE_UNAVAILABLE, &why.to_string());
+    let status = match why {
+        Refusal::OverLimit => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut answer = own(status, &why.to_string());
     node.dialects.callers.come_back(answer.headers_mut(), come_back(wait, random()));
     answer
 }
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -46,6 +46,7 @@
                 failure = Some(Failure::Own("the engine went silent"));
                 continue;
             }
+            Tried::Denied(why) => return req.deny(why),
             Tried::Lost => failure = Some(Failure::Own("the engine failed")),
             Tried::TimeOver => return req.fail(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
         }
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -19,6 +19,8 @@
 use crate::shared::{Active, Node};
 use crate::turn::Turn;
 
+use super::identify::Identity;
+
 /// Sends that engines reject, beyond the engines that a route may run a request on.
 const MORE_REJECTED: u32 = 2;
 
@@ -54,6 +56,8 @@
     pub(super) call: Call,
     pub(super) route: Route,
     pub(super) service: ServiceId,
+    /// Who sends it.
+    pub(super) identity: Identity,
     /// When its head had come.
     pub(super) arrived: Instant,
     /// The same by the clock that counts what the machine was suspended for.
@@ -98,6 +102,7 @@
         call: Call,
         route: Route,
         service: ServiceId,
+        identity: Identity,
         arrived: Instant,
     ) -> Relayed {
         let longest = call.deadline.map_or(route.timeout, |d| d.min(route.timeout));
@@ -109,6 +114,7 @@
             call,
             route,
             service,
+            identity,
             arrived,
             arrived_by_boot: boot_time().saturating_sub(arrived.elapsed()),
             deadline: Deadline { longest },
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -73,6 +73,7 @@
                     return Err(ended(req, failure, NoEngine::Full(REJECTED)));
                 }
             }
+            Tried::Denied(why) => return Err(req.deny(why)),
             Tried::Stalled => failure = Some("the engine went silent"),
             Tried::Lost => {
                 failure = Some("the engine failed");
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,7 +16,7 @@
 use crate::clock::boot_time;
 use crate::dialect::Dialects;
 use crate::shared::{Node, Shared};
-use crate::{Settings, follow, front, holder, listen, members, meter, peers, stop};
+use crate::{Settings, follow, front, holder, listen, members, meter, peers, proof, stop};
 
 /// What a node is told from outside.
 #[derive(Debug, Clone)]
@@ -133,6 +133,7 @@
         }
         last = now;
         node.look_around();
+        proof::look(&node);
     }
 }
 
@@ -157,7 +158,7 @@
     if !node.dialects.callers.asks_ready(head) {
         return own(StatusCode::NOT_FOUND, "no such call");
     }
-    if node.is_ready() {
+    if node.is_ready() && proof::holds(node) {
         Response::new(AnswerBody::Whole(None))
     } else {
         own(StatusCode::SERVICE_UNAVAILABLE, "not ready")
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hgw_direct::QuotaBounds;
+
 /// What a node needs to know of its surroundings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -38,6 +40,10 @@
     pub heartbeat: Duration,
     /// Connections that callers may have open.
     pub connections: usize,
+    /// Time after which a key that was taken away must be of no use, where that binds each node whatever it can reach.
+    pub revoke_within: Option<Duration>,
+    /// Bounds of what customers use.
+    pub quotas: QuotaBounds,
     /// Share of a processor that this machine has.
     pub processor: f64,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -26,6 +26,7 @@
 use crate::keeper::KeeperState;
 use crate::peers::{Children, Placements, Sends};
 use crate::pool::Pool;
+use crate::proof::Proofs;
 use crate::turn::Turns;
 
 /// Longest time to connect to an engine: it is a few milliseconds away, or gone.
@@ -50,6 +51,8 @@
     pub(crate) sends: Sends,
     pub(crate) turns: Turns,
     pub(crate) backoff: Backoff,
+    /// That its configuration is the newest.
+    pub(crate) proofs: Proofs,
     /// What is at engines, as nodes tell each other.
     pub(crate) sums: RefCell<Sums>,
     /// Engines that could not be reached, of which this node looks whether they are back.
@@ -154,6 +157,7 @@
             sends: Sends::default(),
             turns: Turns::default(),
             backoff: Backoff::default(),
+            proofs: Proofs::default(),
             sums: RefCell::default(),
             watched: RefCell::default(),
             dark: Notify::new(),
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/keys.rs
@@ -0,0 +1,243 @@
+//! Customers, the keys that they show, and keys that are taken away.
+
+use std::time::{Duration, Instant};
+
+use hgw_standins::Faults;
+use hgw_standins::client::Whole;
+use hgw_standins::fleet::deployment::{Node, configuration, holds, wait};
+use hgw_standins::fleet::{EngineSettings, Fleet};
+use hgw_standins::link::Condition;
+use http::{Method, StatusCode};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+
+use crate::fleet_of;
+
+/// A configuration with customers, and an open route.
+fn guarded(version: u64, customers: &[(&str, &[&str])]) -> Value {
+    let mut config = configuration(version);
+    let one =
+        |(name, keys): &(&str, &[&str])| json!({ "name": name, "apiKeys": keys, "priority": 1 });
+    config["tenants"] = customers.iter().map(one).collect();
+    let mut open = config["routes"][0].clone();
+    open["name"] = "open".into();
+    open["prefix"] = "/open/".into();
+    open["public"] = true.into();
+    config["routes"].as_array_mut().unwrap().push(open);
+    config
+}
+
+fn put(fleet: &Fleet, config: &Value) {
+    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+}
+
+fn fleet() -> Fleet {
+    let engine = |id: &str| EngineSettings {
+        id: id.into(),
+        holds: holds(&[("m", &[])]),
+        ..EngineSettings::default()
+    };
+    let fleet = fleet_of(vec![engine("i-1"), engine("i-2")]);
+    put(&fleet, &guarded(2, &[("bakery", &["k-1", "k-2"]), ("mill", &["k-3"])]));
+    fleet
+}
+
+/// A call with these values of `Authorization`.
+fn call(node: &Node, path: &str, id: &str, shown: &[&str]) -> Whole {
+    let mut headers = vec![("x-request-id", id), ("x-deadline-ms", "5000"), ("x-tenant", "mill")];
+    headers.extend(shown.iter().map(|value| ("authorization", *value)));
+    headers.push(("X-TENANT", "forged"));
+    node.call(Method::POST, path, &headers).unwrap()
+}
+
+fn customers(fleet: &Fleet, id: &str) -> Vec<String> {
+    fleet.engines.iter().find_map(|e| e.record().customers.get(id).cloned()).unwrap_or_default()
+}
+
+fn keys_at_engines(fleet: &Fleet) -> u32 {
+    fleet.engines.iter().map(|e| e.record().keys).sum()
+}
+
+/// The engine learns whose request it is, whatever the caller says, and never the key: on the first try, the second
+/// one, and where a stream goes on elsewhere.
+#[test]
+fn engine_is_told_the_customer_and_not_the_key() {
+    let mut fleet = fleet();
+    let node = fleet.start("a");
+    let answer = call(&fleet.nodes[node], "/look/", "call-1", &["Token k-2"]);
+    assert_eq!(
+        (answer.status, customers(&fleet, "call-1")),
+        (StatusCode::OK, vec!["bakery".into()])
+    );
+    for engine in ["desk-1", "desk-2"] {
+        fleet.engine(engine).fail(1);
+    }
+    call(&fleet.nodes[node], "/look/", "call-2", &["token  k-3"]);
+    assert_eq!((fleet.runs("call-2"), customers(&fleet, "call-2")), (2, vec!["mill".into()]));
+    let breaks = hgw_standins::StreamFault { after_tokens: 7, streams: 1 };
+    fleet.engine("i-1").fault(&Faults { fail_streams: breaks, ..Faults::default() });
+    for n in 0..4 {
+        let id = format!("stream-{n}");
+        let headers = [
+            ("x-request-id", id.as_str()),
+            ("x-deadline-ms", "8000"),
+            ("x-model", "m"),
+            ("x-tokens", "100,120"),
+            ("authorization", "Token k-1"),
+        ];
+        let answer = fleet.nodes[node].call(Method::POST, "/ask/", &headers).unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(customers(&fleet, &id), ["bakery"]);
+    }
+    assert_eq!(keys_at_engines(&fleet), 0);
+}
+
+#[test]
+fn request_without_a_valid_key_does_not_run() {
+    let mut fleet = fleet();
+    let node = fleet.start("a");
+    let node = &fleet.nodes[node];
+    let all: [&[&str]; 6] =
+        [&[], &["Token k-9"], &["Bearer k-1"], &["k-1"], &["Token k-1", "Token k-1"], &["Token"]];
+    for (n, shown) in all.iter().enumerate() {
+        let id = format!("stranger-{n}");
+        let answer = call(node, "/look/", &id, shown);
+        assert_eq!(answer.status, StatusCode::UNAUTHORIZED, "{shown:?}");
+        assert_eq!(answer.headers["www-authenticate"], "Token");
+        assert!(!answer.body.contains("k-"), "{}", answer.body);
+        assert_eq!(fleet.runs(&id), 0);
+    }
+    assert_eq!(call(node, "/nowhere/", "call-1", &[]).status, StatusCode::NOT_FOUND);
+}
+
+/// An open route needs no key. A key that nobody has is refused there too, as it may have been taken away.
+#[test]
+fn open_route_needs_no_key() {
+    let mut fleet = fleet();
+    let node = fleet.start("a");
+    let node = &fleet.nodes[node];
+    assert_eq!(call(node, "/open/", "open-1", &[]).status, StatusCode::OK);
+    assert_eq!(customers(&fleet, "open-1"), Vec::<String>::new());
+    assert_eq!(call(node, "/open/", "open-2", &["Token k-3"]).status, StatusCode::OK);
+    assert_eq!(customers(&fleet, "open-2"), ["mill"]);
+    assert_eq!(call(node, "/open/", "open-3", &["Token k-9"]).status, StatusCode::UNAUTHORIZED);
+    assert_eq!(keys_at_engines(&fleet), 0);
+}
+
+/// Without customers in the configuration a key is the caller's and the engine's affair.
+#[test]
+fn key_is_passed_on_where_no_customers_are_configured() {
+    let mut fleet = fleet_of(Vec::new());
+    let node = fleet.start("a");
+    assert_eq!(call(&fleet.nodes[node], "/look/", "call-1", &["Token k"]).status, StatusCode::OK);
+    assert_eq!((keys_at_engines(&fleet), customers(&fleet, "call-1")), (1, Vec::new()));
+}
+
+/// A key moves to another customer, and one customer loses its last.
+#[test]
+fn keys_follow_the_configuration() {
+    let mut fleet = fleet();
+    let node = fleet.start("a");
+    put(&fleet, &guarded(3, &[("bakery", &["k-3"]), ("mill", &[])]));
+    wait("the key that was taken away is refused", || {
+        call(&fleet.nodes[node], "/look/", "call-1", &["Token k-1"]).status
+            == StatusCode::UNAUTHORIZED
+    });
+    call(&fleet.nodes[node], "/look/", "call-2", &["Token k-3"]);
+    assert_eq!(customers(&fleet, "call-2"), ["bakery"]);
+}
+
+/// All nodes hold to the time after which a key that was taken away is of no use.
+fn strict(fleet: &Fleet, nodes: &[usize]) {
+    for node in nodes {
+        fleet.nodes[*node].set("bounds.strictRevoke=false", "bounds.strictRevoke=true");
+    }
+    std::thread::sleep(Duration::from_millis(300));
+}
+
+/// A node is cut off from the store and from the others, and a key is taken away. It cannot know, and stops serving
+/// whoever shows a key before that would break the promise; callers without one are served on open routes.
+#[test]
+fn node_that_cannot_show_the_newest_keys_refuses_those_who_show_one() {
+    let mut fleet = fleet();
+    let node = fleet.start("a");
+    strict(&fleet, &[node]);
+    let node = &fleet.nodes[node];
+    assert_eq!(call(node, "/look/", "call-1", &["Token k-1"]).status, StatusCode::OK);
+    node.to_store.set(Condition::Cut);
+    put(&fleet, &guarded(3, &[("bakery", &["k-2"]), ("mill", &["k-3"])]));
+    let taken = Instant::now();
+    let mut last_run = taken;
+    wait("requests with keys are refused", || {
+        let sent = Instant::now();
+        let answer = call(node, "/look/", "call-2", &["Token k-1"]);
+        if answer.status == StatusCode::OK {
+            last_run = sent;
+        }
+        answer.status == StatusCode::SERVICE_UNAVAILABLE
+            && answer.headers.contains_key("retry-after")
+    });
+    assert!(last_run - taken < Duration::from_millis(2_000), "{:?}", last_run - taken);
+    // Nor does it know that a key is nobody's.
+    assert_eq!(
+        call(node, "/look/", "call-3", &["Token k-9"]).status,
+        StatusCode::SERVICE_UNAVAILABLE
+    );
+    assert_eq!(call(node, "/open/", "call-4", &[]).status, StatusCode::OK);
+    assert!(!node.is_ready());
+    node.to_store.set(Condition::Open);
+    wait("the key is known to be taken away", || {
+        call(node, "/look/", "call-5", &["Token k-1"]).status == StatusCode::UNAUTHORIZED
+    });
+    wait("others are served again", || {
+        call(node, "/look/", "call-6", &["Token k-2"]).status == StatusCode::OK
+    });
+}
+
+/// A process stands still for longer than a key that was taken away may be of use, with the request that comes first.
+#[test]
+fn node_that_stood_still_runs_nothing_on_what_it_knew() {
+    let mut fleet = fleet();
+    let node = fleet.start("a");
+    strict(&fleet, &[node]);
+    assert_eq!(call(&fleet.nodes[node], "/look/", "call-1", &["Token k-1"]).status, StatusCode::OK);
+    fleet.nodes[node].signal(Signal::STOP);
+    put(&fleet, &guarded(3, &[("bakery", &["k-2"])]));
+    std::thread::sleep(Duration::from_millis(2_300));
+    let node = &fleet.nodes[node];
+    std::thread::scope(|scope| {
+        let asks = |n: usize| move || call(node, "/look/", &format!("late-{n}"), &["Token k-1"]);
+        let calls: Vec<_> = (0..8).map(|n| scope.spawn(asks(n))).collect();
+        std::thread::sleep(Duration::from_millis(100));
+        node.signal(Signal::CONT);
+        for call in calls {
+            assert_ne!(call.join().unwrap().status, StatusCode::OK);
+        }
+    });
+    assert_eq!((0..8).map(|n| fleet.runs(&format!("late-{n}"))).sum::<u32>(), 0);
+}
+
+/// The store turns one node away and serves the others. Their word is as good as its own, and its callers are served for
+/// as long as that lasts.
+#[test]
+fn node_that_the_store_turns_away_goes_on_with_the_keepers_word() {
+    let mut fleet = fleet();
+    let keeper = fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let other = fleet.start("b");
+    strict(&fleet, &[keeper, other]);
+    fleet.nodes[other].to_store.set(Condition::Cut);
+    let until = Instant::now() + Duration::from_secs(5);
+    let mut n = 0;
+    while Instant::now() < until {
+        n += 1;
+        let answer = call(&fleet.nodes[other], "/look/", &format!("call-{n}"), &["Token k-1"]);
+        assert_eq!(answer.status, StatusCode::OK, "call {n}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    put(&fleet, &guarded(3, &[("bakery", &["k-2"]), ("mill", &["k-3"])]));
+    wait("the key that was taken away is refused", || {
+        call(&fleet.nodes[other], "/look/", "last", &["Token k-1"]).status
+            == StatusCode::UNAUTHORIZED
+    });
+}
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod apart;
 mod calls;
 mod heads;
+mod keys;
 mod lines;
 mod orders;
 mod session;
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -329,7 +329,8 @@
          listen.ready={ready}\nportRange={},{}\nlimits.maxFds=1024\nheartbeatMs=1000\n\
          bounds.graceS=8\nbounds.drainMs=2000\nbounds.applyMs=2000\nbounds.budgetRatio=0.2\n\
          bounds.budgetSlack=50\nbounds.budgetWindowS=10\nbounds.requireFence=true\n\
-         bounds.leaseMs=1000\nbounds.ceilingWindowS=5\nprovider.addr={store}\nunheard.of=1\n",
+         bounds.leaseMs=1000\nbounds.strictRevoke=false\nbounds.revokeMs=2000\n\
+         bounds.ceilingWindowS=5\nprovider.addr={store}\nunheard.of=1\n",
         peers.port(),
         peers.port(),
     )
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -87,6 +87,10 @@
     pub too_much: u32,
     /// Orders with a fencing number below an earlier one.
     pub old_fences: u32,
+    /// Customers that it was told of, by request; every value of the field, in order.
+    pub customers: IndexMap<String, Vec<String>>,
+    /// Requests that came with a key of their caller's.
+    pub keys: u32,
 }
 
 #[derive(Debug, Deserialize)]
@@ -319,6 +323,7 @@
         if model.is_some_and(|m| !self.holds(m)) {
             return self.misdirected();
         }
+        self.note_sender(&id, req.headers());
         let Some((run, fails)) = self.begin(&id) else {
             return not_run(failure(StatusCode::SERVICE_UNAVAILABLE, "full"));
         };
@@ -339,6 +344,17 @@
         self.sealed(stream(rx), &echoed)
     }
 
+    /// Notes who sends a request, as it was told.
+    fn note_sender(&self, id: &str, headers: &HeaderMap) {
+        let mut inner = self.lock();
+        inner.record.keys += u32::from(headers.contains_key(http::header::AUTHORIZATION));
+        let told = headers.get_all("x-tenant").iter();
+        let told: Vec<String> = told.filter_map(|v| v.to_str().ok().map(str::to_owned)).collect();
+        if !told.is_empty() {
+            inner.record.customers.insert(id.to_owned(), told);
+        }
+    }
+
     /// Counts a prompt that is being read, and tells for how long.
     fn begin_reading(&self) -> Duration {
         let mut inner = self.lock();
