Reset connections whose request is given up, so that its bytes do not arrive later

Ruled out: a restart of the node (its lines show none), a request that was read late (its neighbours were not).

Change: a connection that is dropped while it waits for an answer is reset.

Test: http1/tests/conn.rs, a peer reads a reset where the request was given up, an end where it was answered.

--- a/crates/hibiscusgw/tests/processes/calls.rs
+++ b/crates/hibiscusgw/tests/processes/calls.rs
@@ -45,11 +45,11 @@
 /// Prints a voucher through a node until it is told that it ran.
 fn print_until_done(node: &Node, name: &str) -> Whole {
     let mut last = None;
-    wait("the voucher is printed", || {
+    let printed = wait("the voucher is printed", || {
         last = print_voucher(node, name).ok();
         last.as_ref().is_some_and(|answer| answer.status == StatusCode::OK)
-    })
-    .expect("the call is answered in the end");
+    });
+    assert!(printed.is_ok(), "the call is answered in the end, and not with {last:?}");
     last.expect("an answer was kept")
 }
 
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -45,6 +45,22 @@
     kept_for: Option<Duration>,
     since: Instant,
     answers: u32,
+    /// Whether a request was sent whose answer is not whole.
+    awaits: bool,
+}
+
+/// A request that is given up takes its bytes along.
+///
+/// Load: the path to a peer is cut for some seconds while requests are sent to it. Their callers leave, and their
+/// connections are closed; the bytes still wait to be sent, and reach the peer once the path is back, which runs each of
+/// them for nobody. A reset drops them.
+impl Drop for Conn {
+    fn drop(&mut self) {
+        if self.awaits {
+            // Where it fails the connection has ended already.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
 impl Conn {
@@ -56,7 +72,7 @@
         let stream = connected.map_err(|source| Error::Connect { source })?;
         keep_alive(&stream, limits.silence).map_err(|source| Error::Connect { source })?;
         let (buf, since) = (BytesMut::new(), Instant::now());
-        Ok(Conn { stream, buf, spent: false, kept_for: None, since, answers: 0 })
+        Ok(Conn { stream, buf, spent: false, kept_for: None, since, answers: 0, awaits: false })
     }
 
     /// Whether a request was answered on it before.
@@ -92,7 +108,7 @@
     /// Sends a request, up to the point where its answer begins to come.
     pub async fn begin(&mut self, req: &Request) -> Result<()> {
         let bytes = req.encode();
-        self.spent = true;
+        (self.spent, self.awaits) = (true, true);
         let (rd, mut wr) = self.stream.split();
         let mut write = std::pin::pin!(wr.write_all(&bytes));
         tokio::select! {
@@ -140,6 +156,7 @@
                 Step::Whole => {
                     self.since = Instant::now();
                     self.answers += 1;
+                    self.awaits = false;
                     return Ok(None);
                 }
                 Step::More => {
--- a/crates/http1/tests/conn.rs
+++ b/crates/http1/tests/conn.rs
@@ -131,3 +131,36 @@
     assert!(Body::new(Framing::Length(0)).is_whole());
     assert!(!Body::new(Framing::UntilClose).is_whole());
 }
+
+/// What a peer reads after a client has dropped its connection.
+async fn read_after_drop(answer: &'static [u8]) -> std::io::Result<usize> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut conn =
+        Conn::connect(listener.local_addr().unwrap(), ConnectLimits::default()).await.unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let req = Request::get("/x", "peer");
+    conn.begin(&req).await.unwrap();
+    let mut buf = [0; 4096];
+    assert!(stream.read(&mut buf).await.unwrap() > 0);
+    if !answer.is_empty() {
+        stream.write_all(answer).await.unwrap();
+        let head = conn.head(&req.method).await.unwrap();
+        conn.collect(Body::new(head.framing), 1 << 10).await.unwrap();
+    }
+    drop(conn);
+    stream.read(&mut buf).await
+}
+
+/// A caller leaves while its request waits on a path that is cut: what was not sent yet must not reach the peer when the
+/// path is back. Only a reset drops it.
+#[tokio::test]
+async fn request_that_is_given_up_resets_its_connection() {
+    let read = read_after_drop(b"").await;
+    assert_eq!(read.unwrap_err().kind(), std::io::ErrorKind::ConnectionReset);
+}
+
+#[tokio::test]
+async fn connection_whose_request_was_answered_is_closed() {
+    let read = read_after_drop(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").await;
+    assert_eq!(read.unwrap(), 0);
+}
