Give what a request lacks, and take no short answer of a head for the end of a limit

Change: what one request lacks is given whole where it is there; the issuer says whether there is no more; what an engine rejected unrun is given back; the bucket is as deep as the bounds leave room for, so that a small customer's larger requests fit.

--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -89,7 +89,8 @@
         let ahead = AHEAD_SHARE * room;
         let free = quota.burst + room - alive - unnoticed - ahead;
         let least = quota.rate * LEAST_DEPTH_S;
-        let depth = free.clamp(least, quota.burst.max(least));
+        // The slack is there so that a small customer's larger requests fit at all.
+        let depth = free.clamp(least, (quota.burst + bounds.slack).max(least));
         let rate = (quota.rate - (depth - free).max(0.0) / window).max(0.0);
         Terms { rate, depth, life, ahead }
     }
@@ -231,26 +232,36 @@
         (OF_ITS_PART * part).clamp(LEAST_PART, 1.0)
     }
 
-    /// Gives so much at the most of what a customer may use; `alone` was used without the issuer, and `silent` is the
-    /// part of the nodes that may be doing so. Of what there is only this `part` is given.
+    /// Gives of what a customer may use; `alone` was used without the issuer, and `silent` is the part of the nodes that
+    /// may be doing so. Of what there is only this `part` is given, but for what one request lacks.
     pub fn give(
         &mut self,
         customer: &CustomerId,
         terms: &Terms,
-        (want, alone, silent): (f64, f64, f64),
-        part: f64,
+        want: &Want,
+        (alone, silent, part): (f64, f64, f64),
         now: Millis,
-    ) -> f64 {
+    ) -> Answer {
         let empty = Bucket { level: 0.0, at: self.since };
         let bucket = self.buckets.entry(customer.clone()).or_insert(empty);
         bucket.fill(now, terms.rate * (1.0 - ALONE_SHARE * silent), terms.depth);
         bucket.level -= alone;
-        let given = want.min(bucket.level * part).max(0.0);
-        bucket.level -= given;
-        given
+        let there = (bucket.level * part).max(want.least.min(bucket.level));
+        let amount = want.of(there);
+        bucket.level -= amount;
+        Answer { amount, is_short: amount < want.most && bucket.level < want.least }
     }
 }
 
+/// What an issuer gives.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Answer {
+    /// So much.
+    pub amount: f64,
+    /// Whether there is no more at the moment.
+    pub is_short: bool,
+}
+
 /// What a domain uses that hears nothing from the issuer: its share of the limits.
 #[derive(Debug, Clone, Default)]
 pub struct Alone {
@@ -269,17 +280,18 @@
         &mut self,
         customer: &CustomerId,
         terms: &Terms,
-        (want, share): (f64, f64),
+        want: &Want,
+        share: f64,
         now: Millis,
-    ) -> f64 {
+    ) -> Answer {
         let part = ALONE_SHARE * share;
         let bucket = self.buckets.entry(customer.clone()).or_insert(Bucket { level: 0.0, at: now });
         bucket.fill(now, terms.rate * part, terms.rate * part * LEAST_DEPTH_S);
-        let given = want.min(bucket.level + terms.ahead * share).max(0.0);
+        let given = want.of(bucket.level + terms.ahead * share);
         bucket.level -= given;
         let (used, at) = self.used.entry(customer.clone()).or_insert((0.0, now));
         (*used, *at) = (*used + given, now);
-        given
+        Answer { amount: given, is_short: given < want.most }
     }
 
     /// What was used of late, for the issuer, which has counted what was used before by itself.
@@ -336,8 +348,15 @@
         self.count_asked(now, cost);
     }
 
-    /// So much is needed here or at a node that asks this one. What is asked for again counts once.
-    pub fn count_asked(&mut self, now: Millis, amount: f64) {
+    /// A node that asks this one wants so much. What it asks for again counts once.
+    pub fn count_want(&mut self, now: Millis, want: &Want) {
+        if self.usual == 0.0 {
+            self.usual = want.step;
+        }
+        self.count_asked(now, want.new);
+    }
+
+    fn count_asked(&mut self, now: Millis, amount: f64) {
         self.new += amount;
         self.decay(now);
         self.asked += amount * 1_000.0 / ASKED_OVER_MS;
@@ -373,11 +392,6 @@
         Want { most, least: lacks.min(most), step, new: self.new }
     }
 
-    /// A question was answered.
-    pub fn told(&mut self, want: &Want) {
-        self.new = (self.new - want.new).max(0.0);
-    }
-
     /// Whether it is time to ask: something waits, or half of what is asked ahead is used.
     pub fn is_low(&mut self, now: Millis) -> bool {
         let balance = self.purse.balance(now);
@@ -390,10 +404,11 @@
         if ahead >= self.usual { ahead } else { 0.0 }
     }
 
-    /// So much of what was asked for was given.
-    pub fn answered(&mut self, now: Millis, want: f64, given: f64) {
-        let part = given / want.max(f64::MIN_POSITIVE);
-        self.short = (part < 0.999).then_some((now, part));
+    /// So much of what was asked for was given, and there may be no more.
+    pub fn answered(&mut self, now: Millis, want: &Want, given: f64, is_short: bool) {
+        let part = given / want.most.max(f64::MIN_POSITIVE);
+        self.short = is_short.then_some((now, part.min(1.0)));
+        self.new = (self.new - want.new).max(0.0);
     }
 
     /// Whether it is known that there is no more, and by how much less was given than asked for.
--- a/crates/direct/tests/quota.rs
+++ b/crates/direct/tests/quota.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hgw_direct::quota::{Account, Alone, Grant, Issuer, Lot, Terms};
+use hgw_direct::quota::{Account, Alone, Grant, Issuer, Lot, Terms, Want};
 use hgw_direct::{CustomerId, Millis, Quota, QuotaBounds, Unit};
 use proptest::prelude::{ProptestConfig, prop_assert, proptest};
 
@@ -119,7 +119,7 @@
     }
 
     /// What the issuer gives a node, or nothing where it cannot be reached.
-    fn ask(&mut self, node: usize, want: f64, nodes: u32) -> Option<Vec<Grant>> {
+    fn ask(&mut self, node: usize, want: &Want, nodes: u32) -> Option<Vec<Grant>> {
         let (terms, now, all) = (self.terms(), self.now, self.nodes.len() as u32);
         let (at, _) = self.issuer.as_ref()?;
         let apart = node / self.domain != at / self.domain;
@@ -137,38 +137,37 @@
         }
         let silent = issuer.silent_share(all, now);
         let part = Issuer::part_of(nodes, all);
-        let amount = issuer.give(&customer(), &terms, (want, used, silent), part, now);
-        Some(vec![Grant { amount, for_ms: terms.life() }])
+        let answer = issuer.give(&customer(), &terms, want, (used, silent, part), now);
+        Some(vec![Grant { amount: answer.amount, for_ms: terms.life() }])
     }
 
     fn fill(&mut self, node: usize) {
         let issues = self.issuer.as_ref().is_some_and(|(at, _)| *at == node);
         let (now, asked) = (self.now, self.now.saturating_sub(2 * WAY));
         let head = self.head(node);
-        let wanted = self.nodes[node].account.want(now);
-        let want = wanted.most;
+        let want = self.nodes[node].account.want(now);
         let grants = if issues {
-            self.ask(node, want, 0)
+            self.ask(node, &want, 0)
         } else if head == node {
             let nodes = self.behind(node);
-            let given = self.ask(node, want, nodes);
-            given.or_else(|| self.alone(node, want, nodes))
-        } else if self.runs(head) && want > 0.0 {
+            let given = self.ask(node, &want, nodes);
+            given.or_else(|| self.alone(node, &want, nodes))
+        } else if self.runs(head) && want.most > 0.0 {
             let account = &mut self.nodes[head].account;
-            account.count_asked(now, wanted.new);
-            account.wait(want);
+            account.count_want(now, &want);
+            account.wait(want.most);
             self.fill(head);
             let account = &mut self.nodes[head].account;
-            account.wait_over(want);
+            account.wait_over(want.most);
             let there = account.purse.balance(now);
-            let lots = account.purse.take(now, wanted.of(there));
+            let lots = account.purse.take(now, want.of(there));
             let grant = |lot: Lot| Grant { amount: lot.amount, for_ms: lot.until - now };
             Some(lots.into_iter().map(grant).collect())
         } else {
             None
         };
         if grants.is_some() {
-            self.nodes[node].account.told(&wanted);
+            self.nodes[node].account.answered(now, &want, 0.0, false);
         }
         for grant in grants.unwrap_or_default() {
             let lot = Lot { amount: grant.amount, until: asked + grant.for_ms };
@@ -176,14 +175,14 @@
         }
     }
 
-    fn alone(&mut self, node: usize, want: f64, nodes: u32) -> Option<Vec<Grant>> {
+    fn alone(&mut self, node: usize, want: &Want, nodes: u32) -> Option<Vec<Grant>> {
         if self.now < self.nodes[node].answered + 250 {
             return None;
         }
         let share = f64::from(nodes) / self.nodes.len() as f64;
         let (terms, now) = (self.terms(), self.now);
-        let amount = self.nodes[node].alone.give(&customer(), &terms, (want, share), now);
-        Some(vec![Grant { amount, for_ms: terms.life() }])
+        let answer = self.nodes[node].alone.give(&customer(), &terms, want, share, now);
+        Some(vec![Grant { amount: answer.amount, for_ms: terms.life() }])
     }
 
     fn tick(&mut self) {
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -81,7 +81,8 @@
 
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct Given {
-    rows: Vec<(CustomerId, Vec<Grant>)>,
+    /// What is given of each customer's limit, and whether there is no more.
+    rows: Vec<(CustomerId, Vec<Grant>, bool)>,
 }
 
 /// Why a request gets no allowance.
@@ -97,21 +98,26 @@
 pub(crate) struct Spent {
     node: Node,
     customer: CustomerId,
-    lots: RefCell<Vec<Lot>>,
+    lots: Vec<Lot>,
+    /// Whether an engine may run the request, or did.
+    used: Cell<bool>,
 }
 
 impl Spent {
-    /// An engine may run the request.
-    pub(crate) fn is_used(&self) {
-        self.lots.borrow_mut().clear();
+    /// An engine may run the request from now on, or says that it has not and will not.
+    pub(crate) fn is_used(&self, used: bool) {
+        self.used.set(used);
     }
 }
 
 impl Drop for Spent {
     fn drop(&mut self) {
+        if self.used.get() {
+            return;
+        }
         let mut accounts = self.node.quotas.accounts.borrow_mut();
         let account = accounts.entry(self.customer.clone()).or_default();
-        self.lots.borrow_mut().drain(..).for_each(|lot| account.purse.add(lot));
+        self.lots.drain(..).for_each(|lot| account.purse.add(lot));
     }
 }
 
@@ -150,7 +156,7 @@
         }
         if let Some(lots) = spent {
             let (node, customer) = (Rc::clone(node), customer.clone());
-            return Ok(Some(Spent { node, customer, lots: RefCell::new(lots) }));
+            return Ok(Some(Spent { node, customer, lots, used: Cell::new(false) }));
         }
         if let Some(part) = short {
             return Err(NoAllowance::OverLimit(room_after(part)));
@@ -304,12 +310,13 @@
 
 /// Takes in the answer to a question of this time: an allowance lives from then, whatever its answer took.
 fn take_in(node: &Node, asked: Millis, wants: &[(CustomerId, Want)], given: Given) {
-    let mut given: IndexMap<CustomerId, Vec<Grant>> = given.rows.into_iter().collect();
+    let rows = given.rows.into_iter().map(|(customer, grants, short)| (customer, (grants, short)));
+    let mut given: IndexMap<CustomerId, (Vec<Grant>, bool)> = rows.collect();
     for (customer, want) in wants {
-        let grants = given.swap_remove(customer).unwrap_or_default();
+        let (grants, is_short) = given.swap_remove(customer).unwrap_or_default();
         with(node, customer, |account| {
-            account.told(want);
-            account.answered(now(), want.most, grants.iter().map(|grant| grant.amount).sum());
+            let amount = grants.iter().map(|grant| grant.amount).sum();
+            account.answered(now(), want, amount, is_short);
             for grant in grants {
                 account.purse.add(Lot { amount: grant.amount, until: asked + grant.for_ms });
             }
@@ -330,10 +337,10 @@
     let share = (f64::from(with_it) / f64::from(nodes)).min(1.0);
     for (customer, want) in wants {
         let Some((terms, _)) = limit(node, customer, None) else { continue };
-        let given = node.quotas.alone.borrow_mut().give(customer, &terms, (want.most, share), now);
+        let given = node.quotas.alone.borrow_mut().give(customer, &terms, want, share, now);
         with(node, customer, |account| {
-            account.answered(now, want.most, given);
-            account.purse.add(Lot { amount: given, until: now + terms.life() });
+            account.answered(now, want, given.amount, given.is_short);
+            account.purse.add(Lot { amount: given.amount, until: now + terms.life() });
         });
     }
 }
@@ -363,11 +370,9 @@
     for (customer, want, alone) in &ask.rows {
         let Some((terms, _)) = limit(node, customer, None) else { continue };
         let part = Issuer::part_of(ask.nodes, nodes);
-        let amount = issuer.give(customer, &terms, (want.most, *alone, silent), part, now);
-        if amount > 0.0 {
-            let grant = Grant { amount, for_ms: terms.life() };
-            given.rows.push((customer.clone(), vec![grant]));
-        }
+        let answer = issuer.give(customer, &terms, want, (*alone, silent, part), now);
+        let grant = Grant { amount: answer.amount, for_ms: terms.life() };
+        given.rows.push((customer.clone(), vec![grant], answer.is_short));
     }
     Some(given)
 }
@@ -388,7 +393,7 @@
     let mut waits = Vec::new();
     for (customer, want, _) in &ask.rows {
         let lacks = with(node, customer, |account| {
-            account.count_asked(now(), want.new);
+            account.count_want(now(), want);
             let lacks = want.most > account.purse.balance(now());
             lacks && account.is_short(now()).is_none()
         });
@@ -407,15 +412,14 @@
     let mut given = Given::default();
     for (customer, want, _) in &ask.rows {
         let now = now();
-        let lots = with(node, customer, |account| {
+        let (lots, is_short) = with(node, customer, |account| {
             let there = account.purse.balance(now);
-            account.purse.take(now, want.of(there))
+            let lots = account.purse.take(now, want.of(there));
+            (lots, account.is_short(now).is_some())
         });
         let grant = |lot: Lot| Grant { amount: lot.amount, for_ms: lot.until.saturating_sub(now) };
         let grants: Vec<Grant> = lots.into_iter().map(grant).collect();
-        if !grants.is_empty() {
-            given.rows.push((customer.clone(), grants));
-        }
+        given.rows.push((customer.clone(), grants, is_short));
     }
     node.quotas.wake.notify_one();
     given
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -129,7 +129,7 @@
             return Tried::Denied(denied);
         }
         let req = self.request(engine, last_event);
-        self.may_run();
+        self.may_run(true);
         let sent = async {
             conn.begin(&req).await?;
             self.answer_to(&mut conn, &req).await
@@ -218,6 +218,7 @@
         }
         if marks.not_run || marks.misdirected {
             self.rejected += 1;
+            self.may_run(false);
             if marks.misdirected {
                 self.correct(engine, &marks);
             } else {
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -150,10 +150,10 @@
         Ok(())
     }
 
-    /// An engine may run it from now on.
-    pub(super) fn may_run(&self) {
+    /// An engine may run it from now on, or says that it has not; what another ran stays used.
+    pub(super) fn may_run(&self, may: bool) {
         if let Some(spent) = &self.spent {
-            spent.is_used();
+            spent.is_used(may || self.runs > 0);
         }
     }
 
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/limits.rs
@@ -0,0 +1,212 @@
+//! What customers may use, over all nodes.
+
+use std::time::{Duration, Instant};
+
+use hgw_standins::fleet::Fleet;
+use hgw_standins::fleet::deployment::{Node, configuration, wait};
+use hgw_standins::link::Condition;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+
+use crate::fleet_of;
+
+/// The window, the share and the slack of the settings that the nodes are given.
+const WINDOW: Duration = Duration::from_secs(4);
+const OVER: f64 = 0.1;
+const SLACK: f64 = 6.0;
+
+/// One customer with so many requests a second and as many at once, and one without a limit.
+fn limited(version: u64, rate: f64) -> Value {
+    let mut config = configuration(version);
+    config["tenants"] = json!([
+        { "name": "bakery", "apiKeys": ["k-1"], "unit": "requests", "ratePerS": rate, "burst": rate },
+        { "name": "mill", "apiKeys": ["k-2"] },
+    ]);
+    config
+}
+
+fn put(fleet: &Fleet, config: &Value) {
+    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+}
+
+fn fleet(rate: f64) -> Fleet {
+    let fleet = fleet_of(Vec::new());
+    put(&fleet, &limited(2, rate));
+    fleet
+}
+
+fn call(node: &Node, id: &str, key: &str) -> (StatusCode, bool) {
+    let key = format!("Token {key}");
+    let headers =
+        [("x-request-id", id), ("x-deadline-ms", "2000"), ("authorization", key.as_str())];
+    match node.call(Method::POST, "/look/", &headers) {
+        Ok(answer) => (answer.status, answer.headers.contains_key("retry-after")),
+        // A node that is killed answers nothing.
+        Err(_) => (StatusCode::BAD_GATEWAY, false),
+    }
+}
+
+/// When requests of a customer ran that came as fast as nodes answered, and how many were refused.
+#[derive(Default)]
+struct Came {
+    ran: Vec<Instant>,
+    over: u32,
+    other: u32,
+}
+
+/// Callers send through each of these nodes, one after the other, for a time.
+fn press(nodes: &[&Node], name: &str, time: Duration) -> Came {
+    let until = Instant::now() + time;
+    let mut all = Came::default();
+    std::thread::scope(|scope| {
+        let callers: Vec<_> = nodes
+            .iter()
+            .map(|node| {
+                scope.spawn(move || {
+                    let mut came = Came::default();
+                    for n in 0.. {
+                        if Instant::now() >= until {
+                            break;
+                        }
+                        let sent = Instant::now();
+                        match call(node, &format!("{name}-{}-{n}", node.name), "k-1") {
+                            (StatusCode::OK, _) => came.ran.push(sent),
+                            (StatusCode::TOO_MANY_REQUESTS, true) => came.over += 1,
+                            _ => came.other += 1,
+                        }
+                        std::thread::sleep(Duration::from_millis(3));
+                    }
+                    came
+                })
+            })
+            .collect();
+        for caller in callers {
+            let mut came = caller.join().unwrap();
+            all.ran.append(&mut came.ran);
+            all.over += came.over;
+            all.other += came.other;
+        }
+    });
+    all.ran.sort_unstable();
+    all
+}
+
+/// The most that ran within one window.
+fn worst(ran: &[Instant]) -> usize {
+    let within =
+        |first: Instant| ran.iter().filter(|at| **at >= first && **at < first + WINDOW).count();
+    ran.iter().map(|first| within(*first)).max().unwrap_or(0)
+}
+
+fn allowed(rate: f64) -> f64 {
+    (rate * WINDOW.as_secs_f64() + rate) * (1.0 + OVER) + SLACK
+}
+
+/// Three nodes, and callers who send many times what their customer may use. Together they get what is allowed, the rest
+/// is told when to come back, and another customer does not notice.
+#[test]
+fn customer_uses_its_limit_over_all_nodes() {
+    const RATE: f64 = 40.0;
+    let mut fleet = fleet(RATE);
+    for zone in ["a", "b", "b"] {
+        fleet.start(zone);
+    }
+    wait("allowances come", || call(&fleet.nodes[2], "first", "k-1").0 == StatusCode::OK);
+    std::thread::sleep(Duration::from_secs(2));
+    let nodes: Vec<&Node> = fleet.nodes.iter().collect();
+    let came = press(&nodes, "press", Duration::from_secs(8));
+    let (worst, allowed) = (worst(&came.ran) as f64, allowed(RATE));
+    assert!(worst <= allowed, "{worst} of {allowed}");
+    assert!(came.ran.len() as f64 >= 0.9 * RATE * 8.0, "{} ran", came.ran.len());
+    assert!(came.over > 0);
+    assert_eq!(came.other, 0, "each is told that its customer is over the limit");
+    assert_eq!(call(nodes[0], "other", "k-2").0, StatusCode::OK);
+}
+
+/// The node that gives allowances is killed. Nodes go on with their share; what all use stays within the limit also
+/// while the next one takes over.
+#[test]
+fn limit_holds_while_the_node_that_gives_allowances_is_replaced() {
+    const RATE: f64 = 60.0;
+    let mut fleet = fleet(RATE);
+    fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    for zone in ["a", "b"] {
+        fleet.start(zone);
+    }
+    wait("allowances come", || call(&fleet.nodes[2], "first", "k-1").0 == StatusCode::OK);
+    std::thread::sleep(Duration::from_secs(3));
+    let (first, rest) = fleet.nodes.split_at_mut(1);
+    let others: Vec<&Node> = rest.iter().collect();
+    let came = std::thread::scope(|scope| {
+        let callers = scope.spawn(|| press(&others, "press", Duration::from_secs(9)));
+        std::thread::sleep(Duration::from_secs(3));
+        first[0].kill();
+        callers.join().unwrap()
+    });
+    let (worst, allowed) = (worst(&came.ran) as f64, allowed(RATE));
+    assert!(worst <= allowed, "{worst} of {allowed}");
+    let last = came.ran.last().unwrap();
+    let late = came.ran.iter().filter(|at| *last - **at < Duration::from_secs(3)).count();
+    assert!(late as f64 >= 0.5 * 3.0 * RATE, "{late} in the last three seconds");
+}
+
+/// A request that no engine takes has used nothing of its customer's limit.
+#[test]
+fn request_that_does_not_run_uses_nothing() {
+    let mut fleet = fleet(2.0);
+    let node = fleet.start("a");
+    let node = &fleet.nodes[node];
+    wait("allowances come", || call(node, "first", "k-1").0 == StatusCode::OK);
+    for engine in ["desk-1", "desk-2"] {
+        fleet.engine(engine).refuse(1_000);
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    for n in 0..20 {
+        let (status, comes_back) = call(node, &format!("full-{n}"), "k-1");
+        assert_eq!((status, comes_back), (StatusCode::SERVICE_UNAVAILABLE, true), "call {n}");
+    }
+    for engine in ["desk-1", "desk-2"] {
+        fleet.engine(engine).refuse(0);
+    }
+    assert_eq!(call(node, "last", "k-1").0, StatusCode::OK);
+}
+
+/// A limit is taken away from a customer and given to another.
+#[test]
+fn limits_follow_the_configuration() {
+    let mut fleet = fleet(1.0);
+    let node = fleet.start("a");
+    let node = &fleet.nodes[node];
+    wait("the limit binds", || {
+        (0..8).any(|n| call(node, &format!("c-{n}"), "k-1").0 == StatusCode::TOO_MANY_REQUESTS)
+    });
+    let mut config = limited(3, 1.0);
+    config["tenants"][0]["ratePerS"] = 0.into();
+    put(&fleet, &config);
+    wait("there is no limit any more", || {
+        (0..8).all(|n| call(node, &format!("d-{n}"), "k-1").0 == StatusCode::OK)
+    });
+}
+
+/// A node that reaches no other uses its part of the limit, and not more.
+#[test]
+fn node_that_is_cut_off_uses_its_part() {
+    const RATE: f64 = 60.0;
+    let mut fleet = fleet(RATE);
+    fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    for zone in ["b", "b"] {
+        fleet.start(zone);
+    }
+    wait("allowances come", || call(&fleet.nodes[2], "first", "k-1").0 == StatusCode::OK);
+    std::thread::sleep(Duration::from_secs(3));
+    fleet.nodes[0].kill();
+    for node in &fleet.nodes[1..] {
+        node.to_store.set(Condition::Cut);
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    let came = press(&[&fleet.nodes[1]], "alone", Duration::from_secs(4));
+    let share = came.ran.len() as f64 / (RATE * 4.0);
+    assert!((0.15..=0.6).contains(&share), "{share} of the limit");
+}
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod heads;
 mod keys;
+mod limits;
 mod lines;
 mod orders;
 mod session;
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -330,6 +330,7 @@
          bounds.graceS=8\nbounds.drainMs=2000\nbounds.applyMs=2000\nbounds.budgetRatio=0.2\n\
          bounds.budgetSlack=50\nbounds.budgetWindowS=10\nbounds.requireFence=true\n\
          bounds.leaseMs=1000\nbounds.strictRevoke=false\nbounds.revokeMs=2000\n\
+         bounds.quotaWindowS=4\nbounds.quotaOver=0.1\nbounds.quotaSlack=6\n\
          bounds.ceilingWindowS=5\nprovider.addr={store}\nunheard.of=1\n",
         peers.port(),
         peers.port(),
