Ask for what waits where there is no more, and say when there will be room

Nodes were given what a usual request needs while a larger one waited, asked ahead for what others lacked, and let it lapse. After the keeper's loss its successor took off again what domains had used before it began, and 700 requests were refused in two seconds.

Change: the least that is given is what the smallest waiting request needs; nothing is asked ahead for 0.4 s after there was no more; use from before an issuer began is not taken off; a new one begins with a quarter of the slack; Retry-After is the time in which what nodes lack comes in. Lines of requests name the customer.

--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -47,6 +47,11 @@
 const OF_ITS_PART: f64 = 2.0;
 const LEAST_PART: f64 = 0.125;
 
+/// Part of the slack with which a new issuer begins, so that small customers are served at once, and how many may begin
+/// within one window.
+const START_SHARE: f64 = 0.25;
+const STARTS: f64 = 2.0;
+
 /// Least that the bucket holds, in seconds of the limit: a request needs much at once.
 const LEAST_DEPTH_S: f64 = 0.4;
 
@@ -72,6 +77,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Terms {
     rate: f64,
+    /// What a new issuer begins with.
+    start: f64,
     depth: f64,
     life: Millis,
     ahead: f64,
@@ -87,12 +94,13 @@
         let alive = quota.rate * life as f64 / 1_000.0;
         let unnoticed = quota.rate * ALONE_SHARE * SILENT_SHARE * SILENT_AFTER as f64 / 1_000.0;
         let ahead = AHEAD_SHARE * room;
-        let free = quota.burst + room - alive - unnoticed - ahead;
+        let start = START_SHARE * bounds.slack;
+        let free = quota.burst + room - alive - unnoticed - ahead - STARTS * start;
         let least = quota.rate * LEAST_DEPTH_S;
         // The slack is there so that a small customer's larger requests fit at all.
         let depth = free.clamp(least, (quota.burst + bounds.slack).max(least));
         let rate = (quota.rate - (depth - free).max(0.0) / window).max(0.0);
-        Terms { rate, depth, life, ahead }
+        Terms { rate, start: start.min(depth), depth, life, ahead }
     }
 
     /// How long an allowance lives.
@@ -205,10 +213,15 @@
     buckets: IndexMap<CustomerId, Bucket>,
     /// Who asked, when, and for how many nodes.
     heard: IndexMap<SocketAddr, (Millis, u32)>,
+    /// What they wanted and did not get.
+    unmet: IndexMap<CustomerId, IndexMap<SocketAddr, (f64, Millis)>>,
 }
 
+/// Time for which what a node did not get counts as wanted.
+const UNMET_FOR: Millis = 200;
+
 impl Issuer {
-    /// Begins with empty buckets.
+    /// Begins with nearly empty buckets.
     pub fn begin(now: Millis) -> Issuer {
         Issuer { since: now, ..Issuer::default() }
     }
@@ -236,20 +249,34 @@
     /// may be doing so. Of what there is only this `part` is given, but for what one request lacks.
     pub fn give(
         &mut self,
+        from: SocketAddr,
         customer: &CustomerId,
         terms: &Terms,
         want: &Want,
         (alone, silent, part): (f64, f64, f64),
         now: Millis,
     ) -> Answer {
-        let empty = Bucket { level: 0.0, at: self.since };
+        let empty = Bucket { level: terms.start, at: self.since };
         let bucket = self.buckets.entry(customer.clone()).or_insert(empty);
         bucket.fill(now, terms.rate * (1.0 - ALONE_SHARE * silent), terms.depth);
-        bucket.level -= alone;
+        // What was used before it began is not of its bucket.
+        if now.saturating_sub(self.since) >= SILENT_AFTER {
+            bucket.level -= alone;
+        }
         let there = (bucket.level * part).max(want.least.min(bucket.level));
         let amount = want.of(there);
         bucket.level -= amount;
-        Answer { amount, is_short: amount < want.most && bucket.level < want.least }
+        let unmet = self.unmet.entry(customer.clone()).or_default();
+        unmet.retain(|_, (_, at)| now.saturating_sub(*at) < UNMET_FOR);
+        let is_short = amount < want.most && bucket.level < want.least;
+        if !is_short {
+            unmet.swap_remove(&from);
+            return Answer { amount, room_in: None };
+        }
+        unmet.insert(from, (want.most - amount, now));
+        let lacks: f64 = unmet.values().map(|(amount, _)| amount).sum::<f64>() - bucket.level;
+        let rate = terms.rate.max(f64::MIN_POSITIVE);
+        Answer { amount, room_in: Some((1_000.0 * lacks / rate) as Millis) }
     }
 }
 
@@ -258,8 +285,8 @@
 pub struct Answer {
     /// So much.
     pub amount: f64,
-    /// Whether there is no more at the moment.
-    pub is_short: bool,
+    /// Where there is no more at the moment: when there will be, in milliseconds.
+    pub room_in: Option<Millis>,
 }
 
 /// What a domain uses that hears nothing from the issuer: its share of the limits.
@@ -291,7 +318,12 @@
         bucket.level -= given;
         let (used, at) = self.used.entry(customer.clone()).or_insert((0.0, now));
         (*used, *at) = (*used + given, now);
-        Answer { amount: given, is_short: given < want.most }
+        let rate = (terms.rate * part).max(f64::MIN_POSITIVE);
+        let lacks = want.most - given;
+        Answer {
+            amount: given,
+            room_in: (lacks > 0.0).then_some((1_000.0 * lacks / rate) as Millis),
+        }
     }
 
     /// What was used of late, for the issuer, which has counted what was used before by itself.
@@ -322,6 +354,18 @@
 /// Time for which a short answer is the last word: then a request is refused at once.
 const SHORT_FOR: Millis = 100;
 
+/// Time after one for which nothing is asked ahead.
+const SCARCE_FOR: Millis = 400;
+
+/// Something that waits for an allowance: so much, of which the least is of use.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Waiting {
+    /// All that it waits for.
+    pub most: f64,
+    /// What one request needs.
+    pub least: f64,
+}
+
 /// What a node knows of one customer's use.
 #[derive(Debug, Clone, Default)]
 pub struct Account {
@@ -335,9 +379,9 @@
     /// Needed since the last question.
     new: f64,
     /// What requests need that wait for an answer of the issuer, and the nodes that ask this one.
-    waiting: f64,
-    /// When less was given than asked for, and the part that was given.
-    short: Option<(Millis, f64)>,
+    waiting: Vec<Waiting>,
+    /// When there was no more, and when there will be.
+    short: Option<(Millis, Millis)>,
 }
 
 impl Account {
@@ -368,34 +412,51 @@
         self.asked_at = now;
     }
 
-    /// Something waits for so much.
-    pub fn wait(&mut self, cost: f64) {
-        self.waiting += cost;
+    /// Something waits.
+    pub fn wait(&mut self, waiting: Waiting) {
+        self.waiting.push(waiting);
     }
 
     /// Whether something waits.
     pub fn has_waiting(&self) -> bool {
-        self.waiting > 0.0
+        !self.waiting.is_empty()
     }
 
     /// It waits no longer.
-    pub fn wait_over(&mut self, cost: f64) {
-        self.waiting = (self.waiting - cost).max(0.0);
+    pub fn wait_over(&mut self, waiting: Waiting) {
+        if let Some(at) = self.waiting.iter().position(|known| *known == waiting) {
+            self.waiting.swap_remove(at);
+        }
+    }
+
+    fn all_waiting(&self) -> f64 {
+        self.waiting.iter().map(|waiting| waiting.most).sum()
     }
 
-    /// What to ask for now. Where requests are rare nothing is asked ahead: it would lapse.
+    /// What to ask for now. Where requests are rare nothing is asked ahead: it would lapse. Nor is it where there is no
+    /// more than what is used at once.
+    ///
+    /// Load: a customer sends three times what it may. Nodes that each were given what a usual request needs had too
+    /// little for the next, which was a larger one; four in ten of all that was given lapsed.
     pub fn want(&mut self, now: Millis) -> Want {
         let balance = self.purse.balance(now);
-        let most = (self.ahead(now).max(self.waiting) - balance).max(0.0);
+        let ahead = if self.is_scarce(now) { 0.0 } else { self.ahead(now) };
+        let most = (ahead.max(self.all_waiting()) - balance).max(0.0);
         let step = if self.usual > 0.0 { self.usual } else { most };
-        let lacks = step - balance % step.max(f64::MIN_POSITIVE);
-        Want { most, least: lacks.min(most), step, new: self.new }
+        let needed = self.waiting.iter().map(|waiting| waiting.least).reduce(f64::min);
+        let least = (needed.unwrap_or(step) - balance).max(0.0);
+        Want { most, least: least.min(most), step, new: self.new }
+    }
+
+    /// Whether there was no more than was asked for a while ago.
+    fn is_scarce(&self, now: Millis) -> bool {
+        self.short.is_some_and(|(at, _)| now.saturating_sub(at) < SCARCE_FOR)
     }
 
     /// Whether it is time to ask: something waits, or half of what is asked ahead is used.
     pub fn is_low(&mut self, now: Millis) -> bool {
         let balance = self.purse.balance(now);
-        balance < self.waiting || balance < self.ahead(now) / 2.0
+        balance < self.all_waiting() || !self.is_scarce(now) && balance < self.ahead(now) / 2.0
     }
 
     fn ahead(&mut self, now: Millis) -> f64 {
@@ -404,16 +465,17 @@
         if ahead >= self.usual { ahead } else { 0.0 }
     }
 
-    /// So much of what was asked for was given, and there may be no more.
-    pub fn answered(&mut self, now: Millis, want: &Want, given: f64, is_short: bool) {
-        let part = given / want.most.max(f64::MIN_POSITIVE);
-        self.short = is_short.then_some((now, part.min(1.0)));
+    /// The question was answered; there may be no more for so long.
+    pub fn answered(&mut self, now: Millis, want: &Want, room_in: Option<Millis>) {
+        if let Some(room_in) = room_in {
+            self.short = Some((now, now + room_in));
+        }
         self.new = (self.new - want.new).max(0.0);
     }
 
-    /// Whether it is known that there is no more, and by how much less was given than asked for.
-    pub fn is_short(&self, now: Millis) -> Option<f64> {
-        let (at, part) = self.short?;
-        (now.saturating_sub(at) < SHORT_FOR).then_some(part)
+    /// Where it is known that there is no more: how long until there is.
+    pub fn room_in(&self, now: Millis) -> Option<Millis> {
+        let (at, room) = self.short?;
+        (now.saturating_sub(at) < SHORT_FOR).then_some(room.saturating_sub(now))
     }
 }
--- a/crates/direct/tests/quota.rs
+++ b/crates/direct/tests/quota.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hgw_direct::quota::{Account, Alone, Grant, Issuer, Lot, Terms, Want};
+use hgw_direct::quota::{Account, Alone, Grant, Issuer, Lot, Terms, Waiting, Want};
 use hgw_direct::{CustomerId, Millis, Quota, QuotaBounds, Unit};
 use proptest::prelude::{ProptestConfig, prop_assert, proptest};
 
@@ -137,7 +137,7 @@
         }
         let silent = issuer.silent_share(all, now);
         let part = Issuer::part_of(nodes, all);
-        let answer = issuer.give(&customer(), &terms, want, (used, silent, part), now);
+        let answer = issuer.give(addr(node), &customer(), &terms, want, (used, silent, part), now);
         Some(vec![Grant { amount: answer.amount, for_ms: terms.life() }])
     }
 
@@ -155,10 +155,11 @@
         } else if self.runs(head) && want.most > 0.0 {
             let account = &mut self.nodes[head].account;
             account.count_want(now, &want);
-            account.wait(want.most);
+            let waiting = Waiting { most: want.most, least: want.least };
+            account.wait(waiting);
             self.fill(head);
             let account = &mut self.nodes[head].account;
-            account.wait_over(want.most);
+            account.wait_over(waiting);
             let there = account.purse.balance(now);
             let lots = account.purse.take(now, want.of(there));
             let grant = |lot: Lot| Grant { amount: lot.amount, for_ms: lot.until - now };
@@ -167,7 +168,7 @@
             None
         };
         if grants.is_some() {
-            self.nodes[node].account.answered(now, &want, 0.0, false);
+            self.nodes[node].account.answered(now, &want, None);
         }
         for grant in grants.unwrap_or_default() {
             let lot = Lot { amount: grant.amount, until: asked + grant.for_ms };
@@ -211,7 +212,7 @@
         while node.due >= 1.0 {
             node.due -= 1.0;
             node.account.count(now, cost);
-            node.account.wait(cost);
+            node.account.wait(Waiting { most: cost, least: cost });
             node.waiting.push_back(now + PATIENCE);
         }
         while let Some(until) = node.waiting.front().copied() {
@@ -220,7 +221,7 @@
                 break;
             }
             node.waiting.pop_front();
-            node.account.wait_over(cost);
+            node.account.wait_over(Waiting { most: cost, least: cost });
             if spent {
                 self.used.push_back((now, cost));
                 self.total += cost;
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use hgw_direct::heads::Parent;
-use hgw_direct::quota::{Account, Alone, Grant, Issuer, Lot, Terms, Want};
+use hgw_direct::quota::{Account, Alone, Grant, Issuer, Lot, Terms, Waiting, Want};
 use hgw_direct::{CustomerId, Millis};
 use hgw_events::{Event, emit};
 use indexmap::IndexMap;
@@ -49,8 +49,9 @@
 /// Time within which nodes must have asked to count as heard.
 const HEARD_WITHIN: Millis = 1_000;
 
-/// When a caller comes back whose customer has used all it may: at most, and at least.
-const COME_BACK: (f64, f64) = (0.4, 4.0);
+/// When a caller comes back whose customer has used all it may, at least and at most.
+const COME_BACK_LEAST: Duration = Duration::from_millis(300);
+const COME_BACK_MOST: Duration = Duration::from_secs(4);
 
 /// The same where nobody tells what it may use.
 const NO_WORD: Duration = Duration::from_millis(400);
@@ -81,8 +82,8 @@
 
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct Given {
-    /// What is given of each customer's limit, and whether there is no more.
-    rows: Vec<(CustomerId, Vec<Grant>, bool)>,
+    /// What is given of each customer's limit; and where there is no more, when there will be, in milliseconds.
+    rows: Vec<(CustomerId, Vec<Grant>, Option<Millis>)>,
 }
 
 /// Why a request gets no allowance.
@@ -149,7 +150,7 @@
         let filled = quotas.filled.notified();
         let (spent, low, short) = with(node, customer, |account| {
             let spent = account.purse.spend(now(), cost);
-            (spent, account.is_low(now()), account.is_short(now()))
+            (spent, account.is_low(now()), account.room_in(now()))
         });
         if low {
             quotas.wake.notify_one();
@@ -158,16 +159,18 @@
             let (node, customer) = (Rc::clone(node), customer.clone());
             return Ok(Some(Spent { node, customer, lots, used: Cell::new(false) }));
         }
-        if let Some(part) = short {
-            return Err(NoAllowance::OverLimit(room_after(part)));
+        if let Some(room_in) = short {
+            let wait = Duration::from_millis(room_in).clamp(COME_BACK_LEAST, COME_BACK_MOST);
+            return Err(NoAllowance::OverLimit(wait));
         }
         if Instant::now() >= until {
             return Err(NoAllowance::NoWord(NO_WORD));
         }
-        with(node, customer, |account| account.wait(cost));
+        let waiting = Waiting { most: cost, least: cost };
+        with(node, customer, |account| account.wait(waiting));
         quotas.wake.notify_one();
         // Dropped here or run out: what waits is told by the guard.
-        let waits = Waits { node, customer, cost };
+        let waits = Waits { node, customer, waiting };
         let _ = timeout_at(until, filled).await;
         drop(waits);
     }
@@ -177,22 +180,15 @@
 struct Waits<'a> {
     node: &'a Node,
     customer: &'a CustomerId,
-    cost: f64,
+    waiting: Waiting,
 }
 
 impl Drop for Waits<'_> {
     fn drop(&mut self) {
-        with(self.node, self.customer, |account| account.wait_over(self.cost));
+        with(self.node, self.customer, |account| account.wait_over(self.waiting));
     }
 }
 
-/// When there will be room, where this part of what was asked for was given: the rest of it comes in the time in which
-/// as much is used again.
-fn room_after(part: f64) -> Duration {
-    let (least, most) = COME_BACK;
-    Duration::from_secs_f64((0.5 / part.max(0.05) - 0.5).clamp(least, most))
-}
-
 fn with<R>(node: &Node, customer: &CustomerId, look: impl FnOnce(&mut Account) -> R) -> R {
     let mut accounts = node.quotas.accounts.borrow_mut();
     if let Some(account) = accounts.get_mut(customer) {
@@ -310,13 +306,12 @@
 
 /// Takes in the answer to a question of this time: an allowance lives from then, whatever its answer took.
 fn take_in(node: &Node, asked: Millis, wants: &[(CustomerId, Want)], given: Given) {
-    let rows = given.rows.into_iter().map(|(customer, grants, short)| (customer, (grants, short)));
-    let mut given: IndexMap<CustomerId, (Vec<Grant>, bool)> = rows.collect();
+    let rows = given.rows.into_iter().map(|(customer, grants, room)| (customer, (grants, room)));
+    let mut given: IndexMap<CustomerId, (Vec<Grant>, Option<Millis>)> = rows.collect();
     for (customer, want) in wants {
-        let (grants, is_short) = given.swap_remove(customer).unwrap_or_default();
+        let (grants, room_in) = given.swap_remove(customer).unwrap_or_default();
         with(node, customer, |account| {
-            let amount = grants.iter().map(|grant| grant.amount).sum();
-            account.answered(now(), want, amount, is_short);
+            account.answered(now(), want, room_in);
             for grant in grants {
                 account.purse.add(Lot { amount: grant.amount, until: asked + grant.for_ms });
             }
@@ -339,7 +334,7 @@
         let Some((terms, _)) = limit(node, customer, None) else { continue };
         let given = node.quotas.alone.borrow_mut().give(customer, &terms, want, share, now);
         with(node, customer, |account| {
-            account.answered(now, want, given.amount, given.is_short);
+            account.answered(now, want, given.room_in);
             account.purse.add(Lot { amount: given.amount, until: now + terms.life() });
         });
     }
@@ -370,9 +365,9 @@
     for (customer, want, alone) in &ask.rows {
         let Some((terms, _)) = limit(node, customer, None) else { continue };
         let part = Issuer::part_of(ask.nodes, nodes);
-        let answer = issuer.give(customer, &terms, want, (*alone, silent, part), now);
+        let answer = issuer.give(ask.from, customer, &terms, want, (*alone, silent, part), now);
         let grant = Grant { amount: answer.amount, for_ms: terms.life() };
-        given.rows.push((customer.clone(), vec![grant], answer.is_short));
+        given.rows.push((customer.clone(), vec![grant], answer.room_in));
     }
     Some(given)
 }
@@ -395,11 +390,12 @@
         let lacks = with(node, customer, |account| {
             account.count_want(now(), want);
             let lacks = want.most > account.purse.balance(now());
-            lacks && account.is_short(now()).is_none()
+            lacks && account.room_in(now()).is_none()
         });
         if lacks {
-            with(node, customer, |account| account.wait(want.most));
-            waits.push(Waits { node, customer, cost: want.most });
+            let waiting = Waiting { most: want.most, least: want.least };
+            with(node, customer, |account| account.wait(waiting));
+            waits.push(Waits { node, customer, waiting });
         }
     }
     if !waits.is_empty() {
@@ -412,14 +408,14 @@
     let mut given = Given::default();
     for (customer, want, _) in &ask.rows {
         let now = now();
-        let (lots, is_short) = with(node, customer, |account| {
+        let (lots, room_in) = with(node, customer, |account| {
             let there = account.purse.balance(now);
             let lots = account.purse.take(now, want.of(there));
-            (lots, account.is_short(now).is_some())
+            (lots, account.room_in(now))
         });
         let grant = |lot: Lot| Grant { amount: lot.amount, for_ms: lot.until.saturating_sub(now) };
         let grants: Vec<Grant> = lots.into_iter().map(grant).collect();
-        given.rows.push((customer.clone(), grants, is_short));
+        given.rows.push((customer.clone(), grants, room_in));
     }
     node.quotas.wake.notify_one();
     given
--- a/crates/gateway/src/relay/told.rs
+++ b/crates/gateway/src/relay/told.rs
@@ -14,6 +14,11 @@
 use super::request::Relayed;
 
 impl Relayed {
+    /// The customer's name; empty where there is none.
+    fn customer(&self) -> &str {
+        self.identity.customer.as_ref().map_or("", |name| name.0.as_str())
+    }
+
     /// Logs a try that brought no answer.
     pub(super) fn try_failed(&self, engine: &EngineId, why: &'static str, took: Duration) {
         meter::try_failed(why);
@@ -64,6 +69,7 @@
             &[
                 ("node", &self.node.settings.borrow().node),
                 ("id", &self.call.id),
+                ("customer", &self.customer()),
                 ("route", &self.route.name),
                 ("wanted", &wanted),
                 ("status", &status),
@@ -109,6 +115,7 @@
             &[
                 ("node", &self.node.settings.borrow().node),
                 ("id", &self.call.id),
+                ("customer", &self.customer()),
                 ("route", &self.route.name),
                 ("wanted", &wanted),
                 ("priority", &self.route.priority),
@@ -136,6 +143,7 @@
             &[
                 ("node", &self.node.settings.borrow().node),
                 ("id", &self.call.id),
+                ("customer", &self.customer()),
                 ("route", &self.route.name),
                 ("wanted", &wanted),
                 ("why", &why),
