Let a domain go on alone at once, and look for the issuer beside it; take over sooner from a keeper that stops

A keeper that stops passed questions on as a head, so that domains took it for the issuer and began their share anew each time. Nodes read the claims only when the keeper's word was 1.9 s old, though it says at once that it is not the keeper any more.

Change: while a domain is alone it gives at once and looks for the issuer beside that; who is asked as the issuer answers as one or not at all; what was drawn ahead stays drawn; a keeper that refuses is not followed any more.

--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -124,6 +124,8 @@
 pub struct Want {
     /// So much at the most.
     pub most: f64,
+    /// What requests wait for; the rest is asked ahead.
+    pub needed: f64,
     /// The least that is of use: what one request lacks.
     pub least: f64,
     /// What one more request needs.
@@ -268,12 +270,12 @@
         bucket.level -= amount;
         let unmet = self.unmet.entry(customer.clone()).or_default();
         unmet.retain(|_, (_, at)| now.saturating_sub(*at) < UNMET_FOR);
-        let is_short = amount < want.most && bucket.level < want.least;
+        let is_short = amount < want.needed && bucket.level < want.least;
         if !is_short {
             unmet.swap_remove(&from);
             return Answer { amount, room_in: None };
         }
-        unmet.insert(from, (want.most - amount, now));
+        unmet.insert(from, (want.needed - amount, now));
         let lacks: f64 = unmet.values().map(|(amount, _)| amount).sum::<f64>() - bucket.level;
         let rate = terms.rate.max(f64::MIN_POSITIVE);
         Answer { amount, room_in: Some((1_000.0 * lacks / rate) as Millis) }
@@ -293,13 +295,18 @@
 #[derive(Debug, Clone, Default)]
 pub struct Alone {
     buckets: IndexMap<CustomerId, Bucket>,
+    /// Whether the issuer has been heard since.
+    ended: bool,
     used: IndexMap<CustomerId, (f64, Millis)>,
 }
 
 impl Alone {
-    /// The issuer is heard: nothing is used without it.
+    /// The issuer is heard: nothing is used without it. What was drawn ahead stays drawn.
+    ///
+    /// Load: an issuer that is about to end answers now and then. A domain that began anew each time would draw its share
+    /// ahead each time.
     pub fn end(&mut self) {
-        self.buckets.clear();
+        self.ended = true;
     }
 
     /// Gives so much at the most of the part of the limit that `share` of all nodes have.
@@ -312,6 +319,9 @@
         now: Millis,
     ) -> Answer {
         let part = ALONE_SHARE * share;
+        if std::mem::take(&mut self.ended) {
+            self.buckets.values_mut().for_each(|bucket| bucket.fill(now, terms.rate * part, 0.0));
+        }
         let bucket = self.buckets.entry(customer.clone()).or_insert(Bucket { level: 0.0, at: now });
         bucket.fill(now, terms.rate * part, terms.rate * part * LEAST_DEPTH_S);
         let given = want.of(bucket.level + terms.ahead * share);
@@ -319,7 +329,7 @@
         let (used, at) = self.used.entry(customer.clone()).or_insert((0.0, now));
         (*used, *at) = (*used + given, now);
         let rate = (terms.rate * part).max(f64::MIN_POSITIVE);
-        let lacks = want.most - given;
+        let lacks = want.needed - given;
         Answer {
             amount: given,
             room_in: (lacks > 0.0).then_some((1_000.0 * lacks / rate) as Millis),
@@ -441,11 +451,13 @@
     pub fn want(&mut self, now: Millis) -> Want {
         let balance = self.purse.balance(now);
         let ahead = if self.is_scarce(now) { 0.0 } else { self.ahead(now) };
-        let most = (ahead.max(self.all_waiting()) - balance).max(0.0);
+        let waiting = self.all_waiting();
+        let most = (ahead.max(waiting) - balance).max(0.0);
         let step = if self.usual > 0.0 { self.usual } else { most };
-        let needed = self.waiting.iter().map(|waiting| waiting.least).reduce(f64::min);
-        let least = (needed.unwrap_or(step) - balance).max(0.0);
-        Want { most, least: least.min(most), step, new: self.new }
+        let smallest = self.waiting.iter().map(|waiting| waiting.least).reduce(f64::min);
+        let least = (smallest.unwrap_or(step) - balance).max(0.0);
+        let needed = (waiting - balance).max(0.0);
+        Want { most, needed, least: least.min(most), step, new: self.new }
     }
 
     /// Whether there was no more than was asked for a while ago.
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -18,7 +18,7 @@
 use super::list::{take_in, take_in_list};
 use super::message::{Asked, CountedBefore, News, Tell};
 use super::placements::Heard;
-use super::{NEWS_WAIT, NO_KEEPER, PATIENCE, call};
+use super::{NEWS_WAIT, NO_KEEPER, PATIENCE, Unanswered, ask};
 
 /// Least time between two exchanges: what changes within it is told at once.
 const EXCHANGE_LEAST: Duration = Duration::from_millis(40);
@@ -69,12 +69,17 @@
         let tell = self.tell(node, asked, past);
         let (now, asked) = (node.now(), boot_time());
         self.told = now;
-        let news: Option<News> = call(node, addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await;
-        let Some(news) = news else {
-            self.is_silent(node, parent, addr);
-            give_back(node, tell.asked);
-            return None;
+        let news: News = match ask(node, addr, "/tell", &tell, NEWS_WAIT + PATIENCE).await {
+            Ok(news) => news,
+            Err(why) => {
+                self.is_silent(node, parent, addr);
+                // Who gives the orders no more says so at once; its successor need not wait until its word is old.
+                node.keeper_refuses.set(parent == Parent::Holder && why == Unanswered::Refused);
+                give_back(node, tell.asked);
+                return None;
+            }
         };
+        node.keeper_refuses.set(false);
         self.links.entry(addr).or_default().answers(node, addr);
         if introduces {
             self.introduced = Some(fence);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -84,7 +84,7 @@
 pub(crate) async fn catalog(node: &Node) -> Option<Bytes> {
     let (_, addr) = node.parent()?;
     let req = Request::post("/catalog", "peer", Bytes::new());
-    exchange_once(node, addr, &req, PATIENCE).await.filter(|text| !text.is_empty())
+    exchange_once(node, addr, &req, PATIENCE).await.ok().filter(|text| !text.is_empty())
 }
 
 /// A node that passes on does not answer: the next is asked for a while.
@@ -99,10 +99,29 @@
     message: &T,
     patience: Duration,
 ) -> Option<R> {
+    ask(node, addr, path, message, patience).await.ok()
+}
+
+/// Why another node gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unanswered {
+    /// It is there, and does not do what it was asked to.
+    Refused,
+    /// It did not answer in time, or not so that it can be read.
+    Silent,
+}
+
+async fn ask<T: Serialize, R: for<'a> Deserialize<'a>>(
+    node: &Node,
+    addr: SocketAddr,
+    path: &str,
+    message: &T,
+    patience: Duration,
+) -> Result<R, Unanswered> {
     let body = serde_json::to_vec(message).expect("a message can be written as JSON");
     let req = Request::post(path, "peer", body.into());
     let body = exchange_once(node, addr, &req, patience).await?;
-    serde_json::from_slice(&body).ok()
+    serde_json::from_slice(&body).map_err(|_| Unanswered::Silent)
 }
 
 /// The body of another node's answer, where it answered in time that all is well.
@@ -111,15 +130,19 @@
     addr: SocketAddr,
     req: &Request,
     patience: Duration,
-) -> Option<Bytes> {
+) -> Result<Bytes, Unanswered> {
     let exchange = async {
-        let mut conn = node.pool.get(addr, node.connect_limits()).await.ok()?;
-        let head = conn.send(req).await.ok()?;
-        let body = conn.collect(Body::new(head.framing), MOST).await.ok()?;
+        let mut conn = node.pool.get(addr, node.connect_limits()).await?;
+        let head = conn.send(req).await?;
+        let body = conn.collect(Body::new(head.framing), MOST).await?;
         node.pool.put(addr, conn);
-        (head.status == 200).then_some(body)
+        Ok::<_, hgw_http1::Error>((head.status, body))
     };
-    timeout(patience, exchange).await.ok()?
+    match timeout(patience, exchange).await {
+        Ok(Ok((200, body))) => Ok(body),
+        Ok(Ok(_)) => Err(Unanswered::Refused),
+        Ok(Err(_)) | Err(_) => Err(Unanswered::Silent),
+    }
 }
 
 /// Answers another node.
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -31,14 +31,22 @@
 /// The same while nothing waits.
 const ASKS_AHEAD: Duration = Duration::from_millis(40);
 
-/// Longest wait for an answer.
-const PATIENCE: Duration = Duration::from_millis(400);
+/// Longest wait for an answer of the issuer. Where it is late its domain goes on alone, and tells it afterwards.
+const PATIENCE: Duration = Duration::from_millis(150);
+
+/// The same for an answer of a head, which may ask the issuer itself, and how often in a row it may stay away before
+/// another head is asked.
+const HEAD_PATIENCE: Duration = Duration::from_millis(300);
+const HEAD_SILENT: u32 = 2;
+
+/// Time between two questions whether the issuer is back.
+const PROBE: Duration = Duration::from_millis(150);
 
 /// Time after which the issuer hears that this node and those behind it are there, where they need nothing.
 const SAYS_AGAIN: Millis = 400;
 
 /// Time without an answer after which a domain goes on with its own share.
-const ALONE_AFTER: Millis = 250;
+const ALONE_AFTER: Millis = 150;
 
 /// Longest time for which a head holds an answer back to ask for more itself.
 const HELD_BACK: Duration = Duration::from_millis(60);
@@ -66,6 +74,10 @@
     /// When the issuer last answered, itself or through a head.
     answered: Cell<Millis>,
     is_alone: Cell<bool>,
+    /// Whether this node is looking whether the issuer is back.
+    probing: Cell<bool>,
+    /// Questions in a row that a head did not answer.
+    unanswered: Cell<u32>,
     wake: Notify,
     filled: Notify,
 }
@@ -74,6 +86,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Ask {
     from: SocketAddr,
+    /// Whether the one that is asked is taken for the issuer: then no other answer is of use.
+    of_issuer: bool,
     /// Nodes for which it asks.
     nodes: u32,
     /// What is wanted of each customer's limit, and what was used of it without the issuer.
@@ -257,40 +271,82 @@
             let me = node.settings.borrow().peers;
             let asked = now();
             let rows = wants.iter().map(|(c, want)| (c.clone(), *want, 0.0)).collect();
-            let given = issue(node, &Ask { from: me, nodes: 0, rows });
+            let given = issue(node, &Ask { from: me, of_issuer: true, nodes: 0, rows });
             // Without it nobody else issues either, until its lease is over for all.
             if let Some(given) = given {
                 take_in(node, asked, &wants, given);
             }
         }
-        Source::Node(parent, addr) => {
-            let used = node.quotas.alone.borrow_mut().take_used(now());
-            match ask(node, addr, &wants, &used).await {
-                Some((asked, given)) => {
-                    node.quotas.alone.borrow_mut().end();
-                    is_alone(node, false);
-                    node.quotas.answered.set(now());
-                    take_in(node, asked, &wants, given);
-                }
-                None => {
-                    node.quotas.alone.borrow_mut().give_back(used, now());
-                    match parent {
-                        Parent::Head(_) => peers::is_silent(node, addr),
-                        Parent::Holder => go_on_alone(node, &wants),
-                    }
-                }
+        Source::Node(Parent::Holder, addr) if node.quotas.is_alone.get() => {
+            go_on_alone(node, &wants);
+            probe(node, addr);
+        }
+        Source::Node(Parent::Holder, addr) => {
+            if !ask_issuer(node, addr, &wants).await {
+                go_on_alone(node, &wants);
             }
         }
+        Source::Node(Parent::Head(_), addr) => ask_head(node, addr, &wants).await,
         Source::Nobody => go_on_alone(node, &wants),
     }
 }
 
+/// Asks the issuer, and tells it what was used without it; whether it answered.
+async fn ask_issuer(node: &Node, addr: SocketAddr, wants: &[(CustomerId, Want)]) -> bool {
+    let quotas = &node.quotas;
+    let used = quotas.alone.borrow_mut().take_used(now());
+    let Some((asked, given)) = ask(node, addr, wants, &used, true).await else {
+        quotas.alone.borrow_mut().give_back(used, now());
+        return false;
+    };
+    quotas.alone.borrow_mut().end();
+    is_alone(node, false);
+    quotas.answered.set(now());
+    take_in(node, asked, wants, given);
+    true
+}
+
+/// Asks the head of this node's domain.
+async fn ask_head(node: &Node, addr: SocketAddr, wants: &[(CustomerId, Want)]) {
+    let quotas = &node.quotas;
+    match ask(node, addr, wants, &[], false).await {
+        Some((asked, given)) => {
+            quotas.unanswered.set(0);
+            quotas.answered.set(now());
+            take_in(node, asked, wants, given);
+        }
+        None => {
+            quotas.unanswered.set(quotas.unanswered.get() + 1);
+            if quotas.unanswered.get() >= HEAD_SILENT {
+                quotas.unanswered.set(0);
+                peers::is_silent(node, addr);
+            }
+        }
+    }
+}
+
+/// Looks whether the issuer is back, while this domain goes on alone: requests do not wait for that.
+fn probe(node: &Node, addr: SocketAddr) {
+    if node.quotas.probing.replace(true) {
+        return;
+    }
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        if !ask_issuer(&node, addr, &[]).await {
+            sleep(PROBE).await;
+        }
+        node.quotas.probing.set(false);
+    });
+}
+
 async fn ask(
     node: &Node,
     addr: SocketAddr,
     wants: &[(CustomerId, Want)],
     used: &[(CustomerId, f64)],
+    of_issuer: bool,
 ) -> Option<(Millis, Given)> {
+    let patience = if of_issuer { PATIENCE } else { HEAD_PATIENCE };
     let mut rows: IndexMap<CustomerId, (Want, f64)> =
         wants.iter().map(|(customer, want)| (customer.clone(), (*want, 0.0))).collect();
     for (customer, used) in used {
@@ -300,7 +356,8 @@
     let from = node.settings.borrow().peers;
     let nodes = 1 + node.children.heard_within(HEARD_WITHIN, node.now());
     let asked = now();
-    let given = peers::call(node, addr, "/quota", &Ask { from, nodes, rows }, PATIENCE).await?;
+    let given =
+        peers::call(node, addr, "/quota", &Ask { from, of_issuer, nodes, rows }, patience).await?;
     Some((asked, given))
 }
 
@@ -323,7 +380,8 @@
 fn go_on_alone(node: &Node, wants: &[(CustomerId, Want)]) {
     let now = now();
     let counted = !node.members.borrow().is_empty() || node.was_followed();
-    if !counted || now.saturating_sub(node.quotas.answered.get()) < ALONE_AFTER {
+    let lately = now.saturating_sub(node.quotas.answered.get()) < ALONE_AFTER;
+    if !counted || lately && !node.quotas.is_alone.get() {
         return;
     }
     is_alone(node, true);
@@ -377,6 +435,7 @@
     let ask: Ask = serde_json::from_slice(body)?;
     let given = match source(node) {
         Source::Itself => issue(node, &ask),
+        _ if ask.of_issuer => None,
         // Two levels and no more: a head passes on what the issuer gives.
         Source::Node(Parent::Head(_), _) => None,
         Source::Node(Parent::Holder, _) | Source::Nobody => Some(pass_on(node, &ask).await),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -82,6 +82,8 @@
     pub(crate) list_read: Cell<Millis>,
     /// Up to when this node has what the store tells, by its own reading or the keeper's.
     followed_at: Cell<Option<Millis>>,
+    /// Whether the node that is taken for the keeper says that it is not.
+    pub(crate) keeper_refuses: Cell<bool>,
     /// The newest configuration that the keeper told of.
     told_catalog: Cell<u64>,
     /// Told when the keeper has news of the configuration.
@@ -175,6 +177,7 @@
             store_heard: Cell::new(0),
             list_read: Cell::new(0),
             followed_at: Cell::new(None),
+            keeper_refuses: Cell::new(false),
             told_catalog: Cell::new(0),
             catalog_news: Notify::new(),
             cut_off: Cell::new(false),
@@ -246,7 +249,7 @@
         let has_head = matches!(self.parent(), Some((Parent::Head(_), _)));
         let longest = self.settings.borrow().followed_for(has_head).as_millis() as Millis;
         let age = self.followed_at.get().map(|at| self.now().saturating_sub(at));
-        !keeps && age.is_some_and(|age| age < longest)
+        !keeps && !self.keeper_refuses.get() && age.is_some_and(|age| age < longest)
     }
 
     /// The keeper has a configuration.
