--- a/crates/direct/src/quota.rs
+++ b/crates/direct/src/quota.rs
@@ -234,8 +234,12 @@
         self.heard.retain(|_, (at, _)| now.saturating_sub(*at) < SILENT_AFTER);
     }
 
-    /// Part of all nodes that it has not heard of lately; itself it hears.
+    /// Part of all nodes that it has not heard of lately; itself it hears. One that has just begun has yet to hear from
+    /// the others: after all processes were killed nobody has found its head, and nobody uses a share alone.
     pub fn silent_share(&self, nodes: u32, now: Millis) -> f64 {
+        if now.saturating_sub(self.since) < SILENT_AFTER {
+            return 0.0;
+        }
         let lately = self.heard.values().filter(|(at, _)| now.saturating_sub(*at) < SILENT_AFTER);
         let heard: u32 = 1 + lately.map(|(_, nodes)| *nodes).sum::<u32>();
         f64::from(nodes.saturating_sub(heard)) / f64::from(nodes.max(1))
