Count what limits refuse by customer, and have one place say whether a node is ready

Change: metrics hgw_limited_total by customer and hgw_proof_age_seconds; readiness and keeping callers ask the proof in Shared, not in two tasks.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -15,7 +15,7 @@
 
 use crate::answer::Answered;
 use crate::shared::Node;
-use crate::{listen, proof, relay};
+use crate::{listen, relay};
 
 /// Pause after a connection could not be accepted, for want of descriptors: without it the thread would
 /// do nothing else.
@@ -98,7 +98,7 @@
     usage.requests.set(usage.requests.get() + 1);
     let counted = Counted(usage, Rc::clone(&node));
     let mut answer = relay::answer(&node, req).await;
-    if node.sends_away() || !proof::holds(&node) {
+    if node.sends_away() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     drop(counted);
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -7,6 +7,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use crate::dialect::StoreError;
+use crate::proof;
 use crate::shared::Shared;
 
 /// Upper bounds of latencies, in seconds: round figures about the usual objectives and deadlines.
@@ -43,6 +44,13 @@
         .increment(1);
 }
 
+/// A request got nothing of its customer's limit. Customers are those that are configured, so that there are not more
+/// names than that.
+pub(crate) fn limited(customer: &str, why: Refusal) {
+    let (customer, why) = (customer.to_owned(), why.to_string());
+    counter!("hgw_limited_total", "customer" => customer, "reason" => why).increment(1);
+}
+
 /// A request got no whole answer.
 pub(crate) fn failed(route: &Route, why: &str) {
     let (route, why) = (route.name.clone(), why.to_owned());
@@ -108,6 +116,9 @@
     gauge!("hgw_config_version").set(state.catalog.as_ref().map_or(0.0, |c| c.version as f64));
     gauge!("hgw_nodes").set(f64::from(state.nodes));
     gauge!("hgw_list_age_seconds").set(node.word_age() as f64 / 1000.0);
+    if let Some(age) = proof::age(node) {
+        gauge!("hgw_proof_age_seconds").set(age.as_secs_f64());
+    }
     gauge!("hgw_keeper").set(f64::from(u8::from(node.holding.borrow().is_mine())));
     gauge!("hgw_ready").set(f64::from(u8::from(node.is_ready())));
     gauge!("hgw_requests_open").set(f64::from(node.stop.active.get()));
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -7,7 +7,7 @@
 use hgw_events::{Event, emit};
 
 use crate::clock::boot_time;
-use crate::shared::Node;
+use crate::shared::Shared;
 
 /// Part of the time for which a proof holds after which a node asks the store itself: two calls may then fail before
 /// callers are refused.
@@ -28,12 +28,12 @@
 }
 
 /// No version newer than this one was there when the store was asked.
-pub(crate) fn learn(node: &Node, seen: Seen) {
+pub(crate) fn learn(node: &Shared, seen: Seen) {
     node.proofs.learnt.borrow_mut().learn(seen);
 }
 
 /// What this node can tell others: the newest version that it knows not to be followed by another, and how long ago.
-pub(crate) fn told(node: &Node) -> Option<(u64, u64)> {
+pub(crate) fn told(node: &Shared) -> Option<(u64, u64)> {
     let version = node.state.borrow().catalog.as_ref()?.version;
     let seen = node.proofs.learnt.borrow().of(version)?;
     let age = boot_time().saturating_sub(seen.asked);
@@ -41,24 +41,30 @@
 }
 
 /// Another node tells the same, in answer to a question of this time, which it held back for so long.
-pub(crate) fn hear(node: &Node, asked: Duration, held_ms: u64, told: Option<(u64, u64)>) {
+pub(crate) fn hear(node: &Shared, asked: Duration, held_ms: u64, told: Option<(u64, u64)>) {
     let Some((newest, age_ms)) = told else { return };
     let at = (asked + Duration::from_millis(held_ms)).saturating_sub(Duration::from_millis(age_ms));
     learn(node, Seen { newest, asked: at });
 }
 
+/// How long ago it was last known that there is no newer configuration.
+pub(crate) fn age(node: &Shared) -> Option<Duration> {
+    let version = node.state.borrow().catalog.as_ref()?.version;
+    node.proofs.learnt.borrow().age(version, boot_time())
+}
+
 /// Whether a request with a key may be sent to an engine now.
-pub(crate) fn holds(node: &Node) -> bool {
+pub(crate) fn holds(node: &Shared) -> bool {
     is_younger(node, 1.0)
 }
 
 /// Whether this node asks the store itself, as nobody tells it of younger questions.
-pub(crate) fn is_due(node: &Node, behind_a_head: bool) -> bool {
+pub(crate) fn is_due(node: &Shared, behind_a_head: bool) -> bool {
     !is_younger(node, if behind_a_head { ASKS_FROM_BEHIND } else { ASKS_FROM })
 }
 
 /// Whether the proof is younger than this share of the time for which it holds; true where none is needed.
-fn is_younger(node: &Node, share: f64) -> bool {
+fn is_younger(node: &Shared, share: f64) -> bool {
     let Some(longest) = node.settings.borrow().revoke_within else { return true };
     let version = {
         let state = node.state.borrow();
@@ -73,13 +79,13 @@
 }
 
 /// How long a question for a new configuration waits at the store at the most.
-pub(crate) fn longest_wait(node: &Node, usual: Duration) -> Duration {
+pub(crate) fn longest_wait(node: &Shared, usual: Duration) -> Duration {
     let longest = node.settings.borrow().revoke_within;
     longest.map_or(usual, |longest| usual.min(longest.mul_f64(WAIT_SHARE)))
 }
 
 /// Says when the proof is lost, or there again.
-pub(crate) fn look(node: &Node) {
+pub(crate) fn look(node: &Shared) {
     if node.state.borrow().catalog.is_none() {
         return;
     }
--- a/crates/gateway/src/relay/told.rs
+++ b/crates/gateway/src/relay/told.rs
@@ -136,6 +136,9 @@
     pub(super) fn refuse(&self, why: Refusal, wait: Duration) -> Answer {
         self.told.set(true);
         meter::refused(&self.route, why);
+        if matches!(why, Refusal::OverLimit | Refusal::NoAllowance) {
+            meter::limited(self.customer(), why);
+        }
         let held = self.arrived.elapsed().as_millis();
         let wanted = self.wanted().map(Wanted::to_string).unwrap_or_default();
         emit(
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -159,7 +159,7 @@
     if !node.dialects.callers.asks_ready(head) {
         return own(StatusCode::NOT_FOUND, "no such call");
     }
-    if node.is_ready() && proof::holds(node) {
+    if node.is_ready() {
         Response::new(AnswerBody::Whole(None))
     } else {
         own(StatusCode::SERVICE_UNAVAILABLE, "not ready")
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -26,7 +26,7 @@
 use crate::keeper::KeeperState;
 use crate::peers::{Children, Placements, Sends};
 use crate::pool::Pool;
-use crate::proof::Proofs;
+use crate::proof::{self, Proofs};
 use crate::quotas::Quotas;
 use crate::turn::Turns;
 
@@ -197,7 +197,8 @@
     /// Whether callers are to be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        state.catalog.is_some() && state.listed && !self.is_stopping() && !self.cut_off.get()
+        let knows = state.catalog.is_some() && state.listed;
+        knows && !self.is_stopping() && !self.cut_off.get() && proof::holds(self)
     }
 
     /// The keeper told what the store told it at this time.
@@ -279,7 +280,7 @@
 
     /// Whether callers are better served by other nodes, to which their next connection leads them.
     pub(crate) fn sends_away(&self) -> bool {
-        self.is_stopping() || self.cut_off.get()
+        self.is_stopping() || self.cut_off.get() || !proof::holds(self)
     }
 
     /// Looks whether this node is cut off.
