--- a/crates/direct/tests/quota.rs
+++ b/crates/direct/tests/quota.rs
@@ -45,12 +45,17 @@
     load: f64,
     due: f64,
     /// Until when requests wait for an allowance.
-    waiting: VecDeque<Millis>,
+    waiting: VecDeque<(Millis, f64)>,
+    /// Requests that came.
+    came: usize,
 }
 
 /// Time for which a request waits for an allowance.
 const PATIENCE: Millis = 250;
 
+/// What a node is given, and when there will be more where there is none.
+type Answered = (Vec<Grant>, Option<Millis>);
+
 /// Nodes in domains, the first of each its head; node 0 issues.
 struct World {
     nodes: Vec<Node>,
@@ -59,6 +64,8 @@
     quota: Quota,
     bounds: QuotaBounds,
     cost: f64,
+    /// What requests need, in turn, as multiples of that.
+    sizes: Vec<f64>,
     now: Millis,
     used: VecDeque<(Millis, f64)>,
     total: f64,
@@ -74,6 +81,7 @@
             quota,
             bounds: BOUNDS,
             cost,
+            sizes: vec![1.0],
             now: 0,
             used: VecDeque::new(),
             total: 0.0,
@@ -119,7 +127,7 @@
     }
 
     /// What the issuer gives a node, or nothing where it cannot be reached.
-    fn ask(&mut self, node: usize, want: &Want, nodes: u32) -> Option<Vec<Grant>> {
+    fn ask(&mut self, node: usize, want: &Want, nodes: u32) -> Option<Answered> {
         let (terms, now, all) = (self.terms(), self.now, self.nodes.len() as u32);
         let (at, _) = self.issuer.as_ref()?;
         let apart = node / self.domain != at / self.domain;
@@ -138,7 +146,8 @@
         let silent = issuer.silent_share(all, now);
         let part = Issuer::part_of(nodes, all);
         let answer = issuer.give(addr(node), &customer(), &terms, want, (used, silent, part), now);
-        Some(vec![Grant { amount: answer.amount, for_ms: terms.life() }])
+        let grants = vec![Grant { amount: answer.amount, for_ms: terms.life() }];
+        Some((grants, answer.room_in))
     }
 
     fn fill(&mut self, node: usize) {
@@ -163,27 +172,27 @@
             let there = account.purse.balance(now);
             let lots = account.purse.take(now, want.of(there));
             let grant = |lot: Lot| Grant { amount: lot.amount, for_ms: lot.until - now };
-            Some(lots.into_iter().map(grant).collect())
+            Some((lots.into_iter().map(grant).collect(), account.room_in(now)))
         } else {
             None
         };
-        if grants.is_some() {
-            self.nodes[node].account.answered(now, &want, None);
-        }
-        for grant in grants.unwrap_or_default() {
+        let Some((grants, room_in)) = grants else { return };
+        self.nodes[node].account.answered(now, &want, room_in);
+        for grant in grants {
             let lot = Lot { amount: grant.amount, until: asked + grant.for_ms };
             self.nodes[node].account.purse.add(lot);
         }
     }
 
-    fn alone(&mut self, node: usize, want: &Want, nodes: u32) -> Option<Vec<Grant>> {
+    fn alone(&mut self, node: usize, want: &Want, nodes: u32) -> Option<Answered> {
         if self.now < self.nodes[node].answered + 250 {
             return None;
         }
         let share = f64::from(nodes) / self.nodes.len() as f64;
         let (terms, now) = (self.terms(), self.now);
         let answer = self.nodes[node].alone.give(&customer(), &terms, want, share, now);
-        Some(vec![Grant { amount: answer.amount, for_ms: terms.life() }])
+        let grants = vec![Grant { amount: answer.amount, for_ms: terms.life() }];
+        Some((grants, answer.room_in))
     }
 
     fn tick(&mut self) {
@@ -206,21 +215,24 @@
     }
 
     fn serve(&mut self, node: usize) {
-        let (now, cost) = (self.now, self.cost);
+        let now = self.now;
         let node = &mut self.nodes[node];
         node.due += node.load * TICK as f64 / 1_000.0;
         while node.due >= 1.0 {
             node.due -= 1.0;
+            node.came += 1;
+            let cost = self.cost * self.sizes[node.came % self.sizes.len()];
             node.account.count(now, cost);
             node.account.wait(Waiting { most: cost, least: cost });
-            node.waiting.push_back(now + PATIENCE);
+            node.waiting.push_back((now + PATIENCE, cost));
         }
-        while let Some(until) = node.waiting.front().copied() {
+        // Whichever fits goes on.
+        for (until, cost) in std::mem::take(&mut node.waiting) {
             let spent = node.account.purse.spend(now, cost).is_some();
             if !spent && now < until {
-                break;
+                node.waiting.push_back((until, cost));
+                continue;
             }
-            node.waiting.pop_front();
             node.account.wait_over(Waiting { most: cost, least: cost });
             if spent {
                 self.used.push_back((now, cost));
@@ -270,6 +282,20 @@
     }
 }
 
+/// Requests need different amounts. Where there is no more than is used at once, what a usual one needs is of no use to
+/// one that waits for more, and would lapse.
+#[test]
+fn requests_of_all_sizes_use_what_is_allowed() {
+    let mut world = World::new(62, 15, quota(40_000.0), 600.0);
+    world.sizes = vec![0.33, 0.33, 2.0, 0.33, 1.2, 3.0, 0.33];
+    world.run(12_000);
+    world.load(120_000.0, &world.all());
+    world.run(10_000);
+    let share = world.share_used(16_000);
+    assert!(share >= 0.97, "{share}");
+    assert!(world.keeps(), "{} of {}", world.worst, world.allowed());
+}
+
 /// All that a customer sends comes to one domain, and then to one node.
 #[test]
 fn one_node_may_use_all_of_a_limit() {
