--- a/crates/hibiscusgw/src/report/mod.rs
+++ b/crates/hibiscusgw/src/report/mod.rs
@@ -5,6 +5,7 @@
 
 use std::io::BufRead;
 
+use hgw_direct::Refusal;
 use hgw_events::Event;
 use indexmap::IndexMap;
 
@@ -55,6 +56,7 @@
     let pauses = pauses(&streams);
     let loads = loads(&streams, began);
     print_routes(&lines, console)?;
+    print_customers(&lines, console)?;
     print_late(&streams, settings.pause_ms, console)?;
     print_pauses(&pauses, console)?;
     print_loads(&loads, console)?;
@@ -65,15 +67,48 @@
     Ok(())
 }
 
-/// What became of the requests of each route.
-fn print_routes(lines: &[Line], console: &mut Console<'_>) -> Result<()> {
-    let mut routes: IndexMap<&str, Vec<&Line>> = IndexMap::new();
+/// Lines that tell how a request ended, by a field.
+fn ends_by<'a>(lines: &'a [Line], field: &str) -> IndexMap<&'a str, Vec<&'a Line>> {
+    let mut by: IndexMap<&str, Vec<&Line>> = IndexMap::new();
     let ends =
         [Event::RequestServed, Event::RequestRefused, Event::RequestFailed, Event::CallerLeft];
     for line in lines.iter().filter(|l| ends.iter().any(|end| l.is(*end))) {
-        routes.entry(line.field("route")).or_default().push(line);
+        by.entry(line.field(field)).or_default().push(line);
+    }
+    by.sort_unstable_keys();
+    by
+}
+
+/// What became of the requests of each customer, where there are customers.
+fn print_customers(lines: &[Line], console: &mut Console<'_>) -> Result<()> {
+    let mut customers = ends_by(lines, "customer");
+    customers.shift_remove("");
+    if customers.is_empty() {
+        return Ok(());
     }
-    routes.sort_unstable_keys();
+    writeln!(console.out, "\ncustomer         served refused  failed  over the limit  no word")?;
+    for (customer, lines) in customers {
+        let count = |event| lines.iter().filter(|l| l.is(event)).count();
+        let why = |why: Refusal| {
+            let why = why.to_string();
+            lines.iter().filter(|l| l.field("why") == why).count()
+        };
+        writeln!(
+            console.out,
+            "{customer:<15} {:>7} {:>7} {:>7} {:>15} {:>8}",
+            count(Event::RequestServed),
+            count(Event::RequestRefused),
+            count(Event::RequestFailed),
+            why(Refusal::OverLimit),
+            why(Refusal::NoAllowance),
+        )?;
+    }
+    Ok(())
+}
+
+/// What became of the requests of each route.
+fn print_routes(lines: &[Line], console: &mut Console<'_>) -> Result<()> {
+    let routes = ends_by(lines, "route");
     writeln!(console.out, "route            served refused  failed    left  p50 ms  p99 ms")?;
     for (route, lines) in routes {
         let count = |event| lines.iter().filter(|l| l.is(event)).count();
--- a/crates/hibiscusgw/tests/report/main.rs
+++ b/crates/hibiscusgw/tests/report/main.rs
@@ -7,6 +7,9 @@
 
 const LINES: &str = include_str!("lines.log");
 
+/// Lines of a day on which customers send more than they may.
+const OF_CUSTOMERS: &str = include_str!("customers.log");
+
 fn reported(args: &[&str], lines: &str) -> String {
     run_on(&[&["report"], args].concat(), lines)
 }
@@ -23,6 +26,7 @@
 reports! {
     day_of_several_nodes => [], LINES;
     day_with_a_shorter_pause => ["--pause", "150"], LINES;
+    day_with_customers => [], OF_CUSTOMERS;
     no_lines => [], "";
     lines_of_another_program => [], "hello\n{\"time\":1}\n{\"event\":5006}\n[]\n";
     pause_that_is_no_number => ["--pause", "long"], "";
