Ask the store for proof from a place in its log, not for the whole configuration, and by turns

A node that was told the configuration by another has no place in the store's log and read the whole text to learn that there is no newer one, and failed calls were repeated every 0.3 to 0.6 s on each node.

Change: the place goes with the word; the nodes of a domain take turns; failed calls are repeated as others are, after a fifth of the time at the latest.

--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -45,7 +45,7 @@
 /// the heads go on calling as often; who is behind a head is told as soon as that was answered, and calls seldom, in
 /// case that the store turns the head away. The duties of a node take turns, as one answer tells all of them.
 pub(crate) async fn after_failure(node: &Node) {
-    let (failed_at, pause) = (node.now(), pause(node));
+    let (failed_at, pause) = (node.now(), pause_after_failure(node));
     let keeps = node.holding.borrow().is_mine();
     let backoff = &node.backoff;
     let first = failed_at + pause.as_millis() as Millis;
@@ -63,7 +63,8 @@
     }
 }
 
-fn pause(node: &Node) -> Duration {
+/// The pause after a call that failed, longer where many nodes ask the same head.
+pub(crate) fn pause_after_failure(node: &Node) -> Duration {
     let behind = matches!(node.parent(), Some((Parent::Head(_), _)));
     let siblings = if behind { node.backoff.siblings.get() } else { 0 };
     let crowd = siblings.div_ceil(AS_OFTEN_AS_ONE).clamp(1, MOST_CROWD);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,12 +7,11 @@
 use hgw_direct::heads::Parent;
 use hgw_direct::{Listed, Seen, Standing};
 use hgw_events::{Event, emit};
-use rand::random;
 use tokio::time::{sleep, timeout};
 
-use crate::backoff::after_failure;
+use crate::backoff::{after_failure, pause_after_failure};
 use crate::clock::boot_time;
-use crate::dialect::{EngineEntry, EngineNews, StoreError};
+use crate::dialect::{Cursor, EngineEntry, EngineNews, StoreError};
 use crate::keeper;
 use crate::meter;
 use crate::peers;
@@ -40,9 +39,6 @@
 /// engines' next heartbeats.
 const KEPT_FOR: Duration = Duration::from_millis(2_000);
 
-/// Pause before the store is asked again whether the configuration is still the newest, and up to twice as long.
-const PROVE_AGAIN: Duration = Duration::from_millis(300);
-
 /// Longest time after its start for which a node leaves it to a keeper to read the store. One that has just started itself
 /// answers hundreds of nodes within a second.
 const UNTOLD: Duration = Duration::from_millis(1_500);
@@ -100,6 +96,9 @@
         let usual = proof::longest_wait(&node, node.settings.borrow().catalog_wait());
         let wait = if link.is_down() || followed { Duration::ZERO } else { usual };
         let asked = boot_time();
+        if cursor.is_none() {
+            (newest, cursor) = told_place(&node);
+        }
         let call = node.dialects.store.catalog(cursor, wait);
         let answered = if told {
             call.await
@@ -121,6 +120,7 @@
                 }
                 if let Some(newest) = newest {
                     proof::learn(&node, Seen { newest, asked });
+                    node.catalog_at.set(cursor.map(|at| (newest, at)));
                 }
                 if nothing && node.state.borrow().catalog.is_none() {
                     sleep(NONE_YET).await;
@@ -130,7 +130,7 @@
                 link.down(&e);
                 if followed {
                     // Another node may yet tell of a younger question.
-                    sleep(PROVE_AGAIN.mul_f64(1.0 + random::<f64>())).await;
+                    sleep(pause_after_failure(&node).min(proof::longest_pause(&node))).await;
                 } else {
                     after_failure(&node).await;
                 }
@@ -139,6 +139,16 @@
     }
 }
 
+/// The version of the configuration that this node was told, and where to read on from it.
+///
+/// Load: the keeper is lost, and hundreds of nodes ask at once whether what they have is still the newest. Without a
+/// place in the log each would read the whole text to learn that, more than the store gives in a second.
+fn told_place(node: &Node) -> (Option<u64>, Option<Cursor>) {
+    let version = node.state.borrow().catalog.as_ref().map(|c| c.version);
+    let told = node.catalog_at.get().filter(|(told, _)| Some(*told) == version);
+    told.map_or((None, None), |(version, at)| (Some(version), Some(at)))
+}
+
 /// Whether nobody tells this node that its configuration is still the newest, so that it asks the store.
 fn proof_is_due(node: &Node) -> bool {
     proof::is_due(node, matches!(node.parent(), Some((Parent::Head(_), _))))
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -85,6 +85,9 @@
             self.introduced = Some(fence);
         }
         proof::hear(node, asked, news.held_ms, news.proof);
+        if news.catalog_at > node.catalog_at.get() {
+            node.catalog_at.set(news.catalog_at);
+        }
         self.heard = news.heard;
         let children = news.children;
         node.backoff.siblings(children);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -91,6 +91,9 @@
     /// A version of the configuration that none followed, and how long ago the store was asked, in milliseconds.
     #[serde(default)]
     pub(crate) proof: Option<(u64, u64)>,
+    /// A version, and how far in the store's log there is no newer one: a node that was told the text reads on from there.
+    #[serde(default)]
+    pub(crate) catalog_at: Option<(u64, Cursor)>,
 }
 
 /// The load of an engine, as somebody heard of it: its start, the requests that ran and waited there, and its age in
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -45,6 +45,7 @@
         begun: begun(node),
         loads: heard_since(node, 0, Some(&tell.asked)),
         proof: proof::told(node),
+        catalog_at: node.catalog_at.get(),
     }
 }
 
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -13,8 +13,13 @@
 /// callers are refused.
 const ASKS_FROM: f64 = 0.5;
 
-/// The same of a node whose domain has a head: what the head asks is here soon after.
+/// The same of a node whose domain has a head: what the head asks is here soon after. The nodes of a domain take turns
+/// over the rest, as the first that is answered proves it for all that ask it.
 const ASKS_FROM_BEHIND: f64 = 0.65;
+const TURNS: f64 = 0.15;
+
+/// Longest pause between two questions that fail, as a part of that time.
+const PAUSE_SHARE: f64 = 0.2;
 
 /// Part of that time for which the node that reads for all waits at the store for news at the most: its question is the
 /// proof, so that those of all others are as old as it waits.
@@ -60,7 +65,14 @@
 
 /// Whether this node asks the store itself, as nobody tells it of younger questions.
 pub(crate) fn is_due(node: &Shared, behind_a_head: bool) -> bool {
-    !is_younger(node, if behind_a_head { ASKS_FROM_BEHIND } else { ASKS_FROM })
+    let turn = TURNS * f64::from(node.draw) / f64::from(u32::MAX);
+    !is_younger(node, if behind_a_head { ASKS_FROM_BEHIND + turn } else { ASKS_FROM })
+}
+
+/// Longest pause before the store is asked again.
+pub(crate) fn longest_pause(node: &Shared) -> Duration {
+    let longest = node.settings.borrow().revoke_within;
+    longest.map_or(Duration::MAX, |longest| longest.mul_f64(PAUSE_SHARE))
 }
 
 /// Whether the proof is younger than this share of the time for which it holds; true where none is needed.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -73,7 +73,7 @@
     /// Told whenever there is news for those that ask this node.
     pub(crate) news: Notify,
     /// Parts this node from others in what only some of them do.
-    draw: u32,
+    pub(crate) draw: u32,
     /// Whether the list is longer than another node tells, so that this one reads it itself.
     pub(crate) reads_list: Cell<bool>,
     /// When the store last answered.
@@ -86,6 +86,8 @@
     pub(crate) keeper_refuses: Cell<bool>,
     /// The newest configuration that the keeper told of.
     told_catalog: Cell<u64>,
+    /// A version of the configuration, and how far in the store's log of it there is no newer one.
+    pub(crate) catalog_at: Cell<Option<(u64, Cursor)>>,
     /// Told when the keeper has news of the configuration.
     pub(crate) catalog_news: Notify,
     /// Whether this node reaches neither the store nor engines elsewhere.
@@ -179,6 +181,7 @@
             followed_at: Cell::new(None),
             keeper_refuses: Cell::new(false),
             told_catalog: Cell::new(0),
+            catalog_at: Cell::new(None),
             catalog_news: Notify::new(),
             cut_off: Cell::new(false),
             placed: Notify::new(),
