--- a/crates/hibiscusgw/tests/platform/keys.rs
+++ b/crates/hibiscusgw/tests/platform/keys.rs
@@ -241,3 +241,28 @@
             == StatusCode::UNAUTHORIZED
     });
 }
+
+/// The keeper stands still, and the other node asks the store itself whether what it was told is still the newest. With
+/// hundreds of nodes the store could not give each of them the whole text for that: it reads on from where the keeper's
+/// word ended.
+#[test]
+fn node_proves_what_it_was_told_without_reading_it_again() {
+    let mut fleet = fleet();
+    let keeper = fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let other = fleet.start("b");
+    strict(&fleet, &[keeper, other]);
+    std::thread::sleep(Duration::from_secs(1));
+    let before = fleet.store.whole_reads("keyed.op");
+    fleet.nodes[keeper].signal(Signal::STOP);
+    let until = Instant::now() + Duration::from_secs(4);
+    let mut n = 0;
+    while Instant::now() < until {
+        n += 1;
+        let answer = call(&fleet.nodes[other], "/look/", &format!("call-{n}"), &["Token k-1"]);
+        assert_eq!(answer.status, StatusCode::OK, "call {n}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    fleet.nodes[keeper].signal(Signal::CONT);
+    assert_eq!(fleet.store.whole_reads("keyed.op"), before);
+}
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -39,6 +39,8 @@
     topics: Mutex<IndexMap<String, Topic>>,
     grown: Notify,
     calls: Mutex<IndexMap<String, u64>>,
+    /// How often the newest records of a topic were read from the first on.
+    whole: Mutex<IndexMap<String, u64>>,
     switches: Arc<Switches>,
 }
 
@@ -65,6 +67,7 @@
             topics: Mutex::default(),
             grown: Notify::new(),
             calls: Mutex::default(),
+            whole: Mutex::default(),
             switches: Arc::clone(&switches),
         });
         let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -104,6 +107,11 @@
         lock(&self.shared.calls).clone()
     }
 
+    /// How often all newest records of a topic were asked for.
+    pub fn whole_reads(&self, topic: &str) -> u64 {
+        lock(&self.shared.whole).get(topic).copied().unwrap_or(0)
+    }
+
     /// Shows faults from now on.
     pub fn fault(&self, faults: &Faults) {
         self.shared.switches.set(faults);
@@ -203,6 +211,9 @@
         let topics = self.topics();
         let empty = Topic::default();
         let topic = topics.get(&name).unwrap_or(&empty);
+        if after.is_none() {
+            *lock(&self.whole).entry(name.clone()).or_default() += 1;
+        }
         let past = after.and_then(|key| topic.newest.get_index_of(&key));
         let skip = past.map_or(0, |at| at + 1);
         let items: Vec<_> = topic
