End what a domain drew ahead by each customer's own limit

Cause: when a domain was on its own again, the first customer that was given anything settled what all had drawn ahead, at its own rate: a small customer beside a large one drew its share ahead each time that the issuer was heard.

--- a/crates/direct/src/quota/alone.rs
+++ b/crates/direct/src/quota/alone.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{CustomerId, Millis};
 
@@ -22,8 +22,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Alone {
     buckets: IndexMap<CustomerId, Bucket>,
-    /// Whether the issuer has been heard since.
-    ended: bool,
+    /// Those of which nothing was given since the issuer was heard.
+    ended: IndexSet<CustomerId>,
     /// What was used of late, and when.
     used: VecDeque<Used>,
 }
@@ -34,7 +34,7 @@
     /// Load: an issuer that is about to end answers now and then. A domain that began anew each time would draw its share
     /// ahead each time.
     pub fn end(&mut self) {
-        self.ended = true;
+        self.ended.extend(self.buckets.keys().cloned());
     }
 
     /// Gives so much at the most of the part of the limit that `share` of all nodes have.
@@ -47,11 +47,10 @@
         now: Millis,
     ) -> Answer {
         let part = ALONE_SHARE * share;
-        if std::mem::take(&mut self.ended) {
-            self.buckets.values_mut().for_each(|bucket| bucket.fill(now, terms.rate * part, 0.0));
-        }
         let bucket = self.buckets.entry(customer.clone()).or_insert(Bucket { level: 0.0, at: now });
-        bucket.fill(now, terms.rate * part, terms.rate * part * LEAST_DEPTH_S);
+        let begins = self.ended.swap_remove(customer);
+        let depth = if begins { 0.0 } else { terms.rate * part * LEAST_DEPTH_S };
+        bucket.fill(now, terms.rate * part, depth);
         let given = want.of(bucket.level + terms.ahead * share);
         bucket.level -= given;
         self.forget(now);
--- a/crates/direct/src/quota/mod.rs
+++ b/crates/direct/src/quota/mod.rs
@@ -5,7 +5,7 @@
 //! allowances from it; what a node has not used within half a second is void, so that nothing that was given long ago is
 //! used on top of what others were given since. A domain that hears nothing from the issuer goes on with its share of the
 //! limit, and the issuer takes that share off what it gives as soon as it hears nothing from the domain. A new issuer
-//! begins with an empty bucket: what its predecessor gave counts in the same window.
+//! begins with little in its buckets: what its predecessor gave counts in the same window.
 //!
 //! Sum of any window: what the bucket gave in it and within the life of an allowance before it, and what domains used
 //! that the issuer did not know of yet. [`Terms`] takes both off the bucket where the bounds leave no room for them.
--- a/crates/direct/tests/quota.rs
+++ b/crates/direct/tests/quota.rs
@@ -456,6 +456,29 @@
     assert_eq!(account.purse.balance(500), 0.0);
 }
 
+/// The issuer answers now and then while it ends. A domain that draws its share ahead each time would use it many times
+/// over, of each customer alike.
+#[test]
+fn share_is_drawn_ahead_once_however_often_the_issuer_is_heard() {
+    let mut alone = Alone::default();
+    let customers: [CustomerId; 2] = ["large".into(), "small".into()];
+    let rates = [400_000.0, 4_000.0];
+    let mut used = [0.0; 2];
+    for round in 0..20_u64 {
+        for (n, customer) in customers.iter().enumerate() {
+            let terms = Terms::of(quota(rates[n]), &BOUNDS);
+            let want = Want { most: 1e6, needed: 1e6, least: 100.0, step: 100.0, new: 0.0 };
+            used[n] += alone.give(customer, &terms, &want, 0.25, 50 * round).amount;
+        }
+        alone.end();
+    }
+    for (used, rate) in used.into_iter().zip(rates) {
+        let room = BOUNDS.over * 9.0 * rate + BOUNDS.slack;
+        // A quarter of the room, and a second of a quarter of the limit.
+        assert!(used <= 0.25 * 0.25 * room + 0.25 * rate, "{used} of {rate}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
     /// Whatever is cut, frozen, killed and replaced, and wherever demand goes: no window exceeds what is allowed.
