--- a/crates/direct/tests/heads.rs
+++ b/crates/direct/tests/heads.rs
@@ -107,3 +107,20 @@
     let crowds = of.map(|(children, nodes)| crowd(children, nodes));
     assert_eq!(crowds, [1, 1, 2, 4, 4, 4, 12]);
 }
+
+/// A domain has two large machines and many small ones. A small one must not pass on to all others, whatever becomes of the
+/// large ones: its link is full for seconds, and requests wait behind what it passes on.
+#[test]
+fn small_machine_passes_nothing_on_beside_large_ones() {
+    let node = |n: u16, processor| Member {
+        node: format!("n-{n}"),
+        addr: ([10, 0, 0, 1], n).into(),
+        domain: "a".into(),
+        processor,
+    };
+    let mut members: Vec<Member> = (1..20).map(|n| node(n, 0.12)).collect();
+    assert_eq!(candidates(&members, "a").len(), 3);
+    members.extend([node(30, 0.5), node(31, 0.4)]);
+    let names: Vec<String> = candidates(&members, "a").into_iter().map(|m| m.node).collect();
+    assert_eq!(names, ["n-30", "n-31"]);
+}
