--- a/crates/direct/src/heads.rs
+++ b/crates/direct/src/heads.rs
@@ -20,14 +20,6 @@
 /// while both are. Beyond, each node asks the holder itself.
 const CANDIDATES: usize = 3;
 
-/// Part of the processor of the largest machine that one of its domain must have to pass on.
-///
-/// Load: a domain has two larger machines, one of which keeps the orders, and the other stops. The third that passes on
-/// has a quarter of their processor and a twentieth of their link; what it owed its domain filled that for seconds, and
-/// requests and their ends waited behind it, until after their callers had left. The holder itself answers the domain
-/// with less harm.
-const AS_LARGE: f64 = 0.5;
-
 /// Nodes that may ask the same one as often as they like.
 const FEW_CHILDREN: u32 = 10;
 
@@ -68,8 +60,6 @@
     if own.len() < FEWEST {
         return Vec::new();
     }
-    let largest = own.iter().map(|m| m.processor).fold(0.0, f64::max);
-    own.retain(|m| m.processor >= AS_LARGE * largest);
     let key = |m: &Member| xxh3_64(m.node.as_bytes());
     own.sort_by(|a, b| b.processor.total_cmp(&a.processor).then(key(a).cmp(&key(b))));
     own.into_iter().take(CANDIDATES).cloned().collect()
