Compare loads with what engines tell only where one looks full, and drop what nothing asks for

Found when the whole change was read again: each choice compared all loads of a service, though only an engine that looks full needs it; Terms had two getters without a caller; what became of a configuration was one of three values of which two were never told apart. Behaviour is the same: the factor is 1 or more, so that an engine below its room is not full either way.

--- a/crates/direct/src/choose.rs
+++ b/crates/direct/src/choose.rs
@@ -1,3 +1,4 @@
+use std::cell::LazyCell;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -132,7 +133,7 @@
     let tokens = ask.prompt.map_or(0, |p| p.tokens_in);
     let home = ask.prompt.map(home_key);
     let mean = mean_load(engines, ask.service, now);
-    let overstated = overstated(engines, ask.service, now);
+    let overstated = LazyCell::new(|| overstated(engines, ask.service, now));
     for engine in engines.of(ask.service).filter(|e| e.takes_work()) {
         if found == NoEngine::None {
             found = NoEngine::NotPlaced(PLACED_WITHIN);
@@ -146,7 +147,7 @@
         let estimate = engine.known_load(now).unwrap_or_else(|| mean.max(f64::from(engine.own)));
         let queue = if ask.goes_first { QUEUE_SHARE_FIRST } else { QUEUE_SHARE };
         let room = f64::from(engine.listed.slots) * (1.0 + queue);
-        let is_full = estimate / overstated >= room;
+        let is_full = estimate >= room && estimate / *overstated >= room;
         if is_full || engine.own >= ask.conns || ask.tried.contains(&engine.listed.id) {
             let wait = Duration::from_millis(250);
             found = NoEngine::Full(wait);
--- a/crates/direct/src/quota/terms.rs
+++ b/crates/direct/src/quota/terms.rs
@@ -57,14 +57,4 @@
     pub fn life(&self) -> Millis {
         self.life
     }
-
-    /// What it may hold at the most.
-    pub fn depth(&self) -> f64 {
-        self.depth
-    }
-
-    /// What is given a second.
-    pub fn rate(&self) -> f64 {
-        self.rate
-    }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -88,7 +88,7 @@
         let told = followed && node.lacks_catalog();
         if told
             && let Some(text) = peers::catalog(&node).await
-            && adopt(&node, text) == Adopted::New
+            && adopt(&node, text)
         {
             continue;
         }
@@ -173,30 +173,19 @@
     }
 }
 
-/// What became of the text of a configuration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Adopted {
-    /// It is in force now.
-    New,
-    /// It is not newer than the one in force.
-    Known,
-    /// It cannot be read.
-    Unreadable,
-}
-
-/// Puts a configuration in force, where it is newer.
-fn adopt(node: &Node, text: Bytes) -> Adopted {
+/// Puts a configuration in force, where it is newer; tells whether it is.
+fn adopt(node: &Node, text: Bytes) -> bool {
     let catalog = match node.dialects.store.read_catalog(&text) {
         Ok(catalog) => catalog,
         Err(e) => {
             emit(Event::ConfigRejected, &[("node", &node.settings.borrow().node), ("why", &e)]);
-            return Adopted::Unreadable;
+            return false;
         }
     };
     let mut state = node.state.borrow_mut();
     // A store that was rewound may tell an older one.
     if state.catalog.as_ref().is_some_and(|old| old.version >= catalog.version) {
-        return Adopted::Known;
+        return false;
     }
     emit(
         Event::ConfigInForce,
@@ -206,7 +195,7 @@
     state.catalog_text = text;
     drop(state);
     keeper::catalog_changed(node);
-    Adopted::New
+    true
 }
 
 /// Follows the list of engines until the process ends.
