Name in a line what a node comes to believe of an engine's standing, by whose word and up to which place

The record of a play could not tell whether a node had not heard that the engine leaves, had taken an older answer for news, or had read an older entry: no line said what a node believes of an engine. Line 4010 does, once for each change, and not for the list that a node begins with.

--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -28,16 +28,19 @@
 }
 
 /// Whether an engine takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Standing {
     /// It does.
+    #[display("ready")]
     Ready,
     /// It is leaving, at this time where that was told.
+    #[display("leaving")]
     Leaving {
         /// When whatever still runs there is gone.
         gone_at: Option<Millis>,
     },
     /// Its newest entry cannot be read: another writer may have made it. It is not used until one can be.
+    #[display("unreadable")]
     Unreadable,
 }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -36,7 +36,9 @@
 pub use engine::{AtHand, Engine, EngineId, Held, Listed, Load, Standing, Start};
 pub use engines::Engines;
 pub use judge::{Judge, Opinion, Verdict};
-pub use listing::{Cursor, ListNews, Listing, Part as ListPart, Passed, is_long, reads_on};
+pub use listing::{
+    Cursor, ListNews, Listing, Part as ListPart, Passed, StandingChange, is_long, reads_on,
+};
 pub use prompt::{EmptyModel, Part, Prompt, Wanted};
 pub use proof::{Proof, Seen};
 pub use reach::is_cut_off;
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use derive_more::Display;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -110,6 +111,12 @@
     addr: SocketAddr,
 }
 
+impl Signature {
+    fn stands_as(&self, other: &Signature) -> bool {
+        (self.leaves, self.unreadable) == (other.leaves, other.unreadable)
+    }
+}
+
 fn signature(engine: &Engine) -> Signature {
     let listed = &engine.listed;
     Signature {
@@ -122,15 +129,33 @@
     }
 }
 
+/// Whether an engine takes new work, as it has become known.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display("{}", standing.map_or("gone".to_owned(), |standing| standing.to_string()))]
+pub struct StandingChange {
+    /// The engine.
+    pub engine: EngineId,
+    /// How it stands now; none where it is gone.
+    pub standing: Option<Standing>,
+}
+
 impl Listing {
-    /// Looks at the list, which goes as far as `cursor`.
-    pub fn look(&mut self, engines: &Engines, cursor: Cursor) {
+    /// Looks at the list, which goes as far as `cursor`. Tells what has become of engines since the last look; nothing at
+    /// the first.
+    pub fn look(&mut self, engines: &Engines, cursor: Cursor) -> Vec<StandingChange> {
+        let is_first = self.begun.is_none();
         let mut changed = Vec::new();
+        let mut changes = Vec::new();
         for engine in engines.iter() {
             let (id, now) = (&engine.listed.id, signature(engine));
-            if self.known.get(id).is_none_or(|(_, then)| *then != now) {
+            let then = self.known.get(id).map(|(_, then)| *then);
+            if then != Some(now) {
                 changed.push((id.clone(), now));
             }
+            if !is_first && then.is_none_or(|then| !then.stands_as(&now)) {
+                let standing = Some(engine.listed.standing);
+                changes.push(StandingChange { engine: id.clone(), standing });
+            }
         }
         let lost: Vec<EngineId> =
             self.known.keys().filter(|id| engines.get(id).is_none()).cloned().collect();
@@ -146,6 +171,7 @@
             self.known.insert(id, (self.at, signature));
         }
         for id in lost {
+            changes.push(StandingChange { engine: id.clone(), standing: None });
             self.known.shift_remove(&id);
             self.gone.push((self.at, id));
         }
@@ -153,6 +179,7 @@
             let dropped = self.gone.drain(..MOST_GONE / 2).next_back();
             self.begun = dropped.map(|(at, _)| at).or(self.begun);
         }
+        changes
     }
 
     /// Where the list changed last.
--- a/crates/direct/tests/listing.rs
+++ b/crates/direct/tests/listing.rs
@@ -70,3 +70,22 @@
     );
     assert_eq!(readers(&many(3_000), 1), 300, "so is any by few nodes");
 }
+
+/// What a node believes of an engine's standing is told once for each change, and not for the list that it begins with.
+#[test]
+fn each_change_of_standing_is_told_once() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    let mut listing = Listing::default();
+    let mut told = |engines: &Engines, at| {
+        let changes = listing.look(engines, at);
+        changes.iter().map(|c| format!("{} {c}", c.engine)).collect::<Vec<_>>().join(", ")
+    };
+    assert_eq!(told(&engines, 100), "");
+    engines.get_mut(&"e1".into()).unwrap().listed.standing = Standing::Leaving { gone_at: None };
+    engines.get_mut(&"e2".into()).unwrap().listed.cold_ms = 50;
+    assert_eq!(told(&engines, 110), "e1 leaving");
+    engines.unlist(&"e1".into());
+    engines.list(listed("e3", "a", &["m"]));
+    assert_eq!(told(&engines, 120), "e3 ready, e1 gone");
+    assert_eq!(told(&engines, 130), "");
+}
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -78,6 +78,7 @@
     EngineJudged = 4007, Info, "an engine is judged anew by its answers";
     AdapterPlanned = 4008, Info, "an engine is to hold another adapter";
     EngineStartedAnew = 4009, Info, "an engine has started anew under its identity";
+    EngineStands = 4010, Info, "an engine is known to take new work, or to take none";
     PlannerGained = 4101, Info, "this node plans its region";
     PlannerLost = 4102, Info, "this node plans its region no longer";
     FloorInForce = 4103, Info, "a residency floor is in force";
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,7 +16,7 @@
 use crate::meter;
 use crate::peers;
 use crate::proof;
-use crate::shared::Node;
+use crate::shared::{ListedBy, Node};
 
 /// Pause before the next look for a configuration where there is none yet.
 const NONE_YET: Duration = Duration::from_millis(300);
@@ -301,7 +301,7 @@
     }
     drop(state);
     node.look_for_starts();
-    node.listed_to(news.cursor);
+    node.listed_to(news.cursor, ListedBy::Store);
     keeper::look_at_list(node);
     node.placed.notify_waiters();
 }
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::peers::{Asked, CountedBefore, Told};
-use crate::shared::Node;
+use crate::shared::{ListedBy, Node};
 
 pub(crate) use adapters::want;
 
@@ -242,7 +242,7 @@
 /// Tells those who wait where the list of engines has changed.
 pub(crate) fn look_at_list(node: &Node) {
     let Some(cursor) = node.state.borrow().list_at else { return };
-    node.listed_to(cursor);
+    node.listed_to(cursor, ListedBy::Known);
     let changed_at = node.state.borrow().listing.changed_at();
     let mut keeper = node.keeper.borrow_mut();
     if keeper.list_told < changed_at {
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -2,7 +2,7 @@
 
 use hgw_direct::{AtHand, Engines, ListNews, ListPart, Listed, Passed, Standing};
 
-use crate::shared::Node;
+use crate::shared::{ListedBy, Node};
 
 use super::message::Told;
 
@@ -34,7 +34,7 @@
     }
     drop(state);
     node.look_for_starts();
-    node.listed_to(news.cursor);
+    node.listed_to(news.cursor, ListedBy::Peer);
     if changes {
         node.news.notify_waiters();
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use derive_more::Display;
 use hgw_direct::flights::EngineKey;
 use hgw_direct::heads::{Heads, Member, Parent, crowd};
 use hgw_direct::sums::Sums;
@@ -98,6 +99,20 @@
     pub(crate) started_anew: Notify,
 }
 
+/// By whose word this node knows its list of engines.
+#[derive(Debug, Clone, Copy, Display)]
+pub(crate) enum ListedBy {
+    /// It has read it in the store.
+    #[display("store")]
+    Store,
+    /// Another node tells it.
+    #[display("peer")]
+    Peer,
+    /// It has found something out without reading on.
+    #[display("known")]
+    Known,
+}
+
 /// The node as its tasks see it.
 pub(crate) type Node = Rc<Shared>;
 
@@ -313,13 +328,28 @@
         }
     }
 
-    /// The list of engines goes as far as this now.
-    pub(crate) fn listed_to(&self, cursor: Cursor) {
-        let mut state = self.state.borrow_mut();
-        let State { engines, listing, list_at, listed, .. } = &mut *state;
-        *listed = true;
-        *list_at = (*list_at).max(Some(cursor));
-        listing.look(engines, cursor);
+    /// The list of engines goes as far as this now, by the word of the store or of another node.
+    pub(crate) fn listed_to(&self, cursor: Cursor, by: ListedBy) {
+        let changes = {
+            let mut state = self.state.borrow_mut();
+            let State { engines, listing, list_at, listed, .. } = &mut *state;
+            *listed = true;
+            *list_at = (*list_at).max(Some(cursor));
+            listing.look(engines, cursor)
+        };
+        let node = &self.settings.borrow().node;
+        for change in &changes {
+            emit(
+                Event::EngineStands,
+                &[
+                    ("node", node),
+                    ("upstream", &change.engine),
+                    ("standing", change),
+                    ("by", &by),
+                    ("place", &cursor),
+                ],
+            );
+        }
     }
 
     pub(crate) fn budget_limits(&self) -> BudgetLimits {
--- a/crates/hibiscusgw/tests/platform/lines.rs
+++ b/crates/hibiscusgw/tests/platform/lines.rs
@@ -89,3 +89,19 @@
     let name = fleet.nodes[first].name.clone();
     assert_eq!(fleet.lines(&second_lines, 2004)[0]["peer"], name.as_str());
 }
+
+/// A request reached an engine long after it had said that it leaves, and no line told which node believed what of it.
+#[test]
+fn engine_that_leaves_is_named_with_who_said_so() {
+    let mut fleet = fleet_of(Vec::new());
+    let (_, keeper) = fleet.start_logged("leaves");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let (_, other) = fleet.start_logged("leaves");
+    fleet.list(fleet.engine("desk-1"), "draining");
+    for (path, by) in [(keeper, "store"), (other, "peer")] {
+        wait("it is logged", || !fleet.lines(&path, 4010).is_empty());
+        let line = &fleet.lines(&path, 4010)[0];
+        let told = (&line["upstream"], &line["standing"], &line["by"]);
+        assert_eq!(told, (&"desk-1".into(), &"leaving".into(), &by.into()), "{line}");
+    }
+}
