Tell no engine as gone that came back before another node asked again

A node that had not asked while an engine's entry lapsed and came back was told both, took the engine in and then away, and sent nothing there until its entry changed once more.

Cause: what is gone stays in the list of what is told as gone, also when it is known again. Change: it leaves that list.

Checked: engine_that_came_back_is_not_told_as_gone failed before (gone: e1) and passes.

--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -168,6 +168,7 @@
             self.changed_at = self.at;
         }
         for (id, signature) in changed {
+            self.gone.retain(|(_, gone)| *gone != id);
             self.known.insert(id, (self.at, signature));
         }
         for id in lost {
--- a/crates/direct/tests/listing.rs
+++ b/crates/direct/tests/listing.rs
@@ -89,3 +89,19 @@
     assert_eq!(told(&engines, 120), "e3 ready, e1 gone");
     assert_eq!(told(&engines, 130), "");
 }
+
+/// An engine's entry lapses and is back before another node asks again. That node must not take it for gone: it would
+/// send nothing there until the engine changes once more.
+#[test]
+fn engine_that_came_back_is_not_told_as_gone() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    let mut listing = Listing::default();
+    listing.look(&engines, 100);
+    engines.unlist(&"e1".into());
+    listing.look(&engines, 110);
+    engines.list(listed("e1", "a", &["m"]));
+    listing.look(&engines, 120);
+    let news = listing.since(&engines, Some(100));
+    assert!(news.engines.iter().map(|e| e.engine.0.as_str()).eq(["e1"]), "{news:?}");
+    assert_eq!(news.gone, []);
+}
