Let a holder that wakes up give no order before its renewal is answered

Cause: a node that stood still counted as awake from the moment at which it began to renew its claim, and gave orders under its old number until the answer came.

Change: after a pause as long as a lease the try itself says nothing; its end does, as before. Without such a pause orders go on while a renewal is under way.

--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -119,6 +119,14 @@
         }
     }
 
+    /// A renewal is tried. After a pause as long as a lease another may have taken over meanwhile: then the answer says
+    /// whether orders may be given, and the try itself says nothing.
+    fn tries(&mut self, began: Duration, lease: Duration) {
+        if began.saturating_sub(self.tried) < lease {
+            self.tried = began;
+        }
+    }
+
     fn was_renewed(&mut self, began: Duration, end: Cursor) {
         self.renewed_at = Some(end);
         self.renewed = began;
@@ -194,7 +202,7 @@
         let lease = node.settings.borrow().lease;
         let Some(end) = self.end else { return self.read(Duration::ZERO).await };
         let began = boot_time();
-        node.holding.borrow_mut().tried = began;
+        node.holding.borrow_mut().tries(began, lease);
         let renewed = node.dialects.store.claim(end, entry(&node, EntryKind::Renewal)).await;
         match renewed {
             Ok(()) => {
--- a/crates/hibiscusgw/tests/platform/orders.rs
+++ b/crates/hibiscusgw/tests/platform/orders.rs
@@ -6,6 +6,7 @@
 use hgw_standins::fleet::{EngineSettings, FleetRecord};
 use hgw_standins::link::Condition;
 use http::StatusCode;
+use rustix::process::Signal;
 
 use hgw_standins::fleet::deployment::{Fleet, holds, wait};
 
@@ -126,3 +127,33 @@
     let after = fleet.lines(&lines, 4006);
     assert_eq!(after.len(), planned, "an order is planned that may not be given: {after:?}");
 }
+
+/// The node that gives orders stands still for longer than its lease, and another takes its place. When it wakes up it
+/// finds out first whether it still may: an order by its old number would come beside the other's.
+#[test]
+fn holder_that_wakes_up_gives_no_order_before_it_has_asked() {
+    for round in 0..3 {
+        let fleet = fleet();
+        wait("an adapter is served", || served(&fleet, 0, "s-1", "m/a1"));
+        let first = holders(&fleet);
+        let keeper = fleet.nodes.iter().position(|n| first.contains(&n.name)).unwrap();
+        let left = (keeper + 1) % 3;
+        fleet.nodes[keeper].signal(Signal::STOP);
+        for adapter in ["a2", "a3", "a4", "a5"] {
+            let id = format!("s-{adapter}");
+            wait("it is served", || served(&fleet, left, &id, &format!("m/{adapter}")));
+        }
+        let asked = std::thread::scope(|scope| {
+            let asks = |adapter: &'static str| {
+                let fleet = &fleet;
+                scope.spawn(move || served(fleet, keeper, adapter, &format!("m/{adapter}")))
+            };
+            let asked = ["a1", "a2", "a3"].map(asks);
+            std::thread::sleep(Duration::from_millis(100));
+            fleet.nodes[keeper].signal(Signal::CONT);
+            asked.map(|asked| asked.join().unwrap())
+        });
+        let all = records(&fleet);
+        assert!(all.iter().all(|r| r.old_fences == 0), "round {round}, {asked:?}: {all:?}");
+    }
+}
