--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -5,8 +5,8 @@
 
 use hgw_direct::place::{Allowed, Pending, next_model_step, place_adapter};
 use hgw_direct::{
-    Ask, AtHand, Demand, Engine, EngineId, Engines, Held, Listed, Model, Part, Policy, Pool,
-    Prompt, ServiceId, Standing, Start, Wanted, choose,
+    Ask, AtHand, Cursor, Demand, Engine, EngineId, Engines, Held, Listed, Model, Part, Policy,
+    Pool, Prompt, ServiceId, Standing, Start, Wanted, choose,
 };
 
 /// Looks that are timed; the middle one counts.
@@ -57,6 +57,7 @@
             let held = |m: usize| Held { model: name(m % models), adapters: Vec::new() };
             let listed = Listed {
                 id: EngineId(format!("i-{e:010x}")),
+                at: Cursor::default(),
                 service: service.clone(),
                 addr: ([10, 0, (e / 250) as u8, (e % 250) as u8], 80).into(),
                 domain: format!("zone-{}", e % 5),
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::flights::{EngineKey, Flight};
-use crate::{Judge, Millis, ReadingPace, ServiceId, Unread, Wanted};
+use crate::{Cursor, Judge, Millis, ReadingPace, ServiceId, Unread, Wanted};
 
 /// Identity of one start of an engine.
 #[derive(
@@ -67,6 +67,8 @@
 pub struct Listed {
     /// Its identity.
     pub id: EngineId,
+    /// Where in the store's log this stands.
+    pub at: Cursor,
     /// When it was started.
     pub start: Start,
     /// The service that it belongs to.
@@ -103,6 +105,8 @@
 pub struct Engine {
     /// What the list says.
     pub listed: Listed,
+    /// Whether this start of it has said that it leaves.
+    leaves: bool,
     /// Names this start of it in few bytes.
     key: EngineKey,
     /// What its answers say.
@@ -135,11 +139,17 @@
 /// Time for which a told load is believed.
 const TOLD_FOR: Millis = 2_000;
 
+/// Whether an entry says that its engine leaves.
+pub(crate) fn is_leaving(listed: &Listed) -> bool {
+    matches!(listed.standing, Standing::Leaving { .. })
+}
+
 impl Engine {
     /// A newly listed engine.
     pub fn new(listed: Listed) -> Engine {
         Engine {
             key: EngineKey::of(&listed.id, listed.start),
+            leaves: is_leaving(&listed),
             listed,
             judge: Judge::default(),
             own: 0,
@@ -160,7 +170,25 @@
         if listed.start != self.listed.start {
             self.key = EngineKey::of(&listed.id, listed.start);
         }
+        let leaves = self.leaves || is_leaving(&listed);
         self.listed = listed;
+        if leaves {
+            self.leave();
+        }
+    }
+
+    /// This start of it has said that it leaves. That is its last word: a heartbeat from before that is written late, or a
+    /// copy of the store in which it had not said so yet, does not take it back.
+    pub(crate) fn leave(&mut self) {
+        self.leaves = true;
+        if self.listed.standing == Standing::Ready {
+            self.listed.standing = Standing::Leaving { gone_at: None };
+        }
+    }
+
+    /// Whether this start of it has said that it leaves.
+    pub(crate) fn leaves(&self) -> bool {
+        self.leaves
     }
 
     /// What this node has there.
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -1,19 +1,40 @@
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
+use crate::engine::is_leaving;
 use crate::flights::EngineKey;
-use crate::{Engine, EngineId, Listed, ServiceId, Standing, Start};
+use crate::{Cursor, Engine, EngineId, Era, Listed, ServiceId, Standing, Start};
+
+/// Engines that are gone and still known to be: the oldest make way for new ones.
+const MOST_GONE: usize = 1_000;
 
 /// All engines that are known.
+///
+/// What is told of an engine stands at a place in the store's log, by whichever way it comes: an answer that was long on
+/// its way, or the word of a node that lags behind, changes nothing of what is known from a later place.
 #[derive(Debug, Clone, Default)]
 pub struct Engines {
     by_id: IndexMap<EngineId, Engine>,
     by_key: IndexMap<EngineKey, EngineId>,
+    /// Engines that are gone.
+    gone: IndexMap<EngineId, Gone>,
+    /// Where the copy ends from which the store has come back.
+    copy_end: Cursor,
     /// Addresses of engines that have started anew.
     anew: Vec<SocketAddr>,
 }
 
+/// An engine that is gone.
+#[derive(Debug, Clone, Copy, Default)]
+struct Gone {
+    /// Where in the store's log that stands, or by where it was missing.
+    at: Cursor,
+    start: Start,
+    /// Whether that start had said that it leaves.
+    left: bool,
+}
+
 impl Engines {
     /// The engine with this identity.
     pub fn get(&self, id: &EngineId) -> Option<&Engine> {
@@ -46,11 +67,11 @@
         self.by_id.values().filter(move |e| &e.listed.service == service)
     }
 
-    /// Takes in an engine's newest entry. One of an earlier start than is known changes nothing; one of a later
-    /// start ends everything that was believed of the earlier.
+    /// Takes in an engine's entry. One of an earlier start than is known, or from an earlier place, changes nothing; one of
+    /// a later start ends everything that was believed of the earlier.
     pub fn list(&mut self, mut listed: Listed) {
         let Some(engine) = self.by_id.get_mut(&listed.id) else {
-            self.insert(Engine::new(listed));
+            self.list_unknown(listed);
             return;
         };
         let known = engine.listed.start;
@@ -59,7 +80,7 @@
         }
         if known.is_before(listed.start) {
             self.begin_anew(listed);
-        } else {
+        } else if listed.at >= engine.listed.at {
             // One that says nothing of its start is taken for the start that is known.
             listed.start = listed.start.max(known);
             if listed.start != known {
@@ -67,9 +88,61 @@
                 self.by_key.insert(EngineKey::of(&listed.id, listed.start), listed.id.clone());
             }
             engine.relist(listed);
+        } else if is_leaving(&listed) {
+            engine.leave();
         }
     }
 
+    fn list_unknown(&mut self, listed: Listed) {
+        if self.is_gone(&listed) {
+            if let Some(gone) = self.gone.get_mut(&listed.id) {
+                gone.left |= is_leaving(&listed);
+            }
+            return;
+        }
+        let gone = self.gone.shift_remove(&listed.id);
+        let mut engine = Engine::new(listed);
+        if gone.is_some_and(|gone| gone.left && !gone.start.is_before(engine.listed.start)) {
+            engine.leave();
+        }
+        self.insert(engine);
+    }
+
+    /// Whether an entry is that of an engine which is known to be gone, and says nothing newer. Of a later era only what was
+    /// written in it counts: the copy from which the store has come back still has engines that left since.
+    fn is_gone(&self, listed: &Listed) -> bool {
+        let Some(gone) = self.gone.get(&listed.id) else { return false };
+        if gone.start.is_before(listed.start) {
+            return false;
+        }
+        listed.at <= gone.at || (listed.at.era > gone.at.era && self.is_copied(listed.at))
+    }
+
+    /// Whether an entry at this place may be of the copy from which the store has come back, and not written since.
+    pub fn is_copied(&self, at: Cursor) -> bool {
+        at.era > Era::FIRST && at.era == self.copy_end.era && at < self.copy_end
+    }
+
+    /// Where the copy ends from which the store has come back, as far as is known.
+    pub fn copy_end(&self) -> Cursor {
+        self.copy_end
+    }
+
+    /// A log was found to go so far: what stands before may be of the copy. The earliest word of an era counts, as what comes
+    /// after it was written in that era.
+    pub fn copy_ends(&mut self, end: Cursor) {
+        if end.era > self.copy_end.era {
+            self.copy_end = end;
+        } else if end.era == self.copy_end.era {
+            self.copy_end = self.copy_end.min(end);
+        }
+    }
+
+    /// Where an engine's end stands that is known to be gone.
+    pub fn gone_at(&self, id: &EngineId) -> Option<Cursor> {
+        self.gone.get(id).map(|gone| gone.at)
+    }
+
     fn insert(&mut self, engine: Engine) {
         let id = engine.listed.id.clone();
         self.by_key.insert(engine.key(), id.clone());
@@ -105,27 +178,41 @@
         std::mem::take(&mut self.anew)
     }
 
-    /// An engine's newest entry cannot be read.
-    pub fn spoil(&mut self, id: &EngineId) {
-        if let Some(engine) = self.by_id.get_mut(id) {
+    /// An engine's entry cannot be read.
+    pub fn spoil(&mut self, id: &EngineId, at: Cursor) {
+        if let Some(engine) = self.by_id.get_mut(id).filter(|engine| at >= engine.listed.at) {
             engine.listed.standing = Standing::Unreadable;
+            engine.listed.at = at;
         }
     }
 
-    /// An engine's entry is gone.
-    pub fn unlist(&mut self, id: &EngineId) {
+    /// An engine's entry is gone, as stands at this place.
+    pub fn unlist(&mut self, id: &EngineId, at: Cursor) {
+        if self.by_id.get(id).is_some_and(|engine| engine.listed.at > at) {
+            return;
+        }
+        let known = self.gone.get(id).copied().unwrap_or_default();
+        let mut gone = Gone { at: known.at.max(at), ..known };
         if let Some(engine) = self.by_id.shift_remove(id) {
             self.by_key.swap_remove(&engine.key());
+            gone = Gone { start: engine.listed.start, left: engine.leaves(), ..gone };
+        }
+        self.gone.insert(id.clone(), gone);
+        if self.gone.len() > MOST_GONE {
+            self.gone.drain(..MOST_GONE / 2);
         }
     }
 
-    /// Takes in a whole list: engines that it does not name go. While `keep`, those are kept: their
+    /// Takes in a whole list that goes so far: engines that it does not name go. While `keep`, those are kept: their
     /// entries lapsed while the store was away and come back with their next heartbeat.
-    pub fn replace(&mut self, listed: Vec<Listed>, keep: bool) {
+    pub fn replace(&mut self, listed: Vec<Listed>, end: Cursor, keep: bool) {
         if !keep {
-            let named: Vec<EngineId> = listed.iter().map(|l| l.id.clone()).collect();
-            self.by_id.retain(|id, _| named.contains(id));
-            self.by_key.retain(|_, id| self.by_id.contains_key(id));
+            let named: IndexSet<&EngineId> = listed.iter().map(|l| &l.id).collect();
+            let missing = self.by_id.keys().filter(|id| !named.contains(id));
+            let missing: Vec<EngineId> = missing.cloned().collect();
+            for id in missing {
+                self.unlist(&id, end);
+            }
         }
         for listed in listed {
             self.list(listed);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod catalog;
 mod choose;
+mod cursor;
 mod customer;
 mod deadline;
 mod demand;
@@ -30,6 +31,7 @@
     CallerLimits, Catalog, Kind, Model, Pool, Route, RouteMatch, Service, ServiceId, Target,
 };
 pub use choose::{Ask, Choice, NoEngine, Policy, choose};
+pub use cursor::{BadEra, Cursor, Era, KnownEra};
 pub use customer::{Customer, CustomerId, Customers, Key, Quota, QuotaBounds, Sender, Shown, Unit};
 pub use deadline::{Deadline, LEAST_TO_SEND};
 pub use demand::{Demand, Past, Rates};
@@ -37,7 +39,7 @@
 pub use engines::Engines;
 pub use judge::{Judge, Opinion, Verdict};
 pub use listing::{
-    Cursor, ListNews, Listing, Part as ListPart, Passed, StandingChange, is_long, reads_on,
+    ListNews, ListPlace, Listing, Part as ListPart, Passed, StandingChange, is_long, reads_on,
 };
 pub use prompt::{EmptyModel, Part, Prompt, Wanted};
 pub use proof::{Proof, Seen};
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -6,10 +6,29 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{Engine, EngineId, Engines, Held, Standing, Start};
+use crate::{Cursor, Engine, EngineId, Engines, Held, Standing, Start};
 
-/// A place in the store's log of the list.
-pub type Cursor = u64;
+/// How far a list of engines goes: a place in the store's log of it, and how much was found out there without reading on.
+/// Whoever reads on goes beyond, however much another node had found out before.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ListPlace(Cursor, u32);
+
+impl ListPlace {
+    /// The place of a list that was read so far.
+    pub fn read(cursor: Cursor) -> ListPlace {
+        ListPlace(cursor, 0)
+    }
+
+    /// How far the log was read.
+    pub fn cursor(self) -> Cursor {
+        self.0
+    }
+
+    /// The next place after something was found out without reading on.
+    fn found(self) -> ListPlace {
+        ListPlace(self.0, self.1.saturating_add(1))
+    }
+}
 
 /// Engines that are gone and still told of: what lags behind more reads the whole list.
 const MOST_GONE: usize = 1_000;
@@ -39,6 +58,8 @@
 pub struct Passed {
     /// Its identity.
     pub engine: EngineId,
+    /// Where in the store's log its entry stands.
+    pub at: Cursor,
     /// When it was started.
     pub start: Start,
     /// Its service.
@@ -62,14 +83,16 @@
 /// What changed in the list.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListNews {
-    /// How far it goes in the store's log of the list.
-    pub cursor: Cursor,
+    /// How far it goes.
+    pub place: ListPlace,
+    /// Where the copy ends from which the store has come back, as far as the node that tells knows.
+    pub copy_end: Cursor,
     /// What `engines` are.
     pub part: Part,
     /// Engines of that part.
     pub engines: Vec<Passed>,
-    /// Engines that are gone.
-    pub gone: Vec<EngineId>,
+    /// Engines that are gone, and where that stands.
+    pub gone: Vec<(EngineId, Cursor)>,
 }
 
 /// What part of a list is told.
@@ -91,13 +114,13 @@
 #[derive(Debug, Default)]
 pub struct Listing {
     /// From where on changes are known.
-    begun: Option<Cursor>,
+    begun: Option<ListPlace>,
     /// How far the list goes.
-    at: Cursor,
+    at: ListPlace,
     /// Where it changed last.
-    changed_at: Cursor,
-    known: IndexMap<EngineId, (Cursor, Signature)>,
-    gone: Vec<(Cursor, EngineId)>,
+    changed_at: ListPlace,
+    known: IndexMap<EngineId, (ListPlace, Signature)>,
+    gone: Vec<(ListPlace, EngineId)>,
 }
 
 /// What makes an entry worth telling again.
@@ -109,6 +132,8 @@
     cold: bool,
     slots: u32,
     addr: SocketAddr,
+    /// Whether its entry may be of the copy from which the store has come back.
+    copied: bool,
 }
 
 impl Signature {
@@ -117,7 +142,7 @@
     }
 }
 
-fn signature(engine: &Engine) -> Signature {
+fn signature(engines: &Engines, engine: &Engine) -> Signature {
     let listed = &engine.listed;
     Signature {
         start: listed.start,
@@ -126,6 +151,7 @@
         cold: listed.cold_ms > 0,
         slots: listed.slots,
         addr: listed.addr,
+        copied: engines.is_copied(listed.at),
     }
 }
 
@@ -147,7 +173,7 @@
         let mut changed = Vec::new();
         let mut changes = Vec::new();
         for engine in engines.iter() {
-            let (id, now) = (&engine.listed.id, signature(engine));
+            let (id, now) = (&engine.listed.id, signature(engines, engine));
             let then = self.known.get(id).map(|(_, then)| *then);
             if then != Some(now) {
                 changed.push((id.clone(), now));
@@ -160,9 +186,13 @@
         let lost: Vec<EngineId> =
             self.known.keys().filter(|id| engines.get(id).is_none()).cloned().collect();
         let news = !changed.is_empty() || !lost.is_empty();
-        // A change that was found without reading on, or behind it, is told as a later one.
-        let later = self.at + u64::from(news && self.begun.is_some());
-        self.at = later.max(cursor);
+        let read = ListPlace::read(cursor);
+        if read > self.at || self.begun.is_none() {
+            self.at = read;
+        } else if news {
+            // A change that was found without reading on, or behind it, is told as a later one.
+            self.at = self.at.found();
+        }
         self.begun.get_or_insert(self.at);
         if news {
             self.changed_at = self.at;
@@ -184,23 +214,23 @@
     }
 
     /// Where the list changed last.
-    pub fn changed_at(&self) -> Cursor {
+    pub fn changed_at(&self) -> ListPlace {
         self.changed_at
     }
 
     /// Whether there is nothing to tell a node whose list ends there.
-    pub fn has_nothing_since(&self, since: Option<Cursor>) -> bool {
+    pub fn has_nothing_since(&self, since: Option<ListPlace>) -> bool {
         let is_known = |since| self.begun.is_some_and(|begun| since >= begun);
         self.begun.is_none()
             || since.is_none_or(|since| is_known(since) && self.changed_at <= since)
     }
 
     /// What changed since a node's list ended; a node without one is told nothing.
-    pub fn since(&self, engines: &Engines, since: Option<Cursor>) -> ListNews {
+    pub fn since(&self, engines: &Engines, since: Option<ListPlace>) -> ListNews {
         if self.begun.is_none() {
             return ListNews { part: Part::Unknown, ..ListNews::default() };
         }
-        let Some(since) = since else { return ListNews { cursor: self.at, ..ListNews::default() } };
+        let Some(since) = since else { return ListNews { place: self.at, ..ListNews::default() } };
         let is_known = self.begun.is_some_and(|begun| since >= begun);
         let part = match is_known {
             true => Part::Changes,
@@ -210,8 +240,9 @@
         let newer = self.known.iter().filter(|(_, (at, _))| part == Part::Whole || *at > since);
         let told = newer.filter_map(|(id, _)| engines.get(id).map(passed)).collect();
         let gone = self.gone.iter().filter(|(at, _)| *at > since);
-        let gone = gone.map(|(_, id)| id.clone()).collect();
-        ListNews { cursor: self.at, part, engines: told, gone }
+        let gone = gone.map(|(at, id)| (id.clone(), engines.gone_at(id).unwrap_or(at.cursor())));
+        let (gone, copy_end) = (gone.collect(), engines.copy_end());
+        ListNews { place: self.at, copy_end, part, engines: told, gone }
     }
 }
 
@@ -219,6 +250,7 @@
     let listed = &engine.listed;
     Passed {
         engine: listed.id.clone(),
+        at: listed.at,
         start: listed.start,
         service: listed.service.0.clone(),
         addr: listed.addr,
--- /dev/null
+++ b/crates/direct/tests/cursor.rs
@@ -0,0 +1,84 @@
+//! Places in the store's logs, over its eras.
+
+use std::time::Duration;
+
+use hgw_direct::{Cursor, Era, KnownEra};
+use proptest::prelude::{prop_assert, prop_assert_eq, proptest};
+
+fn era(text: &str) -> Era {
+    text.parse().unwrap()
+}
+
+fn at(of: &str, offset: u64) -> Cursor {
+    Cursor::new(era(of), offset)
+}
+
+fn s(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+macro_rules! no_era {
+    ($($name:ident: $text:literal;)*) => {$(
+        /// Nothing is believed from an answer whose era cannot be read.
+        #[test]
+        fn $name() {
+            let text: Result<Era, _> = $text.parse();
+            assert!(text.is_err(), "{text:?}");
+        }
+    )*};
+}
+
+no_era! {
+    empty_text_is_no_era: "";
+    word_is_no_era: "second";
+    negative_number_is_no_era: "-1";
+    fraction_is_no_era: "1.5";
+    number_beyond_fencing_numbers_is_no_era: "2097152";
+    number_beyond_all_numbers_is_no_era: "99999999999999999999";
+}
+
+/// The store comes back from a copy and offsets go back: a holder of the new era whose claim has a lower offset must not
+/// be refused by engines that saw the one before, and two claims at one offset must not share a number.
+#[test]
+fn fencing_numbers_rise_over_eras() {
+    assert_eq!(at("0", 17).fence(), Some(17));
+    assert!(at("1", 3).fence() > at("0", 17).fence());
+    assert!(at("1", 17).fence() > at("0", 17).fence());
+    assert_eq!(at("0", 1 << 32).fence(), None);
+    assert!(at("2097151", u64::from(u32::MAX)).fence().unwrap() < 1 << 53);
+}
+
+#[test]
+fn cursor_is_written_in_few_bytes() {
+    let cursor = at("2", 17);
+    let text = serde_json::to_string(&cursor).unwrap();
+    assert_eq!((text.as_str(), cursor.to_string().as_str()), ("[2,17]", "2:17"));
+    assert_eq!(serde_json::from_str::<Cursor>(&text).unwrap(), cursor);
+}
+
+/// A node that starts in a long-lived era knows it for young, until another tells how long it has known it.
+#[test]
+fn era_is_as_old_as_anybody_has_known_it() {
+    let mut known = KnownEra::default();
+    assert!(known.hear(era("2"), s(0), s(100)));
+    assert!(!known.hear(era("1"), s(50), s(101)), "an earlier one is no news");
+    assert_eq!((known.era(), known.lasted(s(103))), (era("2"), s(3)));
+    assert!(!known.hear(era("2"), s(40), s(103)));
+    assert_eq!(known.lasted(s(103)), s(40));
+    assert!(known.hear(era("3"), s(1), s(104)));
+    assert_eq!(known.lasted(s(104)), s(1));
+    assert_eq!(KnownEra::default().lasted(s(7)), s(7), "nothing was lost before the first");
+}
+
+proptest! {
+    /// Numbers have the order of the places, and no two places share one.
+    #[test]
+    fn fencing_numbers_have_the_order_of_places(
+        a in (0_u32..2_097_152, 0_u64..1 << 32),
+        b in (0_u32..2_097_152, 0_u64..1 << 32),
+    ) {
+        let of = |(era, offset): (u32, u64)| at(&era.to_string(), offset);
+        prop_assert_eq!(of(a).cmp(&of(b)), of(a).fence().cmp(&of(b).fence()));
+        prop_assert!(of(a).fence().is_some());
+    }
+}
--- a/crates/direct/tests/engines.rs
+++ b/crates/direct/tests/engines.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use hgw_direct::flights::EngineKey;
-use hgw_direct::{EngineId, Engines, Listed, Load, SendId, Standing, Start, Verdict};
+use hgw_direct::{Cursor, EngineId, Engines, Listed, Load, SendId, Standing, Start, Verdict};
+use proptest::collection::vec;
+use proptest::prelude::{prop_assert, prop_assert_eq, proptest};
 use support::{engines, listed};
 
 fn born(at: u64, holds: &[&str]) -> Listed {
@@ -76,7 +78,7 @@
 #[test]
 fn engine_whose_entry_cannot_be_read_is_not_used_until_one_can() {
     let mut engines = used();
-    engines.spoil(&id());
+    engines.spoil(&id(), Cursor::default());
     assert!(!engines.get(&id()).unwrap().takes_work());
     engines.list(born(100, &["m"]));
     let engine = engines.get(&id()).unwrap();
@@ -97,6 +99,167 @@
     assert!(engines.by_key(named(Some(1))).is_none() && engines.by_key(named(Some(2))).is_some());
     engines.meet(&"e1".into(), Start(Some(3)));
     assert!(engines.by_key(named(Some(2))).is_none() && engines.by_key(named(Some(3))).is_some());
-    engines.unlist(&"e1".into());
+    engines.unlist(&"e1".into(), Cursor::default());
     assert!(engines.by_key(named(Some(3))).is_none());
 }
+
+fn at(era: &str, offset: u64) -> Cursor {
+    Cursor::new(era.parse().unwrap(), offset)
+}
+
+fn entry(at: Cursor, standing: Standing) -> Listed {
+    Listed { at, standing, ..listed("e1", "a", &["m"]) }
+}
+
+const LEAVING: Standing = Standing::Leaving { gone_at: None };
+
+fn standing(engines: &Engines) -> Option<Standing> {
+    engines.get(&id()).map(|engine| engine.listed.standing)
+}
+
+/// A node reads the list by itself, and its answer is long on its way. Meanwhile another node tells that an engine
+/// leaves: the older answer must not bring the engine back.
+#[test]
+fn older_answer_does_not_bring_back_an_engine_that_leaves() {
+    let mut engines = Engines::default();
+    engines.list(entry(at("0", 5), Standing::Ready));
+    engines.list(entry(at("0", 9), LEAVING));
+    engines.replace(vec![entry(at("0", 5), Standing::Ready)], at("0", 8), false);
+    assert_eq!(standing(&engines), Some(LEAVING));
+}
+
+/// The same for an engine that is gone, and for one that is newer than the answer.
+#[test]
+fn older_answer_neither_brings_back_nor_takes_away() {
+    let mut engines = Engines::default();
+    engines.list(entry(at("0", 5), Standing::Ready));
+    engines.unlist(&id(), at("0", 9));
+    engines.list(Listed { at: at("0", 10), ..listed("e2", "a", &["m"]) });
+    engines.replace(vec![entry(at("0", 5), Standing::Ready)], at("0", 8), false);
+    assert_eq!(standing(&engines), None);
+    assert!(engines.get(&"e2".into()).is_some());
+    engines.list(entry(at("0", 11), Standing::Ready));
+    assert_eq!(standing(&engines), Some(Standing::Ready), "its entry had lapsed");
+}
+
+/// An engine says that it leaves, and the store comes back from a copy in which it had not said so yet. Requests that
+/// were sent there again would be cut with it.
+#[test]
+fn engine_that_leaves_does_not_come_back_with_the_store() {
+    let mut engines = Engines::default();
+    engines.list(entry(at("0", 5), Standing::Ready));
+    engines.list(entry(at("0", 9), LEAVING));
+    engines.copy_ends(at("1", 7));
+    engines.replace(vec![entry(at("1", 5), Standing::Ready)], at("1", 7), true);
+    assert_eq!(standing(&engines), Some(LEAVING));
+    engines.list(entry(at("1", 7), Standing::Ready));
+    assert_eq!(standing(&engines), Some(LEAVING), "a heartbeat from before, written again");
+}
+
+/// An engine says that it leaves, and a heartbeat that it sent before is written late, before or after its entry is gone.
+#[test]
+fn late_heartbeat_does_not_take_back_that_an_engine_leaves() {
+    let mut engines = Engines::default();
+    let born = |at, start, standing| Listed { start: Start(Some(start)), ..entry(at, standing) };
+    engines.list(born(at("0", 5), 100, Standing::Ready));
+    engines.list(born(at("0", 9), 100, LEAVING));
+    engines.list(born(at("0", 11), 100, Standing::Ready));
+    assert_eq!(standing(&engines), Some(LEAVING));
+    engines.unlist(&id(), at("0", 12));
+    engines.list(born(at("0", 14), 100, Standing::Ready));
+    assert_eq!(standing(&engines), Some(LEAVING));
+    engines.list(born(at("0", 16), 200, Standing::Ready));
+    assert_eq!(standing(&engines), Some(Standing::Ready), "a later start has said nothing");
+}
+
+/// An engine is gone, and the store comes back from a copy in which its entry still stands. It is used again only once
+/// something is written of it.
+#[test]
+fn engine_that_is_gone_comes_back_by_its_own_word_only() {
+    let mut engines = Engines::default();
+    engines.list(entry(at("0", 5), Standing::Ready));
+    engines.unlist(&id(), at("0", 9));
+    engines.copy_ends(at("1", 7));
+    engines.replace(vec![entry(at("1", 5), Standing::Ready)], at("1", 7), true);
+    assert_eq!(standing(&engines), None);
+    engines.list(entry(at("1", 8), Standing::Ready));
+    assert_eq!(standing(&engines), Some(Standing::Ready));
+}
+
+/// Two nodes read first in an era at different places: what was written between them is no copy.
+#[test]
+fn earliest_end_of_a_copy_counts() {
+    let mut engines = Engines::default();
+    engines.copy_ends(at("1", 50));
+    assert!(engines.is_copied(at("1", 45)) && !engines.is_copied(at("1", 50)));
+    engines.copy_ends(at("1", 40));
+    assert!(!engines.is_copied(at("1", 45)) && engines.is_copied(at("1", 39)));
+    engines.copy_ends(at("0", 10));
+    assert_eq!(engines.copy_end(), at("1", 40));
+    engines.copy_ends(at("2", 60));
+    assert!(engines.is_copied(at("2", 45)) && !engines.is_copied(at("1", 39)));
+    assert!(
+        !Engines::default().is_copied(at("0", 0)),
+        "nothing is copied before the store went away"
+    );
+}
+
+/// One thing that the store's log says of an engine.
+fn takes(engines: &mut Engines, offset: u64, kind: u8) {
+    let place = at("0", offset);
+    match kind {
+        0 => engines.list(entry(place, Standing::Ready)),
+        1 => engines.list(entry(place, LEAVING)),
+        _ => engines.unlist(&id(), place),
+    }
+}
+
+proptest! {
+    /// Whatever of the log comes first, and however often: what is known of an engine is what stands last, and one that has
+    /// said that it leaves is never taken for ready.
+    #[test]
+    fn last_place_counts_in_whatever_order_words_come(
+        log in vec(0_u8..3, 1..12),
+        order in vec(0_usize..12, 0..40),
+    ) {
+        let mut engines = Engines::default();
+        let mut read = order;
+        read.retain(|n| *n < log.len());
+        let Some(last) = read.iter().copied().max() else { return Ok(()) };
+        let heard: Vec<u8> = read.iter().map(|n| log[*n]).collect();
+        for n in read {
+            takes(&mut engines, n as u64, log[n]);
+        }
+        let left = heard.contains(&1);
+        let expected = match log[last] {
+            2 => None,
+            _ if left => Some(LEAVING),
+            _ => Some(Standing::Ready),
+        };
+        prop_assert_eq!(standing(&engines), expected);
+    }
+
+    /// Whatever was known before, and whatever copy the store comes back with: what said that it leaves, or is gone, is not
+    /// used by what the copy holds.
+    #[test]
+    fn copy_brings_nothing_back(log in vec(0_u8..3, 1..12), copied in 0_usize..12) {
+        let mut engines = Engines::default();
+        for (n, kind) in log.iter().enumerate() {
+            takes(&mut engines, n as u64, *kind);
+        }
+        let before = standing(&engines);
+        let copy = &log[..copied.min(log.len())];
+        let end = at("1", copy.len() as u64);
+        engines.copy_ends(end);
+        for (n, kind) in copy.iter().enumerate() {
+            match kind {
+                0 => engines.list(entry(at("1", n as u64), Standing::Ready)),
+                1 => engines.list(entry(at("1", n as u64), LEAVING)),
+                _ => {}
+            }
+        }
+        if before != Some(Standing::Ready) {
+            prop_assert!(standing(&engines) != Some(Standing::Ready));
+        }
+    }
+}
--- a/crates/direct/tests/listing.rs
+++ b/crates/direct/tests/listing.rs
@@ -2,9 +2,19 @@
 
 mod support;
 
-use hgw_direct::{Engines, ListPart, Listing, Standing, reads_on};
+use hgw_direct::{
+    Cursor, Engines, Era, ListPart, ListPlace, Listed, Listing, Standing, Start, reads_on,
+};
 use support::{engines, listed};
 
+fn at(offset: u64) -> Cursor {
+    Cursor::new(Era::FIRST, offset)
+}
+
+fn place(offset: u64) -> ListPlace {
+    ListPlace::read(at(offset))
+}
+
 fn many(count: usize) -> Engines {
     let mut engines = Engines::default();
     for number in 0..count {
@@ -19,17 +29,20 @@
 fn changes_are_told_from_where_the_other_list_ends() {
     let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"]), ("e3", "a", &["m"])]);
     let mut listing = Listing::default();
-    listing.look(&engines, 100);
-    assert!(listing.has_nothing_since(Some(100)));
+    listing.look(&engines, at(100));
+    assert!(listing.has_nothing_since(Some(place(100))));
     engines.get_mut(&"e1".into()).unwrap().listed.standing = Standing::Leaving { gone_at: None };
-    engines.unlist(&"e2".into());
-    listing.look(&engines, 140);
-    let news = listing.since(&engines, Some(120));
-    assert_eq!((news.part, news.cursor), (ListPart::Changes, 140));
+    engines.unlist(&"e2".into(), Cursor::default());
+    listing.look(&engines, at(140));
+    let news = listing.since(&engines, Some(place(120)));
+    assert_eq!((news.part, news.place), (ListPart::Changes, place(140)));
     assert!(news.engines.iter().map(|e| e.engine.0.as_str()).eq(["e1"]), "{news:?}");
-    assert!(news.engines[0].leaving && news.gone == ["e2".into()], "{news:?}");
-    assert!(listing.has_nothing_since(Some(140)));
-    assert!(listing.since(&engines, Some(150)).engines.is_empty(), "that node has read further");
+    assert!(news.engines[0].leaving && news.gone == [("e2".into(), at(0))], "{news:?}");
+    assert!(listing.has_nothing_since(Some(place(140))));
+    assert!(
+        listing.since(&engines, Some(place(150))).engines.is_empty(),
+        "that node has read further"
+    );
 }
 
 /// Another node has found out that an engine is another one now; nothing was read of the log since.
@@ -37,10 +50,10 @@
 fn change_without_reading_on_is_told_as_a_later_one() {
     let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
     let mut listing = Listing::default();
-    listing.look(&engines, 100);
-    engines.unlist(&"e1".into());
-    listing.look(&engines, 100);
-    assert_eq!(listing.since(&engines, Some(100)).gone, ["e1".into()]);
+    listing.look(&engines, at(100));
+    engines.unlist(&"e1".into(), Cursor::default());
+    listing.look(&engines, at(100));
+    assert_eq!(listing.since(&engines, Some(place(100))).gone, [("e1".into(), at(0))]);
 }
 
 #[test]
@@ -48,8 +61,8 @@
     let (short, long) = (many(13), many(3_000));
     for (engines, part) in [(&short, ListPart::Whole), (&long, ListPart::ReadAnew)] {
         let mut listing = Listing::default();
-        listing.look(engines, 100);
-        let news = listing.since(engines, Some(50));
+        listing.look(engines, at(100));
+        let news = listing.since(engines, Some(place(50)));
         assert_eq!(news.part, part);
         assert_eq!(news.engines.len(), if part == ListPart::Whole { 13 } else { 0 });
     }
@@ -80,14 +93,14 @@
         let changes = listing.look(engines, at);
         changes.iter().map(|c| format!("{} {c}", c.engine)).collect::<Vec<_>>().join(", ")
     };
-    assert_eq!(told(&engines, 100), "");
+    assert_eq!(told(&engines, at(100)), "");
     engines.get_mut(&"e1".into()).unwrap().listed.standing = Standing::Leaving { gone_at: None };
     engines.get_mut(&"e2".into()).unwrap().listed.cold_ms = 50;
-    assert_eq!(told(&engines, 110), "e1 leaving");
-    engines.unlist(&"e1".into());
+    assert_eq!(told(&engines, at(110)), "e1 leaving");
+    engines.unlist(&"e1".into(), Cursor::default());
     engines.list(listed("e3", "a", &["m"]));
-    assert_eq!(told(&engines, 120), "e3 ready, e1 gone");
-    assert_eq!(told(&engines, 130), "");
+    assert_eq!(told(&engines, at(120)), "e3 ready, e1 gone");
+    assert_eq!(told(&engines, at(130)), "");
 }
 
 /// An engine's entry lapses and is back before another node asks again. That node must not take it for gone: it would
@@ -96,12 +109,57 @@
 fn engine_that_came_back_is_not_told_as_gone() {
     let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
     let mut listing = Listing::default();
-    listing.look(&engines, 100);
-    engines.unlist(&"e1".into());
-    listing.look(&engines, 110);
-    engines.list(listed("e1", "a", &["m"]));
-    listing.look(&engines, 120);
-    let news = listing.since(&engines, Some(100));
+    listing.look(&engines, at(100));
+    engines.unlist(&"e1".into(), Cursor::default());
+    listing.look(&engines, at(110));
+    engines.list(Listed { at: at(115), ..listed("e1", "a", &["m"]) });
+    listing.look(&engines, at(120));
+    let news = listing.since(&engines, Some(place(100)));
     assert!(news.engines.iter().map(|e| e.engine.0.as_str()).eq(["e1"]), "{news:?}");
     assert_eq!(news.gone, []);
 }
+
+/// One that reads for all has found out something without reading on, and another takes its place, which has not and
+/// reads on: its news are later than all that the first one told, or an engine that says just then that it leaves is missed
+/// for good.
+#[test]
+fn who_reads_on_is_ahead_of_who_found_something_out() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+    let (mut first, mut second) = (Listing::default(), Listing::default());
+    first.look(&engines, at(100));
+    second.look(&engines, at(100));
+    let mut found = engines.clone();
+    found.meet(&"e2".into(), Start(Some(200)));
+    first.look(&found, at(100));
+    let told = first.since(&found, Some(place(100))).place;
+    engines.list(Listed {
+        at: at(100),
+        standing: Standing::Leaving { gone_at: None },
+        ..listed("e1", "a", &["m"])
+    });
+    second.look(&engines, at(101));
+    let news = second.since(&engines, Some(told));
+    assert!(news.engines.iter().any(|e| e.engine == "e1".into() && e.leaving), "{news:?}");
+}
+
+/// The store has come back from a copy whose log is shorter, as long or longer: a node that was told before is told what
+/// changed since, by one that has read on in the new era.
+#[test]
+fn changes_are_told_on_over_an_era() {
+    for end in [60, 100, 140] {
+        let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
+        let mut listing = Listing::default();
+        listing.look(&engines, at(100));
+        let later = |offset| Cursor::new("1".parse().unwrap(), offset);
+        listing.look(&engines, later(end));
+        engines.list(Listed {
+            at: later(end),
+            standing: Standing::Leaving { gone_at: None },
+            ..listed("e1", "a", &["m"])
+        });
+        listing.look(&engines, later(end + 1));
+        let news = listing.since(&engines, Some(place(100)));
+        assert!(news.engines.iter().any(|e| e.engine == "e1".into() && e.leaving), "{news:?}");
+        assert!(listing.has_nothing_since(Some(ListPlace::read(later(end + 1)))));
+    }
+}
--- a/crates/direct/tests/support/mod.rs
+++ b/crates/direct/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Engines and pools for tests of decisions.
 
-use hgw_direct::{AtHand, EngineId, Engines, Held, Listed, ServiceId, Standing, Start, Wanted};
+use hgw_direct::{
+    AtHand, Cursor, EngineId, Engines, Held, Listed, ServiceId, Standing, Start, Wanted,
+};
 
 /// `MODEL` or `MODEL/ADAPTER`.
 pub(crate) fn wanted(text: &str) -> Wanted {
@@ -20,6 +22,7 @@
     let number = id.bytes().last().unwrap();
     Listed {
         id: EngineId::from(id),
+        at: Cursor::default(),
         service: service(),
         addr: format!("127.0.0.1:{}", 9000 + u16::from(number)).parse().unwrap(),
         domain: domain.to_owned(),
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -69,6 +69,7 @@
     ProofGained = 3006, Info, "the configuration is shown to be the newest";
     LogDown = 3101, Warn, "the platform's log does not answer";
     LogUp = 3102, Info, "the platform's log answers again";
+    StoreCameBack = 3103, Warn, "the platform's store has come back from a copy: what it had lost is read and written anew";
     KeeperGained = 4001, Info, "this node keeps its failure domain";
     KeeperLost = 4002, Info, "this node keeps its failure domain no longer";
     OrderSent = 4003, Info, "an order was sent to an engine";
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
-pub use hgw_direct::Cursor;
 use hgw_direct::{
     AtHand, Catalog, CustomerId, EngineId, Held, Listed, Load, Prompt, Shown, Start, Wanted,
 };
+pub use hgw_direct::{BadEra, Cursor, Era};
 use hgw_http1::{Head, Request};
 use http::HeaderMap;
 use http::request::Parts;
@@ -218,6 +218,22 @@
     /// Its answer cannot be read.
     #[display("{_0}")]
     Malformed(Malformed),
+    /// The answer is of an earlier era than is known: it was long on its way, or comes from what is left of an earlier
+    /// life of the store.
+    #[display("the answer is of era {era}, and the store is in era {known}")]
+    Outdated {
+        /// The era of the answer.
+        era: Era,
+        /// The newest that is known.
+        known: Era,
+    },
+    /// The store has come back from a copy, and the place that the call goes on from is not there any more. What was
+    /// appended stands in another log than was meant.
+    #[display("the store has come back in era {era}")]
+    NewEra {
+        /// Its era now.
+        era: Era,
+    },
 }
 
 /// Result of a call to the store.
@@ -240,11 +256,20 @@
     /// Whether `entries` is the whole list, and not what changed.
     pub whole: bool,
     /// The entries.
-    pub entries: Vec<EngineEntry>,
+    pub entries: Vec<EngineChange>,
     /// Entries that could not be read.
     pub malformed: Vec<Malformed>,
 }
 
+/// An entry of the list of engines, and where in the store's log it stands.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineChange {
+    /// The place.
+    pub at: Cursor,
+    /// The entry.
+    pub entry: EngineEntry,
+}
+
 /// An entry of the list of engines.
 #[derive(Debug, Clone, PartialEq)]
 pub enum EngineEntry {
@@ -265,7 +290,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Record {
     /// Its place, unique and rising.
-    pub offset: u64,
+    pub at: Cursor,
     /// What it says.
     pub data: Bytes,
 }
@@ -301,7 +326,7 @@
         wait: Duration,
     ) -> LocalBoxFuture<'_, StoreResult<ClaimNews>>;
 
-    /// Appends to the claim's log if it ends at `at`; the record's offset is `at` then.
+    /// Appends to the claim's log if it ends at `at`; the record stands there then.
     fn claim(&self, at: Cursor, data: Bytes) -> LocalBoxFuture<'_, StoreResult<()>>;
 
     /// Makes this node known to the others, by its name.
@@ -309,4 +334,10 @@
 
     /// All nodes that made themselves known.
     fn nodes(&self) -> LocalBoxFuture<'_, StoreResult<Vec<(String, Bytes)>>>;
+
+    /// The newest era that is known.
+    fn era(&self) -> Era;
+
+    /// Another node knows of this era: no answer of an earlier one counts any more.
+    fn heard_of(&self, era: Era);
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,13 +5,14 @@
 
 use bytes::Bytes;
 use hgw_direct::heads::Parent;
-use hgw_direct::{Listed, Seen, Standing};
+use hgw_direct::{Era, ListPlace, Listed, Seen, Standing};
 use hgw_events::{Event, emit};
 use tokio::time::{sleep, timeout};
 
 use crate::backoff::{after_failure, pause_after_failure};
 use crate::clock::boot_time;
-use crate::dialect::{Cursor, EngineEntry, EngineNews, StoreError};
+use crate::dialect::{Cursor, EngineChange, EngineEntry, EngineNews, StoreError};
+use crate::eras;
 use crate::keeper;
 use crate::meter;
 use crate::peers;
@@ -119,7 +120,7 @@
                     adopt(&node, text);
                 }
                 if let Some(newest) = newest {
-                    proof::learn(&node, Seen { newest, asked });
+                    proof::read(&node, Seen { newest, asked });
                     node.catalog_at.set(cursor.map(|at| (newest, at)));
                 }
                 if nothing && node.state.borrow().catalog.is_none() {
@@ -216,9 +217,9 @@
             Ok(news) => {
                 node.list_read.set(node.now());
                 node.reads_list.set(false);
-                if link.up()
-                    && down_for(&node, last) >= KEPT_AFTER * node.settings.borrow().heartbeat
-                {
+                let was_away = link.up()
+                    && down_for(&node, last) >= KEPT_AFTER * node.settings.borrow().heartbeat;
+                if was_away || eras::is_young(&node) && back_at.is_none() {
                     back_at = Some(node.now());
                 }
                 last = node.now();
@@ -268,14 +269,18 @@
         emit(Event::ConfigRejected, &[("node", name), ("why", first), ("entries", &entries)]);
     }
     let mut state = node.state.borrow_mut();
+    if news.whole && news.cursor.era > Era::FIRST {
+        state.engines.copy_ends(news.cursor);
+    }
     let mut whole = Vec::new();
-    for entry in news.entries {
+    for EngineChange { at, entry } in news.entries {
         match entry {
             EngineEntry::Listed { mut listed, left } => {
                 if let Some(left) = left {
                     let gone_at = Some(now + left.as_millis() as u64);
                     listed.standing = Standing::Leaving { gone_at };
                 }
+                listed.at = at;
                 keep_newer(&state.engines, &mut listed);
                 if news.whole {
                     whole.push(*listed);
@@ -285,11 +290,11 @@
             }
             EngineEntry::Gone(id) => {
                 if !keep {
-                    state.engines.unlist(&id);
+                    state.engines.unlist(&id, at);
                 }
             }
             EngineEntry::Unreadable(id) => {
-                state.engines.spoil(&id);
+                state.engines.spoil(&id, at);
                 if news.whole {
                     whole.extend(state.engines.get(&id).map(|engine| engine.listed.clone()));
                 }
@@ -297,11 +302,11 @@
         }
     }
     if news.whole {
-        state.engines.replace(whole, keep);
+        state.engines.replace(whole, news.cursor, keep);
     }
     drop(state);
     node.look_for_starts();
-    node.listed_to(news.cursor, ListedBy::Store);
+    node.listed_to(ListPlace::read(news.cursor), ListedBy::Store);
     keeper::look_at_list(node);
     node.placed.notify_waiters();
 }
@@ -330,6 +335,7 @@
     /// It answered; tells whether it had not before.
     pub(crate) fn up(&mut self) -> bool {
         meter::store_call(self.what, Ok(()));
+        eras::look(&self.node);
         self.node.store_heard.set(self.node.now());
         let back = self.up == Some(false);
         if back {
@@ -348,6 +354,7 @@
     /// It did not answer.
     pub(crate) fn down(&mut self, why: &StoreError) {
         meter::store_call(self.what, Err(why));
+        eras::look(&self.node);
         if self.up != Some(false) {
             let name = self.node.settings.borrow().node.clone();
             emit(Event::LogDown, &[("node", &name), ("what", &self.what), ("why", why)]);
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hgw_direct::{Millis, Silence};
+use hgw_direct::{Era, Millis, Silence};
 use hgw_events::{Event, emit};
 use rand::random;
 use serde::{Deserialize, Serialize};
@@ -13,9 +13,11 @@
 
 use crate::backoff::after_failure;
 use crate::clock::boot_time;
-use crate::dialect::{ClaimNews, Cursor, Record, StoreError};
+use crate::dialect::{ClaimNews, Cursor, Malformed, Record, StoreError};
+use crate::eras;
 use crate::follow::Link;
 use crate::keeper;
+use crate::quotas;
 use crate::shared::Node;
 
 /// Renewals in a lease: two may fail before it runs out.
@@ -46,11 +48,16 @@
     node: String,
     /// Where other nodes reach it.
     addr: SocketAddr,
+    /// The era of the log that it was meant for, and for how many milliseconds that had lasted at least; nothing in the
+    /// first. In a log of another era it says nothing: it is of the copy from which the store has come back, or was
+    /// appended where another log ended at the same offset by chance.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    era: Option<(Era, u64)>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 enum EntryKind {
-    /// From here on this node gives the orders; the record's offset is its fencing number.
+    /// From here on this node gives the orders; the record's place is its fencing number.
     Claim,
     /// It still does.
     Renewal,
@@ -73,8 +80,8 @@
     pub(crate) keeper: Option<Keeper>,
     /// The newest claim that this node has read of.
     newest: Option<u64>,
-    /// The fencing number of this node's own claim, while it holds.
-    mine: Option<u64>,
+    /// Where this node's own claim stands, while it holds.
+    mine: Option<Cursor>,
     /// When the last acknowledged renewal was sent, by the clock that counts suspended time.
     renewed: Duration,
     /// Where the log ended after it.
@@ -95,13 +102,14 @@
         let now = boot_time();
         let renewed = now.saturating_sub(self.renewed) < lease;
         let awake = now.saturating_sub(self.tried) < lease / 2;
-        self.mine.filter(|_| awake && (renewed || engines_fence))
+        self.mine.filter(|_| awake && (renewed || engines_fence)).and_then(Cursor::fence)
     }
 
     /// The fencing number under which this node alone may do what no other may do at the same time, where it is sure of
     /// its claim: a successor waits its whole lease.
     pub(crate) fn sure(&self, lease: Duration) -> Option<u64> {
-        self.mine.filter(|_| boot_time().saturating_sub(self.renewed) < lease)
+        let is_sure = boot_time().saturating_sub(self.renewed) < lease;
+        self.mine.filter(|_| is_sure).and_then(Cursor::fence)
     }
 
     /// The holder's last renewal, for the other nodes.
@@ -151,13 +159,17 @@
     quiet_since: Option<Millis>,
     /// Its share of that wait by its processor.
     spread: Duration,
+    /// Before this time, by the clock that counts suspended time, the claim is not free although nobody is known to hold it.
+    free_from: Duration,
 }
 
 /// Claims, renews and follows the claim until the process ends.
 pub(crate) async fn hold(node: Node) {
     let processor = node.settings.borrow().processor.clamp(0.01, 1.0);
     let spread = SPREAD.div_f64(processor).min(MOST_SPREAD).mul_f64(0.5 + random::<f64>() / 2.0);
-    let mut reader = Reader { node: Rc::clone(&node), end: None, quiet_since: None, spread };
+    let free_from = Duration::ZERO;
+    let mut reader =
+        Reader { node: Rc::clone(&node), end: None, quiet_since: None, spread, free_from };
     let mut link = Link::new(&node, "claim");
     loop {
         let step = if node.holding.borrow().is_mine() {
@@ -187,12 +199,13 @@
         return;
     }
     let Ok(news) = node.dialects.store.claims(None, Duration::ZERO).await else { return };
-    let last = news.records.iter().rev().find_map(read);
+    let last = news.records.iter().rev().find_map(valid);
     let me = node.settings.borrow().node.clone();
     node.holding.borrow_mut().superseded();
     if last.is_some_and(|entry| entry.node == me) {
         // Where this fails the next holder waits the lease out.
-        let _ = node.dialects.store.claim(news.end, entry(&node, EntryKind::Release)).await;
+        let released = entry(&node, EntryKind::Release, news.end);
+        let _ = node.dialects.store.claim(news.end, released).await;
     }
 }
 
@@ -201,19 +214,24 @@
         let node = Rc::clone(&self.node);
         let lease = node.settings.borrow().lease;
         let Some(end) = self.end else { return self.read(Duration::ZERO).await };
+        if node.holding.borrow().mine.is_some_and(|mine| mine.era < end.era) {
+            return self.claim_again(end).await;
+        }
         let began = boot_time();
         node.holding.borrow_mut().tries(began, lease);
-        let renewed = node.dialects.store.claim(end, entry(&node, EntryKind::Renewal)).await;
-        match renewed {
+        let renewal = entry(&node, EntryKind::Renewal, end);
+        match node.dialects.store.claim(end, renewal).await {
             Ok(()) => {
-                self.end = Some(end + 1);
-                node.holding.borrow_mut().was_renewed(began, end + 1);
+                self.end = Some(end.plus(1));
+                node.holding.borrow_mut().was_renewed(began, end.plus(1));
                 sleep(lease / RENEWALS).await;
                 Ok(())
             }
             // Another record stands there: another node's claim, or this node's own renewal whose
-            // answer was lost.
-            Err(StoreError::Condition) => self.read(Duration::ZERO).await,
+            // answer was lost. Or it is another log.
+            Err(StoreError::Condition | StoreError::NewEra { .. }) => {
+                self.read(Duration::ZERO).await
+            }
             Err(e) => {
                 // A connection that has ended says nothing of the store; a second call does.
                 let lost = matches!(e, StoreError::Lost { .. });
@@ -286,25 +304,62 @@
     /// Whether nobody holds the claim, or this machine did before its process ended.
     fn is_free(&self, me: &str) -> bool {
         let holding = self.node.holding.borrow();
-        holding.keeper.as_ref().is_none_or(|keeper| keeper.node == me)
+        let is_free = holding.keeper.as_ref().is_none_or(|keeper| keeper.node == me);
+        is_free && boot_time() >= self.free_from
     }
 
     async fn claim(&mut self) -> Result<(), StoreError> {
         let Some(end) = self.end else { return Ok(()) };
+        if let Some((fence, predecessor)) = self.claim_at(end).await? {
+            keeper::begin(&self.node, fence, predecessor);
+        }
+        Ok(())
+    }
+
+    /// Claims anew in an era that began while this node held the claim.
+    ///
+    /// Its claim may be among what the store has lost, and does not count there in any case. Within its lease nobody else
+    /// can have claimed: in the era before all waited for that to run out, and in this one they wait a whole lease from
+    /// its beginning. Beyond its lease it is one of those who wait.
+    async fn claim_again(&mut self, end: Cursor) -> Result<(), StoreError> {
+        let node = Rc::clone(&self.node);
+        let lease = node.settings.borrow().lease;
+        let Some(before) = node.holding.borrow().sure(lease) else {
+            let name = node.settings.borrow().node.clone();
+            let lost = node.holding.borrow_mut().mine.take();
+            if let Some(fence) = lost.and_then(Cursor::fence) {
+                emit(Event::KeeperLost, &[("node", &name), ("term", &fence)]);
+            }
+            return Ok(());
+        };
+        if let Some((fence, _)) = self.claim_at(end).await? {
+            keeper::go_on(&node, fence);
+            quotas::go_on(&node, before, fence);
+        }
+        Ok(())
+    }
+
+    /// Claims where the log ends; gives the fencing number where that succeeded, and the one of the claim before.
+    async fn claim_at(&mut self, end: Cursor) -> Result<Option<(u64, Option<u64>)>, StoreError> {
+        let Some(fence) = end.fence() else {
+            let why = format!("{end} is beyond all fencing numbers");
+            return Err(StoreError::Malformed(Malformed { what: "place of a claim", why }));
+        };
         let node = Rc::clone(&self.node);
         let began = boot_time();
-        match node.dialects.store.claim(end, entry(&node, EntryKind::Claim)).await {
+        match node.dialects.store.claim(end, entry(&node, EntryKind::Claim, end)).await {
             Ok(()) => {
-                self.end = Some(end + 1);
-                self.gain(end, began);
-                Ok(())
+                self.end = Some(end.plus(1));
+                Ok(Some((fence, self.gain(end, fence, began))))
+            }
+            Err(StoreError::Condition | StoreError::NewEra { .. }) => {
+                self.read(Duration::ZERO).await.map(|()| None)
             }
-            Err(StoreError::Condition) => self.read(Duration::ZERO).await,
             Err(e) => Err(e),
         }
     }
 
-    fn gain(&mut self, fence: u64, began: Duration) {
+    fn gain(&mut self, at: Cursor, fence: u64, began: Duration) -> Option<u64> {
         let node = &self.node;
         let (name, addr) = {
             let settings = node.settings.borrow();
@@ -313,11 +368,9 @@
         emit(Event::KeeperGained, &[("node", &name), ("term", &fence)]);
         let mut holding = node.holding.borrow_mut();
         holding.keeper = Some(Keeper { node: name, addr, fence });
-        holding.mine = Some(fence);
-        let predecessor = holding.newest.replace(fence);
-        holding.was_renewed(began, fence + 1);
-        drop(holding);
-        keeper::begin(node, fence, predecessor);
+        holding.mine = Some(at);
+        holding.was_renewed(began, at.plus(1));
+        holding.newest.replace(fence)
     }
 
     async fn read(&mut self, wait: Duration) -> Result<(), StoreError> {
@@ -329,51 +382,74 @@
             self.end = None;
             return Ok(());
         }
+        let known = self.end.map_or(Era::FIRST, |known| known.era);
+        let entered = known < end.era;
         self.end = Some(end);
-        if !records.is_empty() {
+        if entered {
+            eras::look(&self.node);
+        }
+        if !records.is_empty() || entered {
             self.quiet_since = Some(self.node.now());
         }
+        if entered {
+            self.enter();
+        }
         for record in &records {
             self.apply(record, began);
         }
         Ok(())
     }
 
-    fn apply(&self, record: &Record, began: Duration) {
-        let Some(entry) = read(record) else { return };
+    /// The store is in a later era than this node has read of, and nothing in the log counts that was not written in it.
+    /// A holder of the era before may act until its lease runs out, or go on by a claim in this one: whoever else claims
+    /// waits so long, or until that is read.
+    fn enter(&mut self) {
+        let lease = self.node.settings.borrow().lease;
+        self.free_from = self.node.era.get().since() + lease;
+    }
+
+    fn apply(&mut self, record: &Record, began: Duration) {
+        let Some(entry) = valid(record) else { return };
+        eras::hear(&self.node, entry.era);
+        self.free_from = Duration::ZERO;
         let me = self.node.settings.borrow().node.clone();
         let mut holding = self.node.holding.borrow_mut();
         let lost = holding.mine.filter(|mine| {
-            entry.node != me || (entry.kind == EntryKind::Claim && record.offset != *mine)
+            entry.node != me || (entry.kind == EntryKind::Claim && record.at != *mine)
         });
-        if let Some(mine) = lost {
-            emit(Event::KeeperLost, &[("node", &me), ("term", &mine)]);
+        if let Some(fence) = lost.and_then(Cursor::fence) {
+            emit(Event::KeeperLost, &[("node", &me), ("term", &fence)]);
             holding.mine = None;
         }
         if holding.mine.is_some() {
             holding.renewed = began;
         }
-        let Entry { kind, node, addr } = entry;
+        let Entry { kind, node, addr, .. } = entry;
+        let Some(fence) = record.at.fence() else { return };
         let known = holding.keeper.as_ref().filter(|k| k.node == node).map(|k| k.fence);
         if kind == EntryKind::Claim {
-            holding.newest = Some(record.offset);
+            holding.newest = Some(fence);
         }
         holding.keeper = match kind {
-            EntryKind::Claim => Some(Keeper { node, addr, fence: record.offset }),
-            EntryKind::Renewal => {
-                Some(Keeper { node, addr, fence: known.unwrap_or(record.offset) })
-            }
+            EntryKind::Claim => Some(Keeper { node, addr, fence }),
+            EntryKind::Renewal => Some(Keeper { node, addr, fence: known.unwrap_or(fence) }),
             EntryKind::Release => None,
         };
     }
 }
 
-fn read(record: &Record) -> Option<Entry> {
-    serde_json::from_slice(&record.data).ok()
+/// What a record says, where it was meant for the log in which it stands.
+fn valid(record: &Record) -> Option<Entry> {
+    let entry: Entry = serde_json::from_slice(&record.data).ok()?;
+    let era = entry.era.map_or(Era::FIRST, |(era, _)| era);
+    (era == record.at.era).then_some(entry)
 }
 
-fn entry(node: &Node, kind: EntryKind) -> Bytes {
+/// A record for the log that ends there.
+fn entry(node: &Node, kind: EntryKind, at: Cursor) -> Bytes {
+    let lasted = eras::told(node).filter(|(era, _)| *era == at.era).map_or(0, |(_, ms)| ms);
+    let era = (at.era > Era::FIRST).then_some((at.era, lasted));
     let settings = node.settings.borrow();
-    let entry = Entry { kind, node: settings.node.clone(), addr: settings.peers };
+    let entry = Entry { kind, node: settings.node.clone(), addr: settings.peers, era };
     serde_json::to_vec(&entry).expect("an entry can be written as JSON").into()
 }
--- a/crates/gateway/src/keeper/mod.rs
+++ b/crates/gateway/src/keeper/mod.rs
@@ -4,11 +4,12 @@
 mod give;
 mod models;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hgw_direct::place::{Ceiling, CeilingLimits, Pending};
-use hgw_direct::{Cursor, Demand, EngineId, Millis, Pool, Start, Wanted};
+use hgw_direct::{Demand, EngineId, ListPlace, Millis, Pool, Start, Wanted};
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{Mutex, Notify, Semaphore};
 use tokio::time::sleep;
@@ -69,8 +70,10 @@
     desks: IndexMap<EngineId, Rc<Mutex<()>>>,
     /// Adapters that are being placed.
     placing: IndexMap<Wanted, Rc<Notify>>,
+    /// Nodes that have told what they had been asked for before they knew of these books.
+    introduced: IndexSet<SocketAddr>,
     /// As far as the list was told.
-    list_told: Cursor,
+    list_told: ListPlace,
 }
 
 /// Bounds how many engines are asked at a time.
@@ -104,6 +107,14 @@
     tokio::task::spawn_local(run(Rc::clone(node), fence));
 }
 
+/// Goes on under another claim of this node: nobody else gave orders between the two.
+pub(crate) fn go_on(node: &Node, fence: u64) {
+    node.keeper.borrow_mut().fence = fence;
+    tokio::task::spawn_local(run(Rc::clone(node), fence));
+    // Those that ask this node give its old number, and are turned away until they hear of the new one.
+    node.news.notify_waiters();
+}
+
 /// When loads from the weight store began under a claim, where its holder told this node, or was this node.
 fn begun_under(node: &Node, claim: Option<u64>) -> Option<Vec<Millis>> {
     let claim = claim?;
@@ -233,16 +244,19 @@
 }
 
 /// Goes on from what a node was asked for before it knew of this keeper.
-pub(crate) fn counted_before(node: &Node, past: &CountedBefore) {
+pub(crate) fn counted_before(node: &Node, from: SocketAddr, past: &CountedBefore) {
     let now = node.now();
+    if !node.keeper.borrow_mut().introduced.insert(from) {
+        return;
+    }
     let since = past.for_ms.map(|for_ms| now.saturating_sub(for_ms));
     node.keeper.borrow_mut().demand.go_on_from(now, since, &past.models);
 }
 
 /// Tells those who wait where the list of engines has changed.
 pub(crate) fn look_at_list(node: &Node) {
-    let Some(cursor) = node.state.borrow().list_at else { return };
-    node.listed_to(cursor, ListedBy::Known);
+    let Some(place) = node.state.borrow().list_at else { return };
+    node.listed_to(place, ListedBy::Known);
     let changed_at = node.state.borrow().listing.changed_at();
     let mut keeper = node.keeper.borrow_mut();
     if keeper.list_told < changed_at {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod backoff;
 mod clock;
 pub mod dialect;
+mod eras;
 mod follow;
 mod front;
 mod holder;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -29,6 +29,7 @@
 /// Makes this node known, and counts the others while nobody counts for it, until the process ends.
 pub(crate) async fn count(node: Node) {
     let (mut announced, mut counted, mut at) = (announce(&node).await, 0, None);
+    let mut era = node.era.get().era();
     let mut kept = false;
     until_told(&node).await;
     loop {
@@ -36,6 +37,12 @@
             sleep(ANNOUNCE_AGAIN).await;
             announced = announce(&node).await;
         }
+        // What was made known may be lost with what the store had before.
+        let now_in = node.era.get().era();
+        if std::mem::replace(&mut era, now_in) != now_in {
+            announced = announce(&node).await;
+            (counted, at) = (0, None);
+        }
         let keeps = node.holding.borrow().is_mine();
         if keeps && !kept {
             (counted, at) = (0, None);
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -89,6 +89,8 @@
         Err(StoreError::Fenced) => "fenced",
         Err(StoreError::Lost { .. }) => "lost",
         Err(StoreError::Malformed(_)) => "malformed",
+        Err(StoreError::Outdated { .. }) => "outdated",
+        Err(StoreError::NewEra { .. }) => "new_era",
     };
     counter!("hgw_store_calls_total", "what" => what, "result" => result).increment(1);
 }
@@ -119,6 +121,7 @@
     if let Some(age) = proof::age(node) {
         gauge!("hgw_proof_age_seconds").set(age.as_secs_f64());
     }
+    gauge!("hgw_store_era").set(node.era.get().era().number());
     gauge!("hgw_keeper").set(f64::from(u8::from(node.holding.borrow().is_mine())));
     gauge!("hgw_ready").set(f64::from(u8::from(node.is_ready())));
     gauge!("hgw_requests_open").set(f64::from(node.stop.active.get()));
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::clock::boot_time;
+use crate::eras;
 use crate::keeper;
 use crate::proof;
 use crate::shared::Node;
@@ -102,7 +103,7 @@
         let (catalog, list) = {
             let state = node.state.borrow();
             // A node that has none asks for all of it.
-            (state.catalog.as_ref().map_or(0, |c| c.version), state.list_at.unwrap_or(0))
+            (state.catalog.as_ref().map_or(0, |c| c.version), state.list_at.unwrap_or_default())
         };
         let settings = node.settings.borrow();
         Tell {
@@ -110,6 +111,7 @@
             domain: settings.domain.clone(),
             heard: self.heard,
             list,
+            era: eras::told(node),
             catalog,
             loads: heard_since(node, self.told, None),
             asked,
@@ -138,6 +140,7 @@
 /// Takes in the answer to a question of this time.
 fn take_in_news(node: &Node, asked_at: Millis, news: News) {
     let arrived = node.now();
+    eras::hear(node, news.era);
     if let Some(keeper) = news.keeper {
         node.holding.borrow_mut().hear_of(keeper);
     }
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -6,8 +6,7 @@
 
 use super::message::Told;
 
-/// Takes the keeper's list of engines in. An engine that this node knows to leave does not come back by the
-/// word of a keeper that has not read of it yet.
+/// Takes the list of engines in that another node tells.
 pub(super) fn take_in_list(node: &Node, news: ListNews) {
     let mut state = node.state.borrow_mut();
     if news.part == ListPart::Unknown {
@@ -20,21 +19,22 @@
     }
     let changes = news.part == ListPart::Whole || !news.engines.is_empty() || !news.gone.is_empty();
     let engines = &mut state.engines;
+    engines.copy_ends(news.copy_end);
     let entries: Vec<Listed> =
         news.engines.into_iter().map(|passed| listed_as(engines, passed)).collect();
     if news.part == ListPart::Whole {
-        engines.replace(entries, false);
+        engines.replace(entries, news.place.cursor(), false);
     } else {
         for entry in entries {
             engines.list(entry);
         }
-        for gone in &news.gone {
-            engines.unlist(gone);
+        for (gone, at) in &news.gone {
+            engines.unlist(gone, *at);
         }
     }
     drop(state);
     node.look_for_starts();
-    node.listed_to(news.cursor, ListedBy::Peer);
+    node.listed_to(news.place, ListedBy::Peer);
     if changes {
         node.news.notify_waiters();
     }
@@ -42,14 +42,14 @@
 
 fn listed_as(engines: &Engines, passed: Passed) -> Listed {
     let known = engines.get(&passed.engine).filter(|k| !k.listed.start.is_before(passed.start));
-    let left = known.is_some_and(|k| matches!(k.listed.standing, Standing::Leaving { .. }));
-    let standing = match (passed.leaving || left, passed.unreadable) {
+    let standing = match (passed.leaving, passed.unreadable) {
         (_, true) => Standing::Unreadable,
         (true, false) => Standing::Leaving { gone_at: None },
         (false, false) => Standing::Ready,
     };
     Listed {
         id: passed.engine,
+        at: passed.at,
         start: passed.start,
         service: passed.service.into(),
         addr: passed.addr,
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use hgw_direct::heads::Member;
-use hgw_direct::{Cursor, EngineId, Held, ListNews, Past, Start, Wanted};
+use hgw_direct::{Cursor, EngineId, Era, Held, ListNews, ListPlace, Past, Start, Wanted};
 use serde::{Deserialize, Serialize};
 
 use crate::holder::Keeper;
@@ -36,8 +36,11 @@
     pub(crate) domain: String,
     /// How far it has heard of what engines hold, by the node that it asks.
     pub(crate) heard: Heard,
-    /// How far its list of engines goes; 0 where it has none.
-    pub(crate) list: Cursor,
+    /// How far its list of engines goes; the first place where it has none.
+    pub(crate) list: ListPlace,
+    /// The era of the store that it knows, and for how long that has lasted, in milliseconds; nothing in the first.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) era: Option<(Era, u64)>,
     /// The configuration that it has.
     pub(crate) catalog: u64,
     /// Loads that it heard of since the last exchange.
@@ -68,6 +71,9 @@
     pub(crate) engines: Vec<Told>,
     /// The list of engines.
     pub(crate) list: ListNews,
+    /// The era of the store that it knows, and for how long that has lasted, in milliseconds; nothing in the first.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) era: Option<(Era, u64)>,
     /// The newest configuration.
     pub(crate) catalog: u64,
     /// Age of what the node which answers has of the store.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -25,6 +25,7 @@
 use tokio::time::timeout;
 
 use crate::answer::{Answer, AnswerBody, Answered, own};
+use crate::eras;
 use crate::keeper;
 use crate::quotas;
 use crate::shared::Node;
@@ -171,6 +172,7 @@
     let Ok(tell) = serde_json::from_slice::<Tell>(body) else {
         return own(StatusCode::BAD_REQUEST, "not a report of demand");
     };
+    eras::hear(node, tell.era);
     let keeps = node.holding.borrow().is_mine();
     // Two nodes that asked each other would each take the other's old word for news.
     let asks_it = node.parent().is_some_and(|(_, addr)| addr == tell.from);
@@ -180,7 +182,7 @@
     node.children.asks(tell.from, node.now());
     if keeps {
         if let Some(past) = &tell.past {
-            keeper::counted_before(node, past);
+            keeper::counted_before(node, tell.from, past);
         }
         keeper::asked(node, &tell.asked);
         meet(node, tell.from);
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -4,6 +4,7 @@
 use hgw_direct::tells_sends;
 use tokio::time::timeout;
 
+use crate::eras;
 use crate::keeper;
 use crate::proof;
 use crate::shared::Node;
@@ -34,6 +35,7 @@
         heard,
         engines,
         list,
+        era: eras::told(node),
         catalog,
         age_ms: node.word_age(),
         held_ms: node.now().saturating_sub(began),
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -3,10 +3,11 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
-use hgw_direct::{Proof, Seen};
+use hgw_direct::{Era, Proof, Seen};
 use hgw_events::{Event, emit};
 
 use crate::clock::boot_time;
+use crate::eras;
 use crate::shared::Shared;
 
 /// Part of the time for which a proof holds after which a node asks the store itself: two calls may then fail before
@@ -32,8 +33,19 @@
     held: Cell<bool>,
 }
 
-/// No version newer than this one was there when the store was asked.
-pub(crate) fn learn(node: &Shared, seen: Seen) {
+/// This node has read that no version newer than this one was there when the store was asked.
+///
+/// A store that has come back from a copy may lack versions that it had acknowledged, with the keys that they take away:
+/// it shows nothing until the operators have written them again, and nothing while it has an older one than is known here.
+pub(crate) fn read(node: &Shared, seen: Seen) {
+    let known = node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
+    let lacks = node.era.get().era() > Era::FIRST && seen.newest < known;
+    if !lacks && seen.asked >= eras::written_again_at(node) {
+        learn(node, seen);
+    }
+}
+
+fn learn(node: &Shared, seen: Seen) {
     node.proofs.learnt.borrow_mut().learn(seen);
 }
 
--- a/crates/gateway/src/quotas/give.rs
+++ b/crates/gateway/src/quotas/give.rs
@@ -39,6 +39,15 @@
     Some(given)
 }
 
+/// Goes on issuing under another claim of this node: what it gave under the one before still counts.
+pub(crate) fn go_on(node: &Node, before: u64, fence: u64) {
+    if let Some((known, _)) = node.quotas.issuer.borrow_mut().as_mut()
+        && *known == before
+    {
+        *known = fence;
+    }
+}
+
 /// Answers a node that asks for allowances; nothing where this one has none to give.
 pub(crate) async fn answer(node: &Node, body: &[u8]) -> Result<Option<Vec<u8>>, serde_json::Error> {
     let ask: Ask = serde_json::from_slice(body)?;
--- a/crates/gateway/src/quotas/mod.rs
+++ b/crates/gateway/src/quotas/mod.rs
@@ -24,7 +24,7 @@
 use crate::shared::Node;
 
 pub(crate) use fill::keep;
-pub(crate) use give::answer;
+pub(crate) use give::{answer, go_on};
 
 /// Longest time for which a request waits for an allowance.
 const LONGEST_WAIT: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -250,7 +250,8 @@
         let wanted = self.wanted().cloned();
         let mut state = self.node.state.borrow_mut();
         if marks.engine.as_ref().is_some_and(|answered| answered != engine) {
-            state.engines.unlist(engine);
+            let at = state.engines.get(engine).map(|e| e.listed.at).unwrap_or_default();
+            state.engines.unlist(engine, at);
             return;
         }
         let (Some(wanted), Some(engine)) = (&wanted, state.engines.get_mut(engine)) else {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,8 +10,8 @@
 use hgw_direct::heads::{Heads, Member, Parent, crowd};
 use hgw_direct::sums::Sums;
 use hgw_direct::{
-    Budget, BudgetLimits, Catalog, Demand, Engine, EngineId, Engines, Listing, Millis, ServiceId,
-    Verdict, Wanted, is_cut_off, reads_on,
+    Budget, BudgetLimits, Catalog, Demand, Engine, EngineId, Engines, KnownEra, ListPlace, Listing,
+    Millis, ServiceId, Verdict, Wanted, is_cut_off, reads_on,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnectLimits;
@@ -77,6 +77,8 @@
     pub(crate) draw: u32,
     /// Whether the list is longer than another node tells, so that this one reads it itself.
     pub(crate) reads_list: Cell<bool>,
+    /// The life of the store that this node knows of.
+    pub(crate) era: Cell<KnownEra>,
     /// When the store last answered.
     pub(crate) store_heard: Cell<Millis>,
     /// When this node last read the list of engines.
@@ -125,8 +127,8 @@
     /// Whether a whole list of engines has been read.
     pub(crate) listed: bool,
     pub(crate) engines: Engines,
-    /// How far the list goes in the store's log of it.
-    pub(crate) list_at: Option<Cursor>,
+    /// How far the list goes.
+    pub(crate) list_at: Option<ListPlace>,
     /// What changed in it, for other nodes.
     pub(crate) listing: Listing,
     pub(crate) budgets: IndexMap<ServiceId, Budget>,
@@ -191,6 +193,7 @@
             news: Notify::new(),
             draw: random(),
             reads_list: Cell::new(false),
+            era: Cell::default(),
             store_heard: Cell::new(0),
             list_read: Cell::new(0),
             followed_at: Cell::new(None),
@@ -329,13 +332,13 @@
     }
 
     /// The list of engines goes as far as this now, by the word of the store or of another node.
-    pub(crate) fn listed_to(&self, cursor: Cursor, by: ListedBy) {
+    pub(crate) fn listed_to(&self, place: ListPlace, by: ListedBy) {
         let changes = {
             let mut state = self.state.borrow_mut();
             let State { engines, listing, list_at, listed, .. } = &mut *state;
             *listed = true;
-            *list_at = (*list_at).max(Some(cursor));
-            listing.look(engines, cursor)
+            *list_at = (*list_at).max(Some(place));
+            listing.look(engines, place.cursor())
         };
         let node = &self.settings.borrow().node;
         for change in &changes {
@@ -346,7 +349,7 @@
                     ("upstream", &change.engine),
                     ("standing", change),
                     ("by", &by),
-                    ("place", &cursor),
+                    ("place", &place.cursor()),
                 ],
             );
         }
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/eras.rs
@@ -0,0 +1,344 @@
+//! The store comes back from a copy some seconds old: what was written there since is lost, and offsets are given out
+//! again.
+
+use std::time::{Duration, Instant};
+
+use hgw_standins::Faults;
+use hgw_standins::fleet::deployment::{configuration, holds, wait};
+use hgw_standins::fleet::store::Backup;
+use hgw_standins::fleet::{EngineSettings, Fleet};
+use hgw_standins::link::Condition;
+use http::{Method, StatusCode};
+use rustix::process::Signal;
+use serde_json::json;
+
+use crate::fleet_of;
+
+/// The store is away for a moment and comes back from this; meanwhile, so much is written again.
+fn come_back(fleet: &Fleet, backup: &Backup, written: impl FnOnce(&Fleet)) {
+    fleet.store.fault(&Faults { down: true, ..Faults::default() });
+    fleet.store.come_back(backup);
+    written(fleet);
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.store.fault(&Faults::default());
+}
+
+/// Heartbeats of an engine that stays.
+fn heartbeats(fleet: &Fleet, count: u32) {
+    for _ in 0..count {
+        fleet.list(fleet.engine("desk-2"), "ready");
+    }
+}
+
+/// Calls through a node while nothing else happens; how many reached the engine that leaves.
+fn reached_desk_1(fleet: &Fleet, node: usize, name: &str) -> usize {
+    let before = fleet.engine("desk-1").record().runs.len();
+    for n in 0..30 {
+        let answer = fleet.nodes[node].plain("/print/", &format!("{name}-{n}")).unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    fleet.engine("desk-1").record().runs.len() - before
+}
+
+/// The node hears that the engine leaves: nothing reaches it any more.
+fn is_left_alone(fleet: &Fleet, node: usize) {
+    let mut round = 0;
+    wait("nothing reaches the engine that leaves", || {
+        round += 1;
+        reached_desk_1(fleet, node, &format!("left-{node}-{round}")) == 0
+    });
+}
+
+macro_rules! lengths {
+    ($($name:ident: $run:ident($records:literal);)*) => {$(
+        /// Whatever the length of the log that the store comes back with, beside the one that nodes had read.
+        #[test]
+        fn $name() {
+            $run($records);
+        }
+    )*};
+}
+
+lengths! {
+    engine_that_leaves_is_not_used_after_a_shorter_copy: engine_that_left_stays_out(0);
+    engine_that_leaves_is_not_used_after_a_copy_as_long: engine_that_left_stays_out(4);
+    engine_that_leaves_is_not_used_after_a_longer_copy: engine_that_left_stays_out(9);
+    engine_that_leaves_then_is_seen_in_a_shorter_log: engine_that_leaves_in_the_new_era_is_seen(0);
+    engine_that_leaves_then_is_seen_in_a_log_as_long: engine_that_leaves_in_the_new_era_is_seen(3);
+    engine_that_leaves_then_is_seen_in_a_longer_log: engine_that_leaves_in_the_new_era_is_seen(8);
+}
+
+/// An engine says that it leaves, and the store loses that. It must get no more work before it has said so again.
+fn engine_that_left_stays_out(written: u32) {
+    let mut fleet = fleet_of(Vec::new());
+    let (node, lines) = fleet.start_logged("a");
+    let backup = fleet.store.backup();
+    heartbeats(&fleet, 3);
+    fleet.list(fleet.engine("desk-1"), "draining");
+    let read = |of: &Fleet| of.lines(&lines, 4010).iter().any(|l| l["upstream"] == "desk-1");
+    wait("the node has read that it leaves", || read(&fleet));
+    come_back(&fleet, &backup, |fleet| heartbeats(fleet, written));
+    // Longer than what was lost may be missing.
+    for round in 0..4 {
+        assert_eq!(reached_desk_1(&fleet, node, &format!("lost-{round}")), 0);
+    }
+    fleet.list(fleet.engine("desk-1"), "draining");
+    assert_eq!(reached_desk_1(&fleet, node, "again"), 0);
+}
+
+/// An engine says that it leaves just after the store's return. A node that read on in the middle of what is now another
+/// log would never hear of it.
+fn engine_that_leaves_in_the_new_era_is_seen(written: u32) {
+    let mut fleet = fleet_of(Vec::new());
+    let node = fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let other = fleet.start("b");
+    let backup = fleet.store.backup();
+    heartbeats(&fleet, 4);
+    std::thread::sleep(Duration::from_millis(600));
+    come_back(&fleet, &backup, |fleet| {
+        fleet.list(fleet.engine("desk-1"), "draining");
+        heartbeats(fleet, written);
+    });
+    is_left_alone(&fleet, node);
+    is_left_alone(&fleet, other);
+}
+
+/// Two copies within a second, and a node that reaches the store no more and hears of it only through another.
+#[test]
+fn node_that_hears_through_another_follows_over_two_eras() {
+    let mut fleet = fleet_of(Vec::new());
+    fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let (other, lines) = fleet.start_logged("b");
+    let backup = fleet.store.backup();
+    heartbeats(&fleet, 4);
+    std::thread::sleep(Duration::from_millis(600));
+    fleet.nodes[other].to_store.set(Condition::Cut);
+    come_back(&fleet, &backup, |fleet| heartbeats(fleet, 6));
+    std::thread::sleep(Duration::from_millis(300));
+    come_back(&fleet, &backup, |fleet| {
+        fleet.list(fleet.engine("desk-1"), "draining");
+        heartbeats(fleet, 8);
+    });
+    is_left_alone(&fleet, other);
+    let told = fleet.lines(&lines, 3103);
+    assert!(told.iter().any(|l| l["era"] == "2" && l["by"] == "peer"), "{told:?}");
+}
+
+/// Something that stands before the store answers with an era that cannot be read. Nothing is believed from it, and what
+/// is known stays in use.
+#[test]
+fn answer_whose_era_cannot_be_read_is_not_believed() {
+    let mut fleet = fleet_of(Vec::new());
+    let (node, lines) = fleet.start_logged("a");
+    fleet.store.tell_era("second");
+    fleet.list(fleet.engine("desk-1"), "ready");
+    fleet.store.put("keyed.servers", "desk-2", b"");
+    wait("it is logged", || {
+        let down = fleet.lines(&lines, 3101);
+        down.iter().any(|l| l["why"].as_str().is_some_and(|why| why.contains("Store-Era")))
+    });
+    for n in 0..20 {
+        let answer = fleet.nodes[node].plain("/print/", &format!("call-{n}")).unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    let runs = fleet.engine("desk-2").record().runs.len();
+    assert!(runs > 0, "its end was not believed");
+    fleet.store.tell_era("1");
+    fleet.list(fleet.engine("desk-2"), "ready");
+    fleet.list(fleet.engine("desk-1"), "draining");
+    is_left_alone(&fleet, node);
+}
+
+fn engine(id: &str) -> EngineSettings {
+    EngineSettings {
+        id: id.into(),
+        holds: holds(&[("m", &[]), ("n", &[])]),
+        adapters: 2,
+        ..EngineSettings::default()
+    }
+}
+
+/// An engine with fewer places for adapters than are asked for in turn.
+fn fleet() -> Fleet {
+    let fleet = fleet_of(vec![engine("i-1")]);
+    let mut config = configuration(2);
+    config["services"][1]["engine"]["adapterSlots"] = 2.into();
+    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+    fleet
+}
+
+/// An order that an engine has accepted.
+#[derive(Debug)]
+struct Given {
+    holder: String,
+    fence: u64,
+}
+
+fn given(fleet: &Fleet, id: &str) -> Vec<Given> {
+    let one = |order: &String| {
+        let mut words = order.split(' ');
+        let holder = words.next().unwrap().to_owned();
+        Given { holder, fence: words.next().unwrap().parse().unwrap() }
+    };
+    fleet.engine(id).record().orders.iter().map(one).collect()
+}
+
+/// Asks for more adapters than there are places for, until all were served.
+fn has_orders_given(fleet: &Fleet, node: usize, name: &str) {
+    for adapter in ["a1", "a2", "a3", "a4"] {
+        let model = format!("m/{adapter}");
+        let mut n = 0;
+        wait("the adapter is served", || {
+            n += 1;
+            let answer =
+                fleet.nodes[node].stream("/ask/", &format!("{name}-{adapter}-{n}"), &model);
+            answer.is_ok_and(|a| a.status == StatusCode::OK)
+        });
+    }
+}
+
+/// The holder stands still while the store comes back without its claim. Another claims at the same offset: engines must
+/// be able to tell their orders apart, and refuse those of the first when it goes on.
+#[test]
+fn holder_of_an_earlier_era_that_wakes_up_gives_no_orders() {
+    let mut fleet = fleet();
+    let backup = fleet.store.backup();
+    let first = fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let second = fleet.start("b");
+    has_orders_given(&fleet, first, "before");
+    fleet.nodes[first].signal(Signal::STOP);
+    come_back(&fleet, &backup, |_| {});
+    has_orders_given(&fleet, second, "between");
+    fleet.nodes[first].signal(Signal::CONT);
+    has_orders_given(&fleet, first, "after");
+    has_orders_given(&fleet, second, "last");
+    let orders = given(&fleet, "i-1");
+    let (a, b) = (&fleet.nodes[first].name, &fleet.nodes[second].name);
+    assert!(orders.iter().any(|o| o.holder == *a) && orders.iter().any(|o| o.holder == *b));
+    for pair in orders.windows(2) {
+        assert!(pair[0].fence <= pair[1].fence, "{orders:?}");
+        assert!(pair[0].fence < pair[1].fence || pair[0].holder == pair[1].holder, "{orders:?}");
+    }
+    assert_eq!(fleet.engine("i-1").record().old_fences, 0, "{orders:?}");
+}
+
+macro_rules! holders {
+    ($($name:ident: $claim_is_lost:literal, $times:literal;)*) => {$(
+        /// The store comes back while a node gives orders, with or without its claim: it goes on, and nobody beside it.
+        #[test]
+        fn $name() {
+            holder_goes_on($claim_is_lost, $times);
+        }
+    )*};
+}
+
+holders! {
+    holder_goes_on_where_renewals_are_lost: false, 1;
+    holder_goes_on_where_its_claim_is_lost: true, 1;
+    holder_goes_on_over_two_copies: true, 2;
+}
+
+fn holder_goes_on(claim_is_lost: bool, times: u32) {
+    let mut fleet = fleet();
+    let empty = fleet.store.backup();
+    let (first, lines) = fleet.start_logged("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let second = fleet.start("b");
+    has_orders_given(&fleet, second, "before");
+    let late = fleet.store.backup();
+    std::thread::sleep(Duration::from_millis(700));
+    for _ in 0..times {
+        // Without an outage, which would use up most of the short lease of these tests.
+        fleet.store.come_back(if claim_is_lost { &empty } else { &late });
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    let before = given(&fleet, "i-1").len();
+    // Longer than a lease of these tests, in which another could take its place.
+    for round in 0..4 {
+        has_orders_given(&fleet, second, &format!("after-{round}"));
+        std::thread::sleep(Duration::from_millis(400));
+    }
+    let orders = given(&fleet, "i-1");
+    assert!(orders.len() > before, "orders are given");
+    assert!(orders.iter().all(|o| o.holder == fleet.nodes[first].name), "{orders:?}");
+    assert!(orders[before..].iter().all(|o| o.fence > orders[0].fence), "{orders:?}");
+    assert!(orders.windows(2).all(|o| o[0].fence <= o[1].fence), "{orders:?}");
+    assert_eq!(fleet.lines(&lines, 4002).len(), 0, "its claim counts all the while");
+    let gained = fleet.lines(&lines, 4001);
+    assert_eq!(gained.len(), 1 + times as usize, "{gained:?}");
+}
+
+/// The holder is killed while the store is away, and its claim is lost with what it wrote: another takes its place, with a
+/// number that engines take for newer.
+#[test]
+fn successor_in_a_new_era_is_obeyed() {
+    let mut fleet = fleet();
+    let backup = fleet.store.backup();
+    let first = fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 3);
+    has_orders_given(&fleet, first, "before");
+    fleet.nodes[first].kill();
+    come_back(&fleet, &backup, |_| {});
+    let second = fleet.start("b");
+    has_orders_given(&fleet, second, "after");
+    let orders = given(&fleet, "i-1");
+    let name = &fleet.nodes[second].name;
+    assert!(orders.iter().any(|o| o.holder == *name && o.fence > orders[0].fence), "{orders:?}");
+    assert_eq!(fleet.engine("i-1").record().old_fences, 0);
+}
+
+/// A configuration whose only customer has these keys.
+fn keyed(version: u64, keys: &[&str]) -> Vec<u8> {
+    let mut config = configuration(version);
+    config["tenants"] = json!([{ "name": "bakery", "apiKeys": keys, "priority": 1 }]);
+    config.to_string().into_bytes()
+}
+
+fn status_with(fleet: &Fleet, node: usize, id: &str, key: &str) -> StatusCode {
+    let key = format!("Token {key}");
+    let headers =
+        [("x-request-id", id), ("x-deadline-ms", "5000"), ("authorization", key.as_str())];
+    fleet.nodes[node].call(Method::POST, "/look/", &headers).unwrap().status
+}
+
+/// A key is taken away, one node is cut off and does not hear of it, and the store loses that change. The node reads the
+/// configuration before it as the newest there is: that shows nothing, and the key must not be of use again.
+#[test]
+fn key_that_was_taken_away_stays_so_over_an_era() {
+    let mut fleet = fleet_of(Vec::new());
+    fleet.store.put("keyed.op", "config", &keyed(2, &["k-1", "k-2"]));
+    let first = fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let second = fleet.start("b");
+    for node in [first, second] {
+        fleet.nodes[node].set("bounds.strictRevoke=false", "bounds.strictRevoke=true");
+    }
+    wait("the key is of use", || status_with(&fleet, second, "c", "k-1") == StatusCode::OK);
+    let backup = fleet.store.backup();
+    fleet.nodes[first].kill();
+    fleet.nodes[second].to_store.set(Condition::Cut);
+    fleet.store.put("keyed.op", "config", &keyed(3, &["k-2"]));
+    // As long as a key may be of use after that in the settings of these tests.
+    std::thread::sleep(Duration::from_millis(2_000));
+    come_back(&fleet, &backup, |_| {});
+    fleet.nodes[second].to_store.set(Condition::Open);
+    let opened = Instant::now();
+    let mut sent = 0;
+    // What the operators wrote is there again within two seconds.
+    while opened.elapsed() < Duration::from_millis(1_200) {
+        let status = status_with(&fleet, second, &format!("taken-{sent}"), "k-1");
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "call {sent}");
+        sent += 1;
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    fleet.store.put("keyed.op", "config", &keyed(3, &["k-2"]));
+    wait("the key is nobody's", || {
+        status_with(&fleet, second, "gone", "k-1") == StatusCode::UNAUTHORIZED
+    });
+    wait("others are served", || status_with(&fleet, second, "other", "k-2") == StatusCode::OK);
+    assert_eq!((0..sent).map(|n| fleet.runs(&format!("taken-{n}"))).sum::<u32>(), 0);
+}
--- a/crates/hibiscusgw/tests/platform/limits.rs
+++ b/crates/hibiscusgw/tests/platform/limits.rs
@@ -151,6 +151,32 @@
     assert!(late as f64 >= 0.5 * 3.0 * RATE, "{late} in the last three seconds");
 }
 
+/// The store comes back from a copy without the claim of the node that gives allowances. What it gave before still counts:
+/// the same customer is not given it twice, and gets on with what it may.
+#[test]
+fn limit_holds_while_the_store_comes_back_from_a_copy() {
+    const RATE: f64 = 60.0;
+    let mut fleet = fleet(RATE);
+    let empty = fleet.store.backup();
+    fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    for zone in ["a", "b"] {
+        fleet.start(zone);
+    }
+    wait("allowances come", || call(&fleet.nodes[2], "first", "k-1").0 == StatusCode::OK);
+    std::thread::sleep(Duration::from_secs(3));
+    let nodes: Vec<&Node> = fleet.nodes.iter().collect();
+    let came = std::thread::scope(|scope| {
+        let callers = scope.spawn(|| press(&nodes, "press", Duration::from_secs(9)));
+        std::thread::sleep(Duration::from_secs(3));
+        fleet.store.come_back(&empty);
+        callers.join().unwrap()
+    });
+    let (worst, allowed) = (worst(&came.ran) as f64, allowed(RATE));
+    assert!(worst <= allowed, "{worst} of {allowed}");
+    assert!(came.ran.len() as f64 >= 0.8 * RATE * 9.0, "{} ran", came.ran.len());
+}
+
 /// A request that no engine takes has used nothing of its customer's limit.
 #[test]
 fn request_that_does_not_run_uses_nothing() {
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod apart;
 mod calls;
+mod eras;
 mod heads;
 mod keys;
 mod limits;
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -41,10 +41,16 @@
     calls: Mutex<IndexMap<String, u64>>,
     /// Records that were given of each topic.
     given: Mutex<IndexMap<String, u64>>,
+    /// Which life of it this is, where it tells.
+    era: Mutex<Option<String>>,
     switches: Arc<Switches>,
 }
 
-#[derive(Debug, Default)]
+/// What a store had at a time.
+#[derive(Debug, Clone)]
+pub struct Backup(IndexMap<String, Topic>);
+
+#[derive(Debug, Clone, Default)]
 struct Topic {
     /// Records that are kept; the first has the offset `first`.
     records: Vec<Bytes>,
@@ -68,6 +74,7 @@
             grown: Notify::new(),
             calls: Mutex::default(),
             given: Mutex::default(),
+            era: Mutex::default(),
             switches: Arc::clone(&switches),
         });
         let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -97,6 +104,27 @@
         }
     }
 
+    /// What it has now.
+    pub fn backup(&self) -> Backup {
+        Backup(self.shared.topics().clone())
+    }
+
+    /// Goes on from what it had then: what was written since is lost, and its offsets are given out again. It tells its
+    /// era from now on, one higher each time.
+    pub fn come_back(&self, backup: &Backup) {
+        let mut era = lock(&self.shared.era);
+        let next = era.as_ref().and_then(|era| era.parse().ok()).unwrap_or(0) + 1;
+        *era = Some(u32::to_string(&next));
+        *self.shared.topics() = backup.0.clone();
+        drop(era);
+        self.shared.grown.notify_waiters();
+    }
+
+    /// Tells this for its era from now on.
+    pub fn tell_era(&self, era: &str) {
+        *lock(&self.shared.era) = Some(era.to_owned());
+    }
+
     /// Records of a topic that are kept.
     pub fn records(&self, topic: &str) -> Vec<Bytes> {
         self.shared.topics().get(topic).map(|t| t.records.clone()).unwrap_or_default()
@@ -191,7 +219,7 @@
         let topics = self.topics();
         let empty = Topic::default();
         let topic = topics.get(topic).unwrap_or(&empty);
-        if from < topic.first {
+        if from < topic.first || from > topic.end() {
             return Err(topic.first);
         }
         let mut body = BytesMut::new();
@@ -233,12 +261,17 @@
     async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Reply {
         let path = req.uri().path().to_owned();
         *lock(&self.calls).entry(path.clone()).or_default() += 1;
-        Ok(match (req.method(), path.as_str()) {
+        let mut answer = match (req.method(), path.as_str()) {
             (&Method::POST, "/api/log-append") => self.append_call(&req),
             (&Method::GET, "/api/log-read") => self.read_call(&req).await,
             (&Method::GET, "/api/log-newest") => self.newest_call(&req),
             _ => failure(StatusCode::NOT_FOUND, "no such call"),
-        })
+        };
+        if let Some(era) = lock(&self.era).as_ref() {
+            let era = HeaderValue::from_str(era).expect("tests tell eras that a field can hold");
+            answer.headers_mut().insert("store-era", era);
+        }
+        Ok(answer)
     }
 
     fn record(&self) -> serde_json::Value {
