--- a/crates/hibiscusgw/tests/platform/eras.rs
+++ b/crates/hibiscusgw/tests/platform/eras.rs
@@ -200,30 +200,101 @@
     }
 }
 
-/// The holder stands still while the store comes back without its claim. Another claims at the same offset: engines must
-/// be able to tell their orders apart, and refuse those of the first when it goes on.
-#[test]
-fn holder_of_an_earlier_era_that_wakes_up_gives_no_orders() {
+/// How the holder misses that the store comes back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Misses {
+    StandsStill,
+    IsCutOff,
+}
+
+macro_rules! earlier_holders {
+    ($($name:ident: $misses:ident;)*) => {$(
+        /// The holder misses that the store comes back without its claim. Another claims at the same offset: engines must be
+        /// able to tell their orders apart, and refuse those of the first when it goes on.
+        #[test]
+        fn $name() {
+            earlier_holder_is_replaced(Misses::$misses);
+        }
+    )*};
+}
+
+earlier_holders! {
+    holder_of_an_earlier_era_that_wakes_up_gives_no_orders: StandsStill;
+    holder_of_an_earlier_era_that_was_cut_off_is_refused: IsCutOff;
+}
+
+fn earlier_holder_is_replaced(misses: Misses) {
     let mut fleet = fleet();
     let backup = fleet.store.backup();
     let first = fleet.start("a");
     wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
     let second = fleet.start("b");
     has_orders_given(&fleet, first, "before");
-    fleet.nodes[first].signal(Signal::STOP);
+    match misses {
+        Misses::StandsStill => fleet.nodes[first].signal(Signal::STOP),
+        Misses::IsCutOff => fleet.nodes[first].to_store.set(Condition::Cut),
+    }
     come_back(&fleet, &backup, |_| {});
-    has_orders_given(&fleet, second, "between");
-    fleet.nodes[first].signal(Signal::CONT);
+    let (a, b) = (fleet.nodes[first].name.clone(), fleet.nodes[second].name.clone());
+    wait("the second node gives orders", || {
+        has_orders_given(&fleet, second, "between");
+        given(&fleet, "i-1").iter().any(|o| o.holder == b)
+    });
+    match misses {
+        Misses::StandsStill => fleet.nodes[first].signal(Signal::CONT),
+        Misses::IsCutOff => fleet.nodes[first].to_store.set(Condition::Open),
+    }
     has_orders_given(&fleet, first, "after");
     has_orders_given(&fleet, second, "last");
     let orders = given(&fleet, "i-1");
-    let (a, b) = (&fleet.nodes[first].name, &fleet.nodes[second].name);
-    assert!(orders.iter().any(|o| o.holder == *a) && orders.iter().any(|o| o.holder == *b));
+    assert!(orders.iter().any(|o| o.holder == a));
     for pair in orders.windows(2) {
         assert!(pair[0].fence <= pair[1].fence, "{orders:?}");
         assert!(pair[0].fence < pair[1].fence || pair[0].holder == pair[1].holder, "{orders:?}");
     }
-    assert_eq!(fleet.engine("i-1").record().old_fences, 0, "{orders:?}");
+    if misses == Misses::StandsStill {
+        assert_eq!(fleet.engine("i-1").record().old_fences, 0, "{orders:?}");
+    }
+}
+
+/// The holder is stopped as planned and gives its claim up, another takes it at once, and the store loses both. The first
+/// is gone, and the second goes on without waiting for it.
+#[test]
+fn successor_of_a_planned_stop_goes_on_where_that_is_lost() {
+    let mut fleet = fleet();
+    let backup = fleet.store.backup();
+    let first = fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let (second, lines) = fleet.start_logged("b");
+    has_orders_given(&fleet, first, "before");
+    fleet.nodes[first].signal(Signal::TERM);
+    wait("the second node gives orders", || !fleet.lines(&lines, 4001).is_empty());
+    fleet.store.come_back(&backup);
+    has_orders_given(&fleet, second, "after");
+    wait("its claim counts in the new era", || fleet.lines(&lines, 4001).len() == 2);
+    has_orders_given(&fleet, second, "last");
+    assert_eq!(fleet.lines(&lines, 4002).len(), 0);
+    assert_eq!(fleet.engine("i-1").record().old_fences, 0);
+}
+
+/// Nodes had made themselves known, and the store loses that: those that start later would not find them.
+#[test]
+fn nodes_make_themselves_known_again() {
+    let mut fleet = fleet_of(Vec::new());
+    let empty = fleet.store.backup();
+    for zone in ["a", "b"] {
+        fleet.start(zone);
+    }
+    let known = |fleet: &Fleet| {
+        let records = fleet.store.records("keyed.hgw-nodes");
+        let all: Vec<String> =
+            records.iter().map(|r| String::from_utf8_lossy(r).into_owned()).collect();
+        fleet.nodes.iter().all(|n| all.iter().any(|entry| entry.contains(&n.name)))
+    };
+    wait("both are known", || known(&fleet));
+    fleet.store.come_back(&empty);
+    assert!(!known(&fleet));
+    wait("both are known again", || known(&fleet));
 }
 
 macro_rules! holders {
