Part the claim, a node's state and its planned stop into files of one job each, and read a new configuration once

No change of behaviour. A new configuration was decoded twice, once for its version: adopting it tells both. Whether a node has a head was worked out in three places.

--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use hgw_direct::Millis;
-use hgw_direct::heads::Parent;
 use rand::random;
 use tokio::time::sleep;
 
@@ -65,8 +64,7 @@
 
 /// The pause after a call that failed, longer where many nodes ask the same head.
 pub(crate) fn pause_after_failure(node: &Node) -> Duration {
-    let behind = matches!(node.parent(), Some((Parent::Head(_), _)));
-    let siblings = if behind { node.backoff.siblings.get() } else { 0 };
+    let siblings = if node.has_head() { node.backoff.siblings.get() } else { 0 };
     let crowd = siblings.div_ceil(AS_OFTEN_AS_ONE).clamp(1, MOST_CROWD);
     (AFTER_FAILURE * crowd).mul_f64(1.0 + random::<f64>())
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hgw_direct::heads::Parent;
 use hgw_direct::{Era, ListPlace, Listed, Seen, Standing};
 use hgw_events::{Event, emit};
 use tokio::time::{sleep, timeout};
@@ -89,7 +88,7 @@
         let told = followed && node.lacks_catalog();
         if told
             && let Some(text) = peers::catalog(&node).await
-            && adopt(&node, text)
+            && adopt(&node, text).is_some_and(|adopted| adopted.is_newer)
         {
             continue;
         }
@@ -116,8 +115,7 @@
                 cursor = Some(news.cursor);
                 let nothing = news.catalog.is_none();
                 if let Some(text) = news.catalog {
-                    newest = version(&node, &text);
-                    adopt(&node, text);
+                    newest = adopt(&node, text).map(|adopted| adopted.version);
                 }
                 if let Some(newest) = newest {
                     proof::read(&node, Seen { newest, asked });
@@ -151,15 +149,7 @@
 
 /// Whether nobody tells this node that its configuration is still the newest, so that it asks the store.
 fn proof_is_due(node: &Node) -> bool {
-    proof::is_due(node, matches!(node.parent(), Some((Parent::Head(_), _))))
-}
-
-/// The version of a configuration, where it can be read.
-fn version(node: &Node, text: &Bytes) -> Option<u64> {
-    let known =
-        node.state.borrow().catalog.clone().filter(|_| node.state.borrow().catalog_text == *text);
-    let version = known.map(|catalog| catalog.version);
-    version.or_else(|| node.dialects.store.read_catalog(text).ok().map(|c| c.version))
+    proof::is_due(node, node.has_head())
 }
 
 /// Ends when another node tells of a newer configuration. A call to the store may be without an answer for two seconds,
@@ -174,29 +164,41 @@
     }
 }
 
-/// Puts a configuration in force, where it is newer; tells whether it is.
-fn adopt(node: &Node, text: Bytes) -> bool {
+/// What a configuration was that this node was given.
+#[derive(Debug, Clone, Copy)]
+struct Adopted {
+    version: u64,
+    /// Whether it was newer than the one before, and is in force now.
+    is_newer: bool,
+}
+
+/// Puts a configuration in force, where it is newer; nothing where it cannot be read.
+fn adopt(node: &Node, text: Bytes) -> Option<Adopted> {
+    let known = node.state.borrow().catalog.as_ref().map(|catalog| catalog.version);
+    if let Some(version) = known
+        && node.state.borrow().catalog_text == text
+    {
+        return Some(Adopted { version, is_newer: false });
+    }
     let catalog = match node.dialects.store.read_catalog(&text) {
         Ok(catalog) => catalog,
         Err(e) => {
             emit(Event::ConfigRejected, &[("node", &node.settings.borrow().node), ("why", &e)]);
-            return false;
+            return None;
         }
     };
-    let mut state = node.state.borrow_mut();
-    // A store that was rewound may tell an older one.
-    if state.catalog.as_ref().is_some_and(|old| old.version >= catalog.version) {
-        return false;
+    let version = catalog.version;
+    // A store that has come back from a copy may tell an older one.
+    if known.is_some_and(|known| known >= version) {
+        return Some(Adopted { version, is_newer: false });
     }
-    emit(
-        Event::ConfigInForce,
-        &[("node", &node.settings.borrow().node), ("version", &catalog.version)],
-    );
+    emit(Event::ConfigInForce, &[("node", &node.settings.borrow().node), ("version", &version)]);
+    let mut state = node.state.borrow_mut();
     state.catalog = Some(Arc::new(catalog));
     state.catalog_text = text;
     drop(state);
     keeper::catalog_changed(node);
-    true
+    Some(Adopted { version, is_newer: true })
 }
 
 /// Follows the list of engines until the process ends.
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder/reader.rs
@@ -1,14 +1,11 @@
-//! Which node gives orders: the one whose claim is the newest in the store's log.
+//! Claiming, renewing and following the claim.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hgw_direct::{Era, Millis, Silence};
+use hgw_direct::{Era, Millis};
 use hgw_events::{Event, emit};
 use rand::random;
-use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
 use crate::backoff::after_failure;
@@ -20,6 +17,9 @@
 use crate::quotas;
 use crate::shared::Node;
 
+use super::Keeper;
+use super::record::{Entry, EntryKind, entry, valid};
+
 /// Renewals in a lease: two may fail before it runs out.
 const RENEWALS: u32 = 3;
 
@@ -41,116 +41,6 @@
 /// Time by which a node that did not read on when nobody read for all waits longer.
 const NOT_READ: Duration = Duration::from_millis(300);
 
-/// A record of the claim's log.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Entry {
-    kind: EntryKind,
-    node: String,
-    /// Where other nodes reach it.
-    addr: SocketAddr,
-    /// The era of the log that it was meant for, and for how many milliseconds that had lasted at least; nothing in the
-    /// first. In a log of another era it says nothing: it is of the copy from which the store has come back, or was
-    /// appended where another log ended at the same offset by chance.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    era: Option<(Era, u64)>,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-enum EntryKind {
-    /// From here on this node gives the orders; the record's place is its fencing number.
-    Claim,
-    /// It still does.
-    Renewal,
-    /// It gives no more.
-    Release,
-}
-
-/// The node that gives orders.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Keeper {
-    pub(crate) node: String,
-    pub(crate) addr: SocketAddr,
-    pub(crate) fence: u64,
-}
-
-/// What a node knows of the claim.
-#[derive(Debug, Default)]
-pub(crate) struct Holding {
-    /// The newest claim that was not released.
-    pub(crate) keeper: Option<Keeper>,
-    /// The newest claim that this node has read of.
-    newest: Option<u64>,
-    /// Where this node's own claim stands, while it holds.
-    mine: Option<Cursor>,
-    /// When the last acknowledged renewal was sent, by the clock that counts suspended time.
-    renewed: Duration,
-    /// Where the log ended after it.
-    renewed_at: Option<Cursor>,
-    /// Whether the holder answers this node, and when it last renewed.
-    pub(crate) silence: Silence,
-    /// When a renewal was last tried.
-    tried: Duration,
-}
-
-impl Holding {
-    /// The fencing number for an order now, where this node may give one.
-    ///
-    /// A node that stood still finds out here: until it has tried to renew its claim it believes nothing.
-    /// Where engines refuse old numbers a holder that cannot reach the store goes on, for nobody can take
-    /// over unseen; where they do not, it ends with its lease.
-    pub(crate) fn fence(&self, lease: Duration, engines_fence: bool) -> Option<u64> {
-        let now = boot_time();
-        let renewed = now.saturating_sub(self.renewed) < lease;
-        let awake = now.saturating_sub(self.tried) < lease / 2;
-        self.mine.filter(|_| awake && (renewed || engines_fence)).and_then(Cursor::fence)
-    }
-
-    /// The fencing number under which this node alone may do what no other may do at the same time, where it is sure of
-    /// its claim: a successor waits its whole lease.
-    pub(crate) fn sure(&self, lease: Duration) -> Option<u64> {
-        let is_sure = boot_time().saturating_sub(self.renewed) < lease;
-        self.mine.filter(|_| is_sure).and_then(Cursor::fence)
-    }
-
-    /// The holder's last renewal, for the other nodes.
-    pub(crate) fn last_renewal(&self) -> Option<(Cursor, u64)> {
-        let age = boot_time().saturating_sub(self.renewed).as_millis() as u64;
-        self.renewed_at.filter(|_| self.is_mine()).map(|end| (end, age))
-    }
-
-    /// Another node tells of a keeper.
-    pub(crate) fn hear_of(&mut self, keeper: Keeper) {
-        let newer = self.newest.is_none_or(|newest| newest < keeper.fence);
-        if newer && !self.is_mine() {
-            self.newest = Some(keeper.fence);
-            self.keeper = Some(keeper);
-        }
-    }
-
-    /// A renewal is tried. After a pause as long as a lease another may have taken over meanwhile: then the answer says
-    /// whether orders may be given, and the try itself says nothing.
-    fn tries(&mut self, began: Duration, lease: Duration) {
-        if began.saturating_sub(self.tried) < lease {
-            self.tried = began;
-        }
-    }
-
-    fn was_renewed(&mut self, began: Duration, end: Cursor) {
-        self.renewed_at = Some(end);
-        self.renewed = began;
-        self.tried = boot_time();
-    }
-
-    /// An engine has seen a higher fencing number.
-    pub(crate) fn superseded(&mut self) {
-        self.mine = None;
-    }
-
-    pub(crate) fn is_mine(&self) -> bool {
-        self.mine.is_some()
-    }
-}
-
 /// What a node has read of the log.
 struct Reader {
     node: Node,
@@ -193,22 +83,6 @@
     }
 }
 
-/// Gives the claim up, at the planned stop.
-pub(crate) async fn release(node: Node) {
-    if !node.holding.borrow().is_mine() {
-        return;
-    }
-    let Ok(news) = node.dialects.store.claims(None, Duration::ZERO).await else { return };
-    let last = news.records.iter().rev().find_map(valid);
-    let me = node.settings.borrow().node.clone();
-    node.holding.borrow_mut().superseded();
-    if last.is_some_and(|entry| entry.node == me) {
-        // Where this fails the next holder waits the lease out.
-        let released = entry(&node, EntryKind::Release, news.end);
-        let _ = node.dialects.store.claim(news.end, released).await;
-    }
-}
-
 impl Reader {
     async fn renew(&mut self) -> Result<(), StoreError> {
         let node = Rc::clone(&self.node);
@@ -437,19 +311,3 @@
         };
     }
 }
-
-/// What a record says, where it was meant for the log in which it stands.
-fn valid(record: &Record) -> Option<Entry> {
-    let entry: Entry = serde_json::from_slice(&record.data).ok()?;
-    let era = entry.era.map_or(Era::FIRST, |(era, _)| era);
-    (era == record.at.era).then_some(entry)
-}
-
-/// A record for the log that ends there.
-fn entry(node: &Node, kind: EntryKind, at: Cursor) -> Bytes {
-    let lasted = eras::told(node).filter(|(era, _)| *era == at.era).map_or(0, |(_, ms)| ms);
-    let era = (at.era > Era::FIRST).then_some((at.era, lasted));
-    let settings = node.settings.borrow();
-    let entry = Entry { kind, node: settings.node.clone(), addr: settings.peers, era };
-    serde_json::to_vec(&entry).expect("an entry can be written as JSON").into()
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod run;
 mod settings;
 mod shared;
+mod state;
 mod stop;
 mod turn;
 
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -20,8 +20,9 @@
 
 use crate::answer::{Answer, own};
 use crate::quotas::NoAllowance;
-use crate::shared::{Active, Node};
+use crate::shared::Node;
 use crate::stop;
+use crate::stop::Active;
 
 use identify::Identity;
 use request::Relayed;
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -17,7 +17,8 @@
 use crate::meter;
 use crate::peers::{self, Placement};
 use crate::quotas::{self, NoAllowance, Spent};
-use crate::shared::{Active, Node};
+use crate::shared::Node;
+use crate::stop::Active;
 use crate::turn::Turn;
 
 use super::identify::Identity;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,21 +1,18 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use derive_more::Display;
 use hgw_direct::flights::EngineKey;
 use hgw_direct::heads::{Heads, Member, Parent, crowd};
 use hgw_direct::sums::Sums;
 use hgw_direct::{
-    Budget, BudgetLimits, Catalog, Demand, Engine, EngineId, Engines, KnownEra, ListPlace, Listing,
-    Millis, ServiceId, Verdict, Wanted, is_cut_off, reads_on,
+    BudgetLimits, Engine, EngineId, KnownEra, ListPlace, Millis, Verdict, is_cut_off, reads_on,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnectLimits;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use rand::random;
 use tokio::sync::Notify;
 
@@ -29,6 +26,8 @@
 use crate::pool::Pool;
 use crate::proof::{self, Proofs};
 use crate::quotas::Quotas;
+use crate::state::State;
+use crate::stop::Stopping;
 use crate::turn::Turns;
 
 /// Longest time to connect to an engine: it is a few milliseconds away, or gone.
@@ -37,9 +36,6 @@
 /// Longest time that bytes sent to an engine stay unacknowledged.
 const UNACKED: Duration = Duration::from_secs(1);
 
-/// Models and adapters that are told to the keeper at a time.
-const MOST_ASKED: usize = 4_096;
-
 /// Everything that the tasks of a node share.
 pub(crate) struct Shared {
     pub(crate) settings: RefCell<Settings>,
@@ -118,55 +114,6 @@
 /// The node as its tasks see it.
 pub(crate) type Node = Rc<Shared>;
 
-/// What the node believes.
-#[derive(Debug, Default)]
-pub(crate) struct State {
-    pub(crate) catalog: Option<Arc<Catalog>>,
-    /// Its text, for nodes that the store turns away.
-    pub(crate) catalog_text: Bytes,
-    /// Whether a whole list of engines has been read.
-    pub(crate) listed: bool,
-    pub(crate) engines: Engines,
-    /// How far the list goes.
-    pub(crate) list_at: Option<ListPlace>,
-    /// What changed in it, for other nodes.
-    pub(crate) listing: Listing,
-    pub(crate) budgets: IndexMap<ServiceId, Budget>,
-    /// What this node has been asked for, for a keeper that is new.
-    pub(crate) demand: Demand,
-    /// Requests by model since the keeper was told.
-    pub(crate) asked: IndexMap<Wanted, f64>,
-    /// When loads from the weight store began, as the holder of this claim told.
-    pub(crate) begun: Option<(u64, Vec<Millis>)>,
-    /// Nodes that share budgets and connections; at least this one.
-    pub(crate) nodes: u32,
-}
-
-/// How far the planned stop has come.
-#[derive(Debug, Default)]
-pub(crate) struct Stopping {
-    /// When it began.
-    pub(crate) since: Cell<Option<Millis>>,
-    /// Whether connections without a request are closed now.
-    pub(crate) closing: Cell<bool>,
-    /// Told when either changes.
-    pub(crate) changed: Notify,
-    /// Requests that are being served.
-    pub(crate) active: Cell<u32>,
-    /// Connections of callers.
-    pub(crate) connections: Cell<usize>,
-}
-
-impl State {
-    /// Requests came for something. While no keeper takes them, as many names are kept as callers can make up.
-    pub(crate) fn asked_for(&mut self, now: Millis, wanted: &Wanted, count: f64) {
-        self.demand.saw(now, wanted, count);
-        if self.asked.len() < MOST_ASKED {
-            *self.asked.entry(wanted.clone()).or_default() += count;
-        }
-    }
-}
-
 impl Shared {
     pub(crate) fn new(settings: Settings, dialects: Dialects) -> Node {
         Rc::new(Shared {
@@ -257,6 +204,11 @@
         }
     }
 
+    /// Whether this node asks a head of its domain, and not the keeper itself.
+    pub(crate) fn has_head(&self) -> bool {
+        matches!(self.parent(), Some((Parent::Head(_), _)))
+    }
+
     /// Whether the keeper has told this node anything yet.
     pub(crate) fn was_followed(&self) -> bool {
         self.followed_at.get().is_some()
@@ -268,8 +220,7 @@
     /// reaches their domains before the others would.
     pub(crate) fn is_followed(&self) -> bool {
         let keeps = self.holding.borrow().is_mine();
-        let has_head = matches!(self.parent(), Some((Parent::Head(_), _)));
-        let longest = self.settings.borrow().followed_for(has_head).as_millis() as Millis;
+        let longest = self.settings.borrow().followed_for(self.has_head()).as_millis() as Millis;
         let age = self.followed_at.get().map(|at| self.now().saturating_sub(at));
         !keeps && !self.keeper_refuses.get() && age.is_some_and(|age| age < longest)
     }
@@ -415,22 +366,3 @@
         self.state.borrow().engines.get(id).map(look)
     }
 }
-
-/// A request that is being served, until this is dropped.
-pub(crate) struct Active(Node);
-
-impl Active {
-    pub(crate) fn begin(node: &Node) -> Active {
-        node.stop.active.set(node.stop.active.get() + 1);
-        Active(Rc::clone(node))
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.stop.active.set(self.0.stop.active.get() - 1);
-        if self.0.is_stopping() {
-            self.0.stop.changed.notify_waiters();
-        }
-    }
-}
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,8 +1,12 @@
 //! The planned stop.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
+use hgw_direct::Millis;
 use hgw_events::{Event, emit};
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::holder;
@@ -43,3 +47,37 @@
         sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// How far the planned stop has come.
+#[derive(Debug, Default)]
+pub(crate) struct Stopping {
+    /// When it began.
+    pub(crate) since: Cell<Option<Millis>>,
+    /// Whether connections without a request are closed now.
+    pub(crate) closing: Cell<bool>,
+    /// Told when either changes.
+    pub(crate) changed: Notify,
+    /// Requests that are being served.
+    pub(crate) active: Cell<u32>,
+    /// Connections of callers.
+    pub(crate) connections: Cell<usize>,
+}
+
+/// A request that is being served, until this is dropped.
+pub(crate) struct Active(Node);
+
+impl Active {
+    pub(crate) fn begin(node: &Node) -> Active {
+        node.stop.active.set(node.stop.active.get() + 1);
+        Active(Rc::clone(node))
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.stop.active.set(self.0.stop.active.get() - 1);
+        if self.0.is_stopping() {
+            self.0.stop.changed.notify_waiters();
+        }
+    }
+}
