Take a configuration that the store has lost from a node that asks and still has it

Cause: a configuration went from the one that reads for all to the others only. Change: each question tells which version a node has; one that is asked by a node with a newer one takes its text, one at a time.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -166,14 +166,14 @@
 
 /// What a configuration was that this node was given.
 #[derive(Debug, Clone, Copy)]
-struct Adopted {
+pub(crate) struct Adopted {
     version: u64,
     /// Whether it was newer than the one before, and is in force now.
     is_newer: bool,
 }
 
 /// Puts a configuration in force, where it is newer; nothing where it cannot be read.
-fn adopt(node: &Node, text: Bytes) -> Option<Adopted> {
+pub(crate) fn adopt(node: &Node, text: Bytes) -> Option<Adopted> {
     let known = node.state.borrow().catalog.as_ref().map(|catalog| catalog.version);
     if let Some(version) = known
         && node.state.borrow().catalog_text == text
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -26,6 +26,7 @@
 
 use crate::answer::{Answer, AnswerBody, Answered, own};
 use crate::eras;
+use crate::follow;
 use crate::keeper;
 use crate::quotas;
 use crate::shared::Node;
@@ -88,6 +89,23 @@
     exchange_once(node, addr, &req, PATIENCE).await.ok().filter(|text| !text.is_empty())
 }
 
+/// Takes the configuration of a node that asks this one and has a newer one: the store may have lost that, and this node
+/// may have started since.
+fn take_catalog(node: &Node, from: SocketAddr, newest: u64) {
+    if newest <= news::version(node) || node.takes_catalog.replace(true) {
+        return;
+    }
+    let node = Node::clone(node);
+    tokio::task::spawn_local(async move {
+        let req = Request::post("/catalog", "peer", Bytes::new());
+        // Where it does not answer, its next question comes soon.
+        if let Ok(text) = exchange_once(&node, from, &req, PATIENCE).await {
+            follow::adopt(&node, text);
+        }
+        node.takes_catalog.set(false);
+    });
+}
+
 /// A node that passes on does not answer: the next is asked for a while.
 pub(crate) fn is_silent(node: &Node, head: SocketAddr) {
     node.heads.borrow_mut().pass_over(head, PassedOver::Silent, node.now());
@@ -180,6 +198,7 @@
         return own(StatusCode::CONFLICT, "passes nothing on");
     }
     node.children.asks(tell.from, node.now());
+    take_catalog(node, tell.from, tell.catalog);
     if keeps {
         if let Some(past) = &tell.past {
             keeper::counted_before(node, tell.from, past);
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -58,7 +58,7 @@
 }
 
 /// The configuration that this node has.
-fn version(node: &Node) -> u64 {
+pub(super) fn version(node: &Node) -> u64 {
     node.state.borrow().catalog.as_ref().map_or(0, |c| c.version)
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -87,6 +87,8 @@
     told_catalog: Cell<u64>,
     /// A version of the configuration, and how far in the store's log of it there is no newer one.
     pub(crate) catalog_at: Cell<Option<(u64, Cursor)>>,
+    /// Whether this node is taking a newer configuration from one that asks it.
+    pub(crate) takes_catalog: Cell<bool>,
     /// Told when the keeper has news of the configuration.
     pub(crate) catalog_news: Notify,
     /// Whether this node reaches neither the store nor engines elsewhere.
@@ -147,6 +149,7 @@
             keeper_refuses: Cell::new(false),
             told_catalog: Cell::new(0),
             catalog_at: Cell::new(None),
+            takes_catalog: Cell::new(false),
             catalog_news: Notify::new(),
             cut_off: Cell::new(false),
             placed: Notify::new(),
--- a/crates/hibiscusgw/tests/platform/eras.rs
+++ b/crates/hibiscusgw/tests/platform/eras.rs
@@ -413,3 +413,33 @@
     wait("others are served", || status_with(&fleet, second, "other", "k-2") == StatusCode::OK);
     assert_eq!((0..sent).map(|n| fleet.runs(&format!("taken-{n}"))).sum::<u32>(), 0);
 }
+
+/// The store loses the newest configuration, and the node that reads for all starts only then: it takes from another, which
+/// still has that, what the operators had been told is in force.
+#[test]
+fn configuration_that_the_store_lost_is_taken_from_a_node_that_has_it() {
+    let mut fleet = fleet_of(Vec::new());
+    let first = fleet.start("a");
+    wait("the first node gives orders", || fleet.store.records("hgw-claims").len() > 1);
+    let second = fleet.start("b");
+    let backup = fleet.store.backup();
+    let mut config = configuration(2);
+    let mut route = config["routes"][0].clone();
+    route["name"] = "new".into();
+    route["prefix"] = "/new/".into();
+    config["routes"].as_array_mut().unwrap().push(route);
+    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+    let serves = |fleet: &Fleet, node: usize, id: &str| {
+        fleet.nodes[node].plain("/new/", id).is_ok_and(|a| a.status == StatusCode::OK)
+    };
+    wait("the new route is served", || serves(&fleet, second, "before"));
+    fleet.nodes[second].signal(Signal::STOP);
+    fleet.nodes[first].kill();
+    come_back(&fleet, &backup, |_| {});
+    let (third, lines) = fleet.start_logged("c");
+    wait("the third node gives orders", || !fleet.lines(&lines, 4001).is_empty());
+    assert!(!serves(&fleet, third, "lost"), "nobody has told it yet");
+    fleet.nodes[second].signal(Signal::CONT);
+    wait("the new route is served by the third", || serves(&fleet, third, "after"));
+    assert!(serves(&fleet, second, "still"));
+}
