--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod apart;
 mod calls;
+mod era_mixes;
 mod eras;
 mod heads;
 mod keys;
