Let smaller machines pass on only where neither the large ones nor the holder know anything new

Change: a machine with less than half of the largest one's processor is no candidate. Where the candidates know nothing new the holder is asked; where that knows nothing new either, a smaller machine; then the first candidate that answers.

--- a/crates/direct/src/heads.rs
+++ b/crates/direct/src/heads.rs
@@ -20,6 +20,13 @@
 /// while both are. Beyond, each node asks the holder itself.
 const CANDIDATES: usize = 3;
 
+/// Part of the processor of the largest machine of a domain that one must have to pass on.
+///
+/// Load: a domain has two larger machines, one of which gives the orders, and the other is away. A third with a quarter of
+/// their processor and a twentieth of their link passed on to its domain: that filled its link for seconds, and requests and
+/// their ends waited behind it until after their callers had left.
+const AS_LARGE: f64 = 0.5;
+
 /// Nodes that may ask the same one as often as they like.
 const FEW_CHILDREN: u32 = 10;
 
@@ -51,11 +58,19 @@
     pub processor: f64,
 }
 
-/// The nodes of a domain that may pass on, the first first; none where the domain has few nodes.
+/// The nodes of a domain that pass on, the first first; none where the domain has few nodes.
+pub fn candidates(members: &[Member], domain: &str) -> Vec<Member> {
+    let mut may = may_pass_on(members, domain);
+    let first = may.first().cloned();
+    may.retain(|m| is_as_large(m, first.as_slice()));
+    may
+}
+
+/// The same, with smaller machines that do only where all else knows nothing new.
 ///
 /// Every node comes to the same order from the same list, without a word. Larger machines come first: the one that
 /// passes on does more than others.
-pub fn candidates(members: &[Member], domain: &str) -> Vec<Member> {
+pub fn may_pass_on(members: &[Member], domain: &str) -> Vec<Member> {
     let mut own: Vec<&Member> = members.iter().filter(|m| m.domain == domain).collect();
     if own.len() < FEWEST {
         return Vec::new();
@@ -65,6 +80,11 @@
     own.into_iter().take(CANDIDATES).cloned().collect()
 }
 
+/// Whether a machine is large enough to pass on, beside the first of these.
+fn is_as_large(member: &Member, all: &[Member]) -> bool {
+    all.first().is_some_and(|first| member.processor >= AS_LARGE * first.processor)
+}
+
 /// Whom a node asks for what is new.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Parent {
@@ -86,6 +106,7 @@
 /// What a node knows of those of its domain that pass on.
 #[derive(Debug, Clone, Default)]
 pub struct Heads {
+    /// Those that may pass on, the largest first.
     candidates: Vec<Member>,
     passed_over: IndexMap<SocketAddr, (PassedOver, Millis)>,
 }
@@ -93,17 +114,17 @@
 impl Heads {
     /// These may pass on.
     pub fn know(&mut self, candidates: Vec<Member>) {
-        self.passed_over.retain(|addr, _| candidates.iter().any(|c| c.addr == *addr));
         self.candidates = candidates;
     }
 
-    /// The nodes that may pass on, the first first.
+    /// The nodes that may pass on, the largest first.
     pub fn candidates(&self) -> &[Member] {
         &self.candidates
     }
 
-    /// A node is not asked for a while.
+    /// A node is not asked for a while, be it one that passes on or the holder.
     pub fn pass_over(&mut self, addr: SocketAddr, why: PassedOver, now: Millis) {
+        self.passed_over.retain(|_, (_, until)| now < *until);
         let time = match why {
             PassedOver::Silent => SILENT_FOR,
             PassedOver::Stale => STALE_FOR,
@@ -113,17 +134,25 @@
 
     /// Whom the node at `me` asks, where the orders are given by the node at `holder`.
     ///
-    /// A first that knows nothing new leaves it to the next, which may reach what the first does not. Where none knows
-    /// more, as the store is away for all, the first that answers is asked again.
+    /// A first that knows nothing new leaves it to the next, which may reach what the first does not, and the last of them
+    /// to the holder: the store may turn away all that pass on in one domain. Where it turns the holder away too, a smaller
+    /// machine may know more. Where none does, as the store is away for all, the first that answers is asked again.
     pub fn parent(&self, me: SocketAddr, holder: Option<SocketAddr>, now: Millis) -> Parent {
-        let others = || self.candidates.iter().map(|c| c.addr).filter(|addr| Some(*addr) != holder);
+        let of_size = |large: bool| {
+            let all = &self.candidates;
+            let sized = all.iter().filter(move |c| is_as_large(c, all) == large);
+            sized.map(|c| c.addr).filter(|addr| Some(*addr) != holder)
+        };
         let state = |addr: &SocketAddr| {
             let (why, until) = self.passed_over.get(addr)?;
             (now < *until).then_some(*why)
         };
-        let first = others().find(|addr| *addr == me || state(addr).is_none());
-        let answers = || others().find(|addr| state(addr) == Some(PassedOver::Stale));
-        match first.or_else(answers) {
+        let first = |large| of_size(large).find(|addr| *addr == me || state(addr).is_none());
+        let answers = || of_size(true).find(|addr| state(addr) == Some(PassedOver::Stale));
+        let holder_knows = holder.is_some_and(|holder| state(&holder).is_none());
+        let without_holder = || if holder_knows { None } else { first(false).or_else(answers) };
+        let asked = first(true).or_else(without_holder);
+        match asked {
             Some(addr) if addr != me => Parent::Head(addr),
             _ => Parent::Holder,
         }
--- a/crates/direct/tests/heads.rs
+++ b/crates/direct/tests/heads.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use hgw_direct::heads::{Heads, Member, Parent, PassedOver, candidates, crowd, digest};
+use hgw_direct::heads::{
+    Heads, Member, Parent, PassedOver, candidates, crowd, digest, may_pass_on,
+};
 
 fn member(n: u16, domain: &str, processor: f64) -> Member {
     Member { node: format!("node-{n}"), addr: addr(n), domain: domain.into(), processor }
@@ -80,15 +82,62 @@
     assert_eq!(heads.parent(addr(1), Some(addr(90)), 1_100), Parent::Holder);
 }
 
-/// The store is away for everybody. None of those that pass on knows anything new; were they all passed over, every
-/// node would turn to the holder at once.
+/// The store is away for everybody. Neither those that pass on nor the holder know anything new; were they all passed over,
+/// every node would stay with the holder.
 #[test]
 fn first_is_asked_again_where_none_knows_more() {
     let (mut heads, first) = heads();
-    for addr in &first {
+    for addr in first.iter().chain([&addr(90)]) {
         heads.pass_over(*addr, PassedOver::Stale, 1_000);
     }
     assert_eq!(heads.parent(addr(1), Some(addr(90)), 1_100), Parent::Head(first[0]));
+    assert_eq!(heads.parent(addr(1), None, 1_100), Parent::Head(first[0]));
+}
+
+/// The store turns away all that pass on in a domain, and an engine begins to leave. The holder knows; a node that stayed
+/// with one of them would send there for too long.
+#[test]
+fn holder_is_asked_where_those_that_pass_on_know_nothing_new() {
+    let (mut heads, first) = heads();
+    for addr in &first {
+        heads.pass_over(*addr, PassedOver::Stale, 1_000);
+    }
+    assert_eq!(heads.parent(addr(1), Some(addr(90)), 1_100), Parent::Holder);
+    heads.know(candidates(&domain(), "a"));
+    assert_eq!(heads.parent(addr(1), Some(addr(90)), 1_100), Parent::Holder);
+    assert_eq!(heads.parent(addr(1), Some(addr(90)), 3_000), Parent::Head(first[0]));
+}
+
+/// The store turns away both large machines of a domain, one of which gives the orders. Whoever else of the domain it serves
+/// knows that an engine leaves: the smaller machine, which passes on only then.
+#[test]
+fn smaller_machine_is_asked_where_the_holder_knows_nothing_new_either() {
+    let small = (0..12).map(|n| member(n, "a", 0.12));
+    let members: Vec<Member> = small.chain([member(30, "a", 0.5), member(31, "a", 0.4)]).collect();
+    let mut heads = Heads::default();
+    let all = may_pass_on(&members, "a");
+    let third = all[2].addr;
+    heads.know(all);
+    let asks = |heads: &Heads, now| heads.parent(addr(90), Some(addr(31)), now);
+    assert_eq!(asks(&heads, 0), Parent::Head(addr(30)));
+    heads.pass_over(addr(30), PassedOver::Stale, 1_000);
+    assert_eq!(asks(&heads, 1_100), Parent::Holder, "a small machine passes nothing on beside it");
+    heads.pass_over(addr(31), PassedOver::Stale, 1_100);
+    assert_eq!(asks(&heads, 1_200), Parent::Head(third));
+    assert_eq!(heads.parent(third, Some(addr(31)), 1_200), Parent::Holder);
+    heads.pass_over(third, PassedOver::Stale, 1_200);
+    assert_eq!(asks(&heads, 1_300), Parent::Head(addr(30)), "none knows more");
+}
+
+/// The same where the holder does not answer: its successor is heard of by one that passes on.
+#[test]
+fn one_that_answers_is_asked_before_a_silent_holder() {
+    let (mut heads, first) = heads();
+    heads.pass_over(first[0], PassedOver::Silent, 1_000);
+    heads.pass_over(first[1], PassedOver::Stale, 1_000);
+    heads.pass_over(first[2], PassedOver::Stale, 1_000);
+    heads.pass_over(addr(90), PassedOver::Silent, 1_000);
+    assert_eq!(heads.parent(addr(1), Some(addr(90)), 1_100), Parent::Head(first[1]));
 }
 
 /// The one that gives orders serves the heads of all domains; its own domain is served by another.
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -92,7 +92,7 @@
         self.heard = news.heard;
         let children = news.children;
         node.backoff.siblings(children);
-        if parent != Parent::Holder && news.age_ms > longest_age(node) {
+        if news.age_ms > longest_age(node) {
             node.heads.borrow_mut().pass_over(addr, PassedOver::Stale, node.now());
         }
         take_in_news(node, now, news);
@@ -123,18 +123,17 @@
 
     fn is_silent(&mut self, node: &Node, parent: Parent, addr: SocketAddr) {
         self.links.entry(addr).or_default().is_silent(node, addr);
-        match parent {
-            Parent::Holder => node.holding.borrow_mut().silence.is_silent(),
-            Parent::Head(_) => {
-                node.heads.borrow_mut().pass_over(addr, PassedOver::Silent, node.now());
-            }
+        if parent == Parent::Holder {
+            node.holding.borrow_mut().silence.is_silent();
         }
+        node.heads.borrow_mut().pass_over(addr, PassedOver::Silent, node.now());
     }
 }
 
-/// Age from which the word of a head is no news: then this node would read for itself.
+/// Age from which the word of another node is no news. Two more may be asked before this node reads for itself, as one
+/// whose domain has a head: it may be turned away by the store, too.
 fn longest_age(node: &Node) -> Millis {
-    node.settings.borrow().followed_for(true).as_millis() as Millis
+    node.settings.borrow().followed_for(false).as_millis() as Millis
 }
 
 /// Takes in the answer to a question of this time.
