--- a/crates/direct/src/heads.rs
+++ b/crates/direct/src/heads.rs
@@ -58,33 +58,22 @@
     pub processor: f64,
 }
 
-/// The nodes of a domain that pass on, the first first; none where the domain has few nodes.
-pub fn candidates(members: &[Member], domain: &str) -> Vec<Member> {
-    let mut may = may_pass_on(members, domain);
-    let first = may.first().cloned();
-    may.retain(|m| is_as_large(m, first.as_slice()));
-    may
-}
-
-/// The same, with smaller machines that do only where all else knows nothing new.
+/// The nodes of a domain that may pass on, the first first; none where the domain has few nodes.
 ///
 /// Every node comes to the same order from the same list, without a word. Larger machines come first: the one that
 /// passes on does more than others.
-pub fn may_pass_on(members: &[Member], domain: &str) -> Vec<Member> {
+pub fn candidates(members: &[Member], domain: &str) -> Vec<Member> {
     let mut own: Vec<&Member> = members.iter().filter(|m| m.domain == domain).collect();
     if own.len() < FEWEST {
         return Vec::new();
     }
+    let largest = own.iter().map(|m| m.processor).fold(0.0, f64::max);
+    own.retain(|m| m.processor >= AS_LARGE * largest);
     let key = |m: &Member| xxh3_64(m.node.as_bytes());
     own.sort_by(|a, b| b.processor.total_cmp(&a.processor).then(key(a).cmp(&key(b))));
     own.into_iter().take(CANDIDATES).cloned().collect()
 }
 
-/// Whether a machine is large enough to pass on, beside the first of these.
-fn is_as_large(member: &Member, all: &[Member]) -> bool {
-    all.first().is_some_and(|first| member.processor >= AS_LARGE * first.processor)
-}
-
 /// Whom a node asks for what is new.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Parent {
@@ -106,7 +95,6 @@
 /// What a node knows of those of its domain that pass on.
 #[derive(Debug, Clone, Default)]
 pub struct Heads {
-    /// Those that may pass on, the largest first.
     candidates: Vec<Member>,
     passed_over: IndexMap<SocketAddr, (PassedOver, Millis)>,
 }
@@ -117,7 +105,7 @@
         self.candidates = candidates;
     }
 
-    /// The nodes that may pass on, the largest first.
+    /// The nodes that may pass on, the first first.
     pub fn candidates(&self) -> &[Member] {
         &self.candidates
     }
@@ -135,23 +123,18 @@
     /// Whom the node at `me` asks, where the orders are given by the node at `holder`.
     ///
     /// A first that knows nothing new leaves it to the next, which may reach what the first does not, and the last of them
-    /// to the holder: the store may turn away all that pass on in one domain. Where it turns the holder away too, a smaller
-    /// machine may know more. Where none does, as the store is away for all, the first that answers is asked again.
+    /// to the holder: the store may turn away all that pass on in one domain. Where the holder knows no more, as the store
+    /// is away for all, the first that answers is asked again.
     pub fn parent(&self, me: SocketAddr, holder: Option<SocketAddr>, now: Millis) -> Parent {
-        let of_size = |large: bool| {
-            let all = &self.candidates;
-            let sized = all.iter().filter(move |c| is_as_large(c, all) == large);
-            sized.map(|c| c.addr).filter(|addr| Some(*addr) != holder)
-        };
+        let others = || self.candidates.iter().map(|c| c.addr).filter(|addr| Some(*addr) != holder);
         let state = |addr: &SocketAddr| {
             let (why, until) = self.passed_over.get(addr)?;
             (now < *until).then_some(*why)
         };
-        let first = |large| of_size(large).find(|addr| *addr == me || state(addr).is_none());
-        let answers = || of_size(true).find(|addr| state(addr) == Some(PassedOver::Stale));
+        let first = others().find(|addr| *addr == me || state(addr).is_none());
         let holder_knows = holder.is_some_and(|holder| state(&holder).is_none());
-        let without_holder = || if holder_knows { None } else { first(false).or_else(answers) };
-        let asked = first(true).or_else(without_holder);
+        let answers = || others().find(|addr| state(addr) == Some(PassedOver::Stale));
+        let asked = first.or_else(|| if holder_knows { None } else { answers() });
         match asked {
             Some(addr) if addr != me => Parent::Head(addr),
             _ => Parent::Holder,
--- a/crates/direct/tests/heads.rs
+++ b/crates/direct/tests/heads.rs
@@ -2,9 +2,7 @@
 
 use std::net::SocketAddr;
 
-use hgw_direct::heads::{
-    Heads, Member, Parent, PassedOver, candidates, crowd, digest, may_pass_on,
-};
+use hgw_direct::heads::{Heads, Member, Parent, PassedOver, candidates, crowd, digest};
 
 fn member(n: u16, domain: &str, processor: f64) -> Member {
     Member { node: format!("node-{n}"), addr: addr(n), domain: domain.into(), processor }
@@ -108,25 +106,21 @@
     assert_eq!(heads.parent(addr(1), Some(addr(90)), 3_000), Parent::Head(first[0]));
 }
 
-/// The store turns away both large machines of a domain, one of which gives the orders. Whoever else of the domain it serves
-/// knows that an engine leaves: the smaller machine, which passes on only then.
+/// A domain has two large machines that both know nothing new, and the holder is silent: a small one is not asked, whatever
+/// it knows. What it passes on would fill its link for seconds.
 #[test]
-fn smaller_machine_is_asked_where_the_holder_knows_nothing_new_either() {
+fn smaller_machine_is_not_asked_where_nobody_else_knows_more() {
     let small = (0..12).map(|n| member(n, "a", 0.12));
     let members: Vec<Member> = small.chain([member(30, "a", 0.5), member(31, "a", 0.4)]).collect();
     let mut heads = Heads::default();
-    let all = may_pass_on(&members, "a");
-    let third = all[2].addr;
-    heads.know(all);
-    let asks = |heads: &Heads, now| heads.parent(addr(90), Some(addr(31)), now);
-    assert_eq!(asks(&heads, 0), Parent::Head(addr(30)));
+    heads.know(candidates(&members, "a"));
+    let asks = |heads: &Heads, now| heads.parent(addr(91), Some(addr(90)), now);
     heads.pass_over(addr(30), PassedOver::Stale, 1_000);
-    assert_eq!(asks(&heads, 1_100), Parent::Holder, "a small machine passes nothing on beside it");
+    assert_eq!(asks(&heads, 1_100), Parent::Head(addr(31)));
     heads.pass_over(addr(31), PassedOver::Stale, 1_100);
-    assert_eq!(asks(&heads, 1_200), Parent::Head(third));
-    assert_eq!(heads.parent(third, Some(addr(31)), 1_200), Parent::Holder);
-    heads.pass_over(third, PassedOver::Stale, 1_200);
-    assert_eq!(asks(&heads, 1_300), Parent::Head(addr(30)), "none knows more");
+    assert_eq!(asks(&heads, 1_200), Parent::Holder);
+    heads.pass_over(addr(90), PassedOver::Silent, 1_200);
+    assert_eq!(asks(&heads, 1_300), Parent::Head(addr(30)));
 }
 
 /// The same where the holder does not answer: its successor is heard of by one that passes on.
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hgw_direct::heads::{Member, may_pass_on};
+use hgw_direct::heads::{Member, candidates};
 use hgw_direct::{Millis, tells_sends};
 use tokio::time::sleep;
 
@@ -87,7 +87,7 @@
     if tells_sends(count) {
         node.sends.know(members.iter().map(|m| m.addr).collect());
     }
-    let own = may_pass_on(&members, &node.settings.borrow().domain);
+    let own = candidates(&members, &node.settings.borrow().domain);
     node.heads.borrow_mut().know(own);
     *node.members.borrow_mut() = members;
     true
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -1,6 +1,6 @@
 //! What a node tells those that ask it for what is new: the keeper all others, or a head the nodes of its domain.
 
-use hgw_direct::heads::{Member, digest, may_pass_on};
+use hgw_direct::heads::{Member, candidates, digest};
 use hgw_direct::tells_sends;
 use tokio::time::timeout;
 
@@ -83,7 +83,7 @@
 fn heads(node: &Node, tell: &Tell) -> Option<Vec<Member>> {
     let members = node.members.borrow();
     let heads = if !members.is_empty() {
-        may_pass_on(&members, &tell.domain)
+        candidates(&members, &tell.domain)
     } else if node.settings.borrow().domain == tell.domain {
         node.heads.borrow().candidates().to_vec()
     } else {
