Apply updates of the engine list where they are made

Moves how a node applies an update from the gateway to ListUpdate::apply in direct, so that a test without sockets can play nodes that tell each other. No change of behaviour.

--- a/crates/direct/src/list_changes.rs
+++ b/crates/direct/src/list_changes.rs
@@ -6,7 +6,10 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{Cursor, Engine, EngineId, EngineState, Engines, LoadedModel, StartTime};
+use crate::{
+    CachedWeights, Cursor, Engine, EngineId, EngineInfo, EngineState, Engines, LoadedModel,
+    StartTime,
+};
 
 /// Version of a list of engines: the position in the store's log up to which it was read, and the
 /// number of changes that were learned at that position without reading on.
@@ -108,6 +111,25 @@
     Unknown,
 }
 
+impl ListUpdate {
+    /// Applies the update to the receiver's list.
+    pub fn apply(self, engines: &mut Engines) {
+        engines.set_backup_end(self.backup_end);
+        let entries = self.engines.into_iter().map(|record| to_engine_info(engines, record));
+        let entries: Vec<EngineInfo> = entries.collect();
+        if self.kind == ListUpdateKind::Full {
+            engines.apply_snapshot(entries, self.version.position(), false);
+            return;
+        }
+        for entry in entries {
+            engines.upsert(entry);
+        }
+        for (removed_id, at) in &self.removed {
+            engines.remove(removed_id, *at);
+        }
+    }
+}
+
 /// History of changes to the list of engines.
 ///
 /// Versions are positions in the store's log, so that a node can get changes from any other node
@@ -270,3 +292,28 @@
         loaded: info.loaded.clone(),
     }
 }
+
+fn to_engine_info(engines: &Engines, record: EngineRecord) -> EngineInfo {
+    let known =
+        engines.get(&record.engine).filter(|e| !e.info.started_at.is_before(record.started_at));
+    let engine_state = match (record.leaving, record.unreadable) {
+        (_, true) => EngineState::Unreadable,
+        (true, false) => EngineState::Leaving { terminates_at: None },
+        (false, false) => EngineState::Ready,
+    };
+    EngineInfo {
+        id: record.engine,
+        position: record.position,
+        started_at: record.started_at,
+        service: record.service.into(),
+        addr: record.addr,
+        domain: record.domain,
+        slots: record.slots,
+        state: engine_state,
+        loaded: known
+            .filter(|e| e.placement_reported_at.is_some())
+            .map_or(record.loaded, |e| e.info.loaded.clone()),
+        cached: CachedWeights::default(),
+        warmup_ms_left: u64::from(record.warming_up),
+    }
+}
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -1,8 +1,6 @@
 //! Applies the engine list and the loaded models that other nodes send.
 
-use hgw_direct::{
-    CachedWeights, EngineInfo, EngineRecord, EngineState, Engines, ListUpdate, ListUpdateKind,
-};
+use hgw_direct::{ListUpdate, ListUpdateKind};
 
 use crate::shared::{ListSource, Node};
 
@@ -22,53 +20,16 @@
     let has_changed = update.kind == ListUpdateKind::Full
         || !update.engines.is_empty()
         || !update.removed.is_empty();
-    let engines = &mut state.engines;
-    engines.set_backup_end(update.backup_end);
-    let entries: Vec<EngineInfo> =
-        update.engines.into_iter().map(|record| to_engine_info(engines, record)).collect();
-    if update.kind == ListUpdateKind::Full {
-        engines.apply_snapshot(entries, update.version.position(), false);
-    } else {
-        for entry in entries {
-            engines.upsert(entry);
-        }
-        for (removed_id, at) in &update.removed {
-            engines.remove(removed_id, *at);
-        }
-    }
+    let version = update.version;
+    update.apply(&mut state.engines);
     drop(state);
     node.handle_restarts();
-    node.record_list_version(update.version, ListSource::Peer);
+    node.record_list_version(version, ListSource::Peer);
     if has_changed {
         node.update_available.notify_waiters();
     }
 }
 
-fn to_engine_info(engines: &Engines, record: EngineRecord) -> EngineInfo {
-    let known =
-        engines.get(&record.engine).filter(|e| !e.info.started_at.is_before(record.started_at));
-    let engine_state = match (record.leaving, record.unreadable) {
-        (_, true) => EngineState::Unreadable,
-        (true, false) => EngineState::Leaving { terminates_at: None },
-        (false, false) => EngineState::Ready,
-    };
-    EngineInfo {
-        id: record.engine,
-        position: record.position,
-        started_at: record.started_at,
-        service: record.service.into(),
-        addr: record.addr,
-        domain: record.domain,
-        slots: record.slots,
-        state: engine_state,
-        loaded: known
-            .filter(|e| e.placement_reported_at.is_some())
-            .map_or(record.loaded, |e| e.info.loaded.clone()),
-        cached: CachedWeights::default(),
-        warmup_ms_left: u64::from(record.warming_up),
-    }
-}
-
 pub(super) fn apply_placements(node: &Node, placements: Vec<EnginePlacement>) {
     if placements.is_empty() {
         return;
