--- a/crates/direct/tests/list_changes.rs
+++ b/crates/direct/tests/list_changes/main.rs
@@ -1,5 +1,7 @@
 //! The list of engines, as nodes distribute it to each other.
 
+mod nodes;
+#[path = "../support/mod.rs"]
 mod support;
 
 use hgw_direct::{
--- /dev/null
+++ b/crates/direct/tests/list_changes/nodes.rs
@@ -0,0 +1,226 @@
+//! Nodes that read the list of engines and tell each other, in any order of events.
+
+use hgw_direct::{
+    Cursor, EngineId, EngineInfo, EngineState, Engines, Era, ListChanges, ListUpdate, ListVersion,
+    StartTime,
+};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+use crate::support::engine_info;
+
+const NODES: usize = 3;
+const ENGINES: usize = 2;
+const LEAVING: EngineState = EngineState::Leaving { terminates_at: None };
+
+fn at(offset: usize) -> Cursor {
+    Cursor::new(Era::FIRST, offset as u64)
+}
+
+fn engine_id(engine: usize) -> EngineId {
+    EngineId(format!("e{engine}"))
+}
+
+/// A record of the store: an engine and what it wrote, none if its entry was removed.
+type StoreRecord = (usize, Option<(u64, EngineState)>);
+
+#[derive(Debug, Default)]
+struct Store {
+    log: Vec<StoreRecord>,
+    /// The current incarnation of each engine.
+    started_at: [u64; ENGINES],
+}
+
+impl Store {
+    fn write(&mut self, engine: usize, state: EngineState) {
+        self.log.push((engine, Some((self.started_at[engine], state))));
+    }
+
+    fn info(&self, position: usize) -> Option<EngineInfo> {
+        let (engine, entry) = self.log[position];
+        let (started_at, state) = entry?;
+        let info = engine_info(&engine_id(engine).0, "a", &["m"]);
+        let started_at = StartTime(Some(started_at));
+        Some(EngineInfo { position: at(position), started_at, state, ..info })
+    }
+
+    /// The newest record of each engine that has one.
+    fn newest(&self) -> Vec<EngineInfo> {
+        let newest = |engine| self.log.iter().rposition(|(written, _)| *written == engine);
+        (0..ENGINES).filter_map(newest).filter_map(|position| self.info(position)).collect()
+    }
+}
+
+#[derive(Debug, Default)]
+struct TestNode {
+    engines: Engines,
+    changes: ListChanges,
+    version: Option<ListVersion>,
+    /// Records of the store that it has read by itself since it last read the newest ones.
+    read: Option<usize>,
+    /// A response that has not arrived, and what its sender knew.
+    pending: Option<(ListUpdate, Vec<Fact>)>,
+}
+
+/// That an engine is not to be used any more.
+#[derive(Debug, Clone)]
+enum Fact {
+    Leaving(EngineId, StartTime),
+    Removed(EngineId, Cursor),
+}
+
+impl TestNode {
+    fn record(&mut self, version: ListVersion) {
+        self.version = self.version.max(Some(version));
+        self.changes.update(&self.engines, version.position());
+    }
+
+    fn read_newest(&mut self, store: &Store) {
+        let end = at(store.log.len());
+        self.engines.apply_snapshot(store.newest(), end, false);
+        self.read = Some(store.log.len());
+        self.record(ListVersion::at_position(end));
+    }
+
+    fn read_on(&mut self, store: &Store) {
+        let Some(read) = self.read else { return self.read_newest(store) };
+        for position in read..store.log.len() {
+            match store.info(position) {
+                Some(info) => self.engines.upsert(info),
+                None => self.engines.remove(&engine_id(store.log[position].0), at(position)),
+            }
+        }
+        self.read = Some(store.log.len());
+        self.record(ListVersion::at_position(at(store.log.len())));
+    }
+
+    /// An engine with another id answers at the engine's address.
+    fn find_other_engine(&mut self, engine: usize) {
+        let id = engine_id(engine);
+        let Some(position) = self.engines.get(&id).map(|e| e.info.position) else { return };
+        self.engines.remove(&id, position);
+        let Some(version) = self.version else { return };
+        self.record(version);
+    }
+
+    fn respond_to(&self, poller: &TestNode) -> (ListUpdate, Vec<Fact>) {
+        let version = poller.version.unwrap_or_default();
+        (self.changes.changes_since(&self.engines, Some(version)), self.facts())
+    }
+
+    fn facts(&self) -> Vec<Fact> {
+        let mut facts = Vec::new();
+        for id in (0..ENGINES).map(engine_id) {
+            match (self.engines.get(&id), self.engines.removed_at(&id)) {
+                (Some(engine), _) if engine.info.state == LEAVING => {
+                    facts.push(Fact::Leaving(id, engine.info.started_at));
+                }
+                (None, Some(position)) => facts.push(Fact::Removed(id, position)),
+                _ => {}
+            }
+        }
+        facts
+    }
+
+    /// Whether the node may send requests to an engine that is not to be used any more.
+    fn contradicts(&self, fact: &Fact) -> bool {
+        match fact {
+            Fact::Leaving(id, started_at) => self.engines.get(id).is_some_and(|engine| {
+                engine.accepts_requests() && engine.info.started_at <= *started_at
+            }),
+            Fact::Removed(id, position) => self.engines.get(id).is_some_and(|engine| {
+                engine.accepts_requests() && engine.info.position <= *position
+            }),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Op {
+    Heartbeat(usize),
+    Leave(usize),
+    Remove(usize),
+    RestartEngine(usize),
+    ReadNewest(usize),
+    ReadOn(usize),
+    FindOther(usize, usize),
+    Poll(usize, usize),
+    Deliver(usize),
+    RestartNode(usize),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let (node, engine) = (0..NODES, 0..ENGINES);
+    prop_oneof![
+        2 => engine.clone().prop_map(Op::Heartbeat),
+        2 => engine.clone().prop_map(Op::Leave),
+        2 => engine.clone().prop_map(Op::Remove),
+        1 => engine.clone().prop_map(Op::RestartEngine),
+        2 => node.clone().prop_map(Op::ReadNewest),
+        3 => node.clone().prop_map(Op::ReadOn),
+        1 => (node.clone(), engine).prop_map(|(n, e)| Op::FindOther(n, e)),
+        4 => (node.clone(), node.clone()).prop_map(|(n, other)| Op::Poll(n, other)),
+        4 => node.clone().prop_map(Op::Deliver),
+        1 => node.prop_map(Op::RestartNode),
+    ]
+}
+
+#[derive(Debug)]
+struct Nodes {
+    store: Store,
+    nodes: Vec<TestNode>,
+}
+
+impl Default for Nodes {
+    fn default() -> Self {
+        let nodes = (0..NODES).map(|_| TestNode::default()).collect();
+        Nodes { store: Store::default(), nodes }
+    }
+}
+
+impl Nodes {
+    /// Returns a departure that a responding node knew of and the node that got its response does not.
+    fn play(&mut self, op: Op) -> Option<Fact> {
+        let Nodes { store, nodes } = self;
+        match op {
+            Op::Heartbeat(engine) => store.write(engine, EngineState::Ready),
+            Op::Leave(engine) => store.write(engine, LEAVING),
+            Op::Remove(engine) => store.log.push((engine, None)),
+            Op::RestartEngine(engine) => {
+                store.started_at[engine] += 1;
+                store.write(engine, EngineState::Ready);
+            }
+            Op::ReadNewest(node) => nodes[node].read_newest(store),
+            Op::ReadOn(node) => nodes[node].read_on(store),
+            Op::FindOther(node, engine) => nodes[node].find_other_engine(engine),
+            Op::Poll(node, other) if node != other && nodes[other].version.is_some() => {
+                nodes[node].pending = Some(nodes[other].respond_to(&nodes[node]));
+            }
+            Op::Poll(..) => {}
+            Op::Deliver(node) => {
+                let (update, facts) = nodes[node].pending.take()?;
+                let version = update.version;
+                update.apply(&mut nodes[node].engines);
+                nodes[node].record(version);
+                return facts.into_iter().find(|fact| nodes[node].contradicts(fact));
+            }
+            Op::RestartNode(node) => nodes[node] = TestNode::default(),
+        }
+        None
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    /// Guards against a node that alone uses an engine which has left: once it has applied a response,
+    /// it knows of every departure that the responding node knew of.
+    #[test]
+    fn departures_reach_every_node_that_polls(ops in vec(op(), 1..40)) {
+        let mut nodes = Nodes::default();
+        for op in ops {
+            let ignored = nodes.play(op);
+            prop_assert!(ignored.is_none(), "{:?} was told in vain", ignored);
+        }
+    }
+}
