Compare counts of list changes only with those of the same process

Cause: the second part of a list's version counts what a node learned without reading on. Each node counts for itself, and a node that follows first one node and then another compared the first one's count with the second's. A departure that the second had learned without reading on (another engine answers at the address) was passed over for good, at this node alone. Change: a poll also says up to which of the responder's own changes the sender has applied; a count of another process means nothing, and everything that was learned at the same position is sent again. Test: nodes::counts_of_different_nodes_are_not_compared, failed before. Nodes of the version before do not send the field and are answered by position.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod aggregation;
 mod catalog;
+mod change_position;
 mod choice;
 mod cursor;
 mod customer;
@@ -30,6 +31,7 @@
     CallerLimits, Catalog, Model, ModelPool, Route, RouteKind, RouteMatch, Service, ServiceId,
     Target,
 };
+pub use change_position::ChangePosition;
 pub use choice::{Choice, ChoiceParams, CostWeights, NoEngine, choose_engine};
 pub use cursor::{Cursor, Era, InvalidEra, KnownEra};
 pub use customer::{
--- a/crates/direct/src/list_changes.rs
+++ b/crates/direct/src/list_changes.rs
@@ -7,14 +7,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    CachedWeights, Cursor, Engine, EngineId, EngineInfo, EngineState, Engines, LoadedModel,
-    StartTime,
+    CachedWeights, ChangePosition, Cursor, Engine, EngineId, EngineInfo, EngineState, Engines,
+    LoadedModel, StartTime,
 };
 
 /// Version of a list of engines: the position in the store's log up to which it was read, and the
 /// number of changes that were learned at that position without reading on.
 ///
-/// A list that was read further is newer, whatever was learned at earlier positions.
+/// A list that was read further is newer, whatever was learned at earlier positions. Each node counts
+/// its own changes, so counts of different nodes are not compared.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ListVersion(Cursor, u32);
 
@@ -85,6 +86,9 @@
     /// Version of the list with this update.
     #[serde(rename = "place")]
     pub version: ListVersion,
+    /// Position in the sender's changes with this update.
+    #[serde(default, rename = "heard")]
+    pub seen: ChangePosition,
     /// Position at which the backup ends that the store was restored from, as far as the sender
     /// knows.
     #[serde(rename = "copy_end")]
@@ -136,15 +140,29 @@
 /// that has read further.
 #[derive(Debug, Default)]
 pub struct ListChanges {
+    process_id: u64,
+    /// Number of times that the list has changed.
+    changes: u64,
     /// Version from which on all changes are known.
     first_version: Option<ListVersion>,
+    /// Number of changes whose removed engines are no longer known.
+    forgotten_changes: u64,
     /// Version of the list.
     version: ListVersion,
     /// Version of the latest change.
     changed_at: ListVersion,
-    /// Version of the latest change by engine.
-    entries: IndexMap<EngineId, (ListVersion, Fingerprint)>,
-    removed: Vec<(ListVersion, EngineId)>,
+    /// The latest change of each engine.
+    entries: IndexMap<EngineId, (Change, Fingerprint)>,
+    removed: Vec<(Change, EngineId)>,
+}
+
+/// When an engine changed.
+#[derive(Debug, Clone, Copy)]
+struct Change {
+    /// Version of the list with the change.
+    version: ListVersion,
+    /// Number of changes up to this one.
+    number: u64,
 }
 
 /// The parts of an entry whose changes are distributed.
@@ -189,6 +207,11 @@
 }
 
 impl ListChanges {
+    /// The history of a process with this identifier, which is not 0.
+    pub fn new(process_id: u64) -> ListChanges {
+        ListChanges { process_id, ..ListChanges::default() }
+    }
+
     /// Compares the list, read up to `cursor`, with the known one. Returns the changes of state;
     /// none for the first list.
     pub fn update(&mut self, engines: &Engines, cursor: Cursor) -> Vec<EngineStateChange> {
@@ -219,19 +242,23 @@
         self.first_version.get_or_insert(self.version);
         if has_changes {
             self.changed_at = self.version;
+            self.changes += 1;
         }
+        let change = Change { version: self.version, number: self.changes };
         for (id, fingerprint) in changed {
             self.removed.retain(|(_, other)| *other != id);
-            self.entries.insert(id, (self.version, fingerprint));
+            self.entries.insert(id, (change, fingerprint));
         }
         for id in removed {
             changes.push(EngineStateChange { engine: id.clone(), state: None });
             self.entries.shift_remove(&id);
-            self.removed.push((self.version, id));
+            self.removed.push((change, id));
         }
-        if self.removed.len() > MAX_REMOVED {
-            let dropped = self.removed.drain(..MAX_REMOVED / 2).next_back();
-            self.first_version = dropped.map(|(at, _)| at).or(self.first_version);
+        if self.removed.len() > MAX_REMOVED
+            && let Some((dropped, _)) = self.removed.drain(..MAX_REMOVED / 2).next_back()
+        {
+            self.first_version = Some(dropped.version);
+            self.forgotten_changes = dropped.number;
         }
         changes
     }
@@ -240,22 +267,44 @@
         self.changed_at
     }
 
-    /// Whether a node with this version needs no update.
-    pub fn is_up_to_date(&self, version: Option<ListVersion>) -> bool {
+    /// Number of changes that the receiver of the update at this position has, unless it was another
+    /// process that sent it.
+    fn seen_changes(&self, seen: ChangePosition) -> Option<u64> {
+        seen.in_changes_of(self.process_id).filter(|seen| *seen >= self.forgotten_changes)
+    }
+
+    /// Whether a node with this version, which has last applied the update at `seen`, needs no
+    /// update.
+    pub fn is_up_to_date(&self, version: Option<ListVersion>, seen: ChangePosition) -> bool {
+        if let Some(seen) = self.seen_changes(seen) {
+            return seen >= self.changes;
+        }
+        if self.first_version.is_some() && seen != ChangePosition::default() {
+            // It has followed another node, which may not have known all that this one knows.
+            return false;
+        }
         let is_known = |version| self.first_version.is_some_and(|first| version >= first);
         self.first_version.is_none()
             || version.is_none_or(|version| is_known(version) && self.changed_at <= version)
     }
 
-    /// The update for a node with this version; empty for a node without a list.
-    pub fn changes_since(&self, engines: &Engines, version: Option<ListVersion>) -> ListUpdate {
+    /// The update for a node with this version, which has last applied the update at `seen`; empty
+    /// for a node without a list.
+    pub fn changes_since(
+        &self,
+        engines: &Engines,
+        version: Option<ListVersion>,
+        seen: ChangePosition,
+    ) -> ListUpdate {
         if self.first_version.is_none() {
             return ListUpdate { kind: ListUpdateKind::Unknown, ..ListUpdate::default() };
         }
         let Some(version) = version else {
             return ListUpdate { version: self.version, ..ListUpdate::default() };
         };
-        let is_known = self.first_version.is_some_and(|first| version >= first);
+        let seen = self.seen_changes(seen);
+        let is_known = seen.is_some()
+            || self.first_version.is_some_and(|first| version.position() >= first.position());
         let kind = match is_known {
             true => ListUpdateKind::Changes,
             false if self.entries.len() <= MAX_FULL_LIST => ListUpdateKind::Full,
@@ -263,16 +312,25 @@
                 return ListUpdate { kind: ListUpdateKind::RereadStore, ..ListUpdate::default() };
             }
         };
-        let changed = self
-            .entries
-            .iter()
-            .filter(|(_, (at, _))| kind == ListUpdateKind::Full || *at > version);
+        let is_new = |change: &Change| match seen {
+            Some(seen) => change.number > seen,
+            None => change.version > ListVersion::at_position(version.position()),
+        };
+        let is_full = kind == ListUpdateKind::Full;
+        let changed = self.entries.iter().filter(|(_, (change, _))| is_full || is_new(change));
         let records = changed.filter_map(|(id, _)| engines.get(id).map(engine_record)).collect();
-        let removed = self.removed.iter().filter(|(at, _)| *at > version);
-        let removed =
-            removed.map(|(at, id)| (id.clone(), engines.removed_at(id).unwrap_or(at.position())));
-        let (removed, backup_end) = (removed.collect(), engines.backup_end());
-        ListUpdate { version: self.version, backup_end, kind, engines: records, removed }
+        let removed = self.removed.iter().filter(|(change, _)| is_new(change));
+        let removed = removed.map(|(change, id)| {
+            (id.clone(), engines.removed_at(id).unwrap_or(change.version.position()))
+        });
+        ListUpdate {
+            version: self.version,
+            seen: ChangePosition::new(self.process_id, self.changes),
+            backup_end: engines.backup_end(),
+            kind,
+            engines: records,
+            removed: removed.collect(),
+        }
     }
 }
 
--- a/crates/direct/tests/list_changes/main.rs
+++ b/crates/direct/tests/list_changes/main.rs
@@ -5,8 +5,8 @@
 mod support;
 
 use hgw_direct::{
-    Cursor, EngineInfo, EngineState, Engines, Era, ListChanges, ListUpdateKind, ListVersion,
-    StartTime, polls_store,
+    ChangePosition, Cursor, EngineInfo, EngineState, Engines, Era, ListChanges, ListUpdateKind,
+    ListVersion, StartTime, polls_store,
 };
 use support::{engine_info, engines};
 
@@ -18,6 +18,9 @@
     ListVersion::at_position(at(offset))
 }
 
+/// Position of a node that no other node has sent an update.
+const UNSEEN: ChangePosition = ChangePosition::new(0, 0);
+
 fn many_engines(count: usize) -> Engines {
     let mut engines = Engines::default();
     for number in 0..count {
@@ -32,18 +35,18 @@
     let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"]), ("e3", "a", &["m"])]);
     let mut changes_log = ListChanges::default();
     changes_log.update(&engines, at(100));
-    assert!(changes_log.is_up_to_date(Some(version(100))));
+    assert!(changes_log.is_up_to_date(Some(version(100)), UNSEEN));
     engines.get_mut(&"e1".into()).unwrap().info.state =
         EngineState::Leaving { terminates_at: None };
     engines.remove(&"e2".into(), Cursor::default());
     changes_log.update(&engines, at(140));
-    let update = changes_log.changes_since(&engines, Some(version(120)));
+    let update = changes_log.changes_since(&engines, Some(version(120)), UNSEEN);
     assert_eq!((update.kind, update.version), (ListUpdateKind::Changes, version(140)));
     assert!(update.engines.iter().map(|e| e.engine.0.as_str()).eq(["e1"]), "{update:?}");
     assert!(update.engines[0].leaving && update.removed == [("e2".into(), at(0))], "{update:?}");
-    assert!(changes_log.is_up_to_date(Some(version(140))));
+    assert!(changes_log.is_up_to_date(Some(version(140)), UNSEEN));
     assert!(
-        changes_log.changes_since(&engines, Some(version(150))).engines.is_empty(),
+        changes_log.changes_since(&engines, Some(version(150)), UNSEEN).engines.is_empty(),
         "the other node has read further"
     );
 }
@@ -57,7 +60,7 @@
     engines.remove(&"e1".into(), Cursor::default());
     changes_log.update(&engines, at(100));
     assert_eq!(
-        changes_log.changes_since(&engines, Some(version(100))).removed,
+        changes_log.changes_since(&engines, Some(version(100)), UNSEEN).removed,
         [("e1".into(), at(0))]
     );
 }
@@ -68,11 +71,11 @@
     for (engines, kind) in [(&short, ListUpdateKind::Full), (&long, ListUpdateKind::RereadStore)] {
         let mut changes_log = ListChanges::default();
         changes_log.update(engines, at(100));
-        let update = changes_log.changes_since(engines, Some(version(50)));
+        let update = changes_log.changes_since(engines, Some(version(50)), UNSEEN);
         assert_eq!(update.kind, kind);
         assert_eq!(update.engines.len(), if kind == ListUpdateKind::Full { 13 } else { 0 });
     }
-    assert_eq!(ListChanges::default().changes_since(&short, None).engines, []);
+    assert_eq!(ListChanges::default().changes_since(&short, None, UNSEEN).engines, []);
 }
 
 /// Guards against overloading the store when all nodes read a long list.
@@ -116,7 +119,7 @@
     changes_log.update(&engines, at(110));
     engines.upsert(EngineInfo { position: at(115), ..engine_info("e1", "a", &["m"]) });
     changes_log.update(&engines, at(120));
-    let update = changes_log.changes_since(&engines, Some(version(100)));
+    let update = changes_log.changes_since(&engines, Some(version(100)), UNSEEN);
     assert!(update.engines.iter().map(|e| e.engine.0.as_str()).eq(["e1"]), "{update:?}");
     assert_eq!(update.removed, []);
 }
@@ -131,14 +134,14 @@
     let mut found = engines.clone();
     found.observe_start(&"e2".into(), StartTime(Some(200)));
     first.update(&found, at(100));
-    let reported = first.changes_since(&found, Some(version(100))).version;
+    let reported = first.changes_since(&found, Some(version(100)), UNSEEN).version;
     engines.upsert(EngineInfo {
         position: at(100),
         state: EngineState::Leaving { terminates_at: None },
         ..engine_info("e1", "a", &["m"])
     });
     second.update(&engines, at(101));
-    let update = second.changes_since(&engines, Some(reported));
+    let update = second.changes_since(&engines, Some(reported), UNSEEN);
     assert!(update.engines.iter().any(|e| e.engine == "e1".into() && e.leaving), "{update:?}");
 }
 
@@ -157,8 +160,8 @@
             ..engine_info("e1", "a", &["m"])
         });
         changes_log.update(&engines, later(end + 1));
-        let update = changes_log.changes_since(&engines, Some(version(100)));
+        let update = changes_log.changes_since(&engines, Some(version(100)), UNSEEN);
         assert!(update.engines.iter().any(|e| e.engine == "e1".into() && e.leaving), "{update:?}");
-        assert!(changes_log.is_up_to_date(Some(ListVersion::at_position(later(end + 1)))));
+        assert!(changes_log.is_up_to_date(Some(ListVersion::at_position(later(end + 1))), UNSEEN));
     }
 }
--- a/crates/direct/tests/list_changes/nodes.rs
+++ b/crates/direct/tests/list_changes/nodes.rs
@@ -1,8 +1,8 @@
 //! Nodes that read the list of engines and tell each other, in any order of events.
 
 use hgw_direct::{
-    Cursor, EngineId, EngineInfo, EngineState, Engines, Era, ListChanges, ListUpdate, ListVersion,
-    StartTime,
+    ChangePosition, Cursor, EngineId, EngineInfo, EngineState, Engines, Era, ListChanges,
+    ListUpdate, ListVersion, StartTime,
 };
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -56,6 +56,8 @@
     engines: Engines,
     changes: ListChanges,
     version: Option<ListVersion>,
+    /// Position in the changes of the node that sent the last update.
+    seen: ChangePosition,
     /// Records of the store that it has read by itself since it last read the newest ones.
     read: Option<usize>,
     /// A response that has not arrived, and what its sender knew.
@@ -70,6 +72,10 @@
 }
 
 impl TestNode {
+    fn start(process_id: u64) -> TestNode {
+        TestNode { changes: ListChanges::new(process_id), ..TestNode::default() }
+    }
+
     fn record(&mut self, version: ListVersion) {
         self.version = self.version.max(Some(version));
         self.changes.update(&self.engines, version.position());
@@ -105,7 +111,7 @@
 
     fn respond_to(&self, poller: &TestNode) -> (ListUpdate, Vec<Fact>) {
         let version = poller.version.unwrap_or_default();
-        (self.changes.changes_since(&self.engines, Some(version)), self.facts())
+        (self.changes.changes_since(&self.engines, Some(version), poller.seen), self.facts())
     }
 
     fn facts(&self) -> Vec<Fact> {
@@ -169,19 +175,21 @@
 struct Nodes {
     store: Store,
     nodes: Vec<TestNode>,
+    /// Processes that have been started.
+    started: u64,
 }
 
 impl Default for Nodes {
     fn default() -> Self {
-        let nodes = (0..NODES).map(|_| TestNode::default()).collect();
-        Nodes { store: Store::default(), nodes }
+        let nodes = (1..=NODES as u64).map(TestNode::start).collect();
+        Nodes { store: Store::default(), nodes, started: NODES as u64 }
     }
 }
 
 impl Nodes {
     /// Returns a departure that a responding node knew of and the node that got its response does not.
     fn play(&mut self, op: Op) -> Option<Fact> {
-        let Nodes { store, nodes } = self;
+        let Nodes { store, nodes, started } = self;
         match op {
             Op::Heartbeat(engine) => store.write(engine, EngineState::Ready),
             Op::Leave(engine) => store.write(engine, LEAVING),
@@ -204,12 +212,40 @@
                 nodes[node].record(version);
                 return facts.into_iter().find(|fact| nodes[node].contradicts(fact));
             }
-            Op::RestartNode(node) => nodes[node] = TestNode::default(),
+            Op::RestartNode(node) => {
+                *started += 1;
+                nodes[node] = TestNode::start(*started);
+            }
         }
         None
     }
 }
 
+fn play_all(ops: &[Op]) -> Option<Fact> {
+    let mut nodes = Nodes::default();
+    ops.iter().find_map(|op| nodes.play(op.clone()))
+}
+
+/// Guards against a node that alone uses an engine which has left: two nodes count the changes that
+/// they learned without reading on, and one node follows the first and then the second.
+#[test]
+fn counts_of_different_nodes_are_not_compared() {
+    let ops = [
+        Op::Heartbeat(0),
+        Op::Heartbeat(1),
+        Op::ReadNewest(0),
+        Op::ReadNewest(1),
+        Op::ReadNewest(2),
+        Op::FindOther(1, 0),
+        Op::FindOther(2, 1),
+        Op::Poll(0, 1),
+        Op::Deliver(0),
+        Op::Poll(0, 2),
+        Op::Deliver(0),
+    ];
+    assert!(play_all(&ops).is_none());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -1,6 +1,6 @@
 //! Applies the engine list and the loaded models that other nodes send.
 
-use hgw_direct::{ListUpdate, ListUpdateKind};
+use hgw_direct::{ChangePosition, ListUpdate, ListUpdateKind};
 
 use crate::shared::{ListSource, Node};
 
@@ -14,6 +14,7 @@
     }
     if update.kind == ListUpdateKind::RereadStore {
         state.list_version = None;
+        state.list_seen = ChangePosition::default();
         node.must_read_list.set(true);
         return;
     }
@@ -21,6 +22,7 @@
         || !update.engines.is_empty()
         || !update.removed.is_empty();
     let version = update.version;
+    state.list_seen = update.seen;
     update.apply(&mut state.engines);
     drop(state);
     node.handle_restarts();
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,15 +4,13 @@
 
 use hgw_direct::hubs::Member;
 use hgw_direct::{
-    Cursor, DemandSnapshot, EngineId, Era, ListUpdate, ListVersion, LoadedModel, ModelRef,
-    StartTime,
+    ChangePosition, Cursor, DemandSnapshot, EngineId, Era, ListUpdate, ListVersion, LoadedModel,
+    ModelRef, StartTime,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::election::LeaderInfo;
 
-use super::placements::ChangePosition;
-
 /// Models loaded on an engine, as the leader knows them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct EnginePlacement {
@@ -48,6 +46,9 @@
     /// Position of the sender's engine list; the default without a list.
     #[serde(rename = "list")]
     pub(crate) list_version: ListVersion,
+    /// Position in the receiver's changes of the engine list.
+    #[serde(default, rename = "list_heard")]
+    pub(crate) list_seen: ChangePosition,
     /// Era of the store and its least age in milliseconds; none in the first era.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) era: Option<(Era, u64)>,
--- a/crates/gateway/src/peers/placements.rs
+++ b/crates/gateway/src/peers/placements.rs
@@ -1,18 +1,12 @@
 //! Changes of the models loaded on engines, in order, for the nodes that poll this one.
 
-use hgw_direct::EngineId;
+use hgw_direct::{ChangePosition, EngineId};
 use indexmap::IndexMap;
 use rand::random;
-use serde::{Deserialize, Serialize};
 
 /// Maximum number of engines in one response, about 60 KB.
 const MAX_ENGINES_PER_RESPONSE: usize = 256;
 
-/// Position in a node's changes: an identifier of the process, so that a restarted node is not
-/// confused with its predecessor, and a version.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ChangePosition(u64, u64);
-
 /// Version of the last change of each engine.
 #[derive(Debug)]
 pub(crate) struct PlacementChanges {
@@ -39,7 +33,8 @@
 
     /// Whether there is no change after `position`.
     pub(crate) fn is_up_to_date(&self, position: ChangePosition) -> bool {
-        position.0 == self.process_id && position.1 >= self.version || self.versions.is_empty()
+        let seen = position.in_changes_of(self.process_id);
+        seen.is_some_and(|seen| seen >= self.version) || self.versions.is_empty()
     }
 
     /// Engines that changed after `position`, the earliest first, and the new position. Later polls
@@ -48,7 +43,7 @@
         &self,
         position: ChangePosition,
     ) -> (ChangePosition, Vec<EngineId>) {
-        let since = if position.0 == self.process_id { position.1 } else { 0 };
+        let since = position.in_changes_of(self.process_id).unwrap_or(0);
         let changed = self.versions.iter().filter(|(_, version)| **version > since);
         let mut changed: Vec<(u64, &EngineId)> =
             changed.map(|(id, version)| (*version, id)).collect();
@@ -57,7 +52,7 @@
             changed.get(MAX_ENGINES_PER_RESPONSE - 1).map_or(self.version, |(version, _)| *version);
         changed.truncate(MAX_ENGINES_PER_RESPONSE);
         (
-            ChangePosition(self.process_id, version),
+            ChangePosition::new(self.process_id, version),
             changed.into_iter().map(|(_, id)| id.clone()).collect(),
         )
     }
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hgw_direct::hubs::{Parent, SkipReason, digest, poll_interval_factor};
-use hgw_direct::{Millis, ModelRef};
+use hgw_direct::{ChangePosition, Millis, ModelRef};
 use hgw_events::{Event, emit};
 use indexmap::IndexMap;
 use tokio::time::sleep;
@@ -18,7 +18,6 @@
 use super::list::{apply_list_update, apply_placements};
 use super::loads::{apply_loads, loads_since};
 use super::message::{DemandCount, EarlierDemand, PollRequest, PollResponse};
-use super::placements::ChangePosition;
 use super::{CallError, MAX_POLL_WAIT, NO_LEADER_PAUSE, RESPONSE_TIMEOUT, try_call};
 
 /// Minimum pause between polls. Updates during a poll are returned at once.
@@ -112,12 +111,13 @@
         demand: Vec<DemandCount>,
         earlier_demand: Option<EarlierDemand>,
     ) -> PollRequest {
-        let (catalog_version, list) = {
+        let (catalog_version, list_version, list_seen) = {
             let state = node.state.borrow();
             // Version 0 requests the complete configuration.
             (
                 state.catalog.as_ref().map_or(0, |c| c.version),
                 state.list_version.unwrap_or_default(),
+                state.list_seen,
             )
         };
         let settings = node.settings.borrow();
@@ -125,7 +125,8 @@
             from: settings.peer_addr,
             domain: settings.domain.clone(),
             placements_seen: self.placements_seen,
-            list_version: list,
+            list_version,
+            list_seen,
             era: eras::to_report(node),
             catalog_version,
             loads: loads_since(node, self.loads_reported_at, None),
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -29,8 +29,11 @@
     let placements = changed.iter().filter_map(|id| leader::placement_of(node, id)).collect();
     let (list_update, catalog, nodes) = {
         let state = node.state.borrow();
-        let list_update =
-            state.list_changes.changes_since(&state.engines, Some(request.list_version));
+        let list_update = state.list_changes.changes_since(
+            &state.engines,
+            Some(request.list_version),
+            request.list_seen,
+        );
         (list_update, catalog_version(node), state.nodes)
     };
     PollResponse {
@@ -55,8 +58,10 @@
 }
 
 fn is_up_to_date(node: &Node, request: &PollRequest) -> bool {
-    let list_is_current =
-        node.state.borrow().list_changes.is_up_to_date(Some(request.list_version));
+    let list_is_current = {
+        let list_changes = &node.state.borrow().list_changes;
+        list_changes.is_up_to_date(Some(request.list_version), request.list_seen)
+    };
     let placements_are_current =
         node.placement_changes.borrow().is_up_to_date(request.placements_seen);
     list_is_current && placements_are_current && catalog_version(node) <= request.catalog_version
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,8 +10,8 @@
 use hgw_direct::hubs::{Hubs, Member, Parent, poll_interval_factor};
 use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{
-    AttemptOutcome, Engine, EngineId, KnownEra, ListVersion, Millis, RetryBudgetLimits,
-    is_isolated, polls_store,
+    AttemptOutcome, Engine, EngineId, KnownEra, ListChanges, ListVersion, Millis,
+    RetryBudgetLimits, is_isolated, polls_store,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnTimeouts;
@@ -124,7 +124,11 @@
             protocols,
             clock: Clock::start(),
             pool: Pool::default(),
-            state: RefCell::new(State { nodes: 1, ..State::default() }),
+            state: RefCell::new(State {
+                nodes: 1,
+                list_changes: ListChanges::new(random()),
+                ..State::default()
+            }),
             leadership: RefCell::default(),
             leader_state: RefCell::default(),
             shutdown: Shutdown::default(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use hgw_direct::{
-    Catalog, Demand, Engines, ListChanges, ListVersion, Millis, ModelRef, RetryBudget, ServiceId,
+    Catalog, ChangePosition, Demand, Engines, ListChanges, ListVersion, Millis, ModelRef,
+    RetryBudget, ServiceId,
 };
 use indexmap::IndexMap;
 
@@ -21,6 +22,8 @@
     pub(crate) engines: Engines,
     /// Position up to which the engine list is known.
     pub(crate) list_version: Option<ListVersion>,
+    /// Position in the changes of the node that sent the last update of the engine list.
+    pub(crate) list_seen: ChangePosition,
     /// Changes in the engine list, for other nodes.
     pub(crate) list_changes: ListChanges,
     pub(crate) budgets: IndexMap<ServiceId, RetryBudget>,
