Tell a node that followed another one of every departure

Cause of this case: a node that reads the store's newest entries may see a heartbeat that was written after the engine had said that it leaves. Only nodes that read the earlier entry know better; they answered by position, and their change lay before the position of the other node, which was never told. Change: a node that has not followed the responder gets all departures that the responder knows, besides what changed since its version. Test: nodes::departure_that_the_store_no_longer_shows_is_told, failed before.

--- a/crates/direct/src/list_changes.rs
+++ b/crates/direct/src/list_changes.rs
@@ -312,14 +312,19 @@
                 return ListUpdate { kind: ListUpdateKind::RereadStore, ..ListUpdate::default() };
             }
         };
-        let is_new = |change: &Change| match seen {
+        // The store's newest entries may not show that an engine has left, so a node that has read
+        // further need not know it.
+        let is_new = |change: &Change, has_left: bool| match seen {
             Some(seen) => change.number > seen,
-            None => change.version > ListVersion::at_position(version.position()),
+            None => has_left || change.version > ListVersion::at_position(version.position()),
         };
         let is_full = kind == ListUpdateKind::Full;
-        let changed = self.entries.iter().filter(|(_, (change, _))| is_full || is_new(change));
+        let changed = self
+            .entries
+            .iter()
+            .filter(|(_, (change, last))| is_full || is_new(change, last.is_leaving));
         let records = changed.filter_map(|(id, _)| engines.get(id).map(engine_record)).collect();
-        let removed = self.removed.iter().filter(|(change, _)| is_new(change));
+        let removed = self.removed.iter().filter(|(change, _)| is_new(change, true));
         let removed = removed.map(|(change, id)| {
             (id.clone(), engines.removed_at(id).unwrap_or(change.version.position()))
         });
--- a/crates/direct/tests/list_changes/nodes.rs
+++ b/crates/direct/tests/list_changes/nodes.rs
@@ -226,6 +226,21 @@
     ops.iter().find_map(|op| nodes.play(op.clone()))
 }
 
+/// Guards against a node that alone uses an engine which has left: a heartbeat that is written late
+/// hides the departure from a node that reads only the newest entries.
+#[test]
+fn departure_that_the_store_no_longer_shows_is_told() {
+    let ops = [
+        Op::Leave(1),
+        Op::ReadNewest(2),
+        Op::Heartbeat(1),
+        Op::ReadNewest(0),
+        Op::Poll(0, 2),
+        Op::Deliver(0),
+    ];
+    assert!(play_all(&ops).is_none());
+}
+
 /// Guards against a node that alone uses an engine which has left: two nodes count the changes that
 /// they learned without reading on, and one node follows the first and then the second.
 #[test]
