Tell engines that were listed and removed between two reads as removed

Cause: the history of the list found removals by comparing with the engines that it had seen. An engine whose first entry and removal were read at once was never in it, so a node that had read the first entry by itself was not told of the removal, and used the engine alone. Change: the history takes removals from the list itself, with their positions, and forgets those that the list forgets.

--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -21,6 +21,8 @@
     by_key: IndexMap<EngineKey, EngineId>,
     /// Removed engines.
     removed: IndexMap<EngineId, Removed>,
+    /// Number of removals.
+    removals: u64,
     /// Position at which the backup ends that the store was restored from.
     backup_end: Cursor,
     /// Addresses of engines that have restarted.
@@ -142,6 +144,16 @@
         }
     }
 
+    /// Removed engines that are remembered, and the positions of their removals.
+    pub fn removed(&self) -> impl Iterator<Item = (&EngineId, Cursor)> {
+        self.removed.iter().map(|(id, removed)| (id, removed.position))
+    }
+
+    /// Number of removals so far.
+    pub fn removals(&self) -> u64 {
+        self.removals
+    }
+
     /// Position at which a removed engine was removed.
     pub fn removed_at(&self, id: &EngineId) -> Option<Cursor> {
         self.removed.get(id).map(|removed| removed.position)
@@ -207,6 +219,7 @@
             };
         }
         self.removed.insert(id.clone(), removed);
+        self.removals += 1;
         if self.removed.len() > MAX_REMOVED {
             self.removed.drain(..MAX_REMOVED / 2);
         }
--- a/crates/direct/src/list_changes.rs
+++ b/crates/direct/src/list_changes.rs
@@ -36,10 +36,6 @@
     }
 }
 
-/// Maximum number of removed engines that are remembered; a node that is further behind gets the
-/// complete list.
-const MAX_REMOVED: usize = 1_000;
-
 /// Maximum length of a list that is sent in full to a node that is behind. Longer lists take too
 /// much bandwidth, so that node reads it from the store.
 const MAX_FULL_LIST: usize = 400;
@@ -153,7 +149,10 @@
     changed_at: ListVersion,
     /// The latest change of each engine.
     entries: IndexMap<EngineId, (Change, Fingerprint)>,
-    removed: Vec<(Change, EngineId)>,
+    /// Removed engines, with the positions of their removals.
+    removed: IndexMap<EngineId, (Change, Cursor)>,
+    /// Removals that have been recorded.
+    removals: u64,
 }
 
 /// When an engine changed.
@@ -229,9 +228,10 @@
                 changes.push(EngineStateChange { engine: id.clone(), state });
             }
         }
-        let removed: Vec<EngineId> =
+        let gone: Vec<EngineId> =
             self.entries.keys().filter(|id| engines.get(id).is_none()).cloned().collect();
-        let has_changes = !changed.is_empty() || !removed.is_empty();
+        let removed = self.new_removals(engines);
+        let has_changes = !changed.is_empty() || !gone.is_empty() || !removed.is_empty();
         let read_version = ListVersion::at_position(cursor);
         if read_version > self.version || self.first_version.is_none() {
             self.version = read_version;
@@ -246,23 +246,44 @@
         }
         let change = Change { version: self.version, number: self.changes };
         for (id, fingerprint) in changed {
-            self.removed.retain(|(_, other)| *other != id);
+            self.removed.shift_remove(&id);
             self.entries.insert(id, (change, fingerprint));
         }
-        for id in removed {
-            changes.push(EngineStateChange { engine: id.clone(), state: None });
+        for id in gone {
             self.entries.shift_remove(&id);
-            self.removed.push((change, id));
+            changes.push(EngineStateChange { engine: id, state: None });
         }
-        if self.removed.len() > MAX_REMOVED
-            && let Some((dropped, _)) = self.removed.drain(..MAX_REMOVED / 2).next_back()
-        {
-            self.first_version = Some(dropped.version);
-            self.forgotten_changes = dropped.number;
+        for (id, position) in removed {
+            self.removed.shift_remove(&id);
+            self.removed.insert(id, (change, position));
         }
+        self.drop_forgotten_removals(engines);
         changes
     }
 
+    /// Removals that have not been recorded. An engine may have been listed and removed since the
+    /// last update, and other nodes may have it.
+    fn new_removals(&mut self, engines: &Engines) -> Vec<(EngineId, Cursor)> {
+        if std::mem::replace(&mut self.removals, engines.removals()) == engines.removals() {
+            return Vec::new();
+        }
+        let recorded = |id: &EngineId| self.removed.get(id).map(|(_, position)| *position);
+        let new = engines.removed().filter(|(id, position)| recorded(id) != Some(*position));
+        new.map(|(id, position)| (id.clone(), position)).collect()
+    }
+
+    /// Drops removals that the list has forgotten; nodes that do not know them get the full list.
+    fn drop_forgotten_removals(&mut self, engines: &Engines) {
+        let is_forgotten = |id: &EngineId| engines.removed_at(id).is_none();
+        let forgotten = self.removed.iter().filter(|(id, _)| is_forgotten(id));
+        let Some(last) = forgotten.map(|(_, (change, _))| *change).max_by_key(|c| c.number) else {
+            return;
+        };
+        self.first_version = self.first_version.max(Some(last.version));
+        self.forgotten_changes = last.number;
+        self.removed.retain(|id, _| !is_forgotten(id));
+    }
+
     pub fn changed_at(&self) -> ListVersion {
         self.changed_at
     }
@@ -324,10 +345,8 @@
             .iter()
             .filter(|(_, (change, last))| is_full || is_new(change, last.is_leaving));
         let records = changed.filter_map(|(id, _)| engines.get(id).map(engine_record)).collect();
-        let removed = self.removed.iter().filter(|(change, _)| is_new(change, true));
-        let removed = removed.map(|(change, id)| {
-            (id.clone(), engines.removed_at(id).unwrap_or(change.version.position()))
-        });
+        let removed = self.removed.iter().filter(|(_, (change, _))| is_new(change, true));
+        let removed = removed.map(|(id, (_, position))| (id.clone(), *position));
         ListUpdate {
             version: self.version,
             seen: ChangePosition::new(self.process_id, self.changes),
--- a/crates/direct/tests/list_changes/nodes.rs
+++ b/crates/direct/tests/list_changes/nodes.rs
@@ -261,6 +261,22 @@
     assert!(play_all(&ops).is_none());
 }
 
+/// Guards against a node that alone uses an engine which has left: the node that it polls has read the
+/// engine's first entry and its removal at once.
+#[test]
+fn engine_listed_and_removed_between_two_reads_is_told_as_removed() {
+    let ops = [
+        Op::ReadOn(2),
+        Op::Heartbeat(0),
+        Op::ReadOn(1),
+        Op::Remove(0),
+        Op::ReadOn(2),
+        Op::Poll(1, 2),
+        Op::Deliver(1),
+    ];
+    assert!(play_all(&ops).is_none());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
