Take no unknown engine from an entry older than the complete list

Change: a list knows up to which position it is complete. An earlier entry of an unknown engine belongs to an engine that was removed; a complete list that is as new is believed as before. Test: engines::entry_from_before_a_complete_list_brings_no_unknown_engine, failed before.

--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -23,6 +23,9 @@
     removed: IndexMap<EngineId, Removed>,
     /// Number of removals.
     removals: u64,
+    /// Position up to which the list is complete: an unknown engine with an earlier entry was
+    /// removed.
+    complete_to: Cursor,
     /// Position at which the backup ends that the store was restored from.
     backup_end: Cursor,
     /// Addresses of engines that have restarted.
@@ -114,7 +117,9 @@
     /// era only entries written in that era are newer: the backup may contain engines that have
     /// left since.
     fn is_outdated(&self, info: &EngineInfo) -> bool {
-        let Some(removed) = self.removed.get(&info.id) else { return false };
+        let Some(removed) = self.removed.get(&info.id) else {
+            return info.position < self.complete_to;
+        };
         if removed.started_at.is_before(info.started_at) {
             return false;
         }
@@ -237,8 +242,19 @@
                 self.remove(&id, end);
             }
         }
+        let complete_to = self.complete_to.max(end);
+        if end == complete_to {
+            // Nothing that is known is newer than this list.
+            self.complete_to = Cursor::default();
+        }
         for info in infos {
             self.upsert(info);
         }
+        self.complete_to = complete_to;
+    }
+
+    /// Records that all entries up to this position have been applied.
+    pub fn record_complete(&mut self, position: Cursor) {
+        self.complete_to = self.complete_to.max(position);
     }
 }
--- a/crates/direct/src/list_changes.rs
+++ b/crates/direct/src/list_changes.rs
@@ -127,6 +127,7 @@
         for (removed_id, at) in &self.removed {
             engines.remove(removed_id, *at);
         }
+        engines.record_complete(self.version.position());
     }
 }
 
--- a/crates/direct/tests/engines.rs
+++ b/crates/direct/tests/engines.rs
@@ -196,6 +196,24 @@
 }
 
 /// Guards against ignoring entries that were written after a restore.
+/// Guards against using an engine that was removed before the node had heard of it: its entry may arrive
+/// late, from a node that is behind.
+#[test]
+fn entry_from_before_a_complete_list_brings_no_unknown_engine() {
+    let ready = |offset| entry(at("0", offset), EngineState::Ready);
+    let mut engines = Engines::default();
+    engines.apply_snapshot(Vec::new(), at("0", 30), false);
+    engines.upsert(ready(20));
+    assert_eq!(state(&engines), None);
+    engines.apply_snapshot(vec![ready(20)], at("0", 25), false);
+    assert_eq!(state(&engines), None, "also in a list that was read earlier");
+    engines.record_complete(at("0", 40));
+    engines.upsert(ready(35));
+    assert_eq!(state(&engines), None);
+    engines.apply_snapshot(vec![ready(35)], at("0", 41), false);
+    assert_eq!(state(&engines), Some(EngineState::Ready), "a newer complete list is right");
+}
+
 #[test]
 fn earliest_backup_end_counts() {
     let mut engines = Engines::default();
--- a/crates/direct/tests/list_changes/nodes.rs
+++ b/crates/direct/tests/list_changes/nodes.rs
@@ -97,6 +97,7 @@
             }
         }
         self.read = Some(store.log.len());
+        self.engines.record_complete(at(store.log.len()));
         self.record(ListVersion::at_position(at(store.log.len())));
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -315,6 +315,8 @@
     }
     if update.is_full_list {
         state.engines.apply_snapshot(snapshot, update.cursor, keep_missing);
+    } else {
+        state.engines.record_complete(update.cursor);
     }
     drop(state);
     node.handle_restarts();
