Send the full list to a node that may know engines which the responder never read

Cause: a node that reads the store's newest entries skips a part of the log. An engine that was listed and removed there is unknown to it, and it answered a node whose list ends in that part with changes only. That node kept the engine, at a version beyond its removal. Change: the list remembers the latest range that it skipped; a node whose list ends inside gets the full list, and the history is known from the end of the range before. Tests: nodes::node_with_an_entry_that_the_responder_never_read_gets_the_full_list and the property test nodes::no_node_uses_an_engine_that_was_removed_before_its_version, both failed before.

--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -1,6 +1,7 @@
 //! All known engines.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -26,6 +27,8 @@
     /// Position up to which the list is complete: an unknown engine with an earlier entry was
     /// removed.
     complete_to: Cursor,
+    /// Range of the store's log that the latest complete list replaced unread.
+    unread: Range<Cursor>,
     /// Position at which the backup ends that the store was restored from.
     backup_end: Cursor,
     /// Addresses of engines that have restarted.
@@ -243,6 +246,9 @@
             }
         }
         let complete_to = self.complete_to.max(end);
+        if end > self.complete_to {
+            self.unread = self.complete_to..end;
+        }
         if end == complete_to {
             // Nothing that is known is newer than this list.
             self.complete_to = Cursor::default();
@@ -253,6 +259,12 @@
         self.complete_to = complete_to;
     }
 
+    /// Range of the store's log that was not read because a complete list replaced it. Engines that
+    /// were listed and removed in it are not known.
+    pub fn unread(&self) -> &Range<Cursor> {
+        &self.unread
+    }
+
     /// Records that all entries up to this position have been applied.
     pub fn record_complete(&mut self, position: Cursor) {
         self.complete_to = self.complete_to.max(position);
--- a/crates/direct/src/list_changes.rs
+++ b/crates/direct/src/list_changes.rs
@@ -1,6 +1,7 @@
 //! Distributes the list of engines from the node that reads it from the store to the others.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use derive_more::Display;
 use indexmap::IndexMap;
@@ -142,6 +143,8 @@
     changes: u64,
     /// Version from which on all changes are known.
     first_version: Option<ListVersion>,
+    /// Range of the store's log whose changes are not known.
+    unread: Range<Cursor>,
     /// Number of changes whose removed engines are no longer known.
     forgotten_changes: u64,
     /// Version of the list.
@@ -241,6 +244,12 @@
             self.version = self.version.next();
         }
         self.first_version.get_or_insert(self.version);
+        if self.unread != *engines.unread() {
+            // Only the latest such range is kept: nodes from before it get the full list.
+            let known_from = ListVersion::at_position(self.unread.end);
+            self.first_version = self.first_version.max(Some(known_from));
+            self.unread = engines.unread().clone();
+        }
         if has_changes {
             self.changed_at = self.version;
             self.changes += 1;
@@ -295,9 +304,18 @@
         seen.in_changes_of(self.process_id).filter(|seen| *seen >= self.forgotten_changes)
     }
 
+    /// Whether a list of this version may contain engines of which nothing is known.
+    fn is_unread(&self, version: ListVersion) -> bool {
+        let Range { start, end } = &self.unread;
+        *start < version.position() && version.position() < *end
+    }
+
     /// Whether a node with this version, which has last applied the update at `seen`, needs no
     /// update.
     pub fn is_up_to_date(&self, version: Option<ListVersion>, seen: ChangePosition) -> bool {
+        if version.is_some_and(|version| self.is_unread(version)) {
+            return false;
+        }
         if let Some(seen) = self.seen_changes(seen) {
             return seen >= self.changes;
         }
@@ -325,8 +343,9 @@
             return ListUpdate { version: self.version, ..ListUpdate::default() };
         };
         let seen = self.seen_changes(seen);
-        let is_known = seen.is_some()
-            || self.first_version.is_some_and(|first| version.position() >= first.position());
+        let first = self.first_version.map(ListVersion::position);
+        let is_known = !self.is_unread(version)
+            && (seen.is_some() || first.is_some_and(|first| version.position() >= first));
         let kind = match is_known {
             true => ListUpdateKind::Changes,
             false if self.entries.len() <= MAX_FULL_LIST => ListUpdateKind::Full,
--- a/crates/direct/tests/list_changes/nodes.rs
+++ b/crates/direct/tests/list_changes/nodes.rs
@@ -142,6 +142,16 @@
     }
 }
 
+/// Whether the node uses an engine whose entry was removed before the position that its list goes to.
+fn uses_removed_engine(node: &TestNode, store: &Store, engine: usize) -> bool {
+    let Some(version) = node.version else { return false };
+    let known = &store.log[..version.position().offset as usize];
+    let newest = known.iter().rposition(|(written, _)| *written == engine);
+    let removed_at = newest.filter(|position| known[*position].1.is_none()).map(at);
+    let used = node.engines.get(&engine_id(engine)).filter(|e| e.accepts_requests());
+    used.zip(removed_at).is_some_and(|(e, removed_at)| e.info.position < removed_at)
+}
+
 #[derive(Debug, Clone)]
 enum Op {
     Heartbeat(usize),
@@ -278,6 +288,26 @@
     assert!(play_all(&ops).is_none());
 }
 
+/// Guards against a node that alone uses an engine which has left: the node that it polls has read only
+/// the newest entries, and neither the engine's entry nor its removal.
+#[test]
+fn node_with_an_entry_that_the_responder_never_read_gets_the_full_list() {
+    let ops = [
+        Op::ReadNewest(2),
+        Op::Heartbeat(0),
+        Op::ReadNewest(1),
+        Op::Remove(0),
+        Op::ReadNewest(2),
+        Op::Poll(1, 2),
+        Op::Deliver(1),
+    ];
+    let mut nodes = Nodes::default();
+    for op in ops {
+        nodes.play(op);
+    }
+    assert!(!uses_removed_engine(&nodes.nodes[1], &nodes.store, 0));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
@@ -291,4 +321,22 @@
             prop_assert!(ignored.is_none(), "{:?} was told in vain", ignored);
         }
     }
+
+    /// Guards against using a removed engine: an entry that arrives late must not count at a node whose
+    /// list goes beyond the removal, whether or not it ever knew the engine.
+    #[test]
+    fn no_node_uses_an_engine_that_was_removed_before_its_version(ops in vec(op(), 1..40)) {
+        let mut nodes = Nodes::default();
+        for op in ops {
+            nodes.play(op);
+            for (number, node) in nodes.nodes.iter().enumerate() {
+                for engine in 0..ENGINES {
+                    prop_assert!(
+                        !uses_removed_engine(node, &nodes.store, engine),
+                        "node {} uses engine {}", number, engine
+                    );
+                }
+            }
+        }
+    }
 }
