Take no later start of a removed engine from an entry older than the complete list

Cause: an entry with a later start time than that of the removed engine counted whatever its position, so a late response brought back an engine that had restarted and left in between. Change: such an entry is judged as one of an unknown engine.

--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -120,12 +120,11 @@
     /// era only entries written in that era are newer: the backup may contain engines that have
     /// left since.
     fn is_outdated(&self, info: &EngineInfo) -> bool {
-        let Some(removed) = self.removed.get(&info.id) else {
+        let removed = self.removed.get(&info.id);
+        let same_start = |removed: &&Removed| !removed.started_at.is_before(info.started_at);
+        let Some(removed) = removed.filter(same_start) else {
             return info.position < self.complete_to;
         };
-        if removed.started_at.is_before(info.started_at) {
-            return false;
-        }
         info.position <= removed.position
             || (info.position.era > removed.position.era && self.is_from_backup(info.position))
     }
