--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Invariants of real node processes on a platform of stand-ins: store, engines and network links.
 
 mod calls;
+mod crashing;
 mod datagrams;
 mod hubs;
 mod keys;
--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -4,9 +4,12 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::thread::JoinHandle;
 
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{oneshot, watch};
 
+/// Connections that may wait to be taken.
+const BACKLOG: u32 = 128;
+
 /// What the way is like.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Condition {
@@ -17,6 +20,8 @@
     Cut,
     /// New connections are taken and carry nothing.
     Silent,
+    /// Connections end, and new ones are refused, as if the server had crashed.
+    Refused,
 }
 
 /// A way to a server, which listens at an address of its own. It ends when this is dropped.
@@ -70,14 +75,42 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, conditions: watch::Receiver<Condition>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    mut conditions: watch::Receiver<Condition>,
+) {
+    let Ok(addr) = listener.local_addr() else { return };
+    let mut listener = Some(listener);
     loop {
-        // An error here concerns one connection that broke before it was taken.
-        let Ok((from, _)) = listener.accept().await else { continue };
-        tokio::spawn(carry(from, target, conditions.clone()));
+        if *conditions.borrow_and_update() == Condition::Refused {
+            listener = None;
+            let _ = conditions.wait_for(|condition| *condition != Condition::Refused).await;
+        }
+        if listener.is_none() {
+            listener = bind_again(addr).ok();
+        }
+        let Some(open) = &listener else { return };
+        tokio::select! {
+            // An error here concerns one connection that broke before it was taken.
+            taken = open.accept() => if let Ok((from, _)) = taken {
+                tokio::spawn(carry(from, target, conditions.clone()));
+            },
+            changed = conditions.changed() => if changed.is_err() {
+                return;
+            },
+        }
     }
 }
 
+/// Listens at an address that was in use before.
+fn bind_again(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
 /// Carries one connection until it ends, or is cut.
 async fn carry(
     mut from: TcpStream,
@@ -86,7 +119,7 @@
 ) {
     if *conditions.borrow() == Condition::Silent {
         // Whoever waits for an answer on it gives it up; nothing is left to carry then.
-        let _ = conditions.wait_for(|condition| *condition == Condition::Cut).await;
+        let _ = conditions.wait_for(ends_connections).await;
         return;
     }
     let whole = async {
@@ -98,6 +131,10 @@
     };
     tokio::select! {
         () = whole => {}
-        _ = conditions.wait_for(|condition| *condition == Condition::Cut) => {}
+        _ = conditions.wait_for(ends_connections) => {}
     }
 }
+
+fn ends_connections(condition: &Condition) -> bool {
+    matches!(condition, Condition::Cut | Condition::Refused)
+}
