Take no entry of a removed engine that is older than the complete list

Cause: where a removal was known, an entry was compared with that removal only. An engine that came back and was removed again unseen had an entry between the known removal and the complete list, and a late response brought it back. Change: an entry from before the position to which the list is complete brings back no engine, known or not.

--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -120,11 +120,12 @@
     /// era only entries written in that era are newer: the backup may contain engines that have
     /// left since.
     fn is_outdated(&self, info: &EngineInfo) -> bool {
+        if info.position < self.complete_to {
+            return true;
+        }
         let removed = self.removed.get(&info.id);
         let same_start = |removed: &&Removed| !removed.started_at.is_before(info.started_at);
-        let Some(removed) = removed.filter(same_start) else {
-            return info.position < self.complete_to;
-        };
+        let Some(removed) = removed.filter(same_start) else { return false };
         info.position <= removed.position
             || (info.position.era > removed.position.era && self.is_from_backup(info.position))
     }
