Send a request under which three engines have ended to no more

Cause: nothing remembers what engines ended under; each client attempt has a new id and is given its route's attempts engines, at whichever node it comes. Change: a request is known by a digest of method, host, path with query, customer and body. An attempt without a complete response whose engine then refuses connections, or has restarted, is an end under it. Ends go up to the leader with the polls, requests with two ends or more and verdicts come down; up to twelve nodes also tell each other at once. Three engines withhold the request; it is blocked for good once their entries are gone, and served again where they stay listed. A complete response anywhere acquits. After two ends no further attempt is made by the node itself. Blocked requests lie in a topic of the store, written by the leader, two a second at most; a node that starts has them before it is ready.

--- a/crates/direct/src/change_position.rs
+++ b/crates/direct/src/change_position.rs
@@ -13,6 +13,11 @@
         ChangePosition(process_id, changes)
     }
 
+    /// Identifier of the process; 0 if there is none.
+    pub fn process_id(self) -> u64 {
+        self.0
+    }
+
     /// The number of changes, if the position is in the changes of this process.
     pub fn in_changes_of(self, process_id: u64) -> Option<u64> {
         (self.0 == process_id && self != ChangePosition::default()).then_some(self.1)
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -60,6 +60,11 @@
         self.by_id.get_mut(id).filter(|engine| engine.key() == key)
     }
 
+    /// Whether the current incarnation of an engine has this key.
+    pub fn contains_key(&self, key: EngineKey) -> bool {
+        self.by_key.contains_key(&key)
+    }
+
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Engine> {
         self.by_id.values_mut()
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 mod catalog;
 mod change_position;
 mod choice;
+mod crash_history;
 mod cursor;
 mod customer;
 mod deadline;
@@ -25,6 +26,7 @@
 mod prompt;
 pub mod quota;
 mod refusal;
+mod request_digest;
 mod retry_budget;
 
 pub use catalog::{
@@ -33,6 +35,10 @@
 };
 pub use change_position::ChangePosition;
 pub use choice::{Choice, ChoiceParams, CostWeights, NoEngine, choose_engine};
+pub use crash_history::{
+    CrashHistory, CrashReport, CrashState, ENDS_TO_BLOCK, ENDS_TO_STOP_RETRIES, JudgeParams,
+    Origin, SendPermission, Verdict,
+};
 pub use cursor::{Cursor, Era, InvalidEra, KnownEra};
 pub use customer::{
     ApiKey, CallerIdentity, Credentials, Customer, CustomerId, Customers, Quota, QuotaBounds,
@@ -55,6 +61,7 @@
 pub use prefill::{PrefillBacklog, PrefillRate, SendId, broadcasts_sends};
 pub use prompt::{EmptyModelName, ModelRef, Prompt, PromptPart};
 pub use refusal::{MIN_RETRY_AFTER, Refusal, retry_after};
+pub use request_digest::{DigestedParts, InvalidDigest, RequestDigest};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 
 /// Milliseconds since the start of the process.
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -31,6 +31,9 @@
     /// The customer's remaining quota is unknown.
     #[display("no word on the limit")]
     QuotaUnknown,
+    /// Three engines have ended under the request.
+    #[display("crashes engines")]
+    CrashesEngines,
     /// The retry budget is used up.
     #[display("no retry left")]
     RetryBudgetExhausted,
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -93,4 +93,7 @@
     TryFailed = 5007, Info, "an attempt at an engine has failed";
     CallerLeft = 5008, Info, "a caller disconnected before its response was complete";
     CallerDenied = 5009, Info, "a request was refused: its key is missing, invalid or could not be verified";
+    EngineEnded = 5010, Info, "an engine has ended under a request";
+    RequestBlocked = 5011, Warn, "three engines have ended under a request, so it is sent to no more";
+    RequestAcquitted = 5012, Info, "an engine has answered a request under which others had ended";
 }
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{AttemptOutcome, EngineId, Load, SendId, StartTime};
 use hgw_http1::Conn;
 
@@ -45,6 +46,11 @@
         AttemptGuard { node: Rc::clone(node), engine: engine.clone(), started_at, pending_prefill }
     }
 
+    /// Key of the engine process that the request was sent to.
+    pub(crate) fn engine_key(&self) -> EngineKey {
+        EngineKey::of(&self.engine, self.started_at)
+    }
+
     pub(crate) fn engine(&self) -> &EngineId {
         &self.engine
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod backoff;
 mod caller_listener;
 mod clock;
+mod crashes;
 mod election;
 mod eras;
 mod follow;
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -65,6 +65,10 @@
     counter!("hgw_tries_failed_total", "reason" => reason).increment(1);
 }
 
+pub(crate) fn engine_ended_under_request() {
+    counter!("hgw_engines_ended_total").increment(1);
+}
+
 pub(crate) fn message_dropped() {
     counter!("hgw_words_lost_total").increment(1);
 }
@@ -112,6 +116,7 @@
     if let Some(age) = freshness::age(node) {
         gauge!("hgw_proof_age_seconds").set(age.as_secs_f64());
     }
+    gauge!("hgw_blocked_requests").set(node.crashes.borrow().blocked().count() as f64);
     gauge!("hgw_store_era").set(node.era.get().era().number());
     gauge!("hgw_keeper").set(f64::from(u8::from(node.leadership.borrow().is_leader())));
     gauge!("hgw_ready").set(f64::from(u8::from(node.is_ready())));
--- a/crates/gateway/src/peers/datagrams.rs
+++ b/crates/gateway/src/peers/datagrams.rs
@@ -7,10 +7,11 @@
 
 use hgw_direct::aggregation::ReportScope;
 use hgw_direct::in_flight::{EngineKey, InFlightUpdate};
-use hgw_direct::{EngineId, Load, SendId, StartTime, broadcasts_sends};
+use hgw_direct::{CrashReport, EngineId, Load, SendId, StartTime, broadcasts_sends};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::crashes;
 use crate::meter;
 use crate::shared::Node;
 
@@ -36,6 +37,8 @@
     /// In-flight requests of a node, a domain or all nodes.
     #[serde(rename = "Flights")]
     InFlight(ReportScope, InFlightUpdate),
+    /// What the sender has seen of a request under which an engine ended.
+    Crash(CrashReport),
     /// The sender cannot reach the engine.
     #[serde(rename = "Lost")]
     Unreachable(EngineKey),
@@ -135,6 +138,7 @@
             Ok(Datagram::ReachableFrom(key, domain)) => {
                 unreachable::handle_hub_report(&node, from, key, &domain, false)
             }
+            Ok(Datagram::Crash(report)) => crashes::apply_broadcast(&node, report),
             Ok(datagram) => apply_request_event(&node, datagram),
             Err(_) => {}
         }
@@ -159,6 +163,7 @@
             }
         }
         Datagram::InFlight(..)
+        | Datagram::Crash(_)
         | Datagram::Unreachable(_)
         | Datagram::UnreachableFrom(..)
         | Datagram::ReachableFrom(..) => {}
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,8 +4,8 @@
 
 use hgw_direct::hubs::Member;
 use hgw_direct::{
-    ChangePosition, Cursor, DemandSnapshot, EngineId, Era, ListUpdate, ListVersion, LoadedModel,
-    ModelRef, StartTime,
+    ChangePosition, CrashReport, CrashState, Cursor, DemandSnapshot, EngineId, Era, ListUpdate,
+    ListVersion, LoadedModel, ModelRef, StartTime,
 };
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +52,12 @@
     /// Era of the store and its least age in milliseconds; none in the first era.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) era: Option<(Era, u64)>,
+    /// What the sender and the nodes behind it have seen of requests under which engines ended.
+    #[serde(default)]
+    pub(crate) crash_reports: Vec<CrashReport>,
+    /// Position in the receiver's changes of the requests that are suspected to crash engines.
+    #[serde(default)]
+    pub(crate) crashes_seen: ChangePosition,
     /// Version of the sender's configuration.
     #[serde(rename = "catalog")]
     pub(crate) catalog_version: u64,
@@ -120,6 +126,13 @@
     #[serde(rename = "begun")]
     pub(crate) load_ages_ms: Vec<u64>,
     pub(crate) loads: Vec<EngineLoad>,
+    #[serde(default)]
+    pub(crate) crash_states: Vec<CrashState>,
+    #[serde(default)]
+    pub(crate) crashes_seen: ChangePosition,
+    /// Whether the poller now knows all requests that are blocked in the store.
+    #[serde(default)]
+    pub(crate) knows_blocked_requests: bool,
     /// Configuration version last known to be the newest, and the age of that proof in
     /// milliseconds.
     #[serde(default)]
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -24,6 +24,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
+use crate::crashes;
 use crate::eras;
 use crate::follow;
 use crate::leader;
@@ -213,6 +214,7 @@
         record_child_demand(node, &request.demand);
     }
     apply_loads(node, &request.loads);
+    crashes::apply_reports(node, &request.crash_reports);
     json_response(&poll_response::poll_response(node, &request).await)
 }
 
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use hgw_direct::hubs::{Parent, SkipReason, digest, poll_interval_factor};
-use hgw_direct::{ChangePosition, Millis, ModelRef};
+use hgw_direct::{ChangePosition, CrashReport, Millis, ModelRef};
 use hgw_events::{Event, emit};
 use indexmap::IndexMap;
 use tokio::time::sleep;
 
 use crate::clock::boot_time;
+use crate::crashes;
 use crate::eras;
 use crate::freshness;
 use crate::leader;
@@ -52,6 +53,10 @@
     /// Fencing token of the leader that has received this node's earlier demand.
     demand_reported_to: Option<u64>,
     placements_seen: ChangePosition,
+    crashes_seen: ChangePosition,
+    /// Node that has received the crash reports before this number.
+    crashes_reported_to: Option<(SocketAddr, u64)>,
+    crashes_reported: u64,
     /// Time up to which loads were reported.
     loads_reported_at: Millis,
     links: IndexMap<SocketAddr, PeerLink>,
@@ -70,7 +75,8 @@
             // The earlier demand includes these counts.
             demand.clear();
         }
-        let request = self.request(node, demand, earlier_demand);
+        let (crash_reports, crashes_reported) = self.crash_reports(node, addr);
+        let request = self.request(node, demand, earlier_demand, crash_reports);
         let (now, sent_at) = (node.now(), boot_time());
         self.loads_reported_at = now;
         let update: PollResponse =
@@ -96,6 +102,14 @@
             node.catalog_position.set(update.catalog_position);
         }
         self.placements_seen = update.placements_seen;
+        let receiver = (addr, update.crashes_seen.process_id());
+        if self.crashes_reported_to.replace(receiver) == Some(receiver) {
+            self.crashes_reported = crashes_reported;
+        } else {
+            // Another process gets all reports with the next poll.
+            self.crashes_reported = 0;
+        }
+        self.crashes_seen = update.crashes_seen;
         let children = update.children;
         node.backoff.set_siblings(children);
         if update.data_age_ms > max_data_age(node) {
@@ -105,11 +119,19 @@
         Some(children)
     }
 
+    /// Reports for this node, and the number of the next report.
+    fn crash_reports(&self, node: &Node, addr: SocketAddr) -> (Vec<CrashReport>, u64) {
+        let has_received = self.crashes_reported_to.is_some_and(|(known, _)| known == addr);
+        let from = if has_received { self.crashes_reported } else { 0 };
+        node.crashes.borrow().reports_since(from)
+    }
+
     fn request(
         &self,
         node: &Node,
         demand: Vec<DemandCount>,
         earlier_demand: Option<EarlierDemand>,
+        crash_reports: Vec<CrashReport>,
     ) -> PollRequest {
         let (catalog_version, list_version, list_seen) = {
             let state = node.state.borrow();
@@ -127,6 +149,8 @@
             placements_seen: self.placements_seen,
             list_version,
             list_seen,
+            crash_reports,
+            crashes_seen: self.crashes_seen,
             era: eras::to_report(node),
             catalog_version,
             loads: loads_since(node, self.loads_reported_at, None),
@@ -164,6 +188,10 @@
     if let Some(hub_candidates) = update.hub_candidates {
         node.hubs.borrow_mut().set_candidates(hub_candidates);
     }
+    crashes::apply_states(node, &update.crash_states);
+    if update.knows_blocked_requests {
+        node.knows_blocked_requests.set(true);
+    }
     apply_list_update(node, update.list_update);
     // Counted from the request, because the response may have been delayed on its way.
     node.record_leader_update((polled_at + update.waited_ms).saturating_sub(update.data_age_ms));
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -36,7 +36,12 @@
         );
         (list_update, catalog_version(node), state.nodes)
     };
+    let (crashes_seen, crash_states) = node.crashes.borrow().states_since(request.crashes_seen);
+    let sends_all_states = node.crashes.borrow().is_up_to_date(crashes_seen);
     PollResponse {
+        crash_states,
+        crashes_seen,
+        knows_blocked_requests: node.knows_blocked_requests.get() && sends_all_states,
         leader: node.leadership.borrow().leader.clone(),
         placements_seen,
         placements,
@@ -64,7 +69,11 @@
     };
     let placements_are_current =
         node.placement_changes.borrow().is_up_to_date(request.placements_seen);
-    list_is_current && placements_are_current && catalog_version(node) <= request.catalog_version
+    let crashes_are_current = node.crashes.borrow().is_up_to_date(request.crashes_seen);
+    list_is_current
+        && placements_are_current
+        && crashes_are_current
+        && catalog_version(node) <= request.catalog_version
 }
 
 pub(super) fn catalog_version(node: &Node) -> u64 {
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -315,6 +315,16 @@
     /// All registered nodes.
     fn registered_nodes(&self) -> LocalBoxFuture<'_, StoreResult<Vec<(String, Bytes)>>>;
 
+    /// Stores a request that is sent to no engine under its digest; removes the entry if it is empty.
+    fn store_blocked_request(
+        &self,
+        digest: &str,
+        entry: Bytes,
+    ) -> LocalBoxFuture<'_, StoreResult<()>>;
+
+    /// All requests that are stored as blocked.
+    fn blocked_requests(&self) -> LocalBoxFuture<'_, StoreResult<Vec<(String, Bytes)>>>;
+
     /// The newest known era of the store; it increases by one each time the store is restored from a
     /// backup.
     fn era(&self) -> Era;
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -13,6 +13,7 @@
 
 use super::identity::AuthError;
 use super::request::RelayedRequest;
+use super::withhold::Withheld;
 
 /// Silence on all connections to an engine, while a request waits there, after which the engine
 /// counts as unresponsive. A full engine sends nothing while it prefills several long prompts; callers
@@ -58,6 +59,8 @@
     Stalled,
     /// The deadline has passed; the engine may have executed the request.
     TimedOut,
+    /// The request may crash engines; no byte of it was sent.
+    Withheld(Withheld),
     /// The caller is no longer authorized; no byte of the request was sent.
     Unauthorized(AuthError),
 }
@@ -71,6 +74,7 @@
             AttemptResult::NoResponse => Some("no answer of this request"),
             AttemptResult::Stalled => Some("silent"),
             AttemptResult::TimedOut => Some("time over"),
+            AttemptResult::Withheld(_) => Some("crashes engines"),
             AttemptResult::Unauthorized(_) => Some("not allowed any more"),
         }
     }
@@ -135,6 +139,10 @@
             node.pool.put(addr, conn);
             return AttemptResult::NotSent;
         }
+        if let Err(withheld) = self.check_crashes() {
+            node.pool.put(addr, conn);
+            return AttemptResult::Withheld(withheld);
+        }
         if self.executions == 0
             && let Err(error) = self.check_authorized()
         {
@@ -163,10 +171,12 @@
                 guard.record_outcome(outcome);
                 node.mark_broken(engine);
                 self.executions += 1;
+                self.investigate(&guard).await;
                 AttemptResult::NoResponse
             }
             WaitResult::EngineRestarted => {
                 self.executions += 1;
+                self.record_restarted_engine(&guard);
                 AttemptResult::NoResponse
             }
             WaitResult::Stalled => {
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -46,6 +46,7 @@
                 failure = Some(Failure::Reason("the engine went silent"));
                 continue;
             }
+            AttemptResult::Withheld(withheld) => return req.respond_withheld(withheld),
             AttemptResult::Unauthorized(error) => return req.refuse_unauthorized(error),
             AttemptResult::NoResponse => failure = Some(Failure::Reason("the engine failed")),
             AttemptResult::TimedOut => {
@@ -88,15 +89,26 @@
     let StartedResponse { engine, mut conn, head, guard } = started;
     let body = BodyDecoder::new(head.framing);
     let collected = req.unless_engine_restarts(&guard, conn.read_body(body, MAX_BODY_BYTES)).await;
-    let WaitResult::Done(Ok(body)) = collected else {
-        guard.record_outcome(AttemptOutcome::Failed);
-        return None;
+    let body = match collected {
+        WaitResult::Done(Ok(body)) => body,
+        incomplete => {
+            guard.record_outcome(AttemptOutcome::Failed);
+            match incomplete {
+                WaitResult::EngineRestarted => req.record_restarted_engine(&guard),
+                WaitResult::Done(_) => req.investigate(&guard).await,
+                WaitResult::Stalled | WaitResult::TimedOut => {}
+            }
+            return None;
+        }
     };
     let is_failure = head.status >= 500;
     guard.record_outcome(if is_failure { AttemptOutcome::Failed } else { AttemptOutcome::Success });
     req.node.record_response_byte(&engine);
     guard.return_connection(conn);
     drop(guard);
+    if (200..300).contains(&head.status) {
+        req.record_completion();
+    }
     if !is_failure {
         req.log_served(&engine, head.status, &EventTiming::start());
     }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -8,6 +8,7 @@
 mod outcome;
 mod request;
 mod stream;
+mod withhold;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,8 +37,8 @@
         return refuse(node, Refusal::Stopping, Duration::ZERO);
     }
     let catalog = node.state.borrow().catalog.clone();
-    let has_engine_list = node.state.borrow().has_engine_list;
-    match catalog.filter(|_| has_engine_list) {
+    let knows_engines = node.state.borrow().has_engine_list && node.knows_blocked_requests.get();
+    match catalog.filter(|_| knows_engines) {
         Some(catalog) => handle_routed(node, active, catalog, req).await,
         None => refuse(node, Refusal::NotReady, NOT_READY_RETRY_AFTER),
     }
@@ -82,6 +83,9 @@
     };
     let mut relayed =
         RelayedRequest::new(node, active, head, body, info, route, service, identity, received_at);
+    if let Err(withheld) = relayed.check_crashes() {
+        return relayed.respond_withheld(withheld);
+    }
     if let Err(error) = relayed.charge_quota().await {
         return match error {
             NoAllowance::QuotaExceeded(retry_after) => {
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -6,8 +6,9 @@
 
 use bytes::Bytes;
 use hgw_direct::{
-    Choice, ChoiceParams, CostWeights, Deadline, EngineId, MIN_TIME_TO_SEND, ModelRef, NoEngine,
-    Prompt, Refusal, Route, ServiceId, choose_engine,
+    Choice, ChoiceParams, CostWeights, Deadline, DigestedParts, ENDS_TO_STOP_RETRIES, EngineId,
+    MIN_TIME_TO_SEND, ModelRef, NoEngine, Prompt, Refusal, RequestDigest, Route, ServiceId,
+    choose_engine,
 };
 use http::request::Parts;
 use rand::random;
@@ -56,6 +57,18 @@
 /// Interval between checks whether a model has been loaded.
 const PLACEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The digest of a request.
+fn digest(head: &Parts, body: &Bytes, identity: &Identity) -> RequestDigest {
+    let host = head.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+    RequestDigest::of(&DigestedParts {
+        method: head.method.as_str(),
+        host: &host.or(head.uri.host()).unwrap_or_default().to_ascii_lowercase(),
+        target: head.uri.path_and_query().map_or("/", |target| target.as_str()),
+        customer: identity.customer.as_ref(),
+        body,
+    })
+}
+
 pub(super) struct RelayedRequest {
     pub(super) node: Node,
     _active: ActiveRequest,
@@ -65,6 +78,8 @@
     pub(super) route: Route,
     pub(super) service: ServiceId,
     pub(super) identity: Identity,
+    /// Identifies the same request in other attempts of the caller.
+    pub(super) digest: RequestDigest,
     /// When the request head had been read.
     pub(super) received_at: Instant,
     /// The same by the boot clock, which also runs while the machine is suspended.
@@ -112,6 +127,7 @@
         identity: Identity,
         received_at: Instant,
     ) -> RelayedRequest {
+        let digest = digest(&head, &body, &identity);
         let timeout = info.deadline.map_or(route.timeout, |d| d.min(route.timeout));
         let mut request = RelayedRequest {
             node: Rc::clone(node),
@@ -122,6 +138,7 @@
             route,
             service,
             identity,
+            digest,
             received_at,
             received_at_boot: boot_time().saturating_sub(received_at.elapsed()),
             deadline: Deadline { timeout },
@@ -192,7 +209,9 @@
         if self.executions >= self.route.max_attempts || self.rejected > MAX_REJECTED {
             return false;
         }
-        if !self.has_time_to_send() {
+        if !self.has_time_to_send()
+            || self.node.crashes.borrow().ends(self.digest) >= ENDS_TO_STOP_RETRIES
+        {
             return false;
         }
         let (now, limits) = (self.node.now(), self.node.budget_limits());
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -76,6 +76,7 @@
                     return Err(final_response(req, failure, NoEngine::Full(REJECTED_RETRY_AFTER)));
                 }
             }
+            AttemptResult::Withheld(withheld) => return Err(req.respond_withheld(withheld)),
             AttemptResult::Unauthorized(error) => return Err(req.refuse_unauthorized(error)),
             AttemptResult::Stalled => failure = Some("the engine went silent"),
             AttemptResult::NoResponse => {
@@ -168,9 +169,15 @@
                         return Some(self.abort());
                     }
                 }
-                WaitResult::EngineRestarted | WaitResult::Done(Ok(None) | Err(_)) => {
+                broken @ (WaitResult::EngineRestarted | WaitResult::Done(Ok(None) | Err(_))) => {
                     self.guard.record_outcome(AttemptOutcome::Failed);
                     self.req.node.mark_broken(&self.engine);
+                    match broken {
+                        WaitResult::EngineRestarted => {
+                            self.req.record_restarted_engine(&self.guard);
+                        }
+                        _ => self.req.investigate(&self.guard).await,
+                    }
                     if !self.retry_and_resume().await {
                         return Some(self.abort());
                     }
@@ -222,6 +229,9 @@
 
     fn finish(&mut self) {
         self.is_finished = true;
+        if self.is_events {
+            self.req.record_completion();
+        }
         self.guard.record_outcome(if self.is_events {
             AttemptOutcome::Success
         } else {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,8 +17,8 @@
 use crate::response::{CallerResponse, ResponseBody, ResponseResult, json_error};
 use crate::shared::{Node, Shared};
 use crate::{
-    Settings, caller_listener, election, follow, freshness, listen, members, meter, peers, quotas,
-    shutdown,
+    Settings, caller_listener, crashes, election, follow, freshness, listen, members, meter, peers,
+    quotas, shutdown,
 };
 
 #[derive(Debug, Clone)]
@@ -80,6 +80,7 @@
     spawn(Box::pin(quotas::refill(Rc::clone(&node))));
     spawn(Box::pin(listen::serve(Rc::clone(&node), peer_listener, peers::handle_request)));
     spawn(Box::pin(members::register_and_count(Rc::clone(&node))));
+    spawn(Box::pin(crashes::follow(Rc::clone(&node))));
     spawn(Box::pin(watch_suspension(Rc::clone(&node))));
     spawn(Box::pin(listen::serve(Rc::clone(&node), ready, handle_readiness_probe)));
     spawn(Box::pin(caller_listener::serve(Rc::clone(&node), callers)));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,7 +10,7 @@
 use hgw_direct::hubs::{Hubs, Member, Parent, poll_interval_factor};
 use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{
-    AttemptOutcome, Engine, EngineId, KnownEra, ListChanges, ListVersion, Millis,
+    AttemptOutcome, CrashHistory, Engine, EngineId, KnownEra, ListChanges, ListVersion, Millis,
     RetryBudgetLimits, is_isolated, polls_store,
 };
 use hgw_events::{Event, emit};
@@ -53,6 +53,10 @@
     /// Evidence that the configuration of this node is current.
     pub(crate) freshness: Freshness,
     pub(crate) quotas: Quotas,
+    /// Requests under which engines have ended.
+    pub(crate) crashes: RefCell<CrashHistory>,
+    /// Whether the requests that are blocked in the store are known.
+    pub(crate) knows_blocked_requests: Cell<bool>,
     /// In-flight requests at engines, as reported by other nodes.
     pub(crate) aggregator: RefCell<Aggregator>,
     /// Unreachable engines that this node probes until they are back.
@@ -137,6 +141,8 @@
             backoff: Backoff::default(),
             freshness: Freshness::default(),
             quotas: Quotas::default(),
+            crashes: RefCell::new(CrashHistory::new(random())),
+            knows_blocked_requests: Cell::new(false),
             aggregator: RefCell::default(),
             probed_engines: RefCell::default(),
             reachability_changed: Notify::new(),
@@ -173,7 +179,8 @@
     /// Whether the readiness check succeeds.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        let knows = state.catalog.is_some() && state.has_engine_list;
+        let knows =
+            state.catalog.is_some() && state.has_engine_list && self.knows_blocked_requests.get();
         knows && !self.is_stopping() && !self.is_isolated.get() && freshness::is_fresh(self)
     }
 
--- a/crates/hibiscusgw/src/explain.rs
+++ b/crates/hibiscusgw/src/explain.rs
@@ -9,8 +9,8 @@
 use crate::{Console, Error, Result};
 
 /// Events on the node's view of engines, peers and the configuration, printed as context of a request.
-const CONTEXT_EVENTS: [u64; 11] =
-    [1004, 1008, 2004, 2006, 3001, 3101, 4001, 4002, 4006, 4007, 4008];
+const CONTEXT_EVENTS: [u64; 12] =
+    [1004, 1008, 2004, 2006, 3001, 3101, 4001, 4002, 4006, 4007, 4008, 5011];
 
 /// Most context events printed before an event of the request; older ones are skipped.
 const MAX_CONTEXT_EVENTS: usize = 4;
--- a/crates/hibiscusgw/tests/platform/crashing.rs
+++ b/crates/hibiscusgw/tests/platform/crashing.rs
@@ -64,15 +64,25 @@
     runs
 }
 
+/// Stops a thread, also if the test fails meanwhile.
+struct Stop<'a>(&'a AtomicBool);
+
+impl Drop for Stop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Runs `play` while engines crash under some requests. Returns the runs of these.
 fn while_engines_crash(fleet: &Fleet, play: impl FnOnce()) -> Vec<Run> {
     let stop = AtomicBool::new(false);
     std::thread::scope(|scope| {
         let crashing = scope.spawn(|| crash_engines(fleet, &stop));
+        let stopping = Stop(&stop);
         play();
         // What is under way ends.
         std::thread::sleep(Duration::from_millis(300));
-        stop.store(true, Ordering::Relaxed);
+        drop(stopping);
         crashing.join().unwrap()
     })
 }
@@ -106,3 +116,96 @@
         served.is_ok_and(|a| a.status == StatusCode::OK)
     });
 }
+
+/// Sends the request until it is refused for what it has done, and returns the runs.
+fn crash_until_blocked(fleet: &Fleet, nodes: &[usize]) -> Vec<Run> {
+    while_engines_crash(fleet, || {
+        for round in 0..4 {
+            send_crashing(fleet, nodes[round % nodes.len()], &format!("early-{round}"));
+        }
+        wait("it is blocked in the store", || !fleet.store.records("keyed.hgw-blocked").is_empty());
+    })
+}
+
+/// What lasts must not be lost with the nodes: after all were killed at once, the request must not crash
+/// three more engines.
+#[test]
+fn nodes_that_start_know_the_requests_that_crash_engines() {
+    let mut fleet = model_fleet(6);
+    let nodes: Vec<usize> = (0..2).map(|_| fleet.start("a")).collect();
+    assert!(crash_until_blocked(&fleet, &nodes).len() >= 3);
+    for node in &nodes {
+        fleet.nodes[*node].kill();
+    }
+    let restarted = fleet.start("a");
+    let joined = fleet.start("b");
+    let runs = while_engines_crash(&fleet, || {
+        for (round, node) in [restarted, joined, restarted].into_iter().enumerate() {
+            let status = send_crashing(&fleet, node, &format!("late-{round}"));
+            assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
+        }
+    });
+    assert!(!runs.iter().any(|run| run.id.starts_with("crash-late")), "{runs:?}");
+}
+
+/// A refusal that no waiting helps must not invite the caller back, and must be found by its digest.
+#[test]
+fn refusal_of_a_request_that_crashes_engines_names_no_time() {
+    let mut fleet = model_fleet(6);
+    let (node, lines) = fleet.start_logged("a");
+    crash_until_blocked(&fleet, &[node]);
+    let response = fleet.nodes[node].stream("/ask/crashes/", "late", "m").unwrap();
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(response.headers.get("retry-after"), None);
+    let other_path = fleet.nodes[node].stream("/ask/other/", "other", "m");
+    assert!(other_path.is_ok_and(|a| a.status == StatusCode::OK), "only that request is refused");
+    wait("the line is written", || {
+        let refused = fleet.lines(&lines, 5005);
+        let blocked = fleet.lines(&lines, 5011);
+        let of_request = refused.iter().find(|line| line["id"] == "late");
+        of_request.is_some_and(|line| blocked.iter().any(|b| b["digest"] == line["digest"]))
+    });
+    assert!(fleet.lines(&lines, 5010).len() >= 3, "a line for each engine that ended");
+}
+
+/// Engines that cannot be reached for a while have not crashed: a request that was cut off at three of them
+/// must be served again, and is not blocked.
+#[test]
+fn request_cut_off_at_engines_that_live_on_is_served_again() {
+    let mut fleet = model_fleet(4);
+    let node = fleet.start("a");
+    let models: Vec<usize> = (0..fleet.engines.len()).filter(|n| *n >= 2).collect();
+    while_engines_are_cut_off(&fleet, &models, || {
+        for round in 0..4 {
+            let _ = fleet.nodes[node].stream("/ask/", &format!("cut-{round}"), "m");
+        }
+    });
+    wait("the request is served again", || {
+        let response = fleet.nodes[node].stream("/ask/", "cut-again", "m");
+        response.is_ok_and(|a| a.status == StatusCode::OK)
+    });
+    assert!(fleet.store.records("keyed.hgw-blocked").is_empty());
+}
+
+/// Makes each of these engines refuse connections once it runs a request, without any change of its entry,
+/// while `play` runs.
+fn while_engines_are_cut_off(fleet: &Fleet, engines: &[usize], play: impl FnOnce()) {
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while !stop.load(Ordering::Relaxed) {
+                for index in engines {
+                    if !fleet.engines[*index].record().runs.is_empty() {
+                        fleet.to_engines[*index].set(Condition::Refused);
+                    }
+                }
+                std::thread::sleep(Duration::from_millis(2));
+            }
+        });
+        let _stopping = Stop(&stop);
+        play();
+    });
+    for index in engines {
+        fleet.to_engines[*index].set(Condition::Open);
+    }
+}
