Ask for the full list after removals were skipped

Cause: right after an outage of the store a node that reads the list by itself skips removals for two seconds, as entries may have expired for want of heartbeats, and reads the whole list then. If a leader's updates came meanwhile it stopped reading, at a version beyond the removals; a leader that never had these engines did not tell it, and it used them alone. Change: a list knows that removals were skipped, and asks for the full list until it had one.

--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -27,6 +27,8 @@
     /// Position up to which the list is complete: an unknown engine with an earlier entry was
     /// removed.
     complete_to: Cursor,
+    /// Whether removals were skipped since the last complete list.
+    has_skipped_removals: bool,
     /// Range of the store's log that the latest complete list replaced unread.
     unread: Range<Cursor>,
     /// Position at which the backup ends that the store was restored from.
@@ -238,10 +240,22 @@
         }
     }
 
+    /// Skips a removal: right after an outage of the store it may only mean that heartbeats were
+    /// lost. A later complete list tells.
+    pub fn skip_removal(&mut self) {
+        self.has_skipped_removals = true;
+    }
+
+    /// Whether engines may be listed that have been removed.
+    pub fn has_skipped_removals(&self) -> bool {
+        self.has_skipped_removals
+    }
+
     /// Applies a complete list that extends to `end`. Engines that it does not contain are removed,
     /// unless `keep_missing` is set: entries that expired during a store outage return with the next
     /// heartbeat.
     pub fn apply_snapshot(&mut self, infos: Vec<EngineInfo>, end: Cursor, keep_missing: bool) {
+        self.has_skipped_removals = keep_missing;
         if !keep_missing {
             let listed_ids: IndexSet<&EngineId> = infos.iter().map(|info| &info.id).collect();
             let missing = self.by_id.keys().filter(|id| !listed_ids.contains(id));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -301,7 +301,9 @@
                 }
             }
             EngineEntry::Gone(id) => {
-                if !keep_missing {
+                if keep_missing {
+                    state.engines.skip_removal();
+                } else {
                     state.engines.remove(&id, position);
                 }
             }
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -135,12 +135,13 @@
     ) -> PollRequest {
         let (catalog_version, list_version, list_seen) = {
             let state = node.state.borrow();
-            // Version 0 requests the complete configuration.
-            (
-                state.catalog.as_ref().map_or(0, |c| c.version),
-                state.list_version.unwrap_or_default(),
-                state.list_seen,
-            )
+            // Version 0 requests the complete configuration, and no version the complete list.
+            let needs_full_list = state.engines.has_skipped_removals();
+            let (list_version, list_seen) = match state.list_version {
+                Some(version) if !needs_full_list => (version, state.list_seen),
+                _ => Default::default(),
+            };
+            (state.catalog.as_ref().map_or(0, |c| c.version), list_version, list_seen)
         };
         let settings = node.settings.borrow();
         PollRequest {
