--- a/crates/hibiscusgw/tests/platform/crashing.rs
+++ b/crates/hibiscusgw/tests/platform/crashing.rs
@@ -117,6 +117,31 @@
     });
 }
 
+/// With so many nodes most know each other only through the hub of their domain: each has to learn of the
+/// crashes that three others saw, before it sends the request itself.
+#[test]
+fn nodes_behind_a_hub_learn_what_crashes_engines() {
+    let mut fleet = model_fleet(8);
+    let nodes: Vec<usize> = (0..14).map(|_| fleet.spawn("a")).collect();
+    for node in &nodes {
+        wait("the node is ready", || fleet.nodes[*node].is_ready());
+    }
+    // The leader counts the nodes again in the first seconds; from then on nodes with a hub poll the hub.
+    std::thread::sleep(Duration::from_secs(3));
+    let runs = while_engines_crash(&fleet, || {
+        for node in &nodes[9..12] {
+            send_crashing(&fleet, *node, &format!("early-{node}"));
+        }
+        std::thread::sleep(KNOWN_WITHIN);
+        for node in &nodes {
+            send_crashing(&fleet, *node, &format!("late-{node}"));
+        }
+    });
+    let late = runs.iter().filter(|run| run.id.starts_with("crash-late")).count();
+    assert!(runs.len() >= 3, "{runs:?}");
+    assert!(late <= MAX_RUNS_LEFT, "{late} of {runs:?}");
+}
+
 /// Sends the request until it is refused for what it has done, and returns the runs.
 fn crash_until_blocked(fleet: &Fleet, nodes: &[usize]) -> Vec<Run> {
     while_engines_crash(fleet, || {
