Report only ends that still matter to another leader

A node sends all its reports to a node that it polls for the first time. Most are of innocent requests, answered since: they go out of the message, so that a takeover after many lost engines costs few bytes between domains. Test: crash_history::reports_are_read_from_where_the_last_reader_ended, its last line failed before.

--- a/crates/direct/src/crash_history.rs
+++ b/crates/direct/src/crash_history.rs
@@ -298,14 +298,17 @@
         (ChangePosition::new(self.process_id, last), states)
     }
 
-    /// Reports from this number on, and the number of the next one.
+    /// Reports from this number on that still matter, and the number of the next one.
     pub fn reports_since(&self, number: u64) -> (Vec<CrashReport>, u64) {
         let from = number.max(self.dropped_reports);
         let skipped = usize::try_from(from - self.dropped_reports).unwrap_or(usize::MAX);
         let reports = self.reports.iter().skip(skipped).take(MAX_PER_MESSAGE);
-        let reports: Vec<CrashReport> = reports.copied().collect();
         let next = from + reports.len() as u64;
-        (reports, next)
+        let matters = |report: &&CrashReport| match report {
+            CrashReport::Ended { digest, .. } => self.ends(*digest) > 0,
+            CrashReport::Completed { .. } => true,
+        };
+        (reports.filter(matters).copied().collect(), next)
     }
 
     fn state(&self, digest: RequestDigest) -> CrashState {
--- a/crates/direct/tests/crash_history.rs
+++ b/crates/direct/tests/crash_history.rs
@@ -134,6 +134,8 @@
     let (reports, next) = history.reports_since(next);
     assert_eq!(reports, [CrashReport::Completed { digest: request(0) }]);
     assert_eq!(history.reports_since(next), (Vec::new(), next));
+    let (reports, _) = history.reports_since(0);
+    assert_eq!(reports, [CrashReport::Completed { digest: request(0) }], "the ends are refuted");
 }
 
 #[test]
