Believe ends of engines only of known nodes

Cause: whoever sent a node a datagram that three engines had ended under a request had it refused, as engines that nobody has listed are confirmed to have ended. Change: such a datagram counts only from the address of a known node. Test: crashing::stranger_cannot_have_a_request_blocked, failed before.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -64,14 +64,12 @@
 /// Finds out whether the engine of an attempt that broke off has ended. Waits only for an engine that
 /// refuses connections; another one is probed in the background.
 pub(crate) async fn investigate(node: &Node, broken: BrokenAttempt) {
-    let Some(addr) = node.engine(&broken.engine, |engine| {
+    let addr = node.engine(&broken.engine, |engine| {
         // An engine that was going to end is no evidence.
         let was_in_use = engine.accepts_requests() && engine.key() == broken.key;
         was_in_use.then_some(engine.info.addr)
-    }) else {
-        return;
-    };
-    let Some(addr) = addr else { return };
+    });
+    let Some(addr) = addr.flatten() else { return };
     let probe_node = Node::clone(node);
     let probe = tokio::task::spawn_local(async move { probe(&probe_node, addr, &broken).await });
     // The probe goes on after the timeout.
--- a/crates/gateway/src/peers/datagrams.rs
+++ b/crates/gateway/src/peers/datagrams.rs
@@ -138,7 +138,12 @@
             Ok(Datagram::ReachableFrom(key, domain)) => {
                 unreachable::handle_hub_report(&node, from, key, &domain, false)
             }
-            Ok(Datagram::Crash(report)) => crashes::apply_broadcast(&node, report),
+            Ok(Datagram::Crash(report)) => {
+                // Anyone on the network can send one, and it can have a request refused.
+                if node.peer_socket.contains(from) {
+                    crashes::apply_broadcast(&node, report);
+                }
+            }
             Ok(datagram) => apply_request_event(&node, datagram),
             Err(_) => {}
         }
--- a/crates/hibiscusgw/tests/platform/crashing.rs
+++ b/crates/hibiscusgw/tests/platform/crashing.rs
@@ -4,10 +4,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use hgw_direct::{DigestedParts, RequestDigest};
 use hgw_standins::fleet::EngineSettings;
-use hgw_standins::fleet::deployment::{Fleet, holds, wait};
+use hgw_standins::fleet::deployment::{Fleet, HOST, holds, wait};
 use hgw_standins::link::Condition;
 use http::StatusCode;
+use serde_json::json;
 
 use crate::new_fleet;
 
@@ -212,6 +214,32 @@
     assert!(fleet.store.records("keyed.hgw-blocked").is_empty());
 }
 
+/// Anyone on the network can send a datagram; only other nodes may say that engines have ended, or a
+/// stranger could have any request refused.
+#[test]
+fn stranger_cannot_have_a_request_blocked() {
+    let mut fleet = model_fleet(2);
+    let node = fleet.start("a");
+    let digest = RequestDigest::of(&DigestedParts {
+        method: "POST",
+        host: HOST,
+        target: "/ask/",
+        customer: None,
+        body: b"body",
+    });
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    for engine in 1..=5 {
+        let ended = json!({ "digest": digest, "origin": 1, "engine": engine });
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&json!({ "Crash": { "Ended": ended } }), &mut bytes).unwrap();
+        socket.send_to(&bytes, fleet.nodes[node].peers).unwrap();
+    }
+    // Longer than the reports would take to be confirmed.
+    std::thread::sleep(Duration::from_secs(1));
+    let response = fleet.nodes[node].stream("/ask/", "s-1", "m").unwrap();
+    assert_eq!(response.status, StatusCode::OK);
+}
+
 /// Makes each of these engines refuse connections once it runs a request, without any change of its entry,
 /// while `play` runs.
 fn while_engines_are_cut_off(fleet: &Fleet, engines: &[usize], play: impl FnOnce()) {
