Keep changes for polling nodes in one piece of code

The loaded models of engines and the requests that crash engines each kept the latest change of a key by number, and told what came after a position, the earliest first and in parts.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod aggregation;
 mod catalog;
+mod change_log;
 mod change_position;
 mod choice;
 mod crash_history;
@@ -33,6 +34,7 @@
     CallerLimits, Catalog, Model, ModelPool, Route, RouteKind, RouteMatch, Service, ServiceId,
     Target,
 };
+pub use change_log::ChangeLog;
 pub use change_position::ChangePosition;
 pub use choice::{Choice, ChoiceParams, CostWeights, NoEngine, choose_engine};
 pub use crash_history::{
