Send a long engine list in parts instead of leaving it to the store

Cause: a list of more than 400 engines was never sent to a node that had none; each read it from the store. That is nodes times engines from one place, at the moment when all start: the calls time out, are repeated, and hold up those for the configuration and the lease.

Now an update has at most 400 engines, the earliest changes first; the poller asks for the rest at once, from the position in the sender's changes that it has reached. It uses engines as they come and removes what the list lacks once it is complete. What changes meanwhile comes in a later part, another sender begins anew. An index by the number of the change makes a poll cost what has changed, not the length of the list.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -57,8 +57,8 @@
 pub use isolation::is_isolated;
 pub use leader_liveness::LeaderLiveness;
 pub use list_changes::{
-    EngineRecord, EngineStateChange, ListChanges, ListUpdate, ListUpdateKind, ListVersion,
-    is_large_list, polls_store,
+    EngineRecord, EngineStateChange, ListChanges, ListReceiver, ListUpdate, ListUpdateKind,
+    ListVersion, is_large_list, polls_store,
 };
 pub use prefill::{PrefillBacklog, PrefillRate, SendId, broadcasts_sends};
 pub use prompt::{EmptyModelName, ModelRef, Prompt, PromptPart};
--- a/crates/direct/src/list_changes.rs
+++ b/crates/direct/src/list_changes/mod.rs
@@ -1,5 +1,9 @@
 //! Distributes the list of engines from the node that reads it from the store to the others.
 
+mod receiver;
+mod update;
+
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::Range;
 
@@ -7,10 +11,10 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    CachedWeights, ChangePosition, Cursor, Engine, EngineId, EngineInfo, EngineState, Engines,
-    LoadedModel, StartTime,
-};
+use crate::{ChangePosition, Cursor, Engine, EngineId, EngineState, Engines, StartTime};
+
+pub use receiver::ListReceiver;
+pub use update::{EngineRecord, ListUpdate, ListUpdateKind};
 
 /// Version of a list of engines: the position in the store's log up to which it was read, and the
 /// number of changes that were learned at that position without reading on.
@@ -37,9 +41,9 @@
     }
 }
 
-/// Maximum length of a list that is sent in full to a node that is behind. Longer lists take too
-/// much bandwidth, so that node reads it from the store.
-const MAX_FULL_LIST: usize = 400;
+/// Maximum number of engines in one update, about 100 KB. The rest follows in the responses to the
+/// next polls, so that a long list neither exceeds a message nor blocks the sender.
+const MAX_ENTRIES: usize = 400;
 
 /// Whether a node polls the store while there is no leader. `random` is a random number of the
 /// node, `interval_factor` the poll interval factor.
@@ -50,96 +54,21 @@
     !is_large_list(engines) || random.is_multiple_of(interval_factor.max(1))
 }
 
-/// Whether the list is too long to be sent to each node in full.
+/// Whether the list is too long for one update.
 pub fn is_large_list(engines: &Engines) -> bool {
-    engines.iter().count() > MAX_FULL_LIST
-}
-
-/// Wire form of an engine's list entry.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EngineRecord {
-    pub engine: EngineId,
-    /// Position of the entry in the store's log.
-    #[serde(rename = "at")]
-    pub position: Cursor,
-    #[serde(rename = "start")]
-    pub started_at: StartTime,
-    pub service: String,
-    pub addr: SocketAddr,
-    pub domain: String,
-    pub slots: u32,
-    pub leaving: bool,
-    pub unreadable: bool,
-    /// Whether it is still warming up after its start.
-    #[serde(rename = "cold")]
-    pub warming_up: bool,
-    #[serde(rename = "held")]
-    pub loaded: Vec<LoadedModel>,
-}
-
-/// An update of the list of engines.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListUpdate {
-    /// Version of the list with this update.
-    #[serde(rename = "place")]
-    pub version: ListVersion,
-    /// Position in the sender's changes with this update.
-    #[serde(default, rename = "heard")]
-    pub seen: ChangePosition,
-    /// Position at which the backup ends that the store was restored from, as far as the sender
-    /// knows.
-    #[serde(rename = "copy_end")]
-    pub backup_end: Cursor,
-    #[serde(rename = "part")]
-    pub kind: ListUpdateKind,
-    pub engines: Vec<EngineRecord>,
-    /// Removed engines, with the position of the removal.
-    #[serde(rename = "gone")]
-    pub removed: Vec<(EngineId, Cursor)>,
-}
-
-/// What an update contains.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ListUpdateKind {
-    #[default]
-    Changes,
-    #[serde(rename = "Whole")]
-    Full,
-    /// Nothing: the receiver is too far behind and has to read the list from the store.
-    #[serde(rename = "ReadAnew")]
-    RereadStore,
-    /// Nothing: the sender has no list yet.
-    Unknown,
-}
-
-impl ListUpdate {
-    /// Applies the update to the receiver's list.
-    pub fn apply(self, engines: &mut Engines) {
-        engines.set_backup_end(self.backup_end);
-        let entries = self.engines.into_iter().map(|record| to_engine_info(engines, record));
-        let entries: Vec<EngineInfo> = entries.collect();
-        if self.kind == ListUpdateKind::Full {
-            engines.apply_snapshot(entries, self.version.position(), false);
-            return;
-        }
-        for entry in entries {
-            engines.upsert(entry);
-        }
-        for (removed_id, at) in &self.removed {
-            engines.remove(removed_id, *at);
-        }
-        engines.record_complete(self.version.position());
-    }
+    engines.iter().count() > MAX_ENTRIES
 }
 
 /// History of changes to the list of engines.
 ///
 /// Versions are positions in the store's log, so that a node can get changes from any other node
 /// that has read further.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ListChanges {
     process_id: u64,
-    /// Number of times that the list has changed.
+    /// Maximum number of engines in one update.
+    max_entries: usize,
+    /// Number of changes of engines so far.
     changes: u64,
     /// Version from which on all changes are known.
     first_version: Option<ListVersion>,
@@ -155,6 +84,8 @@
     entries: IndexMap<EngineId, (Change, Fingerprint)>,
     /// Removed engines, with the positions of their removals.
     removed: IndexMap<EngineId, (Change, Cursor)>,
+    /// Engines by the numbers of their latest changes.
+    by_number: BTreeMap<u64, EngineId>,
     /// Removals that have been recorded.
     removals: u64,
 }
@@ -164,7 +95,7 @@
 struct Change {
     /// Version of the list with the change.
     version: ListVersion,
-    /// Number of changes up to this one.
+    /// Number of this change, different for each change of an engine.
     number: u64,
 }
 
@@ -209,12 +140,45 @@
     pub state: Option<EngineState>,
 }
 
+/// A change that an update tells.
+#[derive(Debug, Clone, Copy)]
+struct Told<'a> {
+    number: u64,
+    id: &'a EngineId,
+    /// Position of the removal; none if the engine is listed.
+    removed_at: Option<Cursor>,
+}
+
+impl Default for ListChanges {
+    fn default() -> Self {
+        ListChanges {
+            process_id: 0,
+            max_entries: MAX_ENTRIES,
+            changes: 0,
+            first_version: None,
+            unread: Range::default(),
+            forgotten_changes: 0,
+            version: ListVersion::default(),
+            changed_at: ListVersion::default(),
+            entries: IndexMap::new(),
+            removed: IndexMap::new(),
+            by_number: BTreeMap::new(),
+            removals: 0,
+        }
+    }
+}
+
 impl ListChanges {
     /// The history of a process with this identifier, which is not 0.
     pub fn new(process_id: u64) -> ListChanges {
         ListChanges { process_id, ..ListChanges::default() }
     }
 
+    /// Sends at most this many engines in one update.
+    pub fn with_max_entries(self, max_entries: usize) -> ListChanges {
+        ListChanges { max_entries, ..self }
+    }
+
     /// Compares the list, read up to `cursor`, with the known one. Returns the changes of state;
     /// none for the first list.
     pub fn update(&mut self, engines: &Engines, cursor: Cursor) -> Vec<EngineStateChange> {
@@ -252,25 +216,46 @@
         }
         if has_changes {
             self.changed_at = self.version;
-            self.changes += 1;
         }
-        let change = Change { version: self.version, number: self.changes };
         for (id, fingerprint) in changed {
-            self.removed.shift_remove(&id);
+            self.forget(&id);
+            let change = self.next_change(&id);
             self.entries.insert(id, (change, fingerprint));
         }
         for id in gone {
-            self.entries.shift_remove(&id);
+            self.forget(&id);
+            if engines.removed_at(&id).is_none() {
+                // Its removal is forgotten already, so nodes that have it need the full list.
+                self.changes += 1;
+                self.forgotten_changes = self.changes;
+                self.first_version = self.first_version.max(Some(self.version));
+            }
             changes.push(EngineStateChange { engine: id, state: None });
         }
         for (id, position) in removed {
-            self.removed.shift_remove(&id);
+            self.forget(&id);
+            let change = self.next_change(&id);
             self.removed.insert(id, (change, position));
         }
         self.drop_forgotten_removals(engines);
         changes
     }
 
+    /// Forgets the previous change of an engine.
+    fn forget(&mut self, id: &EngineId) {
+        let previous = self.entries.swap_remove(id).map(|(change, _)| change);
+        let removal = self.removed.swap_remove(id).map(|(change, _)| change);
+        for change in previous.into_iter().chain(removal) {
+            self.by_number.remove(&change.number);
+        }
+    }
+
+    fn next_change(&mut self, id: &EngineId) -> Change {
+        self.changes += 1;
+        self.by_number.insert(self.changes, id.clone());
+        Change { version: self.version, number: self.changes }
+    }
+
     /// Removals that have not been recorded. An engine may have been listed and removed since the
     /// last update, and other nodes may have it.
     fn new_removals(&mut self, engines: &Engines) -> Vec<(EngineId, Cursor)> {
@@ -290,8 +275,15 @@
             return;
         };
         self.first_version = self.first_version.max(Some(last.version));
-        self.forgotten_changes = last.number;
-        self.removed.retain(|id, _| !is_forgotten(id));
+        self.forgotten_changes = self.forgotten_changes.max(last.number);
+        let (removed, by_number) = (&mut self.removed, &mut self.by_number);
+        removed.retain(|id, (change, _)| {
+            let is_kept = !is_forgotten(id);
+            if !is_kept {
+                by_number.remove(&change.number);
+            }
+            is_kept
+        });
     }
 
     pub fn changed_at(&self) -> ListVersion {
@@ -337,85 +329,73 @@
         seen: ChangePosition,
     ) -> ListUpdate {
         if self.first_version.is_none() {
-            return ListUpdate { kind: ListUpdateKind::Unknown, ..ListUpdate::default() };
+            return ListUpdate::unknown();
         }
         let Some(version) = version else {
             return ListUpdate { version: self.version, ..ListUpdate::default() };
         };
-        let seen = self.seen_changes(seen);
-        let first = self.first_version.map(ListVersion::position);
-        let is_known = !self.is_unread(version)
-            && (seen.is_some() || first.is_some_and(|first| version.position() >= first));
-        let kind = match is_known {
-            true => ListUpdateKind::Changes,
-            false if self.entries.len() <= MAX_FULL_LIST => ListUpdateKind::Full,
-            false => {
-                return ListUpdate { kind: ListUpdateKind::RereadStore, ..ListUpdate::default() };
-            }
-        };
-        // The store's newest entries may not show that an engine has left, so a node that has read
-        // further need not know it.
-        let is_new = |change: &Change, has_left: bool| match seen {
-            Some(seen) => change.number > seen,
-            None => has_left || change.version > ListVersion::at_position(version.position()),
-        };
-        let is_full = kind == ListUpdateKind::Full;
-        let changed = self
-            .entries
-            .iter()
-            .filter(|(_, (change, last))| is_full || is_new(change, last.is_leaving));
-        let records = changed.filter_map(|(id, _)| engines.get(id).map(engine_record)).collect();
-        let removed = self.removed.iter().filter(|(_, (change, _))| is_new(change, true));
-        let removed = removed.map(|(id, (_, position))| (id.clone(), *position));
-        ListUpdate {
-            version: self.version,
-            seen: ChangePosition::new(self.process_id, self.changes),
+        let kind = self.kind_for(version, seen);
+        let mut told: Vec<Told<'_>> =
+            self.told_since(kind, version, seen).take(self.max_entries + 1).collect();
+        let has_more = told.len() > self.max_entries;
+        told.truncate(self.max_entries);
+        let last = told.last().filter(|_| has_more).map(|told| told.number);
+        let mut update = ListUpdate {
+            // A version that the receiver has not reached yet would make it take the list for
+            // complete.
+            version: if has_more { ListVersion::default() } else { self.version },
+            seen: ChangePosition::new(self.process_id, last.unwrap_or(self.changes)),
             backup_end: engines.backup_end(),
             kind,
-            engines: records,
-            removed: removed.collect(),
+            has_more,
+            engines: Vec::new(),
+            removed: Vec::new(),
+        };
+        for Told { id, removed_at, .. } in told {
+            match removed_at {
+                Some(position) => update.removed.push((id.clone(), position)),
+                None => update.engines.extend(engines.get(id).map(EngineRecord::of)),
+            }
         }
+        update
     }
-}
 
-fn engine_record(engine: &Engine) -> EngineRecord {
-    let info = &engine.info;
-    EngineRecord {
-        engine: info.id.clone(),
-        position: info.position,
-        started_at: info.started_at,
-        service: info.service.0.clone(),
-        addr: info.addr,
-        domain: info.domain.clone(),
-        slots: info.slots,
-        leaving: matches!(info.state, EngineState::Leaving { .. }),
-        unreadable: info.state == EngineState::Unreadable,
-        warming_up: info.warmup_ms_left > 0,
-        loaded: info.loaded.clone(),
+    /// A node that does not know all earlier changes needs the full list.
+    fn kind_for(&self, version: ListVersion, seen: ChangePosition) -> ListUpdateKind {
+        let first = self.first_version.map(ListVersion::position);
+        let is_known = self.seen_changes(seen).is_some()
+            || first.is_some_and(|first| version.position() >= first);
+        match self.is_unread(version) || !is_known {
+            true => ListUpdateKind::Full,
+            false => ListUpdateKind::Changes,
+        }
     }
-}
 
-fn to_engine_info(engines: &Engines, record: EngineRecord) -> EngineInfo {
-    let known =
-        engines.get(&record.engine).filter(|e| !e.info.started_at.is_before(record.started_at));
-    let engine_state = match (record.leaving, record.unreadable) {
-        (_, true) => EngineState::Unreadable,
-        (true, false) => EngineState::Leaving { terminates_at: None },
-        (false, false) => EngineState::Ready,
-    };
-    EngineInfo {
-        id: record.engine,
-        position: record.position,
-        started_at: record.started_at,
-        service: record.service.into(),
-        addr: record.addr,
-        domain: record.domain,
-        slots: record.slots,
-        state: engine_state,
-        loaded: known
-            .filter(|e| e.placement_reported_at.is_some())
-            .map_or(record.loaded, |e| e.info.loaded.clone()),
-        cached: CachedWeights::default(),
-        warmup_ms_left: u64::from(record.warming_up),
+    /// The changes that an update of this kind has to tell, the earliest first.
+    fn told_since(
+        &self,
+        kind: ListUpdateKind,
+        version: ListVersion,
+        seen: ChangePosition,
+    ) -> impl Iterator<Item = Told<'_>> {
+        let is_full = kind == ListUpdateKind::Full;
+        let seen = self.seen_changes(seen).filter(|_| !is_full);
+        // The store's newest entries may not show that an engine has left, so a node that has read
+        // further need not know it.
+        let is_new = move |change: &Change, has_left: bool| {
+            seen.is_some()
+                || has_left
+                || change.version > ListVersion::at_position(version.position())
+        };
+        let first = seen.map_or(0, |seen| seen.saturating_add(1));
+        self.by_number.range(first..).filter_map(move |(number, id)| {
+            if let Some((change, last)) = self.entries.get(id) {
+                let is_told = is_full || is_new(change, last.is_leaving);
+                return is_told.then_some(Told { number: *number, id, removed_at: None });
+            }
+            let (change, position) = self.removed.get(id)?;
+            let is_told = !is_full && is_new(change, true);
+            is_told.then_some(Told { number: *number, id, removed_at: Some(*position) })
+        })
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -216,7 +216,7 @@
     wait_for_first_update(&node).await;
     let (mut store_back_at, mut last_read) = (None, node.now());
     loop {
-        if node.has_recent_leader_updates() && !node.must_read_list.get() {
+        if node.has_recent_leader_updates() {
             // The complete list is read again once the leader's updates stop.
             (cursor, store_back_at, last_read) = (None, None, node.now());
             sleep(UPDATE_CHECK_INTERVAL).await;
@@ -226,7 +226,6 @@
         match node.protocols.store.read_engines(cursor).await {
             Ok(update) => {
                 node.list_read_at.set(node.now());
-                node.must_read_list.set(false);
                 let had_outage = link.record_success()
                     && time_since(&node, last_read)
                         >= MIN_OUTAGE_HEARTBEATS * node.settings.borrow().heartbeat;
@@ -317,6 +316,7 @@
     }
     if update.is_full_list {
         state.engines.apply_snapshot(snapshot, update.cursor, keep_missing);
+        state.list_receiver.discard();
     } else {
         state.engines.record_complete(update.cursor);
     }
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -1,32 +1,28 @@
 //! Applies the engine list and the loaded models that other nodes send.
 
-use hgw_direct::{ChangePosition, ListUpdate, ListUpdateKind};
+use hgw_direct::{ListUpdate, ListUpdateKind};
 
 use crate::shared::{ListSource, Node};
+use crate::state::State;
 
 use super::message::EnginePlacement;
 
 /// Updates the engine list.
 pub(super) fn apply_list_update(node: &Node, update: ListUpdate) {
-    let mut state = node.state.borrow_mut();
     if update.kind == ListUpdateKind::Unknown {
         return;
     }
-    if update.kind == ListUpdateKind::RereadStore {
-        state.list_version = None;
-        state.list_seen = ChangePosition::default();
-        node.must_read_list.set(true);
-        return;
-    }
-    let has_changed = update.kind == ListUpdateKind::Full
-        || !update.engines.is_empty()
-        || !update.removed.is_empty();
-    let version = update.version;
-    state.list_seen = update.seen;
-    update.apply(&mut state.engines);
-    drop(state);
+    let has_changed = !update.is_empty();
+    let version = {
+        let mut state = node.state.borrow_mut();
+        let State { engines, list_receiver, list_seen, .. } = &mut *state;
+        *list_seen = update.seen;
+        list_receiver.apply(update, engines)
+    };
     node.handle_restarts();
-    node.record_list_version(version, ListSource::Peer);
+    if let Some(version) = version {
+        node.record_list_version(version, ListSource::Peer);
+    }
     if has_changed {
         node.update_available.notify_waiters();
     }
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -38,7 +38,8 @@
             continue;
         };
         let pause = match poller.poll_once(&node, parent, addr).await {
-            Some(children) => {
+            Some(Polled { has_more: true, .. }) => continue,
+            Some(Polled { children, .. }) => {
                 MIN_POLL_PAUSE * poll_interval_factor(children, node.state.borrow().nodes)
             }
             None => NO_LEADER_PAUSE,
@@ -47,6 +48,15 @@
     }
 }
 
+/// What a response tells about the next poll.
+#[derive(Debug, Clone, Copy)]
+struct Polled {
+    /// Number of nodes that poll the same node.
+    children: u32,
+    /// Whether the rest of the engine list is to be fetched at once.
+    has_more: bool,
+}
+
 /// State kept between polls.
 #[derive(Debug, Default)]
 struct Poller {
@@ -63,9 +73,8 @@
 }
 
 impl Poller {
-    /// Polls once. Returns the number of nodes that poll the same node, or none if it did not
-    /// respond.
-    async fn poll_once(&mut self, node: &Node, parent: Parent, addr: SocketAddr) -> Option<u32> {
+    /// Polls once. Returns none if the node did not respond.
+    async fn poll_once(&mut self, node: &Node, parent: Parent, addr: SocketAddr) -> Option<Polled> {
         let fence = node.leadership.borrow().leader.as_ref().map_or(0, |leader| leader.fence);
         let mut demand = take_unreported_demand(node);
         let reports_earlier_demand =
@@ -110,13 +119,13 @@
             self.crashes_reported = 0;
         }
         self.crashes_seen = update.crashes_seen;
-        let children = update.children;
-        node.backoff.set_siblings(children);
+        let polled = Polled { children: update.children, has_more: update.list_update.has_more };
+        node.backoff.set_siblings(polled.children);
         if update.data_age_ms > max_data_age(node) {
             node.hubs.borrow_mut().skip(addr, SkipReason::Stale, node.now());
         }
         apply_update(node, now, update);
-        Some(children)
+        Some(polled)
     }
 
     /// Reports for this node, and the number of the next report.
@@ -135,12 +144,8 @@
     ) -> PollRequest {
         let (catalog_version, list_version, list_seen) = {
             let state = node.state.borrow();
-            // Version 0 requests the complete configuration, and no version the complete list.
-            let needs_full_list = state.engines.has_skipped_removals();
-            let (list_version, list_seen) = match state.list_version {
-                Some(version) if !needs_full_list => (version, state.list_seen),
-                _ => Default::default(),
-            };
+            let (list_version, list_seen) = state.list_position();
+            // Version 0 requests the complete configuration.
             (state.catalog.as_ref().map_or(0, |c| c.version), list_version, list_seen)
         };
         let settings = node.settings.borrow();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -75,9 +75,6 @@
     pub(crate) update_available: Notify,
     /// Random number of this process, which spreads periodic work over the nodes.
     pub(crate) jitter: u32,
-    /// Set when the engine list is too long to be sent by another node, so that this node reads it
-    /// from the store.
-    pub(crate) must_read_list: Cell<bool>,
     /// Newest era of the store that this node knows.
     pub(crate) era: Cell<KnownEra>,
     /// Time of the last response from the store.
@@ -152,7 +149,6 @@
             members: RefCell::default(),
             update_available: Notify::new(),
             jitter: random(),
-            must_read_list: Cell::new(false),
             era: Cell::default(),
             store_responded_at: Cell::new(0),
             list_read_at: Cell::new(0),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use hgw_direct::{
-    Catalog, ChangePosition, Demand, Engines, ListChanges, ListVersion, Millis, ModelRef,
-    RetryBudget, ServiceId,
+    Catalog, ChangePosition, Demand, Engines, ListChanges, ListReceiver, ListVersion, Millis,
+    ModelRef, RetryBudget, ServiceId,
 };
 use indexmap::IndexMap;
 
@@ -20,6 +20,8 @@
     /// Whether a complete engine list has been received.
     pub(crate) has_engine_list: bool,
     pub(crate) engines: Engines,
+    /// Applies the updates of the engine list that other nodes send.
+    pub(crate) list_receiver: ListReceiver,
     /// Position up to which the engine list is known.
     pub(crate) list_version: Option<ListVersion>,
     /// Position in the changes of the node that sent the last update of the engine list.
@@ -38,6 +40,17 @@
 }
 
 impl State {
+    /// Version of the engine list, and the position in the changes of the node that sent it, from
+    /// which this node needs updates. The defaults request the full list.
+    pub(crate) fn list_position(&self) -> (ListVersion, ChangePosition) {
+        if self.list_receiver.is_incomplete() {
+            return (ListVersion::default(), self.list_seen);
+        }
+        let needs_full_list = self.engines.has_skipped_removals();
+        let version = self.list_version.filter(|_| !needs_full_list);
+        version.map_or_else(Default::default, |version| (version, self.list_seen))
+    }
+
     /// Counts requests for a model or an adapter.
     pub(crate) fn record_demand(&mut self, now: Millis, model_ref: &ModelRef, count: f64) {
         self.demand.record(now, model_ref, count);
--- a/crates/hibiscusgw/tests/platform/hubs.rs
+++ b/crates/hibiscusgw/tests/platform/hubs.rs
@@ -190,3 +190,27 @@
         accepted.iter_mut().any(|stream| stream.read(&mut [0; 64]).is_ok_and(|read| read > 0))
     });
 }
+
+/// Guards against a store that every node reads after a start of all: the list of engines is longer than one
+/// message between nodes, and a node that starts must get it from another one all the same.
+#[test]
+fn long_list_comes_from_other_nodes_and_not_from_the_store() {
+    const LISTED: usize = 900;
+    for joining in [4, 8] {
+        let mut fleet = new_fleet(vec![slow_prefill_engine("i-3")]);
+        for number in 0..LISTED {
+            let mut entry = fleet.entry("i-3", "ready");
+            entry["service"] = "archive".into();
+            let id = format!("far-{number}");
+            fleet.store.put("keyed.servers", &id, entry.to_string().as_bytes());
+        }
+        fleet.start("a");
+        let read_by_the_first = fleet.store.given("keyed.servers");
+        let nodes: Vec<usize> = (0..joining).map(|_| fleet.spawn("a")).collect();
+        for node in nodes {
+            wait("the node is ready", || fleet.nodes[node].is_ready());
+        }
+        let read_by_others = fleet.store.given("keyed.servers") - read_by_the_first;
+        assert!(read_by_others < LISTED as u64, "{read_by_others} entries by {joining} nodes");
+    }
+}
