Look up hub candidates and engines in maps at the leader

Cause: for each poll the leader went through the list of all nodes to find the hubs of a domain, every 40 ms it looked up each node that polls it in that list, and in each plan it compared each engine with the list of all engines five times: nodes and engines squared, most right after a start, when all nodes poll the leader. At 3,900 engines a plan compared 15 million ids; a plan rests ten times as long as it took, so placement got slower unseen.

Now the candidates are worked out once when the nodes are counted (`NodeDirectory`), and ids are looked up in a set.

--- a/crates/direct/src/hubs.rs
+++ b/crates/direct/src/hubs.rs
@@ -68,6 +68,48 @@
     in_domain.into_iter().take(MAX_CANDIDATES).cloned().collect()
 }
 
+/// The registered nodes, with the hub candidates of each domain.
+#[derive(Debug, Clone, Default)]
+pub struct NodeDirectory {
+    /// Domain of each node.
+    domains: IndexMap<SocketAddr, String>,
+    candidates: IndexMap<String, Vec<Member>>,
+}
+
+impl NodeDirectory {
+    pub fn new(members: &[Member]) -> NodeDirectory {
+        let mut by_domain: IndexMap<&str, Vec<Member>> = IndexMap::new();
+        for member in members {
+            by_domain.entry(&member.domain).or_default().push(member.clone());
+        }
+        let candidates = by_domain
+            .iter()
+            .map(|(domain, members)| ((*domain).to_owned(), candidates(members, domain)));
+        NodeDirectory {
+            domains: members.iter().map(|m| (m.addr, m.domain.clone())).collect(),
+            candidates: candidates.collect(),
+        }
+    }
+
+    /// Whether no node is known yet.
+    pub fn is_empty(&self) -> bool {
+        self.domains.is_empty()
+    }
+
+    /// The hub candidates of a domain in order of preference.
+    pub fn candidates(&self, domain: &str) -> &[Member] {
+        self.candidates.get(domain).map_or(&[], Vec::as_slice)
+    }
+
+    /// Whether the node may be the hub of its domain: one of the candidates, or any node of a domain
+    /// without.
+    pub fn may_be_hub(&self, node: SocketAddr) -> bool {
+        let domain = self.domains.get(&node).map(String::as_str).unwrap_or_default();
+        let candidates = self.candidates(domain);
+        candidates.is_empty() || candidates.iter().any(|c| c.addr == node)
+    }
+}
+
 /// The node that is polled for updates.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Parent {
--- a/crates/direct/tests/hubs.rs
+++ b/crates/direct/tests/hubs.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use hgw_direct::hubs::{
-    Hubs, Member, Parent, SkipReason, candidates, digest, poll_interval_factor,
+    Hubs, Member, NodeDirectory, Parent, SkipReason, candidates, digest, poll_interval_factor,
 };
 
 fn member(n: u16, domain: &str, processor: f64) -> Member {
@@ -164,3 +164,19 @@
     let names: Vec<String> = candidates(&members, "a").into_iter().map(|m| m.node).collect();
     assert_eq!(names, ["n-30", "n-31"]);
 }
+
+/// Guards against work at the leader that grows with the square of the nodes: it looks up each node that
+/// polls it.
+#[test]
+fn directory_knows_the_candidates_of_each_domain() {
+    let members: Vec<Member> = domain().into_iter().chain([member(21, "c", 1.0)]).collect();
+    let directory = NodeDirectory::new(&members);
+    assert_eq!(directory.candidates("a"), candidates(&members, "a"));
+    assert_eq!(directory.candidates("a").len(), 3);
+    assert_eq!(directory.candidates("unknown"), []);
+    let may_be_hub = |n| directory.may_be_hub(addr(n));
+    assert!(may_be_hub(3) && !may_be_hub(2), "a small VM beside large ones");
+    assert!(may_be_hub(20), "the only node of its domain");
+    assert!(may_be_hub(99), "a node that has not registered yet");
+    assert!(NodeDirectory::default().is_empty() && !directory.is_empty());
+}
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -158,7 +158,7 @@
     let services: Vec<_> = model_pools(node).into_iter().map(|(service, _)| service).collect();
     let state = node.state.borrow();
     let engines = state.engines.iter().filter(|e| services.contains(&e.info.service));
-    let ids: Vec<EngineId> = engines.map(|e| e.info.id.clone()).collect();
+    let ids: IndexSet<EngineId> = engines.map(|e| e.info.id.clone()).collect();
     let mut leader = node.leader_state.borrow_mut();
     leader.surveyed.retain(|id, start| {
         let engine = state.engines.get(id).filter(|_| ids.contains(id));
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hgw_direct::hubs::{Member, candidates};
+use hgw_direct::hubs::{Member, NodeDirectory};
 use hgw_direct::{Millis, broadcasts_sends};
 use tokio::time::sleep;
 
@@ -53,7 +53,7 @@
             counted_at.is_none_or(|counted_at| node.now().saturating_sub(counted_at) >= pause);
         // Only the leader counts. While there is no leader, the last count remains in use.
         let should_count =
-            is_leader || node.members.borrow().is_empty() && !node.has_leader_updates();
+            is_leader || node.directory.borrow().is_empty() && !node.has_leader_updates();
         if registered && is_due && should_count {
             counted_at = Some(node.now());
             match count_nodes(&node).await {
@@ -89,8 +89,9 @@
     if broadcasts_sends(count) {
         node.peer_socket.set_peers(members.iter().map(|m| m.addr).collect());
     }
-    let hub_candidates = candidates(&members, &node.settings.borrow().domain);
+    let directory = NodeDirectory::new(&members);
+    let hub_candidates = directory.candidates(&node.settings.borrow().domain).to_vec();
     node.hubs.borrow_mut().set_candidates(hub_candidates);
-    *node.members.borrow_mut() = members;
+    *node.directory.borrow_mut() = directory;
     true
 }
--- a/crates/gateway/src/peers/in_flight.rs
+++ b/crates/gateway/src/peers/in_flight.rs
@@ -9,7 +9,7 @@
 
 use hgw_direct::aggregation::{Neighbors, Relation, ReportScope};
 use hgw_direct::broadcasts_sends;
-use hgw_direct::hubs::{Parent, candidates};
+use hgw_direct::hubs::Parent;
 use hgw_direct::in_flight::{EngineKey, InFlightLoad, InFlightUpdate};
 use indexmap::IndexMap;
 use tokio::time::sleep;
@@ -110,14 +110,7 @@
     let members = node.members.borrow();
     let mut by_domain = IndexMap::new();
     let mut hubs = node.children.addrs();
-    hubs.retain(|addr| {
-        let domain = members.iter().find(|m| m.addr == *addr).map(|m| m.domain.as_str());
-        let domain = domain.unwrap_or_default();
-        let candidates = by_domain.entry(domain).or_insert_with(|| candidates(&members, domain));
-        candidates.is_empty() || candidates.iter().any(|c| c.addr == *addr)
-    });
-    drop(by_domain);
-    drop(members);
+    hubs.retain(|addr| node.directory.borrow().may_be_hub(*addr));
     hubs.push(node.settings.borrow().peer_addr);
     hubs.sort_unstable();
     node.peer_socket.set_peers(hubs);
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -1,7 +1,7 @@
 //! Answers polls: the leader those of all hubs, and a hub those of the nodes in its domain.
 
-use hgw_direct::broadcasts_sends;
-use hgw_direct::hubs::{Member, candidates, digest};
+use hgw_direct::hubs::{Member, digest};
+use hgw_direct::{ListUpdate, broadcasts_sends};
 use tokio::time::timeout;
 
 use crate::eras;
@@ -102,13 +102,13 @@
 
 /// Hub candidates of the sender's domain, if the sender knows others.
 fn hub_candidates(node: &Node, request: &PollRequest) -> Option<Vec<Member>> {
-    let members = node.members.borrow();
-    let hub_candidates = if !members.is_empty() {
-        candidates(&members, &request.domain)
+    let (directory, hubs) = (node.directory.borrow(), node.hubs.borrow());
+    let hub_candidates = if !directory.is_empty() {
+        directory.candidates(&request.domain)
     } else if node.settings.borrow().domain == request.domain {
         node.hubs.borrow().candidates().to_vec()
     } else {
         return None;
     };
-    (digest(&hub_candidates) != request.hubs_digest).then_some(hub_candidates)
+    (digest(hub_candidates) != request.hubs_digest).then(|| hub_candidates.to_vec())
 }
--- a/crates/gateway/src/quotas/refill.rs
+++ b/crates/gateway/src/quotas/refill.rs
@@ -232,7 +232,7 @@
 /// Uses this domain's own share if the issuer has not responded for a while.
 fn use_fallback(node: &Node, requests: &[(CustomerId, AllowanceRequest)]) {
     let now = boot_now();
-    let knows_nodes = !node.members.borrow().is_empty() || node.has_leader_updates();
+    let knows_nodes = !node.directory.borrow().is_empty() || node.has_leader_updates();
     let has_recent_response =
         now.saturating_sub(node.quotas.last_response_at.get()) < FALLBACK_AFTER_MS;
     if !knows_nodes || has_recent_response && !node.quotas.uses_fallback.get() {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,7 +7,7 @@
 
 use derive_more::Display;
 use hgw_direct::aggregation::Aggregator;
-use hgw_direct::hubs::{Hubs, Member, Parent, poll_interval_factor};
+use hgw_direct::hubs::{Hubs, NodeDirectory, Parent, poll_interval_factor};
 use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{
     AttemptOutcome, CrashHistory, Engine, EngineId, KnownEra, ListChanges, ListVersion, Millis,
@@ -70,7 +70,7 @@
     /// Candidates for the hub of this node's failure domain, which forwards the leader's updates.
     pub(crate) hubs: RefCell<Hubs>,
     /// All nodes in the store; empty until this node has read them.
-    pub(crate) members: RefCell<Vec<Member>>,
+    pub(crate) directory: RefCell<NodeDirectory>,
     /// Notified when there is an update for the nodes that poll this one.
     pub(crate) update_available: Notify,
     /// Random number of this process, which spreads periodic work over the nodes.
@@ -146,7 +146,7 @@
             children: Children::default(),
             placement_changes: RefCell::default(),
             hubs: RefCell::default(),
-            members: RefCell::default(),
+            directory: RefCell::default(),
             update_available: Notify::new(),
             jitter: random(),
             era: Cell::default(),
