Send long lists from the leader only to nodes that pass them on

Cause: nodes that start do not know their hub yet, so all of them poll the leader, which sent the list of engines to each.

Now the leader sends a list that takes several messages only to a node that does not learn from the same response which hub to poll, and to at most 40 nodes before it has read which nodes there are. Test: 986 and 1,972 nodes that poll it once cost six long lists each, one for each domain.

--- a/crates/direct/src/hubs.rs
+++ b/crates/direct/src/hubs.rs
@@ -33,6 +33,10 @@
 /// often, and each change is sent to each hub.
 const MAX_FACTOR_BY_NODES: u32 = 4;
 
+/// Maximum number of nodes to which the leader sends a long engine list before it knows the hubs,
+/// which takes one read of the store.
+const MAX_CHILDREN_WITHOUT_HUBS: u32 = 40;
+
 /// Time for which an unresponsive node is skipped.
 const UNRESPONSIVE_SKIP: Millis = 3_000;
 
@@ -110,6 +114,32 @@
     }
 }
 
+/// Decides to which nodes the leader sends an engine list that takes several messages: to those that
+/// pass it on.
+///
+/// After a start of all nodes each polls the leader once. If it sent the list to all of them, it would
+/// respond to none in time.
+#[derive(Debug, Clone, Copy)]
+pub struct LongListDistribution {
+    pub leader: SocketAddr,
+    /// Whether the leader has read which nodes there are.
+    pub knows_hubs: bool,
+    /// Number of nodes that poll the leader.
+    pub children: u32,
+}
+
+impl LongListDistribution {
+    /// Whether the list is sent to a node. `redirect` are the hub candidates that the node does not
+    /// know yet and learns from the response.
+    pub fn sends_to(&self, node: SocketAddr, redirect: Option<&[Member]>) -> bool {
+        if !self.knows_hubs {
+            return self.children <= MAX_CHILDREN_WITHOUT_HUBS;
+        }
+        let mut hubs = redirect.unwrap_or_default().iter().filter(|c| c.addr != self.leader);
+        hubs.next().is_none_or(|first| first.addr == node)
+    }
+}
+
 /// The node that is polled for updates.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Parent {
--- a/crates/direct/src/list_changes/mod.rs
+++ b/crates/direct/src/list_changes/mod.rs
@@ -361,6 +361,13 @@
     }
 
     /// A node that does not know all earlier changes needs the full list.
+    /// Whether that update has to be sent in several parts.
+    pub fn is_long_update(&self, version: Option<ListVersion>, seen: ChangePosition) -> bool {
+        let Some(version) = version.filter(|_| self.first_version.is_some()) else { return false };
+        let told = self.told_since(self.kind_for(version, seen), version, seen);
+        told.take(self.max_entries + 1).count() > self.max_entries
+    }
+
     fn kind_for(&self, version: ListVersion, seen: ChangePosition) -> ListUpdateKind {
         let first = self.first_version.map(ListVersion::position);
         let is_known = self.seen_changes(seen).is_some()
--- a/crates/direct/tests/hubs.rs
+++ b/crates/direct/tests/hubs.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use hgw_direct::hubs::{
-    Hubs, Member, NodeDirectory, Parent, SkipReason, candidates, digest, poll_interval_factor,
+    Hubs, LongListDistribution, Member, NodeDirectory, Parent, SkipReason, candidates, digest,
+    poll_interval_factor,
 };
 
 fn member(n: u16, domain: &str, processor: f64) -> Member {
@@ -180,3 +181,39 @@
     assert!(may_be_hub(99), "a node that has not registered yet");
     assert!(NodeDirectory::default().is_empty() && !directory.is_empty());
 }
+
+/// Guards against a leader that responds to nobody after a start of all nodes, because it sends each of them
+/// the list of thousands of engines.
+#[test]
+fn leader_sends_a_long_list_once_for_each_domain() {
+    const DOMAINS: u16 = 6;
+    for nodes in [986, 1_972] {
+        let domain = |n: u16| format!("d{}", n % DOMAINS);
+        let processor = |n: u16| if n < 60 { 1.0 } else { 0.12 };
+        let members: Vec<Member> =
+            (0..nodes).map(|n| member(n, &domain(n), processor(n))).collect();
+        let directory = NodeDirectory::new(&members);
+        let sends = |knows_hubs| {
+            let to = |(children, node): (usize, &Member)| {
+                let children = children as u32 + 1;
+                let distribution = LongListDistribution { leader: addr(0), knows_hubs, children };
+                let redirect = knows_hubs.then(|| directory.candidates(&node.domain));
+                distribution.sends_to(node.addr, redirect)
+            };
+            let polling = members.iter().filter(|node| node.addr != addr(0));
+            polling.enumerate().filter(|polling| to(*polling)).count()
+        };
+        assert_eq!(sends(true), usize::from(DOMAINS), "{nodes} nodes");
+        assert_eq!(sends(false), 40, "{nodes} nodes, before the leader knows the hubs");
+    }
+}
+
+/// A node whose hubs do not respond must get the list from the leader.
+#[test]
+fn node_that_knows_its_hubs_gets_a_long_list_from_the_leader() {
+    let directory = NodeDirectory::new(&domain());
+    let distribution = LongListDistribution { leader: addr(20), knows_hubs: true, children: 500 };
+    assert!(!distribution.sends_to(addr(1), Some(directory.candidates("a"))));
+    assert!(distribution.sends_to(addr(1), None));
+    assert!(distribution.sends_to(addr(1), Some(&[])), "a domain without hubs");
+}
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -1,6 +1,6 @@
 //! Answers polls: the leader those of all hubs, and a hub those of the nodes in its domain.
 
-use hgw_direct::hubs::{Member, digest};
+use hgw_direct::hubs::{LongListDistribution, Member, digest};
 use hgw_direct::{ListUpdate, broadcasts_sends};
 use tokio::time::timeout;
 
@@ -27,15 +27,8 @@
     let (placements_seen, changed) =
         node.placement_changes.borrow().changes_since(request.placements_seen);
     let placements = changed.iter().filter_map(|id| leader::placement_of(node, id)).collect();
-    let (list_update, catalog, nodes) = {
-        let state = node.state.borrow();
-        let list_update = state.list_changes.changes_since(
-            &state.engines,
-            Some(request.list_version),
-            request.list_seen,
-        );
-        (list_update, catalog_version(node), state.nodes)
-    };
+    let hub_candidates = hub_candidates(node, request);
+    let list_update = list_update(node, request, hub_candidates.as_deref());
     let (crashes_seen, crash_states) = node.crashes.borrow().states_since(request.crashes_seen);
     let sends_all_states = node.crashes.borrow().is_up_to_date(crashes_seen);
     PollResponse {
@@ -47,12 +40,12 @@
         placements,
         list_update,
         era: eras::to_report(node),
-        catalog_version: catalog,
+        catalog_version: catalog_version(node),
         data_age_ms: node.store_data_age(),
         waited_ms: node.now().saturating_sub(started_at),
-        nodes,
+        nodes: node.state.borrow().nodes,
         peer_addrs: peer_addrs(node, request),
-        hub_candidates: hub_candidates(node, request),
+        hub_candidates,
         children: node.children.count(),
         last_renewal: node.last_renewal(),
         load_ages_ms: load_ages(node),
@@ -62,6 +55,28 @@
     }
 }
 
+/// Changes of the engine list since the sender's last poll. `hub_candidates` are those that it
+/// learns from this response.
+fn list_update(
+    node: &Node,
+    request: &PollRequest,
+    hub_candidates: Option<&[Member]>,
+) -> ListUpdate {
+    let (version, seen) = (Some(request.list_version), request.list_seen);
+    let state = node.state.borrow();
+    if node.leadership.borrow().is_leader() && state.list_changes.is_long_update(version, seen) {
+        let distribution = LongListDistribution {
+            leader: node.settings.borrow().peer_addr,
+            knows_hubs: !node.directory.borrow().is_empty(),
+            children: node.children.count(),
+        };
+        if !distribution.sends_to(request.from, hub_candidates) {
+            return ListUpdate::unknown();
+        }
+    }
+    state.list_changes.changes_since(&state.engines, version, seen)
+}
+
 fn is_up_to_date(node: &Node, request: &PollRequest) -> bool {
     let list_is_current = {
         let list_changes = &node.state.borrow().list_changes;
@@ -106,7 +121,7 @@
     let hub_candidates = if !directory.is_empty() {
         directory.candidates(&request.domain)
     } else if node.settings.borrow().domain == request.domain {
-        node.hubs.borrow().candidates().to_vec()
+        hubs.candidates()
     } else {
         return None;
     };
