Let a node that others poll read the store at the full rate without a leader

Cause: while nobody reads the store for all, a node whose random number is no multiple of the poll interval factor reads a long list only every factor times the usual pause, 4.5 s and more. That held for hubs too.

A hub reads one list for all nodes behind it, so it always reads.

--- a/crates/direct/src/list_changes/mod.rs
+++ b/crates/direct/src/list_changes/mod.rs
@@ -45,13 +45,14 @@
 /// next polls, so that a long list neither exceeds a message nor blocks the sender.
 const MAX_ENTRIES: usize = 400;
 
-/// Whether a node polls the store while there is no leader. `random` is a random number of the
-/// node, `interval_factor` the poll interval factor.
+/// Whether a node polls the store while there is no leader. `is_polled` tells whether other nodes
+/// poll this one, `random` is a random number of the node, `interval_factor` the poll interval
+/// factor.
 ///
 /// Prevents many nodes from overloading the store with reads of a long list, which would also delay
-/// the next leader.
-pub fn polls_store(engines: &Engines, interval_factor: u32, random: u32) -> bool {
-    !is_large_list(engines) || random.is_multiple_of(interval_factor.max(1))
+/// the next leader. A node that others poll reads for all of them: without it each would read.
+pub fn polls_store(engines: &Engines, is_polled: bool, interval_factor: u32, random: u32) -> bool {
+    is_polled || !is_large_list(engines) || random.is_multiple_of(interval_factor.max(1))
 }
 
 /// Whether the list is too long for one update.
@@ -360,7 +361,6 @@
         update
     }
 
-    /// A node that does not know all earlier changes needs the full list.
     /// Whether that update has to be sent in several parts.
     pub fn is_long_update(&self, version: Option<ListVersion>, seen: ChangePosition) -> bool {
         let Some(version) = version.filter(|_| self.first_version.is_some()) else { return false };
@@ -368,6 +368,7 @@
         told.take(self.max_entries + 1).count() > self.max_entries
     }
 
+    /// A node that does not know all earlier changes needs the full list.
     fn kind_for(&self, version: ListVersion, seen: ChangePosition) -> ListUpdateKind {
         let first = self.first_version.map(ListVersion::position);
         let is_known = self.seen_changes(seen).is_some()
--- a/crates/direct/tests/list_changes/main.rs
+++ b/crates/direct/tests/list_changes/main.rs
@@ -84,13 +84,23 @@
 #[test]
 fn few_nodes_read_a_long_list_when_nobody_reads_it_for_all() {
     let readers = |engines: &Engines, interval_factor| {
-        (0..300).filter(|d| polls_store(engines, interval_factor, *d)).count()
+        (0..300).filter(|d| polls_store(engines, false, interval_factor, *d)).count()
     };
     assert_eq!(readers(&many_engines(3_000), 12), 25);
     assert_eq!(readers(&many_engines(112), 12), 300, "every node polls for a short list");
     assert_eq!(readers(&many_engines(3_000), 1), 300, "few nodes poll for any list");
 }
 
+/// Guards against a domain whose nodes all read the store while there is no leader: their hub must keep
+/// reading, whatever number it drew.
+#[test]
+fn hub_reads_the_store_for_the_nodes_behind_it() {
+    for count in [4_000, 8_000] {
+        let engines = many_engines(count);
+        assert!((0..300).all(|number| polls_store(&engines, true, 12, number)));
+    }
+}
+
 /// Changes of state are returned once, and not for the first list.
 #[test]
 fn each_change_of_state_is_returned_once() {
--- a/crates/gateway/src/peers/children.rs
+++ b/crates/gateway/src/peers/children.rs
@@ -29,6 +29,11 @@
         self.0.borrow().contains_key(&node)
     }
 
+    /// Whether any node polls this one.
+    pub(crate) fn is_polled(&self, now: Millis) -> bool {
+        self.count_within(CHILD_TIMEOUT_MS, now) > 0
+    }
+
     /// Number of nodes with a request within the last `age` milliseconds.
     pub(crate) fn count_within(&self, age: Millis, now: Millis) -> u32 {
         let last_polls = self.0.borrow();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,8 +10,8 @@
 use hgw_direct::hubs::{Hubs, NodeDirectory, Parent, poll_interval_factor};
 use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{
-    AttemptOutcome, CrashHistory, Engine, EngineId, KnownEra, ListChanges, ListVersion, Millis,
-    RetryBudgetLimits, is_isolated, polls_store,
+    AttemptOutcome, CrashHistory, Engine, EngineId, EngineState, EngineStateChange, KnownEra,
+    ListChanges, ListVersion, Millis, RetryBudgetLimits, is_isolated, polls_store,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnTimeouts;
@@ -261,7 +261,9 @@
 
     /// Whether this node keeps reading the engine list from the store while no leader does.
     pub(crate) fn polls_store(&self) -> bool {
-        polls_store(&self.state.borrow().engines, self.poll_interval_factor(), self.jitter)
+        let is_polled = self.children.is_polled(self.now());
+        let interval_factor = self.poll_interval_factor();
+        polls_store(&self.state.borrow().engines, is_polled, interval_factor, self.jitter)
     }
 
     /// Whether callers should reconnect to another node.
