--- a/crates/hibiscusgw/src/on_platform.rs
+++ b/crates/hibiscusgw/src/on_platform.rs
@@ -23,7 +23,7 @@
     let overrides = PlatformOverrides::read(flags, env)?;
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(Error::Signals)?;
     logging::init_buffered_logging(overrides.log_format, overrides.log_level)?;
-    let SettingsFile { settings, store } = hgw_platform::read_settings(path)?;
+    let SettingsFile { settings, store, store_partitions } = hgw_platform::read_settings(path)?;
     let settings = overrides.apply(settings);
     let node = settings.node.clone();
     emit(
@@ -42,7 +42,8 @@
     thread::spawn(move || watcher.poll(&watcher_tx));
     let watcher = SettingsWatcher { path: path.to_owned(), overrides, current: settings.clone() };
     thread::spawn(move || forward_signals(signals, watcher, &node_tx));
-    let ended = hgw_gateway::run(settings, hgw_platform::protocols(store), node_rx);
+    let ended =
+        hgw_gateway::run(settings, hgw_platform::protocols(store, store_partitions), node_rx);
     match ended.map_err(Error::Listen)? {
         ExitReason::Stopped => {
             emit(Event::ProcessStopped, &[("node", &node)]);
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -174,7 +174,7 @@
     }
 
     fn append_call(&self, req: &Request<Bytes>) -> Response<Body> {
-        let Some(topic) = query::<String>(req.uri(), "topic") else {
+        let Some(topic) = partition(req) else {
             return failure(StatusCode::BAD_REQUEST, "no topic");
         };
         if topic == "keyed.op" || topic == "keyed.servers" {
@@ -192,7 +192,7 @@
     }
 
     async fn read_call(&self, req: &Request<Bytes>) -> Response<Body> {
-        let topic = query::<String>(req.uri(), "topic").unwrap_or_default();
+        let topic = partition(req).unwrap_or_default();
         let from = query::<u64>(req.uri(), "from").unwrap_or(0);
         let wait = Duration::from_millis(query(req.uri(), "waitMs").unwrap_or(0)).min(MAX_WAIT);
         let until = tokio::time::Instant::now() + wait;
@@ -235,7 +235,7 @@
     }
 
     fn newest_call(&self, req: &Request<Bytes>) -> Response<Body> {
-        let name = query::<String>(req.uri(), "topic").unwrap_or_default();
+        let name = partition(req).unwrap_or_default();
         let after = query::<String>(req.uri(), "after");
         let topics = self.topics();
         let empty = Topic::default();
@@ -279,6 +279,15 @@
     }
 }
 
+/// The topic of a call, with the number of the partition unless it is the first.
+fn partition(req: &Request<Bytes>) -> Option<String> {
+    let topic = query::<String>(req.uri(), "topic")?;
+    match query::<u32>(req.uri(), "part").unwrap_or(0) {
+        0 => Some(topic),
+        part => Some(format!("{topic}/{part}")),
+    }
+}
+
 fn raw(body: Bytes) -> Response<Body> {
     let mut answer = Response::new(Full::from(body).map_err(|e| match e {}).boxed_unsync());
     let kind = HeaderValue::from_static("application/octet-stream");
