Log at most twenty engines that became ready in one update of the list

Cause: line 4010 came once for each engine at each node, some four million lines after a start of the fleet. Engines that leave, are gone or cannot be read keep a line each; ready ones beyond twenty are counted in line 4011.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -78,6 +78,7 @@
     AdapterPlanned = 4008, Info, "an engine was assigned another adapter";
     EngineStartedAnew = 4009, Info, "an engine has restarted under the same id";
     EngineStands = 4010, Info, "an engine has started or stopped accepting new work";
+    EnginesListed = 4011, Info, "further engines have started accepting new work";
     PlannerGained = 4101, Info, "this node became the planner of its region";
     PlannerLost = 4102, Info, "this node is no longer the planner of its region";
     FloorInForce = 4103, Info, "a plan of minimum model replicas is active";
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -38,6 +38,9 @@
 
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum number of engines that became ready in one update of the list and are logged one by one.
+const MAX_READY_LINES: usize = 20;
+
 pub(crate) struct Shared {
     pub(crate) settings: RefCell<Settings>,
     pub(crate) protocols: Protocols,
@@ -308,8 +311,26 @@
             *list_version = (*list_version).max(Some(version));
             list_changes.update(engines, version.position())
         };
+        self.log_list_changes(&changes, version, source);
+    }
+
+    /// Logs each engine that is not to be used any more, and a bounded number of new ones: after a
+    /// start of all nodes, each engine is new to each node.
+    fn log_list_changes(
+        &self,
+        changes: &[EngineStateChange],
+        version: ListVersion,
+        source: ListSource,
+    ) {
         let node = &self.settings.borrow().node;
-        for change in &changes {
+        let place = version.position();
+        let is_ready = |change: &EngineStateChange| change.state == Some(EngineState::Ready);
+        let mut ready = 0;
+        for change in changes {
+            ready += usize::from(is_ready(change));
+            if is_ready(change) && ready > MAX_READY_LINES {
+                continue;
+            }
             emit(
                 Event::EngineStands,
                 &[
@@ -317,7 +338,18 @@
                     ("upstream", &change.engine),
                     ("standing", change),
                     ("by", &source),
-                    ("place", &version.position()),
+                    ("place", &place),
+                ],
+            );
+        }
+        if ready > MAX_READY_LINES {
+            emit(
+                Event::EnginesListed,
+                &[
+                    ("node", node),
+                    ("count", &(ready - MAX_READY_LINES)),
+                    ("by", &source),
+                    ("place", &place),
                 ],
             );
         }
