Update recorded loads of engines only where something changed

Cause: every 40 ms each node looked up the load of each engine, with two hash lookups: 100,000 lookups a second at 3,996 engines for 1.5 requests a second, on 0.12 of a core.

Now the aggregator remembers the engines whose load has changed other than by a report, which is recorded as it arrives, and looks at all of them only when an engine is new or the sums of others become known or unknown.

--- a/crates/direct/src/aggregation.rs
+++ b/crates/direct/src/aggregation.rs
@@ -6,13 +6,13 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::Millis;
 use crate::in_flight::{
     EngineKey, InFlightLoad, InFlightUpdate, KeyPartition, PeerReports, UpdateTracker,
 };
+use crate::{Engines, Millis};
 
 /// Time without a report after which loads are unknown; longer than two lost complete reports.
 const REPORT_TTL: Millis = 2_200;
@@ -97,6 +97,18 @@
     fresh: bool,
     /// The hub that this node reported to last.
     hub: Option<SocketAddr>,
+    /// What is not in the engines yet.
+    outdated: Outdated,
+}
+
+/// Engines whose recorded loads are to be updated.
+#[derive(Debug, Default)]
+struct Outdated {
+    /// Whether all of them are.
+    all: bool,
+    keys: IndexSet<EngineKey>,
+    /// Insertions into the list of engines at the last update.
+    insertions: u64,
 }
 
 impl Aggregator {
@@ -128,10 +140,13 @@
         own: IndexMap<EngineKey, InFlightLoad>,
         neighbors: &Neighbors,
     ) -> Vec<OutgoingUpdate> {
-        self.domain.expire(now, |addr| neighbors.children.contains(addr));
-        self.remote
-            .expire(now, |addr| Some(*addr) == neighbors.hub || neighbors.hubs.contains(addr));
-        self.fresh = self.has_enough_reports(neighbors, now);
+        let children: IndexSet<&SocketAddr> = neighbors.children.iter().collect();
+        self.outdated.keys.extend(self.domain.expire(now, |addr| children.contains(addr)));
+        let is_remote =
+            |addr: &SocketAddr| Some(*addr) == neighbors.hub || neighbors.hubs.contains(addr);
+        self.outdated.keys.extend(self.remote.expire(now, is_remote));
+        let is_fresh = self.has_enough_reports(neighbors, now);
+        self.outdated.all |= std::mem::replace(&mut self.fresh, is_fresh) != is_fresh;
         let mut updates: Vec<OutgoingUpdate> = self.leave_hub(neighbors.hub).into_iter().collect();
         let mut send = |to: &[SocketAddr], scope, messages: Vec<InFlightUpdate>| {
             let outgoing = messages.into_iter().map(|update| OutgoingUpdate {
@@ -142,6 +157,8 @@
             updates.extend(outgoing.filter(|update| !update.to.is_empty()));
         };
         if let Some(hub) = neighbors.hub {
+            // The hub's sums include what this node has sent.
+            self.outdated.keys.extend(self.upward.changed_rows(&own).iter().map(|row| row.0));
             send(&[hub], ReportScope::Node, self.upward.next_updates(now, &own));
             return updates;
         }
@@ -164,6 +181,7 @@
         if previous == hub {
             return None;
         }
+        self.outdated.all = true;
         self.upward = UpdateTracker::default();
         self.downward = UpdateTracker::default();
         let update = InFlightUpdate {
@@ -183,6 +201,30 @@
         expected > 0 && active >= MIN_HUBS_RATIO * expected as f64
     }
 
+    /// Records in the engines what other nodes have in flight there. Returns the number of engines
+    /// that were looked at: those whose load has changed other than by a report, which
+    /// [`Aggregator::apply`] returns, or all of them if there are new ones.
+    pub fn update_engines(&mut self, engines: &mut Engines) -> usize {
+        let outdated = std::mem::take(&mut self.outdated);
+        self.outdated.insertions = engines.insertions();
+        if outdated.all || outdated.insertions != engines.insertions() {
+            for engine in engines.iter_mut() {
+                engine.in_flight_elsewhere =
+                    self.fresh.then(|| self.in_flight_elsewhere(engine.key()));
+            }
+            return engines.iter().count();
+        }
+        if !self.fresh {
+            return 0;
+        }
+        for key in &outdated.keys {
+            if let Some(engine) = engines.by_key(*key) {
+                engine.in_flight_elsewhere = Some(self.in_flight_elsewhere(*key));
+            }
+        }
+        outdated.keys.len()
+    }
+
     /// Load that all other nodes have in flight at an engine.
     pub fn in_flight_elsewhere(&self, key: EngineKey) -> InFlightLoad {
         let remote = self.remote.sum(key);
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -20,6 +20,8 @@
 pub struct Engines {
     by_id: IndexMap<EngineId, Engine>,
     by_key: IndexMap<EngineKey, EngineId>,
+    /// Number of incarnations that were inserted.
+    insertions: u64,
     /// Removed engines.
     removed: IndexMap<EngineId, Removed>,
     /// Number of removals.
@@ -97,6 +99,7 @@
             // An entry without a start time is taken to be of the known incarnation.
             info.started_at = info.started_at.max(known_start);
             if info.started_at != known_start {
+                self.insertions += 1;
                 self.by_key.swap_remove(&engine.key());
                 self.by_key.insert(EngineKey::of(&info.id, info.started_at), info.id.clone());
             }
@@ -174,7 +177,13 @@
         self.removed.get(id).map(|removed| removed.position)
     }
 
+    /// Number of incarnations that were inserted so far.
+    pub fn insertions(&self) -> u64 {
+        self.insertions
+    }
+
     fn insert(&mut self, engine: Engine) {
+        self.insertions += 1;
         let id = engine.info.id.clone();
         self.by_key.insert(engine.key(), id.clone());
         self.by_id.insert(id, engine);
--- a/crates/direct/src/in_flight.rs
+++ b/crates/direct/src/in_flight.rs
@@ -143,8 +143,14 @@
         affected
     }
 
-    /// Drops the reports of nodes that are silent or that `is_wanted` rejects.
-    pub fn expire(&mut self, now: Millis, is_wanted: impl Fn(&SocketAddr) -> bool) {
+    /// Drops the reports of nodes that are silent or that `is_wanted` rejects; returns the engines
+    /// that they named.
+    pub fn expire(
+        &mut self,
+        now: Millis,
+        is_wanted: impl Fn(&SocketAddr) -> bool,
+    ) -> Vec<EngineKey> {
+        let mut affected = Vec::new();
         let is_expired = |addr: &SocketAddr, report: &PeerReport| {
             now.saturating_sub(report.received_at) >= REPORT_TTL || !is_wanted(addr)
         };
@@ -152,9 +158,11 @@
         {
             for key in report.rows.keys().copied().collect::<Vec<_>>() {
                 set_load(&mut report.rows, &mut self.sums, key, InFlightLoad::default());
+                affected.push(key);
             }
         }
         self.by_peer.retain(|addr, report| !is_expired(addr, report));
+        affected
     }
 
     /// Number of nodes that sent a report within `age`.
@@ -242,12 +250,16 @@
         updates
     }
 
-    fn changes(&self, loads: &IndexMap<EngineKey, InFlightLoad>) -> Vec<InFlightUpdate> {
+    /// Loads that differ from those that were reported last.
+    pub fn changed_rows(&self, loads: &IndexMap<EngineKey, InFlightLoad>) -> Vec<InFlightRow> {
         let changed = loads.iter().filter(|(key, load)| self.last_sent.get(*key) != Some(load));
         let ended = self.last_sent.keys().filter(|key| !loads.contains_key(*key));
         let ended = ended.map(|key| InFlightRow::of(*key, InFlightLoad::default()));
-        let rows = changed.map(|(key, load)| InFlightRow::of(*key, *load)).chain(ended);
-        let rows: Vec<InFlightRow> = rows.collect();
+        changed.map(|(key, load)| InFlightRow::of(*key, *load)).chain(ended).collect()
+    }
+
+    fn changes(&self, loads: &IndexMap<EngineKey, InFlightLoad>) -> Vec<InFlightUpdate> {
+        let rows = self.changed_rows(loads);
         rows.chunks(MAX_ROWS_PER_UPDATE)
             .map(|rows| InFlightUpdate { full_partition: None, rows: rows.to_vec() })
             .collect()
--- a/crates/gateway/src/peers/in_flight.rs
+++ b/crates/gateway/src/peers/in_flight.rs
@@ -107,8 +107,6 @@
 /// Publishes the nodes that poll the leader as the hubs. Nodes of its own domain may poll it until
 /// they learn that their hub became the leader, so they are left out.
 fn publish_hubs(node: &Node) {
-    let members = node.members.borrow();
-    let mut by_domain = IndexMap::new();
     let mut hubs = node.children.addrs();
     hubs.retain(|addr| node.directory.borrow().may_be_hub(*addr));
     hubs.push(node.settings.borrow().peer_addr);
@@ -145,10 +143,6 @@
 }
 
 fn update_engines(node: &Node) {
-    let aggregator = node.aggregator.borrow();
-    for engine in node.state.borrow_mut().engines.iter_mut() {
-        engine.in_flight_elsewhere =
-            aggregator.is_fresh().then(|| aggregator.in_flight_elsewhere(engine.key()));
-    }
+    node.aggregator.borrow_mut().update_engines(&mut node.state.borrow_mut().engines);
     node.prefill_queue.changed.notify_waiters();
 }
