Report unreachable engines of a hub together, and probe a bounded number at a time

Cause: a hub that cannot reach an engine probed it every 600 ms and sent each time a datagram of its own to each node behind it: engines lost times nodes. 240 dark engines are 400 datagrams a second to each of 986 nodes; a lost domain of 666 engines makes 180,000 a second at each hub, beside 1,100 connection attempts, each of which holds a descriptor for 300 ms.

Now the hub collects what it cannot reach, and what is back, and sends up to 200 engines in one datagram: new ones with the next report (40 ms), all of them every 500 ms, three times while nodes believe it. It probes 64 at a time. An engine that a node does not know is no longer contradicted.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -29,6 +29,7 @@
 mod refusal;
 mod request_digest;
 mod retry_budget;
+pub mod unreachable;
 
 pub use catalog::{
     CallerLimits, Catalog, Model, ModelPool, Route, RouteKind, RouteMatch, Service, ServiceId,
--- a/crates/gateway/src/peers/datagrams.rs
+++ b/crates/gateway/src/peers/datagrams.rs
@@ -7,6 +7,7 @@
 
 use hgw_direct::aggregation::ReportScope;
 use hgw_direct::in_flight::{EngineKey, InFlightUpdate};
+use hgw_direct::unreachable::ReachabilityReport;
 use hgw_direct::{CrashReport, EngineId, Load, SendId, StartTime, broadcasts_sends};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -42,12 +43,12 @@
     /// The sender cannot reach the engine.
     #[serde(rename = "Lost")]
     Unreachable(EngineKey),
-    /// The engine is unreachable from this failure domain.
-    #[serde(rename = "Dark")]
-    UnreachableFrom(EngineKey, String),
-    /// The engine is reachable again from this failure domain.
-    #[serde(rename = "Back")]
-    ReachableFrom(EngineKey, String),
+    /// The engines are unreachable from this failure domain.
+    #[serde(rename = "AllDark")]
+    UnreachableFrom(Vec<EngineKey>, String),
+    /// The engines are reachable again from this failure domain.
+    #[serde(rename = "AllBack")]
+    ReachableFrom(Vec<EngineKey>, String),
 }
 
 /// UDP socket and addresses of the other nodes.
@@ -132,11 +133,13 @@
                 in_flight::apply_report(&node, from, scope, &update)
             }
             Ok(Datagram::Unreachable(key)) => unreachable::handle_unreachable(&node, from, key),
-            Ok(Datagram::UnreachableFrom(key, domain)) => {
-                unreachable::handle_hub_report(&node, from, key, &domain, true)
+            Ok(Datagram::UnreachableFrom(engines, domain)) => {
+                let report = ReachabilityReport { engines, is_unreachable: true };
+                unreachable::handle_hub_report(&node, from, report, &domain)
             }
-            Ok(Datagram::ReachableFrom(key, domain)) => {
-                unreachable::handle_hub_report(&node, from, key, &domain, false)
+            Ok(Datagram::ReachableFrom(engines, domain)) => {
+                let report = ReachabilityReport { engines, is_unreachable: false };
+                unreachable::handle_hub_report(&node, from, report, &domain)
             }
             Ok(Datagram::Crash(report)) => {
                 // Anyone on the network can send one, and it can have a request refused.
--- a/crates/gateway/src/peers/in_flight.rs
+++ b/crates/gateway/src/peers/in_flight.rs
@@ -17,6 +17,7 @@
 use crate::shared::Node;
 
 use super::datagrams::Datagram;
+use super::unreachable;
 
 /// Interval between reports. A request is known to all nodes after three reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(40);
@@ -85,6 +86,7 @@
         }
         sleep(REPORT_INTERVAL).await;
         send_reports(&node);
+        unreachable::send_reachability_reports(&node);
     }
 }
 
--- a/crates/gateway/src/peers/unreachable.rs
+++ b/crates/gateway/src/peers/unreachable.rs
@@ -7,9 +7,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hgw_direct::aggregation::{Neighbors, Relation};
+use hgw_direct::aggregation::Relation;
 use hgw_direct::hubs::Parent;
 use hgw_direct::in_flight::EngineKey;
+use hgw_direct::unreachable::ReachabilityReport;
 use hgw_direct::{Millis, broadcasts_sends};
 use hgw_events::{Event, emit};
 use hgw_http1::Conn;
@@ -20,8 +21,8 @@
 use super::datagrams::Datagram;
 use super::in_flight::{neighbors, relation};
 
-/// Time for which a node believes a report. The hub repeats it while the engine stays unreachable,
-/// so reports end with the hub.
+/// Time for which a node believes a report, three times the interval at which the hub repeats it
+/// while the engine stays unreachable, so reports end with the hub.
 const REPORT_VALID_FOR: Duration = Duration::from_millis(1_500);
 
 /// Interval at which the hub probes an unreachable engine.
@@ -51,95 +52,120 @@
     }
 }
 
-/// Handles a hub's report that an engine is unreachable or back. Reports from other domains count
+/// Handles a hub's report that engines are unreachable or back. Reports from other domains count
 /// only for engines in the reporting domain, because the link between the domains may be at fault.
 pub(super) fn handle_hub_report(
     node: &Node,
     from: SocketAddr,
-    key: EngineKey,
+    mut report: ReachabilityReport,
     domain: &str,
-    is_unreachable: bool,
 ) {
-    let is_own_domain = node.settings.borrow().domain == domain;
-    if !is_own_domain
-        && engine_domain(node, key).is_none_or(|engine_domain| engine_domain != domain)
-    {
-        return;
+    if node.settings.borrow().domain != domain {
+        report.engines.retain(|key| engine_domain(node, *key).is_some_and(|of| of == domain));
     }
     match relation(node, from) {
-        // A node behind this hub hears an engine that the hub believes unreachable.
-        Relation::Child if !is_unreachable => announce(node, key, false),
+        // A node behind this hub hears engines that the hub believes unreachable.
+        Relation::Child if !report.is_unreachable => {
+            let mut probed = node.probed_engines.borrow_mut();
+            report.engines.iter().for_each(|key| probed.record_heard_elsewhere(*key));
+        }
         Relation::Child | Relation::Unrelated => {}
         relation => {
-            if apply_report(node, key, is_unreachable) {
-                notify_children(node, &neighbors(node), key, is_unreachable);
-            } else if relation == Relation::Hub {
-                node.peer_socket.send_to([&from].into_iter(), &hub_report(node, key, false));
+            let (accepted, contradicted) = apply_report(node, report);
+            let children = neighbors(node).children;
+            send_report(node, children.iter(), accepted);
+            if relation == Relation::Hub {
+                send_report(node, [&from].into_iter(), contradicted);
             }
         }
     }
 }
 
-/// Reports an engine unreachable and probes it until it is back.
+/// Probes an engine until it is back.
 fn start_probe(node: &Node, key: EngineKey) {
     if !node.probed_engines.borrow_mut().insert(key) {
         return;
     }
     let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        probe_until_back(&node, key).await;
-        node.probed_engines.borrow_mut().swap_remove(&key);
-    });
+    tokio::task::spawn_local(async move { probe_until_back(&node, key).await });
 }
 
 async fn probe_until_back(node: &Node, key: EngineKey) {
-    loop {
-        let Some(addr) = engine_addr(node, key) else { return };
-        announce(node, key, true);
-        // A lost engine refuses the connection at once, or the attempt times out.
-        if Conn::connect(addr, node.conn_timeouts()).await.is_ok() {
-            announce(node, key, false);
+    while node.probed_engines.borrow().contains(key) {
+        let Some(addr) = engine_addr(node, key) else {
+            node.probed_engines.borrow_mut().remove(key);
+            return;
+        };
+        let connected = {
+            let _permit = node.probe_permits.acquire().await;
+            // A lost engine refuses the connection at once, or the attempt times out.
+            Conn::connect(addr, node.conn_timeouts()).await
+        };
+        if connected.is_ok() {
+            node.probed_engines.borrow_mut().record_reachable(key);
             return;
         }
         sleep(PROBE_INTERVAL).await;
     }
 }
 
-fn engine_addr(node: &Node, key: EngineKey) -> Option<SocketAddr> {
-    node.state.borrow_mut().engines.by_key(key).map(|engine| engine.info.addr)
-}
-
-/// Updates this node, the nodes behind it and the other hubs, unless this node has just
-/// received bytes from the engine.
-fn announce(node: &Node, key: EngineKey, is_unreachable: bool) {
-    if !apply_report(node, key, is_unreachable) {
+/// Updates this node, the nodes behind it and the other hubs.
+pub(super) fn send_reachability_reports(node: &Node) {
+    let reports = node.probed_engines.borrow_mut().next_reports(node.now());
+    if reports.is_empty() {
         return;
     }
     let neighbors = neighbors(node);
-    notify_children(node, &neighbors, key, is_unreachable);
-    node.peer_socket.send_to(neighbors.hubs.iter(), &hub_report(node, key, is_unreachable));
+    for report in reports {
+        // Engines that this node has just received bytes from are not unreachable.
+        let (accepted, _) = apply_report(node, report);
+        send_report(node, neighbors.children.iter().chain(&neighbors.hubs), accepted);
+    }
 }
 
-fn engine_domain(node: &Node, key: EngineKey) -> Option<String> {
-    node.state.borrow_mut().engines.by_key(key).map(|engine| engine.info.domain.clone())
+fn engine_addr(node: &Node, key: EngineKey) -> Option<SocketAddr> {
+    node.state.borrow_mut().engines.by_key(key).map(|engine| engine.info.addr)
 }
 
-fn notify_children(node: &Node, neighbors: &Neighbors, key: EngineKey, is_unreachable: bool) {
-    node.peer_socket.send_to(neighbors.children.iter(), &hub_report(node, key, is_unreachable));
+fn engine_domain(node: &Node, key: EngineKey) -> Option<String> {
+    node.state.borrow_mut().engines.by_key(key).map(|engine| engine.info.domain.clone())
 }
 
-fn hub_report(node: &Node, key: EngineKey, is_unreachable: bool) -> Datagram {
+fn send_report<'a>(
+    node: &Node,
+    to: impl Iterator<Item = &'a SocketAddr>,
+    report: ReachabilityReport,
+) {
+    if report.engines.is_empty() {
+        return;
+    }
     let domain = node.settings.borrow().domain.clone();
-    if is_unreachable {
-        Datagram::UnreachableFrom(key, domain)
+    let datagram = if report.is_unreachable {
+        Datagram::UnreachableFrom(report.engines, domain)
     } else {
-        Datagram::ReachableFrom(key, domain)
-    }
+        Datagram::ReachableFrom(report.engines, domain)
+    };
+    node.peer_socket.send_to(to, &datagram);
+}
+
+/// Updates the states of engines. Returns the report of the engines that were updated, and the
+/// opposite report of those from which this node has just received bytes.
+fn apply_report(
+    node: &Node,
+    mut report: ReachabilityReport,
+) -> (ReachabilityReport, ReachabilityReport) {
+    report.engines.retain(|key| node.state.borrow().engines.contains_key(*key));
+    let is_unreachable = report.is_unreachable;
+    let apply = |key: &EngineKey| apply_state(node, *key, is_unreachable);
+    let (accepted, contradicted) = report.engines.into_iter().partition(apply);
+    node.reachability_changed.notify_waiters();
+    let report = |engines, is_unreachable| ReachabilityReport { engines, is_unreachable };
+    (report(accepted, is_unreachable), report(contradicted, !is_unreachable))
 }
 
 /// Updates the state of an engine. Returns false if the report contradicts what this node has just
 /// received.
-fn apply_report(node: &Node, key: EngineKey, is_unreachable: bool) -> bool {
+fn apply_state(node: &Node, key: EngineKey, is_unreachable: bool) -> bool {
     let now = node.now();
     let mut state = node.state.borrow_mut();
     let Some(engine) = state.engines.by_key(key) else { return false };
@@ -160,7 +186,5 @@
             &[("node", name), ("upstream", &engine), ("opinion", &health), ("told", &true)],
         );
     }
-    drop(state);
-    node.reachability_changed.notify_waiters();
     true
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,16 +8,15 @@
 use derive_more::Display;
 use hgw_direct::aggregation::Aggregator;
 use hgw_direct::hubs::{Hubs, NodeDirectory, Parent, poll_interval_factor};
-use hgw_direct::in_flight::EngineKey;
+use hgw_direct::unreachable::ProbedEngines;
 use hgw_direct::{
     AttemptOutcome, CrashHistory, Engine, EngineId, EngineState, EngineStateChange, KnownEra,
     ListChanges, ListVersion, Millis, RetryBudgetLimits, is_isolated, polls_store,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnTimeouts;
-use indexmap::IndexSet;
 use rand::random;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::Settings;
 use crate::backoff::Backoff;
@@ -38,6 +37,10 @@
 
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum number of unreachable engines probed at a time. Each attempt may last as long as the
+/// timeout, and a lost failure domain would use up the descriptors.
+const MAX_CONCURRENT_PROBES: usize = 64;
+
 /// Maximum number of engines that became ready in one update of the list and are logged one by one.
 const MAX_READY_LINES: usize = 20;
 
@@ -63,7 +66,9 @@
     /// In-flight requests at engines, as reported by other nodes.
     pub(crate) aggregator: RefCell<Aggregator>,
     /// Unreachable engines that this node probes until they are back.
-    pub(crate) probed_engines: RefCell<IndexSet<EngineKey>>,
+    pub(crate) probed_engines: RefCell<ProbedEngines>,
+    /// Bounds the number of engines probed at a time.
+    pub(crate) probe_permits: Semaphore,
     /// Notified when another node reports an engine unreachable or reachable again.
     pub(crate) reachability_changed: Notify,
     /// Nodes that poll this one for updates.
@@ -145,6 +150,7 @@
             knows_blocked_requests: Cell::new(false),
             aggregator: RefCell::default(),
             probed_engines: RefCell::default(),
+            probe_permits: Semaphore::new(MAX_CONCURRENT_PROBES),
             reachability_changed: Notify::new(),
             children: Children::default(),
             placement_changes: RefCell::default(),
