--- a/crates/direct/src/list_changes/mod.rs
+++ b/crates/direct/src/list_changes/mod.rs
@@ -141,9 +141,9 @@
     pub state: Option<EngineState>,
 }
 
-/// A change that an update tells.
+/// A change in an update.
 #[derive(Debug, Clone, Copy)]
-struct Told<'a> {
+struct ChangeToSend<'a> {
     number: u64,
     id: &'a EngineId,
     /// Position of the removal; none if the engine is listed.
@@ -336,11 +336,11 @@
             return ListUpdate { version: self.version, ..ListUpdate::default() };
         };
         let kind = self.kind_for(version, seen);
-        let mut told: Vec<Told<'_>> =
-            self.told_since(kind, version, seen).take(self.max_entries + 1).collect();
-        let has_more = told.len() > self.max_entries;
-        told.truncate(self.max_entries);
-        let last = told.last().filter(|_| has_more).map(|told| told.number);
+        let mut changes: Vec<ChangeToSend<'_>> =
+            self.changes_to_send(kind, version, seen).take(self.max_entries + 1).collect();
+        let has_more = changes.len() > self.max_entries;
+        changes.truncate(self.max_entries);
+        let last = changes.last().filter(|_| has_more).map(|change| change.number);
         let mut update = ListUpdate {
             // A version that the receiver has not reached yet would make it take the list for
             // complete.
@@ -352,7 +352,7 @@
             engines: Vec::new(),
             removed: Vec::new(),
         };
-        for Told { id, removed_at, .. } in told {
+        for ChangeToSend { id, removed_at, .. } in changes {
             match removed_at {
                 Some(position) => update.removed.push((id.clone(), position)),
                 None => update.engines.extend(engines.get(id).map(EngineRecord::of)),
@@ -361,11 +361,11 @@
         update
     }
 
-    /// Whether that update has to be sent in several parts.
+    /// Whether the update of [`ListChanges::changes_since`] has to be sent in several parts.
     pub fn is_long_update(&self, version: Option<ListVersion>, seen: ChangePosition) -> bool {
         let Some(version) = version.filter(|_| self.first_version.is_some()) else { return false };
-        let told = self.told_since(self.kind_for(version, seen), version, seen);
-        told.take(self.max_entries + 1).count() > self.max_entries
+        let changes = self.changes_to_send(self.kind_for(version, seen), version, seen);
+        changes.take(self.max_entries + 1).count() > self.max_entries
     }
 
     /// A node that does not know all earlier changes needs the full list.
@@ -379,13 +379,13 @@
         }
     }
 
-    /// The changes that an update of this kind has to tell, the earliest first.
-    fn told_since(
+    /// The changes that an update of this kind contains, the earliest first.
+    fn changes_to_send(
         &self,
         kind: ListUpdateKind,
         version: ListVersion,
         seen: ChangePosition,
-    ) -> impl Iterator<Item = Told<'_>> {
+    ) -> impl Iterator<Item = ChangeToSend<'_>> {
         let is_full = kind == ListUpdateKind::Full;
         let seen = self.seen_changes(seen).filter(|_| !is_full);
         // The store's newest entries may not show that an engine has left, so a node that has read
@@ -398,12 +398,12 @@
         let first = seen.map_or(0, |seen| seen.saturating_add(1));
         self.by_number.range(first..).filter_map(move |(number, id)| {
             if let Some((change, last)) = self.entries.get(id) {
-                let is_told = is_full || is_new(change, last.is_leaving);
-                return is_told.then_some(Told { number: *number, id, removed_at: None });
+                let is_sent = is_full || is_new(change, last.is_leaving);
+                return is_sent.then_some(ChangeToSend { number: *number, id, removed_at: None });
             }
             let (change, position) = self.removed.get(id)?;
-            let is_told = !is_full && is_new(change, true);
-            is_told.then_some(Told { number: *number, id, removed_at: Some(*position) })
+            let is_sent = !is_full && is_new(change, true);
+            is_sent.then_some(ChangeToSend { number: *number, id, removed_at: Some(*position) })
         })
     }
 }
