Log the software versions of streams, and the streams that callers take up

Lines 5015 and 5016; versions are decoded and go with the lists between nodes. Nothing is decided by them yet.

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -61,6 +61,7 @@
                 id: EngineId(format!("i-{e:010x}")),
                 position: Cursor::default(),
                 service: service.clone(),
+                software: None,
                 addr: ([10, 0, (e / 250) as u8, (e % 250) as u8], 80).into(),
                 domain: format!("zone-{}", e % 5),
                 slots: 24,
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -9,7 +9,7 @@
 use crate::in_flight::{EngineKey, InFlightLoad};
 use crate::{
     Brittleness, Cursor, HealthTracker, Millis, ModelRef, PrefillBacklog, PrefillRate, RequestRate,
-    ServiceId,
+    ServiceId, SoftwareVersion, VersionKey,
 };
 
 /// Identity of an engine, which may restart under the same one.
@@ -74,6 +74,8 @@
     pub position: Cursor,
     pub started_at: StartTime,
     pub service: ServiceId,
+    /// `None` if its entry names none.
+    pub software: Option<SoftwareVersion>,
     pub addr: SocketAddr,
     pub domain: String,
     /// Requests that it runs concurrently.
@@ -368,6 +370,11 @@
         self.key
     }
 
+    /// Identifies the engines at which streams that it began may go on.
+    pub fn version_key(&self) -> VersionKey {
+        VersionKey::of(&self.info)
+    }
+
     pub fn accepts_requests(&self) -> bool {
         self.info.state == EngineState::Ready
     }
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -206,7 +206,12 @@
             return None;
         }
         if known_start.is_before(start) {
-            let info = EngineInfo { started_at: start, loaded: Vec::new(), ..engine.info.clone() };
+            let info = EngineInfo {
+                started_at: start,
+                loaded: Vec::new(),
+                software: None,
+                ..engine.info.clone()
+            };
             self.replace_incarnation(info);
         }
         self.by_id.get_mut(id)
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -34,6 +34,7 @@
 mod request_digest;
 mod request_rate;
 mod retry_budget;
+mod software_version;
 pub mod unreachable;
 
 pub use brittleness::Brittleness;
@@ -76,6 +77,7 @@
 pub use request_digest::{DigestedParts, InvalidDigest, RequestDigest};
 pub use request_rate::{InvalidRequestRate, RequestRate};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
+pub use software_version::{SoftwareVersion, VersionKey};
 
 /// Milliseconds since the start of the process.
 pub type Millis = u64;
--- a/crates/direct/src/list_changes/mod.rs
+++ b/crates/direct/src/list_changes/mod.rs
@@ -11,7 +11,9 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{ChangePosition, Cursor, Engine, EngineId, EngineState, Engines, StartTime};
+use crate::{
+    ChangePosition, Cursor, Engine, EngineId, EngineState, Engines, StartTime, VersionKey,
+};
 
 pub use receiver::ListReceiver;
 pub use update::{EngineRecord, ListUpdate, ListUpdateKind};
@@ -103,6 +105,7 @@
 /// The parts of an entry whose changes are distributed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Fingerprint {
+    version: VersionKey,
     started_at: StartTime,
     is_leaving: bool,
     unreadable: bool,
@@ -122,6 +125,7 @@
 fn fingerprint(engines: &Engines, engine: &Engine) -> Fingerprint {
     let info = &engine.info;
     Fingerprint {
+        version: engine.version_key(),
         started_at: info.started_at,
         is_leaving: matches!(info.state, EngineState::Leaving { .. }),
         unreadable: info.state == EngineState::Unreadable,
--- a/crates/direct/src/list_changes/update.rs
+++ b/crates/direct/src/list_changes/update.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     CachedWeights, ChangePosition, Cursor, Engine, EngineId, EngineInfo, EngineState, Engines,
-    LoadedModel, StartTime,
+    LoadedModel, SoftwareVersion, StartTime,
 };
 
 use super::ListVersion;
@@ -21,6 +21,8 @@
     #[serde(rename = "start")]
     pub started_at: StartTime,
     pub service: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
     pub addr: SocketAddr,
     pub domain: String,
     pub slots: u32,
@@ -88,6 +90,7 @@
             position: info.position,
             started_at: info.started_at,
             service: info.service.0.clone(),
+            software: info.software.clone(),
             addr: info.addr,
             domain: info.domain.clone(),
             slots: info.slots,
@@ -111,6 +114,7 @@
             position: self.position,
             started_at: self.started_at,
             service: self.service.into(),
+            software: self.software,
             addr: self.addr,
             domain: self.domain,
             slots: self.slots,
--- a/crates/direct/tests/support/mod.rs
+++ b/crates/direct/tests/support/mod.rs
@@ -25,6 +25,7 @@
         id: EngineId::from(id),
         position: Cursor::default(),
         service: service(),
+        software: None,
         addr: format!("127.0.0.1:{}", 9000 + u16::from(number)).parse().unwrap(),
         domain: domain.to_owned(),
         slots: 64,
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -103,4 +103,6 @@
     RequestAcquitted = 5012, Info, "an engine has answered a request under which others had ended";
     RequestForwarded = 5013, Info, "a request was served by way of another node";
     ForwardFailed = 5014, Info, "another node has not served a request that was forwarded to it";
+    StreamBegan = 5015, Info, "an engine has sent the first event of a stream";
+    StreamTakenUp = 5016, Info, "a caller takes up a stream that an earlier attempt began";
 }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -53,6 +53,8 @@
     pub tokens: Option<u64>,
     /// The last event that the caller has received of this stream.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of this stream.
+    pub resumes: Option<String>,
 }
 
 /// A header with a value that is not allowed.
--- a/crates/gateway/src/relay/outcome.rs
+++ b/crates/gateway/src/relay/outcome.rs
@@ -72,6 +72,39 @@
         );
     }
 
+    /// Logs that a stream has begun, as the node may not live to log its end.
+    pub(super) fn log_stream_began(&self, engine: &EngineId) {
+        if self.is_forwarded {
+            return;
+        }
+        let software = self.node.engine(engine, |e| e.info.software.clone()).flatten();
+        emit(
+            Event::StreamBegan,
+            &[
+                ("node", &self.node.settings.borrow().node),
+                ("id", &self.info.id),
+                ("upstream", engine),
+                ("software", &software.map_or_else(String::new, |version| version.0)),
+            ],
+        );
+    }
+
+    /// Logs that the caller takes up a stream.
+    pub(super) fn log_taken_up(&self, after_event: u64) {
+        if self.is_forwarded {
+            return;
+        }
+        emit(
+            Event::StreamTakenUp,
+            &[
+                ("node", &self.node.settings.borrow().node),
+                ("id", &self.info.id),
+                ("resumes", &self.info.resumes.as_deref().unwrap_or_default()),
+                ("after_event", &after_event),
+            ],
+        );
+    }
+
     /// Logs that the caller got no complete response.
     pub(super) fn log_failed(&self, status: u16, reason: &str) {
         if self.is_logged_elsewhere() {
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -28,6 +28,9 @@
 const HUNG_AFTER_DEFAULT: Duration = Duration::from_millis(1_000);
 
 pub(super) async fn serve(mut req: RelayedRequest) -> CallerResponse {
+    if let Some(after_event) = req.info.last_event {
+        req.log_taken_up(after_event);
+    }
     match start_stream(&mut req, None).await {
         Ok(started) => {
             let mut response = Response::new(ResponseBody::Full(None));
@@ -115,6 +118,9 @@
                         self.timing.record_piece();
                         if self.timing.pieces == 1 {
                             meter::first_byte(&self.req.route, self.req.received_at.elapsed());
+                            if self.is_events {
+                                self.req.log_stream_began(&self.engine);
+                            }
                         }
                         return Some((Ok(bytes), self));
                     }
