--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -33,6 +33,10 @@
     pub service: String,
     /// Its failure domain.
     pub zone: String,
+    /// Version of its software, in its entry.
+    pub software: serde_json::Value,
+    /// Whether each event names that version.
+    pub names_software: bool,
     /// Requests that it runs at a time.
     pub slots: u32,
     /// Requests that it lets wait beside them; any number if none is set.
@@ -61,6 +65,8 @@
             id: "i-1".into(),
             service: "models".into(),
             zone: "a".into(),
+            software: "v1".into(),
+            names_software: false,
             slots: 8,
             queue: None,
             holds: Holds::new(),
@@ -186,7 +192,7 @@
             "service": settings.service,
             "addr": self.addr().to_string(),
             "zone": settings.zone,
-            "version": "v1",
+            "version": settings.software,
             "slots": settings.slots,
             "state": state,
             "coldLeftMs": 0,
@@ -449,7 +455,11 @@
                 let _ = tx.send(Err(Lost));
                 break;
             }
-            let event = Bytes::from(format!("id: {event}\ndata: piece {event}\n\n"));
+            let by = match self.settings.names_software {
+                true => format!(" of {}", self.settings.software.as_str().unwrap_or_default()),
+                false => String::new(),
+            };
+            let event = Bytes::from(format!("id: {event}\ndata: piece {event}{by}\n\n"));
             if tx.send(Ok(hyper::body::Frame::data(event))).is_err() {
                 break;
             }
