Streams go on only at the software version that began them

Cause: nothing knew versions. A request with Last-Event-Id went to any engine, at nodes that never saw the stream begin, and a stream that broke resumed at any engine that has the model. Class: state that a response depends on lived in no process but the one that died with it.

The version of the engine whose first event goes to the caller is told to other nodes before that event; a node that a caller comes to with Resumes knows it or asks; else a version is proven only by the store's record of admitted versions, which has a version before any stream of it begins. Choice, adapters that are placed for a request, forwarding and resuming within a response obey it. What nobody knows is refused at once, not run and not charged.

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -8,7 +8,7 @@
 use hgw_direct::{
     CachedWeights, ChoiceParams, CostWeights, Cursor, Demand, Engine, EngineId, EngineInfo,
     EngineState, Engines, LoadedModel, Model, ModelPool, ModelRef, Prompt, PromptPart, ServiceId,
-    StartTime, choose_engine,
+    StartTime, VersionRule, choose_engine,
 };
 
 /// Number of measurements, of which the median is printed.
@@ -109,6 +109,7 @@
         };
         let params = ChoiceParams {
             service: &self.service,
+            versions: VersionRule::Any,
             prompt: Some(&prompt),
             domain: "zone-1",
             tried: &[],
--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -5,12 +5,34 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Engine, EngineId, Engines, Millis, Prompt, ServiceId};
+use crate::{Engine, EngineId, Engines, Millis, Prompt, ServiceId, ServiceVersions, VersionKey};
+
+/// Software versions of engines at which a request may run.
+#[derive(Debug, Clone, Copy, Default)]
+pub enum VersionRule<'a> {
+    #[default]
+    Any,
+    /// A stream goes on only at the version that began it.
+    Only(VersionKey),
+    /// A stream that may be taken up later begins only at an admitted version.
+    Admitted(&'a ServiceVersions),
+}
+
+impl VersionRule<'_> {
+    pub fn allows(&self, engine: &Engine) -> bool {
+        match self {
+            VersionRule::Any => true,
+            VersionRule::Only(version) => engine.version_key() == *version,
+            VersionRule::Admitted(admitted) => admitted.admits(engine),
+        }
+    }
+}
 
 /// What an engine is chosen for.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceParams<'a> {
     pub service: &'a ServiceId,
+    pub versions: VersionRule<'a>,
     /// Set if the service has models.
     pub prompt: Option<&'a Prompt>,
     /// Failure domain of this node.
@@ -47,6 +69,8 @@
 pub enum NoEngine {
     /// The service has no engine that accepts requests.
     NoneAvailable,
+    /// No engine of the version that began the stream has its model.
+    VersionGone,
     /// No engine has loaded the model or adapter; retry after this time.
     NotLoaded(Duration),
     /// One more prompt would delay the streams of every suitable engine for too long.
@@ -161,7 +185,10 @@
     // All engines of a service are brittle at the same time, and the load of one that fails goes to the others.
     let is_brittle =
         engines.of_service(params.service).any(|e| e.brittleness.max_rejections.is_some());
-    for engine in engines.of_service(params.service).filter(|e| e.accepts_requests()) {
+    if !has_version(engines, params) {
+        return Err(NoEngine::VersionGone);
+    }
+    for engine in usable_engines(engines, params) {
         if reason == NoEngine::NoneAvailable {
             reason = NoEngine::NotLoaded(MODEL_LOAD_RETRY);
         }
@@ -223,15 +250,32 @@
     }
 }
 
+/// Engines that accept requests and run a version at which the request may run.
+fn usable_engines<'a>(
+    engines: &'a Engines,
+    params: &'a ChoiceParams<'_>,
+) -> impl Iterator<Item = &'a Engine> {
+    let engines = engines.of_service(params.service);
+    engines.filter(|e| e.accepts_requests() && params.versions.allows(e))
+}
+
+/// Whether a stream that is bound to a version may go on anywhere: an adapter is soon loaded, a model is not.
+fn has_version(engines: &Engines, params: &ChoiceParams<'_>) -> bool {
+    if !matches!(params.versions, VersionRule::Only(_)) {
+        return true;
+    }
+    let model = params.prompt.and_then(|p| p.model_ref.as_ref()).map(|m| m.model.as_str());
+    usable_engines(engines, params).any(|e| model.is_none_or(|model| e.has_model(model)))
+}
+
 /// The highest random number of the engines that this request considers.
 fn random_threshold(engines: &Engines, params: &ChoiceParams<'_>, now: Millis) -> f64 {
     if params.nodes <= MAX_NODES_FULL_SCAN {
         return 1.0;
     }
     let model_ref = params.prompt.and_then(|p| p.model_ref.as_ref());
-    let candidates = engines
-        .of_service(params.service)
-        .filter(|e| e.accepts_requests() && !e.health.is_reported_unreachable(now));
+    let candidates =
+        usable_engines(engines, params).filter(|e| !e.health.is_reported_unreachable(now));
     let candidates = candidates.filter(|e| model_ref.is_none_or(|m| e.has_loaded(m)));
     let mut randoms: Vec<f64> =
         candidates.map(|e| engine_random(params.random, &e.info.id)).collect();
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -101,6 +101,7 @@
     /// Whether this incarnation has said that it is leaving.
     is_leaving: bool,
     key: EngineKey,
+    version_key: VersionKey,
     pub health: HealthTracker,
     /// Requests of this node in flight there.
     pub own_requests: u32,
@@ -153,6 +154,7 @@
     pub fn new(info: EngineInfo) -> Engine {
         Engine {
             key: EngineKey::of(&info.id, info.started_at),
+            version_key: VersionKey::of(&info),
             is_leaving: is_leaving(&info),
             info,
             health: HealthTracker::default(),
@@ -178,6 +180,7 @@
         if info.started_at != self.info.started_at {
             self.key = EngineKey::of(&info.id, info.started_at);
         }
+        self.version_key = VersionKey::of(&info);
         let is_leaving = self.is_leaving || is_leaving(&info);
         self.info = info;
         if is_leaving {
@@ -372,7 +375,7 @@
 
     /// Identifies the engines at which streams that it began may go on.
     pub fn version_key(&self) -> VersionKey {
-        VersionKey::of(&self.info)
+        self.version_key
     }
 
     pub fn accepts_requests(&self) -> bool {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or reads a clock: the time is passed in, so that every decision can be
 //! tested.
 
+mod admitted_versions;
 pub mod aggregation;
 mod brittleness;
 mod catalog;
@@ -35,8 +36,10 @@
 mod request_rate;
 mod retry_budget;
 mod software_version;
+mod stream_versions;
 pub mod unreachable;
 
+pub use admitted_versions::{AdmissionParams, AdmittedVersions, ServiceVersions, VersionAdmission};
 pub use brittleness::Brittleness;
 pub use catalog::{
     CallerLimits, Catalog, Model, ModelPool, Route, RouteKind, RouteMatch, Service, ServiceId,
@@ -44,7 +47,7 @@
 };
 pub use change_log::ChangeLog;
 pub use change_position::ChangePosition;
-pub use choice::{Choice, ChoiceParams, CostWeights, NoEngine, choose_engine};
+pub use choice::{Choice, ChoiceParams, CostWeights, NoEngine, VersionRule, choose_engine};
 pub use crash_history::{
     CrashHistory, CrashReport, CrashState, ENDS_TO_BLOCK, ENDS_TO_STOP_RETRIES, JudgeParams,
     Origin, SendPermission, Verdict,
@@ -78,6 +81,7 @@
 pub use request_rate::{InvalidRequestRate, RequestRate};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use software_version::{SoftwareVersion, VersionKey};
+pub use stream_versions::{BegunStream, StreamKey, StreamVersions};
 
 /// Milliseconds since the start of the process.
 pub type Millis = u64;
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -40,6 +40,12 @@
     /// Three engines have ended under the request.
     #[display("crashes engines")]
     CrashesEngines,
+    /// Nobody knows the software version that began the stream.
+    #[display("stream version unknown")]
+    StreamVersionUnknown,
+    /// No engine of the software version that began the stream has its model.
+    #[display("stream version gone")]
+    StreamVersionGone,
     /// This node serves as many requests of other nodes as it can.
     #[display("node busy")]
     NodeBusy,
--- a/crates/direct/src/request_digest.rs
+++ b/crates/direct/src/request_digest.rs
@@ -42,6 +42,10 @@
 }
 
 impl RequestDigest {
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
     pub fn of(parts: &DigestedParts<'_>) -> RequestDigest {
         let customer = parts.customer.map_or("", |customer| &customer.0);
         let fields = [parts.method, parts.host, parts.target, customer].map(str::as_bytes);
--- a/crates/direct/src/software_version.rs
+++ b/crates/direct/src/software_version.rs
@@ -15,11 +15,16 @@
 /// software version. An engine that names no version shares it with none.
 ///
 /// It is the same on all nodes.
-#[derive(Debug, Clone, Copy, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[display("{_0:016x}")]
 pub struct VersionKey(u64);
 
 impl VersionKey {
+    /// Equal to the key of no engine.
+    pub const UNKNOWN: VersionKey = VersionKey(0);
+
     pub fn of(info: &EngineInfo) -> VersionKey {
         let mut hasher = Xxh3Default::new();
         hasher.update(info.service.0.as_bytes());
--- a/crates/direct/tests/brittle.rs
+++ b/crates/direct/tests/brittle.rs
@@ -4,7 +4,7 @@
 
 use hgw_direct::{
     Choice, ChoiceParams, CostWeights, EngineId, Engines, Load, Millis, NoEngine, Prompt, SendId,
-    choose_engine,
+    VersionRule, choose_engine,
 };
 use support::{engines, model_ref, service};
 
@@ -26,6 +26,7 @@
     };
     let params = ChoiceParams {
         service: &service(),
+        versions: VersionRule::Any,
         prompt: Some(&prompt),
         domain: "a",
         tried: &[],
--- a/crates/direct/tests/choice.rs
+++ b/crates/direct/tests/choice.rs
@@ -8,7 +8,7 @@
 use hgw_direct::in_flight::InFlightLoad;
 use hgw_direct::{
     AttemptOutcome, Choice, ChoiceParams, CostWeights, Cursor, EngineId, Engines, Load, NoEngine,
-    Prompt, PromptPart, SendId, choose_engine, is_isolated,
+    Prompt, PromptPart, SendId, VersionRule, choose_engine, is_isolated,
 };
 use support::{engine_info, engines, model_ref, service};
 
@@ -25,6 +25,7 @@
     let (service, prompt) = (service(), prompt(want, 7));
     let params = ChoiceParams {
         service: &service,
+        versions: VersionRule::Any,
         prompt: Some(&prompt),
         domain: "a",
         tried,
@@ -155,6 +156,7 @@
     for draw in 0..300 {
         let params = ChoiceParams {
             service: &service,
+            versions: VersionRule::Any,
             prompt: None,
             domain: "a",
             tried: &[],
@@ -217,6 +219,7 @@
     let (service, prompt) = (service(), prompt("m", 7));
     let params = ChoiceParams {
         service: &service,
+        versions: VersionRule::Any,
         prompt: Some(&prompt),
         domain: "a",
         tried: &[],
@@ -288,6 +291,7 @@
     for draw in 0..100 {
         let params = ChoiceParams {
             service: &service,
+            versions: VersionRule::Any,
             prompt: Some(&prompt),
             domain: "a",
             tried: &[],
@@ -313,6 +317,7 @@
     for goes_first in [true, false] {
         let params = ChoiceParams {
             service: &service,
+            versions: VersionRule::Any,
             prompt: Some(&prompt),
             domain: "a",
             tried: &[],
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -83,6 +83,8 @@
     EngineLimitInvalid = 4013, Warn, "an engine named a rate of requests that cannot be parsed; what was known stays";
     EnginePathChanged = 4014, Warn, "this node has lost or regained its path to the engines of a service";
     EngineBrittle = 4015, Info, "an engine has said how many requests it may have to reject before it fails, or no longer does";
+    VersionsAdmitted = 4016, Info, "the software versions at which streams of a service may begin have changed";
+    VersionsUnknown = 4017, Info, "the record of software versions was not read or written";
     PlannerGained = 4101, Info, "this node became the planner of its region";
     PlannerLost = 4102, Info, "this node is no longer the planner of its region";
     FloorInForce = 4103, Info, "a plan of minimum model replicas is active";
--- a/crates/gateway/src/leader/adapters.rs
+++ b/crates/gateway/src/leader/adapters.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hgw_direct::placement::{AdapterAction, next_missing_adapter, place_adapter};
-use hgw_direct::{Engine, EngineId, ModelRef, ServiceId};
+use hgw_direct::{Engine, EngineId, ModelRef, ServiceId, VersionKey};
 use hgw_events::{Event, emit};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
@@ -38,25 +38,26 @@
     model_ref: &ModelRef,
     domain: &str,
     stale_engine: Option<&EngineId>,
+    version: Option<VersionKey>,
 ) -> Placement {
     if let Some(engine) = stale_engine {
         remove_stale_model(node, model_ref, engine);
     }
-    if is_loaded(node, model_ref) {
+    if is_loaded(node, model_ref, version) {
         return Placement::Placed;
     }
     // The demand report of its node arrives later, and the adapter must not be evicted until then.
     let now = node.now();
     node.leader_state.borrow_mut().demand.mark_requested(now, model_ref);
     let model = ModelRef { model: model_ref.model.clone(), adapter: None };
-    if model_ref.adapter.is_none() || !is_loaded(node, &model) {
+    if model_ref.adapter.is_none() || !is_loaded(node, &model, version) {
         return Placement::Loading(models::expected_load_ms(node, &model_ref.model));
     }
     // Runs as a separate task, because the caller may disconnect while an order is pending.
-    let done = start_placement(node, model_ref, domain);
+    let done = start_placement(node, model_ref, domain, version);
     // A timeout is ignored: the check below shows whether the adapter was loaded.
     let _ = timeout(LOAD_TIMEOUT, done.notified()).await;
-    if is_loaded(node, model_ref) { Placement::Placed } else { Placement::Unknown }
+    if is_loaded(node, model_ref, version) { Placement::Placed } else { Placement::Unknown }
 }
 
 /// Corrects the state of an engine that responded that `model_ref` is not loaded.
@@ -73,7 +74,12 @@
 
 /// Starts to place an adapter unless that is in progress. The returned `Notify` is notified at the
 /// end.
-fn start_placement(node: &Node, model_ref: &ModelRef, domain: &str) -> Rc<Notify> {
+fn start_placement(
+    node: &Node,
+    model_ref: &ModelRef,
+    domain: &str,
+    version: Option<VersionKey>,
+) -> Rc<Notify> {
     let mut leader = node.leader_state.borrow_mut();
     if let Some(in_progress) = leader.placements_in_progress.get(model_ref) {
         return Rc::clone(in_progress);
@@ -82,7 +88,7 @@
     leader.placements_in_progress.insert(model_ref.clone(), Rc::clone(&done));
     let (node, model_ref, domain) = (Rc::clone(node), model_ref.clone(), domain.to_owned());
     tokio::task::spawn_local(async move {
-        place_adapter_now(&node, &model_ref, &domain).await;
+        place_adapter_now(&node, &model_ref, &domain, version).await;
         let done = node.leader_state.borrow_mut().placements_in_progress.shift_remove(&model_ref);
         if let Some(done) = done {
             done.notify_waiters();
@@ -104,22 +110,30 @@
         next_missing_adapter(&engines, &leader.demand, node.now())
     };
     let Some(model_ref) = model_ref else { return };
-    start_placement(node, &model_ref, "");
+    start_placement(node, &model_ref, "", None);
 }
 
-fn is_loaded(node: &Node, model_ref: &ModelRef) -> bool {
+fn is_loaded(node: &Node, model_ref: &ModelRef, version: Option<VersionKey>) -> bool {
     let now = node.now();
     let is_reachable = |e: &Engine| e.accepts_requests() && !e.health.is_reported_unreachable(now);
-    node.state.borrow().engines.iter().any(|e| is_reachable(e) && e.has_loaded(model_ref))
+    let is_of_version = |e: &Engine| version.is_none_or(|version| e.version_key() == version);
+    let state = node.state.borrow();
+    let mut engines = state.engines.iter().filter(|e| is_reachable(e) && is_of_version(e));
+    engines.any(|e| e.has_loaded(model_ref))
 }
 
-async fn place_adapter_now(node: &Node, model_ref: &ModelRef, domain: &str) {
+async fn place_adapter_now(
+    node: &Node,
+    model_ref: &ModelRef,
+    domain: &str,
+    version: Option<VersionKey>,
+) {
     // Checked first: an evicted adapter is removed from the engine's state before the order is
     // sent.
     if !may_send_orders(node) {
         return;
     }
-    if let Some((engine, evict)) = choose_engine(node, model_ref, domain) {
+    if let Some((engine, evict)) = choose_engine(node, model_ref, domain, version) {
         let lock = order_lock(node, &engine);
         let _guard = lock.lock().await;
         // Another order may have taken the slot meanwhile.
@@ -133,6 +147,7 @@
     node: &Node,
     model_ref: &ModelRef,
     domain: &str,
+    version: Option<VersionKey>,
 ) -> Option<(EngineId, Option<ModelRef>)> {
     let now = node.now();
     for (service, pool) in model_pools(node) {
@@ -145,6 +160,7 @@
             // Engines execute one order at a time.
             .filter(|e| !leader.pending_loads.contains_key(&e.info.id))
             .filter(|e| !leader.draining.contains(&e.info.id))
+            .filter(|e| version.is_none_or(|version| e.version_key() == version))
             .collect();
         let action = place_adapter(&engines, &pool, &leader.demand, model_ref, domain, now);
         if let AdapterAction::Load { engine, evict } = action {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod shared;
 mod shutdown;
 mod state;
+mod versions;
 
 pub use run::{ExitReason, Signal, run};
 pub use settings::Settings;
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -103,6 +103,17 @@
         .increment(1);
 }
 
+/// Counts a stream that a caller takes up, by how the version that began it is known.
+pub(crate) fn stream_taken_up(service: &ServiceId, known_by: &'static str) {
+    let service = service.to_string();
+    counter!("hgw_streams_taken_up_total", "service" => service, "known_by" => known_by)
+        .increment(1);
+}
+
+pub(crate) fn admitted_versions(service: &ServiceId, count: usize) {
+    gauge!("hgw_software_versions", "service" => service.to_string()).set(count as f64);
+}
+
 pub(crate) fn message_dropped() {
     counter!("hgw_words_lost_total").increment(1);
 }
--- a/crates/gateway/src/peers/datagrams.rs
+++ b/crates/gateway/src/peers/datagrams.rs
@@ -8,7 +8,9 @@
 use hgw_direct::aggregation::ReportScope;
 use hgw_direct::in_flight::{EngineKey, InFlightUpdate};
 use hgw_direct::unreachable::ReachabilityReport;
-use hgw_direct::{CrashReport, EngineId, LimitState, Load, SendId, StartTime, broadcasts_sends};
+use hgw_direct::{
+    BegunStream, CrashReport, EngineId, LimitState, Load, SendId, StartTime, broadcasts_sends,
+};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -46,6 +48,8 @@
     EngineBrittle(LimitState),
     /// A brittle engine rejected a request of the sender.
     EngineRejected(EngineKey),
+    /// A stream has begun at a software version.
+    StreamBegan(BegunStream),
     /// The sender cannot reach the engine.
     #[serde(rename = "Lost")]
     Unreachable(EngineKey),
@@ -147,6 +151,9 @@
                 let report = ReachabilityReport { engines, is_unreachable: false };
                 unreachable::handle_hub_report(&node, from, report, &domain)
             }
+            Ok(Datagram::StreamBegan(stream)) => {
+                node.streams.borrow_mut().record(stream, node.now());
+            }
             Ok(Datagram::Crash(report)) => {
                 // Anyone on the network can send one, and it can have a request refused.
                 if node.peer_socket.contains(from) {
@@ -182,6 +189,7 @@
             }
         }
         Datagram::InFlight(..)
+        | Datagram::StreamBegan(_)
         | Datagram::Crash(_)
         | Datagram::EngineLimit(_)
         | Datagram::EngineBrittle(_)
--- a/crates/gateway/src/peers/forwarding.rs
+++ b/crates/gateway/src/peers/forwarding.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use hgw_direct::{EngineId, Refusal, ServiceId, broadcasts_sends};
+use hgw_direct::{EngineId, Refusal, ServiceId, VersionKey, broadcasts_sends};
 use http::{HeaderName, HeaderValue};
 use hyper::body::Incoming;
 use rand::random;
@@ -48,13 +48,23 @@
     pub(crate) tried_engines: Vec<EngineId>,
     /// Last event that the caller has, if a stream is resumed.
     pub(crate) last_event: Option<u64>,
+    /// Software version that began that stream.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) version: Option<VersionKey>,
 }
 
 /// What a response to a forwarded request is.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum ForwardOutcome {
     /// The response of an engine, after so many attempts that may have been executed.
-    Engine { engine: EngineId, runs: u32, domain: String },
+    Engine {
+        engine: EngineId,
+        /// Its software version; none if the node's release does not know of versions.
+        #[serde(default)]
+        version: Option<VersionKey>,
+        runs: u32,
+        domain: String,
+    },
     /// The request has not run.
     Refused { reason: String, may_run_elsewhere: bool },
     /// No engine has completed it, after so many attempts that may have been executed.
@@ -78,9 +88,9 @@
 
     fn of(response: &CallerResponse, domain: &str) -> ForwardOutcome {
         match response.extensions().get::<Outcome>() {
-            Some(Outcome::Engine { engine, runs }) => {
-                let (engine, runs, domain) = (engine.clone(), *runs, domain.to_owned());
-                ForwardOutcome::Engine { engine, runs, domain }
+            Some(Outcome::Engine { engine, version, runs }) => {
+                let (engine, version) = (engine.clone(), Some(*version));
+                ForwardOutcome::Engine { engine, version, runs: *runs, domain: domain.to_owned() }
             }
             Some(Outcome::Failed { runs }) => ForwardOutcome::Failed { runs: *runs },
             Some(Outcome::Refused(reason)) => ForwardOutcome::Refused {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,8 +4,8 @@
 
 use hgw_direct::hubs::Member;
 use hgw_direct::{
-    ChangePosition, CrashReport, CrashState, Cursor, DemandSnapshot, EngineId, Era, LimitState,
-    ListUpdate, ListVersion, LoadedModel, ModelRef, StartTime,
+    AdmittedVersions, ChangePosition, CrashReport, CrashState, Cursor, DemandSnapshot, EngineId,
+    Era, LimitState, ListUpdate, ListVersion, LoadedModel, ModelRef, StartTime, VersionKey,
 };
 use serde::{Deserialize, Serialize};
 
@@ -67,6 +67,12 @@
     /// Whether the sender does not reach the engines that the leader gives orders to.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub(crate) cannot_lead: bool,
+    /// Position of the record of software versions; none if the sender knows none.
+    #[serde(default, rename = "versions", skip_serializing_if = "Option::is_none")]
+    pub(crate) versions_position: Option<Cursor>,
+    /// Digest of the nodes that the sender tells of streams.
+    #[serde(default, rename = "stream_keepers")]
+    pub(crate) stream_keepers_digest: u64,
     /// Version of the sender's configuration.
     #[serde(rename = "catalog")]
     pub(crate) catalog_version: u64,
@@ -146,6 +152,12 @@
     /// Whether the poller now knows all requests that are blocked in the store.
     #[serde(default)]
     pub(crate) knows_blocked_requests: bool,
+    /// Software versions at which streams may begin, if the sender does not know them.
+    #[serde(default, rename = "versions", skip_serializing_if = "Option::is_none")]
+    pub(crate) admitted_versions: Option<AdmittedVersions>,
+    /// Nodes to tell of streams, if the sender knows others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) stream_keepers: Option<Vec<SocketAddr>>,
     /// Configuration version last known to be the newest, and the age of that proof in
     /// milliseconds.
     #[serde(default)]
@@ -178,6 +190,9 @@
     /// Engine that was listed as having it loaded and responded that it does not.
     #[serde(rename = "refuted")]
     pub(crate) stale_engine: Option<EngineId>,
+    /// Software version at which it is needed; any if none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) version: Option<VersionKey>,
 }
 
 /// The leader's response.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -11,6 +11,7 @@
 mod placements;
 mod poll;
 mod poll_response;
+mod streams;
 mod unreachable;
 
 use std::net::SocketAddr;
@@ -18,7 +19,7 @@
 
 use bytes::Bytes;
 use hgw_direct::hubs::SkipReason;
-use hgw_direct::{EngineId, ModelRef};
+use hgw_direct::{EngineId, ModelRef, VersionKey};
 use hgw_http1::{BodyDecoder, Request};
 use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -47,6 +48,7 @@
 use message::{PlacementResponse, PollRequest};
 pub(crate) use placements::PlacementChanges;
 pub(crate) use poll::poll;
+pub(crate) use streams::{AskResult, ask_version, record_stream};
 pub(crate) use unreachable::report_unreachable;
 
 /// Maximum time that a poll waits for an update.
@@ -68,11 +70,12 @@
     node: &Node,
     model_ref: &ModelRef,
     stale_engine: Option<&EngineId>,
+    version: Option<VersionKey>,
 ) -> Placement {
     let leader = node.leadership.borrow().leader.clone();
     let domain = node.settings.borrow().domain.clone();
     if node.leadership.borrow().is_leader() {
-        return leader::request_placement(node, model_ref, &domain, stale_engine).await;
+        return leader::request_placement(node, model_ref, &domain, stale_engine, version).await;
     }
     let Some(leader) = leader else { return Placement::Unknown };
     let request = PlacementRequest {
@@ -81,6 +84,7 @@
         adapter: model_ref.adapter.clone(),
         domain,
         stale_engine: stale_engine.cloned(),
+        version,
     };
     match call::<_, PlacementResponse>(node, leader.addr, "/want", &request, PLACEMENT_TIMEOUT)
         .await
@@ -192,6 +196,10 @@
             Ok(None) => json_error(StatusCode::CONFLICT, "this node grants no quota allowances"),
             Err(_) => json_error(StatusCode::BAD_REQUEST, "the body is not a quota request"),
         },
+        (&Method::POST, "/streams") => match serde_json::from_slice(&body) {
+            Ok(question) => json_response(&streams::answer(&node, &question)),
+            Err(_) => json_error(StatusCode::BAD_REQUEST, "the body names no stream"),
+        },
         (&Method::POST, "/forwarders") => match serde_json::from_slice(&body) {
             Ok(request) => json_response(&forwarding::forwarders_response(&node, &request)),
             Err(_) => json_error(StatusCode::BAD_REQUEST, "the body names no node"),
@@ -250,8 +258,9 @@
         return json_error(StatusCode::CONFLICT, "this node is not the leader");
     }
     let model_ref = ModelRef { model: request.model, adapter: request.adapter };
+    let stale_engine = request.stale_engine.as_ref();
     let placement =
-        leader::request_placement(node, &model_ref, &request.domain, request.stale_engine.as_ref())
+        leader::request_placement(node, &model_ref, &request.domain, stale_engine, request.version)
             .await;
     json_response(&PlacementResponse {
         placement,
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -17,10 +17,12 @@
 use crate::freshness;
 use crate::leader;
 use crate::shared::Node;
+use crate::versions;
 
 use super::list::{apply_list_update, apply_placements};
 use super::loads::{apply_loads, loads_since};
 use super::message::{DemandCount, EarlierDemand, PollRequest, PollResponse};
+use super::streams;
 use super::{CallError, MAX_POLL_WAIT, NO_LEADER_PAUSE, RESPONSE_TIMEOUT, try_call};
 
 /// Minimum pause between polls. Updates during a poll are returned at once.
@@ -178,6 +180,8 @@
             limits_seen: self.limits_seen,
             era: eras::to_report(node),
             cannot_lead: engine_path::cannot_lead(node),
+            versions_position: versions::position(node),
+            stream_keepers_digest: streams::keepers_digest(node),
             catalog_version,
             loads: loads_since(node, self.loads_reported_at, None),
             demand,
@@ -219,6 +223,13 @@
     if update.knows_blocked_requests {
         node.knows_blocked_requests.set(true);
     }
+    // Before the list, whose new engines may be of a version that is not admitted any more.
+    if let Some(admitted) = update.admitted_versions {
+        versions::apply(node, admitted);
+    }
+    if let Some(keepers) = update.stream_keepers {
+        *node.stream_keepers.borrow_mut() = keepers;
+    }
     apply_list_update(node, update.list_update);
     // Counted from the request, because the response may have been delayed on its way.
     node.record_leader_update((polled_at + update.waited_ms).saturating_sub(update.data_age_ms));
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -8,10 +8,12 @@
 use crate::freshness;
 use crate::leader;
 use crate::shared::Node;
+use crate::versions;
 
 use super::MAX_POLL_WAIT;
 use super::loads::loads_since;
 use super::message::{PollRequest, PollResponse};
+use super::streams;
 
 /// Maximum number of addresses that are sent. A longer list includes nodes that do not know their
 /// hub yet.
@@ -54,6 +56,8 @@
         last_renewal: node.last_renewal(),
         load_ages_ms: load_ages(node),
         loads: loads_since(node, 0, Some(&request.demand)),
+        admitted_versions: versions::newer_than(node, request.versions_position),
+        stream_keepers: streams::keepers_to_share(node, request.stream_keepers_digest),
         freshness: freshness::to_share(node),
         catalog_position: node.catalog_position.get(),
     }
@@ -94,6 +98,7 @@
         && placements_are_current
         && crashes_are_current
         && limits_are_current
+        && versions::position(node) <= request.versions_position
         && catalog_version(node) <= request.catalog_version
 }
 
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -300,6 +300,15 @@
     pub records: Vec<Record>,
 }
 
+/// The record of the software versions at which streams may begin.
+#[derive(Debug, Clone, Default)]
+pub struct VersionsRecord {
+    /// End of the log that it is kept in.
+    pub end: Cursor,
+    /// The newest record; none if there is none yet.
+    pub newest: Option<Record>,
+}
+
 /// Client of the platform's store.
 pub trait Store {
     /// Long-polls for a configuration newer than the cursor; without a cursor, reads the newest one.
@@ -344,6 +353,12 @@
     /// All requests that are stored as blocked.
     fn blocked_requests(&self) -> LocalBoxFuture<'_, StoreResult<Vec<(String, Bytes)>>>;
 
+    /// Reads the record of software versions.
+    fn versions_record(&self) -> LocalBoxFuture<'_, StoreResult<VersionsRecord>>;
+
+    /// Replaces it, if the log of it ends at `end`.
+    fn store_versions(&self, end: Cursor, record: Bytes) -> LocalBoxFuture<'_, StoreResult<()>>;
+
     /// The newest known era of the store; it increases by one each time the store is restored from a
     /// backup.
     fn era(&self) -> Era;
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hgw_direct::{AttemptOutcome, Engine, EngineId};
+use hgw_direct::{AttemptOutcome, Engine, EngineId, VersionKey};
 use hgw_http1::{Conn, Error, Head, Request};
 use tokio::time::Instant;
 
@@ -26,6 +26,8 @@
 /// A response whose head has been read.
 pub(super) struct StartedResponse {
     pub(super) engine: EngineId,
+    /// Its software version when the request was sent.
+    pub(super) version: VersionKey,
     pub(super) conn: Conn,
     pub(super) head: Head,
     pub(super) source: Source,
@@ -94,7 +96,7 @@
         last_event: Option<u64>,
     ) -> AttemptResult {
         let node = Rc::clone(&self.node);
-        let Some(addr) = node.engine(engine, |e| e.info.addr) else {
+        let Some((addr, version)) = node.engine(engine, |e| (e.info.addr, e.version_key())) else {
             return AttemptResult::NotSent;
         };
         self.tried_engines.push(engine.clone());
@@ -110,6 +112,11 @@
                 return result;
             }
         };
+        if node.engine(engine, Engine::version_key).is_some_and(|now| now != version) {
+            // It has started anew meanwhile, with other software.
+            node.pool.put(addr, conn);
+            return AttemptResult::NotSent;
+        }
         let req = self.upstream_request(engine, last_event);
         self.set_may_run(true);
         if let Some(permit) = &permit {
@@ -130,7 +137,8 @@
                 }
                 engine_limits::observe(&node, &guard, &info, sent_at);
                 brittle::observe(&node, &guard, &info, sent_at);
-                self.handle_response_head(engine, conn, head, info, guard).await
+                let started = self.handle_response_head(engine, version, conn, head, info, guard);
+                started.await
             }
             WaitResult::Done(Err(e)) => {
                 let outcome = match e {
@@ -262,6 +270,7 @@
     async fn handle_response_head(
         &mut self,
         engine: &EngineId,
+        version: VersionKey,
         mut conn: Conn,
         head: Head,
         info: ResponseInfo,
@@ -298,7 +307,7 @@
         guard.record_response_start(info.load);
         let engine = engine.clone();
         let source = Source::Engine(guard);
-        AttemptResult::Started(Box::new(StartedResponse { engine, conn, head, source }))
+        AttemptResult::Started(Box::new(StartedResponse { engine, version, conn, head, source }))
     }
 
     /// Corrects the engine list: removes the engine if another one answered at its address, or else
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -39,7 +39,7 @@
 
 /// Buffers the engine's response; `None` if it is incomplete.
 async fn read_response(req: &RelayedRequest, started: StartedResponse) -> Option<CallerResponse> {
-    let StartedResponse { engine, mut conn, head, source } = started;
+    let StartedResponse { engine, version, mut conn, head, source } = started;
     let body = BodyDecoder::new(head.framing);
     let body = match req.wait_for(&source, conn.read_body(body, MAX_BODY_BYTES)).await {
         WaitResult::Done(Ok(body)) => body,
@@ -65,6 +65,6 @@
     let mut response = Response::new(ResponseBody::full(body));
     *response.status_mut() = StatusCode::from_u16(head.status).ok()?;
     *response.headers_mut() = req.node.protocols.upstreams.response_headers(&head);
-    response.extensions_mut().insert(req.outcome_of(&engine));
+    response.extensions_mut().insert(req.outcome_of(&engine, version));
     Some(response)
 }
--- a/crates/gateway/src/relay/forward.rs
+++ b/crates/gateway/src/relay/forward.rs
@@ -4,7 +4,7 @@
 use std::pin::{Pin, pin};
 use std::time::Duration;
 
-use hgw_direct::{EngineId, NoEngine, Refusal};
+use hgw_direct::{Engine, EngineId, NoEngine, Refusal, VersionKey};
 use hgw_events::{Event, emit};
 use hgw_http1::{BodyDecoder, Conn, Head, Request, end_to_end_headers};
 use http::{Response, StatusCode};
@@ -152,7 +152,8 @@
             executions: self.executions,
             rejected: self.rejected,
             tried_engines: self.tried_engines.clone(),
-            last_event,
+            last_event: last_event.or(self.info.last_event),
+            version: self.version,
         };
         let mut headers = end_to_end_headers(&self.head.headers, &[]);
         headers.remove(http::header::CONTENT_LENGTH);
@@ -175,11 +176,19 @@
     ) -> AttemptResult {
         let outcome = head.headers.remove(FORWARDED).as_ref().and_then(ForwardOutcome::parse);
         match outcome {
-            Some(ForwardOutcome::Engine { engine, runs, domain }) => {
+            Some(ForwardOutcome::Engine { engine, version, runs, domain }) => {
                 self.executions += runs.max(1);
+                let version = version.or_else(|| self.node.engine(&engine, Engine::version_key));
+                let version = version.unwrap_or(VersionKey::UNKNOWN);
+                if self.version.is_some_and(|bound| bound != version) {
+                    // A release that does not know of versions.
+                    guard.record_refused();
+                    return AttemptResult::NoResponse;
+                }
                 guard.record_served(&domain);
                 let source = Source::Forwarder(guard);
-                AttemptResult::Started(Box::new(StartedResponse { engine, conn, head, source }))
+                let started = StartedResponse { engine, version, conn, head, source };
+                AttemptResult::Started(Box::new(started))
             }
             Some(ForwardOutcome::Refused { reason, may_run_elsewhere }) => {
                 self.set_may_run(false);
--- a/crates/gateway/src/relay/forwarded.rs
+++ b/crates/gateway/src/relay/forwarded.rs
@@ -29,8 +29,7 @@
 ) -> CallerResponse {
     let active = ActiveRequest::begin(node);
     let catalog = node.state.borrow().catalog.clone();
-    let knows_engines = node.state.borrow().has_engine_list && node.knows_blocked_requests.get();
-    match catalog.filter(|_| knows_engines) {
+    match catalog.filter(|_| node.knows_state()) {
         Some(catalog) => handle_routed(node, active, catalog, req, Some(forwarded)).await,
         None => refuse(node, Refusal::NotReady, NOT_READY_RETRY_AFTER),
     }
@@ -81,6 +80,7 @@
         self.executions_elsewhere = forwarded.executions;
         self.rejected = forwarded.rejected;
         self.tried_engines = forwarded.tried_engines;
+        self.version = forwarded.version;
         self.info.last_event = forwarded.last_event.or(self.info.last_event);
     }
 
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod source;
 mod start;
 mod stream;
+mod take_up;
 mod wait;
 mod withhold;
 
@@ -47,8 +48,7 @@
         return refuse(node, Refusal::Stopping, Duration::ZERO);
     }
     let catalog = node.state.borrow().catalog.clone();
-    let knows_engines = node.state.borrow().has_engine_list && node.knows_blocked_requests.get();
-    match catalog.filter(|_| knows_engines) {
+    match catalog.filter(|_| node.knows_state()) {
         Some(catalog) => handle_routed(node, active, catalog, req, None).await,
         None => refuse(node, Refusal::NotReady, NOT_READY_RETRY_AFTER),
     }
@@ -108,6 +108,9 @@
     if let Err(withheld) = relayed.check_crashes() {
         return relayed.respond_withheld(withheld);
     }
+    if let Err(response) = relayed.bind_to_version().await {
+        return *response;
+    }
     if let Err(error) = relayed.charge_quota().await {
         return match error {
             NoAllowance::QuotaExceeded(retry_after) => {
--- a/crates/gateway/src/relay/outcome.rs
+++ b/crates/gateway/src/relay/outcome.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hgw_direct::{EngineId, ModelRef, Refusal};
+use hgw_direct::{EngineId, ModelRef, Refusal, VersionKey};
 use hgw_events::{Event, emit};
 use http::StatusCode;
 
@@ -54,8 +54,8 @@
     }
 
     /// What the response of an engine is to a node that forwarded the request.
-    pub(super) fn outcome_of(&self, engine: &EngineId) -> Outcome {
-        Outcome::Engine { engine: engine.clone(), runs: self.own_executions() }
+    pub(super) fn outcome_of(&self, engine: &EngineId, version: VersionKey) -> Outcome {
+        Outcome::Engine { engine: engine.clone(), version, runs: self.own_executions() }
     }
 
     pub(super) fn log_resumed(&self, from: &EngineId, to: &EngineId, last: u64) {
@@ -74,37 +74,19 @@
 
     /// Logs that a stream has begun, as the node may not live to log its end.
     pub(super) fn log_stream_began(&self, engine: &EngineId) {
-        if self.is_forwarded {
-            return;
-        }
         let software = self.node.engine(engine, |e| e.info.software.clone()).flatten();
         emit(
             Event::StreamBegan,
             &[
                 ("node", &self.node.settings.borrow().node),
                 ("id", &self.info.id),
+                ("digest", &self.digest),
                 ("upstream", engine),
                 ("software", &software.map_or_else(String::new, |version| version.0)),
             ],
         );
     }
 
-    /// Logs that the caller takes up a stream.
-    pub(super) fn log_taken_up(&self, after_event: u64) {
-        if self.is_forwarded {
-            return;
-        }
-        emit(
-            Event::StreamTakenUp,
-            &[
-                ("node", &self.node.settings.borrow().node),
-                ("id", &self.info.id),
-                ("resumes", &self.info.resumes.as_deref().unwrap_or_default()),
-                ("after_event", &after_event),
-            ],
-        );
-    }
-
     /// Logs that the caller got no complete response.
     pub(super) fn log_failed(&self, status: u16, reason: &str) {
         if self.is_logged_elsewhere() {
@@ -234,16 +216,21 @@
 
     /// Rejects a request that no engine has executed, with a `Retry-After` delay.
     pub(super) fn refuse(&self, reason: Refusal, retry_after: Duration) -> CallerResponse {
-        if !self.is_logged_elsewhere() {
-            meter::refused(&self.route, reason);
-            if matches!(reason, Refusal::QuotaExceeded | Refusal::QuotaUnknown) {
-                meter::quota_refused(self.customer_name(), reason);
-            }
-            self.log_refused(&reason, retry_after);
-        }
+        self.log_refusal(reason, retry_after);
         refuse(&self.node, reason, retry_after)
     }
 
+    pub(super) fn log_refusal(&self, reason: Refusal, retry_after: Duration) {
+        if self.is_logged_elsewhere() {
+            return;
+        }
+        meter::refused(&self.route, reason);
+        if matches!(reason, Refusal::QuotaExceeded | Refusal::QuotaUnknown) {
+            meter::quota_refused(self.customer_name(), reason);
+        }
+        self.log_refused(&reason, retry_after);
+    }
+
     /// Logs that another node refused the request.
     pub(super) fn log_refused_elsewhere(&self, reason: &str) {
         self.is_logged.set(true);
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -10,7 +10,7 @@
 use hgw_direct::{
     Choice, ChoiceParams, CostWeights, Deadline, DigestedParts, ENDS_TO_STOP_RETRIES, EngineId,
     MIN_TIME_TO_SEND, Millis, ModelRef, NoEngine, Prompt, Refusal, RequestDigest, Route, ServiceId,
-    choose_engine,
+    VersionKey, choose_engine,
 };
 use http::request::Parts;
 use rand::random;
@@ -112,6 +112,8 @@
     pub(super) tried_forwarders: Vec<SocketAddr>,
     /// How many of them reach no engine that could run it.
     pub(super) hopeless_forwards: usize,
+    /// Software version that began the stream, at which alone it may go on.
+    pub(super) version: Option<VersionKey>,
     /// An engine that does not have the model that it was listed with.
     pub(super) stale_engine: Option<EngineId>,
     /// Whether engines admit it before other requests of its service.
@@ -171,6 +173,7 @@
             forwarded_slot: None,
             tried_forwarders: Vec::new(),
             hopeless_forwards: 0,
+            version: None,
             stale_engine: None,
             has_precedence: false,
             prefill_wait: Duration::ZERO,
@@ -292,8 +295,9 @@
             let (Err(NoEngine::NotLoaded(_)), Some(model_ref)) = (&result, self.model_ref()) else {
                 return result;
             };
+            let stale_engine = self.stale_engine.as_ref();
             let placement =
-                peers::request_placement(&self.node, model_ref, self.stale_engine.as_ref());
+                peers::request_placement(&self.node, model_ref, stale_engine, self.version);
             match timeout_at(wait_until, placement).await {
                 Ok(Placement::Placed) => {
                     if let Ok(choice) = self.choose_now() {
@@ -354,8 +358,12 @@
     /// Whether engines could run the request but this node reaches none of them.
     pub(super) fn is_unreachable(&self) -> bool {
         let (now, state) = (self.node.now(), self.node.state.borrow());
+        let admitted = self.node.admitted_versions.borrow();
+        let versions = self.version_rule(admitted.as_deref());
         let mut suitable = state.engines.of_service(&self.service).filter(|e| {
-            e.accepts_requests() && self.model_ref().is_none_or(|model| e.has_loaded(model))
+            e.accepts_requests()
+                && versions.allows(e)
+                && self.model_ref().is_none_or(|model| e.has_loaded(model))
         });
         suitable.next().is_some_and(|e| e.health.is_unreachable(now))
             && suitable.all(|e| e.health.is_unreachable(now))
@@ -384,8 +392,10 @@
         let settings = self.node.settings.borrow();
         let service = state.catalog.as_ref().and_then(|c| c.services.get(&self.service));
         let max_conns = service.map_or(u32::MAX, |s| (s.max_conns / state.nodes.max(1)).max(1));
+        let admitted = self.node.admitted_versions.borrow();
         let params = ChoiceParams {
             service: &self.service,
+            versions: self.version_rule(admitted.as_deref()),
             prompt: self.prompt(),
             domain: &settings.domain,
             tried: &self.tried_engines,
@@ -402,7 +412,12 @@
 
     /// Rejects a request that no engine has executed because none could be chosen.
     pub(super) fn refuse_no_engine(&self, reason: NoEngine) -> CallerResponse {
+        let is_unreachable = self.has_failed_path() || self.is_unreachable();
         let (refusal, retry_after) = match reason {
+            NoEngine::VersionGone if !is_unreachable => {
+                return *self.refuse_version(Refusal::StreamVersionGone);
+            }
+            NoEngine::VersionGone => (Refusal::EnginesUnreachable, NO_ENGINE_RETRY_AFTER),
             NoEngine::NoneAvailable | NoEngine::PrefillBusy => {
                 (Refusal::NoEngine, NO_ENGINE_RETRY_AFTER)
             }
@@ -410,7 +425,6 @@
             NoEngine::Full(retry_after) => (Refusal::EnginesFull, retry_after),
             NoEngine::AtLimit(retry_after) => (Refusal::EnginesAtLimit, retry_after),
         };
-        let is_unreachable = self.has_failed_path() || self.is_unreachable();
         let refusal = if is_unreachable { Refusal::EnginesUnreachable } else { refusal };
         self.refuse(refusal, retry_after)
     }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use hgw_direct::{AttemptOutcome, EngineId};
+use hgw_direct::{AttemptOutcome, EngineId, VersionKey};
 use hgw_http1::{BodyDecoder, Conn, Framing, Head};
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
@@ -28,9 +28,6 @@
 const HUNG_AFTER_DEFAULT: Duration = Duration::from_millis(1_000);
 
 pub(super) async fn serve(mut req: RelayedRequest) -> CallerResponse {
-    if let Some(after_event) = req.info.last_event {
-        req.log_taken_up(after_event);
-    }
     match start_stream(&mut req, None).await {
         Ok(started) => {
             let mut response = Response::new(ResponseBody::Full(None));
@@ -38,7 +35,7 @@
             *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
             *response.headers_mut() = req.node.protocols.upstreams.response_headers(&started.head);
             response.headers_mut().remove(CONTENT_LENGTH);
-            response.extensions_mut().insert(req.outcome_of(&started.engine));
+            response.extensions_mut().insert(req.outcome_of(&started.engine, started.version));
             let stream = ResponseStream::new(req, started);
             *response.body_mut() =
                 ResponseBody::Stream(Box::pin(unfold(stream, ResponseStream::next_piece)));
@@ -73,6 +70,7 @@
 struct ResponseStream {
     req: RelayedRequest,
     engine: EngineId,
+    version: VersionKey,
     /// `None` once the response is complete, and between two engines.
     conn: Option<Conn>,
     body: BodyDecoder,
@@ -86,13 +84,14 @@
 
 impl ResponseStream {
     fn new(req: RelayedRequest, started: StartedResponse) -> ResponseStream {
-        let StartedResponse { engine, conn, head, source } = started;
+        let StartedResponse { engine, version, conn, head, source } = started;
         let is_events = is_events(&head);
         let body = BodyDecoder::new(head.framing);
         let events = EventBuffer::default();
         ResponseStream {
             req,
             engine,
+            version,
             conn: Some(conn),
             body,
             events,
@@ -119,7 +118,7 @@
                         if self.timing.pieces == 1 {
                             meter::first_byte(&self.req.route, self.req.received_at.elapsed());
                             if self.is_events {
-                                self.req.log_stream_began(&self.engine);
+                                self.req.record_first_event(&self.engine, self.version);
                             }
                         }
                         return Some((Ok(bytes), self));
@@ -195,6 +194,7 @@
         req.log_resumed(&self.engine, &started.engine, last);
         self.body = BodyDecoder::new(started.head.framing);
         self.engine = started.engine;
+        self.version = started.version;
         self.conn = Some(started.conn);
         self.source = started.source;
         true
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use futures_core::Stream;
-use hgw_direct::{EngineId, Refusal};
+use hgw_direct::{EngineId, Refusal, VersionKey};
 use http::{Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
 
@@ -28,7 +28,7 @@
 #[derive(Debug, Clone)]
 pub(crate) enum Outcome {
     /// The response of an engine, after so many attempts that may have been executed.
-    Engine { engine: EngineId, runs: u32 },
+    Engine { engine: EngineId, version: VersionKey, runs: u32 },
     /// The request has not run.
     Refused(Refusal),
     /// No engine has completed it, after so many attempts that may have been executed.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,8 @@
     pub load_window: Duration,
     /// Interval between two heartbeats of an engine.
     pub heartbeat: Duration,
+    /// Whether the system starts for the first time.
+    pub is_first_start: bool,
     /// Maximum number of open connections from callers.
     pub max_connections: usize,
     /// Time within which a revoked key must stop working on every node, if that is required even of
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,9 +10,9 @@
 use hgw_direct::hubs::{Hubs, NodeDirectory, Parent, poll_interval_factor};
 use hgw_direct::unreachable::ProbedEngines;
 use hgw_direct::{
-    AttemptOutcome, CrashHistory, Engine, EngineId, EngineLimits, EngineState, EngineStateChange,
-    Forwarders, KnownEra, ListChanges, ListVersion, Millis, RetryBudgetLimits, is_isolated,
-    polls_store,
+    AdmittedVersions, AttemptOutcome, CrashHistory, Engine, EngineId, EngineLimits, EngineState,
+    EngineStateChange, Forwarders, KnownEra, ListChanges, ListVersion, Millis, RetryBudgetLimits,
+    StreamVersions, is_isolated, polls_store,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnTimeouts;
@@ -33,6 +33,7 @@
 use crate::quotas::Quotas;
 use crate::shutdown::Shutdown;
 use crate::state::State;
+use crate::versions::VersionReads;
 
 /// Engines are a few milliseconds away, so a slower connection attempt has failed.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -77,6 +78,14 @@
     pub(crate) forwarders_found: Notify,
     /// Requests of other nodes that this one is serving.
     pub(crate) forwarded_requests: Cell<usize>,
+    /// Software versions at which streams began.
+    pub(crate) streams: RefCell<StreamVersions>,
+    /// Nodes that are told of streams, if there are too many to tell all.
+    pub(crate) stream_keepers: RefCell<Vec<SocketAddr>>,
+    /// Software versions at which streams may begin; none until they are known.
+    pub(crate) admitted_versions: RefCell<Option<Rc<AdmittedVersions>>>,
+    /// Reads of these from the store.
+    pub(crate) version_reads: VersionReads,
     /// Whether the requests that are blocked in the store are known.
     pub(crate) knows_blocked_requests: Cell<bool>,
     /// In-flight requests at engines, as reported by other nodes.
@@ -171,6 +180,10 @@
             is_finding_forwarders: Cell::new(false),
             forwarders_found: Notify::new(),
             forwarded_requests: Cell::new(0),
+            streams: RefCell::default(),
+            stream_keepers: RefCell::default(),
+            admitted_versions: RefCell::default(),
+            version_reads: VersionReads::default(),
             knows_blocked_requests: Cell::new(false),
             aggregator: RefCell::default(),
             probed_engines: RefCell::default(),
@@ -208,9 +221,18 @@
     /// Whether the readiness check succeeds.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        let knows =
-            state.catalog.is_some() && state.has_engine_list && self.knows_blocked_requests.get();
-        knows && !self.is_stopping() && !self.is_isolated.get() && freshness::is_fresh(self)
+        state.catalog.is_some()
+            && self.knows_state()
+            && !self.is_stopping()
+            && !self.is_isolated.get()
+            && freshness::is_fresh(self)
+    }
+
+    /// Whether this node knows what it needs to send requests to engines.
+    pub(crate) fn knows_state(&self) -> bool {
+        self.state.borrow().has_engine_list
+            && self.knows_blocked_requests.get()
+            && self.admitted_versions.borrow().is_some()
     }
 
     /// Records that the leader's updates reflect the store up to `at`.
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -337,7 +337,7 @@
     store: SocketAddr,
 ) -> String {
     format!(
-        "nodeName={name}\nrole=entry\nip=127.0.0.1\nzone={zone}\nlisten.front={callers}\n\
+        "nodeName={name}\nrole=entry\nbootstrap=true\nip=127.0.0.1\nzone={zone}\nlisten.front={callers}\n\
          listen.ready={ready}\nportRange={},{}\nlimits.maxFds=1024\nheartbeatMs=1000\n\
          bounds.graceS=8\nbounds.drainMs=2000\nbounds.applyMs=2000\nbounds.budgetRatio=0.2\n\
          bounds.budgetSlack=50\nbounds.budgetWindowS=10\nbounds.requireFence=true\n\
