--- a/crates/hibiscusgw/tests/platform/versions.rs
+++ b/crates/hibiscusgw/tests/platform/versions.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use hgw_standins::Faults;
 use hgw_standins::client::{Caller, Events};
 use hgw_standins::fleet::EngineSettings;
 use hgw_standins::fleet::deployment::{Fleet, HOST, Node, holds, wait};
-use http::StatusCode;
+use hgw_standins::link::ProcessCut;
+use http::{Method, StatusCode};
 use serde_json::json;
 
 use crate::new_fleet;
@@ -54,7 +56,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Debug, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 enum End {
     Whole,
     Broken,
@@ -66,12 +68,16 @@
     fn begin(node: &Node, id: &str, held: &Held, resumes: Option<&str>) -> Option<Attempt> {
         let caller = Caller::new(node.callers).unwrap();
         let last = held.last.to_string();
+        // Sessions of their own, which spread over the engines.
+        let session = id.bytes().fold(7_u64, |sum, b| sum.wrapping_mul(31).wrapping_add(b.into()));
+        let prefix = format!("{session:x}:60");
         let mut headers = vec![
             ("host", HOST),
             ("x-request-id", id),
             ("x-deadline-ms", "8000"),
             ("x-model", "m"),
             ("x-tokens", "100,120"),
+            ("x-prompt-prefix", &prefix),
         ];
         if held.last > 0 {
             headers.push(("last-event-id", &last));
@@ -198,3 +204,171 @@
 fn streams_of_killed_nodes_go_on_at_the_version_that_began_them() {
     killed_nodes(3, 1);
 }
+
+/// The same for more nodes: those that outlive others know the streams of all.
+#[test]
+fn streams_go_on_after_most_of_nine_nodes_are_killed() {
+    killed_nodes(9, 6);
+}
+
+/// Guards against streams that no one remembers where not all nodes are told of each.
+#[test]
+fn streams_of_killed_nodes_go_on_where_only_some_nodes_are_told() {
+    killed_nodes(14, 5);
+}
+
+/// Guards against a stream that goes on at another version within one response.
+#[test]
+fn stream_whose_engine_breaks_goes_on_at_its_version_or_not_at_all() {
+    let mut engines = two_versions();
+    engines.retain(|engine| engine.id != "i-v1-2" && engine.id != "i-v1-3");
+    let fleet = start_nodes(engines, 1);
+    let streams = begin_streams(&fleet, &[0], 24);
+    fleet.engine("i-v1-1").fault(&Faults { down: true, ..Faults::default() });
+    fleet.engine("i-v2-1").fault(&Faults { down: true, ..Faults::default() });
+    let ends: Vec<(Held, End)> = streams.into_iter().map(Attempt::finish).collect();
+    assert_eq!(joined(&ends), 0, "{ends:?}");
+    let began_at = |version: &str| {
+        let of = ends.iter().filter(|(held, _)| held.versions == [version]).cloned();
+        of.collect::<Vec<_>>()
+    };
+    let (alone, others) = (began_at("v1"), began_at("v2"));
+    assert!(!alone.is_empty() && whole(&alone) == 0, "{ends:?}");
+    assert!(whole(&others) * 2 >= others.len(), "{others:?}");
+}
+
+/// Guards against holding a caller whose stream can go on nowhere, and against drawing it back.
+#[test]
+fn stream_whose_version_is_gone_is_refused_for_good() {
+    let fleet = start_nodes(two_versions(), 2);
+    let mut streams = begin_streams(&fleet, &[0], 12);
+    streams.retain(|stream| stream.held.versions == ["v1"]);
+    for id in ["i-v1-1", "i-v1-2", "i-v1-3"] {
+        fleet.store.put("keyed.servers", id, b"");
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    let runs = fleet.runs("again-s-0");
+    for (held, end) in take_up(&fleet, &[1], streams) {
+        assert_eq!(end, End::Refused(StatusCode::SERVICE_UNAVAILABLE, false), "{held:?}");
+        assert_eq!(fleet.runs(&format!("again-{}", held.first_attempt)), runs);
+    }
+}
+
+/// Guards against joins when no node is left that knows a stream, and against refusing what only one version can
+/// have begun.
+#[test]
+fn streams_outlast_a_kill_of_all_nodes_where_only_one_version_serves() {
+    for (models, expected) in [(two_versions(), 0), (two_versions()[..3].to_vec(), 12)] {
+        let mut fleet = start_nodes(models, 3);
+        let streams = begin_streams(&fleet, &[0, 1, 2], 12);
+        fleet.nodes.iter_mut().for_each(Node::kill);
+        let nodes: Vec<usize> = ["a", "b", "c"].iter().map(|zone| fleet.start(zone)).collect();
+        let ends = take_up(&fleet, &nodes, streams);
+        assert_eq!((joined(&ends), whole(&ends)), (0, expected), "{ends:?}");
+    }
+}
+
+/// Guards against a stream that is forgotten while its caller takes it up again and again.
+#[test]
+fn stream_is_taken_up_by_its_first_attempt_again_and_again() {
+    let mut fleet = start_nodes(two_versions(), 4);
+    let mut streams = begin_streams(&fleet, &[0], 12);
+    for node in [1, 2, 3] {
+        let again = streams.iter().enumerate().map(|(n, stream)| {
+            let (id, first) = (format!("again-{node}-{n}"), &stream.held.first_attempt);
+            let mut attempt =
+                Attempt::begin(&fleet.nodes[node], &id, &stream.held, Some(first)).unwrap();
+            attempt.read(3);
+            attempt
+        });
+        let again: Vec<Attempt> = again.collect();
+        // The breaks end the attempts before; their nodes are gone for good.
+        streams = again;
+        fleet.nodes[node - 1].kill();
+    }
+    let ends: Vec<(Held, End)> = streams.into_iter().map(Attempt::finish).collect();
+    assert_eq!((joined(&ends), whole(&ends)), (0, 12), "{ends:?}");
+}
+
+/// Guards against requests that take up a stream which nobody knows, is another's or cannot be named.
+#[test]
+fn stream_that_nobody_knows_is_refused_unrun() {
+    let mut fleet = start_nodes(two_versions(), 2);
+    let streams = begin_streams(&fleet, &[0], 1);
+    let held = Held { last: 3, ..Held::default() };
+    let long = "x".repeat(4_000);
+    let ids = [None, Some("never-sent"), Some(""), Some(&long), Some("s-0 "), Some("\u{fc}")];
+    for (n, resumes) in ids.into_iter().enumerate() {
+        let id = format!("unknown-{n}");
+        let Some(attempt) = Attempt::begin(&fleet.nodes[1], &id, &held, resumes) else { continue };
+        let (_, end) = attempt.finish();
+        // A header that may not be sent is the caller's fault.
+        let is_refused = matches!(end, End::Refused(StatusCode::SERVICE_UNAVAILABLE, false));
+        assert!(is_refused || resumes == Some("s-0 "), "{resumes:?}: {end:?}");
+        assert!(!is_refused || fleet.runs(&id) == 0);
+    }
+    let other_model = [
+        ("x-request-id", "other"),
+        ("x-deadline-ms", "8000"),
+        ("x-model", "n"),
+        ("last-event-id", "3"),
+        ("resumes", "s-0"),
+    ];
+    let refused = fleet.nodes[1].call(Method::POST, "/ask/", &other_model).unwrap();
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(fleet.nodes[1].ended(), None);
+    drop(streams);
+}
+
+/// Guards against entries whose missing versions count as the same one.
+#[test]
+fn engines_that_name_no_version_share_none() {
+    let unnamed = |id: &str, software: serde_json::Value| EngineSettings {
+        software,
+        names_software: false,
+        ..engine(id, "")
+    };
+    let engines =
+        vec![unnamed("i-1", json!(null)), unnamed("i-2", json!(7)), unnamed("i-3", json!(""))];
+    let fleet = start_nodes(engines, 2);
+    let served = fleet.nodes[0].stream("/ask/", "s-new", "m").unwrap();
+    assert_eq!(served.status, StatusCode::OK);
+    let headers = [
+        ("x-request-id", "again"),
+        ("x-deadline-ms", "8000"),
+        ("x-model", "m"),
+        ("last-event-id", "3"),
+    ];
+    let refused = fleet.nodes[1].call(Method::POST, "/ask/", &headers).unwrap();
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+/// Guards against a version that is lost where one node sends the requests of another's callers.
+#[test]
+fn forwarded_streams_go_on_at_the_version_that_began_them() {
+    let mut fleet = start_nodes(two_versions(), 3);
+    fleet.cut_from_engines(&[0], Some(ProcessCut::Reset));
+    let mut sent = 0;
+    wait("requests are forwarded", || {
+        sent += 1;
+        let first = fleet.nodes[0].stream("/ask/", &format!("first-{sent}"), "m");
+        first.is_ok_and(|answer| answer.status == StatusCode::OK)
+    });
+    let streams = begin_streams(&fleet, &[0], 12);
+    // The forwarder of half of them; the rest goes on within its response.
+    fleet.nodes[1].kill();
+    let (mut ends, mut broken) = (Vec::new(), Vec::new());
+    for stream in streams {
+        match stream.finish() {
+            (held, End::Broken) => broken.push(held),
+            end => ends.push(end),
+        }
+    }
+    fleet.nodes[0].kill();
+    for (n, held) in broken.iter().enumerate() {
+        let id = format!("again-{n}");
+        let attempt = Attempt::begin(&fleet.nodes[2], &id, held, Some(&held.first_attempt));
+        ends.push(attempt.unwrap().finish());
+    }
+    assert_eq!((joined(&ends), whole(&ends)), (0, 12), "{ends:?}");
+}
