Versions: a proof needs a read of its own, copies stay together by version; explain follows a stream over attempts

A read that its request had left could leave an older result to one that waits: a result counts only if its read began after the question. Only a first record of a system that starts for the first time proves anything. A copy of a model at a version without another copy costs what is asked of it, as its streams could not go on.

--- a/crates/direct/src/admitted_versions.rs
+++ b/crates/direct/src/admitted_versions.rs
@@ -85,7 +85,7 @@
 pub struct AdmissionParams<'a> {
     /// Services with routes on which streams may be taken up.
     pub services: &'a [ServiceId],
-    /// Whether no node has ever served a caller.
+    /// Whether the system starts for the first time, so that no stream is older than the first record.
     pub is_first_start: bool,
     /// Longest time after which a stream is still taken up.
     pub stream_life: Millis,
@@ -110,6 +110,7 @@
         now: Millis,
     ) -> Option<AdmittedVersions> {
         let mut next = current.clone();
+        let has_earlier_streams = !params.is_first_start || !current.services.is_empty();
         for service in params.services {
             let listed = engines.of_service(service).filter(|e| e.accepts_requests());
             let mut listed: Vec<VersionKey> = listed.map(Engine::version_key).collect();
@@ -120,7 +121,7 @@
             }
             let is_new = !next.services.contains_key(service);
             let entry = next.services.entry(service.clone()).or_default();
-            entry.may_have_others |= is_new && !params.is_first_start;
+            entry.may_have_others |= is_new && has_earlier_streams;
             for version in &listed {
                 self.last_listed.insert((service.clone(), *version), now);
                 if !entry.admitted.contains(version) {
--- a/crates/direct/src/placement/models.rs
+++ b/crates/direct/src/placement/models.rs
@@ -236,7 +236,8 @@
             let time = self.drain_time(&evict) + source.load_time(configured);
             let waiting = need.max(MIN_NEED) * time.as_secs_f64();
             let limited = if engine.rate_limit.is_some() { LIMITED_COST } else { 0.0 };
-            let cost = loss + self.load_cost(model, load) + waiting + limited;
+            let stranded = if self.is_alone(model, engine) { self.rate(model) } else { 0.0 };
+            let cost = loss + self.load_cost(model, load) + waiting + limited + stranded;
             if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
                 best = Some((cost, engine, evict, source));
             }
@@ -258,6 +259,13 @@
         if self.rate(model) < IN_DEMAND_RATE { self.distribution.max() - load } else { load }
     }
 
+    /// Whether other copies of a model are all of other software versions, so that no stream that begins at this one
+    /// could go on if the engine is lost.
+    fn is_alone(&self, model: &str, engine: &Engine) -> bool {
+        let mut copies = self.engines.iter().filter(|e| e.has_model(model)).peekable();
+        copies.peek().is_some() && copies.all(|e| e.version_key() != engine.version_key())
+    }
+
     /// The models to evict so that `needed_mb` megabytes are free, and the resulting loss of demand.
     fn evictions(&self, engine: &Engine, needed_mb: f64) -> Option<(Vec<String>, f64)> {
         let mut free_mb = free_mb(engine, self.pool, self.reserved_mb);
--- a/crates/direct/src/stream_versions.rs
+++ b/crates/direct/src/stream_versions.rs
@@ -16,7 +16,7 @@
 const SWEEP_INTERVAL: Millis = 2_000;
 
 /// Nodes beyond those that all tell each other, that are told of a stream.
-const KEEPERS: usize = 4;
+const KEEPERS: usize = 3;
 
 /// Nodes that are asked about a stream.
 const MAX_ASKED: usize = 16;
@@ -61,6 +61,7 @@
 
 /// A stream and the version that began it, as told to other nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(StreamKey, VersionKey, u64)", into = "(StreamKey, VersionKey, u64)")]
 pub struct BegunStream {
     pub key: StreamKey,
     pub version: VersionKey,
@@ -68,6 +69,18 @@
     pub life_ms: u64,
 }
 
+impl From<(StreamKey, VersionKey, u64)> for BegunStream {
+    fn from((key, version, life_ms): (StreamKey, VersionKey, u64)) -> BegunStream {
+        BegunStream { key, version, life_ms }
+    }
+}
+
+impl From<BegunStream> for (StreamKey, VersionKey, u64) {
+    fn from(stream: BegunStream) -> (StreamKey, VersionKey, u64) {
+        (stream.key, stream.version, stream.life_ms)
+    }
+}
+
 /// The streams that this node knows.
 #[derive(Debug, Clone, Default)]
 pub struct StreamVersions {
--- a/crates/gateway/src/peers/datagrams.rs
+++ b/crates/gateway/src/peers/datagrams.rs
@@ -49,6 +49,7 @@
     /// A brittle engine rejected a request of the sender.
     EngineRejected(EngineKey),
     /// A stream has begun at a software version.
+    #[serde(rename = "Began")]
     StreamBegan(BegunStream),
     /// The sender cannot reach the engine.
     #[serde(rename = "Lost")]
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -105,18 +105,13 @@
         let Some(mut conn) = self.connect(engine, addr).await else {
             return AttemptResult::NotSent;
         };
-        let permit = match self.permit_to_send(&guard).await {
+        let permit = match self.permit_to_send(&guard, version).await {
             Ok(permit) => permit,
             Err(result) => {
                 node.pool.put(addr, conn);
                 return result;
             }
         };
-        if node.engine(engine, Engine::version_key).is_some_and(|now| now != version) {
-            // It has started anew meanwhile, with other software.
-            node.pool.put(addr, conn);
-            return AttemptResult::NotSent;
-        }
         let req = self.upstream_request(engine, last_event);
         self.set_may_run(true);
         if let Some(permit) = &permit {
@@ -199,7 +194,11 @@
 
     /// Checks right before the first byte whether the request may still be sent. If the engine has
     /// named a limit, charges it to that, which may take a moment.
-    async fn permit_to_send(&self, guard: &AttemptGuard) -> Result<Option<Charge>, AttemptResult> {
+    async fn permit_to_send(
+        &self,
+        guard: &AttemptGuard,
+        version: VersionKey,
+    ) -> Result<Option<Charge>, AttemptResult> {
         let rank = self.waiter_rank();
         let charged = quotas::charge_engine(&self.node, guard.engine_key(), rank).await;
         let permit = charged.map_err(|error| {
@@ -208,6 +207,11 @@
             AttemptResult::AtLimit(wait)
         })?;
         self.check_sendable()?;
+        let now = self.node.engine(guard.engine(), Engine::version_key);
+        if now.is_some_and(|now| now != version) {
+            // The engine has started anew meanwhile, with other software.
+            return Err(AttemptResult::NotSent);
+        }
         Ok(permit)
     }
 
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -58,8 +58,8 @@
     lock: Mutex<()>,
     /// Number of reads that were started.
     started: Cell<u64>,
-    /// Result of the last one.
-    result: RefCell<Option<ReadRecord>>,
+    /// Number of the last one that ended, and its result. A request that ends meanwhile leaves one without.
+    result: RefCell<(u64, Option<ReadRecord>)>,
     read_at: Cell<Millis>,
 }
 
@@ -78,11 +78,13 @@
     let reads = &node.version_reads;
     let started_before = reads.started.get();
     let _turn = reads.lock.lock().await;
-    if reads.started.get() > started_before {
-        // Another request has read it meanwhile.
-        return reads.result.borrow().clone();
+    if let (number, Some(read)) = &*reads.result.borrow()
+        && *number > started_before
+    {
+        return Some(read.clone());
     }
-    reads.started.set(started_before + 1);
+    let number = reads.started.get() + 1;
+    reads.started.set(number);
     reads.read_at.set(node.now());
     let result = node.protocols.store.versions_record().await.and_then(decode);
     match &result {
@@ -92,8 +94,9 @@
         }
         Err(error) => log_failure(node, "read", error),
     }
-    *reads.result.borrow_mut() = result.ok();
-    reads.result.borrow().clone()
+    let read = result.ok();
+    *reads.result.borrow_mut() = (number, read.clone());
+    read
 }
 
 fn decode(record: VersionsRecord) -> StoreResult<ReadRecord> {
--- a/crates/hibiscusgw/src/explain.rs
+++ b/crates/hibiscusgw/src/explain.rs
@@ -15,12 +15,17 @@
 /// Most context events printed before an event of the request; older ones are skipped.
 const MAX_CONTEXT_EVENTS: usize = 4;
 
+/// Event of a stream that a caller takes up.
+const STREAM_TAKEN_UP: u64 = 5016;
+
 /// Prints the events of a request in order of time, each after the context events of its node since the
-/// previous one.
+/// previous one. The attempts that belong to the same stream count as one request.
 pub(crate) fn explain(id: &str, input: &mut dyn BufRead, console: &mut Console<'_>) -> Result<()> {
     let lines = read_log_lines(input)?;
+    let attempts = attempts_of_stream(&lines, id);
+    let is_of_request = |line: &LogLine| line.field("id").is_some_and(|id| attempts.contains(&id));
     let of_request: Vec<usize> =
-        (0..lines.len()).filter(|index| lines[*index].has_request_id(id)).collect();
+        (0..lines.len()).filter(|index| is_of_request(&lines[*index])).collect();
     let Some(start) = of_request.first().map(|index| lines[*index].time) else {
         return Err(Error::RequestNotFound(id.to_owned()));
     };
@@ -36,14 +41,29 @@
         for event in context.iter().skip(context.len().saturating_sub(MAX_CONTEXT_EVENTS)) {
             writeln!(console.out, "    {}", event.format_since(start))?;
         }
-        writeln!(console.out, "  {}", line.format_since(start))?;
+        let attempt = line.field("id").filter(|attempt| *attempt != id);
+        let attempt = attempt.map(|attempt| format!(" (attempt {attempt})")).unwrap_or_default();
+        writeln!(console.out, "  {}{attempt}", line.format_since(start))?;
     }
     Ok(())
 }
 
+/// The attempts that brought events of the same stream as one of them.
+fn attempts_of_stream<'a>(lines: &'a [LogLine], id: &'a str) -> Vec<&'a str> {
+    let taken_up: Vec<(&str, &str)> = lines
+        .iter()
+        .filter(|line| line.event == STREAM_TAKEN_UP)
+        .filter_map(|line| Some((line.field("id")?, line.field("resumes")?)))
+        .filter(|(_, first)| !first.is_empty())
+        .collect();
+    let first = taken_up.iter().find(|(again, _)| *again == id).map_or(id, |(_, first)| *first);
+    let others = taken_up.iter().filter(|(_, of)| *of == first).map(|(again, _)| *again);
+    others.chain([first, id]).collect()
+}
+
 impl LogLine {
-    fn has_request_id(&self, id: &str) -> bool {
-        self.fields.get("id").and_then(Value::as_str) == Some(id)
+    fn field(&self, name: &str) -> Option<&str> {
+        self.fields.get(name).and_then(Value::as_str)
     }
 
     /// The line with its time relative to `start`, in seconds since the Unix epoch.
--- a/crates/hibiscusgw/tests/explain/main.rs
+++ b/crates/hibiscusgw/tests/explain/main.rs
@@ -24,5 +24,6 @@
     request_that_was_refused => "65495594d0e923e4";
     request_that_failed => "7c0eeec3723a5759";
     stream_that_went_on_elsewhere => "32506bef45d983cc";
+    stream_that_its_caller_took_up => "a323a5760cb71ff9";
     request_that_no_line_names => "0000000000000000";
 }
