Versions: engines that started anew wait for their entry; copies by version counted once for a plan; a record that is not read in time

An engine that is born again is known by its reports before its entry, which names its software; until then it counted as one more version, which would have ended every proof of a single one for a minute.

--- a/crates/direct/src/admitted_versions.rs
+++ b/crates/direct/src/admitted_versions.rs
@@ -112,7 +112,8 @@
         let mut next = current.clone();
         let has_earlier_streams = !params.is_first_start || !current.services.is_empty();
         for service in params.services {
-            let listed = engines.of_service(service).filter(|e| e.accepts_requests());
+            let listed = engines.of_service(service);
+            let listed = listed.filter(|e| e.accepts_requests() && !e.awaits_entry());
             let mut listed: Vec<VersionKey> = listed.map(Engine::version_key).collect();
             listed.sort_unstable();
             listed.dedup();
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -102,6 +102,8 @@
     is_leaving: bool,
     key: EngineKey,
     version_key: VersionKey,
+    /// Whether this incarnation is known by other ways than its list entry, which names its software version.
+    awaits_entry: bool,
     pub health: HealthTracker,
     /// Requests of this node in flight there.
     pub own_requests: u32,
@@ -155,6 +157,7 @@
         Engine {
             key: EngineKey::of(&info.id, info.started_at),
             version_key: VersionKey::of(&info),
+            awaits_entry: false,
             is_leaving: is_leaving(&info),
             info,
             health: HealthTracker::default(),
@@ -181,6 +184,7 @@
             self.key = EngineKey::of(&info.id, info.started_at);
         }
         self.version_key = VersionKey::of(&info);
+        self.awaits_entry = false;
         let is_leaving = self.is_leaving || is_leaving(&info);
         self.info = info;
         if is_leaving {
@@ -378,6 +382,16 @@
         self.version_key
     }
 
+    /// Whether its software version is not known yet.
+    pub(crate) fn awaits_entry(&self) -> bool {
+        self.awaits_entry
+    }
+
+    /// Records that this incarnation has not been listed yet.
+    pub(crate) fn await_entry(&mut self) {
+        self.awaits_entry = true;
+    }
+
     pub fn accepts_requests(&self) -> bool {
         self.info.state == EngineState::Ready
     }
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -213,6 +213,7 @@
                 ..engine.info.clone()
             };
             self.replace_incarnation(info);
+            self.by_id.get_mut(id)?.await_entry();
         }
         self.by_id.get_mut(id)
     }
--- a/crates/direct/src/placement/models.rs
+++ b/crates/direct/src/placement/models.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::capacity::{free_mb, reserved_mb};
 use super::load_distribution::LoadDistribution;
 use super::targets::{IN_DEMAND_RATE, need, targets};
-use crate::{Engine, EngineId, Engines, Millis, Model, ModelPool, ModelRef, Rates};
+use crate::{Engine, EngineId, Engines, Millis, Model, ModelPool, ModelRef, Rates, VersionKey};
 
 /// Models that engines are being ordered to load.
 pub type PendingLoads = IndexMap<EngineId, String>;
@@ -211,6 +211,7 @@
     pub(super) fn plan_load(&self, model: &str, need: f64, bounds: &Bounds) -> Option<ModelLoad> {
         let configured = self.pool.models.get(model)?;
         let needed_mb = configured.weights_mb;
+        let versions = self.versions_with(model);
         let mut best: Option<(f64, &Engine, Vec<String>, WeightSource)> = None;
         for (index, engine) in self.engines.iter().enumerate() {
             let id = &engine.info.id;
@@ -236,7 +237,8 @@
             let time = self.drain_time(&evict) + source.load_time(configured);
             let waiting = need.max(MIN_NEED) * time.as_secs_f64();
             let limited = if engine.rate_limit.is_some() { LIMITED_COST } else { 0.0 };
-            let stranded = if self.is_alone(model, engine) { self.rate(model) } else { 0.0 };
+            let is_alone = !versions.is_empty() && !versions.contains(&engine.version_key());
+            let stranded = if is_alone { self.rate(model) } else { 0.0 };
             let cost = loss + self.load_cost(model, load) + waiting + limited + stranded;
             if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
                 best = Some((cost, engine, evict, source));
@@ -259,11 +261,10 @@
         if self.rate(model) < IN_DEMAND_RATE { self.distribution.max() - load } else { load }
     }
 
-    /// Whether other copies of a model are all of other software versions, so that no stream that begins at this one
-    /// could go on if the engine is lost.
-    fn is_alone(&self, model: &str, engine: &Engine) -> bool {
-        let mut copies = self.engines.iter().filter(|e| e.has_model(model)).peekable();
-        copies.peek().is_some() && copies.all(|e| e.version_key() != engine.version_key())
+    /// Software versions of the engines that have a model. At another one no stream could go on if its engine is lost.
+    fn versions_with(&self, model: &str) -> IndexSet<VersionKey> {
+        let copies = self.engines.iter().filter(|e| e.has_model(model));
+        copies.map(|e| e.version_key()).collect()
     }
 
     /// The models to evict so that `needed_mb` megabytes are free, and the resulting loss of demand.
--- a/crates/direct/tests/placement.rs
+++ b/crates/direct/tests/placement.rs
@@ -9,8 +9,10 @@
     AdapterAction, AllowedActions, LoadRateLimiter, LoadRateLimits, ModelLoad, PendingLoads,
     WeightSource, count_evicting, free_adapter_slots, next_model_load, place_adapter,
 };
-use hgw_direct::{Demand, Engine, Engines, Model, ModelPool, Rates};
-use support::{engines, model_ref};
+use hgw_direct::{
+    Cursor, Demand, Engine, EngineInfo, Engines, Model, ModelPool, Rates, SoftwareVersion,
+};
+use support::{engine_info, engines, model_ref};
 
 /// A service whose engines have memory for three models.
 fn pool(models: &[&str]) -> ModelPool {
@@ -70,6 +72,27 @@
     assert_matches!(step, Some(ModelLoad { engine, model, .. }) if engine.0 == "e3" && model == "m");
 }
 
+/// Guards against copies of a model that are each alone at their software version: no stream could go on if one is lost.
+#[test]
+fn copies_of_a_model_are_of_one_software_version_if_engines_allow() {
+    let mut engines = Engines::default();
+    for (id, version, models) in [
+        ("e1", "v1", &["m", "n"][..]),
+        ("e2", "v2", &["n"]),
+        ("e3", "v1", &["n"]),
+        ("e4", "v2", &["n"]),
+    ] {
+        let software = Some(SoftwareVersion::from(version));
+        engines.upsert(EngineInfo { software, ..engine_info(id, "a", models) });
+    }
+    let step = next_load(&engines, &["m", "n"], &[("m", 12.0), ("n", 6.0)]);
+    assert_matches!(step, Some(ModelLoad { engine, model, .. }) if engine.0 == "e3" && model == "m");
+    // A copy at another version is better than none.
+    engines.remove(&"e3".into(), Cursor::default());
+    let step = next_load(&engines, &["m", "n"], &[("m", 12.0), ("n", 6.0)]);
+    assert_matches!(step, Some(ModelLoad { engine, model, .. }) if engine.0 != "e1" && model == "m");
+}
+
 /// Guards against idle engines while copies of busy models share others.
 #[test]
 fn engine_with_nothing_to_do_gets_a_copy() {
@@ -170,7 +193,7 @@
     let first = next_load(&engines, &["a", "b", "c", "d"], &[("a", 20.0)]);
     assert_matches!(first, Some(ModelLoad { evict, model, .. }) if model == "d" && (evict == ["b"] || evict == ["c"]));
     let mut single = Engines::default();
-    single.upsert(support::engine_info("e1", "a", &full));
+    single.upsert(engine_info("e1", "a", &full));
     assert_eq!(next_load(&single, &["a", "b", "c", "d"], &[("d", 20.0)]), None);
 }
 
--- a/crates/direct/tests/versions.rs
+++ b/crates/direct/tests/versions.rs
@@ -131,6 +131,13 @@
     assert_eq!(version_of(&engines, "e1"), v1);
     let restarted = engines.observe_start(&"e1".into(), StartTime(Some(9))).unwrap();
     assert_ne!(restarted.version_key(), v1, "its entry does not say yet what it runs now");
+    let services = [service()];
+    let mut keeper = VersionAdmission::default();
+    let none = AdmittedVersions::default();
+    assert_eq!(keeper.next_record(&none, &engines, &params(&services, true), 0), None);
+    engines.upsert(EngineInfo { started_at: StartTime(Some(9)), ..of_version("e1", "v1", &[]) });
+    let record = keeper.next_record(&none, &engines, &params(&services, true), 0).unwrap();
+    assert_eq!(as_read(&record, 1).only_version(&service()), Some(v1));
 }
 
 fn digest(body: &str) -> RequestDigest {
--- a/crates/gateway/src/relay/take_up.rs
+++ b/crates/gateway/src/relay/take_up.rs
@@ -3,9 +3,12 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use hgw_direct::{BegunStream, EngineId, Refusal, StreamKey, VersionKey, VersionRule};
+use hgw_direct::{
+    AdmittedVersions, BegunStream, EngineId, Refusal, StreamKey, Target, VersionKey, VersionRule,
+};
 use hgw_events::{Event, emit};
 use http::StatusCode;
+use tokio::time::timeout;
 
 use crate::meter;
 use crate::peers::{self, AskResult};
@@ -17,6 +20,9 @@
 /// Retry delay after nobody could be asked for the version that began a stream.
 const NO_ANSWER_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Longest wait for the store's record: a caller whose stream cannot go on is told soon.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
+
 impl RelayedRequest {
     /// Identifies the stream over all attempts of its caller.
     fn stream_key(&self) -> StreamKey {
@@ -70,23 +76,20 @@
             }
         }
         // On other routes streams begin at versions that are not admitted, too.
-        let may_be_proven = self.route.kind.may_repeat() && self.route.targets.len() <= 1;
-        if !may_be_proven {
+        let targets = self.route.targets.iter().filter(|target| target.weight > 0).count();
+        if !self.route.kind.may_repeat() || targets > 1 {
             return Err(wait);
         }
-        match versions::read_anew(&self.node).await {
-            Some(admitted) => {
-                let only = admitted.only_version(&self.service);
-                only.map(|version| (version, "only version")).ok_or(wait)
-            }
-            None => Err(Some(NO_ANSWER_RETRY_AFTER)),
-        }
+        let record = timeout(RECORD_TIMEOUT, versions::read_anew(&self.node)).await;
+        let Ok(Some(admitted)) = record else { return Err(Some(NO_ANSWER_RETRY_AFTER)) };
+        let only = admitted.only_version(&self.service);
+        only.map(|version| (version, "only version")).ok_or(wait)
     }
 
     /// Of several services to which the route leads, chooses the one in which the stream began.
     fn follow_version(&mut self, version: VersionKey) {
         let state = self.node.state.borrow();
-        let has_version = |target: &&hgw_direct::Target| {
+        let has_version = |target: &&Target| {
             state.engines.of_service(&target.service).any(|e| e.version_key() == version)
         };
         let target = self.route.targets.iter().find(has_version).map(|t| t.service.clone());
@@ -114,7 +117,7 @@
     /// Versions at which the request may run; `admitted` are those at which streams may begin.
     pub(super) fn version_rule<'a>(
         &self,
-        admitted: Option<&'a hgw_direct::AdmittedVersions>,
+        admitted: Option<&'a AdmittedVersions>,
     ) -> VersionRule<'a> {
         if let Some(version) = self.version {
             return VersionRule::Only(version);
