--- a/crates/hibiscusgw/tests/platform/versions.rs
+++ b/crates/hibiscusgw/tests/platform/versions.rs
@@ -372,3 +372,35 @@
     }
     assert_eq!((joined(&ends), whole(&ends)), (0, 12), "{ends:?}");
 }
+
+/// Guards against engines of a new version that stay idle, and against a proof of the only version by nodes that start
+/// right after the first streams of another.
+#[test]
+fn version_that_appears_serves_soon_and_ends_the_proof_of_the_only_one() {
+    let mut fleet = new_fleet(two_versions());
+    let of_v2 = ["i-v2-1", "i-v2-2", "i-v2-3"];
+    of_v2.iter().for_each(|id| fleet.store.put("keyed.servers", id, b""));
+    let nodes: Vec<usize> = ["a", "b", "c"].iter().map(|zone| fleet.start(zone)).collect();
+    let before = begin_streams(&fleet, &nodes, 12);
+    assert!(before.iter().all(|stream| stream.held.versions == ["v1"]));
+    of_v2.iter().for_each(|id| fleet.list(fleet.engine(id), "ready"));
+    let mut sent = 0;
+    let mut newer = None;
+    wait("a stream begins at the new version", || {
+        sent += 1;
+        let id = format!("newer-{sent}");
+        let mut stream =
+            Attempt::begin(&fleet.nodes[nodes[0]], &id, &Held::default(), None).unwrap();
+        stream.read(2);
+        newer = Some(stream).filter(|stream| stream.held.versions == ["v2"]);
+        newer.is_some()
+    });
+    fleet.nodes.iter_mut().for_each(Node::kill);
+    let node = fleet.start("a");
+    for stream in before.into_iter().take(3).chain(newer) {
+        let id = format!("again-{}", stream.held.first_attempt);
+        let attempt = Attempt::begin(&fleet.nodes[node], &id, &stream.held, None).unwrap();
+        let (held, end) = attempt.finish();
+        assert_eq!(end, End::Refused(StatusCode::SERVICE_UNAVAILABLE, false), "{held:?}");
+    }
+}
