--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -21,6 +21,7 @@
 mod stopping;
 mod store_disconnects;
 mod streams;
+mod version_faults;
 mod versions;
 
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/hibiscusgw/tests/platform/versions.rs
+++ b/crates/hibiscusgw/tests/platform/versions.rs
@@ -20,15 +20,15 @@
 
 /// What a caller holds of a stream.
 #[derive(Debug, Clone, Default, PartialEq)]
-struct Held {
+pub(crate) struct Held {
     /// The attempt that brought the first event.
-    first_attempt: String,
+    pub(crate) first_attempt: String,
     /// The versions that wrote its events, in order.
-    versions: Vec<String>,
+    pub(crate) versions: Vec<String>,
     /// Number of the last event.
-    last: u64,
+    pub(crate) last: u64,
     /// How often an event was missing or came twice.
-    gaps: u32,
+    pub(crate) gaps: u32,
 }
 
 impl Held {
@@ -43,21 +43,21 @@
         }
     }
 
-    fn is_joined(&self) -> bool {
+    pub(crate) fn is_joined(&self) -> bool {
         self.versions.len() > 1
     }
 }
 
 /// A caller's attempt.
-struct Attempt {
-    held: Held,
+pub(crate) struct Attempt {
+    pub(crate) held: Held,
     events: Events,
     _caller: Caller,
 }
 
 /// How an attempt ended.
 #[derive(Debug, Clone, PartialEq)]
-enum End {
+pub(crate) enum End {
     Whole,
     Broken,
     Refused(StatusCode, bool),
@@ -65,7 +65,12 @@
 
 impl Attempt {
     /// Begins a stream, or takes one up after what is held of it.
-    fn begin(node: &Node, id: &str, held: &Held, resumes: Option<&str>) -> Option<Attempt> {
+    pub(crate) fn begin(
+        node: &Node,
+        id: &str,
+        held: &Held,
+        resumes: Option<&str>,
+    ) -> Option<Attempt> {
         let caller = Caller::new(node.callers).unwrap();
         let last = held.last.to_string();
         // Sessions of their own, which spread over the engines.
@@ -92,15 +97,20 @@
     }
 
     /// Reads so many more events.
-    fn read(&mut self, count: u64) {
+    pub(crate) fn read(&mut self, count: u64) {
         for _ in 0..count {
             let event = self.events.next_event().unwrap().expect("an event");
             self.held.add(&event);
         }
     }
 
+    /// Whether it was not refused.
+    pub(crate) fn is_accepted(&self) -> bool {
+        self.events.status == StatusCode::OK
+    }
+
     /// Reads to the end.
-    fn finish(mut self) -> (Held, End) {
+    pub(crate) fn finish(mut self) -> (Held, End) {
         if self.events.status != StatusCode::OK {
             let has_time = self.events.headers.contains_key("retry-after");
             return (self.held, End::Refused(self.events.status, has_time));
@@ -115,7 +125,7 @@
     }
 }
 
-fn engine(id: &str, software: &str) -> EngineSettings {
+pub(crate) fn engine(id: &str, software: &str) -> EngineSettings {
     EngineSettings {
         id: id.into(),
         software: software.into(),
