--- a/crates/hibiscusgw/tests/platform/versions.rs
+++ b/crates/hibiscusgw/tests/platform/versions.rs
@@ -1,5 +1,6 @@
 //! Streams go on only at the software version that began them.
 
+use std::net::UdpSocket;
 use std::time::Duration;
 
 use hgw_standins::Faults;
@@ -414,3 +415,30 @@
         assert_eq!(end, End::Refused(StatusCode::SERVICE_UNAVAILABLE, false), "{held:?}");
     }
 }
+
+/// Guards against a kill between the first event of a stream and what other nodes are told of it, and against datagrams
+/// that cost more than what they tell.
+#[test]
+fn others_are_told_of_a_stream_before_its_first_event() {
+    const MAX_BYTES: usize = 48;
+    let mut fleet = new_fleet(two_versions());
+    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
+    peer.set_nonblocking(true).unwrap();
+    let addr = peer.local_addr().unwrap();
+    let entry = json!({ "node": "front-0", "addr": addr, "domain": "b", "processor": 1.0 });
+    fleet.store.put("keyed.hgw-nodes", "front-0", entry.to_string().as_bytes());
+    let node = fleet.start("a");
+    std::thread::sleep(Duration::from_secs(3));
+    let mut buf = [0; 1_500];
+    for n in 0..5 {
+        let id = format!("s-{n}");
+        let mut stream = Attempt::begin(&fleet.nodes[node], &id, &Held::default(), None).unwrap();
+        stream.read(1);
+        let received =
+            std::iter::from_fn(|| peer.recv(&mut buf).ok().map(|len| buf[..len].to_vec()));
+        let told = received.filter(|datagram| datagram.windows(5).any(|name| name == b"Began"));
+        let sizes: Vec<usize> = told.map(|datagram| datagram.len()).collect();
+        assert!(matches!(sizes[..], [size] if size <= MAX_BYTES), "{sizes:?}");
+        println!("{sizes:?} bytes");
+    }
+}
