--- a/crates/hibiscusgw/tests/platform/version_faults.rs
+++ b/crates/hibiscusgw/tests/platform/version_faults.rs
@@ -50,7 +50,6 @@
 }
 
 struct Scenario {
-    seed: u64,
     rng: StdRng,
     fleet: Fleet,
     backups: Vec<Backup>,
@@ -80,7 +79,6 @@
         let backups = vec![fleet.store.backup()];
         let history = vec![format!("seed {seed}: {listed:?}")];
         Scenario {
-            seed,
             rng,
             fleet,
             backups,
@@ -101,7 +99,7 @@
             self.judge_and_take_up(ends);
             self.heal();
         }
-        println!("seed {}: {} of {} go on", self.seed, self.gone_on, self.broken);
+        println!("{} of {} go on: {:?}", self.gone_on, self.broken, self.history);
     }
 
     fn id(&mut self, what: &str) -> String {
@@ -129,12 +127,11 @@
             0..=2 => {
                 let killed = self.rng.random_range(1..=NODES);
                 self.running.shuffle(&mut self.rng);
-                let killed: Vec<usize> = self.running.drain(..killed).collect();
+                let killed = self.running[..killed].to_vec();
                 self.history.push(format!("kill {killed:?}"));
                 for node in killed {
                     self.fleet.nodes[node].kill();
-                    let new = self.fleet.spawn("a");
-                    self.running.push(new);
+                    self.fleet.start_again(node);
                 }
             }
             3 | 4 => {
--- a/crates/hibiscusgw/tests/platform/versions.rs
+++ b/crates/hibiscusgw/tests/platform/versions.rs
@@ -273,8 +273,11 @@
         let mut fleet = start_nodes(models, 3);
         let streams = begin_streams(&fleet, &[0, 1, 2], 12);
         fleet.nodes.iter_mut().for_each(Node::kill);
-        let nodes: Vec<usize> = ["a", "b", "c"].iter().map(|zone| fleet.start(zone)).collect();
-        let ends = take_up(&fleet, &nodes, streams);
+        for node in 0..3 {
+            fleet.start_again(node);
+            wait("the node is ready again", || fleet.nodes[node].is_ready());
+        }
+        let ends = take_up(&fleet, &[0, 1, 2], streams);
         assert_eq!((joined(&ends), whole(&ends)), (0, expected), "{ends:?}");
     }
 }
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -213,15 +213,26 @@
         let to_store = Link::to(self.store.addr()).expect("the way listens");
         let text = settings_text(&name, zone, callers, ready, peers, to_store.addr());
         std::fs::write(&settings, text).expect("the settings can be written");
-        let child = Command::new(&self.program)
+        let child = self.run(&settings, metrics, stdout);
+        self.nodes.push(Node { name, callers, ready, peers, metrics, settings, to_store, child });
+        self.nodes.len() - 1
+    }
+
+    /// Starts a node that was killed again, with its settings, as the platform does.
+    pub fn start_again(&mut self, node: usize) {
+        let Node { settings, metrics, .. } = &self.nodes[node];
+        let child = self.run(settings, *metrics, Stdio::null());
+        self.nodes[node].child = child;
+    }
+
+    fn run(&self, settings: &Path, metrics: SocketAddr, stdout: Stdio) -> Child {
+        Command::new(&self.program)
             .args(["serve", "--log-format", "json", "--metrics", &metrics.to_string()])
-            .env("HIBISCUSGW_BOOT", &settings)
+            .env("HIBISCUSGW_BOOT", settings)
             .stdin(Stdio::null())
             .stdout(stdout)
             .spawn()
-            .expect("the program starts");
-        self.nodes.push(Node { name, callers, ready, peers, metrics, settings, to_store, child });
-        self.nodes.len() - 1
+            .expect("the program starts")
     }
 }
 
