--- a/crates/hibiscusgw/tests/platform/engine_limits.rs
+++ b/crates/hibiscusgw/tests/platform/engine_limits.rs
@@ -16,7 +16,7 @@
 use rustix::process::Signal;
 use serde_json::json;
 
-use crate::{Stop, asked_seeds, new_fleet};
+use crate::{Stop, new_fleet};
 
 fn model_engine(id: &str) -> EngineSettings {
     EngineSettings { id: id.into(), holds: holds(&[("m", &[])]), ..EngineSettings::default() }
@@ -276,30 +276,12 @@
     assert!(fleet.lines(&lines, 4012).is_empty());
 }
 
-macro_rules! seeds {
-    ($($name:ident: $seed:literal;)*) => {$(
-        /// While nodes are killed, paused and cut off from the store, and the store is restored, the engine
-        /// gets no more than it takes, restarted nodes included.
-        #[test]
-        fn $name() {
-            play_faults($seed);
-        }
-    )*};
-}
-
 seeds! {
+    play_faults, faults_that_were_asked_for, "While nodes are killed, paused and cut off from the store, and the store is restored, the engine gets no more than it takes, restarted nodes included.";
     limit_holds_through_faults_1: 1;
     limit_holds_through_faults_2: 2;
 }
 
-/// Runs the seeds of `HGW_MIXES=FROM..TO`, for manual runs.
-#[test]
-fn faults_that_were_asked_for() {
-    for seed in asked_seeds() {
-        play_faults(seed);
-    }
-}
-
 fn play_faults(seed: u64) {
     const FAULTS: usize = 9;
     const NODES: usize = 4;
--- a/crates/hibiscusgw/tests/platform/forwarding.rs
+++ b/crates/hibiscusgw/tests/platform/forwarding.rs
@@ -12,7 +12,7 @@
 use rustix::process::Signal;
 use serde_json::json;
 
-use crate::{asked_seeds, new_fleet};
+use crate::new_fleet;
 
 /// Time of a stream of a slow engine.
 const STREAM: Duration = Duration::from_secs(2);
@@ -317,30 +317,12 @@
     }
 }
 
-macro_rules! seeds {
-    ($($name:ident: $seed:literal;)*) => {$(
-        /// While nodes lose their paths to engines and get them back, and are stopped, paused and killed, nothing
-        /// that may run once runs twice, what is refused has not run, and answers are whole.
-        #[test]
-        fn $name() {
-            play_faults($seed);
-        }
-    )*};
-}
-
 seeds! {
+    play_faults, faults_that_were_asked_for, "While nodes lose their paths to engines and get them back, and are stopped, paused and killed, nothing that may run once runs twice, what is refused has not run, and answers are whole.";
     paths_come_and_go_1: 1;
     paths_come_and_go_2: 2;
 }
 
-/// Runs the seeds of `HGW_MIXES=FROM..TO`, for manual runs.
-#[test]
-fn faults_that_were_asked_for() {
-    for seed in asked_seeds() {
-        play_faults(seed);
-    }
-}
-
 fn play_faults(seed: u64) {
     const FAULTS: usize = 9;
     const NODES: usize = 4;
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -1,5 +1,23 @@
 //! Invariants of real node processes on a platform of stand-ins: store, engines and network links.
 
+/// Tests of a scenario with some seeds, and one that takes those of `HGW_MIXES=FROM..TO`, for manual runs.
+macro_rules! seeds {
+    ($play:path, $asked:ident, $why:literal; $($name:ident: $seed:literal;)*) => {
+        $(
+            #[doc = $why]
+            #[test]
+            fn $name() {
+                $play($seed);
+            }
+        )*
+
+        #[test]
+        fn $asked() {
+            crate::asked_seeds().for_each($play);
+        }
+    };
+}
+
 mod brittle;
 mod calls;
 mod crashing;
--- a/crates/hibiscusgw/tests/platform/random_faults.rs
+++ b/crates/hibiscusgw/tests/platform/random_faults.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
 
-use crate::{asked_seeds, new_fleet};
+use crate::new_fleet;
 
 /// Faults per run.
 const FAULTS: u32 = 9;
@@ -21,30 +21,12 @@
 /// Nodes that run at a time.
 const NODES: usize = 3;
 
-macro_rules! seeds {
-    ($($name:ident: $seed:literal;)*) => {$(
-        /// No two leaders send orders with the same fencing token, no engine receives a lower token after a
-        /// higher one, and nodes that know that an engine is draining send nothing to it.
-        #[test]
-        fn $name() {
-            Scenario::new($seed).run();
-        }
-    )*};
-}
-
 seeds! {
+    Scenario::play, mixes_that_were_asked_for, "No two leaders send orders with the same fencing token, no engine receives a lower token after a higher one, and nodes that know that an engine is draining send nothing to it.";
     mix_1: 1;
     mix_2: 2;
 }
 
-/// Runs the seeds of `HGW_MIXES=FROM..TO`, for manual runs.
-#[test]
-fn mixes_that_were_asked_for() {
-    for seed in asked_seeds() {
-        Scenario::new(seed).run();
-    }
-}
-
 struct Scenario {
     rng: StdRng,
     fleet: Fleet,
@@ -56,6 +38,10 @@
 }
 
 impl Scenario {
+    fn play(seed: u64) {
+        Scenario::new(seed).run();
+    }
+
     fn new(seed: u64) -> Scenario {
         let engine = |id: &str| EngineSettings {
             id: id.into(),
--- a/crates/hibiscusgw/tests/platform/version_faults.rs
+++ b/crates/hibiscusgw/tests/platform/version_faults.rs
@@ -10,8 +10,8 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
 
+use crate::new_fleet;
 use crate::versions::{Attempt, End, Held, engine};
-use crate::{asked_seeds, new_fleet};
 
 /// Rounds of streams in a run, each with a fault.
 const ROUNDS: u32 = 6;
@@ -26,30 +26,12 @@
 
 const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
 
-macro_rules! seeds {
-    ($($name:ident: $seed:literal;)*) => {$(
-        /// No stream holds events of two versions or misses one, what is refused has not run, and of the streams that
-        /// a kill of some nodes breaks half go on.
-        #[test]
-        fn $name() {
-            Scenario::new($seed).run();
-        }
-    )*};
-}
-
 seeds! {
+    Scenario::play, version_mixes_that_were_asked_for, "No stream holds events of two versions or misses one, what is refused has not run, and of the streams that a kill of some nodes breaks half go on.";
     version_mix_1: 1;
     version_mix_2: 2;
 }
 
-/// Runs the seeds of `HGW_MIXES=FROM..TO`, for manual runs.
-#[test]
-fn version_mixes_that_were_asked_for() {
-    for seed in asked_seeds() {
-        Scenario::new(seed).run();
-    }
-}
-
 struct Scenario {
     rng: StdRng,
     fleet: Fleet,
@@ -68,6 +50,10 @@
 }
 
 impl Scenario {
+    fn play(seed: u64) {
+        Scenario::new(seed).run();
+    }
+
     fn new(seed: u64) -> Scenario {
         let models = VERSIONS
             .iter()
