Versions: a record that cannot be read proves nothing and stops nobody; the cost for a lone copy taken out

Cause of the first, from reading: a record of another release would have kept every node that starts unready. It counts as none, and nothing is proven; a first start is one where nothing was ever written.

--- a/crates/direct/src/admitted_versions.rs
+++ b/crates/direct/src/admitted_versions.rs
@@ -74,11 +74,6 @@
 }
 
 impl ServiceVersions {
-    /// Whether streams of the service may begin at more than one version.
-    pub fn has_several(&self) -> bool {
-        self.admits_all || self.admitted.len() > 1
-    }
-
     /// Whether a stream may begin at an engine.
     pub fn admits(&self, engine: &Engine) -> bool {
         self.admits_all || self.admitted.contains(&engine.version_key())
--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -3,7 +3,6 @@
 use std::cell::LazyCell;
 use std::time::Duration;
 
-use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{Engine, EngineId, Engines, Millis, Prompt, ServiceId, ServiceVersions, VersionKey};
@@ -116,9 +115,6 @@
     pub failure_ms: f64,
     /// Cost of an engine that is still warming up after its start.
     pub warmup_ms: f64,
-    /// Cost of the only copy of a model at its software version: streams that begin there cannot go on
-    /// if it is lost.
-    pub alone_ms: f64,
     /// Range of the random cost that spreads nodes with the same data over several engines.
     pub random_ms: f64,
 }
@@ -134,7 +130,6 @@
             prefix_ms: 15.0,
             failure_ms: 2_000.0,
             warmup_ms: 100.0,
-            alone_ms: 20.0,
             random_ms: 4.0,
         }
     }
@@ -193,7 +188,6 @@
     if !has_version(engines, params) {
         return Err(NoEngine::VersionGone);
     }
-    let copies = copies_by_version(engines, params);
     for engine in usable_engines(engines, params) {
         if reason == NoEngine::NoneAvailable {
             reason = NoEngine::NotLoaded(MODEL_LOAD_RETRY);
@@ -228,8 +222,7 @@
             reason = reason.or_sooner(NoEngine::Full(FULL_RETRY));
             continue;
         }
-        let alone = if is_alone(&copies, engine) { params.weights.alone_ms } else { 0.0 };
-        let cost = cost(engine, estimate, params, session, now) + alone;
+        let cost = cost(engine, estimate, params, session, now);
         let choice = Choice { engine: engine.info.id.clone(), cost_ms: cost, estimate };
         // Each request considers some engines only, so that many nodes do not all choose the same
         // one.
@@ -266,25 +259,6 @@
     engines.filter(|e| e.accepts_requests() && params.versions.allows(e))
 }
 
-/// Number of engines of each software version at which a stream could go on; empty if there is only one version.
-fn copies_by_version(engines: &Engines, params: &ChoiceParams<'_>) -> IndexMap<VersionKey, usize> {
-    let mut copies = IndexMap::new();
-    if matches!(params.versions, VersionRule::Admitted(service) if service.has_several()) {
-        let model_ref = params.prompt.and_then(|p| p.model_ref.as_ref());
-        for engine in usable_engines(engines, params) {
-            if model_ref.is_none_or(|m| engine.has_model(&m.model)) {
-                *copies.entry(engine.version_key()).or_default() += 1;
-            }
-        }
-    }
-    copies
-}
-
-/// Whether an engine is the only copy at its version, while another version has several.
-fn is_alone(copies: &IndexMap<VersionKey, usize>, engine: &Engine) -> bool {
-    copies.get(&engine.version_key()) == Some(&1) && copies.values().any(|count| *count > 1)
-}
-
 /// Whether a stream that is bound to a version may go on anywhere: an adapter is soon loaded, a model is not.
 fn has_version(engines: &Engines, params: &ChoiceParams<'_>) -> bool {
     if !matches!(params.versions, VersionRule::Only(_)) {
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -16,7 +16,7 @@
 use crate::backoff::wait_to_retry;
 use crate::follow::wait_for_first_update;
 use crate::meter;
-use crate::protocol::{DecodeError, StoreError, StoreResult, VersionsRecord};
+use crate::protocol::{DecodeError, StoreError, VersionsRecord};
 use crate::shared::Node;
 
 /// Interval at which the leader compares the record with the list of engines.
@@ -86,32 +86,38 @@
     let number = reads.started.get() + 1;
     reads.started.set(number);
     reads.read_at.set(node.now());
-    let result = node.protocols.store.versions_record().await.and_then(decode);
-    match &result {
-        Ok(read) => {
+    let read = match node.protocols.store.versions_record().await {
+        Ok(record) => {
             meter::store_call("software versions", Ok(()));
+            let read = decode(node, record);
             apply(node, AdmittedVersions::clone(&read.admitted));
+            Some(read)
         }
-        Err(error) => log_failure(node, "read", error),
-    }
-    let read = result.ok();
+        Err(error) => {
+            log_failure(node, "read", &error);
+            None
+        }
+    };
     *reads.result.borrow_mut() = (number, read.clone());
     read
 }
 
-fn decode(record: VersionsRecord) -> StoreResult<ReadRecord> {
+/// Parses the record. One that cannot be read, as of another release, counts as none, which proves nothing.
+fn decode(node: &Node, record: VersionsRecord) -> ReadRecord {
     let VersionsRecord { end, newest } = record;
-    let admitted = match newest {
-        None => AdmittedVersions::none_at(Cursor::new(end.era, 0)),
-        Some(record) => {
-            let body: RecordBody = serde_json::from_slice(&record.data).map_err(|e| {
-                let what = "software versions";
-                StoreError::Malformed(DecodeError { what, why: e.to_string() })
-            })?;
-            AdmittedVersions::from_record(body.versions, record.position.plus(1), body.era)
+    let position = newest.as_ref().map_or(Cursor::new(end.era, 0), |r| r.position.plus(1));
+    let body = newest.map(|record| serde_json::from_slice::<RecordBody>(&record.data));
+    let admitted = match body {
+        Some(Ok(body)) => AdmittedVersions::from_record(body.versions, position, body.era),
+        Some(Err(e)) => {
+            let what = "software versions";
+            let error = StoreError::Malformed(DecodeError { what, why: e.to_string() });
+            log_failure(node, "read", &error);
+            AdmittedVersions::none_at(position)
         }
+        None => AdmittedVersions::none_at(position),
     };
-    Ok(ReadRecord { end, admitted: Rc::new(admitted) })
+    ReadRecord { end, admitted: Rc::new(admitted) }
 }
 
 /// Takes in the record, unless a newer one is known.
@@ -238,9 +244,10 @@
         services.sort_unstable();
         services.dedup();
         let timeout = routes.iter().map(|r| r.timeout).max().unwrap_or_default();
+        let nothing_was_written = self.end == Cursor::new(Era::FIRST, 0);
         let params = AdmissionParams {
             services: &services,
-            is_first_start: node.settings.borrow().is_first_start && self.end.era == Era::FIRST,
+            is_first_start: node.settings.borrow().is_first_start && nothing_was_written,
             stream_life: (stream_life(timeout) + RETIRE_MARGIN).as_millis() as Millis,
         };
         let current = node.admitted_versions.borrow().clone()?;
--- a/crates/hibiscusgw/tests/platform/versions.rs
+++ b/crates/hibiscusgw/tests/platform/versions.rs
@@ -444,3 +444,18 @@
         assert!(matches!(sizes[..], [size] if size <= MAX_BYTES), "{sizes:?}");
     }
 }
+
+/// Guards against nodes that never serve, and against a proof, where the record is of another release.
+#[test]
+fn record_that_cannot_be_read_stops_nobody_and_proves_nothing() {
+    let mut fleet = new_fleet(two_versions()[..3].to_vec());
+    fleet.store.put("keyed.hgw-versions", "versions", b"{\"format\":2}");
+    let node = fleet.start("a");
+    let streams = begin_streams(&fleet, &[node], 3);
+    for stream in streams {
+        let id = format!("again-{}", stream.held.first_attempt);
+        let attempt = Attempt::begin(&fleet.nodes[node], &id, &stream.held, None).unwrap();
+        let (held, end) = attempt.finish();
+        assert_eq!(end, End::Refused(StatusCode::SERVICE_UNAVAILABLE, false), "{held:?}");
+    }
+}
