--- a/crates/direct/src/stream_versions.rs
+++ b/crates/direct/src/stream_versions.rs
@@ -16,7 +16,7 @@
 const SWEEP_INTERVAL: Millis = 2_000;
 
 /// Nodes beyond those that all tell each other, that are told of a stream.
-const KEEPERS: usize = 3;
+const REPLICAS: usize = 3;
 
 /// Nodes that are asked about a stream.
 const MAX_ASKED: usize = 16;
@@ -45,10 +45,10 @@
     }
 
     /// Of the nodes that keep streams, those that are told of this one.
-    pub fn keepers(self, nodes: &[SocketAddr]) -> Vec<SocketAddr> {
-        let mut keepers = self.rank(nodes);
-        keepers.truncate(KEEPERS);
-        keepers
+    pub fn replicas(self, nodes: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut replicas = self.rank(nodes);
+        replicas.truncate(REPLICAS);
+        replicas
     }
 
     /// Of the nodes that keep streams, those that are asked about this one.
--- a/crates/direct/tests/versions.rs
+++ b/crates/direct/tests/versions.rs
@@ -45,14 +45,15 @@
 #[test]
 fn version_is_the_only_one_until_another_is_listed_and_long_after() {
     let services = [service()];
-    let mut keeper = VersionAdmission::default();
+    let mut admission = VersionAdmission::default();
     let one = versions(&[("e1", "v1"), ("e2", "v1")]);
-    let first = keeper.next_record(&AdmittedVersions::default(), &one, &params(&services, true), 0);
+    let first =
+        admission.next_record(&AdmittedVersions::default(), &one, &params(&services, true), 0);
     let first = as_read(&first.unwrap(), 1);
     assert_eq!(first.only_version(&service()), Some(version_of(&one, "e1")));
-    assert_eq!(keeper.next_record(&first, &one, &params(&services, true), 100), None);
+    assert_eq!(admission.next_record(&first, &one, &params(&services, true), 100), None);
     let two = versions(&[("e1", "v1"), ("e3", "v2")]);
-    let both = keeper.next_record(&first, &two, &params(&services, true), 200).unwrap();
+    let both = admission.next_record(&first, &two, &params(&services, true), 200).unwrap();
     let both = as_read(&both, 2);
     assert_eq!(both.only_version(&service()), None);
     let of = |record: &AdmittedVersions, id: &str| {
@@ -60,11 +61,11 @@
     };
     assert!(of(&first, "e1") && !of(&first, "e3") && of(&both, "e3"));
     // The second leaves; a new leader counts anew.
-    let mut keeper = VersionAdmission::default();
+    let mut admission = VersionAdmission::default();
     for now in (300..300 + LIFE).step_by(1_000) {
-        assert_eq!(keeper.next_record(&both, &one, &params(&services, true), now), None);
+        assert_eq!(admission.next_record(&both, &one, &params(&services, true), now), None);
     }
-    let after = keeper.next_record(&both, &one, &params(&services, true), 300 + LIFE).unwrap();
+    let after = admission.next_record(&both, &one, &params(&services, true), 300 + LIFE).unwrap();
     assert_eq!(as_read(&after, 3).only_version(&service()), Some(version_of(&one, "e1")));
 }
 
@@ -74,22 +75,22 @@
 fn first_record_and_one_of_an_earlier_era_prove_nothing_for_a_while() {
     let services = [service()];
     let one = versions(&[("e1", "v1")]);
-    let mut keeper = VersionAdmission::default();
+    let mut admission = VersionAdmission::default();
     let none = AdmittedVersions::default();
-    let first = keeper.next_record(&none, &one, &params(&services, false), 0).unwrap();
+    let first = admission.next_record(&none, &one, &params(&services, false), 0).unwrap();
     let first = as_read(&first, 1);
     assert_eq!(first.only_version(&service()), None);
-    assert_eq!(keeper.next_record(&first, &one, &params(&services, false), LIFE - 1), None);
-    let later = keeper.next_record(&first, &one, &params(&services, false), LIFE).unwrap();
+    assert_eq!(admission.next_record(&first, &one, &params(&services, false), LIFE - 1), None);
+    let later = admission.next_record(&first, &one, &params(&services, false), LIFE).unwrap();
     let later = as_read(&later, 2);
     assert!(later.only_version(&service()).is_some());
     let next_era = "1".parse::<Era>().unwrap();
     let position = Cursor::new(next_era, 1);
     let restored = AdmittedVersions::from_record(later, position, Era::FIRST);
     assert_eq!(restored.only_version(&service()), None);
-    let mut keeper = VersionAdmission::default();
-    assert_eq!(keeper.next_record(&restored, &one, &params(&services, true), 0), None);
-    let proven = keeper.next_record(&restored, &one, &params(&services, true), LIFE).unwrap();
+    let mut admission = VersionAdmission::default();
+    assert_eq!(admission.next_record(&restored, &one, &params(&services, true), 0), None);
+    let proven = admission.next_record(&restored, &one, &params(&services, true), LIFE).unwrap();
     assert!(proven.only_version(&service()).is_some());
 }
 
@@ -102,14 +103,14 @@
         let started_at = StartTime(Some(n));
         all.upsert(EngineInfo { started_at, ..engine_info(&format!("e{n}"), "a", &["m"]) });
     }
-    let mut keeper = VersionAdmission::default();
+    let mut admission = VersionAdmission::default();
     let none = AdmittedVersions::default();
-    let record = keeper.next_record(&none, &all, &params(&services, true), 0).unwrap();
+    let record = admission.next_record(&none, &all, &params(&services, true), 0).unwrap();
     assert!(serde_json::to_string(&record).unwrap().len() < 2_000);
     let admitted = record.service(&service()).unwrap();
     assert!(all.iter().all(|engine| admitted.admits(engine)));
     assert_eq!(record.only_version(&service()), None);
-    assert_eq!(keeper.next_record(&record, &all, &params(&services, true), 100), None);
+    assert_eq!(admission.next_record(&record, &all, &params(&services, true), 100), None);
 }
 
 /// Guards against versions that are taken for the same: of other services, missing, or of an engine that has started
@@ -132,11 +133,11 @@
     let restarted = engines.observe_start(&"e1".into(), StartTime(Some(9))).unwrap();
     assert_ne!(restarted.version_key(), v1, "its entry does not say yet what it runs now");
     let services = [service()];
-    let mut keeper = VersionAdmission::default();
+    let mut admission = VersionAdmission::default();
     let none = AdmittedVersions::default();
-    assert_eq!(keeper.next_record(&none, &engines, &params(&services, true), 0), None);
+    assert_eq!(admission.next_record(&none, &engines, &params(&services, true), 0), None);
     engines.upsert(EngineInfo { started_at: StartTime(Some(9)), ..of_version("e1", "v1", &[]) });
-    let record = keeper.next_record(&none, &engines, &params(&services, true), 0).unwrap();
+    let record = admission.next_record(&none, &engines, &params(&services, true), 0).unwrap();
     assert_eq!(as_read(&record, 1).only_version(&service()), Some(v1));
 }
 
@@ -194,10 +195,10 @@
     assert_eq!(streams.len(), 1);
 }
 
-/// Guards against streams that nobody knows after many of many nodes were killed, and against keepers that are told of
+/// Guards against streams that nobody knows after many of many nodes were killed, and against replicas that are told of
 /// more than they bear: 986 nodes in 6 domains, whose hubs keep what begins within ten seconds.
 #[test]
-fn few_keepers_know_the_streams_of_986_nodes() {
+fn few_replicas_know_the_streams_of_986_nodes() {
     const STREAMS: usize = 10_150;
     let hubs: Vec<_> = (1..=6).map(|n| format!("10.{n}.0.1:7080").parse().unwrap()).collect();
     let v1 = VersionKey::of(&of_version("e", "v1", &[]));
@@ -206,10 +207,10 @@
         let mut memories = vec![StreamVersions::default(); hubs.len()];
         let mut told = 0;
         for n in 0..STREAMS {
-            let keepers = begun(n, v1).key.keepers(&hubs);
-            told += keepers.len();
+            let replicas = begun(n, v1).key.replicas(&hubs);
+            told += replicas.len();
             for (hub, memory) in hubs.iter().zip(&mut memories) {
-                if keepers.contains(hub) {
+                if replicas.contains(hub) {
                     memory.record(begun(n, v1), 0);
                 }
             }
--- a/crates/gateway/src/peers/in_flight.rs
+++ b/crates/gateway/src/peers/in_flight.rs
@@ -114,7 +114,7 @@
     hubs.retain(|addr| node.directory.borrow().may_be_hub(*addr));
     hubs.push(node.settings.borrow().peer_addr);
     hubs.sort_unstable();
-    node.stream_keepers.borrow_mut().clone_from(&hubs);
+    node.stream_replicas.borrow_mut().clone_from(&hubs);
     node.peer_socket.set_peers(hubs);
 }
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -71,8 +71,8 @@
     #[serde(default, rename = "versions", skip_serializing_if = "Option::is_none")]
     pub(crate) versions_position: Option<Cursor>,
     /// Digest of the nodes that the sender tells of streams.
-    #[serde(default, rename = "stream_keepers")]
-    pub(crate) stream_keepers_digest: u64,
+    #[serde(default, rename = "stream_replicas")]
+    pub(crate) stream_replicas_digest: u64,
     /// Version of the sender's configuration.
     #[serde(rename = "catalog")]
     pub(crate) catalog_version: u64,
@@ -157,7 +157,7 @@
     pub(crate) admitted_versions: Option<AdmittedVersions>,
     /// Nodes to tell of streams, if the sender knows others.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(crate) stream_keepers: Option<Vec<SocketAddr>>,
+    pub(crate) stream_replicas: Option<Vec<SocketAddr>>,
     /// Configuration version last known to be the newest, and the age of that proof in
     /// milliseconds.
     #[serde(default)]
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -181,7 +181,7 @@
             era: eras::to_report(node),
             cannot_lead: engine_path::cannot_lead(node),
             versions_position: versions::position(node),
-            stream_keepers_digest: streams::keepers_digest(node),
+            stream_replicas_digest: streams::replicas_digest(node),
             catalog_version,
             loads: loads_since(node, self.loads_reported_at, None),
             demand,
@@ -227,8 +227,8 @@
     if let Some(admitted) = update.admitted_versions {
         versions::apply(node, admitted);
     }
-    if let Some(keepers) = update.stream_keepers {
-        *node.stream_keepers.borrow_mut() = keepers;
+    if let Some(replicas) = update.stream_replicas {
+        *node.stream_replicas.borrow_mut() = replicas;
     }
     apply_list_update(node, update.list_update);
     // Counted from the request, because the response may have been delayed on its way.
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -57,7 +57,7 @@
         load_ages_ms: load_ages(node),
         loads: loads_since(node, 0, Some(&request.demand)),
         admitted_versions: versions::newer_than(node, request.versions_position),
-        stream_keepers: streams::keepers_to_share(node, request.stream_keepers_digest),
+        stream_replicas: streams::replicas_to_share(node, request.stream_replicas_digest),
         freshness: freshness::to_share(node),
         catalog_position: node.catalog_position.get(),
     }
--- a/crates/gateway/src/peers/streams.rs
+++ b/crates/gateway/src/peers/streams.rs
@@ -16,8 +16,8 @@
 /// Timeout of a question: a node that lives answers within milliseconds, and the caller waits.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Keepers that are passed on with polls at the most.
-const MAX_KEEPERS: usize = 41;
+/// Replicas that are passed on with polls at the most.
+const MAX_REPLICAS: usize = 41;
 
 /// Asks for the version that began a stream.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
@@ -43,16 +43,16 @@
 /// Records that a stream has begun or was taken up here, and tells other nodes, which outlive this one.
 pub(crate) fn record_stream(node: &Node, stream: BegunStream) {
     node.streams.borrow_mut().record(stream, node.now());
-    let keepers = match keepers(node) {
-        Keepers::All(nodes) => nodes,
-        Keepers::Some(nodes) => stream.key.keepers(&nodes),
+    let replicas = match replicas(node) {
+        Replicas::All(nodes) => nodes,
+        Replicas::Chosen(nodes) => stream.key.replicas(&nodes),
     };
-    node.peer_socket.send_to(keepers.iter(), &Datagram::StreamBegan(stream));
+    node.peer_socket.send_to(replicas.iter(), &Datagram::StreamBegan(stream));
 }
 
 /// Asks other nodes for the version that began a stream.
 pub(crate) async fn ask_version(node: &Node, stream: StreamKey) -> AskResult {
-    let (Keepers::All(nodes) | Keepers::Some(nodes)) = keepers(node);
+    let (Replicas::All(nodes) | Replicas::Chosen(nodes)) = replicas(node);
     let question = VersionQuestion { stream };
     let calls = stream.asked(&nodes).into_iter().map(|addr| async move {
         try_call::<_, VersionAnswer>(node, addr, "/streams", &question, ASK_TIMEOUT).await
@@ -74,38 +74,38 @@
 }
 
 /// Other nodes that keep streams.
-enum Keepers {
+enum Replicas {
     /// Each keeps all streams.
     All(Vec<SocketAddr>),
     /// Each keeps some.
-    Some(Vec<SocketAddr>),
+    Chosen(Vec<SocketAddr>),
 }
 
-fn keepers(node: &Node) -> Keepers {
+fn replicas(node: &Node) -> Replicas {
     let own_addr = node.settings.borrow().peer_addr;
     let without_own = |mut nodes: Vec<SocketAddr>| {
         nodes.retain(|addr| *addr != own_addr);
         nodes
     };
     if broadcasts_sends(node.state.borrow().nodes) {
-        return Keepers::All(without_own(node.peer_socket.addrs()));
+        return Replicas::All(without_own(node.peer_socket.addrs()));
     }
-    Keepers::Some(without_own(node.stream_keepers.borrow().clone()))
+    Replicas::Chosen(without_own(node.stream_replicas.borrow().clone()))
 }
 
-/// Hash by which two nodes compare the keepers that they know.
-pub(super) fn keepers_digest(node: &Node) -> u64 {
-    digest(&node.stream_keepers.borrow())
+/// Hash by which two nodes compare the replicas that they know.
+pub(super) fn replicas_digest(node: &Node) -> u64 {
+    digest(&node.stream_replicas.borrow())
 }
 
-fn digest(keepers: &[SocketAddr]) -> u64 {
-    let addrs: Vec<String> = keepers.iter().map(SocketAddr::to_string).collect();
+fn digest(replicas: &[SocketAddr]) -> u64 {
+    let addrs: Vec<String> = replicas.iter().map(SocketAddr::to_string).collect();
     xxh3_64(addrs.join(",").as_bytes())
 }
 
-/// The keepers, for a node that knows others.
-pub(super) fn keepers_to_share(node: &Node, known: u64) -> Option<Vec<SocketAddr>> {
-    let keepers = node.stream_keepers.borrow();
-    let should_share = !keepers.is_empty() && keepers.len() <= MAX_KEEPERS;
-    (should_share && digest(&keepers) != known).then(|| keepers.clone())
+/// The replicas, for a node that knows others.
+pub(super) fn replicas_to_share(node: &Node, known: u64) -> Option<Vec<SocketAddr>> {
+    let replicas = node.stream_replicas.borrow();
+    let should_share = !replicas.is_empty() && replicas.len() <= MAX_REPLICAS;
+    (should_share && digest(&replicas) != known).then(|| replicas.clone())
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -81,7 +81,7 @@
     /// Software versions at which streams began.
     pub(crate) streams: RefCell<StreamVersions>,
     /// Nodes that are told of streams, if there are too many to tell all.
-    pub(crate) stream_keepers: RefCell<Vec<SocketAddr>>,
+    pub(crate) stream_replicas: RefCell<Vec<SocketAddr>>,
     /// Software versions at which streams may begin; none until they are known.
     pub(crate) admitted_versions: RefCell<Option<Rc<AdmittedVersions>>>,
     /// Reads of these from the store.
@@ -181,7 +181,7 @@
             forwarders_found: Notify::new(),
             forwarded_requests: Cell::new(0),
             streams: RefCell::default(),
-            stream_keepers: RefCell::default(),
+            stream_replicas: RefCell::default(),
             admitted_versions: RefCell::default(),
             version_reads: VersionReads::default(),
             knows_blocked_requests: Cell::new(false),
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -162,22 +162,22 @@
     {
         sleep(START_CHECK_INTERVAL).await;
     }
-    let mut keeping: Option<RecordKeeper> = None;
+    let mut writing: Option<RecordWriter> = None;
     loop {
         let is_leader = node.leadership.borrow().is_leader();
         if !is_leader {
-            keeping = None;
+            writing = None;
         }
-        let is_done = match (is_leader, &mut keeping) {
+        let is_done = match (is_leader, &mut writing) {
             (false, _) => !should_read(&node) || read(&node).await.is_some(),
-            (true, Some(keeper)) if !keeper.is_outdated(&node) => keeper.update(&node).await,
+            (true, Some(writer)) if !writer.is_outdated(&node) => writer.update(&node).await,
             (true, _) => {
-                keeping = RecordKeeper::start(&node, keeping).await;
-                keeping.is_some()
+                writing = RecordWriter::start(&node, writing).await;
+                writing.is_some()
             }
         };
         if !is_done {
-            keeping = None;
+            writing = None;
             wait_to_retry(&node).await;
         }
         sleep(CHECK_INTERVAL).await;
@@ -195,19 +195,19 @@
 
 /// The leader's work on the record.
 #[derive(Debug)]
-struct RecordKeeper {
+struct RecordWriter {
     admission: VersionAdmission,
     /// End of the record's log.
     end: Cursor,
     read_at: Millis,
 }
 
-impl RecordKeeper {
-    async fn start(node: &Node, previous: Option<RecordKeeper>) -> Option<RecordKeeper> {
+impl RecordWriter {
+    async fn start(node: &Node, previous: Option<RecordWriter>) -> Option<RecordWriter> {
         let read_at = node.now();
         let end = read(node).await?.end;
-        let admission = previous.map(|keeper| keeper.admission).unwrap_or_default();
-        Some(RecordKeeper { admission, end, read_at })
+        let admission = previous.map(|writer| writer.admission).unwrap_or_default();
+        Some(RecordWriter { admission, end, read_at })
     }
 
     fn is_outdated(&self, node: &Node) -> bool {
