--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -94,14 +94,10 @@
         node.placement_changes.borrow().is_up_to_date(request.placements_seen);
     let crashes_are_current = node.crashes.borrow().is_up_to_date(request.crashes_seen);
     let limits_are_current = node.engine_limits.borrow().is_up_to_date(request.limits_seen);
-    // A node of an earlier release names no position, and nor does one that starts, which needs the list first.
-    let known = request.versions_position;
-    let knows_versions = known.is_none() || versions::position(node) <= known;
     list_is_current
         && placements_are_current
         && crashes_are_current
         && limits_are_current
-        && knows_versions
         && catalog_version(node) <= request.catalog_version
 }
 
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -136,8 +136,8 @@
             );
         }
     }
+    // Nodes that poll this one get it with the next response; ending their polls for it would delay other updates.
     *node.admitted_versions.borrow_mut() = Some(Rc::new(admitted));
-    node.update_available.notify_waiters();
 }
 
 /// Position of the record that this node knows.
