--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -8,9 +8,8 @@
 use crate::{Engine, EngineId, Engines, Millis, Prompt, ServiceId, ServiceVersions, VersionKey};
 
 /// Software versions of engines at which a request may run.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub enum VersionRule<'a> {
-    #[default]
     Any,
     /// A stream goes on only at the version that began it.
     Only(VersionKey),
--- a/crates/direct/src/software_version.rs
+++ b/crates/direct/src/software_version.rs
@@ -7,7 +7,7 @@
 use crate::{EngineInfo, StartTime};
 
 /// Version of the software that an engine runs, as the engine names it. Versions have no order.
-#[derive(Debug, Clone, Display, From, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, From, PartialEq, Eq, Serialize, Deserialize)]
 #[from(String, &str)]
 pub struct SoftwareVersion(pub String);
 
--- a/crates/direct/src/stream_versions.rs
+++ b/crates/direct/src/stream_versions.rs
@@ -37,25 +37,22 @@
         StreamKey(hasher.digest())
     }
 
-    /// These nodes in the order in which they know of the stream; the same at all nodes with the same list.
-    fn rank(self, nodes: &[SocketAddr]) -> Vec<SocketAddr> {
-        let mut ranked = nodes.to_vec();
-        ranked.sort_by_cached_key(|addr| xxh3_64(format!("{self} {addr}").as_bytes()));
-        ranked
-    }
-
     /// Of the nodes that keep streams, those that are told of this one.
     pub fn replicas(self, nodes: &[SocketAddr]) -> Vec<SocketAddr> {
-        let mut replicas = self.rank(nodes);
-        replicas.truncate(REPLICAS);
-        replicas
+        self.first(nodes, REPLICAS)
     }
 
-    /// Of the nodes that keep streams, those that are asked about this one.
+    /// Of the nodes that keep streams, those that are asked about this one: its replicas first.
     pub fn asked(self, nodes: &[SocketAddr]) -> Vec<SocketAddr> {
-        let mut asked = self.rank(nodes);
-        asked.truncate(MAX_ASKED);
-        asked
+        self.first(nodes, MAX_ASKED)
+    }
+
+    /// The first nodes in an order of the stream's own, which is the same at all nodes with the same list.
+    fn first(self, nodes: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
+        let mut ranked = nodes.to_vec();
+        ranked.sort_by_cached_key(|addr| xxh3_64(format!("{self} {addr}").as_bytes()));
+        ranked.truncate(count);
+        ranked
     }
 }
 
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -18,7 +18,7 @@
 
 use crate::backoff::wait_to_retry;
 use crate::engine_path;
-use crate::follow::wait_for_first_update;
+use crate::follow::{wait_for_first_update, wait_to_be_told};
 use crate::meter;
 use crate::peers::Datagram;
 use crate::shared::{Node, Shared};
@@ -39,13 +39,6 @@
 /// Time that an attempt waits to learn whether its engine refuses connections.
 const PROBE_WAIT: Duration = Duration::from_millis(30);
 
-/// Time that a starting node waits for blocked requests from another node before it reads them from
-/// the store.
-const START_WAIT: Duration = Duration::from_millis(300);
-
-/// Interval at which a starting node checks whether it has received them.
-const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// A request and the engine that ran it when the attempt ended without a complete response.
 #[derive(Debug, Clone)]
 pub(crate) struct BrokenAttempt {
@@ -159,7 +152,7 @@
 /// process ends.
 pub(crate) async fn follow(node: Node) {
     wait_for_first_update(&node).await;
-    wait_for_states(&node).await;
+    wait_to_be_told(&node, |node| node.knows_blocked_requests.get()).await;
     while !node.knows_blocked_requests.get() {
         if read_blocked(&node).await.is_none() {
             wait_to_retry(&node).await;
@@ -186,17 +179,6 @@
     }
 }
 
-/// Waits a while for the blocked requests from another node.
-async fn wait_for_states(node: &Node) {
-    let started = node.now();
-    while !node.knows_blocked_requests.get()
-        && node.has_recent_leader_updates()
-        && node.now() - started < START_WAIT.as_millis() as Millis
-    {
-        sleep(START_CHECK_INTERVAL).await;
-    }
-}
-
 fn judge(node: &Node) {
     let listed_for = (node.settings.borrow().heartbeat * LISTED_FOR_HEARTBEATS).as_millis() as u64;
     let list_is_fresh = node.store_data_age() <= FRESH_LIST_AGE.as_millis() as Millis;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hgw_direct::{EngineInfo, EngineState, Era, ListVersion, VersionCheck};
+use hgw_direct::{EngineInfo, EngineState, Era, ListVersion, Millis, VersionCheck};
 use hgw_events::{Event, emit};
 use tokio::time::{sleep, timeout};
 
@@ -44,6 +44,9 @@
 /// responds to hundreds of nodes within a second.
 const MAX_START_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Maximum wait at the start for what another node may tell.
+const MAX_WAIT_TO_BE_TOLD: Millis = 300;
+
 /// Maximum wait at the start until it is known whether there is a leader, and while there is none.
 const MAX_START_WAIT_WITHOUT_LEADER: Duration = Duration::from_millis(600);
 
@@ -81,6 +84,18 @@
     }
 }
 
+/// Waits a while at the start until another node has told this one what it needs, before it reads that from the
+/// store.
+pub(crate) async fn wait_to_be_told(node: &Node, is_known: impl Fn(&Node) -> bool) {
+    let started = node.now();
+    while !is_known(node)
+        && node.has_recent_leader_updates()
+        && node.now() - started < MAX_WAIT_TO_BE_TOLD
+    {
+        sleep(START_CHECK_INTERVAL).await;
+    }
+}
+
 /// Keeps the configuration up to date until the process ends.
 pub(crate) async fn catalog(node: Node) {
     let mut cursor = None;
@@ -275,7 +290,7 @@
     }
 }
 
-fn time_since(node: &Node, last: hgw_direct::Millis) -> Duration {
+fn time_since(node: &Node, last: Millis) -> Duration {
     Duration::from_millis(node.now().saturating_sub(last))
 }
 
--- a/crates/gateway/src/leader/adapters.rs
+++ b/crates/gateway/src/leader/adapters.rs
@@ -116,12 +116,16 @@
 fn is_loaded(node: &Node, model_ref: &ModelRef, version: Option<VersionKey>) -> bool {
     let now = node.now();
     let is_reachable = |e: &Engine| e.accepts_requests() && !e.health.is_reported_unreachable(now);
-    let is_of_version = |e: &Engine| version.is_none_or(|version| e.version_key() == version);
     let state = node.state.borrow();
-    let mut engines = state.engines.iter().filter(|e| is_reachable(e) && is_of_version(e));
+    let mut engines = state.engines.iter().filter(|e| is_reachable(e) && is_of(e, version));
     engines.any(|e| e.has_loaded(model_ref))
 }
 
+/// Whether an engine runs a software version, if one is given.
+fn is_of(engine: &Engine, version: Option<VersionKey>) -> bool {
+    version.is_none_or(|version| engine.version_key() == version)
+}
+
 async fn place_adapter_now(
     node: &Node,
     model_ref: &ModelRef,
@@ -160,7 +164,7 @@
             // Engines execute one order at a time.
             .filter(|e| !leader.pending_loads.contains_key(&e.info.id))
             .filter(|e| !leader.draining.contains(&e.info.id))
-            .filter(|e| version.is_none_or(|version| e.version_key() == version))
+            .filter(|e| is_of(e, version))
             .collect();
         let action = place_adapter(&engines, &pool, &leader.demand, model_ref, domain, now);
         if let AdapterAction::Load { engine, evict } = action {
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics, with one function for each recorded event.
 
+use std::fmt::Display;
 use std::time::Duration;
 
 use hgw_direct::{Refusal, Route, ServiceId};
@@ -36,7 +37,7 @@
     histogram!("hgw_waited_seconds", "route" => route.name.clone()).record(wait.as_secs_f64());
 }
 
-pub(crate) fn refused(route: &Route, reason: Refusal) {
+pub(crate) fn refused(route: &Route, reason: &dyn Display) {
     let (route, reason) = (route.name.clone(), reason.to_string());
     counter!("hgw_requests_total", "route" => route, "outcome" => "refused", "reason" => reason)
         .increment(1);
@@ -49,12 +50,6 @@
     counter!("hgw_limited_total", "customer" => customer, "reason" => reason).increment(1);
 }
 
-pub(crate) fn refused_elsewhere(route: &Route, reason: &str) {
-    let (route, reason) = (route.name.clone(), reason.to_owned());
-    counter!("hgw_requests_total", "route" => route, "outcome" => "refused", "reason" => reason)
-        .increment(1);
-}
-
 /// Counts a request that was served by way of another node.
 pub(crate) fn forwarded() {
     counter!("hgw_forwarded_total").increment(1);
--- a/crates/gateway/src/peers/datagrams.rs
+++ b/crates/gateway/src/peers/datagrams.rs
@@ -62,6 +62,13 @@
     ReachableFrom(Vec<EngineKey>, String),
 }
 
+/// Hash by which two nodes compare the addresses that they know.
+pub(super) fn digest(nodes: &[SocketAddr]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    nodes.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// UDP socket and addresses of the other nodes.
 #[derive(Debug, Default)]
 pub(crate) struct PeerSocket {
@@ -97,11 +104,8 @@
         self.peers.borrow().clone()
     }
 
-    /// Hash by which two nodes compare their known addresses.
     pub(crate) fn digest(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        self.peers.borrow().hash(&mut hasher);
-        hasher.finish()
+        digest(&self.peers.borrow())
     }
 
     /// Sends to all other nodes, unless there are too many to broadcast each request.
--- a/crates/gateway/src/peers/forwarding.rs
+++ b/crates/gateway/src/peers/forwarding.rs
@@ -7,7 +7,7 @@
 use hgw_direct::{EngineId, Refusal, ServiceId, VersionKey, broadcasts_sends};
 use http::{HeaderName, HeaderValue};
 use hyper::body::Incoming;
-use rand::random;
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -172,13 +172,7 @@
 
 /// So many random entries.
 fn sample(mut addrs: Vec<SocketAddr>, count: usize) -> Vec<SocketAddr> {
-    let count = count.min(addrs.len());
-    for n in 0..count {
-        let other = n + random::<u32>() as usize % (addrs.len() - n);
-        addrs.swap(n, other);
-    }
-    addrs.truncate(count);
-    addrs
+    addrs.partial_shuffle(&mut rand::rng(), count).0.to_vec()
 }
 
 /// Makes sure that this node knows others that may forward its requests, if there are any.
--- a/crates/gateway/src/relay/identity.rs
+++ b/crates/gateway/src/relay/identity.rs
@@ -85,7 +85,7 @@
 ) -> CallerResponse {
     match error {
         AuthError::StaleConfig => {
-            meter::refused(route, Refusal::StaleConfig);
+            meter::refused(route, &Refusal::StaleConfig);
             log_denied(node, id, route, &Refusal::StaleConfig);
             super::refuse(node, Refusal::StaleConfig, super::NOT_READY_RETRY_AFTER)
         }
--- a/crates/gateway/src/relay/outcome.rs
+++ b/crates/gateway/src/relay/outcome.rs
@@ -224,7 +224,7 @@
         if self.is_logged_elsewhere() {
             return;
         }
-        meter::refused(&self.route, reason);
+        meter::refused(&self.route, &reason);
         if matches!(reason, Refusal::QuotaExceeded | Refusal::QuotaUnknown) {
             meter::quota_refused(self.customer_name(), reason);
         }
@@ -234,7 +234,7 @@
     /// Logs that another node refused the request.
     pub(super) fn log_refused_elsewhere(&self, reason: &str) {
         self.is_logged.set(true);
-        meter::refused_elsewhere(&self.route, reason);
+        meter::refused(&self.route, &reason);
         self.log_refused(&reason, Duration::ZERO);
     }
 
--- a/crates/gateway/src/relay/withhold.rs
+++ b/crates/gateway/src/relay/withhold.rs
@@ -44,7 +44,7 @@
             return self.refuse(Refusal::CrashesEngines, retry_after);
         }
         self.is_logged.set(true);
-        meter::refused(&self.route, Refusal::CrashesEngines);
+        meter::refused(&self.route, &Refusal::CrashesEngines);
         emit(
             Event::RequestRefused,
             &[
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::backoff::wait_to_retry;
-use crate::follow::wait_for_first_update;
+use crate::follow::{wait_for_first_update, wait_to_be_told};
 use crate::meter;
 use crate::protocol::{DecodeError, StoreError, VersionsRecord};
 use crate::shared::Node;
@@ -28,10 +28,6 @@
 /// Interval at which a node without updates from a leader reads it.
 const OWN_READ_INTERVAL: Millis = 5_000;
 
-/// Time that a starting node waits for the record from another node before it reads the store.
-const START_WAIT: Millis = 300;
-const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Time beyond a route's timeout in which a caller may still take up a stream.
 const TAKE_UP_TIME: Duration = Duration::from_secs(5);
 
@@ -155,13 +151,7 @@
 /// Follows the record, and keeps it if this node is the leader, until the process ends.
 pub(crate) async fn follow(node: Node) {
     wait_for_first_update(&node).await;
-    let started = node.now();
-    while position(&node).is_none()
-        && node.has_recent_leader_updates()
-        && node.now() - started < START_WAIT
-    {
-        sleep(START_CHECK_INTERVAL).await;
-    }
+    wait_to_be_told(&node, |node| position(node).is_some()).await;
     let mut writing: Option<RecordWriter> = None;
     loop {
         let is_leader = node.leadership.borrow().is_leader();
