Log what tells apart the hypotheses on crashing parts

Before, no line named a part, and a run of two seconds looked like one that had just begun. No decision depends on it.

--- a/crates/direct/src/prompt.rs
+++ b/crates/direct/src/prompt.rs
@@ -15,6 +15,13 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl Prompt {
+    /// The parts that other callers and sessions may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// A part of a prompt, which several requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -1,11 +1,13 @@
 //! Requests in flight at engines.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{AttemptOutcome, EngineId, Load, SendId, StartTime};
-use hgw_http1::Conn;
+use hgw_http1::{Conn, Framing};
+use tokio::time::Instant;
 
 use crate::peers::Datagram;
 use crate::shared::Node;
@@ -18,6 +20,10 @@
     started_at: StartTime,
     /// Set until the engine has prefilled the prompt.
     pending_prefill: Option<SendId>,
+    /// How the end of the response body is determined; none before its head.
+    framing: Option<Framing>,
+    /// When the first byte of the response body arrived.
+    writing_since: Cell<Option<Instant>>,
 }
 
 impl AttemptGuard {
@@ -43,7 +49,14 @@
             node.peer_socket
                 .broadcast(node, &Datagram::Sent(engine.clone(), started_at, id, tokens));
         }
-        AttemptGuard { node: Rc::clone(node), engine: engine.clone(), started_at, pending_prefill }
+        AttemptGuard {
+            node: Rc::clone(node),
+            engine: engine.clone(),
+            started_at,
+            pending_prefill,
+            framing: None,
+            writing_since: Cell::new(None),
+        }
     }
 
     /// Key of the engine process that the request was sent to.
@@ -88,8 +101,27 @@
         }
     }
 
+    /// How the end of the response body is determined; none before its head.
+    pub(crate) fn framing(&self) -> Option<Framing> {
+        self.framing
+    }
+
+    /// How long the engine has been writing the response body; none if it has not begun.
+    pub(crate) fn writing_for(&self) -> Option<Duration> {
+        self.writing_since.get().map(|since| since.elapsed())
+    }
+
+    /// Records that a byte of the response body has arrived.
+    pub(crate) fn record_body_byte(&self) {
+        self.node.record_response_byte(&self.engine);
+        if self.writing_since.get().is_none() {
+            self.writing_since.set(Some(Instant::now()));
+        }
+    }
+
     /// Records that the response begins, which means that the engine has prefilled the prompt.
-    pub(crate) fn record_response_start(&mut self, load: Option<Load>) {
+    pub(crate) fn record_response_start(&mut self, load: Option<Load>, framing: Framing) {
+        self.framing = Some(framing);
         let Some(id) = self.pending_prefill.take() else { return };
         let load = load.map(|load| (load.running, load.waiting));
         self.node.peer_socket.broadcast(
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -8,11 +8,11 @@
 
 use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{
-    CrashHistory, CrashReport, CrashState, EngineId, JudgeParams, Millis, Origin, RequestDigest,
-    SendPermission,
+    CrashHistory, CrashReport, CrashState, EngineId, JudgeParams, Millis, Origin, PromptPart,
+    RequestDigest, SendPermission,
 };
 use hgw_events::{Event, emit};
-use hgw_http1::Conn;
+use hgw_http1::{Conn, Framing};
 use indexmap::IndexSet;
 use tokio::time::{sleep, timeout};
 
@@ -46,6 +46,42 @@
     pub(crate) origin: Origin,
     pub(crate) engine: EngineId,
     pub(crate) key: EngineKey,
+    pub(crate) run: BrokenRun,
+}
+
+/// What is logged of a run that an engine's end broke off.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct BrokenRun {
+    /// The caller's name for the attempt.
+    pub(crate) request_id: String,
+    /// Parts of its prompt, except for the last.
+    pub(crate) shared_parts: Vec<PromptPart>,
+    /// How long the engine had been writing the body; none if it had not begun.
+    pub(crate) writing_for: Option<Duration>,
+    pub(crate) framing: Option<Framing>,
+}
+
+/// Maximum number of parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
+impl BrokenRun {
+    fn parts_text(&self) -> String {
+        let parts = self.shared_parts.iter().take(MAX_LOGGED_PARTS);
+        parts.map(|part| format!("{:x}", part.id)).collect::<Vec<_>>().join(",")
+    }
+
+    fn writing_text(&self) -> String {
+        self.writing_for.map_or_else(String::new, |time| time.as_millis().to_string())
+    }
+
+    fn framing_text(&self) -> &'static str {
+        match self.framing {
+            None => "",
+            Some(Framing::Length(_)) => "length",
+            Some(Framing::Chunked) => "chunked",
+            Some(Framing::UntilClose) => "until_close",
+        }
+    }
 }
 
 impl Shared {
@@ -81,7 +117,7 @@
 
 /// Records that an engine ended under a request.
 pub(crate) fn record_end(node: &Node, broken: &BrokenAttempt) {
-    let BrokenAttempt { digest, origin, ref engine, key } = *broken;
+    let BrokenAttempt { digest, origin, ref engine, key, ref run } = *broken;
     let now = node.now();
     if !update(node, |crashes| crashes.record_end(digest, origin, key, now)) {
         return;
@@ -91,7 +127,16 @@
     let name = node.settings.borrow().node.clone();
     emit(
         Event::EngineEnded,
-        &[("node", &name), ("digest", &digest), ("upstream", engine), ("ended", &ends)],
+        &[
+            ("node", &name),
+            ("id", &run.request_id),
+            ("digest", &digest),
+            ("upstream", engine),
+            ("ended", &ends),
+            ("parts", &run.parts_text()),
+            ("writing_ms", &run.writing_text()),
+            ("framing", &run.framing_text()),
+        ],
     );
     let report = CrashReport::Ended { digest, origin, engine: key };
     node.peer_socket.broadcast(node, &Datagram::Crash(report));
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -308,7 +308,7 @@
             guard.record_outcome(AttemptOutcome::Failed);
             return AttemptResult::NoResponse;
         }
-        guard.record_response_start(info.load);
+        guard.record_response_start(info.load, head.framing);
         let engine = engine.clone();
         let source = Source::Engine(guard);
         AttemptResult::Started(Box::new(StartedResponse { engine, version, conn, head, source }))
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -54,7 +54,7 @@
     } else {
         AttemptOutcome::Success
     });
-    source.record_byte(&req.node, &engine);
+    source.record_byte();
     source.return_connection(conn);
     if (200..300).contains(&head.status) {
         req.record_completion();
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hgw_direct::{AttemptOutcome, EngineId, ServiceId};
+use hgw_direct::{AttemptOutcome, ServiceId};
 use hgw_http1::Conn;
 
 use crate::attempt_guard::AttemptGuard;
@@ -56,10 +56,10 @@
 }
 
 impl Source {
-    /// Records that a byte of the response has arrived.
-    pub(super) fn record_byte(&self, node: &Node, engine: &EngineId) {
-        if let Source::Engine(_) = self {
-            node.record_response_byte(engine);
+    /// Records that a byte of the response body has arrived.
+    pub(super) fn record_byte(&self) {
+        if let Source::Engine(guard) = self {
+            guard.record_body_byte();
         }
     }
 
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -111,7 +111,7 @@
             let read = self.read_chunk().await;
             match read {
                 WaitResult::Done(Ok(Some(bytes))) => {
-                    self.source.record_byte(&self.req.node, &self.engine);
+                    self.source.record_byte();
                     let ready = if self.is_events { self.events.push(bytes) } else { Some(bytes) };
                     if let Some(bytes) = ready {
                         self.timing.record_piece();
--- a/crates/gateway/src/relay/withhold.rs
+++ b/crates/gateway/src/relay/withhold.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use hgw_direct::{Origin, Refusal, SendPermission};
+use hgw_direct::{Origin, Prompt, Refusal, SendPermission};
 use hgw_events::{Event, emit};
 use http::StatusCode;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::attempt_guard::AttemptGuard;
-use crate::crashes::{self, BrokenAttempt};
+use crate::crashes::{self, BrokenAttempt, BrokenRun};
 use crate::meter;
 use crate::response::{CallerResponse, json_error};
 
@@ -78,6 +78,13 @@
         let customer = self.identity.customer.as_ref().map(|customer| customer.0.as_str());
         let origin = Origin(xxh3_64(customer.unwrap_or(&self.route.name).as_bytes()));
         let (engine, key) = (guard.engine().clone(), guard.engine_key());
-        BrokenAttempt { digest: self.digest, origin, engine, key }
+        let shared_parts = self.prompt().map_or(&[][..], Prompt::shared_parts);
+        let run = BrokenRun {
+            request_id: self.info.id.clone(),
+            shared_parts: shared_parts.to_vec(),
+            writing_for: guard.writing_for(),
+            framing: guard.framing(),
+        };
+        BrokenAttempt { digest: self.digest, origin, engine, key, run }
     }
 }
