Test: a part of prompts that crashes engines is soon sent to none (fails, listed)

Eight engines, three nodes, four callers whose prompts share the first part, and a request with the crashing part each 100 ms, no two alike. On this code 48 engines end in 12 s and requests with the part are sent to engines to the end.

--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -21,6 +21,7 @@
 mod brittle;
 mod calls;
 mod crashing;
+mod crashing_parts;
 mod cut_from_engines;
 mod datagrams;
 mod engine_limits;
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -57,6 +57,10 @@
     pub events: u64,
     /// Whether it refuses orders with an old fencing number.
     pub fences: bool,
+    /// A part of prompts, but for the last, on which it crashes as it begins to write.
+    pub crash_part: Option<String>,
+    /// Whether its streams have neither a length nor chunks and end with their connections.
+    pub unframed: bool,
 }
 
 impl Default for EngineSettings {
@@ -77,6 +81,8 @@
             pause: Duration::from_millis(5),
             events: 20,
             fences: true,
+            crash_part: None,
+            unframed: false,
         }
     }
 }
@@ -151,6 +157,8 @@
     rejections: Vec<Instant>,
     /// When requests arrived.
     arrivals: Vec<Instant>,
+    /// Whether it has crashed since its last start.
+    has_crashed: bool,
     record: FleetRecord,
 }
 
@@ -224,9 +232,15 @@
         inner.holds.clear();
         (inner.busy, inner.seq, inner.fence) = (false, 0, 0);
         inner.limit = None;
+        inner.has_crashed = false;
         inner.born += 1;
     }
 
+    /// Whether it has crashed since its last start. It writes nothing more; its connections are to be cut.
+    pub fn has_crashed(&self) -> bool {
+        self.shared.lock().has_crashed
+    }
+
     /// Reads each prompt for so long from now on.
     pub fn read_for(&self, reading: Duration) {
         self.shared.lock().reading = reading;
@@ -384,8 +398,27 @@
         self.lock().reading_now -= 1;
         let from = text("last-event-id").and_then(|l| l.parse().ok()).unwrap_or(0);
         let (tx, rx) = unbounded_channel();
-        tokio::spawn(Arc::clone(self).events(tx, from, active));
-        self.sealed(stream(rx), &echoed)
+        if self.crashes_on(text("x-prompt-prefix").unwrap_or_default()) {
+            self.lock().has_crashed = true;
+            // The connection stays silent until it is cut.
+            tokio::spawn(async move { tx.closed().await });
+        } else {
+            tokio::spawn(Arc::clone(self).events(tx, from, active));
+        }
+        let mut answer = self.sealed(stream(rx), &echoed);
+        if self.settings.unframed {
+            // A body whose end is that of its connection.
+            *answer.version_mut() = http::Version::HTTP_10;
+        }
+        answer
+    }
+
+    /// Whether a part of the prompt, but for the last, makes it crash.
+    fn crashes_on(&self, prefix: &str) -> bool {
+        let Some(crash_part) = &self.settings.crash_part else { return false };
+        let ids = prefix.split(',').filter_map(|part| part.split_once(':')).map(|(id, _)| id);
+        let ids: Vec<&str> = ids.collect();
+        ids.split_last().is_some_and(|(_, shared)| shared.contains(&crash_part.as_str()))
     }
 
     fn name_limits(&self, answer: &mut Response<Body>) {
