Withhold parts of prompts that crash engines, not only requests

Cause: what a failure was caused by was not part of what is remembered of it. An end was held against the whole request; requests with one part are no two alike, so nothing added up, and nothing weighed subjects with the same ends against each other. A response without length or chunks that the crash ended even acquitted. The change: one history for requests and parts. An engine that has been writing for half a second, or a complete response, refutes the ends of its parts until then. Subjects with three ends are weighed: few that explain all ends are blamed, the more particular first; what they explain is released. Three trials, given by the leader, are the way back. A body that ends with its connection acquits nothing until its engine takes another connection.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 mod change_position;
 mod choice;
 mod crash_history;
+mod crash_subject;
 mod cursor;
 mod customer;
 mod deadline;
@@ -49,9 +50,10 @@
 pub use change_position::ChangePosition;
 pub use choice::{Choice, ChoiceParams, CostWeights, NoEngine, VersionRule, choose_engine};
 pub use crash_history::{
-    CrashHistory, CrashReport, CrashState, ENDS_TO_BLOCK, ENDS_TO_STOP_RETRIES, JudgeParams,
-    Origin, SendPermission, Verdict,
+    BlockedSubject, CrashHistory, CrashReport, CrashState, ENDS_TO_BLOCK, ENDS_TO_STOP_RETRIES,
+    JudgeParams, Origin, SendPermission, Verdict,
 };
+pub use crash_subject::{CrashSubject, InvalidSubject, RankedSubject, crash_subjects};
 pub use cursor::{Cursor, Era, InvalidEra, KnownEra};
 pub use customer::{
     ApiKey, CallerIdentity, Credentials, Customer, CustomerId, Customers, Quota, QuotaBounds,
--- a/crates/direct/src/request_digest.rs
+++ b/crates/direct/src/request_digest.rs
@@ -14,7 +14,9 @@
 /// Digest of what makes two requests the same: method, host, path with query, customer and body.
 ///
 /// It is the same on all nodes. Ids and other headers differ between attempts and do not count.
-#[derive(Debug, Clone, Copy, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[display("{}", hex(bytes))]
 #[serde(try_from = "String", into = "String")]
 pub struct RequestDigest {
--- a/crates/direct/tests/crash_history.rs
+++ b/crates/direct/tests/crash_history.rs
@@ -4,16 +4,21 @@
 
 use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{
-    ChangePosition, CrashHistory, CrashReport, CustomerId, DigestedParts, ENDS_TO_STOP_RETRIES,
-    EngineId, Engines, JudgeParams, Millis, Origin, RequestDigest, SendPermission, StartTime,
-    Verdict,
+    BlockedSubject, ChangePosition, CrashHistory, CrashReport, CrashSubject, CustomerId,
+    DigestedParts, ENDS_TO_STOP_RETRIES, EngineId, Engines, JudgeParams, Millis, Origin,
+    RankedSubject, RequestDigest, SendPermission, StartTime, Verdict,
 };
 use proptest::collection::vec;
 use proptest::prelude::*;
 use support::engines;
 
 const HEARTBEAT_MS: Millis = 1_000;
-const PARAMS: JudgeParams = JudgeParams { listed_for: 5 * HEARTBEAT_MS, list_is_fresh: true };
+const PARAMS: JudgeParams = JudgeParams {
+    listed_for: 5 * HEARTBEAT_MS,
+    list_is_fresh: true,
+    agreed_within: 100,
+    forget_after: 900_000,
+};
 
 const PARTS: DigestedParts<'_> = DigestedParts {
     method: "POST",
@@ -23,8 +28,16 @@
     body: b"body",
 };
 
-fn request(number: usize) -> RequestDigest {
-    RequestDigest::of(&DigestedParts { target: &format!("/{number}"), ..PARTS })
+fn request(number: usize) -> CrashSubject {
+    RequestDigest::of(&DigestedParts { target: &format!("/{number}"), ..PARTS }).into()
+}
+
+fn ranked(number: usize) -> RankedSubject {
+    RankedSubject { subject: request(number), depth: u16::MAX }
+}
+
+fn blocked_by(origin: u64) -> BlockedSubject {
+    BlockedSubject { origin: Origin(origin), ..BlockedSubject::default() }
 }
 
 fn key(engine: usize) -> EngineKey {
@@ -40,7 +53,7 @@
 fn after_ends(ends: usize) -> CrashHistory {
     let mut history = CrashHistory::new(1);
     for engine in 0..ends {
-        assert!(history.record_end(request(0), Origin(1), key(engine), 0));
+        assert!(history.record_end(ranked(0), Origin(1), key(engine), 0));
     }
     history
 }
@@ -49,8 +62,8 @@
 fn third_end_suspends_at_once_and_blocks_once_it_is_confirmed() {
     let mut history = after_ends(2);
     assert_eq!(history.permission(request(0), 0), SendPermission::Allowed);
-    assert!(!history.record_end(request(0), Origin(1), key(1), 0), "the same engine again");
-    history.record_end(request(0), Origin(1), key(2), 100);
+    assert!(!history.record_end(ranked(0), Origin(1), key(1), 0), "the same engine again");
+    history.record_end(ranked(0), Origin(1), key(2), 100);
     assert_eq!(history.judge(&without_them(), PARAMS, 300), [], "others may not have it yet");
     assert_eq!(history.permission(request(0), 300), SendPermission::Suspended(4_800));
     let blocked = history.judge(&without_them(), PARAMS, 600);
@@ -78,10 +91,10 @@
 fn request_that_was_answered_is_never_suspected() {
     let mut history = after_ends(3);
     history.judge(&without_them(), PARAMS, 600);
-    history.record_completion(request(0));
+    history.record_completion(request(0), 0);
     assert_eq!(history.permission(request(0), 600), SendPermission::Allowed);
-    assert!(!history.record_end(request(0), Origin(1), key(7), 700));
-    history.block(request(0), Origin(1));
+    assert!(!history.record_end(ranked(0), Origin(1), key(7), 700));
+    history.block(request(0), blocked_by(1), 0);
     assert_eq!(history.permission(request(0), 700), SendPermission::Allowed);
 }
 
@@ -91,17 +104,17 @@
 fn many_requests_of_one_caller_do_not_replace_those_of_others() {
     let mut history = after_ends(2);
     for number in 1..5_000 {
-        history.record_end(request(number), Origin(2), key(number % 50), 0);
+        history.record_end(ranked(number), Origin(2), key(number % 50), 0);
     }
     assert_eq!(history.ends(request(0)), 2);
     let suspects = (1..5_000).filter(|number| history.ends(request(*number)) > 0).count();
     assert_eq!(suspects, 4_095, "memory is bounded");
-    assert!(history.reports_since(0).0.len() <= 256, "messages are bounded");
+    assert!(history.reports_since(0, 0).0.len() <= 256, "messages are bounded");
     for number in 0..2_000 {
-        history.block(request(20_000 + number), Origin(2));
+        history.block(request(20_000 + number), blocked_by(2), 0);
     }
-    history.block(request(1), Origin(3));
-    history.block(request(30_000), Origin(2));
+    history.block(request(1), blocked_by(3), 0);
+    history.block(request(30_000), blocked_by(2), 0);
     assert_eq!(history.blocked().count(), 1_000);
     assert!(history.is_blocked(request(1)), "the oldest of the caller with most is dropped");
 }
@@ -111,12 +124,12 @@
 fn forgotten_requests_are_told_as_nothing() {
     let mut history = CrashHistory::new(1);
     for number in 0..1_500 {
-        history.block(request(number), Origin(2));
+        history.block(request(number), blocked_by(2), 0);
     }
     let mut position = ChangePosition::default();
     let mut told = Vec::new();
     while !history.is_up_to_date(position) {
-        let (next, states) = history.states_since(position);
+        let (next, states) = history.states_since(position, 0);
         assert!(states.len() <= 256);
         told.extend(states);
         position = next;
@@ -128,14 +141,18 @@
 #[test]
 fn reports_are_read_from_where_the_last_reader_ended() {
     let mut history = after_ends(2);
-    let (reports, next) = history.reports_since(0);
+    let (reports, next) = history.reports_since(0, 0);
     assert_eq!(reports.len(), 2);
-    history.record_completion(request(0));
-    let (reports, next) = history.reports_since(next);
-    assert_eq!(reports, [CrashReport::Completed { digest: request(0) }]);
-    assert_eq!(history.reports_since(next), (Vec::new(), next));
-    let (reports, _) = history.reports_since(0);
-    assert_eq!(reports, [CrashReport::Completed { digest: request(0) }], "the ends are refuted");
+    history.record_completion(request(0), 0);
+    let (reports, next) = history.reports_since(next, 0);
+    assert_eq!(reports, [CrashReport::Completed { subject: request(0), age: 0 }]);
+    assert_eq!(history.reports_since(next, 0), (Vec::new(), next));
+    let (reports, _) = history.reports_since(0, 0);
+    assert_eq!(
+        reports,
+        [CrashReport::Completed { subject: request(0), age: 0 }],
+        "the ends are refuted"
+    );
 }
 
 #[test]
@@ -187,11 +204,11 @@
 /// Plays one poll; a lost one may still reach the parent.
 fn poll(nodes: &mut [TestNode], node: usize, response_is_lost: bool, now: Millis) {
     let parent = nodes[node].parent;
-    let (reports, next) = nodes[node].history.reports_since(nodes[node].reported);
+    let (reports, next) = nodes[node].history.reports_since(nodes[node].reported, now);
     for report in reports {
         nodes[parent].history.apply_report(report, now);
     }
-    let (seen, states) = nodes[parent].history.states_since(nodes[node].seen);
+    let (seen, states) = nodes[parent].history.states_since(nodes[node].seen, now);
     if response_is_lost {
         return;
     }
@@ -228,12 +245,11 @@
         for op in ops {
             match op {
                 Op::End { node, engine } => {
-                    let digest = request(0);
-                    nodes[node].history.record_end(digest, Origin(1), key(engine), 0);
+                    nodes[node].history.record_end(ranked(0), Origin(1), key(engine), 0);
                     engines_ended.insert(engine);
                 }
                 Op::Complete { node } => {
-                    nodes[node].history.record_completion(request(0));
+                    nodes[node].history.record_completion(request(0), 0);
                     is_completed = true;
                 }
                 Op::Poll { node, response_is_lost } => poll(&mut nodes, node, response_is_lost, 0),
@@ -247,7 +263,7 @@
         for node in &mut nodes {
             node.history.judge(&without_them(), PARAMS, 600);
         }
-        for (number, node) in nodes.iter().enumerate() {
+        for (number, node) in nodes.iter_mut().enumerate() {
             let permission = node.history.permission(request(0), 600);
             if !is_completed {
                 let is_blocked = permission == SendPermission::Blocked;
@@ -261,7 +277,7 @@
         }
         // A request that was answered is allowed everywhere once all have heard of it.
         let leader = nodes[0].history.permission(request(0), 600);
-        for node in &nodes {
+        for node in &mut nodes {
             prop_assert_eq!(node.history.permission(request(0), 600), leader);
         }
     }
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -101,10 +101,11 @@
     CallerLeft = 5008, Info, "a caller disconnected before its response was complete";
     CallerDenied = 5009, Info, "a request was refused: its key is missing, invalid or could not be verified";
     EngineEnded = 5010, Info, "an engine has ended under a request";
-    RequestBlocked = 5011, Warn, "three engines have ended under a request, so it is sent to no more";
-    RequestAcquitted = 5012, Info, "an engine has answered a request under which others had ended";
+    RequestBlocked = 5011, Warn, "three engines have ended under a request or a part of prompts, which is sent to no more";
+    RequestAcquitted = 5012, Info, "an engine has outlived a request or a part of prompts under which others had ended";
     RequestForwarded = 5013, Info, "a request was served by way of another node";
     ForwardFailed = 5014, Info, "another node has not served a request that was forwarded to it";
     StreamBegan = 5015, Info, "an engine has sent the first event of a stream";
     StreamTakenUp = 5016, Info, "a caller takes up a stream that an earlier attempt began";
+    TrialBegan = 5017, Info, "a request is sent to find out whether a part of its prompt crashes engines";
 }
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -3,7 +3,7 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use hgw_direct::{Refusal, Route, ServiceId};
+use hgw_direct::{CrashSubject, Refusal, Route, ServiceId};
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
@@ -80,6 +80,12 @@
     counter!("hgw_engines_ended_total").increment(1);
 }
 
+/// Counts a request that is withheld because of a subject.
+pub(crate) fn withheld(subject: CrashSubject) {
+    let kind = if subject.is_part() { "part" } else { "request" };
+    counter!("hgw_withheld_total", "kind" => kind).increment(1);
+}
+
 pub(crate) fn sent_to_limited_engine() {
     counter!("hgw_sent_to_limited_total").increment(1);
 }
@@ -156,6 +162,7 @@
     if let Some(age) = freshness::age(node) {
         gauge!("hgw_proof_age_seconds").set(age.as_secs_f64());
     }
+    gauge!("hgw_suspected_subjects").set(node.crashes.borrow().suspects() as f64);
     gauge!("hgw_blocked_requests").set(node.crashes.borrow().blocked().count() as f64);
     for service in state.catalog.iter().flat_map(|catalog| catalog.services.keys()) {
         let reaches = f64::from(u8::from(!node.engine_path.has_failed(service)));
--- a/crates/gateway/src/peers/datagrams.rs
+++ b/crates/gateway/src/peers/datagrams.rs
@@ -42,6 +42,8 @@
     InFlight(ReportScope, InFlightUpdate),
     /// What the sender has seen of a request under which an engine ended.
     Crash(CrashReport),
+    /// The same of a part of prompts, which releases before do not know.
+    PartCrash(CrashReport),
     /// The limit that an engine named, or no longer names, in a response to the sender.
     EngineLimit(LimitState),
     /// The requests a second that an engine may have to reject before it fails, as it told the sender.
@@ -159,7 +161,7 @@
             Ok(Datagram::StreamBegan(stream)) => {
                 node.streams.borrow_mut().record(stream, node.now());
             }
-            Ok(Datagram::Crash(report)) => {
+            Ok(Datagram::Crash(report) | Datagram::PartCrash(report)) => {
                 // Anyone on the network can send one, and it can have a request refused.
                 if node.peer_socket.contains(from) {
                     crashes::apply_broadcast(&node, report);
@@ -196,6 +198,7 @@
         Datagram::InFlight(..)
         | Datagram::StreamBegan(_)
         | Datagram::Crash(_)
+        | Datagram::PartCrash(_)
         | Datagram::EngineLimit(_)
         | Datagram::EngineBrittle(_)
         | Datagram::EngineRejected(_)
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -55,7 +55,10 @@
     /// What the sender and the nodes behind it have seen of requests under which engines ended.
     #[serde(default)]
     pub(crate) crash_reports: Vec<CrashReport>,
-    /// Position in the receiver's changes of the requests that are suspected to crash engines.
+    /// The same of parts of prompts, which releases before do not know.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) part_crash_reports: Vec<CrashReport>,
+    /// Position in the receiver's changes of what is suspected to crash engines.
     #[serde(default)]
     pub(crate) crashes_seen: ChangePosition,
     /// Limits of engines that changed at the sender.
@@ -143,6 +146,9 @@
     pub(crate) loads: Vec<EngineLoad>,
     #[serde(default)]
     pub(crate) crash_states: Vec<CrashState>,
+    /// The same of parts of prompts, which releases before do not know.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) part_crash_states: Vec<CrashState>,
     #[serde(default)]
     pub(crate) crashes_seen: ChangePosition,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -27,7 +27,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
-use crate::crashes;
+use crate::crashes::{self, TrialRequest, TrialResponse};
 use crate::engine_limits;
 use crate::eras;
 use crate::follow;
@@ -60,6 +60,9 @@
 /// Timeout of a placement request, during which an adapter may be loaded.
 const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Path at which the leader is asked for a trial of a part of prompts.
+pub(crate) const TRIAL_PATH: &str = "/trial";
+
 /// Pause while no leader is known or the polled node does not respond.
 const NO_LEADER_PAUSE: Duration = Duration::from_millis(150);
 
@@ -204,6 +207,12 @@
             Ok(request) => json_response(&forwarding::forwarders_response(&node, &request)),
             Err(_) => json_error(StatusCode::BAD_REQUEST, "the body names no node"),
         },
+        (&Method::POST, TRIAL_PATH) => match serde_json::from_slice::<TrialRequest>(&body) {
+            Ok(TrialRequest { part }) => {
+                json_response(&TrialResponse { is_granted: crashes::grant(&node, part) })
+            }
+            Err(_) => json_error(StatusCode::BAD_REQUEST, "the body names no part of a prompt"),
+        },
         (&Method::POST, "/catalog") => {
             Response::new(ResponseBody::full(node.state.borrow().catalog_text.clone()))
         }
@@ -236,7 +245,8 @@
     }
     apply_loads(node, &request.loads);
     engine_limits::apply_states(node, &request.engine_limits);
-    crashes::apply_reports(node, &request.crash_reports);
+    let crash_reports = request.crash_reports.iter().chain(&request.part_crash_reports);
+    crashes::apply_reports(node, crash_reports.cloned());
     json_response(&poll_response::poll_response(node, &request).await)
 }
 
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -143,7 +143,7 @@
     fn crash_reports(&self, node: &Node, addr: SocketAddr) -> (Vec<CrashReport>, u64) {
         let has_received = self.reported_to.is_some_and(|(known, _)| known == addr);
         let from = if has_received { self.crashes_reported } else { 0 };
-        node.crashes.borrow().reports_since(from)
+        node.crashes.borrow().reports_since(from, node.now())
     }
 
     /// Limits of engines for this node, and the position up to which it then knows them.
@@ -167,6 +167,8 @@
             // Version 0 requests the complete configuration.
             (state.catalog.as_ref().map_or(0, |c| c.version), list_version, list_seen)
         };
+        let (part_crash_reports, crash_reports) =
+            crash_reports.into_iter().partition(CrashReport::is_of_part);
         let settings = node.settings.borrow();
         PollRequest {
             from: settings.peer_addr,
@@ -175,6 +177,7 @@
             list_version,
             list_seen,
             crash_reports,
+            part_crash_reports,
             crashes_seen: self.crashes_seen,
             engine_limits,
             limits_seen: self.limits_seen,
@@ -219,7 +222,8 @@
         node.hubs.borrow_mut().set_candidates(hub_candidates);
     }
     engine_limits::apply_states(node, &update.engine_limits);
-    crashes::apply_states(node, &update.crash_states);
+    let crash_states = update.crash_states.iter().chain(&update.part_crash_states);
+    crashes::apply_states(node, crash_states);
     if update.knows_blocked_requests {
         node.knows_blocked_requests.set(true);
     }
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -31,12 +31,16 @@
     let placements = changed.iter().filter_map(|id| leader::placement_of(node, id)).collect();
     let hub_candidates = hub_candidates(node, request);
     let list_update = list_update(node, request, hub_candidates.as_deref());
-    let (crashes_seen, crash_states) = node.crashes.borrow().states_since(request.crashes_seen);
+    let (crashes_seen, crash_states) =
+        node.crashes.borrow().states_since(request.crashes_seen, node.now());
     let (limits_seen, engine_limits) =
         node.engine_limits.borrow().states_since(request.limits_seen, node.now());
     let sends_all_states = node.crashes.borrow().is_up_to_date(crashes_seen);
+    let (part_crash_states, crash_states) =
+        crash_states.into_iter().partition(|state| state.subject.is_part());
     PollResponse {
         crash_states,
+        part_crash_states,
         crashes_seen,
         engine_limits,
         limits_seen,
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -57,7 +57,7 @@
     source.record_byte();
     source.return_connection(conn);
     if (200..300).contains(&head.status) {
-        req.record_completion();
+        req.record_completion(&source);
     }
     if !is_failure {
         req.log_served(&engine, &source, head.status, &EventTiming::start());
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -105,7 +105,9 @@
         relayed.continue_forwarded(forwarded, slot);
     }
     relayed.count_request();
-    if let Err(withheld) = relayed.check_crashes() {
+    if let Err(withheld) = relayed.check_crashes()
+        && !relayed.begin_trial(withheld).await
+    {
         return relayed.respond_withheld(withheld);
     }
     if let Err(response) = relayed.bind_to_version().await {
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -8,9 +8,9 @@
 use bytes::Bytes;
 use hgw_direct::quota::WaiterRank;
 use hgw_direct::{
-    Choice, ChoiceParams, CostWeights, Deadline, DigestedParts, ENDS_TO_STOP_RETRIES, EngineId,
-    MIN_TIME_TO_SEND, Millis, ModelRef, NoEngine, Prompt, Refusal, RequestDigest, Route, ServiceId,
-    VersionKey, choose_engine,
+    Choice, ChoiceParams, CostWeights, CrashSubject, Deadline, DigestedParts, EngineId,
+    MIN_TIME_TO_SEND, Millis, ModelRef, NoEngine, Prompt, RankedSubject, Refusal, RequestDigest,
+    Route, ServiceId, VersionKey, choose_engine, crash_subjects,
 };
 use http::request::Parts;
 use rand::random;
@@ -86,6 +86,12 @@
     pub(super) identity: Identity,
     /// Identifies the same request in other attempts of the caller.
     pub(super) digest: RequestDigest,
+    /// What may crash engines in it.
+    pub(super) subjects: Vec<RankedSubject>,
+    /// The part that it tries while others with it are withheld.
+    pub(super) trial: Option<CrashSubject>,
+    /// Whether the last engine that wrote to it had done so for long enough not to be crashed by it.
+    pub(super) has_outlived: bool,
     /// When the request head had been read.
     pub(super) received_at: Instant,
     /// The same by the boot clock, which also runs while the machine is suspended.
@@ -148,6 +154,8 @@
         received_at: Instant,
     ) -> RelayedRequest {
         let digest = digest(&head, &body, &identity);
+        let shared_parts = info.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
+        let subjects = crash_subjects(digest, shared_parts);
         let timeout = info.deadline.map_or(route.timeout, |d| d.min(route.timeout));
         let mut request = RelayedRequest {
             node: Rc::clone(node),
@@ -159,6 +167,9 @@
             service,
             identity,
             digest,
+            subjects,
+            trial: None,
+            has_outlived: false,
             received_at,
             received_at_boot: boot_time().saturating_sub(received_at.elapsed()),
             deadline: Deadline { timeout },
@@ -250,9 +261,7 @@
         if self.executions >= self.route.max_attempts || self.rejected > MAX_REJECTED {
             return false;
         }
-        if !self.has_time_to_send()
-            || self.node.crashes.borrow().ends(self.digest) >= ENDS_TO_STOP_RETRIES
-        {
+        if !self.has_time_to_send() || self.may_carry_crash_on() {
             return false;
         }
         let (now, limits) = (self.node.now(), self.node.budget_limits());
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -111,7 +111,7 @@
             let read = self.read_chunk().await;
             match read {
                 WaitResult::Done(Ok(Some(bytes))) => {
-                    self.source.record_byte();
+                    self.req.record_progress(&self.source);
                     let ready = if self.is_events { self.events.push(bytes) } else { Some(bytes) };
                     if let Some(bytes) = ready {
                         self.timing.record_piece();
@@ -124,7 +124,9 @@
                         return Some((Ok(bytes), self));
                     }
                 }
-                WaitResult::Done(Ok(None)) if !self.events.has_partial() => {
+                WaitResult::Done(Ok(None))
+                    if !self.events.has_partial() && !self.lacks_events() =>
+                {
                     self.finish();
                     return None;
                 }
@@ -164,6 +166,15 @@
         }
     }
 
+    /// Whether the connection of a body without any framing has ended before its first event.
+    fn lacks_events(&self) -> bool {
+        let Source::Engine(guard) = &self.source else { return false };
+        self.is_events
+            && guard.framing() == Some(Framing::UntilClose)
+            && self.timing.pieces == 0
+            && self.req.info.last_event.is_none()
+    }
+
     fn record_stalled(&self) {
         match &self.source {
             Source::Engine(_) => self.req.report_unreachable(&self.engine),
@@ -203,7 +214,7 @@
     fn finish(&mut self) {
         self.is_finished = true;
         if self.is_events {
-            self.req.record_completion();
+            self.req.record_completion(&self.source);
         }
         self.source.record_outcome(if self.is_events {
             AttemptOutcome::Success
--- a/crates/hibiscusgw/tests/platform/crashing_parts.rs
+++ b/crates/hibiscusgw/tests/platform/crashing_parts.rs
@@ -45,10 +45,8 @@
 }
 
 const SHARED_FIRST: Prompts = Prompts { crashing: &[FIRST, CULPRIT], sound: &[FIRST, SECOND] };
-#[expect(dead_code)]
 const SHARED_AROUND: Prompts =
     Prompts { crashing: &[FIRST, CULPRIT, SECOND], sound: &[FIRST, SECOND] };
-#[expect(dead_code)]
 const CULPRIT_FIRST: Prompts = Prompts { crashing: &[CULPRIT, SECOND], sound: &[FIRST, SECOND] };
 
 #[derive(Debug, Clone, Copy)]
@@ -218,4 +216,17 @@
 scenarios! {
     /// Guards against a part of prompts that takes all engines from everybody: no two requests with it are alike.
     part_that_crashes_engines_is_soon_sent_to_none: SCENARIO;
+    /// The same with a part after the one that crashes engines, which sound requests share.
+    part_between_shared_ones_is_the_one_withheld:
+        Scenario { prompts: SHARED_AROUND, ..SCENARIO };
+    /// The same with the part at the beginning, whose followers must not be taken for it.
+    first_part_that_crashes_engines_is_withheld:
+        Scenario { prompts: CULPRIT_FIRST, ..SCENARIO };
+    /// Guards against an engine's end that passes for the end of its response and clears what caused it.
+    end_of_an_engine_does_not_acquit_where_responses_have_no_framing:
+        Scenario { unframed: true, ..SCENARIO };
+    /// Guards against nine nodes that each learn from their own engines only.
+    nine_nodes_agree_on_a_part: Scenario { nodes: 9, ..SCENARIO };
+    /// Guards against nodes behind a hub that learn too late.
+    nodes_behind_a_hub_agree_on_a_part: Scenario { nodes: 14, ..SCENARIO };
 }
