A node's share of an engine's connections follows the work

Cause: each node had max_conns / nodes requests at an engine, whoever the callers came to; on a fleet one. The change: an equal share and half of what nobody uses, by the load that nodes know of each other. Over any number of nodes that know it, this adds up to max_conns: x < M/n + (M - kx)/2 for k crowded of n nodes. An unknown load leaves the equal share.

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -114,7 +114,7 @@
             domain: "zone-1",
             tried: &[],
             nodes: 80,
-            max_conns: 8,
+            max_conns: 640,
             has_precedence: false,
             max_event_gap: None,
             can_wait: false,
--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -40,7 +40,7 @@
     pub tried: &'a [EngineId],
     /// Number of nodes that send to the same engines.
     pub nodes: u32,
-    /// Maximum number of connections from this node to one engine.
+    /// Maximum number of connections from all nodes to one engine.
     pub max_conns: u32,
     /// Whether less urgent requests go to the same service. Engines admit this request before those
     /// that wait.
@@ -215,7 +215,7 @@
             estimate >= capacity && estimate / *overstatement >= capacity
         };
         if is_full
-            || engine.own_requests >= params.max_conns
+            || engine.own_requests >= engine.request_share(params.max_conns, params.nodes, now)
             || params.tried.contains(&engine.info.id)
         {
             reason = reason.or_sooner(NoEngine::Full(FULL_RETRY));
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -232,6 +232,15 @@
         )
     }
 
+    /// Requests that this node may have there, of the connections that the engine takes from all nodes: an
+    /// equal share, and half of what nobody uses, as most callers may come to one node. Over any number
+    /// of nodes that know each other's requests, this adds up to `max_conns` at most.
+    pub fn request_share(&self, max_conns: u32, nodes: u32, now: Millis) -> u32 {
+        let equal = (max_conns / nodes.max(1)).max(1);
+        let unused = self.known_load(now).map_or(0, |load| max_conns.saturating_sub(load as u32));
+        equal.saturating_add(unused / 2)
+    }
+
     /// Estimated number of requests there; this node's own if nothing else is known.
     pub fn estimate(&self, now: Millis) -> f64 {
         self.known_load(now).unwrap_or(f64::from(self.own_requests))
--- a/crates/direct/tests/choice.rs
+++ b/crates/direct/tests/choice.rs
@@ -382,3 +382,54 @@
     let wait = Duration::from_millis(100 + 150);
     assert_eq!(chosen(&engines, "m", &[]), Err(NoEngine::AtLimit(wait)));
 }
+
+/// Requests that nodes get to an engine which all of them fill up, when `crowded` of `nodes` have callers and each knows
+/// what the others have there.
+fn filled_by(crowded: u32, nodes: u32, max_conns: u32) -> Vec<u32> {
+    let mut own = vec![0_u32; crowded as usize];
+    loop {
+        let mut has_grown = false;
+        for index in 0..own.len() {
+            let mut engines = engines(&[("e1", "a", &["m"])]);
+            let engine = engines.get_mut(&"e1".into()).unwrap();
+            engine.own_requests = own[index];
+            let others = own.iter().sum::<u32>() - own[index];
+            engine.in_flight_elsewhere =
+                Some(InFlightLoad { requests: others, ..InFlightLoad::default() });
+            if own[index] < engine.request_share(max_conns, nodes, 1_000) {
+                own[index] += 1;
+                has_grown = true;
+            }
+        }
+        if !has_grown {
+            return own;
+        }
+    }
+}
+
+/// Guards against callers that are refused as full because most of them come to one node, which had an equal
+/// share of the connections to each engine; and against more than the engine takes from all nodes together.
+#[test]
+fn share_of_an_engine_follows_the_work_and_adds_up_to_what_it_takes() {
+    for (nodes, max_conns) in [(3, 96), (9, 370), (14, 96), (986, 360), (1_972, 360)] {
+        let alone = filled_by(1, nodes, max_conns)[0];
+        assert!(alone >= max_conns / 3, "{alone} of {max_conns} for one of {nodes} nodes");
+        for crowded in [2, 3, nodes.min(40)] {
+            let own = filled_by(crowded, nodes, max_conns);
+            // Each node may have one request at each engine, whatever its share.
+            let most = max_conns.max(crowded + max_conns.div_ceil(2));
+            let sum: u32 = own.iter().sum();
+            assert!(sum <= most.min(max_conns + crowded), "{own:?} of {max_conns}");
+        }
+    }
+}
+
+/// A node that does not know what others have at an engine keeps to its equal share.
+#[test]
+fn share_of_an_engine_with_unknown_load_is_equal() {
+    let engines = engines(&[("e1", "a", &["m"])]);
+    let engine = engines.get(&"e1".into()).unwrap();
+    assert_eq!(engine.request_share(370, 9, 1_000), 41);
+    assert_eq!(engine.request_share(360, 986, 1_000), 1);
+    assert_eq!(engine.request_share(u32::MAX, 1, 1_000), u32::MAX);
+}
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -400,7 +400,7 @@
         let state = self.node.state.borrow();
         let settings = self.node.settings.borrow();
         let service = state.catalog.as_ref().and_then(|c| c.services.get(&self.service));
-        let max_conns = service.map_or(u32::MAX, |s| (s.max_conns / state.nodes.max(1)).max(1));
+        let max_conns = service.map_or(u32::MAX, |service| service.max_conns);
         let admitted = self.node.admitted_versions.borrow();
         let params = ChoiceParams {
             service: &self.service,
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -22,6 +22,7 @@
 mod calls;
 mod crashing;
 mod crashing_parts;
+mod crowds;
 mod cut_from_engines;
 mod datagrams;
 mod engine_limits;
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -94,6 +94,8 @@
     pub runs: IndexMap<String, u32>,
     /// Most prompts that it was reading at a time.
     pub most_reading: u32,
+    /// Most requests that ran or waited here at a time.
+    pub most_active: u32,
     /// Requests that were meant for another engine, or for a model that is not here.
     pub misdirected: u32,
     /// Orders that were accepted, as `HOLDER FENCE OP MODEL/ADAPTER`.
@@ -529,6 +531,7 @@
             return None;
         }
         inner.active += 1;
+        inner.record.most_active = inner.record.most_active.max(inner.active);
         Some(Active(Arc::clone(shared)))
     }
 }
