Close connections unread while a node runs late

What callers would see: a node on which most callers of a zone fall reads all that come, however late it runs, and what it has read must be answered there. A connection that is closed unread is opened again at another node. The change: the share of new connections that is taken follows the delay of the process. The node stays ready. Evidence: connection_gate::* in virtual time (1.5 to 15 times of what a node can do; opens again; a single pause closes nothing).

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,6 +10,7 @@
 mod change_log;
 mod change_position;
 mod choice;
+mod connection_gate;
 mod crash_history;
 mod crash_subject;
 mod cursor;
@@ -49,6 +50,7 @@
 pub use change_log::ChangeLog;
 pub use change_position::ChangePosition;
 pub use choice::{Choice, ChoiceParams, CostWeights, NoEngine, VersionRule, choose_engine};
+pub use connection_gate::{ConnectionGate, DELAY_INTERVAL};
 pub use crash_history::{
     BlockedSubject, CrashHistory, CrashReport, CrashState, ENDS_TO_BLOCK, ENDS_TO_STOP_RETRIES,
     JudgeParams, Origin, SendPermission, Verdict,
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -53,6 +53,7 @@
     SettingsChanged = 1009, Info, "the settings have changed";
     SettingsRejected = 1010, Warn, "the settings file is invalid; the previous settings remain active";
     LinesLeftOut = 1011, Warn, "log lines were dropped";
+    ConnectionsRefused = 1012, Info, "the node has begun or ceased to refuse some new connections, as it runs late";
     MemberUp = 2001, Info, "a node is considered alive";
     MemberDown = 2002, Info, "a node is considered dead or is shutting down";
     PeerRefused = 2003, Warn, "a peer's connection was refused";
--- a/crates/gateway/src/caller_listener.rs
+++ b/crates/gateway/src/caller_listener.rs
@@ -36,8 +36,9 @@
         };
         let open = node.shutdown.connections.get();
         // Above the limit, file descriptors are kept for connections to engines; the load balancer
-        // retries at another node.
+        // retries at another node, as it does for what an overloaded node does not read.
         if open >= node.settings.borrow().max_connections
+            || !node.caller_gate.takes_connection()
             || listen::set_socket_options(&stream).is_err()
         {
             continue;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod brittle;
 mod caller_listener;
 mod clock;
+mod connection_gate;
 mod crashes;
 mod election;
 mod engine_limits;
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -80,6 +80,11 @@
     counter!("hgw_engines_ended_total").increment(1);
 }
 
+/// Counts a new connection of a caller that was closed unread, as this node runs late.
+pub(crate) fn connection_refused() {
+    counter!("hgw_connections_refused_total").increment(1);
+}
+
 /// Counts a request that is withheld because of a subject.
 pub(crate) fn withheld(subject: CrashSubject) {
     let kind = if subject.is_part() { "part" } else { "request" };
@@ -173,5 +178,6 @@
     gauge!("hgw_keeper").set(f64::from(u8::from(node.leadership.borrow().is_leader())));
     gauge!("hgw_ready").set(f64::from(u8::from(node.is_ready())));
     gauge!("hgw_requests_open").set(f64::from(node.shutdown.active_requests.get()));
+    gauge!("hgw_connections_taken_share").set(node.caller_gate.share());
     gauge!("hgw_connections_open").set(node.shutdown.connections.get() as f64);
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,8 +17,8 @@
 use crate::response::{CallerResponse, ResponseBody, ResponseResult, json_error};
 use crate::shared::{Node, Shared};
 use crate::{
-    Settings, caller_listener, crashes, election, follow, freshness, listen, members, meter, peers,
-    quotas, shutdown, versions,
+    Settings, caller_listener, connection_gate, crashes, election, follow, freshness, listen,
+    members, meter, peers, quotas, shutdown, versions,
 };
 
 #[derive(Debug, Clone)]
@@ -82,6 +82,7 @@
     spawn(Box::pin(members::register_and_count(Rc::clone(&node))));
     spawn(Box::pin(crashes::follow(Rc::clone(&node))));
     spawn(Box::pin(versions::follow(Rc::clone(&node))));
+    spawn(Box::pin(connection_gate::measure(Rc::clone(&node))));
     spawn(Box::pin(watch_suspension(Rc::clone(&node))));
     spawn(Box::pin(listen::serve(Rc::clone(&node), ready, handle_readiness_probe)));
     spawn(Box::pin(caller_listener::serve(Rc::clone(&node), callers)));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::Settings;
 use crate::backoff::Backoff;
 use crate::clock::Clock;
+use crate::connection_gate::CallerGate;
 use crate::election::Leadership;
 use crate::engine_path::PathWatch;
 use crate::freshness::{self, Freshness};
@@ -57,6 +58,8 @@
     pub(crate) peer_socket: PeerSocket,
     pub(crate) prefill_queue: PrefillQueue,
     pub(crate) backoff: Backoff,
+    /// Decides which new connections of callers this node takes.
+    pub(crate) caller_gate: CallerGate,
     /// Evidence that the configuration of this node is current.
     pub(crate) freshness: Freshness,
     pub(crate) quotas: Quotas,
@@ -169,6 +172,7 @@
             peer_socket: PeerSocket::default(),
             prefill_queue: PrefillQueue::default(),
             backoff: Backoff::default(),
+            caller_gate: CallerGate::default(),
             freshness: Freshness::default(),
             quotas: Quotas::new(),
             crashes: RefCell::new(CrashHistory::new(random())),
