Nodes read the configuration themselves while the leader's reads of it fail

Cause: one node reads the configuration for all. A read that was sent while the store answered nobody was waited for after the store's return, up to 5.6 s as page timeouts double, while claims and lists were read again. What it told was fresh in all but the configuration, and followers looked at nothing else. Ruled out: the followers' reads, which worked at 26.0 s in the logs of the issue. That the doubled timeout is what held the leader's read is read in the code and fits these times; it was not seen in a log of its own. The change: a response to a poll says by how long the reads of the configuration are overdue. A read that is overdue is sent again once the store has answered other calls, each time after twice as long. One that this release cannot parse counts as not read. The configuration is not logged as confirmed before a read has confirmed it.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,6 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::backoff::{retry_pause, wait_to_retry};
+use crate::catalog_reads;
 use crate::clock::boot_time;
 use crate::election::LeaderInfo;
 use crate::eras;
@@ -44,6 +45,18 @@
 /// responds to hundreds of nodes within a second.
 const MAX_START_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Time for a response beyond that for which a read waits, after which the read may be lost.
+const OVERDUE_AFTER: Duration = Duration::from_millis(300);
+
+/// How often that time is doubled.
+const MAX_OVERDUE_DOUBLINGS: u32 = 5;
+
+/// Interval at which a read that waits is checked.
+const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Why a read of the configuration was given up.
+const ANSWERS_OTHERS: &str = "the store answers other calls";
+
 /// Maximum wait at the start for what another node may tell.
 const MAX_WAIT_TO_BE_TOLD: Millis = 300;
 
@@ -101,11 +114,18 @@
     let mut cursor = None;
     // Newest version up to `cursor`, unless it could not be parsed.
     let mut newest = None;
+    // Reads in a row that were taken for lost.
+    let mut lost_reads = 0;
     let mut link = StoreLink::new(&node, "configuration");
     wait_for_first_update(&node).await;
     loop {
         let has_leader_updates = node.has_recent_leader_updates();
-        if has_leader_updates && !node.is_catalog_outdated() && !needs_store_check(&node) {
+        let must_read = has_leader_updates && catalog_reads::must_read(&node);
+        if has_leader_updates
+            && !node.is_catalog_outdated()
+            && !needs_store_check(&node)
+            && !must_read
+        {
             // The leader reads the store for all nodes.
             let _ = timeout(UPDATE_CHECK_INTERVAL, node.catalog_reported.notified()).await;
             continue;
@@ -121,7 +141,8 @@
         // is back.
         let default_wait =
             freshness::max_poll_wait(&node, node.settings.borrow().max_catalog_wait());
-        let wait = if link.is_down() || has_leader_updates { Duration::ZERO } else { default_wait };
+        let reads_at_once = link.is_down() || has_leader_updates && !must_read;
+        let wait = if reads_at_once { Duration::ZERO } else { default_wait };
         let asked_at = boot_time();
         if let Some((version, at)) =
             reported_catalog_position(&node).filter(|(_, at)| cursor < Some(*at))
@@ -136,11 +157,17 @@
                 biased;
                 response = call => response,
                 () = until_catalog_outdated(&node) => continue,
+                () = until_others_are_answered(&node, wait, lost_reads) => {
+                    lost_reads += 1;
+                    link.record_failure(&StoreError::NoResponse { why: ANSWERS_OTHERS.to_owned() });
+                    continue;
+                }
             }
         };
         match response {
             Ok(update) => {
                 link.record_success();
+                lost_reads = 0;
                 cursor = Some(update.cursor);
                 let is_unchanged = update.catalog.is_none();
                 if let Some(text) = update.catalog {
@@ -150,6 +177,14 @@
                     freshness::record_store_read(&node, VersionCheck { newest, asked_at });
                     node.catalog_position.set(cursor.map(|at| (newest, at)));
                 }
+                if newest.is_some() || is_unchanged && node.state.borrow().catalog.is_none() {
+                    // One that this release cannot parse counts as not read: others may be able to.
+                    node.catalog_reads.record_success(node.now(), default_wait);
+                }
+                if must_read {
+                    // Many nodes that read for themselves must not overload the store.
+                    sleep(UPDATE_CHECK_INTERVAL * (node.poll_interval_factor() - 1)).await;
+                }
                 if is_unchanged && node.state.borrow().catalog.is_none() {
                     sleep(NO_CONFIG_PAUSE).await;
                 }
@@ -194,6 +229,28 @@
     }
 }
 
+/// Resolves when a read that waits so long for a change is overdue and the store has answered other calls of this
+/// node meanwhile: the read was lost, as on a connection that has gone silent. After each that was taken for lost, the next
+/// one gets twice as long: a long configuration may take its time. The nodes that poll this one are told as soon
+/// as it is overdue.
+async fn until_others_are_answered(node: &Node, wait: Duration, lost_reads: u32) {
+    let asked_at = node.now();
+    let max_response = OVERDUE_AFTER * (1 << lost_reads.min(MAX_OVERDUE_DOUBLINGS));
+    let overdue_at = asked_at + (wait + max_response).as_millis() as Millis;
+    let mut has_told = false;
+    loop {
+        sleep(OVERDUE_CHECK_INTERVAL).await;
+        let now = node.now();
+        if now >= node.catalog_reads.due() && !has_told {
+            has_told = true;
+            node.update_available.notify_waiters();
+        }
+        if now >= overdue_at && node.store_responded_at.get() >= overdue_at {
+            return;
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Adopted {
     version: u64,
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -129,6 +129,10 @@
         return;
     }
     let is_fresh = is_fresh(node);
+    if is_fresh && age(node).is_none() {
+        // No read has confirmed it since the process started.
+        return;
+    }
     if node.freshness.was_fresh.replace(is_fresh) != is_fresh {
         let event = if is_fresh { Event::ProofGained } else { Event::ProofLost };
         let version = node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -169,6 +169,9 @@
     #[serde(default)]
     #[serde(rename = "proof")]
     pub(crate) freshness: Option<(u64, u64)>,
+    /// By how many milliseconds the reads of the configuration are overdue on which the responding node depends.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) catalog_overdue_ms: Option<u64>,
     /// Configuration version and the log position up to which there is no newer one.
     #[serde(default)]
     #[serde(rename = "catalog_at")]
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -244,6 +244,7 @@
         let load_starts = update.load_ages_ms.iter().map(|age| received_at.saturating_sub(*age));
         node.state.borrow_mut().leader_loads = Some((fence, load_starts.collect()));
     }
+    node.catalog_reads.record_report(received_at, update.catalog_overdue_ms);
     node.record_reported_catalog(update.catalog_version);
     node.state.borrow_mut().nodes = update.nodes.max(1);
     if let Some(peer_addrs) = update.peer_addrs {
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -4,6 +4,7 @@
 use hgw_direct::{ListUpdate, broadcasts_sends};
 use tokio::time::timeout;
 
+use crate::catalog_reads;
 use crate::eras;
 use crate::freshness;
 use crate::leader;
@@ -63,6 +64,7 @@
         admitted_versions: versions::newer_than(node, request.versions_position),
         stream_replicas: streams::replicas_to_share(node, request.stream_replicas_digest),
         freshness: freshness::to_share(node),
+        catalog_overdue_ms: Some(catalog_reads::overdue(node)).filter(|overdue| *overdue > 0),
         catalog_position: node.catalog_position.get(),
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -21,6 +21,7 @@
 
 use crate::Settings;
 use crate::backoff::Backoff;
+use crate::catalog_reads::CatalogReads;
 use crate::clock::Clock;
 use crate::connection_gate::CallerGate;
 use crate::election::Leadership;
@@ -128,6 +129,8 @@
     pub(crate) catalog_position: Cell<Option<(u64, Cursor)>>,
     /// Whether a newer configuration is being fetched from a node that polls this one.
     pub(crate) is_fetching_catalog: Cell<bool>,
+    /// Whether the configuration is read as often as it should be.
+    pub(crate) catalog_reads: CatalogReads,
     /// Notified when the leader reports a newer configuration.
     pub(crate) catalog_reported: Notify,
     /// Whether this node reaches neither the store nor engines in other failure domains.
@@ -207,6 +210,7 @@
             reported_catalog: Cell::new(0),
             catalog_position: Cell::new(None),
             is_fetching_catalog: Cell::new(false),
+            catalog_reads: CatalogReads::default(),
             catalog_reported: Notify::new(),
             is_isolated: Cell::new(false),
             placement_changed: Notify::new(),
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/leader_reads.rs
@@ -0,0 +1,86 @@
+//! What one node reads from the store for all others, while its reads fail.
+
+use std::time::Duration;
+
+use hgw_standins::fleet::EngineSettings;
+use hgw_standins::fleet::deployment::{Fleet, configuration, holds, wait};
+use http::StatusCode;
+
+use crate::new_fleet;
+
+/// Time within which a configuration is in force after the store has acknowledged it, in the settings of tests.
+const APPLY_WITHIN: Duration = Duration::from_secs(2);
+
+/// Text of each read of the configuration.
+const CATALOG_READ: &str = "topic=keyed.op";
+
+/// So many nodes, of which the first is the leader.
+fn fleet_of(nodes: usize) -> (Fleet, Vec<usize>) {
+    let models = EngineSettings { holds: holds(&[("m", &[])]), ..EngineSettings::default() };
+    let mut fleet = new_fleet(vec![models]);
+    let mut started = vec![fleet.start("a")];
+    wait("the first node is the leader", || fleet.store.records("hgw-claims").len() > 1);
+    started.extend((1..nodes).map(|_| fleet.spawn("a")));
+    for node in &started {
+        wait("the node is ready", || fleet.nodes[*node].is_ready());
+    }
+    // From now on nodes with a hub poll the hub.
+    std::thread::sleep(Duration::from_secs(3));
+    (fleet, started)
+}
+
+/// Publishes a configuration with one more route, `/new/`.
+fn publish_new_route(fleet: &Fleet) {
+    let mut config = configuration(2);
+    let mut route = config["routes"][0].clone();
+    route["name"] = "new".into();
+    route["prefix"] = "/new/".into();
+    config["routes"].as_array_mut().unwrap().push(route);
+    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+}
+
+/// Publishes while the leader's reads of the configuration get no response, and all else does.
+fn play(nodes: usize) {
+    let (fleet, nodes) = fleet_of(nodes);
+    fleet.nodes[nodes[0]].to_store.lose(Some(CATALOG_READ));
+    // Longer than a read that had begun before may wait.
+    std::thread::sleep(Duration::from_millis(1_500));
+    publish_new_route(&fleet);
+    std::thread::sleep(APPLY_WITHIN);
+    for node in &nodes {
+        let served = fleet.nodes[*node].plain("/new/", &format!("call-{node}"));
+        let status = served.map(|answer| answer.status).ok();
+        assert_eq!(status, Some(StatusCode::OK), "node {node}");
+    }
+}
+
+/// Tests with so many nodes.
+macro_rules! lost_reads {
+    ($($(#[$why:meta])* $name:ident: $nodes:literal;)*) => {
+        $($(#[$why])* #[test] fn $name() { play($nodes); })*
+    };
+}
+
+lost_reads! {
+    /// Guards against a leader that tells all else and cannot read the configuration: no node would get it.
+    configuration_that_the_leader_cannot_read_reaches_three_nodes: 3;
+    /// The same with nine nodes.
+    configuration_that_the_leader_cannot_read_reaches_nine_nodes: 9;
+    /// The same with nodes that poll a hub.
+    configuration_that_the_leader_cannot_read_reaches_nodes_behind_a_hub: 14;
+}
+
+/// Reads for all nodes by each of them would be dear: while the leader reads, the others do not.
+#[test]
+fn nodes_read_no_configuration_while_the_leader_does() {
+    let (fleet, nodes) = fleet_of(4);
+    for node in &nodes[1..] {
+        fleet.nodes[*node].to_store.lose(Some(CATALOG_READ));
+    }
+    publish_new_route(&fleet);
+    std::thread::sleep(APPLY_WITHIN);
+    for node in &nodes {
+        let served = fleet.nodes[*node].plain("/new/", &format!("call-{node}"));
+        assert!(served.is_ok_and(|answer| answer.status == StatusCode::OK), "node {node}");
+    }
+}
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -29,6 +29,7 @@
 mod forwarding;
 mod hubs;
 mod keys;
+mod leader_reads;
 mod limits;
 mod log_lines;
 mod orders;
--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -8,6 +8,7 @@
 
 use indexmap::IndexMap;
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{oneshot, watch};
 
@@ -48,6 +49,8 @@
     condition: Condition,
     /// By process id.
     cuts: IndexMap<u32, ProcessCut>,
+    /// A connection that is sent a request with this text goes silent for good.
+    lost_text: Option<String>,
 }
 
 /// What becomes of a connection.
@@ -117,6 +120,11 @@
         self.state.send_modify(|state| state.condition = condition);
     }
 
+    /// Loses each request with this text from now on, and all that follows it on its connection; or none.
+    pub fn lose(&self, text: Option<&str>) {
+        self.state.send_modify(|state| state.lost_text = text.map(str::to_owned));
+    }
+
     /// Cuts one process off, or ends that.
     pub fn cut_process(&self, pid: u32, cut: Option<ProcessCut>) {
         self.state.send_modify(|state| match cut {
@@ -168,16 +176,48 @@
     socket.listen(BACKLOG)
 }
 
+/// Carries requests to the server until the client ends, but none that is to be lost.
+async fn carry_requests(
+    from: &mut (impl AsyncRead + Unpin),
+    to: &mut (impl AsyncWrite + Unpin),
+    states: &watch::Receiver<State>,
+) -> io::Result<()> {
+    let mut buf = vec![0; 16 << 10];
+    loop {
+        let length = from.read(&mut buf).await?;
+        if length == 0 {
+            return Ok(());
+        }
+        let is_lost = states.borrow().lost_text.as_ref().is_some_and(|text| {
+            buf[..length].windows(text.len()).any(|window| window == text.as_bytes())
+        });
+        if is_lost {
+            std::future::pending::<()>().await;
+        }
+        to.write_all(&buf[..length]).await?;
+    }
+}
+
 /// Carries one connection until it ends, or is cut.
 async fn carry(mut from: TcpStream, target: SocketAddr, mut states: watch::Receiver<State>) {
     let (Ok(addr), Ok(own_addr)) = (from.peer_addr(), from.local_addr()) else { return };
     let Ok(second_handle) = from.as_fd().try_clone_to_owned() else { return };
+    let losses = states.clone();
     let whole = async move {
         let Ok(mut to) = TcpStream::connect(target).await else { return };
         // Events are small writes that must not wait for each other.
         let _ = (from.set_nodelay(true), to.set_nodelay(true));
-        // How a connection ends is for its two ends to see.
-        let _ = tokio::io::copy_bidirectional(&mut from, &mut to).await;
+        let ((mut from_rd, mut from_wr), (mut to_rd, mut to_wr)) = (from.split(), to.split());
+        let requests = async {
+            let _ = carry_requests(&mut from_rd, &mut to_wr, &losses).await;
+            let _ = to_wr.shutdown().await;
+        };
+        let answers = async {
+            // How a connection ends is for its two ends to see.
+            let _ = tokio::io::copy(&mut to_rd, &mut from_wr).await;
+            let _ = from_wr.shutdown().await;
+        };
+        tokio::join!(requests, answers);
     };
     let mut whole = std::pin::pin!(whole);
     let mut is_new = true;
