Split crash_history into what is told, weighed and remembered

Moved as it was: what nodes tell each other (report, exchange), when subjects are weighed (weighing), the two generations of what was seen. No change of behaviour: crash_parts and crash_history pass.

--- a/crates/direct/src/crash_history/mod.rs
+++ b/crates/direct/src/crash_history/mod.rs
@@ -8,23 +8,24 @@
 //! the ends until then, as a part may begin to crash engines.
 
 mod blame;
+mod exchange;
+mod generations;
+mod report;
 mod suspect;
+mod weighing;
 
 use std::collections::VecDeque;
-use std::hash::Hash;
-use std::mem::{replace, take};
 
 use indexmap::{IndexMap, IndexSet};
-use serde::{Deserialize, Serialize};
 
 use crate::in_flight::EngineKey;
-use crate::{
-    ChangeLog, ChangePosition, CrashSubject, Engines, Millis, RankedSubject, RequestDigest,
-};
+use crate::{ChangeLog, CrashSubject, Engines, Millis, RankedSubject, RequestDigest};
 
-use blame::{Candidate, choose_blamed};
+use generations::Generations;
 use suspect::{Moment, Suspect};
 
+pub use report::{BlockedSubject, CrashReport, CrashState, Origin, Verdict};
+
 /// Engines that have ended under a subject before it is sent to no more.
 pub const ENDS_TO_BLOCK: usize = 3;
 
@@ -32,10 +33,6 @@
 /// attempt may end one more engine, with all that runs there.
 pub const ENDS_TO_STOP_RETRIES: usize = 2;
 
-/// Times as long for which a part that engines have outlived before is not weighed: a rack that ends has ended
-/// under all common parts.
-const DOUBT_OF_OUTLIVED: Millis = 3;
-
 /// Maximum number of subjects with fewer ends that are remembered.
 const MAX_SUSPECTS: usize = 4_096;
 
@@ -46,93 +43,6 @@
 /// out whether it is the culprit, for each such trial. A culprit ends that engine.
 const TRIAL_AFTER: [Millis; 3] = [1_000, 5_000, 60_000];
 
-/// Maximum number of subjects that are weighed against each other.
-const MAX_CANDIDATES: usize = 256;
-
-/// Size at which a generation of completed requests, or of outlived parts, replaces the one before.
-const COMPLETED_GENERATION: usize = 4_096;
-
-/// Maximum number of reports that are kept for a node that this one has not polled yet.
-const MAX_REPORTS: usize = 2_000;
-
-/// Maximum number of reports or states in one message, about 30 KB.
-const MAX_PER_MESSAGE: usize = 256;
-
-/// Who sends a request, as far as known: a caller's many requests do not replace those of others.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Origin(pub u64);
-
-/// What a node has seen of a subject.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum CrashReport {
-    /// An engine has ended under it.
-    Ended {
-        #[serde(rename = "digest")]
-        subject: CrashSubject,
-        origin: Origin,
-        engine: EngineKey,
-        /// How particular it is; see [`RankedSubject`].
-        #[serde(default)]
-        depth: u16,
-        /// How long ago, in milliseconds.
-        #[serde(default)]
-        age: Millis,
-    },
-    /// Another engine has outlived it.
-    Completed {
-        #[serde(rename = "digest")]
-        subject: CrashSubject,
-        /// How long ago, in milliseconds.
-        #[serde(default)]
-        age: Millis,
-    },
-}
-
-impl CrashReport {
-    pub fn is_of_part(&self) -> bool {
-        let (CrashReport::Ended { subject, .. } | CrashReport::Completed { subject, .. }) = self;
-        subject.is_part()
-    }
-
-    /// The report as it is sent so much later.
-    fn after(mut self, time: Millis) -> CrashReport {
-        let (CrashReport::Ended { age, .. } | CrashReport::Completed { age, .. }) = &mut self;
-        *age += time;
-        self
-    }
-}
-
-/// What is known of a subject under which several engines have ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashState {
-    #[serde(rename = "digest")]
-    pub subject: CrashSubject,
-    pub origin: Origin,
-    pub verdict: Verdict,
-    /// Engines that have ended under it, as far as that is not refuted.
-    pub engines: Vec<EngineKey>,
-    /// How long ago each of them ended, in milliseconds.
-    #[serde(default)]
-    pub ages: Vec<Millis>,
-    /// How long ago an engine is known to have outlived it, in milliseconds.
-    #[serde(default)]
-    pub outlived: Option<Millis>,
-    #[serde(default)]
-    pub depth: u16,
-    /// Trials that have been given.
-    #[serde(default)]
-    pub trials: usize,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Verdict {
-    Suspected,
-    /// It is sent to no engine any more.
-    Blocked,
-    /// An engine has answered it.
-    Acquitted,
-}
-
 /// Whether a subject may be sent to an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SendPermission {
@@ -157,19 +67,6 @@
     pub forget_after: Millis,
 }
 
-/// A blocked subject, as it is stored.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BlockedSubject {
-    pub origin: Origin,
-    #[serde(default)]
-    pub depth: u16,
-    #[serde(default)]
-    pub engines: Vec<EngineKey>,
-    /// Trials that have been given.
-    #[serde(default)]
-    pub trials: usize,
-}
-
 /// Subjects under which engines have ended, as far as this node knows.
 #[derive(Debug, Default)]
 pub struct CrashHistory {
@@ -196,30 +93,6 @@
     agreed_within: Millis,
 }
 
-/// What was seen last, in two generations.
-#[derive(Debug)]
-struct Generations<T>([IndexSet<T>; 2]);
-
-impl<T> Default for Generations<T> {
-    fn default() -> Self {
-        Generations([IndexSet::new(), IndexSet::new()])
-    }
-}
-
-impl<T: Eq + Hash> Generations<T> {
-    fn contains(&self, value: &T) -> bool {
-        self.0.iter().any(|generation| generation.contains(value))
-    }
-
-    fn insert(&mut self, value: T) {
-        let [current, previous] = &mut self.0;
-        current.insert(value);
-        if current.len() >= COMPLETED_GENERATION {
-            drop(replace(previous, take(current)));
-        }
-    }
-}
-
 impl CrashHistory {
     /// The history of a process with this identifier, which is not 0.
     pub fn new(process_id: u64) -> CrashHistory {
@@ -330,104 +203,6 @@
         ends
     }
 
-    /// Applies a report of a node that polls this one, which is passed on.
-    pub fn apply_report(&mut self, report: CrashReport, now: Millis) {
-        match report {
-            CrashReport::Ended { subject, age, .. }
-                if self.is_refuted(subject, Moment::ago(now, age)) =>
-            {
-                // The reporting node has to be told.
-                self.record_change(subject);
-            }
-            CrashReport::Ended { subject, origin, engine, depth, age } => {
-                let ranked = RankedSubject { subject, depth };
-                if self.add_end(ranked, origin, engine, Moment::ago(now, age), now) {
-                    self.add_report(report, now);
-                }
-            }
-            CrashReport::Completed { subject: subject @ CrashSubject::Request(_), .. } => {
-                self.record_completion(subject, now);
-            }
-            CrashReport::Completed { subject, age } => {
-                if self.outlive(subject, Moment::ago(now, age), now) {
-                    self.add_report(report, now);
-                }
-            }
-        }
-    }
-
-    /// Applies a report that its sender also sends to the node that it polls.
-    pub fn apply_broadcast(&mut self, report: CrashReport, now: Millis) {
-        match report {
-            CrashReport::Ended { subject, origin, engine, depth, age } => {
-                let ranked = RankedSubject { subject, depth };
-                self.add_end(ranked, origin, engine, Moment::ago(now, age), now);
-            }
-            CrashReport::Completed { subject, age } if subject.is_part() => {
-                self.outlive(subject, Moment::ago(now, age), now);
-            }
-            CrashReport::Completed { .. } => {}
-        }
-    }
-
-    /// Applies a state that the polled node sent.
-    pub fn apply_state(&mut self, state: &CrashState, now: Millis) {
-        match state.subject {
-            CrashSubject::Request(digest) => self.apply_request_state(state, digest, now),
-            CrashSubject::Part(_) => self.apply_part_state(state, now),
-        }
-    }
-
-    fn apply_request_state(&mut self, state: &CrashState, digest: RequestDigest, now: Millis) {
-        let CrashState { subject, origin, depth, .. } = *state;
-        match state.verdict {
-            Verdict::Acquitted => {
-                self.completed.insert(digest);
-                self.acquit(subject);
-            }
-            _ if self.completed.contains(&digest) => {
-                self.add_report(CrashReport::Completed { subject, age: 0 }, now);
-            }
-            Verdict::Blocked => {
-                let engines = state.engines.clone();
-                let blocked = BlockedSubject { origin, depth, engines, trials: 0 };
-                self.block(subject, blocked, now);
-            }
-            Verdict::Suspected => self.add_ends(state, now),
-        }
-    }
-
-    fn apply_part_state(&mut self, state: &CrashState, now: Millis) {
-        let CrashState { subject, origin, depth, trials, .. } = *state;
-        if let Some(age) = state.outlived {
-            self.outlive(subject, Moment::ago(now, age), now);
-        }
-        self.add_ends(state, now);
-        let suspect = self.suspects.get(&subject);
-        let outlived_at = suspect.and_then(Suspect::outlived_at);
-        let is_refuted = |(_, age)| self.is_refuted(subject, Moment::ago(now, age));
-        if let Some(outlived_at) = outlived_at.filter(|_| ends_of(state).any(is_refuted)) {
-            // The node that sent it has to be told.
-            let report = CrashReport::Completed { subject, age: outlived_at.age(now) };
-            self.add_report(report, now);
-        }
-        if state.verdict == Verdict::Blocked && self.ends(subject) >= ENDS_TO_BLOCK {
-            let engines = Vec::new();
-            self.block(subject, BlockedSubject { origin, depth, engines, trials }, now);
-        }
-        if let Some(suspect) = self.suspects.get_mut(&subject) {
-            suspect.trials = suspect.trials.max(trials);
-        }
-    }
-
-    fn add_ends(&mut self, state: &CrashState, now: Millis) {
-        let CrashState { subject, origin, depth, .. } = *state;
-        for (engine, age) in ends_of(state) {
-            let ranked = RankedSubject { subject, depth };
-            self.add_end(ranked, origin, engine, Moment::ago(now, age), now);
-        }
-    }
-
     /// Blocks a subject, unless an engine has outlived it.
     pub fn block(&mut self, subject: CrashSubject, blocked: BlockedSubject, now: Millis) {
         if matches!(subject, CrashSubject::Request(digest) if self.completed.contains(&digest)) {
@@ -494,118 +269,6 @@
         to_block
     }
 
-    /// Releases blocked subjects all of whose ends others explain by now.
-    fn release_explained(&mut self) {
-        for subject in take(&mut self.explained) {
-            let Some(suspect) = self.suspects.get_mut(&subject) else { continue };
-            if replace(&mut suspect.is_blocked, false) {
-                self.record_change(subject);
-            }
-        }
-    }
-
-    fn weigh_if_due(&mut self, now: Millis) {
-        if self.weigh_at.is_some_and(|at| now >= at) {
-            self.weigh(now);
-        }
-    }
-
-    /// Finds the subjects to blame. A part is weighed only once all nodes can know what others have seen
-    /// of it.
-    fn weigh(&mut self, now: Millis) {
-        self.weigh_at = None;
-        let mut candidates = Vec::new();
-        for (subject, suspect) in &self.suspects {
-            let Some(third_at) = suspect.time_of_end(ENDS_TO_BLOCK) else { continue };
-            let agreed_at = third_at + self.agreed_within(*subject);
-            if now < agreed_at && !suspect.is_blocked {
-                self.weigh_at = Some(self.weigh_at.map_or(agreed_at, |at| at.min(agreed_at)));
-                continue;
-            }
-            let (subject, depth, ends) = (*subject, suspect.depth, suspect.engines().collect());
-            candidates.push(Candidate { subject, depth, ends });
-        }
-        candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.ends.len()));
-        candidates.truncate(MAX_CANDIDATES);
-        self.blamed = choose_blamed(&candidates);
-        let subjects = candidates.iter().map(|candidate| candidate.subject);
-        self.explained = subjects.filter(|subject| !self.blamed.contains(subject)).collect();
-    }
-
-    /// Time in which nodes agree on a subject.
-    fn agreed_within(&self, subject: CrashSubject) -> Millis {
-        match subject {
-            CrashSubject::Request(_) => 0,
-            CrashSubject::Part(id) if self.outlived.contains(&id) => {
-                self.agreed_within * DOUBT_OF_OUTLIVED
-            }
-            CrashSubject::Part(_) => self.agreed_within,
-        }
-    }
-
-    /// Number of changes of what other nodes are told.
-    pub fn changes(&self) -> u64 {
-        self.changed.changes()
-    }
-
-    /// Whether there is nothing to tell a node that has seen the changes up to `position`.
-    pub fn is_up_to_date(&self, position: ChangePosition) -> bool {
-        self.changed.is_up_to_date(position)
-    }
-
-    /// States that changed after `position`, the earliest first, and the new position. Later polls
-    /// return what does not fit.
-    pub fn states_since(
-        &self,
-        position: ChangePosition,
-        now: Millis,
-    ) -> (ChangePosition, Vec<CrashState>) {
-        let (position, changed) = self.changed.since(position, MAX_PER_MESSAGE);
-        (position, changed.into_iter().map(|subject| self.state(subject, now)).collect())
-    }
-
-    /// Reports from this number on that still matter, and the number of the next one.
-    pub fn reports_since(&self, number: u64, now: Millis) -> (Vec<CrashReport>, u64) {
-        let from = number.max(self.dropped_reports);
-        let skipped = usize::try_from(from - self.dropped_reports).unwrap_or(usize::MAX);
-        let reports = self.reports.iter().skip(skipped).take(MAX_PER_MESSAGE);
-        let next = from + reports.len() as u64;
-        let aged = reports.map(|(at, report)| report.clone().after(now.saturating_sub(*at)));
-        let matters = |report: &CrashReport| match report {
-            CrashReport::Ended { subject, age, .. } => {
-                self.ends(*subject) > 0 && !self.is_refuted(*subject, Moment::ago(now, *age))
-            }
-            CrashReport::Completed { .. } => true,
-        };
-        (aged.filter(matters).collect(), next)
-    }
-
-    fn state(&self, subject: CrashSubject, now: Millis) -> CrashState {
-        let Some(suspect) = self.suspects.get(&subject) else {
-            return CrashState {
-                subject,
-                origin: Origin::default(),
-                verdict: Verdict::Acquitted,
-                engines: Vec::new(),
-                ages: Vec::new(),
-                outlived: None,
-                depth: 0,
-                trials: 0,
-            };
-        };
-        let (engines, ages) = suspect.ages(now).into_iter().unzip();
-        CrashState {
-            subject,
-            origin: suspect.origin,
-            verdict: if suspect.is_blocked { Verdict::Blocked } else { Verdict::Suspected },
-            engines,
-            ages,
-            outlived: suspect.outlived_at().map(|at| at.age(now)),
-            depth: suspect.depth,
-            trials: suspect.trials,
-        }
-    }
-
     /// Whether an engine that ended then is known not to have ended because of a subject.
     fn is_refuted(&self, subject: CrashSubject, ended_at: Moment) -> bool {
         match subject {
@@ -707,23 +370,4 @@
             self.record_change(subject);
         }
     }
-
-    fn record_change(&mut self, subject: CrashSubject) {
-        self.changed.record(&subject);
-        self.changed.truncate(MAX_SUSPECTS + MAX_BLOCKED);
-    }
-
-    fn add_report(&mut self, report: CrashReport, now: Millis) {
-        self.reports.push_back((now, report));
-        if self.reports.len() > MAX_REPORTS {
-            self.reports.pop_front();
-            self.dropped_reports += 1;
-        }
-    }
-}
-
-/// The engines of a state, and how long ago each ended.
-fn ends_of(state: &CrashState) -> impl Iterator<Item = (EngineKey, Millis)> {
-    let ages = state.ages.iter().copied().chain(std::iter::repeat(0));
-    state.engines.iter().copied().zip(ages)
 }
--- a/crates/hibiscusgw/tests/platform/hubs.rs
+++ b/crates/hibiscusgw/tests/platform/hubs.rs
@@ -6,7 +6,7 @@
 
 use hgw_direct::hubs::{Member, candidates};
 use hgw_standins::client::Caller;
-use hgw_standins::fleet::deployment::{HOST, Node, configuration, holds, wait};
+use hgw_standins::fleet::deployment::{HOST, Node, configuration_with_route, holds, wait};
 use hgw_standins::fleet::{EngineSettings, Fleet};
 use hgw_standins::{Count, Faults, Late};
 use http::{Method, StatusCode};
@@ -67,7 +67,11 @@
     let calls = store_calls_per_second(&fleet, Duration::from_secs(4));
     assert!(calls < 30.0, "{calls} calls a second");
     fleet.store.fault(&Faults::default());
-    fleet.store.put("keyed.op", "config", config_with_new_route().to_string().as_bytes());
+    fleet.store.put(
+        "keyed.op",
+        "config",
+        configuration_with_route(2, "new").to_string().as_bytes(),
+    );
     for node in &fleet.nodes {
         wait("the new route is served", || {
             node.plain("/new/", "call-1").is_ok_and(|a| a.status == StatusCode::OK)
@@ -75,15 +79,6 @@
     }
 }
 
-fn config_with_new_route() -> serde_json::Value {
-    let mut config = configuration(2);
-    let mut route = config["routes"][0].clone();
-    route["name"] = "new".into();
-    route["prefix"] = "/new/".into();
-    config["routes"].as_array_mut().unwrap().push(route);
-    config
-}
-
 /// Nodes must learn that an engine is draining even if both hubs of their domain are killed at once;
 /// otherwise the engine cuts off the work that they send.
 #[test]
--- a/crates/hibiscusgw/tests/platform/leader_reads.rs
+++ b/crates/hibiscusgw/tests/platform/leader_reads.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hgw_standins::fleet::EngineSettings;
-use hgw_standins::fleet::deployment::{Fleet, configuration, holds, wait};
+use hgw_standins::fleet::deployment::{Fleet, configuration_with_route, holds, wait};
 use http::StatusCode;
 
 use crate::new_fleet;
@@ -29,23 +29,13 @@
     (fleet, started)
 }
 
-/// Publishes a configuration with one more route, `/new/`.
-fn publish_new_route(fleet: &Fleet) {
-    let mut config = configuration(2);
-    let mut route = config["routes"][0].clone();
-    route["name"] = "new".into();
-    route["prefix"] = "/new/".into();
-    config["routes"].as_array_mut().unwrap().push(route);
-    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
-}
-
 /// Publishes while the leader's reads of the configuration get no response, and all else does.
 fn play(nodes: usize) {
     let (fleet, nodes) = fleet_of(nodes);
     fleet.nodes[nodes[0]].to_store.lose(Some(CATALOG_READ));
     // Longer than a read that had begun before may wait.
     std::thread::sleep(Duration::from_millis(1_500));
-    publish_new_route(&fleet);
+    fleet.publish(&configuration_with_route(2, "new"));
     std::thread::sleep(APPLY_WITHIN);
     for node in &nodes {
         let served = fleet.nodes[*node].plain("/new/", &format!("call-{node}"));
@@ -77,7 +67,7 @@
     for node in &nodes[1..] {
         fleet.nodes[*node].to_store.lose(Some(CATALOG_READ));
     }
-    publish_new_route(&fleet);
+    fleet.publish(&configuration_with_route(2, "new"));
     std::thread::sleep(APPLY_WITHIN);
     for node in &nodes {
         let served = fleet.nodes[*node].plain("/new/", &format!("call-{node}"));
--- a/crates/hibiscusgw/tests/platform/restores.rs
+++ b/crates/hibiscusgw/tests/platform/restores.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hgw_standins::Faults;
-use hgw_standins::fleet::deployment::{configuration, holds, wait};
+use hgw_standins::fleet::deployment::{configuration, configuration_with_route, holds, wait};
 use hgw_standins::fleet::store::Backup;
 use hgw_standins::fleet::{EngineSettings, Fleet};
 use hgw_standins::link::Condition;
@@ -429,12 +429,7 @@
     wait("the first node is the leader", || fleet.store.records("hgw-claims").len() > 1);
     let second = fleet.start("b");
     let backup = fleet.store.backup();
-    let mut config = configuration(2);
-    let mut route = config["routes"][0].clone();
-    route["name"] = "new".into();
-    route["prefix"] = "/new/".into();
-    config["routes"].as_array_mut().unwrap().push(route);
-    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+    fleet.publish(&configuration_with_route(2, "new"));
     let serves = |fleet: &Fleet, node: usize, id: &str| {
         fleet.nodes[node].plain("/new/", id).is_ok_and(|a| a.status == StatusCode::OK)
     };
--- a/crates/hibiscusgw/tests/platform/store_disconnects.rs
+++ b/crates/hibiscusgw/tests/platform/store_disconnects.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 use rustix::process::Signal;
 
-use hgw_standins::fleet::deployment::{configuration, holds, wait};
+use hgw_standins::fleet::deployment::{configuration, configuration_with_route, holds, wait};
 
 use crate::new_fleet;
 
@@ -21,13 +21,7 @@
     wait("the first node is the leader", || fleet.store.records("hgw-claims").len() > 1);
     let other = fleet.start("b");
     fleet.nodes[other].to_store.set(Condition::Cut);
-    let mut config = configuration(2);
-    let route = config["routes"][0].clone();
-    let routes = config["routes"].as_array_mut().unwrap();
-    routes.push(route);
-    routes[4]["name"] = "new".into();
-    routes[4]["prefix"] = "/new/".into();
-    fleet.store.put("keyed.op", "config", config.to_string().as_bytes());
+    fleet.publish(&configuration_with_route(2, "new"));
     for node in [leader, other] {
         wait("the new route is served", || {
             fleet.nodes[node].plain("/new/", "call-1").is_ok_and(|a| a.status == StatusCode::OK)
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -99,7 +99,22 @@
     })
 }
 
+/// The same with one more route to the plain service, under `/NAME/`.
+pub fn configuration_with_route(version: u64, name: &str) -> Value {
+    let mut config = configuration(version);
+    let mut route = config["routes"][0].clone();
+    route["name"] = name.into();
+    route["prefix"] = format!("/{name}/").into();
+    config["routes"].as_array_mut().expect("routes are a list").push(route);
+    config
+}
+
 impl Fleet {
+    /// Publishes a configuration.
+    pub fn publish(&self, config: &Value) {
+        self.store.put("keyed.op", "config", config.to_string().as_bytes());
+    }
+
     /// A store with a configuration, two plain engines and these engines of models, and no node; nodes run
     /// this program.
     pub fn new(program: impl Into<PathBuf>, models: Vec<EngineSettings>) -> Fleet {
