Refuse connections only while the process runs a quarter of a second late

The bound is now 250 ms, and the share returns within a second. The test's bound for what is read too late is the callers' second, and a delay of 81 ms refuses nobody.

--- a/crates/direct/src/connection_gate.rs
+++ b/crates/direct/src/connection_gate.rs
@@ -9,21 +9,22 @@
 /// Interval at which the delay of the process is measured.
 pub const DELAY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Mean delay from which fewer connections are taken. Callers notice it as a pause.
-const CLOSE_ABOVE: Duration = Duration::from_millis(80);
+/// Mean delay from which fewer connections are taken. Callers leave a node that has not read their request after
+/// a second.
+const CLOSE_ABOVE: Duration = Duration::from_millis(250);
 
 /// Mean delay up to which more connections are taken again.
-const OPEN_BELOW: Duration = Duration::from_millis(30);
+const OPEN_BELOW: Duration = Duration::from_millis(100);
 
 /// A longer delay counts as this one: a machine that was suspended once is not overloaded.
-const MAX_DELAY: Duration = Duration::from_millis(150);
+const MAX_DELAY: Duration = Duration::from_millis(500);
 
 /// Weight of a new delay in the mean.
 const NEW_WEIGHT: f64 = 0.2;
 
 /// Factor by which the share decreases in each interval, and by how much it increases.
 const DECREASE: f64 = 0.85;
-const INCREASE: f64 = 0.02;
+const INCREASE: f64 = 0.05;
 
 /// Least share of the connections that is taken, by which a node notices that it can serve again.
 const MIN_SHARE: f64 = 0.05;
