Only a refused connection is evidence of an engine's end

A connection that times out or is reset on the way says that a path is cut. With whole requests three such ends needed the same request at three engines; a common part is under way at all of them, so a node that lost its path to some engines and not to all could have had the part suspended until others outlived it or the list refuted it. Read in the code while a failed test was traced, whose cause it was not.

--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -89,8 +89,9 @@
             node.pool.put(addr, conn);
             Some(false)
         }
-        // A node that reaches no engine at all is no witness of an engine's end.
-        Err(_) if engine_path::confirm(node, &attempt.engine).await => {
+        // What does not answer, or is reset on the way, may be cut off; what has ended refuses. A node that
+        // reaches no engine at all is no witness of an engine's end.
+        Err(e) if e.is_refused() && engine_path::confirm(node, &attempt.engine).await => {
             record_end(node, attempt);
             Some(true)
         }
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -24,4 +24,12 @@
     },
 }
 
+impl Error {
+    /// Whether nobody listens at the address.
+    pub fn is_refused(&self) -> bool {
+        let Error::Connect { source } = self else { return false };
+        source.kind() == io::ErrorKind::ConnectionRefused
+    }
+}
+
 pub type Result<T> = std::result::Result<T, Error>;
