Trials of a part are stored, and are not kept waiting for ever

Two gaps, found by reading the change and by the new test, which failed first: the store's entry was written once, so that a restart of all gave three more trials; and where all requests with the part share another suspect (the first part, with no sound request meanwhile) no request was clear enough for a trial, so there was none. The entry is written again with each trial; after five seconds any request with the part may be the trial. Test: crashing_parts::nodes_that_start_know_the_part_and_the_trials_that_it_had.

--- a/crates/gateway/src/crashes/blocked.rs
+++ b/crates/gateway/src/crashes/blocked.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hgw_direct::{BlockedSubject, CrashSubject, JudgeParams, Millis, broadcasts_sends};
-use indexmap::IndexSet;
+use indexmap::IndexMap;
 use tokio::time::sleep;
 
 use crate::backoff::wait_to_retry;
@@ -36,6 +36,9 @@
 /// Time after which an engine's end is no evidence any more.
 const FORGET_AFTER: Duration = Duration::from_mins(15);
 
+/// The subjects in the store, each with the trials that are stored with it.
+type StoredTrials = IndexMap<CrashSubject, usize>;
+
 /// Judges reports, and keeps the blocked subjects in the store if this node is the leader, until the
 /// process ends.
 pub(crate) async fn follow(node: Node) {
@@ -47,7 +50,7 @@
         }
     }
     // Subjects in the store, read anew by each new leader.
-    let mut stored: Option<IndexSet<CrashSubject>> = None;
+    let mut stored: Option<StoredTrials> = None;
     let mut era = node.era.get().era();
     loop {
         judge(&node);
@@ -86,14 +89,14 @@
 }
 
 /// Reads the blocked subjects from the store; returns them.
-async fn read_blocked(node: &Node) -> Option<IndexSet<CrashSubject>> {
+async fn read_blocked(node: &Node) -> Option<StoredTrials> {
     let entries = node.protocols.store.blocked_requests().await.ok()?;
-    let mut stored = IndexSet::new();
+    let mut stored = StoredTrials::new();
     for (key, value) in entries {
         let Ok(subject) = key.parse() else { continue };
-        stored.insert(subject);
-        let now = node.now();
-        update(node, |crashes| crashes.block(subject, decode(subject, &value), now));
+        let (blocked, now) = (decode(subject, &value), node.now());
+        stored.insert(subject, blocked.trials);
+        update(node, |crashes| crashes.block(subject, blocked, now));
     }
     node.knows_blocked_requests.set(true);
     Some(stored)
@@ -118,24 +121,27 @@
     }
 }
 
+/// Whether a blocked subject is not stored as it is now. Trials of a request are not stored, as there are none.
+fn is_new(stored: &StoredTrials, subject: CrashSubject, blocked: &BlockedSubject) -> bool {
+    stored.get(&subject).is_none_or(|trials| subject.is_part() && *trials != blocked.trials)
+}
+
 /// Stores or removes one subject whose entry in the store is not as it should be.
-async fn store_change(node: &Node, stored: &mut IndexSet<CrashSubject>) {
+async fn store_change(node: &Node, stored: &mut StoredTrials) {
     let blocked: Vec<(CrashSubject, BlockedSubject)> = node.crashes.borrow().blocked().collect();
-    let new = blocked.iter().find(|(subject, _)| !stored.contains(subject));
-    let released = || stored.iter().find(|subject| !node.crashes.borrow().is_blocked(**subject));
-    let (subject, entry) = match (new, released()) {
-        (Some((subject, blocked)), _) => (*subject, Some(encode(*subject, blocked))),
+    let new = blocked.iter().find(|(subject, blocked)| is_new(stored, *subject, blocked));
+    let released = || stored.keys().find(|subject| !node.crashes.borrow().is_blocked(**subject));
+    let (subject, blocked) = match (new, released()) {
+        (Some((subject, blocked)), _) => (*subject, Some(blocked)),
         (None, Some(subject)) => (*subject, None),
         (None, None) => return,
     };
-    let is_blocked = entry.is_some();
-    let entry = entry.unwrap_or_default();
+    let entry = blocked.map(|blocked| encode(subject, blocked)).unwrap_or_default();
     if node.protocols.store.store_blocked_request(&subject.to_string(), entry).await.is_ok() {
-        if is_blocked {
-            stored.insert(subject);
-        } else {
-            stored.shift_remove(&subject);
-        }
+        match blocked {
+            Some(blocked) => stored.insert(subject, blocked.trials),
+            None => stored.shift_remove(&subject),
+        };
         sleep(WRITE_PAUSE).await;
     } else {
         wait_to_retry(node).await;
--- a/crates/gateway/src/relay/withhold.rs
+++ b/crates/gateway/src/relay/withhold.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hgw_direct::{
-    CrashSubject, ENDS_TO_STOP_RETRIES, Origin, RankedSubject, Refusal, SendPermission,
+    CrashSubject, ENDS_TO_STOP_RETRIES, Millis, Origin, RankedSubject, Refusal, SendPermission,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::Framing;
@@ -18,6 +18,9 @@
 use super::request::RelayedRequest;
 use super::source::Source;
 
+/// Time that a due trial waits for a request without another suspect.
+const UNCLEAR_TRIAL_AFTER: Duration = Duration::from_secs(5);
+
 /// A request that is sent to no engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Withheld {
@@ -44,15 +47,17 @@
         }
     }
 
-    /// Whether the withheld request may be sent as a trial of its part, which is then the only suspect in
-    /// it.
+    /// Whether the withheld request may be sent as a trial of its part. One in which nothing else is suspected
+    /// proves most; another one does after a while.
     pub(super) async fn begin_trial(&mut self, withheld: Withheld) -> bool {
         let is_only_suspect = self.subjects.iter().all(|RankedSubject { subject, .. }| {
             *subject == withheld.subject
                 || self.node.crashes.borrow().ends(*subject) < ENDS_TO_STOP_RETRIES
         });
+        let since = if is_only_suspect { Duration::ZERO } else { UNCLEAR_TRIAL_AFTER };
+        let due_at = self.node.now().saturating_sub(since.as_millis() as Millis);
         if self.is_forwarded
-            || !is_only_suspect
+            || !self.node.crashes.borrow().is_trial_due(withheld.subject, due_at)
             || !crashes::request_trial(&self.node, withheld.subject).await
         {
             return false;
--- a/crates/hibiscusgw/tests/platform/crashing_parts.rs
+++ b/crates/hibiscusgw/tests/platform/crashing_parts.rs
@@ -206,6 +206,40 @@
     assert!(meanwhile >= usual / 2.0, "{meanwhile} of the sound requests began, {usual} before");
 }
 
+/// What lasts must not be lost with the nodes: after all were killed, requests with the part must not be given as many
+/// trials as before.
+#[test]
+fn nodes_that_start_know_the_part_and_the_trials_that_it_had() {
+    let mut fleet = fleet(&SCENARIO);
+    let nodes: Vec<usize> = (0..2).map(|_| fleet.start("a")).collect();
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| restart_engines(&fleet, &stop));
+        let _stopping = Stop(&stop);
+        let mut number = 0;
+        wait("a trial is in the store", || {
+            number += 1;
+            let node = nodes[number % nodes.len()];
+            send(&fleet, node, &format!("crash-{number}"), SCENARIO.prompts.crashing);
+            let records = fleet.store.records("keyed.hgw-blocked");
+            records.iter().any(|record| {
+                let text = String::from_utf8_lossy(record);
+                text.contains("part:dead") && text.contains(r#""trials":1"#)
+            })
+        });
+    });
+    for node in &nodes {
+        fleet.nodes[*node].kill();
+    }
+    let restarted = fleet.start("a");
+    // By now another first trial would be due.
+    std::thread::sleep(Duration::from_millis(1_500));
+    for number in 0..5 {
+        let status = send(&fleet, restarted, &format!("late-{number}"), SCENARIO.prompts.crashing);
+        assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    }
+}
+
 /// Tests of a scenario.
 macro_rules! scenarios {
     ($($(#[$why:meta])* $name:ident: $scenario:expr;)*) => {
