A new leader's first read of the configuration is not overdue while it waits for a change

Found by reading the change: a node that others had read for reported overdue reads from the moment at which it began to read, for up to the second that its first read waits, so that all nodes read the store at each change of the leader: some thousand calls at 986 nodes. The first read has the same time as any other. leader_reads and store_disconnects pass; calls were not measured at that size.

--- a/crates/gateway/src/catalog_reads.rs
+++ b/crates/gateway/src/catalog_reads.rs
@@ -30,9 +30,10 @@
 }
 
 impl CatalogReads {
-    /// Records a successful read; the next one may wait for so long.
-    pub(crate) fn record_success(&self, now: Millis, next_wait: Duration) {
-        self.due.set(now + (next_wait + RESPONSE_MARGIN).as_millis() as Millis);
+    /// Records that a read that may wait for so long begins in due time: after a successful one, or as the first
+    /// of a node that others have read for.
+    pub(crate) fn expect(&self, now: Millis, wait: Duration) {
+        self.due.set(now + (wait + RESPONSE_MARGIN).as_millis() as Millis);
     }
 
     /// Time by which a read of this node should have succeeded.
--- a/crates/gateway/src/follow/catalog.rs
+++ b/crates/gateway/src/follow/catalog.rs
@@ -51,13 +51,15 @@
     newest: Option<u64>,
     /// Reads in a row that were taken for lost.
     lost_reads: u32,
+    /// Whether another node was reading until now.
+    has_followed: bool,
     link: StoreLink,
 }
 
 impl CatalogReader {
     fn new(node: Node) -> CatalogReader {
         let link = StoreLink::new(&node, "configuration");
-        CatalogReader { node, cursor: None, newest: None, lost_reads: 0, link }
+        CatalogReader { node, cursor: None, newest: None, lost_reads: 0, has_followed: false, link }
     }
 
     /// Waits for a change, or reads the store once.
@@ -68,6 +70,7 @@
         let is_outdated = node.is_catalog_outdated();
         if has_leader_updates && !is_outdated && !needs_store_check(&node) && !must_read {
             // The leader reads the store for all nodes.
+            self.has_followed = true;
             let _ = timeout(UPDATE_CHECK_INTERVAL, node.catalog_reported.notified()).await;
             return;
         }
@@ -84,6 +87,10 @@
         let reads_at_once = self.link.is_down() || has_leader_updates && !must_read;
         let wait = if reads_at_once { Duration::ZERO } else { max_wait };
         let asked_at = boot_time();
+        if std::mem::take(&mut self.has_followed) {
+            // A new leader's first read waits for a change like any other and is not overdue meanwhile.
+            node.catalog_reads.expect(node.now(), wait);
+        }
         match self.read(wait, is_reported).await {
             Some(Ok(update)) => {
                 self.apply(update, asked_at, max_wait).await;
@@ -151,7 +158,7 @@
         let has_none = is_unchanged && node.state.borrow().catalog.is_none();
         if self.newest.is_some() || has_none {
             // One that this release cannot parse counts as not read: others may be able to.
-            node.catalog_reads.record_success(node.now(), next_wait);
+            node.catalog_reads.expect(node.now(), next_wait);
         }
         if has_none {
             sleep(NO_CONFIG_PAUSE).await;
