Log where the text of a configuration comes from, and how much of it arrived when a fetch fails

Now 3001 says by whom, how many bytes and how long reading took, and 3007 says from whom a fetch failed, after how many bytes and milliseconds, and why. The fetches move to a file of their own; what they do stays.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -66,6 +66,7 @@
     ConfigLost = 3004, Warn, "no configuration is stored anywhere; this node starts without one";
     ProofLost = 3005, Warn, "the configuration is not confirmed as current; requests with keys are refused";
     ProofGained = 3006, Info, "the configuration is confirmed as current";
+    ConfigFetchFailed = 3007, Info, "the text of a configuration did not arrive from another node; it is requested again";
     LogDown = 3101, Warn, "the platform's log does not respond";
     LogUp = 3102, Info, "the platform's log responds again";
     StoreCameBack = 3103, Warn, "the platform's store was restored from a backup; lost records are rewritten";
--- a/crates/gateway/src/follow/catalog.rs
+++ b/crates/gateway/src/follow/catalog.rs
@@ -1,12 +1,14 @@
 //! Keeps the configuration up to date.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use derive_more::Display;
 use hgw_direct::{Millis, VersionCheck};
 use hgw_events::{Event, emit};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::backoff::{retry_pause, wait_to_retry};
 use crate::catalog_reads;
@@ -76,8 +78,8 @@
         }
         let is_reported = has_leader_updates && is_outdated;
         if is_reported
-            && let Some(text) = peers::fetch_catalog(&node).await
-            && adopt(&node, text).is_some_and(|adopted| adopted.is_newer)
+            && let Some((text, peer)) = peers::fetch_catalog(&node).await
+            && adopt(&node, text, TextSource::Peer(peer)).is_some_and(|adopted| adopted.is_newer)
         {
             return;
         }
@@ -149,7 +151,7 @@
         self.cursor = Some(update.cursor);
         let is_unchanged = update.catalog.is_none();
         if let Some(text) = update.catalog {
-            self.newest = adopt(node, text).map(|adopted| adopted.version);
+            self.newest = adopt(node, text, TextSource::Store).map(|adopted| adopted.version);
         }
         if let Some(newest) = self.newest {
             freshness::record_store_read(node, VersionCheck { newest, asked_at });
@@ -222,14 +224,24 @@
     is_newer: bool,
 }
 
+/// Where the text of a configuration comes from.
+#[derive(Debug, Clone, Copy, Display)]
+pub(crate) enum TextSource {
+    #[display("store")]
+    Store,
+    /// Another node.
+    Peer(SocketAddr),
+}
+
 /// Puts a configuration in force if it is newer. Returns none if it cannot be parsed.
-pub(crate) fn adopt(node: &Node, text: Bytes) -> Option<Adopted> {
+pub(crate) fn adopt(node: &Node, text: Bytes, source: TextSource) -> Option<Adopted> {
     let known = node.state.borrow().catalog.as_ref().map(|catalog| catalog.version);
     if let Some(version) = known
         && node.state.borrow().catalog_text == text
     {
         return Some(Adopted { version, is_newer: false });
     }
+    let parse_started_at = Instant::now();
     let catalog = match node.protocols.store.parse_catalog(&text) {
         Ok(catalog) => catalog,
         Err(e) => {
@@ -242,7 +254,16 @@
     if known.is_some_and(|known| known >= version) {
         return Some(Adopted { version, is_newer: false });
     }
-    emit(Event::ConfigInForce, &[("node", &node.settings.borrow().node), ("version", &version)]);
+    emit(
+        Event::ConfigInForce,
+        &[
+            ("node", &node.settings.borrow().node),
+            ("version", &version),
+            ("by", &source),
+            ("bytes", &text.len()),
+            ("parse_us", &parse_started_at.elapsed().as_micros()),
+        ],
+    );
     let mut state = node.state.borrow_mut();
     state.catalog = Some(Arc::new(catalog));
     state.catalog_text = text;
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -15,7 +15,7 @@
 use crate::protocol::StoreError;
 use crate::shared::Node;
 
-pub(crate) use catalog::{adopt, catalog};
+pub(crate) use catalog::{TextSource, adopt, catalog};
 pub(crate) use engines::engines;
 
 /// Interval at which a starting node checks for updates from the leader.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! Communication between nodes: polls for updates, placement requests and load reports.
 
+mod catalog_text;
 mod children;
 mod datagrams;
 mod forwarding;
@@ -30,12 +31,13 @@
 use crate::crashes::{self, TrialRequest, TrialResponse};
 use crate::engine_limits;
 use crate::eras;
-use crate::follow;
 use crate::leader;
 use crate::quotas;
 use crate::response::{CallerResponse, ResponseBody, ResponseResult, json_error};
 use crate::shared::Node;
 
+pub(crate) use catalog_text::fetch_catalog;
+use catalog_text::fetch_newer_catalog;
 pub(crate) use children::Children;
 pub(crate) use datagrams::{Datagram, PeerSocket, receive};
 pub(crate) use forwarding::{FORWARDED, ForwardOutcome, ForwardedRequest, find_forwarders};
@@ -100,30 +102,6 @@
     }
 }
 
-/// Fetches the configuration from the node that this one polls.
-pub(crate) async fn fetch_catalog(node: &Node) -> Option<Bytes> {
-    let (_, addr) = node.parent()?;
-    let req = Request::post("/catalog", "peer", Bytes::new());
-    send_request(node, addr, &req, RESPONSE_TIMEOUT).await.ok().filter(|text| !text.is_empty())
-}
-
-/// Fetches a newer configuration from a node that polls this one. This node cannot read it from the
-/// store if a restore from a backup lost that version and the node started afterwards.
-fn fetch_newer_catalog(node: &Node, from: SocketAddr, newest: u64) {
-    if newest <= poll_response::catalog_version(node) || node.is_fetching_catalog.replace(true) {
-        return;
-    }
-    let node = Node::clone(node);
-    tokio::task::spawn_local(async move {
-        let req = Request::post("/catalog", "peer", Bytes::new());
-        // After a failure the next poll of that node tries again.
-        if let Ok(text) = send_request(&node, from, &req, RESPONSE_TIMEOUT).await {
-            follow::adopt(&node, text);
-        }
-        node.is_fetching_catalog.set(false);
-    });
-}
-
 /// Makes this node poll another hub for a while.
 pub(crate) fn mark_unresponsive(node: &Node, hub: SocketAddr) {
     node.hubs.borrow_mut().skip(hub, SkipReason::Unresponsive, node.now());
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -309,6 +309,11 @@
         }
     }
 
+    /// Newest configuration version that the leader reported.
+    pub(crate) fn reported_catalog(&self) -> u64 {
+        self.reported_catalog.get()
+    }
+
     /// Whether the leader reported a newer configuration than this node has.
     pub(crate) fn is_catalog_outdated(&self) -> bool {
         let version = self.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
