--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -65,8 +65,9 @@
 ) -> io::Result<ExitReason> {
     let callers = listen::listen(settings.caller_addr)?;
     let ready = listen::listen(settings.ready_addr)?;
-    let peer_listener = listen::listen(settings.peer_addr)?;
-    let datagrams = UdpSocket::bind(settings.peer_addr).await;
+    let peer_addr = settings.peer_listener.unwrap_or(settings.peer_addr);
+    let peer_listener = listen::listen(peer_addr)?;
+    let datagrams = UdpSocket::bind(peer_addr).await;
     let metrics = listen::listen(settings.metrics_addr);
     let node = Shared::new(settings, protocols);
     let spawn = |task: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -14,8 +14,10 @@
     pub caller_addr: SocketAddr,
     /// Listen address for readiness checks.
     pub ready_addr: SocketAddr,
-    /// Listen address for other nodes.
+    /// Address at which other nodes reach this one.
     pub peer_addr: SocketAddr,
+    /// Listen address for other nodes, if it is another one.
+    pub peer_listener: Option<SocketAddr>,
     /// Listen address for metrics.
     pub metrics_addr: SocketAddr,
     /// Maximum time from the stop signal to the end of the process.
--- a/crates/hibiscusgw/src/command.rs
+++ b/crates/hibiscusgw/src/command.rs
@@ -69,6 +69,10 @@
     /// Address to listen on for operators (default: 127.0.0.1:8082)
     #[options(no_short, meta = "IP:PORT")]
     pub(crate) operators: Option<String>,
+    /// Address to listen on for peers where it differs from the one at which they reach this node, only with a
+    /// settings file (default: that of --peers)
+    #[options(no_short, meta = "IP:PORT")]
+    pub(crate) peers_listener: Option<String>,
     /// Address at which peers reach this node (default: that of --peers)
     #[options(no_short, meta = "IP:PORT")]
     pub(crate) advertise: Option<String>,
--- a/crates/hibiscusgw/src/settings.rs
+++ b/crates/hibiscusgw/src/settings.rs
@@ -122,6 +122,7 @@
     pub(crate) log_level: LevelFilter,
     callers: Option<SocketAddr>,
     peers: Option<SocketAddr>,
+    peers_listener: Option<SocketAddr>,
     metrics: Option<SocketAddr>,
     max_connections: Option<usize>,
 }
@@ -139,6 +140,7 @@
             log_level: reader.choice("log-level", &flags.log_level, "info", levels),
             callers: reader.optional_addr("callers", &flags.callers),
             peers: reader.optional_addr("peers", &flags.peers),
+            peers_listener: reader.optional_addr("peers-listener", &flags.peers_listener),
             metrics: reader.optional_addr("metrics", &flags.metrics),
             max_connections: is_given.then_some(max),
         };
@@ -149,6 +151,7 @@
         hgw_gateway::Settings {
             caller_addr: self.callers.unwrap_or(settings.caller_addr),
             peer_addr: self.peers.unwrap_or(settings.peer_addr),
+            peer_listener: self.peers_listener.or(settings.peer_listener),
             metrics_addr: self.metrics.unwrap_or(settings.metrics_addr),
             max_connections: self.max_connections.unwrap_or(settings.max_connections),
             ..settings
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -32,6 +32,7 @@
 mod leader_reads;
 mod limits;
 mod log_lines;
+mod long_configuration;
 mod orders;
 mod random_faults;
 mod restarts;
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -13,7 +13,7 @@
 use super::engine::{self, Engine};
 use super::{EngineSettings, Holds, Store};
 use crate::client::{Caller, Result, Whole};
-use crate::link::{Link, ProcessCut};
+use crate::link::{Link, ProcessCut, Rate, Rates};
 
 /// Longest wait for anything: a guard against hanging, far above what is expected.
 const GUARD: Duration = Duration::from_secs(60);
@@ -37,11 +37,22 @@
     pub to_engines: Vec<Link>,
     /// All nodes that were started.
     pub nodes: Vec<Node>,
+    /// What the links of nodes that are started from now on carry.
+    pub links: NodeLinks,
     program: PathBuf,
     folder: PathBuf,
     next: usize,
 }
 
+/// What the links of nodes carry; everything, unless told.
+#[derive(Debug, Clone, Default)]
+pub struct NodeLinks {
+    /// Bytes per second in each direction of a node's own link, shared by the store and other nodes.
+    pub bytes_per_s: Option<f64>,
+    /// What the store gives to all nodes together.
+    pub store_reads: Option<Rate>,
+}
+
 /// A node's process.
 #[derive(Debug)]
 pub struct Node {
@@ -59,6 +70,8 @@
     pub settings: PathBuf,
     /// Its way to the store.
     pub to_store: Link,
+    /// The way of other nodes to it, and where it listens behind that, if its link has a rate.
+    from_peers: Option<(Link, SocketAddr)>,
     child: Child,
 }
 
@@ -135,7 +148,8 @@
         let folder = std::env::temp_dir().join(format!("hgw-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("the folder can be made");
         let (program, nodes) = (program.into(), Vec::new());
-        let fleet = Fleet { store, engines, to_engines, nodes, program, folder, next: 1 };
+        let links = NodeLinks::default();
+        let fleet = Fleet { store, engines, to_engines, nodes, links, program, folder, next: 1 };
         fleet.list_all();
         fleet
     }
@@ -225,24 +239,61 @@
         self.next += 1;
         let [callers, ready, peers, metrics] = free_ports();
         let settings = self.folder.join(format!("{name}.conf"));
-        let to_store = Link::to(self.store.addr()).expect("the way listens");
+        let own = |_| self.links.bytes_per_s.map(Rate::new);
+        let [outbound, inbound] = [(); 2].map(own);
+        let to_store = Rates {
+            requests: outbound.iter().cloned().collect(),
+            answers: inbound.iter().chain(&self.links.store_reads).cloned().collect(),
+        };
+        let to_store =
+            Link::with_rates(self.store.addr(), to_store).expect("the way to the store listens");
+        let from_peers = outbound.zip(inbound).map(|(outbound, inbound)| {
+            let rates = Rates { requests: vec![inbound], answers: vec![outbound] };
+            let way = Link::with_rates(peers, rates).expect("the way of other nodes listens");
+            (way, peers)
+        });
+        let peers = from_peers.as_ref().map_or(peers, |(way, _)| way.addr());
         let text = settings_text(&name, zone, callers, ready, peers, to_store.addr());
         std::fs::write(&settings, text).expect("the settings can be written");
-        let child = self.run(&settings, metrics, stdout);
-        self.nodes.push(Node { name, callers, ready, peers, metrics, settings, to_store, child });
+        let listener = from_peers.as_ref().map(|(_, listener)| *listener);
+        let child = self.run(&settings, metrics, listener, stdout);
+        self.nodes.push(Node {
+            name,
+            callers,
+            ready,
+            peers,
+            metrics,
+            settings,
+            to_store,
+            from_peers,
+            child,
+        });
         self.nodes.len() - 1
     }
 
     /// Starts a node that was killed again, with its settings, as the platform does.
     pub fn start_again(&mut self, node: usize) {
-        let Node { settings, metrics, .. } = &self.nodes[node];
-        let child = self.run(settings, *metrics, Stdio::null());
+        let Node { settings, metrics, from_peers, .. } = &self.nodes[node];
+        let listener = from_peers.as_ref().map(|(_, listener)| *listener);
+        let child = self.run(settings, *metrics, listener, Stdio::null());
         self.nodes[node].child = child;
     }
 
-    fn run(&self, settings: &Path, metrics: SocketAddr, stdout: Stdio) -> Child {
-        Command::new(&self.program)
-            .args(["serve", "--log-format", "json", "--metrics", &metrics.to_string()])
+    /// Starts a node's process. With `listener` it listens there for other nodes, which reach it at the address of
+    /// its settings.
+    fn run(
+        &self,
+        settings: &Path,
+        metrics: SocketAddr,
+        listener: Option<SocketAddr>,
+        stdout: Stdio,
+    ) -> Child {
+        let mut command = Command::new(&self.program);
+        command.args(["serve", "--log-format", "json", "--metrics", &metrics.to_string()]);
+        if let Some(listener) = listener {
+            command.args(["--peers-listener", &listener.to_string()]);
+        }
+        command
             .env("HIBISCUSGW_BOOT", settings)
             .stdin(Stdio::null())
             .stdout(stdout)
--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -3,8 +3,9 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::os::fd::AsFd;
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use socket2::SockRef;
@@ -12,11 +13,51 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{oneshot, watch};
 
+use crate::faults::lock;
 use crate::socket_owner::holds_socket;
 
 /// Connections that may wait to be taken.
 const BACKLOG: u32 = 128;
 
+/// Bytes carried at a time: all connections that share a rate get their turn.
+const CHUNK_BYTES: usize = 4 << 10;
+
+/// A rate in bytes per second that any number of connections share.
+#[derive(Debug, Clone)]
+pub struct Rate {
+    bytes_per_s: f64,
+    /// When all that was to be carried so far has been.
+    free_at: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Rate {
+    /// A rate that nothing has used yet.
+    pub fn new(bytes_per_s: f64) -> Rate {
+        Rate { bytes_per_s, free_at: Arc::default() }
+    }
+
+    /// Waits until so many bytes have been carried after all that were to be carried before.
+    async fn carry(&self, bytes: usize) {
+        let until = {
+            let mut free_at = lock(&self.free_at);
+            let from = free_at.map_or_else(Instant::now, |at| at.max(Instant::now()));
+            let until = from + Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+            *free_at = Some(until);
+            until
+        };
+        tokio::time::sleep_until(until.into()).await;
+    }
+}
+
+/// The rates of a way's two directions; each byte passes all of its direction.
+#[derive(Debug, Clone, Default)]
+pub struct Rates {
+    /// Towards the server.
+    pub requests: Vec<Rate>,
+    /// From the server.
+    pub answers: Vec<Rate>,
+}
+
 /// What the way is like.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Condition {
@@ -92,6 +133,11 @@
 impl Link {
     /// A way to the server at `target`.
     pub fn to(target: SocketAddr) -> io::Result<Link> {
+        Link::with_rates(target, Rates::default())
+    }
+
+    /// A way to the server at `target` that carries no more than these rates.
+    pub fn with_rates(target: SocketAddr, rates: Rates) -> io::Result<Link> {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let listener = runtime.block_on(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))?;
         let addr = listener.local_addr()?;
@@ -101,7 +147,7 @@
         let run = move || {
             runtime.block_on(async {
                 tokio::select! {
-                    () = accept(listener, target, states) => {}
+                    () = accept(listener, target, states, rates) => {}
                     _ = stopped => {}
                 }
             });
@@ -144,7 +190,12 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, mut states: watch::Receiver<State>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    mut states: watch::Receiver<State>,
+    rates: Rates,
+) {
     let Ok(addr) = listener.local_addr() else { return };
     let mut listener = Some(listener);
     loop {
@@ -159,7 +210,7 @@
         tokio::select! {
             // An error here concerns one connection that broke before it was taken.
             taken = open.accept() => if let Ok((from, _)) = taken {
-                tokio::spawn(carry(from, target, states.clone()));
+                tokio::spawn(carry(from, target, states.clone(), rates.clone()));
             },
             changed = states.changed() => if changed.is_err() {
                 return;
@@ -181,6 +232,7 @@
     from: &mut (impl AsyncRead + Unpin),
     to: &mut (impl AsyncWrite + Unpin),
     states: &watch::Receiver<State>,
+    rates: &[Rate],
 ) -> io::Result<()> {
     let mut buf = vec![0; 16 << 10];
     loop {
@@ -194,12 +246,39 @@
         if is_lost {
             std::future::pending::<()>().await;
         }
+        for rate in rates {
+            rate.carry(length).await;
+        }
+        to.write_all(&buf[..length]).await?;
+    }
+}
+
+/// Carries answers to the client until the server ends.
+async fn carry_answers(
+    from: &mut (impl AsyncRead + Unpin),
+    to: &mut (impl AsyncWrite + Unpin),
+    rates: &[Rate],
+) -> io::Result<()> {
+    let mut buf = vec![0; CHUNK_BYTES];
+    loop {
+        let length = from.read(&mut buf).await?;
+        if length == 0 {
+            return Ok(());
+        }
+        for rate in rates {
+            rate.carry(length).await;
+        }
         to.write_all(&buf[..length]).await?;
     }
 }
 
 /// Carries one connection until it ends, or is cut.
-async fn carry(mut from: TcpStream, target: SocketAddr, mut states: watch::Receiver<State>) {
+async fn carry(
+    mut from: TcpStream,
+    target: SocketAddr,
+    mut states: watch::Receiver<State>,
+    rates: Rates,
+) {
     let (Ok(addr), Ok(own_addr)) = (from.peer_addr(), from.local_addr()) else { return };
     let Ok(second_handle) = from.as_fd().try_clone_to_owned() else { return };
     let losses = states.clone();
@@ -209,12 +288,12 @@
         let _ = (from.set_nodelay(true), to.set_nodelay(true));
         let ((mut from_rd, mut from_wr), (mut to_rd, mut to_wr)) = (from.split(), to.split());
         let requests = async {
-            let _ = carry_requests(&mut from_rd, &mut to_wr, &losses).await;
+            let _ = carry_requests(&mut from_rd, &mut to_wr, &losses, &rates.requests).await;
             let _ = to_wr.shutdown().await;
         };
         let answers = async {
             // How a connection ends is for its two ends to see.
-            let _ = tokio::io::copy(&mut to_rd, &mut from_wr).await;
+            let _ = carry_answers(&mut to_rd, &mut from_wr, &rates.answers).await;
             let _ = from_wr.shutdown().await;
         };
         tokio::join!(requests, answers);
