Refuse callers while a newer configuration is known and has not arrived

It goes on serving if it hears from no other node, so that the last one does not cease, and if the text of the version cannot be used, so that the last good one stays in force. handle and handle_forwarded check in one place whether there is something to serve by.

Test: three nodes, two of which get version 2 neither from the store nor from the others. Before, both answered 200 on the route that version 2 had dropped.

--- /dev/null
+++ b/crates/direct/src/catalog_lag.rs
@@ -0,0 +1,76 @@
+//! Tracks for how long a node has known of a newer configuration than its own.
+//!
+//! Prevents a node that cannot get the newer one from running requests as only the older one allows.
+
+use std::time::Duration;
+
+use crate::Millis;
+
+/// Share of the time for changes after which a node that lacks a newer configuration sends its callers to others.
+const UNREADY_AFTER: f64 = 0.35;
+
+/// Share after which it refuses requests. The rest is for the time in which it had not been told yet.
+const REFUSE_AFTER: f64 = 0.6;
+
+/// What a node knows of newer configurations than its own.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CatalogLag {
+    /// Newest version that was reported.
+    reported: u64,
+    /// Newest version whose text cannot be used here.
+    rejected: u64,
+    /// Since when a newer one than the own has been known.
+    since: Option<Millis>,
+}
+
+/// What a node does for callers meanwhile.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LagEffect {
+    /// It serves them.
+    Serve,
+    /// It serves those that come, and says that it is not ready.
+    Unready,
+    /// It refuses them.
+    Refuse,
+}
+
+impl CatalogLag {
+    /// Records the version that another node reports, and the own one.
+    pub fn record_report(&mut self, now: Millis, reported: u64, own: u64) {
+        self.reported = reported;
+        self.update(now, own);
+    }
+
+    /// Records that this version is in force here.
+    pub fn record_adopted(&mut self, now: Millis, own: u64) {
+        self.update(now, own);
+    }
+
+    /// Records that the text of the reported version cannot be used here: what is in force stays so.
+    pub fn record_rejected(&mut self) {
+        (self.rejected, self.since) = (self.rejected.max(self.reported), None);
+    }
+
+    /// Newest version that was reported.
+    pub fn reported(&self) -> u64 {
+        self.reported
+    }
+
+    fn update(&mut self, now: Millis, own: u64) {
+        let is_behind = self.reported > own && self.reported > self.rejected;
+        self.since = is_behind.then(|| self.since.unwrap_or(now));
+    }
+
+    /// What the node does for callers, where changes must be in force within so long.
+    pub fn effect(&self, now: Millis, apply_within: Duration) -> LagEffect {
+        let Some(since) = self.since else { return LagEffect::Serve };
+        let behind_for = Duration::from_millis(now.saturating_sub(since));
+        if behind_for >= apply_within.mul_f64(REFUSE_AFTER) {
+            LagEffect::Refuse
+        } else if behind_for >= apply_within.mul_f64(UNREADY_AFTER) {
+            LagEffect::Unready
+        } else {
+            LagEffect::Serve
+        }
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod aggregation;
 mod brittleness;
 mod catalog;
+mod catalog_lag;
 mod change_log;
 mod change_position;
 mod choice;
@@ -48,6 +49,7 @@
     CallerLimits, Catalog, Model, ModelPool, Route, RouteKind, RouteMatch, Service, ServiceId,
     Target,
 };
+pub use catalog_lag::{CatalogLag, LagEffect};
 pub use change_log::ChangeLog;
 pub use change_position::ChangePosition;
 pub use choice::{Choice, ChoiceParams, CostWeights, NoEngine, VersionRule, choose_engine};
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -10,6 +10,9 @@
     /// There is no configuration or no list of engines yet.
     #[display("not ready")]
     NotReady,
+    /// There is a newer configuration, which this node has not got in time.
+    #[display("outdated configuration")]
+    OutdatedConfig,
     /// This node is shutting down.
     #[display("stopping")]
     Stopping,
--- a/crates/gateway/src/follow/catalog.rs
+++ b/crates/gateway/src/follow/catalog.rs
@@ -252,6 +252,7 @@
         Ok(catalog) => catalog,
         Err(e) => {
             emit(Event::ConfigRejected, &[("node", &node.settings.borrow().node), ("why", &e)]);
+            node.record_rejected_catalog();
             return None;
         }
     };
@@ -274,6 +275,7 @@
     state.catalog = Some(Arc::new(catalog));
     state.catalog_text = text;
     drop(state);
+    node.record_adopted_catalog(version);
     leader::catalog_changed(node);
     Some(Adopted { version, is_newer: true })
 }
--- a/crates/gateway/src/peers/forwarding.rs
+++ b/crates/gateway/src/peers/forwarding.rs
@@ -119,6 +119,7 @@
             | Refusal::Stopping
             | Refusal::EnginesUnreachable
             | Refusal::StaleConfig
+            | Refusal::OutdatedConfig
             | Refusal::NodeBusy
     )
 }
--- a/crates/gateway/src/relay/forwarded.rs
+++ b/crates/gateway/src/relay/forwarded.rs
@@ -12,7 +12,7 @@
 use crate::shutdown::ActiveRequest;
 
 use super::request::RelayedRequest;
-use super::{NOT_READY_RETRY_AFTER, handle_routed, refuse};
+use super::{handle_routed, refuse, refuse_unserved};
 
 /// Share of the connections from callers that requests of other nodes may take: each takes two.
 const CONNECTIONS_PER_SLOT: usize = 4;
@@ -28,10 +28,9 @@
     req: Request<Incoming>,
 ) -> CallerResponse {
     let active = ActiveRequest::begin(node);
-    let catalog = node.state.borrow().catalog.clone();
-    match catalog.filter(|_| node.knows_state()) {
-        Some(catalog) => handle_routed(node, active, catalog, req, Some(forwarded)).await,
-        None => refuse(node, Refusal::NotReady, NOT_READY_RETRY_AFTER),
+    match node.serving_catalog() {
+        Ok(catalog) => handle_routed(node, active, catalog, req, Some(forwarded)).await,
+        Err(reason) => refuse_unserved(node, reason),
     }
 }
 
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -47,13 +47,22 @@
     if shutdown::refuses_requests(node) {
         return refuse(node, Refusal::Stopping, Duration::ZERO);
     }
-    let catalog = node.state.borrow().catalog.clone();
-    match catalog.filter(|_| node.knows_state()) {
-        Some(catalog) => handle_routed(node, active, catalog, req, None).await,
-        None => refuse(node, Refusal::NotReady, NOT_READY_RETRY_AFTER),
+    match node.serving_catalog() {
+        Ok(catalog) => handle_routed(node, active, catalog, req, None).await,
+        Err(reason) => refuse_unserved(node, reason),
     }
 }
 
+/// Refuses a request while this node serves none. Others have a configuration that this one lacks, so callers may
+/// come back to them at once.
+fn refuse_unserved(node: &Node, reason: Refusal) -> CallerResponse {
+    let min_delay = match reason {
+        Refusal::OutdatedConfig => Duration::ZERO,
+        _ => NOT_READY_RETRY_AFTER,
+    };
+    refuse(node, reason, min_delay)
+}
+
 async fn handle_routed(
     node: &Node,
     active: ActiveRequest,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -10,9 +11,9 @@
 use hgw_direct::hubs::{Hubs, NodeDirectory, Parent, poll_interval_factor};
 use hgw_direct::unreachable::ProbedEngines;
 use hgw_direct::{
-    AdmittedVersions, AttemptOutcome, CrashHistory, Engine, EngineId, EngineLimits, EngineState,
-    EngineStateChange, Forwarders, KnownEra, ListChanges, ListVersion, Millis, RetryBudgetLimits,
-    StreamVersions, is_isolated, polls_store,
+    AdmittedVersions, AttemptOutcome, Catalog, CatalogLag, CrashHistory, Engine, EngineId,
+    EngineLimits, EngineState, EngineStateChange, Forwarders, KnownEra, LagEffect, ListChanges,
+    ListVersion, Millis, Refusal, RetryBudgetLimits, StreamVersions, is_isolated, polls_store,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnTimeouts;
@@ -122,8 +123,8 @@
     leader_updated_at: Cell<Option<Millis>>,
     /// Whether the presumed leader refused the last request because it no longer leads.
     pub(crate) leader_refuses: Cell<bool>,
-    /// Newest configuration version that the leader reported.
-    reported_catalog: Cell<u64>,
+    /// What this node knows of newer configurations than its own.
+    catalog_lag: Cell<CatalogLag>,
     /// A configuration version, and the position in the store's log up to which there is no newer
     /// one.
     pub(crate) catalog_position: Cell<Option<(u64, Cursor)>>,
@@ -209,7 +210,7 @@
             list_read_at: Cell::new(0),
             leader_updated_at: Cell::new(None),
             leader_refuses: Cell::new(false),
-            reported_catalog: Cell::new(0),
+            catalog_lag: Cell::default(),
             catalog_position: Cell::new(None),
             catalog_transfers: CatalogTransfers::default(),
             is_fetching_catalog: Cell::new(false),
@@ -237,6 +238,7 @@
             && !self.is_stopping()
             && !self.is_isolated.get()
             && freshness::is_fresh(self)
+            && self.lag_effect() == LagEffect::Serve
     }
 
     /// Whether this node knows what it needs to send requests to engines.
@@ -304,23 +306,62 @@
         !is_leader && !self.leader_refuses.get() && age.is_some_and(|age| age < max_age)
     }
 
+    /// Version of the configuration in force; 0 without one.
+    pub(crate) fn catalog_version(&self) -> u64 {
+        self.state.borrow().catalog.as_ref().map_or(0, |catalog| catalog.version)
+    }
+
     /// Records the configuration version that the leader reports.
     pub(crate) fn record_reported_catalog(&self, version: u64) {
-        self.reported_catalog.set(version);
+        self.update_lag(|lag| lag.record_report(self.now(), version, self.catalog_version()));
         if self.is_catalog_outdated() {
             self.catalog_reported.notify_waiters();
         }
     }
 
+    /// Records that a configuration came into force.
+    pub(crate) fn record_adopted_catalog(&self, version: u64) {
+        self.update_lag(|lag| lag.record_adopted(self.now(), version));
+    }
+
+    /// Records that the text of the reported configuration cannot be used.
+    pub(crate) fn record_rejected_catalog(&self) {
+        self.update_lag(CatalogLag::record_rejected);
+    }
+
+    fn update_lag(&self, update: impl FnOnce(&mut CatalogLag)) {
+        let mut lag = self.catalog_lag.get();
+        update(&mut lag);
+        self.catalog_lag.set(lag);
+    }
+
     /// Newest configuration version that the leader reported.
     pub(crate) fn reported_catalog(&self) -> u64 {
-        self.reported_catalog.get()
+        self.catalog_lag.get().reported()
     }
 
     /// Whether the leader reported a newer configuration than this node has.
     pub(crate) fn is_catalog_outdated(&self) -> bool {
-        let version = self.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
-        version < self.reported_catalog.get()
+        self.catalog_version() < self.reported_catalog()
+    }
+
+    /// What becomes of callers while this node lacks a newer configuration. One that hears from no other node may be the
+    /// last that serves, and goes on.
+    pub(crate) fn lag_effect(&self) -> LagEffect {
+        if !self.has_recent_leader_updates() {
+            return LagEffect::Serve;
+        }
+        self.catalog_lag.get().effect(self.now(), self.settings.borrow().apply_within)
+    }
+
+    /// The configuration to serve a request by, or why none is served now.
+    pub(crate) fn serving_catalog(&self) -> Result<Arc<Catalog>, Refusal> {
+        let catalog = self.state.borrow().catalog.clone();
+        let catalog = catalog.filter(|_| self.knows_state()).ok_or(Refusal::NotReady)?;
+        match self.lag_effect() {
+            LagEffect::Refuse => Err(Refusal::OutdatedConfig),
+            LagEffect::Serve | LagEffect::Unready => Ok(catalog),
+        }
     }
 
     /// Factor by which poll intervals grow with the number of nodes, which bounds the load on the
@@ -339,7 +380,10 @@
 
     /// Whether callers should reconnect to another node.
     pub(crate) fn should_close_connections(&self) -> bool {
-        self.is_stopping() || self.is_isolated.get() || !freshness::is_fresh(self)
+        self.is_stopping()
+            || self.is_isolated.get()
+            || !freshness::is_fresh(self)
+            || self.lag_effect() != LagEffect::Serve
     }
 
     /// Updates whether this node is isolated.
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -34,6 +34,7 @@
 mod log_lines;
 mod long_configuration;
 mod orders;
+mod outdated_configuration;
 mod random_faults;
 mod restarts;
 mod restores;
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -352,6 +352,12 @@
         self.signal(rustix::process::Signal::HUP);
     }
 
+    /// Loses each request of other nodes with this text from now on, or none. Its link must have a rate.
+    pub fn lose_from_peers(&self, text: Option<&str>) {
+        let (way, _) = self.from_peers.as_ref().expect("other nodes come by a way of this test");
+        way.lose(text);
+    }
+
     /// Its process.
     pub fn pid(&self) -> rustix::process::Pid {
         rustix::process::Pid::from_child(&self.child)
