Look routes up in an index, and compute the least urgent request of a service once a version

Each request looked at each route (find) and, for each choice, at each route and customer (has_less_urgent), on the one thread that serves all: work that was small with the few routes it was written for.

Routes are found by host and by the prefixes of the path; of equal ones the last counts, as before. How much time it saves was not measured.

--- a/crates/direct/src/catalog.rs
+++ b/crates/direct/src/catalog.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::Customers;
+use crate::{Customers, RouteTable};
 
 #[derive(
     Debug, Clone, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -19,7 +19,7 @@
 pub struct Catalog {
     /// Increases with each change, not always by one.
     pub version: u64,
-    pub routes: Vec<Route>,
+    pub routes: RouteTable,
     pub services: IndexMap<ServiceId, Service>,
     /// If set, only these customers may send requests.
     pub customers: Option<Customers>,
@@ -156,27 +156,14 @@
     /// service by weight.
     pub fn find(&self, host: &str, path: &str, random: f64) -> Option<RouteMatch<'_>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let host_routes = self.routes.iter().filter(|r| r.host.eq_ignore_ascii_case(host));
-        let route = host_routes
-            .filter(|r| path.starts_with(r.prefix.as_str()))
-            .max_by_key(|r| r.prefix.len())?;
+        let route = self.routes.find(host, path)?;
         Some(RouteMatch { route, service: route.select_service(random)? })
     }
-}
 
-impl Catalog {
     /// Whether requests less urgent than `priority` may go to the service. A customer's priority
     /// overrides the priority of a route.
     pub fn has_less_urgent(&self, service: &ServiceId, priority: u8) -> bool {
-        let targets_service =
-            |r: &&Route| r.targets.iter().any(|t| t.service == *service && t.weight > 0);
-        let mut routes = self.routes.iter().filter(targets_service);
-        let Some(customers) = &self.customers else {
-            return routes.any(|r| r.priority > priority);
-        };
-        let has_less_urgent_customer =
-            |r: &Route| customers.all().any(|(_, c)| c.priority.unwrap_or(r.priority) > priority);
-        routes.any(|r| has_less_urgent_customer(r) || r.is_public && r.priority > priority)
+        self.routes.least_urgent(service).is_some_and(|least| least > priority)
     }
 }
 
