Read messages of other nodes as long as they arrive; one reader of bodies at a pace

The head has that time now; the body goes on while bytes arrive, with 600 ms for each next one and 3 s in all.

No test shows a long list on a slow link.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -21,7 +21,7 @@
 use bytes::Bytes;
 use hgw_direct::hubs::SkipReason;
 use hgw_direct::{EngineId, ModelRef, VersionKey};
-use hgw_http1::{BodyDecoder, Request};
+use hgw_http1::{BodyDecoder, BodyPace, Request};
 use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -56,9 +56,13 @@
 /// Maximum time that a poll waits for an update.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(400);
 
-/// Timeout for a response, beyond the time that a poll waits.
+/// Timeout for the head of a response, beyond the time that a poll waits.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time for the body of a response.
+const BODY_PACE: BodyPace =
+    BodyPace { max_pause: RESPONSE_TIMEOUT, max_time: Duration::from_secs(3) };
+
 /// Timeout of a placement request, during which an adapter may be loaded.
 const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -139,25 +143,26 @@
     serde_json::from_slice(&body).map_err(|_| CallError::NoResponse)
 }
 
-/// Sends a request to another node and returns the body of a 200 response.
+/// Sends a request to another node and returns the body of a 200 response, whose head must arrive within `max_wait`.
 async fn send_request(
     node: &Node,
     addr: SocketAddr,
     req: &Request,
     max_wait: Duration,
 ) -> Result<Bytes, CallError> {
-    let roundtrip = async {
+    let send = async {
         let mut conn = node.pool.get(addr, node.conn_timeouts()).await?;
         let head = conn.round_trip(req).await?;
-        let body = conn.read_body(BodyDecoder::new(head.framing), MAX_MESSAGE_BYTES).await?;
-        node.pool.put(addr, conn);
-        Ok::<_, hgw_http1::Error>((head.status, body))
+        Ok::<_, hgw_http1::Error>((conn, head))
     };
-    match timeout(max_wait, roundtrip).await {
-        Ok(Ok((200, body))) => Ok(body),
-        Ok(Ok(_)) => Err(CallError::Refused),
-        Ok(Err(_)) | Err(_) => Err(CallError::NoResponse),
-    }
+    let Ok(Ok((mut conn, head))) = timeout(max_wait, send).await else {
+        return Err(CallError::NoResponse);
+    };
+    let body = BodyDecoder::new(head.framing);
+    let body = conn.read_body_at_pace(body, MAX_MESSAGE_BYTES, BODY_PACE, |_| {}).await;
+    let body = body.map_err(|_| CallError::NoResponse)?;
+    node.pool.put(addr, conn);
+    if head.status == 200 { Ok(body) } else { Err(CallError::Refused) }
 }
 
 pub(crate) async fn handle_request(node: Node, req: http::Request<Incoming>) -> ResponseResult {
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -139,9 +139,10 @@
             WaitResult::Done(Err(e)) => {
                 let outcome = match e {
                     Error::Connect { .. } => AttemptOutcome::Unreachable,
-                    Error::Io(_) | Error::Incomplete | Error::Malformed { .. } => {
-                        AttemptOutcome::Failed
-                    }
+                    Error::Io(_)
+                    | Error::Incomplete
+                    | Error::Stalled { .. }
+                    | Error::Malformed { .. } => AttemptOutcome::Failed,
                 };
                 guard.record_outcome(outcome);
                 node.mark_broken(engine);
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -9,7 +9,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::body::Step;
 use crate::liveness::{DEAD_PEER_TIMEOUT, close_if_dead};
@@ -36,6 +36,16 @@
     }
 }
 
+/// How long a body may take: a long one on a slow link needs its time, so its total time is no evidence that the rest is
+/// lost.
+#[derive(Debug, Clone, Copy)]
+pub struct BodyPace {
+    /// Longest time until the next bytes.
+    pub max_pause: Duration,
+    /// Longest time for all, so that a body which trickles does not hold up the reader.
+    pub max_time: Duration,
+}
+
 #[derive(Debug)]
 pub struct Conn {
     stream: TcpStream,
@@ -191,6 +201,31 @@
         Ok(body_bytes.freeze())
     }
 
+    /// Reads a complete body of at most `max_bytes` bytes as long as it goes on; `record_bytes` is told of all that
+    /// arrives.
+    pub async fn read_body_at_pace(
+        &mut self,
+        mut body: BodyDecoder,
+        max_bytes: usize,
+        pace: BodyPace,
+        mut record_bytes: impl FnMut(usize),
+    ) -> Result<Bytes> {
+        let mut body_bytes = BytesMut::new();
+        let until = Instant::now() + pace.max_time;
+        loop {
+            let stalled = Error::Stalled { received: body_bytes.len() };
+            let next_until = until.min(Instant::now() + pace.max_pause);
+            let chunk = timeout_at(next_until, self.read_chunk(&mut body)).await;
+            let Some(bytes) = chunk.map_err(|_| stalled)?? else { return Ok(body_bytes.freeze()) };
+            if body_bytes.len() + bytes.len() > max_bytes {
+                self.must_close = true;
+                return Err(Error::Malformed { what: "body too large" });
+            }
+            record_bytes(bytes.len());
+            body_bytes.extend_from_slice(&bytes);
+        }
+    }
+
     async fn read(&mut self) -> Result<usize> {
         self.buf.reserve(READ_BUFFER_BYTES);
         Ok(self.stream.read_buf(&mut self.buf).await?)
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -15,6 +15,13 @@
     /// The peer closed the connection before the response was complete.
     #[display("connection closed before the response was complete")]
     Incomplete,
+    /// The response began, and no more of it arrived in time.
+    #[display("the response stopped after {received} bytes")]
+    #[from(skip)]
+    Stalled {
+        /// Bytes of the body that had arrived.
+        received: usize,
+    },
     /// The received bytes are not a valid HTTP/1.1 response.
     #[display("invalid HTTP/1.1 response: {what}")]
     #[from(skip)]
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -13,7 +13,7 @@
 mod request;
 
 pub use body::BodyDecoder;
-pub use conn::{Conn, ConnTimeouts};
+pub use conn::{BodyPace, Conn, ConnTimeouts};
 pub use end_to_end::end_to_end_headers;
 pub use error::{Error, Result};
 pub use head::{Framing, Head, MAX_HEAD_BYTES};
