--- /dev/null
+++ b/crates/gateway/src/shared/catalog.rs
@@ -0,0 +1,67 @@
+//! The configuration that a node serves by, and what it knows of newer ones.
+
+use std::sync::Arc;
+
+use hgw_direct::{Catalog, CatalogLag, LagEffect, Refusal};
+
+use super::Shared;
+
+impl Shared {
+    /// Version of the configuration in force; 0 without one.
+    pub(crate) fn catalog_version(&self) -> u64 {
+        self.state.borrow().catalog.as_ref().map_or(0, |catalog| catalog.version)
+    }
+
+    /// Records the configuration version that the leader reports.
+    pub(crate) fn record_reported_catalog(&self, version: u64) {
+        self.update_lag(|lag| lag.record_report(self.now(), version, self.catalog_version()));
+        if self.is_catalog_outdated() {
+            self.catalog_reported.notify_waiters();
+        }
+    }
+
+    /// Records that a configuration came into force.
+    pub(crate) fn record_adopted_catalog(&self, version: u64) {
+        self.update_lag(|lag| lag.record_adopted(self.now(), version));
+    }
+
+    /// Records that the text of the reported configuration cannot be used.
+    pub(crate) fn record_rejected_catalog(&self) {
+        self.update_lag(CatalogLag::record_rejected);
+    }
+
+    fn update_lag(&self, update: impl FnOnce(&mut CatalogLag)) {
+        let mut lag = self.catalog_lag.get();
+        update(&mut lag);
+        self.catalog_lag.set(lag);
+    }
+
+    /// Newest configuration version that the leader reported.
+    pub(crate) fn reported_catalog(&self) -> u64 {
+        self.catalog_lag.get().reported()
+    }
+
+    /// Whether the leader reported a newer configuration than this node has.
+    pub(crate) fn is_catalog_outdated(&self) -> bool {
+        self.catalog_version() < self.reported_catalog()
+    }
+
+    /// What becomes of callers while this node lacks a newer configuration. One that hears from no other node may be the
+    /// last that serves, and goes on.
+    pub(crate) fn lag_effect(&self) -> LagEffect {
+        if !self.has_recent_leader_updates() {
+            return LagEffect::Serve;
+        }
+        self.catalog_lag.get().effect(self.now(), self.settings.borrow().apply_within)
+    }
+
+    /// The configuration to serve a request by, or why none is served now.
+    pub(crate) fn serving_catalog(&self) -> Result<Arc<Catalog>, Refusal> {
+        let catalog = self.state.borrow().catalog.clone();
+        let catalog = catalog.filter(|_| self.knows_state()).ok_or(Refusal::NotReady)?;
+        match self.lag_effect() {
+            LagEffect::Refuse => Err(Refusal::OutdatedConfig),
+            LagEffect::Serve | LagEffect::Unready => Ok(catalog),
+        }
+    }
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -1,19 +1,19 @@
 //! State shared by the tasks of a node.
 
+mod catalog;
+mod engines;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use derive_more::Display;
 use hgw_direct::aggregation::Aggregator;
 use hgw_direct::hubs::{Hubs, NodeDirectory, Parent, poll_interval_factor};
 use hgw_direct::unreachable::ProbedEngines;
 use hgw_direct::{
-    AdmittedVersions, AttemptOutcome, Catalog, CatalogLag, CrashHistory, Engine, EngineId,
-    EngineLimits, EngineState, EngineStateChange, Forwarders, KnownEra, LagEffect, ListChanges,
-    ListVersion, Millis, Refusal, RetryBudgetLimits, StreamVersions, is_isolated, polls_store,
+    AdmittedVersions, CatalogLag, CrashHistory, EngineLimits, Forwarders, KnownEra, LagEffect,
+    ListChanges, Millis, RetryBudgetLimits, StreamVersions, is_isolated, polls_store,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnTimeouts;
@@ -45,9 +45,6 @@
 /// timeout, and a lost failure domain would use up the descriptors.
 const MAX_CONCURRENT_PROBES: usize = 64;
 
-/// Maximum number of engines that became ready in one update of the list and are logged one by one.
-const MAX_READY_LINES: usize = 20;
-
 pub(crate) struct Shared {
     pub(crate) settings: RefCell<Settings>,
     pub(crate) protocols: Protocols,
@@ -144,19 +141,7 @@
     pub(crate) engine_restarted: Notify,
 }
 
-/// Source of a change in the engine list.
-#[derive(Debug, Clone, Copy, Display)]
-pub(crate) enum ListSource {
-    /// Read from the store by this node.
-    #[display("store")]
-    Store,
-    /// Sent by another node.
-    #[display("peer")]
-    Peer,
-    /// Derived by this node from what it already knew.
-    #[display("known")]
-    Known,
-}
+pub(crate) use engines::ListSource;
 
 pub(crate) type Node = Rc<Shared>;
 
@@ -306,64 +291,6 @@
         !is_leader && !self.leader_refuses.get() && age.is_some_and(|age| age < max_age)
     }
 
-    /// Version of the configuration in force; 0 without one.
-    pub(crate) fn catalog_version(&self) -> u64 {
-        self.state.borrow().catalog.as_ref().map_or(0, |catalog| catalog.version)
-    }
-
-    /// Records the configuration version that the leader reports.
-    pub(crate) fn record_reported_catalog(&self, version: u64) {
-        self.update_lag(|lag| lag.record_report(self.now(), version, self.catalog_version()));
-        if self.is_catalog_outdated() {
-            self.catalog_reported.notify_waiters();
-        }
-    }
-
-    /// Records that a configuration came into force.
-    pub(crate) fn record_adopted_catalog(&self, version: u64) {
-        self.update_lag(|lag| lag.record_adopted(self.now(), version));
-    }
-
-    /// Records that the text of the reported configuration cannot be used.
-    pub(crate) fn record_rejected_catalog(&self) {
-        self.update_lag(CatalogLag::record_rejected);
-    }
-
-    fn update_lag(&self, update: impl FnOnce(&mut CatalogLag)) {
-        let mut lag = self.catalog_lag.get();
-        update(&mut lag);
-        self.catalog_lag.set(lag);
-    }
-
-    /// Newest configuration version that the leader reported.
-    pub(crate) fn reported_catalog(&self) -> u64 {
-        self.catalog_lag.get().reported()
-    }
-
-    /// Whether the leader reported a newer configuration than this node has.
-    pub(crate) fn is_catalog_outdated(&self) -> bool {
-        self.catalog_version() < self.reported_catalog()
-    }
-
-    /// What becomes of callers while this node lacks a newer configuration. One that hears from no other node may be the
-    /// last that serves, and goes on.
-    pub(crate) fn lag_effect(&self) -> LagEffect {
-        if !self.has_recent_leader_updates() {
-            return LagEffect::Serve;
-        }
-        self.catalog_lag.get().effect(self.now(), self.settings.borrow().apply_within)
-    }
-
-    /// The configuration to serve a request by, or why none is served now.
-    pub(crate) fn serving_catalog(&self) -> Result<Arc<Catalog>, Refusal> {
-        let catalog = self.state.borrow().catalog.clone();
-        let catalog = catalog.filter(|_| self.knows_state()).ok_or(Refusal::NotReady)?;
-        match self.lag_effect() {
-            LagEffect::Refuse => Err(Refusal::OutdatedConfig),
-            LagEffect::Serve | LagEffect::Unready => Ok(catalog),
-        }
-    }
-
     /// Factor by which poll intervals grow with the number of nodes, which bounds the load on the
     /// leader.
     pub(crate) fn poll_interval_factor(&self) -> u32 {
@@ -400,73 +327,6 @@
         }
     }
 
-    /// Closes connections to restarted engines and wakes the requests that wait for their
-    /// responses.
-    pub(crate) fn handle_restarts(&self) {
-        let restarted = self.state.borrow_mut().engines.take_restarted();
-        for addr in &restarted {
-            self.pool.forget(*addr);
-            let node = &self.settings.borrow().node;
-            emit(Event::EngineStartedAnew, &[("node", node), ("addr", addr)]);
-        }
-        if !restarted.is_empty() {
-            self.engine_restarted.notify_waiters();
-        }
-    }
-
-    /// Records that the engine list is known up to `version`.
-    pub(crate) fn record_list_version(&self, version: ListVersion, source: ListSource) {
-        let changes = {
-            let mut state = self.state.borrow_mut();
-            let State { engines, list_changes, list_version, has_engine_list, .. } = &mut *state;
-            *has_engine_list = true;
-            *list_version = (*list_version).max(Some(version));
-            list_changes.update(engines, version.position())
-        };
-        self.log_list_changes(&changes, version, source);
-    }
-
-    /// Logs each engine that is not to be used any more, and a bounded number of new ones: after a
-    /// start of all nodes, each engine is new to each node.
-    fn log_list_changes(
-        &self,
-        changes: &[EngineStateChange],
-        version: ListVersion,
-        source: ListSource,
-    ) {
-        let node = &self.settings.borrow().node;
-        let place = version.position();
-        let is_ready = |change: &EngineStateChange| change.state == Some(EngineState::Ready);
-        let mut ready = 0;
-        for change in changes {
-            ready += usize::from(is_ready(change));
-            if is_ready(change) && ready > MAX_READY_LINES {
-                continue;
-            }
-            emit(
-                Event::EngineStands,
-                &[
-                    ("node", node),
-                    ("upstream", &change.engine),
-                    ("standing", change),
-                    ("by", &source),
-                    ("place", &place),
-                ],
-            );
-        }
-        if ready > MAX_READY_LINES {
-            emit(
-                Event::EnginesListed,
-                &[
-                    ("node", node),
-                    ("count", &(ready - MAX_READY_LINES)),
-                    ("by", &source),
-                    ("place", &place),
-                ],
-            );
-        }
-    }
-
     pub(crate) fn budget_limits(&self) -> RetryBudgetLimits {
         let settings = self.settings.borrow();
         RetryBudgetLimits {
@@ -480,55 +340,4 @@
     pub(crate) fn conn_timeouts(&self) -> ConnTimeouts {
         ConnTimeouts { connect: CONNECT_TIMEOUT, ..ConnTimeouts::default() }
     }
-
-    /// Records the outcome of a request at an engine.
-    pub(crate) fn record_outcome(&self, engine: &EngineId, outcome: AttemptOutcome) {
-        let now = self.now();
-        let mut state = self.state.borrow_mut();
-        let Some(known) = state.engines.get_mut(engine) else { return };
-        let Some(health) = known.health.record(now, outcome) else { return };
-        let failure_rate = format!("{:.2}", known.health.failure_rate(now));
-        let node = &self.settings.borrow().node;
-        emit(
-            Event::EngineJudged,
-            &[
-                ("node", node),
-                ("upstream", engine),
-                ("opinion", &health),
-                ("failing", &failure_rate),
-            ],
-        );
-    }
-
-    /// Whether another node reported the engine unreachable.
-    pub(crate) fn is_reported_unreachable(&self, engine: &EngineId) -> bool {
-        let now = self.now();
-        self.engine(engine, |e| e.health.is_reported_unreachable(now)).unwrap_or(false)
-    }
-
-    /// Records that a byte arrived from an engine.
-    pub(crate) fn record_response_byte(&self, engine: &EngineId) {
-        let now = self.now();
-        if let Some(engine) = self.state.borrow_mut().engines.get_mut(engine) {
-            engine.last_heard = now;
-        }
-    }
-
-    /// Discards the time of the engine's last byte after a broken connection.
-    pub(crate) fn mark_broken(&self, engine: &EngineId) {
-        if let Some(engine) = self.state.borrow_mut().engines.get_mut(engine) {
-            engine.last_heard = 0;
-        }
-    }
-
-    /// Time since the last byte from an engine.
-    pub(crate) fn time_since_heard(&self, engine: &EngineId) -> Duration {
-        let state = self.state.borrow();
-        let last_heard = state.engines.get(engine).map_or(0, |e| e.last_heard);
-        Duration::from_millis(self.now().saturating_sub(last_heard))
-    }
-
-    pub(crate) fn engine<R>(&self, id: &EngineId, f: impl FnOnce(&Engine) -> R) -> Option<R> {
-        self.state.borrow().engines.get(id).map(f)
-    }
 }
