Log when a node sends callers elsewhere as it lacks a newer configuration

Line 3008 says what becomes of callers, and which version the node has and knows of; the readiness check alone does not tell this reason from others.

--- a/crates/direct/src/catalog_lag.rs
+++ b/crates/direct/src/catalog_lag.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::Millis;
 
 /// Share of the time for changes after which a node that lacks a newer configuration sends its callers to others.
@@ -24,13 +26,17 @@
 }
 
 /// What a node does for callers meanwhile.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, Display, PartialEq, Eq)]
 pub enum LagEffect {
     /// It serves them.
+    #[default]
+    #[display("served")]
     Serve,
     /// It serves those that come, and says that it is not ready.
+    #[display("sent elsewhere")]
     Unready,
     /// It refuses them.
+    #[display("refused")]
     Refuse,
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -140,6 +140,7 @@
         last = now;
         node.update_isolation();
         freshness::log_change(&node);
+        node.log_lag_change();
     }
 }
 
--- a/crates/gateway/src/shared/catalog.rs
+++ b/crates/gateway/src/shared/catalog.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use hgw_direct::{Catalog, CatalogLag, LagEffect, Refusal};
+use hgw_events::{Event, emit};
 
 use super::Shared;
 
@@ -30,6 +31,22 @@
         self.update_lag(CatalogLag::record_rejected);
     }
 
+    /// Logs when this node begins or ceases to send callers elsewhere.
+    pub(crate) fn log_lag_change(&self) {
+        let effect = self.lag_effect();
+        if self.logged_lag_effect.replace(effect) != effect {
+            emit(
+                Event::ConfigOutdated,
+                &[
+                    ("node", &self.settings.borrow().node),
+                    ("callers", &effect),
+                    ("has", &self.catalog_version()),
+                    ("known", &self.reported_catalog()),
+                ],
+            );
+        }
+    }
+
     fn update_lag(&self, update: impl FnOnce(&mut CatalogLag)) {
         let mut lag = self.catalog_lag.get();
         update(&mut lag);
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -122,6 +122,8 @@
     pub(crate) leader_refuses: Cell<bool>,
     /// What this node knows of newer configurations than its own.
     catalog_lag: Cell<CatalogLag>,
+    /// What was logged last of how that affects callers.
+    logged_lag_effect: Cell<LagEffect>,
     /// A configuration version, and the position in the store's log up to which there is no newer
     /// one.
     pub(crate) catalog_position: Cell<Option<(u64, Cursor)>>,
@@ -196,6 +198,7 @@
             leader_updated_at: Cell::new(None),
             leader_refuses: Cell::new(false),
             catalog_lag: Cell::default(),
+            logged_lag_effect: Cell::default(),
             catalog_position: Cell::new(None),
             catalog_transfers: CatalogTransfers::default(),
             is_fetching_catalog: Cell::new(false),
