--- a/crates/direct/src/crash_history/mod.rs
+++ b/crates/direct/src/crash_history/mod.rs
@@ -142,11 +142,6 @@
         suspect.count().max(least)
     }
 
-    /// Whether any engine has ended under any subject.
-    pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
-    }
-
     /// Number of subjects under which so many engines have ended that nodes do not retry them.
     pub fn suspects(&self) -> usize {
         let has_ends = |suspect: &&Suspect| suspect.count() >= ENDS_TO_STOP_RETRIES;
--- a/crates/gateway/src/crashes/trial.rs
+++ b/crates/gateway/src/crashes/trial.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hgw_direct::CrashSubject;
+use hgw_direct::{CrashSubject, Millis};
 use serde::{Deserialize, Serialize};
 
 use crate::peers;
@@ -24,10 +24,10 @@
     pub(crate) is_granted: bool,
 }
 
-/// Whether this node may send one request with a withheld part. Only the leader gives trials, so that
-/// there is one at a time over all nodes.
-pub(crate) async fn request_trial(node: &Node, part: CrashSubject) -> bool {
-    if !node.crashes.borrow().is_trial_due(part, node.now()) {
+/// Whether this node may send one request with a withheld part, for which a trial must have been due by then. Only the
+/// leader gives trials, so that there is one at a time over all nodes.
+pub(crate) async fn request_trial(node: &Node, part: CrashSubject, due_by: Millis) -> bool {
+    if !node.crashes.borrow().is_trial_due(part, due_by) {
         return false;
     }
     if node.leadership.borrow().is_leader() {
--- a/crates/gateway/src/relay/outcome.rs
+++ b/crates/gateway/src/relay/outcome.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hgw_direct::{EngineId, ModelRef, Refusal, VersionKey};
+use hgw_direct::{CrashSubject, EngineId, ModelRef, Refusal, VersionKey};
 use hgw_events::{Event, emit};
 use http::StatusCode;
 
@@ -228,19 +228,34 @@
         if matches!(reason, Refusal::QuotaExceeded | Refusal::QuotaUnknown) {
             meter::quota_refused(self.customer_name(), reason);
         }
-        self.log_refused(&reason, retry_after);
+        self.log_refused(&reason, retry_after, None);
+    }
+
+    /// Logs that a request is refused for good as this crashes engines.
+    pub(super) fn log_withheld(&self, subject: CrashSubject) {
+        if self.is_logged_elsewhere() {
+            return;
+        }
+        meter::refused(&self.route, &Refusal::CrashesEngines);
+        self.log_refused(&Refusal::CrashesEngines, Duration::ZERO, Some(subject));
     }
 
     /// Logs that another node refused the request.
     pub(super) fn log_refused_elsewhere(&self, reason: &str) {
         self.is_logged.set(true);
         meter::refused(&self.route, &reason);
-        self.log_refused(&reason, Duration::ZERO);
+        self.log_refused(&reason, Duration::ZERO, None);
     }
 
-    fn log_refused(&self, reason: &dyn Display, retry_after: Duration) {
+    fn log_refused(
+        &self,
+        reason: &dyn Display,
+        retry_after: Duration,
+        subject: Option<CrashSubject>,
+    ) {
         let held_ms = self.received_at.elapsed().as_millis();
         let model_ref = self.model_ref().map(ModelRef::to_string).unwrap_or_default();
+        let digest = subject.map_or_else(String::new, |subject| subject.to_string());
         emit(
             Event::RequestRefused,
             &[
@@ -254,6 +269,7 @@
                 ("held_ms", &held_ms),
                 ("unreached", &self.unreached),
                 ("rejected", &self.rejected),
+                ("digest", &digest),
             ],
         );
     }
--- a/crates/gateway/src/relay/withhold.rs
+++ b/crates/gateway/src/relay/withhold.rs
@@ -55,10 +55,8 @@
                 || self.node.crashes.borrow().ends(*subject) < ENDS_TO_STOP_RETRIES
         });
         let since = if is_only_suspect { Duration::ZERO } else { UNCLEAR_TRIAL_AFTER };
-        let due_at = self.node.now().saturating_sub(since.as_millis() as Millis);
-        if self.is_forwarded
-            || !self.node.crashes.borrow().is_trial_due(withheld.subject, due_at)
-            || !crashes::request_trial(&self.node, withheld.subject).await
+        let due_by = self.node.now().saturating_sub(since.as_millis() as Millis);
+        if self.is_forwarded || !crashes::request_trial(&self.node, withheld.subject, due_by).await
         {
             return false;
         }
@@ -95,19 +93,7 @@
         if let Some(retry_after) = withheld.retry_after {
             return self.refuse(Refusal::CrashesEngines, retry_after);
         }
-        self.is_logged.set(true);
-        meter::refused(&self.route, &Refusal::CrashesEngines);
-        emit(
-            Event::RequestRefused,
-            &[
-                ("node", &self.node.settings.borrow().node),
-                ("id", &self.info.id),
-                ("route", &self.route.name),
-                ("why", &Refusal::CrashesEngines),
-                ("digest", &withheld.subject),
-                ("held_ms", &self.received_at.elapsed().as_millis()),
-            ],
-        );
+        self.log_withheld(withheld.subject);
         let message = match withheld.subject {
             CrashSubject::Request(_) => "three engines have ended under this request",
             CrashSubject::Part(_) => "three engines have ended under a part of this prompt",
@@ -143,11 +129,15 @@
         let Source::Engine(guard) = source else { return };
         let had_outlived = self.has_outlived;
         self.has_outlived = guard.writing_for().is_some_and(|time| time >= OUTLIVED_AFTER);
-        let is_news = !had_outlived || !self.node.crashes.borrow().is_empty();
-        if self.has_outlived && is_news {
-            let subjects = self.subjects.iter().map(|ranked| ranked.subject);
-            crashes::record_completion(&self.node, subjects.filter(|subject| subject.is_part()));
+        if !self.has_outlived {
+            return;
         }
+        let crashes = self.node.crashes.borrow();
+        let is_news = |subject: &CrashSubject| !had_outlived || crashes.ends(*subject) > 0;
+        let parts = self.subjects.iter().map(|ranked| ranked.subject).filter(|s| s.is_part());
+        let news: Vec<CrashSubject> = parts.filter(is_news).collect();
+        drop(crashes);
+        crashes::record_completion(&self.node, news.into_iter());
     }
 
     fn ended_attempt(&self, guard: &AttemptGuard) -> EndedAttempt {
