--- a/crates/hibiscusgw/tests/platform/long_configuration.rs
+++ b/crates/hibiscusgw/tests/platform/long_configuration.rs
@@ -1,6 +1,6 @@
 //! Configurations that take their time on the links of nodes.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hgw_standins::fleet::EngineSettings;
 use hgw_standins::fleet::deployment::{Fleet, NodeLinks, configuration_with_route, holds, wait};
@@ -27,6 +27,8 @@
     /// Configurations, each published before the last can be everywhere.
     versions: u64,
     pause: Duration,
+    /// When the leader is killed, after the last was published.
+    kill_after: Option<Duration>,
 }
 
 impl Default for Play {
@@ -37,6 +39,7 @@
             store_bytes_per_s: 2e6,
             versions: 1,
             pause: Duration::from_millis(200),
+            kill_after: None,
         }
     }
 }
@@ -79,18 +82,24 @@
 
 /// Publishes configurations; each node has to serve the newest route in time.
 fn play(play: Play) {
-    let fleet = fleet_of(play);
+    let mut fleet = fleet_of(play);
     for version in 2..play.versions + 2 {
         if version > 2 {
             std::thread::sleep(play.pause);
         }
         fleet.publish(&long_configuration(version, &format!("new-{version}"), play.routes));
     }
-    std::thread::sleep(APPLY_WITHIN);
+    let published_at = Instant::now();
+    if let Some(kill_after) = play.kill_after {
+        std::thread::sleep(kill_after);
+        fleet.nodes[0].kill();
+    }
+    std::thread::sleep(APPLY_WITHIN.saturating_sub(published_at.elapsed()));
     let path = format!("/new-{}/", play.versions + 1);
     let late: Vec<&str> = fleet
         .nodes
         .iter()
+        .skip(usize::from(play.kill_after.is_some()))
         .filter(|node| {
             let served = node.plain(&path, &format!("call-{}", node.name));
             !served.is_ok_and(|answer| answer.status == StatusCode::OK)
@@ -120,4 +129,11 @@
     /// arrive, nodes would get none.
     last_of_many_long_configurations_reaches_nine_nodes_in_time:
         Play { nodes: 9, versions: 8, ..Play::default() };
+    /// Guards against transfers that begin anew where the node that sends them ends.
+    long_configuration_reaches_nine_nodes_whose_leader_ends_in_time: Play {
+        nodes: 9,
+        store_bytes_per_s: 40e6,
+        kill_after: Some(Duration::from_millis(250)),
+        ..Play::default()
+    };
 }
