Read and log what engines say of leaving and rest in their responses

A response to another request, of another engine at the address or of an earlier incarnation says nothing of the engine.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,6 +20,7 @@
 mod demand;
 mod engine;
 mod engine_limits;
+mod engine_notices;
 mod engine_path;
 mod engines;
 mod forwarders;
@@ -71,6 +72,7 @@
     CachedWeights, Engine, EngineId, EngineInfo, EngineState, Load, LoadedModel, StartTime,
 };
 pub use engine_limits::{EngineLimits, LimitChange, LimitState};
+pub use engine_notices::{EngineNotices, InvalidNotice, RestTime};
 pub use engine_path::{EnginePath, MIN_FAILED_ENGINES, PATH_CHECK_INTERVAL, PathChange};
 pub use engines::Engines;
 pub use forwarders::Forwarders;
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -88,6 +88,8 @@
     EngineBrittle = 4015, Info, "an engine has said how many requests it may have to reject before it fails, or no longer does";
     VersionsAdmitted = 4016, Info, "the software versions at which streams of a service may begin have changed";
     VersionsUnknown = 4017, Info, "the record of software versions was not read or written";
+    EngineNotice = 4018, Info, "an engine has said in a response that it leaves or wants rest";
+    EngineNoticeInvalid = 4019, Warn, "an engine said in a response what cannot be parsed; it is ignored";
     PlannerGained = 4101, Info, "this node became the planner of its region";
     PlannerLost = 4102, Info, "this node is no longer the planner of its region";
     FloorInForce = 4103, Info, "a plan of minimum model replicas is active";
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod crashes;
 mod election;
 mod engine_limits;
+mod engine_notices;
 mod engine_path;
 mod eras;
 mod follow;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -7,8 +7,8 @@
 use derive_more::{Display, Error};
 use futures_util::future::LocalBoxFuture;
 use hgw_direct::{
-    CachedWeights, Catalog, Credentials, CustomerId, EngineId, EngineInfo, InvalidRequestRate,
-    Load, LoadedModel, ModelRef, Prompt, RequestRate, StartTime,
+    CachedWeights, Catalog, Credentials, CustomerId, EngineId, EngineInfo, EngineNotices,
+    InvalidRequestRate, Load, LoadedModel, ModelRef, Prompt, RequestRate, StartTime,
 };
 pub use hgw_direct::{Cursor, Era, InvalidEra};
 use hgw_http1::{Head, Request};
@@ -144,6 +144,8 @@
     pub limit: LimitHeader,
     /// Rate of requests that it may have to reject before it fails.
     pub max_rejections: LimitHeader,
+    /// What it says of leaving and of rest.
+    pub notices: EngineNotices,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -11,6 +11,7 @@
 use crate::attempt_guard::AttemptGuard;
 use crate::brittle;
 use crate::engine_limits;
+use crate::engine_notices;
 use crate::engine_path;
 use crate::peers;
 use crate::protocol::{ResponseInfo, UpstreamRequest};
@@ -133,6 +134,7 @@
                 }
                 engine_limits::observe(&node, &guard, &info, sent_at);
                 brittle::observe(&node, &guard, &info, sent_at);
+                engine_notices::observe(&node, &guard, &info, &self.info.id, head.status);
                 let started = self.handle_response_head(engine, version, conn, head, info, guard);
                 started.await
             }
