--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -30,6 +30,7 @@
 mod hubs;
 mod keys;
 mod leader_reads;
+mod leaving;
 mod limits;
 mod log_lines;
 mod long_configuration;
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -153,12 +153,18 @@
     limit: Option<String>,
     /// The text of how many requests it may have to reject in a second, if it names that.
     brittle: Option<String>,
+    /// The text by which it says in its answers that it leaves, if it does.
+    leaving: Option<String>,
+    /// The text of the rest that it names as it turns all requests away, if it does.
+    rest: Option<String>,
     /// Requests that it runs or lets wait.
     active: u32,
     /// When it rejected requests for want of room.
     rejections: Vec<Instant>,
     /// When requests arrived.
     arrivals: Vec<Instant>,
+    /// When it turned requests away as it rests, by request id.
+    turned_away: Vec<(Instant, String)>,
     /// Whether it has crashed since its last start.
     has_crashed: bool,
     record: FleetRecord,
@@ -233,7 +239,7 @@
         let mut inner = self.shared.lock();
         inner.holds.clear();
         (inner.busy, inner.seq, inner.fence) = (false, 0, 0);
-        inner.limit = None;
+        (inner.limit, inner.leaving, inner.rest) = (None, None, None);
         inner.has_crashed = false;
         inner.born += 1;
     }
@@ -269,6 +275,22 @@
         self.shared.lock().brittle = text.map(str::to_owned);
     }
 
+    /// Says by this text in all its answers from now on that it leaves, or nothing of it. Several values, each in a header of
+    /// its own, are divided by `|`.
+    pub fn leave(&self, text: Option<&str>) {
+        self.shared.lock().leaving = text.map(str::to_owned);
+    }
+
+    /// Turns all requests away from now on and names this rest, or takes them again.
+    pub fn rest(&self, text: Option<&str>) {
+        self.shared.lock().rest = text.map(str::to_owned);
+    }
+
+    /// When it turned requests away as it rests, with their ids.
+    pub fn turned_away(&self) -> Vec<(Instant, String)> {
+        self.shared.lock().turned_away.clone()
+    }
+
     /// When it rejected requests for want of room.
     pub fn rejections(&self) -> Vec<Instant> {
         self.shared.lock().rejections.clone()
@@ -381,6 +403,9 @@
             return self.misdirected();
         }
         self.note_sender(&id, req.headers());
+        if let Some(rest) = self.turn_away(&id) {
+            return self.echo(&id, rest);
+        }
         let Some(active) = Active::begin(self) else {
             return not_run(failure(StatusCode::SERVICE_UNAVAILABLE, "full"));
         };
@@ -423,12 +448,35 @@
         ids.split_last().is_some_and(|(_, shared)| shared.contains(&crash_part.as_str()))
     }
 
+    /// The rejection of a request while it rests.
+    fn turn_away(&self, id: &str) -> Option<Response<Body>> {
+        let mut inner = self.lock();
+        let rest = inner.rest.clone()?;
+        inner.turned_away.push((Instant::now(), id.to_owned()));
+        let mut answer = not_run(failure(StatusCode::SERVICE_UNAVAILABLE, "shed"));
+        for value in rest.split('|') {
+            let value =
+                HeaderValue::from_str(value).expect("tests name rests that a field can hold");
+            answer.headers_mut().append("retry-after", value);
+        }
+        Some(answer)
+    }
+
+    /// Names the request in an answer without a seal.
+    fn echo(&self, id: &str, mut answer: Response<Body>) -> Response<Body> {
+        let id = HeaderValue::from_str(id).unwrap_or(HeaderValue::from_static("?"));
+        answer.headers_mut().insert("x-request-id", id);
+        answer
+    }
+
     fn name_limits(&self, answer: &mut Response<Body>) {
-        let (limit, brittle) = {
+        let (limit, brittle, leaving) = {
             let inner = self.lock();
-            (inner.limit.clone(), inner.brittle.clone())
+            (inner.limit.clone(), inner.brittle.clone(), inner.leaving.clone())
         };
-        for (name, text) in [("server-limit", limit), ("server-brittle", brittle)] {
+        let all =
+            [("server-limit", limit), ("server-brittle", brittle), ("server-leaving", leaving)];
+        for (name, text) in all {
             for value in text.iter().flat_map(|text| text.split('|')) {
                 if let Ok(value) = HeaderValue::from_str(value) {
                     answer.headers_mut().append(name, value);
