Send nothing to an engine that has said in an answer that it leaves, and tell all nodes

Cause, and its class: what an engine says of itself in an answer was kept only where somebody had asked for it before (limits, brittleness). Now one place takes in notices from all that engines answer: successes, heads of streams, failures, rejections, responses to orders, reports and health checks. Leaving is the last word of an incarnation, as if its entry said so: it survives late heartbeats, removal and return of the entry, and ends with the next start. Other nodes, hubs and the leader are told at once by a datagram, and by polls for two seconds; a request that has its engine and waits for a permit or a connection is checked again right before the first byte.

--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -223,6 +223,23 @@
         std::mem::take(&mut self.restarted)
     }
 
+    /// Records that an incarnation has said that it leaves, whatever its entry says. Returns whether that is news of an
+    /// engine that is listed.
+    pub fn record_leaving(&mut self, key: EngineKey) -> bool {
+        if let Some(engine) = self.by_key(key) {
+            let is_news = !engine.is_leaving();
+            engine.mark_leaving();
+            return is_news;
+        }
+        let has_key = |(id, removed): &(&EngineId, &mut Removed)| {
+            EngineKey::of(id, removed.started_at) == key
+        };
+        if let Some((_, removed)) = self.removed.iter_mut().find(has_key) {
+            removed.was_leaving = true;
+        }
+        false
+    }
+
     /// Marks an engine whose entry cannot be parsed.
     pub fn mark_unreadable(&mut self, id: &EngineId, position: Cursor) {
         if let Some(engine) =
--- a/crates/gateway/src/engine_notices.rs
+++ b/crates/gateway/src/engine_notices.rs
@@ -1,14 +1,39 @@
 //! Takes in what engines say of themselves in their responses: that they leave, and that they want rest.
 
+use std::cell::RefCell;
 use std::fmt::Display;
 
-use hgw_direct::EngineNotices;
+use hgw_direct::in_flight::EngineKey;
+use hgw_direct::{EngineId, EngineNotices, Millis};
 use hgw_events::{Event, emit};
+use hgw_http1::Head;
 
 use crate::attempt_guard::AttemptGuard;
+use crate::leader;
+use crate::peers::{self, Datagram};
 use crate::protocol::ResponseInfo;
 use crate::shared::Node;
 
+/// Time for which polls repeat that an engine leaves, as a datagram may be lost.
+const TOLD_FOR: Millis = 2_000;
+
+/// Engines that have told this node that they leave.
+#[derive(Debug, Default)]
+pub(crate) struct RecentLeaving(RefCell<Vec<(EngineKey, Millis)>>);
+
+impl RecentLeaving {
+    fn record(&self, engine: EngineKey, now: Millis) {
+        self.0.borrow_mut().push((engine, now));
+    }
+
+    /// Those to tell with a poll.
+    pub(crate) fn to_tell(&self, now: Millis) -> Vec<EngineKey> {
+        let mut all = self.0.borrow_mut();
+        all.retain(|(_, at)| now.saturating_sub(*at) < TOLD_FOR);
+        all.iter().map(|(engine, _)| *engine).collect()
+    }
+}
+
 /// Learns from the head of an engine's response to a request.
 pub(crate) fn observe(
     node: &Node,
@@ -17,38 +42,87 @@
     request_id: &str,
     status: u16,
 ) {
-    if !is_from(guard, info) {
+    if !is_from(guard, info, status) {
         return;
     }
     log_invalid(node, guard, &info.notices);
     if info.notices.is_leaving {
-        log(node, guard, &"leaving", &request_id, status);
+        record_own_leaving(node, guard.engine_key(), &request_id, status);
     }
     if let Some(rest) = info.notices.rest {
-        log(node, guard, &format_args!("rest {rest}"), &request_id, status);
+        log(node, guard.engine(), &format_args!("rest {rest}"), &request_id, status);
     }
 }
 
-/// Whether the response comes from the engine that the request was sent to, in its current incarnation. One to another
-/// request, or one that somebody else sent at its address, says nothing of it.
-fn is_from(guard: &AttemptGuard, info: &ResponseInfo) -> bool {
+/// Learns from the head of an engine's response to a call that is no request of a caller. The call was sent to the
+/// incarnation with this key.
+pub(crate) fn observe_call(
+    node: &Node,
+    engine: &EngineId,
+    key: EngineKey,
+    head: &Head,
+    call: &dyn Display,
+) {
+    let info = node.protocols.upstreams.parse_head(head);
+    let names_other = info.engine.as_ref().is_some_and(|named| named != engine);
+    if info.notices.is_leaving && !info.is_misdirected && !names_other {
+        record_own_leaving(node, key, call, head.status);
+    }
+}
+
+/// Records what an engine has told this node, and tells the others.
+fn record_own_leaving(node: &Node, key: EngineKey, answered: &dyn Display, status: u16) {
+    if record_leaving(node, key, answered, status) {
+        node.recent_leaving.record(key, node.now());
+        peers::send_engine_news(node, &Datagram::EngineLeaving(key));
+    }
+}
+
+/// Applies what another node tells. Returns whether it is news.
+pub(crate) fn apply_leaving(node: &Node, engines: &[EngineKey]) -> bool {
+    let mut has_news = false;
+    for key in engines.iter().filter(|key| record_leaving(node, **key, &"peer", 0)) {
+        // The node that this one polls may not know it either.
+        node.recent_leaving.record(*key, node.now());
+        has_news = true;
+    }
+    has_news
+}
+
+/// Sends nothing more to an engine; the nodes that poll this one learn it with the list.
+fn record_leaving(node: &Node, key: EngineKey, answered: &dyn Display, status: u16) -> bool {
+    let engine = {
+        let mut state = node.state.borrow_mut();
+        if !state.engines.record_leaving(key) {
+            return false;
+        }
+        state.engines.by_key(key).map(|engine| engine.info.id.clone())
+    };
+    if let Some(engine) = engine {
+        log(node, &engine, &"leaving", answered, status);
+    }
+    leader::notify_list_change(node);
+    node.update_available.notify_waiters();
+    node.placement_changed.notify_waiters();
+    true
+}
+
+/// Whether the response comes from the engine that the request was sent to, in its current incarnation. A success without
+/// a signature or an id, or what somebody else sent at its address, says nothing of it; responses to other requests have been
+/// dropped by their ids.
+fn is_from(guard: &AttemptGuard, info: &ResponseInfo, status: u16) -> bool {
     let names_other = info.engine.as_ref().is_some_and(|engine| engine != guard.engine());
     let names_none = info.is_misdirected && info.engine.is_none();
-    info.id.is_some() && !names_other && !names_none && !guard.engine_restarted()
+    let is_unproved = (200..300).contains(&status) && !(info.is_signed && info.id.is_some());
+    !names_other && !names_none && !is_unproved && !guard.engine_restarted()
 }
 
-fn log(
-    node: &Node,
-    guard: &AttemptGuard,
-    notice: &dyn Display,
-    answered: &dyn Display,
-    status: u16,
-) {
+fn log(node: &Node, engine: &EngineId, notice: &dyn Display, answered: &dyn Display, status: u16) {
     emit(
         Event::EngineNotice,
         &[
             ("node", &node.settings.borrow().node),
-            ("upstream", guard.engine()),
+            ("upstream", engine),
             ("notice", notice),
             ("in", answered),
             ("status", &status),
--- a/crates/gateway/src/engine_path.rs
+++ b/crates/gateway/src/engine_path.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{
     Engine, EngineId, EnginePath, MIN_FAILED_ENGINES, Millis, PATH_CHECK_INTERVAL, PathChange,
     Service, ServiceId,
@@ -20,6 +21,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::election;
+use crate::engine_notices;
 use crate::meter;
 use crate::shared::Node;
 
@@ -147,6 +149,7 @@
 /// A probe of an engine, and the request that it answers at any load; none if there is no such request.
 struct Probe {
     engine: EngineId,
+    key: EngineKey,
     addr: SocketAddr,
     req: Option<Request>,
 }
@@ -159,6 +162,7 @@
     if let Some(req) = &probe.req {
         let response = async {
             let head = conn.round_trip(req).await?;
+            engine_notices::observe_call(node, &probe.engine, probe.key, &head, &req.target);
             conn.read_body(BodyDecoder::new(head.framing), MAX_PROBE_BYTES).await
         };
         let response = timeout(PROBE_TIMEOUT, response).await;
@@ -216,7 +220,7 @@
     let service = state.catalog.as_ref().and_then(|c| c.services.get(service));
     let probe = |engine: &Engine| {
         let req = service.and_then(|service| probe_request(node, engine, service));
-        Probe { engine: engine.info.id.clone(), addr: engine.info.addr, req }
+        Probe { engine: engine.info.id.clone(), key: engine.key(), addr: engine.info.addr, req }
     };
     chosen.into_iter().map(probe).collect()
 }
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -7,6 +7,7 @@
 use hgw_http1::{BodyDecoder, Request};
 use tokio::time::timeout;
 
+use crate::engine_notices;
 use crate::meter;
 use crate::protocol::{Order, OrderKind, Report};
 use crate::shared::Node;
@@ -190,11 +191,13 @@
 }
 
 async fn call(node: &Node, engine: &EngineId, req: &Request) -> CallResult {
-    let Some(addr) = node.engine(engine, |e| e.info.addr) else { return CallResult::NotSent };
+    let known = node.engine(engine, |e| (e.info.addr, e.key()));
+    let Some((addr, key)) = known else { return CallResult::NotSent };
     let connected = timeout(RESPONSE_TIMEOUT, node.pool.get(addr, node.conn_timeouts())).await;
     let Ok(Ok(mut conn)) = connected else { return CallResult::NotSent };
     let response = async {
         let head = conn.round_trip(req).await.ok()?;
+        engine_notices::observe_call(node, engine, key, &head, &req.target);
         let body = conn.read_body(BodyDecoder::new(head.framing), MAX_RESPONSE_BYTES).await.ok()?;
         Some((head.status, body))
     };
--- a/crates/gateway/src/peers/datagrams.rs
+++ b/crates/gateway/src/peers/datagrams.rs
@@ -50,6 +50,8 @@
     EngineBrittle(LimitState),
     /// A brittle engine rejected a request of the sender.
     EngineRejected(EngineKey),
+    /// An engine has said in a response to the sender that it leaves.
+    EngineLeaving(EngineKey),
     /// A stream has begun at a software version.
     #[serde(rename = "Began")]
     StreamBegan(BegunStream),
@@ -170,7 +172,8 @@
             Ok(
                 news @ (Datagram::EngineLimit(_)
                 | Datagram::EngineBrittle(_)
-                | Datagram::EngineRejected(_)),
+                | Datagram::EngineRejected(_)
+                | Datagram::EngineLeaving(_)),
             ) => limits::handle_engine_news(&node, from, &news),
             Ok(datagram) => apply_request_event(&node, datagram),
             Err(_) => {}
@@ -202,6 +205,7 @@
         | Datagram::EngineLimit(_)
         | Datagram::EngineBrittle(_)
         | Datagram::EngineRejected(_)
+        | Datagram::EngineLeaving(_)
         | Datagram::Unreachable(_)
         | Datagram::UnreachableFrom(..)
         | Datagram::ReachableFrom(..) => {}
--- a/crates/gateway/src/peers/limits.rs
+++ b/crates/gateway/src/peers/limits.rs
@@ -8,6 +8,7 @@
 
 use crate::brittle;
 use crate::engine_limits;
+use crate::engine_notices;
 use crate::shared::Node;
 
 use super::datagrams::Datagram;
@@ -46,6 +47,7 @@
         Datagram::EngineLimit(state) => engine_limits::apply_states(node, &[*state]),
         Datagram::EngineBrittle(state) => brittle::apply_state(node, state),
         Datagram::EngineRejected(engine) => brittle::record_rejection(node, *engine),
+        Datagram::EngineLeaving(engine) => engine_notices::apply_leaving(node, &[*engine]),
         _ => false,
     }
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use hgw_direct::hubs::Member;
+use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{
     AdmittedVersions, ChangePosition, CrashReport, CrashState, Cursor, DemandSnapshot, EngineId,
     Era, LimitState, ListUpdate, ListVersion, LoadedModel, ModelRef, StartTime, VersionKey,
@@ -67,6 +68,9 @@
     /// Position in the receiver's changes of the limits of engines.
     #[serde(default)]
     pub(crate) limits_seen: ChangePosition,
+    /// Engines that have lately told the sender that they leave.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) leaving_engines: Vec<EngineKey>,
     /// Whether the sender does not reach the engines that the leader gives orders to.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub(crate) cannot_lead: bool,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -30,6 +30,7 @@
 
 use crate::crashes::{self, TrialRequest, TrialResponse};
 use crate::engine_limits;
+use crate::engine_notices;
 use crate::eras;
 use crate::leader;
 use crate::quotas;
@@ -229,6 +230,7 @@
     }
     apply_loads(node, &request.loads);
     engine_limits::apply_states(node, &request.engine_limits);
+    engine_notices::apply_leaving(node, &request.leaving_engines);
     let crash_reports = request.crash_reports.iter().chain(&request.part_crash_reports);
     crashes::apply_reports(node, crash_reports.cloned());
     json_response(&poll_response::poll_response(node, &request).await)
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -182,6 +182,7 @@
             engine_limits,
             limits_seen: self.limits_seen,
             era: eras::to_report(node),
+            leaving_engines: node.recent_leaving.to_tell(node.now()),
             cannot_lead: engine_path::cannot_lead(node),
             versions_position: versions::position(node),
             stream_replicas_digest: streams::replicas_digest(node),
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -49,6 +49,8 @@
     TimedOut,
     /// The engine gets as many requests as it takes for this long; no byte of it was sent.
     AtLimit(Duration),
+    /// The engine has said meanwhile that it wants no request; no byte of it was sent.
+    Unwanted,
     /// Another node that was to forward the request has not done so; it has not run there.
     NotForwarded,
     /// Another node refused the request, which has not run, for a reason that holds everywhere.
@@ -70,6 +72,7 @@
             AttemptResult::Stalled => Some("silent"),
             AttemptResult::TimedOut => Some("time over"),
             AttemptResult::AtLimit(_) => Some("at its limit"),
+            AttemptResult::Unwanted => Some("leaves"),
             AttemptResult::Withheld(_) => Some("crashes engines"),
             AttemptResult::Unauthorized(_) => Some("not allowed any more"),
         }
@@ -211,6 +214,9 @@
             AttemptResult::AtLimit(wait)
         })?;
         self.check_sendable()?;
+        if self.node.engine(guard.engine(), |e| !e.accepts_requests()) == Some(true) {
+            return Err(AttemptResult::Unwanted);
+        }
         let now = self.node.engine(guard.engine(), Engine::version_key);
         if now.is_some_and(|now| now != version) {
             // The engine has started anew meanwhile, with other software.
--- a/crates/gateway/src/relay/start.rs
+++ b/crates/gateway/src/relay/start.rs
@@ -37,7 +37,8 @@
                     return Err(final_response(req, failure, NoEngine::NoneAvailable));
                 }
             }
-            AttemptResult::NotForwarded => {}
+            // Neither is chosen again.
+            AttemptResult::NotForwarded | AttemptResult::Unwanted => {}
             AttemptResult::AtLimit(wait) => {
                 if !req.may_skip_limited() {
                     return Err(final_response(req, failure, NoEngine::AtLimit(wait)));
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -26,6 +26,7 @@
 use crate::clock::Clock;
 use crate::connection_gate::CallerGate;
 use crate::election::Leadership;
+use crate::engine_notices::RecentLeaving;
 use crate::engine_path::PathWatch;
 use crate::freshness::{self, Freshness};
 use crate::leader::LeaderState;
@@ -68,6 +69,8 @@
     pub(crate) engine_limits: RefCell<EngineLimits>,
     /// Engines that may have to reject only so many requests a second.
     pub(crate) brittle_engines: RefCell<EngineLimits>,
+    /// Engines that have told this node that they leave.
+    pub(crate) recent_leaving: RecentLeaving,
     /// Whether this node reaches engines.
     pub(crate) engine_path: PathWatch,
     /// Nodes that forward requests while this one does not reach engines.
@@ -171,6 +174,7 @@
             crashes: RefCell::new(CrashHistory::new(random())),
             engine_limits: RefCell::new(EngineLimits::new(random())),
             brittle_engines: RefCell::new(EngineLimits::new(random())),
+            recent_leaving: RecentLeaving::default(),
             engine_path: PathWatch::default(),
             forwarders: RefCell::default(),
             forwarders_asked_at: Cell::new(None),
--- a/crates/hibiscusgw/tests/platform/leaving.rs
+++ b/crates/hibiscusgw/tests/platform/leaving.rs
@@ -91,4 +91,87 @@
 plays! {
     /// Guards against nodes that send to an engine which has said that it leaves, as the list does not say so.
     nothing_is_sent_to_an_engine_that_said_in_a_stream_that_it_leaves: 3, "i-1", "stream";
+    /// The same with plain calls, and more nodes.
+    nothing_is_sent_to_an_engine_that_said_in_a_plain_answer_that_it_leaves: 9, "desk-1", "plain";
+    /// The same with nodes behind a hub, which are told by it.
+    nodes_behind_a_hub_send_nothing_to_an_engine_that_said_that_it_leaves: 14, "i-1", "stream";
+}
+
+/// Has `desk-1` answer one call, in a way of its own, with these notices.
+fn notify(fleet: &Fleet, notices: &str, answer: impl Fn(&Engine)) {
+    let engine = fleet.engine("desk-1");
+    engine.leave(Some(notices));
+    for n in 0.. {
+        assert!(n < 100, "no call has reached the engine");
+        let arrivals = engine.arrivals().len();
+        answer(engine);
+        let _ = fleet.nodes[0].plain("/look/", &format!("before-{n}"));
+        if engine.arrivals().len() > arrivals {
+            break;
+        }
+    }
+    engine.leave(None);
+    engine.refuse(0);
+    engine.fail(0);
+}
+
+/// Calls of so many that reach `desk-1`.
+fn later_calls(fleet: &Fleet, count: usize) -> usize {
+    let engine = fleet.engine("desk-1");
+    let arrivals = engine.arrivals().len();
+    for n in 0..count {
+        let _ = fleet.nodes[0].plain("/look/", &format!("after-{n}"));
+    }
+    engine.arrivals().len() - arrivals
+}
+
+/// Tests of one answer each; whether the engine leaves then.
+macro_rules! answers {
+    ($($(#[$why:meta])* $name:ident: $notices:literal, $answer:expr, $leaves:literal;)*) => {
+        $($(#[$why])* #[test] fn $name() {
+            let fleet = fleet_of(1);
+            notify(&fleet, $notices, $answer);
+            match $leaves {
+                true => assert_eq!(later_calls(&fleet, 20), 0),
+                // An engine that has failed is left alone for a while.
+                false => wait("the engine gets calls", || later_calls(&fleet, 4) > 0),
+            }
+        })*
+    };
+}
+
+answers! {
+    /// Guards against notices that are read from successes only.
+    rejection_says_that_its_engine_leaves: "1", |engine| engine.refuse(1), true;
+    /// The same for failures.
+    failure_says_that_its_engine_leaves: "1", |engine| engine.fail(1), true;
+    /// Guards against a garbled notice that takes an engine from work.
+    garbled_notice_changes_nothing: "0|yes|", |_| (), false;
+    /// Guards against one garbled value that hides a sound one.
+    one_sound_value_of_several_counts: "maybe|1", |_| (), true;
+    /// Guards against an answer to another request, which may come from anybody.
+    answer_to_another_request_says_nothing: "1", |engine| {
+        engine.fault(&Faults { cross_answers: 1, ..Faults::default() });
+    }, false;
+}
+
+/// Guards against a heartbeat that was written before the engine began to leave, and against nodes that pass over its
+/// next start for good.
+#[test]
+fn engine_leaves_until_it_starts_anew() {
+    let fleet = fleet_of(1);
+    let engine = fleet.engine("desk-1");
+    notify(&fleet, "1", |_| ());
+    assert_eq!(later_calls(&fleet, 20), 0);
+    fleet.list(engine, "ready");
+    std::thread::sleep(Duration::from_millis(1_500));
+    let arrivals = engine.arrivals().len();
+    press(&fleet, 0, "late-heartbeat", 20);
+    assert_eq!(engine.arrivals().len(), arrivals);
+    engine.start_anew();
+    fleet.list(engine, "ready");
+    wait("the new start gets calls", || {
+        press(&fleet, 0, "anew", 4);
+        engine.arrivals().len() > arrivals
+    });
 }
