Leave an engine alone that has asked this node for rest

Cause: Retry-After of a rejection was not read (the class of the fault before), and a rejection comes within a millisecond with a load of nothing, so that the engine which turns all away looked the best.

Now a rest is kept by incarnation, also while the entry is gone; the longest counts; engines that rest are not chosen, and a request that waited for a permit or a connection is checked again right before the first byte. Where all rest, callers are refused at once with the earliest end. A rest is no failure of the engine and binds no other node.

--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -78,6 +78,8 @@
     Full(Duration),
     /// All suitable engines get as many requests as they take, or are full; retry after this time.
     AtLimit(Duration),
+    /// All suitable engines have asked this node for rest, or cannot be chosen for a longer time; retry after this time.
+    Resting(Duration),
 }
 
 impl NoEngine {
@@ -85,8 +87,8 @@
     fn or_sooner(self, other: NoEngine) -> NoEngine {
         match (self, other) {
             (
-                NoEngine::Full(wait) | NoEngine::AtLimit(wait),
-                NoEngine::Full(new) | NoEngine::AtLimit(new),
+                NoEngine::Full(wait) | NoEngine::AtLimit(wait) | NoEngine::Resting(wait),
+                NoEngine::Full(new) | NoEngine::AtLimit(new) | NoEngine::Resting(new),
             ) if wait <= new => self,
             _ => other,
         }
@@ -198,6 +200,10 @@
         {
             continue;
         }
+        if let Some(wait) = engine.rest_for(params.has_precedence, now) {
+            reason = reason.or_sooner(NoEngine::Resting(Duration::from_millis(wait)));
+            continue;
+        }
         if let Some(wait) = engine.at_limit_for(params.has_precedence, now) {
             reason = reason.or_sooner(NoEngine::AtLimit(Duration::from_millis(wait)));
             continue;
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -122,6 +122,8 @@
     pub brittleness: Brittleness,
     /// Time until which no allowance for a request there is expected.
     pub at_limit_until: Millis,
+    /// Time until which it wants no request from this node.
+    rest_until: Millis,
     /// Times at which this node sent requests there, within [`RECENT_SENDS_TIME`].
     recent_sends: VecDeque<Millis>,
     /// When the last byte arrived from it on any connection.
@@ -141,8 +143,8 @@
 /// Time after which a reported load is outdated.
 const REPORT_TTL: Millis = 2_000;
 
-/// Time for which allowances for an engine that was at its limit go to requests with precedence only.
-/// As long as an allowance lasts at the least, so that others still get the rest.
+/// Time for which an engine that was at its limit, or has rested, gets requests with precedence only. As long as an
+/// allowance lasts at the least, so that others still get what is left.
 const RESERVED_TIME: Millis = 150;
 
 /// Time for which sends are remembered.
@@ -170,6 +172,7 @@
             rate_limit: None,
             brittleness: Brittleness::default(),
             at_limit_until: 0,
+            rest_until: 0,
             recent_sends: VecDeque::new(),
             last_heard: 0,
             accepted_orders: 0,
@@ -292,6 +295,18 @@
         (self.at_limit_until > 0 && wait > 0).then_some(wait)
     }
 
+    /// Records until when it wants no request from this node. An earlier time does not end a later one.
+    pub(crate) fn record_rest(&mut self, until: Millis) {
+        self.rest_until = self.rest_until.max(until);
+    }
+
+    /// Time until a request may be sent there, if it has asked this node for rest. The first ones after that are those
+    /// with precedence.
+    pub fn rest_for(&self, has_precedence: bool, now: Millis) -> Option<Millis> {
+        let reserved = if has_precedence || self.rest_until == 0 { 0 } else { RESERVED_TIME };
+        Some((self.rest_until + reserved).saturating_sub(now)).filter(|wait| *wait > 0)
+    }
+
     /// Whether it may have to reject a request, of which a brittle engine bears few. `extra_share` of its
     /// slots is for requests with precedence.
     pub(crate) fn is_full_if_brittle(&self, estimate: f64, extra_share: f64, now: Millis) -> bool {
--- a/crates/direct/src/engines.rs
+++ b/crates/direct/src/engines.rs
@@ -7,7 +7,7 @@
 
 use crate::engine::is_leaving;
 use crate::in_flight::EngineKey;
-use crate::{Cursor, Engine, EngineId, EngineInfo, EngineState, Era, ServiceId, StartTime};
+use crate::{Cursor, Engine, EngineId, EngineInfo, EngineState, Era, Millis, ServiceId, StartTime};
 
 /// Maximum number of removed engines that are remembered.
 const MAX_REMOVED: usize = 1_000;
@@ -37,6 +37,8 @@
     backup_end: Cursor,
     /// Addresses of engines that have restarted.
     restarted: Vec<SocketAddr>,
+    /// Until when incarnations want no request from this node, also while their entries are gone.
+    rests: IndexMap<EngineKey, Millis>,
 }
 
 /// A removed engine.
@@ -182,8 +184,11 @@
         self.insertions
     }
 
-    fn insert(&mut self, engine: Engine) {
+    fn insert(&mut self, mut engine: Engine) {
         self.insertions += 1;
+        if let Some(until) = self.rests.get(&engine.key()) {
+            engine.record_rest(*until);
+        }
         let id = engine.info.id.clone();
         self.by_key.insert(engine.key(), id.clone());
         self.by_id.insert(id, engine);
@@ -240,6 +245,20 @@
         false
     }
 
+    /// Records until when an incarnation wants no request from this node. Returns whether that is later than known.
+    pub fn record_rest(&mut self, key: EngineKey, until: Millis, now: Millis) -> bool {
+        self.rests.retain(|_, until| *until > now);
+        let known = self.rests.get(&key).copied().unwrap_or(0);
+        if until <= known || until <= now {
+            return false;
+        }
+        self.rests.insert(key, until);
+        if let Some(engine) = self.by_key(key) {
+            engine.record_rest(until);
+        }
+        true
+    }
+
     /// Marks an engine whose entry cannot be parsed.
     pub fn mark_unreadable(&mut self, id: &EngineId, position: Cursor) {
         if let Some(engine) =
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -31,6 +31,9 @@
     /// All engines that could run it get as many requests as they take.
     #[display("engines at their limits")]
     EnginesAtLimit,
+    /// All engines that could run it have asked this node for rest.
+    #[display("engines rest")]
+    EnginesResting,
     /// The configuration may be outdated, and the key revoked.
     #[display("no proof of the newest keys")]
     StaleConfig,
--- a/crates/direct/tests/choice.rs
+++ b/crates/direct/tests/choice.rs
@@ -7,8 +7,8 @@
 use assert_matches::assert_matches;
 use hgw_direct::in_flight::InFlightLoad;
 use hgw_direct::{
-    AttemptOutcome, Choice, ChoiceParams, CostWeights, Cursor, EngineId, Engines, Load, NoEngine,
-    Prompt, PromptPart, SendId, VersionRule, choose_engine, is_isolated,
+    AttemptOutcome, Choice, ChoiceParams, CostWeights, Cursor, EngineId, Engines, Load, Millis,
+    NoEngine, Prompt, PromptPart, SendId, VersionRule, choose_engine, is_isolated,
 };
 use support::{engine_info, engines, model_ref, service};
 
@@ -22,6 +22,16 @@
 }
 
 fn chosen(engines: &Engines, want: &str, tried: &[EngineId]) -> Result<Choice, NoEngine> {
+    chosen_at(engines, want, tried, false, 1_000)
+}
+
+fn chosen_at(
+    engines: &Engines,
+    want: &str,
+    tried: &[EngineId],
+    has_precedence: bool,
+    now: Millis,
+) -> Result<Choice, NoEngine> {
     let (service, prompt) = (service(), prompt(want, 7));
     let params = ChoiceParams {
         service: &service,
@@ -31,13 +41,13 @@
         tried,
         nodes: 1,
         max_conns: 100,
-        has_precedence: false,
+        has_precedence,
         max_event_gap: None,
         can_wait: false,
         random: 0.0,
         weights: CostWeights::default(),
     };
-    choose_engine(engines, &params, 1_000)
+    choose_engine(engines, &params, now)
 }
 
 fn engine_id(choice: Result<Choice, NoEngine>) -> String {
@@ -433,3 +443,30 @@
     assert_eq!(engine.request_share(360, 986, 1_000), 1);
     assert_eq!(engine.request_share(u32::MAX, 1, 1_000), u32::MAX);
 }
+
+/// Engines of which all want rest, until 4 s, 3 s and 5 s.
+fn resting() -> Engines {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"]), ("e3", "b", &["m"])]);
+    for (id, until) in [("e1", 4_000), ("e2", 3_000), ("e3", 5_000)] {
+        let key = engines.get(&EngineId::from(id)).unwrap().key();
+        assert!(engines.record_rest(key, until, 1_000));
+    }
+    engines
+}
+
+/// Guards against callers that come back while all engines rest, or wait for longer than for the first.
+#[test]
+fn refusal_names_the_earliest_end_of_a_rest() {
+    let engines = resting();
+    let wait = Duration::from_millis(1_000);
+    assert_eq!(chosen_at(&engines, "m", &[], true, 2_000), Err(NoEngine::Resting(wait)));
+    assert_eq!(engine_id(chosen_at(&engines, "m", &[], true, 3_000)), "e2");
+}
+
+/// Guards against less urgent requests that take the first places after a rest.
+#[test]
+fn requests_with_precedence_come_first_after_a_rest() {
+    let engines = resting();
+    assert!(matches!(chosen_at(&engines, "m", &[], false, 3_000), Err(NoEngine::Resting(_))));
+    assert_eq!(engine_id(chosen_at(&engines, "m", &[], false, 3_200)), "e2");
+}
--- a/crates/direct/tests/engines.rs
+++ b/crates/direct/tests/engines.rs
@@ -4,7 +4,8 @@
 
 use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{
-    AttemptOutcome, Cursor, EngineId, EngineInfo, EngineState, Engines, Load, SendId, StartTime,
+    AttemptOutcome, Cursor, EngineId, EngineInfo, EngineState, Engines, Era, Load, SendId,
+    StartTime,
 };
 use proptest::collection::vec;
 use proptest::prelude::{prop_assert, prop_assert_eq, proptest};
@@ -288,3 +289,65 @@
         }
     }
 }
+
+/// Key of the first start.
+fn first_key() -> EngineKey {
+    EngineKey::of(&id(), StartTime(Some(100)))
+}
+
+fn entry_at(offset: u64, info: EngineInfo) -> EngineInfo {
+    EngineInfo { position: Cursor::new(Era::FIRST, offset), ..info }
+}
+
+/// Guards against an entry that lapses and comes back, and with it the requests that the engine did not want.
+#[test]
+fn rest_outlives_the_removal_and_the_return_of_an_entry() {
+    let mut engines = engines_in_use();
+    assert!(engines.record_rest(first_key(), 5_000, 1_000));
+    assert!(!engines.record_rest(first_key(), 4_000, 1_000), "an earlier end changes nothing");
+    engines.remove(&id(), Cursor::new(Era::FIRST, 5));
+    engines.upsert(entry_at(6, started_at(100, &["m"])));
+    let rest = |engines: &Engines, now| engines.get(&id()).unwrap().rest_for(true, now);
+    assert_eq!(rest(&engines, 2_000), Some(3_000));
+    assert_eq!(rest(&engines, 5_000), None);
+    engines.upsert(entry_at(7, started_at(200, &["m"])));
+    assert_eq!(rest(&engines, 2_000), None, "the next start has asked for none");
+}
+
+/// Guards against a rest that is told while the entry is away.
+#[test]
+fn rest_that_is_told_while_the_entry_is_gone_counts() {
+    let mut engines = engines_in_use();
+    engines.remove(&id(), Cursor::new(Era::FIRST, 5));
+    engines.record_rest(first_key(), 5_000, 1_000);
+    engines.upsert(entry_at(6, started_at(100, &["m"])));
+    assert_eq!(engines.get(&id()).unwrap().rest_for(true, 2_000), Some(3_000));
+}
+
+/// Guards against a restored store, a late heartbeat or an entry that comes back: each said that the engine is ready.
+#[test]
+fn engine_that_said_that_it_leaves_stays_so_until_its_next_start() {
+    let mut engines = engines_in_use();
+    assert!(engines.record_leaving(first_key()));
+    assert!(!engines.record_leaving(first_key()), "known");
+    let accepts = |engines: &Engines| engines.get(&id()).unwrap().accepts_requests();
+    engines.upsert(entry_at(6, started_at(100, &["m"])));
+    assert!(!accepts(&engines));
+    engines.remove(&id(), Cursor::new(Era::FIRST, 7));
+    engines.upsert(entry_at(8, started_at(100, &["m"])));
+    assert!(!accepts(&engines));
+    engines.upsert(entry_at(9, started_at(200, &["m"])));
+    assert!(accepts(&engines));
+    assert!(!engines.record_leaving(first_key()), "the earlier start says nothing of this one");
+    assert!(accepts(&engines));
+}
+
+/// Guards against a notice that is lost as the entry is away when it comes.
+#[test]
+fn engine_that_said_it_leaves_while_its_entry_is_gone_comes_back_leaving() {
+    let mut engines = engines_in_use();
+    engines.remove(&id(), Cursor::new(Era::FIRST, 5));
+    assert!(!engines.record_leaving(first_key()), "nobody uses it");
+    engines.upsert(entry_at(6, started_at(100, &["m"])));
+    assert!(!engines.get(&id()).unwrap().accepts_requests());
+}
--- a/crates/gateway/src/engine_path.rs
+++ b/crates/gateway/src/engine_path.rs
@@ -196,10 +196,12 @@
     let path = paths.get(service);
     let has_failed = path.is_some_and(EnginePath::has_failed);
     let has_missed = |id: &EngineId| path.is_some_and(|path| path.has_missed(id));
+    let now = node.now();
+    let may_ask = |e: &&Engine| e.accepts_requests() && e.rest_for(true, now).is_none();
     let mut candidates: Vec<&Engine> = state
         .engines
         .of_service(service)
-        .filter(|e| e.accepts_requests() && (has_failed || !has_missed(&e.info.id)))
+        .filter(|e| may_ask(e) && (has_failed || !has_missed(&e.info.id)))
         .collect();
     let count = if has_failed { PROBES_IN_OUTAGE } else { MIN_FAILED_ENGINES };
     let mut chosen = Vec::new();
--- a/crates/gateway/src/peers/forwarding.rs
+++ b/crates/gateway/src/peers/forwarding.rs
@@ -118,6 +118,7 @@
         Refusal::NotReady
             | Refusal::Stopping
             | Refusal::EnginesUnreachable
+            | Refusal::EnginesResting
             | Refusal::StaleConfig
             | Refusal::OutdatedConfig
             | Refusal::NodeBusy
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -72,7 +72,7 @@
             AttemptResult::Stalled => Some("silent"),
             AttemptResult::TimedOut => Some("time over"),
             AttemptResult::AtLimit(_) => Some("at its limit"),
-            AttemptResult::Unwanted => Some("leaves"),
+            AttemptResult::Unwanted => Some("leaves or rests"),
             AttemptResult::Withheld(_) => Some("crashes engines"),
             AttemptResult::Unauthorized(_) => Some("not allowed any more"),
         }
@@ -214,7 +214,9 @@
             AttemptResult::AtLimit(wait)
         })?;
         self.check_sendable()?;
-        if self.node.engine(guard.engine(), |e| !e.accepts_requests()) == Some(true) {
+        let now = self.node.now();
+        let is_unwanted = |e: &Engine| !e.accepts_requests() || e.rest_for(true, now).is_some();
+        if self.node.engine(guard.engine(), is_unwanted) == Some(true) {
             return Err(AttemptResult::Unwanted);
         }
         let now = self.node.engine(guard.engine(), Engine::version_key);
@@ -298,7 +300,7 @@
             self.set_may_run(false);
             if info.is_misdirected {
                 self.correct_engine_list(engine, &info);
-            } else {
+            } else if info.notices.rest.is_none() {
                 guard.record_outcome(AttemptOutcome::Rejected);
             }
             let body = hgw_http1::BodyDecoder::new(head.framing);
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -433,6 +433,7 @@
             NoEngine::NotLoaded(retry_after) => (Refusal::ModelNotLoaded, retry_after),
             NoEngine::Full(retry_after) => (Refusal::EnginesFull, retry_after),
             NoEngine::AtLimit(retry_after) => (Refusal::EnginesAtLimit, retry_after),
+            NoEngine::Resting(retry_after) => (Refusal::EnginesResting, retry_after),
         };
         let refusal = if is_unreachable { Refusal::EnginesUnreachable } else { refusal };
         self.refuse(refusal, retry_after)
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -38,6 +38,7 @@
 mod outdated_configuration;
 mod random_faults;
 mod restarts;
+mod resting;
 mod restores;
 mod session;
 mod settings;
