--- a/crates/direct/src/engine_notices.rs
+++ b/crates/direct/src/engine_notices.rs
@@ -5,9 +5,15 @@
 
 use derive_more::{Display, Error};
 
+use crate::Millis;
+
 /// Longest time of rest that counts: a garbled one must not keep an engine from work for good.
 const MAX_REST: Duration = Duration::from_secs(600);
 
+/// Range over which the ends of a rest are spread, as a share of it, and its longest.
+const SPREAD: f64 = 0.1;
+const MAX_SPREAD: Duration = Duration::from_millis(500);
+
 /// Maximum length of the text of a notice that is kept, in characters.
 const MAX_CHARS: usize = 32;
 
@@ -20,6 +26,13 @@
     pub fn duration(self) -> Duration {
         self.0
     }
+
+    /// When a rest ends that begins now. `random`, in `0..1`, spreads the nodes: all that waited for the end would come
+    /// at the same moment.
+    pub fn end(self, now: Millis, random: f64) -> Millis {
+        let spread = self.0.mul_f64(SPREAD * random).min(MAX_SPREAD);
+        now + (self.0 + spread).as_millis() as Millis
+    }
 }
 
 /// Why a notice cannot be parsed.
--- a/crates/direct/tests/engine_notices.rs
+++ b/crates/direct/tests/engine_notices.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use hgw_direct::{InvalidNotice, RestTime};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 macro_rules! rests {
     ($($name:ident: $text:literal => $expected:expr;)*) => {
@@ -35,3 +37,19 @@
     let invalid = text.parse::<RestTime>().unwrap_err();
     assert_eq!(invalid, InvalidNotice::NoRestTime { text: "x".repeat(32) });
 }
+
+/// Guards against nodes that all come back to an engine at the moment at which it has rested.
+#[test]
+fn ends_of_a_rest_are_spread_over_the_nodes_of_a_fleet() {
+    const REST: u64 = 3_000;
+    let rest: RestTime = "3".parse().unwrap();
+    for (seed, nodes) in [(1, 9), (2, 986), (3, 1_972)] {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let ends: Vec<u64> = (0..nodes).map(|_| rest.end(0, rng.random())).collect();
+        assert!(ends.iter().all(|end| (REST..=REST + REST / 10).contains(end)), "{ends:?}");
+        let within_30_ms =
+            |from: u64| ends.iter().filter(|e| (from..from + 30).contains(*e)).count();
+        let most = (REST..REST + REST / 10).map(within_30_ms).max().unwrap();
+        assert!(most <= nodes / 10 * 2 + 4, "{most} of {nodes} within a tenth of the time");
+    }
+}
--- a/crates/gateway/src/engine_notices.rs
+++ b/crates/gateway/src/engine_notices.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::fmt::Display;
-use std::time::Duration;
 
 use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{EngineId, EngineNotices, Millis, RestTime};
@@ -16,10 +15,6 @@
 use crate::protocol::ResponseInfo;
 use crate::shared::Node;
 
-/// Range over which the ends of a rest are spread, as a share of it, and its longest.
-const REST_SPREAD: f64 = 0.1;
-const MAX_REST_SPREAD: Duration = Duration::from_millis(500);
-
 /// Time for which polls repeat that an engine leaves, as a datagram may be lost.
 const TOLD_FOR: Millis = 2_000;
 
@@ -60,12 +55,10 @@
     }
 }
 
-/// Sends an engine nothing more from this node until it has rested. Nodes end the same rest at different times, as
-/// all that waited for its end would come at the same moment.
+/// Sends an engine nothing more from this node until it has rested.
 fn record_rest(node: &Node, guard: &AttemptGuard, rest: RestTime, request_id: &str, status: u16) {
     let now = node.now();
-    let spread = rest.duration().mul_f64(REST_SPREAD * random::<f64>()).min(MAX_REST_SPREAD);
-    let until = now + (rest.duration() + spread).as_millis() as Millis;
+    let until = rest.end(now, random());
     if node.state.borrow_mut().engines.record_rest(guard.engine_key(), until, now) {
         log(node, guard.engine(), &format_args!("rest {rest}"), &request_id, status);
     }
