Test: a notice in the response to a call of the leader counts

An order or a report is answered with the engine's notices too; without the call to observe_call in order.rs the test fails.

--- a/crates/hibiscusgw/tests/platform/leaving.rs
+++ b/crates/hibiscusgw/tests/platform/leaving.rs
@@ -175,3 +175,23 @@
         engine.arrivals().len() > arrivals
     });
 }
+
+/// Guards against a notice that comes where no caller's request went: in the response to a call of the leader's.
+#[test]
+fn response_to_the_leader_says_that_its_engine_leaves() {
+    let mut fleet = new_fleet(vec![model_engine("i-1")]);
+    let node = fleet.start("a");
+    wait("the node is the leader", || fleet.store.records("hgw-claims").len() > 1);
+    let status = |model: &str, id: &str| {
+        fleet.nodes[node].stream("/ask/", id, model).map(|answer| answer.status).ok()
+    };
+    assert_eq!(status("m", "before"), Some(StatusCode::OK));
+    let engine = fleet.engine("i-1");
+    engine.leave(Some("1"));
+    let arrivals = engine.arrivals().len();
+    // Has the leader ask the engine for a report, or order the model, which it does not have.
+    status("n", "ordered");
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(status("m", "after"), Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert_eq!(engine.arrivals().len(), arrivals);
+}
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -608,16 +608,16 @@
 
 impl StandIn for Shared {
     async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Reply {
-        Ok(match (req.method(), req.uri().path()) {
+        let mut answer = match (req.method(), req.uri().path()) {
             (&Method::GET, "/api/report") => self.report(),
             (&Method::POST, "/api/order") => self.order(&req),
             _ => {
                 self.lock().arrivals.push(Instant::now());
-                let mut answer = self.request(req).await;
-                self.name_limits(&mut answer);
-                answer
+                self.request(req).await
             }
-        })
+        };
+        self.name_limits(&mut answer);
+        Ok(answer)
     }
 
     fn record(&self) -> serde_json::Value {
