--- a/crates/hibiscusgw/tests/platform/leader_reads.rs
+++ b/crates/hibiscusgw/tests/platform/leader_reads.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hgw_standins::fleet::EngineSettings;
-use hgw_standins::fleet::deployment::{Fleet, configuration_with_route, holds, wait};
+use hgw_standins::fleet::deployment::{Fleet, configuration_with_route, holds};
 use http::StatusCode;
 
 use crate::new_fleet;
@@ -15,32 +15,25 @@
 const CATALOG_READ: &str = "topic=keyed.op";
 
 /// So many nodes, of which the first is the leader.
-fn fleet_of(nodes: usize) -> (Fleet, Vec<usize>) {
+fn fleet_of(nodes: usize) -> Fleet {
     let models = EngineSettings { holds: holds(&[("m", &[])]), ..EngineSettings::default() };
     let mut fleet = new_fleet(vec![models]);
-    let mut started = vec![fleet.start("a")];
-    wait("the first node is the leader", || fleet.store.records("hgw-claims").len() > 1);
-    started.extend((1..nodes).map(|_| fleet.spawn("a")));
-    for node in &started {
-        wait("the node is ready", || fleet.nodes[*node].is_ready());
-    }
-    // From now on nodes with a hub poll the hub.
-    std::thread::sleep(Duration::from_secs(3));
-    (fleet, started)
+    fleet.start_with_leader(nodes, &["a"]);
+    fleet
 }
 
 /// Publishes while the leader's reads of the configuration get no response, and all else does.
 fn play(nodes: usize) {
-    let (fleet, nodes) = fleet_of(nodes);
-    fleet.nodes[nodes[0]].to_store.lose(Some(CATALOG_READ));
+    let fleet = fleet_of(nodes);
+    fleet.nodes[0].to_store.lose(Some(CATALOG_READ));
     // Longer than a read that had begun before may wait.
     std::thread::sleep(Duration::from_millis(1_500));
     fleet.publish(&configuration_with_route(2, "new"));
     std::thread::sleep(APPLY_WITHIN);
-    for node in &nodes {
-        let served = fleet.nodes[*node].plain("/new/", &format!("call-{node}"));
+    for node in &fleet.nodes {
+        let served = node.plain("/new/", &format!("call-{}", node.name));
         let status = served.map(|answer| answer.status).ok();
-        assert_eq!(status, Some(StatusCode::OK), "node {node}");
+        assert_eq!(status, Some(StatusCode::OK), "{}", node.name);
     }
 }
 
@@ -63,14 +56,14 @@
 /// Reads for all nodes by each of them would be dear: while the leader reads, the others do not.
 #[test]
 fn nodes_read_no_configuration_while_the_leader_does() {
-    let (fleet, nodes) = fleet_of(4);
-    for node in &nodes[1..] {
-        fleet.nodes[*node].to_store.lose(Some(CATALOG_READ));
+    let fleet = fleet_of(4);
+    for node in &fleet.nodes[1..] {
+        node.to_store.lose(Some(CATALOG_READ));
     }
     fleet.publish(&configuration_with_route(2, "new"));
     std::thread::sleep(APPLY_WITHIN);
-    for node in &nodes {
-        let served = fleet.nodes[*node].plain("/new/", &format!("call-{node}"));
-        assert!(served.is_ok_and(|answer| answer.status == StatusCode::OK), "node {node}");
+    for node in &fleet.nodes {
+        let served = node.plain("/new/", &format!("call-{}", node.name));
+        assert!(served.is_ok_and(|answer| answer.status == StatusCode::OK), "{}", node.name);
     }
 }
--- a/crates/hibiscusgw/tests/platform/long_configuration.rs
+++ b/crates/hibiscusgw/tests/platform/long_configuration.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hgw_standins::fleet::EngineSettings;
-use hgw_standins::fleet::deployment::{Fleet, NodeLinks, configuration_with_route, holds, wait};
+use hgw_standins::fleet::deployment::{Fleet, NodeLinks, configuration_with_route, holds};
 use hgw_standins::link::Rate;
 use http::StatusCode;
 use serde_json::Value;
@@ -52,14 +52,7 @@
         bytes_per_s: Some(LINK_BYTES_PER_S),
         store_reads: Some(Rate::new(play.store_bytes_per_s)),
     };
-    fleet.start("a");
-    wait("the first node is the leader", || fleet.store.records("hgw-claims").len() > 1);
-    let others: Vec<usize> = (1..play.nodes).map(|_| fleet.spawn("a")).collect();
-    for node in others {
-        wait("the node is ready", || fleet.nodes[node].is_ready());
-    }
-    // From now on nodes with a hub poll the hub.
-    std::thread::sleep(Duration::from_secs(3));
+    fleet.start_with_leader(play.nodes, &["a"]);
     fleet
 }
 
--- a/crates/hibiscusgw/tests/platform/outdated_configuration.rs
+++ b/crates/hibiscusgw/tests/platform/outdated_configuration.rs
@@ -22,11 +22,7 @@
     let models = EngineSettings { holds: holds(&[("m", &[])]), ..EngineSettings::default() };
     let mut fleet = new_fleet(vec![models]);
     fleet.links = NodeLinks { bytes_per_s: Some(1e9), ..NodeLinks::default() };
-    fleet.start("a");
-    wait("the first node is the leader", || fleet.store.records("hgw-claims").len() > 1);
-    for _ in 1..nodes {
-        fleet.start("a");
-    }
+    fleet.start_with_leader(nodes, &["a"]);
     fleet
 }
 
--- a/crates/hibiscusgw/tests/platform/resting.rs
+++ b/crates/hibiscusgw/tests/platform/resting.rs
@@ -23,13 +23,7 @@
 
 fn fleet_of(nodes: usize) -> Fleet {
     let mut fleet = new_fleet(["i-1", "i-2", "i-3"].map(model_engine).to_vec());
-    fleet.start("a");
-    wait("the first node is the leader", || fleet.store.records("hgw-claims").len() > 1);
-    let others: Vec<usize> = (1..nodes).map(|n| fleet.spawn(["a", "b"][n % 2])).collect();
-    for node in others {
-        wait("the node is ready", || fleet.nodes[node].is_ready());
-    }
-    std::thread::sleep(Duration::from_secs(3));
+    fleet.start_with_leader(nodes, &["a", "b"]);
     fleet
 }
 
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -18,6 +18,9 @@
 /// Longest wait for anything: a guard against hanging, far above what is expected.
 const GUARD: Duration = Duration::from_secs(60);
 
+/// Time after which nodes with a hub poll the hub.
+const HUBS_KNOWN_AFTER: Duration = Duration::from_secs(3);
+
 /// Ports of nodes: each process that starts nodes has a set of its own.
 const FIRST_PORT: u16 = 12_000;
 const PORTS_IN_SET: u16 = 500;
@@ -197,6 +200,18 @@
         node
     }
 
+    /// Starts so many nodes, in these domains by turns, and waits until they are ready and know whom they poll. The first
+    /// is the leader.
+    pub fn start_with_leader(&mut self, nodes: usize, zones: &[&str]) {
+        self.start(zones[0]);
+        wait("the first node is the leader", || self.store.records("hgw-claims").len() > 1);
+        let others: Vec<usize> = (1..nodes).map(|n| self.spawn(zones[n % zones.len()])).collect();
+        for node in others {
+            wait("the node is ready", || self.nodes[node].is_ready());
+        }
+        std::thread::sleep(HUBS_KNOWN_AFTER);
+    }
+
     /// Starts a node whose lines go to a file, and waits until it is ready.
     pub fn start_logged(&mut self, zone: &str) -> (usize, PathBuf) {
         let path = self.folder.join(format!("front-{}.log", self.next));
