Keep what has arrived of a configuration when a source has an older text, or two transfers bring the same part

Found on reading: a node referred to one that was receiving an older version threw away what it had of a newer one; and the reader's fetch beside one from a child (after a restore of the store) took the other's part for damage and began anew.

--- a/crates/direct/src/text_transfer.rs
+++ b/crates/direct/src/text_transfer.rs
@@ -62,13 +62,14 @@
         self.bytes.len() as u64
     }
 
-    /// Appends a part that begins where the text ends so far. Returns false if it does not fit or has no bytes.
+    /// Appends what is new of a part, which another transfer may have brought in part. Returns false if bytes before it are
+    /// missing, or it has none or too many.
     pub fn append(&mut self, offset: u64, part: &[u8]) -> bool {
-        let fits = offset == self.offset()
-            && !part.is_empty()
-            && self.offset() + part.len() as u64 <= self.id.length;
+        let end = offset + part.len() as u64;
+        let fits = offset <= self.offset() && !part.is_empty() && end <= self.id.length;
         if fits {
-            self.bytes.extend_from_slice(part);
+            let known = (self.offset() - offset) as usize;
+            self.bytes.extend_from_slice(part.get(known..).unwrap_or_default());
         }
         fits
     }
--- a/crates/gateway/src/peers/catalog_text.rs
+++ b/crates/gateway/src/peers/catalog_text.rs
@@ -100,6 +100,11 @@
         partial.as_ref().map(|text| (text.id(), text.offset()))
     }
 
+    /// Whether a newer text is being received than this one, which would replace what has arrived.
+    fn has_newer(&self, id: PackedTextId) -> bool {
+        self.partial.borrow().as_ref().is_some_and(|text| text.id().version > id.version)
+    }
+
     /// Takes in a part; returns the packed text if it is complete now.
     fn add(&self, id: PackedTextId, offset: u64, part: &[u8]) -> Result<Option<Bytes>, FetchError> {
         let mut partial = self.partial.borrow_mut();
@@ -209,6 +214,9 @@
     let max_stall = node.settings.borrow().max_catalog_wait().as_millis() as u64;
     loop {
         let (next, error) = match request_part(node, source.addr()).await {
+            Ok(PartResponse::Part { id, .. }) if node.catalog_transfers.has_newer(id) => {
+                (source.record_failure(), FetchError::NothingNewer)
+            }
             Ok(PartResponse::Part { id, offset, bytes }) => {
                 source.record_progress(node.now());
                 match node.catalog_transfers.add(id, offset, &bytes)? {
