Send callers elsewhere after half of the time for changes, not after a third

Found on reading: with a long configuration on slow links most nodes lack it for a while (0.9 s in virtual time for 300 KB), and with two seconds for changes all of these would have failed their readiness check after 0.7 s, with nobody to send callers to. Refusing stays at six tenths.

--- a/crates/direct/src/catalog_lag.rs
+++ b/crates/direct/src/catalog_lag.rs
@@ -8,8 +8,9 @@
 
 use crate::Millis;
 
-/// Share of the time for changes after which a node that lacks a newer configuration sends its callers to others.
-const UNREADY_AFTER: f64 = 0.35;
+/// Share of the time for changes after which a node that lacks a newer configuration sends its callers to others. Not
+/// earlier, as with a long one on slow links most nodes lack it for a while.
+const UNREADY_AFTER: f64 = 0.5;
 
 /// Share after which it refuses requests. The rest is for the time in which it had not been told yet.
 const REFUSE_AFTER: f64 = 0.6;
