Send a short configuration to all that ask at once

Three receivers at a time is for texts that fill a link. An ordinary one is a few KB, packed 1 to 2; of 14 nodes behind a hub eleven were told to come back some 100 ms later.

--- a/crates/direct/src/text_transfer.rs
+++ b/crates/direct/src/text_transfer.rs
@@ -11,6 +11,9 @@
 /// Nodes that one node sends a text to at a time. Those that ask meanwhile take it from these.
 const MAX_RECEIVERS: usize = 3;
 
+/// Size up to which a text is sent to all that ask at once, as waiting for a turn would take longer.
+const SMALL_TEXT_BYTES: u64 = 4 << 10;
+
 /// Time after its last request within which a node counts as receiving: several times that of a part on a slow link.
 const RECEIVING_FOR: Millis = 400;
 
@@ -105,7 +108,16 @@
 
 impl SendSlots {
     /// Whether a node that asks gets a part now. One that is receiving goes first until it has all.
-    pub fn admit(&mut self, now: Millis, receiver: SocketAddr, domain: &str) -> bool {
+    pub fn admit(
+        &mut self,
+        now: Millis,
+        text: PackedTextId,
+        receiver: SocketAddr,
+        domain: &str,
+    ) -> bool {
+        if text.length <= SMALL_TEXT_BYTES {
+            return true;
+        }
         self.receivers.retain(|_, r| now.saturating_sub(r.asked_at) < RECEIVING_FOR);
         if !self.receivers.contains_key(&receiver) && self.receivers.len() >= MAX_RECEIVERS {
             return false;
--- a/crates/direct/tests/text_transfer.rs
+++ b/crates/direct/tests/text_transfer.rs
@@ -80,7 +80,7 @@
         }
         let offset = all[asker].partial.offset();
         let available = all[source].partial.offset() - offset.min(all[source].partial.offset());
-        if available == 0 || !all[source].slots.admit(arrives, addr(asker), "a") {
+        if available == 0 || !all[source].slots.admit(arrives, id, addr(asker), "a") {
             let spread = rng.random();
             let slots = &all[source].slots;
             let referrals = match available {
@@ -160,6 +160,16 @@
     text_reaches_all_while_nodes_that_have_it_end: 62 nodes, LONG, 10 dead, within 1_500;
 }
 
+/// Guards against a short text that takes as long as a long one, as those that ask wait for their turn.
+#[test]
+fn short_text_is_sent_to_all_at_once() {
+    let mut slots = SendSlots::default();
+    let id = |length| PackedTextId { version: 2, digest: 0, length };
+    assert!((0..163).all(|node| slots.admit(0, id(1_400), addr(node), "a")));
+    let admitted = (0..163).filter(|node| slots.admit(0, id(LONG), addr(*node), "a")).count();
+    assert_eq!(admitted, 3);
+}
+
 /// Guards against a text joined from two versions, or damaged on its way.
 #[test]
 fn damaged_text_is_not_taken() {
--- a/crates/gateway/src/peers/catalog_text.rs
+++ b/crates/gateway/src/peers/catalog_text.rs
@@ -291,7 +291,7 @@
         return PartResponse::Busy { holders: Vec::new() };
     }
     let mut slots = transfers.slots.borrow_mut();
-    if !slots.admit(node.now(), request.from, &request.domain) {
+    if !slots.admit(node.now(), id, request.from, &request.domain) {
         let holders = slots.referrals(id.version, request.from, &request.domain, random());
         return PartResponse::Busy { holders };
     }
