Bound what is kept of leaving engines at the leader, and the size of a text that is announced

Found on reading: the leader polls nobody, so that what polls repeat for two seconds was never forgotten there; and a garbled length let a node receive without end.

--- a/crates/gateway/src/engine_notices.rs
+++ b/crates/gateway/src/engine_notices.rs
@@ -24,14 +24,18 @@
 
 impl RecentLeaving {
     fn record(&self, engine: EngineKey, now: Millis) {
+        self.forget(now);
         self.0.borrow_mut().push((engine, now));
     }
 
     /// Those to tell with a poll.
     pub(crate) fn to_tell(&self, now: Millis) -> Vec<EngineKey> {
-        let mut all = self.0.borrow_mut();
-        all.retain(|(_, at)| now.saturating_sub(*at) < TOLD_FOR);
-        all.iter().map(|(engine, _)| *engine).collect()
+        self.forget(now);
+        self.0.borrow().iter().map(|(engine, _)| *engine).collect()
+    }
+
+    fn forget(&self, now: Millis) {
+        self.0.borrow_mut().retain(|(_, at)| now.saturating_sub(*at) < TOLD_FOR);
     }
 }
 
--- a/crates/gateway/src/packed_text.rs
+++ b/crates/gateway/src/packed_text.rs
@@ -8,7 +8,7 @@
 use flate2::write::DeflateEncoder;
 
 /// Maximum size of a text, so that a packed one cannot fill the memory.
-const MAX_TEXT_BYTES: u64 = 16 << 20;
+pub(crate) const MAX_TEXT_BYTES: u64 = 16 << 20;
 
 pub(crate) fn pack(text: &[u8]) -> Vec<u8> {
     let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
--- a/crates/gateway/src/peers/catalog_text.rs
+++ b/crates/gateway/src/peers/catalog_text.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::follow::{self, TextSource};
-use crate::packed_text::{pack, unpack};
+use crate::packed_text::{MAX_TEXT_BYTES, pack, unpack};
 use crate::response::{CallerResponse, ResponseBody, json_error};
 use crate::shared::Node;
 
@@ -107,6 +107,9 @@
 
     /// Takes in a part; returns the packed text if it is complete now.
     fn add(&self, id: PackedTextId, offset: u64, part: &[u8]) -> Result<Option<Bytes>, FetchError> {
+        if id.length > MAX_TEXT_BYTES {
+            return Err(FetchError::Damaged(format!("{} bytes were announced", id.length)));
+        }
         let mut partial = self.partial.borrow_mut();
         if offset == 0 && partial.as_ref().is_none_or(|text| text.id() != id) {
             *partial = Some(PartialText::new(id));
