--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -40,7 +40,7 @@
 /// revocations in them. Its reads do not count until operators have had time to write them again,
 /// nor while its newest version is older than the one known here.
 pub(crate) fn record_store_read(node: &Shared, check: VersionCheck) {
-    let known_version = node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
+    let known_version = node.catalog_version();
     let is_store_outdated = node.era.get().era() > Era::FIRST && check.newest < known_version;
     if !is_store_outdated && check.asked_at >= eras::recovered_at(node) {
         record(node, check);
@@ -135,7 +135,7 @@
     }
     if node.freshness.was_fresh.replace(is_fresh) != is_fresh {
         let event = if is_fresh { Event::ProofGained } else { Event::ProofLost };
-        let version = node.state.borrow().catalog.as_ref().map_or(0, |c| c.version);
+        let version = node.catalog_version();
         emit(event, &[("node", &node.settings.borrow().node), ("version", &version)]);
     }
 }
--- a/crates/gateway/src/peers/catalog_text.rs
+++ b/crates/gateway/src/peers/catalog_text.rs
@@ -19,7 +19,7 @@
 use crate::response::{CallerResponse, ResponseBody, json_error};
 use crate::shared::Node;
 
-use super::{CallError, RESPONSE_TIMEOUT, poll_response, send_request};
+use super::{CallError, RESPONSE_TIMEOUT, send_request};
 
 /// Path at which a part of the text is requested.
 pub(super) const PART_PATH: &str = "/catalog-part";
@@ -169,7 +169,7 @@
 /// Fetches a newer configuration from a node that polls this one. This node cannot read it from the
 /// store if a restore from a backup lost that version and the node started afterwards.
 pub(super) fn fetch_newer_catalog(node: &Node, from: SocketAddr, newest: u64) {
-    if newest <= poll_response::catalog_version(node) || node.is_fetching_catalog.replace(true) {
+    if newest <= node.catalog_version() || node.is_fetching_catalog.replace(true) {
         return;
     }
     let node = Node::clone(node);
@@ -203,7 +203,7 @@
         &[
             ("node", &node.settings.borrow().node),
             ("peer", &source.addr()),
-            ("has", &poll_response::catalog_version(node)),
+            ("has", &node.catalog_version()),
             ("known", &node.reported_catalog()),
             ("bytes", &node.catalog_transfers.received()),
             ("ms", &asked_at.elapsed().as_millis()),
@@ -245,7 +245,7 @@
 }
 
 async fn request_part(node: &Node, addr: SocketAddr) -> Result<PartResponse, CallError> {
-    let version = poll_response::catalog_version(node);
+    let version = node.catalog_version();
     let request = {
         let settings = node.settings.borrow();
         PartRequest {
@@ -272,7 +272,7 @@
     let transfers = &node.catalog_transfers;
     let (version, text) = {
         let state = node.state.borrow();
-        (poll_response::catalog_version(node), state.catalog_text.clone())
+        (node.catalog_version(), state.catalog_text.clone())
     };
     let wanted = request.partial.map(|(id, _)| id);
     let offset_in = |id| request.partial.filter(|(of, _)| *of == id).map_or(0, |(_, at)| at);
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -51,7 +51,7 @@
         placements,
         list_update,
         era: eras::to_report(node),
-        catalog_version: catalog_version(node),
+        catalog_version: node.catalog_version(),
         data_age_ms: node.store_data_age(),
         waited_ms: node.now().saturating_sub(started_at),
         nodes: node.state.borrow().nodes,
@@ -104,11 +104,7 @@
         && placements_are_current
         && crashes_are_current
         && limits_are_current
-        && catalog_version(node) <= request.catalog_version
-}
-
-pub(super) fn catalog_version(node: &Node) -> u64 {
-    node.state.borrow().catalog.as_ref().map_or(0, |c| c.version)
+        && node.catalog_version() <= request.catalog_version
 }
 
 /// Ages of the loads from the weight store, as started here or reported by the leader.
