One check of whether a response may come from an engine

engine_limits and engine_notices (twice) each tested whether a response names another engine, or rejects a request as meant for another without a name. ResponseInfo::may_come_from does it. Behaviour is as it was; a response to a call of the leader's that is misdirected still says nothing.

--- a/crates/gateway/src/engine_limits.rs
+++ b/crates/gateway/src/engine_limits.rs
@@ -64,8 +64,7 @@
     info: &ResponseInfo,
     header: &LimitHeader,
 ) -> Option<Option<RequestRate>> {
-    let names_other = info.engine.as_ref().is_some_and(|engine| engine != guard.engine());
-    if names_other || info.is_misdirected && info.engine.is_none() {
+    if !info.may_come_from(guard.engine()) {
         return None;
     }
     match header {
--- a/crates/gateway/src/engine_notices.rs
+++ b/crates/gateway/src/engine_notices.rs
@@ -78,8 +78,7 @@
     call: &dyn Display,
 ) {
     let info = node.protocols.upstreams.parse_head(head);
-    let names_other = info.engine.as_ref().is_some_and(|named| named != engine);
-    if info.notices.is_leaving && !info.is_misdirected && !names_other {
+    if info.notices.is_leaving && !info.is_misdirected && info.may_come_from(engine) {
         record_own_leaving(node, key, call, head.status);
     }
 }
@@ -125,10 +124,8 @@
 /// a signature or an id, or what somebody else sent at its address, says nothing of it; responses to other requests have been
 /// dropped by their ids.
 fn is_from(guard: &AttemptGuard, info: &ResponseInfo, status: u16) -> bool {
-    let names_other = info.engine.as_ref().is_some_and(|engine| engine != guard.engine());
-    let names_none = info.is_misdirected && info.engine.is_none();
     let is_unproved = (200..300).contains(&status) && !(info.is_signed && info.id.is_some());
-    !names_other && !names_none && !is_unproved && !guard.engine_restarted()
+    info.may_come_from(guard.engine()) && !is_unproved && !guard.engine_restarted()
 }
 
 fn log(node: &Node, engine: &EngineId, notice: &dyn Display, answered: &dyn Display, status: u16) {
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -148,6 +148,13 @@
     pub notices: EngineNotices,
 }
 
+impl ResponseInfo {
+    /// Whether it may come from this engine: another one at the address names itself, or rejects the request.
+    pub fn may_come_from(&self, engine: &EngineId) -> bool {
+        self.engine.as_ref().map_or(!self.is_misdirected, |named| named == engine)
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum OrderKind {
     /// Load a model or an adapter.
