--- a/crates/hibiscusgw/tests/platform/leaving.rs
+++ b/crates/hibiscusgw/tests/platform/leaving.rs
@@ -1,19 +1,15 @@
 //! Engines that say in their answers that they leave, while the list does not.
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use hgw_standins::Faults;
 use hgw_standins::fleet::EngineSettings;
 use hgw_standins::fleet::deployment::{Fleet, holds, wait};
 use hgw_standins::fleet::engine::Engine;
-use http::{Method, StatusCode};
+use http::StatusCode;
 
 use crate::new_fleet;
 
-/// Number of the next session; no two share a prompt, so that each engine gets some.
-static SESSIONS: AtomicU64 = AtomicU64::new(1);
-
 fn model_engine(id: &str) -> EngineSettings {
     EngineSettings { id: id.into(), holds: holds(&[("m", &[])]), ..EngineSettings::default() }
 }
@@ -31,16 +27,7 @@
         let id = format!("{name}-{node}-{n}");
         let node = &fleet.nodes[node];
         let served = if name.starts_with("stream") {
-            let session = SESSIONS.fetch_add(1, Ordering::Relaxed);
-            let prefix = format!("a1:60,{:x}:40", session.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-            let headers = [
-                ("x-request-id", id.as_str()),
-                ("x-deadline-ms", "8000"),
-                ("x-model", "m"),
-                ("x-tokens", "100,120"),
-                ("x-prompt-prefix", &prefix),
-            ];
-            node.call(Method::POST, "/ask/", &headers)
+            node.stream_of_new_session("/ask/", &id, "m")
         } else {
             node.plain("/look/", &id)
         };
--- a/crates/hibiscusgw/tests/platform/resting.rs
+++ b/crates/hibiscusgw/tests/platform/resting.rs
@@ -6,15 +6,15 @@
 use hgw_standins::fleet::EngineSettings;
 use hgw_standins::fleet::deployment::{Fleet, holds, wait};
 use hgw_standins::fleet::engine::Engine;
-use http::{Method, StatusCode};
+use http::StatusCode;
 
 use crate::new_fleet;
 
 /// Time after a rejection from which on nothing may come until the end of the rest.
 const UNDER_WAY: Duration = Duration::from_millis(500);
 
-/// Number of the next session; no two share a prompt, so that each engine gets some.
-static SESSIONS: AtomicU64 = AtomicU64::new(1);
+/// Number of the next stream.
+static STREAMS: AtomicU64 = AtomicU64::new(1);
 
 fn model_engine(id: &str) -> EngineSettings {
     let holds = holds(&[("m", &[])]);
@@ -29,17 +29,8 @@
 
 /// Sends a stream of its own session; its id begins with the node's number.
 fn stream(fleet: &Fleet, node: usize) -> Option<(StatusCode, Option<String>)> {
-    let session = SESSIONS.fetch_add(1, Ordering::Relaxed);
-    let id = format!("{node}-{session}");
-    let prefix = format!("a1:60,{:x}:40", session.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-    let headers = [
-        ("x-request-id", id.as_str()),
-        ("x-deadline-ms", "8000"),
-        ("x-model", "m"),
-        ("x-tokens", "100,120"),
-        ("x-prompt-prefix", &prefix),
-    ];
-    let answer = fleet.nodes[node].call(Method::POST, "/ask/", &headers).ok()?;
+    let id = format!("{node}-{}", STREAMS.fetch_add(1, Ordering::Relaxed));
+    let answer = fleet.nodes[node].stream_of_new_session("/ask/", &id, "m").ok()?;
     let retry_after = answer.headers.get("retry-after").and_then(|v| v.to_str().ok());
     Some((answer.status, retry_after.map(str::to_owned)))
 }
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use http::Method;
@@ -347,14 +347,26 @@
         self.call(Method::POST, path, &[("x-request-id", id), ("x-deadline-ms", "5000")])
     }
 
-    /// The same for a stream.
+    /// The same for a stream; all of these share their prompt.
     pub fn stream(&self, path: &str, id: &str, model: &str) -> Result<Whole> {
+        self.stream_of_prompt(path, id, model, "a1:60,b2:40")
+    }
+
+    /// The same for a stream of a session that shares its prompt with none so far, so that any engine may get it.
+    pub fn stream_of_new_session(&self, path: &str, id: &str, model: &str) -> Result<Whole> {
+        static SESSIONS: AtomicU64 = AtomicU64::new(1);
+        let session = SESSIONS.fetch_add(1, Ordering::Relaxed);
+        let prompt = format!("a1:60,{:x}:40", session.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        self.stream_of_prompt(path, id, model, &prompt)
+    }
+
+    fn stream_of_prompt(&self, path: &str, id: &str, model: &str, prompt: &str) -> Result<Whole> {
         let headers = [
             ("x-request-id", id),
             ("x-deadline-ms", "8000"),
             ("x-model", model),
             ("x-tokens", "100,120"),
-            ("x-prompt-prefix", "a1:60,b2:40"),
+            ("x-prompt-prefix", prompt),
         ];
         self.call(Method::POST, path, &headers)
     }
