--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod engine_notices;
 mod engine_path;
 mod eras;
+mod features;
 mod follow;
 mod freshness;
 mod leader;
@@ -38,5 +39,6 @@
 mod state;
 mod versions;
 
+pub use features::{Features, UnknownFeature};
 pub use run::{ExitReason, Signal, run};
 pub use settings::Settings;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,8 @@
 
 use hgw_direct::QuotaBounds;
 
+use crate::Features;
+
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     pub node: String,
@@ -53,6 +55,8 @@
     pub engine_limits: QuotaBounds,
     /// Share of a processor that this machine has; 1.0 is a full processor.
     pub cpu_share: f64,
+    /// Optional parts that are in use.
+    pub features: Features,
 }
 
 /// Upper bound of the reaction time, so that deployments which allow more do not read the store
--- a/crates/hibiscusgw/src/settings.rs
+++ b/crates/hibiscusgw/src/settings.rs
@@ -5,6 +5,7 @@
 use std::str::FromStr;
 
 use derive_more::Display;
+use hgw_gateway::{Features, UnknownFeature};
 use hgw_types::{DomainId, NodeId};
 use log::LevelFilter;
 
@@ -125,6 +126,7 @@
     peers_listener: Option<SocketAddr>,
     metrics: Option<SocketAddr>,
     max_connections: Option<usize>,
+    features: Features,
 }
 
 impl PlatformOverrides {
@@ -143,6 +145,7 @@
             peers_listener: reader.optional_addr("peers-listener", &flags.peers_listener),
             metrics: reader.optional_addr("metrics", &flags.metrics),
             max_connections: is_given.then_some(max),
+            features: reader.features("disable", &flags.disable),
         };
         if reader.errors.is_empty() { Ok(overrides) } else { Err(Error::Settings(reader.errors)) }
     }
@@ -154,6 +157,7 @@
             peer_listener: self.peers_listener.or(settings.peer_listener),
             metrics_addr: self.metrics.unwrap_or(settings.metrics_addr),
             max_connections: self.max_connections.unwrap_or(settings.max_connections),
+            features: self.features,
             ..settings
         }
     }
@@ -256,6 +260,15 @@
         }
     }
 
+    /// Reads a list of features that are switched off.
+    fn features(&mut self, name: &'static str, flag: &Option<String>) -> Features {
+        let text = self.value_of(name, flag).unwrap_or_default();
+        text.parse().unwrap_or_else(|error: UnknownFeature| {
+            self.reject(name, &error.name, &Features::allowed_names());
+            Features::default()
+        })
+    }
+
     fn choice<T: FromStr>(
         &mut self,
         name: &'static str,
