Check the path to engines with two probes first

Cause: each failure to reach one engine, and each reused connection that ends without a response, started a check that opened as many connections as decide that the path has failed. One response is enough to know that it has not.

Ruled out: responses on open connections as a proof (they may live on while no new connection can be made).

Change: a check asks two engines of different domains, and the other six only if neither has responded within 60 ms; a failure within 0.3 s of a response on a new connection starts none. What decides that a path has failed is as before.

--- a/crates/gateway/src/engine_path.rs
+++ b/crates/gateway/src/engine_path.rs
@@ -5,9 +5,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
-use futures_util::future::join_all;
+use futures_util::future::{join, join_all};
 use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{
     Engine, EngineId, EnginePath, MIN_FAILED_ENGINES, Millis, PATH_CHECK_INTERVAL, PathChange,
@@ -28,6 +29,14 @@
 /// Engines that are probed in one check while the path has failed.
 const PROBES_IN_OUTAGE: usize = 3;
 
+/// Engines that a check probes first. One response proves the path, so the other probes would only open
+/// connections; a second probe covers the case that the first one goes to an engine that is lost as well.
+const FIRST_PROBES: usize = 2;
+
+/// Time for the first probes, after which the others start as well. It is many round trips, and short
+/// beside the connection timeout that a check of a failed path takes.
+const FIRST_PROBES_TIMEOUT: Duration = Duration::from_millis(60);
+
 /// Largest response to a probe.
 const MAX_PROBE_BYTES: usize = 1 << 20;
 
@@ -75,7 +84,7 @@
 pub(crate) fn record_failure(node: &Node, engine: &EngineId) {
     let Some(service) = service_of(node, engine) else { return };
     record_failure_unchecked(node, &service, engine);
-    start_check(node, &service);
+    start_check_unless_proven(node, &service);
 }
 
 /// Records a response of the engine on a new connection.
@@ -95,9 +104,7 @@
 pub(crate) async fn confirm(node: &Node, engine: &EngineId) -> bool {
     let Some(service) = service_of(node, engine) else { return false };
     let started_at = node.now();
-    let is_proven =
-        node.engine_path.paths.borrow().get(&service).is_some_and(|p| p.is_proven(started_at));
-    if is_proven || usable_engines(node, &service) < 2 {
+    if is_proven(node, &service) || usable_engines(node, &service) < 2 {
         return true;
     }
     let checked = node.engine_path.checked.notified();
@@ -107,6 +114,19 @@
     !node.engine_path.has_failed(&service) && node.engine_path.reached_at.get() >= started_at
 }
 
+/// Whether a new connection brought a response so lately that a failure concerns the engine.
+fn is_proven(node: &Node, service: &ServiceId) -> bool {
+    node.engine_path.paths.borrow().get(service).is_some_and(|path| path.is_proven(node.now()))
+}
+
+/// Checks the path unless it is known to work. When many engines fail at once, each node would otherwise
+/// open connections for each of its requests that fail.
+pub(crate) fn start_check_unless_proven(node: &Node, service: &ServiceId) {
+    if !is_proven(node, service) {
+        start_check(node, service);
+    }
+}
+
 /// Checks the path unless it is being checked; goes on until it works while it has failed.
 pub(crate) fn start_check(node: &Node, service: &ServiceId) {
     if !node.engine_path.checking.borrow_mut().insert(service.clone()) {
@@ -132,15 +152,38 @@
     }
 }
 
+/// Probes a few engines, and the others only if none of these responds soon.
 async fn check(node: &Node, service: &ServiceId) {
-    let probes = probes(node, service).into_iter().map(|probe| async move {
+    let mut first = probes(node, service);
+    let others = first.split_off(FIRST_PROBES.min(first.len()));
+    let is_reached = Cell::new(false);
+    let mut first = pin!(run_probes(node, service, first, &is_reached));
+    let has_ended = timeout(FIRST_PROBES_TIMEOUT, first.as_mut()).await.is_ok();
+    if !is_reached.get() {
+        let others = run_probes(node, service, others, &is_reached);
+        if has_ended {
+            others.await;
+        } else {
+            join(first, others).await;
+        }
+    } else if !has_ended {
+        first.await;
+    }
+    node.engine_path.checked.notify_waiters();
+}
+
+async fn run_probes(node: &Node, service: &ServiceId, probes: Vec<Probe>, is_reached: &Cell<bool>) {
+    meter::engine_path_probed(service, probes.len());
+    let probes = probes.into_iter().map(|probe| async move {
         match probe_engine(node, &probe).await {
-            Ok(()) => record_reached(node, &probe.engine),
+            Ok(()) => {
+                is_reached.set(true);
+                record_reached(node, &probe.engine);
+            }
             Err(NotReached) => record_failure_unchecked(node, service, &probe.engine),
         }
     });
     join_all(probes).await;
-    node.engine_path.checked.notify_waiters();
 }
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -109,6 +109,12 @@
         .increment(1);
 }
 
+/// Counts probes by which this node checks its path to the engines of a service.
+pub(crate) fn engine_path_probed(service: &ServiceId, probes: usize) {
+    counter!("hgw_engine_path_probes_total", "service" => service.to_string())
+        .increment(probes as u64);
+}
+
 /// Counts a stream that a caller takes up, by how the version that began it is known.
 pub(crate) fn stream_taken_up(service: &ServiceId, known_by: &'static str) {
     let service = service.to_string();
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -154,7 +154,7 @@
                 if is_new {
                     engine_path::record_failure(&node, engine);
                 } else {
-                    engine_path::start_check(&node, &self.service);
+                    engine_path::start_check_unless_proven(&node, &self.service);
                 }
                 self.executions += 1;
                 self.investigate(&guard).await;
--- a/crates/hibiscusgw/tests/platform/cut_from_engines.rs
+++ b/crates/hibiscusgw/tests/platform/cut_from_engines.rs
@@ -6,7 +6,7 @@
 use hgw_standins::client::Caller;
 use hgw_standins::fleet::EngineSettings;
 use hgw_standins::fleet::deployment::{Fleet, Node, holds, wait};
-use hgw_standins::link::ProcessCut;
+use hgw_standins::link::{Condition, ProcessCut};
 use http::{Method, StatusCode};
 
 use crate::{Stop, new_fleet};
@@ -88,6 +88,38 @@
     }
 }
 
+/// Probes by which a node has checked its path to engines.
+fn probes(node: &Node) -> u64 {
+    let metrics = Caller::new(node.metrics).unwrap();
+    let answer = metrics.call(Method::GET, "/metrics", &[], "").unwrap();
+    let lines = answer.body.lines();
+    let values = lines.filter(|line| line.starts_with("hgw_engine_path_probes_total"));
+    values.map(|line| line.rsplit(' ').next().unwrap().parse::<u64>().unwrap()).sum()
+}
+
+/// Guards against a check of the path opening connections to many engines whenever one engine is lost, at
+/// each node for itself.
+#[test]
+fn lost_engine_is_told_from_a_lost_path_by_two_probes() {
+    let ids = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8", "i-9", "i-10"];
+    let mut fleet = new_fleet(ids.map(model_engine).to_vec());
+    let node = fleet.start("a");
+    let lost = fleet.engines.iter().position(|engine| engine.id() == "i-1").unwrap();
+    fleet.to_engines[lost].set(Condition::Refused);
+    for n in 0.. {
+        assert!(n < 100, "no request has met the lost engine");
+        // Longer than a response on a new connection proves the path without a probe.
+        std::thread::sleep(Duration::from_millis(350));
+        let served = fleet.nodes[node].stream_of_new_session("/ask/", &format!("lost-{n}"), "m");
+        assert_eq!(served.unwrap().status, StatusCode::OK);
+        if probes(&fleet.nodes[node]) > 0 {
+            break;
+        }
+    }
+    assert_eq!(probes(&fleet.nodes[node]), 2);
+    assert!(reaches_engines(&fleet.nodes[node]));
+}
+
 /// Whether a node says that it reaches engines of all services.
 fn reaches_engines(node: &Node) -> bool {
     let metrics = Caller::new(node.metrics).unwrap();
