Parse work time, length hint, tokens per event and memory of engines

Engines add to X-Load how long work takes there, requests carry X-Length-Hint, and the configuration names stride and kvTokens of engines. Nothing read them. The node parses them. A figure that cannot be used is ignored and counted in hgw_ignored_figures_total with its reason; the rest of the header is used and the request is served.

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -53,6 +53,7 @@
             adapter_slots: 8,
             loads_per_s: 12.0,
             models: (0..models).map(|m| (name(m), model.clone())).collect(),
+            ..ModelPool::default()
         };
         let mut all = Engines::default();
         for e in 0..engines {
@@ -105,6 +106,7 @@
             model_ref: Some(ModelRef { model: "model-0".into(), adapter: None }),
             prompt_tokens: 700,
             max_output_tokens: 300,
+            length_hint: None,
             parts: vec![PromptPart { id: 1, tokens: 700 }],
         };
         let params = ChoiceParams {
--- a/crates/direct/src/catalog.rs
+++ b/crates/direct/src/catalog.rs
@@ -24,6 +24,8 @@
     /// If set, only these customers may send requests.
     pub customers: Option<Customers>,
     pub limits: CallerLimits,
+    /// Names of fields that are ignored because of their values, once for each service.
+    pub ignored_fields: Vec<&'static str>,
 }
 
 /// Where the requests for a host and path prefix go, and with which limits.
@@ -103,6 +105,10 @@
     pub adapter_slots: u32,
     /// Limit on loads from the weight store, over all engines.
     pub loads_per_s: f64,
+    /// Tokens in one event of a stream, if known.
+    pub tokens_per_event: Option<u32>,
+    /// Tokens that an engine's memory holds for requests and cached parts of prompts, if known.
+    pub memory_tokens: Option<u32>,
     pub models: IndexMap<String, Model>,
 }
 
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -93,6 +93,8 @@
     pub running: u32,
     pub waiting: u32,
     pub slots: u32,
+    /// How long work currently takes there, in percent of the usual time, if the engine says so.
+    pub work_time_percent: Option<u32>,
 }
 
 #[derive(Debug, Clone)]
--- a/crates/direct/src/prompt.rs
+++ b/crates/direct/src/prompt.rs
@@ -11,6 +11,8 @@
     pub prompt_tokens: u32,
     /// Maximum number of output tokens.
     pub max_output_tokens: u32,
+    /// The caller's estimate of the number of output tokens, which may exceed the maximum.
+    pub length_hint: Option<u32>,
     /// The parts of the prompt, in order. The last one belongs to the caller or its session.
     pub parts: Vec<PromptPart>,
 }
--- a/crates/direct/tests/brittle.rs
+++ b/crates/direct/tests/brittle.rs
@@ -22,6 +22,7 @@
         model_ref: Some(model_ref("m")),
         prompt_tokens: 500,
         max_output_tokens: 100,
+        length_hint: None,
         parts: Vec::new(),
     };
     let params = ChoiceParams {
@@ -43,7 +44,8 @@
 
 fn report(engines: &mut Engines, id: &str, running: u32, now: Millis) {
     let engine = engines.get_mut(&EngineId::from(id)).unwrap();
-    engine.reported_load = Some((Load { running, waiting: 0, slots: 64 }, now, 0));
+    engine.reported_load =
+        Some((Load { running, waiting: 0, slots: 64, ..Load::default() }, now, 0));
 }
 
 /// An engine that is not brittle lets requests wait; a brittle one may have to reject them.
--- a/crates/direct/tests/choice.rs
+++ b/crates/direct/tests/choice.rs
@@ -17,6 +17,7 @@
         model_ref: Some(model_ref(want)),
         prompt_tokens: 500,
         max_output_tokens: 100,
+        length_hint: None,
         parts: vec![PromptPart { id: 1, tokens: 200 }, PromptPart { id: session, tokens: 300 }],
     }
 }
@@ -98,7 +99,8 @@
 fn reported_load_counts_with_requests_sent_since() {
     let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &["m"])]);
     let busy = engines.get_mut(&"e1".into()).unwrap();
-    busy.reported_load = Some((Load { running: 60, waiting: 0, slots: 64 }, 900, 5));
+    busy.reported_load =
+        Some((Load { running: 60, waiting: 0, slots: 64, ..Load::default() }, 900, 5));
     busy.own_requests = 12;
     assert_eq!(busy.estimate(1_000), 67.0);
     assert_eq!(engine_id(chosen(&engines, "m", &[])), "e2");
@@ -108,7 +110,8 @@
 fn old_load_report_is_ignored() {
     let mut engines = engines(&[("e1", "a", &["m"])]);
     let engine = engines.get_mut(&"e1".into()).unwrap();
-    engine.reported_load = Some((Load { running: 60, waiting: 9, slots: 64 }, 0, 0));
+    engine.reported_load =
+        Some((Load { running: 60, waiting: 9, slots: 64, ..Load::default() }, 0, 0));
     assert_eq!(engine.estimate(10_000), 0.0);
 }
 
@@ -352,13 +355,19 @@
         let slots = engine.info.slots;
         engine.in_flight_elsewhere =
             Some(InFlightLoad { requests: 20 * slots, prompts: 0, tokens: 0 });
-        engine.record_peer_load(Load { running: slots / 2, waiting: 0, slots }, 900);
+        engine.record_peer_load(
+            Load { running: slots / 2, waiting: 0, slots, ..Load::default() },
+            900,
+        );
     }
     assert_matches!(chosen(&engines, "m", &[]), Ok(_));
     // The engines themselves report that they are full.
     for engine in engines.iter_mut() {
         let slots = engine.info.slots;
-        engine.record_peer_load(Load { running: slots, waiting: 19 * slots, slots }, 950);
+        engine.record_peer_load(
+            Load { running: slots, waiting: 19 * slots, slots, ..Load::default() },
+            950,
+        );
     }
     assert_matches!(chosen(&engines, "m", &[]), Err(NoEngine::Full(_)));
 }
--- a/crates/direct/tests/engines.rs
+++ b/crates/direct/tests/engines.rs
@@ -21,7 +21,8 @@
     let engine = engines.get_mut(&id()).unwrap();
     engine.own_requests = 7;
     engine.accepted_orders = 3;
-    engine.reported_load = Some((Load { running: 60, waiting: 4, slots: 64 }, 10, 7));
+    engine.reported_load =
+        Some((Load { running: 60, waiting: 4, slots: 64, ..Load::default() }, 10, 7));
     engine.placement_reported_at = Some(10);
     engine.prefill_backlog.add_own(SendId(1), 900, 10);
     engine.health.record(10, AttemptOutcome::Unreachable);
--- a/crates/direct/tests/placement.rs
+++ b/crates/direct/tests/placement.rs
@@ -30,6 +30,7 @@
         adapter_slots: 2,
         loads_per_s: 1.5,
         models: models.iter().map(|m| ((*m).to_owned(), model.clone())).collect(),
+        ..ModelPool::default()
     }
 }
 
--- a/crates/direct/tests/versions.rs
+++ b/crates/direct/tests/versions.rs
@@ -233,6 +233,7 @@
         model_ref: Some(model_ref(model)),
         prompt_tokens: 100,
         max_output_tokens: 10,
+        length_hint: None,
         parts: Vec::new(),
     };
     let service = service();
--- a/crates/gateway/src/follow/catalog.rs
+++ b/crates/gateway/src/follow/catalog.rs
@@ -15,6 +15,7 @@
 use crate::clock::boot_time;
 use crate::freshness;
 use crate::leader;
+use crate::meter;
 use crate::peers;
 use crate::protocol::{CatalogUpdate, Cursor, StoreError, StoreResult};
 use crate::shared::Node;
@@ -271,6 +272,7 @@
             ("parse_us", &parse_started_at.elapsed().as_micros()),
         ],
     );
+    catalog.ignored_fields.iter().for_each(|field| meter::ignored_figure(field, &"not usable"));
     let mut state = node.state.borrow_mut();
     state.catalog = Some(Arc::new(catalog));
     state.catalog_text = text;
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -99,6 +99,12 @@
     counter!("hgw_invalid_engine_limits_total").increment(1);
 }
 
+/// Counts a figure of a header or of the configuration that is ignored, while the rest is used.
+pub(crate) fn ignored_figure(field: &'static str, reason: &dyn Display) {
+    counter!("hgw_ignored_figures_total", "field" => field, "reason" => reason.to_string())
+        .increment(1);
+}
+
 pub(crate) fn brittle_engines(count: usize) {
     gauge!("hgw_brittle_engines").set(count as f64);
 }
--- a/crates/gateway/src/peers/datagrams.rs
+++ b/crates/gateway/src/peers/datagrams.rs
@@ -195,7 +195,10 @@
             let Some(engine) = engines.observe_start(&engine, start) else { return };
             engine.prefill_backlog.finish(id, now);
             if let Some((running, waiting)) = load {
-                engine.record_peer_load(Load { running, waiting, slots: engine.info.slots }, now);
+                engine.record_peer_load(
+                    Load { running, waiting, slots: engine.info.slots, ..Load::default() },
+                    now,
+                );
             }
         }
         Datagram::InFlight(..)
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -44,7 +44,12 @@
     let mut state = node.state.borrow_mut();
     for EngineLoad(engine, start, running, waiting, age_ms) in loads {
         if let Some(engine) = state.engines.observe_start(engine, *start) {
-            let load = Load { running: *running, waiting: *waiting, slots: engine.info.slots };
+            let load = Load {
+                running: *running,
+                waiting: *waiting,
+                slots: engine.info.slots,
+                ..Load::default()
+            };
             engine.record_peer_load(load, now.saturating_sub(*age_ms));
         }
     }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -55,6 +55,24 @@
     pub last_event: Option<u64>,
     /// Id of the attempt that brought the first event of this stream.
     pub resumes: Option<String>,
+    /// Why the estimate of the output tokens is ignored, if it cannot be used.
+    pub ignored_length_hint: Option<IgnoredFigure>,
+}
+
+/// Why a figure of a header is ignored. The rest of the header is used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum IgnoredFigure {
+    #[display("missing")]
+    Missing,
+    #[display("too many figures")]
+    TooMany,
+    /// Signs and fractions included.
+    #[display("not a whole number")]
+    NotWhole,
+    #[display("zero")]
+    Zero,
+    #[display("out of range")]
+    OutOfRange,
 }
 
 /// A header with a value that is not allowed.
@@ -140,6 +158,8 @@
     /// The engine that answered, if it is named.
     pub engine: Option<EngineId>,
     pub load: Option<Load>,
+    /// Why a part of the load is ignored, if it cannot be used.
+    pub ignored_load: Option<IgnoredFigure>,
     /// Rate of requests that the engine takes from all nodes together.
     pub limit: LimitHeader,
     /// Rate of requests that it may have to reject before it fails.
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -13,6 +13,7 @@
 use crate::engine_limits;
 use crate::engine_notices;
 use crate::engine_path;
+use crate::meter;
 use crate::peers;
 use crate::protocol::{ResponseInfo, UpstreamRequest};
 use crate::quotas::{self, Charge, NoAllowance};
@@ -292,6 +293,9 @@
         info: ResponseInfo,
         mut guard: AttemptGuard,
     ) -> AttemptResult {
+        if let Some(reason) = &info.ignored_load {
+            meter::ignored_figure("X-Load", reason);
+        }
         if let Some(load) = info.load {
             guard.record_load(load);
         }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -26,6 +26,7 @@
 use rand::random;
 use tokio::time::Instant;
 
+use crate::meter;
 use crate::peers::ForwardedRequest;
 use crate::quotas::NoAllowance;
 use crate::response::{CallerResponse, Outcome, json_error};
@@ -94,6 +95,9 @@
         Ok(info) => info,
         Err(invalid) => return json_error(StatusCode::BAD_REQUEST, &invalid.to_string()),
     };
+    if let Some(reason) = &info.ignored_length_hint {
+        meter::ignored_figure("X-Length-Hint", reason);
+    }
     let credentials = node.protocols.callers.credentials(&head);
     let identity = match Identity::authenticate(node, &catalog, &route, credentials) {
         Ok((identity, customer)) => {
