Learn the speed of engines and exchange it between nodes

Nodes balance the number of requests and do not know that engines of one service differ in speed by more than two to one. Each node now observes events, their time and pauses above the target of the route, and for plain services the time of calls, per incarnation of an engine. Nothing is chosen by it yet.

--- a/crates/direct/src/change_position.rs
+++ b/crates/direct/src/change_position.rs
@@ -18,6 +18,11 @@
         self.0
     }
 
+    /// Whether no change of any process has been seen.
+    pub fn is_default(&self) -> bool {
+        *self == ChangePosition::default()
+    }
+
     /// The number of changes, if the position is in the changes of this process.
     pub fn in_changes_of(self, process_id: u64) -> Option<u64> {
         (self.0 == process_id && self != ChangePosition::default()).then_some(self.1)
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -6,6 +6,7 @@
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 
+use crate::engine_speed::EngineSpeed;
 use crate::in_flight::{EngineKey, InFlightLoad};
 use crate::{
     Brittleness, Cursor, HealthTracker, Millis, ModelRef, PrefillBacklog, PrefillRate, RequestRate,
@@ -118,6 +119,8 @@
     pub prefill_rate: PrefillRate,
     /// Average time between two events of a stream there; 0 until a stream has completed.
     pub event_interval_ms: f64,
+    /// How fast it is.
+    pub speed: EngineSpeed,
     /// Requests per second that it takes from all nodes together, if it named a limit.
     pub rate_limit: Option<RequestRate>,
     /// How much it may have to reject, if it is brittle.
@@ -171,6 +174,7 @@
             prefill_backlog: PrefillBacklog::default(),
             prefill_rate: PrefillRate::default(),
             event_interval_ms: 0.0,
+            speed: EngineSpeed::default(),
             rate_limit: None,
             brittleness: Brittleness::default(),
             at_limit_until: 0,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,6 +22,7 @@
 mod engine_limits;
 mod engine_notices;
 mod engine_path;
+pub mod engine_speed;
 mod engines;
 mod forwarders;
 mod freshness;
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -9,6 +9,7 @@
 use hgw_http1::{Conn, Framing};
 use tokio::time::Instant;
 
+use crate::engine_speed::{self, StreamObserver};
 use crate::peers::Datagram;
 use crate::shared::Node;
 
@@ -22,6 +23,12 @@
     pending_prefill: Option<SendId>,
     /// How the end of the response body is determined; none before its head.
     framing: Option<Framing>,
+    /// When the request was sent; none before.
+    sent_at: Cell<Option<Instant>>,
+    /// Whether something waited at the engine when it responded, if it said so.
+    has_waiting: Cell<Option<bool>>,
+    /// What the stream tells of the engine's speed.
+    stream: Cell<StreamObserver>,
     /// When the first byte of the response body arrived.
     writing_since: Cell<Option<Instant>>,
 }
@@ -55,6 +62,9 @@
             started_at,
             pending_prefill,
             framing: None,
+            sent_at: Cell::new(None),
+            has_waiting: Cell::new(None),
+            stream: Cell::default(),
             writing_since: Cell::new(None),
         }
     }
@@ -95,9 +105,13 @@
         if self.engine_restarted() {
             return;
         }
+        self.has_waiting.set(Some(load.waiting > 0));
         let now = self.node.now();
         if let Some(engine) = self.node.state.borrow_mut().engines.get_mut(&self.engine) {
             engine.reported_load = Some((load, now, engine.own_requests));
+            if let Some(percent) = load.work_time_percent {
+                engine.speed.record_work_time(percent, now);
+            }
         }
     }
 
@@ -111,6 +125,31 @@
         self.writing_since.get().map(|since| since.elapsed())
     }
 
+    /// Records that the request is being sent.
+    pub(crate) fn record_sent(&self) {
+        self.sent_at.set(Some(Instant::now()));
+    }
+
+    /// Records events that arrived together after this node began to wait for them at `waited_since`.
+    pub(crate) fn record_events(
+        &self,
+        count: u64,
+        waited_since: Instant,
+        max_gap: Option<Duration>,
+    ) {
+        let mut stream = self.stream.get();
+        stream.record_events(count, waited_since, max_gap);
+        self.stream.set(stream);
+    }
+
+    /// Records a complete response to a call, which tells the engine's speed if nothing waited there.
+    pub(crate) fn record_call(&self) {
+        if let Some(sent_at) = self.sent_at.get().filter(|_| self.has_waiting.get() == Some(false))
+        {
+            engine_speed::record_call(&self.node, self.engine_key(), sent_at.elapsed());
+        }
+    }
+
     /// Records that a byte of the response body has arrived.
     pub(crate) fn record_body_byte(&self) {
         self.node.record_response_byte(&self.engine);
@@ -153,6 +192,7 @@
     fn drop(&mut self) {
         let now = self.node.now();
         let pending_prefill = self.pending_prefill.take();
+        engine_speed::record(&self.node, self.engine_key(), self.stream.get().sums());
         if self.engine_restarted() {
             return;
         }
--- a/crates/gateway/src/engine_limits.rs
+++ b/crates/gateway/src/engine_limits.rs
@@ -33,6 +33,7 @@
 
 /// Records that a request is sent. Returns the time, by which its response is placed in order.
 pub(crate) fn record_send(node: &Node, guard: &AttemptGuard) -> Millis {
+    guard.record_sent();
     let (now, key) = (node.now(), guard.engine_key());
     if node.engine_limits.borrow().limit(key).is_some() {
         meter::sent_to_limited_engine();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod engine_limits;
 mod engine_notices;
 mod engine_path;
+mod engine_speed;
 mod eras;
 mod features;
 mod follow;
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -3,7 +3,9 @@
 use std::fmt::Display;
 use std::time::Duration;
 
+use hgw_direct::engine_speed::mean_speed;
 use hgw_direct::{CrashSubject, Refusal, Route, ServiceId};
+use indexmap::IndexSet;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
@@ -99,6 +101,11 @@
     counter!("hgw_invalid_engine_limits_total").increment(1);
 }
 
+/// Counts observations of the speed of an engine, by this node or one behind it.
+pub(crate) fn speed_observed() {
+    counter!("hgw_speed_observations_total").increment(1);
+}
+
 /// Counts a figure of a header or of the configuration that is ignored, while the rest is used.
 pub(crate) fn ignored_figure(field: &'static str, reason: &dyn Display) {
     counter!("hgw_ignored_figures_total", "field" => field, "reason" => reason.to_string())
@@ -180,6 +187,17 @@
         gauge!("hgw_reaches_engines", "service" => service.to_string()).set(reaches);
     }
     gauge!("hgw_limited_engines").set(node.engine_limits.borrow().limited().count() as f64);
+    let services: IndexSet<&ServiceId> = state.engines.iter().map(|e| &e.info.service).collect();
+    for service in services {
+        let mean = mean_speed(&state.engines, service);
+        let known = state.engines.of_service(service).filter(|e| e.speed.is_known(now));
+        let (known, name) = (known.count() as f64, service.to_string());
+        gauge!("hgw_engines_of_known_speed", "service" => name.clone()).set(known);
+        if mean.knows_events() {
+            gauge!("hgw_event_interval_seconds", "service" => name)
+                .set(mean.mean().ms_per_event / 1_000.0);
+        }
+    }
     gauge!("hgw_store_era").set(node.era.get().era().number());
     gauge!("hgw_keeper").set(f64::from(u8::from(node.leadership.borrow().is_leader())));
     gauge!("hgw_ready").set(f64::from(u8::from(node.is_ready())));
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use hgw_direct::engine_speed::SpeedRow;
 use hgw_direct::hubs::Member;
 use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{
@@ -68,6 +69,12 @@
     /// Position in the receiver's changes of the limits of engines.
     #[serde(default)]
     pub(crate) limits_seen: ChangePosition,
+    /// Observations of the speed of engines since the last poll.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) speeds: Vec<SpeedRow>,
+    /// Position in the receiver's published speeds.
+    #[serde(default, skip_serializing_if = "ChangePosition::is_default")]
+    pub(crate) speeds_seen: ChangePosition,
     /// Engines that have lately told the sender that they leave.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) leaving_engines: Vec<EngineKey>,
@@ -159,6 +166,9 @@
     pub(crate) engine_limits: Vec<LimitState>,
     #[serde(default)]
     pub(crate) limits_seen: ChangePosition,
+    /// Published speeds of engines after the position that the poller has seen, and the new position.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) speeds: Option<(ChangePosition, Vec<SpeedRow>)>,
     /// Whether the poller now knows all requests that are blocked in the store.
     #[serde(default)]
     pub(crate) knows_blocked_requests: bool,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -31,6 +31,7 @@
 use crate::crashes::{self, TrialRequest, TrialResponse};
 use crate::engine_limits;
 use crate::engine_notices;
+use crate::engine_speed;
 use crate::eras;
 use crate::leader;
 use crate::quotas;
@@ -230,6 +231,7 @@
     }
     apply_loads(node, &request.loads);
     engine_limits::apply_states(node, &request.engine_limits);
+    engine_speed::apply_report(node, &request.speeds);
     engine_notices::apply_leaving(node, &request.leaving_engines);
     let crash_reports = request.crash_reports.iter().chain(&request.part_crash_reports);
     crashes::apply_reports(node, crash_reports.cloned());
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -13,6 +13,7 @@
 use crate::crashes;
 use crate::engine_limits;
 use crate::engine_path;
+use crate::engine_speed;
 use crate::eras;
 use crate::freshness;
 use crate::leader;
@@ -72,6 +73,7 @@
     reported_to: Option<(SocketAddr, u64)>,
     crashes_reported: u64,
     limits_seen: ChangePosition,
+    speeds_seen: ChangePosition,
     /// Position in the own changes of the limits of engines that this node has received.
     limits_reported: ChangePosition,
     /// Time up to which loads were reported.
@@ -106,6 +108,7 @@
                     node.leader_refuses
                         .set(parent == Parent::Leader && error == CallError::Refused);
                     restore_unreported_demand(node, request.demand);
+                    engine_speed::restore_report(node, &request.speeds);
                     return None;
                 }
             };
@@ -130,6 +133,9 @@
         }
         self.crashes_seen = update.crashes_seen;
         self.limits_seen = update.limits_seen;
+        if let Some((seen, _)) = &update.speeds {
+            self.speeds_seen = *seen;
+        }
         let polled = Polled { children: update.children, has_more: update.list_update.has_more };
         node.backoff.set_siblings(polled.children);
         if update.data_age_ms > max_data_age(node) {
@@ -182,6 +188,8 @@
             engine_limits,
             limits_seen: self.limits_seen,
             era: eras::to_report(node),
+            speeds: engine_speed::take_report(node),
+            speeds_seen: self.speeds_seen,
             leaving_engines: node.recent_leaving.to_tell(node.now()),
             cannot_lead: engine_path::cannot_lead(node),
             versions_position: versions::position(node),
@@ -239,6 +247,8 @@
     // Counted from the request, because the response may have been delayed on its way.
     node.record_leader_update((polled_at + update.waited_ms).saturating_sub(update.data_age_ms));
     apply_placements(node, update.placements);
+    // After the list, which may contain new engines.
+    engine_speed::apply_news(node, update.speeds.as_ref().map_or(&[], |(_, rows)| rows));
     apply_loads(node, &update.loads);
     let fence = node.leadership.borrow().leader.as_ref().map(|leader| leader.fence);
     if let Some(fence) = fence {
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -5,6 +5,7 @@
 use tokio::time::timeout;
 
 use crate::catalog_reads;
+use crate::engine_speed;
 use crate::eras;
 use crate::freshness;
 use crate::leader;
@@ -45,6 +46,7 @@
         crashes_seen,
         engine_limits,
         limits_seen,
+        speeds: engine_speed::news_since(node, request.speeds_seen),
         knows_blocked_requests: node.knows_blocked_requests.get() && sends_all_states,
         leader: node.leadership.borrow().leader.clone(),
         placements_seen,
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -58,6 +58,9 @@
     source.return_connection(conn);
     if (200..300).contains(&head.status) {
         req.record_completion(&source);
+        if req.prompt().is_none() {
+            source.record_call();
+        }
     }
     if !is_failure {
         req.log_served(&engine, &source, head.status, &EventTiming::start());
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -5,6 +5,7 @@
 
 use hgw_direct::{AttemptOutcome, ServiceId};
 use hgw_http1::Conn;
+use tokio::time::Instant;
 
 use crate::attempt_guard::AttemptGuard;
 use crate::shared::Node;
@@ -75,6 +76,25 @@
         }
     }
 
+    /// Records events that arrived together after this node began to wait for them at `waited_since`.
+    pub(super) fn record_events(
+        &self,
+        count: u64,
+        waited_since: Instant,
+        max_gap: Option<Duration>,
+    ) {
+        if let Source::Engine(guard) = self {
+            guard.record_events(count, waited_since, max_gap);
+        }
+    }
+
+    /// Records a complete response to a call.
+    pub(super) fn record_call(&self) {
+        if let Source::Engine(guard) = self {
+            guard.record_call();
+        }
+    }
+
     pub(super) fn return_connection(&self, conn: Conn) {
         match self {
             Source::Engine(guard) => guard.return_connection(conn),
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -8,6 +8,7 @@
 use hgw_http1::{BodyDecoder, Conn, Framing, Head};
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
+use tokio::time::Instant;
 
 use crate::meter;
 use crate::response::{BodyAborted, CallerResponse, ResponseBody};
@@ -107,13 +108,16 @@
         if self.is_finished {
             return None;
         }
+        let mut waited_since = Instant::now();
         loop {
             let read = self.read_chunk().await;
             match read {
                 WaitResult::Done(Ok(Some(bytes))) => {
                     self.req.record_progress(&self.source);
+                    let last_id = self.events.last_id();
                     let ready = if self.is_events { self.events.push(bytes) } else { Some(bytes) };
                     if let Some(bytes) = ready {
+                        self.record_events(last_id, waited_since);
                         self.timing.record_piece();
                         if self.timing.pieces == 1 {
                             meter::first_byte(&self.req.route, self.req.received_at.elapsed());
@@ -136,6 +140,7 @@
                     if !self.resume().await {
                         return Some(self.abort());
                     }
+                    waited_since = Instant::now();
                 }
                 broken @ (WaitResult::EngineRestarted | WaitResult::Done(Ok(None) | Err(_))) => {
                     if let Source::Engine(_) = self.source {
@@ -150,6 +155,15 @@
         }
     }
 
+    /// Records the events since the one with the id `last_id` for the engine's speed.
+    fn record_events(&self, last_id: Option<u64>, waited_since: Instant) {
+        if self.is_events {
+            let ids = self.events.last_id().zip(last_id);
+            let count = ids.map_or(1, |(new, last)| new.saturating_sub(last).max(1));
+            self.source.record_events(count, waited_since, self.req.route.max_event_gap);
+        }
+    }
+
     async fn read_chunk(&mut self) -> WaitResult<hgw_http1::Result<Option<Bytes>>> {
         let req = &self.req;
         let Some(conn) = &mut self.conn else { return WaitResult::Done(Ok(None)) };
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use hgw_direct::aggregation::Aggregator;
+use hgw_direct::engine_speed::SpeedExchange;
 use hgw_direct::hubs::{Hubs, NodeDirectory, Parent, poll_interval_factor};
 use hgw_direct::unreachable::ProbedEngines;
 use hgw_direct::{
@@ -67,6 +68,8 @@
     pub(crate) crashes: RefCell<CrashHistory>,
     /// Rates of requests that engines take.
     pub(crate) engine_limits: RefCell<EngineLimits>,
+    /// What nodes tell each other of the speed of engines.
+    pub(crate) engine_speeds: RefCell<SpeedExchange>,
     /// Engines that may have to reject only so many requests a second.
     pub(crate) brittle_engines: RefCell<EngineLimits>,
     /// Engines that have told this node that they leave.
@@ -173,6 +176,7 @@
             quotas: Quotas::new(),
             crashes: RefCell::new(CrashHistory::new(random())),
             engine_limits: RefCell::new(EngineLimits::new(random())),
+            engine_speeds: RefCell::new(SpeedExchange::new(random())),
             brittle_engines: RefCell::new(EngineLimits::new(random())),
             recent_leaving: RecentLeaving::default(),
             engine_path: PathWatch::default(),
