Choose engines by their speed

The cost of an engine now grows by the probability of a pause above the target in a stream of the expected length, and by the part of the caller's remaining time that the stream will take; for calls by their expected time and the engine's current work time. Streams consider fewer engines while speeds are known, as nodes prefer the same ones.

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -119,6 +119,7 @@
             max_conns: 640,
             has_precedence: false,
             max_event_gap: None,
+            speed_needs: None,
             can_wait: false,
             random: 0.3,
             weights: CostWeights::default(),
--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -5,6 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::engine_speed::{MeanSpeed, SpeedNeeds, mean_speed, speed_cost_ms};
 use crate::{Engine, EngineId, Engines, Millis, Prompt, ServiceId, ServiceVersions, VersionKey};
 
 /// Software versions of engines at which a request may run.
@@ -47,6 +48,8 @@
     pub has_precedence: bool,
     /// Target for the longest gap between two events of a stream.
     pub max_event_gap: Option<Duration>,
+    /// What the request needs of an engine's speed; none if speeds do not count.
+    pub speed_needs: Option<SpeedNeeds>,
     /// Whether the request can wait for engines to finish prefill.
     pub can_wait: bool,
     /// Uniform random number in `0..1`; makes nodes with the same data choose different engines.
@@ -153,6 +156,11 @@
 /// the idle one of two copies.
 const MIN_CONSIDERED: usize = 3;
 
+/// The same two for streams while the speeds of engines are known: nodes prefer the fast engines then, which are fewer,
+/// and would all choose the same ones. Some engine among the minimum is probably fast.
+const CONSIDERED_SHARE_BY_SPEED: f64 = 0.12;
+const MIN_CONSIDERED_BY_SPEED: usize = 8;
+
 /// Requests that may queue at an engine before it counts as full, as a part of its slots.
 const QUEUE_SHARE: f64 = 1.0;
 
@@ -178,7 +186,10 @@
 ) -> Result<Choice, NoEngine> {
     let mut reason = NoEngine::NoneAvailable;
     let mut best: Option<((bool, bool), Choice)> = None;
-    let threshold = random_threshold(engines, params, now);
+    let mean_speed = params.speed_needs.map(|_| mean_speed(engines, params.service));
+    let streams_by_speed = params.speed_needs.is_some_and(|needs| needs.events.is_some())
+        && mean_speed.is_some_and(|mean| mean.knows_events());
+    let threshold = random_threshold(engines, params, streams_by_speed, now);
     let prompt_tokens = params.prompt.map_or(0, |p| p.prompt_tokens);
     let session = params.prompt.map(session_key);
     let mean_load = mean_load(engines, params.service, now);
@@ -227,7 +238,8 @@
             reason = reason.or_sooner(NoEngine::Full(FULL_RETRY));
             continue;
         }
-        let cost = cost(engine, estimate, params, session, now);
+        let speed = speed_cost(engine, estimate, params, mean_speed.as_ref(), now);
+        let cost = cost(engine, estimate, params, session, now) + speed;
         let choice = Choice { engine: engine.info.id.clone(), cost_ms: cost, estimate };
         // Each request considers some engines only, so that many nodes do not all choose the same
         // one.
@@ -274,7 +286,12 @@
 }
 
 /// The highest random number of the engines that this request considers.
-fn random_threshold(engines: &Engines, params: &ChoiceParams<'_>, now: Millis) -> f64 {
+fn random_threshold(
+    engines: &Engines,
+    params: &ChoiceParams<'_>,
+    by_speed: bool,
+    now: Millis,
+) -> f64 {
     if params.nodes <= MAX_NODES_FULL_SCAN {
         return 1.0;
     }
@@ -284,7 +301,12 @@
     let candidates = candidates.filter(|e| model_ref.is_none_or(|m| e.has_loaded(m)));
     let mut randoms: Vec<f64> =
         candidates.map(|e| engine_random(params.random, &e.info.id)).collect();
-    let count = ((randoms.len() as f64 * CONSIDERED_SHARE).ceil() as usize).max(MIN_CONSIDERED);
+    let (share, min) = if by_speed {
+        (CONSIDERED_SHARE_BY_SPEED, MIN_CONSIDERED_BY_SPEED)
+    } else {
+        (CONSIDERED_SHARE, MIN_CONSIDERED)
+    };
+    let count = ((randoms.len() as f64 * share).ceil() as usize).max(min);
     if randoms.len() <= count {
         return 1.0;
     }
@@ -312,6 +334,19 @@
     batch + queue + prefill + domain + prefix + failure + warmup + random
 }
 
+/// Cost of the engine's speed, if speeds count.
+fn speed_cost(
+    engine: &Engine,
+    estimate: f64,
+    params: &ChoiceParams<'_>,
+    mean: Option<&MeanSpeed>,
+    now: Millis,
+) -> f64 {
+    let Some((needs, mean)) = params.speed_needs.as_ref().zip(mean) else { return 0.0 };
+    let fill = estimate / f64::from(engine.info.slots.max(1));
+    speed_cost_ms(&engine.speed, mean, needs, fill, now)
+}
+
 /// Mean of the loads that are known.
 fn mean_load(engines: &Engines, service: &ServiceId, now: Millis) -> f64 {
     let loads = engines.of_service(service).filter_map(|e| e.known_load(now));
--- a/crates/direct/tests/brittle.rs
+++ b/crates/direct/tests/brittle.rs
@@ -35,6 +35,7 @@
         max_conns: 1_000,
         has_precedence,
         max_event_gap: None,
+        speed_needs: None,
         can_wait: false,
         random: 0.5,
         weights: CostWeights::default(),
--- a/crates/direct/tests/versions.rs
+++ b/crates/direct/tests/versions.rs
@@ -247,6 +247,7 @@
         max_conns: 100,
         has_precedence: false,
         max_event_gap: None,
+        speed_needs: None,
         can_wait: false,
         random: 0.5,
         weights: CostWeights::default(),
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -6,17 +6,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hgw_direct::engine_speed::SpeedNeeds;
 use hgw_direct::quota::WaiterRank;
 use hgw_direct::{
     Choice, ChoiceParams, CostWeights, CrashSubject, Deadline, DigestedParts, EngineId,
     MIN_TIME_TO_SEND, Millis, ModelRef, NoEngine, Prompt, RankedSubject, Refusal, RequestDigest,
-    Route, ServiceId, VersionKey, choose_engine, crash_subjects,
+    Route, Service, ServiceId, VersionKey, choose_engine, crash_subjects,
 };
 use http::request::Parts;
 use rand::random;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::clock::boot_time;
+use crate::engine_speed;
 use crate::meter;
 use crate::peers::{self, Placement};
 use crate::prefill_queue::PrefillTicket;
@@ -412,6 +414,7 @@
             max_conns,
             has_precedence: self.has_precedence,
             max_event_gap: self.route.max_event_gap,
+            speed_needs: self.speed_needs(service),
             can_wait: Instant::now() < wait_until,
             random: random(),
             weights: CostWeights::default(),
@@ -419,6 +422,10 @@
         choose_engine(&state.engines, &params, self.node.now())
     }
 
+    fn speed_needs(&self, service: Option<&Service>) -> Option<SpeedNeeds> {
+        engine_speed::needs(&self.node, &self.route, service, self.prompt(), self.time_left())
+    }
+
     /// Rejects a request that no engine has executed because none could be chosen.
     pub(super) fn refuse_no_engine(&self, reason: NoEngine) -> CallerResponse {
         let is_unreachable = self.has_failed_path() || self.is_unreachable();
