Stand-ins that cut off what nobody reads, and slow callers; events are searched once

A test of slow readers needs engines whose streams are held up and cut off when nobody reads, events of a size, and callers that read little by little. EventBuffer searched all it had for the end of an event with each read, twice: with events of 16 KB and 300 streams the node of a debug build ran late. It now searches new bytes once and releases the memory of a large event.

--- a/crates/gateway/src/relay/event_buffer.rs
+++ b/crates/gateway/src/relay/event_buffer.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Longest end of an event: an empty line and the end of the line before it.
+const MAX_END_BYTES: usize = 4;
+
 /// Splits a byte stream into complete events, so that a stream can resume on another engine between
 /// two of them.
 #[derive(Debug, Default)]
@@ -25,9 +28,15 @@
                 return Some(bytes);
             }
         }
+        // What is there already has no end of an event, but may have the first bytes of one.
+        let scanned = self.partial.len().saturating_sub(MAX_END_BYTES - 1);
         self.partial.extend_from_slice(&bytes);
-        let end = complete_len(&self.partial)?;
+        let end = scanned + complete_len(&self.partial[scanned..])?;
         let events = self.partial.split_to(end).freeze();
+        if self.partial.is_empty() {
+            // Large events would keep their memory until the end of the stream.
+            self.partial = BytesMut::new();
+        }
         self.record_last_id(&events);
         Some(events)
     }
@@ -50,7 +59,34 @@
 
 /// Returns the end of the last complete event.
 fn complete_len(bytes: &[u8]) -> Option<usize> {
-    let plain = bytes.windows(2).rposition(|w| w == b"\n\n").map(|at| at + 2);
-    let crlf = bytes.windows(4).rposition(|w| w == b"\r\n\r\n").map(|at| at + 4);
-    plain.max(crlf)
+    let mut rest = bytes;
+    while let Some(at) = rest.iter().rposition(|b| *b == b'\n') {
+        rest = &rest[..at];
+        if rest.ends_with(b"\n") || rest.ends_with(b"\r\n\r") {
+            return Some(at + 1);
+        }
+    }
+    None
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against events that are lost, held back or cut in two where the reads end within their ends.
+    #[test]
+    fn events_are_passed_on_whole_wherever_reads_end() {
+        let text = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+        for size in 1..=text.len() {
+            let mut events = EventBuffer::default();
+            let mut passed_on = Vec::new();
+            for read in text.chunks(size) {
+                let Some(bytes) = events.push(Bytes::copy_from_slice(read)) else { continue };
+                assert!(bytes.ends_with(b"\n\n") || bytes.ends_with(b"\r\n\r\n"));
+                passed_on.extend_from_slice(&bytes);
+            }
+            assert_eq!(passed_on, text, "reads of {size} bytes");
+            assert_eq!((events.last_id(), events.has_partial()), (Some(3), false));
+        }
+    }
 }
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -12,12 +12,14 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::mpsc::{Sender, channel};
+use tokio::time::error::Elapsed;
+use tokio::time::timeout;
 
 use crate::client::Caller;
 use crate::faults::{Faults, Switches, lock};
 use crate::server::{
-    Body, Lost, Piece, Reply, Running, StandIn, failure, json, read_json, serve, stream,
+    Body, Lost, Piece, Reply, Running, StandIn, bounded_stream, failure, json, read_json, serve,
     with_status,
 };
 
@@ -61,8 +63,15 @@
     pub crash_part: Option<String>,
     /// Whether its streams have neither a length nor chunks and end with their connections.
     pub unframed: bool,
+    /// Bytes that each event has beside its text.
+    pub event_bytes: usize,
+    /// Time after which it cuts off a stream that nobody reads; never if none is set.
+    pub unread_limit: Option<Duration>,
 }
 
+/// Pieces of a stream that wait to be written.
+const UNWRITTEN_PIECES: usize = 4;
+
 impl Default for EngineSettings {
     fn default() -> Self {
         EngineSettings {
@@ -83,6 +92,8 @@
             fences: true,
             crash_part: None,
             unframed: false,
+            event_bytes: 0,
+            unread_limit: None,
         }
     }
 }
@@ -108,6 +119,12 @@
     pub customers: IndexMap<String, Vec<String>>,
     /// Requests that came with a key of their caller's.
     pub keys: u32,
+    /// Streams that were cut off as nobody read them.
+    #[serde(default)]
+    pub cut_unread: u32,
+    /// Streams that were written to their end.
+    #[serde(default)]
+    pub complete: u32,
 }
 
 #[derive(Debug, Deserialize)]
@@ -301,6 +318,11 @@
         self.shared.lock().arrivals.clone()
     }
 
+    /// Whether it neither runs a request nor lets one wait.
+    pub fn is_idle(&self) -> bool {
+        self.shared.lock().active == 0
+    }
+
     /// Runs so many requests and answers them with a failure of its own.
     pub fn fail(&self, requests: u32) {
         self.shared.lock().fail = requests;
@@ -424,7 +446,7 @@
         tokio::time::sleep(reading).await;
         self.lock().reading_now -= 1;
         let from = text("last-event-id").and_then(|l| l.parse().ok()).unwrap_or(0);
-        let (tx, rx) = unbounded_channel();
+        let (tx, rx) = channel(UNWRITTEN_PIECES);
         if self.crashes_on(text("x-prompt-prefix").unwrap_or_default()) {
             self.lock().has_crashed = true;
             // The connection stays silent until it is cut.
@@ -432,7 +454,7 @@
         } else {
             tokio::spawn(Arc::clone(self).events(tx, from, active));
         }
-        let mut answer = self.sealed(stream(rx), &echoed);
+        let mut answer = self.sealed(bounded_stream(rx), &echoed);
         if self.settings.unframed {
             // A body whose end is that of its connection.
             *answer.version_mut() = http::Version::HTTP_10;
@@ -526,28 +548,58 @@
         }
     }
 
-    async fn events(self: Arc<Self>, tx: UnboundedSender<Piece>, from: u64, _active: Active) {
+    async fn events(self: Arc<Self>, tx: Sender<Piece>, from: u64, active: Active) {
         self.lock().running += 1;
+        let end = self.write_events(&tx, from).await;
+        self.lock().running -= 1;
+        drop(active);
+        match end {
+            StreamEnd::Complete => self.lock().record.complete += 1,
+            StreamEnd::Left => {}
+            StreamEnd::Broken(rest) => {
+                for piece in rest.into_iter().map(Ok).chain([Err(Lost)]) {
+                    // Fails only where the connection has ended already.
+                    let _ = tx.send(piece).await;
+                }
+            }
+            StreamEnd::Unread => {
+                self.lock().record.cut_unread += 1;
+                let _ = tx.send(Err(Lost)).await;
+            }
+        }
+    }
+
+    async fn write_events(&self, tx: &Sender<Piece>, from: u64) -> StreamEnd {
+        let padding = "x".repeat(self.settings.event_bytes);
         let breaks = self.switches.stream_fault().map(u64::from);
         for (sent, event) in (from + 1..=self.settings.events).enumerate() {
             tokio::time::sleep(self.switches.slowed(self.settings.pause)).await;
             if breaks.is_some_and(|after| sent as u64 >= after) {
                 // In the middle of an event.
                 let half = Bytes::from(format!("id: {event}\nda"));
-                let _ = tx.send(Ok(hyper::body::Frame::data(half)));
-                let _ = tx.send(Err(Lost));
-                break;
+                return StreamEnd::Broken(Some(hyper::body::Frame::data(half)));
             }
             let by = match self.settings.names_software {
                 true => format!(" of {}", self.settings.software.as_str().unwrap_or_default()),
                 false => String::new(),
             };
-            let event = Bytes::from(format!("id: {event}\ndata: piece {event}{by}\n\n"));
-            if tx.send(Ok(hyper::body::Frame::data(event))).is_err() {
-                break;
+            let event = Bytes::from(format!("id: {event}\ndata: piece {event}{by}{padding}\n\n"));
+            match self.write(tx, Ok(hyper::body::Frame::data(event))).await {
+                Ok(true) => {}
+                Ok(false) => return StreamEnd::Left,
+                Err(_) => return StreamEnd::Unread,
             }
         }
-        self.lock().running -= 1;
+        StreamEnd::Complete
+    }
+
+    /// Writes a piece; tells whether its reader is there, or that it has not read for too long.
+    async fn write(&self, tx: &Sender<Piece>, piece: Piece) -> Result<bool, Elapsed> {
+        let sent = tx.send(piece);
+        match self.settings.unread_limit {
+            Some(limit) => timeout(limit, sent).await.map(|sent| sent.is_ok()),
+            None => Ok(sent.await.is_ok()),
+        }
     }
 
     fn sealed(&self, mut answer: Response<Body>, id: &str) -> Response<Body> {
@@ -566,6 +618,17 @@
     }
 }
 
+/// How a stream has ended.
+enum StreamEnd {
+    Complete,
+    /// Its reader has left.
+    Left,
+    /// It breaks off after this.
+    Broken(Option<hyper::body::Frame<Bytes>>),
+    /// Its reader has not read for too long.
+    Unread,
+}
+
 /// A request that takes a place until it has ended.
 struct Active(Arc<Shared>);
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod platform;
 mod process;
 mod server;
+pub mod slow_caller;
 mod socket_owner;
 pub mod vms;
 pub mod weights;
--- a/crates/standins/src/server/answer.rs
+++ b/crates/standins/src/server/answer.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::{Receiver, UnboundedReceiver};
 
 use super::{Lost, Piece};
 
@@ -43,8 +43,15 @@
 
 /// An answer of server-sent events.
 pub(crate) fn stream(mut rx: UnboundedReceiver<Piece>) -> Response<Body> {
-    let pieces = poll_fn(move |cx| rx.poll_recv(cx));
-    let body = StreamBody::new(pieces).boxed_unsync();
+    stream_of(StreamBody::new(poll_fn(move |cx| rx.poll_recv(cx))).boxed_unsync())
+}
+
+/// The same, of pieces that are made only as fast as they are written.
+pub(crate) fn bounded_stream(mut rx: Receiver<Piece>) -> Response<Body> {
+    stream_of(StreamBody::new(poll_fn(move |cx| rx.poll_recv(cx))).boxed_unsync())
+}
+
+fn stream_of(body: Body) -> Response<Body> {
     let mut answer = Response::new(body);
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     answer
--- a/crates/standins/src/server/mod.rs
+++ b/crates/standins/src/server/mod.rs
@@ -22,7 +22,9 @@
 use tokio::sync::oneshot;
 
 use crate::faults::{Faults, Switches};
-pub(crate) use answer::{Body, failure, json, query, read_json, stream, with_status};
+pub(crate) use answer::{
+    Body, bounded_stream, failure, json, query, read_json, stream, with_status,
+};
 use conn::{Conn, Gate, Ticket};
 
 /// Largest request body.
