Streams are read ahead of slow callers, within a bound of the node's memory

A stream was read only as its caller read, beyond what the kernel took: the engine's slot stayed in use, and the engine cut the response off. A task for each stream now reads into a buffer. The sum is bounded by a fifth of limits.memoryMb and divided fairly; beyond that the stream is read as its caller reads. Large bodies of calls count toward the same bound, and a call without room is refused before it is sent. The kernel holds 16 KB of unsent bytes for each caller instead of up to 4 MB.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -35,6 +35,7 @@
 mod prefill;
 mod prompt;
 pub mod quota;
+mod read_ahead;
 mod refusal;
 mod request_digest;
 mod request_rate;
@@ -86,6 +87,7 @@
 };
 pub use prefill::{PrefillBacklog, PrefillRate, SendId, broadcasts_sends};
 pub use prompt::{EmptyModelName, ModelRef, Prompt, PromptPart};
+pub use read_ahead::{HeldBytes, MIN_STREAM_BYTES, ReadAheadBound, ResponseSize, SMALL_BODY_BYTES};
 pub use refusal::{MIN_RETRY_AFTER, Refusal, retry_after};
 pub use request_digest::{DigestedParts, InvalidDigest, RequestDigest};
 pub use request_rate::{InvalidRequestRate, RequestRate};
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -55,6 +55,9 @@
     /// This node serves as many requests of other nodes as it can.
     #[display("node busy")]
     NodeBusy,
+    /// This node has no memory left for the request's body or its response.
+    #[display("node memory in use")]
+    NodeMemory,
     /// The retry budget is used up.
     #[display("no retry left")]
     RetryBudgetExhausted,
--- a/crates/gateway/src/caller_listener.rs
+++ b/crates/gateway/src/caller_listener.rs
@@ -43,6 +43,9 @@
         {
             continue;
         }
+        if node.settings.borrow().features.read_ahead && listen::bound_unsent(&stream).is_err() {
+            continue;
+        }
         node.shutdown.connections.set(open + 1);
         let node = Rc::clone(&node);
         tokio::task::spawn_local(async move {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod features;
 mod follow;
 mod freshness;
+mod held_bytes;
 mod leader;
 mod listen;
 mod members;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -62,6 +62,15 @@
     }
 }
 
+/// Bytes of a response that the kernel takes beyond what is on its way to the caller. Without a bound it takes megabytes
+/// for a caller that does not read, which no bound of this node covers.
+const MAX_UNSENT_BYTES: u32 = 16 << 10;
+
+/// Bounds what the kernel holds of responses, so that the rest is in buffers of this node.
+pub(crate) fn bound_unsent(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES)
+}
+
 pub(crate) fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     close_if_dead(&SockRef::from(stream), DEAD_CALLER_TIMEOUT)
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -80,6 +80,16 @@
     counter!("hgw_engines_ended_total").increment(1);
 }
 
+/// Counts each time that a stream is no longer read ahead of its caller, as there is no room.
+pub(crate) fn read_ahead_stopped() {
+    counter!("hgw_read_ahead_stopped_total").increment(1);
+}
+
+/// Counts a response that was complete at this node when its caller left without it.
+pub(crate) fn response_unread() {
+    counter!("hgw_responses_unread_total").increment(1);
+}
+
 /// Counts a new connection of a caller that was closed unread, as this node runs late.
 pub(crate) fn connection_refused() {
     counter!("hgw_connections_refused_total").increment(1);
@@ -173,6 +183,7 @@
         let reaches = f64::from(u8::from(!node.engine_path.has_failed(service)));
         gauge!("hgw_reaches_engines", "service" => service.to_string()).set(reaches);
     }
+    gauge!("hgw_held_bytes").set(node.held_memory.held().total as f64);
     gauge!("hgw_limited_engines").set(node.engine_limits.borrow().limited().count() as f64);
     gauge!("hgw_store_era").set(node.era.get().era().number());
     gauge!("hgw_keeper").set(f64::from(u8::from(node.leadership.borrow().is_leader())));
--- a/crates/gateway/src/peers/forwarding.rs
+++ b/crates/gateway/src/peers/forwarding.rs
@@ -122,6 +122,7 @@
             | Refusal::StaleConfig
             | Refusal::OutdatedConfig
             | Refusal::NodeBusy
+            | Refusal::NodeMemory
     )
 }
 
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -1,30 +1,37 @@
 //! Buffered responses: read in full from the engine before they are returned to the caller.
 
-use hgw_direct::{AttemptOutcome, NoEngine};
-use hgw_http1::BodyDecoder;
+use std::time::Duration;
+
+use hgw_direct::{AttemptOutcome, NoEngine, Refusal};
 use http::{Response, StatusCode};
 
+use crate::held_bytes::Reservation;
 use crate::response::{CallerResponse, ResponseBody};
 
 use super::attempt::StartedResponse;
+use super::body;
 use super::event_timing::EventTiming;
 use super::request::RelayedRequest;
 use super::start::{Failure, final_response, start};
 use super::wait::WaitResult;
 
-/// Largest response that is buffered; a larger one counts as incomplete.
-const MAX_BODY_BYTES: usize = 32 << 20;
+/// Retry delay while there is no memory for a response: as long as callers take for some.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Serves a request with a buffered response. If the response is incomplete, the request is retried
 /// if the route allows it, and otherwise fails.
 pub(super) async fn serve(mut req: RelayedRequest) -> CallerResponse {
+    req.held_response = body::reserve_response(&req.node, &req.route);
+    if req.held_response.is_none() {
+        return req.refuse(Refusal::NodeMemory, NO_MEMORY_RETRY_AFTER);
+    }
     let mut failure = None;
     loop {
         let started = match start(&mut req, None, failure).await {
             Ok(started) => started,
             Err(response) => return response,
         };
-        failure = match read_response(&req, started).await {
+        failure = match read_response(&mut req, started).await {
             Some(response) if response.status().is_server_error() => {
                 Some(Failure::Response(response))
             }
@@ -38,10 +45,15 @@
 }
 
 /// Buffers the engine's response; `None` if it is incomplete.
-async fn read_response(req: &RelayedRequest, started: StartedResponse) -> Option<CallerResponse> {
+async fn read_response(
+    req: &mut RelayedRequest,
+    started: StartedResponse,
+) -> Option<CallerResponse> {
     let StartedResponse { engine, version, mut conn, head, source } = started;
-    let body = BodyDecoder::new(head.framing);
-    let body = match req.wait_for(&source, conn.read_body(body, MAX_BODY_BYTES)).await {
+    let memory = &req.node.held_memory;
+    let mut held = req.held_response.take().unwrap_or_else(|| Reservation::empty(memory));
+    let body = body::read_response(&mut conn, head.framing, &mut held);
+    let body = match req.wait_for(&source, body).await {
         WaitResult::Done(Ok(body)) => body,
         incomplete => {
             req.record_broken(&source, &incomplete).await;
@@ -62,7 +74,8 @@
     if !is_failure {
         req.log_served(&engine, &source, head.status, &EventTiming::start());
     }
-    let mut response = Response::new(ResponseBody::full(body));
+    body::record_response_size(&req.node, &req.route, body.len());
+    let mut response = Response::new(ResponseBody::full(held.hold(body)));
     *response.status_mut() = StatusCode::from_u16(head.status).ok()?;
     *response.headers_mut() = req.node.protocols.upstreams.response_headers(&head);
     response.extensions_mut().insert(req.outcome_of(&engine, version));
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Proxies one caller request to an engine, from the request head to the end of the response.
 
 mod attempt;
+mod body;
 mod buffered;
 mod event_buffer;
 mod event_timing;
@@ -8,6 +9,7 @@
 mod forwarded;
 mod identity;
 mod outcome;
+mod read_ahead;
 mod request;
 mod source;
 mod start;
@@ -21,7 +23,6 @@
 
 use hgw_direct::{Catalog, Refusal, retry_after};
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::random;
 use tokio::time::Instant;
@@ -80,15 +81,9 @@
     };
     let (mut route, service) = (matched.route.clone(), matched.service.clone());
     let service = forwarded.as_ref().map_or(service, |f| f.service_of(&route, matched.service));
-    let body = match Limited::new(body, catalog.limits.max_body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<LengthLimitError>() => {
-            return json_error(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "request body exceeds the configured limit",
-            );
-        }
-        Err(_) => return json_error(StatusCode::BAD_REQUEST, "request body could not be read"),
+    let body = match body::read(node, body, catalog.limits.max_body_bytes).await {
+        Ok(body) => body,
+        Err(error) => return body::refuse(node, &route, error),
     };
     let info = match node.protocols.callers.parse(&head) {
         Ok(info) => info,
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::clock::boot_time;
+use crate::held_bytes::Reservation;
 use crate::meter;
 use crate::peers::{self, Placement};
 use crate::prefill_queue::PrefillTicket;
@@ -77,7 +78,12 @@
 
 pub(super) struct RelayedRequest {
     pub(super) node: Node,
-    _active: ActiveRequest,
+    /// Counts the request as active; none once its response has taken that over.
+    pub(super) active: Option<ActiveRequest>,
+    /// Room for its body.
+    _held_body: Reservation,
+    /// Room for its response, if that is buffered.
+    pub(super) held_response: Option<Reservation>,
     pub(super) head: Parts,
     pub(super) body: Bytes,
     pub(super) info: RequestInfo,
@@ -146,7 +152,7 @@
         node: &Node,
         active: ActiveRequest,
         head: Parts,
-        body: Bytes,
+        (body, held_body): (Bytes, Reservation),
         info: RequestInfo,
         route: Route,
         service: ServiceId,
@@ -159,7 +165,9 @@
         let timeout = info.deadline.map_or(route.timeout, |d| d.min(route.timeout));
         let mut request = RelayedRequest {
             node: Rc::clone(node),
-            _active: active,
+            active: Some(active),
+            _held_body: held_body,
+            held_response: None,
             head,
             body,
             info,
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -15,6 +15,7 @@
 use super::attempt::StartedResponse;
 use super::event_buffer::EventBuffer;
 use super::event_timing::EventTiming;
+use super::read_ahead;
 use super::request::RelayedRequest;
 use super::source::Source;
 use super::start::{Failure, start};
@@ -36,9 +37,13 @@
             *response.headers_mut() = req.node.protocols.upstreams.response_headers(&started.head);
             response.headers_mut().remove(CONTENT_LENGTH);
             response.extensions_mut().insert(req.outcome_of(&started.engine, started.version));
+            let reads_ahead = req.node.settings.borrow().features.read_ahead;
             let stream = ResponseStream::new(req, started);
-            *response.body_mut() =
-                ResponseBody::Stream(Box::pin(unfold(stream, ResponseStream::next_piece)));
+            *response.body_mut() = if reads_ahead {
+                read_ahead::start(stream)
+            } else {
+                ResponseBody::Stream(Box::pin(unfold(stream, ResponseStream::next_piece)))
+            };
             response
         }
         Err(response) => response,
@@ -67,8 +72,8 @@
 }
 
 /// A response that is being streamed.
-struct ResponseStream {
-    req: RelayedRequest,
+pub(super) struct ResponseStream {
+    pub(super) req: RelayedRequest,
     engine: EngineId,
     version: VersionKey,
     /// `None` once the response is complete, and between two engines.
@@ -80,6 +85,8 @@
     source: Source,
     is_finished: bool,
     timing: EventTiming,
+    /// Whether reading has waited for room, so that its pauses are not the engine's.
+    is_held_up: bool,
 }
 
 impl ResponseStream {
@@ -99,11 +106,14 @@
             source,
             is_finished: false,
             timing: EventTiming::start(),
+            is_held_up: false,
         }
     }
 
     /// Reads the next piece for the caller.
-    async fn next_piece(mut self) -> Option<(Result<Bytes, BodyAborted>, ResponseStream)> {
+    pub(super) async fn next_piece(
+        mut self,
+    ) -> Option<(Result<Bytes, BodyAborted>, ResponseStream)> {
         if self.is_finished {
             return None;
         }
@@ -191,6 +201,11 @@
         self.resume().await
     }
 
+    /// Records that reading waits for room.
+    pub(super) fn record_held_up(&mut self) {
+        self.is_held_up = true;
+    }
+
     /// Resumes on another engine; the retry has been taken from the retry budget.
     async fn resume(&mut self) -> bool {
         // Closes the connection, which ends the request at the previous engine.
@@ -221,7 +236,7 @@
         } else {
             AttemptOutcome::Failed
         });
-        if let Some(mean_gap) = self.timing.mean_gap() {
+        if let Some(mean_gap) = self.timing.mean_gap().filter(|_| !self.is_held_up) {
             self.source.record_event_interval(mean_gap);
         }
         if let Some(conn) = self.conn.take() {
@@ -230,7 +245,7 @@
         self.req.log_served(&self.engine, &self.source, 200, &self.timing);
     }
 
-    fn abort(mut self) -> (Result<Bytes, BodyAborted>, ResponseStream) {
+    pub(super) fn abort(mut self) -> (Result<Bytes, BodyAborted>, ResponseStream) {
         self.is_finished = true;
         self.req.log_failed(200, "broken off");
         (Err(BodyAborted), self)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -55,6 +55,8 @@
     pub engine_limits: QuotaBounds,
     /// Share of a processor that this machine has; 1.0 is a full processor.
     pub cpu_share: f64,
+    /// Memory of this machine.
+    pub memory_bytes: u64,
     /// Optional parts that are in use.
     pub features: Features,
 }
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -13,10 +13,11 @@
 use hgw_direct::unreachable::ProbedEngines;
 use hgw_direct::{
     AdmittedVersions, CatalogLag, CrashHistory, EngineLimits, Forwarders, KnownEra, LagEffect,
-    ListChanges, Millis, RetryBudgetLimits, StreamVersions, is_isolated, polls_store,
+    ListChanges, Millis, ResponseSize, RetryBudgetLimits, StreamVersions, is_isolated, polls_store,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnTimeouts;
+use indexmap::IndexMap;
 use rand::random;
 use tokio::sync::{Notify, Semaphore};
 
@@ -29,6 +30,7 @@
 use crate::engine_notices::RecentLeaving;
 use crate::engine_path::PathWatch;
 use crate::freshness::{self, Freshness};
+use crate::held_bytes::HeldMemory;
 use crate::leader::LeaderState;
 use crate::peers::{CatalogTransfers, Children, PeerSocket, PlacementChanges};
 use crate::pool::Pool;
@@ -51,6 +53,10 @@
     pub(crate) protocols: Protocols,
     pub(crate) clock: Clock,
     pub(crate) pool: Pool,
+    /// What responses and bodies hold until their readers have taken them.
+    pub(crate) held_memory: HeldMemory,
+    /// Expected sizes of buffered responses, by route.
+    pub(crate) response_sizes: RefCell<IndexMap<String, ResponseSize>>,
     pub(crate) state: RefCell<State>,
     pub(crate) leadership: RefCell<Leadership>,
     pub(crate) leader_state: RefCell<LeaderState>,
@@ -157,6 +163,8 @@
             protocols,
             clock: Clock::start(),
             pool: Pool::default(),
+            held_memory: HeldMemory::default(),
+            response_sizes: RefCell::default(),
             state: RefCell::new(State {
                 nodes: 1,
                 list_changes: ListChanges::new(random()),
