A response that its engine cut off unread is no failure of the engine

Engines cut off what nobody reads for some seconds. That counted as a failure of the engine: with one such response it was judged as failing, a retry was taken from the budget, and the stream was lost where there was none. The end of a response that was left unread for a second now says nothing about its engine, and the stream is resumed when its caller reads on.

--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -90,6 +90,11 @@
     counter!("hgw_responses_unread_total").increment(1);
 }
 
+/// Counts a response that its engine cut off as its caller had not read it.
+pub(crate) fn cut_unread() {
+    counter!("hgw_responses_cut_unread_total").increment(1);
+}
+
 /// Counts a new connection of a caller that was closed unread, as this node runs late.
 pub(crate) fn connection_refused() {
     counter!("hgw_connections_refused_total").increment(1);
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -266,10 +266,7 @@
     /// Whether another attempt is allowed after an engine rejected the request or may have executed
     /// it. Takes one retry from the budget that all nodes share.
     pub(super) fn take_retry(&self) -> bool {
-        if self.executions >= self.route.max_attempts || self.rejected > MAX_REJECTED {
-            return false;
-        }
-        if !self.has_time_to_send() || self.may_carry_crash_on() {
+        if !self.may_run_again() {
             return false;
         }
         let (now, limits) = (self.node.now(), self.node.budget_limits());
@@ -278,6 +275,14 @@
         budget.try_take(now, &limits, self.route.priority <= 1)
     }
 
+    /// Whether the route, the time left and what is known of crashes allow another attempt.
+    pub(super) fn may_run_again(&self) -> bool {
+        self.executions < self.route.max_attempts
+            && self.rejected <= MAX_REJECTED
+            && self.has_time_to_send()
+            && !self.may_carry_crash_on()
+    }
+
     /// Counts an engine that could not be reached. Returns whether another one may be tried.
     pub(super) fn may_skip_unreachable(&mut self) -> bool {
         self.unreached += 1;
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -8,6 +8,7 @@
 use hgw_http1::{BodyDecoder, Conn, Framing, Head};
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
+use tokio::time::Instant;
 
 use crate::meter;
 use crate::response::{BodyAborted, CallerResponse, ResponseBody};
@@ -28,6 +29,9 @@
 /// The same for a route without a maximum gap.
 const HUNG_AFTER_DEFAULT: Duration = Duration::from_millis(1_000);
 
+/// Time after which an engine may have cut off a response that was not read meanwhile: engines wait for some seconds.
+const MIN_UNREAD_TIME: Duration = Duration::from_secs(1);
+
 pub(super) async fn serve(mut req: RelayedRequest) -> CallerResponse {
     match start_stream(&mut req, None).await {
         Ok(started) => {
@@ -85,6 +89,10 @@
     source: Source,
     is_finished: bool,
     timing: EventTiming,
+    /// When the last read from the engine ended.
+    read_at: Instant,
+    /// Whether the response was left unread for so long that the engine may cut it off.
+    is_left_unread: bool,
     /// Whether reading has waited for room, so that its pauses are not the engine's.
     is_held_up: bool,
 }
@@ -106,6 +114,8 @@
             source,
             is_finished: false,
             timing: EventTiming::start(),
+            read_at: Instant::now(),
+            is_left_unread: false,
             is_held_up: false,
         }
     }
@@ -118,7 +128,9 @@
             return None;
         }
         loop {
+            self.is_left_unread |= self.read_at.elapsed() >= MIN_UNREAD_TIME;
             let read = self.read_chunk().await;
+            self.read_at = Instant::now();
             match read {
                 WaitResult::Done(Ok(Some(bytes))) => {
                     self.req.record_progress(&self.source);
@@ -147,6 +159,12 @@
                         return Some(self.abort());
                     }
                 }
+                WaitResult::Done(Ok(None) | Err(_)) if self.may_be_cut_unread() => {
+                    meter::cut_unread();
+                    if !self.resume_unread().await {
+                        return Some(self.abort());
+                    }
+                }
                 broken @ (WaitResult::EngineRestarted | WaitResult::Done(Ok(None) | Err(_))) => {
                     if let Source::Engine(_) = self.source {
                         self.req.node.mark_broken(&self.engine);
@@ -201,6 +219,26 @@
         self.resume().await
     }
 
+    /// Whether the engine may have ended the response as nobody read it.
+    fn may_be_cut_unread(&self) -> bool {
+        let is_restarted = match &self.source {
+            Source::Engine(guard) => guard.engine_restarted(),
+            Source::Forwarder(_) => false,
+        };
+        self.is_left_unread && !is_restarted && self.req.node.settings.borrow().features.read_ahead
+    }
+
+    /// Resumes a response that the engine cut off as it was not read, if the route allows that. It is no
+    /// failure: any engine may go on, and no retry is taken from the budget.
+    async fn resume_unread(&mut self) -> bool {
+        let req = &mut self.req;
+        if !self.is_events || !req.route.kind.may_repeat() || !req.may_run_again() {
+            return false;
+        }
+        req.tried_engines.retain(|tried| *tried != self.engine);
+        self.resume().await
+    }
+
     /// Records that reading waits for room.
     pub(super) fn record_held_up(&mut self) {
         self.is_held_up = true;
@@ -223,6 +261,7 @@
         self.version = started.version;
         self.conn = Some(started.conn);
         self.source = started.source;
+        (self.read_at, self.is_left_unread) = (Instant::now(), false);
         true
     }
 
