Tests: hundreds of slow callers at one node

200 callers read 2 KB each 0.2 s of 390 KB streams at a node of 60 MB, 20 others a call and a stream each. Others are served whole, slow ones read every event in the end, and the process grows by less than 35 MB.

--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -43,6 +43,7 @@
 mod session;
 mod settings;
 mod silence;
+mod slow_readers;
 mod stopping;
 mod store_disconnects;
 mod streams;
