--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -19,6 +19,7 @@
 
 use crate::clock::boot_time;
 use crate::engine_speed;
+use crate::held_bytes::Reservation;
 use crate::meter;
 use crate::peers::{self, Placement};
 use crate::prefill_queue::PrefillTicket;
@@ -79,7 +80,12 @@
 
 pub(super) struct RelayedRequest {
     pub(super) node: Node,
-    _active: ActiveRequest,
+    /// Counts the request as active; none once its response has taken that over.
+    pub(super) active: Option<ActiveRequest>,
+    /// Room for its body.
+    _held_body: Reservation,
+    /// Room for its response, if that is buffered.
+    pub(super) held_response: Option<Reservation>,
     pub(super) head: Parts,
     pub(super) body: Bytes,
     pub(super) info: RequestInfo,
@@ -148,7 +154,7 @@
         node: &Node,
         active: ActiveRequest,
         head: Parts,
-        body: Bytes,
+        (body, held_body): (Bytes, Reservation),
         info: RequestInfo,
         route: Route,
         service: ServiceId,
@@ -161,7 +167,9 @@
         let timeout = info.deadline.map_or(route.timeout, |d| d.min(route.timeout));
         let mut request = RelayedRequest {
             node: Rc::clone(node),
-            _active: active,
+            active: Some(active),
+            _held_body: held_body,
+            held_response: None,
             head,
             body,
             info,
@@ -260,10 +268,7 @@
     /// Whether another attempt is allowed after an engine rejected the request or may have executed
     /// it. Takes one retry from the budget that all nodes share.
     pub(super) fn take_retry(&self) -> bool {
-        if self.executions >= self.route.max_attempts || self.rejected > MAX_REJECTED {
-            return false;
-        }
-        if !self.has_time_to_send() || self.may_carry_crash_on() {
+        if !self.may_run_again() {
             return false;
         }
         let (now, limits) = (self.node.now(), self.node.budget_limits());
@@ -272,6 +277,14 @@
         budget.try_take(now, &limits, self.route.priority <= 1)
     }
 
+    /// Whether the route, the time left and what is known of crashes allow another attempt.
+    pub(super) fn may_run_again(&self) -> bool {
+        self.executions < self.route.max_attempts
+            && self.rejected <= MAX_REJECTED
+            && self.has_time_to_send()
+            && !self.may_carry_crash_on()
+    }
+
     /// Counts an engine that could not be reached. Returns whether another one may be tried.
     pub(super) fn may_skip_unreachable(&mut self) -> bool {
         self.unreached += 1;
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -16,6 +16,7 @@
 use super::attempt::StartedResponse;
 use super::event_buffer::EventBuffer;
 use super::event_timing::EventTiming;
+use super::read_ahead;
 use super::request::RelayedRequest;
 use super::source::Source;
 use super::start::{Failure, start};
@@ -28,6 +29,9 @@
 /// The same for a route without a maximum gap.
 const HUNG_AFTER_DEFAULT: Duration = Duration::from_millis(1_000);
 
+/// Time after which an engine may have cut off a response that was not read meanwhile: engines wait for some seconds.
+const MIN_UNREAD_TIME: Duration = Duration::from_secs(1);
+
 pub(super) async fn serve(mut req: RelayedRequest) -> CallerResponse {
     match start_stream(&mut req, None).await {
         Ok(started) => {
@@ -37,9 +41,13 @@
             *response.headers_mut() = req.node.protocols.upstreams.response_headers(&started.head);
             response.headers_mut().remove(CONTENT_LENGTH);
             response.extensions_mut().insert(req.outcome_of(&started.engine, started.version));
+            let reads_ahead = req.node.settings.borrow().features.read_ahead;
             let stream = ResponseStream::new(req, started);
-            *response.body_mut() =
-                ResponseBody::Stream(Box::pin(unfold(stream, ResponseStream::next_piece)));
+            *response.body_mut() = if reads_ahead {
+                read_ahead::start(stream)
+            } else {
+                ResponseBody::Stream(Box::pin(unfold(stream, ResponseStream::next_piece)))
+            };
             response
         }
         Err(response) => response,
@@ -68,8 +76,8 @@
 }
 
 /// A response that is being streamed.
-struct ResponseStream {
-    req: RelayedRequest,
+pub(super) struct ResponseStream {
+    pub(super) req: RelayedRequest,
     engine: EngineId,
     version: VersionKey,
     /// `None` once the response is complete, and between two engines.
@@ -81,6 +89,12 @@
     source: Source,
     is_finished: bool,
     timing: EventTiming,
+    /// When the last read from the engine ended.
+    read_at: Instant,
+    /// Whether the response was left unread for so long that the engine may cut it off.
+    is_left_unread: bool,
+    /// Whether reading has waited for room, so that its pauses are not the engine's.
+    is_held_up: bool,
 }
 
 impl ResponseStream {
@@ -100,17 +114,24 @@
             source,
             is_finished: false,
             timing: EventTiming::start(),
+            read_at: Instant::now(),
+            is_left_unread: false,
+            is_held_up: false,
         }
     }
 
     /// Reads the next piece for the caller.
-    async fn next_piece(mut self) -> Option<(Result<Bytes, BodyAborted>, ResponseStream)> {
+    pub(super) async fn next_piece(
+        mut self,
+    ) -> Option<(Result<Bytes, BodyAborted>, ResponseStream)> {
         if self.is_finished {
             return None;
         }
         let mut waited_since = Instant::now();
         loop {
+            self.is_left_unread |= self.read_at.elapsed() >= MIN_UNREAD_TIME;
             let read = self.read_chunk().await;
+            self.read_at = Instant::now();
             match read {
                 WaitResult::Done(Ok(Some(bytes))) => {
                     self.req.record_progress(&self.source);
@@ -142,6 +163,12 @@
                     }
                     waited_since = Instant::now();
                 }
+                WaitResult::Done(Ok(None) | Err(_)) if self.may_be_cut_unread() => {
+                    meter::cut_unread();
+                    if !self.resume_unread().await {
+                        return Some(self.abort());
+                    }
+                }
                 broken @ (WaitResult::EngineRestarted | WaitResult::Done(Ok(None) | Err(_))) => {
                     if let Source::Engine(_) = self.source {
                         self.req.node.mark_broken(&self.engine);
@@ -205,6 +232,31 @@
         self.resume().await
     }
 
+    /// Whether the engine may have ended the response as nobody read it.
+    fn may_be_cut_unread(&self) -> bool {
+        let is_restarted = match &self.source {
+            Source::Engine(guard) => guard.engine_restarted(),
+            Source::Forwarder(_) => false,
+        };
+        self.is_left_unread && !is_restarted && self.req.node.settings.borrow().features.read_ahead
+    }
+
+    /// Resumes a response that the engine cut off as it was not read, if the route allows that. It is no
+    /// failure: any engine may go on, and no retry is taken from the budget.
+    async fn resume_unread(&mut self) -> bool {
+        let req = &mut self.req;
+        if !self.is_events || !req.route.kind.may_repeat() || !req.may_run_again() {
+            return false;
+        }
+        req.tried_engines.retain(|tried| *tried != self.engine);
+        self.resume().await
+    }
+
+    /// Records that reading waits for room.
+    pub(super) fn record_held_up(&mut self) {
+        self.is_held_up = true;
+    }
+
     /// Resumes on another engine; the retry has been taken from the retry budget.
     async fn resume(&mut self) -> bool {
         // Closes the connection, which ends the request at the previous engine.
@@ -222,6 +274,7 @@
         self.version = started.version;
         self.conn = Some(started.conn);
         self.source = started.source;
+        (self.read_at, self.is_left_unread) = (Instant::now(), false);
         true
     }
 
@@ -235,7 +288,7 @@
         } else {
             AttemptOutcome::Failed
         });
-        if let Some(mean_gap) = self.timing.mean_gap() {
+        if let Some(mean_gap) = self.timing.mean_gap().filter(|_| !self.is_held_up) {
             self.source.record_event_interval(mean_gap);
         }
         if let Some(conn) = self.conn.take() {
@@ -244,7 +297,7 @@
         self.req.log_served(&self.engine, &self.source, 200, &self.timing);
     }
 
-    fn abort(mut self) -> (Result<Bytes, BodyAborted>, ResponseStream) {
+    pub(super) fn abort(mut self) -> (Result<Bytes, BodyAborted>, ResponseStream) {
         self.is_finished = true;
         self.req.log_failed(200, "broken off");
         (Err(BodyAborted), self)
