--- a/crates/direct/src/aggregation.rs
+++ b/crates/direct/src/aggregation.rs
@@ -158,7 +158,7 @@
         };
         if let Some(hub) = neighbors.hub {
             // The hub's sums include what this node has sent.
-            self.outdated.keys.extend(self.upward.changed_rows(&own).iter().map(|row| row.0));
+            self.outdated.keys.extend(self.upward.changed_loads(&own).iter().map(|row| row.0));
             send(&[hub], ReportScope::Node, self.upward.next_updates(now, &own));
             return updates;
         }
@@ -187,6 +187,7 @@
         let update = InFlightUpdate {
             full_partition: Some(KeyPartition { part: 0, parts: 1 }),
             rows: Vec::new(),
+            held: Vec::new(),
         };
         previous.map(|previous| OutgoingUpdate {
             to: vec![previous],
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -9,8 +9,8 @@
 use crate::engine_speed::EngineSpeed;
 use crate::in_flight::{EngineKey, InFlightLoad};
 use crate::{
-    Brittleness, Cursor, HealthTracker, Millis, ModelRef, PrefillBacklog, PrefillRate, RequestRate,
-    ServiceId, SoftwareVersion, VersionKey,
+    Brittleness, Cursor, HealthTracker, HeldMemory, Millis, ModelRef, PrefillBacklog, PrefillRate,
+    RequestRate, ServiceId, SoftwareVersion, VersionKey,
 };
 
 /// Identity of an engine, which may restart under the same one.
@@ -117,6 +117,8 @@
     /// Prompts whose prefill is not complete.
     pub prefill_backlog: PrefillBacklog,
     pub prefill_rate: PrefillRate,
+    /// Memory that requests hold there.
+    pub held_memory: HeldMemory,
     /// Average time between two events of a stream there; 0 until a stream has completed.
     pub event_interval_ms: f64,
     /// How fast it is.
@@ -173,6 +175,7 @@
             reported_load: None,
             prefill_backlog: PrefillBacklog::default(),
             prefill_rate: PrefillRate::default(),
+            held_memory: HeldMemory::default(),
             event_interval_ms: 0.0,
             speed: EngineSpeed::default(),
             rate_limit: None,
@@ -216,7 +219,7 @@
 
     pub fn own_in_flight(&self) -> InFlightLoad {
         let (prompts, tokens) = self.prefill_backlog.own_totals();
-        InFlightLoad { requests: self.own_requests, prompts, tokens }
+        InFlightLoad { requests: self.own_requests, prompts, tokens, held: self.held_memory.own }
     }
 
     /// Estimated number of requests there, if known: from the reports of all nodes, else from its
--- a/crates/direct/src/in_flight.rs
+++ b/crates/direct/src/in_flight.rs
@@ -47,6 +47,8 @@
     pub prompts: u32,
     /// Tokens of these prompts.
     pub tokens: u32,
+    /// Tokens of memory that the requests hold, prompts and output.
+    pub held: u32,
 }
 
 impl InFlightLoad {
@@ -55,6 +57,7 @@
             requests: self.requests.saturating_add(other.requests),
             prompts: self.prompts.saturating_add(other.prompts),
             tokens: self.tokens.saturating_add(other.tokens),
+            held: self.held.saturating_add(other.held),
         }
     }
 
@@ -63,6 +66,7 @@
             requests: self.requests.saturating_sub(other.requests),
             prompts: self.prompts.saturating_sub(other.prompts),
             tokens: self.tokens.saturating_sub(other.tokens),
+            held: self.held.saturating_sub(other.held),
         }
     }
 
@@ -80,8 +84,8 @@
         InFlightRow(key, load.requests, load.prompts, load.tokens)
     }
 
-    fn load(self) -> InFlightLoad {
-        InFlightLoad { requests: self.1, prompts: self.2, tokens: self.3 }
+    fn load(self, held: u32) -> InFlightLoad {
+        InFlightLoad { requests: self.1, prompts: self.2, tokens: self.3, held }
     }
 }
 
@@ -107,6 +111,29 @@
     #[serde(rename = "all_of")]
     pub full_partition: Option<KeyPartition>,
     pub rows: Vec<InFlightRow>,
+    /// Tokens held at the engine of each row, in the same order; empty if nothing is held, or if the
+    /// sender does not know.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub held: Vec<u32>,
+}
+
+impl InFlightUpdate {
+    fn new(
+        full_partition: Option<KeyPartition>,
+        loads: &[(EngineKey, InFlightLoad)],
+    ) -> InFlightUpdate {
+        let rows = loads.iter().map(|(key, load)| InFlightRow::of(*key, *load)).collect();
+        let held: Vec<u32> = loads.iter().map(|(_, load)| load.held).collect();
+        let is_any_held = held.iter().any(|tokens| *tokens > 0);
+        InFlightUpdate { full_partition, rows, held: if is_any_held { held } else { Vec::new() } }
+    }
+
+    fn loads(&self) -> impl Iterator<Item = (EngineKey, InFlightLoad)> + '_ {
+        // Of another length, it cannot be told which row a value belongs to.
+        let is_aligned = self.held.len() == self.rows.len();
+        let held = move |at: usize| if is_aligned { self.held[at] } else { 0 };
+        self.rows.iter().enumerate().map(move |(at, row)| (row.0, row.load(held(at))))
+    }
 }
 
 /// Time after which the reports of a silent node are dropped; its requests have ended with it.
@@ -140,8 +167,7 @@
         let report = self.by_peer.entry(from).or_default();
         report.received_at = now;
         let mut affected: Vec<EngineKey> = update.rows.iter().map(|row| row.0).collect();
-        let mut loads: Vec<(EngineKey, InFlightLoad)> =
-            update.rows.iter().map(|r| (r.0, r.load())).collect();
+        let mut loads: Vec<(EngineKey, InFlightLoad)> = update.loads().collect();
         if let Some(partition) = update.full_partition {
             let in_partition = report.rows.keys().filter(|key| partition.contains(**key));
             let missing = in_partition.filter(|key| !affected.contains(key)).copied();
@@ -215,25 +241,71 @@
     }
 }
 
-/// Maximum number of rows per datagram; keeps datagrams below the usual MTU.
+/// Maximum number of rows per datagram.
 const MAX_ROWS_PER_UPDATE: usize = 100;
 
+/// Bytes of the rows of one datagram at most; with the rest of it, below the usual MTU.
+const MAX_ROW_BYTES_PER_UPDATE: usize = 1_300;
+
+/// Parts of a complete report at most; more than engines that are kept per node.
+const MAX_PARTS: u32 = 1 << 15;
+
 /// Interval of complete reports, which make up for lost datagrams.
 const FULL_REPORT_INTERVAL: Millis = 1_000;
 
+/// Bytes of a row and of the tokens held there, in CBOR.
+fn row_bytes(key: EngineKey, load: InFlightLoad) -> usize {
+    let numbers = [key.0, load.requests, load.prompts, load.tokens, load.held];
+    1 + numbers.map(number_bytes).iter().sum::<usize>()
+}
+
+/// Bytes of a number in CBOR.
+fn number_bytes(number: u32) -> usize {
+    match number {
+        0..=23 => 1,
+        24..=0xff => 2,
+        0x100..=0xffff => 3,
+        _ => 5,
+    }
+}
+
+/// How many of these loads fit into one datagram.
+fn fitting(loads: &[(EngineKey, InFlightLoad)]) -> usize {
+    let bytes = loads.iter().scan(0, |sum, (key, load)| {
+        *sum += row_bytes(*key, *load);
+        Some(*sum)
+    });
+    bytes.take(MAX_ROWS_PER_UPDATE).take_while(|sum| *sum <= MAX_ROW_BYTES_PER_UPDATE).count()
+}
+
+/// The loads by part, for this number of parts.
+fn partitions(
+    loads: &IndexMap<EngineKey, InFlightLoad>,
+    parts: u32,
+) -> Vec<Vec<(EngineKey, InFlightLoad)>> {
+    let mut partitions = vec![Vec::new(); parts as usize];
+    for (key, load) in loads {
+        partitions[(key.0 % parts) as usize].push((*key, *load));
+    }
+    partitions
+}
+
 fn full_updates(loads: &IndexMap<EngineKey, InFlightLoad>) -> Vec<InFlightUpdate> {
-    let parts =
-        u32::try_from(loads.len().div_ceil(MAX_ROWS_PER_UPDATE / 2)).unwrap_or(u32::MAX).max(1);
-    let update = |part| {
-        let partition = KeyPartition { part, parts };
-        let rows = loads.iter().filter(|(key, _)| partition.contains(**key));
-        let rows = rows
-            .take(MAX_ROWS_PER_UPDATE)
-            .map(|(key, load)| InFlightRow::of(*key, *load))
-            .collect();
-        InFlightUpdate { full_partition: Some(partition), rows }
+    let bytes: usize = loads.iter().map(|(key, load)| row_bytes(*key, *load)).sum();
+    let by_rows = loads.len().div_ceil(MAX_ROWS_PER_UPDATE / 2);
+    let parts = by_rows.max(bytes.div_ceil(MAX_ROW_BYTES_PER_UPDATE / 2)).max(1);
+    let mut parts = u32::try_from(parts).unwrap_or(MAX_PARTS).min(MAX_PARTS);
+    let mut split = partitions(loads, parts);
+    // Hashes spread unevenly, and a row that is left out would be taken for an idle engine.
+    while parts < MAX_PARTS && split.iter().any(|part| fitting(part) < part.len()) {
+        parts += parts.div_ceil(4);
+        split = partitions(loads, parts);
+    }
+    let update = |(part, loads): (usize, &Vec<(EngineKey, InFlightLoad)>)| {
+        let partition = KeyPartition { part: part as u32, parts };
+        InFlightUpdate::new(Some(partition), &loads[..fitting(loads)])
     };
-    (0..parts).map(update).collect()
+    split.iter().enumerate().map(update).collect()
 }
 
 /// Sends reports that contain only what changed since the previous one.
@@ -263,18 +335,26 @@
     }
 
     /// Loads that differ from those that were reported last.
-    pub fn changed_rows(&self, loads: &IndexMap<EngineKey, InFlightLoad>) -> Vec<InFlightRow> {
+    pub fn changed_loads(
+        &self,
+        loads: &IndexMap<EngineKey, InFlightLoad>,
+    ) -> Vec<(EngineKey, InFlightLoad)> {
         let changed = loads.iter().filter(|(key, load)| self.last_sent.get(*key) != Some(load));
         let ended = self.last_sent.keys().filter(|key| !loads.contains_key(*key));
-        let ended = ended.map(|key| InFlightRow::of(*key, InFlightLoad::default()));
-        changed.map(|(key, load)| InFlightRow::of(*key, *load)).chain(ended).collect()
+        let ended = ended.map(|key| (*key, InFlightLoad::default()));
+        changed.map(|(key, load)| (*key, *load)).chain(ended).collect()
     }
 
     fn changes(&self, loads: &IndexMap<EngineKey, InFlightLoad>) -> Vec<InFlightUpdate> {
-        let rows = self.changed_rows(loads);
-        rows.chunks(MAX_ROWS_PER_UPDATE)
-            .map(|rows| InFlightUpdate { full_partition: None, rows: rows.to_vec() })
-            .collect()
+        let changed = self.changed_loads(loads);
+        let mut remaining = &changed[..];
+        let mut updates = Vec::new();
+        while !remaining.is_empty() {
+            let (next, rest) = remaining.split_at(fitting(remaining).max(1));
+            updates.push(InFlightUpdate::new(None, next));
+            remaining = rest;
+        }
+        updates
     }
 
     /// The load at an engine that was reported last.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,6 +20,7 @@
 mod demand;
 mod engine;
 mod engine_limits;
+mod engine_memory;
 mod engine_notices;
 mod engine_path;
 pub mod engine_speed;
@@ -74,6 +75,7 @@
     CachedWeights, Engine, EngineId, EngineInfo, EngineState, Load, LoadedModel, StartTime,
 };
 pub use engine_limits::{EngineLimits, LimitChange, LimitState};
+pub use engine_memory::{HeldMemory, MemoryParams, RequestMemory};
 pub use engine_notices::{EngineNotices, InvalidNotice, RestTime};
 pub use engine_path::{EnginePath, MIN_FAILED_ENGINES, PATH_CHECK_INTERVAL, PathChange};
 pub use engines::Engines;
--- a/crates/direct/tests/aggregation.rs
+++ b/crates/direct/tests/aggregation.rs
@@ -116,7 +116,8 @@
         }
         let mut sent = Vec::new();
         for node in 0..self.aggregators.len() {
-            let load = InFlightLoad { requests: self.own_loads[node], prompts: 0, tokens: 0 };
+            let load =
+                InFlightLoad { requests: self.own_loads[node], prompts: 0, tokens: 0, held: 0 };
             let own = IndexMap::from([(engine(), load)]);
             let neighbors = self.neighbors(node);
             let updates = self.aggregators[node].next_updates(self.now, own, &neighbors);
--- a/crates/direct/tests/choice.rs
+++ b/crates/direct/tests/choice.rs
@@ -359,7 +359,7 @@
     for engine in engines.iter_mut() {
         let slots = engine.info.slots;
         engine.in_flight_elsewhere =
-            Some(InFlightLoad { requests: 20 * slots, prompts: 0, tokens: 0 });
+            Some(InFlightLoad { requests: 20 * slots, prompts: 0, tokens: 0, held: 0 });
         engine.record_peer_load(
             Load { running: slots / 2, waiting: 0, slots, ..Load::default() },
             900,
--- a/crates/direct/tests/engine_loads.rs
+++ b/crates/direct/tests/engine_loads.rs
@@ -24,7 +24,7 @@
 }
 
 fn load(requests: u32) -> InFlightLoad {
-    InFlightLoad { requests, prompts: 0, tokens: 0 }
+    InFlightLoad { requests, prompts: 0, tokens: 0, held: 0 }
 }
 
 /// A node behind a hub.
@@ -59,6 +59,7 @@
         let update = InFlightUpdate {
             full_partition: None,
             rows: vec![InFlightRow(self.key(number), requests, 0, 0)],
+            held: Vec::new(),
         };
         let hub = addr(self.hub);
         let affected =
--- a/crates/direct/tests/in_flight.rs
+++ b/crates/direct/tests/in_flight.rs
@@ -20,16 +20,20 @@
 
 /// A complete report.
 fn full_update(rows: &[InFlightRow]) -> InFlightUpdate {
-    InFlightUpdate { full_partition: Some(KeyPartition { part: 0, parts: 1 }), rows: rows.to_vec() }
+    InFlightUpdate {
+        full_partition: Some(KeyPartition { part: 0, parts: 1 }),
+        rows: rows.to_vec(),
+        held: Vec::new(),
+    }
 }
 
 /// A report of changes.
 fn partial_update(rows: &[InFlightRow]) -> InFlightUpdate {
-    InFlightUpdate { full_partition: None, rows: rows.to_vec() }
+    InFlightUpdate { full_partition: None, rows: rows.to_vec(), held: Vec::new() }
 }
 
 fn load(requests: u32) -> InFlightLoad {
-    InFlightLoad { requests, prompts: 1, tokens: 100 * requests }
+    InFlightLoad { requests, prompts: 1, tokens: 100 * requests, held: 0 }
 }
 
 #[test]
@@ -49,9 +53,12 @@
         &full_update(&[InFlightRow(key(1), 3, 1, 700), InFlightRow(key(2), 1, 0, 0)]),
     );
     reports.apply(addr(2), 0, &full_update(&[InFlightRow(key(1), 2, 2, 300)]));
-    assert_eq!(reports.sum(key(1)), InFlightLoad { requests: 5, prompts: 3, tokens: 1_000 });
+    assert_eq!(
+        reports.sum(key(1)),
+        InFlightLoad { requests: 5, prompts: 3, tokens: 1_000, held: 0 }
+    );
     reports.apply(addr(1), 50, &partial_update(&[InFlightRow(key(1), 1, 0, 0)]));
-    assert_eq!(reports.sum(key(1)), InFlightLoad { requests: 3, prompts: 2, tokens: 300 });
+    assert_eq!(reports.sum(key(1)), InFlightLoad { requests: 3, prompts: 2, tokens: 300, held: 0 });
     assert_eq!(reports.sum(key(2)).requests, 1);
 }
 
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use hgw_direct::in_flight::EngineKey;
-use hgw_direct::{AttemptOutcome, EngineId, Load, SendId, StartTime};
+use hgw_direct::{AttemptOutcome, EngineId, Load, RequestMemory, SendId, StartTime};
 use hgw_http1::{Conn, Framing};
 use tokio::time::Instant;
 
 use crate::engine_speed::{self, StreamObserver};
+use crate::held_memory::HeldMemory;
 use crate::peers::Datagram;
 use crate::shared::Node;
 
@@ -29,18 +30,20 @@
     has_waiting: Cell<Option<bool>>,
     /// What the stream tells of the engine's speed.
     stream: Cell<StreamObserver>,
+    memory: HeldMemory,
     /// When the first byte of the response body arrived.
     writing_since: Cell<Option<Instant>>,
 }
 
 impl AttemptGuard {
     /// Counts a request as in flight. `tokens` is the length of its prompt, 0 for a service without
-    /// models.
+    /// models, and `memory` what it needs at the engine.
     pub(crate) fn start(
         node: &Node,
         engine: &EngineId,
         request_id: &str,
         tokens: u32,
+        memory: RequestMemory,
     ) -> AttemptGuard {
         let now = node.now();
         let pending_prefill = (tokens > 0).then(|| SendId::of(request_id));
@@ -56,6 +59,7 @@
             node.peer_socket
                 .broadcast(node, &Datagram::Sent(engine.clone(), started_at, id, tokens));
         }
+        let memory = HeldMemory::reserve(node, engine, started_at, request_id, memory);
         AttemptGuard {
             node: Rc::clone(node),
             engine: engine.clone(),
@@ -65,6 +69,7 @@
             sent_at: Cell::new(None),
             has_waiting: Cell::new(None),
             stream: Cell::default(),
+            memory,
             writing_since: Cell::new(None),
         }
     }
@@ -177,6 +182,11 @@
         self.node.prefill_queue.changed.notify_waiters();
     }
 
+    /// Records how many tokens of output have arrived.
+    pub(crate) fn record_output(&self, tokens: u32) {
+        self.memory.record_output(tokens);
+    }
+
     /// Records the mean time between the events of a complete response.
     pub(crate) fn record_event_interval(&self, mean_gap: Duration) {
         if self.engine_restarted() {
--- /dev/null
+++ b/crates/gateway/src/held_memory.rs
@@ -0,0 +1,67 @@
+//! Memory that a request of this node holds at an engine.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use hgw_direct::{EngineId, RequestMemory, SendId, StartTime};
+
+use crate::peers::Datagram;
+use crate::shared::Node;
+
+/// Memory held at an engine, until dropped.
+pub(crate) struct HeldMemory {
+    node: Node,
+    engine: EngineId,
+    /// Start time of the engine process that the request was sent to.
+    started_at: StartTime,
+    id: SendId,
+    request: RequestMemory,
+    tokens: Cell<u32>,
+}
+
+impl HeldMemory {
+    /// Counts the memory of a request that is sent to an engine.
+    pub(crate) fn reserve(
+        node: &Node,
+        engine: &EngineId,
+        started_at: StartTime,
+        request_id: &str,
+        request: RequestMemory,
+    ) -> HeldMemory {
+        let memory = HeldMemory {
+            node: Rc::clone(node),
+            engine: engine.clone(),
+            started_at,
+            id: SendId::of(request_id),
+            request,
+            tokens: Cell::new(0),
+        };
+        memory.record_output(0);
+        memory
+    }
+
+    /// Records how many tokens of output have arrived.
+    pub(crate) fn record_output(&self, output: u32) {
+        self.set(self.request.held(output));
+    }
+
+    fn set(&self, tokens: u32) {
+        let previous = self.tokens.replace(tokens);
+        if previous == tokens {
+            return;
+        }
+        if let Some(engine) = self.node.state.borrow_mut().engines.get_mut(&self.engine)
+            && !self.started_at.is_before(engine.info.started_at)
+        {
+            engine.held_memory.replace_own(previous, tokens);
+        }
+        let held = Datagram::Held(self.engine.clone(), self.started_at, self.id, tokens);
+        self.node.peer_socket.broadcast(&self.node, &held);
+    }
+}
+
+impl Drop for HeldMemory {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod follow;
 mod freshness;
 mod held_bytes;
+mod held_memory;
 mod leader;
 mod listen;
 mod members;
--- a/crates/gateway/src/peers/datagrams.rs
+++ b/crates/gateway/src/peers/datagrams.rs
@@ -37,6 +37,9 @@
     ResponseStarted(EngineId, StartTime, SendId, Option<(u32, u32)>),
     /// The request ended without a response.
     Ended(EngineId, StartTime, SendId),
+    /// The tokens of memory that a request holds at an engine; 0 once it has ended. Previous releases
+    /// do not know it.
+    Held(EngineId, StartTime, SendId, u32),
     /// In-flight requests of a node, a domain or all nodes.
     #[serde(rename = "Flights")]
     InFlight(ReportScope, InFlightUpdate),
@@ -183,7 +186,7 @@
 
 fn apply_request_event(node: &Node, datagram: Datagram) {
     let now = node.now();
-    let ends_prefill = !matches!(datagram, Datagram::Sent(..));
+    let ends_prefill = !matches!(datagram, Datagram::Sent(..) | Datagram::Held(..));
     let mut state = node.state.borrow_mut();
     let engines = &mut state.engines;
     match datagram {
@@ -201,6 +204,10 @@
                 );
             }
         }
+        Datagram::Held(engine, start, id, tokens) => {
+            let Some(engine) = engines.observe_start(&engine, start) else { return };
+            engine.held_memory.set_from_peer(id, tokens, now);
+        }
         Datagram::InFlight(..)
         | Datagram::StreamBegan(_)
         | Datagram::Crash(_)
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -107,7 +107,7 @@
         self.tried_engines.push(engine.clone());
         self.has_outlived = false;
         let tokens = self.prompt().map_or(0, |prompt| prompt.prompt_tokens);
-        let guard = AttemptGuard::start(&node, engine, &self.info.id, tokens);
+        let guard = AttemptGuard::start(&node, engine, &self.info.id, tokens, self.memory());
         let Some(mut conn) = self.connect(engine, addr).await else {
             return AttemptResult::NotSent;
         };
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -11,7 +11,7 @@
 use hgw_direct::{
     Choice, ChoiceParams, CostWeights, CrashSubject, Deadline, DigestedParts, EngineId,
     MIN_TIME_TO_SEND, Millis, ModelRef, NoEngine, Prompt, RankedSubject, Refusal, RequestDigest,
-    Route, Service, ServiceId, VersionKey, choose_engine, crash_subjects,
+    RequestMemory, Route, Service, ServiceId, VersionKey, choose_engine, crash_subjects,
 };
 use http::request::Parts;
 use rand::random;
@@ -132,6 +132,8 @@
     pub(super) stale_engine: Option<EngineId>,
     /// Whether engines admit it before other requests of its service.
     has_precedence: bool,
+    /// Tokens of output in one event; at least one if that is unknown.
+    pub(super) tokens_per_event: u32,
     /// Time spent waiting for engines to prefill other prompts.
     pub(super) prefill_wait: Duration,
     /// The charge to the customer's limit.
@@ -197,13 +199,18 @@
             version: None,
             stale_engine: None,
             has_precedence: false,
+            tokens_per_event: 1,
             prefill_wait: Duration::ZERO,
             charge: None,
             is_logged: Cell::new(false),
         };
-        let catalog = node.state.borrow().catalog.clone();
-        request.has_precedence =
-            catalog.is_some_and(|c| c.has_less_urgent(&request.service, request.route.priority));
+        if let Some(catalog) = node.state.borrow().catalog.clone() {
+            request.has_precedence =
+                catalog.has_less_urgent(&request.service, request.route.priority);
+            let service = catalog.services.get(&request.service);
+            let tokens = service.and_then(|service| service.pool.as_ref()?.tokens_per_event);
+            request.tokens_per_event = tokens.unwrap_or(1);
+        }
         request
     }
 
@@ -246,6 +253,13 @@
         self.info.prompt.as_ref()
     }
 
+    /// The memory that it needs at an engine; nothing if that is not considered.
+    pub(super) fn memory(&self) -> RequestMemory {
+        let is_considered = self.node.settings.borrow().features.engine_memory;
+        let prompt = self.prompt().filter(|_| is_considered);
+        prompt.map(RequestMemory::of).unwrap_or_default()
+    }
+
     pub(super) fn model_ref(&self) -> Option<&ModelRef> {
         self.prompt().and_then(|p| p.model_ref.as_ref())
     }
@@ -444,7 +458,7 @@
         let is_unreachable = self.has_failed_path() || self.is_unreachable();
         let (refusal, retry_after) = match reason {
             NoEngine::VersionGone if !is_unreachable => {
-                return *self.refuse_version(Refusal::StreamVersionGone);
+                return *self.refuse_for_good(Refusal::StreamVersionGone);
             }
             NoEngine::VersionGone => (Refusal::EnginesUnreachable, NO_ENGINE_RETRY_AFTER),
             NoEngine::NoneAvailable | NoEngine::PrefillBusy => {
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -70,6 +70,12 @@
         }
     }
 
+    pub(super) fn record_output(&self, tokens: u32) {
+        if let Source::Engine(guard) = self {
+            guard.record_output(tokens);
+        }
+    }
+
     pub(super) fn record_event_interval(&self, mean_gap: Duration) {
         if let Source::Engine(guard) = self {
             guard.record_event_interval(mean_gap);
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -140,6 +140,7 @@
                     if let Some(bytes) = ready {
                         self.record_events(last_id, waited_since);
                         self.timing.record_piece();
+                        self.record_output();
                         if self.timing.pieces == 1 {
                             meter::first_byte(&self.req.route, self.req.received_at.elapsed());
                             if self.is_events {
@@ -207,6 +208,15 @@
         }
     }
 
+    /// Records how much output has arrived: a read may hold several events, which are numbered.
+    fn record_output(&self) {
+        if self.is_events {
+            let events = self.events.last_id().unwrap_or(0).max(u64::from(self.timing.pieces));
+            let events = u32::try_from(events).unwrap_or(u32::MAX);
+            self.source.record_output(events.saturating_mul(self.req.tokens_per_event));
+        }
+    }
+
     /// Whether the connection of a body without any framing has ended before its first event.
     fn lacks_events(&self) -> bool {
         let Source::Engine(guard) = &self.source else { return false };
--- a/crates/gateway/src/relay/take_up.rs
+++ b/crates/gateway/src/relay/take_up.rs
@@ -39,7 +39,7 @@
         if self.is_forwarded {
             // The other node has found it, unless its release does not know of versions.
             return match self.version {
-                None if after_event > 0 => Err(self.refuse_version(Refusal::StreamVersionUnknown)),
+                None if after_event > 0 => Err(self.refuse_for_good(Refusal::StreamVersionUnknown)),
                 _ => Ok(()),
             };
         }
@@ -49,7 +49,7 @@
             Err(wait) => {
                 self.log_taken_up(after_event, None, "nobody");
                 return Err(match wait {
-                    None => self.refuse_version(Refusal::StreamVersionUnknown),
+                    None => self.refuse_for_good(Refusal::StreamVersionUnknown),
                     Some(wait) => Box::new(self.refuse(Refusal::StreamVersionUnknown, wait)),
                 });
             }
@@ -130,7 +130,7 @@
     }
 
     /// The final response to a stream that cannot go on: it is no use to come back with it.
-    pub(super) fn refuse_version(&self, reason: Refusal) -> Box<CallerResponse> {
+    pub(super) fn refuse_for_good(&self, reason: Refusal) -> Box<CallerResponse> {
         self.log_refusal(reason, Duration::ZERO);
         let mut response = json_error(StatusCode::SERVICE_UNAVAILABLE, &reason.to_string());
         response.extensions_mut().insert(Outcome::Refused(reason));
