Choose engines with room in their memory

An engine preempts or crashes if its requests exceed its memory, which no node considered. An engine without room for the request's reservation now counts as full; requests that wait there beyond its slots hold none. A request larger than the memory of any engine is refused at once, without Retry-After ("larger than any engine"). Unknown memory or sums leave the choice as it was. cargo test -p hgw-direct: all passed.

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -121,6 +121,7 @@
             max_event_gap: None,
             speed_needs: None,
             can_wait: false,
+            memory: None,
             random: 0.3,
             weights: CostWeights::default(),
         };
--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -6,7 +6,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::engine_speed::{MeanSpeed, SpeedNeeds, mean_speed, speed_cost_ms};
-use crate::{Engine, EngineId, Engines, Millis, Prompt, ServiceId, ServiceVersions, VersionKey};
+use crate::{
+    Engine, EngineId, Engines, MemoryParams, Millis, Prompt, ServiceId, ServiceVersions, VersionKey,
+};
 
 /// Software versions of engines at which a request may run.
 #[derive(Debug, Clone, Copy)]
@@ -52,6 +54,8 @@
     pub speed_needs: Option<SpeedNeeds>,
     /// Whether the request can wait for engines to finish prefill.
     pub can_wait: bool,
+    /// Set if the engines' memory is known and to be considered.
+    pub memory: Option<MemoryParams>,
     /// Uniform random number in `0..1`; makes nodes with the same data choose different engines.
     pub random: f64,
     pub weights: CostWeights,
@@ -75,6 +79,8 @@
     VersionGone,
     /// No engine has loaded the model or adapter; retry after this time.
     NotLoaded(Duration),
+    /// The request is larger than the memory of any engine.
+    TooLarge,
     /// One more prompt would delay the streams of every suitable engine for too long.
     PrefillBusy,
     /// All suitable engines are full, already tried or unreachable; retry after this time.
@@ -200,6 +206,9 @@
     if !has_version(engines, params) {
         return Err(NoEngine::VersionGone);
     }
+    if params.memory.is_some_and(|memory| memory.is_too_large()) {
+        return Err(NoEngine::TooLarge);
+    }
     for engine in usable_engines(engines, params) {
         if reason == NoEngine::NoneAvailable {
             reason = NoEngine::NotLoaded(MODEL_LOAD_RETRY);
@@ -231,7 +240,10 @@
             let capacity = f64::from(engine.info.slots) * (1.0 + queue_share);
             estimate >= capacity && estimate / *overstatement >= capacity
         };
+        let has_memory =
+            params.memory.is_none_or(|m| m.has_room(engine, estimate, *overstatement, now));
         if is_full
+            || !has_memory
             || engine.own_requests >= engine.request_share(params.max_conns, params.nodes, now)
             || params.tried.contains(&engine.info.id)
         {
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -28,6 +28,9 @@
     /// The request cannot start before its deadline.
     #[display("full")]
     EnginesFull,
+    /// It is larger than the memory of any engine of its service.
+    #[display("larger than any engine")]
+    RequestTooLarge,
     /// All engines that could run it get as many requests as they take.
     #[display("engines at their limits")]
     EnginesAtLimit,
--- a/crates/direct/tests/brittle.rs
+++ b/crates/direct/tests/brittle.rs
@@ -37,6 +37,7 @@
         max_event_gap: None,
         speed_needs: None,
         can_wait: false,
+        memory: None,
         random: 0.5,
         weights: CostWeights::default(),
     };
--- a/crates/direct/tests/choice.rs
+++ b/crates/direct/tests/choice.rs
@@ -46,6 +46,7 @@
         max_event_gap: None,
         speed_needs: None,
         can_wait: false,
+        memory: None,
         random: 0.0,
         weights: CostWeights::default(),
     };
@@ -180,6 +181,7 @@
             max_event_gap: None,
             speed_needs: None,
             can_wait: false,
+            memory: None,
             random: f64::from(draw) / 300.0,
             weights: CostWeights::default(),
         };
@@ -244,6 +246,7 @@
         max_event_gap: Some(Duration::from_millis(200)),
         speed_needs: None,
         can_wait: waits,
+        memory: None,
         random: 0.0,
         weights: CostWeights::default(),
     };
@@ -317,6 +320,7 @@
             max_event_gap: None,
             speed_needs: None,
             can_wait: false,
+            memory: None,
             random: f64::from(draw) / 100.0,
             weights: CostWeights::default(),
         };
@@ -344,6 +348,7 @@
             max_event_gap: None,
             speed_needs: None,
             can_wait: false,
+            memory: None,
             random: 0.5,
             weights: CostWeights::default(),
         };
--- a/crates/direct/tests/engine_memory.rs
+++ b/crates/direct/tests/engine_memory.rs
@@ -2,14 +2,18 @@
 
 mod support;
 
+use assert_matches::assert_matches;
 use hgw_direct::in_flight::{
     EngineKey, InFlightLoad, InFlightRow, InFlightUpdate, KeyPartition, PeerReports, UpdateTracker,
 };
-use hgw_direct::{EngineId, Prompt, RequestMemory, StartTime};
+use hgw_direct::{
+    Choice, ChoiceParams, CostWeights, EngineId, Engines, MemoryParams, NoEngine, Prompt,
+    RequestMemory, SendId, StartTime, VersionRule, choose_engine,
+};
 use indexmap::IndexMap;
 use proptest::prelude::{any, prop_assert, proptest};
 use serde::{Deserialize, Serialize};
-use support::model_ref;
+use support::{engines, model_ref, service};
 
 /// Bytes that a datagram may have.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -151,3 +155,92 @@
         }
     }
 }
+
+fn chosen(
+    engines: &Engines,
+    engine_tokens: u32,
+    nodes: u32,
+    prompt: &Prompt,
+) -> Result<Choice, NoEngine> {
+    let service = service();
+    let request = RequestMemory::of(prompt);
+    let params = ChoiceParams {
+        service: &service,
+        versions: VersionRule::Any,
+        prompt: Some(prompt),
+        domain: "a",
+        tried: &[],
+        nodes,
+        max_conns: 1_000,
+        has_precedence: false,
+        max_event_gap: None,
+        can_wait: false,
+        memory: Some(MemoryParams { engine_tokens, request, nodes }),
+        random: 0.0,
+        weights: CostWeights::default(),
+    };
+    choose_engine(engines, &params, 1_000)
+}
+
+/// An engine at which other nodes have this load.
+fn engine_with(others: InFlightLoad) -> Engines {
+    let mut engines = engines(&[("e1", "a", &["m"])]);
+    engines.get_mut(&"e1".into()).unwrap().in_flight_elsewhere = Some(others);
+    engines
+}
+
+#[test]
+fn engine_without_room_in_its_memory_is_full() {
+    let request = prompt(500, 500, None);
+    let engines = engine_with(load(4, 8_000));
+    assert_matches!(chosen(&engines, 20_000, 79, &request), Ok(_));
+    assert_matches!(chosen(&engines, 8_900, 79, &request), Err(NoEngine::Full(_)));
+}
+
+/// Guards against refusing requests for memory that waiting requests do not hold.
+#[test]
+fn requests_that_wait_at_an_engine_hold_no_memory() {
+    let engines = engine_with(load(96, 96_000));
+    assert_matches!(chosen(&engines, 70_000, 79, &prompt(500, 500, None)), Ok(_));
+    let engines = engine_with(load(60, 70_000));
+    assert_matches!(chosen(&engines, 70_000, 79, &prompt(500, 500, None)), Err(NoEngine::Full(_)));
+}
+
+/// Guards against sending a request around that no engine can run.
+#[test]
+fn request_larger_than_every_engine_is_refused_at_once() {
+    let engines = engine_with(InFlightLoad::default());
+    assert_eq!(chosen(&engines, 900, 79, &prompt(500, 500, None)), Err(NoEngine::TooLarge));
+    assert_matches!(chosen(&engines, 900, 79, &prompt(500, 500, Some(300))), Ok(_));
+    let huge = prompt(u32::MAX, u32::MAX, Some(u32::MAX));
+    assert_eq!(chosen(&engines, 900, 79, &huge), Err(NoEngine::TooLarge));
+}
+
+/// Guards against a node that refuses requests because it knows nothing, as after its start or when
+/// the sums of other nodes do not arrive.
+#[test]
+fn unknown_sums_leave_the_choice_as_it_is() {
+    let mut engines = engines(&[("e1", "a", &["m"])]);
+    let engine = engines.get_mut(&"e1".into()).unwrap();
+    engine.own_requests = 3;
+    engine.held_memory.replace_own(0, 9_000);
+    assert_matches!(chosen(&engines, 9_000, 79, &prompt(500, 500, None)), Ok(_));
+}
+
+/// Guards against memory that stays in use for ever after the datagram that ends it was lost.
+#[test]
+fn memory_of_broadcast_requests_counts_until_they_end() {
+    let mut engines = engines(&[("e1", "a", &["m"])]);
+    let request = prompt(500, 500, None);
+    let engine = engines.get_mut(&"e1".into()).unwrap();
+    engine.own_requests = 1;
+    engine.held_memory.set_from_peer(SendId(1), 8_500, 900);
+    assert_matches!(chosen(&engines, 9_000, 9, &request), Err(NoEngine::Full(_)));
+    let engine = engines.get_mut(&"e1".into()).unwrap();
+    engine.held_memory.set_from_peer(SendId(1), 0, 950);
+    assert_matches!(chosen(&engines, 9_000, 9, &request), Ok(_));
+    let engine = engines.get_mut(&"e1".into()).unwrap();
+    engine.held_memory.set_from_peer(SendId(2), u32::MAX, 0);
+    engine.held_memory.set_from_peer(SendId(3), 10, 20_000);
+    assert_matches!(chosen(&engines, 9_000, 9, &request), Ok(_));
+}
--- a/crates/direct/tests/engine_speed.rs
+++ b/crates/direct/tests/engine_speed.rs
@@ -267,6 +267,7 @@
             max_event_gap: Some(Duration::from_millis(200)),
             speed_needs: self.plan.uses_speed.then_some(needs),
             can_wait: false,
+            memory: None,
             random,
             weights: CostWeights::default(),
         };
--- a/crates/direct/tests/versions.rs
+++ b/crates/direct/tests/versions.rs
@@ -249,6 +249,7 @@
         max_event_gap: None,
         speed_needs: None,
         can_wait: false,
+        memory: None,
         random: 0.5,
         weights: CostWeights::default(),
     };
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -10,8 +10,9 @@
 use hgw_direct::quota::WaiterRank;
 use hgw_direct::{
     Choice, ChoiceParams, CostWeights, CrashSubject, Deadline, DigestedParts, EngineId,
-    MIN_TIME_TO_SEND, Millis, ModelRef, NoEngine, Prompt, RankedSubject, Refusal, RequestDigest,
-    RequestMemory, Route, Service, ServiceId, VersionKey, choose_engine, crash_subjects,
+    MIN_TIME_TO_SEND, MemoryParams, Millis, ModelRef, NoEngine, Prompt, RankedSubject, Refusal,
+    RequestDigest, RequestMemory, Route, Service, ServiceId, VersionKey, choose_engine,
+    crash_subjects,
 };
 use http::request::Parts;
 use rand::random;
@@ -430,6 +431,10 @@
         let settings = self.node.settings.borrow();
         let service = state.catalog.as_ref().and_then(|c| c.services.get(&self.service));
         let max_conns = service.map_or(u32::MAX, |service| service.max_conns);
+        let engine_tokens = service.and_then(|service| service.pool.as_ref()?.memory_tokens);
+        let memory = engine_tokens.filter(|_| settings.features.engine_memory).map(|tokens| {
+            MemoryParams { engine_tokens: tokens, request: self.memory(), nodes: state.nodes }
+        });
         let admitted = self.node.admitted_versions.borrow();
         let params = ChoiceParams {
             service: &self.service,
@@ -443,6 +448,7 @@
             max_event_gap: self.route.max_event_gap,
             speed_needs: self.speed_needs(service),
             can_wait: Instant::now() < wait_until,
+            memory,
             random: random(),
             weights: CostWeights::default(),
         };
@@ -465,6 +471,7 @@
                 (Refusal::NoEngine, NO_ENGINE_RETRY_AFTER)
             }
             NoEngine::NotLoaded(retry_after) => (Refusal::ModelNotLoaded, retry_after),
+            NoEngine::TooLarge => return *self.refuse_for_good(Refusal::RequestTooLarge),
             NoEngine::Full(retry_after) => (Refusal::EnginesFull, retry_after),
             NoEngine::AtLimit(retry_after) => (Refusal::EnginesAtLimit, retry_after),
             NoEngine::Resting(retry_after) => (Refusal::EnginesResting, retry_after),
