Choice: a stable subset of engines per node, and the cost of a new connection

With more than twelve nodes each request considered a new random share of the engines, so that a node rarely came back to an engine while a connection to it was idle. A node now considers the first engines of an order of its own, those that it has an idle connection to and that of the prompt's session. A new connection and a load above the mean cost extra. The nodes don't use it yet.

--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -119,6 +119,7 @@
             max_event_gap: None,
             can_wait: false,
             random: 0.3,
+            subset: None,
             weights: CostWeights::default(),
         };
         timed(|| choose_engine(&self.engines, &params, 1_000))
--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -5,6 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::subset::{Subset, SubsetParams};
 use crate::{Engine, EngineId, Engines, Millis, Prompt, ServiceId, ServiceVersions, VersionKey};
 
 /// Software versions of engines at which a request may run.
@@ -51,6 +52,8 @@
     pub can_wait: bool,
     /// Uniform random number in `0..1`; makes nodes with the same data choose different engines.
     pub random: f64,
+    /// How this node selects its subset of the engines. If none, or with few nodes, requests consider random ones.
+    pub subset: Option<SubsetParams<'a>>,
     pub weights: CostWeights,
 }
 
@@ -118,6 +121,12 @@
     pub warmup_ms: f64,
     /// Range of the random cost that spreads nodes with the same data over several engines.
     pub random_ms: f64,
+    /// Cost of a new connection: round trips, the engine's accept and the work at both ends, which also delays other
+    /// requests.
+    pub new_connection_ms: f64,
+    /// Additional cost of a full batch above the mean. At twelve slots, each request above the mean costs as much as a
+    /// new connection, together with its part in `full_batch_ms`.
+    pub above_mean_ms: f64,
 }
 
 impl Default for CostWeights {
@@ -132,6 +141,8 @@
             failure_ms: 2_000.0,
             warmup_ms: 100.0,
             random_ms: 4.0,
+            new_connection_ms: 15.0,
+            above_mean_ms: 120.0,
         }
     }
 }
@@ -178,8 +189,7 @@
 ) -> Result<Choice, NoEngine> {
     let mut reason = NoEngine::NoneAvailable;
     let mut best: Option<((bool, bool), Choice)> = None;
-    let threshold = random_threshold(engines, params, now);
-    let prompt_tokens = params.prompt.map_or(0, |p| p.prompt_tokens);
+    let considered = Considered::new(engines, params, now);
     let session = params.prompt.map(session_key);
     let mean_load = mean_load(engines, params.service, now);
     let overstatement = LazyCell::new(|| overstatement(engines, params.service, now));
@@ -227,19 +237,16 @@
             reason = reason.or_sooner(NoEngine::Full(FULL_RETRY));
             continue;
         }
-        let cost = cost(engine, estimate, params, session, now);
+        let cost = cost(engine, estimate, params, session, now)
+            + considered.cost(engine, estimate, params);
         let choice = Choice { engine: engine.info.id.clone(), cost_ms: cost, estimate };
         // Each request considers some engines only, so that many nodes do not all choose the same
         // one.
-        let not_considered = engine_random(params.random, &engine.info.id) > threshold;
+        let not_considered = !considered.contains(engine);
         // Ejected engines are the last resort.
         let last_resort = engine.health.is_ejected(now) || not_considered;
         // Engines whose streams would pause for too long rank after the others.
-        let delays_streams = params.max_event_gap.is_some_and(|gap| {
-            prompt_tokens > 0
-                && engine.expected_pause_ms(prompt_tokens, now)
-                    > gap.as_secs_f64() * 1_000.0 * params.weights.gap_share
-        });
+        let delays_streams = delays_streams(engine, params, now);
         let rank = (last_resort, delays_streams);
         let is_better = best
             .as_ref()
@@ -255,6 +262,16 @@
     }
 }
 
+/// Whether one more prompt would probably make the streams at an engine pause for too long.
+fn delays_streams(engine: &Engine, params: &ChoiceParams<'_>, now: Millis) -> bool {
+    let prompt_tokens = params.prompt.map_or(0, |p| p.prompt_tokens);
+    params.max_event_gap.is_some_and(|gap| {
+        prompt_tokens > 0
+            && engine.expected_pause_ms(prompt_tokens, now)
+                > gap.as_secs_f64() * 1_000.0 * params.weights.gap_share
+    })
+}
+
 /// Engines that accept requests and run a version at which the request may run.
 fn usable_engines<'a>(
     engines: &'a Engines,
@@ -273,22 +290,61 @@
     usable_engines(engines, params).any(|e| model.is_none_or(|model| e.has_model(model)))
 }
 
-/// The highest random number of the engines that this request considers.
-fn random_threshold(engines: &Engines, params: &ChoiceParams<'_>, now: Millis) -> f64 {
-    if params.nodes <= MAX_NODES_FULL_SCAN {
-        return 1.0;
+/// Which engines a request considers.
+enum Considered<'a> {
+    All,
+    /// Those with random numbers up to this one.
+    Random {
+        random: f64,
+        threshold: f64,
+    },
+    Subset(Subset<'a>),
+}
+
+impl<'a> Considered<'a> {
+    fn new(engines: &Engines, params: &ChoiceParams<'a>, now: Millis) -> Considered<'a> {
+        if params.nodes <= MAX_NODES_FULL_SCAN {
+            return Considered::All;
+        }
+        let model_ref = params.prompt.and_then(|p| p.model_ref.as_ref());
+        let candidates =
+            usable_engines(engines, params).filter(|e| !e.health.is_reported_unreachable(now));
+        let candidates = candidates.filter(|e| model_ref.is_none_or(|m| e.has_loaded(m)));
+        if let Some(subset) = params.subset {
+            let untried = candidates.filter(|e| !params.tried.contains(&e.info.id));
+            let is_busy = |engine: &Engine| delays_streams(engine, params, now);
+            let session = params.prompt.map(session_key);
+            let session_rank =
+                |engine: &Engine| session.map(|key| rendezvous_rank(key, &engine.info.id));
+            return Considered::Subset(Subset::new(subset, untried, is_busy, session_rank, now));
+        }
+        let mut randoms: Vec<f64> =
+            candidates.map(|e| engine_random(params.random, &e.info.id)).collect();
+        let count = ((randoms.len() as f64 * CONSIDERED_SHARE).ceil() as usize).max(MIN_CONSIDERED);
+        if randoms.len() <= count {
+            return Considered::All;
+        }
+        let threshold = *randoms.select_nth_unstable_by(count - 1, f64::total_cmp).1;
+        Considered::Random { random: params.random, threshold }
+    }
+
+    fn contains(&self, engine: &Engine) -> bool {
+        match self {
+            Considered::All => true,
+            Considered::Random { random, threshold } => {
+                engine_random(*random, &engine.info.id) <= *threshold
+            }
+            Considered::Subset(subset) => subset.contains(engine),
+        }
     }
-    let model_ref = params.prompt.and_then(|p| p.model_ref.as_ref());
-    let candidates =
-        usable_engines(engines, params).filter(|e| !e.health.is_reported_unreachable(now));
-    let candidates = candidates.filter(|e| model_ref.is_none_or(|m| e.has_loaded(m)));
-    let mut randoms: Vec<f64> =
-        candidates.map(|e| engine_random(params.random, &e.info.id)).collect();
-    let count = ((randoms.len() as f64 * CONSIDERED_SHARE).ceil() as usize).max(MIN_CONSIDERED);
-    if randoms.len() <= count {
-        return 1.0;
+
+    /// Cost of an engine that depends on this node's connections.
+    fn cost(&self, engine: &Engine, estimate: f64, params: &ChoiceParams<'_>) -> f64 {
+        match self {
+            Considered::All | Considered::Random { .. } => 0.0,
+            Considered::Subset(subset) => subset.cost(engine, estimate, &params.weights),
+        }
     }
-    *randoms.select_nth_unstable_by(count - 1, f64::total_cmp).1
 }
 
 fn cost(
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -42,6 +42,7 @@
 mod route_table;
 mod software_version;
 mod stream_versions;
+pub mod subset;
 mod text_transfer;
 pub mod unreachable;
 
--- a/crates/direct/tests/brittle.rs
+++ b/crates/direct/tests/brittle.rs
@@ -36,6 +36,7 @@
         max_event_gap: None,
         can_wait: false,
         random: 0.5,
+        subset: None,
         weights: CostWeights::default(),
     };
     choose_engine(engines, &params, now)
--- a/crates/direct/tests/choice.rs
+++ b/crates/direct/tests/choice.rs
@@ -45,6 +45,7 @@
         max_event_gap: None,
         can_wait: false,
         random: 0.0,
+        subset: None,
         weights: CostWeights::default(),
     };
     choose_engine(engines, &params, now)
@@ -176,6 +177,7 @@
             max_event_gap: None,
             can_wait: false,
             random: f64::from(draw) / 300.0,
+            subset: None,
             weights: CostWeights::default(),
         };
         *counts.entry(engine_id(choose_engine(&engines, &params, 1_000))).or_insert(0) += 1;
@@ -239,6 +241,7 @@
         max_event_gap: Some(Duration::from_millis(200)),
         can_wait: waits,
         random: 0.0,
+        subset: None,
         weights: CostWeights::default(),
     };
     choose_engine(engines, &params, 1_000)
@@ -311,6 +314,7 @@
             max_event_gap: None,
             can_wait: false,
             random: f64::from(draw) / 100.0,
+            subset: None,
             weights: CostWeights::default(),
         };
         assert_eq!(engine_id(choose_engine(&engines, &params, 1_000)), "e2");
@@ -337,6 +341,7 @@
             max_event_gap: None,
             can_wait: false,
             random: 0.5,
+            subset: None,
             weights: CostWeights::default(),
         };
         let choice = choose_engine(&engines, &params, 1_000);
--- a/crates/direct/tests/versions.rs
+++ b/crates/direct/tests/versions.rs
@@ -248,6 +248,7 @@
         max_event_gap: None,
         can_wait: false,
         random: 0.5,
+        subset: None,
         weights: CostWeights::default(),
     };
     choose_engine(engines, &params, 0).map(|choice| choice.engine.0)
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -414,6 +414,7 @@
             max_event_gap: self.route.max_event_gap,
             can_wait: Instant::now() < wait_until,
             random: random(),
+            subset: None,
             weights: CostWeights::default(),
         };
         choose_engine(&state.engines, &params, self.node.now())
