Pool: keep idle connections to engines as long as these do, where it is safe

Idle connections were closed after four seconds, though a quarter of the requests follow the previous one to the engine later. Requests that may be repeated use connections of any age that the engine's Keep-Alive allows. Others need a recent byte from the engine and a response on a connection that was idle as long. Counts new and reused connections, and uses the node's subset (feature engine-subsets).

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -27,6 +27,7 @@
 mod freshness;
 mod health;
 pub mod hubs;
+mod idle_trust;
 pub mod in_flight;
 mod isolation;
 mod leader_liveness;
@@ -79,6 +80,7 @@
 pub use forwarders::Forwarders;
 pub use freshness::{FreshnessProof, VersionCheck};
 pub use health::{AttemptOutcome, Health, HealthTracker};
+pub use idle_trust::{IdleTrust, LONG_IDLE, SHORT_IDLE};
 pub use isolation::is_isolated;
 pub use leader_liveness::LeaderLiveness;
 pub use list_changes::{
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -86,7 +86,7 @@
     pub(crate) fn return_connection(&self, conn: Conn) {
         let addr = self.node.engine(&self.engine, |e| e.info.addr);
         if let Some(addr) = addr.filter(|_| !self.engine_restarted()) {
-            self.node.pool.put(addr, conn);
+            self.node.put_engine_connection(&self.engine, addr, conn);
         }
     }
 
--- a/crates/gateway/src/engine_path.rs
+++ b/crates/gateway/src/engine_path.rs
@@ -168,7 +168,7 @@
         let response = timeout(PROBE_TIMEOUT, response).await;
         response.ok().and_then(Result::ok).ok_or(NotReached)?;
     }
-    node.pool.put(probe.addr, conn);
+    node.put_engine_connection(&probe.engine, probe.addr, conn);
     Ok(())
 }
 
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -204,7 +204,7 @@
     match timeout(RESPONSE_TIMEOUT, response).await {
         Ok(Some((status, body))) => {
             node.record_response_byte(engine);
-            node.pool.put(addr, conn);
+            node.put_engine_connection(engine, addr, conn);
             CallResult::Responded(status, body)
         }
         Ok(None) | Err(_) => CallResult::NoResponse,
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -85,6 +85,12 @@
     counter!("hgw_connections_refused_total").increment(1);
 }
 
+/// Counts a connection that a request to an engine uses.
+pub(crate) fn engine_connection(is_reused: bool) {
+    let kind = if is_reused { "reused" } else { "new" };
+    counter!("hgw_engine_connections_total", "kind" => kind).increment(1);
+}
+
 /// Counts a request that is withheld because of a subject.
 pub(crate) fn withheld(subject: CrashSubject) {
     let kind = if subject.is_part() { "part" } else { "request" };
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -13,6 +13,7 @@
 use crate::engine_limits;
 use crate::engine_notices;
 use crate::engine_path;
+use crate::meter;
 use crate::peers;
 use crate::protocol::{ResponseInfo, UpstreamRequest};
 use crate::quotas::{self, Charge, NoAllowance};
@@ -113,7 +114,7 @@
         let permit = match self.permit_to_send(&guard, version).await {
             Ok(permit) => permit,
             Err(result) => {
-                node.pool.put(addr, conn);
+                node.put_engine_connection(engine, addr, conn);
                 return result;
             }
         };
@@ -124,6 +125,7 @@
         }
         let sent_at = engine_limits::record_send(&node, &guard);
         let is_new = !conn.was_used();
+        let idle = conn.idle_since().elapsed();
         let response_head = async {
             conn.send_request(&req).await?;
             self.read_response_head(&mut conn, &req).await
@@ -134,6 +136,8 @@
                 node.record_response_byte(engine);
                 if is_new {
                     engine_path::record_reached(&node, engine);
+                } else {
+                    node.pool.record_response(addr, idle);
                 }
                 engine_limits::observe(&node, &guard, &info, sent_at);
                 brittle::observe(&node, &guard, &info, sent_at);
@@ -154,6 +158,7 @@
                 if is_new {
                     engine_path::record_failure(&node, engine);
                 } else {
+                    node.pool.record_loss(addr, idle, node.now());
                     engine_path::start_check(&node, &self.service);
                 }
                 self.executions += 1;
@@ -166,6 +171,9 @@
                 AttemptResult::NoResponse
             }
             WaitResult::Stalled => {
+                if !is_new {
+                    node.pool.record_loss(addr, idle, node.now());
+                }
                 engine_path::record_failure(&node, engine);
                 self.report_unreachable(engine);
                 self.executions += 1;
@@ -182,7 +190,14 @@
     /// Takes a pooled connection to an engine or opens one; none if that fails.
     async fn connect(&self, engine: &EngineId, addr: SocketAddr) -> Option<Conn> {
         let node = &self.node;
-        let connected = node.pool.get(addr, node.conn_timeouts());
+        let reusable = node.reusable_connections(self.route.kind.may_repeat());
+        let max_idle = node.engine(engine, |e| reusable.max_idle(e))?;
+        let reused = node.pool.take(addr, max_idle);
+        meter::engine_connection(reused.is_some());
+        if reused.is_some() {
+            return reused;
+        }
+        let connected = Conn::connect(addr, node.conn_timeouts());
         let connected = tokio::select! {
             biased;
             connected = self.within_deadline(connected) => connected,
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hgw_direct::quota::WaiterRank;
+use hgw_direct::subset::{NodeSeed, SubsetParams};
 use hgw_direct::{
     Choice, ChoiceParams, CostWeights, CrashSubject, Deadline, DigestedParts, EngineId,
     MIN_TIME_TO_SEND, Millis, ModelRef, NoEngine, Prompt, RankedSubject, Refusal, RequestDigest,
@@ -402,6 +403,12 @@
         let service = state.catalog.as_ref().and_then(|c| c.services.get(&self.service));
         let max_conns = service.map_or(u32::MAX, |service| service.max_conns);
         let admitted = self.node.admitted_versions.borrow();
+        let idle = self.node.reusable_connections(self.route.kind.may_repeat());
+        let subset = SubsetParams {
+            node: NodeSeed::of(&settings.node),
+            domain: &settings.domain,
+            idle: &idle,
+        };
         let params = ChoiceParams {
             service: &self.service,
             versions: self.version_rule(admitted.as_deref()),
@@ -414,7 +421,7 @@
             max_event_gap: self.route.max_event_gap,
             can_wait: Instant::now() < wait_until,
             random: random(),
-            subset: None,
+            subset: settings.features.engine_subsets.then_some(subset),
             weights: CostWeights::default(),
         };
         choose_engine(&state.engines, &params, self.node.now())
--- a/crates/gateway/src/shared/engines.rs
+++ b/crates/gateway/src/shared/engines.rs
@@ -1,11 +1,15 @@
 //! What a node records of the engine list and of single engines.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::Display;
+use hgw_direct::subset::{IdleShare, NodeSeed};
 use hgw_direct::{AttemptOutcome, Engine, EngineId, EngineState, EngineStateChange, ListVersion};
 use hgw_events::{Event, emit};
+use hgw_http1::Conn;
 
+use crate::pool::ReusableConns;
 use crate::state::State;
 
 use super::Shared;
@@ -114,6 +118,27 @@
         );
     }
 
+    /// Idle connections that a request may be sent on.
+    pub(crate) fn reusable_connections(&self, may_repeat: bool) -> ReusableConns<'_> {
+        let allows_long_idle = self.settings.borrow().features.engine_subsets;
+        ReusableConns { pool: &self.pool, may_repeat, allows_long_idle, now: self.now() }
+    }
+
+    /// Returns a connection to an engine to the pool.
+    pub(crate) fn put_engine_connection(&self, engine: &EngineId, addr: SocketAddr, conn: Conn) {
+        let (settings, state) = (self.settings.borrow(), self.state.borrow());
+        if !settings.features.engine_subsets {
+            self.pool.put(addr, conn);
+            return;
+        }
+        let service = state.engines.get(engine).map(|e| &e.info.service);
+        let catalog = state.catalog.as_ref();
+        let max_conns = catalog.zip(service).and_then(|(c, s)| Some(c.services.get(s)?.max_conns));
+        let seed = NodeSeed::of(&settings.node);
+        let share = IdleShare::of(seed, engine, max_conns.unwrap_or(u32::MAX), state.nodes);
+        self.pool.put_engine(addr, conn, share);
+    }
+
     /// Whether another node reported the engine unreachable.
     pub(crate) fn is_reported_unreachable(&self, engine: &EngineId) -> bool {
         let now = self.now();
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -104,6 +104,11 @@
         self.idle_since
     }
 
+    /// How long the peer keeps an idle connection open, if it has said so.
+    pub fn keep_alive_timeout(&self) -> Option<Duration> {
+        self.keep_alive_timeout
+    }
+
     /// Whether another request may be sent: the connection is open, has no unexpected bytes, and the peer's
     /// keep-alive timeout does not expire within `margin`.
     pub fn is_reusable(&mut self, margin: Duration) -> bool {
