--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -123,6 +123,7 @@
             can_wait: false,
             memory: None,
             random: 0.3,
+            subset: None,
             weights: CostWeights::default(),
         };
         timed(|| choose_engine(&self.engines, &params, 1_000))
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -29,6 +29,7 @@
 mod freshness;
 mod health;
 pub mod hubs;
+mod idle_trust;
 pub mod in_flight;
 mod isolation;
 mod leader_liveness;
@@ -45,6 +46,7 @@
 mod route_table;
 mod software_version;
 mod stream_versions;
+pub mod subset;
 mod text_transfer;
 pub mod unreachable;
 
@@ -82,6 +84,7 @@
 pub use forwarders::Forwarders;
 pub use freshness::{FreshnessProof, VersionCheck};
 pub use health::{AttemptOutcome, Health, HealthTracker};
+pub use idle_trust::{IdleTrust, LONG_IDLE, SHORT_IDLE};
 pub use isolation::is_isolated;
 pub use leader_liveness::LeaderLiveness;
 pub use list_changes::{
--- a/crates/direct/tests/brittle.rs
+++ b/crates/direct/tests/brittle.rs
@@ -39,6 +39,7 @@
         can_wait: false,
         memory: None,
         random: 0.5,
+        subset: None,
         weights: CostWeights::default(),
     };
     choose_engine(engines, &params, now)
--- a/crates/direct/tests/choice.rs
+++ b/crates/direct/tests/choice.rs
@@ -48,6 +48,7 @@
         can_wait: false,
         memory: None,
         random: 0.0,
+        subset: None,
         weights: CostWeights::default(),
     };
     choose_engine(engines, &params, now)
@@ -183,6 +184,7 @@
             can_wait: false,
             memory: None,
             random: f64::from(draw) / 300.0,
+            subset: None,
             weights: CostWeights::default(),
         };
         *counts.entry(engine_id(choose_engine(&engines, &params, 1_000))).or_insert(0) += 1;
@@ -248,6 +250,7 @@
         can_wait: waits,
         memory: None,
         random: 0.0,
+        subset: None,
         weights: CostWeights::default(),
     };
     choose_engine(engines, &params, 1_000)
@@ -322,6 +325,7 @@
             can_wait: false,
             memory: None,
             random: f64::from(draw) / 100.0,
+            subset: None,
             weights: CostWeights::default(),
         };
         assert_eq!(engine_id(choose_engine(&engines, &params, 1_000)), "e2");
@@ -350,6 +354,7 @@
             can_wait: false,
             memory: None,
             random: 0.5,
+            subset: None,
             weights: CostWeights::default(),
         };
         let choice = choose_engine(&engines, &params, 1_000);
--- a/crates/direct/tests/versions.rs
+++ b/crates/direct/tests/versions.rs
@@ -251,6 +251,7 @@
         can_wait: false,
         memory: None,
         random: 0.5,
+        subset: None,
         weights: CostWeights::default(),
     };
     choose_engine(engines, &params, 0).map(|choice| choice.engine.0)
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use hgw_direct::engine_speed::SpeedNeeds;
 use hgw_direct::quota::WaiterRank;
+use hgw_direct::subset::{NodeSeed, SubsetParams};
 use hgw_direct::{
     Choice, ChoiceParams, CostWeights, CrashSubject, Deadline, DigestedParts, EngineId,
     MIN_TIME_TO_SEND, MemoryParams, Millis, ModelRef, NoEngine, Prompt, RankedSubject, Refusal,
@@ -436,6 +437,12 @@
             MemoryParams { engine_tokens: tokens, request: self.memory(), nodes: state.nodes }
         });
         let admitted = self.node.admitted_versions.borrow();
+        let idle = self.node.reusable_connections(self.route.kind.may_repeat());
+        let subset = SubsetParams {
+            node: NodeSeed::of(&settings.node),
+            domain: &settings.domain,
+            idle: &idle,
+        };
         let params = ChoiceParams {
             service: &self.service,
             versions: self.version_rule(admitted.as_deref()),
@@ -450,6 +457,7 @@
             can_wait: Instant::now() < wait_until,
             memory,
             random: random(),
+            subset: settings.features.engine_subsets.then_some(subset),
             weights: CostWeights::default(),
         };
         choose_engine(&state.engines, &params, self.node.now())
