Requests wait at their node for a slot while they can be in time

The queue of requests that wait for prefill now also holds those that wait for a slot. It is ordered by priority, then by deadline, within the requests that the same engines can run. A request waits until its objective less the time that it needs to begin, at most for half of its remaining time. The queue holds 256 requests and 8 MiB of bodies; the least urgent leave it first. `--disable room-queue` switches it off.

platform room::*: 5 streams of 0.4 s at an engine with one slot and an objective of 6 s are all served.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -39,6 +39,7 @@
 mod request_digest;
 mod request_rate;
 mod retry_budget;
+mod room_queue;
 mod route_table;
 mod software_version;
 mod stream_versions;
@@ -90,6 +91,9 @@
 pub use request_digest::{DigestedParts, InvalidDigest, RequestDigest};
 pub use request_rate::{InvalidRequestRate, RequestRate};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
+pub use room_queue::{
+    BeginTimes, Entered, RoomGroup, RoomQueue, RoomReason, TicketId, max_room_wait,
+};
 pub use route_table::RouteTable;
 pub use software_version::{SoftwareVersion, VersionKey};
 pub use stream_versions::{BegunStream, StreamKey, StreamVersions};
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hgw_direct::in_flight::EngineKey;
-use hgw_direct::{AttemptOutcome, EngineId, Load, SendId, StartTime};
+use hgw_direct::{AttemptOutcome, EngineId, Load, Millis, SendId, StartTime};
 use hgw_http1::{Conn, Framing};
 use tokio::time::Instant;
 
@@ -22,6 +22,8 @@
     pending_prefill: Option<SendId>,
     /// How the end of the response body is determined; none before its head.
     framing: Option<Framing>,
+    /// When the request was handed over to be sent.
+    begun_at: Instant,
     /// When the first byte of the response body arrived.
     writing_since: Cell<Option<Instant>>,
 }
@@ -55,6 +57,7 @@
             started_at,
             pending_prefill,
             framing: None,
+            begun_at: Instant::now(),
             writing_since: Cell::new(None),
         }
     }
@@ -122,6 +125,7 @@
     /// Records that the response begins, which means that the engine has prefilled the prompt.
     pub(crate) fn record_response_start(&mut self, load: Option<Load>, framing: Framing) {
         self.framing = Some(framing);
+        self.record_begin_time(load);
         let Some(id) = self.pending_prefill.take() else { return };
         let load = load.map(|load| (load.running, load.waiting));
         self.node.peer_socket.broadcast(
@@ -135,7 +139,19 @@
             engine.prefill_rate.record(tokens, took);
         }
         drop(state);
-        self.node.prefill_queue.changed.notify_waiters();
+        self.node.room_queue.notify_room();
+    }
+
+    /// Records how long the engine took to begin the response, unless others waited there.
+    fn record_begin_time(&self, load: Option<Load>) {
+        if load.is_none_or(|load| load.waiting > 0) {
+            return;
+        }
+        let service = self.node.engine(&self.engine, |e| e.info.service.clone());
+        if let Some(service) = service {
+            let took = self.begun_at.elapsed().as_millis() as Millis;
+            self.node.room_queue.begin_times.borrow_mut().record(&service, took);
+        }
     }
 
     /// Records the mean time between the events of a complete response.
@@ -166,7 +182,7 @@
             self.node
                 .peer_socket
                 .broadcast(&self.node, &Datagram::Ended(self.engine.clone(), self.started_at, id));
-            self.node.prefill_queue.changed.notify_waiters();
         }
+        self.node.room_queue.notify_room();
     }
 }
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -32,8 +32,8 @@
     histogram!("hgw_first_piece_seconds", "route" => route.name.clone()).record(took.as_secs_f64());
 }
 
-/// Records the time a request waited for engines to prefill other prompts.
-pub(crate) fn prefill_wait(route: &Route, wait: Duration) {
+/// Records the time a request waited for room at engines.
+pub(crate) fn room_wait(route: &Route, wait: Duration) {
     histogram!("hgw_waited_seconds", "route" => route.name.clone()).record(wait.as_secs_f64());
 }
 
@@ -174,6 +174,7 @@
         gauge!("hgw_reaches_engines", "service" => service.to_string()).set(reaches);
     }
     gauge!("hgw_limited_engines").set(node.engine_limits.borrow().limited().count() as f64);
+    gauge!("hgw_waiting_requests").set(node.room_queue.len() as f64);
     gauge!("hgw_store_era").set(node.era.get().era().number());
     gauge!("hgw_keeper").set(f64::from(u8::from(node.leadership.borrow().is_leader())));
     gauge!("hgw_ready").set(f64::from(u8::from(node.is_ready())));
--- a/crates/gateway/src/peers/datagrams.rs
+++ b/crates/gateway/src/peers/datagrams.rs
@@ -217,6 +217,6 @@
     drop(state);
     node.handle_restarts();
     if ends_prefill {
-        node.prefill_queue.changed.notify_waiters();
+        node.room_queue.notify_room();
     }
 }
--- a/crates/gateway/src/peers/in_flight.rs
+++ b/crates/gateway/src/peers/in_flight.rs
@@ -148,5 +148,5 @@
 
 fn update_engines(node: &Node) {
     node.aggregator.borrow_mut().update_engines(&mut node.state.borrow_mut().engines);
-    node.prefill_queue.changed.notify_waiters();
+    node.room_queue.notify_room();
 }
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -49,5 +49,8 @@
         }
     }
     drop(state);
+    if !loads.is_empty() {
+        node.room_queue.notify_room();
+    }
     node.handle_restarts();
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod identity;
 mod outcome;
 mod request;
+mod room;
 mod source;
 mod start;
 mod stream;
--- a/crates/gateway/src/relay/outcome.rs
+++ b/crates/gateway/src/relay/outcome.rs
@@ -171,7 +171,7 @@
                 ("upstream", engine),
                 ("status", &status),
                 ("ms", &self.received_at.elapsed().as_millis()),
-                ("waited_ms", &self.prefill_wait.as_millis()),
+                ("waited_ms", &self.room_wait.as_millis()),
                 ("pieces", &timing.pieces),
                 ("longest_pause_ms", &timing.max_gap.as_millis()),
                 ("runs", &self.executions),
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -14,12 +14,11 @@
 };
 use http::request::Parts;
 use rand::random;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::clock::boot_time;
 use crate::meter;
 use crate::peers::{self, Placement};
-use crate::prefill_queue::PrefillTicket;
 use crate::protocol::RequestInfo;
 use crate::quotas::{self, Charge, NoAllowance};
 use crate::response::CallerResponse;
@@ -57,9 +56,6 @@
 /// engine.
 const ALLOWANCE_WAIT_SHARE: f64 = 0.5;
 
-/// Longest random delay before a waiting request is sent after an engine has prefilled a prompt.
-const MAX_SEND_JITTER: Duration = Duration::from_millis(6);
-
 /// Interval between checks whether a model has been loaded.
 const PLACEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -124,8 +120,8 @@
     pub(super) stale_engine: Option<EngineId>,
     /// Whether engines admit it before other requests of its service.
     has_precedence: bool,
-    /// Time spent waiting for engines to prefill other prompts.
-    pub(super) prefill_wait: Duration,
+    /// Time spent waiting for room at engines.
+    pub(super) room_wait: Duration,
     /// The charge to the customer's limit.
     charge: Option<Charge>,
     /// Whether the outcome has been logged.
@@ -187,7 +183,7 @@
             version: None,
             stale_engine: None,
             has_precedence: false,
-            prefill_wait: Duration::ZERO,
+            room_wait: Duration::ZERO,
             charge: None,
             is_logged: Cell::new(false),
         };
@@ -291,9 +287,9 @@
     /// Chooses an engine; waits for a model or adapter that is being loaded.
     pub(super) async fn choose_engine(&mut self) -> Result<Choice, NoEngine> {
         let started = Instant::now();
-        if self.wait_for_prefill().await {
-            self.prefill_wait += started.elapsed();
-            meter::prefill_wait(&self.route, self.prefill_wait);
+        if self.wait_for_room().await {
+            self.room_wait += started.elapsed();
+            meter::room_wait(&self.route, self.room_wait);
         }
         let max_wait =
             (self.route.first_byte_objective * PLACEMENT_WAIT_OBJECTIVES).max(PLACEMENT_WAIT_FLOOR);
@@ -335,35 +331,6 @@
         }
     }
 
-    /// Waits until one more prompt would not make the streams of an engine pause for too long,
-    /// while the request's own first event can still be on time. Returns whether it waited. Retries
-    /// do not wait.
-    async fn wait_for_prefill(&self) -> bool {
-        let Some(gap) = self.route.max_event_gap.filter(|_| self.tried_engines.is_empty()) else {
-            return false;
-        };
-        let reserve = gap.mul_f64(CostWeights::default().gap_share);
-        let until = self.received_at + self.route.first_byte_objective.saturating_sub(reserve);
-        let is_busy = |choice: Result<Choice, NoEngine>| choice == Err(NoEngine::PrefillBusy);
-        if Instant::now() >= until || !is_busy(self.choose_until(until)) {
-            return false;
-        }
-        let Some(model_ref) = self.model_ref() else { return false };
-        let ticket = PrefillTicket::enqueue(&self.node, &model_ref.model, self.route.priority);
-        loop {
-            let changed = self.node.prefill_queue.changed.notified();
-            if ticket.is_first() && !is_busy(self.choose_until(until)) {
-                return true;
-            }
-            if timeout_at(until, changed).await.is_err() {
-                return true;
-            }
-            // Several nodes are notified at the same moment; the delay lets the first one report
-            // its send to the others.
-            sleep(MAX_SEND_JITTER.mul_f64(random::<f64>())).await;
-        }
-    }
-
     /// Whether engines could run the request but this node reaches none of them.
     pub(super) fn is_unreachable(&self) -> bool {
         let (now, state) = (self.node.now(), self.node.state.borrow());
@@ -396,7 +363,7 @@
 
     /// Chooses an engine. Before `wait_until`, fails with `NoEngine::PrefillBusy` if every engine has
     /// too much to prefill.
-    fn choose_until(&self, wait_until: Instant) -> Result<Choice, NoEngine> {
+    pub(super) fn choose_until(&self, wait_until: Instant) -> Result<Choice, NoEngine> {
         let state = self.node.state.borrow();
         let settings = self.node.settings.borrow();
         let service = state.catalog.as_ref().and_then(|c| c.services.get(&self.service));
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -32,9 +32,9 @@
 use crate::leader::LeaderState;
 use crate::peers::{CatalogTransfers, Children, PeerSocket, PlacementChanges};
 use crate::pool::Pool;
-use crate::prefill_queue::PrefillQueue;
 use crate::protocol::{Cursor, Protocols};
 use crate::quotas::Quotas;
+use crate::room_queue::NodeRoomQueue;
 use crate::shutdown::Shutdown;
 use crate::state::State;
 use crate::versions::VersionReads;
@@ -56,7 +56,8 @@
     pub(crate) leader_state: RefCell<LeaderState>,
     pub(crate) shutdown: Shutdown,
     pub(crate) peer_socket: PeerSocket,
-    pub(crate) prefill_queue: PrefillQueue,
+    /// Requests that wait for room at engines.
+    pub(crate) room_queue: NodeRoomQueue,
     pub(crate) backoff: Backoff,
     /// Decides which new connections of callers this node takes.
     pub(crate) caller_gate: CallerGate,
@@ -166,7 +167,7 @@
             leader_state: RefCell::default(),
             shutdown: Shutdown::default(),
             peer_socket: PeerSocket::default(),
-            prefill_queue: PrefillQueue::default(),
+            room_queue: NodeRoomQueue::default(),
             backoff: Backoff::default(),
             caller_gate: CallerGate::default(),
             freshness: Freshness::default(),
