--- a/crates/direct/tests/engine_memory.rs
+++ b/crates/direct/tests/engine_memory.rs
@@ -174,6 +174,8 @@
         max_conns: 1_000,
         has_precedence: false,
         max_event_gap: None,
+        speed_needs: None,
+        subset: None,
         can_wait: false,
         memory: Some(MemoryParams { engine_tokens, request, nodes }),
         random: 0.0,
--- a/crates/direct/tests/engine_speed.rs
+++ b/crates/direct/tests/engine_speed.rs
@@ -268,6 +268,7 @@
             speed_needs: self.plan.uses_speed.then_some(needs),
             can_wait: false,
             memory: None,
+            subset: None,
             random,
             weights: CostWeights::default(),
         };
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hgw_direct::in_flight::EngineKey;
-use hgw_direct::{AttemptOutcome, EngineId, Load, RequestMemory, SendId, StartTime};
+use hgw_direct::{AttemptOutcome, EngineId, Load, Millis, RequestMemory, SendId, StartTime};
 use hgw_http1::{Conn, Framing};
 use tokio::time::Instant;
 
@@ -31,6 +31,8 @@
     /// What the stream tells of the engine's speed.
     stream: Cell<StreamObserver>,
     memory: HeldMemory,
+    /// When the request was handed over to be sent.
+    begun_at: Instant,
     /// When the first byte of the response body arrived.
     writing_since: Cell<Option<Instant>>,
 }
@@ -70,6 +72,7 @@
             has_waiting: Cell::new(None),
             stream: Cell::default(),
             memory,
+            begun_at: Instant::now(),
             writing_since: Cell::new(None),
         }
     }
@@ -166,6 +169,7 @@
     /// Records that the response begins, which means that the engine has prefilled the prompt.
     pub(crate) fn record_response_start(&mut self, load: Option<Load>, framing: Framing) {
         self.framing = Some(framing);
+        self.record_begin_time(load);
         let Some(id) = self.pending_prefill.take() else { return };
         let load = load.map(|load| (load.running, load.waiting));
         self.node.peer_socket.broadcast(
@@ -179,7 +183,19 @@
             engine.prefill_rate.record(tokens, took);
         }
         drop(state);
-        self.node.prefill_queue.changed.notify_waiters();
+        self.node.room_queue.notify_room();
+    }
+
+    /// Records how long the engine took to begin the response, unless others waited there.
+    fn record_begin_time(&self, load: Option<Load>) {
+        if load.is_none_or(|load| load.waiting > 0) {
+            return;
+        }
+        let service = self.node.engine(&self.engine, |e| e.info.service.clone());
+        if let Some(service) = service {
+            let took = self.begun_at.elapsed().as_millis() as Millis;
+            self.node.room_queue.begin_times.borrow_mut().record(&service, took);
+        }
     }
 
     /// Records how many tokens of output have arrived.
@@ -216,7 +232,7 @@
             self.node
                 .peer_socket
                 .broadcast(&self.node, &Datagram::Ended(self.engine.clone(), self.started_at, id));
-            self.node.prefill_queue.changed.notify_waiters();
         }
+        self.node.room_queue.notify_room();
     }
 }
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -34,8 +34,8 @@
     histogram!("hgw_first_piece_seconds", "route" => route.name.clone()).record(took.as_secs_f64());
 }
 
-/// Records the time a request waited for engines to prefill other prompts.
-pub(crate) fn prefill_wait(route: &Route, wait: Duration) {
+/// Records the time a request waited for room at engines.
+pub(crate) fn room_wait(route: &Route, wait: Duration) {
     histogram!("hgw_waited_seconds", "route" => route.name.clone()).record(wait.as_secs_f64());
 }
 
@@ -226,6 +226,7 @@
                 .set(mean.mean().ms_per_event / 1_000.0);
         }
     }
+    gauge!("hgw_waiting_requests").set(node.room_queue.len() as f64);
     gauge!("hgw_store_era").set(node.era.get().era().number());
     gauge!("hgw_keeper").set(f64::from(u8::from(node.leadership.borrow().is_leader())));
     gauge!("hgw_ready").set(f64::from(u8::from(node.is_ready())));
