--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -149,7 +149,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ReusableConns<'a> {
     pub(crate) pool: &'a Pool,
-    /// Whether the request may be sent again after it may have run.
+    /// Whether the request can be sent again if the connection is dead.
     pub(crate) may_repeat: bool,
     /// Whether connections are reused after a longer idle time.
     pub(crate) allows_long_idle: bool,
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -146,14 +146,7 @@
                 started.await
             }
             WaitResult::Done(Err(e)) => {
-                let outcome = match e {
-                    Error::Connect { .. } => AttemptOutcome::Unreachable,
-                    Error::Io(_)
-                    | Error::Incomplete
-                    | Error::Stalled { .. }
-                    | Error::Malformed { .. } => AttemptOutcome::Failed,
-                };
-                guard.record_outcome(outcome);
+                guard.record_outcome(failure_outcome(&e));
                 node.mark_broken(engine);
                 if is_new {
                     engine_path::record_failure(&node, engine);
@@ -190,7 +183,7 @@
     /// Takes a pooled connection to an engine or opens one; none if that fails.
     async fn connect(&self, engine: &EngineId, addr: SocketAddr) -> Option<Conn> {
         let node = &self.node;
-        let reusable = node.reusable_connections(self.route.kind.may_repeat());
+        let reusable = node.reusable_connections(self.tolerates_loss());
         let max_idle = node.engine(engine, |e| reusable.max_idle(e))?;
         let reused = node.pool.take(addr, max_idle);
         meter::engine_connection(reused.is_some());
@@ -377,3 +370,13 @@
         }
     }
 }
+
+/// What a failed exchange with an engine says of it.
+fn failure_outcome(error: &Error) -> AttemptOutcome {
+    match error {
+        Error::Connect { .. } => AttemptOutcome::Unreachable,
+        Error::Io(_) | Error::Incomplete | Error::Stalled { .. } | Error::Malformed { .. } => {
+            AttemptOutcome::Failed
+        }
+    }
+}
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -271,6 +271,14 @@
         budget.try_take(now, &limits, self.route.priority <= 1)
     }
 
+    /// Whether another attempt remains if an idle connection turns out to be dead. After a first loss no further
+    /// attempt is put at risk.
+    pub(super) fn tolerates_loss(&self) -> bool {
+        self.route.kind.may_repeat()
+            && self.route.max_attempts > 1
+            && self.executions + self.executions_elsewhere == 0
+    }
+
     /// Counts an engine that could not be reached. Returns whether another one may be tried.
     pub(super) fn may_skip_unreachable(&mut self) -> bool {
         self.unreached += 1;
@@ -403,7 +411,7 @@
         let service = state.catalog.as_ref().and_then(|c| c.services.get(&self.service));
         let max_conns = service.map_or(u32::MAX, |service| service.max_conns);
         let admitted = self.node.admitted_versions.borrow();
-        let idle = self.node.reusable_connections(self.route.kind.may_repeat());
+        let idle = self.node.reusable_connections(self.tolerates_loss());
         let subset = SubsetParams {
             node: NodeSeed::of(&settings.node),
             domain: &settings.domain,
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -28,6 +28,7 @@
 mod engine_limits;
 mod forwarding;
 mod hubs;
+mod idle_connections;
 mod keys;
 mod leader_reads;
 mod leaving;
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -61,6 +61,8 @@
     pub crash_part: Option<String>,
     /// Whether its streams have neither a length nor chunks and end with their connections.
     pub unframed: bool,
+    /// How long it says that it keeps idle connections; nothing if none is set.
+    pub keep_alive: Option<Duration>,
 }
 
 impl Default for EngineSettings {
@@ -83,6 +85,7 @@
             fences: true,
             crash_part: None,
             unframed: false,
+            keep_alive: None,
         }
     }
 }
@@ -170,6 +173,8 @@
     record: FleetRecord,
 }
 
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// When the first start of each engine was.
 const FIRST_BORN: u64 = 1_790_000_000_000;
 
@@ -562,6 +567,10 @@
                 headers.insert(name, value);
             }
         }
+        if let Some(keep_alive) = self.settings.keep_alive {
+            let value = format!("timeout={}", keep_alive.as_secs());
+            headers.extend(HeaderValue::from_str(&value).ok().map(|v| (KEEP_ALIVE, v)));
+        }
         answer
     }
 }
--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -101,6 +101,8 @@
     cuts: IndexMap<u32, ProcessCut>,
     /// A connection that is sent a request with this text goes silent for good.
     lost_text: Option<String>,
+    /// A connection that has been idle for this time goes silent for good.
+    idle_limit: Option<Duration>,
 }
 
 /// What becomes of a connection.
@@ -180,6 +182,11 @@
         self.state.send_modify(|state| state.lost_text = text.map(str::to_owned));
     }
 
+    /// Drops connections without notice from now on once they have been idle for this time; or none.
+    pub fn drop_idle(&self, limit: Option<Duration>) {
+        self.state.send_modify(|state| state.idle_limit = limit);
+    }
+
     /// Cuts one process off, or ends that.
     pub fn cut_process(&self, pid: u32, cut: Option<ProcessCut>) {
         self.state.send_modify(|state| match cut {
@@ -242,6 +249,7 @@
     to: &mut (impl AsyncWrite + Unpin),
     states: &watch::Receiver<State>,
     rates: &[Rate],
+    carried_at: &Mutex<Instant>,
 ) -> io::Result<()> {
     let mut buf = vec![0; 16 << 10];
     loop {
@@ -252,7 +260,9 @@
         let is_lost = states.borrow().lost_text.as_ref().is_some_and(|text| {
             buf[..length].windows(text.len()).any(|window| window == text.as_bytes())
         });
-        if is_lost {
+        let idle = std::mem::replace(&mut *lock(carried_at), Instant::now()).elapsed();
+        let is_dropped = states.borrow().idle_limit.is_some_and(|limit| idle >= limit);
+        if is_lost || is_dropped {
             std::future::pending::<()>().await;
         }
         pace(rates, length).await;
@@ -265,6 +275,7 @@
     from: &mut (impl AsyncRead + Unpin),
     to: &mut (impl AsyncWrite + Unpin),
     rates: &[Rate],
+    carried_at: &Mutex<Instant>,
 ) -> io::Result<()> {
     let mut buf = vec![0; CHUNK_BYTES];
     loop {
@@ -274,6 +285,7 @@
         }
         pace(rates, length).await;
         to.write_all(&buf[..length]).await?;
+        *lock(carried_at) = Instant::now();
     }
 }
 
@@ -292,13 +304,16 @@
         // Events are small writes that must not wait for each other.
         let _ = (from.set_nodelay(true), to.set_nodelay(true));
         let ((mut from_rd, mut from_wr), (mut to_rd, mut to_wr)) = (from.split(), to.split());
+        let carried_at = Mutex::new(Instant::now());
         let requests = async {
-            let _ = carry_requests(&mut from_rd, &mut to_wr, &losses, &rates.requests).await;
+            let rates = &rates.requests;
+            let _ = carry_requests(&mut from_rd, &mut to_wr, &losses, rates, &carried_at).await;
             let _ = to_wr.shutdown().await;
         };
         let answers = async {
             // How a connection ends is for its two ends to see.
-            let _ = carry_answers(&mut to_rd, &mut from_wr, &rates.answers).await;
+            let rates = &rates.answers;
+            let _ = carry_answers(&mut to_rd, &mut from_wr, rates, &carried_at).await;
             let _ = from_wr.shutdown().await;
         };
         tokio::join!(requests, answers);
