--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -297,6 +297,14 @@
             && !self.may_carry_crash_on()
     }
 
+    /// Whether another attempt remains if an idle connection turns out to be dead. After a first loss no further
+    /// attempt is put at risk.
+    pub(super) fn tolerates_loss(&self) -> bool {
+        self.route.kind.may_repeat()
+            && self.route.max_attempts > 1
+            && self.executions + self.executions_elsewhere == 0
+    }
+
     /// Counts an engine that could not be reached. Returns whether another one may be tried.
     pub(super) fn may_skip_unreachable(&mut self) -> bool {
         self.unreached += 1;
@@ -404,7 +412,7 @@
             MemoryParams { engine_tokens: tokens, request: self.memory(), nodes: state.nodes }
         });
         let admitted = self.node.admitted_versions.borrow();
-        let idle = self.node.reusable_connections(self.route.kind.may_repeat());
+        let idle = self.node.reusable_connections(self.tolerates_loss());
         let subset = SubsetParams {
             node: NodeSeed::of(&settings.node),
             domain: &settings.domain,
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -29,6 +29,7 @@
 mod engine_speed;
 mod forwarding;
 mod hubs;
+mod idle_connections;
 mod keys;
 mod leader_reads;
 mod leaving;
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -67,6 +67,8 @@
     pub event_bytes: usize,
     /// Time after which it cuts off a stream that nobody reads; never if none is set.
     pub unread_limit: Option<Duration>,
+    /// How long it says that it keeps idle connections; nothing if none is set.
+    pub keep_alive: Option<Duration>,
 }
 
 /// Pieces of a stream that wait to be written.
@@ -94,6 +96,7 @@
             unframed: false,
             event_bytes: 0,
             unread_limit: None,
+            keep_alive: None,
         }
     }
 }
@@ -187,6 +190,8 @@
     record: FleetRecord,
 }
 
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// When the first start of each engine was.
 const FIRST_BORN: u64 = 1_790_000_000_000;
 
@@ -614,6 +619,10 @@
                 headers.insert(name, value);
             }
         }
+        if let Some(keep_alive) = self.settings.keep_alive {
+            let value = format!("timeout={}", keep_alive.as_secs());
+            headers.extend(HeaderValue::from_str(&value).ok().map(|v| (KEEP_ALIVE, v)));
+        }
         answer
     }
 }
