A second attempt after an engine's own failure is made only where it helps

14 in 100 reads of a route failed at both engines that they were sent to. A node now learns for each route how second attempts ended, and whether an engine fails more often than the others of its service. A failure that would come again is passed on at once, and none is repeated for which too little time is left. A node that knows nothing does as before, and one in twenty explores.

--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -80,6 +80,29 @@
     counter!("hgw_engines_ended_total").increment(1);
 }
 
+/// What became of a second attempt after an engine's own failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(crate) enum SecondAttempt {
+    #[display("served")]
+    Served,
+    #[display("failed")]
+    Failed,
+    /// It brought no complete response.
+    #[display("no response")]
+    NoResponse,
+    /// None was made, as the request would fail again.
+    #[display("unlikely")]
+    Unlikely,
+    /// None was made, as too little time was left.
+    #[display("too late")]
+    TooLate,
+}
+
+pub(crate) fn second_attempt(route: &Route, outcome: SecondAttempt) {
+    let (route, outcome) = (route.name.clone(), outcome.to_string());
+    counter!("hgw_second_attempts_total", "route" => route, "outcome" => outcome).increment(1);
+}
+
 /// Counts each time that a stream is no longer read ahead of its caller, as there is no room.
 pub(crate) fn read_ahead_stopped() {
     counter!("hgw_read_ahead_stopped_total").increment(1);
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -31,14 +31,21 @@
             Ok(started) => started,
             Err(response) => return response,
         };
-        failure = match read_response(&mut req, started).await {
+        let engine = started.engine.clone();
+        let may_repeat = req.route.kind.may_repeat();
+        let retries;
+        (failure, retries) = match read_response(&mut req, started).await {
             Some(response) if response.status().is_server_error() => {
-                Some(Failure::Response(response))
+                let retries = may_repeat && req.take_second_attempt(&engine);
+                (Some(Failure::Response(response)), retries)
             }
             Some(response) => return response,
-            None => Some(Failure::Reason("the answer broke off")),
+            None => {
+                let retries = may_repeat && req.has_time_for_attempt() && req.take_retry();
+                (Some(Failure::Reason("the answer broke off")), retries)
+            }
         };
-        if !req.route.kind.may_repeat() || !req.take_retry() {
+        if !retries {
             return final_response(&req, failure, NoEngine::NoneAvailable);
         }
     }
@@ -61,6 +68,7 @@
         }
     };
     let is_failure = head.status >= 500;
+    req.record_response(&engine, is_failure);
     source.record_outcome(if is_failure {
         AttemptOutcome::Failed
     } else {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod outcome;
 mod read_ahead;
 mod request;
+mod second_attempt;
 mod source;
 mod start;
 mod stream;
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -9,8 +9,8 @@
 use hgw_direct::quota::WaiterRank;
 use hgw_direct::{
     Choice, ChoiceParams, CostWeights, CrashSubject, Deadline, DigestedParts, EngineId,
-    MIN_TIME_TO_SEND, Millis, ModelRef, NoEngine, Prompt, RankedSubject, Refusal, RequestDigest,
-    Route, ServiceId, VersionKey, choose_engine, crash_subjects,
+    FailureCause, MIN_TIME_TO_SEND, Millis, ModelRef, NoEngine, Prompt, RankedSubject, Refusal,
+    RequestDigest, Route, ServiceId, VersionKey, choose_engine, crash_subjects,
 };
 use http::request::Parts;
 use rand::random;
@@ -18,7 +18,7 @@
 
 use crate::clock::boot_time;
 use crate::held_bytes::Reservation;
-use crate::meter;
+use crate::meter::{self, SecondAttempt};
 use crate::peers::{self, Placement};
 use crate::prefill_queue::PrefillTicket;
 use crate::protocol::RequestInfo;
@@ -80,6 +80,10 @@
     pub(super) node: Node,
     /// Counts the request as active; none once its response has taken that over.
     pub(super) active: Option<ActiveRequest>,
+    /// When the last attempt was sent.
+    pub(super) sent_at: Cell<Option<Instant>>,
+    /// What the failure was put down to after which a second attempt is being made.
+    pub(super) second_attempt: Option<FailureCause>,
     /// Room for its body.
     _held_body: Reservation,
     /// Room for its response, if that is buffered.
@@ -140,6 +144,9 @@
 
 impl Drop for RelayedRequest {
     fn drop(&mut self) {
+        if self.second_attempt.is_some() {
+            meter::second_attempt(&self.route, SecondAttempt::NoResponse);
+        }
         if !self.is_logged.get() {
             self.log_caller_left();
         }
@@ -166,6 +173,8 @@
         let mut request = RelayedRequest {
             node: Rc::clone(node),
             active: Some(active),
+            sent_at: Cell::new(None),
+            second_attempt: None,
             _held_body: held_body,
             held_response: None,
             head,
@@ -221,6 +230,9 @@
     /// Records whether an engine may execute the request from now on. The charge stays once any
     /// engine may have executed it.
     pub(super) fn set_may_run(&self, may_run: bool) {
+        if may_run {
+            self.sent_at.set(Some(Instant::now()));
+        }
         if let Some(charge) = &self.charge {
             charge.set_may_have_run(may_run || self.executions > 0);
         }
--- a/crates/gateway/src/relay/start.rs
+++ b/crates/gateway/src/relay/start.rs
@@ -55,7 +55,8 @@
             AttemptResult::Stalled => failure = Some(Failure::Reason("the engine went silent")),
             AttemptResult::NoResponse => {
                 failure = Some(Failure::Reason("the engine failed"));
-                if !req.route.kind.may_repeat() || !req.take_retry() {
+                let has_time = last.is_some() || req.has_time_for_attempt();
+                if !req.route.kind.may_repeat() || !has_time || !req.take_retry() {
                     return Err(final_response(req, failure, NoEngine::NoneAvailable));
                 }
             }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -64,11 +64,18 @@
     loop {
         let started = start(req, last, failure).await?;
         let is_failure = started.head.status >= 500;
+        req.record_response(&started.engine, is_failure);
         if !is_failure && (last.is_none() || started.head.status == 200) {
             return Ok(started);
         }
         started.source.record_outcome(AttemptOutcome::Failed);
-        if !req.route.kind.may_repeat() || !req.take_retry() {
+        // A stream that has begun elsewhere is no request that fails everywhere.
+        let retries = req.route.kind.may_repeat()
+            && match last {
+                None => req.take_second_attempt(&started.engine),
+                Some(_) => req.take_retry(),
+            };
+        if !retries {
             return Ok(started);
         }
         failure = Some(Failure::Reason("the engine failed"));
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -13,7 +13,8 @@
 use hgw_direct::unreachable::ProbedEngines;
 use hgw_direct::{
     AdmittedVersions, CatalogLag, CrashHistory, EngineLimits, Forwarders, KnownEra, LagEffect,
-    ListChanges, Millis, ResponseSize, RetryBudgetLimits, StreamVersions, is_isolated, polls_store,
+    ListChanges, Millis, ResponseSize, RetryBudgetLimits, RetryOutcomes, StreamVersions,
+    is_isolated, polls_store,
 };
 use hgw_events::{Event, emit};
 use hgw_http1::ConnTimeouts;
@@ -55,6 +56,8 @@
     pub(crate) pool: Pool,
     /// What responses and bodies hold until their readers have taken them.
     pub(crate) held_memory: HeldMemory,
+    /// How second attempts after engines' own failures ended.
+    pub(crate) retry_outcomes: RefCell<RetryOutcomes>,
     /// Expected sizes of buffered responses, by route.
     pub(crate) response_sizes: RefCell<IndexMap<String, ResponseSize>>,
     pub(crate) state: RefCell<State>,
@@ -165,6 +168,7 @@
             pool: Pool::default(),
             held_memory: HeldMemory::default(),
             response_sizes: RefCell::default(),
+            retry_outcomes: RefCell::default(),
             state: RefCell::new(State {
                 nodes: 1,
                 list_changes: ListChanges::new(random()),
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -40,6 +40,7 @@
 mod restarts;
 mod resting;
 mod restores;
+mod retries;
 mod session;
 mod settings;
 mod silence;
