--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -43,6 +43,7 @@
 mod request_digest;
 mod request_rate;
 mod retry_budget;
+mod retry_outcomes;
 mod room_queue;
 mod route_table;
 mod software_version;
@@ -99,6 +100,7 @@
 pub use request_digest::{DigestedParts, InvalidDigest, RequestDigest};
 pub use request_rate::{InvalidRequestRate, RequestRate};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
+pub use retry_outcomes::{FailedAttempt, FailureCause, RetryAdvice, RetryOutcomes};
 pub use room_queue::{
     BeginTimes, Entered, RoomGroup, RoomQueue, RoomReason, TicketId, max_room_wait,
 };
--- a/crates/direct/tests/connections.rs
+++ b/crates/direct/tests/connections.rs
@@ -284,7 +284,7 @@
                 let known = model.engines.get_mut(&format!("engine-{engine}").as_str().into());
                 let Some(known) = known else { continue };
                 known.in_flight_elsewhere =
-                    Some(InFlightLoad { requests: loads[*engine], prompts: 0, tokens: 0 });
+                    Some(InFlightLoad { requests: loads[*engine], prompts: 0, tokens: 0, held: 0 });
             }
         }
     }
@@ -358,6 +358,7 @@
             model_ref: Some(model_ref(name)),
             prompt_tokens: 500,
             max_output_tokens: 100,
+            length_hint: None,
             parts: vec![PromptPart { id: session, tokens: 500 }],
         });
         let service = service();
@@ -371,6 +372,8 @@
             max_conns: MAX_CONNS,
             has_precedence: false,
             max_event_gap: None,
+            speed_needs: None,
+            memory: None,
             can_wait: false,
             random,
             subset: self.with_part.then_some(SubsetParams {
--- a/crates/direct/tests/subset.rs
+++ b/crates/direct/tests/subset.rs
@@ -74,6 +74,7 @@
         model_ref: Some(model_ref("m")),
         prompt_tokens: 500,
         max_output_tokens: 100,
+        length_hint: None,
         parts: vec![PromptPart { id: request.session, tokens: 500 }],
     };
     let node = NodeSeed::of(request.node);
@@ -87,6 +88,8 @@
         max_conns: 500,
         has_precedence: false,
         max_event_gap: None,
+        speed_needs: None,
+        memory: None,
         can_wait: false,
         random: request.random,
         subset: Some(SubsetParams { node, domain: "a", idle: request.idle }),
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod read_ahead;
 mod request;
 mod room;
+mod second_attempt;
 mod source;
 mod start;
 mod stream;
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -42,6 +42,7 @@
 mod restarts;
 mod resting;
 mod restores;
+mod retries;
 mod room;
 mod session;
 mod settings;
