Distribute models by the speed of engines

Placement counted requests at all engines alike, so copies of busy models went to slow engines as often as to fast ones. A request at a slow engine now counts as more load, by the ratio of the time between events to the mean, and a copy of a busy model costs more there.

--- a/crates/direct/src/engine_speed/estimate.rs
+++ b/crates/direct/src/engine_speed/estimate.rs
@@ -21,6 +21,9 @@
 /// Bounds of the work time that is believed, as a factor of the usual time.
 const WORK_TIME_BOUNDS: (f64, f64) = (0.25, 10.0);
 
+/// Bounds of an engine's slowness, so that a few odd streams do not decide the placement of models.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.25, 4.0);
+
 /// What is known of one incarnation of an engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct EngineSpeed {
@@ -97,6 +100,16 @@
         self.sums.events >= MIN_MEAN_EVENTS
     }
 
+    /// How much longer events take at an engine than on average, as a factor; 1 while nothing is known of the service.
+    pub fn slowness(&self, speed: &EngineSpeed, now: Millis) -> f64 {
+        let mean = self.mean().ms_per_event;
+        if !self.knows_events() || mean <= 0.0 {
+            return 1.0;
+        }
+        let (min, max) = SLOWNESS_BOUNDS;
+        (speed.estimate(self, now).ms_per_event / mean).clamp(min, max)
+    }
+
     /// Whether enough calls were observed.
     pub fn knows_calls(&self) -> bool {
         self.sums.calls >= MIN_MEAN_CALLS
--- a/crates/direct/src/placement/load_distribution.rs
+++ b/crates/direct/src/placement/load_distribution.rs
@@ -3,7 +3,8 @@
 use indexmap::IndexMap;
 
 use super::models::PendingLoads;
-use crate::{Engine, Rates};
+use crate::engine_speed::MeanSpeed;
+use crate::{Engine, Millis, Rates};
 
 /// Number of parts in which the demand for a model is distributed over its copies.
 const PARTS: u32 = 16;
@@ -11,14 +12,17 @@
 /// Rounds of distribution; in the second, each model takes all others into account.
 const ROUNDS: u32 = 2;
 
-/// Distribution of the demand for all models, if each request goes to the least loaded copy.
+/// Distribution of the demand for all models, if each request goes to the least loaded copy. Loads are in requests per
+/// second at an engine of mean speed: a slower engine is loaded more by the same requests.
 ///
 /// The number of copies alone does not show that copies of busy models share an engine while others
 /// are idle.
 #[derive(Debug)]
 pub(super) struct LoadDistribution<'a> {
-    /// Requests per second at each engine, in the order of the engines.
+    /// Load of each engine, in the order of the engines.
     loads: Vec<f64>,
+    /// Load by one request per second at each engine.
+    slowness: Vec<f64>,
     /// Requests per second that each engine takes.
     limits: Vec<f64>,
     /// Indices of the engines that have, or are loading, each model.
@@ -30,6 +34,7 @@
         engines: &[&'a Engine],
         pending: &'a PendingLoads,
         rates: &Rates,
+        now: Millis,
     ) -> LoadDistribution<'a> {
         let mut copies: IndexMap<&str, Vec<usize>> = IndexMap::new();
         for (index, engine) in engines.iter().enumerate() {
@@ -43,7 +48,10 @@
         }
         let limit = |engine: &&Engine| engine.rate_limit.map_or(f64::INFINITY, |r| r.per_second());
         let limits = engines.iter().map(limit).collect();
-        let mut distribution = LoadDistribution { loads: vec![0.0; engines.len()], limits, copies };
+        let mean = MeanSpeed::of(engines.iter().map(|engine| &engine.speed));
+        let slowness = engines.iter().map(|engine| mean.slowness(&engine.speed, now)).collect();
+        let loads = vec![0.0; engines.len()];
+        let mut distribution = LoadDistribution { loads, slowness, limits, copies };
         distribution.distribute(rates);
         distribution
     }
@@ -64,40 +72,48 @@
                 }
                 for _ in 0..PARTS {
                     let (loads, limits) = (&self.loads, &self.limits);
+                    let added = |index: usize| part * self.slowness[index];
                     // An engine that gets what it takes is the last resort.
                     let rank = |copy: usize| {
                         let index = copies[copy];
-                        (loads[index] + part > limits[index], loads[index])
+                        let load = loads[index] + added(index);
+                        (load > limits[index] * self.slowness[index], load)
                     };
                     let min = (0..copies.len()).min_by(|a, b| {
                         let ((a_full, a_load), (b_full, b_load)) = (rank(*a), rank(*b));
                         a_full.cmp(&b_full).then(a_load.total_cmp(&b_load))
                     });
                     let Some(min) = min else { break };
-                    self.loads[copies[min]] += part;
-                    assigned[min] += part;
+                    let added = added(copies[min]);
+                    self.loads[copies[min]] += added;
+                    assigned[min] += added;
                 }
             }
         }
     }
 
-    /// Requests per second at the engine with this index.
+    /// Load of the engine with this index.
     pub(super) fn load(&self, index: usize) -> f64 {
         self.loads[index]
     }
 
     /// Whether the engine with this index gets more requests than it takes.
     pub(super) fn exceeds_limit(&self, index: usize) -> bool {
-        self.loads[index] > self.limits[index]
+        self.loads[index] > self.limits[index] * self.slowness[index]
     }
 
-    /// Requests per second at the least loaded copy of a model.
+    /// Load by one request per second at the engine with this index.
+    pub(super) fn slowness(&self, index: usize) -> f64 {
+        self.slowness[index]
+    }
+
+    /// Load of the least loaded copy of a model.
     pub(super) fn min_copy_load(&self, model: &str) -> Option<f64> {
         let copies = self.copies.get(model)?;
         copies.iter().map(|index| self.loads[*index]).min_by(f64::total_cmp)
     }
 
-    /// Requests per second at the most loaded engine.
+    /// Load of the most loaded engine.
     pub(super) fn max(&self) -> f64 {
         self.loads.iter().copied().fold(0.0, f64::max)
     }
--- a/crates/direct/src/placement/models.rs
+++ b/crates/direct/src/placement/models.rs
@@ -122,7 +122,7 @@
     let kept_copies = targets(engines, pool, rates, SPARE_FACTOR);
     let targets = targets(engines, pool, rates, 1.0);
     let copy_counts = copy_counts(engines);
-    let distribution = LoadDistribution::of(engines, pending, rates);
+    let distribution = LoadDistribution::of(engines, pending, rates, now);
     // A copy at an engine that takes fewer requests than it gets is not counted.
     let taking =
         engines.iter().enumerate().filter(|(index, _)| !distribution.exceeds_limit(*index));
@@ -239,7 +239,8 @@
             let limited = if engine.rate_limit.is_some() { LIMITED_COST } else { 0.0 };
             let is_alone = !versions.is_empty() && !versions.contains(&engine.version_key());
             let stranded = if is_alone { self.rate(model) } else { 0.0 };
-            let cost = loss + self.load_cost(model, load) + waiting + limited + stranded;
+            let slow = self.slow_cost(model, index);
+            let cost = loss + self.load_cost(model, load) + waiting + limited + stranded + slow;
             if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
                 best = Some((cost, engine, evict, source));
             }
@@ -261,6 +262,18 @@
         if self.rate(model) < IN_DEMAND_RATE { self.distribution.max() - load } else { load }
     }
 
+    /// Load that the copy's share of the demand adds at the engine with this index beyond that at an engine of mean
+    /// speed, or saves. Rarely requested models leave the faster engines to models in demand.
+    fn slow_cost(&self, model: &str, index: usize) -> f64 {
+        let rate = self.rate(model);
+        let extra = self.distribution.slowness(index) - 1.0;
+        if rate < IN_DEMAND_RATE {
+            -MIN_NEED * extra
+        } else {
+            rate / (self.copies(model) + 1.0) * extra
+        }
+    }
+
     /// Software versions of the engines that have a model. At another one no stream could go on if its engine is lost.
     fn versions_with(&self, model: &str) -> IndexSet<VersionKey> {
         let copies = self.engines.iter().filter(|e| e.has_model(model));
--- a/crates/direct/tests/placement.rs
+++ b/crates/direct/tests/placement.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use hgw_direct::engine_speed::SpeedSums;
 use hgw_direct::placement::{
     AdapterAction, AllowedActions, LoadRateLimiter, LoadRateLimits, ModelLoad, PendingLoads,
     WeightSource, count_evicting, free_adapter_slots, next_model_load, place_adapter,
@@ -435,3 +436,19 @@
     let step = place_adapter(&all, &pool(&["m"]), &Demand::default(), &model_ref("m/a1"), "a", 0);
     assert_matches!(step, AdapterAction::Load { engine, .. } if engine.0 == "e2");
 }
+
+/// Guards against copies of a busy model at slow engines while fast ones have as much room, and against its load being
+/// counted as if all engines were equally fast.
+#[test]
+fn busy_model_goes_to_faster_engines() {
+    let mut engines = engines(&[("e1", "a", &["m"]), ("e2", "a", &[]), ("e3", "a", &[])]);
+    for (id, event_ms) in [("e1", 50.0), ("e2", 90.0), ("e3", 30.0)] {
+        let events = 1_000.0;
+        let sums = SpeedSums { events, event_ms: events * event_ms, ..SpeedSums::default() };
+        engines.get_mut(&id.into()).unwrap().speed.add(sums, 0);
+    }
+    let (pool, rates) = (pool(&["m"]), rates(&[("m", 20.0)]));
+    let all = all_refs(&engines);
+    let step = next_model_load(&all, &pool, &rates, &PendingLoads::default(), ALL, 0);
+    assert_matches!(step, Some(ModelLoad { engine, model, .. }) if engine.0 == "e3" && model == "m");
+}
