Try engines that are hardly known, and publish new ones

While a good engine has room, it got all requests, so that an engine that had been slow was not observed again. One request in twenty now tries engines of which few observations are left.

An engine whose speed equals the mean of its service was never published, so other nodes did not know the mean: the new test of nodes that learn from each other failed. Engines are published once in any case. Events are counted by their ends instead of their ids, which need not be dense.

--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -5,7 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::engine_speed::{MeanSpeed, SpeedNeeds, mean_speed, speed_cost_ms};
+use crate::engine_speed::{MeanSpeed, SpeedNeeds, explores, mean_speed, speed_cost_ms};
 use crate::{Engine, EngineId, Engines, Millis, Prompt, ServiceId, ServiceVersions, VersionKey};
 
 /// Software versions of engines at which a request may run.
@@ -343,6 +343,9 @@
     now: Millis,
 ) -> f64 {
     let Some((needs, mean)) = params.speed_needs.as_ref().zip(mean) else { return 0.0 };
+    if explores(&engine.speed, params.random, now) {
+        return 0.0;
+    }
     let fill = estimate / f64::from(engine.info.slots.max(1));
     speed_cost_ms(&engine.speed, mean, needs, fill, now)
 }
--- a/crates/direct/src/engine_speed/cost.rs
+++ b/crates/direct/src/engine_speed/cost.rs
@@ -24,6 +24,9 @@
 /// much, so that streams go to the next slower engine with room before they queue at a fast one.
 const CROWDED_MS: f64 = 300.0;
 
+/// Share of requests that try engines whose speed is hardly known, as those get nothing while a good engine has room.
+const EXPLORING_SHARE: f64 = 0.05;
+
 /// Part of the maximum output that a stream without a hint is expected to have.
 const UNHINTED_SHARE: f64 = 0.5;
 
@@ -71,6 +74,11 @@
     }
 }
 
+/// Whether a request with this random number in `0..1` tries the engine regardless of its speed.
+pub(crate) fn explores(speed: &EngineSpeed, random: f64, now: Millis) -> bool {
+    random < EXPLORING_SHARE && speed.is_hardly_known(now)
+}
+
 fn stream_cost_ms(estimate: &SpeedEstimate, needs: &SpeedNeeds, events: f64) -> f64 {
     let late = 1.0 - (-estimate.pauses_per_event * events).exp();
     let time_left = (needs.time_left.as_secs_f64() * 1_000.0).max(1.0);
--- a/crates/direct/src/engine_speed/estimate.rs
+++ b/crates/direct/src/engine_speed/estimate.rs
@@ -65,6 +65,12 @@
         sums.events >= PRIOR_EVENTS || sums.calls >= PRIOR_CALLS
     }
 
+    /// Whether it counts by less than half as much as the mean of its service.
+    pub(super) fn is_hardly_known(&self, now: Millis) -> bool {
+        let sums = self.known.at(now);
+        sums.events < 0.5 * PRIOR_EVENTS && sums.calls < 0.5 * PRIOR_CALLS
+    }
+
     pub fn estimate(&self, mean: &MeanSpeed, now: Millis) -> SpeedEstimate {
         mean.estimate(self.known.at(now))
     }
--- a/crates/direct/src/engine_speed/exchange.rs
+++ b/crates/direct/src/engine_speed/exchange.rs
@@ -24,6 +24,10 @@
 /// Part by which an estimate must differ from what nodes know to be published.
 const MIN_CHANGE: f64 = 0.1;
 
+/// Error at least of an engine that was never published, which nodes without other knowledge need for the mean of the
+/// service.
+const NEWS_ERROR: f64 = 1.0;
+
 /// Part of the mean below which differences in pauses do not matter: both engines are good.
 const NEGLIGIBLE_PAUSES: f64 = 0.2;
 
@@ -83,8 +87,10 @@
             let mean = means.entry(service).or_insert_with(|| mean_speed(engines, service));
             let known = mean.estimate(engine.speed.known().at(now));
             let published = self.published.get(&engine.key()).map(|sums| sums.at(now));
+            let is_news = published.is_none() && engine.speed.is_known(now);
             let published = mean.estimate(published.unwrap_or_default());
             let error = difference(&known, &published, mean);
+            let error = if is_news { error.max(NEWS_ERROR) } else { error };
             if error > MIN_CHANGE {
                 errors.push((error, engine));
             }
--- a/crates/direct/src/engine_speed/mod.rs
+++ b/crates/direct/src/engine_speed/mod.rs
@@ -5,8 +5,8 @@
 mod exchange;
 mod sums;
 
-pub(crate) use cost::speed_cost_ms;
 pub use cost::{SpeedNeeds, expected_events};
+pub(crate) use cost::{explores, speed_cost_ms};
 pub use estimate::{EngineSpeed, MeanSpeed, SpeedEstimate};
 pub use exchange::{SpeedExchange, mean_speed};
 pub use sums::{DecayingSums, SpeedRow, SpeedSums};
--- a/crates/direct/tests/engine_speed.rs
+++ b/crates/direct/tests/engine_speed.rs
@@ -6,7 +6,9 @@
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
 
-use hgw_direct::engine_speed::{SpeedExchange, SpeedNeeds, SpeedRow, SpeedSums, expected_events};
+use hgw_direct::engine_speed::{
+    SpeedExchange, SpeedNeeds, SpeedRow, SpeedSums, expected_events, mean_speed,
+};
 use hgw_direct::in_flight::{EngineKey, InFlightLoad};
 use hgw_direct::{
     ChangePosition, Choice, ChoiceParams, CostWeights, EngineId, Engines, Millis, NoEngine, Prompt,
@@ -365,3 +367,121 @@
         assert!(rate > 0.0);
     }
 }
+
+/// Engines of these speeds that nodes have observed for long: time between events, and time of a call.
+fn observed(speeds: &[(f64, f64)]) -> Engines {
+    let mut engines = fleet(speeds.len());
+    for (n, (event_ms, call_ms)) in speeds.iter().enumerate() {
+        let sums = SpeedSums {
+            events: 1_000.0,
+            event_ms: 1_000.0 * event_ms,
+            pauses: 0.0,
+            calls: 100.0,
+            call_ms: 100.0 * call_ms,
+        };
+        engines.by_key(key(n)).unwrap().speed.add(sums, 0);
+    }
+    engines
+}
+
+fn chosen(engines: &Engines, needs: SpeedNeeds, now: Millis) -> String {
+    chosen_by(engines, needs, now, 0.5)
+}
+
+fn chosen_by(engines: &Engines, needs: SpeedNeeds, now: Millis, random: f64) -> String {
+    let params = ChoiceParams {
+        service: &service(),
+        versions: VersionRule::Any,
+        prompt: None,
+        domain: "a",
+        tried: &[],
+        nodes: 1,
+        max_conns: 500,
+        has_precedence: false,
+        max_event_gap: None,
+        speed_needs: Some(needs),
+        can_wait: false,
+        random,
+        weights: CostWeights::default(),
+    };
+    choose_engine(engines, &params, now).unwrap().engine.0
+}
+
+const CALL: SpeedNeeds = SpeedNeeds {
+    events: None,
+    time_left: Duration::from_secs(1),
+    objective: Duration::from_millis(100),
+};
+
+/// Guards against calls that are late at slow engines, and against an engine that was slow a moment ago getting none.
+#[test]
+fn calls_go_where_they_end_first() {
+    let mut engines = observed(&[(50.0, 60.0), (50.0, 25.0)]);
+    assert_eq!(chosen(&engines, CALL, 10), "i-1");
+    engines.by_key(key(1)).unwrap().speed.record_work_time(400, 1_000);
+    assert_eq!(chosen(&engines, CALL, 1_090), "i-0");
+    assert_eq!(chosen(&engines, CALL, 1_100), "i-1");
+}
+
+/// Guards against a stream that its caller's deadline cuts off at a slow engine.
+#[test]
+fn stream_goes_where_it_ends_in_time() {
+    let mut engines = observed(&[(32.0, 0.0), (90.0, 0.0)]);
+    engines.by_key(key(0)).unwrap().own_requests = 6;
+    let stream = |events| SpeedNeeds {
+        events: Some(events),
+        time_left: Duration::from_secs(4),
+        objective: Duration::from_secs(1),
+    };
+    assert_eq!(chosen(&engines, stream(10.0), 10), "i-1");
+    assert_eq!(chosen(&engines, stream(50.0), 10), "i-0");
+}
+
+/// Guards against one odd stream at an engine deciding for all others.
+#[test]
+fn few_observations_do_not_swing_the_estimate() {
+    let mut engines = observed(&[(50.0, 0.0), (50.0, 0.0), (50.0, 0.0)]);
+    let odd = SpeedSums { events: 5.0, event_ms: 2_500.0, pauses: 3.0, ..SpeedSums::default() };
+    let new = EngineKey::of(&EngineId::from("i-9"), StartTime(None));
+    let mut info = engine_info("i-9", "a", &["m"]);
+    info.slots = SLOTS;
+    engines.upsert(info);
+    engines.by_key(new).unwrap().speed.add(odd, 0);
+    let mean = mean_speed(&engines, &service());
+    let estimate = engines.by_key(new).unwrap().speed.estimate(&mean, 0);
+    assert!(estimate.ms_per_event < 75.0, "{estimate:?}");
+    assert!(estimate.pauses_per_event < 0.03, "{estimate:?}");
+}
+
+/// Guards against the caller's estimate being taken for more than the response may have.
+#[test]
+fn length_is_the_hint_within_the_maximum() {
+    let prompt = |max_output_tokens, length_hint| Prompt {
+        max_output_tokens,
+        length_hint,
+        ..Prompt::default()
+    };
+    assert_eq!(expected_events(&prompt(100, Some(40)), Some(4)), 10.0);
+    assert_eq!(expected_events(&prompt(100, Some(400)), Some(4)), 25.0);
+    assert_eq!(expected_events(&prompt(100, None), Some(4)), 12.5);
+    assert_eq!(expected_events(&prompt(100, Some(40)), None), 40.0);
+    assert_eq!(expected_events(&prompt(0, None), None), 1.0);
+}
+
+/// Guards against an engine that was slow once getting no requests for good while a faster one has room.
+#[test]
+fn slow_engine_is_tried_again_once_it_is_hardly_known() {
+    let mut engines = observed(&[(30.0, 20.0), (90.0, 90.0)]);
+    let needs = SpeedNeeds { events: Some(20.0), time_left: Duration::from_secs(2), ..CALL };
+    let tried = |engines: &Engines, now| {
+        let slow = |n: u32| chosen_by(engines, needs, now, f64::from(n) / 1_000.0) == "i-1";
+        (0..1_000).filter(|n| slow(*n)).count()
+    };
+    assert_eq!(tried(&engines, 10), 0);
+    // Its observations have lost nearly all of their weight.
+    let later = 240_000;
+    let fast = SpeedSums { events: 1_000.0, event_ms: 30_000.0, ..SpeedSums::default() };
+    engines.by_key(key(0)).unwrap().speed.add(fast, later);
+    let count = tried(&engines, later);
+    assert!((10..=50).contains(&count), "{count} of 1,000");
+}
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -242,3 +242,31 @@
         (ModelRef { model: self.model, adapter: self.adapter }, self.count)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use serde_json::{Value, from_value, json, to_value};
+
+    use super::{PollRequest, PollResponse};
+
+    /// Guards against a poll of the previous release, which knows nothing of speeds, being refused, and against
+    /// fields for it that it does not need.
+    #[test]
+    fn speeds_are_optional_in_messages() {
+        let request: PollRequest = from_value(json!({
+            "from": "10.0.0.1:80", "domain": "a", "heard": [0, 0],
+            "list": to_value(hgw_direct::ListVersion::default()).unwrap(), "catalog": 1, "loads": [],
+            "asked": [], "past": null, "others": 0, "heads": 0,
+        }))
+        .unwrap();
+        assert!(request.speeds.is_empty());
+        let sent = to_value(&request).unwrap();
+        assert_eq!((sent.get("speeds"), sent.get("speeds_seen")), (None, None));
+        let Value::Object(sent) = to_value(PollResponse::default()).unwrap() else {
+            panic!("a response is no map");
+        };
+        assert!(!sent.contains_key("speeds"));
+        let response: PollResponse = from_value(Value::Object(sent)).unwrap();
+        assert_eq!(response.speeds, None);
+    }
+}
--- a/crates/gateway/src/relay/event_buffer.rs
+++ b/crates/gateway/src/relay/event_buffer.rs
@@ -48,6 +48,13 @@
     }
 }
 
+/// Number of complete events, at least 1.
+pub(super) fn count_events(events: &[u8]) -> u64 {
+    let plain = events.windows(2).filter(|w| *w == b"\n\n").count();
+    let crlf = events.windows(4).filter(|w| *w == b"\r\n\r\n").count();
+    (plain + crlf).max(1) as u64
+}
+
 /// Returns the end of the last complete event.
 fn complete_len(bytes: &[u8]) -> Option<usize> {
     let plain = bytes.windows(2).rposition(|w| w == b"\n\n").map(|at| at + 2);
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -14,7 +14,7 @@
 use crate::response::{BodyAborted, CallerResponse, ResponseBody};
 
 use super::attempt::StartedResponse;
-use super::event_buffer::EventBuffer;
+use super::event_buffer::{EventBuffer, count_events};
 use super::event_timing::EventTiming;
 use super::request::RelayedRequest;
 use super::source::Source;
@@ -114,10 +114,9 @@
             match read {
                 WaitResult::Done(Ok(Some(bytes))) => {
                     self.req.record_progress(&self.source);
-                    let last_id = self.events.last_id();
                     let ready = if self.is_events { self.events.push(bytes) } else { Some(bytes) };
                     if let Some(bytes) = ready {
-                        self.record_events(last_id, waited_since);
+                        self.record_events(&bytes, waited_since);
                         self.timing.record_piece();
                         if self.timing.pieces == 1 {
                             meter::first_byte(&self.req.route, self.req.received_at.elapsed());
@@ -155,12 +154,11 @@
         }
     }
 
-    /// Records the events since the one with the id `last_id` for the engine's speed.
-    fn record_events(&self, last_id: Option<u64>, waited_since: Instant) {
+    /// Records events that arrived together for the engine's speed.
+    fn record_events(&self, events: &[u8], waited_since: Instant) {
         if self.is_events {
-            let ids = self.events.last_id().zip(last_id);
-            let count = ids.map_or(1, |(new, last)| new.saturating_sub(last).max(1));
-            self.source.record_events(count, waited_since, self.req.route.max_event_gap);
+            let max_gap = self.req.route.max_event_gap;
+            self.source.record_events(count_events(events), waited_since, max_gap);
         }
     }
 
