--- a/crates/direct/tests/engine_speed.rs
+++ b/crates/direct/tests/engine_speed.rs
@@ -403,6 +403,8 @@
         max_event_gap: None,
         speed_needs: Some(needs),
         can_wait: false,
+        memory: None,
+        subset: None,
         random,
         weights: CostWeights::default(),
     };
