The leader limits what is admitted to overloaded services without models

Nodes learn the loads of a service's few engines 0.1 s late and overfill them: while one customer sends a multiple of its usual rate, all customers are refused or late alike.

Nodes report arrivals by priority and customer, and completions, while a service is under pressure. The leader compares them with what the engines complete and publishes the shares that are admitted: more urgent classes first, then max-min fair parts of customers, callers that were refused before first within them. Shares that are not confirmed expire after a second. With more than twelve nodes, requests to such services are spread over all engines, as the least loaded one is known too late. New fields of polls are optional. `--disable overload-control` switches both off.

--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -108,6 +108,8 @@
     /// Part of the event gap target that expected pauses may use up. The rest covers requests that
     /// other nodes send at the same moment.
     pub gap_share: f64,
+    /// Requests that may queue at an engine before it counts as full, as a part of its slots.
+    pub queue_share: f64,
     /// Cost of sending to another failure domain: latency and traffic.
     pub other_domain_ms: f64,
     /// Cost of prefill at an engine that does not have the prompt's prefix cached.
@@ -127,6 +129,7 @@
             queued_ms: 1_500.0,
             prefill_weight: 3.0,
             gap_share: 0.65,
+            queue_share: QUEUE_SHARE,
             other_domain_ms: 6.0,
             prefix_ms: 15.0,
             failure_ms: 2_000.0,
@@ -136,6 +139,22 @@
     }
 }
 
+impl CostWeights {
+    /// Weights for services whose loads change by more than their slots before all nodes know it. Nodes
+    /// that each choose the least loaded engine then all choose the same one, and the next one a moment
+    /// later. Instead, they spread requests over all engines, with a slope that makes up for differences
+    /// between engines without overshooting.
+    pub fn for_outdated_loads() -> CostWeights {
+        let weights = CostWeights::default();
+        CostWeights {
+            queued_ms: weights.full_batch_ms,
+            queue_share: OUTDATED_QUEUE_SHARE,
+            random_ms: OUTDATED_RANDOM_BATCHES * weights.full_batch_ms,
+            ..weights
+        }
+    }
+}
+
 /// Retry time while engines are full.
 const FULL_RETRY: Duration = Duration::from_millis(250);
 
@@ -156,11 +175,19 @@
 /// Requests that may queue at an engine before it counts as full, as a part of its slots.
 const QUEUE_SHARE: f64 = 1.0;
 
-/// The same for requests that engines admit before others. Prevents urgent requests from being
+/// The same while loads are outdated: an engine with a longer queue has shortened it by the time that it
+/// is known.
+const OUTDATED_QUEUE_SHARE: f64 = 2.0;
+
+/// Range of the random cost while loads are outdated, as a multiple of the cost of a full batch: what
+/// arrives in a tenth of a second is several times the slots.
+const OUTDATED_RANDOM_BATCHES: f64 = 10.0;
+
+/// Factor of that for requests that engines admit before others. Prevents urgent requests from being
 /// refused because less urgent ones fill the queues: with a third of the engines lost and one limit
 /// for all, 16 in 100 of the urgent requests were refused and 8 in 100 of the least urgent, which run
 /// longest.
-const QUEUE_SHARE_PRECEDENCE: f64 = 1.75;
+const PRECEDENCE_FACTOR: f64 = 1.75;
 
 /// Share of a brittle engine's slots that only requests with precedence get.
 const BRITTLE_EXTRA_SHARE: f64 = 0.1;
@@ -215,8 +242,8 @@
             let extra_share = if params.has_precedence { BRITTLE_EXTRA_SHARE } else { 0.0 };
             engine.is_full_if_brittle(estimate, extra_share, now)
         } else {
-            let queue_share =
-                if params.has_precedence { QUEUE_SHARE_PRECEDENCE } else { QUEUE_SHARE };
+            let queue_share = params.weights.queue_share
+                * if params.has_precedence { PRECEDENCE_FACTOR } else { 1.0 };
             let capacity = f64::from(engine.info.slots) * (1.0 + queue_share);
             estimate >= capacity && estimate / *overstatement >= capacity
         };
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -31,6 +31,7 @@
 mod isolation;
 mod leader_liveness;
 mod list_changes;
+pub mod overload;
 pub mod placement;
 mod prefill;
 mod prompt;
@@ -39,6 +40,7 @@
 mod request_digest;
 mod request_rate;
 mod retry_budget;
+mod retry_time;
 mod room_queue;
 mod route_table;
 mod software_version;
@@ -91,6 +93,7 @@
 pub use request_digest::{DigestedParts, InvalidDigest, RequestDigest};
 pub use request_rate::{InvalidRequestRate, RequestRate};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
+pub use retry_time::{RefusalDuration, retry_time};
 pub use room_queue::{
     BeginTimes, Entered, RoomGroup, RoomQueue, RoomReason, TicketId, max_room_wait,
 };
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -28,6 +28,9 @@
     /// The request cannot start before its deadline.
     #[display("full")]
     EnginesFull,
+    /// Less is admitted to the service than arrives.
+    #[display("overloaded")]
+    Overloaded,
     /// All engines that could run it get as many requests as they take.
     #[display("engines at their limits")]
     EnginesAtLimit,
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use hgw_direct::in_flight::EngineKey;
-use hgw_direct::{AttemptOutcome, EngineId, Load, Millis, SendId, StartTime};
+use hgw_direct::{AttemptOutcome, EngineId, Load, Millis, SendId, ServiceId, StartTime};
 use hgw_http1::{Conn, Framing};
 use tokio::time::Instant;
 
+use crate::overload;
 use crate::peers::Datagram;
 use crate::shared::Node;
 
@@ -24,6 +25,8 @@
     framing: Option<Framing>,
     /// When the request was handed over to be sent.
     begun_at: Instant,
+    /// Whether it had no unused slot when the response began; none before that, or if it does not say.
+    is_full: Option<bool>,
     /// When the first byte of the response body arrived.
     writing_since: Cell<Option<Instant>>,
 }
@@ -58,6 +61,7 @@
             pending_prefill,
             framing: None,
             begun_at: Instant::now(),
+            is_full: None,
             writing_since: Cell::new(None),
         }
     }
@@ -125,7 +129,8 @@
     /// Records that the response begins, which means that the engine has prefilled the prompt.
     pub(crate) fn record_response_start(&mut self, load: Option<Load>, framing: Framing) {
         self.framing = Some(framing);
-        self.record_begin_time(load);
+        self.is_full = load.map(|load| load.waiting > 0 || load.running >= load.slots);
+        self.record_begin_time();
         let Some(id) = self.pending_prefill.take() else { return };
         let load = load.map(|load| (load.running, load.waiting));
         self.node.peer_socket.broadcast(
@@ -142,18 +147,28 @@
         self.node.room_queue.notify_room();
     }
 
-    /// Records how long the engine took to begin the response, unless others waited there.
-    fn record_begin_time(&self, load: Option<Load>) {
-        if load.is_none_or(|load| load.waiting > 0) {
+    /// Records how long the engine took to begin the response, unless no slot was left.
+    fn record_begin_time(&self) {
+        if self.is_full != Some(false) {
             return;
         }
-        let service = self.node.engine(&self.engine, |e| e.info.service.clone());
-        if let Some(service) = service {
+        if let Some(service) = self.service() {
             let took = self.begun_at.elapsed().as_millis() as Millis;
             self.node.room_queue.begin_times.borrow_mut().record(&service, took);
         }
     }
 
+    /// Records that the engine has completed the request, if its response had begun.
+    fn record_completion(&self) {
+        if let (Some(is_full), Some(service)) = (self.is_full, self.service()) {
+            overload::record_completion(&self.node, &service, self.begun_at.elapsed(), is_full);
+        }
+    }
+
+    fn service(&self) -> Option<ServiceId> {
+        self.node.engine(&self.engine, |e| e.info.service.clone())
+    }
+
     /// Records the mean time between the events of a complete response.
     pub(crate) fn record_event_interval(&self, mean_gap: Duration) {
         if self.engine_restarted() {
@@ -167,6 +182,7 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
+        self.record_completion();
         let now = self.node.now();
         let pending_prefill = self.pending_prefill.take();
         if self.engine_restarted() {
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{Mutex, Notify, Semaphore};
 use tokio::time::sleep;
 
+use crate::overload;
 use crate::peers::{DemandCount, EarlierDemand, EnginePlacement};
 use crate::shared::{ListSource, Node};
 
@@ -108,13 +109,13 @@
         }
     }
     *node.leader_state.borrow_mut() = leader;
-    tokio::task::spawn_local(plan_until_replaced(Rc::clone(node), fence));
+    spawn_duties(node, fence);
 }
 
 /// Continues under a new claim of the same leader, with no other leader in between.
 pub(crate) fn continue_under(node: &Node, fence: u64) {
     node.leader_state.borrow_mut().fence = fence;
-    tokio::task::spawn_local(plan_until_replaced(Rc::clone(node), fence));
+    spawn_duties(node, fence);
     // Nodes send the old token, and are refused, until they receive the new one.
     node.update_available.notify_waiters();
 }
@@ -139,8 +140,19 @@
     node.update_available.notify_waiters();
 }
 
+fn spawn_duties(node: &Node, fence: u64) {
+    tokio::task::spawn_local(plan_until_replaced(Rc::clone(node), fence));
+    let decide = overload::decide_until_replaced(Rc::clone(node), move |node| !leads(node, fence));
+    tokio::task::spawn_local(decide);
+}
+
+/// Whether this node leads under this claim.
+fn leads(node: &Node, fence: u64) -> bool {
+    node.leader_state.borrow().fence == fence && node.leadership.borrow().is_leader()
+}
+
 async fn plan_until_replaced(node: Node, fence: u64) {
-    while node.leader_state.borrow().fence == fence && node.leadership.borrow().is_leader() {
+    while leads(&node, fence) {
         let started = node.now();
         survey(&node);
         notify_list_change(&node);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod listen;
 mod members;
 mod meter;
+mod overload;
 mod packed_text;
 mod peers;
 mod pool;
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -8,6 +8,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use crate::freshness;
+use crate::overload;
 use crate::protocol::StoreError;
 use crate::shared::Shared;
 
@@ -174,6 +175,7 @@
         gauge!("hgw_reaches_engines", "service" => service.to_string()).set(reaches);
     }
     gauge!("hgw_limited_engines").set(node.engine_limits.borrow().limited().count() as f64);
+    gauge!("hgw_overloaded_services").set(overload::overloaded_services(node) as f64);
     gauge!("hgw_waiting_requests").set(node.room_queue.len() as f64);
     gauge!("hgw_store_era").set(node.era.get().era().number());
     gauge!("hgw_keeper").set(f64::from(u8::from(node.leadership.borrow().is_leader())));
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,6 +4,7 @@
 
 use hgw_direct::hubs::Member;
 use hgw_direct::in_flight::EngineKey;
+use hgw_direct::overload::{AdmissionUpdate, ServiceReport};
 use hgw_direct::{
     AdmittedVersions, ChangePosition, CrashReport, CrashState, Cursor, DemandSnapshot, EngineId,
     Era, LimitState, ListUpdate, ListVersion, LoadedModel, ModelRef, StartTime, VersionKey,
@@ -68,6 +69,12 @@
     /// Position in the receiver's changes of the limits of engines.
     #[serde(default)]
     pub(crate) limits_seen: ChangePosition,
+    /// Arrivals and completions of services that are nearly full.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) service_reports: Vec<ServiceReport>,
+    /// Digest of what the sender knows of overloaded services; 0 if it knows none.
+    #[serde(default, rename = "overload", skip_serializing_if = "is_zero")]
+    pub(crate) overload_digest: u32,
     /// Engines that have lately told the sender that they leave.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) leaving_engines: Vec<EngineKey>,
@@ -159,6 +166,9 @@
     pub(crate) engine_limits: Vec<LimitState>,
     #[serde(default)]
     pub(crate) limits_seen: ChangePosition,
+    /// What is admitted to overloaded services.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) overload: Option<AdmissionUpdate>,
     /// Whether the poller now knows all requests that are blocked in the store.
     #[serde(default)]
     pub(crate) knows_blocked_requests: bool,
@@ -227,6 +237,10 @@
     Unknown,
 }
 
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 impl DemandCount {
     pub(crate) fn into_parts(self) -> (ModelRef, f64) {
         (ModelRef { model: self.model, adapter: self.adapter }, self.count)
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -33,6 +33,7 @@
 use crate::engine_notices;
 use crate::eras;
 use crate::leader;
+use crate::overload;
 use crate::quotas;
 use crate::response::{CallerResponse, ResponseBody, ResponseResult, json_error};
 use crate::shared::Node;
@@ -230,6 +231,7 @@
     }
     apply_loads(node, &request.loads);
     engine_limits::apply_states(node, &request.engine_limits);
+    overload::apply_reports(node, &request.service_reports);
     engine_notices::apply_leaving(node, &request.leaving_engines);
     let crash_reports = request.crash_reports.iter().chain(&request.part_crash_reports);
     crashes::apply_reports(node, crash_reports.cloned());
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -16,6 +16,7 @@
 use crate::eras;
 use crate::freshness;
 use crate::leader;
+use crate::overload;
 use crate::shared::Node;
 use crate::versions;
 
@@ -106,6 +107,7 @@
                     node.leader_refuses
                         .set(parent == Parent::Leader && error == CallError::Refused);
                     restore_unreported_demand(node, request.demand);
+                    overload::apply_reports(node, &request.service_reports);
                     return None;
                 }
             };
@@ -181,6 +183,8 @@
             crashes_seen: self.crashes_seen,
             engine_limits,
             limits_seen: self.limits_seen,
+            service_reports: overload::take_reports(node),
+            overload_digest: overload::digest(node),
             era: eras::to_report(node),
             leaving_engines: node.recent_leaving.to_tell(node.now()),
             cannot_lead: engine_path::cannot_lead(node),
@@ -223,6 +227,9 @@
         node.hubs.borrow_mut().set_candidates(hub_candidates);
     }
     engine_limits::apply_states(node, &update.engine_limits);
+    if let Some(update) = update.overload {
+        overload::apply_update(node, update);
+    }
     let crash_states = update.crash_states.iter().chain(&update.part_crash_states);
     crashes::apply_states(node, crash_states);
     if update.knows_blocked_requests {
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -8,6 +8,7 @@
 use crate::eras;
 use crate::freshness;
 use crate::leader;
+use crate::overload;
 use crate::shared::Node;
 use crate::versions;
 
@@ -45,6 +46,7 @@
         crashes_seen,
         engine_limits,
         limits_seen,
+        overload: overload::update_for(node, request.overload_digest),
         knows_blocked_requests: node.knows_blocked_requests.get() && sends_all_states,
         leader: node.leadership.borrow().leader.clone(),
         placements_seen,
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -13,6 +13,7 @@
 use crate::engine_limits;
 use crate::engine_notices;
 use crate::engine_path;
+use crate::overload;
 use crate::peers;
 use crate::protocol::{ResponseInfo, UpstreamRequest};
 use crate::quotas::{self, Charge, NoAllowance};
@@ -297,6 +298,7 @@
         }
         if info.is_rejected || info.is_misdirected {
             self.rejected += 1;
+            overload::record_pressure(&self.node, &self.service);
             self.set_may_run(false);
             if info.is_misdirected {
                 self.correct_engine_list(engine, &info);
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -1,5 +1,6 @@
 //! Proxies one caller request to an engine, from the request head to the end of the response.
 
+mod admission;
 mod attempt;
 mod buffered;
 mod event_buffer;
@@ -120,6 +121,9 @@
     {
         return relayed.respond_withheld(withheld);
     }
+    if !relayed.is_admitted() {
+        return relayed.refuse_overloaded();
+    }
     if let Err(response) = relayed.bind_to_version().await {
         return *response;
     }
@@ -142,14 +146,17 @@
 
 /// Rejects a request that no engine has executed, with a `Retry-After` of at least `min_delay`.
 fn refuse(node: &Node, reason: Refusal, min_delay: Duration) -> CallerResponse {
+    refuse_for(node, reason, retry_after(min_delay, random()))
+}
+
+/// Rejects a request that no engine has executed, with exactly this `Retry-After`.
+fn refuse_for(node: &Node, reason: Refusal, delay: Duration) -> CallerResponse {
     let status = match reason {
         Refusal::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
     let mut response = json_error(status, &reason.to_string());
-    node.protocols
-        .callers
-        .set_retry_after(response.headers_mut(), retry_after(min_delay, random()));
+    node.protocols.callers.set_retry_after(response.headers_mut(), delay);
     response.extensions_mut().insert(Outcome::Refused(reason));
     response
 }
--- a/crates/gateway/src/relay/outcome.rs
+++ b/crates/gateway/src/relay/outcome.rs
@@ -4,17 +4,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hgw_direct::{CrashSubject, EngineId, ModelRef, Refusal, VersionKey};
+use hgw_direct::{
+    CrashSubject, EngineId, ModelRef, Refusal, RefusalDuration, VersionKey, retry_time,
+};
 use hgw_events::{Event, emit};
 use http::StatusCode;
+use rand::random;
 
 use crate::meter;
 use crate::response::{CallerResponse, Outcome, json_error};
 
 use super::event_timing::EventTiming;
-use super::refuse;
 use super::request::RelayedRequest;
 use super::source::Source;
+use super::{refuse, refuse_for};
 
 impl RelayedRequest {
     /// The customer's name; empty if there is none.
@@ -220,6 +223,13 @@
         refuse(&self.node, reason, retry_after)
     }
 
+    /// Rejects a request that no engine has executed, with the `Retry-After` that is best for its caller.
+    pub(super) fn refuse_while(&self, reason: Refusal, lasts: RefusalDuration) -> CallerResponse {
+        let delay = retry_time(lasts, self.time_left(), random());
+        self.log_refusal(reason, delay);
+        refuse_for(&self.node, reason, delay)
+    }
+
     pub(super) fn log_refusal(&self, reason: Refusal, retry_after: Duration) {
         if self.is_logged_elsewhere() {
             return;
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -10,7 +10,7 @@
 use hgw_direct::{
     Choice, ChoiceParams, CostWeights, CrashSubject, Deadline, DigestedParts, EngineId,
     MIN_TIME_TO_SEND, Millis, ModelRef, NoEngine, Prompt, RankedSubject, Refusal, RequestDigest,
-    Route, ServiceId, VersionKey, choose_engine, crash_subjects,
+    Route, ServiceId, VersionKey, broadcasts_sends, choose_engine, crash_subjects,
 };
 use http::request::Parts;
 use rand::random;
@@ -18,6 +18,7 @@
 
 use crate::clock::boot_time;
 use crate::meter;
+use crate::overload;
 use crate::peers::{self, Placement};
 use crate::protocol::RequestInfo;
 use crate::quotas::{self, Charge, NoAllowance};
@@ -381,11 +382,19 @@
             max_event_gap: self.route.max_event_gap,
             can_wait: Instant::now() < wait_until,
             random: random(),
-            weights: CostWeights::default(),
+            weights: self.cost_weights(state.nodes),
         };
         choose_engine(&state.engines, &params, self.node.now())
     }
 
+    /// Many nodes do not know the loads of a service's few engines in time.
+    fn cost_weights(&self, nodes: u32) -> CostWeights {
+        let is_outdated = self.prompt().is_none()
+            && !broadcasts_sends(nodes)
+            && self.node.settings.borrow().features.overload_control;
+        if is_outdated { CostWeights::for_outdated_loads() } else { CostWeights::default() }
+    }
+
     /// Rejects a request that no engine has executed because none could be chosen.
     pub(super) fn refuse_no_engine(&self, reason: NoEngine) -> CallerResponse {
         let is_unreachable = self.has_failed_path() || self.is_unreachable();
@@ -403,6 +412,9 @@
             NoEngine::Resting(retry_after) => (Refusal::EnginesResting, retry_after),
         };
         let refusal = if is_unreachable { Refusal::EnginesUnreachable } else { refusal };
+        if refusal == Refusal::EnginesFull {
+            overload::record_pressure(&self.node, &self.service);
+        }
         self.refuse(refusal, retry_after)
     }
 }
--- a/crates/gateway/src/relay/room.rs
+++ b/crates/gateway/src/relay/room.rs
@@ -7,6 +7,7 @@
 use rand::random;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use crate::overload;
 use crate::room_queue::RoomTicket;
 
 use super::request::RelayedRequest;
@@ -54,6 +55,9 @@
             }
             None => return false,
         };
+        if reason == RoomReason::Full {
+            overload::record_pressure(&self.node, &self.service);
+        }
         let ticket = RoomTicket::enter(&self.node, group, rank, reason, self.body.len());
         let Some(ticket) = ticket else { return false };
         self.wait_in_queue(&ticket, &limits, reason).await;
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -30,6 +30,7 @@
 use crate::engine_path::PathWatch;
 use crate::freshness::{self, Freshness};
 use crate::leader::LeaderState;
+use crate::overload::Overload;
 use crate::peers::{CatalogTransfers, Children, PeerSocket, PlacementChanges};
 use crate::pool::Pool;
 use crate::protocol::{Cursor, Protocols};
@@ -58,6 +59,8 @@
     pub(crate) peer_socket: PeerSocket,
     /// Requests that wait for room at engines.
     pub(crate) room_queue: NodeRoomQueue,
+    /// Limits what is admitted to overloaded services.
+    pub(crate) overload: Overload,
     pub(crate) backoff: Backoff,
     /// Decides which new connections of callers this node takes.
     pub(crate) caller_gate: CallerGate,
@@ -168,6 +171,7 @@
             shutdown: Shutdown::default(),
             peer_socket: PeerSocket::default(),
             room_queue: NodeRoomQueue::default(),
+            overload: Overload::default(),
             backoff: Backoff::default(),
             caller_gate: CallerGate::default(),
             freshness: Freshness::default(),
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -36,6 +36,7 @@
 mod long_configuration;
 mod orders;
 mod outdated_configuration;
+mod overload;
 mod random_faults;
 mod restarts;
 mod resting;
