Callers of full and unreachable engines come back when room is likely

Full engines named 250 to 500 ms to everyone, and nodes that reach no engine 300 to 600 ms: callers came back together, or while their zone was still cut off, and were refused for good though they had seconds left.

Refusals as full, overloaded or without engine now spread over the last three quarters of a third of the caller's remaining time, 3 s at the most. Refusals of nodes that reach no engine fall in the last third of that time.

--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -9,8 +9,8 @@
 use hgw_direct::quota::WaiterRank;
 use hgw_direct::{
     Choice, ChoiceParams, CostWeights, CrashSubject, Deadline, DigestedParts, EngineId,
-    MIN_TIME_TO_SEND, Millis, ModelRef, NoEngine, Prompt, RankedSubject, Refusal, RequestDigest,
-    Route, ServiceId, VersionKey, broadcasts_sends, choose_engine, crash_subjects,
+    MIN_TIME_TO_SEND, Millis, ModelRef, NoEngine, Prompt, RankedSubject, Refusal, RefusalDuration,
+    RequestDigest, Route, ServiceId, VersionKey, broadcasts_sends, choose_engine, crash_subjects,
 };
 use http::request::Parts;
 use rand::random;
@@ -412,9 +412,14 @@
             NoEngine::Resting(retry_after) => (Refusal::EnginesResting, retry_after),
         };
         let refusal = if is_unreachable { Refusal::EnginesUnreachable } else { refusal };
-        if refusal == Refusal::EnginesFull {
-            overload::record_pressure(&self.node, &self.service);
+        match refusal {
+            Refusal::EnginesFull => {
+                overload::record_pressure(&self.node, &self.service);
+                self.refuse_while(refusal, RefusalDuration::Passing)
+            }
+            Refusal::NoEngine => self.refuse_while(refusal, RefusalDuration::Passing),
+            Refusal::EnginesUnreachable => self.refuse_while(refusal, RefusalDuration::Lasting),
+            _ => self.refuse(refusal, retry_after),
         }
-        self.refuse(refusal, retry_after)
     }
 }
