Admission follows the load of the engines faster

The factor that corrects the estimated capacity rose by 2 in 100 with each decision and ended at 1.1, so that engines stayed less used than aimed at. It now rises by 4 in 100, up to 1.3.

--- a/crates/direct/src/overload/capacity.rs
+++ b/crates/direct/src/overload/capacity.rs
@@ -32,14 +32,14 @@
 /// Requests at engines, as a part of their slots, above and below which the estimate is corrected.
 /// Above the first, nearly all slots are in use.
 const HIGH_LOAD: f64 = 1.2;
-const LOW_LOAD: f64 = 0.75;
+const LOW_LOAD: f64 = 0.85;
 
 /// Bounds and steps of the factor by which the estimate is corrected from the load of the engines.
 /// Steps are small, as the load shows the effect of a step only after several decisions.
 const MIN_CORRECTION: f64 = 0.85;
-const MAX_CORRECTION: f64 = 1.1;
-const CORRECTION_DOWN: f64 = 0.97;
-const CORRECTION_UP: f64 = 1.02;
+const MAX_CORRECTION: f64 = 1.3;
+const CORRECTION_DOWN: f64 = 0.95;
+const CORRECTION_UP: f64 = 1.04;
 
 #[derive(Debug, Clone, Default)]
 pub(super) struct Capacity {
