--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -31,6 +31,9 @@
     /// It is larger than the memory of any engine of its service.
     #[display("larger than any engine")]
     RequestTooLarge,
+    /// Less is admitted to the service than arrives.
+    #[display("overloaded")]
+    Overloaded,
     /// All engines that could run it get as many requests as they take.
     #[display("engines at their limits")]
     EnginesAtLimit,
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -10,6 +10,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use crate::freshness;
+use crate::overload;
 use crate::protocol::StoreError;
 use crate::shared::Shared;
 
@@ -249,6 +250,7 @@
                 .set(mean.mean().ms_per_event / 1_000.0);
         }
     }
+    gauge!("hgw_overloaded_services").set(overload::overloaded_services(node) as f64);
     gauge!("hgw_waiting_requests").set(node.room_queue.len() as f64);
     gauge!("hgw_store_era").set(node.era.get().era().number());
     gauge!("hgw_keeper").set(f64::from(u8::from(node.leadership.borrow().is_leader())));
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -17,6 +17,7 @@
 use crate::eras;
 use crate::freshness;
 use crate::leader;
+use crate::overload;
 use crate::shared::Node;
 use crate::versions;
 
@@ -109,6 +110,7 @@
                         .set(parent == Parent::Leader && error == CallError::Refused);
                     restore_unreported_demand(node, request.demand);
                     engine_speed::restore_report(node, &request.speeds);
+                    overload::apply_reports(node, &request.service_reports);
                     return None;
                 }
             };
@@ -187,6 +189,8 @@
             crashes_seen: self.crashes_seen,
             engine_limits,
             limits_seen: self.limits_seen,
+            service_reports: overload::take_reports(node),
+            overload_digest: overload::digest(node),
             era: eras::to_report(node),
             speeds: engine_speed::take_report(node),
             speeds_seen: self.speeds_seen,
@@ -231,6 +235,9 @@
         node.hubs.borrow_mut().set_candidates(hub_candidates);
     }
     engine_limits::apply_states(node, &update.engine_limits);
+    if let Some(update) = update.overload {
+        overload::apply_update(node, update);
+    }
     let crash_states = update.crash_states.iter().chain(&update.part_crash_states);
     crashes::apply_states(node, crash_states);
     if update.knows_blocked_requests {
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -9,6 +9,7 @@
 use crate::eras;
 use crate::freshness;
 use crate::leader;
+use crate::overload;
 use crate::shared::Node;
 use crate::versions;
 
@@ -47,6 +48,7 @@
         engine_limits,
         limits_seen,
         speeds: engine_speed::news_since(node, request.speeds_seen),
+        overload: overload::update_for(node, request.overload_digest),
         knows_blocked_requests: node.knows_blocked_requests.get() && sends_all_states,
         leader: node.leadership.borrow().leader.clone(),
         placements_seen,
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -12,8 +12,8 @@
 use hgw_direct::{
     Choice, ChoiceParams, CostWeights, CrashSubject, Deadline, DigestedParts, EngineId,
     FailureCause, MIN_TIME_TO_SEND, MemoryParams, Millis, ModelRef, NoEngine, Prompt,
-    RankedSubject, Refusal, RequestDigest, RequestMemory, Route, Service, ServiceId, VersionKey,
-    choose_engine, crash_subjects,
+    RankedSubject, Refusal, RefusalDuration, RequestDigest, RequestMemory, Route, Service,
+    ServiceId, VersionKey, broadcasts_sends, choose_engine, crash_subjects,
 };
 use http::request::Parts;
 use rand::random;
@@ -23,6 +23,7 @@
 use crate::engine_speed;
 use crate::held_bytes::Reservation;
 use crate::meter::{self, SecondAttempt};
+use crate::overload;
 use crate::peers::{self, Placement};
 use crate::protocol::RequestInfo;
 use crate::quotas::{self, Charge, NoAllowance};
@@ -445,7 +446,7 @@
             memory,
             random: random(),
             subset: settings.features.engine_subsets.then_some(subset),
-            weights: CostWeights::default(),
+            weights: self.cost_weights(state.nodes),
         };
         choose_engine(&state.engines, &params, self.node.now())
     }
@@ -454,6 +455,14 @@
         engine_speed::needs(&self.node, &self.route, service, self.prompt(), self.time_left())
     }
 
+    /// Many nodes do not know the loads of a service's few engines in time.
+    fn cost_weights(&self, nodes: u32) -> CostWeights {
+        let is_outdated = self.prompt().is_none()
+            && !broadcasts_sends(nodes)
+            && self.node.settings.borrow().features.overload_control;
+        if is_outdated { CostWeights::for_outdated_loads() } else { CostWeights::default() }
+    }
+
     /// Rejects a request that no engine has executed because none could be chosen.
     pub(super) fn refuse_no_engine(&self, reason: NoEngine) -> CallerResponse {
         let is_unreachable = self.has_failed_path() || self.is_unreachable();
@@ -472,6 +481,14 @@
             NoEngine::Resting(retry_after) => (Refusal::EnginesResting, retry_after),
         };
         let refusal = if is_unreachable { Refusal::EnginesUnreachable } else { refusal };
-        self.refuse(refusal, retry_after)
+        match refusal {
+            Refusal::EnginesFull => {
+                overload::record_pressure(&self.node, &self.service);
+                self.refuse_while(refusal, RefusalDuration::Passing)
+            }
+            Refusal::NoEngine => self.refuse_while(refusal, RefusalDuration::Passing),
+            Refusal::EnginesUnreachable => self.refuse_while(refusal, RefusalDuration::Lasting),
+            _ => self.refuse(refusal, retry_after),
+        }
     }
 }
