--- a/crates/direct/src/overload/capacity.rs
+++ b/crates/direct/src/overload/capacity.rs
@@ -30,9 +30,10 @@
 const LOAD_WEIGHT: f64 = 0.3;
 
 /// Requests at engines, as a part of their slots, above and below which the estimate is corrected.
-/// Above the first, nearly all slots are in use.
-const HIGH_LOAD: f64 = 1.2;
-const LOW_LOAD: f64 = 0.85;
+/// Above the first, all slots are in use nearly all the time; below the second some are not, as nodes
+/// do not spread calls evenly and their counts include calls on the way.
+const HIGH_LOAD: f64 = 1.8;
+const LOW_LOAD: f64 = 1.2;
 
 /// Bounds and steps of the factor by which the estimate is corrected from the load of the engines.
 /// Steps are small, as the load shows the effect of a step only after several decisions.
--- a/crates/direct/src/room_queue.rs
+++ b/crates/direct/src/room_queue.rs
@@ -18,6 +18,10 @@
 /// Share of its remaining time that a request waits at most. The rest lets its caller retry.
 const MAX_WAIT_SHARE: f64 = 0.5;
 
+/// Share of the time until it is too late that a request waits at most. While more arrives than engines
+/// complete, requests that wait to the end all begin at the last moment, and most of them late.
+const MAX_SLACK_SHARE: f64 = 0.25;
+
 /// Share of the objective that a request is assumed to need if nothing is known about its service.
 const UNKNOWN_BEGIN_SHARE: f64 = 0.5;
 
@@ -202,7 +206,7 @@
     time_left: Duration,
 ) -> Duration {
     let until_too_late = objective.saturating_sub(begin_time).saturating_sub(age);
-    until_too_late.min(time_left.mul_f64(MAX_WAIT_SHARE))
+    until_too_late.mul_f64(MAX_SLACK_SHARE).min(time_left.mul_f64(MAX_WAIT_SHARE))
 }
 
 /// How long requests of each service take from being sent to the first byte of the response.
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -27,15 +27,13 @@
     pending_prefill: Option<SendId>,
     /// How the end of the response body is determined; none before its head.
     framing: Option<Framing>,
-    /// When the request was sent; none before.
-    sent_at: Cell<Option<Instant>>,
+    /// When the request was sent; before that, when it was handed over to be sent.
+    sent_at: Cell<Instant>,
     /// Whether something waited at the engine when it responded, if it said so.
     has_waiting: Cell<Option<bool>>,
     /// What the stream tells of the engine's speed.
     stream: Cell<StreamObserver>,
     memory: HeldMemory,
-    /// When the request was handed over to be sent.
-    begun_at: Instant,
     /// Whether it had no unused slot when the response began; none before that, or if it does not say.
     is_full: Option<bool>,
     /// When the first byte of the response body arrived.
@@ -73,11 +71,10 @@
             started_at,
             pending_prefill,
             framing: None,
-            sent_at: Cell::new(None),
+            sent_at: Cell::new(Instant::now()),
             has_waiting: Cell::new(None),
             stream: Cell::default(),
             memory,
-            begun_at: Instant::now(),
             is_full: None,
             writing_since: Cell::new(None),
         }
@@ -141,7 +138,7 @@
 
     /// Records that the request is being sent.
     pub(crate) fn record_sent(&self) {
-        self.sent_at.set(Some(Instant::now()));
+        self.sent_at.set(Instant::now());
     }
 
     /// Records events that arrived together after this node began to wait for them at `waited_since`.
@@ -158,9 +155,9 @@
 
     /// Records a complete response to a call, which tells the engine's speed if nothing waited there.
     pub(crate) fn record_call(&self) {
-        if let Some(sent_at) = self.sent_at.get().filter(|_| self.has_waiting.get() == Some(false))
-        {
-            engine_speed::record_call(&self.node, self.engine_key(), sent_at.elapsed());
+        if self.has_waiting.get() == Some(false) {
+            let took = self.sent_at.get().elapsed();
+            engine_speed::record_call(&self.node, self.engine_key(), took);
         }
     }
 
@@ -199,7 +196,7 @@
             return;
         }
         if let Some(service) = self.service() {
-            let took = self.begun_at.elapsed().as_millis() as Millis;
+            let took = self.sent_at.get().elapsed().as_millis() as Millis;
             self.node.room_queue.begin_times.borrow_mut().record(&service, took);
         }
     }
@@ -212,7 +209,12 @@
     /// Records that the engine has completed the request, if its response had begun.
     fn record_completion(&self) {
         if let (Some(is_full), Some(service)) = (self.is_full, self.service()) {
-            overload::record_completion(&self.node, &service, self.begun_at.elapsed(), is_full);
+            overload::record_completion(
+                &self.node,
+                &service,
+                self.sent_at.get().elapsed(),
+                is_full,
+            );
         }
     }
 
