--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -277,8 +277,10 @@
             let capacity = f64::from(engine.info.slots) * (1.0 + queue_share);
             estimate >= capacity && estimate / *overstatement >= capacity
         };
-        let has_memory =
-            params.memory.is_none_or(|m| m.has_room(engine, estimate, *overstatement, now));
+        let has_memory = params.memory.is_none_or(|memory| {
+            let random = engine_random(params.random, &engine.info.id);
+            memory.has_room(engine, estimate, *overstatement, random, now)
+        });
         if is_full
             || !has_memory
             || engine.own_requests >= engine.request_share(params.max_conns, params.nodes, now)
--- a/crates/direct/src/engine_memory.rs
+++ b/crates/direct/src/engine_memory.rs
@@ -16,8 +16,15 @@
 /// range of their type, whatever callers state.
 const MAX_COUNTED_TOKENS: u32 = 1 << 20;
 
-/// Requests of the same size that other nodes may send to an engine before this node knows of them.
-const UNSEEN_REQUESTS: u32 = 1;
+/// Requests that other nodes may send to an engine before this node knows of them. With room for
+/// fewer, only a share of the requests goes there, as all nodes see the same room at the same time.
+const UNSEEN_REQUESTS: f64 = 6.0;
+
+/// Requests of the mean size by which those that run together may exceed the mean.
+const SIZE_MARGIN: f64 = 2.0;
+
+/// Minimum of that share for an engine that runs nothing: a large request fits nowhere else.
+const MIN_IDLE_SHARE: f64 = 0.25;
 
 /// Memory that a request needs at an engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -129,34 +136,39 @@
     }
 
     /// Whether the request may be sent to an engine with this estimated number of requests.
-    /// `overstatement` is the factor by which sums over nodes are too high. An engine whose memory in
+    /// `overstatement` is the factor by which sums over nodes are too high, `random` a number in `0..1`
+    /// for this request and engine. An engine whose memory in
     /// use is unknown has room.
     pub fn has_room(
         &self,
         engine: &Engine,
         estimate: f64,
         overstatement: f64,
+        random: f64,
         now: Millis,
     ) -> bool {
         let Some(held) = held_tokens(engine, self.nodes, now) else { return true };
-        let requests = estimate / overstatement;
-        if requests < 1.0 {
-            return true;
-        }
-        let unseen = if broadcasts_sends(self.nodes) { 0 } else { UNSEEN_REQUESTS };
-        let arriving = f64::from(1 + unseen);
+        let (requests, held) = (estimate / overstatement, f64::from(held) / overstatement);
         let size = f64::from(self.request.held(0).min(self.engine_tokens));
-        let total = f64::from(held) / overstatement + size * arriving;
-        let running = running_share(requests + arriving, engine.info.slots);
-        total * running <= f64::from(self.engine_tokens)
+        let (slots, tokens) = (f64::from(engine.info.slots), f64::from(self.engine_tokens));
+        if requests >= slots {
+            // It waits, and the requests that run then are about as large as the mean.
+            return (held + size) / (requests + 1.0) * (slots + SIZE_MARGIN) <= tokens;
+        }
+        let is_idle = requests < 1.0;
+        let mean = if is_idle { size } else { held / requests };
+        // Further requests of the mean size for which there is memory.
+        let room = (tokens - held - size) / mean.max(1.0);
+        if room < 0.0 || broadcasts_sends(self.nodes) || self.nodes < 2 {
+            return room >= 0.0;
+        }
+        let free_slots = slots - requests - 1.0;
+        let share = (room / UNSEEN_REQUESTS).powi(2);
+        let share = if is_idle { share.max(MIN_IDLE_SHARE) } else { share };
+        room >= free_slots + SIZE_MARGIN || random < share
     }
 }
 
-/// Part of an engine's requests that runs; the others wait there and hold no memory.
-fn running_share(requests: f64, slots: u32) -> f64 {
-    (f64::from(slots) / requests).min(1.0)
-}
-
 /// Tokens held at an engine by the requests of all nodes, if known.
 fn held_tokens(engine: &Engine, nodes: u32, now: Millis) -> Option<u32> {
     let own = engine.held_memory.own;
--- a/crates/gateway/src/features.rs
+++ b/crates/gateway/src/features.rs
@@ -1,10 +1,8 @@
-//! Parts that operators can switch off.
-
-use std::str::FromStr;
+//! Parts that operators can switch on and off.
 
 use derive_more::{Display, Error};
 
-/// Which optional parts are in use. All of them are by default.
+/// Which optional parts are in use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Features {
     /// Engines are chosen by how fast they are.
@@ -24,11 +22,12 @@
 }
 
 impl Default for Features {
+    /// All but overload control, which refuses calls that engines would still have served late.
     fn default() -> Self {
         Features {
             engine_speed: true,
             engine_memory: true,
-            overload_control: true,
+            overload_control: false,
             room_queue: true,
             engine_subsets: true,
             retry_learning: true,
@@ -60,27 +59,25 @@
     pub fn allowed_names() -> String {
         format!("a comma-separated list of {}", NAMES.join(", "))
     }
-}
-
-/// Parses a comma-separated list of the parts that are switched off.
-impl FromStr for Features {
-    type Err = UnknownFeature;
 
-    fn from_str(disabled: &str) -> Result<Features, UnknownFeature> {
-        let mut features = Features::default();
-        for name in disabled.split(',').map(str::trim).filter(|name| !name.is_empty()) {
-            let feature = match name {
-                "engine-speed" => &mut features.engine_speed,
-                "engine-memory" => &mut features.engine_memory,
-                "overload-control" => &mut features.overload_control,
-                "room-queue" => &mut features.room_queue,
-                "engine-subsets" => &mut features.engine_subsets,
-                "retry-learning" => &mut features.retry_learning,
-                "read-ahead" => &mut features.read_ahead,
-                _ => return Err(UnknownFeature { name: name.to_owned() }),
-            };
-            *feature = false;
+    /// Switches the parts of a comma-separated list on or off.
+    pub fn switch(mut self, names: &str, is_on: bool) -> Result<Features, UnknownFeature> {
+        for name in names.split(',').map(str::trim).filter(|name| !name.is_empty()) {
+            *self.feature(name)? = is_on;
         }
-        Ok(features)
+        Ok(self)
+    }
+
+    fn feature(&mut self, name: &str) -> Result<&mut bool, UnknownFeature> {
+        Ok(match name {
+            "engine-speed" => &mut self.engine_speed,
+            "engine-memory" => &mut self.engine_memory,
+            "overload-control" => &mut self.overload_control,
+            "room-queue" => &mut self.room_queue,
+            "engine-subsets" => &mut self.engine_subsets,
+            "retry-learning" => &mut self.retry_learning,
+            "read-ahead" => &mut self.read_ahead,
+            _ => return Err(UnknownFeature { name: name.to_owned() }),
+        })
     }
 }
--- a/crates/hibiscusgw/src/command.rs
+++ b/crates/hibiscusgw/src/command.rs
@@ -100,6 +100,9 @@
     /// Maximum number of open caller connections (default: 8192)
     #[options(no_short, meta = "N")]
     pub(crate) max_connections: Option<String>,
+    /// Features to switch on, comma-separated, only with a settings file (default: none)
+    #[options(no_short, meta = "LIST")]
+    pub(crate) enable: Option<String>,
     /// Features to switch off, comma-separated, only with a settings file (default: none)
     #[options(no_short, meta = "LIST")]
     pub(crate) disable: Option<String>,
--- a/crates/hibiscusgw/src/settings.rs
+++ b/crates/hibiscusgw/src/settings.rs
@@ -145,7 +145,7 @@
             peers_listener: reader.optional_addr("peers-listener", &flags.peers_listener),
             metrics: reader.optional_addr("metrics", &flags.metrics),
             max_connections: is_given.then_some(max),
-            features: reader.features("disable", &flags.disable),
+            features: reader.features(flags),
         };
         if reader.errors.is_empty() { Ok(overrides) } else { Err(Error::Settings(reader.errors)) }
     }
@@ -260,12 +260,23 @@
         }
     }
 
-    /// Reads a list of features that are switched off.
-    fn features(&mut self, name: &'static str, flag: &Option<String>) -> Features {
-        let text = self.value_of(name, flag).unwrap_or_default();
-        text.parse().unwrap_or_else(|error: UnknownFeature| {
-            self.reject(name, &error.name, &Features::allowed_names());
-            Features::default()
+    /// Reads the lists of features that are switched on and off.
+    fn features(&mut self, flags: &ServeFlags) -> Features {
+        let switched_on = self.switch(Features::default(), "enable", &flags.enable, true);
+        self.switch(switched_on, "disable", &flags.disable, false)
+    }
+
+    fn switch(
+        &mut self,
+        features: Features,
+        name: &'static str,
+        flag: &Option<String>,
+        is_on: bool,
+    ) -> Features {
+        let names = self.value_of(name, flag).unwrap_or_default();
+        features.switch(&names, is_on).unwrap_or_else(|UnknownFeature { name: unknown }| {
+            self.reject(name, &unknown, &Features::allowed_names());
+            features
         })
     }
 
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -26,6 +26,7 @@
 mod cut_from_engines;
 mod datagrams;
 mod engine_limits;
+mod engine_memory;
 mod engine_speed;
 mod forwarding;
 mod hubs;
--- a/crates/hibiscusgw/tests/platform/overload.rs
+++ b/crates/hibiscusgw/tests/platform/overload.rs
@@ -37,6 +37,7 @@
 #[test]
 fn all_nodes_limit_an_overloaded_service_until_the_overload_ends() {
     let mut fleet = new_fleet(["s-1", "s-2"].map(slow_engine).to_vec());
+    fleet.enabled = "overload-control";
     let mut config = configuration(2);
     let mut route = config["routes"][0].clone();
     (route["name"], route["prefix"]) = ("slow".into(), "/slow/".into());
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -42,6 +42,8 @@
     pub nodes: Vec<Node>,
     /// What the links of nodes that are started from now on carry.
     pub links: NodeLinks,
+    /// Features that nodes started from now on use beside the default ones, comma-separated.
+    pub enabled: &'static str,
     program: PathBuf,
     folder: PathBuf,
     next: usize,
@@ -152,7 +154,17 @@
         std::fs::create_dir_all(&folder).expect("the folder can be made");
         let (program, nodes) = (program.into(), Vec::new());
         let links = NodeLinks::default();
-        let fleet = Fleet { store, engines, to_engines, nodes, links, program, folder, next: 1 };
+        let fleet = Fleet {
+            store,
+            engines,
+            to_engines,
+            nodes,
+            links,
+            enabled: "",
+            program,
+            folder,
+            next: 1,
+        };
         fleet.list_all();
         fleet
     }
@@ -305,6 +317,7 @@
     ) -> Child {
         let mut command = Command::new(&self.program);
         command.args(["serve", "--log-format", "json", "--metrics", &metrics.to_string()]);
+        command.args(["--enable", self.enabled]);
         if let Some(listener) = listener {
             command.args(["--peers-listener", &listener.to_string()]);
         }
