--- a/crates/gateway/src/relay/room.rs
+++ b/crates/gateway/src/relay/room.rs
@@ -90,7 +90,8 @@
         let reserve =
             self.route.max_event_gap.map(|gap| gap.mul_f64(CostWeights::default().gap_share));
         let prefill = reserve.map(|r| self.received_at + objective.saturating_sub(r));
-        let has_queue = self.node.settings.borrow().features.room_queue;
+        // Loads are known a tenth of a second late, which is most of the time that a plain call may wait.
+        let has_queue = self.node.settings.borrow().features.room_queue && self.prompt().is_some();
         let slot = has_queue.then(|| {
             let begin_times = self.node.room_queue.begin_times.borrow();
             let begin_time = begin_times.expected(&self.service, objective);
