--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -9,7 +9,7 @@
 use crate::engine_speed::EngineSpeed;
 use crate::in_flight::{EngineKey, InFlightLoad};
 use crate::{
-    Brittleness, Cursor, HealthTracker, HeldMemory, Millis, ModelRef, PrefillBacklog, PrefillRate,
+    Brittleness, Cursor, HealthTracker, HeldTokens, Millis, ModelRef, PrefillBacklog, PrefillRate,
     RequestRate, ServiceId, SoftwareVersion, VersionKey,
 };
 
@@ -118,7 +118,7 @@
     pub prefill_backlog: PrefillBacklog,
     pub prefill_rate: PrefillRate,
     /// Memory that requests hold there.
-    pub held_memory: HeldMemory,
+    pub held_tokens: HeldTokens,
     /// Average time between two events of a stream there; 0 until a stream has completed.
     pub event_interval_ms: f64,
     /// How fast it is.
@@ -175,7 +175,7 @@
             reported_load: None,
             prefill_backlog: PrefillBacklog::default(),
             prefill_rate: PrefillRate::default(),
-            held_memory: HeldMemory::default(),
+            held_tokens: HeldTokens::default(),
             event_interval_ms: 0.0,
             speed: EngineSpeed::default(),
             rate_limit: None,
@@ -219,7 +219,7 @@
 
     pub fn own_in_flight(&self) -> InFlightLoad {
         let (prompts, tokens) = self.prefill_backlog.own_totals();
-        InFlightLoad { requests: self.own_requests, prompts, tokens, held: self.held_memory.own }
+        InFlightLoad { requests: self.own_requests, prompts, tokens, held: self.held_tokens.own }
     }
 
     /// Estimated number of requests there, if known: from the reports of all nodes, else from its
--- a/crates/direct/src/engine_memory.rs
+++ b/crates/direct/src/engine_memory.rs
@@ -71,7 +71,7 @@
 
 /// Memory held at an engine, as far as it is known by way of requests.
 #[derive(Debug, Clone, Default)]
-pub struct HeldMemory {
+pub struct HeldTokens {
     /// Tokens held by requests of this node.
     pub own: u32,
     peers: IndexMap<SendId, PeerMemory>,
@@ -90,7 +90,7 @@
 /// Maximum number of requests of other nodes that are tracked per engine; several times its queue.
 const MAX_PEER_REQUESTS: usize = 1_024;
 
-impl HeldMemory {
+impl HeldTokens {
     /// Replaces the tokens that a request of this node holds.
     pub fn replace_own(&mut self, previous: u32, tokens: u32) {
         self.own = self.own.saturating_sub(previous).saturating_add(tokens);
@@ -171,10 +171,10 @@
 
 /// Tokens held at an engine by the requests of all nodes, if known.
 fn held_tokens(engine: &Engine, nodes: u32, now: Millis) -> Option<u32> {
-    let own = engine.held_memory.own;
+    let own = engine.held_tokens.own;
     if let Some(others) = engine.in_flight_elsewhere {
         return Some(own.saturating_add(others.held));
     }
     let is_known = nodes < 2 || broadcasts_sends(nodes);
-    is_known.then(|| own.saturating_add(engine.held_memory.peer_tokens(now)))
+    is_known.then(|| own.saturating_add(engine.held_tokens.peer_tokens(now)))
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -81,7 +81,7 @@
     CachedWeights, Engine, EngineId, EngineInfo, EngineState, Load, LoadedModel, StartTime,
 };
 pub use engine_limits::{EngineLimits, LimitChange, LimitState};
-pub use engine_memory::{HeldMemory, MemoryParams, RequestMemory};
+pub use engine_memory::{HeldTokens, MemoryParams, RequestMemory};
 pub use engine_notices::{EngineNotices, InvalidNotice, RestTime};
 pub use engine_path::{EnginePath, MIN_FAILED_ENGINES, PATH_CHECK_INTERVAL, PathChange};
 pub use engines::Engines;
--- a/crates/direct/tests/engine_memory.rs
+++ b/crates/direct/tests/engine_memory.rs
@@ -253,7 +253,7 @@
     let mut engines = engines(&[("e1", "a", &["m"])]);
     let engine = engines.get_mut(&"e1".into()).unwrap();
     engine.own_requests = 3;
-    engine.held_memory.replace_own(0, 9_000);
+    engine.held_tokens.replace_own(0, 9_000);
     assert_matches!(chosen(&engines, 9_000, 79, &prompt(500, 500, None)), Ok(_));
 }
 
@@ -264,13 +264,13 @@
     let request = prompt(500, 500, None);
     let engine = engines.get_mut(&"e1".into()).unwrap();
     engine.own_requests = 1;
-    engine.held_memory.set_from_peer(SendId(1), 8_500, 900);
+    engine.held_tokens.set_from_peer(SendId(1), 8_500, 900);
     assert_matches!(chosen(&engines, 9_000, 9, &request), Err(NoEngine::Full(_)));
     let engine = engines.get_mut(&"e1".into()).unwrap();
-    engine.held_memory.set_from_peer(SendId(1), 0, 950);
+    engine.held_tokens.set_from_peer(SendId(1), 0, 950);
     assert_matches!(chosen(&engines, 9_000, 9, &request), Ok(_));
     let engine = engines.get_mut(&"e1".into()).unwrap();
-    engine.held_memory.set_from_peer(SendId(2), u32::MAX, 0);
-    engine.held_memory.set_from_peer(SendId(3), 10, 20_000);
+    engine.held_tokens.set_from_peer(SendId(2), u32::MAX, 0);
+    engine.held_tokens.set_from_peer(SendId(3), 10, 20_000);
     assert_matches!(chosen(&engines, 9_000, 9, &request), Ok(_));
 }
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -12,10 +12,10 @@
 use tokio::time::Instant;
 
 use crate::engine_speed::{self, StreamObserver};
-use crate::held_memory::HeldMemory;
 use crate::overload;
 use crate::peers::Datagram;
 use crate::shared::Node;
+use crate::token_reservation::TokenReservation;
 
 /// A request in flight at an engine, until dropped.
 pub(crate) struct AttemptGuard {
@@ -33,7 +33,7 @@
     has_waiting: Cell<Option<bool>>,
     /// What the stream tells of the engine's speed.
     stream: Cell<StreamObserver>,
-    memory: HeldMemory,
+    reservation: TokenReservation,
     /// Whether it had no unused slot when the response began; none before that, or if it does not say.
     is_full: Option<bool>,
     /// When the first byte of the response body arrived.
@@ -64,7 +64,7 @@
             node.peer_socket
                 .broadcast(node, &Datagram::Sent(engine.clone(), started_at, id, tokens));
         }
-        let memory = HeldMemory::reserve(node, engine, started_at, request_id, memory);
+        let reservation = TokenReservation::reserve(node, engine, started_at, request_id, memory);
         AttemptGuard {
             node: Rc::clone(node),
             engine: engine.clone(),
@@ -74,7 +74,7 @@
             sent_at: Cell::new(Instant::now()),
             has_waiting: Cell::new(None),
             stream: Cell::default(),
-            memory,
+            reservation,
             is_full: None,
             writing_since: Cell::new(None),
         }
@@ -203,7 +203,7 @@
 
     /// Records how many tokens of output have arrived.
     pub(crate) fn record_output(&self, tokens: u32) {
-        self.memory.record_output(tokens);
+        self.reservation.record_output(tokens);
     }
 
     /// Records that the engine has completed the request, if its response had begun.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,7 @@
 mod follow;
 mod freshness;
 mod held_bytes;
-mod held_memory;
+
 mod leader;
 mod listen;
 mod members;
@@ -41,6 +41,7 @@
 mod shared;
 mod shutdown;
 mod state;
+mod token_reservation;
 mod versions;
 
 pub use features::{Features, UnknownFeature};
--- a/crates/gateway/src/peers/datagrams.rs
+++ b/crates/gateway/src/peers/datagrams.rs
@@ -206,7 +206,7 @@
         }
         Datagram::Held(engine, start, id, tokens) => {
             let Some(engine) = engines.observe_start(&engine, start) else { return };
-            engine.held_memory.set_from_peer(id, tokens, now);
+            engine.held_tokens.set_from_peer(id, tokens, now);
         }
         Datagram::InFlight(..)
         | Datagram::StreamBegan(_)
--- a/crates/gateway/src/held_memory.rs
+++ b/crates/gateway/src/token_reservation.rs
@@ -1,4 +1,4 @@
-//! Memory that a request of this node holds at an engine.
+//! The memory of an engine that a request of this node holds there, in tokens.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -8,8 +8,8 @@
 use crate::peers::Datagram;
 use crate::shared::Node;
 
-/// Memory held at an engine, until dropped.
-pub(crate) struct HeldMemory {
+/// Counts the tokens that a request holds at an engine until dropped.
+pub(crate) struct TokenReservation {
     node: Node,
     engine: EngineId,
     /// Start time of the engine process that the request was sent to.
@@ -19,7 +19,7 @@
     tokens: Cell<u32>,
 }
 
-impl HeldMemory {
+impl TokenReservation {
     /// Counts the memory of a request that is sent to an engine.
     pub(crate) fn reserve(
         node: &Node,
@@ -27,8 +27,8 @@
         started_at: StartTime,
         request_id: &str,
         request: RequestMemory,
-    ) -> HeldMemory {
-        let memory = HeldMemory {
+    ) -> TokenReservation {
+        let reservation = TokenReservation {
             node: Rc::clone(node),
             engine: engine.clone(),
             started_at,
@@ -36,8 +36,8 @@
             request,
             tokens: Cell::new(0),
         };
-        memory.record_output(0);
-        memory
+        reservation.record_output(0);
+        reservation
     }
 
     /// Records how many tokens of output have arrived.
@@ -53,14 +53,14 @@
         if let Some(engine) = self.node.state.borrow_mut().engines.get_mut(&self.engine)
             && !self.started_at.is_before(engine.info.started_at)
         {
-            engine.held_memory.replace_own(previous, tokens);
+            engine.held_tokens.replace_own(previous, tokens);
         }
         let held = Datagram::Held(self.engine.clone(), self.started_at, self.id, tokens);
         self.node.peer_socket.broadcast(&self.node, &held);
     }
 }
 
-impl Drop for HeldMemory {
+impl Drop for TokenReservation {
     fn drop(&mut self) {
         self.set(0);
     }
