Keep the speed of an engine until it is listed, and forget ended engines at the leader

A new node that gets the list of engines in parts dropped rows of engines that came later, and would get them again only after a change of a tenth; a leader never forgot engines that had ended. Found by reading; the new test fails on the code before (the row is gone). Rows now keep exact means: 1.4 calls of 140 ms were sent as one of 140 ms for both.

--- a/crates/direct/src/engine_speed/exchange.rs
+++ b/crates/direct/src/engine_speed/exchange.rs
@@ -26,7 +26,7 @@
 
 /// Error at least of an engine that was never published, which nodes without other knowledge need for the mean of the
 /// service.
-const NEWS_ERROR: f64 = 1.0;
+const UNPUBLISHED_ERROR: f64 = 1.0;
 
 /// Part of the mean below which differences in pauses do not matter: both engines are good.
 const NEGLIGIBLE_PAUSES: f64 = 0.2;
@@ -42,6 +42,10 @@
     published_at: Millis,
 }
 
+/// Time for which the speed of an engine that is not listed is kept: a new node gets the list in parts, and may learn of
+/// the speed first.
+const UNLISTED_TTL: Millis = 10_000;
+
 impl SpeedExchange {
     /// The exchange of a process with this identifier, which is not 0.
     pub fn new(process_id: u64) -> SpeedExchange {
@@ -87,10 +91,10 @@
             let mean = means.entry(service).or_insert_with(|| mean_speed(engines, service));
             let known = mean.estimate(engine.speed.known().at(now));
             let published = self.published.get(&engine.key()).map(|sums| sums.at(now));
-            let is_news = published.is_none() && engine.speed.is_known(now);
+            let is_unpublished = published.is_none() && engine.speed.is_known(now);
             let published = mean.estimate(published.unwrap_or_default());
             let error = difference(&known, &published, mean);
-            let error = if is_news { error.max(NEWS_ERROR) } else { error };
+            let error = if is_unpublished { error.max(UNPUBLISHED_ERROR) } else { error };
             if error > MIN_CHANGE {
                 errors.push((error, engine));
             }
@@ -126,14 +130,15 @@
     }
 
     /// Forgets engines that have ended, and completes engines that were listed after they were published.
-    pub fn maintain(&mut self, engines: &mut Engines) {
+    pub fn maintain(&mut self, engines: &mut Engines, now: Millis) {
         let changed = &mut self.changed;
-        self.published.retain(|key, _| {
-            let is_listed = engines.contains_key(*key);
-            if !is_listed {
+        self.published.retain(|key, sums| {
+            let is_kept =
+                engines.contains_key(*key) || now.saturating_sub(sums.updated_at()) < UNLISTED_TTL;
+            if !is_kept {
                 changed.forget(key);
             }
-            is_listed
+            is_kept
         });
         for (key, sums) in &self.published {
             let engine = engines.by_key(*key);
--- a/crates/direct/src/engine_speed/sums.rs
+++ b/crates/direct/src/engine_speed/sums.rs
@@ -75,6 +75,11 @@
         self.sums.times((-age / HALF_LIFE_MS).exp2())
     }
 
+    /// When they last changed.
+    pub fn updated_at(&self) -> Millis {
+        self.updated_at
+    }
+
     /// The sums with the weight that they had when they last changed. Their ratios are the same.
     pub fn latest(&self) -> SpeedSums {
         self.sums
@@ -87,14 +92,17 @@
 
 impl SpeedRow {
     pub fn of(key: EngineKey, sums: SpeedSums) -> SpeedRow {
-        let whole = |figure: f64| figure.round() as u32;
+        // Rounded counts keep the means exact: a fraction of a call would else look slow, or fast.
+        let scaled = |sum: f64, count: f64| {
+            if count > 0.0 { (sum / count * count.round()).round() as u32 } else { 0 }
+        };
         SpeedRow(
             key,
-            whole(sums.events),
-            whole(sums.event_ms),
-            whole(sums.pauses * PAUSE_SCALE),
-            whole(sums.calls),
-            whole(sums.call_ms),
+            sums.events.round() as u32,
+            scaled(sums.event_ms, sums.events),
+            scaled(sums.pauses * PAUSE_SCALE, sums.events),
+            sums.calls.round() as u32,
+            scaled(sums.call_ms, sums.calls),
         )
     }
 
--- a/crates/direct/tests/engine_speed.rs
+++ b/crates/direct/tests/engine_speed.rs
@@ -345,6 +345,23 @@
     assert_eq!(choose(true), choose(false));
 }
 
+/// Guards against a new node that gets the list of engines in parts and forgets the speeds of those that come later, and
+/// against one that keeps the speeds of engines that are gone.
+#[test]
+fn speed_of_an_engine_is_kept_until_the_engine_is_listed() {
+    let mut exchange = SpeedExchange::new(1);
+    let sums = SpeedSums { events: 500.0, event_ms: 40_000.0, ..SpeedSums::default() };
+    let mut listed = Engines::default();
+    exchange.apply(&[SpeedRow::of(key(0), sums)], &mut listed, 1_000);
+    exchange.maintain(&mut listed, 2_000);
+    let mut listed = fleet(1);
+    exchange.maintain(&mut listed, 3_000);
+    assert!(listed.by_key(key(0)).unwrap().speed.is_known(3_000));
+    exchange.maintain(&mut Engines::default(), 20_000);
+    let (_, rows) = exchange.rows_since(ChangePosition::default(), 20_000);
+    assert!(rows.is_empty());
+}
+
 /// Guards against messages that grow with nodes, engines or requests.
 #[test]
 fn messages_about_speeds_are_bounded() {
--- a/crates/gateway/src/engine_speed.rs
+++ b/crates/gateway/src/engine_speed.rs
@@ -112,27 +112,29 @@
 }
 
 /// What the leader has published after `seen`, and the position; none if there is nothing.
-pub(crate) fn news_since(
+pub(crate) fn published_since(
     node: &Node,
     seen: ChangePosition,
 ) -> Option<(ChangePosition, Vec<SpeedRow>)> {
     let now = node.now();
     let mut speeds = node.engine_speeds.borrow_mut();
     if node.leadership.borrow().is_leader() {
+        let engines = &mut node.state.borrow_mut().engines;
         speeds.discard_unreported();
-        speeds.publish(&node.state.borrow().engines, now);
+        speeds.maintain(engines, now);
+        speeds.publish(engines, now);
     }
     let (position, rows) = speeds.rows_since(seen, now);
     (!rows.is_empty()).then_some((position, rows))
 }
 
 /// Applies what the node that this one polls has published. Engines that are new in the list get what is known.
-pub(crate) fn apply_news(node: &Node, rows: &[SpeedRow]) {
+pub(crate) fn apply_published(node: &Node, rows: &[SpeedRow]) {
     if !node.settings.borrow().features.engine_speed {
         return;
     }
     let (now, engines) = (node.now(), &mut node.state.borrow_mut().engines);
     let mut speeds = node.engine_speeds.borrow_mut();
     speeds.apply(rows, engines, now);
-    speeds.maintain(engines);
+    speeds.maintain(engines, now);
 }
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -47,7 +47,7 @@
         crashes_seen,
         engine_limits,
         limits_seen,
-        speeds: engine_speed::news_since(node, request.speeds_seen),
+        speeds: engine_speed::published_since(node, request.speeds_seen),
         overload: overload::update_for(node, request.overload_digest),
         knows_blocked_requests: node.knows_blocked_requests.get() && sends_all_states,
         leader: node.leadership.borrow().leader.clone(),
