--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -175,6 +175,10 @@
     }
 }
 
+/// Time between events, as a multiple of the mean of the service, above which an engine does not end a
+/// subset: a node whose first engines are all slow would else use slow ones only.
+const MAX_SLOWNESS: f64 = 1.1;
+
 /// Retry time while engines are full.
 const FULL_RETRY: Duration = Duration::from_millis(250);
 
@@ -231,9 +235,9 @@
     let mut reason = NoEngine::NoneAvailable;
     let mut best: Option<((bool, bool), Choice)> = None;
     let mean_speed = params.speed_needs.map(|_| mean_speed(engines, params.service));
-    let streams_by_speed = params.speed_needs.is_some_and(|needs| needs.events.is_some())
-        && mean_speed.is_some_and(|mean| mean.knows_events());
-    let considered = Considered::new(engines, params, streams_by_speed, now);
+    let is_stream = params.speed_needs.is_some_and(|needs| needs.events.is_some());
+    let stream_speed = mean_speed.as_ref().filter(|mean| is_stream && mean.knows_events());
+    let considered = Considered::new(engines, params, stream_speed, now);
     let session = params.prompt.map(session_key);
     let mean_load = mean_load(engines, params.service, now);
     let overstatement = LazyCell::new(|| overstatement(engines, params.service, now));
@@ -358,7 +362,7 @@
     fn new(
         engines: &Engines,
         params: &ChoiceParams<'a>,
-        by_speed: bool,
+        stream_speed: Option<&MeanSpeed>,
         now: Millis,
     ) -> Considered<'a> {
         if params.nodes <= MAX_NODES_FULL_SCAN {
@@ -370,7 +374,10 @@
         let candidates = candidates.filter(|e| model_ref.is_none_or(|m| e.has_loaded(m)));
         if let Some(subset) = params.subset {
             let untried = candidates.filter(|e| !params.tried.contains(&e.info.id));
-            let is_busy = |engine: &Engine| delays_streams(engine, params, now);
+            let is_slow = |engine: &Engine| {
+                stream_speed.is_some_and(|mean| mean.slowness(&engine.speed, now) > MAX_SLOWNESS)
+            };
+            let is_busy = |engine: &Engine| delays_streams(engine, params, now) || is_slow(engine);
             let session = params.prompt.map(session_key);
             let session_rank =
                 |engine: &Engine| session.map(|key| rendezvous_rank(key, &engine.info.id));
@@ -378,7 +385,7 @@
         }
         let mut randoms: Vec<f64> =
             candidates.map(|e| engine_random(params.random, &e.info.id)).collect();
-        let (share, min) = if by_speed {
+        let (share, min) = if stream_speed.is_some() {
             (CONSIDERED_SHARE_BY_SPEED, MIN_CONSIDERED_BY_SPEED)
         } else {
             (CONSIDERED_SHARE, MIN_CONSIDERED)
