Report no counts while overload control is off, and none twice

Nodes sent reports that their receivers dropped; a service without engines counted as under pressure; counts of a failed poll were added to later ones and looked like a burst. Found by reading.

--- a/crates/direct/src/overload/report.rs
+++ b/crates/direct/src/overload/report.rs
@@ -107,7 +107,7 @@
     /// Whether so many requests at engines with so many slots are a pressure. Fewer come together by
     /// chance at a service that is well used.
     pub fn is_pressure(in_flight: f64, slots: u32) -> bool {
-        in_flight >= PRESSURE_LOAD * f64::from(slots)
+        slots > 0 && in_flight >= PRESSURE_LOAD * f64::from(slots)
     }
 
     pub fn record_arrival(
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -56,8 +56,12 @@
     }
 }
 
-/// Takes what is due to be reported to the leader.
+/// Takes what is due to be reported to the leader. Counts that do not arrive are lost: added to later ones they would
+/// look like a burst.
 pub(crate) fn take_reports(node: &Node) -> Vec<ServiceReport> {
+    if !node.settings.borrow().features.overload_control {
+        return Vec::new();
+    }
     let now = node.now();
     let mut counts = node.overload.counts.borrow_mut();
     for state in service_states(node) {
@@ -70,7 +74,7 @@
     counts.take_due(now)
 }
 
-/// Takes in the reports of another node, or those of this one that could not be sent.
+/// Applies the reports of another node.
 pub(crate) fn apply_reports(node: &Node, reports: &[ServiceReport]) {
     let now = node.now();
     let is_leader = node.leadership.borrow().is_leader();
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -110,7 +110,6 @@
                         .set(parent == Parent::Leader && error == CallError::Refused);
                     restore_unreported_demand(node, request.demand);
                     engine_speed::restore_report(node, &request.speeds);
-                    overload::apply_reports(node, &request.service_reports);
                     return None;
                 }
             };
@@ -255,7 +254,7 @@
     node.record_leader_update((polled_at + update.waited_ms).saturating_sub(update.data_age_ms));
     apply_placements(node, update.placements);
     // After the list, which may contain new engines.
-    engine_speed::apply_news(node, update.speeds.as_ref().map_or(&[], |(_, rows)| rows));
+    engine_speed::apply_published(node, update.speeds.as_ref().map_or(&[], |(_, rows)| rows));
     apply_loads(node, &update.loads);
     let fence = node.leadership.borrow().leader.as_ref().map(|leader| leader.fence);
     if let Some(fence) = fence {
