Only streams share the room for streams, and bodies count as they arrive

Request bodies above 8 KB made the part of each stream smaller, and six callers that announced 4 MB and sent nothing could use up the room of a small node. Found by reading.

--- a/crates/gateway/src/held_bytes.rs
+++ b/crates/gateway/src/held_bytes.rs
@@ -31,9 +31,10 @@
         }
     }
 
-    pub(crate) fn open_account(&self) -> Arc<Account> {
+    pub(crate) fn open_account(&self, is_stream: bool) -> Arc<Account> {
         Arc::new(Account {
             totals: Arc::clone(&self.0),
+            is_stream,
             bytes: AtomicUsize::new(0),
             freed: Notify::new(),
         })
@@ -51,6 +52,7 @@
 #[derive(Debug)]
 pub(crate) struct Account {
     totals: Arc<Totals>,
+    is_stream: bool,
     bytes: AtomicUsize,
     /// Notified when a part of it is freed.
     pub(crate) freed: Notify,
@@ -76,7 +78,7 @@
     fn add(&self, bytes: usize) {
         self.totals.bytes.fetch_add(bytes, Ordering::Relaxed);
         let before = self.bytes.fetch_add(bytes, Ordering::Relaxed);
-        if before <= MIN_STREAM_BYTES && before + bytes > MIN_STREAM_BYTES {
+        if self.is_stream && before <= MIN_STREAM_BYTES && before + bytes > MIN_STREAM_BYTES {
             self.totals.large_streams.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -84,7 +86,7 @@
     fn remove(&self, bytes: usize) {
         self.totals.bytes.fetch_sub(bytes, Ordering::Relaxed);
         let before = self.bytes.fetch_sub(bytes, Ordering::Relaxed);
-        if before > MIN_STREAM_BYTES && before - bytes <= MIN_STREAM_BYTES {
+        if self.is_stream && before > MIN_STREAM_BYTES && before - bytes <= MIN_STREAM_BYTES {
             self.totals.large_streams.fetch_sub(1, Ordering::Relaxed);
         }
         self.freed.notify_one();
@@ -120,7 +122,7 @@
 
 impl Reservation {
     pub(crate) fn empty(memory: &HeldMemory) -> Reservation {
-        Reservation { account: memory.open_account(), bytes: 0 }
+        Reservation { account: memory.open_account(false), bytes: 0 }
     }
 
     /// Extends it to `bytes` if there is room for that.
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -36,12 +36,10 @@
     max_bytes: usize,
 ) -> Result<(Bytes, Reservation), BodyError> {
     let mut held = Reservation::empty(&node.held_memory);
-    let announced = body.size_hint().lower();
-    if announced > max_bytes as u64 {
+    if body.size_hint().lower() > max_bytes as u64 {
         return Err(BodyError::TooLarge);
     }
     let mut bytes = BytesMut::new();
-    take_room(node, &mut held, announced as usize)?;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return Err(BodyError::Unreadable) };
         let Ok(data) = frame.into_data() else { continue };
--- a/crates/gateway/src/relay/read_ahead.rs
+++ b/crates/gateway/src/relay/read_ahead.rs
@@ -69,7 +69,7 @@
     let node = Rc::clone(&stream.req.node);
     let active = stream.req.active.take();
     let buffer = Rc::new(Buffer::default());
-    let account = node.held_memory.open_account();
+    let account = node.held_memory.open_account(true);
     let filled = fill(stream, Rc::clone(&buffer), account);
     let task = tokio::task::spawn_local(filled).abort_handle();
     ResponseBody::Stream(Box::pin(BufferedStream { buffer, task, _active: active }))
