--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -77,7 +77,9 @@
     /// Returns a connection to an engine, which is kept as long as the engine does if this node's share allows.
     pub(crate) fn put_engine(&self, addr: SocketAddr, conn: Conn, share: IdleShare) {
         let keep_alive = conn.keep_alive_timeout().filter(|_| share.is_long);
-        let max_idle = keep_alive.map_or(SHORT_IDLE, |_| hgw_direct::LONG_IDLE);
+        let max_idle = keep_alive.map_or(SHORT_IDLE, |timeout| {
+            timeout.saturating_sub(EXPIRY_MARGIN).min(hgw_direct::LONG_IDLE)
+        });
         self.insert(addr, conn, share.max_count.min(MAX_IDLE_PER_ADDR), max_idle);
     }
 
