--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -32,9 +32,6 @@
 /// Time after which an engine may have cut off a response that was not read meanwhile: engines wait for some seconds.
 const MIN_UNREAD_TIME: Duration = Duration::from_secs(1);
 
-/// Wait for a piece of a response after which the engine has written it meanwhile; what was written before is read at once.
-const MIN_WRITING_WAIT: Duration = Duration::from_millis(5);
-
 pub(super) async fn serve(mut req: RelayedRequest) -> CallerResponse {
     match start_stream(&mut req, None).await {
         Ok(started) => {
@@ -140,15 +137,10 @@
         let mut waited_since = Instant::now();
         loop {
             self.is_left_unread |= self.read_at.elapsed() >= MIN_UNREAD_TIME;
-            let read_from = Instant::now();
             let read = self.read_chunk().await;
             self.read_at = Instant::now();
             match read {
                 WaitResult::Done(Ok(Some(bytes))) => {
-                    if read_from.elapsed() >= MIN_WRITING_WAIT {
-                        // The engine still writes: it has not cut the response off.
-                        self.is_left_unread = false;
-                    }
                     self.req.record_progress(&self.source);
                     let ready = if self.is_events { self.events.push(bytes) } else { Some(bytes) };
                     if let Some(bytes) = ready {
