--- a/crates/hibiscusgw/tests/platform/slow_readers.rs
+++ b/crates/hibiscusgw/tests/platform/slow_readers.rs
@@ -61,6 +61,7 @@
     wait("the configuration is in force", || {
         metric(&fleet.nodes[node], "hgw_config_version") == Some(2.0)
     });
+    wait("the settings are in force", || !fleet.lines(&lines, SETTINGS_CHANGED).is_empty());
     (node, lines)
 }
 
@@ -157,6 +158,9 @@
     });
 }
 
+/// Event of settings that have changed.
+const SETTINGS_CHANGED: u64 = 1009;
+
 /// Event of an engine whose health changed.
 const ENGINE_JUDGED: u64 = 4007;
 
