--- a/crates/direct/src/demand.rs
+++ b/crates/direct/src/demand.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::decay::decay;
 use crate::{Millis, ModelRef};
 
 /// Half-lives of the two moving averages.
@@ -193,7 +194,3 @@
 fn per_second(average: f64, age: Millis, half_life: f64) -> f64 {
     average * decay(age, half_life) * std::f64::consts::LN_2 * 1000.0 / half_life
 }
-
-fn decay(age: Millis, half_life: f64) -> f64 {
-    0.5_f64.powf(age as f64 / half_life)
-}
--- a/crates/direct/src/engine_speed/sums.rs
+++ b/crates/direct/src/engine_speed/sums.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Millis;
+use crate::decay::decay;
 use crate::in_flight::EngineKey;
 
 /// Time in which observations lose half their weight. Long enough for ten streams at each engine of a service with
@@ -71,8 +72,7 @@
 
     /// The sums with the weight that they have at this time.
     pub fn at(&self, now: Millis) -> SpeedSums {
-        let age = now.saturating_sub(self.updated_at) as f64;
-        self.sums.times((-age / HALF_LIFE_MS).exp2())
+        self.sums.times(decay(now.saturating_sub(self.updated_at), HALF_LIFE_MS))
     }
 
     /// When they last changed.
--- a/crates/direct/src/health.rs
+++ b/crates/direct/src/health.rs
@@ -3,6 +3,7 @@
 use derive_more::Display;
 
 use crate::Millis;
+use crate::decay::decay;
 
 /// Outcome of a request to an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,7 +118,7 @@
 
     /// Expected failure rate.
     pub fn failure_rate(&self, now: Millis) -> f64 {
-        let factor = decay(now.saturating_sub(self.updated_at));
+        let factor = decay(now.saturating_sub(self.updated_at), HALF_LIFE_MS);
         self.failures * factor / (PRIOR_SUCCESSES + (self.successes + self.failures) * factor)
     }
 
@@ -134,13 +135,9 @@
     }
 
     fn decay(&mut self, now: Millis) {
-        let factor = decay(now.saturating_sub(self.updated_at));
+        let factor = decay(now.saturating_sub(self.updated_at), HALF_LIFE_MS);
         self.successes *= factor;
         self.failures *= factor;
         self.updated_at = now;
     }
 }
-
-fn decay(age: Millis) -> f64 {
-    0.5_f64.powf(age as f64 / HALF_LIFE_MS)
-}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,6 +17,7 @@
 mod cursor;
 mod customer;
 mod deadline;
+mod decay;
 mod demand;
 mod engine;
 mod engine_limits;
--- a/crates/direct/src/overload/rate.rs
+++ b/crates/direct/src/overload/rate.rs
@@ -1,6 +1,7 @@
 //! Rates of counted events.
 
 use crate::Millis;
+use crate::decay::decay;
 
 /// Half-lives of the two averages: the fast one shows bursts, the slow one tells customers with few
 /// requests apart.
@@ -63,7 +64,3 @@
     }
     events * std::f64::consts::LN_2 * 1_000.0 / half_life / counted_share
 }
-
-fn decay(age: Millis, half_life: f64) -> f64 {
-    0.5_f64.powf(age as f64 / half_life)
-}
--- a/crates/direct/src/retry_outcomes.rs
+++ b/crates/direct/src/retry_outcomes.rs
@@ -8,6 +8,7 @@
 
 use indexmap::IndexMap;
 
+use crate::decay::decay;
 use crate::{EngineId, Millis, ServiceId};
 
 /// What a failure is put down to before a second attempt.
@@ -87,8 +88,7 @@
 
 impl Counts {
     fn at(self, now: Millis, half_life_ms: f64) -> Counts {
-        let age = now.saturating_sub(self.updated_at) as f64;
-        self.scaled(0.5_f64.powf(age / half_life_ms), now)
+        self.scaled(decay(now.saturating_sub(self.updated_at), half_life_ms), now)
     }
 
     fn scaled(self, factor: f64, now: Millis) -> Counts {
