Forget ended engines when speeds are published, not with each poll

The leader went through all published speeds with each response to a poll, which 79 nodes send a few times a second; once a second is enough.

--- a/crates/direct/src/engine_speed/exchange.rs
+++ b/crates/direct/src/engine_speed/exchange.rs
@@ -79,11 +79,12 @@
     }
 
     /// Publishes, as the leader, the engines about which nodes err most.
-    pub fn publish(&mut self, engines: &Engines, now: Millis) {
+    pub fn publish(&mut self, engines: &mut Engines, now: Millis) {
         if now.saturating_sub(self.published_at) < PUBLISH_INTERVAL {
             return;
         }
         self.published_at = now;
+        self.maintain(engines, now);
         let mut means: IndexMap<&ServiceId, MeanSpeed> = IndexMap::new();
         let mut errors: Vec<(f64, &Engine)> = Vec::new();
         for engine in engines.iter().filter(|e| !e.speed.known().latest().is_empty()) {
--- a/crates/direct/tests/engine_speed.rs
+++ b/crates/direct/tests/engine_speed.rs
@@ -84,7 +84,7 @@
         }
         if parent == 0 {
             to.exchange.discard_unreported();
-            to.exchange.publish(&to.engines, now);
+            to.exchange.publish(&mut to.engines, now);
         }
         let (seen, rows) = to.exchange.rows_since(seen, now);
         let node = &mut nodes[index];
--- a/crates/gateway/src/engine_speed.rs
+++ b/crates/gateway/src/engine_speed.rs
@@ -121,7 +121,6 @@
     if node.leadership.borrow().is_leader() {
         let engines = &mut node.state.borrow_mut().engines;
         speeds.discard_unreported();
-        speeds.maintain(engines, now);
         speeds.publish(engines, now);
     }
     let (position, rows) = speeds.rows_since(seen, now);
