Plain calls choose an engine once

A call that never waits for room chose an engine to find that out, and again to be sent; each stream copied the names of its group although nothing waited. The wait itself is as before, with one time in place of an optional one.

--- a/crates/gateway/src/relay/room.rs
+++ b/crates/gateway/src/relay/room.rs
@@ -28,6 +28,11 @@
 }
 
 impl WaitLimits {
+    /// Whether the request may wait for anything.
+    fn allow_any(&self) -> bool {
+        [RoomReason::PrefillBusy, RoomReason::Full].iter().any(|reason| self.of(*reason).is_some())
+    }
+
     fn of(&self, reason: RoomReason) -> Option<Instant> {
         let until = match reason {
             RoomReason::PrefillBusy => self.prefill,
@@ -45,19 +50,18 @@
             return false;
         }
         let limits = self.wait_limits();
-        let (group, rank) = (self.room_group(), self.room_rank());
+        if !limits.allow_any() {
+            return false;
+        }
         let reason = match self.reason_to_wait(&limits) {
             Some((reason, _)) => reason,
-            None if limits.of(RoomReason::Full).is_some()
-                && self.node.room_queue.goes_behind(&group, rank) =>
-            {
-                RoomReason::Full
-            }
+            None if limits.of(RoomReason::Full).is_some() && self.goes_behind() => RoomReason::Full,
             None => return false,
         };
         if reason == RoomReason::Full {
             overload::record_pressure(&self.node, &self.service);
         }
+        let (group, rank) = (self.room_group(), self.room_rank());
         let ticket = RoomTicket::enter(&self.node, group, rank, reason, self.body.len());
         let Some(ticket) = ticket else { return false };
         self.wait_in_queue(&ticket, &limits, reason).await;
@@ -65,23 +69,22 @@
     }
 
     async fn wait_in_queue(&self, ticket: &RoomTicket, limits: &WaitLimits, reason: RoomReason) {
-        let mut until = limits.of(reason);
-        while let Some(wait_until) = until {
+        let Some(mut until) = limits.of(reason) else { return };
+        while Instant::now() < until {
             if ticket.is_displaced() {
                 return;
             }
             if ticket.is_first() {
                 let Some((reason, until_reason)) = self.reason_to_wait(limits) else { return };
                 ticket.set_reason(reason);
-                until = Some(until_reason);
+                until = until_reason;
             }
-            let check_at = until.unwrap_or(wait_until).min(Instant::now() + CHECK_INTERVAL);
+            let check_at = until.min(Instant::now() + CHECK_INTERVAL);
             if timeout_at(check_at, ticket.notified()).await.is_ok() {
                 let has_more_urgent = ticket.has_more_urgent();
                 let min_delay = if has_more_urgent { MAX_SEND_JITTER } else { Duration::ZERO };
                 sleep(min_delay + MAX_SEND_JITTER.mul_f64(random::<f64>())).await;
             }
-            until = until.filter(|until| Instant::now() < *until);
         }
     }
 
@@ -112,6 +115,12 @@
         Some((reason, limits.of(reason)?))
     }
 
+    /// Whether it has to let another request go first.
+    fn goes_behind(&self) -> bool {
+        let queue = &self.node.room_queue;
+        queue.len() > 0 && queue.goes_behind(&self.room_group(), self.room_rank())
+    }
+
     fn room_group(&self) -> RoomGroup {
         RoomGroup {
             service: self.service.clone(),
