--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -55,9 +55,6 @@
 /// Retry delay after engines rejected a request and no other engine is left.
 pub(super) const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Retry delay while a service has no engine.
-const NO_ENGINE_RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// Share of the route's objective that a request waits for an allowance; the rest is for the
 /// engine.
 const ALLOWANCE_WAIT_SHARE: f64 = 0.5;
@@ -465,30 +462,22 @@
 
     /// Rejects a request that no engine has executed because none could be chosen.
     pub(super) fn refuse_no_engine(&self, reason: NoEngine) -> CallerResponse {
-        let is_unreachable = self.has_failed_path() || self.is_unreachable();
-        let (refusal, retry_after) = match reason {
-            NoEngine::VersionGone if !is_unreachable => {
-                return *self.refuse_for_good(Refusal::StreamVersionGone);
+        match reason {
+            NoEngine::TooLarge => *self.refuse_for_good(Refusal::RequestTooLarge),
+            _ if self.has_failed_path() || self.is_unreachable() => {
+                self.refuse_while(Refusal::EnginesUnreachable, RefusalDuration::Lasting)
             }
-            NoEngine::VersionGone => (Refusal::EnginesUnreachable, NO_ENGINE_RETRY_AFTER),
+            NoEngine::VersionGone => *self.refuse_for_good(Refusal::StreamVersionGone),
             NoEngine::NoneAvailable | NoEngine::PrefillBusy => {
-                (Refusal::NoEngine, NO_ENGINE_RETRY_AFTER)
+                self.refuse_while(Refusal::NoEngine, RefusalDuration::Passing)
             }
-            NoEngine::NotLoaded(retry_after) => (Refusal::ModelNotLoaded, retry_after),
-            NoEngine::TooLarge => return *self.refuse_for_good(Refusal::RequestTooLarge),
-            NoEngine::Full(retry_after) => (Refusal::EnginesFull, retry_after),
-            NoEngine::AtLimit(retry_after) => (Refusal::EnginesAtLimit, retry_after),
-            NoEngine::Resting(retry_after) => (Refusal::EnginesResting, retry_after),
-        };
-        let refusal = if is_unreachable { Refusal::EnginesUnreachable } else { refusal };
-        match refusal {
-            Refusal::EnginesFull => {
+            NoEngine::Full(_) => {
                 overload::record_pressure(&self.node, &self.service);
-                self.refuse_while(refusal, RefusalDuration::Passing)
+                self.refuse_while(Refusal::EnginesFull, RefusalDuration::Passing)
             }
-            Refusal::NoEngine => self.refuse_while(refusal, RefusalDuration::Passing),
-            Refusal::EnginesUnreachable => self.refuse_while(refusal, RefusalDuration::Lasting),
-            _ => self.refuse(refusal, retry_after),
+            NoEngine::NotLoaded(wait) => self.refuse(Refusal::ModelNotLoaded, wait),
+            NoEngine::AtLimit(wait) => self.refuse(Refusal::EnginesAtLimit, wait),
+            NoEngine::Resting(wait) => self.refuse(Refusal::EnginesResting, wait),
         }
     }
 }
