One record of an engine's slots in an attempt, and of features by name; a check of the path in one flow

Two views of the same load were kept apart; names of features stood twice; the check joined its probes in three ways. No change of behaviour.

--- a/crates/direct/src/engine_memory.rs
+++ b/crates/direct/src/engine_memory.rs
@@ -49,11 +49,6 @@
         }
     }
 
-    /// Output tokens that the request is expected to end with.
-    pub fn expected_output(self) -> u32 {
-        self.expected_output
-    }
-
     /// Tokens that it holds, or will hold soon, once this many output tokens have arrived.
     pub fn held(self, output: u32) -> u32 {
         let grown = output.saturating_mul(GROWTH).checked_next_power_of_two().unwrap_or(u32::MAX);
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -29,17 +29,37 @@
     framing: Option<Framing>,
     /// When the request was sent; before that, when it was handed over to be sent.
     sent_at: Cell<Instant>,
-    /// Whether something waited at the engine when it responded, if it said so.
-    has_waiting: Cell<Option<bool>>,
     /// What the stream tells of the engine's speed.
     stream: Cell<StreamObserver>,
     reservation: TokenReservation,
-    /// Whether it had no unused slot when the response began; none before that, or if it does not say.
-    is_full: Option<bool>,
+    /// Use of the engine's slots when the response began; none before that, or if it reports no load.
+    slot_use: Option<SlotUse>,
     /// When the first byte of the response body arrived.
     writing_since: Cell<Option<Instant>>,
 }
 
+/// Use of an engine's slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SlotUse {
+    /// At least one is unused.
+    Unused,
+    Full,
+    /// Requests wait for one.
+    Queued,
+}
+
+impl SlotUse {
+    fn of(load: Load) -> SlotUse {
+        if load.waiting > 0 {
+            SlotUse::Queued
+        } else if load.running >= load.slots {
+            SlotUse::Full
+        } else {
+            SlotUse::Unused
+        }
+    }
+}
+
 impl AttemptGuard {
     /// Counts a request as in flight. `tokens` is the length of its prompt, 0 for a service without
     /// models, and `memory` what it needs at the engine.
@@ -72,10 +92,9 @@
             pending_prefill,
             framing: None,
             sent_at: Cell::new(Instant::now()),
-            has_waiting: Cell::new(None),
             stream: Cell::default(),
             reservation,
-            is_full: None,
+            slot_use: None,
             writing_since: Cell::new(None),
         }
     }
@@ -116,7 +135,6 @@
         if self.engine_restarted() {
             return;
         }
-        self.has_waiting.set(Some(load.waiting > 0));
         let now = self.node.now();
         if let Some(engine) = self.node.state.borrow_mut().engines.get_mut(&self.engine) {
             engine.reported_load = Some((load, now, engine.own_requests));
@@ -155,7 +173,7 @@
 
     /// Records a complete response to a call, which tells the engine's speed if nothing waited there.
     pub(crate) fn record_call(&self) {
-        if self.has_waiting.get() == Some(false) {
+        if self.slot_use.is_some_and(|slots| slots != SlotUse::Queued) {
             let took = self.sent_at.get().elapsed();
             engine_speed::record_call(&self.node, self.engine_key(), took);
         }
@@ -172,7 +190,7 @@
     /// Records that the response begins, which means that the engine has prefilled the prompt.
     pub(crate) fn record_response_start(&mut self, load: Option<Load>, framing: Framing) {
         self.framing = Some(framing);
-        self.is_full = load.map(|load| load.waiting > 0 || load.running >= load.slots);
+        self.slot_use = load.map(SlotUse::of);
         self.record_begin_time();
         let Some(id) = self.pending_prefill.take() else { return };
         let load = load.map(|load| (load.running, load.waiting));
@@ -192,7 +210,7 @@
 
     /// Records how long the engine took to begin the response, unless no slot was left.
     fn record_begin_time(&self) {
-        if self.is_full != Some(false) {
+        if self.is_full() != Some(false) {
             return;
         }
         if let Some(service) = self.service() {
@@ -208,7 +226,7 @@
 
     /// Records that the engine has completed the request, if its response had begun.
     fn record_completion(&self) {
-        if let (Some(is_full), Some(service)) = (self.is_full, self.service()) {
+        if let (Some(is_full), Some(service)) = (self.is_full(), self.service()) {
             overload::record_completion(
                 &self.node,
                 &service,
@@ -218,6 +236,11 @@
         }
     }
 
+    /// Whether the engine had no unused slot when the response began.
+    fn is_full(&self) -> Option<bool> {
+        self.slot_use.map(|slots| slots != SlotUse::Unused)
+    }
+
     fn service(&self) -> Option<ServiceId> {
         self.node.engine(&self.engine, |e| e.info.service.clone())
     }
--- a/crates/gateway/src/engine_path.rs
+++ b/crates/gateway/src/engine_path.rs
@@ -159,15 +159,12 @@
     let is_reached = Cell::new(false);
     let mut first = pin!(run_probes(node, service, first, &is_reached));
     let has_ended = timeout(FIRST_PROBES_TIMEOUT, first.as_mut()).await.is_ok();
-    if !is_reached.get() {
-        let others = run_probes(node, service, others, &is_reached);
-        if has_ended {
-            others.await;
-        } else {
-            join(first, others).await;
-        }
-    } else if !has_ended {
-        first.await;
+    let others = if is_reached.get() { Vec::new() } else { others };
+    let others = run_probes(node, service, others, &is_reached);
+    if has_ended {
+        others.await;
+    } else {
+        join(first, others).await;
     }
     node.engine_path.checked.notify_waiters();
 }
--- a/crates/gateway/src/features.rs
+++ b/crates/gateway/src/features.rs
@@ -44,40 +44,32 @@
     pub name: String,
 }
 
-const NAMES: [&str; 7] = [
-    "engine-speed",
-    "engine-memory",
-    "overload-control",
-    "room-queue",
-    "engine-subsets",
-    "retry-learning",
-    "read-ahead",
+type Feature = fn(&mut Features) -> &mut bool;
+
+const FEATURES: [(&str, Feature); 7] = [
+    ("engine-speed", |features| &mut features.engine_speed),
+    ("engine-memory", |features| &mut features.engine_memory),
+    ("overload-control", |features| &mut features.overload_control),
+    ("room-queue", |features| &mut features.room_queue),
+    ("engine-subsets", |features| &mut features.engine_subsets),
+    ("retry-learning", |features| &mut features.retry_learning),
+    ("read-ahead", |features| &mut features.read_ahead),
 ];
 
 impl Features {
     /// Describes the lists that can be parsed.
     pub fn allowed_names() -> String {
-        format!("a comma-separated list of {}", NAMES.join(", "))
+        let names: Vec<&str> = FEATURES.iter().map(|(name, _)| *name).collect();
+        format!("a comma-separated list of {}", names.join(", "))
     }
 
     /// Switches the parts of a comma-separated list on or off.
     pub fn switch(mut self, names: &str, is_on: bool) -> Result<Features, UnknownFeature> {
         for name in names.split(',').map(str::trim).filter(|name| !name.is_empty()) {
-            *self.feature(name)? = is_on;
+            let feature = FEATURES.iter().find(|(known, _)| *known == name);
+            let (_, feature) = feature.ok_or_else(|| UnknownFeature { name: name.to_owned() })?;
+            *feature(&mut self) = is_on;
         }
         Ok(self)
     }
-
-    fn feature(&mut self, name: &str) -> Result<&mut bool, UnknownFeature> {
-        Ok(match name {
-            "engine-speed" => &mut self.engine_speed,
-            "engine-memory" => &mut self.engine_memory,
-            "overload-control" => &mut self.overload_control,
-            "room-queue" => &mut self.room_queue,
-            "engine-subsets" => &mut self.engine_subsets,
-            "retry-learning" => &mut self.retry_learning,
-            "read-ahead" => &mut self.read_ahead,
-            _ => return Err(UnknownFeature { name: name.to_owned() }),
-        })
-    }
 }
--- a/crates/gateway/src/quotas/mod.rs
+++ b/crates/gateway/src/quotas/mod.rs
@@ -215,16 +215,16 @@
         if let Some(available_in) = available_in {
             return Err(NoAllowance::QuotaExceeded(Duration::from_millis(available_in)));
         }
-        if Instant::now() >= until && quotas.last_response_at.get() > asked_at {
+        if Instant::now() >= until {
+            if quotas.last_response_at.get() <= asked_at {
+                return Err(NoAllowance::NoResponse(NO_ISSUER_RETRY_AFTER));
+            }
             // Others have taken what the issuer granted meanwhile.
             with_account(node, key, |account| {
                 account.record_exhausted(boot_now(), MIN_RETRY_AFTER)
             });
             return Err(NoAllowance::QuotaExceeded(MIN_RETRY_AFTER));
         }
-        if Instant::now() >= until {
-            return Err(NoAllowance::NoResponse(NO_ISSUER_RETRY_AFTER));
-        }
         with_account(node, key, |account| account.add_waiter(request));
         quotas.refill_needed.notify_one();
         // A guard, so that the wait also ends if this future is dropped.
