Log that a request looks for another way as its engine is silent

Streams are cut while engines are silent, and no line told why a stream had left its engine: by which limit, how long the engine and the others of its service had been silent, whether another node had reported it, and where it went. Event 5018 does. No logic is changed.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -49,6 +49,7 @@
 mod retry_time;
 mod room_queue;
 mod route_table;
+mod service_silence;
 mod software_version;
 mod stream_versions;
 pub mod subset;
@@ -109,6 +110,7 @@
     BeginTimes, Entered, RoomGroup, RoomQueue, RoomReason, TicketId, max_room_wait,
 };
 pub use route_table::RouteTable;
+pub use service_silence::ServiceSilence;
 pub use software_version::{SoftwareVersion, VersionKey};
 pub use stream_versions::{BegunStream, StreamKey, StreamVersions};
 pub use text_transfer::{NextStep, PackedTextId, PartialText, SendSlots, TransferSource};
--- a/crates/gateway/src/relay/forward.rs
+++ b/crates/gateway/src/relay/forward.rs
@@ -60,7 +60,7 @@
     }
 
     /// Whether the request should go by way of another node.
-    fn should_forward(&self) -> bool {
+    pub(super) fn should_forward(&self) -> bool {
         if self.is_forwarded || self.tried_forwarders.len() >= MAX_FORWARDS {
             return false;
         }
--- a/crates/gateway/src/relay/outcome.rs
+++ b/crates/gateway/src/relay/outcome.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use hgw_direct::{
-    CrashSubject, EngineId, ModelRef, Refusal, RefusalDuration, VersionKey, retry_time,
+    CrashSubject, EngineId, ModelRef, Refusal, RefusalDuration, ServiceSilence, VersionKey,
+    retry_time,
 };
 use hgw_events::{Event, emit};
 use http::StatusCode;
@@ -17,6 +18,7 @@
 use super::event_timing::EventTiming;
 use super::request::RelayedRequest;
 use super::source::Source;
+use super::wait::ExceededLimit;
 use super::{refuse, refuse_for};
 
 impl RelayedRequest {
@@ -48,6 +50,30 @@
         );
     }
 
+    /// Logs that the request looks for another way, as its engine is silent.
+    pub(super) fn log_silent_engine(&self, engine: &EngineId, exceeded: ExceededLimit) {
+        let now = self.node.now();
+        let silence = ServiceSilence::of(&self.node.state.borrow().engines, &self.service, now);
+        let to = if self.should_forward() { "forwarder" } else { "engine" };
+        emit(
+            Event::EngineSilent,
+            &[
+                ("node", &self.node.settings.borrow().node),
+                ("id", &self.info.id),
+                ("upstream", engine),
+                ("limit", &exceeded.of),
+                ("limit_ms", &exceeded.limit.as_millis()),
+                ("silent_ms", &self.node.time_since_heard(engine).as_millis()),
+                ("reported", &self.node.is_reported_unreachable(engine)),
+                ("waiting", &silence.waiting),
+                ("silent", &silence.silent),
+                ("path", &!self.has_failed_path()),
+                ("to", &to),
+                ("runs", &self.executions),
+            ],
+        );
+    }
+
     /// Builds this node's error response to a request that an engine may have executed.
     pub(super) fn fail(&self, status: StatusCode, reason: &str) -> CallerResponse {
         self.log_failed(status.as_u16(), reason);
--- a/crates/gateway/src/relay/wait.rs
+++ b/crates/gateway/src/relay/wait.rs
@@ -33,6 +33,13 @@
 const HUNG_AFTER_MIN: Duration = Duration::from_millis(450);
 const HUNG_AFTER_MAX: Duration = Duration::from_millis(1_300);
 
+/// What has been silent for too long, and the limit of that.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ExceededLimit {
+    pub(super) of: &'static str,
+    pub(super) limit: Duration,
+}
+
 /// Outcome of waiting for an engine.
 pub(super) enum WaitResult<T> {
     Done(T),
@@ -154,6 +161,12 @@
             if silence >= limit || now - started >= hung {
                 // Leave this engine only if another one can take the request.
                 if self.has_alternative() && self.take_retry() {
+                    let exceeded = if silence >= limit {
+                        ExceededLimit { of: "silence", limit }
+                    } else {
+                        ExceededLimit { of: "response", limit: hung }
+                    };
+                    self.log_silent_engine(engine, exceeded);
                     return WaitResult::Stalled;
                 }
                 return self.unless_engine_restarts(guard, future).await;
