Failing test: streams are cut while all engines of their model are silent

Six nodes as processes, two engines whose links carry nothing for 1.5 s with all connections open, three times; callers stream all the while.

--- a/crates/hibiscusgw/tests/platform/silence.rs
+++ b/crates/hibiscusgw/tests/platform/silence.rs
@@ -1,13 +1,17 @@
 //! Sound engines that are silent for a second or so and go on.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use hgw_standins::client::{Result, Whole};
 use hgw_standins::fleet::EngineSettings;
-use hgw_standins::fleet::deployment::{Fleet, holds, wait};
+use hgw_standins::fleet::deployment::{Fleet, configuration, holds, wait};
 use hgw_standins::link::Condition;
 use http::StatusCode;
+use rustix::process::Signal;
+use serde_json::Value;
 
-use crate::new_fleet;
+use crate::{Stop, new_fleet};
 
 /// A silence that a sound engine may have.
 const SILENCE: Duration = Duration::from_millis(1_200);
@@ -71,3 +75,143 @@
         assert_eq!(answer.status, StatusCode::OK);
     }
 }
+
+/// What is planned while engines are silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Planned {
+    Nothing,
+    /// A configuration with shorter time-outs comes into force.
+    Configuration,
+    /// Each node is told that its settings have changed.
+    Reload,
+}
+
+/// A silence of engines while streams run there.
+struct Silence {
+    nodes: usize,
+    /// Engines, all of which have the model `n`; only the first has the model `m` as well.
+    engines: usize,
+    /// Those of them that are silent, the first one among them.
+    silent: usize,
+    millis: u64,
+    planned: Planned,
+}
+
+/// Callers that a node has more than the one before, by turns of three.
+const CALLERS_PER_NODE: usize = 4;
+
+/// Events of their streams.
+const EVENTS: u64 = 30;
+
+/// Silences of a play, and the time before each.
+const SILENCES: u64 = 3;
+const BETWEEN_SILENCES: Duration = Duration::from_millis(1_500);
+
+impl Silence {
+    fn start(&self) -> Fleet {
+        let engine = |n: usize| EngineSettings {
+            id: format!("i-{n}"),
+            holds: if n == 0 { holds(&[("m", &[]), ("n", &[])]) } else { holds(&[("n", &[])]) },
+            slots: 64,
+            pause: Duration::from_millis(50),
+            events: EVENTS,
+            ..EngineSettings::default()
+        };
+        let mut fleet = new_fleet((0..self.engines).map(engine).collect());
+        fleet.publish(&self.configuration(2));
+        fleet.start_with_leader(self.nodes, &["a", "b", "c"]);
+        fleet
+    }
+
+    /// A configuration in which no engine has room for another model.
+    fn configuration(&self, version: u64) -> Value {
+        let mut config = configuration(version);
+        config["services"][1]["engine"]["weightsMb"] = 70_000.0.into();
+        config["routes"][2]["timeoutMs"] = (8_000 - version).into();
+        config
+    }
+
+    fn plan(&self, fleet: &Fleet, version: u64) {
+        match self.planned {
+            Planned::Nothing => {}
+            Planned::Configuration => fleet.publish(&self.configuration(version)),
+            Planned::Reload => fleet.nodes.iter().for_each(|node| node.signal(Signal::HUP)),
+        }
+    }
+
+    fn pause(&self, fleet: &Fleet, condition: Condition) {
+        let ways = fleet.engines.iter().zip(&fleet.to_engines);
+        let of_models = ways.filter(|(engine, _)| engine.id().starts_with("i-"));
+        of_models.take(self.silent).for_each(|(_, way)| way.set(condition));
+    }
+
+    /// Returns what callers got who neither got a whole response nor were told that nothing had run.
+    fn play(&self) -> Vec<String> {
+        let (fleet, stop) = (self.start(), AtomicBool::new(false));
+        let call = |node: usize, caller: usize, model: &str| {
+            let mut ends = Vec::new();
+            for n in (0..).take_while(|_| !stop.load(Ordering::Relaxed)) {
+                let id = format!("{model}-{node}-{caller}-{n}");
+                let answer = fleet.nodes[node].stream_of_new_session("/ask/", &id, model);
+                if !is_whole_or_refused(&answer) {
+                    ends.push(format!("{id}: {answer:?}"));
+                }
+            }
+            ends
+        };
+        std::thread::scope(|scope| {
+            let (call, stopping) = (&call, Stop(&stop));
+            let mut callers = Vec::new();
+            for node in 0..self.nodes {
+                // Nodes with few requests at an engine wait for it longer than those with many.
+                for caller in 0..1 + CALLERS_PER_NODE * (node % 3) {
+                    callers.push(scope.spawn(move || call(node, caller, "m")));
+                    callers.push(scope.spawn(move || call(node, caller, "n")));
+                }
+            }
+            for n in 0..SILENCES {
+                std::thread::sleep(BETWEEN_SILENCES);
+                self.plan(&fleet, 3 + n);
+                self.pause(&fleet, Condition::Paused);
+                std::thread::sleep(Duration::from_millis(self.millis));
+                self.pause(&fleet, Condition::Open);
+            }
+            std::thread::sleep(BETWEEN_SILENCES);
+            drop(stopping);
+            callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
+        })
+    }
+}
+
+/// Whether a stream arrived whole, or was refused as it had not run.
+fn is_whole_or_refused(answer: &Result<Whole>) -> bool {
+    let last = format!("id: {EVENTS}\ndata: piece {EVENTS}\n\n");
+    answer.as_ref().is_ok_and(|answer| match answer.status {
+        StatusCode::OK => answer.body.ends_with(&last),
+        status => status == StatusCode::SERVICE_UNAVAILABLE,
+    })
+}
+
+macro_rules! silences {
+    ($($name:ident: $nodes:literal nodes, $silent:literal of $engines:literal silent for $millis:literal ms, $planned:ident;)*) => {$(
+        /// Guards against streams that are cut as their node gives up a silent engine before another one goes on.
+        #[test]
+        fn $name() {
+            let (nodes, engines, silent, millis) = ($nodes, $engines, $silent, $millis);
+            let silence = Silence { nodes, engines, silent, millis, planned: Planned::$planned };
+            let cut = silence.play();
+            assert!(cut.is_empty(), "{} cut: {cut:#?}", cut.len());
+        }
+    )*};
+}
+
+silences! {
+    streams_outlast_a_silence_of_all_engines:
+        3 nodes, 2 of 2 silent for 1_200 ms, Nothing;
+    streams_outlast_a_silence_of_all_engines_beside_configurations:
+        9 nodes, 3 of 3 silent for 1_200 ms, Configuration;
+    streams_outlast_a_silence_of_all_engines_beside_reloads:
+        6 nodes, 2 of 2 silent for 1_500 ms, Reload;
+    streams_outlast_a_silence_of_six_engines_in_ten:
+        6 nodes, 6 of 10 silent for 1_000 ms, Configuration;
+}
