An attempt at a silent engine stays open until another one responds

A stream whose engine was silent closed that connection first and looked for another way after that. Where none took it, nothing was left that could go on. The first stream that left an engine also marked it as not reached; if that was the last engine of a model, all other streams of the model left for other nodes, which refused as the engine was one that had been tried (5018 'forwarder', 5014, 5001).

Now whichever goes on first is kept, before a response begins and within a stream; the other is closed then, which ends its run. If the other way fails, the silent attempt is waited for. A silent engine is no alternative to another one, and the silence of all engines that this node waits for is no evidence against one of them. A request looks for another way again while there is none. What ends a start without a response is a typed reason, so that a stream that goes on is not logged as failed.

--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -40,7 +40,7 @@
     pub prompt: Option<&'a Prompt>,
     /// Failure domain of this node.
     pub domain: &'a str,
-    /// Engines that this request was already sent to.
+    /// Engines that are not chosen, most as this request was already sent to them.
     pub tried: &'a [EngineId],
     /// Number of nodes that send to the same engines.
     pub nodes: u32,
--- a/crates/direct/src/health.rs
+++ b/crates/direct/src/health.rs
@@ -103,7 +103,7 @@
         self.reported_unreachable_until = until;
     }
 
-    /// Another node has reached the engine again.
+    /// The engine has been reached again, by another node, or by this one after a silence.
     pub fn report_reachable(&mut self) {
         self.consecutive_unreachable = 0;
         self.ejected_until = 0;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -110,7 +110,7 @@
     BeginTimes, Entered, RoomGroup, RoomQueue, RoomReason, TicketId, max_room_wait,
 };
 pub use route_table::RouteTable;
-pub use service_silence::ServiceSilence;
+pub use service_silence::{ServiceSilence, is_silent};
 pub use software_version::{SoftwareVersion, VersionKey};
 pub use stream_versions::{BegunStream, StreamKey, StreamVersions};
 pub use text_transfer::{NextStep, PackedTextId, PartialText, SendSlots, TransferSource};
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -115,6 +115,17 @@
             .unwrap_or(false)
     }
 
+    /// Returns once the engine has restarted, which ended this request.
+    pub(crate) async fn wait_for_restart(&self) {
+        loop {
+            let restarted = self.node.engine_restarted.notified();
+            if self.engine_restarted() {
+                return;
+            }
+            restarted.await;
+        }
+    }
+
     /// Records the outcome of the request, unless the engine has restarted since.
     pub(crate) fn record_outcome(&self, outcome: AttemptOutcome) {
         if !self.engine_restarted() {
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hgw_direct::{AttemptOutcome, Engine, EngineId, VersionKey};
+use hgw_direct::{AttemptOutcome, Engine, EngineId, NoEngine, ServiceSilence, VersionKey};
 use hgw_http1::{Conn, Error, Head, Request};
 use tokio::time::Instant;
 
@@ -18,9 +18,12 @@
 use crate::peers;
 use crate::protocol::{ResponseInfo, UpstreamRequest};
 use crate::quotas::{self, Charge, NoAllowance};
-use crate::response::CallerResponse;
 
+use super::forward::ForwardRefusal;
 use super::identity::AuthError;
+use super::open_attempt::{
+    EngineAttempt, EngineHead, Exchanged, LateResponse, OpenAttempt, exchange_with_engine,
+};
 use super::request::RelayedRequest;
 use super::source::Source;
 use super::wait::WaitResult;
@@ -45,8 +48,10 @@
     NotRun,
     /// There is no usable response; the engine may have executed the request.
     NoResponse,
-    /// The engine became unresponsive; a retry has been taken from the retry budget.
-    Stalled,
+    /// Neither an engine nor another node could be chosen.
+    NoEngine(NoEngine),
+    /// The engine is silent; a retry has been taken from the retry budget. The attempt has been counted.
+    Silent(OpenAttempt),
     /// The deadline has passed; the engine may have executed the request.
     TimedOut,
     /// The engine gets as many requests as it takes for this long; no byte of it was sent.
@@ -56,7 +61,7 @@
     /// Another node that was to forward the request has not done so; it has not run there.
     NotForwarded,
     /// Another node refused the request, which has not run, for a reason that holds everywhere.
-    Refused(Box<CallerResponse>),
+    Refused(Box<ForwardRefusal>),
     /// The request may crash engines; no byte of it was sent.
     Withheld(Withheld),
     /// The caller is no longer authorized; no byte of the request was sent.
@@ -66,12 +71,14 @@
 impl AttemptResult {
     pub(super) fn failure_reason(&self) -> Option<&'static str> {
         match self {
-            AttemptResult::Started(_) | AttemptResult::Refused(_) => None,
+            AttemptResult::Started(_)
+            | AttemptResult::Refused(_)
+            | AttemptResult::Silent(_)
+            | AttemptResult::NoEngine(_) => None,
             AttemptResult::NotForwarded => Some("not forwarded"),
             AttemptResult::NotSent => Some("no connection"),
             AttemptResult::NotRun => Some("rejected unrun"),
             AttemptResult::NoResponse => Some("no answer of this request"),
-            AttemptResult::Stalled => Some("silent"),
             AttemptResult::TimedOut => Some("time over"),
             AttemptResult::AtLimit(_) => Some("at its limit"),
             AttemptResult::Unwanted => Some("leaves or rests"),
@@ -89,94 +96,143 @@
         last_event: Option<u64>,
     ) -> AttemptResult {
         let started = Instant::now();
-        let result = self.attempt_unlogged(engine, last_event).await;
+        let result = match self.send_to_engine(engine, last_event).await {
+            Ok(attempt) => self.wait_for_engine(attempt).await,
+            Err(result) => result,
+        };
+        self.log_if_failed(engine, &result, started.elapsed());
+        result
+    }
+
+    fn log_if_failed(&self, engine: &EngineId, result: &AttemptResult, took: Duration) {
         if let Some(reason) = result.failure_reason() {
-            self.log_failed_attempt(engine, reason, started.elapsed());
+            self.log_failed_attempt(engine, reason, took);
         }
-        result
     }
 
-    async fn attempt_unlogged(
+    /// Connects to an engine and begins to send it the request.
+    async fn send_to_engine(
         &mut self,
         engine: &EngineId,
         last_event: Option<u64>,
-    ) -> AttemptResult {
+    ) -> Result<EngineAttempt, AttemptResult> {
         let node = Rc::clone(&self.node);
-        let Some((addr, version)) = node.engine(engine, |e| (e.info.addr, e.version_key())) else {
-            return AttemptResult::NotSent;
-        };
+        let known = node.engine(engine, |e| (e.info.addr, e.version_key()));
+        let (addr, version) = known.ok_or(AttemptResult::NotSent)?;
         self.tried_engines.push(engine.clone());
         self.has_outlived = false;
         let tokens = self.prompt().map_or(0, |prompt| prompt.prompt_tokens);
         let guard = AttemptGuard::start(&node, engine, &self.info.id, tokens, self.memory());
-        let Some(mut conn) = self.connect(engine, addr).await else {
-            return AttemptResult::NotSent;
-        };
-        let permit = match self.permit_to_send(&guard, version).await {
-            Ok(permit) => permit,
+        let conn = self.connect(engine, addr).await.ok_or(AttemptResult::NotSent)?;
+        let charge = match self.permit_to_send(&guard, version).await {
+            Ok(charge) => charge,
             Err(result) => {
                 node.put_engine_connection(engine, addr, conn);
-                return result;
+                return Err(result);
             }
         };
         let req = self.upstream_request(engine, last_event);
         self.set_may_run(true);
-        if let Some(permit) = &permit {
-            permit.set_may_have_run(true);
+        if let Some(charge) = &charge {
+            charge.set_may_have_run(true);
         }
-        let sent_at = engine_limits::record_send(&node, &guard);
-        let is_new = !conn.was_used();
-        let idle = conn.idle_since().elapsed();
-        let response_head = async {
-            conn.send_request(&req).await?;
-            self.read_response_head(&mut conn, &req).await
-        };
-        let result = self.wait_for_first_byte(&guard, response_head).await;
-        match result {
-            WaitResult::Done(Ok((head, info))) => {
-                node.record_response_byte(engine);
-                if is_new {
-                    engine_path::record_reached(&node, engine);
-                } else {
-                    node.pool.record_response(addr, idle);
-                }
-                engine_limits::observe(&node, &guard, &info, sent_at);
-                brittle::observe(&node, &guard, &info, sent_at);
-                engine_notices::observe(&node, &guard, &info, &self.info.id, head.status);
-                let started = self.handle_response_head(engine, version, conn, head, info, guard);
-                started.await
+        let sent_at_ms = engine_limits::record_send(&node, &guard);
+        let idle = conn.was_used().then(|| conn.idle_since().elapsed());
+        Ok(EngineAttempt {
+            engine: engine.clone(),
+            addr,
+            version,
+            guard,
+            exchange: exchange_with_engine(&node, conn, req, self.info.id.clone()),
+            sent_at: Instant::now(),
+            sent_at_ms,
+            idle,
+            _charge: charge,
+            is_counted: false,
+        })
+    }
+
+    /// Waits for the response to an attempt, as long as no other way is taken.
+    async fn wait_for_engine(&mut self, mut attempt: EngineAttempt) -> AttemptResult {
+        let exchange = attempt.exchange.as_mut();
+        match self.wait_for_first_byte(&attempt.guard, exchange).await {
+            WaitResult::Done(exchanged) => self.conclude_exchange(attempt, exchanged).await,
+            WaitResult::EngineRestarted => self.conclude_restarted(&attempt),
+            WaitResult::Stalled => {
+                self.record_silence(&attempt.engine, attempt.idle.map(|idle| (attempt.addr, idle)));
+                self.count_execution();
+                attempt.is_counted = true;
+                AttemptResult::Silent(OpenAttempt::Engine(Box::new(attempt)))
             }
-            WaitResult::Done(Err(e)) => {
-                guard.record_outcome(failure_outcome(&e));
-                node.mark_broken(engine);
-                if is_new {
-                    engine_path::record_failure(&node, engine);
-                } else {
-                    node.pool.record_loss(addr, idle, node.now());
-                    engine_path::start_check_unless_proven(&node, &self.service);
-                }
-                self.executions += 1;
-                self.investigate(&guard).await;
-                AttemptResult::NoResponse
+            WaitResult::TimedOut => {
+                attempt.guard.record_outcome(AttemptOutcome::Failed);
+                self.count_execution();
+                AttemptResult::TimedOut
             }
-            WaitResult::EngineRestarted => {
-                self.executions += 1;
-                self.record_restarted_engine(&guard);
-                AttemptResult::NoResponse
+        }
+    }
+
+    /// Takes in the response to an attempt that was kept open, and logs its failure.
+    pub(super) async fn conclude(&mut self, response: LateResponse) -> AttemptResult {
+        match response {
+            LateResponse::Engine(attempt, exchanged) => {
+                let (engine, sent_at) = (attempt.engine.clone(), attempt.sent_at);
+                self.sent_at.set(Some(sent_at));
+                self.node.record_reachable(&engine);
+                let result = self.conclude_exchange(*attempt, exchanged).await;
+                self.log_if_failed(&engine, &result, sent_at.elapsed());
+                result
             }
-            WaitResult::Stalled => {
-                if !is_new {
-                    node.pool.record_loss(addr, idle, node.now());
+            LateResponse::EngineRestarted(attempt) => {
+                let result = self.conclude_restarted(&attempt);
+                self.log_if_failed(&attempt.engine, &result, attempt.sent_at.elapsed());
+                result
+            }
+            LateResponse::Forwarder(attempt, exchanged) => {
+                self.sent_at.set(Some(attempt.sent_at));
+                self.conclude_forward(attempt, exchanged).await
+            }
+        }
+    }
+
+    fn conclude_restarted(&mut self, attempt: &EngineAttempt) -> AttemptResult {
+        self.count_unless(attempt.is_counted);
+        self.record_restarted_engine(&attempt.guard);
+        AttemptResult::NoResponse
+    }
+
+    async fn conclude_exchange(
+        &mut self,
+        attempt: EngineAttempt,
+        (conn, head): Exchanged<EngineHead>,
+    ) -> AttemptResult {
+        let node = Rc::clone(&self.node);
+        match head {
+            Ok((head, info)) => {
+                node.record_response_byte(&attempt.engine);
+                match attempt.idle {
+                    None => engine_path::record_reached(&node, &attempt.engine),
+                    Some(idle) => node.pool.record_response(attempt.addr, idle),
                 }
-                engine_path::record_failure(&node, engine);
-                self.report_unreachable(engine);
-                self.executions += 1;
-                AttemptResult::Stalled
+                let (guard, sent_at) = (&attempt.guard, attempt.sent_at_ms);
+                engine_limits::observe(&node, guard, &info, sent_at);
+                brittle::observe(&node, guard, &info, sent_at);
+                engine_notices::observe(&node, guard, &info, &self.info.id, head.status);
+                self.handle_response_head(attempt, conn, head, info).await
             }
-            WaitResult::TimedOut => {
-                guard.record_outcome(AttemptOutcome::Failed);
-                self.executions += 1;
-                AttemptResult::TimedOut
+            Err(e) => {
+                attempt.guard.record_outcome(failure_outcome(&e));
+                node.mark_broken(&attempt.engine);
+                match attempt.idle {
+                    None => engine_path::record_failure(&node, &attempt.engine),
+                    Some(idle) => {
+                        node.pool.record_loss(attempt.addr, idle, node.now());
+                        engine_path::start_check_unless_proven(&node, &self.service);
+                    }
+                }
+                self.count_unless(attempt.is_counted);
+                self.investigate(&attempt.guard).await;
+                AttemptResult::NoResponse
             }
         }
     }
@@ -250,6 +306,22 @@
         Ok(())
     }
 
+    /// Records what the silence of an engine says. On a connection that had been idle before, `idle` is its
+    /// address and how long.
+    pub(super) fn record_silence(&self, engine: &EngineId, idle: Option<(SocketAddr, Duration)>) {
+        let (node, now) = (&self.node, self.node.now());
+        let silence = ServiceSilence::of(&node.state.borrow().engines, &self.service, now);
+        if silence.is_common() {
+            engine_path::start_check_unless_proven(node, &self.service);
+            return;
+        }
+        if let Some((addr, idle)) = idle {
+            node.pool.record_loss(addr, idle, now);
+        }
+        engine_path::record_failure(node, engine);
+        self.report_unreachable(engine);
+    }
+
     /// Records that an engine is unreachable or unresponsive, and reports it to the other nodes.
     pub(super) fn report_unreachable(&self, engine: &EngineId) {
         self.node.record_outcome(engine, AttemptOutcome::Unreachable);
@@ -270,37 +342,14 @@
         }
     }
 
-    /// Reads the response head for this request. Late responses to earlier requests on the
-    /// connection are drained and dropped.
-    async fn read_response_head(
-        &self,
-        conn: &mut Conn,
-        req: &Request,
-    ) -> Result<(Head, ResponseInfo), Error> {
-        const MAX_STRAY_RESPONSES: u32 = 3;
-        for _ in 0..MAX_STRAY_RESPONSES {
-            let head = conn.read_head(&req.method).await?;
-            let info = self.node.protocols.upstreams.parse_head(&head);
-            match &info.id {
-                Some(id) if *id != self.info.id => {
-                    let body = hgw_http1::BodyDecoder::new(head.framing);
-                    conn.read_body(body, 1 << 20).await?;
-                }
-                _ => return Ok((head, info)),
-            }
-        }
-        Err(Error::Malformed { what: "too many responses to other requests on the connection" })
-    }
-
     async fn handle_response_head(
         &mut self,
-        engine: &EngineId,
-        version: VersionKey,
+        attempt: EngineAttempt,
         mut conn: Conn,
         head: Head,
         info: ResponseInfo,
-        mut guard: AttemptGuard,
     ) -> AttemptResult {
+        let EngineAttempt { engine, version, mut guard, is_counted, .. } = attempt;
         if let Some(reason) = &info.ignored_load {
             meter::ignored_figure("X-Load", reason);
         }
@@ -310,9 +359,10 @@
         if info.is_rejected || info.is_misdirected {
             self.rejected += 1;
             overload::record_pressure(&self.node, &self.service);
+            self.discount_if(is_counted);
             self.set_may_run(false);
             if info.is_misdirected {
-                self.correct_engine_list(engine, &info);
+                self.correct_engine_list(&engine, &info);
             } else if info.notices.rest.is_none() {
                 guard.record_outcome(AttemptOutcome::Rejected);
             }
@@ -324,7 +374,7 @@
             }
             return AttemptResult::NotRun;
         }
-        self.executions += 1;
+        self.count_unless(is_counted);
         // Without an id the response may belong to another request; a success without a signature
         // does not come from the engine.
         let is_ours = info.id.is_some();
@@ -334,7 +384,6 @@
             return AttemptResult::NoResponse;
         }
         guard.record_response_start(info.load, head.framing);
-        let engine = engine.clone();
         let source = Source::Engine(guard);
         AttemptResult::Started(Box::new(StartedResponse { engine, version, conn, head, source }))
     }
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -29,7 +29,7 @@
     loop {
         let started = match start(&mut req, None, failure).await {
             Ok(started) => started,
-            Err(response) => return response,
+            Err(reason) => return req.respond_not_started(reason),
         };
         let engine = started.engine.clone();
         let may_repeat = req.route.kind.may_repeat();
--- a/crates/gateway/src/relay/forward.rs
+++ b/crates/gateway/src/relay/forward.rs
@@ -1,9 +1,10 @@
 //! Sends a request by way of another node while this one reaches no engine for it.
 
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
+use std::pin::Pin;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hgw_direct::{Engine, EngineId, NoEngine, Refusal, VersionKey};
 use hgw_events::{Event, emit};
 use hgw_http1::{BodyDecoder, Conn, Head, Request, end_to_end_headers};
@@ -16,6 +17,7 @@
 use crate::response::{CallerResponse, ResponseBody};
 
 use super::attempt::{AttemptResult, StartedResponse};
+use super::open_attempt::{Exchanged, ForwardAttempt, OpenAttempt, exchange_with_forwarder};
 use super::request::RelayedRequest;
 use super::source::{ForwardGuard, Source};
 use super::wait::WaitResult;
@@ -36,6 +38,13 @@
     Forwarder(SocketAddr),
 }
 
+/// The response of another node that refused a request for a reason that holds everywhere.
+pub(super) struct ForwardRefusal {
+    head: Head,
+    body: Bytes,
+    reason: String,
+}
+
 impl RelayedRequest {
     /// Chooses an engine, or another node if this one reaches none that could run the request.
     pub(super) async fn next_hop(&mut self) -> Result<NextHop, NoEngine> {
@@ -89,7 +98,7 @@
         if self.should_forward() {
             return self.known_forwarder().is_some();
         }
-        !self.has_failed_path() && self.choose_now().is_ok()
+        !self.has_failed_path() && self.choose_replacement().is_ok()
     }
 
     /// Sends the request to another node and logs a failure.
@@ -100,51 +109,79 @@
     ) -> AttemptResult {
         let started = Instant::now();
         self.tried_forwarders.push(addr);
-        let result = self.forward_unlogged(addr, last_event).await;
-        if let Some(reason) = result.failure_reason() {
-            self.log_failed_forward(addr, reason, started.elapsed());
-        }
+        let result = match self.send_to_forwarder(addr, last_event).await {
+            Ok(attempt) => self.wait_for_forward(attempt).await,
+            Err(result) => result,
+        };
+        self.log_if_forward_failed(addr, &result, started.elapsed());
         result
     }
 
-    async fn forward_unlogged(
+    async fn send_to_forwarder(
         &mut self,
         addr: SocketAddr,
         last_event: Option<u64>,
-    ) -> AttemptResult {
+    ) -> Result<ForwardAttempt, AttemptResult> {
         let guard = ForwardGuard::start(&self.node, addr, &self.service);
         let connected = self.node.pool.get(addr, self.node.conn_timeouts());
-        let WaitResult::Done(Ok(mut conn)) = self.within_deadline(connected).await else {
+        let WaitResult::Done(Ok(conn)) = self.within_deadline(connected).await else {
             guard.record_refused();
-            return AttemptResult::NotForwarded;
+            return Err(AttemptResult::NotForwarded);
         };
         if let Err(result) = self.check_sendable() {
             guard.return_connection(conn);
-            return result;
+            return Err(result);
         }
         let req = self.forwarded_request(last_event);
         self.set_may_run(true);
+        let (exchange, sent_at) = (exchange_with_forwarder(conn, req), Instant::now());
+        Ok(ForwardAttempt { guard, exchange, sent_at, is_counted: false })
+    }
+
+    async fn wait_for_forward(&mut self, mut attempt: ForwardAttempt) -> AttemptResult {
         let max_wait = self.max_first_byte_wait();
-        let response_head = self.wait_for_forwarder(max_wait, pin!(conn.round_trip(&req))).await;
-        match response_head {
-            WaitResult::Done(Ok(head)) => self.handle_forwarder(guard, conn, head).await,
-            WaitResult::Done(Err(_)) | WaitResult::EngineRestarted => {
-                guard.record_refused();
-                self.executions += 1;
-                AttemptResult::NoResponse
-            }
+        match self.wait_for_forwarder(max_wait, attempt.exchange.as_mut()).await {
+            WaitResult::Done(exchanged) => self.handle_exchange(attempt, exchanged).await,
             WaitResult::Stalled => {
-                guard.record_refused();
-                self.executions += 1;
-                AttemptResult::Stalled
+                attempt.guard.record_refused();
+                self.count_execution();
+                attempt.is_counted = true;
+                AttemptResult::Silent(OpenAttempt::Forwarder(attempt))
             }
-            WaitResult::TimedOut => {
-                self.executions += 1;
+            WaitResult::TimedOut | WaitResult::EngineRestarted => {
+                self.count_execution();
                 AttemptResult::TimedOut
             }
         }
     }
 
+    /// Takes in the response to an attempt that was kept open, and logs its failure.
+    pub(super) async fn conclude_forward(
+        &mut self,
+        attempt: ForwardAttempt,
+        exchanged: Exchanged<Head>,
+    ) -> AttemptResult {
+        let (addr, sent_at) = (attempt.guard.addr, attempt.sent_at);
+        let result = self.handle_exchange(attempt, exchanged).await;
+        self.log_if_forward_failed(addr, &result, sent_at.elapsed());
+        result
+    }
+
+    async fn handle_exchange(
+        &mut self,
+        attempt: ForwardAttempt,
+        (conn, head): Exchanged<Head>,
+    ) -> AttemptResult {
+        match head {
+            Ok(head) => self.handle_forwarder(attempt, conn, head).await,
+            Err(_) => {
+                attempt.guard.record_refused();
+                self.count_unless(attempt.is_counted);
+                AttemptResult::NoResponse
+            }
+        }
+    }
+
     fn forwarded_request(&self, last_event: Option<u64>) -> Request {
         let forwarded = ForwardedRequest {
             age_ms: self.age().as_millis() as u64,
@@ -170,14 +207,16 @@
     /// Takes in the head of another node's response.
     async fn handle_forwarder(
         &mut self,
-        guard: ForwardGuard,
+        attempt: ForwardAttempt,
         mut conn: Conn,
         mut head: Head,
     ) -> AttemptResult {
+        let ForwardAttempt { guard, is_counted, .. } = attempt;
         let outcome = head.headers.remove(FORWARDED).as_ref().and_then(ForwardOutcome::parse);
+        self.discount_if(is_counted);
         match outcome {
             Some(ForwardOutcome::Engine { engine, version, runs, domain }) => {
-                self.executions += runs.max(1);
+                self.count_executions(runs.max(1));
                 let version = version.or_else(|| self.node.engine(&engine, Engine::version_key));
                 let version = version.unwrap_or(VersionKey::UNKNOWN);
                 if self.version.is_some_and(|bound| bound != version) {
@@ -201,14 +240,14 @@
                     self.record_forwarder_refusal(&guard, &reason);
                     return AttemptResult::NotForwarded;
                 }
-                AttemptResult::Refused(Box::new(self.pass_on_refusal(&head, body, &reason)))
+                AttemptResult::Refused(Box::new(ForwardRefusal { head, body, reason }))
             }
             Some(ForwardOutcome::Failed { runs: 0 }) => {
                 self.set_may_run(false);
                 AttemptResult::NotForwarded
             }
             Some(ForwardOutcome::Failed { runs }) => {
-                self.executions += runs;
+                self.count_executions(runs);
                 AttemptResult::NoResponse
             }
             // A version that forwards nothing, or a node that could not read the head.
@@ -238,8 +277,9 @@
         }
     }
 
-    fn pass_on_refusal(&self, head: &Head, body: bytes::Bytes, reason: &str) -> CallerResponse {
-        self.log_refused_elsewhere(reason);
+    pub(super) fn pass_on_refusal(&self, refusal: ForwardRefusal) -> CallerResponse {
+        let ForwardRefusal { head, body, reason } = refusal;
+        self.log_refused_elsewhere(&reason);
         let mut response = Response::new(ResponseBody::full(body));
         *response.status_mut() =
             StatusCode::from_u16(head.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
@@ -247,9 +287,9 @@
         response
     }
 
-    /// Waits for another node, and gives it up once it has been silent for longer than an engine may be
-    /// there, if the request may go another way.
-    pub(super) async fn wait_for_forwarder<F: Future>(
+    /// Waits for another node until it has been silent for longer than an engine may be there, if the request may go
+    /// another way.
+    pub(super) async fn wait_for_forwarder<F: Future + ?Sized>(
         &self,
         max_silence: Option<Duration>,
         mut future: Pin<&mut F>,
@@ -267,7 +307,8 @@
         self.within_deadline(future).await
     }
 
-    fn log_failed_forward(&self, addr: SocketAddr, reason: &'static str, took: Duration) {
+    fn log_if_forward_failed(&self, addr: SocketAddr, result: &AttemptResult, took: Duration) {
+        let Some(reason) = result.failure_reason() else { return };
         meter::attempt_failed(reason);
         emit(
             Event::ForwardFailed,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod forward;
 mod forwarded;
 mod identity;
+mod open_attempt;
 mod outcome;
 mod read_ahead;
 mod request;
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -13,7 +13,7 @@
     Choice, ChoiceParams, CostWeights, CrashSubject, Deadline, DigestedParts, EngineId,
     FailureCause, MIN_TIME_TO_SEND, MemoryParams, Millis, ModelRef, NoEngine, Prompt,
     RankedSubject, Refusal, RefusalDuration, RequestDigest, RequestMemory, Route, Service,
-    ServiceId, VersionKey, broadcasts_sends, choose_engine, crash_subjects,
+    ServiceId, VersionKey, broadcasts_sends, choose_engine, crash_subjects, is_silent,
 };
 use http::request::Parts;
 use rand::random;
@@ -110,6 +110,10 @@
     pub(super) tried_engines: Vec<EngineId>,
     /// Attempts that an engine may have executed.
     pub(super) executions: u32,
+    /// Whether an attempt has been sent of which it is not yet known whether it counts among those.
+    has_unsettled_attempt: Cell<bool>,
+    /// Attempts at silent engines that are kept open until another one responds.
+    pub(super) silent_attempts: usize,
     /// Attempts that an engine rejected.
     pub(super) rejected: u32,
     /// Attempts that did not reach an engine.
@@ -193,6 +197,8 @@
             deadline_at: received_at + timeout,
             tried_engines: Vec::new(),
             executions: 0,
+            has_unsettled_attempt: Cell::new(false),
+            silent_attempts: 0,
             rejected: 0,
             unreached: 0,
             at_limit: 0,
@@ -235,6 +241,7 @@
     /// Records whether an engine may execute the request from now on. The charge stays once any
     /// engine may have executed it.
     pub(super) fn set_may_run(&self, may_run: bool) {
+        self.has_unsettled_attempt.set(may_run);
         if may_run {
             self.sent_at.set(Some(Instant::now()));
         }
@@ -243,6 +250,37 @@
         }
     }
 
+    /// Counts the latest attempt as one that an engine may have executed.
+    pub(super) fn count_execution(&mut self) {
+        self.has_unsettled_attempt.set(false);
+        self.executions += 1;
+    }
+
+    /// Counts the runs that another node reports.
+    pub(super) fn count_executions(&mut self, runs: u32) {
+        self.has_unsettled_attempt.set(false);
+        self.executions += runs;
+    }
+
+    /// Counts the latest attempt, unless that was done before.
+    pub(super) fn count_unless(&mut self, is_counted: bool) {
+        if !is_counted {
+            self.count_execution();
+        }
+    }
+
+    /// Takes back the count of an attempt that has turned out not to have run.
+    pub(super) fn discount_if(&mut self, is_counted: bool) {
+        self.executions -= u32::from(is_counted);
+    }
+
+    /// Counts an attempt that was cancelled after it had been sent.
+    pub(super) fn count_cancelled_attempt(&mut self) {
+        if self.has_unsettled_attempt.get() {
+            self.count_execution();
+        }
+    }
+
     /// Counts the request for the retry budget and the demand for its model.
     ///
     /// A forwarded request is counted by the node that received it.
@@ -410,9 +448,32 @@
         self.choose_until(self.received_at)
     }
 
+    /// Chooses an engine that could take the place of a silent one: another silent one would be no better.
+    pub(super) fn choose_replacement(&self) -> Result<Choice, NoEngine> {
+        self.choose_excluding(&self.tried_and_silent_engines(), self.received_at)
+    }
+
+    fn tried_and_silent_engines(&self) -> Vec<EngineId> {
+        let (now, state) = (self.node.now(), self.node.state.borrow());
+        let silent = state.engines.of_service(&self.service).filter(|e| is_silent(e, now));
+        let silent = silent.map(|e| e.info.id.clone());
+        self.tried_engines.iter().cloned().chain(silent).collect()
+    }
+
     /// Chooses an engine. Before `wait_until`, fails with `NoEngine::PrefillBusy` if every engine has
     /// too much to prefill.
     pub(super) fn choose_until(&self, wait_until: Instant) -> Result<Choice, NoEngine> {
+        if self.silent_attempts > 0 {
+            return self.choose_excluding(&self.tried_and_silent_engines(), wait_until);
+        }
+        self.choose_excluding(&self.tried_engines, wait_until)
+    }
+
+    fn choose_excluding(
+        &self,
+        excluded: &[EngineId],
+        wait_until: Instant,
+    ) -> Result<Choice, NoEngine> {
         let state = self.node.state.borrow();
         let settings = self.node.settings.borrow();
         let service = state.catalog.as_ref().and_then(|c| c.services.get(&self.service));
@@ -433,7 +494,7 @@
             versions: self.version_rule(admitted.as_deref()),
             prompt: self.prompt(),
             domain: &settings.domain,
-            tried: &self.tried_engines,
+            tried: excluded,
             nodes: state.nodes,
             max_conns,
             has_precedence: self.has_precedence,
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -1,11 +1,12 @@
 //! Where a response comes from: an engine, or a node that forwards the request to one.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use hgw_direct::{AttemptOutcome, ServiceId};
 use hgw_http1::Conn;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use crate::attempt_guard::AttemptGuard;
 use crate::shared::Node;
@@ -109,18 +110,37 @@
     }
 }
 
-impl RelayedRequest {
+impl Source {
     /// Waits for a part of a response until the request's deadline, or until the engine restarts.
     pub(super) async fn wait_for<F: Future>(
         &self,
-        source: &Source,
+        deadline_at: Instant,
         future: F,
     ) -> WaitResult<F::Output> {
-        match source {
-            Source::Engine(guard) => self.unless_engine_restarts(guard, future).await,
-            Source::Forwarder(_) => self.within_deadline(future).await,
+        let restarted = async {
+            match self {
+                Source::Engine(guard) => guard.wait_for_restart().await,
+                Source::Forwarder(_) => pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            done = future => WaitResult::Done(done),
+            () = restarted => WaitResult::EngineRestarted,
+            () = sleep_until(deadline_at) => WaitResult::TimedOut,
         }
     }
+}
+
+impl RelayedRequest {
+    /// The same for this request.
+    pub(super) async fn wait_for<F: Future>(
+        &self,
+        source: &Source,
+        future: F,
+    ) -> WaitResult<F::Output> {
+        source.wait_for(self.deadline_at, future).await
+    }
 
     /// Records that a response ended early, with what was waited for last.
     pub(super) async fn record_broken<T>(&self, source: &Source, last: &WaitResult<T>) {
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -1,5 +1,6 @@
 //! Responses that are streamed event by event.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,7 +20,7 @@
 use super::read_ahead;
 use super::request::RelayedRequest;
 use super::source::Source;
-use super::start::{Failure, start};
+use super::start::{Failure, NotStarted, start};
 use super::wait::WaitResult;
 
 /// Longest gap between two events from an engine that still responds on other connections, as a
@@ -50,7 +51,7 @@
             };
             response
         }
-        Err(response) => response,
+        Err(reason) => req.respond_not_started(reason),
     }
 }
 
@@ -59,7 +60,7 @@
 async fn start_stream(
     req: &mut RelayedRequest,
     last: Option<u64>,
-) -> Result<StartedResponse, CallerResponse> {
+) -> Result<StartedResponse, NotStarted> {
     let mut failure = None;
     loop {
         let started = start(req, last, failure).await?;
@@ -137,7 +138,10 @@
         let mut waited_since = Instant::now();
         loop {
             self.is_left_unread |= self.read_at.elapsed() >= MIN_UNREAD_TIME;
-            let read = self.read_chunk().await;
+            let mut read = self.read_chunk().await;
+            if let WaitResult::Stalled = read {
+                read = self.wait_beside_replacement().await;
+            }
             self.read_at = Instant::now();
             match read {
                 WaitResult::Done(Ok(Some(bytes))) => {
@@ -163,13 +167,7 @@
                     return None;
                 }
                 WaitResult::TimedOut => return Some(self.abort()),
-                WaitResult::Stalled => {
-                    self.record_stalled();
-                    if !self.resume().await {
-                        return Some(self.abort());
-                    }
-                    waited_since = Instant::now();
-                }
+                WaitResult::Stalled => waited_since = Instant::now(),
                 WaitResult::Done(Ok(None) | Err(_)) if self.may_be_cut_unread() => {
                     meter::cut_unread();
                     if !self.resume_unread().await {
@@ -177,10 +175,7 @@
                     }
                 }
                 broken @ (WaitResult::EngineRestarted | WaitResult::Done(Ok(None) | Err(_))) => {
-                    if let Source::Engine(_) = self.source {
-                        self.req.node.mark_broken(&self.engine);
-                    }
-                    self.req.record_broken(&self.source, &broken).await;
+                    self.record_broken(&broken).await;
                     if !self.retry_and_resume().await {
                         return Some(self.abort());
                     }
@@ -231,13 +226,62 @@
             && self.req.info.last_event.is_none()
     }
 
-    fn record_stalled(&self) {
+    /// Records that the response ended early, with what was read last.
+    async fn record_broken<T>(&self, last: &WaitResult<T>) {
+        if let Source::Engine(_) = self.source {
+            self.req.node.mark_broken(&self.engine);
+        }
+        self.req.record_broken(&self.source, last).await;
+    }
+
+    fn record_silence(&self) {
         match &self.source {
-            Source::Engine(_) => self.req.report_unreachable(&self.engine),
+            Source::Engine(_) => self.req.record_silence(&self.engine, None),
             Source::Forwarder(guard) => guard.record_refused(),
         }
     }
 
+    /// Looks for another engine that resumes the stream, while the silent one may go on as well. Returns what came of the
+    /// silent one, or `Stalled` if the stream goes on elsewhere or no other engine was found.
+    async fn wait_beside_replacement(&mut self) -> WaitResult<hgw_http1::Result<Option<Bytes>>> {
+        self.record_silence();
+        let last = self.last_event();
+        let may_end = !self.events.has_partial() && !self.lacks_events();
+        let Some(conn) = &mut self.conn else { return WaitResult::Done(Ok(None)) };
+        self.req.silent_attempts = 1;
+        let (read, started) = {
+            let chunk = conn.read_chunk(&mut self.body);
+            let mut chunk = pin!(self.source.wait_for(self.req.deadline_at, chunk));
+            let mut replacement = pin!(start_stream(&mut self.req, Some(last)));
+            tokio::select! {
+                biased;
+                read = &mut chunk => match read {
+                    read if ends_early(&read, may_end) => (Some(read), Some(replacement.await)),
+                    read => (Some(read), None),
+                },
+                started = &mut replacement => (None, Some(started)),
+            }
+        };
+        self.req.silent_attempts = 0;
+        self.req.count_cancelled_attempt();
+        match (read, started.and_then(resumable)) {
+            (read, Some(started)) => {
+                if let Some(read) = read {
+                    self.record_broken(&read).await;
+                }
+                self.go_on_at(started, last);
+                WaitResult::Stalled
+            }
+            (Some(read), None) => {
+                if let (Source::Engine(_), false) = (&self.source, ends_early(&read, may_end)) {
+                    self.req.node.record_reachable(&self.engine);
+                }
+                read
+            }
+            (None, None) => WaitResult::Stalled,
+        }
+    }
+
     /// Resumes on another engine after the last complete event, if the retry budget allows it.
     async fn retry_and_resume(&mut self) -> bool {
         let req = &mut self.req;
@@ -276,21 +320,28 @@
     async fn resume(&mut self) -> bool {
         // Closes the connection, which ends the request at the previous engine.
         self.conn = None;
+        let last = self.last_event();
+        let started = start_stream(&mut self.req, Some(last)).await;
+        let Some(started) = resumable(started) else { return false };
+        self.go_on_at(started, last);
+        true
+    }
+
+    /// The last complete event that has come.
+    fn last_event(&self) -> u64 {
+        self.events.last_id().or(self.req.info.last_event).unwrap_or(0)
+    }
+
+    /// Takes what follows the event `last` from another engine.
+    fn go_on_at(&mut self, started: StartedResponse, last: u64) {
+        self.req.log_resumed(&self.engine, &started.engine, last);
         self.events.discard_partial();
-        let req = &mut self.req;
-        let last = self.events.last_id().or(req.info.last_event).unwrap_or(0);
-        let started = match start_stream(req, Some(last)).await {
-            Ok(started) if started.head.status == 200 && is_events(&started.head) => started,
-            Ok(_) | Err(_) => return false,
-        };
-        req.log_resumed(&self.engine, &started.engine, last);
         self.body = BodyDecoder::new(started.head.framing);
         self.engine = started.engine;
         self.version = started.version;
         self.conn = Some(started.conn);
         self.source = started.source;
         (self.read_at, self.is_left_unread) = (Instant::now(), false);
-        true
     }
 
     fn finish(&mut self) {
@@ -319,6 +370,20 @@
     }
 }
 
+/// A response that resumes a stream.
+fn resumable(started: Result<StartedResponse, NotStarted>) -> Option<StartedResponse> {
+    started.ok().filter(|started| started.head.status == 200 && is_events(&started.head))
+}
+
+/// Whether a read tells that the response ended before it was complete. It `may_end` if no event is incomplete.
+fn ends_early<E>(read: &WaitResult<Result<Option<Bytes>, E>>, may_end: bool) -> bool {
+    match read {
+        WaitResult::Done(Ok(None)) => !may_end,
+        WaitResult::Done(Err(_)) | WaitResult::EngineRestarted => true,
+        WaitResult::Done(Ok(Some(_))) | WaitResult::TimedOut | WaitResult::Stalled => false,
+    }
+}
+
 fn is_events(head: &Head) -> bool {
     let content_type = head.headers.get(http::header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
     head.status == 200
--- a/crates/gateway/src/relay/wait.rs
+++ b/crates/gateway/src/relay/wait.rs
@@ -21,6 +21,9 @@
 /// The same when another node cannot reach the engine: some node would hear from a healthy one.
 const UNRESPONSIVE_AFTER_PEER_REPORT: Duration = Duration::from_millis(250);
 
+/// Interval at which a request whose engine is silent looks for another way while there is none.
+const ALTERNATIVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Below this number, the requests that this node has in flight at an engine count as few.
 const FEW_REQUESTS: u32 = 3;
 
@@ -43,7 +46,7 @@
 /// Outcome of waiting for an engine.
 pub(super) enum WaitResult<T> {
     Done(T),
-    /// The engine is unresponsive; a retry has been taken from the retry budget.
+    /// The engine is silent; a retry has been taken from the retry budget.
     Stalled,
     /// The engine has restarted, which ended its earlier requests.
     EngineRestarted,
@@ -99,30 +102,23 @@
     }
 
     /// Waits for an engine until the request's deadline or until the engine restarts.
-    pub(super) async fn unless_engine_restarts<F: Future>(
+    async fn unless_engine_restarts<F: Future>(
         &self,
         guard: &AttemptGuard,
         future: F,
     ) -> WaitResult<F::Output> {
-        let mut future = std::pin::pin!(future);
-        loop {
-            let restarted = self.node.engine_restarted.notified();
-            if guard.engine_restarted() {
-                return WaitResult::EngineRestarted;
-            }
-            tokio::select! {
-                biased;
-                done = &mut future => return WaitResult::Done(done),
-                () = restarted => {}
-                () = sleep_until(self.deadline_at) => return WaitResult::TimedOut,
-            }
+        tokio::select! {
+            biased;
+            done = future => WaitResult::Done(done),
+            () = guard.wait_for_restart() => WaitResult::EngineRestarted,
+            () = sleep_until(self.deadline_at) => WaitResult::TimedOut,
         }
     }
 
     /// Waits until the engine has been silent on all connections for a while, or this response for
-    /// `hung`, and the retry budget allows another attempt. If it allows none, keeps waiting:
-    /// silence alone does not end a response.
-    pub(super) async fn unless_unresponsive<F: Future>(
+    /// `hung`, and there is another way that the retry budget allows. Silence does not end the attempt: it stays
+    /// open until another one responds.
+    pub(super) async fn unless_unresponsive<F: Future + ?Sized>(
         &self,
         guard: &AttemptGuard,
         hung: Duration,
@@ -133,6 +129,7 @@
             self.node.engine(engine, |e| e.own_requests).unwrap_or(0) < FEW_REQUESTS;
         let default_limit =
             if has_few_requests { UNRESPONSIVE_AFTER_FEW_REQUESTS } else { UNRESPONSIVE_AFTER };
+        let mut next_check = started;
         loop {
             let limit = if self.node.is_reported_unreachable(engine) {
                 UNRESPONSIVE_AFTER_PEER_REPORT
@@ -141,6 +138,7 @@
             };
             let silence = self.node.time_since_heard(engine).min(started.elapsed());
             let check_at = (Instant::now() + limit.saturating_sub(silence)).min(started + hung);
+            let check_at = check_at.max(next_check);
             let reachability_changed = self.node.reachability_changed.notified();
             let restarted = self.node.engine_restarted.notified();
             if guard.engine_restarted() {
@@ -159,7 +157,6 @@
             }
             let silence = self.node.time_since_heard(engine).min(now - started);
             if silence >= limit || now - started >= hung {
-                // Leave this engine only if another one can take the request.
                 if self.has_alternative() && self.take_retry() {
                     let exceeded = if silence >= limit {
                         ExceededLimit { of: "silence", limit }
@@ -169,7 +166,7 @@
                     self.log_silent_engine(engine, exceeded);
                     return WaitResult::Stalled;
                 }
-                return self.unless_engine_restarts(guard, future).await;
+                next_check = now + ALTERNATIVE_CHECK_INTERVAL;
             }
         }
     }
--- a/crates/gateway/src/shared/engines.rs
+++ b/crates/gateway/src/shared/engines.rs
@@ -153,6 +153,13 @@
         }
     }
 
+    /// Records that a silent engine has gone on.
+    pub(crate) fn record_reachable(&self, engine: &EngineId) {
+        if let Some(engine) = self.state.borrow_mut().engines.get_mut(engine) {
+            engine.health.report_reachable();
+        }
+    }
+
     /// Discards the time of the engine's last byte after a broken connection.
     pub(crate) fn mark_broken(&self, engine: &EngineId) {
         if let Some(engine) = self.state.borrow_mut().engines.get_mut(engine) {
--- a/crates/hibiscusgw/tests/platform/silence.rs
+++ b/crates/hibiscusgw/tests/platform/silence.rs
@@ -7,6 +7,7 @@
 use hgw_standins::fleet::EngineSettings;
 use hgw_standins::fleet::deployment::{Fleet, configuration, holds, wait};
 use hgw_standins::link::Condition;
+use hgw_standins::{Count, Faults, Late};
 use http::StatusCode;
 use rustix::process::Signal;
 use serde_json::Value;
@@ -61,7 +62,7 @@
         pause_all(fleet);
         for stream in streams {
             let answer = stream.join().unwrap().unwrap();
-            assert!(answer.body.ends_with("data: piece 20\n\n"), "{}", answer.body);
+            assert_eq!(answer.body, whole_body(20));
         }
         for call in calls {
             assert_eq!(call.join().unwrap().unwrap().status, StatusCode::OK);
@@ -183,11 +184,15 @@
     }
 }
 
+/// The body of a stream.
+fn whole_body(events: u64) -> String {
+    (1..=events).map(|n| format!("id: {n}\ndata: piece {n}\n\n")).collect()
+}
+
 /// Whether a stream arrived whole, or was refused as it had not run.
 fn is_whole_or_refused(answer: &Result<Whole>) -> bool {
-    let last = format!("id: {EVENTS}\ndata: piece {EVENTS}\n\n");
     answer.as_ref().is_ok_and(|answer| match answer.status {
-        StatusCode::OK => answer.body.ends_with(&last),
+        StatusCode::OK => answer.body == whole_body(EVENTS),
         status => status == StatusCode::SERVICE_UNAVAILABLE,
     })
 }
@@ -215,3 +220,97 @@
     streams_outlast_a_silence_of_six_engines_in_ten:
         6 nodes, 6 of 10 silent for 1_000 ms, Configuration;
 }
+
+/// Two engines of a service, `first` of which a request runs at, both silent until the first goes on.
+struct Pair {
+    fleet: Fleet,
+    node: usize,
+    ids: [&'static str; 2],
+}
+
+impl Pair {
+    /// The second engine is lost after the request has been sent there as well.
+    const LOST_AFTER: Duration = Duration::from_millis(1_400);
+    const SILENCE: Duration = Duration::from_millis(2_000);
+
+    /// Answers that take as long as such a silence.
+    fn late_answers() -> Faults {
+        let ms = Pair::SILENCE.as_millis() as u64;
+        Faults { late_answers: Some(Late { ms, requests: Count::default() }), ..Faults::default() }
+    }
+
+    fn start(ids: [&'static str; 2]) -> Pair {
+        let mut fleet = new_fleet(vec![slow_engine("i-1"), slow_engine("i-2")]);
+        let node = fleet.start("a");
+        Pair { fleet, node, ids }
+    }
+
+    fn set(&self, id: &str, condition: Condition) {
+        let engine = self.fleet.engines.iter().position(|e| e.id() == id).unwrap();
+        self.fleet.to_engines[engine].set(condition);
+    }
+
+    /// Makes both engines silent, unless their answers are late, once the request runs; cuts off the one that it did not
+    /// begin at, and lets the other go on.
+    fn play(&self, request: &str, pauses: bool) {
+        let first = || {
+            let runs =
+                |id: &&'static str| self.fleet.engine(id).record().runs.contains_key(request);
+            self.ids.iter().position(runs)
+        };
+        wait("the request runs", || first().is_some());
+        let (first, second) = (self.ids[first().unwrap()], self.ids[1 - first().unwrap()]);
+        if pauses {
+            [first, second].iter().for_each(|id| self.set(id, Condition::Paused));
+        }
+        std::thread::sleep(Pair::LOST_AFTER);
+        self.set(second, Condition::Refused);
+        std::thread::sleep(Pair::SILENCE - Pair::LOST_AFTER);
+        self.set(first, Condition::Open);
+    }
+}
+
+/// Guards against a stream that is cut as the engine fails by which its silent one was to be replaced.
+#[test]
+fn stream_goes_on_at_its_silent_engine_if_the_other_one_fails() {
+    let pair = Pair::start(["i-1", "i-2"]);
+    std::thread::scope(|scope| {
+        let node = &pair.fleet.nodes[pair.node];
+        let stream = scope.spawn(move || node.stream("/ask/", "s-1", "m"));
+        pair.play("s-1", true);
+        assert_eq!(stream.join().unwrap().unwrap().body, whole_body(20));
+    });
+    assert_eq!(pair.fleet.runs("s-1"), 1);
+}
+
+/// Guards against a call that fails as the engine fails by which its silent one was to be replaced.
+#[test]
+fn call_is_answered_by_its_silent_engine_if_the_other_one_fails() {
+    let pair = Pair::start(["desk-1", "desk-2"]);
+    pair.ids.iter().for_each(|id| pair.fleet.engine(id).fault(&Pair::late_answers()));
+    std::thread::scope(|scope| {
+        let node = &pair.fleet.nodes[pair.node];
+        let call = scope.spawn(move || node.plain("/look/", "c-1"));
+        pair.play("c-1", false);
+        assert_eq!(call.join().unwrap().unwrap().status, StatusCode::OK);
+    });
+    assert_eq!(pair.fleet.runs("c-1"), 2);
+}
+
+/// Guards against engines that work on after another one has taken their place.
+#[test]
+fn silent_engine_is_left_once_another_one_has_begun() {
+    let pair = Pair::start(["i-1", "i-2"]);
+    std::thread::scope(|scope| {
+        let node = &pair.fleet.nodes[pair.node];
+        let stream = scope.spawn(move || node.stream("/ask/", "s-1", "m"));
+        wait("the stream runs", || pair.fleet.runs("s-1") == 1);
+        let runs = |id: &&str| pair.fleet.engine(id).record().runs.contains_key("s-1");
+        let first = pair.ids.into_iter().find(runs).unwrap();
+        pair.set(first, Condition::Paused);
+        wait("the other engine runs it as well", || pair.fleet.runs("s-1") == 2);
+        pair.set(first, Condition::Open);
+        wait("the first engine is left", || pair.fleet.engine(first).is_idle());
+        assert_eq!(stream.join().unwrap().unwrap().body, whole_body(20));
+    });
+}
