The silence of engines counts against them if another one has answered lately

Two lost engines at a node whose other engines had answered everything were taken for a silence that all have in common, as only engines with open requests counted. Now an engine that was heard within 400 ms counts, whether requests wait there or not, and where none was a check of the path by new connections decides.

--- a/crates/direct/tests/service_silence.rs
+++ b/crates/direct/tests/service_silence.rs
@@ -34,8 +34,10 @@
     silence_of_all_is_no_evidence_against_one: [(3, 700), (1, 650), (2, 900)], true;
     /// Guards against a lost engine being used on because others are busy.
     silence_beside_an_engine_that_is_heard_is_evidence: [(3, 700), (1, 650), (2, 30)], false;
-    /// An engine without requests of this node has nothing to send.
-    engines_without_requests_do_not_count: [(3, 700), (0, 10), (0, 9_000)], false;
+    /// Guards against lost engines being used on as the others have answered all that they were asked.
+    silence_beside_an_engine_that_has_answered_is_evidence: [(3, 700), (2, 800), (0, 50)], false;
+    /// An engine that nobody has asked for long says nothing.
+    engine_without_requests_does_not_speak_for_the_others: [(3, 700), (2, 800), (0, 9_000)], true;
     /// Guards against a lost engine being used on by a node with few requests.
     silence_of_a_single_engine_is_evidence: [(1, 900)], false;
     /// A full engine is quiet for a moment while it prefills.
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -18,6 +18,7 @@
 use crate::peers;
 use crate::protocol::{ResponseInfo, UpstreamRequest};
 use crate::quotas::{self, Charge, NoAllowance};
+use crate::shared::Node;
 
 use super::forward::ForwardRefusal;
 use super::identity::AuthError;
@@ -257,7 +258,7 @@
             WaitResult::Done(Ok(conn)) => Some(conn),
             WaitResult::Done(Err(_)) => {
                 engine_path::record_failure(node, engine);
-                self.report_unreachable(engine);
+                report_unreachable(node, engine);
                 None
             }
             WaitResult::Stalled | WaitResult::EngineRestarted | WaitResult::TimedOut => None,
@@ -312,23 +313,14 @@
         let (node, now) = (&self.node, self.node.now());
         let silence = ServiceSilence::of(&node.state.borrow().engines, &self.service, now);
         if silence.is_common() {
-            engine_path::start_check_unless_proven(node, &self.service);
+            tokio::task::spawn_local(report_if_confirmed(Rc::clone(node), engine.clone()));
             return;
         }
         if let Some((addr, idle)) = idle {
             node.pool.record_loss(addr, idle, now);
         }
         engine_path::record_failure(node, engine);
-        self.report_unreachable(engine);
-    }
-
-    /// Records that an engine is unreachable or unresponsive, and reports it to the other nodes.
-    pub(super) fn report_unreachable(&self, engine: &EngineId) {
-        self.node.record_outcome(engine, AttemptOutcome::Unreachable);
-        self.node.mark_broken(engine);
-        if let Some(key) = self.node.engine(engine, Engine::key) {
-            peers::report_unreachable(&self.node, key);
-        }
+        report_unreachable(node, engine);
     }
 
     /// Returns once another node reports that the engine is unreachable, or this one reaches none.
@@ -425,6 +417,25 @@
     }
 }
 
+/// Records that an engine is unreachable or unresponsive, and reports it to the other nodes.
+fn report_unreachable(node: &Node, engine: &EngineId) {
+    node.record_outcome(engine, AttemptOutcome::Unreachable);
+    node.mark_broken(engine);
+    if let Some(key) = node.engine(engine, Engine::key) {
+        peers::report_unreachable(node, key);
+    }
+}
+
+/// Does that once another engine has been reached, unless this one has gone on meanwhile: all may have been silent together.
+async fn report_if_confirmed(node: Node, engine: EngineId) {
+    let since = node.now();
+    let is_confirmed = engine_path::confirm(&node, &engine).await;
+    let is_silent = node.engine(&engine, |e| e.last_heard < since) == Some(true);
+    if is_confirmed && is_silent {
+        report_unreachable(&node, &engine);
+    }
+}
+
 /// What a failed exchange with an engine says of it.
 fn failure_outcome(error: &Error) -> AttemptOutcome {
     match error {
