--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -4,28 +4,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hgw_direct::{AttemptOutcome, Engine, EngineId, NoEngine, ServiceSilence, VersionKey};
-use hgw_http1::{Conn, Error, Head, Request};
+use hgw_direct::{AttemptOutcome, Engine, EngineId, NoEngine, VersionKey};
+use hgw_http1::{Conn, Head, Request};
 use tokio::time::Instant;
 
 use crate::attempt_guard::AttemptGuard;
-use crate::brittle;
 use crate::engine_limits;
-use crate::engine_notices;
 use crate::engine_path;
 use crate::meter;
-use crate::overload;
-use crate::peers;
-use crate::protocol::{ResponseInfo, UpstreamRequest};
+use crate::protocol::UpstreamRequest;
 use crate::quotas::{self, Charge, NoAllowance};
-use crate::shared::Node;
 
 use super::forward::ForwardRefusal;
 use super::identity::AuthError;
-use super::open_attempt::{
-    EngineAttempt, EngineHead, Exchanged, LateResponse, OpenAttempt, exchange_with_engine,
-};
+use super::open_attempt::{EngineAttempt, OpenAttempt, exchange_with_engine};
 use super::request::RelayedRequest;
+use super::silence::report_unreachable;
 use super::source::Source;
 use super::wait::WaitResult;
 use super::withhold::Withheld;
@@ -105,7 +99,7 @@
         result
     }
 
-    fn log_if_failed(&self, engine: &EngineId, result: &AttemptResult, took: Duration) {
+    pub(super) fn log_if_failed(&self, engine: &EngineId, result: &AttemptResult, took: Duration) {
         if let Some(reason) = result.failure_reason() {
             self.log_failed_attempt(engine, reason, took);
         }
@@ -173,71 +167,6 @@
         }
     }
 
-    /// Takes in the response to an attempt that was kept open, and logs its failure.
-    pub(super) async fn conclude(&mut self, response: LateResponse) -> AttemptResult {
-        match response {
-            LateResponse::Engine(attempt, exchanged) => {
-                let (engine, sent_at) = (attempt.engine.clone(), attempt.sent_at);
-                self.sent_at.set(Some(sent_at));
-                self.node.record_reachable(&engine);
-                let result = self.conclude_exchange(*attempt, exchanged).await;
-                self.log_if_failed(&engine, &result, sent_at.elapsed());
-                result
-            }
-            LateResponse::EngineRestarted(attempt) => {
-                let result = self.conclude_restarted(&attempt);
-                self.log_if_failed(&attempt.engine, &result, attempt.sent_at.elapsed());
-                result
-            }
-            LateResponse::Forwarder(attempt, exchanged) => {
-                self.sent_at.set(Some(attempt.sent_at));
-                self.conclude_forward(attempt, exchanged).await
-            }
-        }
-    }
-
-    fn conclude_restarted(&mut self, attempt: &EngineAttempt) -> AttemptResult {
-        self.count_unless(attempt.is_counted);
-        self.record_restarted_engine(&attempt.guard);
-        AttemptResult::NoResponse
-    }
-
-    async fn conclude_exchange(
-        &mut self,
-        attempt: EngineAttempt,
-        (conn, head): Exchanged<EngineHead>,
-    ) -> AttemptResult {
-        let node = Rc::clone(&self.node);
-        match head {
-            Ok((head, info)) => {
-                node.record_response_byte(&attempt.engine);
-                match attempt.idle {
-                    None => engine_path::record_reached(&node, &attempt.engine),
-                    Some(idle) => node.pool.record_response(attempt.addr, idle),
-                }
-                let (guard, sent_at) = (&attempt.guard, attempt.sent_at_ms);
-                engine_limits::observe(&node, guard, &info, sent_at);
-                brittle::observe(&node, guard, &info, sent_at);
-                engine_notices::observe(&node, guard, &info, &self.info.id, head.status);
-                self.handle_response_head(attempt, conn, head, info).await
-            }
-            Err(e) => {
-                attempt.guard.record_outcome(failure_outcome(&e));
-                node.mark_broken(&attempt.engine);
-                match attempt.idle {
-                    None => engine_path::record_failure(&node, &attempt.engine),
-                    Some(idle) => {
-                        node.pool.record_loss(attempt.addr, idle, node.now());
-                        engine_path::start_check_unless_proven(&node, &self.service);
-                    }
-                }
-                self.count_unless(attempt.is_counted);
-                self.investigate(&attempt.guard).await;
-                AttemptResult::NoResponse
-            }
-        }
-    }
-
     /// Takes a pooled connection to an engine or opens one; none if that fails.
     async fn connect(&self, engine: &EngineId, addr: SocketAddr) -> Option<Conn> {
         let node = &self.node;
@@ -307,22 +236,6 @@
         Ok(())
     }
 
-    /// Records what the silence of an engine says. On a connection that had been idle before, `idle` is its
-    /// address and how long.
-    pub(super) fn record_silence(&self, engine: &EngineId, idle: Option<(SocketAddr, Duration)>) {
-        let (node, now) = (&self.node, self.node.now());
-        let silence = ServiceSilence::of(&node.state.borrow().engines, &self.service, now);
-        if silence.is_common() {
-            tokio::task::spawn_local(report_if_confirmed(Rc::clone(node), engine.clone()));
-            return;
-        }
-        if let Some((addr, idle)) = idle {
-            node.pool.record_loss(addr, idle, now);
-        }
-        engine_path::record_failure(node, engine);
-        report_unreachable(node, engine);
-    }
-
     /// Returns once another node reports that the engine is unreachable, or this one reaches none.
     async fn wait_until_reported_unreachable(&self, engine: &EngineId) {
         loop {
@@ -334,71 +247,6 @@
         }
     }
 
-    async fn handle_response_head(
-        &mut self,
-        attempt: EngineAttempt,
-        mut conn: Conn,
-        head: Head,
-        info: ResponseInfo,
-    ) -> AttemptResult {
-        let EngineAttempt { engine, version, mut guard, is_counted, .. } = attempt;
-        if let Some(reason) = &info.ignored_load {
-            meter::ignored_figure("X-Load", reason);
-        }
-        if let Some(load) = info.load {
-            guard.record_load(load);
-        }
-        if info.is_rejected || info.is_misdirected {
-            self.rejected += 1;
-            overload::record_pressure(&self.node, &self.service);
-            self.discount_if(is_counted);
-            self.set_may_run(false);
-            if info.is_misdirected {
-                self.correct_engine_list(&engine, &info);
-            } else if info.notices.rest.is_none() {
-                guard.record_outcome(AttemptOutcome::Rejected);
-            }
-            let body = hgw_http1::BodyDecoder::new(head.framing);
-            if let WaitResult::Done(Ok(_)) =
-                self.within_deadline(conn.read_body(body, 64 << 10)).await
-            {
-                guard.return_connection(conn);
-            }
-            return AttemptResult::NotRun;
-        }
-        self.count_unless(is_counted);
-        // Without an id the response may belong to another request; a success without a signature
-        // does not come from the engine.
-        let is_ours = info.id.is_some();
-        let is_success = (200..300).contains(&head.status);
-        if !is_ours || (is_success && !info.is_signed) {
-            guard.record_outcome(AttemptOutcome::Failed);
-            return AttemptResult::NoResponse;
-        }
-        guard.record_response_start(info.load, head.framing);
-        let source = Source::Engine(guard);
-        AttemptResult::Started(Box::new(StartedResponse { engine, version, conn, head, source }))
-    }
-
-    /// Corrects the engine list: removes the engine if another one answered at its address, or else
-    /// the model that it does not have.
-    fn correct_engine_list(&mut self, engine: &EngineId, info: &ResponseInfo) {
-        let stale = engine.clone();
-        let model_ref = self.model_ref().cloned();
-        let mut state = self.node.state.borrow_mut();
-        if info.engine.as_ref().is_some_and(|answered| answered != engine) {
-            let position = state.engines.get(engine).map(|e| e.info.position).unwrap_or_default();
-            state.engines.remove(engine, position);
-            return;
-        }
-        let (Some(model_ref), Some(engine)) = (&model_ref, state.engines.get_mut(engine)) else {
-            return;
-        };
-        engine.remove_loaded(model_ref);
-        drop(state);
-        self.stale_engine = Some(stale);
-    }
-
     fn upstream_request(&self, engine: &EngineId, last_event: Option<u64>) -> Request {
         let upstream = UpstreamRequest {
             engine,
@@ -416,32 +264,3 @@
         }
     }
 }
-
-/// Records that an engine is unreachable or unresponsive, and reports it to the other nodes.
-fn report_unreachable(node: &Node, engine: &EngineId) {
-    node.record_outcome(engine, AttemptOutcome::Unreachable);
-    node.mark_broken(engine);
-    if let Some(key) = node.engine(engine, Engine::key) {
-        peers::report_unreachable(node, key);
-    }
-}
-
-/// Does that once another engine has been reached, unless this one has gone on meanwhile: all may have been silent together.
-async fn report_if_confirmed(node: Node, engine: EngineId) {
-    let since = node.now();
-    let is_confirmed = engine_path::confirm(&node, &engine).await;
-    let is_silent = node.engine(&engine, |e| e.last_heard < since) == Some(true);
-    if is_confirmed && is_silent {
-        report_unreachable(&node, &engine);
-    }
-}
-
-/// What a failed exchange with an engine says of it.
-fn failure_outcome(error: &Error) -> AttemptOutcome {
-    match error {
-        Error::Connect { .. } => AttemptOutcome::Unreachable,
-        Error::Io(_) | Error::Incomplete | Error::Stalled { .. } | Error::Malformed { .. } => {
-            AttemptOutcome::Failed
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/relay/engine_response.rs
@@ -0,0 +1,165 @@
+//! Takes in what comes of an attempt at an engine: the head of its response, or its failure.
+
+use std::rc::Rc;
+
+use hgw_direct::{AttemptOutcome, EngineId};
+use hgw_http1::{BodyDecoder, Conn, Error, Head};
+
+use crate::brittle;
+use crate::engine_limits;
+use crate::engine_notices;
+use crate::engine_path;
+use crate::meter;
+use crate::overload;
+use crate::protocol::ResponseInfo;
+
+use super::attempt::{AttemptResult, StartedResponse};
+use super::open_attempt::{EngineAttempt, EngineHead, Exchanged, LateResponse};
+use super::request::RelayedRequest;
+use super::source::Source;
+use super::wait::WaitResult;
+
+/// Largest response of an engine that has not run the request.
+const MAX_REJECTION_BYTES: usize = 64 << 10;
+
+impl RelayedRequest {
+    /// Takes in the response to an attempt that was kept open, and logs its failure.
+    pub(super) async fn conclude(&mut self, response: LateResponse) -> AttemptResult {
+        match response {
+            LateResponse::Engine(attempt, exchanged) => {
+                let (engine, sent_at) = (attempt.engine.clone(), attempt.sent_at);
+                self.sent_at.set(Some(sent_at));
+                self.node.record_reachable(&engine);
+                let result = self.conclude_exchange(*attempt, exchanged).await;
+                self.log_if_failed(&engine, &result, sent_at.elapsed());
+                result
+            }
+            LateResponse::EngineRestarted(attempt) => {
+                let result = self.conclude_restarted(&attempt);
+                self.log_if_failed(&attempt.engine, &result, attempt.sent_at.elapsed());
+                result
+            }
+            LateResponse::Forwarder(attempt, exchanged) => {
+                self.sent_at.set(Some(attempt.sent_at));
+                self.conclude_forward(attempt, exchanged).await
+            }
+        }
+    }
+
+    pub(super) fn conclude_restarted(&mut self, attempt: &EngineAttempt) -> AttemptResult {
+        self.count_unless(attempt.is_counted);
+        self.record_restarted_engine(&attempt.guard);
+        AttemptResult::NoResponse
+    }
+
+    pub(super) async fn conclude_exchange(
+        &mut self,
+        attempt: EngineAttempt,
+        (conn, head): Exchanged<EngineHead>,
+    ) -> AttemptResult {
+        let node = Rc::clone(&self.node);
+        match head {
+            Ok((head, info)) => {
+                node.record_response_byte(&attempt.engine);
+                match attempt.idle {
+                    None => engine_path::record_reached(&node, &attempt.engine),
+                    Some(idle) => node.pool.record_response(attempt.addr, idle),
+                }
+                let (guard, sent_at) = (&attempt.guard, attempt.sent_at_ms);
+                engine_limits::observe(&node, guard, &info, sent_at);
+                brittle::observe(&node, guard, &info, sent_at);
+                engine_notices::observe(&node, guard, &info, &self.info.id, head.status);
+                self.handle_response_head(attempt, conn, head, info).await
+            }
+            Err(e) => {
+                attempt.guard.record_outcome(failure_outcome(&e));
+                node.mark_broken(&attempt.engine);
+                match attempt.idle {
+                    None => engine_path::record_failure(&node, &attempt.engine),
+                    Some(idle) => {
+                        node.pool.record_loss(attempt.addr, idle, node.now());
+                        engine_path::start_check_unless_proven(&node, &self.service);
+                    }
+                }
+                self.count_unless(attempt.is_counted);
+                self.investigate(&attempt.guard).await;
+                AttemptResult::NoResponse
+            }
+        }
+    }
+
+    async fn handle_response_head(
+        &mut self,
+        attempt: EngineAttempt,
+        mut conn: Conn,
+        head: Head,
+        info: ResponseInfo,
+    ) -> AttemptResult {
+        let EngineAttempt { engine, version, mut guard, is_counted, .. } = attempt;
+        if let Some(reason) = &info.ignored_load {
+            meter::ignored_figure("X-Load", reason);
+        }
+        if let Some(load) = info.load {
+            guard.record_load(load);
+        }
+        if info.is_rejected || info.is_misdirected {
+            self.rejected += 1;
+            overload::record_pressure(&self.node, &self.service);
+            self.discount_if(is_counted);
+            self.set_may_run(false);
+            if info.is_misdirected {
+                self.correct_engine_list(&engine, &info);
+            } else if info.notices.rest.is_none() {
+                guard.record_outcome(AttemptOutcome::Rejected);
+            }
+            let body = BodyDecoder::new(head.framing);
+            if let WaitResult::Done(Ok(_)) =
+                self.within_deadline(conn.read_body(body, MAX_REJECTION_BYTES)).await
+            {
+                guard.return_connection(conn);
+            }
+            return AttemptResult::NotRun;
+        }
+        self.count_unless(is_counted);
+        // Without an id the response may belong to another request; a success without a signature
+        // does not come from the engine.
+        let is_ours = info.id.is_some();
+        let is_success = (200..300).contains(&head.status);
+        if !is_ours || (is_success && !info.is_signed) {
+            guard.record_outcome(AttemptOutcome::Failed);
+            return AttemptResult::NoResponse;
+        }
+        guard.record_response_start(info.load, head.framing);
+        let source = Source::Engine(guard);
+        AttemptResult::Started(Box::new(StartedResponse { engine, version, conn, head, source }))
+    }
+
+    /// Corrects the engine list: removes the engine if another one answered at its address, or else
+    /// the model that it does not have.
+    fn correct_engine_list(&mut self, engine: &EngineId, info: &ResponseInfo) {
+        let stale = engine.clone();
+        let model_ref = self.model_ref().cloned();
+        let mut state = self.node.state.borrow_mut();
+        if info.engine.as_ref().is_some_and(|answered| answered != engine) {
+            let position = state.engines.get(engine).map(|e| e.info.position).unwrap_or_default();
+            state.engines.remove(engine, position);
+            return;
+        }
+        let (Some(model_ref), Some(engine)) = (&model_ref, state.engines.get_mut(engine)) else {
+            return;
+        };
+        engine.remove_loaded(model_ref);
+        drop(state);
+        self.stale_engine = Some(stale);
+    }
+}
+
+/// What a failed exchange with an engine says of it.
+fn failure_outcome(error: &Error) -> AttemptOutcome {
+    match error {
+        Error::Connect { .. } => AttemptOutcome::Unreachable,
+        Error::Io(_) | Error::Incomplete | Error::Stalled { .. } | Error::Malformed { .. } => {
+            AttemptOutcome::Failed
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/silence.rs
@@ -0,0 +1,50 @@
+//! What this node records when an engine is silent.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hgw_direct::{AttemptOutcome, Engine, EngineId, ServiceSilence};
+
+use crate::engine_path;
+use crate::peers;
+use crate::shared::Node;
+
+use super::request::RelayedRequest;
+
+impl RelayedRequest {
+    /// Records what the silence of an engine says. On a connection that had been idle before, `idle` is its
+    /// address and how long.
+    pub(super) fn record_silence(&self, engine: &EngineId, idle: Option<(SocketAddr, Duration)>) {
+        let (node, now) = (&self.node, self.node.now());
+        let silence = ServiceSilence::of(&node.state.borrow().engines, &self.service, now);
+        if silence.is_common() {
+            tokio::task::spawn_local(report_if_confirmed(Rc::clone(node), engine.clone()));
+            return;
+        }
+        if let Some((addr, idle)) = idle {
+            node.pool.record_loss(addr, idle, now);
+        }
+        engine_path::record_failure(node, engine);
+        report_unreachable(node, engine);
+    }
+}
+
+/// Records that an engine is unreachable or unresponsive, and reports it to the other nodes.
+pub(super) fn report_unreachable(node: &Node, engine: &EngineId) {
+    node.record_outcome(engine, AttemptOutcome::Unreachable);
+    node.mark_broken(engine);
+    if let Some(key) = node.engine(engine, Engine::key) {
+        peers::report_unreachable(node, key);
+    }
+}
+
+/// Does that once another engine has been reached, unless this one has gone on meanwhile: all may have been silent together.
+async fn report_if_confirmed(node: Node, engine: EngineId) {
+    let since = node.now();
+    let is_confirmed = engine_path::confirm(&node, &engine).await;
+    let is_silent = node.engine(&engine, |e| e.last_heard < since) == Some(true);
+    if is_confirmed && is_silent {
+        report_unreachable(&node, &engine);
+    }
+}
