What ends a silence is told by type; the wait for a slow stream is not cut short by a search that found nothing

Found by reading the fix: a search for another engine that found none began the measured pause of the engine anew, and the deadline of a silent stream marked its engine as reachable.

--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hgw_direct::{AttemptOutcome, Engine, EngineId, NoEngine, VersionKey};
-use hgw_http1::{Conn, Head, Request};
+use hgw_http1::{Conn, Framing, Head, Request};
 use tokio::time::Instant;
 
 use crate::attempt_guard::AttemptGuard;
@@ -21,6 +21,7 @@
 use super::request::RelayedRequest;
 use super::silence::report_unreachable;
 use super::source::Source;
+use super::start::NotStarted;
 use super::wait::WaitResult;
 use super::withhold::Withheld;
 
@@ -34,6 +35,23 @@
     pub(super) source: Source,
 }
 
+impl StartedResponse {
+    /// The response if it resumes a stream.
+    pub(super) fn resuming(
+        started: Result<StartedResponse, NotStarted>,
+    ) -> Option<StartedResponse> {
+        started.ok().filter(|started| is_event_stream(&started.head))
+    }
+}
+
+/// Whether a body consists of events.
+pub(super) fn is_event_stream(head: &Head) -> bool {
+    let content_type = head.headers.get(http::header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    head.status == 200
+        && head.framing != Framing::Length(0)
+        && content_type.is_some_and(|t| t.starts_with("text/event-stream"))
+}
+
 /// Outcome of one attempt.
 pub(super) enum AttemptResult {
     Started(Box<StartedResponse>),
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod body;
 mod buffered;
+mod chunk_read;
 mod engine_choice;
 mod engine_response;
 mod event_buffer;
--- a/crates/gateway/src/relay/outcome.rs
+++ b/crates/gateway/src/relay/outcome.rs
@@ -54,6 +54,7 @@
     pub(super) fn log_silent_engine(&self, engine: &EngineId, exceeded: ExceededLimit) {
         let now = self.node.now();
         let silence = ServiceSilence::of(&self.node.state.borrow().engines, &self.service, now);
+        meter::attempt_failed("silent");
         let to = if self.should_forward() { "forwarder" } else { "engine" };
         emit(
             Event::EngineSilent,
--- a/crates/gateway/src/relay/start.rs
+++ b/crates/gateway/src/relay/start.rs
@@ -2,8 +2,6 @@
 //!
 //! An attempt at a silent engine stays open while another one is made: the first to respond is kept, and the others end.
 
-use std::time::Duration;
-
 use hgw_direct::NoEngine;
 use http::StatusCode;
 use tokio::time::{sleep, sleep_until};
@@ -15,11 +13,9 @@
 use super::identity::AuthError;
 use super::open_attempt::SilentAttempts;
 use super::request::{REJECTED_RETRY_AFTER, RelayedRequest};
+use super::wait::ALTERNATIVE_CHECK_INTERVAL;
 use super::withhold::Withheld;
 
-/// Interval at which a request that waits for silent engines looks for another way.
-const ALTERNATIVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-
 /// What the last engine that may have executed the request returned.
 pub(super) enum Failure {
     /// A complete and signed error response.
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use hgw_direct::{AttemptOutcome, EngineId, VersionKey};
-use hgw_http1::{BodyDecoder, Conn, Framing, Head};
+use hgw_http1::{BodyDecoder, Conn, Framing};
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
 use tokio::time::Instant;
@@ -14,7 +14,8 @@
 use crate::meter;
 use crate::response::{BodyAborted, CallerResponse, ResponseBody};
 
-use super::attempt::StartedResponse;
+use super::attempt::{StartedResponse, is_event_stream};
+use super::chunk_read::{ChunkRead, ends_early};
 use super::event_buffer::{EventBuffer, count_events};
 use super::event_timing::EventTiming;
 use super::read_ahead;
@@ -83,6 +84,16 @@
     }
 }
 
+/// How the search for another engine than the silent one ended.
+enum SilenceEnd {
+    /// The silent engine went on, or its response ended.
+    Read(ChunkRead),
+    /// Another engine goes on.
+    Replaced,
+    /// No other engine was found; the silent one is waited for.
+    NotReplaced,
+}
+
 /// A response that is being streamed.
 pub(super) struct ResponseStream {
     pub(super) req: RelayedRequest,
@@ -108,7 +119,7 @@
 impl ResponseStream {
     fn new(req: RelayedRequest, started: StartedResponse) -> ResponseStream {
         let StartedResponse { engine, version, conn, head, source } = started;
-        let is_events = is_events(&head);
+        let is_events = is_event_stream(&head);
         let body = BodyDecoder::new(head.framing);
         let events = EventBuffer::default();
         ResponseStream {
@@ -136,12 +147,13 @@
             return None;
         }
         let mut waited_since = Instant::now();
+        let mut next_read = None;
         loop {
             self.is_left_unread |= self.read_at.elapsed() >= MIN_UNREAD_TIME;
-            let mut read = self.read_chunk().await;
-            if let WaitResult::Stalled = read {
-                read = self.wait_beside_replacement().await;
-            }
+            let read = match next_read.take() {
+                Some(read) => read,
+                None => self.read_chunk().await,
+            };
             self.read_at = Instant::now();
             match read {
                 WaitResult::Done(Ok(Some(bytes))) => {
@@ -167,7 +179,14 @@
                     return None;
                 }
                 WaitResult::TimedOut => return Some(self.abort()),
-                WaitResult::Stalled => waited_since = Instant::now(),
+                WaitResult::Stalled => {
+                    match self.wait_beside_replacement().await {
+                        SilenceEnd::Read(read) => next_read = Some(read),
+                        SilenceEnd::Replaced => waited_since = Instant::now(),
+                        SilenceEnd::NotReplaced => {}
+                    }
+                    self.read_at = Instant::now();
+                }
                 WaitResult::Done(Ok(None) | Err(_)) if self.may_be_cut_unread() => {
                     meter::cut_unread();
                     if !self.resume_unread().await {
@@ -192,7 +211,7 @@
         }
     }
 
-    async fn read_chunk(&mut self) -> WaitResult<hgw_http1::Result<Option<Bytes>>> {
+    async fn read_chunk(&mut self) -> ChunkRead {
         let req = &self.req;
         let Some(conn) = &mut self.conn else { return WaitResult::Done(Ok(None)) };
         let chunk = conn.read_chunk(&mut self.body);
@@ -241,13 +260,14 @@
         }
     }
 
-    /// Looks for another engine that resumes the stream, while the silent one may go on as well. Returns what came of the
-    /// silent one, or `Stalled` if the stream goes on elsewhere or no other engine was found.
-    async fn wait_beside_replacement(&mut self) -> WaitResult<hgw_http1::Result<Option<Bytes>>> {
+    /// Looks for another engine that resumes the stream, while the silent one may go on as well.
+    async fn wait_beside_replacement(&mut self) -> SilenceEnd {
         self.record_silence();
         let last = self.last_event();
         let may_end = !self.events.has_partial() && !self.lacks_events();
-        let Some(conn) = &mut self.conn else { return WaitResult::Done(Ok(None)) };
+        let Some(conn) = &mut self.conn else {
+            return SilenceEnd::Read(WaitResult::Done(Ok(None)));
+        };
         self.req.silent_attempts = 1;
         let (read, started) = {
             let chunk = conn.read_chunk(&mut self.body);
@@ -264,21 +284,21 @@
         };
         self.req.silent_attempts = 0;
         self.req.count_cancelled_attempt();
-        match (read, started.and_then(resumable)) {
+        match (read, started.and_then(StartedResponse::resuming)) {
             (read, Some(started)) => {
                 if let Some(read) = read {
                     self.record_broken(&read).await;
                 }
                 self.go_on_at(started, last);
-                WaitResult::Stalled
+                SilenceEnd::Replaced
             }
             (Some(read), None) => {
-                if let (Source::Engine(_), false) = (&self.source, ends_early(&read, may_end)) {
+                if let (Source::Engine(_), WaitResult::Done(Ok(_))) = (&self.source, &read) {
                     self.req.node.record_reachable(&self.engine);
                 }
-                read
+                SilenceEnd::Read(read)
             }
-            (None, None) => WaitResult::Stalled,
+            (None, None) => SilenceEnd::NotReplaced,
         }
     }
 
@@ -322,7 +342,7 @@
         self.conn = None;
         let last = self.last_event();
         let started = start_stream(&mut self.req, Some(last)).await;
-        let Some(started) = resumable(started) else { return false };
+        let Some(started) = StartedResponse::resuming(started) else { return false };
         self.go_on_at(started, last);
         true
     }
@@ -369,24 +389,3 @@
         (Err(BodyAborted), self)
     }
 }
-
-/// A response that resumes a stream.
-fn resumable(started: Result<StartedResponse, NotStarted>) -> Option<StartedResponse> {
-    started.ok().filter(|started| started.head.status == 200 && is_events(&started.head))
-}
-
-/// Whether a read tells that the response ended before it was complete. It `may_end` if no event is incomplete.
-fn ends_early<E>(read: &WaitResult<Result<Option<Bytes>, E>>, may_end: bool) -> bool {
-    match read {
-        WaitResult::Done(Ok(None)) => !may_end,
-        WaitResult::Done(Err(_)) | WaitResult::EngineRestarted => true,
-        WaitResult::Done(Ok(Some(_))) | WaitResult::TimedOut | WaitResult::Stalled => false,
-    }
-}
-
-fn is_events(head: &Head) -> bool {
-    let content_type = head.headers.get(http::header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
-    head.status == 200
-        && head.framing != Framing::Length(0)
-        && content_type.is_some_and(|t| t.starts_with("text/event-stream"))
-}
--- a/crates/gateway/src/relay/wait.rs
+++ b/crates/gateway/src/relay/wait.rs
@@ -22,7 +22,7 @@
 const UNRESPONSIVE_AFTER_PEER_REPORT: Duration = Duration::from_millis(250);
 
 /// Interval at which a request whose engine is silent looks for another way while there is none.
-const ALTERNATIVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+pub(super) const ALTERNATIVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Below this number, the requests that this node has in flight at an engine count as few.
 const FEW_REQUESTS: u32 = 3;
