The silence of a stream is no failure of the path to new connections

Open connections say nothing of new ones: eight streams that fall silent would have sent their node's requests by way of others.

--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -19,7 +19,7 @@
 use super::identity::AuthError;
 use super::open_attempt::{EngineAttempt, OpenAttempt, exchange_with_engine};
 use super::request::RelayedRequest;
-use super::silence::report_unreachable;
+use super::silence::{Awaited, report_unreachable};
 use super::source::Source;
 use super::start::NotStarted;
 use super::wait::WaitResult;
@@ -172,7 +172,8 @@
             WaitResult::Done(exchanged) => self.conclude_exchange(attempt, exchanged).await,
             WaitResult::EngineRestarted => self.conclude_restarted(&attempt),
             WaitResult::Stalled => {
-                self.record_silence(&attempt.engine, attempt.idle.map(|idle| (attempt.addr, idle)));
+                let awaited = Awaited::Head { addr: attempt.addr, idle: attempt.idle };
+                self.record_silence(&attempt.engine, awaited);
                 self.count_execution();
                 attempt.is_counted = true;
                 AttemptResult::Silent(OpenAttempt::Engine(Box::new(attempt)))
--- a/crates/gateway/src/relay/silence.rs
+++ b/crates/gateway/src/relay/silence.rs
@@ -12,20 +12,30 @@
 
 use super::request::RelayedRequest;
 
+/// What is waited for from a silent engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Awaited {
+    /// The head of a response, on a connection that had been idle for this time, or on a new one.
+    Head { addr: SocketAddr, idle: Option<Duration> },
+    /// The next event of a stream. Its connection says nothing of new ones.
+    Event,
+}
+
 impl RelayedRequest {
-    /// Records what the silence of an engine says. On a connection that had been idle before, `idle` is its
-    /// address and how long.
-    pub(super) fn record_silence(&self, engine: &EngineId, idle: Option<(SocketAddr, Duration)>) {
+    /// Records what the silence of an engine says.
+    pub(super) fn record_silence(&self, engine: &EngineId, awaited: Awaited) {
         let (node, now) = (&self.node, self.node.now());
         let silence = ServiceSilence::of(&node.state.borrow().engines, &self.service, now);
         if silence.is_common() {
             tokio::task::spawn_local(report_if_confirmed(Rc::clone(node), engine.clone()));
             return;
         }
-        if let Some((addr, idle)) = idle {
-            node.pool.record_loss(addr, idle, now);
+        if let Awaited::Head { addr, idle } = awaited {
+            if let Some(idle) = idle {
+                node.pool.record_loss(addr, idle, now);
+            }
+            engine_path::record_failure(node, engine);
         }
-        engine_path::record_failure(node, engine);
         report_unreachable(node, engine);
     }
 }
@@ -39,7 +49,8 @@
     }
 }
 
-/// Does that once another engine has been reached, unless this one has gone on meanwhile: all may have been silent together.
+/// Reports an engine once another one has been reached, unless this one has gone on meanwhile: all may have been silent
+/// together.
 async fn report_if_confirmed(node: Node, engine: EngineId) {
     let since = node.now();
     let is_confirmed = engine_path::confirm(&node, &engine).await;
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -20,6 +20,7 @@
 use super::event_timing::EventTiming;
 use super::read_ahead;
 use super::request::RelayedRequest;
+use super::silence::Awaited;
 use super::source::Source;
 use super::start::{Failure, NotStarted, start};
 use super::wait::WaitResult;
@@ -255,7 +256,7 @@
 
     fn record_silence(&self) {
         match &self.source {
-            Source::Engine(_) => self.req.record_silence(&self.engine, None),
+            Source::Engine(_) => self.req.record_silence(&self.engine, Awaited::Event),
             Source::Forwarder(guard) => guard.record_refused(),
         }
     }
