--- a/crates/hibiscusgw/tests/platform/silence.rs
+++ b/crates/hibiscusgw/tests/platform/silence.rs
@@ -85,6 +85,8 @@
     Configuration,
     /// Each node is told that its settings have changed.
     Reload,
+    /// The nodes may send no request a second time.
+    NoRetries,
 }
 
 /// A silence of engines while streams run there.
@@ -121,6 +123,14 @@
         let mut fleet = new_fleet((0..self.engines).map(engine).collect());
         fleet.publish(&self.configuration(2));
         fleet.start_with_leader(self.nodes, &["a", "b", "c"]);
+        if self.planned == Planned::NoRetries {
+            for node in &fleet.nodes {
+                node.set(
+                    "budgetRatio=0.2\nbounds.budgetSlack=50",
+                    "budgetRatio=0\nbounds.budgetSlack=0",
+                );
+            }
+        }
         fleet
     }
 
@@ -137,6 +147,7 @@
             Planned::Nothing => {}
             Planned::Configuration => fleet.publish(&self.configuration(version)),
             Planned::Reload => fleet.nodes.iter().for_each(|node| node.signal(Signal::HUP)),
+            Planned::NoRetries => {}
         }
     }
 
@@ -217,6 +228,10 @@
         9 nodes, 3 of 3 silent for 1_200 ms, Configuration;
     streams_outlast_a_silence_of_all_engines_beside_reloads:
         6 nodes, 2 of 2 silent for 1_500 ms, Reload;
+    streams_outlast_a_silence_without_retries:
+        3 nodes, 2 of 3 silent for 1_500 ms, NoRetries;
+    streams_outlast_a_silence_behind_hubs:
+        14 nodes, 3 of 4 silent for 1_200 ms, Nothing;
     streams_outlast_a_silence_of_six_engines_in_ten:
         6 nodes, 6 of 10 silent for 1_000 ms, Configuration;
 }
