Log and count callers' connections that a node closes, and whether bytes were unread

Callers saw requests that ended without an answer or a refusal beside changes of the configuration.

The socket of a caller's connection now records why this node closes it, and looks for unread bytes (MSG_PEEK) as it is closed: counter hgw_caller_connections_closed_total by reason and unread, line 1013 if a connection that had been taken is closed with unread bytes. Connections that are refused as they are accepted are counted. When a connection is closed is unchanged.

One system call more for each connection that this node closes.

--- a/crates/gateway/src/caller_listener.rs
+++ b/crates/gateway/src/caller_listener.rs
@@ -1,6 +1,5 @@
 //! Accepts and serves callers' connections.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,9 +12,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::caller_stream::{CallerStream, CloseReason, ConnectionActivity, has_unread_bytes};
 use crate::response::ResponseResult;
 use crate::shared::Node;
-use crate::{listen, relay};
+use crate::{listen, meter, relay};
 
 /// Pause after a failed `accept`: without it the loop would spin while the process is out of file
 /// descriptors.
@@ -35,12 +35,11 @@
             }
         };
         let open = node.shutdown.connections.get();
-        // Above the limit, file descriptors are kept for connections to engines; the load balancer
-        // retries at another node, as it does for what an overloaded node does not read.
-        if open >= node.settings.borrow().max_connections
-            || !node.caller_gate.takes_connection()
-            || listen::set_socket_options(&stream).is_err()
-        {
+        if let Some(reason) = refusal(&node, open) {
+            meter::caller_connection_closed(reason, has_unread_bytes(&stream));
+            continue;
+        }
+        if listen::set_socket_options(&stream).is_err() {
             continue;
         }
         if node.settings.borrow().features.read_ahead && listen::bound_unsent(&stream).is_err() {
@@ -56,17 +55,19 @@
     }
 }
 
-/// Activity on a connection.
-struct ConnectionActivity {
-    open_requests: Cell<u32>,
-    last_active: Cell<Millis>,
+/// Why a new connection is closed before anything is read; none if it is taken. The load balancer retries at
+/// another node.
+fn refusal(node: &Node, open: usize) -> Option<CloseReason> {
+    // Above the limit, file descriptors are kept for connections to engines.
+    if open >= node.settings.borrow().max_connections {
+        return Some(CloseReason::TooMany);
+    }
+    (!node.caller_gate.takes_connection()).then_some(CloseReason::Late)
 }
 
 async fn serve_connection(node: &Node, stream: TcpStream) {
-    let activity = Rc::new(ConnectionActivity {
-        open_requests: Cell::new(0),
-        last_active: Cell::new(node.now()),
-    });
+    let activity = Rc::new(ConnectionActivity::begin(node.now()));
+    let stream = CallerStream::new(stream, Rc::clone(node), Rc::clone(&activity));
     let service = service_fn(|req| handle(Rc::clone(node), Rc::clone(&activity), req));
     let max_head =
         node.state.borrow().catalog.as_ref().map_or(16 << 10, |c| c.limits.max_head_bytes);
@@ -90,6 +91,8 @@
         let is_idle = activity.open_requests.get() == 0 && idle > idle_timeout;
         if !is_shutting_down && (is_idle || node.shutdown.closing.get()) {
             is_shutting_down = true;
+            let reason = if is_idle { CloseReason::Idle } else { CloseReason::Stopping };
+            activity.closed_for.set(Some(reason));
             conn.as_mut().graceful_shutdown();
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod backoff;
 mod brittle;
 mod caller_listener;
+mod caller_stream;
 mod catalog_reads;
 mod clock;
 mod connection_gate;
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -9,6 +9,7 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
+use crate::caller_stream::CloseReason;
 use crate::freshness;
 use crate::overload;
 use crate::protocol::StoreError;
@@ -126,6 +127,13 @@
     counter!("hgw_connections_refused_total").increment(1);
 }
 
+/// Counts a caller's connection that this node closes, by whether bytes were unread then.
+pub(crate) fn caller_connection_closed(reason: CloseReason, is_unread: bool) {
+    let (reason, unread) = (reason.to_string(), is_unread.to_string());
+    counter!("hgw_caller_connections_closed_total", "reason" => reason, "unread" => unread)
+        .increment(1);
+}
+
 /// Counts a connection that a request to an engine uses.
 pub(crate) fn engine_connection(is_reused: bool) {
     let kind = if is_reused { "reused" } else { "new" };
