--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -19,6 +19,7 @@
 }
 
 mod brittle;
+mod caller_connections;
 mod calls;
 mod crashing;
 mod crashing_parts;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod engine;
 mod faults;
 pub mod fleet;
+pub mod kept_caller;
 pub mod link;
 pub mod log;
 pub mod plain;
