Read what has arrived before a caller's connection is closed; silence counts only while this node hears

Callers saw whole requests that ended without an answer or a refusal.

Cause: a caller's connection was closed when the node's clock said that it was idle for longer than the limit now in force. The node didn't look whether a request had arrived, took the time in which it did not run itself for the caller's silence, held a limit that had just become shorter against callers who could not know it, and counted a stream as idle from its head on. A planned stop closed connections in the same way.

Change: IdleConnection (direct, no sockets) decides. The limit in force at the last use counts, a longer one at once; if the node looks late, the connection is kept once more for as long as it was late, by the clock that counts suspension; so a node that is always late closes in the end. A request is open until its response has been sent. Before a connection is closed, the next read looks at the socket itself, as the runtime may not know yet what has arrived, and what is there is served. A stopping node closes a connection 300 ms after its last response. A connection is checked when it is due instead of each second.

--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -1,90 +1,72 @@
-//! The socket of a caller's connection, which records why this node closes it and whether bytes were unread then.
+//! The socket of a caller's connection.
 
-use std::cell::Cell;
-use std::io;
+use std::io::{self, ErrorKind, Read};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
-use derive_more::Display;
-use hgw_direct::Millis;
 use hgw_events::{Event, emit};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::caller_activity::{CallerActivity, CloseReason};
 use crate::meter;
-use crate::shared::Node;
-
-/// Why this node closes a caller's connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub(crate) enum CloseReason {
-    #[display("idle")]
-    Idle,
-    #[display("stopping")]
-    Stopping,
-    /// The node has as many connections as it may.
-    #[display("too many")]
-    TooMany,
-    /// The node runs late and takes only a share of the new connections.
-    #[display("late")]
-    Late,
-}
 
-/// Activity on a connection.
-#[derive(Debug)]
-pub(crate) struct ConnectionActivity {
-    pub(crate) open_requests: Cell<u32>,
-    pub(crate) last_active: Cell<Millis>,
-    /// Why this node closes the connection, once it does.
-    pub(crate) closed_for: Cell<Option<CloseReason>>,
-}
+/// Most bytes that a look at the socket reads; the runtime reads the rest.
+const MAX_LOOK_BYTES: usize = 4 << 10;
 
-impl ConnectionActivity {
-    pub(crate) fn begin(now: Millis) -> ConnectionActivity {
-        ConnectionActivity {
-            open_requests: Cell::new(0),
-            last_active: Cell::new(now),
-            closed_for: Cell::new(None),
-        }
-    }
-}
-
-/// A caller's socket. Records its end if this node closes it.
+/// A caller's socket. Records activity, and its end if this node closes it.
 pub(crate) struct CallerStream {
     tcp: TcpStream,
-    node: Node,
-    activity: Rc<ConnectionActivity>,
+    activity: Rc<CallerActivity>,
 }
 
 impl CallerStream {
-    pub(crate) fn new(
-        tcp: TcpStream,
-        node: Node,
-        activity: Rc<ConnectionActivity>,
-    ) -> CallerStream {
-        CallerStream { tcp, node, activity }
+    pub(crate) fn new(tcp: TcpStream, activity: Rc<CallerActivity>) -> CallerStream {
+        CallerStream { tcp, activity }
+    }
+
+    /// Reads what has arrived, whether or not the runtime knows of it; none if nothing has.
+    fn look(&self, buf: &mut ReadBuf<'_>) -> Option<io::Result<()>> {
+        let mut bytes = [0; MAX_LOOK_BYTES];
+        let max = buf.remaining().min(MAX_LOOK_BYTES);
+        match (&*SockRef::from(&self.tcp)).read(&mut bytes[..max]) {
+            Ok(length) => {
+                buf.put_slice(&bytes[..length]);
+                Some(Ok(()))
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => None,
+            Err(e) => Some(Err(e)),
+        }
     }
 
     fn log_closed_unread(&self, reason: CloseReason) {
-        let idle_ms = self.node.now().saturating_sub(self.activity.last_active.get());
+        let node = self.activity.node();
         emit(
             Event::CallerClosedUnread,
             &[
-                ("node", &self.node.settings.borrow().node),
+                ("node", &node.settings.borrow().node),
                 ("why", &reason),
-                ("idle_ms", &idle_ms),
-                ("requests", &self.activity.open_requests.get()),
-                ("open", &self.node.shutdown.connections.get()),
+                ("idle_ms", &self.activity.idle_time()),
+                ("requests", &self.activity.open_requests()),
+                ("open", &node.shutdown.connections.get()),
             ],
         );
     }
+
+    fn record_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Ok(length)) if length > 0) {
+            self.activity.record_bytes();
+        }
+        written
+    }
 }
 
 impl Drop for CallerStream {
     fn drop(&mut self) {
-        let Some(reason) = self.activity.closed_for.get() else { return };
+        let Some(reason) = self.activity.closed_for() else { return };
         let is_unread = has_unread_bytes(&self.tcp);
         meter::caller_connection_closed(reason, is_unread);
         if is_unread {
@@ -105,7 +87,16 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let looked = if self.activity.take_look_request() { self.look(buf) } else { None };
+        let read = match looked {
+            Some(read) => read,
+            None => ready!(Pin::new(&mut self.tcp).poll_read(cx, buf)),
+        };
+        if buf.filled().len() > before {
+            self.activity.record_bytes();
+        }
+        Poll::Ready(read)
     }
 }
 
@@ -115,7 +106,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write(cx, buf)
+        let written = Pin::new(&mut self.tcp).poll_write(cx, buf);
+        self.record_written(written)
     }
 
     fn poll_write_vectored(
@@ -123,7 +115,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs);
+        self.record_written(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,8 @@
 mod attempt_guard;
 mod backoff;
 mod brittle;
+mod caller_activity;
+mod caller_connection;
 mod caller_listener;
 mod caller_stream;
 mod catalog_reads;
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -9,7 +9,7 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
-use crate::caller_stream::CloseReason;
+use crate::caller_activity::CloseReason;
 use crate::freshness;
 use crate::overload;
 use crate::protocol::StoreError;
