--- a/crates/hibiscusgw/tests/processes/main.rs
+++ b/crates/hibiscusgw/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod configuration;
 mod draining;
+mod late;
 mod memory;
 mod outage;
 mod session;
--- a/crates/net/src/callers/connection.rs
+++ b/crates/net/src/callers/connection.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use xitca_io::net::Stream;
@@ -12,6 +12,8 @@
 use crate::meter;
 use crate::streams::lock;
 
+use super::awake::AwakeClock;
+
 /// What a connection that is not taken is told before it is closed.
 const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
 content-type: application/json\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 117\r\n\r\n\
@@ -22,7 +24,7 @@
 #[derive(Debug)]
 pub(super) struct Connections {
     limit: usize,
-    start: Instant,
+    clock: Arc<AwakeClock>,
     open: Mutex<IndexMap<SocketAddr, Arc<Connection>>>,
 }
 
@@ -31,17 +33,18 @@
 pub(super) struct Connection {
     addr: SocketAddr,
     socket: TcpStream,
-    start: Instant,
-    /// Since when bytes wait for the caller, in milliseconds since `start`; 0 where none do.
+    clock: Arc<AwakeClock>,
+    /// Since when bytes wait for the caller, by `clock`; 0 where none do.
     writing: AtomicU64,
-    opened: Instant,
+    /// When it was opened, by `clock`.
+    opened: u64,
     /// Whether a request has come.
     used: AtomicBool,
 }
 
 impl Connections {
     pub(super) fn new(limit: usize) -> Self {
-        Connections { limit, start: Instant::now(), open: Mutex::default() }
+        Connections { limit, clock: Arc::new(AwakeClock::start()), open: Mutex::default() }
     }
 
     /// Enters a new connection, or turns it away where there are too many.
@@ -61,9 +64,9 @@
         let entry = Arc::new(Connection {
             addr,
             socket: twin,
-            start: self.start,
+            clock: Arc::clone(&self.clock),
             writing: AtomicU64::new(0),
-            opened: Instant::now(),
+            opened: self.clock.now(),
             used: AtomicBool::new(false),
         });
         open.insert(addr, Arc::clone(&entry));
@@ -91,10 +94,12 @@
     ///
     /// A caller that stops reading would hold its request, and the work behind it, for ever. A
     /// stranger that only connects would hold one of a bounded number of connections for as long as
-    /// a caller between two requests may.
-    pub(super) fn close_stalled(&self, stall: Duration, first: Duration) {
+    /// a caller between two requests may. It is called each `interval`; the time in which this process did not run is
+    /// left out, as what callers sent or took meanwhile is not known yet.
+    pub(super) fn close_stalled(&self, interval: Duration, stall: Duration, first: Duration) {
+        self.clock.look(interval);
         for entry in lock(&self.open).values() {
-            let unused = !entry.used.load(Ordering::Relaxed) && entry.opened.elapsed() > first;
+            let unused = !entry.used.load(Ordering::Relaxed) && entry.open_for() > first;
             if unused || entry.stalled_for().is_some_and(|t| t > stall) {
                 // An error means that the connection has ended by itself.
                 let _ = entry.socket.shutdown(Shutdown::Both);
@@ -128,8 +133,7 @@
 
     /// Notes that bytes wait for the caller from now on.
     pub(super) fn writes(&self) {
-        let now = self.start.elapsed().as_millis() as u64;
-        self.writing.store(now.max(1), Ordering::Relaxed);
+        self.writing.store(self.clock.now().max(1), Ordering::Relaxed);
     }
 
     /// Notes that the caller has taken all that waited.
@@ -139,7 +143,10 @@
 
     fn stalled_for(&self) -> Option<Duration> {
         let since = self.writing.load(Ordering::Relaxed);
-        let now = self.start.elapsed();
-        (since > 0).then(|| now.saturating_sub(Duration::from_millis(since)))
+        (since > 0).then(|| Duration::from_millis(self.clock.now().saturating_sub(since)))
+    }
+
+    fn open_for(&self) -> Duration {
+        Duration::from_millis(self.clock.now().saturating_sub(self.opened))
     }
 }
--- a/crates/net/src/callers/mod.rs
+++ b/crates/net/src/callers/mod.rs
@@ -1,5 +1,6 @@
 //! The listener for callers: HTTP/1.1 with JSON and server-sent events.
 
+mod awake;
 mod body;
 mod chat;
 mod connection;
@@ -152,7 +153,7 @@
         tokio::time::sleep(STALL_LOOK).await;
         // The head's own time runs in the server, from its first byte on.
         let first = cx.limits.head_timeout * 2;
-        cx.connections.close_stalled(cx.limits.stall, first);
+        cx.connections.close_stalled(STALL_LOOK, cx.limits.stall, first);
     }
 }
 
