Callers that read nothing are not taken for dead

Cause: the user timeout of callers' sockets (DEAD_CALLER_TIMEOUT, 5 s) ends a connection whose window stays closed for that long, although the caller's kernel acknowledges every probe. The class: a closing decided on a clock while something waits. A caller that is slowed down by a busy machine opens its window too late for it.

Change: the node asks the kernel (socket diagnostics over netlink) once a second when it last received an acknowledgement from a caller or another node and what is unanswered. Dead is who was silent for 5 s at two looks with no acknowledgement between them. Such sockets have no user timeout; keep-alive probes end idle ones as before. Where the kernel does not tell, the user timeout stays as it was.

Why it works: a closed window leaves probes, and a live kernel answers each of them, so that no silence is seen, however long the caller reads nothing. What it leaves unread is bounded as before and ends with the request's deadline.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -36,6 +36,7 @@
 mod leader_liveness;
 mod list_changes;
 pub mod overload;
+mod peer_silence;
 pub mod placement;
 mod prefill;
 mod prompt;
@@ -97,6 +98,7 @@
     EngineRecord, EngineStateChange, ListChanges, ListReceiver, ListUpdate, ListUpdateKind,
     ListVersion, is_large_list, polls_store,
 };
+pub use peer_silence::{PeerContact, PeerSilence};
 pub use prefill::{PrefillBacklog, PrefillRate, SendId, broadcasts_sends};
 pub use prompt::{EmptyModelName, ModelRef, Prompt, PromptPart};
 pub use read_ahead::{HeldBytes, MIN_STREAM_BYTES, ReadAheadBound, ResponseSize, SMALL_BODY_BYTES};
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -54,6 +54,7 @@
     SettingsRejected = 1010, Warn, "the settings file is invalid; the previous settings remain active";
     LinesLeftOut = 1011, Warn, "log lines were dropped";
     ConnectionsRefused = 1012, Info, "the node has begun or ceased to refuse some new connections, as it runs late";
+    PeerDead = 1020, Info, "a connection was closed, as its peer acknowledges nothing";
     MemberUp = 2001, Info, "a node is considered alive";
     MemberDown = 2002, Info, "a node is considered dead or is shutting down";
     PeerRefused = 2003, Warn, "a peer's connection was refused";
--- a/crates/gateway/src/caller_listener.rs
+++ b/crates/gateway/src/caller_listener.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::dead_peer::PeerWatch;
 use crate::response::ResponseResult;
 use crate::shared::Node;
 use crate::{listen, relay};
@@ -50,7 +51,7 @@
         let node = Rc::clone(&node);
         tokio::task::spawn_local(async move {
             let stop = &node.shutdown;
-            serve_connection(&node, stream).await;
+            PeerWatch::new(&node, &stream).serve(serve_connection(&node, stream)).await;
             stop.connections.set(stop.connections.get() - 1);
         });
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod connection_gate;
 mod crashes;
+mod dead_peer;
 mod election;
 mod engine_limits;
 mod engine_notices;
@@ -41,6 +42,7 @@
 mod shared;
 mod shutdown;
 mod state;
+mod tcp_diagnostics;
 mod token_reservation;
 mod versions;
 
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -15,6 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
+use crate::dead_peer::{DEAD_CALLER_TIMEOUT, PeerWatch};
 use crate::response::ResponseResult;
 use crate::shared::Node;
 
@@ -22,10 +23,6 @@
 /// seconds.
 const BACKLOG: i32 = 4096;
 
-/// Silence after which a caller counts as dead: without it, one that has become unreachable would be served
-/// until its request ends.
-const DEAD_CALLER_TIMEOUT: Duration = Duration::from_secs(5);
-
 pub(crate) fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
     // Without this, a restarted process finds its port in use by closed connections.
@@ -54,10 +51,12 @@
             continue;
         }
         let (node, handler) = (Rc::clone(&node), handler.clone());
+        let watch = PeerWatch::new(&node, &stream);
         tokio::task::spawn_local(async move {
             let service = service_fn(|req| handler(Rc::clone(&node), req));
+            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // The client retries after a broken connection.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            watch.serve(async { drop(conn.await) }).await;
         });
     }
 }
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -126,6 +126,11 @@
     counter!("hgw_connections_refused_total").increment(1);
 }
 
+/// Counts a connection that was closed as its peer acknowledges nothing.
+pub(crate) fn dead_peer() {
+    counter!("hgw_dead_peers_total").increment(1);
+}
+
 /// Counts a connection that a request to an engine uses.
 pub(crate) fn engine_connection(is_reused: bool) {
     let kind = if is_reused { "reused" } else { "new" };
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -42,6 +42,7 @@
 use crate::room_queue::NodeRoomQueue;
 use crate::shutdown::Shutdown;
 use crate::state::State;
+use crate::tcp_diagnostics::TcpDiagnostics;
 use crate::versions::VersionReads;
 
 /// Engines are a few milliseconds away, so a slower connection attempt has failed.
@@ -56,6 +57,8 @@
     pub(crate) protocols: Protocols,
     pub(crate) clock: Clock,
     pub(crate) pool: Pool,
+    /// Tells which peers acknowledge what is sent to them.
+    pub(crate) tcp_diagnostics: TcpDiagnostics,
     /// What responses and bodies hold until their readers have taken them.
     pub(crate) held_memory: HeldMemory,
     /// How second attempts after engines' own failures ended.
@@ -173,6 +176,7 @@
             protocols,
             clock: Clock::start(),
             pool: Pool::default(),
+            tcp_diagnostics: TcpDiagnostics::open(),
             held_memory: HeldMemory::default(),
             response_sizes: RefCell::default(),
             retry_outcomes: RefCell::default(),
--- a/crates/hibiscusgw/tests/platform/slow_readers.rs
+++ b/crates/hibiscusgw/tests/platform/slow_readers.rs
@@ -67,11 +67,17 @@
 
 /// The sum of a metric over its labels; none if there is none.
 fn metric(node: &Node, name: &str) -> Option<f64> {
+    sum_of(node, name, "")
+}
+
+/// The sum of a metric over those of its labels that contain a text; none if there is none.
+fn sum_of(node: &Node, name: &str, label: &str) -> Option<f64> {
     let caller = Caller::new(node.metrics).unwrap();
     let text = caller.call(Method::GET, "/metrics", &[], "").unwrap().body;
     let values = text.lines().filter_map(|line| {
         let (found, value) = line.rsplit_once(' ')?;
-        (found.split('{').next() == Some(name)).then(|| value.parse::<f64>().ok())?
+        let is_meant = found.split('{').next() == Some(name) && found.contains(label);
+        is_meant.then(|| value.parse::<f64>().ok())?
     });
     values.fold(None, |sum, value| Some(sum.unwrap_or(0.0) + value))
 }
@@ -158,6 +164,79 @@
     });
 }
 
+/// How long a caller reads nothing: longer than a caller that acknowledges nothing is served.
+const UNREAD: Duration = Duration::from_secs(8);
+
+/// Guards against callers that are taken for dead since they read nothing for some seconds, although their kernels
+/// acknowledge every probe.
+#[test]
+fn caller_that_reads_nothing_for_seconds_gets_its_whole_stream() {
+    let mut fleet = new_fleet(vec![engine(1)]);
+    let (node, _) = start_node(&mut fleet, MEMORY_MB);
+    let mut caller = ask(&fleet.nodes[node], "1");
+    caller.read_until("piece 1").unwrap();
+    std::thread::sleep(UNREAD);
+    assert!(caller.rest().unwrap() == body(EVENTS, EVENT_BYTES), "a stream is not as it was sent");
+    assert_eq!(fleet.runs("1"), 1);
+}
+
+/// What a caller does until its machine loses power.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Until {
+    /// It waits for a response.
+    Waiting,
+    /// It reads what comes.
+    Reading,
+    /// It reads nothing, so that its window is closed.
+    Unread,
+}
+
+fn engine_is_left_by_a_caller_that_lost_power(until: Until) {
+    let reading =
+        if until == Until::Waiting { Duration::from_secs(60) } else { Duration::default() };
+    let endless = EngineSettings { events: 100_000, reading, ..engine(1) };
+    let mut fleet = new_fleet(vec![endless]);
+    let (node, _) = start_node(&mut fleet, MEMORY_MB);
+    let mut caller = ask(&fleet.nodes[node], "1");
+    wait("the engine works", || fleet.runs("1") == 1);
+    match until {
+        Until::Waiting => {}
+        Until::Reading => caller.read_until("piece 40").unwrap(),
+        Until::Unread => std::thread::sleep(Duration::from_secs(2)),
+    }
+    caller.fall_silent().unwrap();
+    wait("the caller counts as gone", || callers_that_left(&fleet.nodes[node]) == 1.0);
+    wait("the request has ended", || {
+        metric(&fleet.nodes[node], "hgw_requests_open") == Some(0.0)
+            && metric(&fleet.nodes[node], "hgw_held_bytes") == Some(0.0)
+    });
+    // The stand-in does not notice a caller that leaves before the response.
+    if until != Until::Waiting {
+        wait("the engine has ended it", || fleet.engine("i-1").is_idle());
+    }
+}
+
+/// Requests that ended since their callers were gone, not those that reached their deadlines.
+fn callers_that_left(node: &Node) -> f64 {
+    sum_of(node, "hgw_requests_total", "outcome=\"left\"").unwrap_or(0.0)
+}
+
+macro_rules! lost_power {
+    ($($name:ident: $until:ident;)*) => {$(
+        /// Guards against an engine that works until the deadline for a caller whose machine has lost power.
+        #[test]
+        fn $name() {
+            engine_is_left_by_a_caller_that_lost_power(Until::$until);
+        }
+    )*};
+}
+
+lost_power! {
+    engine_does_not_work_on_for_a_caller_that_lost_power_before_the_response: Waiting;
+    engine_does_not_work_on_for_a_caller_that_lost_power_as_it_read: Reading;
+    engine_does_not_work_on_for_a_caller_that_lost_power_unread: Unread;
+}
+
 /// Event of settings that have changed.
 const SETTINGS_CHANGED: u64 = 1009;
 
--- a/crates/standins/src/slow_caller.rs
+++ b/crates/standins/src/slow_caller.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::{Domain, SockFilter, SockRef, Socket, Type};
 
 /// Receive buffer of its socket, in bytes, so that the kernel holds little of what it does not read.
 const RECEIVE_BUFFER: usize = 32 << 10;
@@ -13,8 +13,8 @@
 /// The same once it reads on: with a small window each round trip carries next to nothing.
 const FAST_RECEIVE_BUFFER: usize = 256 << 10;
 
-/// What a slow caller reads at a time, in bytes, and the pause before each read. A node resets connections whose window
-/// is closed for five seconds; it opens once half of the receive buffer is free.
+/// What a slow caller reads at a time, in bytes, and the pause before each read. Its window opens once half of the
+/// receive buffer is free.
 const TRICKLE_BYTES: usize = 2 << 10;
 const TRICKLE_PAUSE: Duration = Duration::from_millis(200);
 
@@ -50,6 +50,12 @@
         Ok(SlowCaller { tcp, received: Vec::new() })
     }
 
+    /// Drops all packets that arrive from now on, so that nothing is acknowledged, as if its machine had lost power.
+    pub fn fall_silent(&self) -> io::Result<()> {
+        const RETURN_CONSTANT: u16 = 0x06;
+        SockRef::from(&self.tcp).attach_filter(&[SockFilter::new(RETURN_CONSTANT, 0, 0, 0)])
+    }
+
     /// Reads until this text has come.
     pub fn read_until(&mut self, text: &str) -> io::Result<()> {
         let mut buf = [0; 512];
