--- a/crates/gateway/src/caller_listener.rs
+++ b/crates/gateway/src/caller_listener.rs
@@ -7,6 +7,7 @@
 
 use crate::caller_activity::CloseReason;
 use crate::caller_stream::has_unread_bytes;
+use crate::dead_peer::PeerWatch;
 use crate::shared::Node;
 use crate::{caller_connection, listen, meter};
 
@@ -39,7 +40,7 @@
         let node = Rc::clone(&node);
         tokio::task::spawn_local(async move {
             let stop = &node.shutdown;
-            caller_connection::serve(&node, stream).await;
+            PeerWatch::new(&node, &stream).serve(caller_connection::serve(&node, stream)).await;
             stop.connections.set(stop.connections.get() - 1);
         });
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod clock;
 mod connection_gate;
 mod crashes;
+mod dead_peer;
 mod election;
 mod engine_limits;
 mod engine_notices;
@@ -44,6 +45,7 @@
 mod shared;
 mod shutdown;
 mod state;
+mod tcp_diagnostics;
 mod token_reservation;
 mod versions;
 
