The wait for a response, a restart or the deadline stands once

Source::wait_for and RelayedRequest::unless_engine_restarts had the same select. Both call wait::unless_restarted now. No change of behaviour.

--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -6,13 +6,13 @@
 
 use hgw_direct::{AttemptOutcome, ServiceId};
 use hgw_http1::Conn;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 use crate::attempt_guard::AttemptGuard;
 use crate::shared::Node;
 
 use super::request::RelayedRequest;
-use super::wait::WaitResult;
+use super::wait::{WaitResult, unless_restarted};
 
 /// Where a response comes from, which counts the request as in flight there.
 pub(super) enum Source {
@@ -123,12 +123,7 @@
                 Source::Forwarder(_) => pending().await,
             }
         };
-        tokio::select! {
-            biased;
-            done = future => WaitResult::Done(done),
-            () = restarted => WaitResult::EngineRestarted,
-            () = sleep_until(deadline_at) => WaitResult::TimedOut,
-        }
+        unless_restarted(restarted, deadline_at, future).await
     }
 }
 
--- a/crates/gateway/src/relay/wait.rs
+++ b/crates/gateway/src/relay/wait.rs
@@ -53,6 +53,20 @@
     TimedOut,
 }
 
+/// Waits until the deadline, or until the engine has restarted.
+pub(super) async fn unless_restarted<F: Future>(
+    restarted: impl Future<Output = ()>,
+    deadline_at: Instant,
+    future: F,
+) -> WaitResult<F::Output> {
+    tokio::select! {
+        biased;
+        done = future => WaitResult::Done(done),
+        () = restarted => WaitResult::EngineRestarted,
+        () = sleep_until(deadline_at) => WaitResult::TimedOut,
+    }
+}
+
 impl RelayedRequest {
     /// Waits until the request's deadline at the latest.
     pub(super) async fn within_deadline<F: Future>(&self, future: F) -> WaitResult<F::Output> {
@@ -79,7 +93,7 @@
         future: F,
     ) -> WaitResult<F::Output> {
         let Some(hung) = self.max_first_byte_wait() else {
-            let result = self.unless_engine_restarts(guard, future);
+            let result = unless_restarted(guard.wait_for_restart(), self.deadline_at, future);
             return tokio::select! {
                 biased;
                 result = result => result,
@@ -101,20 +115,6 @@
         }
     }
 
-    /// Waits for an engine until the request's deadline or until the engine restarts.
-    async fn unless_engine_restarts<F: Future>(
-        &self,
-        guard: &AttemptGuard,
-        future: F,
-    ) -> WaitResult<F::Output> {
-        tokio::select! {
-            biased;
-            done = future => WaitResult::Done(done),
-            () = guard.wait_for_restart() => WaitResult::EngineRestarted,
-            () = sleep_until(self.deadline_at) => WaitResult::TimedOut,
-        }
-    }
-
     /// Waits until the engine has been silent on all connections for a while, or this response for
     /// `hung`, and there is another way that the retry budget allows. Silence does not end the attempt: it stays
     /// open until another one responds.
