--- a/crates/gateway/src/relay/wait.rs
+++ b/crates/gateway/src/relay/wait.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
+use derive_more::Display;
 use tokio::time::{Instant, sleep_until};
 
 use crate::attempt_guard::AttemptGuard;
@@ -36,10 +37,21 @@
 const HUNG_AFTER_MIN: Duration = Duration::from_millis(450);
 const HUNG_AFTER_MAX: Duration = Duration::from_millis(1_300);
 
+/// What has been silent for longer than its limit.
+#[derive(Debug, Clone, Copy, Display)]
+pub(super) enum Silent {
+    /// The engine, on all connections.
+    #[display("silence")]
+    Engine,
+    /// This response alone.
+    #[display("response")]
+    Response,
+}
+
 /// What has been silent for too long, and the limit of that.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ExceededLimit {
-    pub(super) of: &'static str,
+    pub(super) of: Silent,
     pub(super) limit: Duration,
 }
 
@@ -159,9 +171,9 @@
             if silence >= limit || now - started >= hung {
                 if self.has_alternative() && self.take_retry() {
                     let exceeded = if silence >= limit {
-                        ExceededLimit { of: "silence", limit }
+                        ExceededLimit { of: Silent::Engine, limit }
                     } else {
-                        ExceededLimit { of: "response", limit: hung }
+                        ExceededLimit { of: Silent::Response, limit: hung }
                     };
                     self.log_silent_engine(engine, exceeded);
                     return WaitResult::Stalled;
