--- a/crates/direct/benches/plan.rs
+++ b/crates/direct/benches/plan.rs
@@ -114,7 +114,7 @@
             versions: VersionRule::Any,
             prompt: Some(&prompt),
             domain: "zone-1",
-            tried: &[],
+            excluded: &[],
             nodes: 80,
             max_conns: 640,
             has_precedence: false,
--- a/crates/direct/src/choice.rs
+++ b/crates/direct/src/choice.rs
@@ -40,8 +40,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Failure domain of this node.
     pub domain: &'a str,
-    /// Engines that are not chosen, most as this request was already sent to them.
-    pub tried: &'a [EngineId],
+    /// Engines that are not chosen: those that this request was sent to before, and silent ones.
+    pub excluded: &'a [EngineId],
     /// Number of nodes that send to the same engines.
     pub nodes: u32,
     /// Maximum number of connections from all nodes to one engine.
@@ -86,7 +86,7 @@
     TooLarge,
     /// One more prompt would delay the streams of every suitable engine for too long.
     PrefillBusy,
-    /// All suitable engines are full, already tried or unreachable; retry after this time.
+    /// All suitable engines are full, excluded or unreachable; retry after this time.
     Full(Duration),
     /// All suitable engines get as many requests as they take, or are full; retry after this time.
     AtLimit(Duration),
@@ -288,7 +288,7 @@
         if is_full
             || !has_memory
             || engine.own_requests >= engine.request_share(params.max_conns, params.nodes, now)
-            || params.tried.contains(&engine.info.id)
+            || params.excluded.contains(&engine.info.id)
         {
             reason = reason.or_sooner(NoEngine::Full(FULL_RETRY));
             continue;
@@ -373,7 +373,7 @@
             usable_engines(engines, params).filter(|e| !e.health.is_reported_unreachable(now));
         let candidates = candidates.filter(|e| model_ref.is_none_or(|m| e.has_loaded(m)));
         if let Some(subset) = params.subset {
-            let untried = candidates.filter(|e| !params.tried.contains(&e.info.id));
+            let allowed = candidates.filter(|e| !params.excluded.contains(&e.info.id));
             let is_slow = |engine: &Engine| {
                 stream_speed.is_some_and(|mean| mean.slowness(&engine.speed, now) > MAX_SLOWNESS)
             };
@@ -381,7 +381,7 @@
             let session = params.prompt.map(session_key);
             let session_rank =
                 |engine: &Engine| session.map(|key| rendezvous_rank(key, &engine.info.id));
-            return Considered::Subset(Subset::new(subset, untried, is_busy, session_rank, now));
+            return Considered::Subset(Subset::new(subset, allowed, is_busy, session_rank, now));
         }
         let mut randoms: Vec<f64> =
             candidates.map(|e| engine_random(params.random, &e.info.id)).collect();
--- a/crates/direct/tests/brittle.rs
+++ b/crates/direct/tests/brittle.rs
@@ -30,7 +30,7 @@
         versions: VersionRule::Any,
         prompt: Some(&prompt),
         domain: "a",
-        tried: &[],
+        excluded: &[],
         nodes: 9,
         max_conns: 1_000,
         has_precedence,
--- a/crates/direct/tests/connections.rs
+++ b/crates/direct/tests/connections.rs
@@ -367,7 +367,7 @@
             versions: VersionRule::Any,
             prompt: prompt.as_ref(),
             domain: state.domain,
-            tried: &[],
+            excluded: &[],
             nodes: self.deployment.nodes as u32,
             max_conns: MAX_CONNS,
             has_precedence: false,
--- a/crates/direct/tests/engine_memory.rs
+++ b/crates/direct/tests/engine_memory.rs
@@ -179,7 +179,7 @@
         versions: VersionRule::Any,
         prompt: Some(prompt),
         domain: "a",
-        tried: &[],
+        excluded: &[],
         nodes,
         max_conns: 1_000,
         has_precedence: false,
--- a/crates/direct/tests/overload/world.rs
+++ b/crates/direct/tests/overload/world.rs
@@ -381,7 +381,7 @@
             versions: VersionRule::Any,
             prompt: None,
             domain: "a",
-            tried: &req.tried,
+            excluded: &req.tried,
             nodes: NODES as u32,
             max_conns: MAX_CONNS,
             has_precedence: self.arrivals.iter().any(|s| s.priority > req.priority),
--- a/crates/direct/tests/subset.rs
+++ b/crates/direct/tests/subset.rs
@@ -83,7 +83,7 @@
         versions: VersionRule::Any,
         prompt: Some(&prompt),
         domain: "a",
-        tried: request.tried,
+        excluded: request.tried,
         nodes: request.nodes,
         max_conns: 500,
         has_precedence: false,
--- a/crates/direct/tests/versions.rs
+++ b/crates/direct/tests/versions.rs
@@ -242,7 +242,7 @@
         versions,
         prompt: Some(&prompt),
         domain: "a",
-        tried: &[],
+        excluded: &[],
         nodes: 3,
         max_conns: 100,
         has_precedence: false,
--- a/crates/gateway/src/relay/engine_choice.rs
+++ b/crates/gateway/src/relay/engine_choice.rs
@@ -155,7 +155,7 @@
             versions: self.version_rule(admitted.as_deref()),
             prompt: self.prompt(),
             domain: &settings.domain,
-            tried: excluded,
+            excluded,
             nodes: state.nodes,
             max_conns,
             has_precedence: self.has_precedence,
