Attempts at engines and by way of other nodes share their steps

The relay had attempt and forward, conclude and conclude_forward, and two functions that log a failure, which did the same for an engine and for another node; both attempts had the same three fields. One attempt, one conclude and one log_if_failed tell them apart by the next hop, and SentRequest holds the fields. No change of behaviour.

--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -15,9 +15,11 @@
 use crate::protocol::UpstreamRequest;
 use crate::quotas::{self, Charge, NoAllowance};
 
-use super::forward::ForwardRefusal;
+use super::forward::{ForwardRefusal, NextHop};
 use super::identity::AuthError;
-use super::open_attempt::{EngineAttempt, OpenAttempt, exchange_with_engine};
+use super::open_attempt::{
+    EngineAttempt, LateResponse, OpenAttempt, SentRequest, exchange_with_engine,
+};
 use super::request::RelayedRequest;
 use super::silence::{Awaited, report_unreachable};
 use super::source::Source;
@@ -102,24 +104,51 @@
 }
 
 impl RelayedRequest {
-    /// Makes one attempt at an engine and logs its failure.
+    /// Makes one attempt and logs its failure.
     pub(super) async fn attempt(
         &mut self,
-        engine: &EngineId,
+        hop: &NextHop,
         last_event: Option<u64>,
     ) -> AttemptResult {
         let started = Instant::now();
-        let result = match self.send_to_engine(engine, last_event).await {
-            Ok(attempt) => self.wait_for_engine(attempt).await,
-            Err(result) => result,
+        let result = match hop {
+            NextHop::Engine(engine) => match self.send_to_engine(engine, last_event).await {
+                Ok(attempt) => self.wait_for_engine(attempt).await,
+                Err(result) => result,
+            },
+            NextHop::Forwarder(addr) => match self.send_to_forwarder(*addr, last_event).await {
+                Ok(attempt) => self.wait_for_forward(attempt).await,
+                Err(result) => result,
+            },
+        };
+        self.log_if_failed(hop, &result, started.elapsed());
+        result
+    }
+
+    /// Takes in the response to an attempt that was kept open, and logs its failure.
+    pub(super) async fn conclude(&mut self, response: LateResponse) -> AttemptResult {
+        let (hop, sent_at) = response.origin();
+        let result = match response {
+            LateResponse::Engine(attempt, exchanged) => {
+                self.sent_at.set(Some(sent_at));
+                self.node.record_reachable(&attempt.engine);
+                self.conclude_exchange(*attempt, exchanged).await
+            }
+            LateResponse::EngineRestarted(attempt) => self.conclude_restarted(&attempt),
+            LateResponse::Forwarder(attempt, exchanged) => {
+                self.sent_at.set(Some(sent_at));
+                self.conclude_forward(attempt, exchanged).await
+            }
         };
-        self.log_if_failed(engine, &result, started.elapsed());
+        self.log_if_failed(&hop, &result, sent_at.elapsed());
         result
     }
 
-    pub(super) fn log_if_failed(&self, engine: &EngineId, result: &AttemptResult, took: Duration) {
-        if let Some(reason) = result.failure_reason() {
-            self.log_failed_attempt(engine, reason, took);
+    fn log_if_failed(&self, hop: &NextHop, result: &AttemptResult, took: Duration) {
+        let Some(reason) = result.failure_reason() else { return };
+        match hop {
+            NextHop::Engine(engine) => self.log_failed_attempt(engine, reason, took),
+            NextHop::Forwarder(addr) => self.log_failed_forward(*addr, reason, took),
         }
     }
 
@@ -156,18 +185,16 @@
             addr,
             version,
             guard,
-            exchange: exchange_with_engine(&node, conn, req, self.info.id.clone()),
-            sent_at: Instant::now(),
+            sent: SentRequest::start(exchange_with_engine(&node, conn, req, self.info.id.clone())),
             sent_at_ms,
             idle,
             _charge: charge,
-            is_counted: false,
         })
     }
 
     /// Waits for the response to an attempt, as long as no other way is taken.
     async fn wait_for_engine(&mut self, mut attempt: EngineAttempt) -> AttemptResult {
-        let exchange = attempt.exchange.as_mut();
+        let exchange = attempt.sent.exchange.as_mut();
         match self.wait_for_first_byte(&attempt.guard, exchange).await {
             WaitResult::Done(exchanged) => self.conclude_exchange(attempt, exchanged).await,
             WaitResult::EngineRestarted => self.conclude_restarted(&attempt),
@@ -175,7 +202,7 @@
                 let awaited = Awaited::Head { addr: attempt.addr, idle: attempt.idle };
                 self.record_silence(&attempt.engine, awaited);
                 self.count_execution();
-                attempt.is_counted = true;
+                attempt.sent.is_counted = true;
                 AttemptResult::Silent(OpenAttempt::Engine(Box::new(attempt)))
             }
             WaitResult::TimedOut => {
--- a/crates/gateway/src/relay/engine_response.rs
+++ b/crates/gateway/src/relay/engine_response.rs
@@ -14,7 +14,7 @@
 use crate::protocol::ResponseInfo;
 
 use super::attempt::{AttemptResult, StartedResponse};
-use super::open_attempt::{EngineAttempt, EngineHead, Exchanged, LateResponse};
+use super::open_attempt::{EngineAttempt, EngineHead, Exchanged};
 use super::request::RelayedRequest;
 use super::source::Source;
 use super::wait::WaitResult;
@@ -23,31 +23,8 @@
 const MAX_REJECTION_BYTES: usize = 64 << 10;
 
 impl RelayedRequest {
-    /// Takes in the response to an attempt that was kept open, and logs its failure.
-    pub(super) async fn conclude(&mut self, response: LateResponse) -> AttemptResult {
-        match response {
-            LateResponse::Engine(attempt, exchanged) => {
-                let (engine, sent_at) = (attempt.engine.clone(), attempt.sent_at);
-                self.sent_at.set(Some(sent_at));
-                self.node.record_reachable(&engine);
-                let result = self.conclude_exchange(*attempt, exchanged).await;
-                self.log_if_failed(&engine, &result, sent_at.elapsed());
-                result
-            }
-            LateResponse::EngineRestarted(attempt) => {
-                let result = self.conclude_restarted(&attempt);
-                self.log_if_failed(&attempt.engine, &result, attempt.sent_at.elapsed());
-                result
-            }
-            LateResponse::Forwarder(attempt, exchanged) => {
-                self.sent_at.set(Some(attempt.sent_at));
-                self.conclude_forward(attempt, exchanged).await
-            }
-        }
-    }
-
     pub(super) fn conclude_restarted(&mut self, attempt: &EngineAttempt) -> AttemptResult {
-        self.count_unless(attempt.is_counted);
+        self.count_unless(attempt.sent.is_counted);
         self.record_restarted_engine(&attempt.guard);
         AttemptResult::NoResponse
     }
@@ -81,7 +58,7 @@
                         engine_path::start_check_unless_proven(&node, &self.service);
                     }
                 }
-                self.count_unless(attempt.is_counted);
+                self.count_unless(attempt.sent.is_counted);
                 self.investigate(&attempt.guard).await;
                 AttemptResult::NoResponse
             }
@@ -95,7 +72,8 @@
         head: Head,
         info: ResponseInfo,
     ) -> AttemptResult {
-        let EngineAttempt { engine, version, mut guard, is_counted, .. } = attempt;
+        let EngineAttempt { engine, version, mut guard, sent, .. } = attempt;
+        let is_counted = sent.is_counted;
         if let Some(reason) = &info.ignored_load {
             meter::ignored_figure("X-Load", reason);
         }
--- a/crates/gateway/src/relay/forward.rs
+++ b/crates/gateway/src/relay/forward.rs
@@ -17,7 +17,9 @@
 use crate::response::{CallerResponse, ResponseBody};
 
 use super::attempt::{AttemptResult, StartedResponse};
-use super::open_attempt::{Exchanged, ForwardAttempt, OpenAttempt, exchange_with_forwarder};
+use super::open_attempt::{
+    Exchanged, ForwardAttempt, OpenAttempt, SentRequest, exchange_with_forwarder,
+};
 use super::request::RelayedRequest;
 use super::source::{ForwardGuard, Source};
 use super::wait::WaitResult;
@@ -101,27 +103,13 @@
         !self.has_failed_path() && self.choose_replacement().is_ok()
     }
 
-    /// Sends the request to another node and logs a failure.
-    pub(super) async fn forward(
-        &mut self,
-        addr: SocketAddr,
-        last_event: Option<u64>,
-    ) -> AttemptResult {
-        let started = Instant::now();
-        self.tried_forwarders.push(addr);
-        let result = match self.send_to_forwarder(addr, last_event).await {
-            Ok(attempt) => self.wait_for_forward(attempt).await,
-            Err(result) => result,
-        };
-        self.log_if_forward_failed(addr, &result, started.elapsed());
-        result
-    }
-
-    async fn send_to_forwarder(
+    /// Connects to another node and begins to send it the request.
+    pub(super) async fn send_to_forwarder(
         &mut self,
         addr: SocketAddr,
         last_event: Option<u64>,
     ) -> Result<ForwardAttempt, AttemptResult> {
+        self.tried_forwarders.push(addr);
         let guard = ForwardGuard::start(&self.node, addr, &self.service);
         let connected = self.node.pool.get(addr, self.node.conn_timeouts());
         let WaitResult::Done(Ok(conn)) = self.within_deadline(connected).await else {
@@ -134,18 +122,19 @@
         }
         let req = self.forwarded_request(last_event);
         self.set_may_run(true);
-        let (exchange, sent_at) = (exchange_with_forwarder(conn, req), Instant::now());
-        Ok(ForwardAttempt { guard, exchange, sent_at, is_counted: false })
+        let sent = SentRequest::start(exchange_with_forwarder(conn, req));
+        Ok(ForwardAttempt { guard, sent })
     }
 
-    async fn wait_for_forward(&mut self, mut attempt: ForwardAttempt) -> AttemptResult {
+    /// Waits for the response to an attempt, as long as no other way is taken.
+    pub(super) async fn wait_for_forward(&mut self, mut attempt: ForwardAttempt) -> AttemptResult {
         let max_wait = self.max_first_byte_wait();
-        match self.wait_for_forwarder(max_wait, attempt.exchange.as_mut()).await {
-            WaitResult::Done(exchanged) => self.handle_exchange(attempt, exchanged).await,
+        match self.wait_for_forwarder(max_wait, attempt.sent.exchange.as_mut()).await {
+            WaitResult::Done(exchanged) => self.conclude_forward(attempt, exchanged).await,
             WaitResult::Stalled => {
                 attempt.guard.record_refused();
                 self.count_execution();
-                attempt.is_counted = true;
+                attempt.sent.is_counted = true;
                 AttemptResult::Silent(OpenAttempt::Forwarder(attempt))
             }
             WaitResult::TimedOut | WaitResult::EngineRestarted => {
@@ -155,19 +144,7 @@
         }
     }
 
-    /// Takes in the response to an attempt that was kept open, and logs its failure.
     pub(super) async fn conclude_forward(
-        &mut self,
-        attempt: ForwardAttempt,
-        exchanged: Exchanged<Head>,
-    ) -> AttemptResult {
-        let (addr, sent_at) = (attempt.guard.addr, attempt.sent_at);
-        let result = self.handle_exchange(attempt, exchanged).await;
-        self.log_if_forward_failed(addr, &result, sent_at.elapsed());
-        result
-    }
-
-    async fn handle_exchange(
         &mut self,
         attempt: ForwardAttempt,
         (conn, head): Exchanged<Head>,
@@ -176,7 +153,7 @@
             Ok(head) => self.handle_forwarder(attempt, conn, head).await,
             Err(_) => {
                 attempt.guard.record_refused();
-                self.count_unless(attempt.is_counted);
+                self.count_unless(attempt.sent.is_counted);
                 AttemptResult::NoResponse
             }
         }
@@ -211,9 +188,9 @@
         mut conn: Conn,
         mut head: Head,
     ) -> AttemptResult {
-        let ForwardAttempt { guard, is_counted, .. } = attempt;
+        let ForwardAttempt { guard, sent } = attempt;
         let outcome = head.headers.remove(FORWARDED).as_ref().and_then(ForwardOutcome::parse);
-        self.discount_if(is_counted);
+        self.discount_if(sent.is_counted);
         match outcome {
             Some(ForwardOutcome::Engine { engine, version, runs, domain }) => {
                 self.count_executions(runs.max(1));
@@ -307,8 +284,12 @@
         self.within_deadline(future).await
     }
 
-    fn log_if_forward_failed(&self, addr: SocketAddr, result: &AttemptResult, took: Duration) {
-        let Some(reason) = result.failure_reason() else { return };
+    pub(super) fn log_failed_forward(
+        &self,
+        addr: SocketAddr,
+        reason: &'static str,
+        took: Duration,
+    ) {
         meter::attempt_failed(reason);
         emit(
             Event::ForwardFailed,
--- a/crates/gateway/src/relay/open_attempt.rs
+++ b/crates/gateway/src/relay/open_attempt.rs
@@ -14,6 +14,7 @@
 use crate::quotas::Charge;
 use crate::shared::Node;
 
+use super::forward::NextHop;
 use super::source::ForwardGuard;
 
 /// Sends a request and reads the head of its response; hands the connection back.
@@ -38,6 +39,20 @@
     Forwarder(ForwardAttempt, Exchanged<Head>),
 }
 
+impl LateResponse {
+    /// Where the request was sent, and when.
+    pub(super) fn origin(&self) -> (NextHop, Instant) {
+        match self {
+            LateResponse::Engine(attempt, _) | LateResponse::EngineRestarted(attempt) => {
+                (NextHop::Engine(attempt.engine.clone()), attempt.sent.sent_at)
+            }
+            LateResponse::Forwarder(attempt, _) => {
+                (NextHop::Forwarder(attempt.guard.addr), attempt.sent.sent_at)
+            }
+        }
+    }
+}
+
 /// An attempt at an engine.
 pub(super) struct EngineAttempt {
     pub(super) engine: EngineId,
@@ -45,34 +60,42 @@
     /// Its software version when the request was sent.
     pub(super) version: VersionKey,
     pub(super) guard: AttemptGuard,
-    pub(super) exchange: Exchange<EngineHead>,
-    pub(super) sent_at: Instant,
-    /// The same by the node's clock.
+    pub(super) sent: SentRequest<EngineHead>,
+    /// When it was sent, by the node's clock.
     pub(super) sent_at_ms: Millis,
     /// How long the connection had been idle; none if it was new.
     pub(super) idle: Option<Duration>,
     /// The charge to the engine's limit.
     pub(super) _charge: Option<Charge>,
-    /// Whether the request has counted it as one that the engine may have executed.
-    pub(super) is_counted: bool,
 }
 
 /// An attempt by way of another node.
 pub(super) struct ForwardAttempt {
     pub(super) guard: ForwardGuard,
-    pub(super) exchange: Exchange<Head>,
+    pub(super) sent: SentRequest<Head>,
+}
+
+/// A request that is being sent, until the head of its response has been read.
+pub(super) struct SentRequest<T> {
+    pub(super) exchange: Exchange<T>,
     pub(super) sent_at: Instant,
-    /// As in [`EngineAttempt`].
+    /// Whether the request has counted it as one that an engine may have executed.
     pub(super) is_counted: bool,
 }
 
+impl<T> SentRequest<T> {
+    pub(super) fn start(exchange: Exchange<T>) -> SentRequest<T> {
+        SentRequest { exchange, sent_at: Instant::now(), is_counted: false }
+    }
+}
+
 impl OpenAttempt {
     async fn response(self) -> LateResponse {
         match self {
             OpenAttempt::Engine(mut attempt) => {
                 let exchanged = tokio::select! {
                     biased;
-                    exchanged = attempt.exchange.as_mut() => Some(exchanged),
+                    exchanged = attempt.sent.exchange.as_mut() => Some(exchanged),
                     () = attempt.guard.wait_for_restart() => None,
                 };
                 match exchanged {
@@ -81,7 +104,7 @@
                 }
             }
             OpenAttempt::Forwarder(mut attempt) => {
-                let exchanged = attempt.exchange.as_mut().await;
+                let exchanged = attempt.sent.exchange.as_mut().await;
                 LateResponse::Forwarder(attempt, exchanged)
             }
         }
--- a/crates/gateway/src/relay/start.rs
+++ b/crates/gateway/src/relay/start.rs
@@ -9,7 +9,7 @@
 use crate::response::CallerResponse;
 
 use super::attempt::{AttemptResult, StartedResponse};
-use super::forward::{ForwardRefusal, NextHop};
+use super::forward::ForwardRefusal;
 use super::identity::AuthError;
 use super::open_attempt::SilentAttempts;
 use super::request::{REJECTED_RETRY_AFTER, RelayedRequest};
@@ -182,8 +182,7 @@
 /// Makes one attempt.
 async fn attempt(req: &mut RelayedRequest, last: Option<u64>) -> AttemptResult {
     match req.next_hop().await {
-        Ok(NextHop::Engine(engine)) => req.attempt(&engine, last).await,
-        Ok(NextHop::Forwarder(addr)) => req.forward(addr, last).await,
+        Ok(hop) => req.attempt(&hop, last).await,
         Err(no_engine) => AttemptResult::NoEngine(no_engine),
     }
 }
