A silent forwarder writes line 5018 as a silent engine does

A request that looked for another way as the node that forwards it was silent wrote nothing, so that its way could not be followed in the lines, and hgw_tries_failed_total did not count it. Line 5018 now has the node's address as peer, and limit=forwarder.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -113,5 +113,5 @@
     StreamBegan = 5015, Info, "an engine has sent the first event of a stream";
     StreamTakenUp = 5016, Info, "a caller takes up a stream that an earlier attempt began";
     TrialBegan = 5017, Info, "a request is sent to find out whether a part of its prompt crashes engines";
-    EngineSilent = 5018, Info, "a request looks for another way, as its engine is silent";
+    EngineSilent = 5018, Info, "a request looks for another way, as its engine, or the node that forwards it, is silent";
 }
--- a/crates/gateway/src/relay/forward.rs
+++ b/crates/gateway/src/relay/forward.rs
@@ -22,7 +22,7 @@
 };
 use super::request::RelayedRequest;
 use super::source::{ForwardGuard, Source};
-use super::wait::WaitResult;
+use super::wait::{ExceededLimit, Silent, WaitResult};
 
 /// Nodes by way of which one request is tried.
 const MAX_FORWARDS: usize = 4;
@@ -129,7 +129,8 @@
     /// Waits for the response to an attempt, as long as no other way is taken.
     pub(super) async fn wait_for_forward(&mut self, mut attempt: ForwardAttempt) -> AttemptResult {
         let max_wait = self.max_first_byte_wait();
-        match self.wait_for_forwarder(max_wait, attempt.sent.exchange.as_mut()).await {
+        let addr = attempt.guard.addr;
+        match self.wait_for_forwarder(addr, max_wait, attempt.sent.exchange.as_mut()).await {
             WaitResult::Done(exchanged) => self.conclude_forward(attempt, exchanged).await,
             WaitResult::Stalled => {
                 attempt.guard.record_refused();
@@ -268,17 +269,20 @@
     /// another way.
     pub(super) async fn wait_for_forwarder<F: Future + ?Sized>(
         &self,
+        addr: SocketAddr,
         max_silence: Option<Duration>,
         mut future: Pin<&mut F>,
     ) -> WaitResult<F::Output> {
         let Some(max_silence) = max_silence else { return self.within_deadline(future).await };
-        let silent_at = (Instant::now() + max_silence + FORWARD_MARGIN).min(self.deadline_at);
+        let limit = max_silence + FORWARD_MARGIN;
+        let silent_at = (Instant::now() + limit).min(self.deadline_at);
         tokio::select! {
             biased;
             done = &mut future => return WaitResult::Done(done),
             () = sleep_until(silent_at) => {}
         }
         if Instant::now() < self.deadline_at && self.has_alternative() && self.take_retry() {
+            self.log_silent_forwarder(addr, ExceededLimit { of: Silent::Forwarder, limit });
             return WaitResult::Stalled;
         }
         self.within_deadline(future).await
--- a/crates/gateway/src/relay/outcome.rs
+++ b/crates/gateway/src/relay/outcome.rs
@@ -52,27 +52,37 @@
 
     /// Logs that the request looks for another way, as its engine is silent.
     pub(super) fn log_silent_engine(&self, engine: &EngineId, exceeded: ExceededLimit) {
+        let silent_ms = self.node.time_since_heard(engine).as_millis();
+        let is_reported = self.node.is_reported_unreachable(engine);
+        let of_engine: [(&str, &dyn Display); 3] =
+            [("upstream", engine), ("silent_ms", &silent_ms), ("reported", &is_reported)];
+        self.log_silence(&of_engine, exceeded);
+    }
+
+    /// The same if another node that was to forward the request is silent.
+    pub(super) fn log_silent_forwarder(&self, addr: SocketAddr, exceeded: ExceededLimit) {
+        self.log_silence(&[("peer", &addr)], exceeded);
+    }
+
+    fn log_silence(&self, of_source: &[(&str, &dyn Display)], exceeded: ExceededLimit) {
         let now = self.node.now();
         let silence = ServiceSilence::of(&self.node.state.borrow().engines, &self.service, now);
         meter::attempt_failed("silent");
         let to = if self.should_forward() { "forwarder" } else { "engine" };
-        emit(
-            Event::EngineSilent,
-            &[
-                ("node", &self.node.settings.borrow().node),
-                ("id", &self.info.id),
-                ("upstream", engine),
-                ("limit", &exceeded.of),
-                ("limit_ms", &exceeded.limit.as_millis()),
-                ("silent_ms", &self.node.time_since_heard(engine).as_millis()),
-                ("reported", &self.node.is_reported_unreachable(engine)),
-                ("waiting", &silence.waiting),
-                ("silent", &silence.silent),
-                ("path", &!self.has_failed_path()),
-                ("to", &to),
-                ("runs", &self.executions),
-            ],
-        );
+        let (node, limit_ms) = (&self.node.settings.borrow().node, exceeded.limit.as_millis());
+        let path = !self.has_failed_path();
+        let of_request: [(&str, &dyn Display); 9] = [
+            ("node", node),
+            ("id", &self.info.id),
+            ("limit", &exceeded.of),
+            ("limit_ms", &limit_ms),
+            ("waiting", &silence.waiting),
+            ("silent", &silence.silent),
+            ("path", &path),
+            ("to", &to),
+            ("runs", &self.executions),
+        ];
+        emit(Event::EngineSilent, &[&of_request, of_source].concat());
     }
 
     /// Builds this node's error response to a request that an engine may have executed.
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -224,7 +224,7 @@
         let chunk = std::pin::pin!(chunk);
         match &self.source {
             Source::Engine(guard) => req.unless_unresponsive(guard, hung, chunk).await,
-            Source::Forwarder(_) => req.wait_for_forwarder(Some(hung), chunk).await,
+            Source::Forwarder(guard) => req.wait_for_forwarder(guard.addr, Some(hung), chunk).await,
         }
     }
 
--- a/crates/gateway/src/relay/wait.rs
+++ b/crates/gateway/src/relay/wait.rs
@@ -46,6 +46,9 @@
     /// This response alone.
     #[display("response")]
     Response,
+    /// Another node that forwards the request.
+    #[display("forwarder")]
+    Forwarder,
 }
 
 /// What has been silent for too long, and the limit of that.
