--- a/crates/hibiscusgw/tests/platform/silence.rs
+++ b/crates/hibiscusgw/tests/platform/silence.rs
@@ -78,15 +78,13 @@
 }
 
 /// What is planned while engines are silent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy)]
 enum Planned {
     Nothing,
     /// A configuration with shorter time-outs comes into force.
     Configuration,
     /// Each node is told that its settings have changed.
     Reload,
-    /// The nodes may send no request a second time.
-    NoRetries,
 }
 
 /// A silence of engines while streams run there.
@@ -98,6 +96,8 @@
     silent: usize,
     millis: u64,
     planned: Planned,
+    /// Whether the nodes may send a request a second time.
+    retries: bool,
 }
 
 /// Callers that a node has more than the one before, by turns of three.
@@ -123,7 +123,7 @@
         let mut fleet = new_fleet((0..self.engines).map(engine).collect());
         fleet.publish(&self.configuration(2));
         fleet.start_with_leader(self.nodes, &["a", "b", "c"]);
-        if self.planned == Planned::NoRetries {
+        if !self.retries {
             for node in &fleet.nodes {
                 node.set(
                     "budgetRatio=0.2\nbounds.budgetSlack=50",
@@ -147,7 +147,6 @@
             Planned::Nothing => {}
             Planned::Configuration => fleet.publish(&self.configuration(version)),
             Planned::Reload => fleet.nodes.iter().for_each(|node| node.signal(Signal::HUP)),
-            Planned::NoRetries => {}
         }
     }
 
@@ -209,12 +208,18 @@
 }
 
 macro_rules! silences {
-    ($($name:ident: $nodes:literal nodes, $silent:literal of $engines:literal silent for $millis:literal ms, $planned:ident;)*) => {$(
+    ($($name:ident: $nodes:literal nodes, $silent:literal of $engines:literal silent for $millis:literal ms, $planned:ident, retries $retries:literal;)*) => {$(
         /// Guards against streams that are cut as their node gives up a silent engine before another one goes on.
         #[test]
         fn $name() {
-            let (nodes, engines, silent, millis) = ($nodes, $engines, $silent, $millis);
-            let silence = Silence { nodes, engines, silent, millis, planned: Planned::$planned };
+            let silence = Silence {
+                nodes: $nodes,
+                engines: $engines,
+                silent: $silent,
+                millis: $millis,
+                planned: Planned::$planned,
+                retries: $retries,
+            };
             let cut = silence.play();
             assert!(cut.is_empty(), "{} cut: {cut:#?}", cut.len());
         }
@@ -223,17 +228,17 @@
 
 silences! {
     streams_outlast_a_silence_of_all_engines:
-        3 nodes, 2 of 2 silent for 1_200 ms, Nothing;
+        3 nodes, 2 of 2 silent for 1_200 ms, Nothing, retries true;
     streams_outlast_a_silence_of_all_engines_beside_configurations:
-        9 nodes, 3 of 3 silent for 1_200 ms, Configuration;
+        9 nodes, 3 of 3 silent for 1_200 ms, Configuration, retries true;
     streams_outlast_a_silence_of_all_engines_beside_reloads:
-        6 nodes, 2 of 2 silent for 1_500 ms, Reload;
+        6 nodes, 2 of 2 silent for 1_500 ms, Reload, retries true;
     streams_outlast_a_silence_without_retries:
-        3 nodes, 2 of 3 silent for 1_500 ms, NoRetries;
+        3 nodes, 2 of 3 silent for 1_500 ms, Nothing, retries false;
     streams_outlast_a_silence_behind_hubs:
-        14 nodes, 3 of 4 silent for 1_200 ms, Nothing;
+        14 nodes, 3 of 4 silent for 1_200 ms, Nothing, retries true;
     streams_outlast_a_silence_of_six_engines_in_ten:
-        6 nodes, 6 of 10 silent for 1_000 ms, Configuration;
+        6 nodes, 6 of 10 silent for 1_000 ms, Configuration, retries true;
 }
 
 /// Two engines of a service, `first` of which a request runs at, both silent until the first goes on.
