Tests: engines that send bytes without end where a bound holds already

An engine in trouble may send bytes that are no response until the node closes the connection. A sender before an engine stand-in replaces its sealed responses, or goes on after them, so that the engine still counts its runs.

Nothing in the node changes.

--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/endless_responses.rs
@@ -0,0 +1,216 @@
+//! Engines that send bytes that are no response, without end.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use hgw_standins::client::{Result, Whole};
+use hgw_standins::fleet::deployment::{Fleet, Node, holds, wait};
+use hgw_standins::fleet::{Endless, EndlessRecord, EngineSettings, Part};
+use http::StatusCode;
+use serde_json::Value;
+
+use crate::new_fleet;
+
+/// Bytes after which a sender pauses: far more than any part of a response may have, and the kernel's buffers.
+const MAX_BYTES: usize = 48 << 20;
+
+/// Requests that are sent at a time.
+const CALLERS: usize = 9;
+
+/// Requests of other callers meanwhile.
+const OTHER_CALLS: usize = 20;
+
+/// Events of a stream of a sound engine.
+const EVENTS: u64 = 20;
+
+/// Event of an engine whose health changed.
+const ENGINE_JUDGED: u64 = 4007;
+
+fn is_stream(route: &str) -> bool {
+    matches!(route, "ask" | "once")
+}
+
+fn may_repeat(route: &str) -> bool {
+    matches!(route, "ask" | "look")
+}
+
+/// An engine that serves the route and sends this without end, or is sound.
+fn engine(n: usize, route: &str, part: Option<Part>, max_bytes: usize) -> EngineSettings {
+    let service = if is_stream(route) { "models" } else { "desk" };
+    EngineSettings {
+        id: format!("i-{n}"),
+        service: service.into(),
+        holds: if is_stream(route) { holds(&[("m", &[])]) } else { holds(&[]) },
+        slots: 96,
+        events: EVENTS,
+        endless: part.map(|part| Endless { part, max_bytes }),
+        ..EngineSettings::default()
+    }
+}
+
+/// Starts a node before three engines of the route's service, some of which send this without end.
+fn start(part: Part, route: &str, endless: usize, max_bytes: usize) -> (Fleet, usize, PathBuf) {
+    let part_of = |n: usize| (n < endless).then_some(part);
+    let engines = (0..3).map(|n| engine(n, route, part_of(n), max_bytes)).collect();
+    let mut fleet = new_fleet(engines);
+    if !is_stream(route) {
+        // The three engines are all that the service has.
+        ["desk-1", "desk-2"].iter().for_each(|id| fleet.store.put("keyed.servers", id, b""));
+    }
+    let (node, lines) = fleet.start_logged("a");
+    (fleet, node, lines)
+}
+
+fn send(node: &Node, route: &str, id: &str) -> Result<Whole> {
+    let path = format!("/{route}/");
+    if is_stream(route) {
+        node.stream_of_new_session(&path, id, "m")
+    } else {
+        node.plain(&path, id)
+    }
+}
+
+/// Sends requests of the route at a time, with their ids, and calls of another service beside them.
+fn send_all(fleet: &Fleet, node: usize, route: &str, count: usize) -> Vec<(String, Result<Whole>)> {
+    let node = &fleet.nodes[node];
+    let other = if is_stream(route) { "look" } else { "ask" };
+    std::thread::scope(|scope| {
+        let sent: Vec<_> = (0..count)
+            .map(|n| {
+                let id = format!("{route}-{n}");
+                scope.spawn(move || (id.clone(), send(node, route, &id)))
+            })
+            .collect();
+        if is_stream(route) {
+            for n in 0..OTHER_CALLS {
+                let response = read_by(|| send(node, other, &format!("other-{n}")));
+                assert_eq!(response.status, StatusCode::OK, "a call of another service");
+            }
+        }
+        sent.into_iter().map(|sent| sent.join().unwrap()).collect()
+    })
+}
+
+/// The response to a request that is sent again as long as the node closes its connection unread: it does that while it
+/// runs late, as it may on a busy machine.
+fn read_by(send: impl Fn() -> Result<Whole>) -> Whole {
+    loop {
+        match send() {
+            Err(error) if error.to_string().starts_with("client error (SendRequest)") => {
+                std::thread::sleep(Duration::from_millis(100));
+            }
+            response => return response.unwrap(),
+        }
+    }
+}
+
+/// Whether a response is a success, which must be whole.
+fn is_served(route: &str, id: &str, response: &Result<Whole>) -> bool {
+    let Ok(response) = response else { return false };
+    if response.status != StatusCode::OK {
+        return false;
+    }
+    assert!(response.headers.contains_key("x-response-seal"), "{response:?}");
+    let whole = if is_stream(route) {
+        (1..=EVENTS).map(|n| format!("id: {n}\ndata: piece {n}\n\n")).collect()
+    } else {
+        let run = serde_json::from_str::<Value>(&response.body).unwrap()["run"].clone();
+        serde_json::json!({ "id": id, "run": run }).to_string()
+    };
+    assert_eq!(without_comments(&response.body), whole, "{id}");
+    true
+}
+
+/// The events of a stream; comments and events without content do not count.
+fn without_comments(body: &str) -> String {
+    body.split_inclusive("\n\n")
+        .filter(|event| *event != ": waiting\n\n" && *event != "\n\n")
+        .collect()
+}
+
+/// Waits until the node has closed all connections on which something was sent without end, and tells what was sent.
+fn wait_until_closed(fleet: &Fleet) -> Vec<EndlessRecord> {
+    let records = || fleet.engines.iter().map(|e| e.endless()).collect::<Vec<_>>();
+    wait("the node closes the connections, or the senders pause", || {
+        records().iter().all(|r| r.begun == r.closed || r.exhausted > 0)
+    });
+    let sent: Vec<_> = records().into_iter().filter(|r| r.begun > 0).collect();
+    assert!(!sent.is_empty(), "nothing was sent without end");
+    assert!(sent.iter().all(|r| r.exhausted == 0), "connections are left open: {sent:?}");
+    sent
+}
+
+fn one_of_three(part: Part, route: &str) {
+    let (fleet, node, lines) = start(part, route, 1, MAX_BYTES);
+    let responses = send_all(&fleet, node, route, CALLERS);
+    let served = responses.iter().filter(|(id, response)| is_served(route, id, response)).count();
+    wait_until_closed(&fleet);
+    let is_complete = part == Part::AfterEnd;
+    if may_repeat(route) || is_complete {
+        assert_eq!(served, CALLERS, "{responses:?}");
+    } else {
+        assert!(served > 0, "{responses:?}");
+        let most = responses.iter().map(|(id, _)| fleet.runs(id)).max();
+        assert!(most <= Some(1), "a request that may not be repeated ran twice");
+    }
+    if !is_complete && part != Part::Rejection {
+        let judged = fleet.lines(&lines, ENGINE_JUDGED);
+        assert!(judged.iter().any(|line| line["upstream"] == "i-0"), "{judged:?}");
+    }
+}
+
+fn all_three(part: Part, route: &str) {
+    let (fleet, node, _) = start(part, route, 3, MAX_BYTES);
+    let responses = send_all(&fleet, node, route, CALLERS);
+    let served = responses.iter().filter(|(id, response)| is_served(route, id, response)).count();
+    wait_until_closed(&fleet);
+    assert_eq!(served, if part == Part::AfterEnd { CALLERS } else { 0 }, "{responses:?}");
+    let attempts = if may_repeat(route) { 2 } else { 1 };
+    for (id, response) in &responses {
+        assert!(fleet.runs(id) <= attempts, "{id} ran {} times", fleet.runs(id));
+        let status = response.as_ref().ok().map(|response| response.status);
+        assert_ne!(status, Some(StatusCode::GATEWAY_TIMEOUT), "{id} was held until its deadline");
+    }
+}
+
+macro_rules! cases {
+    ($why:literal, $play:path; $($name:ident: $part:expr, $route:literal;)*) => {
+        $(
+            #[doc = $why]
+            #[test]
+            fn $name() {
+                $play($part, $route);
+            }
+        )*
+    };
+}
+
+cases! {
+    "Guards against callers that suffer from one engine that sends bytes without end while others could serve them, against \
+     a second run of what may not be repeated, and against connections that stay open.",
+    one_of_three;
+    one_sends_a_head_line: Part::HeadLine, "look";
+    one_sends_a_head_line_for_a_stream: Part::HeadLine, "once";
+    one_sends_head_lines: Part::HeadLines, "ask";
+    one_sends_a_chunk_line: Part::ChunkLine, "ask";
+    one_sends_a_chunk_line_for_a_call: Part::ChunkLine, "print";
+    one_sends_a_body_in_chunks: Part::Chunks, "look";
+    one_sends_a_body_without_length: Part::BodyUntilClose, "look";
+    one_sends_a_body_without_length_for_an_unsafe_call: Part::BodyUntilClose, "print";
+    one_sends_a_body_of_a_great_length: Part::BodyOfLength(1 << 40), "look";
+    one_sends_bytes_after_the_end: Part::AfterEnd, "look";
+    one_sends_bytes_after_the_end_of_a_stream: Part::AfterEnd, "once";
+    one_sends_another_response: Part::OtherResponse, "look";
+    one_sends_a_rejection: Part::Rejection, "look";
+}
+
+cases! {
+    "Guards against requests that are held until their deadlines while all engines send bytes without end, against runs \
+     beyond the attempts of their routes, and against other callers that suffer.",
+    all_three;
+    all_send_a_head_line: Part::HeadLine, "ask";
+    all_send_a_chunk_line: Part::ChunkLine, "once";
+    all_send_a_body_in_chunks: Part::Chunks, "print";
+    all_send_a_body_without_length: Part::BodyUntilClose, "look";
+    all_send_bytes_after_the_end: Part::AfterEnd, "print";
+}
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -25,6 +25,7 @@
 mod crowds;
 mod cut_from_engines;
 mod datagrams;
+mod endless_responses;
 mod engine_limits;
 mod engine_memory;
 mod engine_speed;
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -12,10 +12,11 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::sync::mpsc::{Sender, channel};
+use tokio::sync::mpsc::{self, channel};
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
+use super::endless::{Endless, EndlessRecord, Sender};
 use crate::client::Caller;
 use crate::faults::{Faults, Switches, lock};
 use crate::server::{
@@ -69,6 +70,8 @@
     pub unread_limit: Option<Duration>,
     /// How long it says that it keeps idle connections; nothing if none is set.
     pub keep_alive: Option<Duration>,
+    /// What it sends without end in place of its responses or after them, if it does.
+    pub endless: Option<Endless>,
 }
 
 /// Pieces of a stream that wait to be written.
@@ -97,6 +100,7 @@
             event_bytes: 0,
             unread_limit: None,
             keep_alive: None,
+            endless: None,
         }
     }
 }
@@ -146,6 +150,7 @@
 #[derive(Debug)]
 pub struct Engine {
     running: Running,
+    sender: Option<Sender>,
     shared: Arc<Shared>,
 }
 
@@ -208,13 +213,20 @@
         Arc::new(Shared { settings, switches: Arc::clone(&switches), inner: Mutex::new(inner) });
     let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let running = serve("fleet-engine", listen, switches, Arc::clone(&shared))?;
-    Ok(Engine { running, shared })
+    let endless = shared.settings.endless;
+    let sender = endless.map(|endless| Sender::start(running.addr(), endless)).transpose()?;
+    Ok(Engine { running, sender, shared })
 }
 
 impl Engine {
     /// Where it listens.
     pub fn addr(&self) -> SocketAddr {
-        self.running.addr()
+        self.sender.as_ref().map_or(self.running.addr(), Sender::addr)
+    }
+
+    /// What became of what it sent without end.
+    pub fn endless(&self) -> EndlessRecord {
+        self.sender.as_ref().map(Sender::record).unwrap_or_default()
     }
 
     /// Its identity.
@@ -553,7 +565,7 @@
         }
     }
 
-    async fn events(self: Arc<Self>, tx: Sender<Piece>, from: u64, active: Active) {
+    async fn events(self: Arc<Self>, tx: mpsc::Sender<Piece>, from: u64, active: Active) {
         self.lock().running += 1;
         let end = self.write_events(&tx, from).await;
         self.lock().running -= 1;
@@ -574,7 +586,7 @@
         }
     }
 
-    async fn write_events(&self, tx: &Sender<Piece>, from: u64) -> StreamEnd {
+    async fn write_events(&self, tx: &mpsc::Sender<Piece>, from: u64) -> StreamEnd {
         let padding = "x".repeat(self.settings.event_bytes);
         let breaks = self.switches.stream_fault().map(u64::from);
         for (sent, event) in (from + 1..=self.settings.events).enumerate() {
@@ -599,7 +611,7 @@
     }
 
     /// Writes a piece; tells whether its reader is there, or that it has not read for too long.
-    async fn write(&self, tx: &Sender<Piece>, piece: Piece) -> Result<bool, Elapsed> {
+    async fn write(&self, tx: &mpsc::Sender<Piece>, piece: Piece) -> Result<bool, Elapsed> {
         let sent = tx.send(piece);
         match self.settings.unread_limit {
             Some(limit) => timeout(limit, sent).await.map(|sent| sent.is_ok()),
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -1,9 +1,11 @@
 //! Stand-ins of the users' platform, in its own dialect: its store, and engines of its services.
 
 pub mod deployment;
+pub mod endless;
 pub mod engine;
 pub mod store;
 
 pub use deployment::Fleet;
+pub use endless::{Endless, EndlessRecord, Part};
 pub use engine::{EngineSettings, FleetRecord, Holds};
 pub use store::Store;
