Say what an engine has sent in place of a response

A response that is none was logged as an attempt that "failed" or a caller's response that "broke off": a reset and 48 MiB of head lines looked the same. The errors of a connection now say by type which part of a response exceeds which limit, and line 5020 and hgw_malformed_responses_total name the engine and the part, for calls, streams and heads alike. No decision changes.

Decoder tests against peers that send until they are closed: 6 of 6 pass.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -114,4 +114,5 @@
     StreamTakenUp = 5016, Info, "a caller takes up a stream that an earlier attempt began";
     TrialBegan = 5017, Info, "a request is sent to find out whether a part of its prompt crashes engines";
     EngineSilent = 5018, Info, "a request looks for another way, as its engine is silent";
+    ResponseMalformed = 5020, Info, "an engine has sent what is no response; its connection is closed";
 }
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -79,6 +79,11 @@
     counter!("hgw_tries_failed_total", "reason" => reason).increment(1);
 }
 
+/// Counts what an engine of the service sent in place of a response.
+pub(crate) fn malformed_response(service: &ServiceId) {
+    counter!("hgw_malformed_responses_total", "service" => service.to_string()).increment(1);
+}
+
 pub(crate) fn engine_ended_under_request() {
     counter!("hgw_engines_ended_total").increment(1);
 }
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use hgw_direct::{Refusal, Route};
-use hgw_http1::{BodyDecoder, Conn, Error, Framing};
+use hgw_http1::{BodyDecoder, Conn, Error, Framing, Limit, Part};
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -120,4 +120,5 @@
     Ok(body)
 }
 
-const TOO_LARGE: Error = Error::Malformed { what: "body too large" };
+const TOO_LARGE: Error =
+    Error::TooLarge { part: Part::Body, limit: Limit::Bytes(MAX_RESPONSE_BYTES) };
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -12,6 +12,7 @@
 use super::body;
 use super::event_timing::EventTiming;
 use super::request::RelayedRequest;
+use super::source::Source;
 use super::start::{Failure, final_response, start};
 use super::wait::WaitResult;
 
@@ -63,6 +64,9 @@
     let body = match req.wait_for(&source, body).await {
         WaitResult::Done(Ok(body)) => body,
         incomplete => {
+            if let (Source::Engine(_), WaitResult::Done(Err(e))) = (&source, &incomplete) {
+                req.log_if_malformed(&engine, e);
+            }
             req.record_broken(&source, &incomplete).await;
             return None;
         }
--- a/crates/gateway/src/relay/engine_response.rs
+++ b/crates/gateway/src/relay/engine_response.rs
@@ -72,6 +72,7 @@
                 self.handle_response_head(attempt, conn, head, info).await
             }
             Err(e) => {
+                self.log_if_malformed(&attempt.engine, &e);
                 attempt.guard.record_outcome(failure_outcome(&e));
                 node.mark_broken(&attempt.engine);
                 match attempt.idle {
@@ -158,8 +159,10 @@
 fn failure_outcome(error: &Error) -> AttemptOutcome {
     match error {
         Error::Connect { .. } => AttemptOutcome::Unreachable,
-        Error::Io(_) | Error::Incomplete | Error::Stalled { .. } | Error::Malformed { .. } => {
-            AttemptOutcome::Failed
-        }
+        Error::Io(_)
+        | Error::Incomplete
+        | Error::Stalled { .. }
+        | Error::Malformed { .. }
+        | Error::TooLarge { .. } => AttemptOutcome::Failed,
     }
 }
--- a/crates/gateway/src/relay/outcome.rs
+++ b/crates/gateway/src/relay/outcome.rs
@@ -9,6 +9,7 @@
     retry_time,
 };
 use hgw_events::{Event, emit};
+use hgw_http1::Error;
 use http::StatusCode;
 use rand::random;
 
@@ -50,6 +51,23 @@
         );
     }
 
+    /// Logs that an engine sent what is no response, if the error says so.
+    pub(super) fn log_if_malformed(&self, engine: &EngineId, error: &Error) {
+        if !error.is_malformed() {
+            return;
+        }
+        meter::malformed_response(&self.service);
+        emit(
+            Event::ResponseMalformed,
+            &[
+                ("node", &self.node.settings.borrow().node),
+                ("id", &self.info.id),
+                ("upstream", engine),
+                ("what", error),
+            ],
+        );
+    }
+
     /// Logs that the request looks for another way, as its engine is silent.
     pub(super) fn log_silent_engine(&self, engine: &EngineId, exceeded: ExceededLimit) {
         let now = self.node.now();
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -247,9 +247,12 @@
     }
 
     /// Records that the response ended early, with what was read last.
-    async fn record_broken<T>(&self, last: &WaitResult<T>) {
+    async fn record_broken(&self, last: &ChunkRead) {
         if let Source::Engine(_) = self.source {
             self.req.node.mark_broken(&self.engine);
+            if let WaitResult::Done(Err(e)) = last {
+                self.req.log_if_malformed(&self.engine, e);
+            }
         }
         self.req.record_broken(&self.source, last).await;
     }
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -3,7 +3,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 
 use crate::head::Framing;
-use crate::{Error, Result};
+use crate::{Error, Limit, Part, Result};
 
 /// Longest line of chunked framing: a chunk size or a trailer, in bytes.
 const MAX_LINE_BYTES: usize = 256;
@@ -112,7 +112,8 @@
 fn take_line(buf: &mut BytesMut) -> Result<Option<Bytes>> {
     let Some(end) = buf.iter().position(|b| *b == b'\n') else {
         if buf.len() > MAX_LINE_BYTES {
-            return Err(Error::Malformed { what: "chunk size" });
+            let limit = Limit::Bytes(MAX_LINE_BYTES);
+            return Err(Error::TooLarge { part: Part::ChunkLine, limit });
         }
         return Ok(None);
     };
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -13,7 +13,7 @@
 
 use crate::body::Step;
 use crate::liveness::{DEAD_PEER_TIMEOUT, close_if_dead};
-use crate::{BodyDecoder, Error, Head, Request, Result, head};
+use crate::{BodyDecoder, Error, Head, Limit, Part, Request, Result, head};
 
 /// Buffer space for one read of the socket, in bytes.
 const READ_BUFFER_BYTES: usize = 8 << 10;
@@ -199,7 +199,7 @@
         while let Some(bytes) = self.read_chunk(&mut body).await? {
             if body_bytes.len() + bytes.len() > max_bytes {
                 self.must_close = true;
-                return Err(Error::Malformed { what: "body too large" });
+                return Err(body_too_large(max_bytes));
             }
             body_bytes.extend_from_slice(&bytes);
         }
@@ -224,7 +224,7 @@
             let Some(bytes) = chunk.map_err(|_| stalled)?? else { return Ok(body_bytes.freeze()) };
             if body_bytes.len() + bytes.len() > max_bytes {
                 self.must_close = true;
-                return Err(Error::Malformed { what: "body too large" });
+                return Err(body_too_large(max_bytes));
             }
             record_bytes(bytes.len());
             body_bytes.extend_from_slice(&bytes);
@@ -237,6 +237,10 @@
     }
 }
 
+fn body_too_large(max_bytes: usize) -> Error {
+    Error::TooLarge { part: Part::Body, limit: Limit::Bytes(max_bytes) }
+}
+
 /// Parses `Keep-Alive: timeout=SECONDS`.
 fn parse_keep_alive_timeout(head: &Head) -> Option<Duration> {
     let value = head.headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -4,6 +4,8 @@
 
 use derive_more::{Display, Error, From};
 
+use crate::{Limit, Part};
+
 #[derive(Debug, Display, Error, From)]
 pub enum Error {
     /// Connecting failed or timed out, so nothing was sent.
@@ -29,9 +31,18 @@
         /// The invalid part.
         what: &'static str,
     },
+    /// The response exceeds what a sound peer sends, or what the reader has room for.
+    #[display("the {part} of the response exceeds {limit}")]
+    #[from(skip)]
+    TooLarge { part: Part, limit: Limit },
 }
 
 impl Error {
+    /// Whether the peer sent what is no response.
+    pub fn is_malformed(&self) -> bool {
+        matches!(self, Error::Malformed { .. } | Error::TooLarge { .. })
+    }
+
     /// Whether nobody listens at the address.
     pub fn is_refused(&self) -> bool {
         let Error::Connect { source } = self else { return false };
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -4,7 +4,7 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Method};
 
-use crate::{Error, Result};
+use crate::{Error, Limit, Part, Result};
 
 /// Largest accepted response head, in bytes.
 pub const MAX_HEAD_BYTES: usize = 32 << 10;
@@ -34,10 +34,14 @@
 pub(crate) fn take_head(buf: &mut BytesMut, method: &Method) -> Result<Option<Head>> {
     let mut parsed_headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut parsed_headers);
-    let status = parsed.parse(buf).map_err(|_| Error::Malformed { what: "head" })?;
+    let too_large = |limit| Error::TooLarge { part: Part::Head, limit };
+    let status = parsed.parse(buf).map_err(|e| match e {
+        httparse::Error::TooManyHeaders => too_large(Limit::Lines(MAX_HEADERS)),
+        _ => Error::Malformed { what: "head" },
+    })?;
     let httparse::Status::Complete(len) = status else {
         if buf.len() > MAX_HEAD_BYTES {
-            return Err(Error::Malformed { what: "head too large" });
+            return Err(too_large(Limit::Bytes(MAX_HEAD_BYTES)));
         }
         return Ok(None);
     };
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -5,6 +5,7 @@
 //! complete.
 
 mod body;
+mod bound;
 mod conn;
 mod end_to_end;
 mod error;
@@ -13,6 +14,7 @@
 mod request;
 
 pub use body::BodyDecoder;
+pub use bound::{Limit, Part};
 pub use conn::{BodyPace, Conn, ConnTimeouts};
 pub use end_to_end::end_to_end_headers;
 pub use error::{Error, Result};
