--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -55,6 +55,7 @@
     LinesLeftOut = 1011, Warn, "log lines were dropped";
     ConnectionsRefused = 1012, Info, "the node has begun or ceased to refuse some new connections, as it runs late";
     CallerClosedUnread = 1013, Info, "the node has closed a caller's connection with unread bytes";
+    PeerDead = 1020, Info, "a connection was closed, as its peer acknowledges nothing";
     MemberUp = 2001, Info, "a node is considered alive";
     MemberDown = 2002, Info, "a node is considered dead or is shutting down";
     PeerRefused = 2003, Warn, "a peer's connection was refused";
@@ -114,5 +115,6 @@
     StreamBegan = 5015, Info, "an engine has sent the first event of a stream";
     StreamTakenUp = 5016, Info, "a caller takes up a stream that an earlier attempt began";
     TrialBegan = 5017, Info, "a request is sent to find out whether a part of its prompt crashes engines";
-    EngineSilent = 5018, Info, "a request looks for another way, as its engine is silent";
+    EngineSilent = 5018, Info, "a request looks for another way, as its engine, or the node that forwards it, is silent";
+    ResponseMalformed = 5020, Info, "an engine has sent what is no response; its connection is closed";
 }
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -80,6 +80,11 @@
     counter!("hgw_tries_failed_total", "reason" => reason).increment(1);
 }
 
+/// Counts what an engine of the service sent in place of a response.
+pub(crate) fn malformed_response(service: &ServiceId) {
+    counter!("hgw_malformed_responses_total", "service" => service.to_string()).increment(1);
+}
+
 pub(crate) fn engine_ended_under_request() {
     counter!("hgw_engines_ended_total").increment(1);
 }
@@ -134,6 +139,11 @@
         .increment(1);
 }
 
+/// Counts a connection that was closed as its peer acknowledges nothing.
+pub(crate) fn dead_peer() {
+    counter!("hgw_dead_peers_total").increment(1);
+}
+
 /// Counts a connection that a request to an engine uses.
 pub(crate) fn engine_connection(is_reused: bool) {
     let kind = if is_reused { "reused" } else { "new" };
--- a/crates/gateway/src/relay/wait.rs
+++ b/crates/gateway/src/relay/wait.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
+use derive_more::Display;
 use tokio::time::{Instant, sleep_until};
 
 use crate::attempt_guard::AttemptGuard;
@@ -36,10 +37,24 @@
 const HUNG_AFTER_MIN: Duration = Duration::from_millis(450);
 const HUNG_AFTER_MAX: Duration = Duration::from_millis(1_300);
 
+/// What has been silent for longer than its limit.
+#[derive(Debug, Clone, Copy, Display)]
+pub(super) enum Silent {
+    /// The engine, on all connections.
+    #[display("silence")]
+    Engine,
+    /// This response alone.
+    #[display("response")]
+    Response,
+    /// Another node that forwards the request.
+    #[display("forwarder")]
+    Forwarder,
+}
+
 /// What has been silent for too long, and the limit of that.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ExceededLimit {
-    pub(super) of: &'static str,
+    pub(super) of: Silent,
     pub(super) limit: Duration,
 }
 
@@ -53,6 +68,20 @@
     TimedOut,
 }
 
+/// Waits until the deadline, or until the engine has restarted.
+pub(super) async fn unless_restarted<F: Future>(
+    restarted: impl Future<Output = ()>,
+    deadline_at: Instant,
+    future: F,
+) -> WaitResult<F::Output> {
+    tokio::select! {
+        biased;
+        done = future => WaitResult::Done(done),
+        () = restarted => WaitResult::EngineRestarted,
+        () = sleep_until(deadline_at) => WaitResult::TimedOut,
+    }
+}
+
 impl RelayedRequest {
     /// Waits until the request's deadline at the latest.
     pub(super) async fn within_deadline<F: Future>(&self, future: F) -> WaitResult<F::Output> {
@@ -79,7 +108,7 @@
         future: F,
     ) -> WaitResult<F::Output> {
         let Some(hung) = self.max_first_byte_wait() else {
-            let result = self.unless_engine_restarts(guard, future);
+            let result = unless_restarted(guard.wait_for_restart(), self.deadline_at, future);
             return tokio::select! {
                 biased;
                 result = result => result,
@@ -101,20 +130,6 @@
         }
     }
 
-    /// Waits for an engine until the request's deadline or until the engine restarts.
-    async fn unless_engine_restarts<F: Future>(
-        &self,
-        guard: &AttemptGuard,
-        future: F,
-    ) -> WaitResult<F::Output> {
-        tokio::select! {
-            biased;
-            done = future => WaitResult::Done(done),
-            () = guard.wait_for_restart() => WaitResult::EngineRestarted,
-            () = sleep_until(self.deadline_at) => WaitResult::TimedOut,
-        }
-    }
-
     /// Waits until the engine has been silent on all connections for a while, or this response for
     /// `hung`, and there is another way that the retry budget allows. Silence does not end the attempt: it stays
     /// open until another one responds.
@@ -159,9 +174,9 @@
             if silence >= limit || now - started >= hung {
                 if self.has_alternative() && self.take_retry() {
                     let exceeded = if silence >= limit {
-                        ExceededLimit { of: "silence", limit }
+                        ExceededLimit { of: Silent::Engine, limit }
                     } else {
-                        ExceededLimit { of: "response", limit: hung }
+                        ExceededLimit { of: Silent::Response, limit: hung }
                     };
                     self.log_silent_engine(engine, exceeded);
                     return WaitResult::Stalled;
