Requests that arrive in a silence of all engines are sent, not refused

Callers saw 503 'engines unreachable' for each request that arrived later than about 0.8 s after all engines had fallen silent, and 0.1 s after they had gone on. Sound engines may be silent for a second or so.

Cause: a probe that is taken and not answered within 300 ms counted as an engine that is not reached, so that the node took its path for failed. All other nodes had concluded the same and refused to forward. The request then had no way, although the engines took connections. And the end of such an outage was held back for 300 ms, which is meant for paths that come and go. Besides, an engine to which connecting was abandoned as the path had failed went to the next node as one that was tried: 'full' where it alone has the model.

The change: EnginePath tells engines that take a connection and are silent from those that are not reached. While the former may all be silent for a moment (three seconds, and no other node reaches engines), other nodes are asked first, and what none takes is sent to an engine. The first response ends it.

--- a/crates/direct/src/engine_path.rs
+++ b/crates/direct/src/engine_path.rs
@@ -1,7 +1,8 @@
 //! Tells whether a node's own path to the engines of a service has failed.
 //!
 //! One engine that cannot be reached says something about that engine. Many, with none reached in between,
-//! say something about the node.
+//! say something about the node, unless they take connections and do not respond: all engines may be silent for a moment.
+//! Only other nodes can tell that from a path that takes connections and carries nothing.
 
 use std::time::Duration;
 
@@ -27,6 +28,9 @@
 /// Time within which an engine must have been reached for the path to be known to work.
 const PROOF_TTL: Millis = 300;
 
+/// Time from the failure of the path on for which engines that take connections may all be silent together.
+const MAX_COMMON_SILENCE: Millis = 3_000;
+
 /// Interval between two checks while the path has failed.
 pub const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -41,8 +45,8 @@
 /// connections say nothing: they may live on while no new one can be made.
 #[derive(Debug, Default)]
 pub struct EnginePath {
-    /// Engines that were not reached since one last was, and when.
-    failed: IndexMap<EngineId, Millis>,
+    /// Engines that were not reached since one last was.
+    failed: IndexMap<EngineId, Miss>,
     last_reached_at: Option<Millis>,
     outage: Option<Outage>,
     restored_at: Option<Millis>,
@@ -50,11 +54,34 @@
     last_hold: Millis,
 }
 
+/// An engine that was not reached.
+#[derive(Debug)]
+struct Miss {
+    at: Millis,
+    /// Whether it took a connection.
+    is_connected: bool,
+}
+
 #[derive(Debug)]
 struct Outage {
     /// Engines that were reached, and since when.
     reached: IndexMap<EngineId, Millis>,
     hold: Millis,
+    since: Millis,
+    /// Whether an engine has taken a connection.
+    is_connected: bool,
+    /// Whether another node has reached an engine meanwhile.
+    is_reached_elsewhere: bool,
+    /// Whether engines have been silent towards this node after another one had reached one.
+    is_lost: bool,
+}
+
+impl Outage {
+    /// Whether it may be no more than a silence of all engines.
+    fn may_be_silence(&self, now: Millis) -> bool {
+        let is_short = now.saturating_sub(self.since) < MAX_COMMON_SILENCE;
+        self.is_connected && !self.is_lost && is_short
+    }
 }
 
 impl EnginePath {
@@ -63,6 +90,13 @@
         self.outage.is_some()
     }
 
+    /// Whether requests that go no other way may be sent to engines: the path works, or engines are probably all silent
+    /// for a moment, or one has been reached again.
+    pub fn may_carry(&self, now: Millis) -> bool {
+        let Some(outage) = &self.outage else { return true };
+        outage.may_be_silence(now) || !outage.reached.is_empty()
+    }
+
     /// Whether an engine was reached so lately that a failure concerns the engine and not this node.
     pub fn is_proven(&self, now: Millis) -> bool {
         let is_recent = self.last_reached_at.is_some_and(|at| now.saturating_sub(at) < PROOF_TTL);
@@ -91,21 +125,52 @@
         engines: usize,
         now: Millis,
     ) -> Option<PathChange> {
+        self.record_miss(engine, Miss { at: now, is_connected: false }, engines)
+    }
+
+    /// Records that the engine took a connection and did not respond, out of `engines` that accept requests.
+    pub fn record_silence(
+        &mut self,
+        engine: &EngineId,
+        engines: usize,
+        now: Millis,
+    ) -> Option<PathChange> {
+        self.record_miss(engine, Miss { at: now, is_connected: true }, engines)
+    }
+
+    fn record_miss(&mut self, engine: &EngineId, miss: Miss, engines: usize) -> Option<PathChange> {
+        let now = miss.at;
         if let Some(outage) = &mut self.outage {
             outage.reached.swap_remove(engine);
+            outage.is_connected |= miss.is_connected;
+            outage.is_lost |= outage.is_reached_elsewhere;
             return None;
         }
-        self.failed.retain(|_, at| now.saturating_sub(*at) < EVIDENCE_TTL);
-        self.failed.insert(engine.clone(), now);
+        self.failed.retain(|_, earlier| now.saturating_sub(earlier.at) < EVIDENCE_TTL);
+        self.failed.insert(engine.clone(), miss);
         if self.failed.len() < engines.clamp(1, MIN_FAILED_ENGINES) {
             return None;
         }
         let is_unstable = self.restored_at.is_some_and(|at| now.saturating_sub(at) < UNSTABLE_TIME);
         let hold = if is_unstable { (2 * self.last_hold).min(MAX_HOLD) } else { MIN_HOLD };
-        self.outage = Some(Outage { reached: IndexMap::new(), hold });
+        self.outage = Some(Outage {
+            reached: IndexMap::new(),
+            hold,
+            since: now,
+            is_connected: self.failed.values().any(|miss| miss.is_connected),
+            is_reached_elsewhere: false,
+            is_lost: false,
+        });
         Some(PathChange::Failed)
     }
 
+    /// Records that another node has reached an engine of the service.
+    pub fn record_reached_elsewhere(&mut self) {
+        if let Some(outage) = &mut self.outage {
+            outage.is_reached_elsewhere = true;
+        }
+    }
+
     /// Records a response of the engine on a new connection.
     pub fn record_reached(&mut self, engine: &EngineId, now: Millis) -> Option<PathChange> {
         self.last_reached_at = Some(now);
@@ -113,6 +178,10 @@
             self.failed.clear();
             return None;
         };
+        if outage.may_be_silence(now) {
+            self.end_outage();
+            return Some(PathChange::Restored);
+        }
         outage.reached.entry(engine.clone()).or_insert(now);
         let longest = outage.reached.values().map(|since| now.saturating_sub(*since)).max();
         if longest.is_none_or(|longest| longest < outage.hold) {
@@ -120,8 +189,12 @@
         }
         self.last_hold = outage.hold;
         self.restored_at = Some(now);
+        self.end_outage();
+        Some(PathChange::Restored)
+    }
+
+    fn end_outage(&mut self) {
         self.outage = None;
         self.failed.clear();
-        Some(PathChange::Restored)
     }
 }
--- a/crates/direct/tests/engine_path.rs
+++ b/crates/direct/tests/engine_path.rs
@@ -123,3 +123,67 @@
     path.record_failure(&id(3), ENGINES, 250);
     assert!(!path.is_proven(260));
 }
+
+/// A path to which this many different engines were silent: they took a connection and did not respond.
+fn silent(engines: usize, at: Millis) -> EnginePath {
+    let mut path = EnginePath::default();
+    for n in 0..engines {
+        path.record_silence(&id(n), ENGINES, at);
+    }
+    path
+}
+
+/// Guards against refusing requests as all engines are silent for a moment, which no other node reaches either.
+#[test]
+fn requests_may_be_sent_while_all_engines_are_silent() {
+    let mut path = silent(8, 1_000);
+    assert!(path.has_failed(), "other nodes are asked first");
+    for now in (1_000..3_900).step_by(100) {
+        path.record_silence(&id(1), ENGINES, now);
+        assert!(path.may_carry(now), "{now}");
+    }
+    assert!(!path.may_carry(4_100), "no sound engine is silent for so long");
+}
+
+/// Guards against requests that are sent over a path on which nothing is even connected.
+#[test]
+fn requests_are_not_sent_while_no_engine_takes_a_connection() {
+    let path = failed(8, 1_000);
+    assert!(!path.may_carry(1_000));
+}
+
+/// Guards against refusing requests in a silence of all engines, as one of them has crashed besides.
+#[test]
+fn crashed_engine_does_not_make_a_silence_a_lost_path() {
+    let mut path = silent(7, 0);
+    path.record_failure(&id(7), ENGINES, 0);
+    assert!(path.has_failed() && path.may_carry(0));
+}
+
+/// Guards against requests that hang on a path that takes connections and carries nothing, while other nodes reach
+/// engines.
+#[test]
+fn path_is_lost_if_only_other_nodes_reach_engines() {
+    let mut path = silent(8, 0);
+    path.record_reached_elsewhere();
+    assert!(path.may_carry(50), "engines may have gone on just now");
+    path.record_silence(&id(1), ENGINES, 100);
+    assert!(!path.may_carry(100));
+    assert_eq!(path.record_reached(&id(1), 200), None);
+    assert!(path.may_carry(200), "an engine was reached");
+    assert_eq!(path.record_reached(&id(1), 500), Some(PathChange::Restored));
+}
+
+/// Guards against requests that take detours, or are refused, after engines have gone on.
+#[test]
+fn silence_ends_with_the_first_response() {
+    let mut path = silent(8, 0);
+    for end in [1_000, 3_000, 5_000] {
+        assert_eq!(path.record_reached(&id(2), end), Some(PathChange::Restored));
+        assert!(!path.has_failed());
+        for n in 0..8 {
+            path.record_silence(&id(n), ENGINES, end + 1_000);
+        }
+        assert!(path.has_failed());
+    }
+}
--- a/crates/gateway/src/engine_path.rs
+++ b/crates/gateway/src/engine_path.rs
@@ -64,6 +64,18 @@
         self.paths.borrow().get(service).is_some_and(EnginePath::has_failed)
     }
 
+    /// Whether requests that go no other way may be sent to engines of the service.
+    pub(crate) fn may_carry(&self, service: &ServiceId, now: Millis) -> bool {
+        self.paths.borrow().get(service).is_none_or(|path| path.may_carry(now))
+    }
+
+    /// Records that another node has reached an engine of the service.
+    pub(crate) fn record_reached_elsewhere(&self, service: &ServiceId) {
+        if let Some(path) = self.paths.borrow_mut().get_mut(service) {
+            path.record_reached_elsewhere();
+        }
+    }
+
     /// Services of which this node reaches no engine.
     pub(crate) fn failed_services(&self) -> Vec<ServiceId> {
         let paths = self.paths.borrow();
@@ -80,10 +92,19 @@
     failed.iter().any(|id| catalog.services.get(id).is_some_and(|s| s.pool.is_some()))
 }
 
-/// Records that no connection to the engine could be made, or that a new one brought no response.
+/// Records that no connection to the engine could be made, or that a new one broke off.
 pub(crate) fn record_failure(node: &Node, engine: &EngineId) {
+    record_miss(node, engine, Missed::Failed);
+}
+
+/// Records that a new connection to the engine was made and brought no response.
+pub(crate) fn record_silence(node: &Node, engine: &EngineId) {
+    record_miss(node, engine, Missed::Silent);
+}
+
+fn record_miss(node: &Node, engine: &EngineId, missed: Missed) {
     let Some(service) = service_of(node, engine) else { return };
-    record_failure_unchecked(node, &service, engine);
+    record_miss_unchecked(node, &service, engine, missed);
     start_check_unless_proven(node, &service);
 }
 
@@ -177,14 +198,20 @@
                 is_reached.set(true);
                 record_reached(node, &probe.engine);
             }
-            Err(NotReached) => record_failure_unchecked(node, service, &probe.engine),
+            Err(missed) => record_miss_unchecked(node, service, &probe.engine, missed),
         }
     });
     join_all(probes).await;
 }
 
+/// Why an engine was not reached.
 #[derive(Debug, Clone, Copy)]
-struct NotReached;
+enum Missed {
+    /// No connection could be made, or it broke off.
+    Failed,
+    /// It took a connection and did not respond.
+    Silent,
+}
 
 /// A probe of an engine, and the request that it answers at any load; none if there is no such request.
 struct Probe {
@@ -196,9 +223,9 @@
 
 /// Opens a connection to an engine and waits for a response, as a connection may be taken by something on
 /// the way.
-async fn probe_engine(node: &Node, probe: &Probe) -> Result<(), NotReached> {
+async fn probe_engine(node: &Node, probe: &Probe) -> Result<(), Missed> {
     let connected = Conn::connect(probe.addr, node.conn_timeouts()).await;
-    let mut conn = connected.map_err(|_| NotReached)?;
+    let mut conn = connected.map_err(|_| Missed::Failed)?;
     if let Some(req) = &probe.req {
         let response = async {
             let head = conn.round_trip(req).await?;
@@ -206,17 +233,21 @@
             conn.read_body(BodyDecoder::new(head.framing), MAX_PROBE_BYTES).await
         };
         let response = timeout(PROBE_TIMEOUT, response).await;
-        response.ok().and_then(Result::ok).ok_or(NotReached)?;
+        response.map_err(|_| Missed::Silent)?.map_err(|_| Missed::Failed)?;
     }
     node.put_engine_connection(&probe.engine, probe.addr, conn);
     Ok(())
 }
 
-fn record_failure_unchecked(node: &Node, service: &ServiceId, engine: &EngineId) {
+fn record_miss_unchecked(node: &Node, service: &ServiceId, engine: &EngineId, missed: Missed) {
     let (engines, now) = (usable_engines(node, service), node.now());
     let change = {
         let mut paths = node.engine_path.paths.borrow_mut();
-        paths.entry(service.clone()).or_default().record_failure(engine, engines, now)
+        let path = paths.entry(service.clone()).or_default();
+        match missed {
+            Missed::Failed => path.record_failure(engine, engines, now),
+            Missed::Silent => path.record_silence(engine, engines, now),
+        }
     };
     apply_change(node, service, change);
 }
@@ -280,6 +311,7 @@
     let reaches = change == PathChange::Restored;
     let not_reached =
         node.engine_path.paths.borrow().get(service).map_or(0, EnginePath::failed_engines);
+    let may_be_silent = !reaches && node.engine_path.may_carry(service, node.now());
     meter::engine_path_changed(service, reaches);
     emit(
         Event::EnginePathChanged,
@@ -289,6 +321,7 @@
             ("reaches", &reaches),
             ("engines", &usable_engines(node, service)),
             ("not_reached", &not_reached),
+            ("may_be_silent", &may_be_silent),
         ],
     );
     // Requests that wait for a connection go another way.
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -165,7 +165,13 @@
         self.has_outlived = false;
         let tokens = self.prompt().map_or(0, |prompt| prompt.prompt_tokens);
         let guard = AttemptGuard::start(&node, engine, &self.info.id, tokens, self.memory());
-        let conn = self.connect(engine, addr).await.ok_or(AttemptResult::NotSent)?;
+        let Some(conn) = self.connect(engine, addr).await else {
+            if self.has_failed_path() {
+                // Another node may reach it.
+                self.tried_engines.pop();
+            }
+            return Err(AttemptResult::NotSent);
+        };
         let charge = match self.permit_to_send(&guard, version).await {
             Ok(charge) => charge,
             Err(result) => {
@@ -227,7 +233,7 @@
         let connected = tokio::select! {
             biased;
             connected = self.within_deadline(connected) => connected,
-            () = self.wait_until_reported_unreachable(engine) => return None,
+            () = self.wait_until_path_left(engine) => return None,
         };
         match connected {
             WaitResult::Done(Ok(conn)) => Some(conn),
@@ -282,11 +288,16 @@
         Ok(())
     }
 
-    /// Returns once another node reports that the engine is unreachable, or this one reaches none.
-    async fn wait_until_reported_unreachable(&self, engine: &EngineId) {
+    /// Returns once connecting to the engine should be abandoned: another node reports that it is unreachable, or this node
+    /// has come to reach none.
+    async fn wait_until_path_left(&self, engine: &EngineId) {
+        // No other node took the request.
+        let had_failed = self.has_failed_path();
         loop {
             let changed = self.node.reachability_changed.notified();
-            if self.node.is_reported_unreachable(engine) || self.has_failed_path() {
+            let leaves_path =
+                if had_failed { !self.may_use_engines() } else { self.has_failed_path() };
+            if self.node.is_reported_unreachable(engine) || leaves_path {
                 return;
             }
             changed.await;
--- a/crates/gateway/src/relay/engine_choice.rs
+++ b/crates/gateway/src/relay/engine_choice.rs
@@ -186,7 +186,7 @@
     pub(super) fn refuse_no_engine(&self, reason: NoEngine) -> CallerResponse {
         match reason {
             NoEngine::TooLarge => *self.refuse_for_good(Refusal::RequestTooLarge),
-            _ if self.has_failed_path() || self.is_unreachable() => {
+            _ if !self.may_use_engines() || self.is_unreachable() => {
                 self.refuse_while(Refusal::EnginesUnreachable, RefusalDuration::Lasting)
             }
             NoEngine::VersionGone => *self.refuse_for_good(Refusal::StreamVersionGone),
--- a/crates/gateway/src/relay/forward.rs
+++ b/crates/gateway/src/relay/forward.rs
@@ -30,6 +30,10 @@
 /// Time that a node has, beyond what it waits for an engine itself, before it counts as unresponsive.
 const FORWARD_MARGIN: Duration = Duration::from_millis(400);
 
+/// Refusals by a node that may reach engines all the same.
+const REFUSED_BY_REACHING: [Refusal; 3] =
+    [Refusal::NodeBusy, Refusal::NodeMemory, Refusal::EnginesResting];
+
 /// Largest refusal of another node that is passed on.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
@@ -53,7 +57,7 @@
         if let Some(addr) = self.choose_forwarder().await {
             return Ok(NextHop::Forwarder(addr));
         }
-        if self.has_failed_path() {
+        if !self.may_use_engines() {
             return Err(NoEngine::NoneAvailable);
         }
         match self.choose_engine().await {
@@ -70,6 +74,19 @@
         self.node.engine_path.has_failed(&self.service)
     }
 
+    /// Whether the request may be sent to an engine if it goes by way of no other node. While the path has failed it may
+    /// only if engines are probably all silent for a moment, and no attempt is open at one of them: a second one would be
+    /// no better.
+    pub(super) fn may_use_engines(&self) -> bool {
+        if !self.has_failed_path() {
+            return true;
+        }
+        !self.is_forwarded
+            && self.silent_attempts == 0
+            && !self.was_refused_elsewhere
+            && self.node.engine_path.may_carry(&self.service, self.node.now())
+    }
+
     /// Whether the request should go by way of another node.
     pub(super) fn should_forward(&self) -> bool {
         if self.is_forwarded || self.tried_forwarders.len() >= MAX_FORWARDS {
@@ -203,6 +220,7 @@
                     return AttemptResult::NoResponse;
                 }
                 guard.record_served(&domain);
+                self.node.engine_path.record_reached_elsewhere(&self.service);
                 let source = Source::Forwarder(guard);
                 let started = StartedResponse { engine, version, conn, head, source };
                 AttemptResult::Started(Box::new(started))
@@ -242,6 +260,8 @@
     fn record_forwarder_refusal(&mut self, guard: &ForwardGuard, reason: &str) {
         guard.record_refused();
         if reason != Refusal::EnginesUnreachable.to_string() {
+            let reaches_engines = |refusal: &Refusal| refusal.to_string() == reason;
+            self.was_refused_elsewhere |= REFUSED_BY_REACHING.iter().any(reaches_engines);
             return;
         }
         self.hopeless_forwards += 1;
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -108,6 +108,8 @@
     pub(super) forwarded_slot: Option<ForwardedSlot>,
     /// Nodes that it was forwarded to.
     pub(super) tried_forwarders: Vec<SocketAddr>,
+    /// Whether one of them refused it and may reach engines.
+    pub(super) was_refused_elsewhere: bool,
     /// How many of them reach no engine that could run it.
     pub(super) hopeless_forwards: usize,
     /// Software version that began the stream, at which alone it may go on.
@@ -186,6 +188,7 @@
             executions_elsewhere: 0,
             forwarded_slot: None,
             tried_forwarders: Vec::new(),
+            was_refused_elsewhere: false,
             hopeless_forwards: 0,
             version: None,
             stale_engine: None,
--- a/crates/gateway/src/relay/silence.rs
+++ b/crates/gateway/src/relay/silence.rs
@@ -34,7 +34,7 @@
             if let Some(idle) = idle {
                 node.pool.record_loss(addr, idle, now);
             }
-            engine_path::record_failure(node, engine);
+            engine_path::record_silence(node, engine);
         }
         report_unreachable(node, engine);
     }
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -49,6 +49,7 @@
 mod session;
 mod settings;
 mod silence;
+mod silence_arrivals;
 mod slow_readers;
 mod stopping;
 mod store_disconnects;
