A miss that began before engines went on does not make the path a lost one

Seen once: 9 of 336 requests refused as 'engines unreachable' at 14 nodes, in the last tenth of a second of the silence and right after it, in one run of silence_arrivals::* (seven cases at a time, load average 45 and more). By reading: a request that another node had taken was answered as engines went on; a probe of this node that had begun before and came back late after that made the path a lost one, and other nodes had concluded the same.

Now only a miss 0.7 s after the word of the other node counts, which is longer than a miss takes.

--- a/crates/direct/src/engine_path.rs
+++ b/crates/direct/src/engine_path.rs
@@ -31,6 +31,9 @@
 /// Time from the failure of the path on for which engines that take connections may all be silent together.
 const MAX_COMMON_SILENCE: Millis = 3_000;
 
+/// Longest time that it takes to miss an engine: connecting, and the response.
+const MAX_MISS_TIME: Millis = 700;
+
 /// Interval between two checks while the path has failed.
 pub const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -70,8 +73,8 @@
     since: Millis,
     /// Whether an engine has taken a connection.
     is_connected: bool,
-    /// Whether another node has reached an engine meanwhile.
-    is_reached_elsewhere: bool,
+    /// When another node was first known to have reached an engine meanwhile.
+    reached_elsewhere_at: Option<Millis>,
     /// Whether engines have been silent towards this node after another one had reached one.
     is_lost: bool,
 }
@@ -143,7 +146,9 @@
         if let Some(outage) = &mut self.outage {
             outage.reached.swap_remove(engine);
             outage.is_connected |= miss.is_connected;
-            outage.is_lost |= outage.is_reached_elsewhere;
+            // Earlier misses may have begun before engines went on.
+            let is_missed_since = |at: Millis| now.saturating_sub(at) >= MAX_MISS_TIME;
+            outage.is_lost |= outage.reached_elsewhere_at.is_some_and(is_missed_since);
             return None;
         }
         self.failed.retain(|_, earlier| now.saturating_sub(earlier.at) < EVIDENCE_TTL);
@@ -158,16 +163,16 @@
             hold,
             since: now,
             is_connected: self.failed.values().any(|miss| miss.is_connected),
-            is_reached_elsewhere: false,
+            reached_elsewhere_at: None,
             is_lost: false,
         });
         Some(PathChange::Failed)
     }
 
     /// Records that another node has reached an engine of the service.
-    pub fn record_reached_elsewhere(&mut self) {
+    pub fn record_reached_elsewhere(&mut self, now: Millis) {
         if let Some(outage) = &mut self.outage {
-            outage.is_reached_elsewhere = true;
+            outage.reached_elsewhere_at.get_or_insert(now);
         }
     }
 
--- a/crates/gateway/src/engine_path.rs
+++ b/crates/gateway/src/engine_path.rs
@@ -70,9 +70,9 @@
     }
 
     /// Records that another node has reached an engine of the service.
-    pub(crate) fn record_reached_elsewhere(&self, service: &ServiceId) {
+    pub(crate) fn record_reached_elsewhere(&self, service: &ServiceId, now: Millis) {
         if let Some(path) = self.paths.borrow_mut().get_mut(service) {
-            path.record_reached_elsewhere();
+            path.record_reached_elsewhere(now);
         }
     }
 
--- a/crates/gateway/src/relay/forward.rs
+++ b/crates/gateway/src/relay/forward.rs
@@ -220,7 +220,8 @@
                     return AttemptResult::NoResponse;
                 }
                 guard.record_served(&domain);
-                self.node.engine_path.record_reached_elsewhere(&self.service);
+                let now = self.node.now();
+                self.node.engine_path.record_reached_elsewhere(&self.service, now);
                 let source = Source::Forwarder(guard);
                 let started = StartedResponse { engine, version, conn, head, source };
                 AttemptResult::Started(Box::new(started))
