Trailers without end are no response

An engine that sent lines of trailers for ever held its caller until the deadline: each line was read and dropped, so that the read of the body never returned, and nothing counted them. Now as many lines are taken as a head may have fields (64); more are an error, at once.

--- a/crates/hibiscusgw/tests/platform/endless_responses.rs
+++ b/crates/hibiscusgw/tests/platform/endless_responses.rs
@@ -219,6 +219,8 @@
     one_sends_head_lines: Part::HeadLines, "ask";
     one_sends_a_chunk_line: Part::ChunkLine, "ask";
     one_sends_a_chunk_line_for_a_call: Part::ChunkLine, "print";
+    one_sends_trailers: Part::Trailers, "ask";
+    one_sends_trailers_for_a_call: Part::Trailers, "look";
     one_sends_a_body_in_chunks: Part::Chunks, "look";
     one_sends_a_body_without_length: Part::BodyUntilClose, "look";
     one_sends_a_body_without_length_for_an_unsafe_call: Part::BodyUntilClose, "print";
@@ -235,6 +237,7 @@
     all_three;
     all_send_a_head_line: Part::HeadLine, "ask";
     all_send_a_chunk_line: Part::ChunkLine, "once";
+    all_send_trailers: Part::Trailers, "once";
     all_send_a_body_in_chunks: Part::Chunks, "print";
     all_send_bytes_after_the_end: Part::AfterEnd, "print";
 }
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-use crate::head::Framing;
+use crate::head::{Framing, MAX_HEADERS};
 use crate::{Error, Limit, Part, Result};
 
 /// Longest line of chunked framing: a chunk size or a trailer, in bytes.
@@ -22,7 +22,8 @@
     ChunkSize,
     Chunk(u64),
     ChunkEnd,
-    Trailer,
+    /// Lines of trailers that have been read.
+    Trailer(usize),
     UntilClose,
     Complete,
 }
@@ -83,7 +84,7 @@
                 State::ChunkSize => {
                     let Some(line) = take_line(buf)? else { return Ok(Step::NeedsInput) };
                     let size = chunk_size(&line)?;
-                    self.state = if size == 0 { State::Trailer } else { State::Chunk(size) };
+                    self.state = if size == 0 { State::Trailer(0) } else { State::Chunk(size) };
                 }
                 State::ChunkEnd => {
                     let Some(line) = take_line(buf)? else { return Ok(Step::NeedsInput) };
@@ -92,11 +93,16 @@
                     }
                     self.state = State::ChunkSize;
                 }
-                State::Trailer => {
+                State::Trailer(lines) => {
                     let Some(line) = take_line(buf)? else { return Ok(Step::NeedsInput) };
-                    if line.is_empty() {
-                        self.state = State::Complete;
-                    }
+                    self.state = if line.is_empty() {
+                        State::Complete
+                    } else if lines < MAX_HEADERS {
+                        State::Trailer(lines + 1)
+                    } else {
+                        let limit = Limit::Lines(MAX_HEADERS);
+                        return Err(Error::TooLarge { part: Part::Trailers, limit });
+                    };
                 }
             }
         }
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -9,7 +9,8 @@
 /// Largest accepted response head, in bytes.
 pub const MAX_HEAD_BYTES: usize = 32 << 10;
 
-const MAX_HEADERS: usize = 64;
+/// Most fields of a head, and of the trailers after a body.
+pub(crate) const MAX_HEADERS: usize = 64;
 
 /// How the end of a response body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/http1/tests/conn.rs
+++ b/crates/http1/tests/conn.rs
@@ -54,6 +54,9 @@
         => Ok((200, body)) if body == "abc",
     chunks_are_read: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x\r\nc\r\n0\r\n\r\n", true
         => Ok((200, body)) if body == "abc",
+    trailers_are_passed_over:
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX: y\r\nX: z\r\n\r\n", true
+        => Ok((200, body)) if body == "ab",
     end_of_the_connection_ends_a_body_without_a_length: b"HTTP/1.1 200 OK\r\n\r\nabc", false
         => Ok((200, body)) if body == "abc",
     informational_answers_are_passed_over:
--- a/crates/http1/tests/endless.rs
+++ b/crates/http1/tests/endless.rs
@@ -1,6 +1,7 @@
 //! Peers that send bytes without end.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
@@ -12,6 +13,9 @@
 /// Longest body that is read.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
+/// Guard against a test that does not end, far above what is expected.
+const GUARD: Duration = Duration::from_secs(30);
+
 /// Starts a peer that reads a request, writes `first` and then `repeated` until its connection is closed.
 async fn start_peer(first: &'static str, repeated: &'static str) -> (SocketAddr, JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -35,8 +39,9 @@
         let head = conn.round_trip(&req).await?;
         conn.read_body(BodyDecoder::new(head.framing), MAX_BODY_BYTES).await
     };
-    let error = read.await.unwrap_err();
-    assert!(!conn.is_reusable(std::time::Duration::ZERO));
+    let read = tokio::time::timeout(GUARD, read).await.expect("the reader ends by itself");
+    let error = read.unwrap_err();
+    assert!(!conn.is_reusable(Duration::ZERO));
     drop(conn);
     peer.await.unwrap();
     error
@@ -64,6 +69,8 @@
     size_of_a_chunk: CHUNKED, "0" => Part::ChunkLine, Limit::Bytes(_),
     extension_of_a_chunk: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"
         => Part::ChunkLine, Limit::Bytes(_),
+    trailers: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "X: y\r\n"
+        => Part::Trailers, Limit::Lines(_),
     body_in_chunks: CHUNKED, "1\r\nx\r\n" => Part::Body, Limit::Bytes(MAX_BODY_BYTES),
     body_without_a_length: "HTTP/1.1 200 OK\r\n\r\n", "x" => Part::Body, Limit::Bytes(MAX_BODY_BYTES),
 }
