Callers' connections: a head has a time, and a check is never planned far ahead

Two faults in the change of callers' connections, found by its review, and one that was there before.

Now headerTimeoutMs counts from a head's first byte, with the same care for a late node.

The reason for which a connection ended is counted for all of them; bytes of a part of a head count as unread.

--- a/crates/direct/src/idle_connection.rs
+++ b/crates/direct/src/idle_connection.rs
@@ -1,28 +1,38 @@
 //! When a caller's idle connection is closed.
 //!
 //! A caller may use an idle connection within the limit that it knows. A close that crosses its request leaves it in
-//! doubt whether the request has run, so a connection is only closed once the caller has been silent for the limit while
-//! this node could hear it.
+//! doubt whether the request has run, so the time in which this node looked late doesn't count as the caller's silence.
 
 use crate::Millis;
 
-/// Delay of this node's own look at a connection beyond which it may have missed what the caller sent.
-const MAX_DELAY: Millis = 50;
+/// Delay of a check beyond which this node may have missed what the caller sent.
+const MAX_CHECK_DELAY: Millis = 50;
+
+/// Limits in force for connections of callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// Longest time without a request.
+    pub idle: Millis,
+    /// Longest time for a request's head, from its first byte.
+    pub head: Millis,
+}
 
 /// Idle time of one connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct IdleConnection {
     last_active: Millis,
-    /// Limit that was in force when the connection was last used, which its caller keeps to.
-    limit: Millis,
-    /// Time added to the limit, as this node was late.
+    /// Idle limit that was in force when the connection was last used, which its caller keeps to.
+    idle_limit: Millis,
+    /// Since when a part of a head has been there.
+    head_since: Option<Millis>,
+    /// Time added to the limit, as a check was late.
     extension: Millis,
 }
 
 impl IdleConnection {
-    /// A new connection.
-    pub fn new(now: Millis, limit: Millis) -> IdleConnection {
-        IdleConnection { last_active: now, limit, extension: 0 }
+    /// A new connection, or one whose response has ended: the limits now in force count from here on.
+    pub fn new(now: Millis, limits: ConnectionLimits) -> IdleConnection {
+        IdleConnection { last_active: now, idle_limit: limits.idle, head_since: None, extension: 0 }
     }
 
     /// Time of the last activity.
@@ -30,32 +40,56 @@
         self.last_active
     }
 
-    /// Records that bytes were received or sent.
-    pub fn record_bytes(&mut self, now: Millis) {
+    /// Whether a part of a head has been received.
+    pub fn has_partial_head(&self) -> bool {
+        self.head_since.is_some()
+    }
+
+    /// Records activity of an open request.
+    pub fn record_activity(&mut self, now: Millis) {
         (self.last_active, self.extension) = (now, 0);
     }
 
-    /// Records the end of a response; the limit now in force counts from here on.
-    pub fn record_use(&mut self, now: Millis, limit: Millis) {
-        *self = IdleConnection::new(now, limit);
+    /// Records bytes that were received between two requests.
+    pub fn record_head_bytes(&mut self, now: Millis) {
+        self.head_since.get_or_insert(now);
+        self.record_activity(now);
+    }
+
+    /// Records that a head is complete.
+    pub fn begin_request(&mut self) {
+        self.head_since = None;
     }
 
-    /// When the connection is to be closed. A longer limit counts at once, a shorter one from the next use on.
-    pub fn close_at(&self, limit_in_force: Millis) -> Millis {
-        self.last_active + self.limit.max(limit_in_force) + self.extension
+    /// When the connection is to be closed. A longer idle limit counts at once, a shorter one from the next use on.
+    pub fn close_at(&self, limits: ConnectionLimits) -> Millis {
+        let at = match self.head_since {
+            Some(since) => since + limits.head,
+            None => self.last_active + self.idle_limit.max(limits.idle),
+        };
+        at + self.extension
     }
 
-    /// Whether the connection may be closed now.
+    /// Returns whether the connection is to be closed now, at a check that was planned for `planned`.
     ///
-    /// If this node is late, what the caller sent meanwhile may still be on its way: a sender that gets no acknowledgement
-    /// for some time repeats within about as long. So the connection is kept once more for as long.
-    pub fn may_close(&mut self, now: Millis, limit_in_force: Millis) -> bool {
-        let close_at = self.close_at(limit_in_force);
-        let Some(delay) = now.checked_sub(close_at) else { return false };
-        if delay <= MAX_DELAY || self.extension > 0 {
+    /// After a late check, what the caller sent meanwhile may still be on its way: a sender without an acknowledgement
+    /// repeats within about as long. So the connection is kept once more, for the delay or the limit, whichever is shorter.
+    pub fn close_or_extend(
+        &mut self,
+        now: Millis,
+        planned: Millis,
+        limits: ConnectionLimits,
+    ) -> bool {
+        let close_at = self.close_at(limits);
+        if now < close_at {
+            return false;
+        }
+        let delay = now.saturating_sub(close_at.max(planned));
+        if delay <= MAX_CHECK_DELAY || self.extension > 0 {
             return true;
         }
-        self.extension = delay + delay.min(self.limit);
+        // From now on.
+        self.extension = now - close_at + delay.min(self.idle_limit);
         false
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -92,7 +92,7 @@
 pub use forwarders::Forwarders;
 pub use freshness::{FreshnessProof, VersionCheck};
 pub use health::{AttemptOutcome, Health, HealthTracker};
-pub use idle_connection::IdleConnection;
+pub use idle_connection::{ConnectionLimits, IdleConnection};
 pub use idle_trust::{IdleTrust, LONG_IDLE, SHORT_IDLE};
 pub use isolation::is_isolated;
 pub use leader_liveness::LeaderLiveness;
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use crate::caller_activity::CallerActivity;
+use crate::caller_activity::{CallerActivity, CloseReason};
 use crate::caller_stream::CallerStream;
 use crate::relay;
 use crate::response::{BodyAborted, ResponseBody};
@@ -40,27 +40,33 @@
     loop {
         tokio::select! {
             biased;
-            // The connection has ended; an error of the caller needs no handling.
-            _ = conn.as_mut() => return,
-            () = sleep(activity.next_check()) => {}
-            () = activity.limit_fell.notified() => {}
+            ended = conn.as_mut() => return activity.record_end(reason_of(ended)),
+            () = sleep(activity.plan_check()) => {}
             () = node.shutdown.changed.notified() => {}
         }
         let Some(reason) = activity.reason_to_close() else { continue };
         let last_active = activity.last_active();
-        activity.request_look();
-        if poll_fn(|cx| Poll::Ready(conn.as_mut().poll(cx))).await.is_ready() {
-            return;
+        activity.request_direct_read();
+        if let Poll::Ready(ended) = poll_fn(|cx| Poll::Ready(conn.as_mut().poll(cx))).await {
+            return activity.record_end(reason_of(ended));
         }
-        if activity.last_active() == last_active && activity.open_requests() == 0 {
-            activity.record_close(reason);
-            conn.as_mut().graceful_shutdown();
+        if activity.last_active() != last_active || activity.open_requests() > 0 {
+            continue;
+        }
+        activity.record_end(reason);
+        conn.as_mut().graceful_shutdown();
+        if !activity.has_partial_head() {
+            // Sends what is left of the last response.
             let _ = conn.await;
-            return;
         }
+        return;
     }
 }
 
+fn reason_of(ended: hyper::Result<()>) -> CloseReason {
+    if ended.is_ok() { CloseReason::Ended } else { CloseReason::Failed }
+}
+
 async fn handle(
     activity: Rc<CallerActivity>,
     req: Request<Incoming>,
@@ -74,7 +80,7 @@
     Ok(response.map(|body| CallerBody { body, _open_request: open_request }))
 }
 
-/// Counts a request as open until its response has been sent or given up.
+/// Counts a request as open until its response has been passed on completely or given up.
 struct OpenRequest(Rc<CallerActivity>);
 
 impl OpenRequest {
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -14,10 +14,10 @@
 use crate::caller_activity::{CallerActivity, CloseReason};
 use crate::meter;
 
-/// Most bytes that a look at the socket reads; the runtime reads the rest.
-const MAX_LOOK_BYTES: usize = 4 << 10;
+/// Most bytes of a direct read; the runtime reads the rest.
+const MAX_DIRECT_BYTES: usize = 4 << 10;
 
-/// A caller's socket. Records activity, and its end if this node closes it.
+/// A caller's socket. Records activity and why the connection ends.
 pub(crate) struct CallerStream {
     tcp: TcpStream,
     activity: Rc<CallerActivity>,
@@ -29,9 +29,9 @@
     }
 
     /// Reads what has arrived, whether or not the runtime knows of it; none if nothing has.
-    fn look(&self, buf: &mut ReadBuf<'_>) -> Option<io::Result<()>> {
-        let mut bytes = [0; MAX_LOOK_BYTES];
-        let max = buf.remaining().min(MAX_LOOK_BYTES);
+    fn read_directly(&self, buf: &mut ReadBuf<'_>) -> Option<io::Result<()>> {
+        let mut bytes = [0; MAX_DIRECT_BYTES];
+        let max = buf.remaining().min(MAX_DIRECT_BYTES);
         match (&*SockRef::from(&self.tcp)).read(&mut bytes[..max]) {
             Ok(length) => {
                 buf.put_slice(&bytes[..length]);
@@ -58,7 +58,7 @@
 
     fn record_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(length)) if length > 0) {
-            self.activity.record_bytes();
+            self.activity.record_sent();
         }
         written
     }
@@ -67,7 +67,9 @@
 impl Drop for CallerStream {
     fn drop(&mut self) {
         let Some(reason) = self.activity.closed_for() else { return };
-        let is_unread = has_unread_bytes(&self.tcp);
+        let is_closed_here = matches!(reason, CloseReason::Idle | CloseReason::Stopping);
+        let is_unread =
+            is_closed_here && (self.activity.has_partial_head() || has_unread_bytes(&self.tcp));
         meter::caller_connection_closed(reason, is_unread);
         if is_unread {
             self.log_closed_unread(reason);
@@ -88,13 +90,13 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let looked = if self.activity.take_look_request() { self.look(buf) } else { None };
-        let read = match looked {
+        let direct = if self.activity.take_direct_read() { self.read_directly(buf) } else { None };
+        let read = match direct {
             Some(read) => read,
             None => ready!(Pin::new(&mut self.tcp).poll_read(cx, buf)),
         };
         if buf.filled().len() > before {
-            self.activity.record_bytes();
+            self.activity.record_received();
         }
         Poll::Ready(read)
     }
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -132,7 +132,7 @@
     counter!("hgw_connections_refused_total").increment(1);
 }
 
-/// Counts a caller's connection that this node closes, by whether bytes were unread then.
+/// Counts a caller's connection that has ended, and whether this node has closed it with unread bytes.
 pub(crate) fn caller_connection_closed(reason: CloseReason, is_unread: bool) {
     let (reason, unread) = (reason.to_string(), is_unread.to_string());
     counter!("hgw_caller_connections_closed_total", "reason" => reason, "unread" => unread)
--- a/crates/hibiscusgw/tests/platform/caller_connections.rs
+++ b/crates/hibiscusgw/tests/platform/caller_connections.rs
@@ -132,6 +132,43 @@
     });
 }
 
+/// Guards against connections that outlast their limit, as this was longer when their next check was planned.
+#[test]
+fn limit_that_is_raised_and_lowered_again_holds() {
+    let mut fleet = new_fleet(Vec::new());
+    let node = fleet.start("a");
+    set_idle_limit(&fleet, node, 2, Duration::from_secs(600));
+    let mut callers = used_connections(&fleet.nodes[node]);
+    set_idle_limit(&fleet, node, 3, SHORT_LIMIT);
+    send_again(&mut callers);
+    assert_eq!(unanswered(&mut callers, is_final), 0);
+    wait("unused connections are closed", || {
+        metrics(&fleet.nodes[node]).contains("hgw_connections_open 0\n")
+    });
+}
+
+/// Guards against callers that hold a connection for ever by a head that does not end.
+#[test]
+fn head_that_does_not_end_is_given_up() {
+    let mut fleet = new_fleet(Vec::new());
+    let node = fleet.start("a");
+    let mut config = configuration(2);
+    config["limits"]["headerTimeoutMs"] = 1_000.into();
+    fleet.publish(&config);
+    wait("the configuration is in force", || {
+        metrics(&fleet.nodes[node]).contains("hgw_config_version 2")
+    });
+    let mut first = KeptCaller::connect(fleet.nodes[node].callers).unwrap();
+    let mut used = KeptCaller::connect(fleet.nodes[node].callers).unwrap();
+    send(&mut used, "a1").unwrap();
+    assert_eq!(used.receive().unwrap().status, 200);
+    for caller in [&mut first, &mut used] {
+        caller.send_part("POST /print/ HTTP/1.1\r\nhost:").unwrap();
+    }
+    first.wait_end().unwrap();
+    used.wait_end().unwrap();
+}
+
 /// Guards against a connection that is closed after a stream as if it had been idle meanwhile.
 #[test]
 fn stream_longer_than_the_limit_is_no_idle_time() {
--- a/crates/standins/src/kept_caller.rs
+++ b/crates/standins/src/kept_caller.rs
@@ -50,6 +50,21 @@
         self.tcp.get_mut().write_all(req.as_bytes())
     }
 
+    /// Sends a part of a request.
+    pub fn send_part(&mut self, part: &str) -> io::Result<()> {
+        self.tcp.get_mut().write_all(part.as_bytes())
+    }
+
+    /// Waits until the connection has ended; fails if anything else arrives.
+    pub fn wait_end(&mut self) -> io::Result<()> {
+        match self.tcp.read(&mut [0]) {
+            Ok(0) => Ok(()),
+            Ok(_) => Err(io::ErrorKind::InvalidData.into()),
+            Err(e) if e.kind() == io::ErrorKind::ConnectionReset => Ok(()),
+            Err(e) => Err(e),
+        }
+    }
+
     /// Waits for the whole response to the last request.
     pub fn receive(&mut self) -> io::Result<KeptResponse> {
         let status_line = self.line()?;
