A planned stop takes the connections that callers have made before it stops listening

Callers saw whole requests on new connections reset as a stopping process ended.

Now the listener is closed first: what the socket has by then is accepted and served, and the process ends once that has ended, or at its deadline as before. The window that is left is that between the last accept and the close. The test is requests_on_new_connections_are_read_before_the_process_ends.

--- a/crates/gateway/src/caller_listener.rs
+++ b/crates/gateway/src/caller_listener.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 
 use crate::caller_activity::CloseReason;
 use crate::caller_stream::has_unread_bytes;
@@ -15,35 +17,50 @@
 /// descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Accepts connections until the process ends.
+/// Accepts connections until the node stops listening. What callers had connected by then is served.
 pub(crate) async fn serve(node: Node, listener: TcpListener) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(_) => {
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = node.shutdown.until_listening_ends() => break,
         };
-        let open = node.shutdown.connections.get();
-        if let Some(reason) = refusal(&node, open) {
-            meter::caller_connection_closed(reason, has_unread_bytes(&stream));
-            continue;
+        match accepted {
+            Ok((stream, _)) => take(&node, stream),
+            Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
         }
-        if listen::set_socket_options(&stream).is_err() {
-            continue;
-        }
-        if node.settings.borrow().features.read_ahead && listen::bound_unsent(&stream).is_err() {
-            continue;
+    }
+    // The runtime may not know yet of connections that the socket has.
+    while let Ok((socket, _)) = SockRef::from(&listener).accept() {
+        let stream = std::net::TcpStream::from(socket);
+        if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream))
+        {
+            take(&node, stream);
         }
-        node.shutdown.connections.set(open + 1);
-        let node = Rc::clone(&node);
-        tokio::task::spawn_local(async move {
-            let stop = &node.shutdown;
-            PeerWatch::new(&node, &stream).serve(caller_connection::serve(&node, stream)).await;
-            stop.connections.set(stop.connections.get() - 1);
-        });
     }
+    drop(listener);
+    node.shutdown.record_listening_ended();
+}
+
+/// Serves a connection in a task of its own, or refuses it.
+fn take(node: &Node, stream: TcpStream) {
+    let open = node.shutdown.connections.get();
+    if let Some(reason) = refusal(node, open) {
+        meter::caller_connection_closed(reason, has_unread_bytes(&stream));
+        return;
+    }
+    if listen::set_socket_options(&stream).is_err() {
+        return;
+    }
+    if node.settings.borrow().features.read_ahead && listen::bound_unsent(&stream).is_err() {
+        return;
+    }
+    node.shutdown.connections.set(open + 1);
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        let stop = &node.shutdown;
+        PeerWatch::new(&node, &stream).serve(caller_connection::serve(&node, stream)).await;
+        stop.connections.set(stop.connections.get() - 1);
+    });
 }
 
 /// Why a new connection is closed before anything is read; none if it is taken. The load balancer retries at
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -42,11 +42,36 @@
     sleep_until((started_at + BALANCER_DELAY).min(deadline)).await;
     node.shutdown.closing.set(true);
     node.shutdown.changed.notify_waiters();
-    while Instant::now() < deadline
-        && (node.shutdown.active_requests.get() > 0 || node.shutdown.connections.get() > 0)
-    {
-        sleep(Duration::from_millis(20)).await;
+    wait_until_idle(node, deadline).await;
+    // Callers that have connected meanwhile are served, so that the end of the process resets nobody.
+    node.shutdown.listening.set(Listening::Ending);
+    node.shutdown.changed.notify_waiters();
+    while Instant::now() < deadline && node.shutdown.listening.get() != Listening::Ended {
+        sleep(IDLE_CHECK_INTERVAL).await;
     }
+    wait_until_idle(node, deadline).await;
+}
+
+/// Interval between checks whether anything is still open.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Waits until no request and no connection is open.
+async fn wait_until_idle(node: &Node, deadline: Instant) {
+    let is_idle =
+        || node.shutdown.active_requests.get() == 0 && node.shutdown.connections.get() == 0;
+    while Instant::now() < deadline && !is_idle() {
+        sleep(IDLE_CHECK_INTERVAL).await;
+    }
+}
+
+/// Whether new connections of callers are accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Listening {
+    #[default]
+    Accepting,
+    /// Those that have been made already are taken.
+    Ending,
+    Ended,
 }
 
 /// Progress of the planned shutdown.
@@ -55,7 +80,8 @@
     pub(crate) started_at: Cell<Option<Millis>>,
     /// Whether idle connections are closed.
     pub(crate) closing: Cell<bool>,
-    /// Notified when `started_at` or `closing` changes.
+    listening: Cell<Listening>,
+    /// Notified when `started_at`, `closing` or `listening` changes.
     pub(crate) changed: Notify,
     /// Requests being served.
     pub(crate) active_requests: Cell<u32>,
@@ -63,6 +89,24 @@
     pub(crate) connections: Cell<usize>,
 }
 
+impl Shutdown {
+    /// Returns once new connections of callers are no longer to be accepted.
+    pub(crate) async fn until_listening_ends(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.listening.get() != Listening::Accepting {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Records that the listener for callers is closed and all connections that it had are taken.
+    pub(crate) fn record_listening_ended(&self) {
+        self.listening.set(Listening::Ended);
+    }
+}
+
 /// Counts a request as active until dropped.
 pub(crate) struct ActiveRequest(Node);
 
--- a/crates/hibiscusgw/tests/platform/caller_connections.rs
+++ b/crates/hibiscusgw/tests/platform/caller_connections.rs
@@ -210,3 +210,22 @@
     let is_refused = |response: &KeptResponse| response.status == 503 && response.closes;
     assert_eq!(unanswered(&mut callers, is_refused), 0, "of {CALLERS} have no answer");
 }
+
+/// Guards against requests on new connections that are reset as the process ends, which is late.
+#[test]
+fn requests_on_new_connections_are_read_before_the_process_ends() {
+    let mut fleet = new_fleet(Vec::new());
+    let node = fleet.start("a");
+    fleet.nodes[node].signal(Signal::TERM);
+    // The process ends 3.3 s after the signal.
+    std::thread::sleep(Duration::from_secs(1));
+    fleet.nodes[node].signal(Signal::STOP);
+    let connect = |_| KeptCaller::connect(fleet.nodes[node].callers).unwrap();
+    let mut callers: Vec<_> = (0..CALLERS).map(connect).collect();
+    send_again(&mut callers);
+    std::thread::sleep(STALL);
+    fleet.nodes[node].signal(Signal::CONT);
+    let is_refused = |response: &KeptResponse| response.status == 503 && response.closes;
+    assert_eq!(unanswered(&mut callers, is_refused), 0, "of {CALLERS} have no answer");
+    wait("the process ends", || fleet.nodes[node].ended() == Some(true));
+}
