Idle connections to engines are asked for their end before they are used

A request that may not be repeated was then sent on a connection that the engine had closed, and its caller got no answer.

A peer that closes while the runtime's thread is blocked: is_reusable says true (the new test, which is not a test of it), the socket itself has the end. The pool now asks the socket right before a connection is used: one system call for each request on a reused connection.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -55,7 +55,7 @@
                 return None;
             }
             let mut last = conns.pop()?;
-            if last.is_reusable() {
+            if last.is_reusable() && !last.conn.has_input() {
                 return Some(last.conn);
             }
         }
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -1,6 +1,7 @@
 //! A client connection that sends one request at a time.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -122,6 +123,14 @@
         matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Whether the peer has closed the connection or sent something, by the socket itself: after the process did not
+    /// run for a while, the runtime may not know yet.
+    pub fn has_input(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Sends a request and reads the head of the response. If the response starts before the request is
     /// completely sent, the connection cannot be reused.
     pub async fn round_trip(&mut self, req: &Request) -> Result<Head> {
--- a/crates/http1/tests/conn.rs
+++ b/crates/http1/tests/conn.rs
@@ -1,5 +1,6 @@
 //! A client connection against scripted peers.
 
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -166,3 +167,27 @@
     let read = read_after_drop(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").await;
     assert_eq!(read.unwrap(), 0);
 }
+
+/// Guards against a request on a connection that was closed while this process did not run: the runtime has not been told,
+/// and a request that may not be repeated would be lost.
+#[tokio::test]
+async fn connection_that_was_closed_while_the_runtime_did_not_run_has_input() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (tx, rx) = std::sync::mpsc::channel();
+    let peer = std::thread::spawn(move || {
+        let mut stream = listener.accept().unwrap().0;
+        let _ = stream.read(&mut [0; 4096]).unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        rx.recv().unwrap();
+    });
+    let mut conn = Conn::connect(addr, ConnTimeouts::default()).await.unwrap();
+    let req = Request::post("/x", "peer", Bytes::from_static(b"body"));
+    let head = conn.round_trip(&req).await.unwrap();
+    conn.read_body(BodyDecoder::new(head.framing), 1).await.unwrap();
+    assert!(conn.is_reusable(Duration::ZERO) && !conn.has_input());
+    tx.send(()).unwrap();
+    // Blocks this thread, and so the runtime.
+    peer.join().unwrap();
+    assert!(conn.has_input());
+}
