Tests: a silence of engines whose processes are stopped by a signal

Stand-ins of the platform's engines can now run as processes of their own (standin fleet-engine). All of them are stopped for 1.2 s while requests of all kinds run and arrive: each is served whole, what may run once has run once.

--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -50,6 +50,7 @@
 mod settings;
 mod silence;
 mod silence_arrivals;
+mod silence_signals;
 mod slow_readers;
 mod stopping;
 mod store_disconnects;
--- a/crates/hibiscusgw/tests/platform/silence_arrivals.rs
+++ b/crates/hibiscusgw/tests/platform/silence_arrivals.rs
@@ -14,10 +14,10 @@
 use crate::{Stop, new_fleet};
 
 /// A silence that a sound engine may have.
-const SILENCE: Duration = Duration::from_millis(1_200);
+pub(crate) const SILENCE: Duration = Duration::from_millis(1_200);
 
 /// When requests of each kind arrive at each node, from the beginning of the silence on.
-const ARRIVALS: [Duration; 4] = [
+pub(crate) const ARRIVALS: [Duration; 4] = [
     Duration::from_millis(50),
     Duration::from_millis(400),
     Duration::from_millis(800),
@@ -47,7 +47,7 @@
 const EVENTS: u64 = 20;
 
 /// Routes of all kinds: safe and unsafe calls, streams that may be resumed and streams that may not.
-const ALL: [&str; 4] = ["look", "print", "ask", "once"];
+pub(crate) const ALL: [&str; 4] = ["look", "print", "ask", "once"];
 
 /// What goes on beside a silence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/standins/src/command.rs
+++ b/crates/standins/src/command.rs
@@ -7,6 +7,7 @@
 use gumdrop::Options;
 use hgw_types::{MemSize, ModelId, VersionId};
 
+use crate::fleet::{self, EngineSettings};
 use crate::{Running, engine, log, plain, platform, vms, weights};
 
 /// `standin KIND [OPTIONS]`.
@@ -23,6 +24,8 @@
 enum Kind {
     #[options(help = "a model engine")]
     Engine(EngineOptions),
+    #[options(help = "an engine of the platform's fleet, on any port")]
+    FleetEngine(FleetEngineOptions),
     #[options(help = "a plain service")]
     Plain(Listen),
     #[options(help = "the append-only log")]
@@ -81,6 +84,22 @@
     resident: Vec<String>,
 }
 
+#[derive(Debug, Options)]
+struct FleetEngineOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "its identity", default = "i-1")]
+    id: String,
+    #[options(help = "its service", default = "models")]
+    service: String,
+    #[options(help = "a model that it holds from the start")]
+    model: Vec<String>,
+    #[options(help = "requests worked on at once", default = "8")]
+    slots: u32,
+    #[options(help = "time between two events of a stream in milliseconds", default = "5")]
+    pause_ms: u64,
+}
+
 #[derive(Debug, Options)]
 struct AllOptions {
     #[options(help = "print this help")]
@@ -115,6 +134,10 @@
     };
     let one = match kind {
         Kind::Engine(options) => Standin::new("engine", engine::start(engine_settings(options)?)?),
+        Kind::FleetEngine(options) => {
+            let engine = fleet::engine::start(fleet_engine_settings(options))?;
+            Standin::new("fleet-engine", engine.into_running())
+        }
         Kind::Plain(options) => {
             let listen = address(&options.listen)?;
             let settings = plain::Settings { listen, ..plain::Settings::default() };
@@ -178,6 +201,17 @@
     })
 }
 
+fn fleet_engine_settings(options: &FleetEngineOptions) -> EngineSettings {
+    EngineSettings {
+        id: options.id.clone(),
+        service: options.service.clone(),
+        holds: options.model.iter().map(|model| (model.clone(), Vec::new())).collect(),
+        slots: options.slots,
+        pause: Duration::from_millis(options.pause_ms),
+        ..EngineSettings::default()
+    }
+}
+
 fn log_settings(options: &LogOptions) -> io::Result<log::Settings> {
     Ok(log::Settings {
         listen: address(&options.listen)?,
--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -217,6 +217,11 @@
         self.running.addr()
     }
 
+    /// The server, without what this process knows of it.
+    pub(crate) fn into_running(self) -> Running {
+        self.running
+    }
+
     /// Its identity.
     pub fn id(&self) -> &str {
         &self.shared.settings.id
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -30,5 +30,5 @@
 pub mod weights;
 
 pub use faults::{Count, Faults, Late, StreamFault};
-pub use process::Place;
+pub use process::{Place, fleet_engine};
 pub use server::Running;
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -66,6 +66,11 @@
     }
 }
 
+/// Starts an engine of a fleet as a process of this `standin` program, with the options of `fleet-engine`.
+pub fn fleet_engine(program: &Path, options: &[&str]) -> io::Result<Running> {
+    spawn(program, &[&["fleet-engine"], options].concat())
+}
+
 /// Starts the program and waits until it says where it listens.
 fn spawn(program: &Path, arguments: &[&str]) -> io::Result<Running> {
     let mut child = Command::new(program)
--- a/crates/standins/src/server/mod.rs
+++ b/crates/standins/src/server/mod.rs
@@ -84,6 +84,11 @@
         self.addr
     }
 
+    /// Its process, if it has one of its own.
+    pub fn pid(&self) -> Option<rustix::process::Pid> {
+        self.process.as_ref().map(rustix::process::Pid::from_child)
+    }
+
     /// Stops it and waits for that.
     pub fn stop(self) {
         drop(self);
