An engine that pauses on all of its connections keeps its run (own interface)

A stream of the product's own interface without progress for two seconds was cancelled at its engine and asked for again, also if the engine only paused and would have gone on: the run ended, and its prompt was read again.

Now the engine is asked for its load on a new connection first, and the silent one is kept meanwhile. If it goes on, nothing else happens; if the engine responds elsewhere and the old connection stays silent for 250 ms more, it is lost and replaced as before; if the engine does not respond anywhere for the limit and again for the limit, the attempt ends as broken, after the 6 s that it took before; if it cannot be connected, at once, as before.

Evidence: upstreams::an_engine_that_pauses_on_all_connections_keeps_its_run failed on the code before: asked for twice and told once to end, in place of once and not.

--- a/crates/net/src/upstreams/generate.rs
+++ b/crates/net/src/upstreams/generate.rs
@@ -12,6 +12,7 @@
 
 use super::attempt::{self, InProgress};
 use super::outlet::Outlet;
+use super::silence::{self, Wait};
 use super::sse::EventReader;
 use super::{CallError, client};
 use crate::meter;
@@ -33,7 +34,8 @@
 /// Runs a request to its end.
 ///
 /// A connection may go silent for good while new ones work. Without the second connection a caller
-/// would wait for its deadline although the engine goes on generating. Once is enough: where the new
+/// would wait for its deadline although the engine goes on generating. An engine that pauses on all of
+/// its connections keeps its run. Once is enough: where the new
 /// connection fails too, it is the upstream that fails, and another one is to be chosen.
 pub(super) async fn run(
     running: &InProgress<'_>,
@@ -105,11 +107,10 @@
     req.headers_mut().insert(ATTEMPT_HEADER, id);
     let client = if fresh { &running.cx.fresh } else { &running.cx.pooled };
     running.mark_sent();
-    let res = match tokio::time::timeout(start.silence, client.send(req)).await {
-        Err(_) => return Err(Part::Lost(silent(start.silence))),
-        Ok(Err(e @ CallError::NotSent(_))) => return Err(not_run(e)),
-        Ok(Err(e)) => return Err(Part::Lost(e.to_string())),
-        Ok(Ok(res)) => res,
+    let res = match wait_for(running, client.send(req)).await? {
+        Err(e @ CallError::NotSent(_)) => return Err(not_run(e)),
+        Err(e) => return Err(Part::Lost(e.to_string())),
+        Ok(res) => res,
     };
     if !res.status().is_success() {
         // An engine refuses by the status, before it begins.
@@ -125,14 +126,12 @@
     tokens: &mut Vec<Arc<str>>,
     outlet: &mut Outlet,
 ) -> Step<Outcome> {
-    let silence = running.start.silence;
     let mut events = EventReader::new(running.cx.limits.event);
     loop {
-        let frame = match tokio::time::timeout(silence, body.frame()).await {
-            Err(_) => return Err(Part::Lost(silent(silence))),
-            Ok(None) => return Err(Part::Lost("the answer ended without its last event".into())),
-            Ok(Some(Err(e))) => return Err(Part::Lost(client::cause(&e))),
-            Ok(Some(Ok(frame))) => frame,
+        let frame = match wait_for(running, body.frame()).await? {
+            None => return Err(Part::Lost("the answer ended without its last event".into())),
+            Some(Err(e)) => return Err(Part::Lost(client::cause(&e))),
+            Some(Ok(frame)) => frame,
         };
         let Some(data) = frame.data_ref() else { continue };
         if !events.feed(data) {
@@ -209,6 +208,12 @@
     Ok(())
 }
 
-fn silent(bound: Duration) -> String {
-    format!("silent for {bound:?}")
+/// Waits for a step of the answer, as long as the upstream may go on with it.
+async fn wait_for<F: Future>(running: &InProgress<'_>, step: F) -> Step<F::Output> {
+    let silent = || format!("silent for {:?}", running.start.silence);
+    match silence::wait_for(running, step).await {
+        Wait::Done(done) => Ok(done),
+        Wait::ConnectionLost => Err(Part::Lost(silent())),
+        Wait::UpstreamLost => Err(Part::Over(Outcome::Broken(silent()))),
+    }
 }
--- a/crates/net/src/upstreams/mod.rs
+++ b/crates/net/src/upstreams/mod.rs
@@ -10,6 +10,7 @@
 mod generate;
 mod outlet;
 mod plain;
+mod silence;
 mod sse;
 
 use std::sync::Arc;
--- a/crates/net/tests/upstreams.rs
+++ b/crates/net/tests/upstreams.rs
@@ -5,7 +5,8 @@
 use std::io::Read;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
 use hgw_node::{Action, Ended, Event};
@@ -73,6 +74,51 @@
     assert_eq!((texts, done, outcome), (WHOLE.map(String::from).to_vec(), true, Outcome::Whole(4)));
 }
 
+/// Pause of an engine, which is longer than `SHORT` and shorter than twice that.
+const PAUSE: Duration = Duration::from_millis(230);
+
+/// An engine that pauses after two tokens of its first answer, on all of its connections, and then goes on unless it was
+/// told to end that. Counts what it was asked for, and what it was told to end.
+fn pausing_engine() -> (String, Arc<[AtomicU32; 2]>) {
+    let counts = Arc::new([AtomicU32::new(0), AtomicU32::new(0)]);
+    let counted = Arc::clone(&counts);
+    let paused_until = Mutex::new(None::<Instant>);
+    let addr = upstream::serve(move |received, stream| {
+        let until = *paused_until.lock().unwrap();
+        thread::sleep(until.map_or(Duration::ZERO, |until| until - Instant::now().min(until)));
+        let [asked, ended] = &*counted;
+        if received.path != "/v1/chat/completions" {
+            ended.fetch_add(u32::from(received.path == "/cancel"), Ordering::Relaxed);
+            return respond(stream, 200, &[], "{}");
+        }
+        let generate = received.generate();
+        let have = generate.resume.len() as u32;
+        begin_events(stream);
+        let is_first = asked.fetch_add(1, Ordering::Relaxed) == 0;
+        for index in have..generate.max_tokens.0 {
+            if is_first && index == have + 2 {
+                *paused_until.lock().unwrap() = Some(Instant::now() + PAUSE);
+                thread::sleep(PAUSE);
+            }
+            if !emit(stream, &token(generate.attempt, index)) {
+                return;
+            }
+        }
+        emit(stream, &end(generate.attempt, generate.max_tokens.0));
+    });
+    (addr, counts)
+}
+
+/// Guards against ending the run of an engine that pauses for longer than the limit of silence and goes on.
+#[test]
+fn an_engine_that_pauses_on_all_connections_keeps_its_run() {
+    let (engine, counts) = pausing_engine();
+    let (texts, done, outcome) = ask(&engine, SHORT);
+    assert_eq!((texts, done, outcome), (WHOLE.map(String::from).to_vec(), true, Outcome::Whole(4)));
+    let [asked, ended] = [0, 1].map(|n| counts[n].load(Ordering::Relaxed));
+    assert_eq!((asked, ended), (1, 0), "asked for, told to end");
+}
+
 #[test]
 fn a_broken_connection_is_replaced_without_gap_or_repeat() {
     // Three tokens come, then the connection is closed without the last event: a whole answer and a
