A plain call outlasts a service that pauses on all of its connections (own interface)

A call of the product's own interface failed as may_have_run after two seconds without progress, also if its service only paused. As for streams, the service is now asked for its load on a new connection while the call is kept, and the call ends if that is answered and its own connection stays silent for 250 ms more, or if nothing is answered for the limit and again for the limit. It is still never sent twice.

The count of calls in check_plain_lost leaves out GET /load, which is no call; it still counts each request that could be a second sending of the call.

--- a/crates/net/src/upstreams/attempt.rs
+++ b/crates/net/src/upstreams/attempt.rs
@@ -26,6 +26,11 @@
         self.start.attempt.id
     }
 
+    /// Why an attempt ends that has been silent for too long.
+    pub(super) fn silent(&self) -> String {
+        format!("silent for {:?}", self.start.silence)
+    }
+
     /// Notes that from now on the upstream may have the request.
     pub(super) fn mark_sent(&self) {
         self.sent.store(true, Ordering::Relaxed);
--- a/crates/net/src/upstreams/generate.rs
+++ b/crates/net/src/upstreams/generate.rs
@@ -210,10 +210,9 @@
 
 /// Waits for a step of the answer, as long as the upstream may go on with it.
 async fn wait_for<F: Future>(running: &InProgress<'_>, step: F) -> Step<F::Output> {
-    let silent = || format!("silent for {:?}", running.start.silence);
     match silence::wait_for(running, step).await {
         Wait::Done(done) => Ok(done),
-        Wait::ConnectionLost => Err(Part::Lost(silent())),
-        Wait::UpstreamLost => Err(Part::Over(Outcome::Broken(silent()))),
+        Wait::ConnectionLost => Err(Part::Lost(running.silent())),
+        Wait::UpstreamLost => Err(Part::Over(Outcome::Broken(running.silent()))),
     }
 }
--- a/crates/net/src/upstreams/plain.rs
+++ b/crates/net/src/upstreams/plain.rs
@@ -9,6 +9,7 @@
 use super::attempt::InProgress;
 use super::body::SendBody;
 use super::outlet::Outlet;
+use super::silence::{self, Wait};
 use super::{CallError, client};
 
 /// Largest piece of a body that is handed on at once, in bytes.
@@ -39,18 +40,17 @@
     work: &PlainWork,
     outlet: &mut Outlet,
 ) -> Outcome {
-    let start = running.start;
     let req = match request(running, work) {
         Ok(req) => req,
         Err(e) => return Outcome::NotRun(e.to_string()),
     };
     let client = if req.method().is_safe() { &running.cx.pooled } else { &running.cx.recent };
     running.mark_sent();
-    let res = match tokio::time::timeout(start.silence, client.send(req)).await {
-        Err(_) => return Outcome::Broken(format!("silent for {:?}", start.silence)),
-        Ok(Err(e @ CallError::NotSent(_))) => return Outcome::NotRun(e.to_string()),
-        Ok(Err(e)) => return Outcome::Broken(e.to_string()),
-        Ok(Ok(res)) => res,
+    let res = match silence::wait_for(running, client.send(req)).await {
+        Wait::Done(Ok(res)) => res,
+        Wait::Done(Err(e @ CallError::NotSent(_))) => return Outcome::NotRun(e.to_string()),
+        Wait::Done(Err(e)) => return Outcome::Broken(e.to_string()),
+        Wait::ConnectionLost | Wait::UpstreamLost => return Outcome::Broken(running.silent()),
     };
     match answer(running, res, outlet).await {
         Ok(chunks) => Outcome::Whole(chunks),
@@ -86,14 +86,13 @@
     let status = res.status().as_u16();
     outlet.push(Chunk::Head { status, headers }).await?;
     outlet.progress(running.cx, 0);
-    let silence = running.start.silence;
     let mut body = res.into_body();
     let mut chunks = 1;
     loop {
-        let frame = match tokio::time::timeout(silence, body.frame()).await {
-            Err(_) => return Err(format!("silent for {silence:?}")),
-            Ok(None) => return Ok(chunks),
-            Ok(Some(frame)) => frame.map_err(|e| client::cause(&e))?,
+        let frame = match silence::wait_for(running, body.frame()).await {
+            Wait::Done(None) => return Ok(chunks),
+            Wait::Done(Some(frame)) => frame.map_err(|e| client::cause(&e))?,
+            Wait::ConnectionLost | Wait::UpstreamLost => return Err(running.silent()),
         };
         let Ok(mut data) = frame.into_data() else { continue };
         while !data.is_empty() {
--- a/crates/net/tests/upstreams.rs
+++ b/crates/net/tests/upstreams.rs
@@ -206,7 +206,8 @@
     let calls = Arc::new(AtomicU32::new(0));
     let counter = Arc::clone(&calls);
     let service = upstream::serve(move |received, stream| {
-        counter.fetch_add(1, Ordering::Relaxed);
+        // What the service is asked beside is no call.
+        counter.fetch_add(u32::from(received.path != "/load"), Ordering::Relaxed);
         answer(received.header("x-attempt-id"), stream);
     });
     let (mut relay, _seen) = Relay::new(&service);
@@ -229,6 +230,31 @@
     a_call_that_gets_an_answer_without_an_id(|_, stream| respond(stream, 200, &[], "voucher 17"));
 }
 
+/// Guards against a call that fails as its service pauses for longer than the limit of silence and goes on.
+#[test]
+fn a_service_that_pauses_on_all_connections_answers_its_call() {
+    let calls = Arc::new(AtomicU32::new(0));
+    let counter = Arc::clone(&calls);
+    let pause_end = Instant::now() + LONG;
+    let pause_end = Mutex::new(pause_end);
+    let service = upstream::serve(move |received, stream| {
+        if received.path != "/load" {
+            counter.fetch_add(1, Ordering::Relaxed);
+            *pause_end.lock().unwrap() = Instant::now() + PAUSE;
+        }
+        let until = *pause_end.lock().unwrap();
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+        respond(stream, 200, &[("x-attempt-id", received.header("x-attempt-id"))], "voucher 17");
+    });
+    let (mut relay, _seen) = Relay::new(&service);
+    relay.silence = SHORT;
+    let node = start(settings("n"), relay);
+    let answer = caller::send(node.addrs().callers, "POST /svc/s/x", &[], "").whole();
+    assert_eq!((answer.status, answer.body.as_str()), (200, "voucher 17"));
+    assert_eq!(calls.load(Ordering::Relaxed), 1);
+    node.kill();
+}
+
 #[test]
 fn a_plain_answer_that_breaks_off_is_not_taken_for_a_whole_one() {
     // The upstream announces ten bytes, sends five and closes. The caller has the head already; its
