--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine.rs
@@ -229,6 +229,11 @@
         self.sender.as_ref().map(Sender::record).unwrap_or_default()
     }
 
+    /// The server, without what this process knows of it.
+    pub(crate) fn into_running(self) -> Running {
+        self.running
+    }
+
     /// Its identity.
     pub fn id(&self) -> &str {
         &self.shared.settings.id
