An event without end is no response

An engine that sent an event, comments or events without content for ever filled the node's memory, or held its caller until the deadline: the bytes of an event that is not complete were kept without a limit, each of them counted as a sign of life, and none of them as read ahead. Now 256 KiB may come until a stream goes on by an event with data and an id above the last; beyond 16 KiB an event needs room in the memory for responses, as bodies do. An engine whose event is too large is not taken for one that its caller did not read. The connection is closed before anything else is done.

--- a/crates/gateway/src/relay/event_buffer/mod.rs
+++ b/crates/gateway/src/relay/event_buffer/mod.rs
@@ -4,16 +4,22 @@
 mod tests;
 
 use bytes::{Bytes, BytesMut};
+use hgw_http1::{Error, Limit, Part, Result};
 
 /// Longest end of an event: an empty line and the end of the line before it.
 const MAX_END_BYTES: usize = 4;
 
+/// Most bytes of an event, with the comments and events without content before it: some tokens of text take far less.
+pub(super) const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Splits a byte stream into complete events, so that a stream can resume on another engine between
 /// two of them.
 #[derive(Debug, Default)]
 pub(super) struct EventBuffer {
     partial: BytesMut,
     last_id: Option<u64>,
+    /// Bytes that were added since the last event that goes on in the stream.
+    since_progress: usize,
 }
 
 impl EventBuffer {
@@ -22,12 +28,29 @@
         self.last_id
     }
 
-    /// Adds bytes and returns all complete events as they were received.
-    pub(super) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+    /// Bytes of an event that is not complete.
+    pub(super) fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Adds bytes and returns all complete events as they were received. Fails if the next event is too large.
+    pub(super) fn push(&mut self, bytes: Bytes) -> Result<Option<Bytes>> {
+        self.since_progress += bytes.len();
+        let events = self.take_complete(bytes);
+        if events.as_ref().is_some_and(|events| self.record_last_id(events)) {
+            self.since_progress = self.partial.len();
+        }
+        if self.since_progress > MAX_EVENT_BYTES {
+            let limit = Limit::Bytes(MAX_EVENT_BYTES);
+            return Err(Error::TooLarge { part: Part::Event, limit });
+        }
+        Ok(events)
+    }
+
+    fn take_complete(&mut self, bytes: Bytes) -> Option<Bytes> {
         if self.partial.is_empty() {
             // Usually a read holds only complete events, which need no copy.
             if complete_len(&bytes) == Some(bytes.len()) {
-                self.record_last_id(&bytes);
                 return Some(bytes);
             }
         }
@@ -40,7 +63,6 @@
             // Large events would keep their memory until the end of the stream.
             self.partial = BytesMut::new();
         }
-        self.record_last_id(&events);
         Some(events)
     }
 
@@ -49,14 +71,21 @@
     }
 
     pub(super) fn discard_partial(&mut self) {
-        self.partial.clear();
+        self.partial = BytesMut::new();
+        self.since_progress = 0;
     }
 
-    fn record_last_id(&mut self, events: &[u8]) {
+    /// Returns whether the stream goes on with these events: their ids increase, or they have data and none has an id.
+    fn record_last_id(&mut self, events: &[u8]) -> bool {
         let lines = events.split(|b| *b == b'\n');
-        let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+        let ids = lines.clone().filter_map(|line| line.strip_prefix(b"id:"));
         let id = ids.rev().find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok());
+        let goes_on = match self.last_id {
+            None => id.is_some() || lines.clone().any(|line| line.starts_with(b"data")),
+            Some(last) => id.is_some_and(|id| id > last),
+        };
         self.last_id = id.or(self.last_id);
+        goes_on
     }
 }
 
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -5,12 +5,13 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use hgw_direct::{AttemptOutcome, EngineId, VersionKey};
-use hgw_http1::{BodyDecoder, Conn, Framing};
+use hgw_direct::{AttemptOutcome, EngineId, SMALL_BODY_BYTES, VersionKey};
+use hgw_http1::{BodyDecoder, Conn, Error, Framing, Limit, Part};
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
 use tokio::time::Instant;
 
+use crate::held_bytes::Reservation;
 use crate::meter;
 use crate::response::{BodyAborted, CallerResponse, ResponseBody};
 
@@ -104,6 +105,8 @@
     conn: Option<Conn>,
     body: BodyDecoder,
     events: EventBuffer,
+    /// Room for a large event that is not complete.
+    held_event: Option<Reservation>,
     /// Whether the body consists of events; an error body is passed on unchanged.
     is_events: bool,
     source: Source,
@@ -130,6 +133,7 @@
             conn: Some(conn),
             body,
             events,
+            held_event: None,
             is_events,
             source,
             is_finished: false,
@@ -159,7 +163,13 @@
             match read {
                 WaitResult::Done(Ok(Some(bytes))) => {
                     self.req.record_progress(&self.source);
-                    let ready = if self.is_events { self.events.push(bytes) } else { Some(bytes) };
+                    let ready = match self.take_ready(bytes) {
+                        Ok(ready) => ready,
+                        Err(e) => {
+                            next_read = Some(WaitResult::Done(Err(e)));
+                            continue;
+                        }
+                    };
                     if let Some(bytes) = ready {
                         self.record_events(&bytes, waited_since);
                         self.timing.record_piece();
@@ -188,13 +198,15 @@
                     }
                     self.read_at = Instant::now();
                 }
-                WaitResult::Done(Ok(None) | Err(_)) if self.may_be_cut_unread() => {
+                ended @ WaitResult::Done(Ok(None) | Err(_)) if self.may_be_cut_unread(&ended) => {
                     meter::cut_unread();
                     if !self.resume_unread().await {
                         return Some(self.abort());
                     }
                 }
                 broken @ (WaitResult::EngineRestarted | WaitResult::Done(Ok(None) | Err(_))) => {
+                    // The engine may send until its connection is closed.
+                    self.conn = None;
                     self.record_broken(&broken).await;
                     if !self.retry_and_resume().await {
                         return Some(self.abort());
@@ -204,6 +216,31 @@
         }
     }
 
+    /// Takes in bytes of the body; returns what is ready for the caller.
+    fn take_ready(&mut self, bytes: Bytes) -> hgw_http1::Result<Option<Bytes>> {
+        if !self.is_events {
+            return Ok(Some(bytes));
+        }
+        let ready = self.events.push(bytes)?;
+        self.hold_partial_event()?;
+        Ok(ready)
+    }
+
+    /// Takes room for a large event that is not complete.
+    fn hold_partial_event(&mut self) -> hgw_http1::Result<()> {
+        let (node, bytes) = (&self.req.node, self.events.partial_bytes());
+        if bytes <= SMALL_BODY_BYTES || !node.settings.borrow().features.read_ahead {
+            self.held_event = None;
+            return Ok(());
+        }
+        let memory = &node.held_memory;
+        let held = self.held_event.get_or_insert_with(|| Reservation::empty(memory));
+        if held.try_extend(memory, node.read_ahead_bound(), bytes) {
+            return Ok(());
+        }
+        Err(Error::TooLarge { part: Part::Event, limit: Limit::Memory })
+    }
+
     /// Records events that arrived together for the engine's speed.
     fn record_events(&self, events: &[u8], waited_since: Instant) {
         if self.is_events {
@@ -316,7 +353,10 @@
     }
 
     /// Whether the engine may have ended the response as nobody read it.
-    fn may_be_cut_unread(&self) -> bool {
+    fn may_be_cut_unread(&self, ended: &ChunkRead) -> bool {
+        if matches!(ended, WaitResult::Done(Err(e)) if e.is_malformed()) {
+            return false;
+        }
         let is_restarted = match &self.source {
             Source::Engine(guard) => guard.engine_restarted(),
             Source::Forwarder(_) => false,
@@ -360,6 +400,7 @@
     fn go_on_at(&mut self, started: StartedResponse, last: u64) {
         self.req.log_resumed(&self.engine, &started.engine, last);
         self.events.discard_partial();
+        self.held_event = None;
         self.body = BodyDecoder::new(started.head.framing);
         self.engine = started.engine;
         self.version = started.version;
@@ -389,6 +430,7 @@
 
     pub(super) fn abort(mut self) -> (Result<Bytes, BodyAborted>, ResponseStream) {
         self.is_finished = true;
+        self.conn = None;
         self.req.log_failed(200, "broken off");
         (Err(BodyAborted), self)
     }
--- a/crates/hibiscusgw/tests/platform/endless_responses.rs
+++ b/crates/hibiscusgw/tests/platform/endless_responses.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hgw_standins::client::{Result, Whole};
-use hgw_standins::fleet::deployment::{Fleet, Node, holds, wait};
+use hgw_standins::fleet::deployment::{Fleet, Node, configuration, holds, wait};
 use hgw_standins::fleet::{Endless, EndlessRecord, EngineSettings, Part};
 use http::StatusCode;
 use serde_json::Value;
@@ -14,6 +14,9 @@
 /// Bytes after which a sender pauses: far more than any part of a response may have, and the kernel's buffers.
 const MAX_BYTES: usize = 48 << 20;
 
+/// The same where hundreds send.
+const MAX_BYTES_OF_HUNDREDS: usize = 2 << 20;
+
 /// Requests that are sent at a time.
 const CALLERS: usize = 9;
 
@@ -225,6 +228,11 @@
     one_sends_a_body_without_length: Part::BodyUntilClose, "look";
     one_sends_a_body_without_length_for_an_unsafe_call: Part::BodyUntilClose, "print";
     one_sends_a_body_of_a_great_length: Part::BodyOfLength(1 << 40), "look";
+    one_sends_an_event: Part::Event, "ask";
+    one_sends_an_event_for_a_stream_that_is_not_resumed: Part::Event, "once";
+    one_sends_an_event_without_length: Part::EventUntilClose, "ask";
+    one_sends_comments: Part::Comments, "ask";
+    one_sends_empty_events: Part::EmptyEvents, "ask";
     one_sends_bytes_after_the_end: Part::AfterEnd, "look";
     one_sends_bytes_after_the_end_of_a_stream: Part::AfterEnd, "once";
     one_sends_another_response: Part::OtherResponse, "look";
@@ -239,5 +247,52 @@
     all_send_a_chunk_line: Part::ChunkLine, "once";
     all_send_trailers: Part::Trailers, "once";
     all_send_a_body_in_chunks: Part::Chunks, "print";
+    all_send_an_event: Part::Event, "ask";
+    all_send_an_event_without_length: Part::EventUntilClose, "once";
+    all_send_comments: Part::Comments, "once";
     all_send_bytes_after_the_end: Part::AfterEnd, "print";
 }
+
+/// Memory of the node in its settings.
+const MEMORY_MB: usize = 60;
+
+/// What its process may take at most beyond what it took before: its share for responses, and what connections hold of
+/// their own.
+const MAX_GROWTH_KB: usize = 35 << 10;
+
+/// Requests that are sent at a time.
+const HUNDREDS: usize = 200;
+
+/// A figure of the node's process in kilobytes, by its name in `/proc/PID/status`.
+fn process_kb(node: &Node, name: &str) -> usize {
+    let status = format!("/proc/{}/status", node.pid().as_raw_nonzero());
+    let status = std::fs::read_to_string(status).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+    line.trim_start_matches(':').trim().trim_end_matches(" kB").parse().unwrap()
+}
+
+fn hundreds(part: Part, route: &str) {
+    let (fleet, node, _) = start(part, route, 3, MAX_BYTES_OF_HUNDREDS);
+    let mut config = configuration(2);
+    for service in config["services"].as_array_mut().unwrap() {
+        service["maxConns"] = 400.into();
+    }
+    fleet.publish(&config);
+    let limits = format!("limits.maxFds=2048\nlimits.memoryMb={MEMORY_MB}");
+    fleet.nodes[node].set("limits.maxFds=1024", &limits);
+    std::thread::sleep(Duration::from_secs(2));
+    let before = process_kb(&fleet.nodes[node], "VmRSS");
+    let responses = send_all(&fleet, node, route, HUNDREDS);
+    let served = responses.iter().filter(|(id, response)| is_served(route, id, response)).count();
+    let peak = process_kb(&fleet.nodes[node], "VmHWM");
+    assert!(peak - before < MAX_GROWTH_KB, "{before} kB before, {peak} kB at the most");
+    wait_until_closed(&fleet);
+    assert_eq!(served, 0);
+}
+
+cases! {
+    "Guards against a node that runs out of memory while hundreds of responses do not end.",
+    hundreds;
+    hundreds_of_events: Part::Event, "ask";
+    hundreds_of_trailers: Part::Trailers, "once";
+}
