A body without end takes no more memory than it leaves to others

The body of a plain response was read up to 32 MiB whether or not there was room, since its engine had run it: nine at a time are the memory of a node of 260 MB. Now responses that were run may take as much again as the share of memory for responses, and each of them no more than is left free, so that those that do not end are cut first and others find room. Up to 16 KiB need none, as before. A declared length is judged by the head. What is charged is what is allocated.

--- a/crates/direct/src/read_ahead.rs
+++ b/crates/direct/src/read_ahead.rs
@@ -7,6 +7,9 @@
 /// Part of it that streams may use, so that slow readers of streams do not use up the room for calls.
 const STREAM_SHARE: f64 = 0.75;
 
+/// Memory that responses may use which engines have run, as a multiple of that share.
+const RUN_SHARES: usize = 2;
+
 /// What a stream may hold even while there is no room: one read from an engine, in bytes, without which a
 /// caller that does read would wait.
 pub const MIN_STREAM_BYTES: usize = 8 << 10;
@@ -52,6 +55,15 @@
         own < (bytes / streams.max(1)).min(bytes.saturating_sub(held.total))
     }
 
+    /// Whether a response that an engine has run may take `bytes` more beside the `own` bytes that it holds.
+    ///
+    /// It may take as much again as what is admitted, so that it is delivered though callers read slowly, but no more than it
+    /// leaves free: responses without end leave room for others, however many they are.
+    pub fn admits_run(self, held: HeldBytes, own: usize, bytes: usize) -> bool {
+        let free = (RUN_SHARES * self.bytes).saturating_sub(held.total + bytes);
+        own + bytes <= SMALL_BODY_BYTES || own + bytes <= free
+    }
+
     /// Whether a call may take `bytes` more beside the `own` bytes that it holds.
     pub fn admits(self, held: HeldBytes, own: usize, bytes: usize) -> bool {
         own + bytes <= SMALL_BODY_BYTES || held.total + bytes <= self.bytes
--- a/crates/direct/tests/read_ahead.rs
+++ b/crates/direct/tests/read_ahead.rs
@@ -73,6 +73,28 @@
     assert!(!bound.admits(full, SMALL_BODY_BYTES, 1));
 }
 
+/// Guards against responses that were run and are not delivered as callers read slowly, and against responses without end
+/// that take the room of others.
+#[test]
+fn responses_that_were_run_have_room() {
+    let bound = ReadAheadBound::of_memory(MEMORY);
+    let full = HeldBytes { total: bound.bytes(), large_streams: 0 };
+    assert!(bound.admits_run(full, 0, bound.bytes() / 4));
+    assert!(!bound.admits_run(HeldBytes::default(), 0, bound.bytes() + 1));
+    let mut endless = vec![0; 200];
+    for _ in 0..200 {
+        for n in 0..endless.len() {
+            let held = HeldBytes { total: endless.iter().sum(), large_streams: 0 };
+            // What is not admitted ends, and another response follows.
+            endless[n] =
+                if bound.admits_run(held, endless[n], READ) { endless[n] + READ } else { 0 };
+            let held = HeldBytes { total: endless.iter().sum(), large_streams: 0 };
+            assert!(held.total < 2 * bound.bytes());
+            assert!(bound.admits_run(held, 0, 4 * SMALL_BODY_BYTES), "others have room");
+        }
+    }
+}
+
 /// Guards against a route whose one large response is forgotten at once, or expected forever.
 #[test]
 fn expected_size_follows_the_responses() {
--- a/crates/gateway/src/held_bytes.rs
+++ b/crates/gateway/src/held_bytes.rs
@@ -132,8 +132,23 @@
         bound: ReadAheadBound,
         bytes: usize,
     ) -> bool {
+        self.extend_if(bytes, |own, more| bound.admits(memory.held(), own, more))
+    }
+
+    /// Extends it to `bytes` for a response that an engine has run, if there is room for that.
+    pub(crate) fn try_extend_run(
+        &mut self,
+        memory: &HeldMemory,
+        bound: ReadAheadBound,
+        bytes: usize,
+    ) -> bool {
+        self.extend_if(bytes, |own, more| bound.admits_run(memory.held(), own, more))
+    }
+
+    /// Extends it to `bytes` if what it has and what it lacks are admitted.
+    fn extend_if(&mut self, bytes: usize, admits: impl FnOnce(usize, usize) -> bool) -> bool {
         let more = bytes.saturating_sub(self.bytes);
-        let has_room = more == 0 || bound.admits(memory.held(), self.bytes, more);
+        let has_room = more == 0 || admits(self.bytes, more);
         if has_room {
             self.extend(bytes);
         }
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -92,8 +92,9 @@
     sizes.entry(route.name.clone()).or_default().record(bytes);
 }
 
-/// Reads the body of a response. The engine has run the request: it is read whether or not there is room.
+/// Reads the body of a response that an engine has run, as far as there is room for it.
 pub(super) async fn read_response(
+    node: &Node,
     conn: &mut Conn,
     framing: Framing,
     held: &mut Reservation,
@@ -102,23 +103,36 @@
     let mut body = Vec::new();
     if let Framing::Length(length) = framing {
         let length = usize::try_from(length).unwrap_or(usize::MAX);
-        if length > MAX_RESPONSE_BYTES {
-            return Err(TOO_LARGE);
-        }
-        held.extend(length);
-        body.reserve_exact(length);
+        make_room(node, held, &mut body, length, length)?;
     }
     while let Some(bytes) = conn.read_chunk(&mut decoder).await? {
         let length = body.len() + bytes.len();
-        if length > MAX_RESPONSE_BYTES {
-            return Err(TOO_LARGE);
+        if length > body.capacity() {
+            make_room(node, held, &mut body, length, length.next_power_of_two())?;
         }
-        held.extend(length);
         body.extend_from_slice(&bytes);
     }
     body.shrink_to_fit();
     Ok(body)
 }
 
-const TOO_LARGE: Error =
-    Error::TooLarge { part: Part::Body, limit: Limit::Bytes(MAX_RESPONSE_BYTES) };
+/// Makes room for a body of this length, of which as much as the capacity is allocated.
+fn make_room(
+    node: &Node,
+    held: &mut Reservation,
+    body: &mut Vec<u8>,
+    length: usize,
+    capacity: usize,
+) -> hgw_http1::Result<()> {
+    let too_large = |limit| Err(Error::TooLarge { part: Part::Body, limit });
+    if length > MAX_RESPONSE_BYTES {
+        return too_large(Limit::Bytes(MAX_RESPONSE_BYTES));
+    }
+    if !node.settings.borrow().features.read_ahead {
+        held.extend(capacity);
+    } else if !held.try_extend_run(&node.held_memory, node.read_ahead_bound(), capacity) {
+        return too_large(Limit::Memory);
+    }
+    body.reserve_exact(capacity - body.len());
+    Ok(())
+}
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -60,7 +60,7 @@
     let StartedResponse { engine, version, mut conn, head, source } = started;
     let memory = &req.node.held_memory;
     let mut held = req.held_response.take().unwrap_or_else(|| Reservation::empty(memory));
-    let body = body::read_response(&mut conn, head.framing, &mut held);
+    let body = body::read_response(&req.node, &mut conn, head.framing, &mut held);
     let body = match req.wait_for(&source, body).await {
         WaitResult::Done(Ok(body)) => body,
         incomplete => {
