Tests: calls at the same time, so that a node uses the lost engine

Cause: the calls came one after the other. A node prefers an engine to which it has an idle connection by 15 ms of cost, and the random part of the cost is 4 ms, so that all calls go where the first one went. If that was before the node had read the lost engine's entry, it never tries it. That is what connections are meant to do, and not what the test is about.

The test now sends eight calls at the same time, so that no idle connection is left and the loads lead to all engines. It is stricter for the other nodes as well: each of them would now try the lost engine if it did not know that it is lost, where before it could pass by using another one. The checks are the same.

--- a/crates/hibiscusgw/tests/platform/hubs.rs
+++ b/crates/hibiscusgw/tests/platform/hubs.rs
@@ -140,10 +140,15 @@
     line.and_then(|l| l.split_whitespace().next_back()?.parse().ok()).unwrap_or(0.0)
 }
 
-/// Sends calls to a node; returns whether all succeeded.
+/// Sends calls to a node at the same time, so that it uses all engines: one after the other they would all go where it
+/// has an idle connection. Returns whether all succeeded.
 fn all_calls_succeed(node: &Node, name: &str) -> bool {
     let call = |n| node.plain("/look/", &format!("{name}-{}-{n}", node.name));
-    (0..8).all(|n| call(n).is_ok_and(|a| a.status == StatusCode::OK))
+    let succeeds = move |n| call(n).is_ok_and(|a| a.status == StatusCode::OK);
+    std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..8).map(|n| scope.spawn(move || succeeds(n))).collect();
+        calls.into_iter().all(|call| call.join().unwrap())
+    })
 }
 
 /// When one node reports an engine unreachable, the other nodes of the domain must stop using it without
