--- a/crates/hibiscusgw/tests/platform/caller_connections.rs
+++ b/crates/hibiscusgw/tests/platform/caller_connections.rs
@@ -137,9 +137,12 @@
 fn limit_that_is_raised_and_lowered_again_holds() {
     let mut fleet = new_fleet(Vec::new());
     let node = fleet.start("a");
-    set_idle_limit(&fleet, node, 2, Duration::from_secs(600));
+    set_idle_limit(&fleet, node, 2, LIMIT);
     let mut callers = used_connections(&fleet.nodes[node]);
-    set_idle_limit(&fleet, node, 3, SHORT_LIMIT);
+    set_idle_limit(&fleet, node, 3, Duration::from_secs(600));
+    // The first limit passes, and the longer one holds.
+    std::thread::sleep(LIMIT + SHORT_LIMIT);
+    set_idle_limit(&fleet, node, 4, LIMIT);
     send_again(&mut callers);
     assert_eq!(unanswered(&mut callers, is_final), 0);
     wait("unused connections are closed", || {
