Only the leader tells hub candidates from its own directory

By printed choices, the second node did not know of the first one's request: nodes of one domain polled up to five different hubs, and some stayed with the wrong one for as long as was looked (60 s). Such a node reports its requests and the engines that it cannot reach to a node that has a hub itself and passes neither on, and its own view of what others have in flight is unknown.

Cause: a node that starts while there is no leader counts the registered nodes itself, and few may be registered by then. Only the leader counts again. But whoever answers a poll told hub candidates from its directory if it had one, not those that it had since been told by the leader. A node that was the first candidate of its own old list kept the nodes that polled it for good. A former leader does the same. The tests also waited three seconds for all nodes to know their hub, where a leader that counted too early counts again after ten.

Change: hubs::CandidateSource; a node that does not lead tells the candidates that it was told. New metrics hgw_polled_by and hgw_knows_loads.

Why it works: the candidates now come from the leader's current count along each chain of polls, so that a node with an old list gets the new one with its next poll.

--- a/crates/direct/src/hubs.rs
+++ b/crates/direct/src/hubs.rs
@@ -127,6 +127,29 @@
     }
 }
 
+/// What a node tells the nodes that poll it of hub candidates.
+#[derive(Debug, Clone, Copy)]
+pub struct CandidateSource<'a> {
+    pub is_leader: bool,
+    /// Failure domain of this node.
+    pub domain: &'a str,
+    pub directory: &'a NodeDirectory,
+    pub hubs: &'a Hubs,
+}
+
+impl<'a> CandidateSource<'a> {
+    /// The hub candidates of a domain; none if they are not known.
+    ///
+    /// Only the leader reads the directory again and again. A node that read it while there was no leader, or that has
+    /// led, would tell old candidates, and nodes that poll it would poll it for good.
+    pub fn candidates(&self, domain: &str) -> Option<&'a [Member]> {
+        if self.is_leader && !self.directory.is_empty() {
+            return Some(self.directory.candidates(domain));
+        }
+        (self.domain == domain).then(|| self.hubs.candidates())
+    }
+}
+
 /// Decides to which nodes the leader sends an engine list that takes several messages: to those that
 /// pass it on.
 ///
--- a/crates/direct/tests/hubs.rs
+++ b/crates/direct/tests/hubs.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use hgw_direct::hubs::{
-    Hubs, LongListDistribution, Member, NodeDirectory, Parent, SkipReason, candidates, digest,
-    poll_interval_factor,
+    CandidateSource, Hubs, LongListDistribution, Member, NodeDirectory, Parent, SkipReason,
+    candidates, digest, poll_interval_factor,
 };
 
 fn member(n: u16, domain: &str, processor: f64) -> Member {
@@ -29,6 +29,26 @@
     (hubs, addrs)
 }
 
+/// Guards against nodes that poll a node for good that is no hub any more: it counted the nodes while there was no
+/// leader and few had been registered, and told the others its own list instead of the leader's.
+#[test]
+fn node_that_does_not_lead_tells_the_candidates_that_it_was_told() {
+    let first: Vec<Member> = (0..6).map(|n| member(n, "a", 0.25)).collect();
+    let all: Vec<Member> = (0..14).map(|n| member(n, "a", 0.25)).collect();
+    let (old, new) = (candidates(&first, "a"), candidates(&all, "a"));
+    assert_ne!(old, new);
+    let directory = NodeDirectory::new(&first);
+    let mut hubs = Hubs::default();
+    hubs.set_candidates(new.clone());
+    let told = |is_leader, domain| {
+        let source = CandidateSource { is_leader, domain: "a", directory: &directory, hubs: &hubs };
+        source.candidates(domain).map(<[Member]>::to_vec)
+    };
+    assert_eq!(told(false, "a"), Some(new));
+    assert_eq!(told(true, "a"), Some(old), "the leader keeps its directory up to date");
+    assert_eq!(told(false, "b"), None);
+}
+
 #[test]
 fn larger_vms_of_the_domain_are_hub_candidates() {
     let mut names: Vec<_> = candidates(&domain(), "a").into_iter().map(|c| c.node).collect();
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -232,6 +232,9 @@
     gauge!("hgw_engines", "state" => "silent").set(ejected);
     gauge!("hgw_config_version").set(state.catalog.as_ref().map_or(0.0, |c| c.version as f64));
     gauge!("hgw_nodes").set(f64::from(state.nodes));
+    gauge!("hgw_polled_by").set(f64::from(node.children.recent_count(now)));
+    let knows_loads = node.aggregator.borrow().is_fresh();
+    gauge!("hgw_knows_loads").set(f64::from(u8::from(knows_loads)));
     gauge!("hgw_list_age_seconds").set(node.store_data_age() as f64 / 1000.0);
     if let Some(age) = freshness::age(node) {
         gauge!("hgw_proof_age_seconds").set(age.as_secs_f64());
--- a/crates/gateway/src/peers/children.rs
+++ b/crates/gateway/src/peers/children.rs
@@ -52,7 +52,12 @@
 
     /// Whether any node polls this one.
     pub(crate) fn is_polled(&self, now: Millis) -> bool {
-        self.count_within(CHILD_TIMEOUT_MS, now) > 0
+        self.recent_count(now) > 0
+    }
+
+    /// Number of nodes that poll this one.
+    pub(crate) fn recent_count(&self, now: Millis) -> u32 {
+        self.count_within(CHILD_TIMEOUT_MS, now)
     }
 
     /// Number of nodes with a request within the last `age` milliseconds.
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -1,6 +1,6 @@
 //! Answers polls: the leader those of all hubs, and a hub those of the nodes in its domain.
 
-use hgw_direct::hubs::{LongListDistribution, Member, digest};
+use hgw_direct::hubs::{CandidateSource, LongListDistribution, Member, digest};
 use hgw_direct::{ListUpdate, broadcasts_sends};
 use tokio::time::timeout;
 
@@ -134,12 +134,12 @@
 /// Hub candidates of the sender's domain, if the sender knows others.
 fn hub_candidates(node: &Node, request: &PollRequest) -> Option<Vec<Member>> {
     let (directory, hubs) = (node.directory.borrow(), node.hubs.borrow());
-    let hub_candidates = if !directory.is_empty() {
-        directory.candidates(&request.domain)
-    } else if node.settings.borrow().domain == request.domain {
-        hubs.candidates()
-    } else {
-        return None;
+    let source = CandidateSource {
+        is_leader: node.leadership.borrow().is_leader(),
+        domain: &node.settings.borrow().domain,
+        directory: &directory,
+        hubs: &hubs,
     };
+    let hub_candidates = source.candidates(&request.domain)?;
     (digest(hub_candidates) != request.hubs_digest).then(|| hub_candidates.to_vec())
 }
--- a/crates/hibiscusgw/tests/platform/hubs.rs
+++ b/crates/hibiscusgw/tests/platform/hubs.rs
@@ -4,6 +4,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
+use hgw_direct::broadcasts_sends;
 use hgw_direct::hubs::{Member, candidates};
 use hgw_standins::client::Caller;
 use hgw_standins::fleet::deployment::{HOST, Node, configuration_with_route, holds, wait};
@@ -23,6 +24,32 @@
     }
 }
 
+/// A metric of a node without labels; none if the node does not respond or has no such metric.
+fn metric(node: &Node, name: &str) -> Option<f64> {
+    let metrics = Caller::new(node.metrics).ok()?;
+    let text = metrics.call(Method::GET, "/metrics", &[], "").ok()?.body;
+    let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    value?.parse().ok()
+}
+
+/// Whether all nodes but the leader poll the first hub candidate, that one polls the leader, and all know each other's
+/// requests, if they exchange sums.
+fn know_their_hub(fleet: &Fleet) -> bool {
+    let nodes = fleet.nodes.len();
+    let leader = fleet.nodes.iter().position(|node| metric(node, "hgw_keeper") == Some(1.0));
+    let hub = hub_candidates(fleet).into_iter().find(|hub| Some(*hub) != leader);
+    let polled_by = |node| match Some(node) {
+        node if node == leader => 1,
+        node if node == hub => nodes - 2,
+        _ => 0,
+    };
+    let exchanges_sums = !broadcasts_sends(nodes as u32);
+    fleet.nodes.iter().enumerate().all(|(n, node)| {
+        metric(node, "hgw_polled_by") == Some(polled_by(n) as f64)
+            && (!exchanges_sums || metric(node, "hgw_knows_loads") == Some(1.0))
+    })
+}
+
 /// Starts `nodes` nodes of one domain, and waits until they are ready and know their hub.
 fn start_domain(nodes: usize) -> Fleet {
     let mut fleet = new_fleet(["i-3", "i-4"].map(slow_prefill_engine).to_vec());
@@ -30,8 +57,8 @@
     for node in nodes {
         wait("the node is ready", || fleet.nodes[node].is_ready());
     }
-    // The leader counts the nodes again in the first seconds; from then on nodes with a hub poll the hub.
-    std::thread::sleep(Duration::from_secs(3));
+    // A leader that counted before all nodes were registered names other candidates, and counts again only seconds later.
+    wait("all poll their hub", || know_their_hub(&fleet));
     fleet
 }
 
