What is no response proves the path to its engine

An engine whose head was malformed on a new connection counted as one that was not reached, as if nothing had come. When all engines of a service did that, their node took its own path for failed (4014): it refused requests as "engines unreachable", sent them to other nodes, which had no better engines, and a leader could give up its lease. On a connection that had been idle the engine was said to drop idle connections. Bytes that came prove the path and the connection; the failure counts against the engine only.

The nodes of these tests have 16 MB now.

--- a/crates/gateway/src/relay/engine_response.rs
+++ b/crates/gateway/src/relay/engine_response.rs
@@ -66,10 +66,7 @@
         match head {
             Ok((head, info)) => {
                 node.record_response_byte(&attempt.engine);
-                match attempt.idle {
-                    None => engine_path::record_reached(&node, &attempt.engine),
-                    Some(idle) => node.pool.record_response(attempt.addr, idle),
-                }
+                self.record_reached(&attempt);
                 let (guard, sent_at) = (&attempt.guard, attempt.sent_at_ms);
                 engine_limits::observe(&node, guard, &info, sent_at);
                 brittle::observe(&node, guard, &info, sent_at);
@@ -81,6 +78,8 @@
                 attempt.guard.record_outcome(failure_outcome(&e));
                 node.mark_broken(&attempt.engine);
                 match attempt.idle {
+                    // What is no response has come from the engine as well.
+                    _ if e.is_malformed() => self.record_reached(&attempt),
                     None => engine_path::record_failure(&node, &attempt.engine),
                     Some(idle) => {
                         node.pool.record_loss(attempt.addr, idle, node.now());
@@ -94,6 +93,14 @@
         }
     }
 
+    /// Records that bytes have come from the engine.
+    fn record_reached(&self, attempt: &EngineAttempt) {
+        match attempt.idle {
+            None => engine_path::record_reached(&self.node, &attempt.engine),
+            Some(idle) => self.node.pool.record_response(attempt.addr, idle),
+        }
+    }
+
     async fn handle_response_head(
         &mut self,
         attempt: EngineAttempt,
--- a/crates/hibiscusgw/tests/platform/endless_responses.rs
+++ b/crates/hibiscusgw/tests/platform/endless_responses.rs
@@ -17,6 +17,10 @@
 /// The same where hundreds send to a node with little memory: more than one response may take there.
 const MAX_BYTES_OF_HUNDREDS: usize = 16 << 20;
 
+/// Memory of the node in its settings: little, so that bodies without end reach their limit long before the deadline.
+const MEMORY_MB: usize = 16;
+const MEMORY_MB_OF_HUNDREDS: usize = 60;
+
 /// Requests that are sent at a time.
 const CALLERS: usize = 9;
 
@@ -26,12 +30,21 @@
 /// Events of a stream of a sound engine.
 const EVENTS: u64 = 20;
 
+/// Event of settings that have changed.
+const SETTINGS_CHANGED: u64 = 1009;
+
+/// Event of a configuration that is active.
+const CONFIG_IN_FORCE: u64 = 3001;
+
 /// Event of an engine whose health changed.
 const ENGINE_JUDGED: u64 = 4007;
 
 /// Event of an engine that has sent what is no response.
 const RESPONSE_MALFORMED: u64 = 5020;
 
+/// Event of a node that has lost or regained its path to the engines of a service.
+const ENGINE_PATH_CHANGED: u64 = 4014;
+
 /// Event of a request that looks for another way, as its engine is silent.
 const ENGINE_SILENT: u64 = 5018;
 
@@ -84,6 +97,10 @@
         ["desk-1", "desk-2"].iter().for_each(|id| fleet.store.put("keyed.servers", id, b""));
     }
     let (node, lines) = fleet.start_logged("a");
+    let memory_mb = if max_bytes == MAX_BYTES { MEMORY_MB } else { MEMORY_MB_OF_HUNDREDS };
+    let limits = format!("limits.maxFds=2048\nlimits.memoryMb={memory_mb}");
+    fleet.nodes[node].set("limits.maxFds=1024", &limits);
+    wait("the settings are in force", || !fleet.lines(&lines, SETTINGS_CHANGED).is_empty());
     (fleet, node, lines)
 }
 
@@ -210,6 +227,8 @@
     let sent: u32 = wait_until_closed(&fleet, part).iter().map(|record| record.begun).sum();
     assert_told(&fleet, &lines, route, if named(part).is_some() { sent } else { 0 });
     assert_eq!(served, if part == Part::AfterEnd { CALLERS } else { 0 }, "{responses:?}");
+    // The node reaches the engines, whatever they send.
+    assert_eq!(fleet.lines(&lines, ENGINE_PATH_CHANGED), Vec::<Value>::new());
     let attempts = if may_repeat(route) { 2 } else { 1 };
     for (id, response) in &responses {
         assert!(fleet.runs(id) <= attempts, "{id} ran {} times", fleet.runs(id));
@@ -262,6 +281,7 @@
      beyond the attempts of their routes, and against other callers that suffer.",
     all_three;
     all_send_a_head_line: Part::HeadLine, "ask";
+    all_send_head_lines: Part::HeadLines, "print";
     all_send_a_chunk_line: Part::ChunkLine, "once";
     all_send_trailers: Part::Trailers, "once";
     all_send_a_body_in_chunks: Part::Chunks, "print";
@@ -272,9 +292,6 @@
     all_send_bytes_after_the_end: Part::AfterEnd, "print";
 }
 
-/// Memory of the node in its settings.
-const MEMORY_MB: usize = 60;
-
 /// What its process may take at most beyond what it took before: its share for responses, and what connections hold of
 /// their own.
 const MAX_GROWTH_KB: usize = 35 << 10;
@@ -297,9 +314,9 @@
         service["maxConns"] = 400.into();
     }
     fleet.publish(&config);
-    let limits = format!("limits.maxFds=2048\nlimits.memoryMb={MEMORY_MB}");
-    fleet.nodes[node].set("limits.maxFds=1024", &limits);
-    std::thread::sleep(Duration::from_secs(2));
+    wait("the configuration is in force", || {
+        fleet.lines(&lines, CONFIG_IN_FORCE).iter().any(|line| line["version"] == "2")
+    });
     let before = process_kb(&fleet.nodes[node], "VmRSS");
     let responses = send_all(&fleet, node, route, HUNDREDS);
     let served = responses.iter().filter(|(id, response)| is_served(route, id, response)).count();
