A line for each count of another node's attempts

The lines said which engines a forwarder tried, and that the node which took the request looked for another way, but not how many runs that node counted for the silent forwarder, so three hypotheses could not be told apart: the count of the first node is too low (1), a forwarder makes more attempts than it was told are left (2), or attempts at engines of the first node's own are not counted (3).

Change: event 5019 (ForwardCounted) names the peer, what was counted for it and whether that is its word or assumed. The logic is as before.

No line shows (2) or (3): each forwarder stays within what it was told, and the node sends nothing to engines by itself.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -116,5 +116,6 @@
     StreamTakenUp = 5016, Info, "a caller takes up a stream that an earlier attempt began";
     TrialBegan = 5017, Info, "a request is sent to find out whether a part of its prompt crashes engines";
     EngineSilent = 5018, Info, "a request looks for another way, as its engine, or the node that forwards it, is silent";
+    ForwardCounted = 5019, Info, "attempts of another node were counted for a request that it was to forward";
     ResponseMalformed = 5020, Info, "an engine has sent what is no response; its connection is closed";
 }
--- a/crates/gateway/src/relay/forward.rs
+++ b/crates/gateway/src/relay/forward.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use derive_more::Display;
 use hgw_direct::{Engine, EngineId, NoEngine, Refusal, VersionKey};
 use hgw_events::{Event, emit};
 use hgw_http1::{BodyDecoder, Conn, Head, Request, end_to_end_headers};
@@ -37,6 +38,20 @@
 /// Largest refusal of another node that is passed on.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
+/// What the count of another node's attempts goes by.
+#[derive(Debug, Clone, Copy, Display)]
+enum ForwardWord {
+    /// Its response says it.
+    #[display("response")]
+    Response,
+    /// It is assumed, as nothing has come from the node.
+    #[display("silence")]
+    Silent,
+    /// It is assumed, as the connection to the node has broken.
+    #[display("broken")]
+    Broken,
+}
+
 /// Where a request goes next.
 pub(super) enum NextHop {
     Engine(EngineId),
@@ -152,11 +167,13 @@
             WaitResult::Stalled => {
                 attempt.guard.record_refused();
                 self.count_execution();
+                self.log_forward_counted(addr, 1, ForwardWord::Silent);
                 attempt.sent.is_counted = true;
                 AttemptResult::Silent(OpenAttempt::Forwarder(attempt))
             }
             WaitResult::TimedOut | WaitResult::EngineRestarted => {
                 self.count_execution();
+                self.log_forward_counted(addr, 1, ForwardWord::Silent);
                 AttemptResult::TimedOut
             }
         }
@@ -172,6 +189,7 @@
             Err(_) => {
                 attempt.guard.record_refused();
                 self.count_unless(attempt.sent.is_counted);
+                self.log_forward_counted(attempt.guard.addr, 1, ForwardWord::Broken);
                 AttemptResult::NoResponse
             }
         }
@@ -212,6 +230,7 @@
         match outcome {
             Some(ForwardOutcome::Engine { engine, version, runs, domain }) => {
                 self.count_executions(runs.max(1));
+                self.log_forward_counted(guard.addr, runs, ForwardWord::Response);
                 let version = version.or_else(|| self.node.engine(&engine, Engine::version_key));
                 let version = version.unwrap_or(VersionKey::UNKNOWN);
                 if self.version.is_some_and(|bound| bound != version) {
@@ -245,6 +264,7 @@
             }
             Some(ForwardOutcome::Failed { runs }) => {
                 self.count_executions(runs);
+                self.log_forward_counted(guard.addr, runs, ForwardWord::Response);
                 AttemptResult::NoResponse
             }
             // A version that forwards nothing, or a node that could not read the head.
@@ -309,6 +329,21 @@
         self.within_deadline(future).await
     }
 
+    /// Logs how many attempts of another node count for the request, and on what ground.
+    fn log_forward_counted(&self, addr: SocketAddr, counted: u32, word: ForwardWord) {
+        emit(
+            Event::ForwardCounted,
+            &[
+                ("node", &self.node.settings.borrow().node),
+                ("id", &self.info.id),
+                ("peer", &addr),
+                ("counted", &counted),
+                ("by", &word),
+                ("runs", &self.executions),
+            ],
+        );
+    }
+
     pub(super) fn log_failed_forward(
         &self,
         addr: SocketAddr,
