The node that took a request grants its forwarders each attempt

Cause: the count of attempts lived at two nodes. A forwarder was told how many had been made and made the rest on its own. The node that took the request learned how many that were only with the head of the response. Before that it counted one for a forwarder that is silent or whose connection breaks, and it never heard of attempts after the head, as a forwarder resumes a stream. So it sent the request to another forwarder with a count that was too low.

Change: the node that took the request keeps the only count (hgw_direct::AttemptCount). One attempt goes with a forwarded request; for each further one, before or after the head, the forwarder asks. What was granted counts as executed until the forwarder says, as it ends, that it made fewer. Right before the first byte the count is checked again. A forwarder of the release before is told that one attempt is left; one whose request came without a grant makes one. take_retry asks for the attempt only if the budget has a retry.

Why it works: an attempt is counted before it can begin, whatever becomes of the node that makes it, so the count is an upper bound at every moment; the property test plays any order of grants, questions, lost answers and ends. The second engine of those whose first one is silent stays: the forwarder notices 400 ms before the node gives up on it.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admitted_versions;
 pub mod aggregation;
+mod attempt_count;
 mod brittleness;
 mod catalog;
 mod catalog_lag;
@@ -59,6 +60,7 @@
 pub mod unreachable;
 
 pub use admitted_versions::{AdmissionParams, AdmittedVersions, ServiceVersions, VersionAdmission};
+pub use attempt_count::{AttemptCount, GrantId};
 pub use brittleness::Brittleness;
 pub use catalog::{
     CallerLimits, Catalog, Model, ModelPool, Route, RouteKind, RouteMatch, Service, ServiceId,
--- a/crates/direct/src/retry_budget.rs
+++ b/crates/direct/src/retry_budget.rs
@@ -42,16 +42,20 @@
         allowed - self.retries.len() as f64
     }
 
-    /// Consumes one retry; returns false if none is left. A quarter of the slack is reserved for
-    /// `urgent` requests.
+    /// Consumes one retry; returns false if none is left.
     pub fn try_take(&mut self, now: Millis, limits: &RetryBudgetLimits, urgent: bool) -> bool {
+        let has_one = self.has_retry(now, limits, urgent);
+        if has_one {
+            self.retries.push_back(now);
+        }
+        has_one
+    }
+
+    /// Whether a retry is left. A quarter of the slack is reserved for `urgent` requests.
+    pub fn has_retry(&mut self, now: Millis, limits: &RetryBudgetLimits, urgent: bool) -> bool {
         let slack = limits.slack / f64::from(limits.nodes.max(1));
         let reserved = if urgent { 0.0 } else { 0.25 * USED_SHARE * slack };
-        if self.remaining(now, limits) - reserved < 1.0 {
-            return false;
-        }
-        self.retries.push_back(now);
-        true
+        self.remaining(now, limits) - reserved >= 1.0
     }
 
     fn expire(&mut self, now: Millis, limits: &RetryBudgetLimits) {
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -118,4 +118,5 @@
     EngineSilent = 5018, Info, "a request looks for another way, as its engine, or the node that forwards it, is silent";
     ForwardCounted = 5019, Info, "attempts of another node were counted for a request that it was to forward";
     ResponseMalformed = 5020, Info, "an engine has sent what is no response; its connection is closed";
+    AttemptRequested = 5021, Info, "another node has asked to send a request to a further engine";
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! cost two wake-ups each. Decisions are made in [`hgw_direct`]; the names, formats and calls of a
 //! platform are defined by the traits of [`protocol`].
 
+mod attempt_grants;
 mod attempt_guard;
 mod backoff;
 mod brittle;
--- a/crates/gateway/src/peers/forwarding.rs
+++ b/crates/gateway/src/peers/forwarding.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use hgw_direct::{EngineId, Refusal, ServiceId, VersionKey, broadcasts_sends};
+use hgw_direct::{EngineId, GrantId, Refusal, ServiceId, VersionKey, broadcasts_sends};
 use http::{HeaderName, HeaderValue};
 use hyper::body::Incoming;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
+use crate::attempt_grants;
 use crate::relay;
 use crate::response::{CallerResponse, Outcome};
 use crate::shared::Node;
@@ -34,6 +35,12 @@
 /// Number of usable nodes below which others are looked for.
 const ENOUGH_FORWARDERS: usize = 2;
 
+/// Path at which a node is asked for another attempt of a request that it has forwarded.
+pub(super) const ATTEMPT_PATH: &str = "/attempts";
+
+/// Timeout of that question: a node that lives answers within milliseconds, and the request waits.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// What goes with a forwarded request.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct ForwardedRequest {
@@ -41,8 +48,12 @@
     pub(crate) age_ms: u64,
     /// Service that the route was resolved to.
     pub(crate) service: ServiceId,
-    /// Attempts that an engine may have executed.
+    /// Attempts that an engine may have executed. A release that asks for no attempts makes as many as remain, so that with a
+    /// grant this is all but one of those that the route allows.
     pub(crate) executions: u32,
+    /// What the node may ask for more attempts; none from a release that grants none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) grant: Option<AttemptGrant>,
     /// Attempts that an engine rejected.
     pub(crate) rejected: u32,
     pub(crate) tried_engines: Vec<EngineId>,
@@ -53,6 +64,29 @@
     pub(crate) version: Option<VersionKey>,
 }
 
+/// The one attempt that goes with a forwarded request, and where further ones are granted.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct AttemptGrant {
+    pub(crate) id: GrantId,
+    /// Peer address of the node that grants it.
+    pub(crate) from: SocketAddr,
+    /// Attempts besides that an engine may have executed.
+    pub(crate) executions: u32,
+}
+
+/// Asks for another attempt.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) struct AttemptRequest {
+    grant: GrantId,
+    /// Attempts that the node will have made by then.
+    attempts: u32,
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) struct AttemptResponse {
+    is_granted: bool,
+}
+
 /// What a response to a forwarded request is.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum ForwardOutcome {
@@ -79,6 +113,11 @@
     pub(crate) fn parse(value: &HeaderValue) -> Option<ForwardedRequest> {
         serde_json::from_slice(value.as_bytes()).ok()
     }
+
+    /// Attempts of other nodes that an engine may have executed.
+    pub(crate) fn executions_elsewhere(&self) -> u32 {
+        self.grant.as_ref().map_or(self.executions, |grant| grant.executions)
+    }
 }
 
 impl ForwardOutcome {
@@ -143,6 +182,24 @@
     response
 }
 
+/// Asks the node that forwarded a request whether this one may make so many attempts in all; none without an answer.
+pub(crate) async fn request_attempt(
+    node: &Node,
+    grant: &AttemptGrant,
+    attempts: u32,
+) -> Option<bool> {
+    let request = AttemptRequest { grant: grant.id, attempts };
+    let response: AttemptResponse =
+        call(node, grant.from, ATTEMPT_PATH, &request, ATTEMPT_TIMEOUT).await?;
+    Some(response.is_granted)
+}
+
+/// Answers a node to which this one has forwarded a request.
+pub(super) fn grant_attempt(node: &Node, request: AttemptRequest) -> AttemptResponse {
+    let AttemptRequest { grant, attempts } = request;
+    AttemptResponse { is_granted: attempt_grants::raise(node, grant, attempts) }
+}
+
 /// Asks which nodes reach engines.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct ForwardersRequest {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -43,7 +43,9 @@
 pub(crate) use catalog_text::{CatalogTransfers, fetch_catalog};
 pub(crate) use children::Children;
 pub(crate) use datagrams::{Datagram, PeerSocket, receive};
-pub(crate) use forwarding::{FORWARDED, ForwardOutcome, ForwardedRequest, find_forwarders};
+pub(crate) use forwarding::{
+    AttemptGrant, FORWARDED, ForwardOutcome, ForwardedRequest, find_forwarders, request_attempt,
+};
 pub(crate) use in_flight::report_in_flight;
 pub(crate) use limits::send_engine_news;
 use list::apply_placements;
@@ -193,6 +195,10 @@
             Ok(request) => json_response(&forwarding::forwarders_response(&node, &request)),
             Err(_) => json_error(StatusCode::BAD_REQUEST, "the body names no node"),
         },
+        (&Method::POST, forwarding::ATTEMPT_PATH) => match serde_json::from_slice(&body) {
+            Ok(request) => json_response(&forwarding::grant_attempt(&node, request)),
+            Err(_) => json_error(StatusCode::BAD_REQUEST, "the body names no grant"),
+        },
         (&Method::POST, TRIAL_PATH) => match serde_json::from_slice::<TrialRequest>(&body) {
             Ok(TrialRequest { part }) => {
                 json_response(&TrialResponse { is_granted: crashes::grant(&node, part) })
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -192,6 +192,7 @@
             version,
             guard,
             sent: SentRequest::start(exchange_with_engine(&node, conn, req, self.info.id.clone())),
+            is_counted: false,
             sent_at_ms,
             idle,
             _charge: charge,
@@ -208,7 +209,7 @@
                 let awaited = Awaited::Head { addr: attempt.addr, idle: attempt.idle };
                 self.record_silence(&attempt.engine, awaited);
                 self.count_execution();
-                attempt.sent.is_counted = true;
+                attempt.is_counted = true;
                 AttemptResult::Silent(OpenAttempt::Engine(Box::new(attempt)))
             }
             WaitResult::TimedOut => {
@@ -281,8 +282,12 @@
         if !self.has_time_to_send() {
             return Err(AttemptResult::NotSent);
         }
+        // Meanwhile another node may have been granted the last attempt.
+        if !self.may_make_attempt() {
+            return Err(AttemptResult::NoEngine(NoEngine::NoneAvailable));
+        }
         self.check_crashes().map_err(AttemptResult::Withheld)?;
-        if self.executions == 0 {
+        if self.executions() == 0 {
             self.check_authorized().map_err(AttemptResult::Unauthorized)?;
         }
         Ok(())
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -37,12 +37,12 @@
         let retries;
         (failure, retries) = match read_response(&mut req, started).await {
             Some(response) if response.status().is_server_error() => {
-                let retries = may_repeat && req.take_second_attempt(&engine);
+                let retries = may_repeat && req.take_second_attempt(&engine).await;
                 (Some(Failure::Response(response)), retries)
             }
             Some(response) => return response,
             None => {
-                let retries = may_repeat && req.has_time_for_attempt() && req.take_retry();
+                let retries = may_repeat && req.has_time_for_attempt() && req.take_retry().await;
                 (Some(Failure::Reason("the answer broke off")), retries)
             }
         };
--- a/crates/gateway/src/relay/engine_response.rs
+++ b/crates/gateway/src/relay/engine_response.rs
@@ -29,7 +29,7 @@
 
 impl RelayedRequest {
     pub(super) fn conclude_restarted(&mut self, attempt: &EngineAttempt) -> AttemptResult {
-        self.count_unless(attempt.sent.is_counted);
+        self.count_unless(attempt.is_counted);
         self.record_restarted_engine(&attempt.guard);
         AttemptResult::NoResponse
     }
@@ -63,7 +63,7 @@
                         engine_path::start_check_unless_proven(&node, &self.service);
                     }
                 }
-                self.count_unless(attempt.sent.is_counted);
+                self.count_unless(attempt.is_counted);
                 self.investigate(&attempt.guard).await;
                 AttemptResult::NoResponse
             }
@@ -85,8 +85,7 @@
         head: Head,
         info: ResponseInfo,
     ) -> AttemptResult {
-        let EngineAttempt { engine, version, mut guard, sent, .. } = attempt;
-        let is_counted = sent.is_counted;
+        let EngineAttempt { engine, version, mut guard, is_counted, .. } = attempt;
         if let Some(reason) = &info.ignored_load {
             meter::ignored_figure("X-Load", reason);
         }
--- a/crates/gateway/src/relay/forward.rs
+++ b/crates/gateway/src/relay/forward.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use derive_more::Display;
-use hgw_direct::{Engine, EngineId, NoEngine, Refusal, VersionKey};
+use hgw_direct::{Engine, EngineId, GrantId, NoEngine, Refusal, VersionKey};
 use hgw_events::{Event, emit};
 use hgw_http1::{BodyDecoder, Conn, Head, Request, end_to_end_headers};
 use http::{Response, StatusCode};
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::meter;
-use crate::peers::{self, FORWARDED, ForwardOutcome, ForwardedRequest};
+use crate::peers::{self, AttemptGrant, FORWARDED, ForwardOutcome, ForwardedRequest};
 use crate::response::{CallerResponse, ResponseBody};
 
 use super::attempt::{AttemptResult, StartedResponse};
@@ -38,18 +38,18 @@
 /// Largest refusal of another node that is passed on.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
-/// What the count of another node's attempts goes by.
+/// On what ground the attempts of another node are counted.
 #[derive(Debug, Clone, Copy, Display)]
-enum ForwardWord {
-    /// Its response says it.
+enum CountedBy {
+    /// Its response says how many it has made.
     #[display("response")]
     Response,
-    /// It is assumed, as nothing has come from the node.
+    /// Nothing has come from it: all that it was granted.
     #[display("silence")]
-    Silent,
-    /// It is assumed, as the connection to the node has broken.
+    Silence,
+    /// The connection to it has broken: all that it was granted.
     #[display("broken")]
-    Broken,
+    Loss,
 }
 
 /// Where a request goes next.
@@ -142,7 +142,7 @@
         last_event: Option<u64>,
     ) -> Result<ForwardAttempt, AttemptResult> {
         self.tried_forwarders.push(addr);
-        let guard = ForwardGuard::start(&self.node, addr, &self.service);
+        let mut guard = ForwardGuard::start(&self.node, addr, &self.service);
         let connected = self.node.pool.get(addr, self.node.conn_timeouts());
         let WaitResult::Done(Ok(conn)) = self.within_deadline(connected).await else {
             guard.record_refused();
@@ -152,8 +152,10 @@
             guard.return_connection(conn);
             return Err(result);
         }
-        let req = self.forwarded_request(last_event);
-        self.set_may_run(true);
+        let executions = self.executions();
+        let grant = guard.grant_attempt(&self.attempts);
+        let req = self.forwarded_request(last_event, executions, grant);
+        self.record_forwarded();
         let sent = SentRequest::start(exchange_with_forwarder(conn, req));
         Ok(ForwardAttempt { guard, sent })
     }
@@ -166,14 +168,11 @@
             WaitResult::Done(exchanged) => self.conclude_forward(attempt, exchanged).await,
             WaitResult::Stalled => {
                 attempt.guard.record_refused();
-                self.count_execution();
-                self.log_forward_counted(addr, 1, ForwardWord::Silent);
-                attempt.sent.is_counted = true;
+                self.log_forward_counted(&attempt.guard, CountedBy::Silence);
                 AttemptResult::Silent(OpenAttempt::Forwarder(attempt))
             }
             WaitResult::TimedOut | WaitResult::EngineRestarted => {
-                self.count_execution();
-                self.log_forward_counted(addr, 1, ForwardWord::Silent);
+                self.log_forward_counted(&attempt.guard, CountedBy::Silence);
                 AttemptResult::TimedOut
             }
         }
@@ -188,18 +187,24 @@
             Ok(head) => self.handle_forwarder(attempt, conn, head).await,
             Err(_) => {
                 attempt.guard.record_refused();
-                self.count_unless(attempt.sent.is_counted);
-                self.log_forward_counted(attempt.guard.addr, 1, ForwardWord::Broken);
+                self.log_forward_counted(&attempt.guard, CountedBy::Loss);
                 AttemptResult::NoResponse
             }
         }
     }
 
-    fn forwarded_request(&self, last_event: Option<u64>) -> Request {
+    fn forwarded_request(
+        &self,
+        last_event: Option<u64>,
+        executions: u32,
+        grant: GrantId,
+    ) -> Request {
+        let from = self.node.settings.borrow().peer_addr;
         let forwarded = ForwardedRequest {
             age_ms: self.age().as_millis() as u64,
             service: self.service.clone(),
-            executions: self.executions,
+            executions: self.route.max_attempts.saturating_sub(1),
+            grant: Some(AttemptGrant { id: grant, from, executions }),
             rejected: self.rejected,
             tried_engines: self.tried_engines.clone(),
             last_event: last_event.or(self.info.last_event),
@@ -224,13 +229,12 @@
         mut conn: Conn,
         mut head: Head,
     ) -> AttemptResult {
-        let ForwardAttempt { guard, sent } = attempt;
+        let ForwardAttempt { guard, .. } = attempt;
         let outcome = head.headers.remove(FORWARDED).as_ref().and_then(ForwardOutcome::parse);
-        self.discount_if(sent.is_counted);
         match outcome {
             Some(ForwardOutcome::Engine { engine, version, runs, domain }) => {
-                self.count_executions(runs.max(1));
-                self.log_forward_counted(guard.addr, runs, ForwardWord::Response);
+                guard.record_made(runs);
+                self.log_forward_counted(&guard, CountedBy::Response);
                 let version = version.or_else(|| self.node.engine(&engine, Engine::version_key));
                 let version = version.unwrap_or(VersionKey::UNKNOWN);
                 if self.version.is_some_and(|bound| bound != version) {
@@ -246,7 +250,7 @@
                 AttemptResult::Started(Box::new(started))
             }
             Some(ForwardOutcome::Refused { reason, may_run_elsewhere }) => {
-                self.set_may_run(false);
+                self.settle_forward(&guard, 0);
                 let body = conn.read_body(BodyDecoder::new(head.framing), MAX_REFUSAL_BYTES);
                 let WaitResult::Done(Ok(body)) = self.within_deadline(body).await else {
                     return AttemptResult::NotForwarded;
@@ -259,23 +263,29 @@
                 AttemptResult::Refused(Box::new(ForwardRefusal { head, body, reason }))
             }
             Some(ForwardOutcome::Failed { runs: 0 }) => {
-                self.set_may_run(false);
+                self.settle_forward(&guard, 0);
                 AttemptResult::NotForwarded
             }
             Some(ForwardOutcome::Failed { runs }) => {
-                self.count_executions(runs);
-                self.log_forward_counted(guard.addr, runs, ForwardWord::Response);
+                self.settle_forward(&guard, runs);
+                self.log_forward_counted(&guard, CountedBy::Response);
                 AttemptResult::NoResponse
             }
             // A version that forwards nothing, or a node that could not read the head.
             None => {
                 guard.record_refused();
-                self.set_may_run(false);
+                self.settle_forward(&guard, 0);
                 AttemptResult::NotForwarded
             }
         }
     }
 
+    /// Takes in that another node has made so many attempts and makes no more.
+    fn settle_forward(&self, guard: &ForwardGuard, runs: u32) {
+        guard.settle(runs);
+        self.update_charge();
+    }
+
     /// Remembers that a node does not help. Once all nodes that may have said that they reach no engine for
     /// such a request, nobody is asked for a while.
     fn record_forwarder_refusal(&mut self, guard: &ForwardGuard, reason: &str) {
@@ -322,24 +332,24 @@
             done = &mut future => return WaitResult::Done(done),
             () = sleep_until(silent_at) => {}
         }
-        if Instant::now() < self.deadline_at && self.has_alternative() && self.take_retry() {
+        if Instant::now() < self.deadline_at && self.has_alternative() && self.take_retry().await {
             self.log_silent_forwarder(addr, ExceededLimit { of: Silent::Forwarder, limit });
             return WaitResult::Stalled;
         }
         self.within_deadline(future).await
     }
 
-    /// Logs how many attempts of another node count for the request, and on what ground.
-    fn log_forward_counted(&self, addr: SocketAddr, counted: u32, word: ForwardWord) {
+    /// Logs what the count of attempts is as another node has responded, or is not waited for.
+    fn log_forward_counted(&self, guard: &ForwardGuard, by: CountedBy) {
         emit(
             Event::ForwardCounted,
             &[
                 ("node", &self.node.settings.borrow().node),
                 ("id", &self.info.id),
-                ("peer", &addr),
-                ("counted", &counted),
-                ("by", &word),
-                ("runs", &self.executions),
+                ("peer", &guard.addr),
+                ("grant", &guard.grant_id()),
+                ("by", &by),
+                ("runs", &self.executions()),
             ],
         );
     }
@@ -360,7 +370,7 @@
                 ("why", &reason),
                 ("ms", &took.as_millis()),
                 ("left_ms", &self.time_left().as_millis()),
-                ("runs", &self.executions),
+                ("runs", &self.executions()),
             ],
         );
     }
--- a/crates/gateway/src/relay/forwarded.rs
+++ b/crates/gateway/src/relay/forwarded.rs
@@ -1,12 +1,15 @@
 //! Requests that another node received from its caller and sent here, because it reaches no engine.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hgw_direct::{Refusal, Route, ServiceId};
 use http::Request;
 use hyper::body::Incoming;
 
-use crate::peers::ForwardedRequest;
+use crate::attempt_grants::RequestAttempts;
+use crate::peers::{self, AttemptGrant, ForwardedRequest};
 use crate::response::CallerResponse;
 use crate::shared::Node;
 use crate::shutdown::ActiveRequest;
@@ -62,6 +65,43 @@
     }
 }
 
+/// Attempts that this node may make for a request of another one.
+pub(super) struct GrantedAttempts {
+    attempts: Cell<u32>,
+    /// Where more are granted; nowhere by a node whose release grants none.
+    source: Option<AttemptGrant>,
+    /// Whether the other node has refused another one: its attempts are used.
+    is_exhausted: Cell<bool>,
+}
+
+impl GrantedAttempts {
+    fn first(source: Option<AttemptGrant>) -> GrantedAttempts {
+        GrantedAttempts { attempts: Cell::new(1), source, is_exhausted: Cell::new(false) }
+    }
+
+    pub(super) fn attempts(&self) -> u32 {
+        self.attempts.get()
+    }
+
+    /// Whether this node may make so many attempts in all. Asks the other node if that is not known; without an answer it
+    /// may not.
+    pub(super) async fn obtain(&self, node: &Node, attempts: u32) -> bool {
+        if attempts <= self.attempts.get() {
+            return true;
+        }
+        let Some(source) = self.source.as_ref().filter(|_| !self.is_exhausted.get()) else {
+            return false;
+        };
+        let is_granted = peers::request_attempt(node, source, attempts).await;
+        match is_granted {
+            Some(true) => self.attempts.set(attempts),
+            Some(false) => self.is_exhausted.set(true),
+            None => {}
+        }
+        is_granted == Some(true)
+    }
+}
+
 impl ForwardedRequest {
     /// The service to which the other node resolved the route, if the route still goes there.
     pub(super) fn service_of(&self, route: &Route, default: &ServiceId) -> ServiceId {
@@ -75,8 +115,12 @@
     pub(super) fn continue_forwarded(&mut self, forwarded: ForwardedRequest, slot: ForwardedSlot) {
         self.is_forwarded = true;
         self.forwarded_slot = Some(slot);
-        self.executions = forwarded.executions;
-        self.executions_elsewhere = forwarded.executions;
+        let executions = forwarded.executions_elsewhere();
+        let attempts =
+            RequestAttempts::new(self.info.id.clone(), self.route.max_attempts, executions);
+        self.attempts = Rc::new(attempts);
+        self.executions_elsewhere = executions;
+        self.granted = Some(GrantedAttempts::first(forwarded.grant));
         self.rejected = forwarded.rejected;
         self.tried_engines = forwarded.tried_engines;
         self.version = forwarded.version;
@@ -85,6 +129,11 @@
 
     /// Attempts of this node that an engine may have executed.
     pub(super) fn own_executions(&self) -> u32 {
-        self.executions.saturating_sub(self.executions_elsewhere)
+        self.executions().saturating_sub(self.executions_elsewhere)
+    }
+
+    /// The same, with a pending one.
+    pub(super) fn own_attempts(&self) -> u32 {
+        self.attempts.in_use().saturating_sub(self.executions_elsewhere)
     }
 }
--- a/crates/gateway/src/relay/open_attempt.rs
+++ b/crates/gateway/src/relay/open_attempt.rs
@@ -61,6 +61,8 @@
     pub(super) version: VersionKey,
     pub(super) guard: AttemptGuard,
     pub(super) sent: SentRequest<EngineHead>,
+    /// Whether the request has counted it as one that an engine may have executed.
+    pub(super) is_counted: bool,
     /// When it was sent, by the node's clock.
     pub(super) sent_at_ms: Millis,
     /// How long the connection had been idle; none if it was new.
@@ -79,13 +81,11 @@
 pub(super) struct SentRequest<T> {
     pub(super) exchange: Exchange<T>,
     pub(super) sent_at: Instant,
-    /// Whether the request has counted it as one that an engine may have executed.
-    pub(super) is_counted: bool,
 }
 
 impl<T> SentRequest<T> {
     pub(super) fn start(exchange: Exchange<T>) -> SentRequest<T> {
-        SentRequest { exchange, sent_at: Instant::now(), is_counted: false }
+        SentRequest { exchange, sent_at: Instant::now() }
     }
 }
 
--- a/crates/gateway/src/relay/outcome.rs
+++ b/crates/gateway/src/relay/outcome.rs
@@ -45,7 +45,7 @@
                 ("why", &reason),
                 ("ms", &took.as_millis()),
                 ("left_ms", &self.time_left().as_millis()),
-                ("runs", &self.executions),
+                ("runs", &self.executions()),
                 ("at_engine", &estimate.unwrap_or_default()),
             ],
         );
@@ -98,7 +98,7 @@
             ("silent", &silence.silent),
             ("path", &path),
             ("to", &to),
-            ("runs", &self.executions),
+            ("runs", &self.executions()),
         ];
         emit(Event::EngineSilent, &[&of_request, of_source].concat());
     }
@@ -163,7 +163,7 @@
                 ("status", &status),
                 ("why", &reason),
                 ("ms", &self.received_at.elapsed().as_millis()),
-                ("runs", &self.executions),
+                ("runs", &self.executions()),
                 ("rejected", &self.rejected),
                 ("unreached", &self.unreached),
             ],
@@ -187,7 +187,7 @@
                 ("wanted", &model_ref),
                 ("upstream", &upstream),
                 ("ms", &self.received_at.elapsed().as_millis()),
-                ("runs", &self.executions),
+                ("runs", &self.executions()),
                 ("rejected", &self.rejected),
                 ("unreached", &self.unreached),
             ],
@@ -232,7 +232,7 @@
                 ("waited_ms", &self.room_wait.as_millis()),
                 ("pieces", &timing.pieces),
                 ("longest_pause_ms", &timing.max_gap.as_millis()),
-                ("runs", &self.executions),
+                ("runs", &self.executions()),
                 ("at_engine", &estimate),
                 ("own_at_engine", &own_requests),
             ],
@@ -261,7 +261,7 @@
                 ("pieces", &timing.pieces),
                 ("longest_pause_ms", &timing.max_gap.as_millis()),
                 ("nodes_tried", &self.tried_forwarders.len()),
-                ("runs", &self.executions),
+                ("runs", &self.executions()),
             ],
         );
     }
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -9,12 +9,13 @@
 use hgw_direct::quota::WaiterRank;
 use hgw_direct::{
     CrashSubject, Deadline, DigestedParts, EngineId, FailureCause, MIN_TIME_TO_SEND, Millis,
-    ModelRef, Prompt, RankedSubject, RequestDigest, RequestMemory, Route, ServiceId, VersionKey,
-    crash_subjects,
+    ModelRef, Prompt, RankedSubject, RequestDigest, RequestMemory, RetryBudget, RetryBudgetLimits,
+    Route, ServiceId, VersionKey, crash_subjects,
 };
 use http::request::Parts;
 use tokio::time::Instant;
 
+use crate::attempt_grants::RequestAttempts;
 use crate::clock::boot_time;
 use crate::held_bytes::Reservation;
 use crate::meter::{self, SecondAttempt};
@@ -23,7 +24,7 @@
 use crate::shared::Node;
 use crate::shutdown::ActiveRequest;
 
-use super::forwarded::ForwardedSlot;
+use super::forwarded::{ForwardedSlot, GrantedAttempts};
 use super::identity::Identity;
 
 /// Rejections by engines after which a request is still retried.
@@ -89,9 +90,7 @@
     pub(super) deadline_at: Instant,
     pub(super) tried_engines: Vec<EngineId>,
     /// Attempts that an engine may have executed.
-    pub(super) executions: u32,
-    /// Whether an attempt has been sent of which it is not yet known whether it counts among those.
-    has_unsettled_attempt: Cell<bool>,
+    pub(super) attempts: Rc<RequestAttempts>,
     /// Attempts at silent engines that are kept open until another one responds.
     pub(super) silent_attempts: usize,
     /// Attempts that an engine rejected.
@@ -104,6 +103,8 @@
     pub(super) is_forwarded: bool,
     /// Attempts that an engine may have executed before it was forwarded.
     pub(super) executions_elsewhere: u32,
+    /// Attempts that the node which forwarded it lets this one make; none if this node received it.
+    pub(super) granted: Option<GrantedAttempts>,
     /// Keeps the place of a forwarded request.
     pub(super) forwarded_slot: Option<ForwardedSlot>,
     /// Nodes that it was forwarded to.
@@ -156,6 +157,8 @@
         let shared_parts = info.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
         let subjects = crash_subjects(digest, shared_parts);
         let timeout = info.deadline.map_or(route.timeout, |d| d.min(route.timeout));
+        let attempts = RequestAttempts::new(info.id.clone(), route.max_attempts, 0);
+        let attempts = Rc::new(attempts);
         let mut request = RelayedRequest {
             node: Rc::clone(node),
             active: Some(active),
@@ -178,14 +181,14 @@
             deadline: Deadline { timeout },
             deadline_at: received_at + timeout,
             tried_engines: Vec::new(),
-            executions: 0,
-            has_unsettled_attempt: Cell::new(false),
+            attempts,
             silent_attempts: 0,
             rejected: 0,
             unreached: 0,
             at_limit: 0,
             is_forwarded: false,
             executions_elsewhere: 0,
+            granted: None,
             forwarded_slot: None,
             tried_forwarders: Vec::new(),
             was_refused_elsewhere: false,
@@ -224,42 +227,52 @@
     /// Records whether an engine may execute the request from now on. The charge stays once any
     /// engine may have executed it.
     pub(super) fn set_may_run(&self, may_run: bool) {
-        self.has_unsettled_attempt.set(may_run);
+        self.attempts.set_pending(may_run);
         if may_run {
             self.sent_at.set(Some(Instant::now()));
         }
+        self.update_charge();
+    }
+
+    /// Records that the request is sent to another node, which has been granted an attempt.
+    pub(super) fn record_forwarded(&self) {
+        self.sent_at.set(Some(Instant::now()));
+        self.update_charge();
+    }
+
+    pub(super) fn update_charge(&self) {
         if let Some(charge) = &self.charge {
-            charge.set_may_have_run(may_run || self.executions > 0);
+            charge.set_may_have_run(self.attempts.in_use() > 0);
         }
     }
 
-    /// Counts the latest attempt as one that an engine may have executed.
-    pub(super) fn count_execution(&mut self) {
-        self.has_unsettled_attempt.set(false);
-        self.executions += 1;
+    /// Attempts that an engine may have executed, without one of which that is not yet known.
+    pub(super) fn executions(&self) -> u32 {
+        self.attempts.executions()
     }
 
-    /// Counts the runs that another node reports.
-    pub(super) fn count_executions(&mut self, runs: u32) {
-        self.has_unsettled_attempt.set(false);
-        self.executions += runs;
+    /// Counts the latest attempt as one that an engine may have executed.
+    pub(super) fn count_execution(&self) {
+        self.attempts.record();
     }
 
     /// Counts the latest attempt, unless that was done before.
-    pub(super) fn count_unless(&mut self, is_counted: bool) {
+    pub(super) fn count_unless(&self, is_counted: bool) {
         if !is_counted {
             self.count_execution();
         }
     }
 
     /// Takes back the count of an attempt that has turned out not to have run.
-    pub(super) fn discount_if(&mut self, is_counted: bool) {
-        self.executions -= u32::from(is_counted);
+    pub(super) fn discount_if(&self, is_counted: bool) {
+        if is_counted {
+            self.attempts.take_back();
+        }
     }
 
     /// Counts an attempt that was cancelled after it had been sent.
-    pub(super) fn count_cancelled_attempt(&mut self) {
-        if self.has_unsettled_attempt.get() {
+    pub(super) fn count_cancelled_attempt(&self) {
+        if self.attempts.is_pending() {
             self.count_execution();
         }
     }
@@ -310,19 +323,40 @@
 
     /// Whether another attempt is allowed after an engine rejected the request or may have executed
     /// it. Takes one retry from the budget that all nodes share.
-    pub(super) fn take_retry(&self) -> bool {
-        if !self.may_run_again() {
-            return false;
-        }
+    pub(super) async fn take_retry(&self) -> bool {
+        self.with_budget(RetryBudget::has_retry)
+            && self.obtain_attempt().await
+            && self.with_budget(RetryBudget::try_take)
+    }
+
+    fn with_budget(
+        &self,
+        ask: impl FnOnce(&mut RetryBudget, Millis, &RetryBudgetLimits, bool) -> bool,
+    ) -> bool {
         let (now, limits) = (self.node.now(), self.node.budget_limits());
         let mut state = self.node.state.borrow_mut();
         let budget = state.budgets.entry(self.service.clone()).or_default();
-        budget.try_take(now, &limits, self.route.priority <= 1)
+        ask(budget, now, &limits, self.route.priority <= 1)
+    }
+
+    /// Whether another attempt may be made; the node that forwarded the request is asked if need be.
+    pub(super) async fn obtain_attempt(&self) -> bool {
+        if !self.may_run_again() {
+            return false;
+        }
+        let Some(granted) = &self.granted else { return true };
+        granted.obtain(&self.node, self.own_attempts() + 1).await
+    }
+
+    /// Whether this node may make an attempt now.
+    pub(super) fn may_make_attempt(&self) -> bool {
+        let is_granted = |granted: &GrantedAttempts| self.own_attempts() < granted.attempts();
+        self.attempts.has_one_left() && self.granted.as_ref().is_none_or(is_granted)
     }
 
     /// Whether the route, the time left and what is known of crashes allow another attempt.
     pub(super) fn may_run_again(&self) -> bool {
-        self.executions < self.route.max_attempts
+        self.attempts.has_one_left()
             && self.rejected <= MAX_REJECTED
             && self.has_time_to_send()
             && !self.may_carry_crash_on()
@@ -331,9 +365,7 @@
     /// Whether another attempt remains if an idle connection turns out to be dead. After a first loss no further
     /// attempt is put at risk.
     pub(super) fn tolerates_loss(&self) -> bool {
-        self.route.kind.may_repeat()
-            && self.route.max_attempts > 1
-            && self.executions + self.executions_elsewhere == 0
+        self.route.kind.may_repeat() && self.route.max_attempts > 1 && self.executions() == 0
     }
 
     /// Counts an engine that could not be reached. Returns whether another one may be tried.
--- a/crates/gateway/src/relay/second_attempt.rs
+++ b/crates/gateway/src/relay/second_attempt.rs
@@ -30,9 +30,9 @@
 
     /// Whether a second attempt is made after a failure of the engine's own, which has been recorded. Takes one retry from
     /// the budget.
-    pub(super) fn take_second_attempt(&mut self, engine: &EngineId) -> bool {
+    pub(super) async fn take_second_attempt(&mut self, engine: &EngineId) -> bool {
         if !self.learns_retries() {
-            return self.take_retry();
+            return self.take_retry().await;
         }
         if !self.may_run_again() {
             return false;
@@ -47,7 +47,7 @@
         let advice = self.node.retry_outcomes.borrow().advise(self.node.now(), &failed);
         match advice {
             RetryAdvice::Retry(cause) => {
-                let is_taken = self.take_retry();
+                let is_taken = self.take_retry().await;
                 self.second_attempt = is_taken.then_some(cause);
                 is_taken
             }
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -2,12 +2,14 @@
 
 use std::future::pending;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
-use hgw_direct::{AttemptOutcome, ServiceId};
+use hgw_direct::{AttemptOutcome, GrantId, ServiceId};
 use hgw_http1::Conn;
 use tokio::time::Instant;
 
+use crate::attempt_grants::{Grant, RequestAttempts};
 use crate::attempt_guard::AttemptGuard;
 use crate::shared::Node;
 
@@ -26,12 +28,33 @@
     node: Node,
     pub(super) addr: SocketAddr,
     service: ServiceId,
+    /// What it was granted; none before the request was sent.
+    grant: Option<Grant>,
 }
 
 impl ForwardGuard {
     pub(super) fn start(node: &Node, addr: SocketAddr, service: &ServiceId) -> ForwardGuard {
         node.forwarders.borrow_mut().record_start(addr);
-        ForwardGuard { node: Node::clone(node), addr, service: service.clone() }
+        ForwardGuard { node: Node::clone(node), addr, service: service.clone(), grant: None }
+    }
+
+    /// Grants the node one attempt.
+    pub(super) fn grant_attempt(&mut self, attempts: &Rc<RequestAttempts>) -> GrantId {
+        self.grant.insert(Grant::begin(&self.node, attempts)).id()
+    }
+
+    pub(super) fn grant_id(&self) -> String {
+        self.grant.as_ref().map(|grant| grant.id().to_string()).unwrap_or_default()
+    }
+
+    /// Records how many attempts the node says that it has made so far.
+    pub(super) fn record_made(&self, made: u32) {
+        self.grant.iter().for_each(|grant| grant.record_made(made));
+    }
+
+    /// Records that the node has made so many attempts and makes no more.
+    pub(super) fn settle(&self, made: u32) {
+        self.grant.iter().for_each(|grant| grant.settle(made));
     }
 
     /// Records that the node, of this domain, has sent the request to an engine.
--- a/crates/gateway/src/relay/start.rs
+++ b/crates/gateway/src/relay/start.rs
@@ -69,7 +69,7 @@
     async fn run(mut self, req: &mut RelayedRequest) -> Result<StartedResponse, NotStarted> {
         loop {
             let result = self.next_result(req).await;
-            let mut next = self.evaluate(req, result);
+            let mut next = self.evaluate(req, result).await;
             while let Next::Stop(reason) = next {
                 if self.silent.len() == 0 || matches!(reason, NotStarted::TimedOut) {
                     return Err(self.with_failure(reason));
@@ -104,14 +104,14 @@
                 () = sleep_until(req.deadline_at) => return Next::Stop(NotStarted::TimedOut),
                 () = sleep(ALTERNATIVE_CHECK_INTERVAL) => {
                     let may_change = matches!(reason, NotStarted::NoEngine(..));
-                    if may_change && req.has_alternative() && req.take_retry() {
+                    if may_change && req.has_alternative() && req.take_retry().await {
                         return Next::Attempt;
                     }
                     continue;
                 }
             };
             let result = req.conclude(late).await;
-            return match self.evaluate(req, result) {
+            return match self.evaluate(req, result).await {
                 Next::Stop(_) => Next::Stop(reason),
                 next => next,
             };
@@ -128,7 +128,7 @@
         }
     }
 
-    fn evaluate(&mut self, req: &mut RelayedRequest, result: AttemptResult) -> Next {
+    async fn evaluate(&mut self, req: &mut RelayedRequest, result: AttemptResult) -> Next {
         match result {
             AttemptResult::Started(started) => return Next::Started(started),
             AttemptResult::NotSent => {
@@ -145,7 +145,7 @@
                 }
             }
             AttemptResult::NotRun => {
-                if !req.take_retry() {
+                if !req.take_retry().await {
                     return Next::no_engine(NoEngine::Full(REJECTED_RETRY_AFTER));
                 }
             }
@@ -163,7 +163,7 @@
             AttemptResult::NoResponse => {
                 self.failure = Some(Failure::Reason("the engine failed"));
                 let has_time = self.last.is_some() || req.has_time_for_attempt();
-                if !req.route.kind.may_repeat() || !has_time || !req.take_retry() {
+                if !req.route.kind.may_repeat() || !has_time || !req.take_retry().await {
                     return Next::no_engine(NoEngine::NoneAvailable);
                 }
             }
@@ -212,7 +212,7 @@
             response
         }
         Some(Failure::Reason(reason)) => req.fail(StatusCode::BAD_GATEWAY, reason),
-        None if req.executions > 0 => req.fail(StatusCode::BAD_GATEWAY, "no engine is left"),
+        None if req.executions() > 0 => req.fail(StatusCode::BAD_GATEWAY, "no engine is left"),
         None => req.refuse_no_engine(no_engine),
     }
 }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -76,8 +76,8 @@
         // A stream that has begun elsewhere is no request that fails everywhere.
         let retries = req.route.kind.may_repeat()
             && match last {
-                None => req.take_second_attempt(&started.engine),
-                Some(_) => req.take_retry(),
+                None => req.take_second_attempt(&started.engine).await,
+                Some(_) => req.take_retry().await,
             };
         if !retries {
             return Ok(started);
@@ -253,7 +253,7 @@
         let req = &self.req;
         let Some(conn) = &mut self.conn else { return WaitResult::Done(Ok(None)) };
         let chunk = conn.read_chunk(&mut self.body);
-        let may_resume = req.route.kind.may_repeat() && req.executions < req.route.max_attempts;
+        let may_resume = req.route.kind.may_repeat() && req.attempts.has_one_left();
         if !may_resume || !self.is_events {
             return req.wait_for(&self.source, chunk).await;
         }
@@ -346,7 +346,7 @@
     /// Resumes on another engine after the last complete event, if the retry budget allows it.
     async fn retry_and_resume(&mut self) -> bool {
         let req = &mut self.req;
-        if !self.is_events || !req.route.kind.may_repeat() || !req.take_retry() {
+        if !self.is_events || !req.route.kind.may_repeat() || !req.take_retry().await {
             return false;
         }
         self.resume().await
@@ -368,7 +368,7 @@
     /// failure: any engine may go on, and no retry is taken from the budget.
     async fn resume_unread(&mut self) -> bool {
         let req = &mut self.req;
-        if !self.is_events || !req.route.kind.may_repeat() || !req.may_run_again() {
+        if !self.is_events || !req.route.kind.may_repeat() || !req.obtain_attempt().await {
             return false;
         }
         req.tried_engines.retain(|tried| *tried != self.engine);
--- a/crates/gateway/src/relay/wait.rs
+++ b/crates/gateway/src/relay/wait.rs
@@ -93,8 +93,7 @@
 
     /// Longest wait for the first byte before the request goes another way; none if it may not.
     pub(super) fn max_first_byte_wait(&self) -> Option<Duration> {
-        let may_go_on =
-            self.route.kind.may_repeat() && self.executions + 1 < self.route.max_attempts;
+        let may_go_on = self.route.kind.may_repeat() && self.attempts.has_one_left();
         let hung = (self.route.first_byte_objective * HUNG_AFTER_OBJECTIVES)
             .clamp(HUNG_AFTER_MIN, HUNG_AFTER_MAX);
         may_go_on.then_some(hung)
@@ -172,7 +171,13 @@
             }
             let silence = self.node.time_since_heard(engine).min(now - started);
             if silence >= limit || now - started >= hung {
-                if self.has_alternative() && self.take_retry() {
+                let takes_other_way = async { self.has_alternative() && self.take_retry().await };
+                let takes_other_way = tokio::select! {
+                    biased;
+                    done = &mut future => return WaitResult::Done(done),
+                    taken = takes_other_way => taken,
+                };
+                if takes_other_way {
                     let exceeded = if silence >= limit {
                         ExceededLimit { of: Silent::Engine, limit }
                     } else {
@@ -181,7 +186,7 @@
                     self.log_silent_engine(engine, exceeded);
                     return WaitResult::Stalled;
                 }
-                next_check = now + ALTERNATIVE_CHECK_INTERVAL;
+                next_check = Instant::now() + ALTERNATIVE_CHECK_INTERVAL;
             }
         }
     }
--- a/crates/gateway/src/relay/withhold.rs
+++ b/crates/gateway/src/relay/withhold.rs
@@ -75,7 +75,8 @@
     /// Whether another attempt by this node might end one more engine.
     pub(super) fn may_carry_crash_on(&self) -> bool {
         let ends_many = |ranked: &RankedSubject| {
-            let is_suspect = !ranked.subject.is_part() || self.executions > 0 && !self.has_outlived;
+            let is_suspect =
+                !ranked.subject.is_part() || self.executions() > 0 && !self.has_outlived;
             let crashes = self.node.crashes.borrow();
             is_suspect && crashes.ends(ranked.subject) >= ENDS_TO_STOP_RETRIES
         };
@@ -86,7 +87,7 @@
     ///
     /// A caller is told to come back only if that may help.
     pub(super) fn respond_withheld(&self, withheld: Withheld) -> CallerResponse {
-        if self.executions > 0 {
+        if self.executions() > 0 {
             return self.fail(StatusCode::BAD_GATEWAY, "engines have ended under the request");
         }
         meter::withheld(withheld.subject);
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -24,6 +24,7 @@
 use tokio::sync::{Notify, Semaphore};
 
 use crate::Settings;
+use crate::attempt_grants::AttemptGrants;
 use crate::backoff::Backoff;
 use crate::catalog_reads::CatalogReads;
 use crate::clock::Clock;
@@ -100,6 +101,8 @@
     pub(crate) is_finding_forwarders: Cell<bool>,
     /// Notified when the answers are there.
     pub(crate) forwarders_found: Notify,
+    /// Attempts that other nodes may make for requests of this one.
+    pub(crate) attempt_grants: AttemptGrants,
     /// Requests of other nodes that this one is serving.
     pub(crate) forwarded_requests: Cell<usize>,
     /// Software versions at which streams began.
@@ -205,6 +208,7 @@
             forwarders_asked_at: Cell::new(None),
             is_finding_forwarders: Cell::new(false),
             forwarders_found: Notify::new(),
+            attempt_grants: AttemptGrants::default(),
             forwarded_requests: Cell::new(0),
             streams: RefCell::default(),
             stream_replicas: RefCell::default(),
--- a/crates/hibiscusgw/tests/platform/forwarding.rs
+++ b/crates/hibiscusgw/tests/platform/forwarding.rs
@@ -17,7 +17,7 @@
 /// Time of a stream of a slow engine.
 const STREAM: Duration = Duration::from_secs(2);
 
-fn model_engine(id: &str) -> EngineSettings {
+pub(crate) fn model_engine(id: &str) -> EngineSettings {
     EngineSettings { id: id.into(), holds: holds(&[("m", &[])]), ..EngineSettings::default() }
 }
 
@@ -26,7 +26,7 @@
 }
 
 /// Starts nodes in these domains, of which the first `cut` reach no engine and know that.
-fn start_cut(models: Vec<EngineSettings>, zones: &[&str], cut: usize) -> Fleet {
+pub(crate) fn start_cut(models: Vec<EngineSettings>, zones: &[&str], cut: usize) -> Fleet {
     let mut fleet = new_fleet(models);
     let nodes: Vec<usize> = zones.iter().map(|zone| fleet.spawn(zone)).collect();
     for node in &nodes {
@@ -52,7 +52,7 @@
 }
 
 /// Sum of a metric over its labels.
-fn metric(node: &Node, name: &str) -> f64 {
+pub(crate) fn metric(node: &Node, name: &str) -> f64 {
     let metrics = Caller::new(node.metrics).unwrap();
     let text = metrics.call(Method::GET, "/metrics", &[], "").unwrap().body;
     let values = text.lines().filter(|line| line.starts_with(name));
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -30,6 +30,7 @@
 mod engine_limits;
 mod engine_memory;
 mod engine_speed;
+mod forwarded_attempts;
 mod forwarding;
 mod hubs;
 mod idle_connections;
