Connections whose responses name no request carry no requests

Cause: a check of the path to engines is rejected by a full engine, and neither names a request. Its connection went into the pool for requests. A second copy of the rejection, which came late, was then read as the response to the next request on that connection: not run, so it was sent to another engine or refused. Reports and orders, whose responses name no request either, shared that pool (a late 421 of an order counts as a rejection in the same way, by reading), and so did rejections of requests by engines that do not name them.

Change: connections of checks, reports and orders are kept in a pool of their own. A connection on which a rejection without an id has come is closed. So on each connection that a request is sent on, all earlier responses named theirs, a late copy can be told by its id, and a response without one can only be to this request.

Measured: late_copies::late_copy_of_a_rejection_* fails before (a request ran twice) and passes.

--- a/crates/gateway/src/engine_path.rs
+++ b/crates/gateway/src/engine_path.rs
@@ -235,7 +235,10 @@
         let response = timeout(PROBE_TIMEOUT, response).await;
         response.map_err(|_| Missed::Silent)?.map_err(|_| Missed::Failed)?;
     }
-    node.put_engine_connection(&probe.engine, probe.addr, conn);
+    match probe.req {
+        Some(_) => node.call_pool.put(probe.addr, conn),
+        None => node.put_engine_connection(&probe.engine, probe.addr, conn),
+    }
     Ok(())
 }
 
--- a/crates/gateway/src/follow/engines.rs
+++ b/crates/gateway/src/follow/engines.rs
@@ -9,6 +9,7 @@
 use crate::backoff::wait_to_retry;
 use crate::eras;
 use crate::leader;
+use crate::pool::Pool;
 use crate::protocol::{EngineChange, EngineEntry, EngineListUpdate};
 use crate::shared::{ListSource, Node};
 
@@ -37,7 +38,7 @@
             // The complete list is read again once the leader's updates stop.
             (cursor, store_back_at, last_read) = (None, None, node.now());
             sleep(UPDATE_CHECK_INTERVAL).await;
-            node.pool.sweep();
+            node.pools().for_each(Pool::sweep);
             continue;
         }
         match node.protocols.store.read_engines(cursor).await {
@@ -71,7 +72,7 @@
                 wait_to_retry(&node).await;
             }
         }
-        node.pool.sweep();
+        node.pools().for_each(Pool::sweep);
     }
 }
 
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -193,7 +193,7 @@
 async fn call(node: &Node, engine: &EngineId, req: &Request) -> CallResult {
     let known = node.engine(engine, |e| (e.info.addr, e.key()));
     let Some((addr, key)) = known else { return CallResult::NotSent };
-    let connected = timeout(RESPONSE_TIMEOUT, node.pool.get(addr, node.conn_timeouts())).await;
+    let connected = timeout(RESPONSE_TIMEOUT, node.call_pool.get(addr, node.conn_timeouts())).await;
     let Ok(Ok(mut conn)) = connected else { return CallResult::NotSent };
     let response = async {
         let head = conn.round_trip(req).await.ok()?;
@@ -204,7 +204,7 @@
     match timeout(RESPONSE_TIMEOUT, response).await {
         Ok(Some((status, body))) => {
             node.record_response_byte(engine);
-            node.put_engine_connection(engine, addr, conn);
+            node.call_pool.put(addr, conn);
             CallResult::Responded(status, body)
         }
         Ok(None) | Err(_) => CallResult::NoResponse,
--- a/crates/gateway/src/relay/engine_response.rs
+++ b/crates/gateway/src/relay/engine_response.rs
@@ -104,6 +104,8 @@
             }
             let skipped = conn.skip_body(BodyDecoder::new(head.framing), MAX_REJECTION_BYTES);
             match timeout(MAX_REJECTION_TIME, skipped).await {
+                // Of one that names no request a copy may follow, which would be taken for the next response.
+                Ok(Ok(())) if info.id.is_none() => {}
                 Ok(Ok(())) => guard.return_connection(conn),
                 Ok(Err(e)) => self.log_if_malformed(&engine, &e),
                 // The connection is closed.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use crate::clock::boot_time;
+use crate::pool::Pool;
 use crate::protocol::Protocols;
 use crate::response::{CallerResponse, ResponseBody, ResponseResult, json_error};
 use crate::shared::{Node, Shared};
@@ -132,7 +133,7 @@
         sleep(CLOCK_CHECK_INTERVAL).await;
         let now = boot_time();
         if now - last > CLOCK_CHECK_INTERVAL + MIN_SUSPEND_TIME {
-            node.pool.clear();
+            node.pools().for_each(Pool::clear);
             let ms = (now - last).as_millis();
             let name = node.settings.borrow().node.clone();
             emit(Event::StoodStill, &[("node", &name), ("ms", &ms)]);
--- a/crates/gateway/src/shared/engines.rs
+++ b/crates/gateway/src/shared/engines.rs
@@ -37,7 +37,7 @@
     pub(crate) fn handle_restarts(&self) {
         let restarted = self.state.borrow_mut().engines.take_restarted();
         for addr in &restarted {
-            self.pool.forget(*addr);
+            self.pools().for_each(|pool| pool.forget(*addr));
             let node = &self.settings.borrow().node;
             emit(Event::EngineStartedAnew, &[("node", node), ("addr", addr)]);
         }
@@ -124,7 +124,7 @@
         ReusableConns { pool: &self.pool, may_repeat, allows_long_idle, now: self.now() }
     }
 
-    /// Returns a connection to an engine to the pool.
+    /// Returns a connection to an engine to the pool, if each response on it has named its request.
     pub(crate) fn put_engine_connection(&self, engine: &EngineId, addr: SocketAddr, conn: Conn) {
         let (settings, state) = (self.settings.borrow(), self.state.borrow());
         if !settings.features.engine_subsets {
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -57,7 +57,11 @@
     pub(crate) settings: RefCell<Settings>,
     pub(crate) protocols: Protocols,
     pub(crate) clock: Clock,
+    /// Idle connections to engines and to other nodes. Each response that an engine has sent on one of them names its
+    /// request, so that a late copy of it is not taken for the response to the next request.
     pub(crate) pool: Pool,
+    /// Idle connections to engines for calls whose responses name no request: checks, reports and orders.
+    pub(crate) call_pool: Pool,
     /// Tells which peers acknowledge what is sent to them.
     pub(crate) tcp_diagnostics: TcpDiagnostics,
     /// What responses and bodies hold until their readers have taken them.
@@ -179,6 +183,7 @@
             protocols,
             clock: Clock::start(),
             pool: Pool::default(),
+            call_pool: Pool::default(),
             tcp_diagnostics: TcpDiagnostics::open(),
             held_memory: HeldMemory::default(),
             response_sizes: RefCell::default(),
@@ -247,6 +252,10 @@
         self.clock.now()
     }
 
+    pub(crate) fn pools(&self) -> impl Iterator<Item = &Pool> {
+        [&self.pool, &self.call_pool].into_iter()
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.shutdown.started_at.get().is_some()
     }
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -35,6 +35,7 @@
 mod hubs;
 mod idle_connections;
 mod keys;
+mod late_copies;
 mod leader_reads;
 mod leaving;
 mod limits;
