A forwarder with an older configuration refuses the request

Cause: a node without a path to engines sends requests by way of another one, which handles them by its own configuration, however old. The store turned that node away together with the leader, which told it nothing. Its 404 was final for the node that had asked.

Change: a forwarded request names the configuration of the node that took it. A node that has an older one refuses it unrun, so that the next node is asked, and fetches the newer one from the sender. A release that names none is served as before.

Why it works: a request is now handled by the configuration of the node that took it or a newer one, at any node.

--- a/crates/gateway/src/peers/forwarding.rs
+++ b/crates/gateway/src/peers/forwarding.rs
@@ -17,6 +17,7 @@
 use crate::shared::Node;
 
 use super::call;
+use super::catalog_text::fetch_newer_catalog;
 
 /// Marks a request that another node has forwarded, and the response to it. Callers do not reach the
 /// listener on which it counts.
@@ -62,6 +63,9 @@
     /// Software version that began that stream.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) version: Option<VersionKey>,
+    /// Configuration of the other node; zero from a release that does not tell it.
+    #[serde(default)]
+    pub(crate) catalog_version: u64,
 }
 
 /// The one attempt that goes with a forwarded request, and where further ones are granted.
@@ -175,6 +179,13 @@
     let mut response = match forwarded {
         _ if node.is_stopping() => relay::refuse_at_once(node, Refusal::Stopping),
         None => relay::refuse_at_once(node, Refusal::NotReady),
+        // It would be handled by an older configuration than its caller has seen in force.
+        Some(forwarded) if forwarded.catalog_version > node.catalog_version() => {
+            if let Some(grant) = &forwarded.grant {
+                fetch_newer_catalog(node, grant.from, forwarded.catalog_version);
+            }
+            relay::refuse_at_once(node, Refusal::OutdatedConfig)
+        }
         Some(forwarded) => relay::handle_forwarded(node, forwarded, req).await,
     };
     let outcome = ForwardOutcome::of(&response, &node.settings.borrow().domain);
--- a/crates/gateway/src/relay/forward.rs
+++ b/crates/gateway/src/relay/forward.rs
@@ -209,6 +209,7 @@
             tried_engines: self.tried_engines.clone(),
             last_event: last_event.or(self.info.last_event),
             version: self.version,
+            catalog_version: self.node.catalog_version(),
         };
         let mut headers = end_to_end_headers(&self.head.headers, &[]);
         headers.remove(http::header::CONTENT_LENGTH);
--- a/crates/hibiscusgw/tests/platform/forwarding.rs
+++ b/crates/hibiscusgw/tests/platform/forwarding.rs
@@ -236,6 +236,32 @@
     assert_eq!(records.iter().find_map(|r| r.customers.get("c-7")).unwrap(), &["bakery"]);
 }
 
+/// Guards against a request that is denied, or sent to another service, as its forwarder has an older configuration than
+/// the node that took it.
+#[test]
+fn forwarder_with_an_older_configuration_refuses_the_request_unrun() {
+    let mut fleet = new_fleet(Vec::new());
+    let node = fleet.start("a");
+    let call = |version: u64, route: &str| {
+        let forwarded = json!({
+            "age_ms": 0, "service": "desk", "executions": 0, "rejected": 0, "tried_engines": [],
+            "last_event": null, "catalog_version": version,
+        });
+        let forwarded = forwarded.to_string();
+        let id = format!("c-{version}-{route}");
+        let headers = [("host", HOST), ("x-request-id", &*id), ("hgw-forwarded", &*forwarded)];
+        let peer = Caller::new(fleet.nodes[node].peers).unwrap();
+        let answer = peer.call(Method::POST, &format!("/{route}/"), &headers, "body").unwrap();
+        let outcome = answer.headers["hgw-forwarded"].to_str().unwrap();
+        (answer.status, outcome.contains("\"may_run_elsewhere\":true"), fleet.runs(&id))
+    };
+    let version = configuration(1)["version"].as_u64().unwrap();
+    assert_eq!(call(version, "look"), (StatusCode::OK, false, 1));
+    for route in ["added", "look"] {
+        assert_eq!(call(version + 1, route), (StatusCode::SERVICE_UNAVAILABLE, true, 0), "{route}");
+    }
+}
+
 /// Guards against callers that mark their own requests as forwarded, which are not charged.
 #[test]
 fn caller_cannot_mark_a_request_as_forwarded() {
