--- a/crates/gateway/src/relay/forward.rs
+++ b/crates/gateway/src/relay/forward/mod.rs
@@ -1,28 +1,28 @@
 //! Sends a request by way of another node while this one reaches no engine for it.
 
+mod response;
+
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::Display;
-use hgw_direct::{Engine, EngineId, GrantId, NoEngine, Refusal, VersionKey};
+use hgw_direct::{EngineId, GrantId, NoEngine};
 use hgw_events::{Event, emit};
-use hgw_http1::{BodyDecoder, Conn, Head, Request, end_to_end_headers};
-use http::{Response, StatusCode};
+use hgw_http1::{Head, Request, end_to_end_headers};
 use rand::random;
 use tokio::time::{Instant, sleep_until};
 
 use crate::meter;
-use crate::peers::{self, AttemptGrant, FORWARDED, ForwardOutcome, ForwardedRequest};
-use crate::response::{CallerResponse, ResponseBody};
+use crate::peers::{self, AttemptGrant, FORWARDED, ForwardedRequest};
 
-use super::attempt::{AttemptResult, StartedResponse};
+use super::attempt::AttemptResult;
 use super::open_attempt::{
     Exchanged, ForwardAttempt, OpenAttempt, SentRequest, exchange_with_forwarder,
 };
 use super::request::RelayedRequest;
-use super::source::{ForwardGuard, Source};
+use super::source::ForwardGuard;
 use super::wait::{ExceededLimit, Silent, WaitResult};
 
 /// Nodes by way of which one request is tried.
@@ -31,13 +31,6 @@
 /// Time that a node has, beyond what it waits for an engine itself, before it counts as unresponsive.
 const FORWARD_MARGIN: Duration = Duration::from_millis(400);
 
-/// Refusals by a node that may reach engines all the same.
-const REFUSED_BY_REACHING: [Refusal; 3] =
-    [Refusal::NodeBusy, Refusal::NodeMemory, Refusal::EnginesResting];
-
-/// Largest refusal of another node that is passed on.
-const MAX_REFUSAL_BYTES: usize = 64 << 10;
-
 /// On what ground the attempts of another node are counted.
 #[derive(Debug, Clone, Copy, Display)]
 enum CountedBy {
@@ -223,100 +216,6 @@
         }
     }
 
-    /// Takes in the head of another node's response.
-    async fn handle_forwarder(
-        &mut self,
-        attempt: ForwardAttempt,
-        mut conn: Conn,
-        mut head: Head,
-    ) -> AttemptResult {
-        let ForwardAttempt { guard, .. } = attempt;
-        let outcome = head.headers.remove(FORWARDED).as_ref().and_then(ForwardOutcome::parse);
-        match outcome {
-            Some(ForwardOutcome::Engine { engine, version, runs, domain }) => {
-                guard.record_made(runs);
-                self.log_forward_counted(&guard, CountedBy::Response);
-                let version = version.or_else(|| self.node.engine(&engine, Engine::version_key));
-                let version = version.unwrap_or(VersionKey::UNKNOWN);
-                if self.version.is_some_and(|bound| bound != version) {
-                    // A release that does not know of versions.
-                    guard.record_refused();
-                    return AttemptResult::NoResponse;
-                }
-                guard.record_served(&domain);
-                let now = self.node.now();
-                self.node.engine_path.record_reached_elsewhere(&self.service, now);
-                let source = Source::Forwarder(guard);
-                let started = StartedResponse { engine, version, conn, head, source };
-                AttemptResult::Started(Box::new(started))
-            }
-            Some(ForwardOutcome::Refused { reason, may_run_elsewhere }) => {
-                self.settle_forward(&guard, 0);
-                let body = conn.read_body(BodyDecoder::new(head.framing), MAX_REFUSAL_BYTES);
-                let WaitResult::Done(Ok(body)) = self.within_deadline(body).await else {
-                    return AttemptResult::NotForwarded;
-                };
-                guard.return_connection(conn);
-                if may_run_elsewhere {
-                    self.record_forwarder_refusal(&guard, &reason);
-                    return AttemptResult::NotForwarded;
-                }
-                AttemptResult::Refused(Box::new(ForwardRefusal { head, body, reason }))
-            }
-            Some(ForwardOutcome::Failed { runs: 0 }) => {
-                self.settle_forward(&guard, 0);
-                AttemptResult::NotForwarded
-            }
-            Some(ForwardOutcome::Failed { runs }) => {
-                self.settle_forward(&guard, runs);
-                self.log_forward_counted(&guard, CountedBy::Response);
-                AttemptResult::NoResponse
-            }
-            // A version that forwards nothing, or a node that could not read the head.
-            None => {
-                guard.record_refused();
-                self.settle_forward(&guard, 0);
-                AttemptResult::NotForwarded
-            }
-        }
-    }
-
-    /// Takes in that another node has made so many attempts and makes no more.
-    fn settle_forward(&self, guard: &ForwardGuard, runs: u32) {
-        guard.settle(runs);
-        self.update_charge();
-    }
-
-    /// Remembers that a node does not help. Once all nodes that may have said that they reach no engine for
-    /// such a request, nobody is asked for a while.
-    fn record_forwarder_refusal(&mut self, guard: &ForwardGuard, reason: &str) {
-        guard.record_refused();
-        if reason != Refusal::EnginesUnreachable.to_string() {
-            let reaches_engines = |refusal: &Refusal| refusal.to_string() == reason;
-            self.was_refused_elsewhere |= REFUSED_BY_REACHING.iter().any(reaches_engines);
-            return;
-        }
-        self.hopeless_forwards += 1;
-        let now = self.node.now();
-        let all_asked = self.known_forwarder().is_none()
-            || self.tried_forwarders.len() >= MAX_FORWARDS
-                && self.node.forwarders.borrow().usable(&self.service, now) == 0;
-        if all_asked && self.hopeless_forwards == self.tried_forwarders.len() {
-            let mut forwarders = self.node.forwarders.borrow_mut();
-            forwarders.record_hopeless(&self.service, self.model_ref(), now);
-        }
-    }
-
-    pub(super) fn pass_on_refusal(&self, refusal: ForwardRefusal) -> CallerResponse {
-        let ForwardRefusal { head, body, reason } = refusal;
-        self.log_refused_elsewhere(&reason);
-        let mut response = Response::new(ResponseBody::full(body));
-        *response.status_mut() =
-            StatusCode::from_u16(head.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-        *response.headers_mut() = end_to_end_headers(&head.headers, &[]);
-        response
-    }
-
     /// Waits for another node until it has been silent for longer than an engine may be there, if the request may go
     /// another way.
     pub(super) async fn wait_for_forwarder<F: Future + ?Sized>(
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -5,6 +5,7 @@
 mod body;
 mod buffered;
 mod chunk_read;
+mod counted_attempts;
 mod engine_choice;
 mod engine_response;
 mod event_buffer;
--- a/crates/gateway/src/relay/request.rs
+++ b/crates/gateway/src/relay/request.rs
@@ -9,8 +9,8 @@
 use hgw_direct::quota::WaiterRank;
 use hgw_direct::{
     CrashSubject, Deadline, DigestedParts, EngineId, FailureCause, MIN_TIME_TO_SEND, Millis,
-    ModelRef, Prompt, RankedSubject, RequestDigest, RequestMemory, RetryBudget, RetryBudgetLimits,
-    Route, ServiceId, VersionKey, crash_subjects,
+    ModelRef, Prompt, RankedSubject, RequestDigest, RequestMemory, Route, ServiceId, VersionKey,
+    crash_subjects,
 };
 use http::request::Parts;
 use tokio::time::Instant;
@@ -28,7 +28,7 @@
 use super::identity::Identity;
 
 /// Rejections by engines after which a request is still retried.
-const MAX_REJECTED: u32 = 2;
+pub(super) const MAX_REJECTED: u32 = 2;
 
 /// Engines at their limits that are skipped for one request.
 const MAX_AT_LIMIT: u32 = 4;
@@ -124,7 +124,7 @@
     /// Time spent waiting for room at engines.
     pub(super) room_wait: Duration,
     /// The charge to the customer's limit.
-    charge: Option<Charge>,
+    pub(super) charge: Option<Charge>,
     /// Whether the outcome has been logged.
     pub(super) is_logged: Cell<bool>,
 }
@@ -224,59 +224,6 @@
         Ok(())
     }
 
-    /// Records whether an engine may execute the request from now on. The charge stays once any
-    /// engine may have executed it.
-    pub(super) fn set_may_run(&self, may_run: bool) {
-        self.attempts.set_pending(may_run);
-        if may_run {
-            self.sent_at.set(Some(Instant::now()));
-        }
-        self.update_charge();
-    }
-
-    /// Records that the request is sent to another node, which has been granted an attempt.
-    pub(super) fn record_forwarded(&self) {
-        self.sent_at.set(Some(Instant::now()));
-        self.update_charge();
-    }
-
-    pub(super) fn update_charge(&self) {
-        if let Some(charge) = &self.charge {
-            charge.set_may_have_run(self.attempts.in_use() > 0);
-        }
-    }
-
-    /// Attempts that an engine may have executed, without one of which that is not yet known.
-    pub(super) fn executions(&self) -> u32 {
-        self.attempts.executions()
-    }
-
-    /// Counts the latest attempt as one that an engine may have executed.
-    pub(super) fn count_execution(&self) {
-        self.attempts.record();
-    }
-
-    /// Counts the latest attempt, unless that was done before.
-    pub(super) fn count_unless(&self, is_counted: bool) {
-        if !is_counted {
-            self.count_execution();
-        }
-    }
-
-    /// Takes back the count of an attempt that has turned out not to have run.
-    pub(super) fn discount_if(&self, is_counted: bool) {
-        if is_counted {
-            self.attempts.take_back();
-        }
-    }
-
-    /// Counts an attempt that was cancelled after it had been sent.
-    pub(super) fn count_cancelled_attempt(&self) {
-        if self.attempts.is_pending() {
-            self.count_execution();
-        }
-    }
-
     /// Counts the request for the retry budget and the demand for its model.
     ///
     /// A forwarded request is counted by the node that received it.
@@ -321,53 +268,6 @@
         self.time_left() >= MIN_TIME_TO_SEND
     }
 
-    /// Whether another attempt is allowed after an engine rejected the request or may have executed
-    /// it. Takes one retry from the budget that all nodes share.
-    pub(super) async fn take_retry(&self) -> bool {
-        self.with_budget(RetryBudget::has_retry)
-            && self.obtain_attempt().await
-            && self.with_budget(RetryBudget::try_take)
-    }
-
-    fn with_budget(
-        &self,
-        ask: impl FnOnce(&mut RetryBudget, Millis, &RetryBudgetLimits, bool) -> bool,
-    ) -> bool {
-        let (now, limits) = (self.node.now(), self.node.budget_limits());
-        let mut state = self.node.state.borrow_mut();
-        let budget = state.budgets.entry(self.service.clone()).or_default();
-        ask(budget, now, &limits, self.route.priority <= 1)
-    }
-
-    /// Whether another attempt may be made; the node that forwarded the request is asked if need be.
-    pub(super) async fn obtain_attempt(&self) -> bool {
-        if !self.may_run_again() {
-            return false;
-        }
-        let Some(granted) = &self.granted else { return true };
-        granted.obtain(&self.node, self.own_attempts() + 1).await
-    }
-
-    /// Whether this node may make an attempt now.
-    pub(super) fn may_make_attempt(&self) -> bool {
-        let is_granted = |granted: &GrantedAttempts| self.own_attempts() < granted.attempts();
-        self.attempts.has_one_left() && self.granted.as_ref().is_none_or(is_granted)
-    }
-
-    /// Whether the route, the time left and what is known of crashes allow another attempt.
-    pub(super) fn may_run_again(&self) -> bool {
-        self.attempts.has_one_left()
-            && self.rejected <= MAX_REJECTED
-            && self.has_time_to_send()
-            && !self.may_carry_crash_on()
-    }
-
-    /// Whether another attempt remains if an idle connection turns out to be dead. After a first loss no further
-    /// attempt is put at risk.
-    pub(super) fn tolerates_loss(&self) -> bool {
-        self.route.kind.may_repeat() && self.route.max_attempts > 1 && self.executions() == 0
-    }
-
     /// Counts an engine that could not be reached. Returns whether another one may be tried.
     pub(super) fn may_skip_unreachable(&mut self) -> bool {
         self.unreached += 1;
--- a/crates/hibiscusgw/tests/platform/forwarded_attempts.rs
+++ b/crates/hibiscusgw/tests/platform/forwarded_attempts.rs
@@ -54,8 +54,12 @@
     stream_ids().iter().map(|id| fleet.runs(id)).collect()
 }
 
-fn is_within_attempts(runs: &[u32]) -> bool {
-    runs.iter().all(|runs| *runs <= MAX_ATTEMPTS)
+fn assert_within_attempts(runs: &[u32]) {
+    assert!(runs.iter().all(|runs| *runs <= MAX_ATTEMPTS), "{runs:?}");
+}
+
+fn kill_forwarders(fleet: &Fleet) {
+    KILLED.iter().for_each(|node| fleet.nodes[*node].signal(Signal::KILL));
 }
 
 /// Sends streams to the first node, and does this while they run.
@@ -95,7 +99,7 @@
     let fleet = start_cut(engines(), &ZONES, 1);
     while_engines_hang(&fleet, || while_streaming(&fleet, || ()));
     let runs = runs(&fleet);
-    assert!(is_within_attempts(&runs), "{runs:?}");
+    assert_within_attempts(&runs);
     assert!(runs.contains(&MAX_ATTEMPTS), "no second engine was asked: {runs:?}");
 }
 
@@ -108,11 +112,10 @@
             wait("forwarders have sent all requests twice", || {
                 runs(&fleet).iter().all(|runs| *runs >= MAX_ATTEMPTS)
             });
-            KILLED.iter().for_each(|node| fleet.nodes[*node].signal(Signal::KILL));
+            kill_forwarders(&fleet);
         });
     });
-    let runs = runs(&fleet);
-    assert!(is_within_attempts(&runs), "{runs:?}");
+    assert_within_attempts(&runs(&fleet));
     KILLED.iter().for_each(|node| fleet.nodes[*node].kill());
 }
 
@@ -133,10 +136,9 @@
         }
         wait("a stream has been resumed", || runs(&fleet).contains(&MAX_ATTEMPTS));
         std::thread::sleep(Duration::from_millis(300));
-        KILLED.iter().for_each(|node| fleet.nodes[*node].signal(Signal::KILL));
+        kill_forwarders(&fleet);
     });
-    let runs = runs(&fleet);
-    assert!(is_within_attempts(&runs), "{runs:?}");
+    assert_within_attempts(&runs(&fleet));
     KILLED.iter().for_each(|node| fleet.nodes[*node].kill());
 }
 
