Shorter timeouts do not end the proof of two versions early

What callers would see: after a kill of all nodes, a stream that is joined from two software versions (ORDER).

Cause: the leader takes a version out of the record of admitted versions when no engine of it was listed for the life of a stream, which it computes from the timeouts now in force. A configuration that shortens them ended that time for streams which had begun under the longer ones, so that the other version was proven to be the only one while they ran. Found by reading, on the users' report of joined streams after a kill of all nodes.

Change: the leader goes by the longest life that was in force within that life.

--- a/crates/direct/src/admitted_versions.rs
+++ b/crates/direct/src/admitted_versions.rs
@@ -98,6 +98,8 @@
     last_listed: IndexMap<(ServiceId, VersionKey), Millis>,
     /// When a service was first seen to have streams of unknown versions.
     others_since: IndexMap<ServiceId, Millis>,
+    /// The longest life of streams that still counts, and when it was last in force.
+    longest_life: Option<(Millis, Millis)>,
 }
 
 impl VersionAdmission {
@@ -110,6 +112,7 @@
         now: Millis,
     ) -> Option<AdmittedVersions> {
         let mut next = current.clone();
+        let stream_life = self.stream_life(params.stream_life, now);
         let has_earlier_streams = !params.is_first_start || !current.services.is_empty();
         for service in params.services {
             let listed = engines.of_service(service);
@@ -129,7 +132,7 @@
                     entry.admitted.push(*version);
                 }
             }
-            let has_aged = |since: &mut Millis| now.saturating_sub(*since) >= params.stream_life;
+            let has_aged = |since: &mut Millis| now.saturating_sub(*since) >= stream_life;
             entry.admitted.retain(|version| {
                 let key = (service.clone(), *version);
                 !has_aged(self.last_listed.entry(key).or_insert(now))
@@ -151,4 +154,17 @@
         });
         (next != *current).then_some(next)
     }
+
+    /// The life of streams by which versions are taken out. A configuration with shorter timeouts does not shorten that of
+    /// streams that began before it.
+    fn stream_life(&mut self, in_force: Millis, now: Millis) -> Millis {
+        let longer = self.longest_life.filter(|(life, last_in_force)| {
+            *life > in_force && now.saturating_sub(*last_in_force) < *life
+        });
+        if let Some((life, _)) = longer {
+            return life;
+        }
+        self.longest_life = Some((in_force, now));
+        in_force
+    }
 }
--- a/crates/direct/tests/versions.rs
+++ b/crates/direct/tests/versions.rs
@@ -69,6 +69,25 @@
     assert_eq!(as_read(&after, 3).only_version(&service()), Some(version_of(&one, "e1")));
 }
 
+/// Guards against a proof of the only version while streams of another, which began under longer timeouts, still run.
+#[test]
+fn shorter_timeouts_do_not_end_a_version_early() {
+    const SHORTER: Millis = LIFE / 10;
+    let services = [service()];
+    let mut admission = VersionAdmission::default();
+    let two = versions(&[("e1", "v1"), ("e2", "v2")]);
+    let both =
+        admission.next_record(&AdmittedVersions::default(), &two, &params(&services, true), 0);
+    let both = as_read(&both.unwrap(), 1);
+    let one = versions(&[("e1", "v1")]);
+    let shorter = AdmissionParams { stream_life: SHORTER, ..params(&services, true) };
+    for now in (100..LIFE).step_by(100) {
+        assert_eq!(admission.next_record(&both, &one, &shorter, now), None, "at {now} ms");
+    }
+    let after = admission.next_record(&both, &one, &shorter, LIFE).unwrap();
+    assert_eq!(as_read(&after, 2).only_version(&service()), Some(version_of(&one, "e1")));
+}
+
 /// Guards against a proof by a record that is younger than streams which are taken up, or older than versions that were
 /// admitted since.
 #[test]
--- a/crates/hibiscusgw/tests/platform/versions.rs
+++ b/crates/hibiscusgw/tests/platform/versions.rs
@@ -282,6 +282,32 @@
     }
 }
 
+/// Guards against a proof of the only version, after a kill of all nodes, by a list that the engines of another version
+/// have just left.
+#[test]
+fn streams_of_a_version_that_has_just_left_are_not_joined_after_a_kill_of_all_nodes() {
+    for leaves in ["draining", "unlisted"] {
+        let mut fleet = start_nodes(two_versions(), 3);
+        let streams = begin_streams(&fleet, &[0, 1, 2], 12);
+        for id in ["i-v1-1", "i-v1-2", "i-v1-3"] {
+            match leaves {
+                "draining" => fleet.list(fleet.engine(id), "draining"),
+                _ => fleet.store.put("keyed.servers", id, b""),
+            }
+        }
+        std::thread::sleep(Duration::from_secs(1));
+        fleet.nodes.iter_mut().for_each(Node::kill);
+        for node in 0..3 {
+            fleet.start_again(node);
+            wait("the node is ready again", || fleet.nodes[node].is_ready());
+        }
+        // A leader has read the record and the list meanwhile, and may have written another one.
+        std::thread::sleep(Duration::from_secs(3));
+        let ends = take_up(&fleet, &[0, 1, 2], streams);
+        assert_eq!((joined(&ends), whole(&ends)), (0, 0), "{leaves}: {ends:?}");
+    }
+}
+
 /// Guards against a stream that is forgotten while its caller takes it up again and again.
 #[test]
 fn stream_is_taken_up_by_its_first_attempt_again_and_again() {
