Tests: connections that live on are counted once both engines have one

It counted the connections after six requests to two engines and expected six more to open none. Where all of the first six went to one engine, a request of the second round that chose the other one opened its first connection, as it has to.

Change: the first round goes on until both engines have been sent a request. The check is stricter: one connection per engine after the first round, and still one per engine after the second.

--- a/crates/hibiscusgw/tests/platform/idle_connections.rs
+++ b/crates/hibiscusgw/tests/platform/idle_connections.rs
@@ -16,6 +16,8 @@
 /// without proof.
 const IDLE: Duration = Duration::from_millis(4_800);
 
+const ENGINES: [&str; 2] = ["i-1", "i-2"];
+
 /// An engine that says that it keeps idle connections for long.
 fn keeping_engine(id: &str) -> EngineSettings {
     EngineSettings {
@@ -28,7 +30,7 @@
 
 /// Two nodes; the second one does not lead, so that it sends nothing of its own to engines.
 fn new_nodes() -> (Fleet, usize) {
-    let mut fleet = new_fleet(vec![keeping_engine("i-1"), keeping_engine("i-2")]);
+    let mut fleet = new_fleet(ENGINES.map(keeping_engine).to_vec());
     let leader = fleet.start("a");
     wait("a node leads", || gauge(&fleet, leader, "hgw_keeper") == 1);
     let follower = fleet.start("b");
@@ -57,11 +59,16 @@
 #[test]
 fn idle_connections_live_as_long_as_the_engine_says() {
     let (fleet, node) = new_nodes();
-    assert_eq!(send(&fleet, node, "/ask/", "first"), 6);
-    let opened = connections(&fleet, node, "new");
+    let mut round = 0;
+    wait("both engines have been sent a request", || {
+        round += 1;
+        assert_eq!(send(&fleet, node, "/ask/", &format!("first-{round}")), 6);
+        ENGINES.iter().all(|id| !fleet.engine(id).arrivals().is_empty())
+    });
+    assert_eq!(connections(&fleet, node, "new"), ENGINES.len() as u64);
     std::thread::sleep(IDLE);
     assert_eq!(send(&fleet, node, "/ask/", "second"), 6);
-    assert_eq!(connections(&fleet, node, "new"), opened);
+    assert_eq!(connections(&fleet, node, "new"), ENGINES.len() as u64);
     assert!(connections(&fleet, node, "reused") >= 6);
 }
 
