Streams: a line end after an event stays with the next one

What callers could see: where an engine breaks off after an odd number of line ends, the node had passed on the last one, and the stream went on at another engine with an empty line before its next event. Nothing shows that this has happened to a caller.

Cause: the end of the last complete event was the last line end that follows another one, so of three the third counted as part of the event. It may be the first byte of the next event.

Change: of an odd number of line ends the last one is held back. Line ends alone are no event that is not complete, so a stream that ends with one is whole, and gets it before its end.

Measured: line_end_after_an_event_is_held_until_the_next_one fails before (three line ends passed on where two are expected) and passes now.

--- a/crates/gateway/src/relay/event_buffer/mod.rs
+++ b/crates/gateway/src/relay/event_buffer/mod.rs
@@ -66,8 +66,15 @@
         Some(events)
     }
 
+    /// Whether an event has begun that is not complete. Line ends alone are none.
     pub(super) fn has_partial(&self) -> bool {
-        !self.partial.is_empty()
+        self.partial.iter().any(|b| !is_line_end(*b))
+    }
+
+    /// Takes the line ends after the last event of a stream that has ended.
+    pub(super) fn take_line_ends(&mut self) -> Option<Bytes> {
+        let rest = std::mem::take(&mut self.partial).freeze();
+        Some(rest).filter(|rest| !rest.is_empty())
     }
 
     pub(super) fn discard_partial(&mut self) {
@@ -96,14 +103,25 @@
     (plain + crlf).max(1) as u64
 }
 
-/// Returns the end of the last complete event.
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\r' | b'\n')
+}
+
+/// Returns the end of the last complete event. Of an odd number of line ends the last one may be the first of the next
+/// event, so that a stream which is resumed after it would go on within an event.
 fn complete_len(bytes: &[u8]) -> Option<usize> {
     let mut rest = bytes;
     while let Some(at) = rest.iter().rposition(|b| *b == b'\n') {
         rest = &rest[..at];
-        if rest.ends_with(b"\n") || rest.ends_with(b"\r\n\r") {
-            return Some(at + 1);
-        }
+        let line_end = if rest.ends_with(b"\n") {
+            1
+        } else if rest.ends_with(b"\r\n\r") {
+            2
+        } else {
+            continue;
+        };
+        let line_ends = bytes[..=at].iter().rev().take_while(|b| is_line_end(**b)).count();
+        return Some(at + 1 - if (line_ends / line_end).is_multiple_of(2) { 0 } else { line_end });
     }
     None
 }
--- a/crates/gateway/src/relay/event_buffer/tests.rs
+++ b/crates/gateway/src/relay/event_buffer/tests.rs
@@ -23,6 +23,22 @@
     }
 }
 
+/// Guards against a stream that is resumed after a line end too many, so that its next event begins with an empty line, and
+/// against such a line end that passes for an event which is not complete.
+#[test]
+fn line_end_after_an_event_is_held_until_the_next_one() {
+    for (text, complete) in [
+        ("id: 1\ndata: a\n\n\n", "id: 1\ndata: a\n\n"),
+        ("id: 1\ndata: a\n\n\n\n\n", "id: 1\ndata: a\n\n\n\n"),
+        ("id: 1\r\ndata: a\r\n\r\n\r\n", "id: 1\r\ndata: a\r\n\r\n"),
+    ] {
+        let mut events = EventBuffer::default();
+        assert_eq!(events.push(Bytes::from(text)).unwrap().unwrap(), complete, "{text:?}");
+        assert!(!events.has_partial(), "{text:?}");
+        assert_eq!(events.take_line_ends().unwrap(), text[complete.len()..], "{text:?}");
+    }
+}
+
 /// Bytes of one read.
 const READ_BYTES: usize = 8 << 10;
 
--- a/crates/gateway/src/relay/stream/mod.rs
+++ b/crates/gateway/src/relay/stream/mod.rs
@@ -180,7 +180,8 @@
                     if !self.events.has_partial() && !self.lacks_events() =>
                 {
                     self.finish();
-                    return None;
+                    let line_ends = self.events.take_line_ends();
+                    return line_ends.map(|bytes| (Ok(bytes), self));
                 }
                 WaitResult::TimedOut => return Some(self.abort()),
                 WaitResult::Stalled => {
