Events: line 4020 tells what an engine reported to its leader

A plan that exceeds an engine's room needs a wrong belief at a right count of orders, and the report of a survey is the only thing that sets both.

Change: event 4020, one line for each report that a leader reads: the engine's count of orders and the leader's, whether an order is in progress, models with adapters, and whether it was taken in.

--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -51,7 +51,8 @@
 }
 
 /// A model that an engine has loaded.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Display, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[display("{model}[{}]", adapters.join(","))]
 pub struct LoadedModel {
     pub model: String,
     /// The model's adapters that are loaded with it.
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -163,7 +163,9 @@
     let mut state = node.state.borrow_mut();
     let Some(known) = state.engines.observe_start(engine, report.started_at) else { return false };
     // An order may have been accepted while the report was under way.
-    if report.seq < known.accepted_orders {
+    let is_current = report.seq >= known.accepted_orders;
+    log_report(node, engine, &report, known.accepted_orders, is_current);
+    if !is_current {
         return false;
     }
     known.accepted_orders = report.seq;
@@ -184,6 +186,24 @@
     true
 }
 
+fn log_report(node: &Node, engine: &EngineId, report: &Report, known_seq: u64, is_current: bool) {
+    let loaded = report.loaded.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ");
+    let loading = report.loading_adapters.iter().map(ModelRef::to_string).collect::<Vec<_>>();
+    emit(
+        Event::EngineSurveyed,
+        &[
+            ("node", &node.settings.borrow().node),
+            ("upstream", engine),
+            ("seq", &report.seq),
+            ("known_seq", &known_seq),
+            ("busy", &report.busy),
+            ("loaded", &loaded),
+            ("loading", &loading.join(" ")),
+            ("taken", &is_current),
+        ],
+    );
+}
+
 enum CallResult {
     Responded(u16, bytes::Bytes),
     NotSent,
