--- a/crates/standins/src/fleet/engine.rs
+++ b/crates/standins/src/fleet/engine/mod.rs
@@ -2,6 +2,10 @@
 //!
 //! A request that names no model is a plain call. Its answer is its id and how often it has run here.
 
+mod orders;
+mod settings;
+mod streams;
+
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -12,99 +16,19 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::sync::mpsc::{self, channel};
-use tokio::time::error::Elapsed;
-use tokio::time::timeout;
+use tokio::sync::mpsc::channel;
 
-use super::endless::{Endless, EndlessRecord, Sender};
+use super::endless::{EndlessRecord, Sender};
 use crate::client::Caller;
 use crate::faults::{Faults, Switches, lock};
-use crate::server::{
-    Body, Lost, Piece, Reply, Running, StandIn, bounded_stream, failure, json, read_json, serve,
-    with_status,
-};
+use crate::server::{Body, Reply, Running, StandIn, bounded_stream, failure, json, serve};
+
+pub use settings::EngineSettings;
+use streams::UNWRITTEN_PIECES;
 
 /// Models, each with its adapters.
 pub type Holds = IndexMap<String, Vec<String>>;
 
-/// Settings of an engine.
-#[derive(Debug, Clone)]
-pub struct EngineSettings {
-    /// Its identity.
-    pub id: String,
-    /// Its service.
-    pub service: String,
-    /// Its failure domain.
-    pub zone: String,
-    /// Version of its software, in its entry.
-    pub software: serde_json::Value,
-    /// Whether each event names that version.
-    pub names_software: bool,
-    /// Requests that it runs at a time.
-    pub slots: u32,
-    /// Requests that it lets wait beside them; any number if none is set.
-    pub queue: Option<u32>,
-    /// What it holds at the start.
-    pub holds: Holds,
-    /// Models that it has room for.
-    pub models: usize,
-    /// Places for adapters, over all models.
-    pub adapters: usize,
-    /// Time of a load of a model.
-    pub load: Duration,
-    /// Time that it reads a prompt, before the head of a stream.
-    pub reading: Duration,
-    /// Time between two events of a stream.
-    pub pause: Duration,
-    /// Events of a stream.
-    pub events: u64,
-    /// Whether it refuses orders with an old fencing number.
-    pub fences: bool,
-    /// A part of prompts, but for the last, on which it crashes as it begins to write.
-    pub crash_part: Option<String>,
-    /// Whether its streams have neither a length nor chunks and end with their connections.
-    pub unframed: bool,
-    /// Bytes that each event has beside its text.
-    pub event_bytes: usize,
-    /// Time after which it cuts off a stream that nobody reads; never if none is set.
-    pub unread_limit: Option<Duration>,
-    /// How long it says that it keeps idle connections; nothing if none is set.
-    pub keep_alive: Option<Duration>,
-    /// What it sends without end in place of its responses or after them, if it does.
-    pub endless: Option<Endless>,
-}
-
-/// Pieces of a stream that wait to be written.
-const UNWRITTEN_PIECES: usize = 4;
-
-impl Default for EngineSettings {
-    fn default() -> Self {
-        EngineSettings {
-            id: "i-1".into(),
-            service: "models".into(),
-            zone: "a".into(),
-            software: "v1".into(),
-            names_software: false,
-            slots: 8,
-            queue: None,
-            holds: Holds::new(),
-            models: 3,
-            adapters: 4,
-            load: Duration::from_millis(200),
-            reading: Duration::ZERO,
-            pause: Duration::from_millis(5),
-            events: 20,
-            fences: true,
-            crash_part: None,
-            unframed: false,
-            event_bytes: 0,
-            unread_limit: None,
-            keep_alive: None,
-            endless: None,
-        }
-    }
-}
-
 /// What an engine has seen.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetRecord {
@@ -134,18 +58,6 @@
     pub complete: u32,
 }
 
-#[derive(Debug, Deserialize)]
-struct Order {
-    op: String,
-    model: String,
-    #[serde(default)]
-    adapter: Option<String>,
-    #[serde(default)]
-    precondition: Option<u64>,
-    holder: String,
-    fence: u64,
-}
-
 /// An engine at work.
 #[derive(Debug)]
 pub struct Engine {
@@ -362,70 +274,6 @@
         inner.holds.iter().map(one).collect()
     }
 
-    fn report(&self) -> Response<Body> {
-        let models = self.models();
-        let inner = self.lock();
-        json(&json!({
-            "stage": "mixed", "models": models, "busy": inner.busy, "seq": inner.seq,
-            "waiting": 0, "running": inner.running, "coming": [], "born": inner.born,
-        }))
-    }
-
-    fn order(self: &Arc<Self>, req: &Request<Bytes>) -> Response<Body> {
-        let order: Order = match read_json(req.body()) {
-            Ok(order) => order,
-            Err(answer) => return *answer,
-        };
-        let mut inner = self.lock();
-        if order.fence < inner.fence {
-            inner.record.old_fences += 1;
-            if self.settings.fences {
-                return failure(StatusCode::PRECONDITION_FAILED, "an old fencing number");
-            }
-        }
-        inner.fence = inner.fence.max(order.fence);
-        let held = inner.holds.get(&order.model);
-        let holds = match &order.adapter {
-            None => held.is_some(),
-            Some(adapter) => held.is_some_and(|a| a.contains(adapter)),
-        };
-        if order.precondition.is_some_and(|seq| seq != inner.seq) || inner.busy {
-            return failure(StatusCode::CONFLICT, "another order");
-        }
-        if holds == (order.op == "load") {
-            return json(&json!({}));
-        }
-        inner.seq += 1;
-        let name = order.adapter.as_ref().map_or(String::new(), |a| format!("/{a}"));
-        let Order { holder, fence, op, model, .. } = &order;
-        inner.record.orders.push(format!("{holder} {fence} {op} {model}{name}"));
-        if order.op == "load" && !self.has_room(&inner, &order) {
-            inner.record.too_much += 1;
-        }
-        if order.op == "load" && order.adapter.is_none() {
-            inner.busy = true;
-            drop(inner);
-            let shared = Arc::clone(self);
-            tokio::spawn(async move {
-                tokio::time::sleep(shared.settings.load).await;
-                let mut inner = shared.lock();
-                inner.busy = false;
-                inner.holds.insert(order.model, Vec::new());
-            });
-            return with_status(StatusCode::ACCEPTED, &json!({}));
-        }
-        inner.carry_out(&order);
-        let done = if order.op == "load" { StatusCode::ACCEPTED } else { StatusCode::OK };
-        with_status(done, &json!({}))
-    }
-
-    fn has_room(&self, inner: &Inner, order: &Order) -> bool {
-        match order.adapter {
-            None => inner.holds.len() < self.settings.models,
-            Some(_) => inner.holds.values().map(Vec::len).sum::<usize>() < self.settings.adapters,
-        }
-    }
-
     fn misdirected(&self) -> Response<Body> {
         self.lock().record.misdirected += 1;
         let mut answer = failure(StatusCode::MISDIRECTED_REQUEST, "not here");
@@ -570,60 +418,6 @@
         }
     }
 
-    async fn events(self: Arc<Self>, tx: mpsc::Sender<Piece>, from: u64, active: Active) {
-        self.lock().running += 1;
-        let end = self.write_events(&tx, from).await;
-        self.lock().running -= 1;
-        drop(active);
-        match end {
-            StreamEnd::Complete => self.lock().record.complete += 1,
-            StreamEnd::Left => {}
-            StreamEnd::Broken(rest) => {
-                for piece in rest.into_iter().map(Ok).chain([Err(Lost)]) {
-                    // Fails only where the connection has ended already.
-                    let _ = tx.send(piece).await;
-                }
-            }
-            StreamEnd::Unread => {
-                self.lock().record.cut_unread += 1;
-                let _ = tx.send(Err(Lost)).await;
-            }
-        }
-    }
-
-    async fn write_events(&self, tx: &mpsc::Sender<Piece>, from: u64) -> StreamEnd {
-        let padding = "x".repeat(self.settings.event_bytes);
-        let breaks = self.switches.stream_fault().map(u64::from);
-        for (sent, event) in (from + 1..=self.settings.events).enumerate() {
-            tokio::time::sleep(self.switches.slowed(self.settings.pause)).await;
-            if breaks.is_some_and(|after| sent as u64 >= after) {
-                // In the middle of an event.
-                let half = Bytes::from(format!("id: {event}\nda"));
-                return StreamEnd::Broken(Some(hyper::body::Frame::data(half)));
-            }
-            let by = match self.settings.names_software {
-                true => format!(" of {}", self.settings.software.as_str().unwrap_or_default()),
-                false => String::new(),
-            };
-            let event = Bytes::from(format!("id: {event}\ndata: piece {event}{by}{padding}\n\n"));
-            match self.write(tx, Ok(hyper::body::Frame::data(event))).await {
-                Ok(true) => {}
-                Ok(false) => return StreamEnd::Left,
-                Err(_) => return StreamEnd::Unread,
-            }
-        }
-        StreamEnd::Complete
-    }
-
-    /// Writes a piece; tells whether its reader is there, or that it has not read for too long.
-    async fn write(&self, tx: &mpsc::Sender<Piece>, piece: Piece) -> Result<bool, Elapsed> {
-        let sent = tx.send(piece);
-        match self.settings.unread_limit {
-            Some(limit) => timeout(limit, sent).await.map(|sent| sent.is_ok()),
-            None => Ok(sent.await.is_ok()),
-        }
-    }
-
     fn sealed(&self, mut answer: Response<Body>, id: &str) -> Response<Body> {
         let headers = answer.headers_mut();
         let active = lock(&self.inner).active;
@@ -644,17 +438,6 @@
     }
 }
 
-/// How a stream has ended.
-enum StreamEnd {
-    Complete,
-    /// Its reader has left.
-    Left,
-    /// It breaks off after this.
-    Broken(Option<hyper::body::Frame<Bytes>>),
-    /// Its reader has not read for too long.
-    Unread,
-}
-
 /// A request that takes a place until it has ended.
 struct Active(Arc<Shared>);
 
@@ -679,22 +462,6 @@
     }
 }
 
-impl Inner {
-    fn carry_out(&mut self, order: &Order) {
-        match (&order.adapter, order.op.as_str()) {
-            (None, "load") => drop(self.holds.insert(order.model.clone(), Vec::new())),
-            (None, _) => drop(self.holds.shift_remove(&order.model)),
-            (Some(adapter), op) => {
-                let Some(adapters) = self.holds.get_mut(&order.model) else { return };
-                adapters.retain(|a| a != adapter);
-                if op == "load" {
-                    adapters.push(adapter.clone());
-                }
-            }
-        }
-    }
-}
-
 impl StandIn for Shared {
     async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Reply {
         let mut answer = match (req.method(), req.uri().path()) {
