Events: line 3009 tells which node has a newer configuration

A node that serves by an old configuration left no trace of whether it had been told of the newer one: 3007 and 3008 come only once it tries to get the text or refuses callers. The line names the node and the message that told it, the age of what this node knows from the store, and whether the text is requested from there; once for each version.

--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -70,6 +70,7 @@
     ProofGained = 3006, Info, "the configuration is confirmed as current";
     ConfigFetchFailed = 3007, Info, "the text of a configuration did not arrive from another node; it is requested again";
     ConfigOutdated = 3008, Info, "the node has begun or ceased to send callers elsewhere, as it lacks a newer configuration";
+    ConfigReported = 3009, Info, "another node has a newer configuration than this one";
     LogDown = 3101, Warn, "the platform's log does not respond";
     LogUp = 3102, Info, "the platform's log responds again";
     StoreCameBack = 3103, Warn, "the platform's store was restored from a backup; lost records are rewritten";
--- a/crates/gateway/src/peers/forwarding.rs
+++ b/crates/gateway/src/peers/forwarding.rs
@@ -14,7 +14,7 @@
 use crate::attempt_grants;
 use crate::relay;
 use crate::response::{CallerResponse, Outcome};
-use crate::shared::Node;
+use crate::shared::{CatalogMention, Node};
 
 use super::call;
 use super::catalog_text::fetch_newer_catalog;
@@ -182,7 +182,14 @@
         // It would be handled by an older configuration than its caller has seen in force.
         Some(forwarded) if forwarded.catalog_version > node.catalog_version() => {
             if let Some(grant) = &forwarded.grant {
-                fetch_newer_catalog(node, grant.from, forwarded.catalog_version);
+                let version = forwarded.catalog_version;
+                node.log_reported_catalog(
+                    grant.from,
+                    CatalogMention::ForwardedRequest,
+                    version,
+                    true,
+                );
+                fetch_newer_catalog(node, grant.from, version);
             }
             relay::refuse_at_once(node, Refusal::OutdatedConfig)
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -37,7 +37,7 @@
 use crate::overload;
 use crate::quotas;
 use crate::response::{CallerResponse, ResponseBody, ResponseResult, json_error};
-use crate::shared::Node;
+use crate::shared::{CatalogMention, Node};
 
 use catalog_text::fetch_newer_catalog;
 pub(crate) use catalog_text::{CatalogTransfers, fetch_catalog};
@@ -226,7 +226,9 @@
         return json_error(StatusCode::CONFLICT, "this node forwards no updates");
     }
     node.children.record_poll(request.from, request.cannot_lead, node.now());
-    fetch_newer_catalog(node, request.from, request.catalog_version);
+    let version = request.catalog_version;
+    node.log_reported_catalog(request.from, CatalogMention::Poll, version, true);
+    fetch_newer_catalog(node, request.from, version);
     if is_leader {
         if let Some(earlier) = &request.earlier_demand {
             leader::add_earlier_demand(node, request.from, earlier);
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -18,7 +18,7 @@
 use crate::freshness;
 use crate::leader;
 use crate::overload;
-use crate::shared::Node;
+use crate::shared::{CatalogMention, Node};
 use crate::versions;
 
 use super::list::{apply_list_update, apply_placements};
@@ -142,6 +142,13 @@
         if update.data_age_ms > max_data_age(node) {
             node.hubs.borrow_mut().skip(addr, SkipReason::Stale, node.now());
         }
+        let is_fetched = node.has_recent_leader_updates();
+        node.log_reported_catalog(
+            addr,
+            CatalogMention::PollResponse,
+            update.catalog_version,
+            is_fetched,
+        );
         apply_update(node, now, update);
         Some(polled)
     }
--- a/crates/gateway/src/shared/catalog.rs
+++ b/crates/gateway/src/shared/catalog.rs
@@ -1,12 +1,25 @@
 //! The configuration that a node serves by, and what it knows of newer ones.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use derive_more::Display;
 use hgw_direct::{Catalog, CatalogLag, LagEffect, Refusal};
 use hgw_events::{Event, emit};
 
 use super::Shared;
 
+/// A message in which another node names the version of its configuration.
+#[derive(Debug, Clone, Copy, Display)]
+pub(crate) enum CatalogMention {
+    #[display("poll")]
+    Poll,
+    #[display("response to a poll")]
+    PollResponse,
+    #[display("forwarded request")]
+    ForwardedRequest,
+}
+
 impl Shared {
     /// Version of the configuration in force; 0 without one.
     pub(crate) fn catalog_version(&self) -> u64 {
@@ -47,6 +60,32 @@
         }
     }
 
+    /// Logs that another node has a newer configuration, once for each version.
+    pub(crate) fn log_reported_catalog(
+        &self,
+        peer: SocketAddr,
+        message: CatalogMention,
+        version: u64,
+        is_fetched: bool,
+    ) {
+        if version <= self.catalog_version().max(self.logged_report.get()) {
+            return;
+        }
+        self.logged_report.set(version);
+        emit(
+            Event::ConfigReported,
+            &[
+                ("node", &self.settings.borrow().node),
+                ("peer", &peer),
+                ("in", &message),
+                ("has", &self.catalog_version()),
+                ("reported", &version),
+                ("data_age_ms", &self.store_data_age()),
+                ("fetched", &is_fetched),
+            ],
+        );
+    }
+
     fn update_lag(&self, update: impl FnOnce(&mut CatalogLag)) {
         let mut lag = self.catalog_lag.get();
         update(&mut lag);
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -153,6 +153,8 @@
     catalog_lag: Cell<CatalogLag>,
     /// What was logged last of how that affects callers.
     logged_lag_effect: Cell<LagEffect>,
+    /// Newest configuration of another node that was logged.
+    logged_report: Cell<u64>,
     /// A configuration version, and the position in the store's log up to which there is no newer
     /// one.
     pub(crate) catalog_position: Cell<Option<(u64, Cursor)>>,
@@ -172,6 +174,7 @@
     pub(crate) engine_restarted: Notify,
 }
 
+pub(crate) use catalog::CatalogMention;
 pub(crate) use engines::ListSource;
 
 pub(crate) type Node = Rc<Shared>;
@@ -237,6 +240,7 @@
             leader_refuses: Cell::new(false),
             catalog_lag: Cell::default(),
             logged_lag_effect: Cell::default(),
+            logged_report: Cell::default(),
             catalog_position: Cell::new(None),
             catalog_transfers: CatalogTransfers::default(),
             is_fetching_catalog: Cell::new(false),
