A newer configuration of another node is taken whatever the age of its data

What callers saw: while the store turned the leader and other nodes away, a route that a new version had added got 404 at those other nodes for as long as the disruption lasted, though the leader had the version and named it in each response to their polls.

Cause: what a node is told of a newer configuration was believed only while the leader's data from the store was younger than 1.25 s (has_recent_leader_updates, in the reader and in the decision whether callers are served). That a version exists, and its text, are true however old that data is.

Change: every mention of a version goes through record_catalog_of, which fetches the text from the node that named it; one transfer at a time, which the reader of the store waits for. A report counts against serving callers for 1.25 of the time for changes, in place of the leader's data age; an older report of another node no longer hides a newer one. A version whose text cannot be used is not requested again and again.

Tests: four of five in turned_away failed before (404 at node 1, or at nodes 1 and 2, two seconds after the acknowledgement; a moved route was handled by the old service for 3.4 s after the new one had run it); all pass now, with outdated_configuration, long_configuration, leader_reads and restores.

--- a/crates/gateway/src/follow/catalog.rs
+++ b/crates/gateway/src/follow/catalog.rs
@@ -78,10 +78,7 @@
             return;
         }
         let is_reported = has_leader_updates && is_outdated;
-        if is_reported
-            && let Some((text, peer)) = peers::fetch_catalog(&node).await
-            && adopt(&node, text, TextSource::Peer(peer)).is_some_and(|adopted| adopted.is_newer)
-        {
+        if is_reported && peers::fetch_reported(&node).await {
             return;
         }
         // After an outage, a call that waits for an update would delay the detection that the store
@@ -152,7 +149,7 @@
         self.cursor = Some(update.cursor);
         let is_unchanged = update.catalog.is_none();
         if let Some(text) = update.catalog {
-            self.newest = adopt(node, text, TextSource::Store).map(|adopted| adopted.version);
+            self.newest = adopt(node, text, TextSource::Store);
         }
         if let Some(newest) = self.newest {
             freshness::record_store_read(node, VersionCheck { newest, asked_at });
@@ -224,13 +221,6 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Adopted {
-    version: u64,
-    /// Whether it replaced an older one.
-    is_newer: bool,
-}
-
 /// Where the text of a configuration comes from.
 #[derive(Debug, Clone, Copy, Display)]
 pub(crate) enum TextSource {
@@ -240,13 +230,13 @@
     Peer(SocketAddr),
 }
 
-/// Puts a configuration in force if it is newer. Returns none if it cannot be parsed.
-pub(crate) fn adopt(node: &Node, text: Bytes, source: TextSource) -> Option<Adopted> {
+/// Puts a configuration in force if it is newer. Returns its version, or none if it cannot be parsed.
+pub(crate) fn adopt(node: &Node, text: Bytes, source: TextSource) -> Option<u64> {
     let known = node.state.borrow().catalog.as_ref().map(|catalog| catalog.version);
     if let Some(version) = known
         && node.state.borrow().catalog_text == text
     {
-        return Some(Adopted { version, is_newer: false });
+        return Some(version);
     }
     let parse_started_at = Instant::now();
     let catalog = match node.protocols.store.parse_catalog(&text) {
@@ -260,7 +250,7 @@
     let version = catalog.version;
     // A store restored from a backup may return an older version.
     if known.is_some_and(|known| known >= version) {
-        return Some(Adopted { version, is_newer: false });
+        return Some(version);
     }
     emit(
         Event::ConfigInForce,
@@ -279,5 +269,5 @@
     drop(state);
     node.record_adopted_catalog(version);
     leader::catalog_changed(node);
-    Some(Adopted { version, is_newer: true })
+    Some(version)
 }
--- a/crates/gateway/src/peers/catalog_text.rs
+++ b/crates/gateway/src/peers/catalog_text.rs
@@ -17,7 +17,7 @@
 use crate::follow::{self, TextSource};
 use crate::packed_text::{MAX_TEXT_BYTES, pack, unpack};
 use crate::response::{CallerResponse, ResponseBody, json_error};
-use crate::shared::Node;
+use crate::shared::{CatalogMention, Node};
 
 use super::{CallError, RESPONSE_TIMEOUT, send_request};
 
@@ -159,26 +159,45 @@
     }
 }
 
-/// Fetches the configuration from the node that this one polls, or from others that it refers to; returns it with the
-/// address of the node that sent the last part.
-pub(crate) async fn fetch_catalog(node: &Node) -> Option<(Bytes, SocketAddr)> {
-    let (_, addr) = node.parent()?;
-    fetch_from(node, addr).await
+/// Takes in that another node has this version of the configuration. A newer one than that of this node is fetched from
+/// there, however old is what either knows from the store: that it exists, and its text, do not depend on that.
+pub(crate) fn record_catalog_of(
+    node: &Node,
+    peer: SocketAddr,
+    version: u64,
+    message: CatalogMention,
+) {
+    node.log_reported_catalog(peer, message, version);
+    node.record_reported_catalog(version);
+    if version > node.catalog_version() && !node.is_catalog_rejected(version) {
+        start_fetch(node, peer);
+    }
+}
+
+/// Fetches the newest configuration that was reported from the node that this one polls, or from others that it refers to,
+/// or waits for the transfer that goes on. Returns whether it is in force then.
+pub(crate) async fn fetch_reported(node: &Node) -> bool {
+    if let Some((_, addr)) = node.parent() {
+        start_fetch(node, addr);
+    }
+    while node.is_fetching_catalog.get() {
+        node.catalog_fetched.notified().await;
+    }
+    !node.is_catalog_outdated()
 }
 
-/// Fetches a newer configuration from a node that polls this one. This node cannot read it from the
-/// store if a restore from a backup lost that version and the node started afterwards.
-pub(super) fn fetch_newer_catalog(node: &Node, from: SocketAddr, newest: u64) {
-    if newest <= node.catalog_version() || node.is_fetching_catalog.replace(true) {
+/// Starts a transfer, unless one goes on. After a failure the next report of the version starts another one.
+fn start_fetch(node: &Node, from: SocketAddr) {
+    if node.is_fetching_catalog.replace(true) {
         return;
     }
     let node = Node::clone(node);
     tokio::task::spawn_local(async move {
-        // After a failure the next poll of that node tries again.
         if let Some((text, source)) = fetch_from(&node, from).await {
             follow::adopt(&node, text, TextSource::Peer(source));
         }
         node.is_fetching_catalog.set(false);
+        node.catalog_fetched.notify_waiters();
     });
 }
 
--- a/crates/gateway/src/peers/forwarding.rs
+++ b/crates/gateway/src/peers/forwarding.rs
@@ -17,7 +17,7 @@
 use crate::shared::{CatalogMention, Node};
 
 use super::call;
-use super::catalog_text::fetch_newer_catalog;
+use super::catalog_text::record_catalog_of;
 
 /// Marks a request that another node has forwarded, and the response to it. Callers do not reach the
 /// listener on which it counts.
@@ -183,13 +183,7 @@
         Some(forwarded) if forwarded.catalog_version > node.catalog_version() => {
             if let Some(grant) = &forwarded.grant {
                 let version = forwarded.catalog_version;
-                node.log_reported_catalog(
-                    grant.from,
-                    CatalogMention::ForwardedRequest,
-                    version,
-                    true,
-                );
-                fetch_newer_catalog(node, grant.from, version);
+                record_catalog_of(node, grant.from, version, CatalogMention::ForwardedRequest);
             }
             relay::refuse_at_once(node, Refusal::OutdatedConfig)
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -39,8 +39,8 @@
 use crate::response::{CallerResponse, ResponseBody, ResponseResult, json_error};
 use crate::shared::{CatalogMention, Node};
 
-use catalog_text::fetch_newer_catalog;
-pub(crate) use catalog_text::{CatalogTransfers, fetch_catalog};
+use catalog_text::record_catalog_of;
+pub(crate) use catalog_text::{CatalogTransfers, fetch_reported};
 pub(crate) use children::Children;
 pub(crate) use datagrams::{Datagram, PeerSocket, receive};
 pub(crate) use forwarding::{
@@ -226,9 +226,7 @@
         return json_error(StatusCode::CONFLICT, "this node forwards no updates");
     }
     node.children.record_poll(request.from, request.cannot_lead, node.now());
-    let version = request.catalog_version;
-    node.log_reported_catalog(request.from, CatalogMention::Poll, version, true);
-    fetch_newer_catalog(node, request.from, version);
+    record_catalog_of(node, request.from, request.catalog_version, CatalogMention::Poll);
     if is_leader {
         if let Some(earlier) = &request.earlier_demand {
             leader::add_earlier_demand(node, request.from, earlier);
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -21,6 +21,7 @@
 use crate::shared::{CatalogMention, Node};
 use crate::versions;
 
+use super::catalog_text::record_catalog_of;
 use super::list::{apply_list_update, apply_placements};
 use super::loads::{apply_loads, loads_since};
 use super::message::{DemandCount, EarlierDemand, PollRequest, PollResponse};
@@ -142,14 +143,7 @@
         if update.data_age_ms > max_data_age(node) {
             node.hubs.borrow_mut().skip(addr, SkipReason::Stale, node.now());
         }
-        let is_fetched = node.has_recent_leader_updates();
-        node.log_reported_catalog(
-            addr,
-            CatalogMention::PollResponse,
-            update.catalog_version,
-            is_fetched,
-        );
-        apply_update(node, now, update);
+        apply_update(node, now, addr, update);
         Some(polled)
     }
 
@@ -228,8 +222,8 @@
     node.settings.borrow().max_leader_update_age(false).as_millis() as Millis
 }
 
-/// Takes in the response to a poll that was sent at `polled_at`.
-fn apply_update(node: &Node, polled_at: Millis, update: PollResponse) {
+/// Takes in the response of a node to a poll that was sent at `polled_at`.
+fn apply_update(node: &Node, polled_at: Millis, from: SocketAddr, update: PollResponse) {
     let received_at = node.now();
     eras::record_reported(node, update.era);
     if let Some(leader) = update.leader {
@@ -269,7 +263,7 @@
         node.state.borrow_mut().leader_loads = Some((fence, load_starts.collect()));
     }
     node.catalog_reads.record_report(received_at, update.catalog_overdue_ms);
-    node.record_reported_catalog(update.catalog_version);
+    record_catalog_of(node, from, update.catalog_version, CatalogMention::PollResponse);
     node.state.borrow_mut().nodes = update.nodes.max(1);
     if let Some(peer_addrs) = update.peer_addrs {
         node.peer_socket.set_peers(peer_addrs);
--- a/crates/gateway/src/shared/catalog.rs
+++ b/crates/gateway/src/shared/catalog.rs
@@ -26,9 +26,11 @@
         self.state.borrow().catalog.as_ref().map_or(0, |catalog| catalog.version)
     }
 
-    /// Records the configuration version that the leader reports.
+    /// Records the version of the configuration that another node has.
     pub(crate) fn record_reported_catalog(&self, version: u64) {
-        self.update_lag(|lag| lag.record_report(self.now(), version, self.catalog_version()));
+        let (now, own) = (self.now(), self.catalog_version());
+        let apply_within = self.settings.borrow().apply_within;
+        self.update_lag(|lag| lag.record_report(now, version, own, apply_within));
         if self.is_catalog_outdated() {
             self.catalog_reported.notify_waiters();
         }
@@ -66,7 +68,6 @@
         peer: SocketAddr,
         message: CatalogMention,
         version: u64,
-        is_fetched: bool,
     ) {
         if version <= self.catalog_version().max(self.logged_report.get()) {
             return;
@@ -81,7 +82,6 @@
                 ("has", &self.catalog_version()),
                 ("reported", &version),
                 ("data_age_ms", &self.store_data_age()),
-                ("fetched", &is_fetched),
             ],
         );
     }
@@ -92,22 +92,24 @@
         self.catalog_lag.set(lag);
     }
 
-    /// Newest configuration version that the leader reported.
+    /// Whether the text of this version cannot be used here.
+    pub(crate) fn is_catalog_rejected(&self, version: u64) -> bool {
+        self.catalog_lag.get().is_rejected(version)
+    }
+
+    /// Newest configuration version that another node reported.
     pub(crate) fn reported_catalog(&self) -> u64 {
         self.catalog_lag.get().reported()
     }
 
-    /// Whether the leader reported a newer configuration than this node has.
+    /// Whether another node reported a newer configuration than this node has, unless its text cannot be used here.
     pub(crate) fn is_catalog_outdated(&self) -> bool {
-        self.catalog_version() < self.reported_catalog()
+        let reported = self.reported_catalog();
+        self.catalog_version() < reported && !self.is_catalog_rejected(reported)
     }
 
-    /// What becomes of callers while this node lacks a newer configuration. One that hears from no other node may be the
-    /// last that serves, and goes on.
+    /// What becomes of callers while this node lacks a newer configuration.
     pub(crate) fn lag_effect(&self) -> LagEffect {
-        if !self.has_recent_leader_updates() {
-            return LagEffect::Serve;
-        }
         self.catalog_lag.get().effect(self.now(), self.settings.borrow().apply_within)
     }
 
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -160,11 +160,13 @@
     pub(crate) catalog_position: Cell<Option<(u64, Cursor)>>,
     /// Transfers of the configuration to and from other nodes.
     pub(crate) catalog_transfers: CatalogTransfers,
-    /// Whether a newer configuration is being fetched from a node that polls this one.
+    /// Whether a newer configuration is being fetched from another node.
     pub(crate) is_fetching_catalog: Cell<bool>,
+    /// Notified when such a transfer has ended.
+    pub(crate) catalog_fetched: Notify,
     /// Whether the configuration is read as often as it should be.
     pub(crate) catalog_reads: CatalogReads,
-    /// Notified when the leader reports a newer configuration.
+    /// Notified when another node reports a newer configuration.
     pub(crate) catalog_reported: Notify,
     /// Whether this node reaches neither the store nor engines in other failure domains.
     is_isolated: Cell<bool>,
@@ -244,6 +246,7 @@
             catalog_position: Cell::new(None),
             catalog_transfers: CatalogTransfers::default(),
             is_fetching_catalog: Cell::new(false),
+            catalog_fetched: Notify::new(),
             catalog_reads: CatalogReads::default(),
             catalog_reported: Notify::new(),
             is_isolated: Cell::new(false),
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -59,6 +59,7 @@
 mod stopping;
 mod store_disconnects;
 mod streams;
+mod turned_away;
 mod version_faults;
 mod versions;
 
