Both nodes have the same configuration before a request is forwarded

What callers saw: a node that reached no engine had its requests run by way of a forwarder with a newer configuration; when its path came back, it ran them by its old one: it went back, for as long as nobody told it of the newer one.

Cause: mended one direction only. A forwarder with a newer configuration handled the request by that and said nothing of it.

Change: the request tells the newest configuration that its sender has or cannot use. A forwarder with a newer one refuses it unrun and names its own; the sender takes the text from there and asks it again, so no engine runs the request before the sender has the configuration in force. A forwarder with an older one takes the text from the sender first, for 150 ms at most, in place of refusing at once. Senders of the release before are served as before.

Weighed: to serve by the newer one and to take the text before the response is passed on. The text may then arrive later than 250 ms after the engine ran the request, and nothing is left to do about it.

--- a/crates/direct/src/catalog_lag.rs
+++ b/crates/direct/src/catalog_lag.rs
@@ -73,9 +73,9 @@
         self.reported
     }
 
-    /// Whether the text of this version cannot be used here.
-    pub fn is_rejected(&self, version: u64) -> bool {
-        version <= self.rejected
+    /// Newest version whose text cannot be used here.
+    pub fn rejected(&self) -> u64 {
+        self.rejected
     }
 
     fn counts(&self, now: Millis, apply_within: Duration) -> bool {
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -13,6 +13,9 @@
     /// There is a newer configuration, which this node has not got in time.
     #[display("outdated configuration")]
     OutdatedConfig,
+    /// The node that forwarded the request has an older configuration than this one.
+    #[display("newer configuration")]
+    NewerConfig,
     /// This node is shutting down.
     #[display("stopping")]
     Stopping,
--- a/crates/gateway/src/peers/catalog_text.rs
+++ b/crates/gateway/src/peers/catalog_text.rs
@@ -12,7 +12,7 @@
 use http::{Response, StatusCode};
 use rand::random;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::follow::{self, TextSource};
 use crate::packed_text::{MAX_TEXT_BYTES, pack, unpack};
@@ -169,7 +169,7 @@
 ) {
     node.log_reported_catalog(peer, message, version);
     node.record_reported_catalog(version);
-    if version > node.catalog_version() && !node.is_catalog_rejected(version) {
+    if version > node.known_catalog() {
         start_fetch(node, peer);
     }
 }
@@ -186,6 +186,17 @@
     !node.is_catalog_outdated()
 }
 
+/// Waits for a version that another node has, as far as it arrives soon. Returns whether it, or a newer one, is in force.
+pub(crate) async fn wait_for_catalog(node: &Node, version: u64, max_wait: Duration) -> bool {
+    let fetched = async {
+        while node.catalog_version() < version && node.is_fetching_catalog.get() {
+            node.catalog_fetched.notified().await;
+        }
+    };
+    let _ = timeout(max_wait, fetched).await;
+    node.catalog_version() >= version
+}
+
 /// Starts a transfer, unless one goes on. After a failure the next report of the version starts another one.
 fn start_fetch(node: &Node, from: SocketAddr) {
     if node.is_fetching_catalog.replace(true) {
--- a/crates/gateway/src/peers/forwarding.rs
+++ b/crates/gateway/src/peers/forwarding.rs
@@ -17,7 +17,7 @@
 use crate::shared::{CatalogMention, Node};
 
 use super::call;
-use super::catalog_text::record_catalog_of;
+use super::catalog_text::{record_catalog_of, wait_for_catalog};
 
 /// Marks a request that another node has forwarded, and the response to it. Callers do not reach the
 /// listener on which it counts.
@@ -42,6 +42,9 @@
 /// Timeout of that question: a node that lives answers within milliseconds, and the request waits.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time that a forwarded request waits until both nodes have the same configuration.
+pub(crate) const AGREE_WITHIN: Duration = Duration::from_millis(150);
+
 /// What goes with a forwarded request.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct ForwardedRequest {
@@ -66,6 +69,10 @@
     /// Configuration of the other node; zero from a release that does not tell it.
     #[serde(default)]
     pub(crate) catalog_version: u64,
+    /// Newest configuration that the other node has or cannot use. A node with a newer one refuses the request, so that the
+    /// callers of the other node see no configuration that it has not in force. None from a release that would not take it then.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) known_catalog: Option<u64>,
 }
 
 /// The one attempt that goes with a forwarded request, and where further ones are granted.
@@ -104,7 +111,13 @@
         domain: String,
     },
     /// The request has not run.
-    Refused { reason: String, may_run_elsewhere: bool },
+    Refused {
+        reason: String,
+        may_run_elsewhere: bool,
+        /// Configuration of the node, if it refused the request as the other node has an older one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        newer_catalog: Option<u64>,
+    },
     /// No engine has completed it, after so many attempts that may have been executed.
     Failed { runs: u32 },
 }
@@ -129,21 +142,28 @@
         serde_json::from_slice(value.as_bytes()).ok()
     }
 
-    fn of(response: &CallerResponse, domain: &str) -> ForwardOutcome {
+    fn of(response: &CallerResponse, node: &Node) -> ForwardOutcome {
         match response.extensions().get::<Outcome>() {
             Some(Outcome::Engine { engine, version, runs }) => {
                 let (engine, version) = (engine.clone(), Some(*version));
-                ForwardOutcome::Engine { engine, version, runs: *runs, domain: domain.to_owned() }
+                ForwardOutcome::Engine {
+                    engine,
+                    version,
+                    runs: *runs,
+                    domain: node.settings.borrow().domain.clone(),
+                }
             }
             Some(Outcome::Failed { runs }) => ForwardOutcome::Failed { runs: *runs },
             Some(Outcome::Refused(reason)) => ForwardOutcome::Refused {
                 reason: reason.to_string(),
                 may_run_elsewhere: may_run_elsewhere(*reason),
+                newer_catalog: (*reason == Refusal::NewerConfig).then(|| node.catalog_version()),
             },
             // Denied before an engine was chosen.
             None => ForwardOutcome::Refused {
                 reason: response.status().to_string(),
                 may_run_elsewhere: false,
+                newer_catalog: None,
             },
         }
     }
@@ -164,6 +184,7 @@
             | Refusal::EnginesResting
             | Refusal::StaleConfig
             | Refusal::OutdatedConfig
+            | Refusal::NewerConfig
             | Refusal::NodeBusy
             | Refusal::NodeMemory
     )
@@ -179,21 +200,34 @@
     let mut response = match forwarded {
         _ if node.is_stopping() => relay::refuse_at_once(node, Refusal::Stopping),
         None => relay::refuse_at_once(node, Refusal::NotReady),
-        // It would be handled by an older configuration than its caller has seen in force.
-        Some(forwarded) if forwarded.catalog_version > node.catalog_version() => {
-            if let Some(grant) = &forwarded.grant {
-                let version = forwarded.catalog_version;
-                record_catalog_of(node, grant.from, version, CatalogMention::ForwardedRequest);
-            }
-            relay::refuse_at_once(node, Refusal::OutdatedConfig)
-        }
-        Some(forwarded) => relay::handle_forwarded(node, forwarded, req).await,
+        Some(forwarded) => match agree_on_catalog(node, &forwarded).await {
+            Ok(()) => relay::handle_forwarded(node, forwarded, req).await,
+            Err(reason) => relay::refuse_at_once(node, reason),
+        },
     };
-    let outcome = ForwardOutcome::of(&response, &node.settings.borrow().domain);
+    let outcome = ForwardOutcome::of(&response, node);
     response.headers_mut().insert(FORWARDED, header_value(&outcome));
     response
 }
 
+/// Makes sure that this node has the configuration of the other one. With an older one it would handle the request as the
+/// caller knows to be outdated; with a newer one the caller's next request, which the other node handles itself, would go back.
+async fn agree_on_catalog(node: &Node, forwarded: &ForwardedRequest) -> Result<(), Refusal> {
+    let version = forwarded.catalog_version;
+    if version > node.catalog_version()
+        && let Some(grant) = &forwarded.grant
+    {
+        record_catalog_of(node, grant.from, version, CatalogMention::ForwardedRequest);
+        wait_for_catalog(node, version, AGREE_WITHIN).await;
+    }
+    let own = node.catalog_version();
+    if version > own {
+        return Err(Refusal::OutdatedConfig);
+    }
+    let is_behind = forwarded.known_catalog.is_some_and(|known| known < own);
+    if is_behind { Err(Refusal::NewerConfig) } else { Ok(()) }
+}
+
 /// Asks the node that forwarded a request whether this one may make so many attempts in all; none without an answer.
 pub(crate) async fn request_attempt(
     node: &Node,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -39,12 +39,14 @@
 use crate::response::{CallerResponse, ResponseBody, ResponseResult, json_error};
 use crate::shared::{CatalogMention, Node};
 
-use catalog_text::record_catalog_of;
-pub(crate) use catalog_text::{CatalogTransfers, fetch_reported};
+pub(crate) use catalog_text::{
+    CatalogTransfers, fetch_reported, record_catalog_of, wait_for_catalog,
+};
 pub(crate) use children::Children;
 pub(crate) use datagrams::{Datagram, PeerSocket, receive};
 pub(crate) use forwarding::{
-    AttemptGrant, FORWARDED, ForwardOutcome, ForwardedRequest, find_forwarders, request_attempt,
+    AGREE_WITHIN, AttemptGrant, FORWARDED, ForwardOutcome, ForwardedRequest, find_forwarders,
+    request_attempt,
 };
 pub(crate) use in_flight::report_in_flight;
 pub(crate) use limits::send_engine_news;
--- a/crates/gateway/src/relay/forward/mod.rs
+++ b/crates/gateway/src/relay/forward/mod.rs
@@ -203,6 +203,7 @@
             last_event: last_event.or(self.info.last_event),
             version: self.version,
             catalog_version: self.node.catalog_version(),
+            known_catalog: Some(self.node.known_catalog()),
         };
         let mut headers = end_to_end_headers(&self.head.headers, &[]);
         headers.remove(http::header::CONTENT_LENGTH);
--- a/crates/gateway/src/relay/forward/response.rs
+++ b/crates/gateway/src/relay/forward/response.rs
@@ -1,16 +1,19 @@
 //! Takes in what another node responds to a request that was forwarded to it.
 
+use std::net::SocketAddr;
+
 use hgw_direct::{Engine, Refusal, VersionKey};
 use hgw_http1::{BodyDecoder, Conn, Head, end_to_end_headers};
 use http::{Response, StatusCode};
 
-use crate::peers::{FORWARDED, ForwardOutcome};
+use crate::peers::{self, FORWARDED, ForwardOutcome};
 use crate::relay::attempt::{AttemptResult, StartedResponse};
 use crate::relay::open_attempt::ForwardAttempt;
 use crate::relay::request::RelayedRequest;
 use crate::relay::source::{ForwardGuard, Source};
 use crate::relay::wait::WaitResult;
 use crate::response::{CallerResponse, ResponseBody};
+use crate::shared::CatalogMention;
 
 use super::{CountedBy, ForwardRefusal, MAX_FORWARDS};
 
@@ -49,13 +52,17 @@
                 let started = StartedResponse { engine, version, conn, head, source };
                 AttemptResult::Started(Box::new(started))
             }
-            Some(ForwardOutcome::Refused { reason, may_run_elsewhere }) => {
+            Some(ForwardOutcome::Refused { reason, may_run_elsewhere, newer_catalog }) => {
                 self.settle_forward(&guard, 0);
                 let body = conn.read_body(BodyDecoder::new(head.framing), MAX_REFUSAL_BYTES);
                 let WaitResult::Done(Ok(body)) = self.within_deadline(body).await else {
                     return AttemptResult::NotForwarded;
                 };
                 guard.return_connection(conn);
+                if let Some(version) = newer_catalog {
+                    self.take_newer_catalog(guard.addr, version).await;
+                    return AttemptResult::NotForwarded;
+                }
                 if may_run_elsewhere {
                     self.record_forwarder_refusal(&guard, &reason);
                     return AttemptResult::NotForwarded;
@@ -80,6 +87,17 @@
         }
     }
 
+    /// Takes a newer configuration from the node that refused the request as this one has an older one. That node may be asked
+    /// again once it is in force.
+    async fn take_newer_catalog(&mut self, addr: SocketAddr, version: u64) {
+        let node = &self.node;
+        peers::record_catalog_of(node, addr, version, CatalogMention::ForwarderRefusal);
+        let max_wait = peers::AGREE_WITHIN.min(self.time_left());
+        if peers::wait_for_catalog(node, version, max_wait).await {
+            self.tried_forwarders.retain(|tried| *tried != addr);
+        }
+    }
+
     /// Takes in that another node has made so many attempts and makes no more.
     fn settle_forward(&self, guard: &ForwardGuard, runs: u32) {
         guard.settle(runs);
--- a/crates/gateway/src/shared/catalog.rs
+++ b/crates/gateway/src/shared/catalog.rs
@@ -18,6 +18,8 @@
     PollResponse,
     #[display("forwarded request")]
     ForwardedRequest,
+    #[display("refusal of a forwarded request")]
+    ForwarderRefusal,
 }
 
 impl Shared {
@@ -92,9 +94,9 @@
         self.catalog_lag.set(lag);
     }
 
-    /// Whether the text of this version cannot be used here.
-    pub(crate) fn is_catalog_rejected(&self, version: u64) -> bool {
-        self.catalog_lag.get().is_rejected(version)
+    /// Newest configuration version that this node has, or whose text it cannot use.
+    pub(crate) fn known_catalog(&self) -> u64 {
+        self.catalog_version().max(self.catalog_lag.get().rejected())
     }
 
     /// Newest configuration version that another node reported.
@@ -104,8 +106,7 @@
 
     /// Whether another node reported a newer configuration than this node has, unless its text cannot be used here.
     pub(crate) fn is_catalog_outdated(&self) -> bool {
-        let reported = self.reported_catalog();
-        self.catalog_version() < reported && !self.is_catalog_rejected(reported)
+        self.known_catalog() < self.reported_catalog()
     }
 
     /// What becomes of callers while this node lacks a newer configuration.
--- a/crates/hibiscusgw/tests/platform/forwarding.rs
+++ b/crates/hibiscusgw/tests/platform/forwarding.rs
@@ -262,6 +262,35 @@
     }
 }
 
+/// Guards against callers of the other node that see a configuration which that node has not in force, so that their next
+/// requests go back.
+#[test]
+fn forwarder_with_a_newer_configuration_refuses_the_request_unrun_and_names_it() {
+    let mut fleet = new_fleet(Vec::new());
+    fleet.publish(&configuration(5));
+    let node = fleet.start("a");
+    let newest = configuration(5)["version"].as_u64().unwrap();
+    let call = |has: u64, known: Option<u64>| {
+        let mut forwarded = json!({
+            "age_ms": 0, "service": "desk", "executions": 0, "rejected": 0, "tried_engines": [],
+            "last_event": null, "catalog_version": has,
+        });
+        forwarded["known_catalog"] = known.into();
+        let forwarded = forwarded.to_string();
+        let id = format!("c-{has}-{known:?}");
+        let headers = [("host", HOST), ("x-request-id", &*id), ("hgw-forwarded", &*forwarded)];
+        let peer = Caller::new(fleet.nodes[node].peers).unwrap();
+        let answer = peer.call(Method::POST, "/look/", &headers, "body").unwrap();
+        let outcome = answer.headers["hgw-forwarded"].to_str().unwrap();
+        let newer = format!("\"newer_catalog\":{newest}");
+        (answer.status, outcome.contains(&newer), fleet.runs(&id))
+    };
+    assert_eq!(call(newest - 1, Some(newest - 1)), (StatusCode::SERVICE_UNAVAILABLE, true, 0));
+    // The text cannot be used there, or the release does not take it.
+    assert_eq!(call(newest - 1, Some(newest)), (StatusCode::OK, false, 1));
+    assert_eq!(call(newest - 1, None), (StatusCode::OK, false, 1));
+}
+
 /// Guards against callers that mark their own requests as forwarded, which are not charged.
 #[test]
 fn caller_cannot_mark_a_request_as_forwarded() {
