Nodes without news ask others who leads

What callers saw: after another node had claimed the lease of a leader that the store turned away, that leader and every other node turned away with it served by their old configuration until the store took them again: a new route got 404 there for as long as that lasted.

Cause: a node that the store turns away learns who leads from the node that it polls alone. A leader that is turned away never reads of the claim of its successor, goes on answering polls, and no node that has newer data polls it any more.

Change: a node without news for a lease (a leader that has not renewed for one) asks two random nodes who leads, each 0.3 to 2 s. It follows a newer claim; a leader with an older one steps down, as it does when an engine names a higher fencing token. The response names the configuration too.

Test: nodes_behind_a_leader_that_lost_its_lease_follow_the_next_one failed before (404 at node 0 two seconds after the acknowledgement) and passes; so do the other six of turned_away.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod in_flight;
 mod isolation;
 mod leader_liveness;
+mod leader_search;
 mod list_changes;
 pub mod overload;
 mod peer_silence;
@@ -98,6 +99,7 @@
 pub use idle_trust::{IdleTrust, LONG_IDLE, SHORT_IDLE};
 pub use isolation::is_isolated;
 pub use leader_liveness::LeaderLiveness;
+pub use leader_search::LeaderSearch;
 pub use list_changes::{
     EngineRecord, EngineStateChange, ListChanges, ListReceiver, ListUpdate, ListUpdateKind,
     ListVersion, is_large_list, polls_store,
--- a/crates/events/src/catalogue.rs
+++ b/crates/events/src/catalogue.rs
@@ -94,6 +94,7 @@
     EngineNotice = 4018, Info, "an engine has said in a response that it leaves or wants rest";
     EngineNoticeInvalid = 4019, Warn, "an engine said in a response what cannot be parsed; it is ignored";
     EngineSurveyed = 4020, Info, "an engine has reported what it has loaded";
+    LeaderReported = 4021, Info, "another node has said who leads, which neither the store nor the polled node did";
     PlannerGained = 4101, Info, "this node became the planner of its region";
     PlannerLost = 4102, Info, "this node is no longer the planner of its region";
     FloorInForce = 4103, Info, "a plan of minimum model replicas is active";
--- a/crates/gateway/src/election/mod.rs
+++ b/crates/gateway/src/election/mod.rs
@@ -75,13 +75,20 @@
         self.renewal_end.filter(|_| self.is_leader()).map(|end| (end, age))
     }
 
-    /// Records a leader that another node reported, if its claim is newer than the known one.
-    pub(crate) fn record_reported_leader(&mut self, leader: LeaderInfo) {
+    /// Fencing token of this node's own claim while it is the leader.
+    pub(crate) fn own_fence(&self) -> Option<u64> {
+        self.own_claim.and_then(Cursor::fencing_token)
+    }
+
+    /// Records a leader that another node reported, if its claim is newer than the known one. Returns whether it is.
+    pub(crate) fn record_reported_leader(&mut self, leader: LeaderInfo) -> bool {
         let is_newer = self.newest_fence.is_none_or(|newest| newest < leader.fence);
-        if is_newer && !self.is_leader() {
-            self.newest_fence = Some(leader.fence);
-            self.leader = Some(leader);
+        if !is_newer || self.is_leader() {
+            return false;
         }
+        self.newest_fence = Some(leader.fence);
+        self.leader = Some(leader);
+        true
     }
 
     /// Records an attempt to renew, unless the last one is at least a lease ago: another node may
--- a/crates/gateway/src/peers/forwarding.rs
+++ b/crates/gateway/src/peers/forwarding.rs
@@ -7,7 +7,6 @@
 use hgw_direct::{EngineId, GrantId, Refusal, ServiceId, VersionKey, broadcasts_sends};
 use http::{HeaderName, HeaderValue};
 use hyper::body::Incoming;
-use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -16,8 +15,8 @@
 use crate::response::{CallerResponse, Outcome};
 use crate::shared::{CatalogMention, Node};
 
-use super::call;
 use super::catalog_text::{record_catalog_of, wait_for_catalog};
+use super::{call, sample};
 
 /// Marks a request that another node has forwarded, and the response to it. Callers do not reach the
 /// listener on which it counts.
@@ -276,11 +275,6 @@
     ForwardersResponse { nodes }
 }
 
-/// So many random entries.
-fn sample(mut addrs: Vec<SocketAddr>, count: usize) -> Vec<SocketAddr> {
-    addrs.partial_shuffle(&mut rand::rng(), count).0.to_vec()
-}
-
 /// Makes sure that this node knows others that may forward its requests, if there are any.
 pub(crate) async fn find_forwarders(node: &Node, service: &ServiceId) {
     let own_addr = node.settings.borrow().peer_addr;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,6 +5,7 @@
 mod datagrams;
 mod forwarding;
 mod in_flight;
+mod leader_search;
 mod limits;
 mod list;
 mod loads;
@@ -25,6 +26,7 @@
 use http::{Method, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -49,6 +51,7 @@
     request_attempt,
 };
 pub(crate) use in_flight::report_in_flight;
+pub(crate) use leader_search::search_leader;
 pub(crate) use limits::send_engine_news;
 use list::apply_placements;
 use loads::apply_loads;
@@ -201,6 +204,9 @@
             Ok(request) => json_response(&forwarding::grant_attempt(&node, request)),
             Err(_) => json_error(StatusCode::BAD_REQUEST, "the body names no grant"),
         },
+        (&Method::POST, leader_search::LEADER_PATH) => {
+            json_response(&leader_search::leader_response(&node))
+        }
         (&Method::POST, TRIAL_PATH) => match serde_json::from_slice::<TrialRequest>(&body) {
             Ok(TrialRequest { part }) => {
                 json_response(&TrialResponse { is_granted: crashes::grant(&node, part) })
@@ -248,6 +254,11 @@
     json_response(&poll_response::poll_response(node, &request).await)
 }
 
+/// So many random entries.
+fn sample(mut addrs: Vec<SocketAddr>, count: usize) -> Vec<SocketAddr> {
+    addrs.partial_shuffle(&mut rand::rng(), count).0.to_vec()
+}
+
 /// Adds the demand of nodes behind this hub to its own report to the leader.
 fn record_child_demand(node: &Node, demand: &[DemandCount]) {
     let now = node.now();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -78,6 +78,7 @@
     spawn(Box::pin(follow::engines(Rc::clone(&node))));
     spawn(Box::pin(election::run(Rc::clone(&node))));
     spawn(Box::pin(peers::poll(Rc::clone(&node))));
+    spawn(Box::pin(peers::search_leader(Rc::clone(&node))));
     spawn(Box::pin(peers::report_in_flight(Rc::clone(&node))));
     spawn(Box::pin(quotas::refill(Rc::clone(&node))));
     spawn(Box::pin(listen::serve(Rc::clone(&node), peer_listener, peers::handle_request)));
--- a/crates/gateway/src/shared/catalog.rs
+++ b/crates/gateway/src/shared/catalog.rs
@@ -16,6 +16,8 @@
     Poll,
     #[display("response to a poll")]
     PollResponse,
+    #[display("response to who leads")]
+    LeaderResponse,
     #[display("forwarded request")]
     ForwardedRequest,
     #[display("refusal of a forwarded request")]
--- a/crates/hibiscusgw/tests/platform/turned_away.rs
+++ b/crates/hibiscusgw/tests/platform/turned_away.rs
@@ -19,6 +19,9 @@
 /// by a newer one.
 const REVERT_WITHIN: Duration = Duration::from_millis(250);
 
+/// Longer than the lease and all waits before a claim: another node leads by then.
+const LEASE_PASSED: Duration = Duration::from_secs(4);
+
 /// Time for which a node reaches no engine, and time for which its callers send requests.
 const CUT_TIME: Duration = Duration::from_secs(3);
 const CALLING_TIME: Duration = Duration::from_secs(6);
@@ -107,6 +110,23 @@
     hub_and_a_node_behind_it_are_refused: 14 nodes in ["a", "b"], without [0, 1, 2, 3, 5], Refused;
 }
 
+/// Guards against nodes that all poll a leader whose lease has passed to another node, and hear of nothing that happens since.
+#[test]
+fn nodes_behind_a_leader_that_lost_its_lease_follow_the_next_one() {
+    for zones in [&["a"][..], &["a", "b"]] {
+        let fleet = fleet_of(4, zones);
+        turn_away(&fleet, &[0, 1], Condition::Refused);
+        std::thread::sleep(LEASE_PASSED);
+        for (version, route) in [(2, "first"), (3, "second")] {
+            fleet.publish(&configuration_with_route(version, route));
+            assert_in_force(&fleet, route);
+        }
+        turn_away(&fleet, &[0, 1], Condition::Open);
+        fleet.publish(&configuration_with_route(4, "last"));
+        assert_in_force(&fleet, "last");
+    }
+}
+
 /// Guards against a node that goes back to its old configuration: while it reached no engine its requests ran by the newer
 /// one of the nodes that forwarded them.
 #[test]
