Test: a head that ends in its middle is no response, at each of its bytes

Another operator reports an engine that closed in the middle of its response's head, and a 200 with an empty body to the caller. Not reproduced: the client for engines and nodes takes a head only whole. The test ends the connection after each byte of six forms of head (length first or last, chunked, until close, after a 103, HTTP/1.0 with bare line feeds) and passes on the code as it is, so that it guards what held before.

--- a/crates/http1/tests/conn.rs
+++ b/crates/http1/tests/conn.rs
@@ -129,6 +129,25 @@
     assert_matches!(refused, Err(Error::Connect { .. }));
 }
 
+/// Guards against a head that ends in its middle being taken for a whole one, with an empty body.
+#[tokio::test]
+async fn connection_that_ends_in_the_middle_of_a_head_is_no_response() {
+    let heads: [&[u8]; 6] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Response-Seal: s\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n\r\n",
+        b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nX-Y: z\r\n\r\n",
+        b"HTTP/1.0 200 OK\nX-Response-Seal: s\n\n",
+    ];
+    for head in heads {
+        for length in 0..head.len() {
+            let (_, result) = exchange(&head[..length], false).await;
+            assert_matches!(result, Err(_), "{length} bytes of {}", String::from_utf8_lossy(head));
+        }
+    }
+}
+
 #[test]
 fn framing_of_an_empty_body_is_whole_at_once() {
     assert!(BodyDecoder::new(Framing::Length(0)).is_complete());
