--- a/crates/hibiscusgw/tests/platform/turned_away.rs
+++ b/crates/hibiscusgw/tests/platform/turned_away.rs
@@ -66,12 +66,12 @@
     nodes.iter().for_each(|node| fleet.nodes[*node].to_store.set(how));
 }
 
-/// Whether a node serves a route, by a request of its own name.
-fn serves(fleet: &Fleet, node: usize, route: &str, name: &str) -> Option<StatusCode> {
+/// The status of a request of a route at a node.
+fn status(fleet: &Fleet, node: usize, route: &str, name: &str) -> Option<StatusCode> {
     fleet.nodes[node].plain(&format!("/{route}/"), name).ok().map(|answer| answer.status)
 }
 
-/// Waits until all nodes serve a route for the whole of a second, within the time for changes.
+/// Calls all nodes for the time for changes, after which each has to serve the route.
 fn assert_in_force(fleet: &Fleet, route: &str) {
     let until = Instant::now() + APPLY_WITHIN;
     let mut sent = 0;
@@ -79,12 +79,12 @@
         sent += 1;
         std::thread::sleep(CALL_PAUSE);
         for node in 0..fleet.nodes.len() {
-            serves(fleet, node, route, &format!("{route}-early-{node}-{sent}"));
+            status(fleet, node, route, &format!("{route}-early-{node}-{sent}"));
         }
     }
     for node in 0..fleet.nodes.len() {
-        let status = serves(fleet, node, route, &format!("{route}-{node}"));
-        assert_eq!(status, Some(StatusCode::OK), "{route} at node {node} after {APPLY_WITHIN:?}");
+        let last = status(fleet, node, route, &format!("{route}-{node}"));
+        assert_eq!(last, Some(StatusCode::OK), "{route} at node {node} after {APPLY_WITHIN:?}");
     }
 }
 
@@ -163,7 +163,7 @@
             fleet.cut_from_engines(&[1], None);
         }
         let (id, sent_at) = (format!("look-{n}"), Instant::now());
-        serves(fleet, 1, "look", &id);
+        status(fleet, 1, "look", &id);
         let runs_at = |service: &str| {
             let mut engines = fleet.engines.iter().filter(|e| e.id().starts_with(service));
             engines.any(|e| e.record().runs.contains_key(&id))
