--- a/crates/hibiscusgw/tests/platform/turned_away.rs
+++ b/crates/hibiscusgw/tests/platform/turned_away.rs
@@ -4,7 +4,7 @@
 
 use hgw_standins::fleet::EngineSettings;
 use hgw_standins::fleet::deployment::{
-    Fleet, NodeLinks, configuration, configuration_with_route, holds,
+    Fleet, NodeLinks, configuration, configuration_with_route, holds, wait,
 };
 use hgw_standins::link::{Condition, ProcessCut};
 use http::StatusCode;
@@ -24,7 +24,7 @@
 
 /// Time for which a node reaches no engine, and time for which its callers send requests.
 const CUT_TIME: Duration = Duration::from_secs(3);
-const CALLING_TIME: Duration = Duration::from_secs(6);
+const CALLING_TIME: Duration = Duration::from_secs(7);
 
 /// Text of each poll of another node.
 const POLL: &str = "/tell";
@@ -145,8 +145,8 @@
     assert_stays_moved(&fleet);
 }
 
-/// Moves a route while node 1 reaches no engine. Once the node's requests are run by the new service, none is run by the old
-/// one any more, also when it reaches engines again.
+/// Moves a route while node 1 reaches no engine. Once the node's requests are run by the new service, and after the time for
+/// changes in any case, none is run by the old one any more, also when it reaches engines again.
 fn assert_stays_moved(fleet: &Fleet) {
     fleet.cut_from_engines(&[1], Some(ProcessCut::Reset));
     std::thread::sleep(Duration::from_millis(600));
@@ -172,11 +172,14 @@
             served += 1;
             moved_at.get_or_insert_with(Instant::now);
         }
-        if runs_at("desk") && moved_at.is_some_and(|at| sent_at > at + REVERT_WITHIN) {
+        let is_late = moved_at.is_some_and(|at| sent_at > at + REVERT_WITHIN);
+        if runs_at("desk") && (is_late || elapsed > APPLY_WITHIN) {
             late.push((id, elapsed));
         }
         std::thread::sleep(CALL_PAUSE);
     }
     assert_eq!(late, [], "requests that were handled by the old configuration");
     assert!(served > 20, "{served} requests were served by the new one");
+    turn_away(fleet, &[0, 1], Condition::Open);
+    wait("the node is ready", || fleet.nodes[1].is_ready());
 }
