--- a/crates/gateway/src/election/mod.rs
+++ b/crates/gateway/src/election/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hgw_direct::LeaderLiveness;
+use hgw_events::{Event, emit};
 use serde::{Deserialize, Serialize};
 
 use crate::clock::boot_time;
@@ -105,6 +106,13 @@
         self.attempted_at = boot_time();
     }
 
+    /// Ends this node's claim, if it has one, as another node leads or may lead by now.
+    pub(crate) fn lose_claim(&mut self, own_name: &str) {
+        if let Some(fence) = self.own_claim.take().and_then(Cursor::fencing_token) {
+            emit(Event::KeeperLost, &[("node", &own_name), ("term", &fence)]);
+        }
+    }
+
     /// Steps down after an engine reported a higher fencing token.
     pub(crate) fn step_down(&mut self) {
         self.own_claim = None;
--- a/crates/gateway/src/election/participant.rs
+++ b/crates/gateway/src/election/participant.rs
@@ -219,10 +219,7 @@
         let lease = node.settings.borrow().lease;
         let Some(old_fence) = node.leadership.borrow().exclusive_fencing_token(lease) else {
             let name = node.settings.borrow().node.clone();
-            let lost_claim = node.leadership.borrow_mut().own_claim.take();
-            if let Some(fence) = lost_claim.and_then(Cursor::fencing_token) {
-                emit(Event::KeeperLost, &[("node", &name), ("term", &fence)]);
-            }
+            node.leadership.borrow_mut().lose_claim(&name);
             return Ok(());
         };
         if let Some((fence, _)) = self.append_claim(end).await? {
@@ -325,13 +322,12 @@
         self.lease_free_from = Duration::ZERO;
         let own_name = self.node.settings.borrow().node.clone();
         let mut leadership = self.node.leadership.borrow_mut();
-        let lost_claim = leadership.own_claim.filter(|mine| {
+        let is_lost = leadership.own_claim.is_some_and(|mine| {
             lease_record.node != own_name
-                || (lease_record.kind == RecordKind::Claim && record.position != *mine)
+                || (lease_record.kind == RecordKind::Claim && record.position != mine)
         });
-        if let Some(fence) = lost_claim.and_then(Cursor::fencing_token) {
-            emit(Event::KeeperLost, &[("node", &own_name), ("term", &fence)]);
-            leadership.own_claim = None;
+        if is_lost {
+            leadership.lose_claim(&own_name);
         }
         if leadership.own_claim.is_some() {
             leadership.renewed_at = sent_at;
--- a/crates/gateway/src/peers/leader_search.rs
+++ b/crates/gateway/src/peers/leader_search.rs
@@ -29,9 +29,6 @@
 /// Nodes that are asked at a time: the store may turn some of them away too.
 const ASKED_AT_A_TIME: usize = 2;
 
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub(super) struct LeaderRequest {}
-
 /// What a node knows that one without news lacks. The rest comes with the polls of the leader.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct LeaderResponse {
@@ -86,8 +83,7 @@
 }
 
 async fn ask(node: &Node, addr: SocketAddr) {
-    let request = LeaderRequest {};
-    let response = call::<_, LeaderResponse>(node, addr, LEADER_PATH, &request, QUESTION_TIMEOUT);
+    let response = call::<_, LeaderResponse>(node, addr, LEADER_PATH, &(), QUESTION_TIMEOUT);
     let Some(response) = response.await else { return };
     eras::record_reported(node, response.era);
     if let Some(leader) = response.leader {
@@ -99,16 +95,15 @@
 /// Takes in who leads. This node ceases to lead if another one has claimed the lease since.
 fn record_leader(node: &Node, from: SocketAddr, leader: LeaderInfo) {
     let own_name = node.settings.borrow().node.clone();
+    let (name, fence) = (leader.node.clone(), leader.fence);
     let mut leadership = node.leadership.borrow_mut();
-    if let Some(fence) = leadership.own_fence().filter(|own| *own < leader.fence) {
-        emit(Event::KeeperLost, &[("node", &own_name), ("term", &fence)]);
-        leadership.step_down();
+    if leadership.own_fence().is_some_and(|own| own < fence) {
+        leadership.lose_claim(&own_name);
     }
-    if leadership.record_reported_leader(leader.clone()) {
-        let LeaderInfo { node: name, fence, .. } = &leader;
+    if leadership.record_reported_leader(leader) {
         emit(
             Event::LeaderReported,
-            &[("node", &own_name), ("peer", &from), ("leader", name), ("term", fence)],
+            &[("node", &own_name), ("peer", &from), ("leader", &name), ("term", &fence)],
         );
     }
 }
