Stand-ins: engines that send fixed bytes in place of their responses

The server before an engine, which `endless` had for itself, is a module of its own (`proxy`), which both use; the engine still counts its runs.

--- a/crates/standins/src/fleet/endless.rs
+++ b/crates/standins/src/fleet/endless.rs
@@ -4,15 +4,14 @@
 //! that the engine sends.
 
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::net::TcpStream;
 
+use super::proxy::{Message, Proxy, field, has_name, read_body, read_head};
 use crate::faults::lock;
 
 /// Bytes of one write, and the pause after it, so that hundreds of senders leave time for others.
@@ -82,35 +81,25 @@
 /// A server before an engine; it stops when this is dropped.
 #[derive(Debug)]
 pub struct Sender {
-    addr: SocketAddr,
+    proxy: Proxy,
     record: Arc<Mutex<EndlessRecord>>,
-    stop: Option<oneshot::Sender<()>>,
-    thread: Option<JoinHandle<()>>,
 }
 
 impl Sender {
     /// Starts one before the engine at `engine`.
     pub fn start(engine: SocketAddr, endless: Endless) -> io::Result<Sender> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let listener = runtime.block_on(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))?;
-        let addr = listener.local_addr()?;
         let record = Arc::<Mutex<EndlessRecord>>::default();
-        let (stop, stopped) = oneshot::channel();
         let kept = Arc::clone(&record);
-        let accept = async move {
-            tokio::select! {
-                () = accept_all(listener, engine, endless, kept) => {}
-                _ = stopped => {}
-            }
-        };
-        let run = move || runtime.block_on(accept);
-        let thread = std::thread::Builder::new().name("standin-endless".into()).spawn(run)?;
-        Ok(Sender { addr, record, stop: Some(stop), thread: Some(thread) })
+        let proxy = Proxy::start(move |node| {
+            let record = Arc::clone(&kept);
+            async move { serve(node, engine, endless, &record).await }
+        })?;
+        Ok(Sender { proxy, record })
     }
 
     /// Where it listens.
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.proxy.addr()
     }
 
     /// What became of what it sent.
@@ -119,33 +108,6 @@
     }
 }
 
-impl Drop for Sender {
-    fn drop(&mut self) {
-        drop(self.stop.take());
-        if let Some(thread) = self.thread.take() {
-            // A panic of the thread has been printed; there is nothing to add.
-            let _ = thread.join();
-        }
-    }
-}
-
-async fn accept_all(
-    listener: TcpListener,
-    engine: SocketAddr,
-    endless: Endless,
-    record: Arc<Mutex<EndlessRecord>>,
-) {
-    loop {
-        // An error here concerns one connection that broke before it was taken.
-        let Ok((node, _)) = listener.accept().await else { continue };
-        let record = Arc::clone(&record);
-        tokio::spawn(async move {
-            // How a connection ends is for its two ends to see.
-            let _ = serve(node, engine, endless, &record).await;
-        });
-    }
-}
-
 /// Serves a connection until the node closes it.
 async fn serve(
     mut node: TcpStream,
@@ -264,55 +226,3 @@
 fn chunk(data: &str) -> String {
     format!("{:x}\r\n{data}\r\n", data.len())
 }
-
-/// A request or a response; both may have a body.
-struct Message {
-    head: String,
-    body: Vec<u8>,
-}
-
-impl Message {
-    async fn read(from: &mut TcpStream) -> io::Result<Message> {
-        let head = read_head(from).await?;
-        let body = read_body(from, &head).await?;
-        Ok(Message { head, body })
-    }
-
-    fn bytes(&self) -> Vec<u8> {
-        [self.head.as_bytes(), &self.body].concat()
-    }
-}
-
-/// Reads a head with the empty line after it.
-async fn read_head(from: &mut TcpStream) -> io::Result<String> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(from.read_u8().await?);
-    }
-    Ok(String::from_utf8_lossy(&head).into_owned())
-}
-
-/// Reads the body after a head as it comes, with its framing.
-async fn read_body(from: &mut TcpStream, head: &str) -> io::Result<Vec<u8>> {
-    let mut body = Vec::new();
-    if field(head, "transfer-encoding").is_some() {
-        while !body.ends_with(b"0\r\n\r\n") {
-            body.push(from.read_u8().await?);
-        }
-        return Ok(body);
-    }
-    let length = field(head, "content-length").and_then(|length| length.parse().ok());
-    body.resize(length.unwrap_or(0), 0);
-    from.read_exact(&mut body).await?;
-    Ok(body)
-}
-
-fn has_name(line: &str, name: &str) -> bool {
-    line.split_once(':').is_some_and(|(found, _)| found.eq_ignore_ascii_case(name))
-}
-
-/// The value of a field of a head.
-fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    let line = head.split("\r\n").find(|line| has_name(line, name))?;
-    line.split_once(':').map(|(_, value)| value.trim())
-}
--- a/crates/standins/src/fleet/engine/mod.rs
+++ b/crates/standins/src/fleet/engine/mod.rs
@@ -19,6 +19,8 @@
 use tokio::sync::mpsc::channel;
 
 use super::endless::{EndlessRecord, Sender};
+use super::fixed;
+use super::proxy::Proxy;
 use crate::client::Caller;
 use crate::faults::{Faults, Switches, lock};
 use crate::server::{Body, Reply, Running, StandIn, bounded_stream, failure, json, serve};
@@ -63,6 +65,8 @@
 pub struct Engine {
     running: Running,
     sender: Option<Sender>,
+    /// Sends fixed responses in place of its own.
+    proxy: Option<Proxy>,
     shared: Arc<Shared>,
 }
 
@@ -127,13 +131,16 @@
     let running = serve("fleet-engine", listen, switches, Arc::clone(&shared))?;
     let endless = shared.settings.endless;
     let sender = endless.map(|endless| Sender::start(running.addr(), endless)).transpose()?;
-    Ok(Engine { running, sender, shared })
+    let fixed = Some(&shared.settings.fixed).filter(|fixed| !fixed.is_empty());
+    let proxy = fixed.map(|fixed| fixed::start(running.addr(), fixed)).transpose()?;
+    Ok(Engine { running, sender, proxy, shared })
 }
 
 impl Engine {
     /// Where it listens.
     pub fn addr(&self) -> SocketAddr {
-        self.sender.as_ref().map_or(self.running.addr(), Sender::addr)
+        let sender = self.sender.as_ref().map(Sender::addr);
+        sender.or(self.proxy.as_ref().map(Proxy::addr)).unwrap_or(self.running.addr())
     }
 
     /// What became of what it sent without end.
--- a/crates/standins/src/fleet/engine/settings.rs
+++ b/crates/standins/src/fleet/engine/settings.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use super::Holds;
-use crate::fleet::Endless;
+use crate::fleet::{Endless, FixedResponse};
 
 /// Settings of an engine.
 #[derive(Debug, Clone)]
@@ -50,6 +52,8 @@
     pub keep_alive: Option<Duration>,
     /// What it sends without end in place of its responses or after them, if it does.
     pub endless: Option<Endless>,
+    /// What it sends in place of its responses, by the id of the request up to its first dot.
+    pub fixed: IndexMap<String, FixedResponse>,
 }
 
 impl Default for EngineSettings {
@@ -76,6 +80,7 @@
             unread_limit: None,
             keep_alive: None,
             endless: None,
+            fixed: IndexMap::new(),
         }
     }
 }
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -3,9 +3,12 @@
 pub mod deployment;
 pub mod endless;
 pub mod engine;
+pub mod fixed;
+mod proxy;
 pub mod store;
 
 pub use deployment::Fleet;
 pub use endless::{Endless, EndlessRecord, Part};
 pub use engine::{EngineSettings, FleetRecord, Holds};
+pub use fixed::FixedResponse;
 pub use store::Store;
