--- a/crates/gateway/src/engine_notices.rs
+++ b/crates/gateway/src/engine_notices.rs
@@ -7,6 +7,7 @@
 use hgw_direct::{EngineId, EngineNotices, Millis, RestTime};
 use hgw_events::{Event, emit};
 use hgw_http1::Head;
+use http::StatusCode;
 use rand::random;
 
 use crate::attempt_guard::AttemptGuard;
@@ -45,11 +46,12 @@
     guard: &AttemptGuard,
     info: &ResponseInfo,
     request_id: &str,
-    status: u16,
+    status: StatusCode,
 ) {
     if !is_from(guard, info, status) {
         return;
     }
+    let status = status.as_u16();
     log_invalid(node, guard, &info.notices);
     if info.notices.is_leaving {
         record_own_leaving(node, guard.engine_key(), &request_id, status);
@@ -79,7 +81,7 @@
 ) {
     let info = node.protocols.upstreams.parse_head(head);
     if info.notices.is_leaving && !info.is_misdirected && info.may_come_from(engine) {
-        record_own_leaving(node, key, call, head.status);
+        record_own_leaving(node, key, call, head.status.as_u16());
     }
 }
 
@@ -123,8 +125,8 @@
 /// Whether the response comes from the engine that the request was sent to, in its current incarnation. A success without
 /// a signature or an id, or what somebody else sent at its address, says nothing of it; responses to other requests have been
 /// dropped by their ids.
-fn is_from(guard: &AttemptGuard, info: &ResponseInfo, status: u16) -> bool {
-    let is_unproved = (200..300).contains(&status) && !(info.is_signed && info.id.is_some());
+fn is_from(guard: &AttemptGuard, info: &ResponseInfo, status: StatusCode) -> bool {
+    let is_unproved = status.is_success() && !(info.is_signed && info.id.is_some());
     info.may_come_from(guard.engine()) && !is_unproved && !guard.engine_restarted()
 }
 
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -219,7 +219,7 @@
         let head = conn.round_trip(req).await.ok()?;
         engine_notices::observe_call(node, engine, key, &head, &req.target);
         let body = conn.read_body(BodyDecoder::new(head.framing), MAX_RESPONSE_BYTES).await.ok()?;
-        Some((head.status, body))
+        Some((head.status.as_u16(), body))
     };
     match timeout(RESPONSE_TIMEOUT, response).await {
         Ok(Some((status, body))) => {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -172,7 +172,7 @@
     let body = conn.read_body_at_pace(body, MAX_MESSAGE_BYTES, BODY_PACE, |_| {}).await;
     let body = body.map_err(|_| CallError::NoResponse)?;
     node.pool.put(addr, conn);
-    if head.status == 200 { Ok(body) } else { Err(CallError::Refused) }
+    if head.status == StatusCode::OK { Ok(body) } else { Err(CallError::Refused) }
 }
 
 pub(crate) async fn handle_request(node: Node, req: http::Request<Incoming>) -> ResponseResult {
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -6,6 +6,7 @@
 
 use hgw_direct::{AttemptOutcome, Engine, EngineId, NoEngine, VersionKey};
 use hgw_http1::{Conn, Framing, Head, Request};
+use http::StatusCode;
 use tokio::time::Instant;
 
 use crate::attempt_guard::AttemptGuard;
@@ -49,7 +50,7 @@
 /// Whether a body consists of events.
 pub(super) fn is_event_stream(head: &Head) -> bool {
     let content_type = head.headers.get(http::header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
-    head.status == 200
+    head.status == StatusCode::OK
         && head.framing != Framing::Length(0)
         && content_type.is_some_and(|t| t.starts_with("text/event-stream"))
 }
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hgw_direct::{AttemptOutcome, NoEngine, Refusal};
-use http::{Response, StatusCode};
+use http::Response;
 
 use crate::held_bytes::Reservation;
 use crate::response::{CallerResponse, ResponseBody};
@@ -71,7 +71,7 @@
             return None;
         }
     };
-    let is_failure = head.status >= 500;
+    let is_failure = head.status.is_server_error();
     req.record_response(&engine, is_failure);
     source.record_outcome(if is_failure {
         AttemptOutcome::Failed
@@ -80,18 +80,18 @@
     });
     source.record_byte();
     source.return_connection(conn);
-    if (200..300).contains(&head.status) {
+    if head.status.is_success() {
         req.record_completion(&source);
         if req.prompt().is_none() {
             source.record_call();
         }
     }
     if !is_failure {
-        req.log_served(&engine, &source, head.status, &EventTiming::start());
+        req.log_served(&engine, &source, head.status.as_u16(), &EventTiming::start());
     }
     body::record_response_size(&req.node, &req.route, body.len());
     let mut response = Response::new(ResponseBody::full(held.hold(body)));
-    *response.status_mut() = StatusCode::from_u16(head.status).ok()?;
+    *response.status_mut() = head.status;
     *response.headers_mut() = req.node.protocols.upstreams.response_headers(&head);
     response.extensions_mut().insert(req.outcome_of(&engine, version));
     Some(response)
--- a/crates/gateway/src/relay/engine_response.rs
+++ b/crates/gateway/src/relay/engine_response.rs
@@ -117,8 +117,7 @@
         // Without an id the response may belong to another request; a success without a signature
         // does not come from the engine.
         let is_ours = info.id.is_some();
-        let is_success = (200..300).contains(&head.status);
-        if !is_ours || (is_success && !info.is_signed) {
+        if !is_ours || (head.status.is_success() && !info.is_signed) {
             guard.record_outcome(AttemptOutcome::Failed);
             return AttemptResult::NoResponse;
         }
--- a/crates/gateway/src/relay/forward/response.rs
+++ b/crates/gateway/src/relay/forward/response.rs
@@ -4,7 +4,7 @@
 
 use hgw_direct::{Engine, Refusal, VersionKey};
 use hgw_http1::{BodyDecoder, Conn, Head, end_to_end_headers};
-use http::{Response, StatusCode};
+use http::Response;
 
 use crate::peers::{self, FORWARDED, ForwardOutcome};
 use crate::relay::attempt::{AttemptResult, StartedResponse};
@@ -128,8 +128,7 @@
         let ForwardRefusal { head, body, reason } = refusal;
         self.log_refused_elsewhere(&reason);
         let mut response = Response::new(ResponseBody::full(body));
-        *response.status_mut() =
-            StatusCode::from_u16(head.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+        *response.status_mut() = head.status;
         *response.headers_mut() = end_to_end_headers(&head.headers, &[]);
         response
     }
--- a/crates/gateway/src/relay/stream/mod.rs
+++ b/crates/gateway/src/relay/stream/mod.rs
@@ -43,8 +43,7 @@
     match start_stream(&mut req, None).await {
         Ok(started) => {
             let mut response = Response::new(ResponseBody::Full(None));
-            let status = StatusCode::from_u16(started.head.status);
-            *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+            *response.status_mut() = started.head.status;
             *response.headers_mut() = req.node.protocols.upstreams.response_headers(&started.head);
             response.headers_mut().remove(CONTENT_LENGTH);
             response.extensions_mut().insert(req.outcome_of(&started.engine, started.version));
@@ -70,9 +69,9 @@
     let mut failure = None;
     loop {
         let started = start(req, last, failure).await?;
-        let is_failure = started.head.status >= 500;
+        let is_failure = started.head.status.is_server_error();
         req.record_response(&started.engine, is_failure);
-        if !is_failure && (last.is_none() || started.head.status == 200) {
+        if !is_failure && (last.is_none() || started.head.status == StatusCode::OK) {
             return Ok(started);
         }
         started.source.record_outcome(AttemptOutcome::Failed);
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/broken_responses.rs
@@ -0,0 +1,178 @@
+//! Engines that send bytes that are no response, or a response that is broken.
+
+use hgw_standins::client::{Result, Whole};
+use hgw_standins::fleet::deployment::{Fleet, holds, wait};
+use hgw_standins::fleet::{EngineSettings, FixedResponse};
+use http::StatusCode;
+use indexmap::IndexMap;
+
+use crate::new_fleet;
+
+/// Body of all responses: one event, so that it also is a whole stream.
+const BODY: &[u8] = b"data:x\n\n";
+
+/// The same in one chunk, without the last one.
+const CHUNK: &[u8] = b"8\r\ndata:x\n\n\r\n";
+
+/// Fields that every response has.
+const FIELDS: &[u8] =
+    b"X-Request-Id: {id}\r\nX-Response-Seal: s\r\nContent-Type: text/event-stream\r\n";
+
+const OK: &[u8] = b"HTTP/1.1 200 OK";
+
+/// How a response ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    /// The engine closes the connection.
+    Closed,
+    /// It keeps the connection.
+    Kept,
+}
+
+/// A response with this status line, these lines beside those that every response has, and this body.
+fn response(status_line: &[u8], lines: &[&[u8]], body: &[u8]) -> Vec<u8> {
+    let lines: Vec<u8> =
+        lines.iter().flat_map(|line| [line, b"\r\n".as_slice()].concat()).collect();
+    [status_line, b"\r\n", FIELDS, &lines, b"\r\n", body].concat()
+}
+
+/// One with a length.
+fn with_length(status_line: &[u8], line: &[u8]) -> Vec<u8> {
+    response(status_line, &[b"Content-Length: 8", line], BODY)
+}
+
+/// One in chunks, with these lines about its framing.
+fn with_coding(status_line: &[u8], lines: &[&[u8]]) -> Vec<u8> {
+    response(status_line, lines, &[CHUNK, b"0\r\n\r\n"].concat())
+}
+
+/// Responses with a status that is none.
+fn statuses() -> Vec<Vec<u8>> {
+    let statuses =
+        ["000", "001", "099", "101", "600", "999", "20", "2000", "+20", " 200", "2 0", ""];
+    let lines = statuses.iter().map(|status| format!("HTTP/1.1 {status} OK").into_bytes());
+    let versions = ["HTTP/0.9 200 OK", "HTTP/1.2 200 OK", "HTTP/2.0 200 OK", "HTTP/1.1\t200 OK"];
+    let lines: Vec<Vec<u8>> =
+        lines.chain(versions.iter().map(|line| line.bytes().collect())).collect();
+    let framed = |line: &Vec<u8>| {
+        [with_length(line, b"X: y"), with_coding(line, &[b"Transfer-Encoding: chunked"])]
+    };
+    let unframed =
+        ["000", "600"].map(|s| response(format!("HTTP/1.1 {s} OK").as_bytes(), &[], BODY));
+    lines.iter().flat_map(framed).chain(unframed).collect()
+}
+
+/// Three engines of the service that send these responses by the ids of requests, or one that is sound.
+fn engines(service: &str, responses: &[Vec<u8>], ending: Ending) -> Vec<EngineSettings> {
+    let keeps_open = ending == Ending::Kept;
+    let named = |(n, bytes): (usize, &Vec<u8>)| {
+        (format!("broken-{n}"), FixedResponse { bytes: bytes.clone(), keeps_open })
+    };
+    let mut fixed: IndexMap<_, _> = responses.iter().enumerate().map(named).collect();
+    fixed.insert("sound".into(), FixedResponse { bytes: with_length(OK, b"X: y"), keeps_open });
+    (0..3)
+        .map(|n| EngineSettings {
+            id: format!("{service}-own-{n}"),
+            service: service.into(),
+            holds: if service == "models" { holds(&[("m", &[])]) } else { holds(&[]) },
+            fixed: fixed.clone(),
+            ..EngineSettings::default()
+        })
+        .collect()
+}
+
+fn is_stream(route: &str) -> bool {
+    matches!(route, "once" | "ask")
+}
+
+fn may_repeat(route: &str) -> bool {
+    matches!(route, "look" | "ask")
+}
+
+fn send(fleet: &Fleet, node: usize, route: &str, id: &str) -> Result<Whole> {
+    let path = format!("/{route}/");
+    if is_stream(route) {
+        fleet.nodes[node].stream_of_new_session(&path, id, "m")
+    } else {
+        fleet.nodes[node].plain(&path, id)
+    }
+}
+
+/// Sends requests until engines have run one: the node leaves out engines that fail for a while.
+fn send_until_run(fleet: &Fleet, node: usize, route: &str, name: &str) -> (String, Result<Whole>) {
+    let (mut attempt, mut last) = (0, None);
+    wait("an engine runs the request", || {
+        attempt += 1;
+        let id = format!("{name}.{route}.{attempt}");
+        let response = send(fleet, node, route, &id);
+        let has_run = fleet.runs(&id) > 0;
+        last = Some((id, response));
+        has_run
+    });
+    last.expect("a request was sent")
+}
+
+/// Checks that no caller of this node takes one of these for a response.
+fn assert_no_response(fleet: &Fleet, node: usize, route: &str, responses: &[Vec<u8>]) {
+    let mut taken = Vec::new();
+    for (n, bytes) in responses.iter().enumerate() {
+        let (id, response) = send_until_run(fleet, node, route, &format!("broken-{n}"));
+        let most = if may_repeat(route) { 2 } else { 1 };
+        let is_right = match &response {
+            Ok(response) => {
+                let is_sealed = response.headers.contains_key("x-response-seal");
+                response.status == StatusCode::BAD_GATEWAY && !is_sealed
+            }
+            // A stream that has begun can only break off.
+            Err(_) => is_stream(route),
+        };
+        if !is_right || fleet.runs(&id) > most {
+            let (runs, bytes) = (fleet.runs(&id), bytes.escape_ascii());
+            taken.push(format!("{runs} runs of {bytes}: {response:?}"));
+        }
+    }
+    assert!(taken.is_empty(), "{} of {}:\n{}", taken.len(), responses.len(), taken.join("\n"));
+    let (_, sound) = send_until_run(fleet, node, route, "sound");
+    let sound = sound.unwrap();
+    assert_eq!((sound.status, sound.body.as_bytes()), (StatusCode::OK, BODY));
+}
+
+/// Starts a node before engines that all send these.
+fn play(route: &str, responses: &[Vec<u8>], ending: Ending) {
+    let service = if is_stream(route) { "models" } else { "desk" };
+    let mut fleet = new_fleet(engines(service, responses, ending));
+    only_own_engines(&fleet);
+    let node = fleet.start("a");
+    assert_no_response(&fleet, node, route, responses);
+}
+
+/// Removes the engines that are there besides.
+fn only_own_engines(fleet: &Fleet) {
+    ["desk-1", "desk-2"].iter().for_each(|id| fleet.store.put("keyed.servers", id, b""));
+}
+
+/// The same on each kind of route, whether the connection is kept or not.
+macro_rules! broken {
+    ($($why:literal, $module:ident: $responses:path;)*) => {
+        $(
+            mod $module {
+                broken!(@ $why, $responses; safe: "look", Closed; safe_kept: "look", Kept; unsafe_route: "print", Closed;
+                    unsafe_route_kept: "print", Kept; stream: "once", Closed; stream_kept: "once", Kept; resumable: "ask", Closed;);
+            }
+        )*
+    };
+    (@ $why:literal, $responses:path; $($name:ident: $route:literal, $ending:ident;)*) => {
+        $(
+            #[doc = $why]
+            #[test]
+            fn $name() {
+                super::play($route, &$responses(), super::Ending::$ending);
+            }
+        )*
+    };
+}
+
+broken! {
+    "Guards against a status that is none in a caller's response, or a failure with the seal and another status.",
+    of_status: super::statuses;
+}
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -19,6 +19,7 @@
 }
 
 mod brittle;
+mod broken_responses;
 mod caller_connections;
 mod calls;
 mod crashing;
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -178,7 +178,7 @@
                     return Err(Error::Incomplete);
                 }
             };
-            if (100..200).contains(&head.status) {
+            if head.status.is_informational() {
                 continue;
             }
             self.must_close = !reusable || head.closes_connection;
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,8 +1,10 @@
 //! Parsing of response heads.
 
+use std::ops::RangeInclusive;
+
 use bytes::BytesMut;
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
-use http::{HeaderMap, HeaderValue, Method};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
 use crate::{Error, Limit, Part, Result};
 
@@ -12,6 +14,9 @@
 /// Most fields of a head, and of the trailers after a body.
 pub(crate) const MAX_HEADERS: usize = 64;
 
+/// Status codes of HTTP (RFC 9110, 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
 /// How the end of a response body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -24,7 +29,7 @@
 /// Status and headers of a response.
 #[derive(Debug, Clone)]
 pub struct Head {
-    pub status: u16,
+    pub status: StatusCode,
     pub headers: HeaderMap,
     pub framing: Framing,
     /// Whether the peer closes the connection after the response.
@@ -47,6 +52,7 @@
         return Ok(None);
     };
     let code = parsed.code.ok_or(Error::Malformed { what: "status" })?;
+    let status = parse_status(code)?;
     let http10 = parsed.version == Some(0);
     let mut headers = HeaderMap::with_capacity(parsed.headers.len());
     for header in parsed.headers.iter() {
@@ -57,15 +63,27 @@
             _ => return Err(Error::Malformed { what: "header" }),
         };
     }
-    let framing = framing(code, &headers, method)?;
+    let framing = framing(status, &headers, method)?;
     let requests_close = has_token(&headers, CONNECTION, "close");
     let closes_connection = requests_close || http10 || framing == Framing::UntilClose;
     let _ = buf.split_to(len);
-    Ok(Some(Head { status: code, headers, framing, closes_connection }))
+    Ok(Some(Head { status, headers, framing, closes_connection }))
+}
+
+/// Takes three digits for a status only if they are one of HTTP, and none that changes the protocol: no request asks for
+/// that.
+fn parse_status(code: u16) -> Result<StatusCode> {
+    let status = StatusCode::from_u16(code).ok().filter(|_| STATUS_CODES.contains(&code));
+    let status = status.filter(|status| *status != StatusCode::SWITCHING_PROTOCOLS);
+    status.ok_or(Error::Malformed { what: "status" })
 }
 
-fn framing(status: u16, headers: &HeaderMap, method: &Method) -> Result<Framing> {
-    if method == Method::HEAD || status == 204 || status == 304 || (100..200).contains(&status) {
+fn framing(status: StatusCode, headers: &HeaderMap, method: &Method) -> Result<Framing> {
+    if method == Method::HEAD
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED
+        || status.is_informational()
+    {
         return Ok(Framing::Length(0));
     }
     if headers.contains_key(TRANSFER_ENCODING) {
--- a/crates/http1/tests/conn.rs
+++ b/crates/http1/tests/conn.rs
@@ -34,7 +34,7 @@
     let result = async {
         let head = conn.round_trip(&req).await?;
         let body = conn.read_body(BodyDecoder::new(head.framing), 1 << 20).await?;
-        Ok((head.status, body))
+        Ok((head.status.as_u16(), body))
     };
     let result = result.await;
     (conn, result)
