--- a/crates/hibiscusgw/tests/platform/broken_responses.rs
+++ b/crates/hibiscusgw/tests/platform/broken_responses.rs
@@ -62,6 +62,49 @@
     lines.iter().flat_map(framed).chain(unframed).collect()
 }
 
+/// Responses whose head is spoilt where it tells the length of the body.
+fn lengths() -> Vec<Vec<u8>> {
+    let lengths: [&[u8]; 16] = [
+        b"Content-Length: +8",
+        b"Content-Length: -8",
+        b"Content-Length: 0x8",
+        b"Content-Length: ",
+        b"Content-Length: 0 8",
+        b"Content-Length: 8, 8",
+        b"Content-Length: 8.0",
+        b"Content-Length: 8x",
+        b"Content-Length: 99999999999999999999",
+        b"Content-Length: 8\r\nContent-Length: 8",
+        b"Content-Length: 8\r\nContent-Length: 9",
+        b"Content-Length 8",
+        b"Content-Length;8",
+        b"Content-Length=8",
+        b"Content-Length: 8\x01",
+        b"Content-Length: \xb8",
+    ];
+    let codings: [&[&[u8]]; 14] = [
+        &[b"Transfer-Encoding: gzip, chunked"],
+        &[b"Transfer-Encoding: chunked, gzip"],
+        &[b"Transfer-Encoding: chunked, chunked"],
+        &[b"Transfer-Encoding: chunked", b"Transfer-Encoding: gzip"],
+        &[b"Transfer-Encoding: gzip", b"Transfer-Encoding: chunked"],
+        &[b"Transfer-Encoding: chunked", b"Transfer-Encoding: chunked"],
+        &[b"Transfer-Encoding: chunked", b"Transfer-Encoding: \xe3"],
+        &[b"Transfer-Encoding: x;a=\", chunked, \""],
+        &[b"Transfer-Encoding: identity"],
+        &[b"Transfer-Encoding: xchunked"],
+        &[b"Transfer-Encoding: "],
+        &[b"Transfer-Encoding chunked"],
+        &[b"Transfer-Encoding: chunked", b"Content-Length: 8"],
+        &[b"Transfer-Encoding: chunked\x0b"],
+    ];
+    let lengths = lengths.iter().map(|line| response(OK, &[line], BODY));
+    let codings = codings.iter().map(|lines| with_coding(OK, lines));
+    let old = with_coding(b"HTTP/1.0 200 OK", &[b"Transfer-Encoding: chunked"]);
+    let no_content = with_length(b"HTTP/1.1 204 No Content", b"X: y");
+    lengths.chain(codings).chain([old, no_content]).collect()
+}
+
 /// Three engines of the service that send these responses by the ids of requests, or one that is sound.
 fn engines(service: &str, responses: &[Vec<u8>], ending: Ending) -> Vec<EngineSettings> {
     let keeps_open = ending == Ending::Kept;
@@ -175,4 +218,6 @@
 broken! {
     "Guards against a status that is none in a caller's response, or a failure with the seal and another status.",
     of_status: super::statuses;
+    "Guards against a body that is not the engine's, as the head is spoilt where it tells the length.",
+    of_length: super::lengths;
 }
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -2,7 +2,8 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-use crate::head::{Framing, MAX_HEADERS};
+use crate::framing::Framing;
+use crate::head::MAX_HEADERS;
 use crate::{Error, Limit, Part, Result};
 
 /// Longest line of chunked framing: a chunk size or a trailer, in bytes.
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -3,9 +3,10 @@
 use std::ops::RangeInclusive;
 
 use bytes::BytesMut;
-use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
-use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use http::header::{CONNECTION, HeaderName};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Version};
 
+use crate::framing::{Framing, framing};
 use crate::{Error, Limit, Part, Result};
 
 /// Largest accepted response head, in bytes.
@@ -17,15 +18,6 @@
 /// Status codes of HTTP (RFC 9110, 15).
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
-/// How the end of a response body is determined.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Framing {
-    /// Number of bytes.
-    Length(u64),
-    Chunked,
-    UntilClose,
-}
-
 /// Status and headers of a response.
 #[derive(Debug, Clone)]
 pub struct Head {
@@ -53,7 +45,7 @@
     };
     let code = parsed.code.ok_or(Error::Malformed { what: "status" })?;
     let status = parse_status(code)?;
-    let http10 = parsed.version == Some(0);
+    let version = if parsed.version == Some(0) { Version::HTTP_10 } else { Version::HTTP_11 };
     let mut headers = HeaderMap::with_capacity(parsed.headers.len());
     for header in parsed.headers.iter() {
         let name = HeaderName::from_bytes(header.name.as_bytes());
@@ -63,9 +55,9 @@
             _ => return Err(Error::Malformed { what: "header" }),
         };
     }
-    let framing = framing(status, &headers, method)?;
-    let requests_close = has_token(&headers, CONNECTION, "close");
-    let closes_connection = requests_close || http10 || framing == Framing::UntilClose;
+    let framing = framing(status, version, &headers, method)?;
+    let closes_connection =
+        version == Version::HTTP_10 || framing == Framing::UntilClose || requests_close(&headers);
     let _ = buf.split_to(len);
     Ok(Some(Head { status, headers, framing, closes_connection }))
 }
@@ -78,35 +70,10 @@
     status.ok_or(Error::Malformed { what: "status" })
 }
 
-fn framing(status: StatusCode, headers: &HeaderMap, method: &Method) -> Result<Framing> {
-    if method == Method::HEAD
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED
-        || status.is_informational()
-    {
-        return Ok(Framing::Length(0));
-    }
-    if headers.contains_key(TRANSFER_ENCODING) {
-        let chunked = has_token(headers, TRANSFER_ENCODING, "chunked");
-        // With both headers the end of the response is ambiguous, which allows response smuggling.
-        if !chunked || headers.contains_key(CONTENT_LENGTH) {
-            return Err(Error::Malformed { what: "transfer-encoding" });
-        }
-        return Ok(Framing::Chunked);
-    }
-    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
-    match (lengths.next(), lengths.next()) {
-        (None, _) => Ok(Framing::UntilClose),
-        (Some(length), None) => {
-            let length = length.to_str().ok().and_then(|l| l.parse().ok());
-            length.map(Framing::Length).ok_or(Error::Malformed { what: "content-length" })
-        }
-        (Some(_), Some(_)) => Err(Error::Malformed { what: "more than one content-length" }),
-    }
-}
-
-fn has_token(headers: &HeaderMap, name: HeaderName, token: &str) -> bool {
-    let values = headers.get_all(name);
-    let mut tokens = values.iter().filter_map(|v| v.to_str().ok()).flat_map(|v| v.split(','));
-    tokens.any(|w| w.trim().eq_ignore_ascii_case(token))
+/// Whether the peer closes the connection after the response. It may, if the header cannot be read.
+fn requests_close(headers: &HeaderMap) -> bool {
+    let names_close = |options: &str| {
+        options.split(',').any(|option| option.trim().eq_ignore_ascii_case("close"))
+    };
+    headers.get_all(CONNECTION).iter().any(|value| value.to_str().map_or(true, names_close))
 }
