--- a/crates/hibiscusgw/tests/platform/broken_responses.rs
+++ b/crates/hibiscusgw/tests/platform/broken_responses.rs
@@ -46,6 +46,11 @@
     response(status_line, lines, &[CHUNK, b"0\r\n\r\n"].concat())
 }
 
+/// One in chunks whose body is this.
+fn with_chunks(body: &[&[u8]]) -> Vec<u8> {
+    response(OK, &[b"Transfer-Encoding: chunked"], &body.concat())
+}
+
 /// Responses with a status that is none.
 fn statuses() -> Vec<Vec<u8>> {
     let statuses =
@@ -105,6 +110,38 @@
     lengths.chain(codings).chain([old, no_content]).collect()
 }
 
+/// Responses with a body that is broken.
+fn bodies() -> Vec<Vec<u8>> {
+    let end: &[u8] = b"0\r\n\r\n";
+    let sizes: [&[u8]; 12] = [
+        b" 8",
+        b" +8",
+        b"+8",
+        b"-8",
+        b"0x8",
+        b"8\x0b",
+        b"8;a\x00b",
+        b"8;a\x01",
+        b"8 x",
+        b"",
+        b"g",
+        b"9",
+    ];
+    let trailers: [&[u8]; 6] =
+        [b"no field", b"X\x01: y", b"X Y: z", b"X: \x00\x00", b"\x00", b" folded"];
+    let of_size = |size: &&[u8]| with_chunks(&[size, b"\r\n", BODY, b"\r\n", end]);
+    let of_trailer = |line: &&[u8]| with_chunks(&[CHUNK, b"0\r\n", line, b"\r\n\r\n"]);
+    let later = [b"x\r\n".as_slice(), b"\x008\r\n"].map(|size| with_chunks(&[CHUNK, size, CHUNK]));
+    let last_sizes = [b"+0".as_slice(), b" 0"].map(|size| with_chunks(&[CHUNK, size, b"\r\n\r\n"]));
+    sizes
+        .iter()
+        .map(of_size)
+        .chain(trailers.iter().map(of_trailer))
+        .chain(later)
+        .chain(last_sizes)
+        .collect()
+}
+
 /// Three engines of the service that send these responses by the ids of requests, or one that is sound.
 fn engines(service: &str, responses: &[Vec<u8>], ending: Ending) -> Vec<EngineSettings> {
     let keeps_open = ending == Ending::Kept;
@@ -220,4 +257,6 @@
     of_status: super::statuses;
     "Guards against a body that is not the engine's, as the head is spoilt where it tells the length.",
     of_length: super::lengths;
+    "Guards against a broken body that looks complete.",
+    of_bodies: super::bodies;
 }
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -1,7 +1,8 @@
 //! Decoding of response bodies.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 
+use crate::chunk_line::{check_trailer, parse_size};
 use crate::framing::Framing;
 use crate::head::MAX_HEADERS;
 use crate::{Error, Limit, Part, Result};
@@ -9,8 +10,6 @@
 /// Longest line of chunked framing: a chunk size or a trailer, in bytes.
 const MAX_LINE_BYTES: usize = 256;
 
-const MAX_CHUNK_BYTES: u64 = 1 << 30;
-
 /// Decoder of a response body: strips the framing and detects the end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BodyDecoder {
@@ -84,7 +83,7 @@
                 }
                 State::ChunkSize => {
                     let Some(line) = take_line(buf)? else { return Ok(Step::NeedsInput) };
-                    let size = chunk_size(&line)?;
+                    let size = parse_size(&line)?;
                     self.state = if size == 0 { State::Trailer(0) } else { State::Chunk(size) };
                 }
                 State::ChunkEnd => {
@@ -96,14 +95,16 @@
                 }
                 State::Trailer(lines) => {
                     let Some(line) = take_line(buf)? else { return Ok(Step::NeedsInput) };
-                    self.state = if line.is_empty() {
-                        State::Complete
-                    } else if lines < MAX_HEADERS {
-                        State::Trailer(lines + 1)
-                    } else {
+                    if line.is_empty() {
+                        self.state = State::Complete;
+                        continue;
+                    }
+                    if lines >= MAX_HEADERS {
                         let limit = Limit::Lines(MAX_HEADERS);
                         return Err(Error::TooLarge { part: Part::Trailers, limit });
-                    };
+                    }
+                    check_trailer(&line)?;
+                    self.state = State::Trailer(lines + 1);
                 }
             }
         }
@@ -133,16 +134,3 @@
     }
     Ok(Some(line.freeze()))
 }
-
-fn chunk_size(line: &Bytes) -> Result<u64> {
-    let invalid = Error::Malformed { what: "chunk size" };
-    let mut size = line.clone();
-    if let Some(semicolon) = line.iter().position(|b| *b == b';') {
-        size.truncate(semicolon);
-    }
-    let Ok(text) = std::str::from_utf8(size.chunk()) else { return Err(invalid) };
-    match u64::from_str_radix(text.trim(), 16) {
-        Ok(size) if size <= MAX_CHUNK_BYTES && !text.starts_with('+') => Ok(size),
-        _ => Err(invalid),
-    }
-}
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod bound;
+mod chunk_line;
 mod conn;
 mod end_to_end;
 mod error;
