--- a/crates/hibiscusgw/tests/platform/broken_responses.rs
+++ b/crates/hibiscusgw/tests/platform/broken_responses.rs
@@ -110,6 +110,31 @@
     lengths.chain(codings).chain([old, no_content]).collect()
 }
 
+/// Responses with a line in the head that is no field.
+fn lines() -> Vec<Vec<u8>> {
+    let lines: [&[u8]; 17] = [
+        b"X Y: z",
+        b"X\x01Y: z",
+        b"X : z",
+        b"X\t: z",
+        b"X\x7f: z",
+        b"X\xe9: z",
+        b"no field",
+        b": z",
+        b" folded",
+        b"\tfolded",
+        b"X: \x00",
+        b"X: \x01y",
+        b"X: \x7f",
+        b"X: y\rZ: z",
+        b"X\0: z",
+        b"\x01",
+        b"X: y\nZ: z",
+    ];
+    let first = [OK, b"\r\nno field\r\n", FIELDS, b"Content-Length: 8\r\n\r\n", BODY].concat();
+    lines.iter().map(|line| with_length(OK, line)).chain([first]).collect()
+}
+
 /// Responses with a body that is broken.
 fn bodies() -> Vec<Vec<u8>> {
     let end: &[u8] = b"0\r\n\r\n";
@@ -257,6 +282,8 @@
     of_status: super::statuses;
     "Guards against a body that is not the engine's, as the head is spoilt where it tells the length.",
     of_length: super::lengths;
+    "Guards against a response with a line that is no field.",
+    of_lines: super::lines;
     "Guards against a broken body that looks complete.",
     of_bodies: super::bodies;
 }
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -55,6 +55,9 @@
             _ => return Err(Error::Malformed { what: "header" }),
         };
     }
+    if has_bare_line_feed(&buf[..len]) {
+        return Err(Error::Malformed { what: "line ending" });
+    }
     let framing = framing(status, version, &headers, method)?;
     let closes_connection =
         version == Version::HTTP_10 || framing == Framing::UntilClose || requests_close(&headers);
@@ -70,6 +73,12 @@
     status.ok_or(Error::Malformed { what: "status" })
 }
 
+/// Whether a line ends without a carriage return, as where a byte of a value was changed into a line feed.
+fn has_bare_line_feed(head: &[u8]) -> bool {
+    let mut previous = 0;
+    head.iter().any(|byte| std::mem::replace(&mut previous, *byte) != b'\r' && *byte == b'\n')
+}
+
 /// Whether the peer closes the connection after the response. It may, if the header cannot be read.
 fn requests_close(headers: &HeaderMap) -> bool {
     let names_close = |options: &str| {
