--- a/crates/gateway/src/engine_notices.rs
+++ b/crates/gateway/src/engine_notices.rs
@@ -79,7 +79,8 @@
     head: &Head,
     call: &dyn Display,
 ) {
-    let info = node.protocols.upstreams.parse_head(head);
+    // The call is judged by who made it.
+    let Ok(info) = node.protocols.upstreams.parse_head(head) else { return };
     if info.notices.is_leaving && !info.is_misdirected && info.may_come_from(engine) {
         record_own_leaving(node, key, call, head.status.as_u16());
     }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -115,8 +115,8 @@
     /// The headers of a request to an engine.
     fn request_headers(&self, caller: &Parts, req: &UpstreamRequest<'_>) -> HeaderMap;
 
-    /// Parses the head of a response.
-    fn parse_head(&self, head: &Head) -> ResponseInfo;
+    /// Parses the head of a response; fails if engines send no such response.
+    fn parse_head(&self, head: &Head) -> hgw_http1::Result<ResponseInfo>;
 
     /// The headers of an engine's response that are passed on to the caller.
     fn response_headers(&self, head: &Head) -> HeaderMap;
--- a/crates/gateway/src/relay/open_attempt.rs
+++ b/crates/gateway/src/relay/open_attempt.rs
@@ -175,7 +175,7 @@
     const MAX_STRAY_RESPONSES: u32 = 3;
     for _ in 0..MAX_STRAY_RESPONSES {
         let head = conn.read_head(&req.method).await?;
-        let info = node.protocols.upstreams.parse_head(&head);
+        let info = node.protocols.upstreams.parse_head(&head)?;
         match &info.id {
             Some(id) if id != request_id => {
                 let body = BodyDecoder::new(head.framing);
--- a/crates/hibiscusgw/tests/platform/broken_responses.rs
+++ b/crates/hibiscusgw/tests/platform/broken_responses.rs
@@ -135,6 +135,19 @@
     lines.iter().map(|line| with_length(OK, line)).chain([first]).collect()
 }
 
+/// Responses that contradict the engines' protocol.
+fn contradictions() -> Vec<Vec<u8>> {
+    let lines: [&[u8]; 5] = [
+        b"Content-Encoding: gzip",
+        b"Content-Encoding: ",
+        b"X-Not-Run: 1",
+        b"X-Request-Id: another",
+        b"X-Response-Seal: t",
+    ];
+    let of_ok = lines.iter().map(|line| with_length(OK, line));
+    of_ok.chain([with_length(b"HTTP/1.1 500 Failed", b"X-Not-Run: 1")]).collect()
+}
+
 /// Responses with a body that is broken.
 fn bodies() -> Vec<Vec<u8>> {
     let end: &[u8] = b"0\r\n\r\n";
@@ -284,6 +297,8 @@
     of_length: super::lengths;
     "Guards against a response with a line that is no field.",
     of_lines: super::lines;
+    "Guards against a response that engines never send, and a second run of a request that its engine has run.",
+    of_contradictions: super::contradictions;
     "Guards against a broken body that looks complete.",
     of_bodies: super::bodies;
 }
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -24,8 +24,8 @@
         /// Bytes of the body that had arrived.
         received: usize,
     },
-    /// The received bytes are not a valid HTTP/1.1 response.
-    #[display("invalid HTTP/1.1 response: {what}")]
+    /// The received bytes are not a valid response.
+    #[display("invalid response: {what}")]
     #[from(skip)]
     Malformed {
         /// The invalid part.
