--- a/crates/net/src/upstreams/client.rs
+++ b/crates/net/src/upstreams/client.rs
@@ -1,5 +1,6 @@
 //! HTTP calls with bounds on time and size.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -62,13 +63,15 @@
 
     /// Sends a request and waits for the head of the answer. The caller bounds the time.
     pub(crate) async fn send(&self, req: Request<SendBody>) -> Result<Response<Incoming>> {
-        self.0.request(req).await.map_err(|e| {
+        let answer = self.0.request(req).await.map_err(|e| {
             if e.is_connect() {
                 CallError::NotSent(cause(&e))
             } else {
                 CallError::Broken(cause(&e))
             }
-        })
+        })?;
+        check_head(&answer)?;
+        Ok(answer)
     }
 
     /// Sends a request and reads the whole answer, of at most `max` bytes, within `timeout`.
@@ -87,6 +90,24 @@
     }
 }
 
+/// Statuses of final answers (RFC 9110, 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Checks what the library does not: that the status is one of HTTP, and that the body has no coding beside chunks, which
+/// nobody here would undo.
+fn check_head(answer: &Response<Incoming>) -> Result<()> {
+    let status = answer.status().as_u16();
+    if !FINAL_STATUSES.contains(&status) {
+        return Err(CallError::Unreadable(format!("status {status}")));
+    }
+    let codings: Vec<_> = answer.headers().get_all(header::TRANSFER_ENCODING).iter().collect();
+    match codings.as_slice() {
+        [] => Ok(()),
+        [coding] if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(()),
+        _ => Err(CallError::Unreadable("transfer-encoding".into())),
+    }
+}
+
 /// Reads a body of at most `max` bytes.
 pub(crate) async fn collect(mut body: Incoming, max: usize) -> Result<Bytes> {
     let mut buf = BytesMut::new();
--- a/crates/net/tests/upstreams.rs
+++ b/crates/net/tests/upstreams.rs
@@ -272,6 +272,33 @@
     node.kill();
 }
 
+/// Guards against bytes that are no answer being handed on as one.
+#[test]
+fn a_plain_answer_whose_head_is_broken_is_not_handed_on() {
+    const CHUNKS: &str = "5\r\nhello\r\n0\r\n\r\n";
+    let heads = [
+        ("HTTP/1.1 000 X", "Content-Length: 5", "hello"),
+        ("HTTP/1.1 600 X", "Content-Length: 5", "hello"),
+        ("HTTP/1.1 999 X", "Content-Length: 5", "hello"),
+        ("HTTP/1.1 200 OK", "Content-Length: +5", "hello"),
+        ("HTTP/1.1 200 OK", "Content-Length: 5, 6", "hello"),
+        ("HTTP/1.1 200 OK", "X Y: z", "hello"),
+        ("HTTP/1.1 200 OK", "X\x01Y: z", "hello"),
+        ("HTTP/1.1 200 OK", "no field", "hello"),
+        ("HTTP/1.1 200 OK", "Transfer-Encoding: gzip, chunked", CHUNKS),
+        ("HTTP/1.1 200 OK", "Transfer-Encoding: chunked, gzip", CHUNKS),
+        ("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", CHUNKS),
+        ("HTTP/1.0 200 OK", "Transfer-Encoding: chunked", CHUNKS),
+    ];
+    for (status_line, field, body) in heads {
+        check_plain_lost(move |id, stream| {
+            use std::io::Write;
+            let answer = format!("{status_line}\r\nx-attempt-id: {id}\r\n{field}\r\n\r\n{body}");
+            stream.write_all(answer.as_bytes()).unwrap();
+        });
+    }
+}
+
 /// A signal from one answer to another.
 fn rendezvous() -> (impl Fn() + Send + Sync, impl Fn() + Send + Sync) {
     let (tx, rx) = mpsc::channel();
