Lists: what came with a part of a long update is told to others at once

What would be seen: a node that polls another one goes on using an engine that leaves, though that other node knows of the departure. Where the list is sent in parts and a node reads the store's newest entries between two of them, a heartbeat that was written late hides the departure in the store; the part that tells of it changes the node's engines and not what the node tells others, up to the last part.

Cause: `apply_list_update` recorded changes only with the last part, which has a version.

Change: a part is recorded at the version that the node has. The driver in the test does what the node does; its checks are the same.

--- a/crates/direct/tests/list_changes/nodes.rs
+++ b/crates/direct/tests/list_changes/nodes.rs
@@ -252,9 +252,12 @@
                 let (update, facts) = nodes[node].pending.take()?;
                 let node = &mut nodes[node];
                 node.seen = update.seen;
+                let version = node.receiver.apply(update, &mut node.engines);
+                if let Some(version) = version.or(node.version) {
+                    node.record(version);
+                }
                 // The departures may be in the rest.
-                let version = node.receiver.apply(update, &mut node.engines)?;
-                node.record(version);
+                version?;
                 return facts.into_iter().find(|fact| node.contradicts(fact));
             }
             Op::RestartNode(node) => {
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -15,9 +15,11 @@
     let has_changed = !update.is_empty();
     let version = {
         let mut state = node.state.borrow_mut();
-        let State { engines, list_receiver, list_seen, .. } = &mut *state;
+        let State { engines, list_receiver, list_seen, list_version, .. } = &mut *state;
         *list_seen = update.seen;
-        list_receiver.apply(update, engines)
+        // A part of a long update does not raise the version, but this node knows of the departures in it from now on, and
+        // so do those that poll it.
+        list_receiver.apply(update, engines).or(*list_version)
     };
     node.handle_restarts();
     if let Some(version) = version {
