--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -82,6 +82,8 @@
     Withheld(Withheld),
     /// The caller is no longer authorized; no byte of the request was sent.
     Unauthorized(AuthError),
+    /// The node stops and sends it no more; no byte of it was sent.
+    Stopping,
 }
 
 impl AttemptResult {
@@ -100,6 +102,7 @@
             AttemptResult::Unwanted => Some("leaves or rests"),
             AttemptResult::Withheld(_) => Some("crashes engines"),
             AttemptResult::Unauthorized(_) => Some("not allowed any more"),
+            AttemptResult::Stopping => Some("the node stops"),
         }
     }
 }
@@ -283,6 +286,9 @@
         if !self.has_time_to_send() {
             return Err(AttemptResult::NotSent);
         }
+        if self.is_too_late() {
+            return Err(AttemptResult::Stopping);
+        }
         // Meanwhile another node may have been granted the last attempt.
         if !self.may_make_attempt() {
             return Err(AttemptResult::NoEngine(NoEngine::NoneAvailable));
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -21,21 +21,21 @@
 
 /// Serves a request with a buffered response. If the response is incomplete, the request is retried
 /// if the route allows it, and otherwise fails.
-pub(super) async fn serve(mut req: RelayedRequest) -> CallerResponse {
+pub(super) async fn serve(req: &mut RelayedRequest) -> CallerResponse {
     req.held_response = body::reserve_response(&req.node, &req.route);
     if req.held_response.is_none() {
         return req.refuse(Refusal::NodeMemory, NO_MEMORY_RETRY_AFTER);
     }
     let mut failure = None;
     loop {
-        let started = match start(&mut req, None, failure).await {
+        let started = match start(req, None, failure).await {
             Ok(started) => started,
             Err(reason) => return req.respond_not_started(reason),
         };
         let engine = started.engine.clone();
         let may_repeat = req.route.kind.may_repeat();
         let retries;
-        (failure, retries) = match read_response(&mut req, started).await {
+        (failure, retries) = match read_response(req, started).await {
             Some(response) if response.status().is_server_error() => {
                 let retries = may_repeat && req.take_second_attempt(&engine).await;
                 (Some(Failure::Response(response)), retries)
@@ -47,7 +47,7 @@
             }
         };
         if !retries {
-            return final_response(&req, failure, NoEngine::NoneAvailable);
+            return final_response(req, failure, NoEngine::NoneAvailable);
         }
     }
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod silence;
 mod source;
 mod start;
+mod stop;
 mod stream;
 mod take_up;
 mod wait;
@@ -44,9 +45,11 @@
 use crate::shutdown;
 use crate::shutdown::ActiveRequest;
 
+use attempt::StartedResponse;
 use forwarded::ForwardedSlot;
 use identity::Identity;
 use request::RelayedRequest;
+use stop::StopWatch;
 
 /// Retry delay for callers while the node has no configuration or engine list yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -91,7 +94,12 @@
     };
     let (mut route, service) = (matched.route.clone(), matched.service.clone());
     let service = forwarded.as_ref().map_or(service, |f| f.service_of(&route, matched.service));
-    let body = match body::read(node, body, catalog.limits.max_body_bytes).await {
+    let read = tokio::select! {
+        biased;
+        read = body::read(node, body, catalog.limits.max_body_bytes) => read,
+        () = node.shutdown.until_ending() => return refuse_at_once(node, Refusal::Stopping),
+    };
+    let body = match read {
         Ok(body) => body,
         Err(error) => return body::refuse(node, &route, error),
     };
@@ -121,33 +129,62 @@
     if let Some((forwarded, slot)) = forwarded.zip(slot) {
         relayed.continue_forwarded(forwarded, slot);
     }
-    relayed.count_request();
-    if let Err(withheld) = relayed.check_crashes()
-        && !relayed.begin_trial(withheld).await
-    {
-        return relayed.respond_withheld(withheld);
+    let stop = StopWatch::of(&relayed);
+    let begun = tokio::select! {
+        biased;
+        begun = begin(&mut relayed) => begun,
+        () = stop.until_due() => return relayed.respond_stopped(),
+    };
+    match begun {
+        Begun::Complete(response) => response,
+        Begun::Stream(started) => stream::respond(relayed, *started),
+    }
+}
+
+/// What has come of a request when its response begins.
+enum Begun {
+    /// A complete response.
+    Complete(CallerResponse),
+    /// The response of an engine, which is streamed.
+    Stream(Box<StartedResponse>),
+}
+
+/// Serves a request until its response begins.
+async fn begin(req: &mut RelayedRequest) -> Begun {
+    if let Err(response) = prepare(req).await {
+        return Begun::Complete(*response);
     }
-    if !relayed.is_admitted() {
-        return relayed.refuse_overloaded();
+    if !req.route.kind.is_stream() {
+        return Begun::Complete(buffered::serve(req).await);
     }
-    if let Err(response) = relayed.bind_to_version().await {
-        return *response;
+    match stream::start(req).await {
+        Ok(started) => Begun::Stream(Box::new(started)),
+        Err(reason) => Begun::Complete(req.respond_not_started(reason)),
     }
-    if let Err(error) = relayed.charge_quota().await {
-        return match error {
-            NoAllowance::QuotaExceeded(retry_after) => {
-                relayed.refuse(Refusal::QuotaExceeded, retry_after)
-            }
-            NoAllowance::NoResponse(retry_after) => {
-                relayed.refuse(Refusal::QuotaUnknown, retry_after)
-            }
-        };
+}
+
+/// Makes sure that the request may be sent to an engine; fails with the response if it may not.
+async fn prepare(req: &mut RelayedRequest) -> Result<(), Box<CallerResponse>> {
+    if req.is_too_late() {
+        return Err(Box::new(req.refuse_stopping()));
     }
-    if relayed.route.kind.is_stream() {
-        stream::serve(relayed).await
-    } else {
-        buffered::serve(relayed).await
+    req.count_request();
+    if let Err(withheld) = req.check_crashes()
+        && !req.begin_trial(withheld).await
+    {
+        return Err(Box::new(req.respond_withheld(withheld)));
+    }
+    if !req.is_admitted() {
+        return Err(Box::new(req.refuse_overloaded()));
     }
+    req.bind_to_version().await?;
+    req.charge_quota().await.map_err(|error| {
+        let (reason, retry_after) = match error {
+            NoAllowance::QuotaExceeded(retry_after) => (Refusal::QuotaExceeded, retry_after),
+            NoAllowance::NoResponse(retry_after) => (Refusal::QuotaUnknown, retry_after),
+        };
+        Box::new(req.refuse(reason, retry_after))
+    })
 }
 
 /// Rejects a request that no engine has executed, with a `Retry-After` of at least `min_delay`.
--- a/crates/gateway/src/relay/start.rs
+++ b/crates/gateway/src/relay/start.rs
@@ -32,6 +32,8 @@
     Refused(Box<ForwardRefusal>),
     Withheld(Withheld),
     Unauthorized(AuthError),
+    /// The node stops and sends the request no more.
+    Stopping,
     TimedOut,
 }
 
@@ -156,6 +158,7 @@
             AttemptResult::Unauthorized(error) => {
                 return Next::Stop(NotStarted::Unauthorized(error));
             }
+            AttemptResult::Stopping => return Next::Stop(NotStarted::Stopping),
             AttemptResult::Silent(attempt) => {
                 self.silent.push(attempt);
                 self.failure = Some(Failure::Reason("the engine went silent"));
@@ -195,6 +198,7 @@
             NotStarted::Refused(refusal) => self.pass_on_refusal(*refusal),
             NotStarted::Withheld(withheld) => self.respond_withheld(withheld),
             NotStarted::Unauthorized(error) => self.refuse_unauthorized(error),
+            NotStarted::Stopping => self.refuse_stopping(),
             NotStarted::TimedOut => self.fail(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
         }
     }
--- a/crates/gateway/src/relay/stream/mod.rs
+++ b/crates/gateway/src/relay/stream/mod.rs
@@ -24,7 +24,7 @@
 use super::request::RelayedRequest;
 use super::silence::Awaited;
 use super::source::Source;
-use super::start::{Failure, NotStarted, start};
+use super::start::{self, Failure, NotStarted};
 use super::wait::WaitResult;
 
 use resume::SilenceEnd;
@@ -39,25 +39,26 @@
 /// Time after which an engine may have cut off a response that was not read meanwhile: engines wait for some seconds.
 const MIN_UNREAD_TIME: Duration = Duration::from_secs(1);
 
-pub(super) async fn serve(mut req: RelayedRequest) -> CallerResponse {
-    match start_stream(&mut req, None).await {
-        Ok(started) => {
-            let mut response = Response::new(ResponseBody::Full(None));
-            *response.status_mut() = started.head.status;
-            *response.headers_mut() = req.node.protocols.upstreams.response_headers(&started.head);
-            response.headers_mut().remove(CONTENT_LENGTH);
-            response.extensions_mut().insert(req.outcome_of(&started.engine, started.version));
-            let reads_ahead = req.node.settings.borrow().features.read_ahead;
-            let stream = ResponseStream::new(req, started);
-            *response.body_mut() = if reads_ahead {
-                read_ahead::start(stream)
-            } else {
-                ResponseBody::Stream(Box::pin(unfold(stream, ResponseStream::next_piece)))
-            };
-            response
-        }
-        Err(reason) => req.respond_not_started(reason),
-    }
+/// Makes attempts until a response begins.
+pub(super) async fn start(req: &mut RelayedRequest) -> Result<StartedResponse, NotStarted> {
+    start_stream(req, None).await
+}
+
+/// The response to the caller, which streams the engine's.
+pub(super) fn respond(req: RelayedRequest, started: StartedResponse) -> CallerResponse {
+    let mut response = Response::new(ResponseBody::Full(None));
+    *response.status_mut() = started.head.status;
+    *response.headers_mut() = req.node.protocols.upstreams.response_headers(&started.head);
+    response.headers_mut().remove(CONTENT_LENGTH);
+    response.extensions_mut().insert(req.outcome_of(&started.engine, started.version));
+    let reads_ahead = req.node.settings.borrow().features.read_ahead;
+    let stream = ResponseStream::new(req, started);
+    *response.body_mut() = if reads_ahead {
+        read_ahead::start(stream)
+    } else {
+        ResponseBody::Stream(Box::pin(unfold(stream, ResponseStream::next_piece)))
+    };
+    response
 }
 
 /// Makes attempts until a response begins that is no failure of an engine, as far as retries are left; a
@@ -68,7 +69,7 @@
 ) -> Result<StartedResponse, NotStarted> {
     let mut failure = None;
     loop {
-        let started = start(req, last, failure).await?;
+        let started = start::start(req, last, failure).await?;
         let is_failure = started.head.status.is_server_error();
         req.record_response(&started.engine, is_failure);
         if !is_failure && (last.is_none() || started.head.status == StatusCode::OK) {
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -16,18 +16,22 @@
 /// node after two failures, and requests already sent have to arrive.
 const BALANCER_DELAY: Duration = Duration::from_millis(3_300);
 
-/// Time after which requests are refused, because they may not complete before the process ends.
+/// Time after which no request is sent to an engine for the first time, because it may not complete before the process
+/// ends.
 const SERVE_TIME: Duration = Duration::from_millis(2_700);
 
-/// Whether new requests are refused because the process is about to end.
+/// Whether requests that have not been sent are refused because the process is about to end.
 pub(crate) fn refuses_requests(node: &Node) -> bool {
     let started_at = node.shutdown.started_at.get();
-    started_at.is_some_and(|started_at| node.now() - started_at > SERVE_TIME.as_millis() as u64)
+    started_at.is_some_and(|started_at| node.now() - started_at >= SERVE_TIME.as_millis() as u64)
 }
 
-/// Part of the grace period that is kept for closing; requests that still run then are aborted.
+/// Part of the grace period that is kept for closing; requests that still run then are ended.
 const CLOSE_TIME: Duration = Duration::from_millis(400);
 
+/// Part of it in which callers take the responses to these requests.
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(200);
+
 /// Shuts down as planned: fails the readiness check, serves the callers that still arrive, then
 /// closes idle connections and returns with the last request.
 pub(crate) async fn shut_down(node: &Node) {
@@ -39,6 +43,7 @@
     node.shutdown.changed.notify_waiters();
     emit(Event::ProcessStopping, &[("node", &name)]);
     tokio::task::spawn_local(election::release(Node::clone(node)));
+    tokio::task::spawn_local(end_sending(Node::clone(node)));
     sleep_until((started_at + BALANCER_DELAY).min(deadline)).await;
     node.shutdown.closing.set(true);
     node.shutdown.changed.notify_waiters();
@@ -50,6 +55,17 @@
         sleep(IDLE_CHECK_INTERVAL).await;
     }
     wait_until_idle(node, deadline).await;
+    node.shutdown.ending.set(true);
+    node.shutdown.changed.notify_waiters();
+    wait_until_idle(node, deadline + LAST_RESPONSES_TIME).await;
+}
+
+/// Tells requests that wait to be sent once they no longer will be.
+async fn end_sending(node: Node) {
+    while !refuses_requests(&node) {
+        sleep(IDLE_CHECK_INTERVAL).await;
+    }
+    node.shutdown.changed.notify_waiters();
 }
 
 /// Interval between checks whether anything is still open.
@@ -80,8 +96,10 @@
     pub(crate) started_at: Cell<Option<Millis>>,
     /// Whether idle connections are closed.
     pub(crate) closing: Cell<bool>,
+    /// Whether requests that still run are ended.
+    pub(crate) ending: Cell<bool>,
     listening: Cell<Listening>,
-    /// Notified when `started_at`, `closing` or `listening` changes.
+    /// Notified when one of the above changes, and when requests that have not been sent begin to be refused.
     pub(crate) changed: Notify,
     /// Requests being served.
     pub(crate) active_requests: Cell<u32>,
@@ -101,6 +119,17 @@
         }
     }
 
+    /// Returns once requests that still run are to be ended.
+    pub(crate) async fn until_ending(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.ending.get() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Records that the listener for callers is closed and all connections that it had are taken.
     pub(crate) fn record_listening_ended(&self) {
         self.listening.set(Listening::Ended);
