--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -169,7 +169,7 @@
         self.has_outlived = false;
         let tokens = self.prompt().map_or(0, |prompt| prompt.prompt_tokens);
         let guard = AttemptGuard::start(&node, engine, &self.info.id, tokens, self.memory());
-        let Some(conn) = self.connect(engine, addr).await else {
+        let Some(conn) = self.connect_to_incarnation(engine, addr).await else {
             if self.has_failed_path() {
                 // Another node may reach it.
                 self.tried_engines.pop();
@@ -225,7 +225,7 @@
     }
 
     /// Takes a pooled connection to an engine or opens one; none if that fails.
-    async fn connect(&self, engine: &EngineId, addr: SocketAddr) -> Option<Conn> {
+    pub(super) async fn connect(&self, engine: &EngineId, addr: SocketAddr) -> Option<Conn> {
         let node = &self.node;
         let reusable = node.reusable_connections(self.tolerates_loss());
         let max_idle = node.engine(engine, |e| reusable.max_idle(e))?;
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod forward;
 mod forwarded;
 mod identity;
+mod incarnation;
 mod open_attempt;
 mod outcome;
 mod read_ahead;
--- a/crates/hibiscusgw/tests/platform/versions.rs
+++ b/crates/hibiscusgw/tests/platform/versions.rs
@@ -7,8 +7,9 @@
 use hgw_standins::client::{Caller, Events};
 use hgw_standins::fleet::EngineSettings;
 use hgw_standins::fleet::deployment::{Fleet, HOST, Node, holds, wait};
-use hgw_standins::link::ProcessCut;
+use hgw_standins::link::{Condition, ProcessCut};
 use http::{Method, StatusCode};
+use rustix::process::Signal;
 use serde_json::json;
 
 use crate::new_fleet;
@@ -308,6 +309,84 @@
     }
 }
 
+/// Starts an engine anew under its identity with other software, with the model that it had.
+fn start_anew_with(fleet: &Fleet, id: &str, software: &str) {
+    let way = fleet.engines.iter().position(|engine| engine.id() == id).unwrap();
+    fleet.to_engines[way].set(Condition::Refused);
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.engine(id).start_anew_with(software);
+    fleet.engine(id).hold(holds(&[("m", &[])]));
+    fleet.to_engines[way].set(Condition::Open);
+    fleet.list(fleet.engine(id), "ready");
+    std::thread::sleep(Duration::from_millis(500));
+}
+
+/// Streams that begin at two engines of one version, of which one is down and the other starts anew with other software while
+/// the last node does not learn of it. Returns their ends at that node, to which their callers come as the others are killed.
+fn take_up_at_a_node_out_of_step(is_cut_from_store: bool) -> Vec<(Held, End)> {
+    let mut fleet = start_nodes(vec![engine("i-1", "v1"), engine("i-2", "v1")], 3);
+    let streams = begin_streams(&fleet, &[0, 1], 24);
+    fleet.nodes[2].signal(Signal::STOP);
+    if is_cut_from_store {
+        fleet.nodes[2].to_store.set(Condition::Cut);
+    }
+    fleet.engine("i-1").fault(&Faults { down: true, ..Faults::default() });
+    start_anew_with(&fleet, "i-2", "v2");
+    fleet.nodes[..2].iter_mut().for_each(Node::kill);
+    fleet.nodes[2].signal(Signal::CONT);
+    take_up(&fleet, &[2], streams)
+}
+
+/// Guards against streams that begin at an engine that has started anew with other software, at a node that has not learned
+/// it, and go on at the version that this node takes for theirs.
+#[test]
+fn streams_that_a_cut_off_node_begins_are_not_joined() {
+    let mut fleet = start_nodes(vec![engine("i-1", "v1"), engine("i-2", "v1")], 2);
+    fleet.nodes[1].to_store.set(Condition::Cut);
+    fleet.nodes[0].kill();
+    start_anew_with(&fleet, "i-2", "v2");
+    // Until the list is old by any measure.
+    std::thread::sleep(Duration::from_secs(3));
+    let streams = begin_streams(&fleet, &[1], 24);
+    fleet.engine("i-2").fault(&Faults { down: true, ..Faults::default() });
+    let ends: Vec<(Held, End)> = streams.into_iter().map(Attempt::finish).collect();
+    assert_eq!((joined(&ends), whole(&ends)), (0, 24), "{ends:?}");
+}
+
+/// Guards against streams that go on at an engine that has started anew with other software, which the node that they come to
+/// has not learned as it stood still.
+#[test]
+fn streams_are_not_joined_at_a_node_that_stood_still_while_an_engine_started_anew() {
+    let ends = take_up_at_a_node_out_of_step(false);
+    assert_eq!(joined(&ends), 0, "{ends:?}");
+}
+
+/// The same where it cannot learn it from the store afterwards either.
+#[test]
+fn streams_are_not_joined_at_a_node_that_is_cut_off_while_an_engine_started_anew() {
+    let ends = take_up_at_a_node_out_of_step(true);
+    assert_eq!(joined(&ends), 0, "{ends:?}");
+}
+
+/// Guards against streams that go on at another version at a node that does not know of the engines that began them.
+#[test]
+fn streams_of_engines_that_joined_unseen_are_not_joined() {
+    let mut fleet = start_nodes(two_versions(), 3);
+    let of_v2 = ["i-v2-1", "i-v2-2", "i-v2-3"];
+    of_v2.iter().for_each(|id| fleet.store.put("keyed.servers", id, b""));
+    std::thread::sleep(Duration::from_secs(3));
+    fleet.nodes[2].signal(Signal::STOP);
+    of_v2.iter().for_each(|id| fleet.list(fleet.engine(id), "ready"));
+    std::thread::sleep(Duration::from_secs(2));
+    let streams = begin_streams(&fleet, &[0, 1], 24);
+    let is_new = |stream: &Attempt| stream.held.versions == ["v2"];
+    assert!(streams.iter().any(is_new), "streams begin at the new version");
+    fleet.nodes[..2].iter_mut().for_each(Node::kill);
+    fleet.nodes[2].signal(Signal::CONT);
+    let ends = take_up(&fleet, &[2], streams);
+    assert_eq!(joined(&ends), 0, "{ends:?}");
+}
+
 /// Guards against a stream that is forgotten while its caller takes it up again and again.
 #[test]
 fn stream_is_taken_up_by_its_first_attempt_again_and_again() {
--- a/crates/http1/src/conn.rs
+++ b/crates/http1/src/conn.rs
@@ -66,6 +66,7 @@
     response_pending: bool,
     /// What follows the bytes of a body that were returned last.
     body_error: Option<Error>,
+    peer_start: Option<u64>,
 }
 
 /// Resets the connection if a request was cancelled: otherwise bytes still queued in the kernel would reach
@@ -99,6 +100,7 @@
             responses: 0,
             response_pending: false,
             body_error: None,
+            peer_start: None,
         })
     }
 
@@ -117,6 +119,16 @@
         self.keep_alive_timeout
     }
 
+    /// Start time of the peer's process, if it has been told on this connection, which no restart outlives.
+    pub fn peer_start(&self) -> Option<u64> {
+        self.peer_start
+    }
+
+    /// Records the start time that the peer has told on this connection.
+    pub fn record_peer_start(&mut self, start: u64) {
+        self.peer_start = Some(start);
+    }
+
     /// Whether another request may be sent: the connection is open, has no unexpected bytes, and the peer's
     /// keep-alive timeout does not expire within `margin`.
     pub fn is_reusable(&mut self, margin: Duration) -> bool {
--- a/crates/standins/src/fleet/engine/mod.rs
+++ b/crates/standins/src/fleet/engine/mod.rs
@@ -85,6 +85,8 @@
     fence: u64,
     /// When it was started, in Unix milliseconds.
     born: u64,
+    /// Version of its software.
+    software: serde_json::Value,
     reading: Duration,
     reading_now: u32,
     running: u32,
@@ -122,6 +124,7 @@
     let inner = Inner {
         holds: settings.holds.clone(),
         born: FIRST_BORN,
+        software: settings.software.clone(),
         reading: settings.reading,
         ..Inner::default()
     };
@@ -166,7 +169,7 @@
             "service": settings.service,
             "addr": self.addr().to_string(),
             "zone": settings.zone,
-            "version": settings.software,
+            "version": self.shared.lock().software,
             "slots": settings.slots,
             "state": state,
             "coldLeftMs": 0,
@@ -202,6 +205,12 @@
         inner.born += 1;
     }
 
+    /// The same with other software.
+    pub fn start_anew_with(&self, software: &str) {
+        self.start_anew();
+        self.shared.lock().software = software.into();
+    }
+
     /// Whether it has crashed since its last start. It writes nothing more; its connections are to be cut.
     pub fn has_crashed(&self) -> bool {
         self.shared.lock().has_crashed
--- a/crates/standins/src/fleet/engine/settings.rs
+++ b/crates/standins/src/fleet/engine/settings.rs
@@ -16,7 +16,7 @@
     pub service: String,
     /// Its failure domain.
     pub zone: String,
-    /// Version of its software, in its entry.
+    /// Version of its software at its first start, in its entry.
     pub software: serde_json::Value,
     /// Whether each event names that version.
     pub names_software: bool,
--- a/crates/standins/src/fleet/engine/streams.rs
+++ b/crates/standins/src/fleet/engine/streams.rs
@@ -52,7 +52,7 @@
                 return StreamEnd::Broken(Some(hyper::body::Frame::data(half)));
             }
             let by = match self.settings.names_software {
-                true => format!(" of {}", self.settings.software.as_str().unwrap_or_default()),
+                true => format!(" of {}", self.lock().software.as_str().unwrap_or_default()),
                 false => String::new(),
             };
             let event = Bytes::from(format!("id: {event}\ndata: piece {event}{by}{padding}\n\n"));
