Versions: an engine's start that is not told says of the path what a lost attempt says

What callers saw: at nodes that were silently cut from all engines, streams were held until their deadline (504) in place of going by way of another node.

A report that did not come was waited for and nothing was concluded from it, while an attempt at a silent engine has the path checked, and ends as soon as the path is found to have failed.

Change: the wait for a report ends with the path, and its silence, its failure and its response are recorded as those of an attempt are. A silent engine is left at once where another way is open.

--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -302,7 +302,7 @@
 
     /// Returns once connecting to the engine should be abandoned: another node reports that it is unreachable, or this node
     /// has come to reach none.
-    async fn wait_until_path_left(&self, engine: &EngineId) {
+    pub(super) async fn wait_until_path_left(&self, engine: &EngineId) {
         // No other node took the request.
         let had_failed = self.has_failed_path();
         loop {
--- a/crates/gateway/src/relay/incarnation.rs
+++ b/crates/gateway/src/relay/incarnation.rs
@@ -12,7 +12,10 @@
 use http::StatusCode;
 use tokio::time::timeout;
 
+use crate::engine_path;
+
 use super::request::RelayedRequest;
+use super::silence::Awaited;
 
 /// Longest wait for a report, which engines send at any load. Two such waits cover the silence of a second or so that a sound
 /// engine may make.
@@ -27,6 +30,18 @@
 /// Age of the list of engines from which one of them may have started again and loaded its models since.
 const MAX_LIST_AGE: Millis = 2_000;
 
+/// What has come of a report.
+enum Asked {
+    /// The start that the engine names.
+    Start(u64),
+    /// The connection has broken, or what came names no start.
+    Failed,
+    /// The engine is silent.
+    Silent,
+    /// The request goes another way.
+    Left,
+}
+
 impl RelayedRequest {
     /// Connects to an engine; if the request depends on that, to the incarnation in the list.
     pub(super) async fn connect_to_incarnation(
@@ -39,11 +54,21 @@
             return self.connect(engine, addr).await;
         }
         for _ in 0..MAX_CONNECTIONS {
-            let conn = self.connect(engine, addr).await?;
-            let confirmed = self.confirm_incarnation(engine, addr, known, conn).await;
-            let is_listed = self.node.engine(engine, |e| e.info.started_at) == Some(known);
-            if confirmed.is_some() || !is_listed {
-                return confirmed.filter(|_| is_listed);
+            let mut conn = self.connect(engine, addr).await?;
+            if conn.peer_start().is_none() {
+                match self.ask_for_start(engine, addr, &mut conn).await {
+                    Asked::Start(start) => conn.record_peer_start(start),
+                    Asked::Silent if self.has_alternative() => return None,
+                    Asked::Failed | Asked::Silent => continue,
+                    Asked::Left => return None,
+                }
+            }
+            if conn.peer_start() != known.0 {
+                return None;
+            }
+            // The engine may close the connection after its report.
+            if conn.is_reusable(Duration::ZERO) {
+                return Some(conn);
             }
         }
         None
@@ -60,26 +85,38 @@
             && (self.version.is_some() || is_outdated())
     }
 
-    /// Returns the connection if it is open and leads to this incarnation.
-    async fn confirm_incarnation(
-        &self,
-        engine: &EngineId,
-        addr: SocketAddr,
-        known: StartTime,
-        mut conn: Conn,
-    ) -> Option<Conn> {
-        if conn.peer_start().is_none() {
-            let report = timeout(REPORT_TIMEOUT, self.ask_for_start(engine, addr, &mut conn));
-            let start = self.within_deadline(report).await.done()?.ok()??;
-            conn.record_peer_start(start.0?);
-            self.node.state.borrow_mut().engines.observe_start(engine, start);
-            self.node.handle_restarts();
+    /// Asks the engine at the other end of a connection for its start, and records what that says of the engine and the path
+    /// to it, as an attempt does.
+    async fn ask_for_start(&self, engine: &EngineId, addr: SocketAddr, conn: &mut Conn) -> Asked {
+        let node = &self.node;
+        let idle = conn.was_used().then(|| conn.idle_since().elapsed());
+        let report = tokio::select! {
+            biased;
+            report = timeout(REPORT_TIMEOUT.min(self.time_left()), self.read_report(engine, addr, conn)) => report,
+            () = self.wait_until_path_left(engine) => return Asked::Left,
+        };
+        match (&report, idle) {
+            (Ok(Some(_)), None) => engine_path::record_reached(node, engine),
+            (Ok(Some(_)), Some(idle)) => node.pool.record_response(addr, idle),
+            (Ok(None), None) => engine_path::record_failure(node, engine),
+            (Ok(None), Some(idle)) => {
+                node.pool.record_loss(addr, idle, node.now());
+                engine_path::start_check_unless_proven(node, &self.service);
+            }
+            (Err(_), idle) => {
+                self.record_silence(engine, Awaited::Head { addr, idle });
+                return Asked::Silent;
+            }
         }
-        (conn.peer_start() == known.0 && conn.is_reusable(Duration::ZERO)).then_some(conn)
+        let Ok(Some(start)) = report else { return Asked::Failed };
+        node.record_response_byte(engine);
+        node.state.borrow_mut().engines.observe_start(engine, start);
+        node.handle_restarts();
+        start.0.map_or(Asked::Failed, Asked::Start)
     }
 
-    /// Asks the engine at the other end of a connection when it was started; none if it does not tell.
-    async fn ask_for_start(
+    /// Reads the engine's report; none if there is none that can be read.
+    async fn read_report(
         &self,
         engine: &EngineId,
         addr: SocketAddr,
--- a/crates/gateway/src/relay/wait.rs
+++ b/crates/gateway/src/relay/wait.rs
@@ -68,16 +68,6 @@
     TimedOut,
 }
 
-impl<T> WaitResult<T> {
-    /// What was waited for, if it came.
-    pub(super) fn done(self) -> Option<T> {
-        match self {
-            WaitResult::Done(done) => Some(done),
-            WaitResult::Stalled | WaitResult::EngineRestarted | WaitResult::TimedOut => None,
-        }
-    }
-}
-
 /// Waits until the deadline, or until the engine has restarted.
 pub(super) async fn unless_restarted<F: Future>(
     restarted: impl Future<Output = ()>,
