Stop: one loop waits for the progress of a stop

Three loops did the same with another condition: the end of listening, the end of requests, and a request that is due.

--- a/crates/gateway/src/relay/stop.rs
+++ b/crates/gateway/src/relay/stop.rs
@@ -34,13 +34,7 @@
 
     /// Returns once the request is to be ended.
     pub(super) async fn until_due(&self) {
-        loop {
-            let changed = self.node.shutdown.changed.notified();
-            if self.is_due() {
-                return;
-            }
-            changed.await;
-        }
+        self.node.shutdown.until(|| self.is_due()).await;
     }
 
     fn is_due(&self) -> bool {
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -110,20 +110,19 @@
 impl Shutdown {
     /// Returns once new connections of callers are no longer to be accepted.
     pub(crate) async fn until_listening_ends(&self) {
-        loop {
-            let changed = self.changed.notified();
-            if self.listening.get() != Listening::Accepting {
-                return;
-            }
-            changed.await;
-        }
+        self.until(|| self.listening.get() != Listening::Accepting).await;
     }
 
     /// Returns once requests that still run are to be ended.
     pub(crate) async fn until_ending(&self) {
+        self.until(|| self.ending.get()).await;
+    }
+
+    /// Returns once this holds, which is asked whenever the progress changes.
+    pub(crate) async fn until(&self, holds: impl Fn() -> bool) {
         loop {
             let changed = self.changed.notified();
-            if self.ending.get() {
+            if holds() {
                 return;
             }
             changed.await;
