Relay: an attempt and a report record what a connection says by the same functions

The question for an engine's start repeated what an attempt records of the path and of idle connections, on a response and on a loss.

--- a/crates/gateway/src/relay/engine_response.rs
+++ b/crates/gateway/src/relay/engine_response.rs
@@ -1,5 +1,6 @@
 //! Takes in what comes of an attempt at an engine: the head of its response, or its failure.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -43,7 +44,7 @@
         match head {
             Ok((head, info)) => {
                 node.record_response_byte(&attempt.engine);
-                self.record_reached(&attempt);
+                self.record_reached(&attempt.engine, attempt.addr, attempt.idle);
                 let (guard, sent_at) = (&attempt.guard, attempt.sent_at_ms);
                 engine_limits::observe(&node, guard, &info, sent_at);
                 brittle::observe(&node, guard, &info, sent_at);
@@ -54,14 +55,11 @@
                 self.log_if_malformed(&attempt.engine, &e);
                 attempt.guard.record_outcome(failure_outcome(&e));
                 node.mark_broken(&attempt.engine);
-                match attempt.idle {
-                    // What is no response has come from the engine as well.
-                    _ if e.is_malformed() => self.record_reached(&attempt),
-                    None => engine_path::record_failure(&node, &attempt.engine),
-                    Some(idle) => {
-                        node.pool.record_loss(attempt.addr, idle, node.now());
-                        engine_path::start_check_unless_proven(&node, &self.service);
-                    }
+                // What is no response has come from the engine as well.
+                if e.is_malformed() {
+                    self.record_reached(&attempt.engine, attempt.addr, attempt.idle);
+                } else {
+                    self.record_lost(&attempt.engine, attempt.addr, attempt.idle);
                 }
                 self.count_unless(attempt.is_counted);
                 self.investigate(&attempt.guard).await;
@@ -70,11 +68,27 @@
         }
     }
 
-    /// Records that bytes have come from the engine.
-    fn record_reached(&self, attempt: &EngineAttempt) {
-        match attempt.idle {
-            None => engine_path::record_reached(&self.node, &attempt.engine),
-            Some(idle) => self.node.pool.record_response(attempt.addr, idle),
+    /// Records that bytes have come from the engine, on a connection that had been idle for this time, or on a new one.
+    pub(super) fn record_reached(
+        &self,
+        engine: &EngineId,
+        addr: SocketAddr,
+        idle: Option<Duration>,
+    ) {
+        match idle {
+            None => engine_path::record_reached(&self.node, engine),
+            Some(idle) => self.node.pool.record_response(addr, idle),
+        }
+    }
+
+    /// Records that such a connection has broken without a response.
+    pub(super) fn record_lost(&self, engine: &EngineId, addr: SocketAddr, idle: Option<Duration>) {
+        match idle {
+            None => engine_path::record_failure(&self.node, engine),
+            Some(idle) => {
+                self.node.pool.record_loss(addr, idle, self.node.now());
+                engine_path::start_check_unless_proven(&self.node, &self.service);
+            }
         }
     }
 
--- a/crates/gateway/src/relay/incarnation.rs
+++ b/crates/gateway/src/relay/incarnation.rs
@@ -12,8 +12,6 @@
 use http::StatusCode;
 use tokio::time::timeout;
 
-use crate::engine_path;
-
 use super::request::RelayedRequest;
 use super::silence::Awaited;
 
@@ -90,25 +88,24 @@
     async fn ask_for_start(&self, engine: &EngineId, addr: SocketAddr, conn: &mut Conn) -> Asked {
         let node = &self.node;
         let idle = conn.was_used().then(|| conn.idle_since().elapsed());
+        let max_wait = REPORT_TIMEOUT.min(self.time_left());
         let report = tokio::select! {
             biased;
-            report = timeout(REPORT_TIMEOUT.min(self.time_left()), self.read_report(engine, addr, conn)) => report,
+            report = timeout(max_wait, self.read_report(engine, addr, conn)) => report,
             () = self.wait_until_path_left(engine) => return Asked::Left,
         };
-        match (&report, idle) {
-            (Ok(Some(_)), None) => engine_path::record_reached(node, engine),
-            (Ok(Some(_)), Some(idle)) => node.pool.record_response(addr, idle),
-            (Ok(None), None) => engine_path::record_failure(node, engine),
-            (Ok(None), Some(idle)) => {
-                node.pool.record_loss(addr, idle, node.now());
-                engine_path::start_check_unless_proven(node, &self.service);
+        let start = match report {
+            Ok(Some(start)) => start,
+            Ok(None) => {
+                self.record_lost(engine, addr, idle);
+                return Asked::Failed;
             }
-            (Err(_), idle) => {
+            Err(_) => {
                 self.record_silence(engine, Awaited::Head { addr, idle });
                 return Asked::Silent;
             }
-        }
-        let Ok(Some(start)) = report else { return Asked::Failed };
+        };
+        self.record_reached(engine, addr, idle);
         node.record_response_byte(engine);
         node.state.borrow_mut().engines.observe_start(engine, start);
         node.handle_restarts();
