--- a/crates/http1/src/framing.rs
+++ b/crates/http1/src/framing.rs
@@ -37,14 +37,16 @@
 
 /// The framing that the headers declare.
 fn declared(version: Version, headers: &HeaderMap) -> Result<Option<Framing>> {
-    let lengths: Vec<&HeaderValue> = headers.get_all(CONTENT_LENGTH).iter().collect();
-    let codings: Vec<&HeaderValue> = headers.get_all(TRANSFER_ENCODING).iter().collect();
-    match (codings.as_slice(), lengths.as_slice()) {
-        ([], []) => Ok(None),
-        ([], [length]) => parse_length(length).map(|length| Some(Framing::Length(length))),
-        ([], _) => Err(Error::Malformed { what: "more than one content-length" }),
+    let first_two = |name| {
+        let mut values = headers.get_all(name).iter();
+        (values.next(), values.next())
+    };
+    match (first_two(TRANSFER_ENCODING), first_two(CONTENT_LENGTH)) {
+        ((None, _), (None, _)) => Ok(None),
+        ((None, _), (Some(length), None)) => parse_length(length).map(Framing::Length).map(Some),
+        ((None, _), _) => Err(Error::Malformed { what: "more than one content-length" }),
         // HTTP/1.0 knows no chunks. With both headers the end of the response is ambiguous, which allows response smuggling.
-        ([coding], []) if version == Version::HTTP_11 && is_chunked(coding) => {
+        ((Some(coding), None), (None, _)) if version == Version::HTTP_11 && is_chunked(coding) => {
             Ok(Some(Framing::Chunked))
         }
         _ => Err(Error::Malformed { what: "transfer-encoding" }),
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -75,8 +75,8 @@
 
 /// Whether a line ends without a carriage return, as where a byte of a value was changed into a line feed.
 fn has_bare_line_feed(head: &[u8]) -> bool {
-    let mut previous = 0;
-    head.iter().any(|byte| std::mem::replace(&mut previous, *byte) != b'\r' && *byte == b'\n')
+    let is_bare = |pair: &[u8]| pair[1] == b'\n' && pair[0] != b'\r';
+    head.starts_with(b"\n") || head.windows(2).any(is_bare)
 }
 
 /// Whether the peer closes the connection after the response. It may, if the header cannot be read.
