--- a/crates/standins/src/fleet/endless.rs
+++ b/crates/standins/src/fleet/endless.rs
@@ -90,7 +90,7 @@
     pub fn start(engine: SocketAddr, endless: Endless) -> io::Result<Sender> {
         let record = Arc::<Mutex<EndlessRecord>>::default();
         let kept = Arc::clone(&record);
-        let proxy = Proxy::start(move |node| {
+        let proxy = Proxy::start(engine, move |node, engine| {
             let record = Arc::clone(&kept);
             async move { serve(node, engine, endless, &record).await }
         })?;
@@ -111,12 +111,10 @@
 /// Serves a connection until the node closes it.
 async fn serve(
     mut node: TcpStream,
-    engine: SocketAddr,
+    mut engine: TcpStream,
     endless: Endless,
     record: &Mutex<EndlessRecord>,
 ) -> io::Result<()> {
-    let mut engine = TcpStream::connect(engine).await?;
-    let _ = (node.set_nodelay(true), engine.set_nodelay(true));
     loop {
         let request = Message::read(&mut node).await?;
         engine.write_all(&request.bytes()).await?;
--- a/crates/standins/src/fleet/fixed.rs
+++ b/crates/standins/src/fleet/fixed.rs
@@ -38,17 +38,15 @@
     fixed: &IndexMap<String, FixedResponse>,
 ) -> io::Result<Proxy> {
     let fixed = Arc::new(fixed.clone());
-    Proxy::start(move |node| serve(node, engine, Arc::clone(&fixed)))
+    Proxy::start(engine, move |node, engine| serve(node, engine, Arc::clone(&fixed)))
 }
 
 /// Serves a connection until one of its ends closes it.
 async fn serve(
     mut node: TcpStream,
-    engine: SocketAddr,
+    mut engine: TcpStream,
     fixed: Arc<IndexMap<String, FixedResponse>>,
 ) -> io::Result<()> {
-    let mut engine = TcpStream::connect(engine).await?;
-    let _ = (node.set_nodelay(true), engine.set_nodelay(true));
     loop {
         let request = Message::read(&mut node).await?;
         engine.write_all(&request.bytes()).await?;
--- a/crates/standins/src/fleet/proxy.rs
+++ b/crates/standins/src/fleet/proxy.rs
@@ -17,10 +17,10 @@
 }
 
 impl Proxy {
-    /// Starts one that serves each connection of a node with `serve`.
-    pub(super) fn start<S, F>(serve: S) -> io::Result<Proxy>
+    /// Starts one before the engine at `engine`; `serve` serves each connection of a node, with one to the engine.
+    pub(super) fn start<S, F>(engine: SocketAddr, serve: S) -> io::Result<Proxy>
     where
-        S: Fn(TcpStream) -> F + Send + 'static,
+        S: Fn(TcpStream, TcpStream) -> F + Clone + Send + 'static,
         F: Future<Output = io::Result<()>> + Send + 'static,
     {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -29,7 +29,7 @@
         let (stop, stopped) = oneshot::channel();
         let accept = async move {
             tokio::select! {
-                () = accept_all(listener, serve) => {}
+                () = accept_all(listener, engine, serve) => {}
                 _ = stopped => {}
             }
         };
@@ -54,18 +54,20 @@
     }
 }
 
-async fn accept_all<S, F>(listener: TcpListener, serve: S)
+async fn accept_all<S, F>(listener: TcpListener, engine: SocketAddr, serve: S)
 where
-    S: Fn(TcpStream) -> F,
+    S: Fn(TcpStream, TcpStream) -> F + Clone + Send + 'static,
     F: Future<Output = io::Result<()>> + Send + 'static,
 {
     loop {
         // An error here concerns one connection that broke before it was taken.
         let Ok((node, _)) = listener.accept().await else { continue };
-        let serving = serve(node);
+        let serve = serve.clone();
         tokio::spawn(async move {
+            let Ok(engine) = TcpStream::connect(engine).await else { return };
+            let _ = (node.set_nodelay(true), engine.set_nodelay(true));
             // How a connection ends is for its two ends to see.
-            let _ = serving.await;
+            let _ = serve(node, engine).await;
         });
     }
 }
