--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -138,6 +138,8 @@
     pub last_heard: Millis,
     /// Number of orders that it is known to have accepted.
     pub accepted_orders: u64,
+    /// Fencing token of the leader whose survey and orders its loaded models are known from; 0 before any survey.
+    pub surveyed_under: u64,
     /// Adapters that it was ordered to load and that are not known to be loaded; they occupy slots.
     pub loading_adapters: Vec<ModelRef>,
     /// When the leader last reported its loaded models.
@@ -186,6 +188,7 @@
             recent_sends: VecDeque::new(),
             last_heard: 0,
             accepted_orders: 0,
+            surveyed_under: 0,
             loading_adapters: Vec::new(),
             placement_reported_at: None,
         }
@@ -351,6 +354,26 @@
         }
     }
 
+    /// Takes in the loaded models that another node reports, unless newer ones are known: a leader surveys an engine after
+    /// the last order of all earlier leaders. `fence` is that of the leader that surveyed it; none from a release that does
+    /// not report it. Returns whether they were taken in.
+    pub fn apply_reported_models(
+        &mut self,
+        fence: Option<u64>,
+        accepted_orders: u64,
+        loaded: Vec<LoadedModel>,
+        now: Millis,
+    ) -> bool {
+        let fence = fence.unwrap_or(self.surveyed_under);
+        if (fence, accepted_orders) < (self.surveyed_under, self.accepted_orders) {
+            return false;
+        }
+        (self.surveyed_under, self.accepted_orders) = (fence, accepted_orders);
+        self.info.loaded = loaded;
+        self.placement_reported_at = Some(now);
+        true
+    }
+
     /// Whether it has loaded the model, and the adapter if one is given.
     pub fn has_loaded(&self, model_ref: &ModelRef) -> bool {
         let loaded = self.info.loaded.iter().find(|l| l.model == model_ref.model);
--- a/crates/direct/tests/engines.rs
+++ b/crates/direct/tests/engines.rs
@@ -4,8 +4,8 @@
 
 use hgw_direct::in_flight::EngineKey;
 use hgw_direct::{
-    AttemptOutcome, Cursor, EngineId, EngineInfo, EngineState, Engines, Era, Load, SendId,
-    StartTime,
+    AttemptOutcome, Cursor, EngineId, EngineInfo, EngineState, Engines, Era, Load, LoadedModel,
+    SendId, StartTime,
 };
 use proptest::collection::vec;
 use proptest::prelude::{prop_assert, prop_assert_eq, proptest};
@@ -76,6 +76,37 @@
     assert_eq!(engines.observe_start(&id(), StartTime(Some(200))).unwrap().accepted_orders, 1);
 }
 
+fn loaded(adapters: &[&str]) -> Vec<LoadedModel> {
+    let adapters = adapters.iter().map(|a| (*a).to_owned()).collect();
+    vec![LoadedModel { model: "m".to_owned(), adapters }]
+}
+
+/// Guards against what an earlier leader knew taking back what a later one has surveyed, at whatever counts of orders.
+#[test]
+fn models_that_an_earlier_leader_reports_change_nothing() {
+    let mut engines = engines_in_use();
+    let engine = engines.get_mut(&id()).unwrap();
+    assert!(engine.apply_reported_models(Some(7), 5, loaded(&["a1", "a2"]), 20));
+    for (fence, orders) in [(Some(7), 4), (Some(6), 5), (Some(6), 9), (None, 4)] {
+        assert!(!engine.apply_reported_models(fence, orders, loaded(&["a1"]), 30));
+    }
+    assert_eq!((&engine.info.loaded, engine.accepted_orders), (&loaded(&["a1", "a2"]), 5));
+    assert_eq!(engine.placement_reported_at, Some(20));
+}
+
+/// Guards against news of the leader that are taken for old: of an equal count, after an order that did not count, and of a
+/// lower one than an earlier leader had counted.
+#[test]
+fn models_that_the_newest_leader_reports_are_taken() {
+    let mut engines = engines_in_use();
+    let engine = engines.get_mut(&id()).unwrap();
+    for (fence, orders) in [(Some(7), 5), (Some(7), 5), (Some(7), 6), (None, 6), (Some(8), 4)] {
+        assert!(engine.apply_reported_models(fence, orders, loaded(&["a1"]), 20));
+        assert_eq!(engine.accepted_orders, orders);
+    }
+    assert_eq!(engine.surveyed_under, 8);
+}
+
 /// Some engines do not report their start time, or not everywhere.
 #[test]
 fn report_without_a_start_applies_to_the_known_one() {
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -301,6 +301,7 @@
     node.engine(id, |e| EnginePlacement {
         engine: id.clone(),
         started_at: e.info.started_at,
+        fence: Some(e.surveyed_under).filter(|fence| *fence > 0),
         accepted_orders: e.accepted_orders,
         loaded: e.info.loaded.clone(),
     })
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -160,6 +160,7 @@
 /// Takes in an engine's report unless it is outdated. Returns whether it was taken in.
 fn apply_report(node: &Node, engine: &EngineId, report: Report) -> bool {
     let now = node.now();
+    let own_fence = node.leadership.borrow().own_fence();
     let mut state = node.state.borrow_mut();
     let Some(known) = state.engines.observe_start(engine, report.started_at) else { return false };
     // An order may have been accepted while the report was under way.
@@ -169,6 +170,7 @@
         return false;
     }
     known.accepted_orders = report.seq;
+    known.surveyed_under = own_fence.unwrap_or(known.surveyed_under);
     let has_changed = known.info.loaded != report.loaded;
     known.info.loaded = report.loaded;
     known.info.cached = report.cached;
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -30,27 +30,24 @@
     }
 }
 
+/// Takes in the loaded models that another node reports. A leader takes none: it knows them from its own surveys and
+/// orders, and a response that was late may say what an earlier leader knew.
 pub(super) fn apply_placements(node: &Node, placements: Vec<EnginePlacement>) {
-    if placements.is_empty() {
+    if placements.is_empty() || node.leadership.borrow().is_leader() {
         return;
     }
     let now = node.now();
     let mut state = node.state.borrow_mut();
     let mut changes = node.placement_changes.borrow_mut();
     for placement in placements {
-        let Some(engine) = state.engines.observe_start(&placement.engine, placement.started_at)
-        else {
-            continue;
-        };
-        if placement.accepted_orders >= engine.accepted_orders {
-            let is_known =
-                engine.placement_reported_at.is_some() && engine.info.loaded == placement.loaded;
-            if !is_known || engine.accepted_orders != placement.accepted_orders {
-                changes.record(&placement.engine);
-            }
-            engine.accepted_orders = placement.accepted_orders;
-            engine.info.loaded = placement.loaded;
-            engine.placement_reported_at = Some(now);
+        let EnginePlacement { engine: id, started_at, fence, accepted_orders, loaded } = placement;
+        let Some(engine) = state.engines.observe_start(&id, started_at) else { continue };
+        let before = (engine.surveyed_under, engine.accepted_orders);
+        let is_known = engine.placement_reported_at.is_some() && engine.info.loaded == loaded;
+        let is_taken = engine.apply_reported_models(fence, accepted_orders, loaded, now);
+        let is_same_version = before == (engine.surveyed_under, engine.accepted_orders);
+        if is_taken && !(is_known && is_same_version) {
+            changes.record(&id);
         }
     }
     changes.retain(|id| state.engines.get(id).is_some());
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -21,6 +21,9 @@
     /// Start of the engine that the entry refers to.
     #[serde(rename = "start")]
     pub(crate) started_at: StartTime,
+    /// Fencing token of the leader that surveyed the engine; none if none is known to have.
+    #[serde(default, rename = "term", skip_serializing_if = "Option::is_none")]
+    pub(crate) fence: Option<u64>,
     /// Number of orders that the engine has accepted.
     #[serde(rename = "orders")]
     pub(crate) accepted_orders: u64,
--- a/crates/hibiscusgw/tests/platform/late_copies.rs
+++ b/crates/hibiscusgw/tests/platform/late_copies.rs
@@ -80,7 +80,7 @@
 }
 
 /// Reads a request to its end; returns its head in lower case, none at the end of the connection.
-fn read_request(reader: &mut impl BufRead) -> io::Result<Option<String>> {
+pub(crate) fn read_request(reader: &mut impl BufRead) -> io::Result<Option<String>> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         if reader.read_line(&mut head)? == 0 {
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -37,6 +37,7 @@
 mod idle_connections;
 mod keys;
 mod late_copies;
+mod late_leader;
 mod late_requests;
 mod leader_reads;
 mod leaving;
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -233,6 +233,11 @@
         (node, path)
     }
 
+    /// Path of a file in the folder of this platform, which goes with it.
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
+    }
+
     /// The lines of an event in such a file.
     pub fn lines(&self, path: &Path, event: u64) -> Vec<Value> {
         let text = std::fs::read_to_string(path).expect("the file can be read");
