--- a/crates/gateway/src/leader/adapters.rs
+++ b/crates/gateway/src/leader/adapters.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hgw_direct::placement::{AdapterAction, next_missing_adapter, place_adapter};
+use hgw_direct::placement::{
+    AdapterAction, free_adapter_slots, next_missing_adapter, place_adapter,
+};
 use hgw_direct::{Engine, EngineId, ModelRef, ServiceId, VersionKey};
 use hgw_events::{Event, emit};
 use tokio::sync::Notify;
@@ -14,7 +16,7 @@
 use crate::shared::Node;
 
 use super::order::{OrderResult, count_accepted, may_send_orders, send_order};
-use super::{announce_placement_change, model_pools, models, order_lock};
+use super::{announce_placement_change, model_pool, model_pools, models, order_lock};
 
 /// Pause before the first check of a load; a load takes about this long.
 const MIN_CHECK_PAUSE: Duration = Duration::from_millis(6);
@@ -181,13 +183,13 @@
     engine: &EngineId,
     evict: Option<&ModelRef>,
 ) -> bool {
-    let max_slots =
-        model_pools(node).iter().map(|(_, p)| p.adapter_slots).max().unwrap_or(0) as usize;
+    let service = node.engine(engine, |e| e.info.service.clone());
+    let Some(pool) = service.and_then(|service| model_pool(node, &service)) else { return false };
     let fits = node.engine(engine, |e| {
-        let freed = usize::from(evict.is_some_and(|w| e.has_loaded(w)));
+        let freed = i64::from(evict.is_some_and(|w| e.has_loaded(w)));
         e.has_model(&model_ref.model)
             && !e.has_loaded(model_ref)
-            && e.adapter_slots_used() - freed < max_slots
+            && free_adapter_slots(e, &pool) + freed > 0
     });
     let leader = node.leader_state.borrow();
     let is_surveyed =
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -236,6 +236,12 @@
     pools.filter_map(|(id, s)| Some((id.clone(), s.pool.clone()?))).collect()
 }
 
+/// Models of a service, and the figures of its engines.
+fn model_pool(node: &Node, service: &hgw_direct::ServiceId) -> Option<ModelPool> {
+    let state = node.state.borrow();
+    state.catalog.as_ref()?.services.get(service)?.pool.clone()
+}
+
 fn load_rate_limits(node: &Node, pool: &ModelPool) -> LoadRateLimits {
     let window = node.settings.borrow().load_window.as_millis() as Millis;
     LoadRateLimits { loads_per_s: pool.loads_per_s, window }
--- /dev/null
+++ b/crates/hibiscusgw/tests/platform/adapter_room.rs
@@ -0,0 +1,73 @@
+//! Orders for adapters at engines that have other figures than those of another service.
+
+use hgw_standins::fleet::EngineSettings;
+use hgw_standins::fleet::deployment::{Fleet, configuration, holds, wait};
+use http::{Method, StatusCode};
+
+use crate::new_fleet;
+
+/// Sends a stream for each adapter at the same time and waits for all. Returns how many were served.
+fn served_at_once(fleet: &Fleet, node: usize, path: &str, models: &[String]) -> usize {
+    std::thread::scope(|scope| {
+        let asks: Vec<_> = models
+            .iter()
+            .map(|model| {
+                let prompt = format!("{}-{model}", path.trim_matches('/')).replace('/', "-");
+                scope.spawn(move || {
+                    let headers = [
+                        ("x-request-id", prompt.as_str()),
+                        ("x-deadline-ms", "8000"),
+                        ("x-model", model),
+                        ("x-tokens", "100,120"),
+                        ("x-prompt-prefix", "a1:60,b2:40"),
+                    ];
+                    let response = fleet.nodes[node].call(Method::POST, path, &headers);
+                    response.is_ok_and(|r| r.status == StatusCode::OK)
+                })
+            })
+            .collect();
+        asks.into_iter().map(|ask| usize::from(ask.join().unwrap())).sum()
+    })
+}
+
+fn adapters(model: &str, count: usize) -> Vec<String> {
+    (1..=count).map(|n| format!("{model}/a{n}")).collect()
+}
+
+fn too_much(fleet: &Fleet) -> Vec<(u32, Vec<String>)> {
+    let records = fleet.engines.iter().map(|engine| engine.record());
+    records.filter(|r| r.too_much > 0).map(|r| (r.too_much, r.orders)).collect()
+}
+
+/// Guards against orders beyond an engine's places where the engines of another service have more of them.
+#[test]
+fn adapters_are_ordered_within_the_places_of_the_service() {
+    let engine = |id: &str, service: &str, model: &str, adapters: usize| EngineSettings {
+        id: id.into(),
+        service: service.into(),
+        holds: holds(&[(model, &[])]),
+        adapters,
+        ..EngineSettings::default()
+    };
+    let mut fleet =
+        new_fleet(vec![engine("i-1", "models", "m", 8), engine("i-2", "drafts", "d", 3)]);
+    let mut config = configuration(2);
+    let mut drafts = config["services"][1].clone();
+    config["services"][1]["engine"]["adapterSlots"] = 8.into();
+    drafts["name"] = "drafts".into();
+    drafts["engine"]["adapterSlots"] = 3.into();
+    drafts["engine"]["models"].as_array_mut().unwrap().truncate(1);
+    drafts["engine"]["models"][0]["name"] = "d".into();
+    config["services"].as_array_mut().unwrap().push(drafts);
+    let mut draft = config["routes"][2].clone();
+    (draft["name"], draft["prefix"], draft["service"]) =
+        ("draft".into(), "/draft/".into(), "drafts".into());
+    config["routes"].as_array_mut().unwrap().push(draft);
+    fleet.publish(&config);
+    let node = fleet.start("a");
+    wait("an adapter is served", || served_at_once(&fleet, node, "/draft/", &["d/a0".into()]) == 1);
+    for _ in 0..3 {
+        served_at_once(&fleet, node, "/draft/", &adapters("d", 8));
+    }
+    assert_eq!(too_much(&fleet), []);
+}
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -18,6 +18,7 @@
     };
 }
 
+mod adapter_room;
 mod brittle;
 mod broken_responses;
 mod caller_connections;
