--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -406,10 +406,19 @@
         }
     }
 
+    /// Models and names of the adapters that are, or may be, loaded.
+    pub fn adapters(&self) -> impl Iterator<Item = (&str, &str)> {
+        let loaded =
+            self.info.loaded.iter().flat_map(|l| {
+                l.adapters.iter().map(|adapter| (l.model.as_str(), adapter.as_str()))
+            });
+        let loading = self.loading_adapters.iter().filter(|m| !self.has_loaded(m));
+        loaded.chain(loading.filter_map(|m| Some((m.model.as_str(), m.adapter.as_deref()?))))
+    }
+
     /// Adapter slots that are, or may be, in use.
     pub fn adapter_slots_used(&self) -> usize {
-        let loaded: usize = self.info.loaded.iter().map(|l| l.adapters.len()).sum();
-        loaded + self.loading_adapters.iter().filter(|m| !self.has_loaded(m)).count()
+        self.adapters().count()
     }
 
     pub fn add_loaded(&mut self, model_ref: &ModelRef) {
--- a/crates/direct/tests/placement.rs
+++ b/crates/direct/tests/placement.rs
@@ -8,7 +8,8 @@
 use hgw_direct::engine_speed::SpeedSums;
 use hgw_direct::placement::{
     AdapterAction, AllowedActions, LoadRateLimiter, LoadRateLimits, ModelLoad, PendingLoads,
-    WeightSource, count_evicting, free_adapter_slots, next_model_load, place_adapter,
+    WeightSource, count_evicting, free_adapter_slots, needed_evictions,
+    next_missing_adapter, next_model_load, place_adapter,
 };
 use hgw_direct::{
     Cursor, Demand, Engine, EngineInfo, Engines, Model, ModelPool, Rates, SoftwareVersion,
@@ -281,7 +282,7 @@
         "a",
         0,
     );
-    assert_eq!(step, AdapterAction::Load { engine: "e2".into(), evict: None });
+    assert_eq!(step, AdapterAction::Load { engine: "e2".into(), evict: Vec::new() });
 }
 
 /// Guards against waiting for an adapter in use while an idle one could be evicted.
@@ -295,10 +296,10 @@
     demand.record(9_900, &model_ref("m/x"), 0.1);
     let pool = pool(&["m"]);
     let step = place_adapter(&all_refs(&engines), &pool, &demand, &model_ref("m/z"), "a", 10_500);
-    assert_eq!(step, AdapterAction::Load { engine: "e1".into(), evict: Some(model_ref("m/x")) });
+    assert_eq!(step, AdapterAction::Load { engine: "e1".into(), evict: vec![model_ref("m/x")] });
     demand.record(10_400, &model_ref("m/x"), 0.1);
     let step = place_adapter(&all_refs(&engines), &pool, &demand, &model_ref("m/z"), "a", 13_000);
-    assert_matches!(step, AdapterAction::Load { evict: Some(_), .. });
+    assert_matches!(step, AdapterAction::Load { evict, .. } if evict.len() == 1);
 }
 
 #[test]
@@ -310,6 +311,87 @@
     assert_eq!(step, AdapterAction::NotPossible);
 }
 
+/// A service whose engines have room for three adapters of `m` or one of `n` beside two models, and four slots.
+fn tight_pool() -> ModelPool {
+    let mut pool = pool(&["m", "n"]);
+    (pool.adapter_slots, pool.weights_mb) = (4, 140_300.0);
+    pool.models[0].adapter_mb = 100.0;
+    pool.models[1].adapter_mb = 300.0;
+    pool
+}
+
+fn place_at(engines: &Engines, pool: &ModelPool, adapter: &str) -> AdapterAction {
+    place_adapter(&all_refs(engines), pool, &Demand::default(), &model_ref(adapter), "a", 0)
+}
+
+/// Guards against adapters beyond an engine's memory where it has free slots.
+#[test]
+fn adapter_beyond_the_memory_takes_the_place_of_another() {
+    let two = engines(&[("e1", "a", &["m/x", "m/y", "n"])]);
+    let full = engines(&[("e1", "a", &["m/x", "m/y", "m/z", "n"])]);
+    let evicted = |engines| match place_at(engines, &tight_pool(), "m/w") {
+        AdapterAction::Load { evict, .. } => evict.len(),
+        AdapterAction::NotPossible => panic!("not possible"),
+    };
+    assert_eq!((evicted(&two), evicted(&full)), (0, 1));
+}
+
+/// Guards against adapters beyond the memory after the response to an order was lost.
+#[test]
+fn adapter_that_may_be_loading_takes_its_memory() {
+    let mut engines = engines(&[("e1", "a", &["m/x", "m/y", "n"])]);
+    let engine = engines.get_mut(&"e1".into()).unwrap();
+    engine.expect_adapter(&model_ref("m/z"));
+    assert_matches!(place_at(&engines, &tight_pool(), "m/w"), AdapterAction::Load { evict, .. } if evict.len() == 1);
+}
+
+/// Guards against an eviction that frees less than the new adapter takes.
+#[test]
+fn large_adapter_takes_the_place_of_several() {
+    let engines = engines(&[("e1", "a", &["m/x", "m/y", "n"])]);
+    let expected = vec![model_ref("m/x"), model_ref("m/y")];
+    let step = place_at(&engines, &tight_pool(), "n/a1");
+    assert_eq!(step, AdapterAction::Load { engine: "e1".into(), evict: expected });
+}
+
+/// Guards against adapters that are evicted although the eviction of a larger one is enough.
+#[test]
+fn no_more_adapters_are_evicted_than_needed() {
+    let engines = engines(&[("e1", "a", &["m/x", "n/a1"])]);
+    let mut pool = tight_pool();
+    pool.weights_mb = 140_450.0;
+    let engine = engines.iter().next().unwrap();
+    let planned = || vec![model_ref("m/x"), model_ref("n/a1")];
+    let needed = |pool: &ModelPool| needed_evictions(engine, pool, &model_ref("m/y"), planned());
+    assert_eq!(needed(&pool), Some(vec![model_ref("n/a1")]));
+    // The room that was missing has been made meanwhile.
+    pool.weights_mb = 141_000.0;
+    assert_eq!(needed(&pool), Some(Vec::new()));
+}
+
+/// Guards against an order that counts on an eviction that another order has made use of.
+#[test]
+fn eviction_of_an_adapter_that_has_gone_makes_no_room() {
+    let engines = engines(&[("e1", "a", &["m/x", "m/y", "m/z", "n"])]);
+    let engine = engines.iter().next().unwrap();
+    let gone = vec![model_ref("m/v")];
+    assert_eq!(needed_evictions(engine, &tight_pool(), &model_ref("m/w"), gone), None);
+}
+
+/// Guards against a request that waits for an adapter, and plans that circle, where models leave no room for it.
+#[test]
+fn adapter_that_no_engine_could_hold_is_placed_nowhere() {
+    let engines = engines(&[("e1", "a", &["m/x", "n"])]);
+    let mut pool = tight_pool();
+    pool.models[1].adapter_mb = 301.0;
+    assert_eq!(place_at(&engines, &pool, "n/a1"), AdapterAction::NotPossible);
+    let mut demand = Demand::default();
+    demand.record(0, &model_ref("n/a1"), 50.0);
+    demand.record(0, &model_ref("m/y"), 5.0);
+    let missing = next_missing_adapter(&all_refs(&engines), &pool, &demand, 1_000);
+    assert_eq!(missing, Some(model_ref("m/y")));
+}
+
 /// Guards against exceeding an engine's adapter slots after the response to an order was lost.
 #[test]
 fn adapter_that_may_be_loading_takes_its_slot() {
--- a/crates/gateway/src/leader/adapters.rs
+++ b/crates/gateway/src/leader/adapters.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use hgw_direct::placement::{
-    AdapterAction, free_adapter_slots, next_missing_adapter, place_adapter,
+    AdapterAction, has_place_for, needed_evictions, next_missing_adapter, place_adapter,
 };
-use hgw_direct::{Engine, EngineId, ModelRef, ServiceId, VersionKey};
+use hgw_direct::{Engine, EngineId, ModelPool, ModelRef, ServiceId, VersionKey};
 use hgw_events::{Event, emit};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
@@ -52,7 +52,8 @@
     let now = node.now();
     node.leader_state.borrow_mut().demand.mark_requested(now, model_ref);
     let model = ModelRef { model: model_ref.model.clone(), adapter: None };
-    if model_ref.adapter.is_none() || !is_loaded(node, &model, version) {
+    let is_model_loaded = is_loaded(node, &model, version);
+    if model_ref.adapter.is_none() || !is_model_loaded || !has_place(node, model_ref) {
         return Placement::Loading(models::expected_load_ms(node, &model_ref.model));
     }
     // Runs as a separate task, because the caller may disconnect while an order is pending.
@@ -100,7 +101,7 @@
 }
 
 /// Places an adapter in demand that no engine has loaded, ahead of the next request for it.
-pub(super) fn place_missing_adapter(node: &Node, service: &ServiceId) {
+pub(super) fn place_missing_adapter(node: &Node, service: &ServiceId, pool: &ModelPool) {
     let model_ref = {
         let leader = node.leader_state.borrow();
         if leader.placements_in_progress.len() >= MAX_PLACEMENTS {
@@ -109,12 +110,22 @@
         let state = node.state.borrow();
         let engines: Vec<&Engine> =
             state.engines.of_service(service).filter(|e| e.accepts_requests()).collect();
-        next_missing_adapter(&engines, &leader.demand, node.now())
+        next_missing_adapter(&engines, pool, &leader.demand, node.now())
     };
     let Some(model_ref) = model_ref else { return };
     start_placement(node, &model_ref, "", None);
 }
 
+/// Whether an engine with the adapter's model could hold it beside its models.
+fn has_place(node: &Node, model_ref: &ModelRef) -> bool {
+    let pools = model_pools(node);
+    let state = node.state.borrow();
+    pools.iter().any(|(service, pool)| {
+        let engines: Vec<&Engine> = state.engines.of_service(service).collect();
+        has_place_for(&engines, pool, model_ref)
+    })
+}
+
 fn is_loaded(node: &Node, model_ref: &ModelRef, version: Option<VersionKey>) -> bool {
     let now = node.now();
     let is_reachable = |e: &Engine| e.accepts_requests() && !e.health.is_reported_unreachable(now);
@@ -142,8 +153,8 @@
     if let Some((engine, evict)) = choose_engine(node, model_ref, domain, version) {
         let lock = order_lock(node, &engine);
         let _guard = lock.lock().await;
-        // Another order may have taken the slot meanwhile.
-        if is_action_valid(node, model_ref, &engine, evict.as_ref()) {
+        // Another order may have taken the room meanwhile, or made it.
+        if let Some(evict) = evictions_now(node, model_ref, &engine, evict) {
             execute(node, &engine, model_ref, evict).await;
         }
     }
@@ -154,7 +165,7 @@
     model_ref: &ModelRef,
     domain: &str,
     version: Option<VersionKey>,
-) -> Option<(EngineId, Option<ModelRef>)> {
+) -> Option<(EngineId, Vec<ModelRef>)> {
     let now = node.now();
     for (service, pool) in model_pools(node) {
         let state = node.state.borrow();
@@ -176,30 +187,31 @@
     None
 }
 
-/// Whether the decision still holds: there is a free slot or the evicted adapter is still there.
-fn is_action_valid(
+/// What has to be evicted of what was planned so that an adapter can be loaded now, by the figures of the engine's own
+/// service; none if the decision does not hold any more.
+fn evictions_now(
     node: &Node,
     model_ref: &ModelRef,
     engine: &EngineId,
-    evict: Option<&ModelRef>,
-) -> bool {
-    let service = node.engine(engine, |e| e.info.service.clone());
-    let Some(pool) = service.and_then(|service| model_pool(node, &service)) else { return false };
-    let fits = node.engine(engine, |e| {
-        let freed = i64::from(evict.is_some_and(|w| e.has_loaded(w)));
-        e.has_model(&model_ref.model)
-            && !e.has_loaded(model_ref)
-            && free_adapter_slots(e, &pool) + freed > 0
-    });
-    let leader = node.leader_state.borrow();
-    let is_surveyed =
-        leader.surveyed.contains_key(engine) && !leader.pending_loads.contains_key(engine);
-    is_surveyed && fits.unwrap_or(false)
+    planned: Vec<ModelRef>,
+) -> Option<Vec<ModelRef>> {
+    {
+        let leader = node.leader_state.borrow();
+        if !leader.surveyed.contains_key(engine) || leader.pending_loads.contains_key(engine) {
+            return None;
+        }
+    }
+    let service = node.engine(engine, |e| e.info.service.clone())?;
+    let pool = model_pool(node, &service)?;
+    node.engine(engine, |e| {
+        let is_wanted = e.has_model(&model_ref.model) && !e.has_loaded(model_ref);
+        is_wanted.then(|| needed_evictions(e, &pool, model_ref, planned))?
+    })?
 }
 
-fn log_plan(node: &Node, engine: &EngineId, model_ref: &ModelRef, evict: Option<&ModelRef>) {
+fn log_plan(node: &Node, engine: &EngineId, model_ref: &ModelRef, evict: &[ModelRef]) {
     let rate = format!("{:.1}", node.leader_state.borrow().demand.rate(node.now(), model_ref));
-    let evict = evict.map(ModelRef::to_string).unwrap_or_default();
+    let evict = evict.iter().map(ModelRef::to_string).collect::<Vec<_>>().join(",");
     emit(
         Event::AdapterPlanned,
         &[
@@ -212,23 +224,29 @@
     );
 }
 
-async fn execute(node: &Node, engine: &EngineId, model_ref: &ModelRef, evict: Option<ModelRef>) {
-    log_plan(node, engine, model_ref, evict.as_ref());
-    if let Some(evicted) = evict {
-        if let Some(e) = node.state.borrow_mut().engines.get_mut(engine) {
-            e.remove_loaded(&evicted);
-        }
-        announce_placement_change(node, engine);
-        node.leader_state.borrow_mut().draining.insert(engine.clone());
-        let unloaded = repeat_order(node, engine, OrderKind::Unload, &evicted).await;
-        node.leader_state.borrow_mut().draining.shift_remove(engine);
-        if !unloaded {
-            return;
-        }
+async fn execute(node: &Node, engine: &EngineId, model_ref: &ModelRef, evict: Vec<ModelRef>) {
+    log_plan(node, engine, model_ref, &evict);
+    if !evict.is_empty() && !evict_adapters(node, engine, &evict).await {
+        return;
     }
     repeat_order(node, engine, OrderKind::Load, model_ref).await;
 }
 
+/// Evicts adapters, which get no more requests from the start. Returns whether the engine has unloaded all of them.
+async fn evict_adapters(node: &Node, engine: &EngineId, evict: &[ModelRef]) -> bool {
+    if let Some(e) = node.state.borrow_mut().engines.get_mut(engine) {
+        evict.iter().for_each(|evicted| e.remove_loaded(evicted));
+    }
+    announce_placement_change(node, engine);
+    node.leader_state.borrow_mut().draining.insert(engine.clone());
+    let mut all_unloaded = true;
+    for evicted in evict {
+        all_unloaded = all_unloaded && repeat_order(node, engine, OrderKind::Unload, evicted).await;
+    }
+    node.leader_state.borrow_mut().draining.shift_remove(engine);
+    all_unloaded
+}
+
 /// Repeats an order until the engine has executed it. Returns whether it has.
 async fn repeat_order(
     node: &Node,
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -158,7 +158,7 @@
         notify_list_change(&node);
         for (service, pool) in model_pools(&node) {
             models::start_loads(&node, &service, &pool);
-            adapters::place_missing_adapter(&node, &service);
+            adapters::place_missing_adapter(&node, &service, &pool);
         }
         let took = Duration::from_millis(node.now().saturating_sub(started));
         sleep(PLAN_INTERVAL.max(took * PLAN_REST_FACTOR)).await;
--- a/crates/gateway/src/leader/models.rs
+++ b/crates/gateway/src/leader/models.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hgw_direct::placement::{
-    AllowedActions, ModelLoad, WeightSource, count_evicting, next_model_load,
+    AllowedActions, ModelLoad, WeightSource, count_evicting, model_fits, next_model_load,
 };
 use hgw_direct::{Engine, EngineId, ModelPool, ModelRef, Rates, ServiceId, StartTime};
 use hgw_events::{Event, emit};
@@ -14,7 +14,9 @@
 use crate::shared::Node;
 
 use super::order::{OrderResult, count_accepted, may_send_orders, send_order};
-use super::{announce_placement_change, load_rate_limits, model_pools, order_lock, record_load};
+use super::{
+    announce_placement_change, load_rate_limits, model_pool, model_pools, order_lock, record_load,
+};
 
 /// Interval at which an order in progress is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -128,6 +130,12 @@
         {
             sleep(RATE_LIMIT_CHECK_INTERVAL).await;
         }
+    }
+    // A survey or a configuration may have shown meanwhile that there is less room than planned.
+    if !still_fits(node, &engine, &load) {
+        return;
+    }
+    if source == WeightSource::Store {
         record_load(node);
     }
     let usual_time = pool.models.get(&load).map_or(Duration::from_secs(5), |m| source.load_time(m));
@@ -139,6 +147,13 @@
     order_until_done(node, &engine, OrderKind::Load, &model_ref, usual_time).await;
 }
 
+/// Whether a model fits at an engine by the figures of the engine's own service.
+fn still_fits(node: &Node, engine: &EngineId, model: &str) -> bool {
+    let Some(service) = node.engine(engine, |e| e.info.service.clone()) else { return false };
+    let Some(pool) = model_pool(node, &service) else { return false };
+    node.engine(engine, |e| model_fits(e, &pool, model)).unwrap_or(false)
+}
+
 /// Estimated time in milliseconds until an engine has loaded the model.
 pub(super) fn expected_load_ms(node: &Node, model: &str) -> u64 {
     let usual_time =
--- a/crates/hibiscusgw/tests/platform/adapter_room.rs
+++ b/crates/hibiscusgw/tests/platform/adapter_room.rs
@@ -1,7 +1,7 @@
-//! Orders for adapters at engines that have other figures than those of another service.
+//! Orders for adapters at engines that have less room than places, and other figures than those of another service.
 
-use hgw_standins::fleet::EngineSettings;
 use hgw_standins::fleet::deployment::{Fleet, configuration, holds, wait};
+use hgw_standins::fleet::{EngineMemory, EngineSettings};
 use http::{Method, StatusCode};
 
 use crate::new_fleet;
@@ -39,6 +39,35 @@
     records.filter(|r| r.too_much > 0).map(|r| (r.too_much, r.orders)).collect()
 }
 
+/// Guards against orders beyond an engine's memory where its models leave room for fewer adapters than it has places.
+#[test]
+fn adapters_are_ordered_within_the_memory_that_models_leave() {
+    let memory = EngineMemory { total_mb: 150_000.0, model_mb: 70_000.0, adapter_mb: 4_000.0 };
+    let engine = |id: &str| EngineSettings {
+        id: id.into(),
+        holds: holds(&[("m", &[]), ("n", &[])]),
+        memory: Some(memory),
+        ..EngineSettings::default()
+    };
+    let mut fleet = new_fleet(vec![engine("i-1"), engine("i-2")]);
+    let mut config = configuration(2);
+    let pool = &mut config["services"][1]["engine"];
+    pool["weightsMb"] = memory.total_mb.into();
+    for model in 0..2 {
+        pool["models"][model]["adapterMb"] = memory.adapter_mb.into();
+    }
+    fleet.publish(&config);
+    let node = fleet.start("a");
+    wait("an adapter is served", || served_at_once(&fleet, node, "/ask/", &["m/a0".into()]) == 1);
+    for _ in 0..3 {
+        served_at_once(&fleet, node, "/ask/", &adapters("m", 6));
+    }
+    assert_eq!(too_much(&fleet), []);
+    wait("the last adapter is served", || {
+        served_at_once(&fleet, node, "/ask/", &["n/a9".into()]) == 1
+    });
+}
+
 /// Guards against orders beyond an engine's places where the engines of another service have more of them.
 #[test]
 fn adapters_are_ordered_within_the_places_of_the_service() {
--- a/crates/standins/src/fleet/engine/mod.rs
+++ b/crates/standins/src/fleet/engine/mod.rs
@@ -25,7 +25,7 @@
 use crate::faults::{Faults, Switches, lock};
 use crate::server::{Body, Reply, Running, StandIn, bounded_stream, failure, json, serve};
 
-pub use settings::EngineSettings;
+pub use settings::{EngineMemory, EngineSettings};
 use streams::UNWRITTEN_PIECES;
 
 /// Models, each with its adapters.
--- a/crates/standins/src/fleet/engine/orders.rs
+++ b/crates/standins/src/fleet/engine/orders.rs
@@ -83,10 +83,17 @@
     }
 
     fn has_room(&self, inner: &Inner, order: &Order) -> bool {
-        match order.adapter {
-            None => inner.holds.len() < self.settings.models,
-            Some(_) => inner.holds.values().map(Vec::len).sum::<usize>() < self.settings.adapters,
-        }
+        let (is_model, is_adapter) = match order.adapter {
+            None => (1, 0),
+            Some(_) => (0, 1),
+        };
+        let models = inner.holds.len() + is_model;
+        let adapters = inner.holds.values().map(Vec::len).sum::<usize>() + is_adapter;
+        let fits = self.settings.memory.is_none_or(|memory| {
+            let taken_mb = models as f64 * memory.model_mb + adapters as f64 * memory.adapter_mb;
+            taken_mb <= memory.total_mb
+        });
+        fits && models <= self.settings.models && adapters <= self.settings.adapters
     }
 }
 
--- a/crates/standins/src/fleet/engine/settings.rs
+++ b/crates/standins/src/fleet/engine/settings.rs
@@ -7,6 +7,17 @@
 use super::Holds;
 use crate::fleet::{Endless, FixedResponse};
 
+/// Memory of an engine for models and adapters, in megabytes.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineMemory {
+    /// Memory for all of them.
+    pub total_mb: f64,
+    /// Size of each model.
+    pub model_mb: f64,
+    /// Size of each adapter.
+    pub adapter_mb: f64,
+}
+
 /// Settings of an engine.
 #[derive(Debug, Clone)]
 pub struct EngineSettings {
@@ -30,6 +41,8 @@
     pub models: usize,
     /// Places for adapters, over all models.
     pub adapters: usize,
+    /// Memory for models and adapters and what they take, if it is checked.
+    pub memory: Option<EngineMemory>,
     /// Time of a load of a model.
     pub load: Duration,
     /// Time that it reads a prompt, before the head of a stream.
@@ -69,6 +82,7 @@
             holds: Holds::new(),
             models: 3,
             adapters: 4,
+            memory: None,
             load: Duration::from_millis(200),
             reading: Duration::ZERO,
             pause: Duration::from_millis(5),
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -9,6 +9,6 @@
 
 pub use deployment::Fleet;
 pub use endless::{Endless, EndlessRecord, Part};
-pub use engine::{EngineSettings, FleetRecord, Holds};
+pub use engine::{EngineMemory, EngineSettings, FleetRecord, Holds};
 pub use fixed::FixedResponse;
 pub use store::Store;
