Models: evicting one that the configuration dropped frees what it counts for

An engine that holds a model which the configuration no longer names counts as full, so that nothing is loaded beside it. Its eviction counted as freeing nothing: such an engine took no model for good.

The size of a model is taken from one function in both places.

--- a/crates/direct/src/placement/balance.rs
+++ b/crates/direct/src/placement/balance.rs
@@ -1,6 +1,6 @@
 //! Moves model copies so that the load of the engines is balanced.
 
-use super::capacity::free_mb;
+use super::capacity::{free_mb, weights_mb};
 use super::models::{Bounds, MIN_NEED, ModelLoad, Planner};
 use super::targets::{IN_DEMAND_RATE, copy_rate};
 use crate::{Engine, LoadedModel};
@@ -69,8 +69,7 @@
             max_loss: MIN_IMBALANCE * self.distribution.mean(),
         };
         idle.into_iter().find_map(|(_, engine)| {
-            let weights_mb =
-                |h: &LoadedModel| self.pool.models.get(&h.model).map_or(0.0, |m| m.weights_mb);
+            let weights_mb = |h: &LoadedModel| weights_mb(self.pool, &h.model);
             let loaded = engine.info.loaded.iter();
             let spare_mb: f64 =
                 loaded.clone().filter(|h| self.is_spare(&h.model)).map(weights_mb).sum();
--- a/crates/direct/src/placement/models.rs
+++ b/crates/direct/src/placement/models.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use indexmap::{IndexMap, IndexSet};
 
-use super::capacity::{free_mb, reserved_mb};
+use super::capacity::{free_mb, reserved_mb, weights_mb};
 use super::load_distribution::LoadDistribution;
 use super::targets::{IN_DEMAND_RATE, need, targets};
 use crate::{Engine, EngineId, Engines, Millis, Model, ModelPool, ModelRef, Rates, VersionKey};
@@ -299,7 +299,7 @@
             if free_mb >= needed_mb {
                 break;
             }
-            free_mb += self.pool.models.get(model).map_or(0.0, |m| m.weights_mb);
+            free_mb += weights_mb(self.pool, model);
             loss += 1.0 + rate;
             evict.push(model.to_owned());
         }
--- a/crates/direct/tests/placement.rs
+++ b/crates/direct/tests/placement.rs
@@ -8,7 +8,7 @@
 use hgw_direct::engine_speed::SpeedSums;
 use hgw_direct::placement::{
     AdapterAction, AllowedActions, LoadRateLimiter, LoadRateLimits, ModelLoad, PendingLoads,
-    WeightSource, count_evicting, free_adapter_slots, needed_evictions,
+    WeightSource, count_evicting, free_adapter_slots, model_fits, needed_evictions,
     next_missing_adapter, next_model_load, place_adapter,
 };
 use hgw_direct::{
@@ -392,6 +392,17 @@
     assert_eq!(missing, Some(model_ref("m/y")));
 }
 
+/// Guards against engines that take no model any more as one that the configuration does not name fills them for good.
+#[test]
+fn model_that_the_configuration_dropped_makes_way() {
+    let engines = engines(&[("e1", "a", &["gone"])]);
+    let pool = pool(&["m"]);
+    let engine = engines.iter().next().unwrap();
+    assert!(!model_fits(engine, &pool, "m"));
+    let step = next_load(&engines, &["m"], &[("m", 9.0)]);
+    assert_matches!(step, Some(ModelLoad { model, evict, .. }) if model == "m" && evict == ["gone"]);
+}
+
 /// Guards against exceeding an engine's adapter slots after the response to an order was lost.
 #[test]
 fn adapter_that_may_be_loading_takes_its_slot() {
