--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -151,9 +151,9 @@
     pub id: Option<String>,
     /// Whether the engine has signed it.
     pub is_signed: bool,
-    /// Whether the engine rejected the request without executing it.
+    /// Whether the engine states that it has not executed the request.
     pub is_rejected: bool,
-    /// Whether another engine answered at the address, or this one lacks the model.
+    /// Whether the status says that another engine answered at the address, or that this one lacks the model.
     pub is_misdirected: bool,
     /// The engine that answered, if it is named.
     pub engine: Option<EngineId>,
@@ -169,6 +169,13 @@
 }
 
 impl ResponseInfo {
+    /// Whether the request has certainly not run at this engine. No status alone tells that, but another engine at its
+    /// address that says so by its name has not been this one.
+    pub fn proves_not_run(&self, engine: &EngineId) -> bool {
+        let is_another = self.engine.as_ref().is_some_and(|named| named != engine);
+        self.is_rejected || (self.is_misdirected && is_another)
+    }
+
     /// Whether it may come from this engine: another one at the address names itself, or rejects the request.
     pub fn may_come_from(&self, engine: &EngineId) -> bool {
         self.engine.as_ref().map_or(!self.is_misdirected, |named| named == engine)
--- a/crates/gateway/src/relay/attempt.rs
+++ b/crates/gateway/src/relay/attempt.rs
@@ -64,6 +64,8 @@
     NotRun,
     /// There is no usable response; the engine may have executed the request.
     NoResponse,
+    /// The status says that the request has not run, but the engine does not state so; it may have executed the request.
+    UnprovenRejection,
     /// Neither an engine nor another node could be chosen.
     NoEngine(NoEngine),
     /// The engine is silent; a retry has been taken from the retry budget. The attempt has been counted.
@@ -97,6 +99,7 @@
             AttemptResult::NotSent => Some("no connection"),
             AttemptResult::NotRun => Some("rejected unrun"),
             AttemptResult::NoResponse => Some("no answer of this request"),
+            AttemptResult::UnprovenRejection => Some("rejected, may have run"),
             AttemptResult::TimedOut => Some("time over"),
             AttemptResult::AtLimit(_) => Some("at its limit"),
             AttemptResult::Unwanted => Some("leaves or rests"),
--- a/crates/gateway/src/relay/buffered.rs
+++ b/crates/gateway/src/relay/buffered.rs
@@ -10,6 +10,7 @@
 
 use super::attempt::StartedResponse;
 use super::body;
+use super::engine_response::is_engine_failure;
 use super::event_timing::EventTiming;
 use super::request::RelayedRequest;
 use super::source::Source;
@@ -36,7 +37,7 @@
         let may_repeat = req.route.kind.may_repeat();
         let retries;
         (failure, retries) = match read_response(req, started).await {
-            Some(response) if response.status().is_server_error() => {
+            Some(response) if is_engine_failure(response.status()) => {
                 let retries = may_repeat && req.take_second_attempt(&engine).await;
                 (Some(Failure::Response(response)), retries)
             }
@@ -71,7 +72,7 @@
             return None;
         }
     };
-    let is_failure = head.status.is_server_error();
+    let is_failure = is_engine_failure(head.status);
     req.record_response(&engine, is_failure);
     source.record_outcome(if is_failure {
         AttemptOutcome::Failed
--- a/crates/gateway/src/relay/engine_response.rs
+++ b/crates/gateway/src/relay/engine_response.rs
@@ -6,6 +6,7 @@
 
 use hgw_direct::{AttemptOutcome, EngineId};
 use hgw_http1::{BodyDecoder, Conn, Error, Head};
+use http::StatusCode;
 use tokio::time::timeout;
 
 use crate::brittle;
@@ -15,6 +16,7 @@
 use crate::meter;
 use crate::overload;
 use crate::protocol::ResponseInfo;
+use crate::response::promises_not_run;
 
 use super::attempt::{AttemptResult, StartedResponse};
 use super::open_attempt::{EngineAttempt, EngineHead, Exchanged};
@@ -106,14 +108,15 @@
         if let Some(load) = info.load {
             guard.record_load(load);
         }
-        if info.is_rejected || info.is_misdirected {
+        if info.is_misdirected {
+            self.correct_engine_list(&engine, &info);
+        }
+        if info.proves_not_run(&engine) {
             self.rejected += 1;
             overload::record_pressure(&self.node, &self.service);
             self.discount_if(is_counted);
             self.set_may_run(false);
-            if info.is_misdirected {
-                self.correct_engine_list(&engine, &info);
-            } else if info.notices.rest.is_none() {
+            if !info.is_misdirected && info.notices.rest.is_none() {
                 guard.record_outcome(AttemptOutcome::Rejected);
             }
             let skipped = conn.skip_body(BodyDecoder::new(head.framing), MAX_REJECTION_BYTES);
@@ -135,11 +138,21 @@
             guard.record_outcome(AttemptOutcome::Failed);
             return AttemptResult::NoResponse;
         }
+        if self.would_promise_falsely(head.status) {
+            guard.record_outcome(AttemptOutcome::Failed);
+            return AttemptResult::UnprovenRejection;
+        }
         guard.record_response_start(info.load, head.framing);
         let source = Source::Engine(guard);
         AttemptResult::Started(Box::new(StartedResponse { engine, version, conn, head, source }))
     }
 
+    /// Whether the caller would take this status of a request that may have run for the promise that it has not. A request
+    /// that may be repeated loses nothing by it.
+    pub(super) fn would_promise_falsely(&self, status: StatusCode) -> bool {
+        promises_not_run(status) && !self.route.kind.may_repeat()
+    }
+
     /// Corrects the engine list: removes the engine if another one answered at its address, or else
     /// the model that it does not have.
     fn correct_engine_list(&mut self, engine: &EngineId, info: &ResponseInfo) {
@@ -160,6 +173,11 @@
     }
 }
 
+/// Whether an engine that has run a request responds with a failure of its own.
+pub(super) fn is_engine_failure(status: StatusCode) -> bool {
+    status.is_server_error() || promises_not_run(status)
+}
+
 /// What a failed exchange with an engine says of it.
 fn failure_outcome(error: &Error) -> AttemptOutcome {
     match error {
--- a/crates/gateway/src/relay/forward/response.rs
+++ b/crates/gateway/src/relay/forward/response.rs
@@ -45,6 +45,11 @@
                     guard.record_refused();
                     return AttemptResult::NoResponse;
                 }
+                if self.would_promise_falsely(head.status) {
+                    // A release that passes such statuses on.
+                    self.settle_forward(&guard, runs);
+                    return AttemptResult::UnprovenRejection;
+                }
                 guard.record_served(&domain);
                 let now = self.node.now();
                 self.node.engine_path.record_reached_elsewhere(&self.service, now);
--- a/crates/gateway/src/relay/start.rs
+++ b/crates/gateway/src/relay/start.rs
@@ -163,7 +163,7 @@
                 self.silent.push(attempt);
                 self.failure = Some(Failure::Reason("the engine went silent"));
             }
-            AttemptResult::NoResponse => {
+            AttemptResult::NoResponse | AttemptResult::UnprovenRejection => {
                 self.failure = Some(Failure::Reason("the engine failed"));
                 let has_time = self.last.is_some() || req.has_time_for_attempt();
                 if !req.route.kind.may_repeat() || !has_time || !req.take_retry().await {
--- a/crates/gateway/src/relay/stream/mod.rs
+++ b/crates/gateway/src/relay/stream/mod.rs
@@ -18,6 +18,7 @@
 
 use super::attempt::{StartedResponse, is_event_stream};
 use super::chunk_read::ChunkRead;
+use super::engine_response::is_engine_failure;
 use super::event_buffer::{EventBuffer, count_events};
 use super::event_timing::EventTiming;
 use super::read_ahead;
@@ -70,7 +71,7 @@
     let mut failure = None;
     loop {
         let started = start::start(req, last, failure).await?;
-        let is_failure = started.head.status.is_server_error();
+        let is_failure = is_engine_failure(started.head.status);
         req.record_response(&started.engine, is_failure);
         if !is_failure && (last.is_none() || started.head.status == StatusCode::OK) {
             return Ok(started);
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -47,6 +47,17 @@
     }
 }
 
+/// Whether a caller takes this status for a promise that its request has not run and will not run.
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Builds a JSON error response of this node's own.
 pub(crate) fn json_error(status: StatusCode, message: &str) -> CallerResponse {
     let mut response = Response::new(ResponseBody::full(format!("{{\"error\":\"{message}\"}}")));
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -64,6 +64,7 @@
 mod store_disconnects;
 mod streams;
 mod turned_away;
+mod unproven_rejections;
 mod version_faults;
 mod versions;
 
--- a/crates/standins/src/fleet/engine/mod.rs
+++ b/crates/standins/src/fleet/engine/mod.rs
@@ -292,7 +292,7 @@
 
     fn misdirected(&self) -> Response<Body> {
         self.lock().record.misdirected += 1;
-        let mut answer = failure(StatusCode::MISDIRECTED_REQUEST, "not here");
+        let mut answer = not_run(failure(StatusCode::MISDIRECTED_REQUEST, "not here"));
         let id = HeaderValue::from_str(&self.settings.id).unwrap_or(HeaderValue::from_static("?"));
         answer.headers_mut().insert("x-instance", id);
         answer
