--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -32,6 +32,7 @@
 mod engine_limits;
 mod engine_memory;
 mod engine_speed;
+mod foreign_keys;
 mod forwarded_attempts;
 mod forwarding;
 mod hubs;
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -1,7 +1,10 @@
 //! The platform's store: logs with offsets, conditional appends, and topics that keep the newest of each key.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::Bound;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -9,9 +12,10 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
 use indexmap::IndexMap;
+use percent_encoding::percent_decode_str;
 use serde_json::json;
 use tokio::sync::Notify;
 
@@ -21,7 +25,7 @@
 /// Longest wait of a read.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
-/// Records in one page of newest records.
+/// Records in one page of newest records, unless another number is set.
 const PAGE: usize = 500;
 
 /// What names a topic that keeps the newest record of each key.
@@ -43,6 +47,10 @@
     given: Mutex<IndexMap<String, u64>>,
     /// Which life of it this is, where it tells.
     era: Mutex<Option<String>>,
+    /// Records in one page of newest records.
+    page: AtomicUsize,
+    /// Whether it refuses each call for another page than the first.
+    refuses_next_pages: AtomicBool,
     switches: Arc<Switches>,
 }
 
@@ -55,8 +63,8 @@
     /// Records that are kept; the first has the offset `first`.
     records: Vec<Bytes>,
     first: u64,
-    /// The newest record of each key: its value and offset.
-    newest: IndexMap<String, (Bytes, u64)>,
+    /// The newest record of each key: its value and offset. Pages of them go by the bytes of their keys.
+    newest: BTreeMap<Vec<u8>, (Bytes, u64)>,
 }
 
 impl Topic {
@@ -75,6 +83,8 @@
             calls: Mutex::default(),
             given: Mutex::default(),
             era: Mutex::default(),
+            page: AtomicUsize::new(PAGE),
+            refuses_next_pages: AtomicBool::new(false),
             switches: Arc::clone(&switches),
         });
         let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -88,10 +98,11 @@
     }
 
     /// Writes a key, as an operator or an engine does; an empty value drops it.
-    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+    pub fn put(&self, topic: &str, key: impl AsRef<[u8]>, value: &[u8]) {
+        let key = key.as_ref();
         let mut record = BytesMut::new();
         record.put_u8(key.len() as u8);
-        record.put_slice(key.as_bytes());
+        record.put_slice(key);
         record.put_slice(value);
         self.shared.append(topic, vec![record.freeze()]);
     }
@@ -140,6 +151,16 @@
         lock(&self.shared.given).get(topic).copied().unwrap_or(0)
     }
 
+    /// Gives so many records in one page from now on.
+    pub fn give_pages_of(&self, records: usize) {
+        self.shared.page.store(records, Ordering::Relaxed);
+    }
+
+    /// Refuses each call for another page than the first from now on.
+    pub fn refuse_next_pages(&self) {
+        self.shared.refuses_next_pages.store(true, Ordering::Relaxed);
+    }
+
     /// Shows faults from now on.
     pub fn fault(&self, faults: &Faults) {
         self.shared.switches.set(faults);
@@ -160,7 +181,7 @@
                 && let Some((key, value)) = keyed(&record)
             {
                 if value.is_empty() {
-                    topic.newest.shift_remove(&key);
+                    topic.newest.remove(&key);
                 } else {
                     topic.newest.insert(key, (value, offset));
                 }
@@ -236,23 +257,28 @@
 
     fn newest_call(&self, req: &Request<Bytes>) -> Response<Body> {
         let name = partition(req).unwrap_or_default();
-        let after = query::<String>(req.uri(), "after");
+        let Ok(after) = decoded_query(req.uri(), "after") else {
+            return failure(StatusCode::BAD_REQUEST, "a malformed escape");
+        };
+        if after.is_some() && self.refuses_next_pages.load(Ordering::Relaxed) {
+            return failure(StatusCode::BAD_REQUEST, "no more pages");
+        }
         let topics = self.topics();
         let empty = Topic::default();
         let topic = topics.get(&name).unwrap_or(&empty);
-        let past = after.and_then(|key| topic.newest.get_index_of(&key));
-        let skip = past.map_or(0, |at| at + 1);
-        let items: Vec<_> = topic
-            .newest
-            .iter()
-            .skip(skip)
-            .take(PAGE)
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut rest = topic.newest.range((start, Bound::Unbounded));
+        let items: Vec<_> = rest
+            .by_ref()
+            .take(self.page.load(Ordering::Relaxed))
             .map(|(key, (value, offset))| {
+                // What JSON cannot hold of a key is replaced.
+                let key = String::from_utf8_lossy(key);
                 json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
             })
             .collect();
+        let more = rest.next().is_some();
         *lock(&self.given).entry(name).or_default() += items.len() as u64;
-        let more = skip + items.len() < topic.newest.len();
         json(&json!({ "items": items, "hasMore": more, "end": topic.end() }))
     }
 }
@@ -310,7 +336,7 @@
     Some(records)
 }
 
-fn keyed(record: &Bytes) -> Option<(String, Bytes)> {
+fn keyed(record: &Bytes) -> Option<(Vec<u8>, Bytes)> {
     let mut record = record.clone();
     let length = usize::from(*record.first()?);
     record.advance(1);
@@ -318,5 +344,24 @@
         return None;
     }
     let key = record.split_to(length);
-    Some((String::from_utf8(key.to_vec()).ok()?, record))
+    Some((key.to_vec(), record))
+}
+
+/// An escape that is none.
+#[derive(Debug, Clone, Copy)]
+struct MalformedEscape;
+
+/// The value of `name` in the query, decoded as servers do: escapes of bytes, and `+` for a blank.
+fn decoded_query(uri: &Uri, name: &str) -> Result<Option<Vec<u8>>, MalformedEscape> {
+    let mut pairs = uri.query().unwrap_or_default().split('&').filter_map(|p| p.split_once('='));
+    let Some((_, value)) = pairs.find(|(key, _)| *key == name) else { return Ok(None) };
+    let is_escape = |rest: &str| {
+        let digits = rest.as_bytes().get(..2);
+        digits.is_some_and(|digits| digits.iter().all(u8::is_ascii_hexdigit))
+    };
+    if !value.split('%').skip(1).all(is_escape) {
+        return Err(MalformedEscape);
+    }
+    let value = value.replace('+', " ");
+    Ok(Some(percent_decode_str(&value).collect()))
 }
