--- a/crates/gateway/src/follow/engines.rs
+++ b/crates/gateway/src/follow/engines.rs
@@ -27,16 +27,22 @@
 /// restore the entries.
 const KEEP_MISSING_FOR: Duration = Duration::from_millis(2_000);
 
+/// Pause after which a list that could not be read to its end is read again. Meanwhile the heartbeats in the log tell of the
+/// engines in the missing part.
+const REREAD_PAUSE: Duration = Duration::from_millis(5_000);
+
 /// Keeps the engine list up to date until the process ends.
 pub(crate) async fn engines(node: Node) {
     let mut cursor = None;
     let mut link = StoreLink::new(&node, "engines");
+    let mut incomplete_since = None;
     wait_for_first_update(&node).await;
     let (mut store_back_at, mut last_read) = (None, node.now());
     loop {
         if node.has_recent_leader_updates() {
             // The complete list is read again once the leader's updates stop.
             (cursor, store_back_at, last_read) = (None, None, node.now());
+            incomplete_since = None;
             sleep(UPDATE_CHECK_INTERVAL).await;
             node.pools().for_each(Pool::sweep);
             continue;
@@ -58,7 +64,14 @@
                 let since_back = store_back_at.map(|at| node.now().saturating_sub(at));
                 let keep_missing =
                     since_back.is_some_and(|t| t < KEEP_MISSING_FOR.as_millis() as u64);
+                if let Some(error) = &update.missing {
+                    link.record_failure(error);
+                    incomplete_since = Some(node.now());
+                }
                 apply_list_update(&node, update, keep_missing);
+                if incomplete_since.is_some_and(|at| time_since(&node, at) >= REREAD_PAUSE) {
+                    (incomplete_since, cursor) = (None, None);
+                }
                 if store_back_at.is_some() && !keep_missing {
                     // A read of the complete list removes the engines that are still missing.
                     store_back_at = None;
@@ -135,7 +148,7 @@
     if update.is_full_list {
         state.engines.apply_snapshot(snapshot, update.cursor, keep_missing);
         state.list_receiver.discard();
-    } else {
+    } else if update.missing.is_none() {
         state.engines.record_complete(update.cursor);
     }
     drop(state);
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -236,7 +236,7 @@
 }
 
 /// Why a call to the store failed.
-#[derive(Debug, Display, Error)]
+#[derive(Debug, Clone, Display, Error)]
 pub enum StoreError {
     /// The store rejected the call without executing it, by rate limit or for a fault of its own.
     #[display("the store refused the call: status {status}")]
@@ -296,6 +296,8 @@
     /// Whether `entries` is the whole list instead of the changes.
     pub is_full_list: bool,
     pub entries: Vec<EngineChange>,
+    /// Why `entries` lacks a part of the list that was asked for; none if it does not.
+    pub missing: Option<StoreError>,
     /// Entries that could not be parsed.
     pub malformed: Vec<DecodeError>,
 }
--- a/crates/hibiscusgw/tests/platform/foreign_keys.rs
+++ b/crates/hibiscusgw/tests/platform/foreign_keys.rs
@@ -87,3 +87,18 @@
     write(&fleet, "a05+");
     serves_after_a_kill_of_all(&mut fleet);
 }
+
+/// Guards against nodes that use no engine at all, as a page after the first cannot be read: the heartbeats in the log tell
+/// of those in the missing part.
+#[test]
+fn engines_beyond_a_page_that_is_refused_are_known_by_their_heartbeats() {
+    let mut fleet = fleet();
+    fill_page(&fleet, b"a00-500", 0);
+    fleet.store.refuse_next_pages();
+    let (node, mut sent) = (fleet.spawn("a"), 0);
+    wait("the node serves", || {
+        fleet.list_all();
+        sent += 1;
+        is_served(&fleet, node, &sent.to_string())
+    });
+}
