--- a/crates/direct/src/catalog.rs
+++ b/crates/direct/src/catalog.rs
@@ -175,8 +175,8 @@
 
 impl Route {
     fn select_service(&self, random: f64) -> Option<&ServiceId> {
-        let sum: u32 = self.targets.iter().map(|t| t.weight).sum();
-        let mut remaining = random * f64::from(sum);
+        let sum: f64 = self.targets.iter().map(|t| f64::from(t.weight)).sum();
+        let mut remaining = random * sum;
         for target in self.targets.iter().filter(|t| t.weight > 0) {
             remaining -= f64::from(target.weight);
             if remaining < 0.0 {
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -99,6 +99,13 @@
     pub work_time_percent: Option<u32>,
 }
 
+impl Load {
+    /// Requests that run or wait there.
+    fn requests(&self) -> f64 {
+        f64::from(self.running) + f64::from(self.waiting)
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct Engine {
     pub info: EngineInfo,
@@ -241,7 +248,7 @@
             .reported_load
             .filter(|(_, reported_at, _)| now.saturating_sub(*reported_at) < REPORT_TTL)?;
         debug_assert!(reported_at <= now);
-        let reported = f64::from(load.running + load.waiting);
+        let reported = load.requests();
         Some(
             (reported + f64::from(self.own_requests) - f64::from(own_then))
                 .max(f64::from(self.own_requests)),
@@ -326,9 +333,9 @@
         let share = self.brittleness.share(now) + extra_share;
         let capacity = (f64::from(self.info.slots) * share).floor().max(1.0);
         let unreported = self.prefill_backlog.count_from_peers(now) as f64;
-        let reported_room_at = self.reported_load.and_then(|(load, reported_at, _)| {
-            (f64::from(load.running + load.waiting) < capacity).then_some(reported_at)
-        });
+        let reported_room_at = self
+            .reported_load
+            .and_then(|(load, reported_at, _)| (load.requests() < capacity).then_some(reported_at));
         estimate + unreported >= capacity || self.brittleness.is_closed(reported_room_at, now)
     }
 
--- a/crates/direct/src/subset.rs
+++ b/crates/direct/src/subset.rs
@@ -114,12 +114,12 @@
         session_rank: impl Fn(&Engine) -> Option<f64>,
         now: Millis,
     ) -> Subset<'a> {
-        let (mut own, mut slots) = (0, 0);
+        let (mut own, mut slots) = (0, 0.0);
         let mut lowest: Option<(f64, f64)> = None;
         let mut candidates: Vec<Candidate> = engines
             .map(|engine| {
                 own += engine.own_requests;
-                slots += engine.info.slots;
+                slots += f64::from(engine.info.slots);
                 let rank = params.rank(engine);
                 if let Some(session_rank) = session_rank(engine)
                     && lowest.is_none_or(|(lowest, _)| session_rank < lowest)
@@ -130,7 +130,7 @@
             })
             .collect();
         candidates.sort_unstable_by(|a, b| a.rank.total_cmp(&b.rank));
-        let mean_slots = f64::from(slots) / candidates.len().max(1) as f64;
+        let mean_slots = slots / candidates.len().max(1) as f64;
         let width = (f64::from(own) / (mean_slots * OWN_SLOT_SHARE).max(1.0)).ceil() as usize;
         let margin = WIDEN_MARGIN_REQUESTS / mean_slots.max(1.0);
         let mean_load = mean_load(&candidates);
--- a/crates/gateway/src/follow/engines.rs
+++ b/crates/gateway/src/follow/engines.rs
@@ -119,7 +119,8 @@
         match entry {
             EngineEntry::Listed { mut listed, left } => {
                 if let Some(left) = left {
-                    let gone_at = Some(now + left.as_millis() as u64);
+                    let left = Millis::try_from(left.as_millis()).unwrap_or(Millis::MAX);
+                    let gone_at = Some(now.saturating_add(left));
                     listed.state = EngineState::Leaving { terminates_at: gone_at };
                 }
                 listed.position = position;
--- a/crates/gateway/src/leader/order.rs
+++ b/crates/gateway/src/leader/order.rs
@@ -122,7 +122,7 @@
 /// progress.
 pub(super) fn count_accepted(node: &Node, engine: &EngineId) {
     if let Some(engine) = node.state.borrow_mut().engines.get_mut(engine) {
-        engine.accepted_orders += 1;
+        engine.accepted_orders = engine.accepted_orders.saturating_add(1);
     }
 }
 
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -159,7 +159,7 @@
         };
         usable.fold(empty, |sum, engine| ServiceState {
             engines: sum.engines + 1,
-            slots: sum.slots + engine.info.slots,
+            slots: sum.slots.saturating_add(engine.info.slots),
             in_flight: sum.in_flight + engine.estimate(now),
             ..sum
         })
--- a/crates/hibiscusgw/tests/platform/main.rs
+++ b/crates/hibiscusgw/tests/platform/main.rs
@@ -46,6 +46,7 @@
 mod limits;
 mod log_lines;
 mod long_configuration;
+mod odd_entries;
 mod orders;
 mod outdated_configuration;
 mod overload;
