Loads: a report of a leader's loads names that leader

A node counted the loads in it as those of the leader that it knew as the response arrived. If that one died before the node had polled it, the node claimed the lease with another leader's loads, and could begin more from the weight store than that allows (CEILING). A hub that had heard of no loads yet passed on an empty list as that of the new leader.

Change: the response names the fencing token of the leader that began the loads where that is not the leader that it names itself (nothing more is sent in the usual case), and loads of an earlier leader replace nothing.

By reading; the test of the decision uses a new type, so that it was not run on the code before.

--- a/crates/direct/src/placement/load_rate.rs
+++ b/crates/direct/src/placement/load_rate.rs
@@ -21,6 +21,36 @@
     }
 }
 
+/// Loads from the weight store that a leader has started, as it reported them to nodes that may succeed it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ReportedLoads {
+    /// Fencing token of that leader.
+    fence: u64,
+    started: Vec<Millis>,
+}
+
+impl ReportedLoads {
+    pub fn new(fence: u64, started: Vec<Millis>) -> ReportedLoads {
+        ReportedLoads { fence, started }
+    }
+
+    /// Replaces `known` unless that is of a later leader: a report may have been long on its way.
+    pub fn replace(self, known: &mut Option<ReportedLoads>) {
+        if known.as_ref().is_none_or(|known| known.fence <= self.fence) {
+            *known = Some(self);
+        }
+    }
+
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// Start times of the loads.
+    pub fn started(&self) -> &[Millis] {
+        &self.started
+    }
+}
+
 /// Counts the loads from the weight store that started within the window.
 #[derive(Debug, Clone, Default)]
 pub struct LoadRateLimiter {
--- a/crates/direct/src/placement/mod.rs
+++ b/crates/direct/src/placement/mod.rs
@@ -10,7 +10,7 @@
 
 pub use adapters::{AdapterAction, has_place_for, next_missing_adapter, place_adapter};
 pub use capacity::{free_adapter_slots, model_fits, needed_evictions};
-pub use load_rate::{LoadRateLimiter, LoadRateLimits};
+pub use load_rate::{LoadRateLimiter, LoadRateLimits, ReportedLoads};
 pub use models::{
     AllowedActions, ModelLoad, PendingLoads, WeightSource, count_evicting, next_model_load,
 };
--- a/crates/direct/tests/placement.rs
+++ b/crates/direct/tests/placement.rs
@@ -8,7 +8,7 @@
 use hgw_direct::engine_speed::SpeedSums;
 use hgw_direct::placement::{
     AdapterAction, AllowedActions, LoadRateLimiter, LoadRateLimits, ModelLoad, PendingLoads,
-    WeightSource, count_evicting, free_adapter_slots, model_fits, needed_evictions,
+    ReportedLoads, WeightSource, count_evicting, free_adapter_slots, model_fits, needed_evictions,
     next_missing_adapter, next_model_load, place_adapter,
 };
 use hgw_direct::{
@@ -465,6 +465,19 @@
     assert_eq!(known.load_ages(13_001), [3_001, 3_001, 3_001, 3_001, 3_001, 3_001, 0]);
 }
 
+/// Guards against more loads than the weight store allows after a change of leaders: a report of an earlier leader that comes
+/// late says nothing of its successor's loads.
+#[test]
+fn loads_of_an_earlier_leader_do_not_replace_those_of_a_later_one() {
+    let mut known = None;
+    ReportedLoads::new(7, vec![100]).replace(&mut known);
+    ReportedLoads::new(9, vec![200]).replace(&mut known);
+    ReportedLoads::new(7, Vec::new()).replace(&mut known);
+    assert_eq!(known, Some(ReportedLoads::new(9, vec![200])));
+    ReportedLoads::new(9, Vec::new()).replace(&mut known);
+    assert_eq!(known, Some(ReportedLoads::new(9, Vec::new())));
+}
+
 /// Guards against giving all copies to the most requested model while another has only one.
 #[test]
 fn model_whose_copies_have_most_to_do_gets_the_next_copy() {
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hgw_direct::placement::{LoadRateLimiter, LoadRateLimits, PendingLoads};
+use hgw_direct::placement::{LoadRateLimiter, LoadRateLimits, PendingLoads, ReportedLoads};
 use hgw_direct::{Demand, EngineId, ListVersion, Millis, ModelPool, ModelRef, StartTime};
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{Mutex, Notify, Semaphore};
@@ -129,8 +129,9 @@
         let now = node.now();
         return Some(leader.load_limiter.load_ages(now).iter().map(|age| now - age).collect());
     }
-    let reported = node.state.borrow().leader_loads.clone();
-    reported.filter(|(fence, _)| *fence == claim).map(|(_, load_starts)| load_starts)
+    let state = node.state.borrow();
+    let reported = state.leader_loads.as_ref().filter(|loads| loads.fence() == claim);
+    reported.map(|loads| loads.started().to_vec())
 }
 
 /// Counts a load from the weight store. Nodes are notified at once, because one of them may be the
@@ -289,9 +290,11 @@
     }
 }
 
-/// Ages in milliseconds of the loads from the weight store that this leader started.
-pub(crate) fn load_ages(node: &Node) -> Vec<u64> {
-    node.leader_state.borrow().load_limiter.load_ages(node.now())
+/// Loads from the weight store that this leader started.
+pub(crate) fn started_loads(node: &Node) -> ReportedLoads {
+    let (now, leader) = (node.now(), node.leader_state.borrow());
+    let ages = leader.load_limiter.load_ages(now);
+    ReportedLoads::new(leader.fence, ages.iter().map(|age| now - age).collect())
 }
 
 /// Engines that have `model_ref` loaded, with all their loaded models.
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -164,6 +164,9 @@
     /// Ages of the loads from the weight store, in milliseconds, for a successor's rate limit.
     #[serde(rename = "begun")]
     pub(crate) load_ages_ms: Vec<u64>,
+    /// Fencing token of the leader that started them; none if it is `leader`.
+    #[serde(default, rename = "begun_under", skip_serializing_if = "Option::is_none")]
+    pub(crate) loads_fence: Option<u64>,
     pub(crate) loads: Vec<EngineLoad>,
     #[serde(default)]
     pub(crate) crash_states: Vec<CrashState>,
--- a/crates/gateway/src/peers/poll.rs
+++ b/crates/gateway/src/peers/poll.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hgw_direct::hubs::{Parent, SkipReason, digest, poll_interval_factor};
+use hgw_direct::placement::ReportedLoads;
 use hgw_direct::{ChangePosition, CrashReport, LimitState, Millis, ModelRef};
 use hgw_events::{Event, emit};
 use indexmap::IndexMap;
@@ -226,6 +227,7 @@
 fn apply_update(node: &Node, polled_at: Millis, from: SocketAddr, update: PollResponse) {
     let received_at = node.now();
     eras::record_reported(node, update.era);
+    let loads_fence = update.loads_fence.or(update.leader.as_ref().map(|leader| leader.fence));
     if let Some(leader) = update.leader {
         node.leadership.borrow_mut().record_reported_leader(leader);
     }
@@ -257,10 +259,10 @@
     // After the list, which may contain new engines.
     engine_speed::apply_published(node, update.speeds.as_ref().map_or(&[], |(_, rows)| rows));
     apply_loads(node, &update.loads);
-    let fence = node.leadership.borrow().leader.as_ref().map(|leader| leader.fence);
-    if let Some(fence) = fence {
-        let load_starts = update.load_ages_ms.iter().map(|age| received_at.saturating_sub(*age));
-        node.state.borrow_mut().leader_loads = Some((fence, load_starts.collect()));
+    if let Some(fence) = loads_fence {
+        let started = update.load_ages_ms.iter().map(|age| received_at.saturating_sub(*age));
+        let loads = ReportedLoads::new(fence, started.collect());
+        loads.replace(&mut node.state.borrow_mut().leader_loads);
     }
     node.catalog_reads.record_report(received_at, update.catalog_overdue_ms);
     record_catalog_of(node, from, update.catalog_version, CatalogMention::PollResponse);
--- a/crates/gateway/src/peers/poll_response.rs
+++ b/crates/gateway/src/peers/poll_response.rs
@@ -1,6 +1,7 @@
 //! Answers polls: the leader those of all hubs, and a hub those of the nodes in its domain.
 
 use hgw_direct::hubs::{CandidateSource, LongListDistribution, Member, digest};
+use hgw_direct::placement::ReportedLoads;
 use hgw_direct::{ListUpdate, broadcasts_sends};
 use tokio::time::timeout;
 
@@ -41,6 +42,8 @@
     let sends_all_states = node.crashes.borrow().is_up_to_date(crashes_seen);
     let (part_crash_states, crash_states) =
         crash_states.into_iter().partition(|state| state.subject.is_part());
+    let (now, loads) = (node.now(), known_loads(node));
+    let leader_fence = node.leadership.borrow().leader.as_ref().map(|leader| leader.fence);
     PollResponse {
         crash_states,
         part_crash_states,
@@ -63,7 +66,8 @@
         hub_candidates,
         children: node.children.count(),
         last_renewal: node.last_renewal(),
-        load_ages_ms: load_ages(node),
+        load_ages_ms: loads.started().iter().map(|at| now.saturating_sub(*at)).collect(),
+        loads_fence: Some(loads.fence()).filter(|fence| leader_fence != Some(*fence)),
         loads: loads_since(node, 0, Some(&request.demand)),
         admitted_versions: versions::newer_than(node, request.versions_position),
         stream_replicas: streams::replicas_to_share(node, request.stream_replicas_digest),
@@ -111,14 +115,12 @@
         && node.catalog_version() <= request.catalog_version
 }
 
-/// Ages of the loads from the weight store, as started here or reported by the leader.
-fn load_ages(node: &Node) -> Vec<u64> {
+/// Loads from the weight store that were started here, or that the leader reported; of no leader if none has.
+fn known_loads(node: &Node) -> ReportedLoads {
     if node.leadership.borrow().is_leader() {
-        return leader::load_ages(node);
+        return leader::started_loads(node);
     }
-    let (now, state) = (node.now(), node.state.borrow());
-    let load_starts = state.leader_loads.iter().flat_map(|(_, load_starts)| load_starts);
-    load_starts.map(|at| now.saturating_sub(*at)).collect()
+    node.state.borrow().leader_loads.clone().unwrap_or_default()
 }
 
 /// Addresses of the peers that exchange datagrams, if the sender knows others.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use hgw_direct::placement::ReportedLoads;
 use hgw_direct::{
     Catalog, ChangePosition, Demand, Engines, ListChanges, ListReceiver, ListVersion, Millis,
     ModelRef, RetryBudget, ServiceId,
@@ -33,8 +34,8 @@
     pub(crate) demand: Demand,
     /// Requests by model and adapter since the last report to the leader.
     pub(crate) unreported_demand: IndexMap<ModelRef, f64>,
-    /// Fencing token of a leader, and the start times of its loads from the weight store.
-    pub(crate) leader_loads: Option<(u64, Vec<Millis>)>,
+    /// Loads from the weight store that the latest leader reported.
+    pub(crate) leader_loads: Option<ReportedLoads>,
     /// Number of nodes that share budgets and connections, this one included.
     pub(crate) nodes: u32,
 }
