Models: the size of one that the configuration dropped is known while it is loaded

A model that the configuration no longer names counts as filling its engine, as its size is not known. The sizes of dropped models are kept from one configuration to the next while an engine has them loaded. A node that starts after the change does not know them and counts as before.

The new test uses a new function, so that it was not run on the code before.

--- a/crates/direct/src/catalog.rs
+++ b/crates/direct/src/catalog.rs
@@ -110,6 +110,15 @@
     /// Tokens that an engine's memory holds for requests and cached parts of prompts, if known.
     pub memory_tokens: Option<u32>,
     pub models: IndexMap<String, Model>,
+    /// Models that an earlier configuration named and this one does not. Engines may still have them loaded.
+    pub dropped_models: IndexMap<String, Model>,
+}
+
+impl ModelPool {
+    /// A model by its name, also one that the configuration does not name any more.
+    pub(crate) fn known_model(&self, model: &str) -> Option<&Model> {
+        self.models.get(model).or_else(|| self.dropped_models.get(model))
+    }
 }
 
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -158,6 +167,20 @@
 }
 
 impl Catalog {
+    /// Keeps the sizes of models that `previous` knows and this configuration does not name, while they are loaded.
+    pub fn keep_dropped_models(&mut self, previous: &Catalog, is_loaded: impl Fn(&str) -> bool) {
+        for (id, service) in &mut self.services {
+            let known = previous.services.get(id).and_then(|known| known.pool.as_ref());
+            let (Some(pool), Some(known)) = (&mut service.pool, known) else { continue };
+            let all = known.models.iter().chain(&known.dropped_models);
+            let dropped = all.filter(|(model, _)| !pool.models.contains_key(*model));
+            let kept = dropped.filter(|(model, _)| is_loaded(model.as_str()));
+            let kept: Vec<(String, Model)> =
+                kept.map(|(m, size)| (m.clone(), size.clone())).collect();
+            pool.dropped_models.extend(kept);
+        }
+    }
+
     /// Finds the route with the longest matching prefix for a host. `random`, in `0..1`, selects the
     /// service by weight.
     pub fn find(&self, host: &str, path: &str, random: f64) -> Option<RouteMatch<'_>> {
--- a/crates/direct/src/placement/capacity.rs
+++ b/crates/direct/src/placement/capacity.rs
@@ -5,7 +5,7 @@
 /// Size of a model. An unknown model counts as filling the engine, so that nothing is loaded beside
 /// it.
 pub(super) fn weights_mb(pool: &ModelPool, model: &str) -> f64 {
-    pool.models.get(model).map_or(pool.weights_mb, |m| m.weights_mb)
+    pool.known_model(model).map_or(pool.weights_mb, |m| m.weights_mb)
 }
 
 /// Memory reserved for adapters: each slot may hold the largest one.
@@ -31,7 +31,7 @@
 
 /// Size of an adapter of a model. One of an unknown model takes no memory beside it, as the model fills the engine.
 fn adapter_mb(pool: &ModelPool, model: &str) -> f64 {
-    pool.models.get(model).map_or(0.0, |m| m.adapter_mb)
+    pool.known_model(model).map_or(0.0, |m| m.adapter_mb)
 }
 
 /// Whether an adapter fits at an engine that has its model, once `evict` have been evicted there.
--- a/crates/direct/tests/placement.rs
+++ b/crates/direct/tests/placement.rs
@@ -12,7 +12,8 @@
     next_missing_adapter, next_model_load, place_adapter,
 };
 use hgw_direct::{
-    Cursor, Demand, Engine, EngineInfo, Engines, Model, ModelPool, Rates, SoftwareVersion,
+    Catalog, Cursor, Demand, Engine, EngineInfo, Engines, Model, ModelPool, Rates, Service,
+    SoftwareVersion,
 };
 use support::{engine_info, engines, model_ref};
 
@@ -403,6 +404,24 @@
     assert_matches!(step, Some(ModelLoad { model, evict, .. }) if model == "m" && evict == ["gone"]);
 }
 
+/// Guards against adapters that are refused at engines that still have a model which the configuration has dropped.
+#[test]
+fn size_of_a_dropped_model_is_known_while_it_is_loaded() {
+    let catalog = |models: &[&str]| {
+        let service = Service { max_conns: 64, health_path: None, pool: Some(pool(models)) };
+        Catalog { services: [("s".into(), service)].into_iter().collect(), ..Catalog::default() }
+    };
+    let mut newer = catalog(&["m"]);
+    newer.keep_dropped_models(&catalog(&["m", "n", "o"]), |model| model == "n");
+    let mut newest = catalog(&["m", "o"]);
+    newest.keep_dropped_models(&newer, |_| true);
+    let pool = newest.services[0].pool.as_ref().unwrap();
+    assert_eq!(pool.dropped_models.keys().collect::<Vec<_>>(), ["n"]);
+    let engines = engines(&[("e1", "a", &["m", "n"])]);
+    assert_matches!(place_at(&engines, pool, "m/x"), AdapterAction::Load { .. });
+    assert!(model_fits(engines.iter().next().unwrap(), pool, "o"));
+}
+
 /// Guards against exceeding an engine's adapter slots after the response to an order was lost.
 #[test]
 fn adapter_that_may_be_loading_takes_its_slot() {
--- a/crates/gateway/src/follow/catalog.rs
+++ b/crates/gateway/src/follow/catalog.rs
@@ -239,7 +239,7 @@
         return Some(version);
     }
     let parse_started_at = Instant::now();
-    let catalog = match node.protocols.store.parse_catalog(&text) {
+    let mut catalog = match node.protocols.store.parse_catalog(&text) {
         Ok(catalog) => catalog,
         Err(e) => {
             emit(Event::ConfigRejected, &[("node", &node.settings.borrow().node), ("why", &e)]);
@@ -264,6 +264,10 @@
     );
     catalog.ignored_fields.iter().for_each(|field| meter::ignored_figure(field, &"not usable"));
     let mut state = node.state.borrow_mut();
+    if let Some(previous) = &state.catalog {
+        let is_loaded = |model: &str| state.engines.iter().any(|engine| engine.has_model(model));
+        catalog.keep_dropped_models(previous, is_loaded);
+    }
     state.catalog = Some(Arc::new(catalog));
     state.catalog_text = text;
     drop(state);
