--- a/crates/gateway/src/relay/forward/response.rs
+++ b/crates/gateway/src/relay/forward/response.rs
@@ -46,7 +46,7 @@
                     return AttemptResult::NoResponse;
                 }
                 if self.would_promise_falsely(head.status) {
-                    // A release that passes such statuses on.
+                    // The other node is of a release that passes such statuses on.
                     self.settle_forward(&guard, runs);
                     return AttemptResult::UnprovenRejection;
                 }
