--- a/crates/direct/src/placement/adapters.rs
+++ b/crates/direct/src/placement/adapters.rs
@@ -98,7 +98,7 @@
 }
 
 /// Whether an engine that has the adapter's model could hold it if it had no other adapter.
-pub fn has_place_for(engines: &[&Engine], pool: &ModelPool, model_ref: &ModelRef) -> bool {
+pub fn any_could_hold(engines: &[&Engine], pool: &ModelPool, model_ref: &ModelRef) -> bool {
     let mut with_model = engines.iter().filter(|e| e.has_model(&model_ref.model));
     with_model.any(|e| could_hold_adapter(e, pool, model_ref))
 }
@@ -112,7 +112,7 @@
 ) -> Option<ModelRef> {
     let rates = demand.rates(now);
     let missing = rates.adapters.iter().filter(|(model_ref, _)| {
-        has_place_for(engines, pool, model_ref) && !engines.iter().any(|e| e.has_loaded(model_ref))
+        any_could_hold(engines, pool, model_ref) && !engines.iter().any(|e| e.has_loaded(model_ref))
     });
     missing.max_by(|a, b| a.1.total_cmp(b.1)).map(|(model_ref, _)| model_ref.clone())
 }
--- a/crates/direct/src/placement/capacity.rs
+++ b/crates/direct/src/placement/capacity.rs
@@ -1,4 +1,4 @@
-//! Room at engines for models and adapters: places and memory, by the figures of the service that an engine belongs to.
+//! Room at engines for models and adapters: slots and memory, by the figures of the service that an engine belongs to.
 
 use crate::{Engine, ModelPool, ModelRef};
 
--- a/crates/direct/src/placement/mod.rs
+++ b/crates/direct/src/placement/mod.rs
@@ -8,7 +8,7 @@
 mod models;
 mod targets;
 
-pub use adapters::{AdapterAction, has_place_for, next_missing_adapter, place_adapter};
+pub use adapters::{AdapterAction, any_could_hold, next_missing_adapter, place_adapter};
 pub use capacity::{free_adapter_slots, model_fits, needed_evictions};
 pub use load_rate::{LoadRateLimiter, LoadRateLimits, ReportedLoads};
 pub use models::{
--- a/crates/gateway/src/leader/adapters.rs
+++ b/crates/gateway/src/leader/adapters.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hgw_direct::placement::{
-    AdapterAction, has_place_for, needed_evictions, next_missing_adapter, place_adapter,
+    AdapterAction, any_could_hold, needed_evictions, next_missing_adapter, place_adapter,
 };
 use hgw_direct::{Engine, EngineId, ModelPool, ModelRef, ServiceId, VersionKey};
 use hgw_events::{Event, emit};
@@ -53,7 +53,7 @@
     node.leader_state.borrow_mut().demand.mark_requested(now, model_ref);
     let model = ModelRef { model: model_ref.model.clone(), adapter: None };
     let is_model_loaded = is_loaded(node, &model, version);
-    if model_ref.adapter.is_none() || !is_model_loaded || !has_place(node, model_ref) {
+    if model_ref.adapter.is_none() || !is_model_loaded || !any_engine_could_hold(node, model_ref) {
         return Placement::Loading(models::expected_load_ms(node, &model_ref.model));
     }
     // Runs as a separate task, because the caller may disconnect while an order is pending.
@@ -117,12 +117,12 @@
 }
 
 /// Whether an engine with the adapter's model could hold it beside its models.
-fn has_place(node: &Node, model_ref: &ModelRef) -> bool {
+fn any_engine_could_hold(node: &Node, model_ref: &ModelRef) -> bool {
     let pools = model_pools(node);
     let state = node.state.borrow();
     pools.iter().any(|(service, pool)| {
         let engines: Vec<&Engine> = state.engines.of_service(service).collect();
-        has_place_for(&engines, pool, model_ref)
+        any_could_hold(&engines, pool, model_ref)
     })
 }
 
--- a/crates/hibiscusgw/tests/platform/adapter_room.rs
+++ b/crates/hibiscusgw/tests/platform/adapter_room.rs
@@ -1,4 +1,4 @@
-//! Orders for adapters at engines that have less room than places, and other figures than those of another service.
+//! Orders for adapters at engines that have less memory than slots, and other figures than those of another service.
 
 use hgw_standins::fleet::deployment::{Fleet, configuration, holds, wait};
 use hgw_standins::fleet::{EngineMemory, EngineSettings};
@@ -39,7 +39,7 @@
     records.filter(|r| r.too_much > 0).map(|r| (r.too_much, r.orders)).collect()
 }
 
-/// Guards against orders beyond an engine's memory where its models leave room for fewer adapters than it has places.
+/// Guards against orders beyond an engine's memory where its models leave room for fewer adapters than it has slots.
 #[test]
 fn adapters_are_ordered_within_the_memory_that_models_leave() {
     let memory = EngineMemory { total_mb: 150_000.0, model_mb: 70_000.0, adapter_mb: 4_000.0 };
@@ -68,9 +68,9 @@
     });
 }
 
-/// Guards against orders beyond an engine's places where the engines of another service have more of them.
+/// Guards against orders beyond an engine's slots where the engines of another service have more of them.
 #[test]
-fn adapters_are_ordered_within_the_places_of_the_service() {
+fn adapters_are_ordered_within_the_slots_of_the_service() {
     let engine = |id: &str, service: &str, model: &str, adapters: usize| EngineSettings {
         id: id.into(),
         service: service.into(),
--- a/crates/hibiscusgw/tests/platform/late_leader.rs
+++ b/crates/hibiscusgw/tests/platform/late_leader.rs
@@ -25,7 +25,7 @@
 /// The event of an engine that a leader has surveyed.
 const SURVEYED: u64 = 4020;
 
-/// The places for adapters of an engine, all of which are taken.
+/// Adapters in all slots of an engine.
 const ADAPTERS: [&str; 4] = ["a1", "a2", "a3", "a4"];
 
 /// Appends a record of an earlier leader to the log of the lease.
@@ -116,7 +116,7 @@
 macro_rules! late_responses {
     ($($name:ident: $term:expr;)*) => {
         $(
-            /// Guards against an order beyond an engine's places as a response of the leader before, at an equal count of
+            /// Guards against an order beyond an engine's slots as a response of the leader before, at an equal count of
             /// orders, replaces what its successor has surveyed.
             #[test]
             fn $name() {
