--- a/crates/hibiscusgw/tests/platform/adapter_room.rs
+++ b/crates/hibiscusgw/tests/platform/adapter_room.rs
@@ -2,7 +2,7 @@
 
 use hgw_standins::fleet::deployment::{Fleet, configuration, holds, wait};
 use hgw_standins::fleet::{EngineMemory, EngineSettings};
-use http::{Method, StatusCode};
+use http::StatusCode;
 
 use crate::new_fleet;
 
@@ -12,16 +12,9 @@
         let asks: Vec<_> = models
             .iter()
             .map(|model| {
-                let prompt = format!("{}-{model}", path.trim_matches('/')).replace('/', "-");
+                let id = format!("{}-{model}", path.trim_matches('/')).replace('/', "-");
                 scope.spawn(move || {
-                    let headers = [
-                        ("x-request-id", prompt.as_str()),
-                        ("x-deadline-ms", "8000"),
-                        ("x-model", model),
-                        ("x-tokens", "100,120"),
-                        ("x-prompt-prefix", "a1:60,b2:40"),
-                    ];
-                    let response = fleet.nodes[node].call(Method::POST, path, &headers);
+                    let response = fleet.nodes[node].stream(path, &id, model);
                     response.is_ok_and(|r| r.status == StatusCode::OK)
                 })
             })
